--- /dev/null
+++ b/packages/core/src/abort.ts
@@ -0,0 +1,45 @@
+/**
+ * Waiting with an end: on the runtime's clock, so that tests pause and advance it.
+ */
+
+/** Resolves after `ms`, or at once when `signal` aborts. */
+export const pause = (ms: number, signal?: AbortSignal): Promise<void> => new Promise(resolve => {
+  if (signal?.aborted === true) return resolve()
+  const done = (): void => {
+    clearTimeout(timer)
+    signal?.removeEventListener('abort', done)
+    resolve()
+  }
+  const timer = setTimeout(done, ms)
+  signal?.addEventListener('abort', done)
+})
+
+/** A signal that aborts after `ms` or with `parent`; `clear` lets go of its timer. */
+export interface Deadline {
+  signal: AbortSignal
+  clear: () => void
+}
+
+export const deadlineIn = (ms: number, parent?: AbortSignal): Deadline => {
+  const controller = new AbortController()
+  const abort = (): void => controller.abort()
+  const timer = setTimeout(abort, ms)
+  if (parent?.aborted === true) abort()
+  parent?.addEventListener('abort', abort)
+  const clear = (): void => {
+    clearTimeout(timer)
+    parent?.removeEventListener('abort', abort)
+  }
+  return { signal: controller.signal, clear }
+}
+
+/** The promise's value, or `fallback` once `ms` have passed. */
+export const within = async <T, F>(ms: number, promise: Promise<T>, fallback: F): Promise<T | F> => {
+  let timer: NodeJS.Timeout | undefined
+  const late = new Promise<F>(resolve => { timer = setTimeout(resolve, ms, fallback) })
+  try {
+    return await Promise.race([promise, late])
+  } finally {
+    clearTimeout(timer)
+  }
+}
--- /dev/null
+++ b/packages/core/src/configuration.ts
@@ -0,0 +1,122 @@
+/**
+ * The configuration: what operators declare, one schema with the types derived from it.
+ *
+ * `check` reads a whole document and gives every finding at once. References are checked after the shapes, so a
+ * document with a broken team still has its adapters looked at.
+ */
+import { err, ok, type Result } from 'neverthrow'
+import { z } from 'zod'
+import { finding, findingsOf, type Finding } from './finding.js'
+import { AdapterName, AdapterVersion, AliasName, ModelName, ServiceName, TeamName } from './id.js'
+
+const defaultWeight = 1
+const defaultRate = 1000
+const defaultConcurrency = 500
+
+export const Limits = z.strictObject({
+  /** Requests a second that one entry admits for the team. */
+  rate: z.number().positive().default(defaultRate),
+  /** Requests in progress at one entry. */
+  concurrency: z.number().int().positive().default(defaultConcurrency)
+})
+
+export const Team = z.strictObject({
+  name: TeamName,
+  /** SHA-256 of each bearer token, as hex: two while one is being rotated out. */
+  tokens: z.array(z.string().regex(/^[0-9a-f]{64}$/, 'expected a SHA-256 in hex')).max(4),
+  /** The team's share of a queue against the other teams'. */
+  weight: z.number().positive().default(defaultWeight),
+  limits: Limits.default({ rate: defaultRate, concurrency: defaultConcurrency })
+})
+export type Team = z.infer<typeof Team>
+
+export const Model = z.strictObject({
+  name: ModelName,
+  /** Whether its engines refuse orders that carry an older fence. */
+  checksFences: z.boolean().default(true)
+})
+export type Model = z.infer<typeof Model>
+
+export const Service = z.strictObject({
+  name: ServiceName,
+  teams: z.array(TeamName).min(1),
+  checksFences: z.boolean().default(false),
+  /** What a request that may not be repeated gets while the store is down: a refusal, or a ticket to come back with. */
+  onStoreOutage: z.enum(['refuse', 'ticket']).default('refuse')
+})
+export type Service = z.infer<typeof Service>
+
+export const Adapter = z.strictObject({
+  team: TeamName,
+  name: AdapterName,
+  model: ModelName,
+  versions: z.array(z.strictObject({ version: AdapterVersion, source: z.string().min(1).max(500) })).min(1),
+  aliases: z.record(AliasName, AdapterVersion).default({}),
+  /** The alias or version that a request without either gets. */
+  default: z.string().min(1)
+})
+export type Adapter = z.infer<typeof Adapter>
+
+export const Configuration = z.strictObject({
+  teams: z.array(Team).default([]),
+  models: z.array(Model).default([]),
+  services: z.array(Service).default([]),
+  adapters: z.array(Adapter).default([])
+})
+export type Configuration = z.infer<typeof Configuration>
+
+export const adapterId = (adapter: { team: string, name: string }): string => `${adapter.team}/${adapter.name}`
+
+const duplicates = (path: string, names: string[]): Finding[] => {
+  const seen = new Set<string>()
+  return names.flatMap((name, index) => {
+    if (seen.has(name)) return [finding('duplicate_name', `${path}.${index}`, name)]
+    seen.add(name)
+    return []
+  })
+}
+
+const checkAdapter = (adapter: Adapter, path: string, teams: Set<string>, models: Set<string>): Finding[] => {
+  const found: Finding[] = []
+  const versions = new Set<string>(adapter.versions.map(each => each.version))
+  if (!teams.has(adapter.team)) found.push(finding('unknown_team', `${path}.team`, adapter.team))
+  if (!models.has(adapter.model)) found.push(finding('unknown_model', `${path}.model`, adapter.model))
+  found.push(...duplicates(`${path}.versions`, adapter.versions.map(each => each.version)))
+  for (const [alias, version] of Object.entries(adapter.aliases)) {
+    if (!versions.has(version)) found.push(finding('unknown_version', `${path}.aliases.${alias}`, version))
+    if (versions.has(alias)) found.push(finding('duplicate_name', `${path}.aliases.${alias}`, `${alias} (a version's name)`))
+  }
+  const known = versions.has(adapter.default) || adapter.default in adapter.aliases
+  if (!known) found.push(finding('unknown_version', `${path}.default`, adapter.default))
+  return found
+}
+
+const checkReferences = (configuration: Configuration): Finding[] => {
+  const teams = new Set<string>(configuration.teams.map(team => team.name))
+  const models = new Set<string>(configuration.models.map(model => model.name))
+  return [
+    ...duplicates('teams', configuration.teams.map(team => team.name)),
+    ...duplicates('models', configuration.models.map(model => model.name)),
+    ...duplicates('services', configuration.services.map(service => service.name)),
+    ...duplicates('adapters', configuration.adapters.map(adapterId)),
+    ...configuration.services.flatMap((service, index) => service.teams
+      .filter(team => !teams.has(team))
+      .map(team => finding('unknown_team', `services.${index}.teams`, team))),
+    ...configuration.adapters.flatMap((adapter, index) => checkAdapter(adapter, `adapters.${index}`, teams, models))
+  ]
+}
+
+/** Checks a whole document; on a fault every finding is given, with its path. */
+export const check = (document: unknown): Result<Configuration, Finding[]> => {
+  const parsed = Configuration.safeParse(document)
+  if (!parsed.success) return err(findingsOf(parsed.error))
+  const findings = checkReferences(parsed.data)
+  return findings.length === 0 ? ok(parsed.data) : err(findings)
+}
+
+/** The exact version that a version, an alias or nothing stands for. */
+export const versionOf = (adapter: Adapter, asked: string | undefined): AdapterVersion | undefined => {
+  const wanted = asked ?? adapter.default
+  const aliased = Object.hasOwn(adapter.aliases, wanted) ? adapter.aliases[wanted as AliasName] : wanted
+  return adapter.versions.find(each => each.version === aliased)?.version
+}
--- /dev/null
+++ b/packages/core/src/finding.ts
@@ -0,0 +1,39 @@
+/**
+ * Findings: what a check found wrong, each with its code, place and message.
+ *
+ * A check never stops at the first fault. Codes are a closed set; `messages` is the one table of their texts.
+ */
+import type { z } from 'zod'
+
+export const messages = {
+  invalid_value: (detail: string) => detail,
+  invalid_syntax: (detail: string) => `can't be read: ${detail}`,
+  duplicate_name: (detail: string) => `${detail} is declared twice`,
+  unknown_team: (detail: string) => `team ${detail} is not declared`,
+  unknown_model: (detail: string) => `base model ${detail} is not declared`,
+  unknown_service: (detail: string) => `service ${detail} is not declared`,
+  unknown_version: (detail: string) => `version ${detail} is not among the adapter's versions`,
+  conflicting_settings: (detail: string) => detail
+} satisfies Record<string, (detail: string) => string>
+
+export type FindingCode = keyof typeof messages
+
+export interface Finding {
+  code: FindingCode
+  /** Where: a file and line, a flag, or a path into a document. */
+  path: string
+  message: string
+}
+
+export const finding = (code: FindingCode, path: string, detail: string): Finding =>
+  ({ code, path, message: messages[code](detail) })
+
+const join = (prefix: string, path: PropertyKey[]): string =>
+  [prefix, ...path.map(String)].filter(part => part !== '').join('.')
+
+/** Turns a schema's issues into findings below `prefix`. */
+export const findingsOf = (error: z.ZodError, prefix = ''): Finding[] =>
+  error.issues.map(issue => finding('invalid_value', join(prefix, issue.path), issue.message))
+
+export const printFindings = (findings: Finding[]): string =>
+  findings.map(({ code, path, message }) => `${path}: ${message} [${code}]`).join('\n')
--- /dev/null
+++ b/packages/core/src/id.ts
@@ -0,0 +1,66 @@
+/**
+ * Branded ids.
+ *
+ * Every name that crosses a boundary is parsed once by its schema and keeps its brand from there on, so that a
+ * team name can't be passed where an adapter name is meant.
+ */
+import { randomBytes } from 'node:crypto'
+import { z } from 'zod'
+
+const name = z.string().regex(/^[a-z0-9][a-z0-9.-]{0,62}$/, 'expected 1 to 63 of a-z, 0-9, dot and dash')
+
+export const TeamName = name.brand<'TeamName'>()
+export type TeamName = z.infer<typeof TeamName>
+
+export const AdapterName = name.brand<'AdapterName'>()
+export type AdapterName = z.infer<typeof AdapterName>
+
+export const AdapterVersion = name.brand<'AdapterVersion'>()
+export type AdapterVersion = z.infer<typeof AdapterVersion>
+
+export const AliasName = name.brand<'AliasName'>()
+export type AliasName = z.infer<typeof AliasName>
+
+export const ModelName = name.brand<'ModelName'>()
+export type ModelName = z.infer<typeof ModelName>
+
+export const ServiceName = name.brand<'ServiceName'>()
+export type ServiceName = z.infer<typeof ServiceName>
+
+export const FailureDomain = name.brand<'FailureDomain'>()
+export type FailureDomain = z.infer<typeof FailureDomain>
+
+/** A process's name, which it keeps over restarts. */
+export const ProcessId = name.brand<'ProcessId'>()
+export type ProcessId = z.infer<typeof ProcessId>
+
+/** One run of one process: a restart is another incarnation. */
+export const Incarnation = z.string().regex(/^[A-Za-z0-9_-]{16}$/).brand<'Incarnation'>()
+export type Incarnation = z.infer<typeof Incarnation>
+
+/** What a caller names one request by, over all tries of it; unique within its team. */
+export const RequestKey = z.string().regex(/^[\x21-\x7e]{1,200}$/, 'expected 1 to 200 visible ASCII characters').brand<'RequestKey'>()
+export type RequestKey = z.infer<typeof RequestKey>
+
+/** One try of a request, in logs and answers. */
+export const RequestId = z.string().min(1).max(64).brand<'RequestId'>()
+export type RequestId = z.infer<typeof RequestId>
+
+/** Counts accepted configurations, from 1; 0 is "none seen yet". */
+export const Revision = z.number().int().nonnegative().brand<'Revision'>()
+export type Revision = z.infer<typeof Revision>
+
+export const noRevision = Revision.parse(0)
+
+/** `host:port` of a process's TCP listener. */
+export const Address = z.string().regex(/^[0-9a-f.:[\]]+:\d{1,5}$/i, 'expected an IP number and a port').brand<'Address'>()
+export type Address = z.infer<typeof Address>
+
+const tokenBytes = 12
+
+/** 96 random bits, as 16 characters that fit into headers and object names. */
+export const randomToken = (): string => randomBytes(tokenBytes).toString('base64url')
+
+export const newIncarnation = (): Incarnation => Incarnation.parse(randomToken())
+
+export const newRequestId = (): RequestId => RequestId.parse(randomToken())
--- /dev/null
+++ b/packages/daemon/src/operations.ts
@@ -0,0 +1,54 @@
+/**
+ * What operators can do at an entry.
+ */
+import { check, servingName, type ProcessId } from '@finchpitch/core'
+import { apply, describeFault, type ApplyOutcome, type Catalog, type ObjectStore, type Random, type StoreFault } from '@finchpitch/platform'
+import type { ApplyBody, ApplyReply, Operations, ProcessStatus, StatusReply } from '@finchpitch/operators'
+import type { Entry } from './entry/entry.js'
+
+export interface EntryOperationsOptions {
+  process: ProcessId
+  entry: Entry
+  catalog: Catalog
+  store: ObjectStore
+  random: Random
+}
+
+const toReply = (outcome: ApplyOutcome): ApplyReply => outcome.kind === 'conflict'
+  ? { kind: 'conflict', revision: outcome.head.revision, changes: outcome.head.recent }
+  : { kind: outcome.kind, revision: outcome.head.revision }
+
+const toFaultReply = (fault: StoreFault): ApplyReply =>
+  ({ kind: fault.code === 'ambiguous' ? 'unsettled' : 'unavailable', detail: describeFault(fault) })
+
+export class EntryOperations implements Operations {
+  constructor (private readonly options: EntryOperationsOptions) {}
+
+  async apply (body: ApplyBody): Promise<ApplyReply> {
+    const { store, random, entry } = this.options
+    const configuration = check(body.configuration)
+    if (configuration.isErr()) return { kind: 'invalid', findings: configuration.error }
+    const outcome = await apply(store, { ...body, configuration: configuration.value }, random)
+    if (outcome.isErr()) return toFaultReply(outcome.error)
+    await entry.catchUp()
+    return toReply(outcome.value)
+  }
+
+  configuration (): ReturnType<Operations['configuration']> {
+    const { catalog } = this.options
+    return { revision: catalog.revision, configuration: catalog.whole() }
+  }
+
+  history (): ReturnType<Operations['history']> {
+    return { changes: this.options.catalog.head?.recent ?? [] }
+  }
+
+  status (): StatusReply {
+    const { process, catalog, entry } = this.options
+    const processes = entry.instances.map(({ process: name, role, domain, leaving, serving }): ProcessStatus => {
+      const own = name === process ? { revision: catalog.revision } : entry.sides.stateOf(name)
+      return { process: name, role, domain, leaving, ...(serving === undefined ? {} : { serving: servingName(serving) }), ...own }
+    })
+    return { revision: catalog.revision, processes }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/start-side.ts
@@ -0,0 +1,104 @@
+/**
+ * Starting a side process: its fence, its backend server, its listeners, and its planned stop.
+ */
+import { Address, newIncarnation, pause, within, type Log } from '@finchpitch/core'
+import { HttpEngine, HttpService, type Engine, type EngineReport } from '@finchpitch/backend'
+import { Gateway } from '@finchpitch/http'
+import { processRoutes } from '@finchpitch/operators'
+import { Catalog, HttpInstanceList, HttpStore, backoff, takeFence, type Instance, type ObjectStore } from '@finchpitch/platform'
+import { dial, listen, protocolVersion } from '@finchpitch/wire'
+import type { Running } from './commands/daemon-command.js'
+import { watchInstances } from './instance-view.js'
+import { Metrics } from './metrics.js'
+import { servingFrom, type SideSettings } from './settings.js'
+import { EngineRunner, ServiceRunner, type Runner } from './side/runner.js'
+import { Side } from './side/side.js'
+import { advertised } from './start-entry.js'
+import { keepUplink } from './uplink.js'
+
+const random = Math.random
+
+/** Without a fence a side process can't order an engine about, so it waits for the store. */
+const untilFenced = async (store: ObjectStore, name: string, log: Log): Promise<number> => {
+  for (let failures = 1; ; failures++) {
+    const fence = await takeFence(store, name, random)
+    if (fence.isOk()) return fence.value
+    log.warn('side.unfenced', { fault: fence.error.code, detail: fence.error.detail })
+    await pause(backoff(failures, random))
+  }
+}
+
+const untilReported = async (engine: Engine, log: Log): Promise<EngineReport> => {
+  for (let failures = 1; ; failures++) {
+    const report = await engine.report()
+    if (report.isOk()) return report.value
+    log.warn('side.engine_unreachable', { detail: report.error.detail })
+    await pause(backoff(failures, random))
+  }
+}
+
+const makeRunner = async (settings: SideSettings, fence: number, catalog: Catalog, log: Log): Promise<Runner> => {
+  if (settings.model === undefined) {
+    return new ServiceRunner({ service: new HttpService(settings.backend), fence, capacity: settings.capacity, catalog })
+  }
+  const engine = new HttpEngine(settings.backend)
+  return new EngineRunner({ engine, fence, report: await untilReported(engine, log), catalog, log, random })
+}
+
+export const startSide = async (settings: SideSettings, log: Log): Promise<Running> => {
+  const { process, domain, host } = settings
+  const store = new HttpStore(settings.platform, settings['platform-token'])
+  const catalog = new Catalog('common')
+  const metrics = new Metrics()
+  const incarnation = newIncarnation()
+  const fence = await untilFenced(store, process, log)
+  const runner = await makeRunner(settings, fence, catalog, log)
+  let address = Address.parse(`${host}:0`)
+  const side = new Side({ process, incarnation, domain, address: () => address, serving: servingFrom(settings), runner, catalog, log, epochMs: settings['epoch-ms'] })
+  metrics.gauge('finchpitch_requests_running', 'Requests in progress.', () => side.running)
+  metrics.gauge('finchpitch_requests_waiting', 'Requests waiting for the backend server.', () => runner.gate.waiting)
+  metrics.gauge('finchpitch_keys', 'Request keys remembered.', () => side.executions.size)
+  metrics.gauge('finchpitch_kept_answer_bytes', 'Bytes of answers kept for later tries.', () => side.executions.keptBytes)
+  metrics.gauge('finchpitch_configuration_revision', 'The revision in force here.', () => catalog.revision)
+
+  const peers = await listen(host, settings['peer-port'], stream => side.accept(stream))
+  address = advertised(peers.address, settings['advertise-host'])
+  let stopping = false
+  const access = { tokenHash: settings['operator-token-hash'] }
+  const setLogLevel = (level: typeof log.level): void => { log.level = level }
+  const operators = new Gateway({
+    name: 'operators',
+    host,
+    port: settings['operator-port'],
+    routes: processRoutes({ unready: () => stopping ? 'stopping' : undefined, setLogLevel, metrics: () => metrics.print() }, access)
+  })
+  await operators.start()
+
+  const ending = new AbortController()
+  let instances: Instance[] = []
+  const update = (list: Instance[]): void => { instances = list }
+  const hello = { type: 'hello', protocol: protocolVersion, process, incarnation, address, domain } as const
+  const channel = {
+    hello: () => ({ ...hello, revision: catalog.revision }),
+    heartbeat: () => ({ type: 'heartbeat' as const, revision: catalog.revision })
+  }
+  const { signal } = ending
+  const tasks = Promise.all([
+    side.run(),
+    watchInstances({ list: new HttpInstanceList(settings.platform), log, random, update, signal }),
+    keepUplink({ process, domain, instances: () => instances, catalog, channel, dial, log, random, signal })
+  ])
+
+  const stop = async (): Promise<void> => {
+    stopping = true
+    side.leave()
+    log.info('side.stopping', { running: side.running })
+    const whole = await within(settings['drain-ms'], side.drained().then(() => true), false)
+    log.info('side.stopped', { whole, running: side.running })
+    ending.abort()
+    side.close()
+    await Promise.all([operators.stop(), peers.close(), tasks])
+    await store.close()
+  }
+  return { listening: { operators: `${host}:${operators.port}`, peers: address, incarnation }, stop }
+}
--- /dev/null
+++ b/packages/http/src/body.ts
@@ -0,0 +1,23 @@
+/**
+ * Reading a request's body, up to a limit.
+ */
+import type { IncomingMessage } from 'node:http'
+import { notRun, type Failure } from '@finchpitch/core'
+import { err, ok, type Result } from 'neverthrow'
+
+export const maxBodyBytes = 2 * 1024 * 1024
+
+export const readBody = async (request: IncomingMessage, limit = maxBodyBytes): Promise<Result<Buffer, Failure>> => {
+  const pieces: Buffer[] = []
+  let size = 0
+  try {
+    for await (const piece of request) {
+      size += (piece as Buffer).length
+      if (size > limit) return err(notRun('body_too_large', { detail: `The limit is ${limit} bytes.` }))
+      pieces.push(piece as Buffer)
+    }
+  } catch {
+    return err(notRun('invalid_body', { detail: 'The body was cut.' }))
+  }
+  return ok(Buffer.concat(pieces))
+}
--- /dev/null
+++ b/packages/http/src/gateway.ts
@@ -0,0 +1,108 @@
+/**
+ * A gateway: one HTTP listener on a local `moleculer` broker.
+ *
+ * Routes are handlers in a table from "METHOD /path" to a function. Bodies are left to the handlers, since answers
+ * and plain services' bodies are passed on as they are. The broker's own clustering is unused.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { newRequestId, notRun, unknown } from '@finchpitch/core'
+import { ServiceBroker, type Service, type ServiceSchema } from 'moleculer'
+import ApiGateway from 'moleculer-web'
+import { sendFailure } from './answer.js'
+
+export interface Exchange {
+  request: IncomingMessage
+  response: ServerResponse
+  /** The path's named parts. */
+  params: Record<string, string>
+}
+
+export type RouteHandler = (exchange: Exchange) => Promise<void>
+export type Routes = Record<string, RouteHandler>
+
+export interface TlsFiles {
+  key: string
+  cert: string
+}
+
+export interface GatewayOptions {
+  name: string
+  host: string
+  port: number
+  routes: Routes
+  tls?: TlsFiles
+}
+
+interface RoutedRequest extends IncomingMessage {
+  $params: Record<string, string>
+}
+
+type Alias = (request: RoutedRequest, response: ServerResponse) => Promise<void>
+
+const toAlias = (handler: RouteHandler): Alias => async (request, response) => {
+  try {
+    await handler({ request, response, params: request.$params })
+  } catch (error) {
+    sendFailure(response, unknown('internal', { detail: (error as Error).message }), newRequestId())
+  }
+}
+
+const noRoute = (request: IncomingMessage, response: ServerResponse): void => {
+  request.resume()
+  const detail = `${request.method ?? ''} ${(request.url ?? '').split('?')[0] ?? ''}`
+  sendFailure(response, notRun('unknown_path', { detail }), newRequestId())
+}
+
+export class Gateway {
+  readonly #broker: ServiceBroker
+  readonly #service: Service
+
+  constructor (private readonly options: GatewayOptions) {
+    this.#broker = new ServiceBroker({ nodeID: options.name, logger: false, transporter: null, metrics: false, tracing: false })
+    const aliases = Object.fromEntries(Object.entries(options.routes).map(([path, handler]) => [path, toAlias(handler)]))
+    const schema = {
+      name: options.name,
+      mixins: [ApiGateway],
+      settings: {
+        ip: options.host,
+        port: options.port,
+        https: options.tls ?? null,
+        requestTimeout: 0,
+        logRequest: null,
+        logResponse: null,
+        logRequestParams: null,
+        logRouteRegistration: null,
+        onError: noRoute,
+        routes: [{ path: '/', bodyParsers: false, mappingPolicy: 'restrict', mergeParams: true, aliases }]
+      }
+    }
+    this.#service = this.#broker.createService(schema as unknown as ServiceSchema)
+  }
+
+  async start (): Promise<void> {
+    await this.#broker.start()
+  }
+
+  /** The port that it listens on, also when the system chose it. */
+  get port (): number {
+    return (this.#server.address() as AddressInfo).port
+  }
+
+  /** Takes no more connections and waits for the requests in progress. */
+  async drain (): Promise<void> {
+    const server = this.#server
+    const closed = new Promise<void>(resolve => server.close(() => resolve()))
+    server.closeIdleConnections()
+    await closed
+  }
+
+  async stop (): Promise<void> {
+    this.#server.closeAllConnections()
+    await this.#broker.stop()
+  }
+
+  get #server (): import('node:http').Server {
+    return (this.#service as unknown as { server: import('node:http').Server }).server
+  }
+}
--- /dev/null
+++ b/packages/operators/src/routes.ts
@@ -0,0 +1,112 @@
+/**
+ * The operators' routes on an entry, and the health and metrics routes of every process.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { timingSafeEqual } from 'node:crypto'
+import { findingsOf, newRequestId, notRun, printFindings, type Failure, type LogLevel } from '@finchpitch/core'
+import { readBody, sendFailure, type Exchange, type RouteHandler, type Routes } from '@finchpitch/http'
+import { hashOfToken } from '@finchpitch/platform'
+import { err, ok, type Result } from 'neverthrow'
+import type { z } from 'zod'
+import { ApplyBody, LogLevelBody, type ApplyReply, type ConfigurationReply, type HistoryReply, type StatusReply } from './protocol.js'
+
+/** A configuration of 52,000 adapters is some ten megabytes. */
+const maxApplyBytes = 64 * 1024 * 1024
+
+export interface Operations {
+  apply: (body: ApplyBody) => Promise<ApplyReply>
+  configuration: () => ConfigurationReply
+  history: () => HistoryReply
+  status: () => StatusReply
+}
+
+export interface ProcessOperations {
+  /** What stands in the way of taking work; `undefined` when ready. */
+  unready: () => string | undefined
+  metrics: () => Promise<string>
+  setLogLevel: (level: LogLevel) => void
+}
+
+export interface OperatorAccess {
+  /** SHA-256 of the operators' bearer token, in hex. */
+  tokenHash: string
+}
+
+const sendJson = (response: ServerResponse, status: number, body: unknown): void => {
+  response.writeHead(status, { 'content-type': 'application/json' })
+  response.end(JSON.stringify(body))
+}
+
+const sendText = (response: ServerResponse, status: number, text: string): void => {
+  response.writeHead(status, { 'content-type': 'text/plain; charset=utf-8' })
+  response.end(text)
+}
+
+const mayOperate = (request: IncomingMessage, { tokenHash }: OperatorAccess): boolean => {
+  const token = /^Bearer (\S+)$/i.exec(request.headers.authorization ?? '')?.[1]
+  if (token === undefined) return false
+  return timingSafeEqual(Buffer.from(hashOfToken(token)), Buffer.from(tokenHash))
+}
+
+const guarded = (access: OperatorAccess, handler: RouteHandler): RouteHandler => async exchange => {
+  if (mayOperate(exchange.request, access)) return await handler(exchange)
+  exchange.request.resume()
+  sendFailure(exchange.response, notRun('unauthenticated'), newRequestId())
+}
+
+const parseJson = (text: Buffer): Result<unknown, Failure> => {
+  try {
+    return ok(JSON.parse(text.toString()))
+  } catch (error) {
+    return err(notRun('invalid_body', { detail: (error as Error).message }))
+  }
+}
+
+/** The body by its schema, or `undefined` after the refusal has been sent. */
+const readJson = async <S extends z.ZodType>({ request, response }: Exchange, schema: S): Promise<z.infer<S> | undefined> => {
+  const body = await readBody(request, maxApplyBytes)
+  const json = body.andThen(parseJson)
+  if (json.isErr()) {
+    sendFailure(response, json.error, newRequestId())
+    return undefined
+  }
+  const parsed = schema.safeParse(json.value)
+  if (parsed.success) return parsed.data
+  const findings = findingsOf(parsed.error, 'body')
+  sendFailure(response, notRun('invalid_body', { detail: printFindings(findings) }), newRequestId(), findings)
+  return undefined
+}
+
+const applyStatus: Record<ApplyReply['kind'], number> = {
+  applied: 200, unchanged: 200, conflict: 409, invalid: 422, unsettled: 504, unavailable: 503
+}
+
+export const operatorRoutes = (operations: Operations, access: OperatorAccess): Routes => {
+  const answer = (read: () => unknown): RouteHandler => guarded(access, async ({ response }) => sendJson(response, 200, read()))
+  return {
+    'POST /operator/v1/apply': guarded(access, async exchange => {
+      const body = await readJson(exchange, ApplyBody)
+      if (body === undefined) return
+      const reply = await operations.apply(body)
+      sendJson(exchange.response, applyStatus[reply.kind], reply)
+    }),
+    'GET /operator/v1/configuration': answer(() => operations.configuration()),
+    'GET /operator/v1/history': answer(() => operations.history()),
+    'GET /operator/v1/status': answer(() => operations.status())
+  }
+}
+
+export const processRoutes = ({ unready, metrics, setLogLevel }: ProcessOperations, access: OperatorAccess): Routes => ({
+  'GET /healthz': async ({ response }) => sendText(response, 200, 'ok\n'),
+  'GET /readyz': async ({ response }) => {
+    const reason = unready()
+    sendText(response, reason === undefined ? 200 : 503, reason === undefined ? 'ready\n' : `${reason}\n`)
+  },
+  'GET /metrics': async ({ response }) => sendText(response, 200, await metrics()),
+  'PUT /operator/v1/log-level': guarded(access, async exchange => {
+    const body = await readJson(exchange, LogLevelBody)
+    if (body === undefined) return
+    setLogLevel(body.level)
+    sendJson(exchange.response, 200, body)
+  })
+})
--- /dev/null
+++ b/packages/platform/src/configuration-store.ts
@@ -0,0 +1,62 @@
+/**
+ * Where catalogs learn from: the store, or a peer while the store is down.
+ */
+import { err, ok, type Result } from 'neverthrow'
+import { Head, type Catalog } from './catalog.js'
+import { storeFault, type ObjectStore, type ResourceVersion, type StoreFault } from './object-store.js'
+
+export const headName = 'config/head'
+export const shardName = (hash: string): string => `config/shard/${hash}`
+
+const shardsAtOnce = 16
+
+export interface ConfigurationSource {
+  head: () => Promise<Result<Head | undefined, StoreFault>>
+  shards: (hashes: string[]) => Promise<Result<Map<string, string>, StoreFault>>
+}
+
+export interface VersionedHead {
+  head: Head
+  version: ResourceVersion
+}
+
+export class StoreSource implements ConfigurationSource {
+  constructor (readonly store: ObjectStore) {}
+
+  async head (): Promise<Result<Head | undefined, StoreFault>> {
+    return (await this.versionedHead()).map(found => found?.head)
+  }
+
+  async versionedHead (): Promise<Result<VersionedHead | undefined, StoreFault>> {
+    const found = await this.store.get(headName)
+    return found.andThen(object => {
+      if (object === undefined) return ok(undefined)
+      const head = Head.safeParse(object.value)
+      return head.success ? ok({ head: head.data, version: object.version }) : err(storeFault('refused', 'the head is not valid'))
+    })
+  }
+
+  async shards (hashes: string[]): Promise<Result<Map<string, string>, StoreFault>> {
+    const texts = new Map<string, string>()
+    for (let at = 0; at < hashes.length; at += shardsAtOnce) {
+      const part = hashes.slice(at, at + shardsAtOnce)
+      const found = await Promise.all(part.map(hash => this.store.get(shardName(hash))))
+      for (const [index, object] of found.entries()) {
+        if (object.isErr()) return err(object.error)
+        const hash = part[index]
+        if (hash !== undefined && typeof object.value?.value === 'string') texts.set(hash, object.value.value)
+      }
+    }
+    return ok(texts)
+  }
+}
+
+/** Brings `catalog` to the source's head; the value is whether it moved. */
+export const catchUp = async (catalog: Catalog, source: ConfigurationSource): Promise<Result<boolean, StoreFault>> => {
+  const head = await source.head()
+  if (head.isErr()) return err(head.error)
+  if (head.value === undefined || head.value.revision <= catalog.revision) return ok(false)
+  const shards = await source.shards(catalog.lacking(head.value))
+  if (shards.isErr()) return err(shards.error)
+  return ok(catalog.move(head.value, shards.value))
+}
--- /dev/null
+++ b/packages/platform/src/http-store.ts
@@ -0,0 +1,125 @@
+/**
+ * The object API over HTTP and JSON, in the conventions of Kubernetes' API: `metadata.resourceVersion`, 409 on a
+ * conflict, 410 for a watch that starts too far back, watches as lines of JSON.
+ */
+import { err, ok, type Result } from 'neverthrow'
+import { Pool, errors } from 'undici'
+import { z } from 'zod'
+import { storeFault, type ObjectStore, type ResourceVersion, type StoreFault, type StoredObject, type WatchEvent } from './object-store.js'
+
+const root = '/apis/finchpitch/v1/objects'
+const connections = 8
+const callMs = 1000
+/** A watch is renewed after this time of silence, as its connection may be dead. */
+const watchSilenceMs = 30_000
+
+const Item = z.object({
+  metadata: z.object({ name: z.string(), resourceVersion: z.string() }),
+  spec: z.unknown()
+})
+const Names = z.object({ items: z.array(z.string()) })
+const Line = z.object({ type: z.enum(['MODIFIED', 'DELETED', 'ERROR']), object: z.unknown() })
+
+const toObject = (body: unknown): StoredObject => {
+  const item = Item.parse(body)
+  return { name: item.metadata.name, version: item.metadata.resourceVersion, value: item.spec }
+}
+
+interface Reply {
+  status: number
+  body: unknown
+}
+
+/** Errors of connections that were never made: the call surely did nothing. */
+const unsent = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'])
+
+const statusFaults: Record<number, StoreFault['code']> = { 409: 'conflict', 410: 'too_old', 429: 'unavailable', 503: 'unavailable' }
+
+export class HttpStore implements ObjectStore {
+  readonly #pool: Pool
+
+  constructor (origin: string, private readonly token?: string) {
+    this.#pool = new Pool(origin, { connections, headersTimeout: callMs, bodyTimeout: watchSilenceMs, connectTimeout: callMs })
+  }
+
+  async get (name: string): Promise<Result<StoredObject | undefined, StoreFault>> {
+    const reply = await this.#call('GET', `${root}/${name}`)
+    if (reply.isErr()) return err(reply.error)
+    if (reply.value.status === 404) return ok(undefined)
+    return this.#judge(reply.value, toObject)
+  }
+
+  async list (prefix: string): Promise<Result<string[], StoreFault>> {
+    const reply = await this.#call('GET', `${root}?prefix=${encodeURIComponent(prefix)}`)
+    return reply.andThen(value => this.#judge(value, body => Names.parse(body).items))
+  }
+
+  async put (name: string, value: unknown, version: ResourceVersion | 'absent'): Promise<Result<StoredObject, StoreFault>> {
+    const metadata = version === 'absent' ? { name } : { name, resourceVersion: version }
+    const reply = await this.#call('PUT', `${root}/${name}`, { metadata, spec: value })
+    return reply.andThen(found => this.#judge(found, toObject))
+  }
+
+  async remove (name: string, version: ResourceVersion): Promise<Result<void, StoreFault>> {
+    const reply = await this.#call('DELETE', `${root}/${name}?resourceVersion=${version}`)
+    if (reply.isErr()) return err(reply.error)
+    if (reply.value.status === 404) return ok(undefined)
+    return this.#judge(reply.value, () => undefined)
+  }
+
+  async * watch (name: string, version: ResourceVersion, signal: AbortSignal): AsyncGenerator<WatchEvent> {
+    try {
+      const path = `${root}/${name}?watch=true&resourceVersion=${version}`
+      const { statusCode, body } = await this.#pool.request({ method: 'GET', path, headers: this.#headers(), signal })
+      if (statusCode !== 200) {
+        await body.dump()
+        yield { type: 'ended', fault: storeFault(statusFaults[statusCode] ?? 'refused', `status ${statusCode}`) }
+        return
+      }
+      let text = ''
+      for await (const piece of body.setEncoding('utf8')) {
+        text += piece as string
+        const lines = text.split('\n')
+        text = lines.pop() ?? ''
+        for (const line of lines) yield this.#event(line)
+      }
+      yield { type: 'ended', fault: storeFault('unavailable', 'the watch was closed') }
+    } catch (error) {
+      yield { type: 'ended', fault: storeFault('unavailable', (error as Error).message) }
+    }
+  }
+
+  async close (): Promise<void> {
+    await this.#pool.destroy()
+  }
+
+  #event (line: string): WatchEvent {
+    const { type, object } = Line.parse(JSON.parse(line))
+    if (type === 'ERROR') return { type: 'ended', fault: storeFault('too_old') }
+    const item = toObject(object)
+    return type === 'DELETED' ? { type: 'deleted', name: item.name, version: item.version } : { type: 'changed', object: item }
+  }
+
+  #headers (): Record<string, string> {
+    return this.token === undefined ? {} : { authorization: `Bearer ${this.token}` }
+  }
+
+  async #call (method: 'GET' | 'PUT' | 'DELETE', path: string, body?: unknown): Promise<Result<Reply, StoreFault>> {
+    try {
+      const headers = { ...this.#headers(), ...(body === undefined ? {} : { 'content-type': 'application/json' }) }
+      const sent = body === undefined ? null : JSON.stringify(body)
+      const reply = await this.#pool.request({ method, path, headers, body: sent, bodyTimeout: callMs })
+      const text = await reply.body.text()
+      return ok({ status: reply.statusCode, body: text === '' ? undefined : JSON.parse(text) })
+    } catch (error) {
+      const code = (error as NodeJS.ErrnoException).code ?? ''
+      const harmless = method === 'GET' || unsent.has(code) || error instanceof errors.ConnectTimeoutError
+      return err(storeFault(harmless ? 'unavailable' : 'ambiguous', (error as Error).message))
+    }
+  }
+
+  #judge<T> (reply: Reply, read: (body: unknown) => T): Result<T, StoreFault> {
+    if (reply.status >= 200 && reply.status < 300) return ok(read(reply.body))
+    return err(storeFault(statusFaults[reply.status] ?? 'refused', `status ${reply.status}`))
+  }
+}
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,11 @@
+/** Peer: the platform. Its object API, its instance list, and what the system keeps there. */
+export * from './object-store.js'
+export * from './http-store.js'
+export * from './instances.js'
+export * from './backoff.js'
+export * from './catalog.js'
+export * from './configuration-store.js'
+export * from './follow.js'
+export * from './apply.js'
+export * from './claims.js'
+export * from './fence.js'
--- /dev/null
+++ b/packages/platform/src/instances.ts
@@ -0,0 +1,42 @@
+/**
+ * The platform's instance list: live and leaving instances. It lags, so it only says whom to try.
+ */
+import { Address, FailureDomain, ProcessId, Serving } from '@finchpitch/core'
+import { err, ok, type Result } from 'neverthrow'
+import { request } from 'undici'
+import { z } from 'zod'
+import { storeFault, type StoreFault } from './object-store.js'
+
+const listMs = 1000
+
+export const Instance = z.object({
+  process: ProcessId,
+  address: Address,
+  domain: FailureDomain,
+  leaving: z.boolean(),
+  role: z.enum(['entry', 'side']),
+  serving: Serving.optional()
+})
+export type Instance = z.infer<typeof Instance>
+
+export interface InstanceList {
+  read: () => Promise<Result<Instance[], StoreFault>>
+}
+
+const Listing = z.object({ items: z.array(Instance) })
+
+export class HttpInstanceList implements InstanceList {
+  constructor (private readonly origin: string) {}
+
+  async read (): Promise<Result<Instance[], StoreFault>> {
+    try {
+      const reply = await request(`${this.origin}/instances`, { headersTimeout: listMs, bodyTimeout: listMs })
+      const body = await reply.body.json()
+      const listing = Listing.safeParse(body)
+      if (reply.statusCode === 200 && listing.success) return ok(listing.data.items)
+      return err(storeFault('refused', `status ${reply.statusCode}`))
+    } catch (error) {
+      return err(storeFault('unavailable', (error as Error).message))
+    }
+  }
+}
--- /dev/null
+++ b/packages/platform/test/apply.test.ts
@@ -0,0 +1,106 @@
+import { Revision, check } from '@finchpitch/core'
+import { Catalog, StoreSource, apply, catchUp } from '@finchpitch/platform'
+import { FakeTime, MemoryStore } from '@finchpitch/stand-ins'
+import { expect } from 'chai'
+
+const seeded = (): number => 0.5
+
+const configuration = (...teams: string[]): ReturnType<typeof check> extends { _unsafeUnwrap: () => infer C } ? C : never =>
+  check({ teams: teams.map(name => ({ name, tokens: [] })) })._unsafeUnwrap()
+
+const request = (base: number, ...teams: string[]): Parameters<typeof apply>[1] =>
+  ({ configuration: configuration(...teams), base: Revision.parse(base), actor: 'ana', note: '' })
+
+describe('apply', () => {
+  let store: MemoryStore
+  let time: FakeTime
+
+  const applied = (base: number, ...teams: string[]): ReturnType<typeof apply> =>
+    time.until(apply(store, request(base, ...teams), seeded))
+
+  beforeEach(() => {
+    store = new MemoryStore()
+    time = new FakeTime()
+  })
+
+  afterEach(() => time.restore())
+
+  it('counts revisions and says when nothing changed', async () => {
+    const kinds = []
+    for (const [base, team] of [[0, 'a'], [1, 'b'], [2, 'b']] as const) kinds.push((await applied(base, team))._unsafeUnwrap())
+    expect(kinds.map(({ kind, head }) => `${kind} ${head.revision}`)).to.deep.equal(['applied 1', 'applied 2', 'unchanged 2'])
+  })
+
+  it('lets one of two racing operators win and tells the other', async () => {
+    const both = await Promise.all([applied(0, 'a'), applied(0, 'b')])
+    expect(both.map(each => each._unsafeUnwrap().kind)).to.have.members(['applied', 'conflict'])
+  })
+
+  it('refuses a change that was made for an older revision', async () => {
+    await applied(0, 'a')
+    await applied(1, 'b')
+    expect((await applied(1, 'c'))._unsafeUnwrap().kind).to.equal('conflict')
+  })
+
+  describe('a lost answer', () => {
+    it('is settled by reading back', async () => {
+      await applied(0, 'a')
+      store.loseAnswers = 2
+      expect((await applied(1, 'b'))._unsafeUnwrap()).to.include({ kind: 'applied' })
+      expect(store.writes.filter(({ name }) => name === 'config/head')).to.have.length(2)
+    })
+
+    it('counts as applied when another change was built on it meanwhile', async () => {
+      await applied(0, 'a')
+      const put = store.put.bind(store)
+      let intercepted = false
+      store.put = async (name, value, version) => {
+        const written = await put(name, value, version)
+        if (name !== 'config/head' || intercepted) return written
+        intercepted = true
+        await apply(store, request(2, 'c'), seeded)
+        store.loseAnswers = 1
+        return await put('lost', 0, 'absent')
+      }
+      expect((await applied(1, 'b'))._unsafeUnwrap().kind).to.equal('applied')
+    })
+
+    it('is told as unsettled when the store can not be read back', async () => {
+      await applied(0, 'a')
+      const put = store.put.bind(store)
+      store.put = async (name, value, version) => {
+        if (name !== 'config/head') return await put(name, value, version)
+        store.loseAnswers = 1
+        const written = await put(name, value, version)
+        store.down = true
+        return written
+      }
+      const told = (await applied(1, 'b'))._unsafeUnwrapErr()
+      expect(told.code).to.equal('ambiguous')
+    })
+  })
+
+  describe('a catalog', () => {
+    it('never goes back', async () => {
+      await applied(0, 'a')
+      const catalog = new Catalog('all')
+      const source = new StoreSource(store)
+      await catchUp(catalog, source)
+      const old = (await source.head())._unsafeUnwrap()
+      await applied(1, 'b')
+      await catchUp(catalog, source)
+      if (old === undefined) throw new Error('there is a head')
+      const texts = (await source.shards([old.common, ...old.adapters]))._unsafeUnwrap()
+      expect(catalog.move(old, texts)).to.equal(false)
+      expect([catalog.revision, catalog.team('b')?.name]).to.deep.equal([2, 'b'])
+    })
+
+    it('refuses a shard whose text is not what its hash says', async () => {
+      await applied(0, 'a')
+      const head = (await new StoreSource(store).head())._unsafeUnwrap()
+      if (head === undefined) throw new Error('there is a head')
+      const forged = new Map([head.common, ...head.adapters].map(hash => [hash, '{}']))
+      expect(new Catalog('all').move(head, forged)).to.equal(false)
+    })
+  })
+})
--- /dev/null
+++ b/packages/stand-ins/src/engine-server.ts
@@ -0,0 +1,132 @@
+/**
+ * The model engine's stand-in over HTTP, in the OpenAI-style shape with adapter orders, numbered events and
+ * resumption by `Last-Event-ID`.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { BackendFault, GeneratedAnswer } from '@finchpitch/backend'
+import { readBytes, readJson, sendJson, serve, type HttpStandIn } from './http-stand-in.js'
+import type { MemoryEngine } from './memory-engine.js'
+
+const faultStatuses: Record<BackendFault['code'], number> = { unreachable: 503, lost: 502, not_loaded: 404, fenced: 412, busy: 429, refused: 400 }
+
+interface Stream {
+  events: Uint8Array[]
+  ended: boolean
+  wake: Set<() => void>
+}
+
+export class EngineServer {
+  /** So many next streams are cut after this many events. */
+  cuts = 0
+  cutAfter = 3
+  readonly #streams = new Map<string, Stream>()
+  #server: HttpStandIn | undefined
+
+  constructor (readonly engine: MemoryEngine) {}
+
+  async start (): Promise<string> {
+    this.#server = await serve((request, response) => this.#handle(request, response))
+    return this.#server.origin
+  }
+
+  async stop (): Promise<void> {
+    await this.#server?.stop()
+  }
+
+  async #handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (request.method === 'GET') {
+      const report = await this.engine.report()
+      return sendJson(response, report.isOk() ? 200 : 503, report.unwrapOr(undefined as never))
+    }
+    if (request.url === '/v1/load_lora_adapter') return await this.#load(request, response)
+    if (request.url === '/v1/unload_lora_adapter') return await this.#unload(request, response)
+    await this.#generate(request, response)
+  }
+
+  async #load (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const order = await readJson(request) as { lora_name: string, lora_path: string }
+    const loaded = await this.engine.load({ label: order.lora_name, source: order.lora_path, fence: fenceOf(request) })
+    if (loaded.isErr()) return this.#refuse(response, loaded.error)
+    sendJson(response, 200, {}, { 'x-engine-boot': loaded.value })
+  }
+
+  async #unload (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const order = await readJson(request) as { lora_name: string }
+    const unloaded = await this.engine.unload({ label: order.lora_name, fence: fenceOf(request) })
+    if (unloaded.isErr()) return this.#refuse(response, unloaded.error)
+    sendJson(response, 200, {}, { 'x-engine-boot': this.engine.boot })
+  }
+
+  async #generate (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = await readBytes(request)
+    const id = String(request.headers['x-request-id'])
+    const lastEvent = request.headers['last-event-id']
+    if (lastEvent !== undefined) return await this.#resume(id, Number(lastEvent), response)
+    const hangUp = new AbortController()
+    const { model } = JSON.parse(body.toString()) as { model: string }
+    const call = { method: 'POST', path: request.url ?? '', headers: {}, body }
+    const answer = await this.engine.generate({ id, label: model, call, priority: 0, salt: '', fence: fenceOf(request), signal: hangUp.signal })
+    if (answer.isErr()) return this.#refuse(response, answer.error)
+    const { status, headers, boot } = answer.value
+    response.writeHead(status, { ...headers, 'x-engine-boot': boot })
+    response.flushHeaders()
+    if (headers['content-type'] === 'text/event-stream') return await this.#send(this.#record(id, answer.value), 0, response)
+    response.once('close', () => hangUp.abort())
+    for await (const piece of answer.value.body) response.write(piece)
+    response.end()
+  }
+
+  /** Reads the stream into a record, so that it can be resumed. */
+  #record (id: string, answer: GeneratedAnswer): Stream {
+    const stream: Stream = { events: [], ended: false, wake: new Set() }
+    const notify = (): void => {
+      for (const wake of stream.wake) wake()
+      stream.wake.clear()
+    }
+    const read = async (): Promise<void> => {
+      try {
+        for await (const event of answer.body) {
+          stream.events.push(event)
+          notify()
+        }
+      } finally {
+        stream.ended = true
+        this.#streams.delete(id)
+        notify()
+      }
+    }
+    this.#streams.set(id, stream)
+    read().catch(() => {})
+    return stream
+  }
+
+  async #send (stream: Stream, from: number, response: ServerResponse): Promise<void> {
+    const cut = this.cuts > 0
+    if (cut) this.cuts -= 1
+    for (let at = from; ; at++) {
+      while (at >= stream.events.length && !stream.ended) await new Promise<void>(resolve => stream.wake.add(resolve))
+      const event = stream.events[at]
+      if (event === undefined || (cut && at - from >= this.cutAfter)) break
+      response.write(event)
+    }
+    if (cut || !isWhole(stream)) response.destroy()
+    else response.end()
+  }
+
+  async #resume (id: string, lastEvent: number, response: ServerResponse): Promise<void> {
+    const stream = this.#streams.get(id)
+    if (stream === undefined) return sendJson(response, 410, {}, { 'x-engine-boot': this.engine.boot })
+    response.writeHead(200, { 'content-type': 'text/event-stream', 'x-engine-boot': this.engine.boot })
+    await this.#send(stream, lastEvent + 1, response)
+  }
+
+  #refuse (response: ServerResponse, { code, detail, boot }: BackendFault): void {
+    if (code === 'lost') response.destroy()
+    else sendJson(response, faultStatuses[code], { error: detail }, boot === undefined ? {} : { 'x-engine-boot': boot })
+  }
+}
+
+const fenceOf = (request: IncomingMessage): number => Number(request.headers['x-fence'])
+
+const isWhole = ({ events }: Stream): boolean =>
+  Buffer.from(events.at(-1) ?? '').toString().includes('[DONE]')
--- /dev/null
+++ b/packages/stand-ins/src/index.ts
@@ -0,0 +1,10 @@
+/** Stand-ins for everything around the system, for tests, the demo, the fault matrix and the measurements. */
+export * from './memory-store.js'
+export * from './platform-server.js'
+export * from './weights.js'
+export * from './memory-engine.js'
+export * from './engine-server.js'
+export * from './memory-service.js'
+export * from './service-server.js'
+export * from './processes.js'
+export * from './fake-time.js'
--- /dev/null
+++ b/packages/stand-ins/src/memory-engine.ts
@@ -0,0 +1,174 @@
+/**
+ * A stand-in for a model engine, in memory: adapter slots, continuous batching, streams of tokens.
+ *
+ * A token takes longer the more sequences and the more distinct adapters there are in the batch. It records what it
+ * ran and every order that would have broken a promise; observers read those records.
+ */
+import { AnswerFailure, pause, randomToken, unknown } from '@finchpitch/core'
+import { backendFault, type BackendFault, type Engine, type EngineOrder, type EngineReport, type GeneratedAnswer, type Generation } from '@finchpitch/backend'
+import { err, ok, type Result } from 'neverthrow'
+import type { WeightStore } from './weights.js'
+
+export interface MemoryEngineOptions {
+  slots: number
+  capacity: number
+  tokenMs: number
+  weights: WeightStore
+  checksFences: boolean
+}
+
+export interface EngineRun {
+  id: string
+  label: string
+  boot: string
+  prompt: string
+}
+
+const defaultTokens = 8
+const perSequence = 0.01
+const perAdapter = 0.05
+
+interface Prompt {
+  stream?: boolean
+  max_tokens?: number
+  prompt?: string
+  messages?: Array<{ content?: string }>
+}
+
+export class MemoryEngine implements Engine {
+  readonly runs: EngineRun[] = []
+  readonly violations: string[] = []
+  /** So many next requests run, and their answers are lost. */
+  loseAnswers = 0
+  /** Before the answer's head. */
+  delayMs = 0
+  /** Orders and requests find nobody. */
+  down = false
+  #boot = randomToken()
+  #fence = 0
+  readonly #loaded = new Map<string, number>()
+  #running = 0
+
+  constructor (private readonly options: MemoryEngineOptions) {}
+
+  get boot (): string {
+    return this.#boot
+  }
+
+  get running (): number {
+    return this.#running
+  }
+
+  get loaded (): string[] {
+    return [...this.#loaded.keys()]
+  }
+
+  /** Comes back empty; every stream in progress is cut. */
+  restart (): void {
+    this.#boot = randomToken()
+    this.#loaded.clear()
+  }
+
+  async report (): Promise<Result<EngineReport, BackendFault>> {
+    if (this.down) return err(this.#unreachable())
+    const { capacity, slots } = this.options
+    return ok({ boot: this.#boot, running: this.#running, waiting: 0, capacity, slots, loaded: this.loaded })
+  }
+
+  async load ({ label, fence, source }: EngineOrder & { source: string }): Promise<Result<string, BackendFault>> {
+    const refusal = this.#refuse(fence)
+    if (refusal !== undefined) return err(refusal)
+    const boot = this.#boot
+    if (!this.#loaded.has(label) && this.#loaded.size >= this.options.slots) return err(backendFault('refused', 'no free slot', boot))
+    if (!await this.options.weights.fetch(source)) return err(backendFault('refused', `weights ${source} can't be read`, boot))
+    if (boot !== this.#boot) return err(backendFault('lost', 'the engine restarted', this.#boot))
+    this.#loaded.set(label, this.#loaded.get(label) ?? 0)
+    return ok(boot)
+  }
+
+  async unload ({ label, fence }: EngineOrder): Promise<Result<void, BackendFault>> {
+    const refusal = this.#refuse(fence)
+    if (refusal !== undefined) return err(refusal)
+    const using = this.#loaded.get(label)
+    if (using === undefined) return err(backendFault('not_loaded', label, this.#boot))
+    if (using > 0) this.violations.push(`${label} was ordered out while ${using} requests used it`)
+    this.#loaded.delete(label)
+    return ok(undefined)
+  }
+
+  async generate (generation: Generation): Promise<Result<GeneratedAnswer, BackendFault>> {
+    const refusal = this.#refuse(generation.fence)
+    if (refusal !== undefined) return err(refusal)
+    const { id, label, call, signal } = generation
+    const using = this.#loaded.get(label)
+    const boot = this.#boot
+    if (using === undefined) return err(backendFault('not_loaded', label, boot))
+    const body = JSON.parse(Buffer.from(call.body).toString()) as Prompt
+    this.runs.push({ id, label, boot, prompt: promptOf(body) })
+    this.#loaded.set(label, using + 1)
+    this.#running += 1
+    const tokens = this.#tokens(label, boot, body.max_tokens ?? defaultTokens, signal)
+    if (this.delayMs > 0) await pause(this.delayMs)
+    if (this.loseAnswers > 0) {
+      this.loseAnswers -= 1
+      void this.#discard(tokens)
+      return err(backendFault('lost', 'the answer was lost'))
+    }
+    return body.stream === true ? ok(this.#streamed(tokens, boot)) : ok(this.#whole(tokens, boot, label))
+  }
+
+  #refuse (fence: number): BackendFault | undefined {
+    if (this.down) return this.#unreachable()
+    if (this.options.checksFences && fence < this.#fence) return backendFault('fenced', `fence ${this.#fence} is held`, this.#boot)
+    this.#fence = Math.max(this.#fence, fence)
+    return undefined
+  }
+
+  #unreachable (): BackendFault {
+    return backendFault('unreachable', 'the engine is down')
+  }
+
+  async * #tokens (label: string, boot: string, count: number, signal: AbortSignal): AsyncGenerator<string> {
+    try {
+      for (let token = 0; token < count; token++) {
+        const slowdown = 1 + perSequence * this.#running + perAdapter * this.#loaded.size
+        await pause(this.options.tokenMs * slowdown, signal)
+        if (boot !== this.#boot) throw new AnswerFailure(unknown('answer_cut', { detail: 'the engine restarted' }))
+        if (signal.aborted) return
+        yield `${label}:${token} `
+      }
+    } finally {
+      this.#running -= 1
+      const using = this.#loaded.get(label)
+      if (using !== undefined && boot === this.#boot) this.#loaded.set(label, using - 1)
+    }
+  }
+
+  async #discard (tokens: AsyncGenerator<string>): Promise<void> {
+    try {
+      while ((await tokens.next()).done !== true) { /* runs to its end unheard */ }
+    } catch (error) {
+      if (!(error instanceof AnswerFailure)) throw error
+    }
+  }
+
+  #streamed (tokens: AsyncGenerator<string>, boot: string): GeneratedAnswer {
+    const events = async function * (): AsyncGenerator<Uint8Array> {
+      let id = 0
+      for await (const text of tokens) yield Buffer.from(`id: ${id++}\ndata: ${JSON.stringify({ choices: [{ text }] })}\n\n`)
+      yield Buffer.from(`id: ${id}\ndata: [DONE]\n\n`)
+    }
+    return { status: 200, headers: { 'content-type': 'text/event-stream' }, boot, body: events() }
+  }
+
+  #whole (tokens: AsyncGenerator<string>, boot: string, label: string): GeneratedAnswer {
+    const body = async function * (): AsyncGenerator<Uint8Array> {
+      let text = ''
+      for await (const token of tokens) text += token
+      yield Buffer.from(JSON.stringify({ model: label, choices: [{ text }] }))
+    }
+    return { status: 200, headers: { 'content-type': 'application/json' }, boot, body: body() }
+  }
+}
+
+const promptOf = ({ prompt, messages }: Prompt): string => prompt ?? messages?.at(-1)?.content ?? ''
--- /dev/null
+++ b/packages/stand-ins/src/memory-service.ts
@@ -0,0 +1,38 @@
+/**
+ * A stand-in for a plain service that keeps bookings: it counts how often each was made, and never asks whether
+ * it was meant to.
+ */
+import { pause, type Answer } from '@finchpitch/core'
+import { backendFault, type BackendFault, type PlainService, type ServiceCall } from '@finchpitch/backend'
+import { err, ok, type Result } from 'neverthrow'
+
+export class MemoryService implements PlainService {
+  /** Each change as it was run, by the body's text. */
+  readonly changes: string[] = []
+  running = 0
+  down = false
+  delayMs = 0
+  /** So many next calls run, and their answers are lost. */
+  loseAnswers = 0
+
+  async call ({ call }: ServiceCall): Promise<Result<Answer, BackendFault>> {
+    if (this.down) return err(backendFault('unreachable', 'the service is down'))
+    const text = Buffer.from(call.body).toString()
+    if (call.method !== 'GET') this.changes.push(text)
+    this.running += 1
+    if (this.delayMs > 0) await pause(this.delayMs)
+    this.running -= 1
+    if (this.loseAnswers > 0) {
+      this.loseAnswers -= 1
+      return err(backendFault('lost', 'the answer was lost'))
+    }
+    const body = JSON.stringify({ path: call.path, booked: text, changes: this.changes.length })
+    return ok({ status: 200, headers: { 'content-type': 'application/json' }, body: chunked(body) })
+  }
+}
+
+async function * chunked (text: string): AsyncGenerator<Uint8Array> {
+  const half = Math.ceil(text.length / 2)
+  yield Buffer.from(text.slice(0, half))
+  yield Buffer.from(text.slice(half))
+}
--- /dev/null
+++ b/packages/stand-ins/src/memory-store.ts
@@ -0,0 +1,139 @@
+/**
+ * A stand-in for the platform's object API, in memory, with the faults that the brief names.
+ *
+ * It counts every call and keeps every accepted write of each object, so an observer can see reverts and double
+ * writes without asking the system.
+ */
+import { pause } from '@finchpitch/core'
+import { storeFault, type ObjectStore, type ResourceVersion, type StoreFault, type StoredObject, type WatchEvent } from '@finchpitch/platform'
+import { err, ok, type Result } from 'neverthrow'
+
+const keptEvents = 100
+
+type Listener = (event: WatchEvent) => void
+
+export class MemoryStore implements ObjectStore {
+  /** Every call fails and nothing happens. */
+  down = false
+  /** Added to every call. */
+  delayMs = 0
+  /** So many next writes take effect and their answers are lost. */
+  loseAnswers = 0
+  /** Watches give no events, and don't end. */
+  deafWatches = false
+  /** Each event is sent twice. */
+  repeatEvents = false
+  calls = { reads: 0, writes: 0, watches: 0 }
+  readonly writes: StoredObject[] = []
+  readonly #objects = new Map<string, StoredObject>()
+  readonly #events: WatchEvent[] = []
+  readonly #listeners = new Map<string, Set<Listener>>()
+  #version = 0
+
+  async get (name: string): Promise<Result<StoredObject | undefined, StoreFault>> {
+    this.calls.reads += 1
+    const fault = await this.#pass()
+    return fault === undefined ? ok(structuredClone(this.#objects.get(name))) : err(fault)
+  }
+
+  async list (prefix: string): Promise<Result<string[], StoreFault>> {
+    this.calls.reads += 1
+    const fault = await this.#pass()
+    return fault === undefined ? ok([...this.#objects.keys()].filter(name => name.startsWith(prefix)).sort()) : err(fault)
+  }
+
+  async put (name: string, value: unknown, version: ResourceVersion | 'absent'): Promise<Result<StoredObject, StoreFault>> {
+    this.calls.writes += 1
+    const fault = await this.#pass()
+    if (fault !== undefined) return err(fault)
+    const present = this.#objects.get(name)
+    if ((present?.version ?? 'absent') !== version) return err(storeFault('conflict'))
+    const object = this.#write(name, value)
+    if (!this.#losesAnswer()) return ok(structuredClone(object))
+    return err(storeFault('ambiguous', 'the answer was lost'))
+  }
+
+  async remove (name: string, version: ResourceVersion): Promise<Result<void, StoreFault>> {
+    this.calls.writes += 1
+    const fault = await this.#pass()
+    if (fault !== undefined) return err(fault)
+    const present = this.#objects.get(name)
+    if (present === undefined) return ok(undefined)
+    if (present.version !== version) return err(storeFault('conflict'))
+    this.#objects.delete(name)
+    this.#emit({ type: 'deleted', name, version: String(++this.#version) })
+    return ok(undefined)
+  }
+
+  async * watch (name: string, version: ResourceVersion, signal: AbortSignal): AsyncGenerator<WatchEvent> {
+    this.calls.watches += 1
+    if (this.down) return yield { type: 'ended', fault: storeFault('unavailable') }
+    const oldest = this.#events[0]
+    if (oldest !== undefined && Number(version) + 1 < versionOf(oldest) && this.#events.length >= keptEvents) {
+      return yield { type: 'ended', fault: storeFault('too_old') }
+    }
+    const ready = this.#events.filter(event => nameOf(event) === name && versionOf(event) > Number(version))
+    let wake = (): void => {}
+    const listener: Listener = event => {
+      ready.push(event)
+      wake()
+    }
+    const listeners = this.#listeners.get(name) ?? new Set()
+    this.#listeners.set(name, listeners.add(listener))
+    const stop = (): void => wake()
+    signal.addEventListener('abort', stop)
+    try {
+      while (!signal.aborted) {
+        const event = ready.shift()
+        if (event !== undefined) yield event
+        else await new Promise<void>(resolve => { wake = resolve })
+      }
+      yield { type: 'ended', fault: storeFault('unavailable', 'the watch was closed') }
+    } finally {
+      listeners.delete(listener)
+      signal.removeEventListener('abort', stop)
+    }
+  }
+
+  /** Ends every watch, as a restart of the API does. */
+  cutWatches (): void {
+    for (const listeners of this.#listeners.values()) {
+      for (const listener of listeners) listener({ type: 'ended', fault: storeFault('unavailable', 'cut') })
+    }
+  }
+
+  async #pass (): Promise<StoreFault | undefined> {
+    if (this.delayMs > 0) await pause(this.delayMs)
+    return this.down ? storeFault('unavailable', 'the store is down') : undefined
+  }
+
+  #losesAnswer (): boolean {
+    if (this.loseAnswers === 0) return false
+    this.loseAnswers -= 1
+    return true
+  }
+
+  #write (name: string, value: unknown): StoredObject {
+    const object = { name, version: String(++this.#version), value: structuredClone(value) }
+    this.#objects.set(name, object)
+    this.writes.push(object)
+    this.#emit({ type: 'changed', object })
+    return object
+  }
+
+  #emit (event: WatchEvent): void {
+    this.#events.push(event)
+    if (this.#events.length > keptEvents) this.#events.shift()
+    if (this.deafWatches) return
+    for (const listener of this.#listeners.get(nameOf(event)) ?? []) {
+      listener(event)
+      if (this.repeatEvents) listener(event)
+    }
+  }
+}
+
+const nameOf = (event: WatchEvent): string =>
+  event.type === 'changed' ? event.object.name : event.type === 'deleted' ? event.name : ''
+
+const versionOf = (event: WatchEvent): number =>
+  event.type === 'changed' ? Number(event.object.version) : event.type === 'deleted' ? Number(event.version) : 0
--- /dev/null
+++ b/packages/stand-ins/src/platform-server.ts
@@ -0,0 +1,78 @@
+/**
+ * The platform's stand-in over HTTP: the object API with watches, and the instance list.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Instance, StoredObject, WatchEvent } from '@finchpitch/platform'
+import type { Result } from 'neverthrow'
+import { MemoryStore } from './memory-store.js'
+import { readJson, sendJson, serve, type HttpStandIn } from './http-stand-in.js'
+
+const objects = '/apis/finchpitch/v1/objects'
+
+const toItem = ({ name, version, value }: StoredObject): unknown => ({ metadata: { name, resourceVersion: version }, spec: value })
+
+const statuses = { unavailable: 503, ambiguous: 504, conflict: 409, too_old: 410, refused: 400 } as const
+
+const toLine = (event: WatchEvent): unknown => {
+  if (event.type === 'changed') return { type: 'MODIFIED', object: toItem(event.object) }
+  if (event.type === 'deleted') return { type: 'DELETED', object: toItem({ name: event.name, version: event.version, value: null }) }
+  return { type: 'ERROR', object: { code: statuses[event.fault.code] } }
+}
+
+const reply = (response: ServerResponse, result: Result<StoredObject | undefined | void, { code: keyof typeof statuses }>): void => {
+  if (result.isErr() && result.error.code === 'ambiguous') response.destroy()
+  else if (result.isErr()) sendJson(response, statuses[result.error.code], {})
+  else if (result.value === undefined) sendJson(response, 404, {})
+  else sendJson(response, 200, toItem(result.value))
+}
+
+export class PlatformServer {
+  readonly store = new MemoryStore()
+  instances: Instance[] = []
+  /** The instance list doesn't answer. */
+  listDown = false
+  #server: HttpStandIn | undefined
+
+  async start (): Promise<string> {
+    this.#server = await serve((request, response) => this.#handle(request, response))
+    return this.#server.origin
+  }
+
+  async stop (): Promise<void> {
+    await this.#server?.stop()
+  }
+
+  async #handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const url = new URL(request.url ?? '/', 'http://platform')
+    if (url.pathname === '/instances') return this.#list(response)
+    const name = decodeURIComponent(url.pathname.slice(objects.length + 1))
+    if (request.method === 'PUT') return await this.#put(name, request, response)
+    if (request.method === 'DELETE') return reply(response, await this.store.remove(name, url.searchParams.get('resourceVersion') ?? ''))
+    if (url.searchParams.has('watch')) return await this.#watch(name, url.searchParams.get('resourceVersion') ?? '0', response)
+    if (name !== '') return reply(response, await this.store.get(name))
+    const names = await this.store.list(url.searchParams.get('prefix') ?? '')
+    sendJson(response, names.isOk() ? 200 : 503, { items: names.unwrapOr([]) })
+  }
+
+  #list (response: ServerResponse): void {
+    if (this.listDown) return sendJson(response, 503, {})
+    sendJson(response, 200, { items: this.instances })
+  }
+
+  async #put (name: string, request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = await readJson(request) as { metadata: { resourceVersion?: string }, spec: unknown }
+    reply(response, await this.store.put(name, body.spec, body.metadata.resourceVersion ?? 'absent'))
+  }
+
+  async #watch (name: string, version: string, response: ServerResponse): Promise<void> {
+    const hangUp = new AbortController()
+    response.once('close', () => hangUp.abort())
+    response.writeHead(200, { 'content-type': 'application/json' })
+    response.flushHeaders()
+    for await (const event of this.store.watch(name, version, hangUp.signal)) {
+      response.write(`${JSON.stringify(toLine(event))}\n`)
+      if (event.type === 'ended') break
+    }
+    response.end()
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/processes.ts
@@ -0,0 +1,85 @@
+/**
+ * Real processes of the system, for the demo, the process tests and the measurements.
+ */
+import { spawn, type ChildProcess } from 'node:child_process'
+import { once } from 'node:events'
+import { createRequire } from 'node:module'
+import { createInterface } from 'node:readline'
+import { Address, FailureDomain, ProcessId, type Serving } from '@finchpitch/core'
+import { hashOfToken, type Instance } from '@finchpitch/platform'
+
+const binary = createRequire(import.meta.url).resolve('@finchpitch/daemon/bin/finchpitchd.js')
+
+export const operatorToken = 'operators-only'
+
+export interface DaemonOptions {
+  role: 'entry' | 'side'
+  process: string
+  domain: string
+  platform: string
+  flags?: Record<string, string | number>
+}
+
+export class Daemon {
+  readonly logs: string[] = []
+
+  private constructor (readonly options: DaemonOptions, readonly child: ChildProcess, readonly listening: Record<string, string>) {
+    child.stderr?.on('data', (text: Buffer) => this.logs.push(text.toString()))
+  }
+
+  /** Resolves once the process listens. */
+  static async start (options: DaemonOptions): Promise<Daemon> {
+    const flags = {
+      process: options.process,
+      domain: options.domain,
+      platform: options.platform,
+      host: '127.0.0.1',
+      'peer-port': 0,
+      'operator-port': 0,
+      'operator-token-hash': hashOfToken(operatorToken),
+      ...(options.role === 'entry' ? { 'caller-port': 0, 'notice-ms': 0 } : {}),
+      ...options.flags
+    }
+    const args = Object.entries(flags).flatMap(([name, value]) => [`--${name}`, String(value)])
+    const child = spawn(process.execPath, [binary, options.role, ...args], { stdio: ['ignore', 'pipe', 'pipe'] })
+    const early: string[] = []
+    const keep = (text: Buffer): number => early.push(text.toString())
+    child.stderr.on('data', keep)
+    const exited = once(child, 'exit').then(([code]) => { throw new Error(`${options.process} ended with ${String(code)}: ${early.join('')}`) })
+    const lines = createInterface({ input: child.stdout })
+    const [line] = await Promise.race([once(lines, 'line'), exited]) as [string]
+    exited.catch(() => {})
+    child.stderr.off('data', keep)
+    return new Daemon(options, child, JSON.parse(line) as Record<string, string>)
+  }
+
+  url (listener: 'callers' | 'operators'): string {
+    return `http://${this.listening[listener] ?? ''}`
+  }
+
+  /** Its row in the instance list. */
+  instance (serving?: Serving): Instance {
+    const { role, process, domain } = this.options
+    return {
+      role,
+      leaving: false,
+      process: ProcessId.parse(process),
+      domain: FailureDomain.parse(domain),
+      address: Address.parse(this.listening.peers),
+      ...(serving === undefined ? {} : { serving })
+    }
+  }
+
+  signal (signal: NodeJS.Signals): void {
+    this.child.kill(signal)
+  }
+
+  /** Sends a signal and waits for the end; gives the exit code, or the signal that ended it. */
+  async stop (signal: NodeJS.Signals = 'SIGTERM'): Promise<number | string | null> {
+    if (this.child.exitCode !== null) return this.child.exitCode
+    const exited = once(this.child, 'exit') as Promise<[number | null, string | null]>
+    this.child.kill(signal)
+    const [code, ended] = await exited
+    return code ?? ended
+  }
+}
--- /dev/null
+++ b/packages/wire/src/frame.ts
@@ -0,0 +1,55 @@
+/**
+ * Frames: what the system's own processes say to each other.
+ *
+ * On the wire a frame is a big-endian length of four bytes and that many bytes of CBOR. The schema below is the
+ * one definition; a frame that doesn't fit it ends the connection it came on and nothing else.
+ */
+import { Address, Bytes, Failure, Headers, Incarnation, ProcessId, Revision, FailureDomain, Serving, Work } from '@finchpitch/core'
+import { z } from 'zod'
+
+/** Raised when two versions can't talk to each other; the first frame carries it. */
+export const protocolVersion = 1
+
+const ExchangeId = z.number().int().nonnegative()
+
+/** How a side process stands; learned from its replies, aged by the reader. */
+export const Load = z.object({
+  waiting: z.number().int().nonnegative(),
+  running: z.number().int().nonnegative(),
+  capacity: z.number().int().positive(),
+  /** The sender's current key window. */
+  epoch: z.number().int().nonnegative(),
+  leaving: z.boolean()
+})
+export type Load = z.infer<typeof Load>
+
+export const Hello = z.object({
+  type: z.literal('hello'),
+  protocol: z.number().int(),
+  process: ProcessId,
+  incarnation: Incarnation,
+  address: Address,
+  domain: FailureDomain,
+  revision: Revision,
+  serving: Serving.optional(),
+  load: Load.optional()
+})
+export type Hello = z.infer<typeof Hello>
+
+export const Frame = z.discriminatedUnion('type', [
+  Hello,
+  z.object({ type: z.literal('heartbeat'), revision: Revision, load: Load.optional() }),
+  z.object({ type: z.literal('run'), id: ExchangeId, work: Work }),
+  z.object({ type: z.literal('head'), id: ExchangeId, status: z.number().int(), headers: Headers, resident: z.boolean() }),
+  z.object({ type: z.literal('chunk'), id: ExchangeId, sequence: z.number().int().nonnegative(), data: Bytes }),
+  z.object({ type: z.literal('end'), id: ExchangeId, chunks: z.number().int().nonnegative(), bytes: z.number().int().nonnegative(), load: Load }),
+  z.object({ type: z.literal('failure'), id: ExchangeId, failure: Failure, load: Load.optional() }),
+  z.object({ type: z.literal('cancel'), id: ExchangeId }),
+  z.object({ type: z.literal('credit'), id: ExchangeId, bytes: z.number().int().positive() }),
+  /** Asks for the head and the shards that the sender lacks. */
+  z.object({ type: z.literal('pull'), id: ExchangeId, shards: z.array(z.string().max(100)).max(2000) }),
+  z.object({ type: z.literal('push'), id: ExchangeId, head: z.unknown(), shards: z.record(z.string(), z.string()) })
+])
+export type Frame = z.infer<typeof Frame>
+export type FrameType = Frame['type']
+export type FrameOf<T extends FrameType> = Extract<Frame, { type: T }>
