Fault matrix; keep a slot pinned until the engine has surely ended the request

The side process released the pin with the connection, but a lost connection doesn't end the request at the engine.

Change: after any end but a whole answer the slot stays pinned until the engine acknowledges a cancel order or has restarted. A repeated run frame is one request.

Ruled out: releasing after a fixed time (the engine may be slower than any).

--- a/packages/backend/src/engine.ts
+++ b/packages/backend/src/engine.ts
@@ -45,5 +45,7 @@
   /** Gives the boot that now holds the adapter. */
   load: (order: EngineOrder & { source: string }) => Promise<Result<string, BackendFault>>
   unload: (order: EngineOrder) => Promise<Result<void, BackendFault>>
+  /** Resolves `Ok` once the request surely no longer runs; one that isn't known doesn't. */
+  cancel: (order: { id: string, fence: number }) => Promise<Result<void, BackendFault>>
   generate: (generation: Generation) => Promise<Result<GeneratedAnswer, BackendFault>>
 }
--- a/packages/backend/src/http-engine.ts
+++ b/packages/backend/src/http-engine.ts
@@ -71,6 +71,11 @@
     return reply.map(() => undefined)
   }
 
+  async cancel ({ id, fence }: { id: string, fence: number }): Promise<Result<void, BackendFault>> {
+    const reply = await this.#order('/v1/cancel', fence, { request_id: id })
+    return reply.map(() => undefined)
+  }
+
   async generate (generation: Generation): Promise<Result<GeneratedAnswer, BackendFault>> {
     try {
       const reply = await this.#send(generation)
--- a/packages/daemon/src/side/runner.ts
+++ b/packages/daemon/src/side/runner.ts
@@ -3,9 +3,9 @@
  *
  * `start` gives an `Err` with `not_run` only while nothing has been sent, and `unknown` from then on.
  */
-import { adapterLabel, notRun, unknown, type AdapterTarget, type Answer, type AnswerBody, type Failure, type Log, type Work } from '@finchpitch/core'
+import { adapterLabel, notRun, pause, unknown, type AdapterTarget, type Answer, type AnswerBody, type Failure, type Log, type Work } from '@finchpitch/core'
 import type { BackendFault, Engine, EngineReport, PlainService } from '@finchpitch/backend'
-import type { Catalog, Random } from '@finchpitch/platform'
+import { backoff, type Catalog, type Random } from '@finchpitch/platform'
 import { err, ok, type Result } from 'neverthrow'
 import { Gate, defaultMaxWaiting, type Release } from './gate.js'
 import { Slots, watchBoot, type Pin } from './slots.js'
@@ -21,12 +21,14 @@
   watch: (signal: AbortSignal) => Promise<void>
 }
 
-/** Calls `done` once, when the body has been read to its end, failed or was given up. */
-async function * releasing (body: AnswerBody, done: () => void): AsyncGenerator<Uint8Array> {
+/** Calls `done` once: with `true` when the body was read to its end, `false` when it failed or was given up. */
+async function * releasing (body: AnswerBody, done: (whole: boolean) => void): AsyncGenerator<Uint8Array> {
+  let whole = false
   try {
     yield * body
+    whole = true
   } finally {
-    done()
+    done(whole)
   }
 }
 
@@ -143,20 +145,21 @@
   }
 
   async #generate (work: Work, pin: Pin, leave: Release, signal: AbortSignal): Promise<Result<Answer, Failure>> {
-    const done = (): void => {
+    const done = (settled: boolean): void => {
       leave()
-      pin.release()
+      if (settled) pin.release()
+      else void this.#releaseOnceEnded(work, pin)
     }
     const { engine, fence } = this.options
     const generation = { id: work.id, label: pin.label, call: work.call, priority: priorities[work.class], salt: work.team, fence, signal }
     const answer = await engine.generate(generation)
     if (answer.isErr()) {
-      done()
+      done(answer.error.code !== 'lost')
       if (answer.error.boot !== undefined) this.#see(answer.error.boot)
       return err(failureOf(answer.error))
     }
     if (answer.value.boot !== pin.boot) {
-      done()
+      done(true)
       this.#see(answer.value.boot)
       // It may have run, and on something else than the adapter: not one byte of it is believed.
       void answer.value.body[Symbol.asyncIterator]().return?.()
@@ -165,6 +168,20 @@
     return ok({ status: answer.value.status, headers: answer.value.headers, body: releasing(answer.value.body, done) })
   }
 
+  /**
+   * Without the answer's end the engine may still be running the request: its slot stays pinned until the engine
+   * has said that it no longer does, or has restarted.
+   */
+  async #releaseOnceEnded ({ id }: Work, pin: Pin): Promise<void> {
+    const { engine, fence, random } = this.options
+    for (let failures = 1; pin.boot === this.#boot; failures++) {
+      const cancelled = await engine.cancel({ id, fence })
+      if (cancelled.isOk() || cancelled.error.code === 'fenced') break
+      await pause(backoff(failures, random))
+    }
+    pin.release()
+  }
+
   #see (boot: string): void {
     if (boot === this.#boot || boot === '') return
     this.#boot = boot
--- a/packages/daemon/src/side/side.ts
+++ b/packages/daemon/src/side/side.ts
@@ -62,11 +62,16 @@
     const channel = new Channel(stream, { hello: () => this.#hello(), heartbeat: () => this.#heartbeat() })
     const exchanges = new Map<number, Exchange>()
     const configuration = new CatalogExchange(catalog, channel)
+    let last = -1
     this.#channels.add(channel)
     void channel.greeted.then(greeted => { if (greeted) configuration.see(channel.peer.revision) })
     for await (const frame of channel.frames()) {
-      if (frame.type === 'run') this.#begin(frame, channel, exchanges, configuration)
-      else if (frame.type === 'cancel') exchanges.get(frame.id)?.cancel()
+      if (frame.type === 'run') {
+        // A frame that came twice is one request.
+        if (frame.id > last) this.#begin(frame, channel, exchanges, configuration)
+        last = Math.max(last, frame.id)
+      }
+      if (frame.type === 'cancel') exchanges.get(frame.id)?.cancel()
       else if (frame.type === 'credit') exchanges.get(frame.id)?.window.give(frame.bytes)
       else configuration.take(frame)
     }
--- /dev/null
+++ b/packages/proofs/src/matrix/matrix.ts
@@ -0,0 +1,46 @@
+/**
+ * The matrix: every step of every scenario against every fault, one cell each.
+ */
+import { Cluster } from './cluster.js'
+import { faultNames, faults, type FaultName } from './faults.js'
+import type { Step } from './guard.js'
+import { scenarioNames, scenarios, type PromiseLetter, type Report, type Scenario, type ScenarioName } from './scenarios.js'
+
+export interface Cell extends Report {
+  scenario: ScenarioName
+  step: Step
+  fault: FaultName
+  /** Whether the step came, so that the fault struck there and not at the end. */
+  struck: boolean
+  checks: readonly PromiseLetter[]
+}
+
+export const runCell = async (scenarioName: ScenarioName, step: Step, faultName: FaultName): Promise<Cell> => {
+  const scenario: Scenario = scenarios[scenarioName]
+  const fault = faults[faultName]
+  const cluster = await Cluster.start(scenario.layout)
+  try {
+    cluster.arm(step, () => fault.strike(cluster))
+    const report = await scenario.run(cluster, fault)
+    return { ...report, scenario: scenarioName, step, fault: faultName, struck: cluster.struck, checks: scenario.checks }
+  } finally {
+    cluster.close()
+  }
+}
+
+export interface Selection {
+  scenario?: string | undefined
+  step?: string | undefined
+  fault?: string | undefined
+}
+
+export async function * runMatrix ({ scenario, step, fault }: Selection = {}): AsyncGenerator<Cell> {
+  for (const scenarioName of scenarioNames.filter(each => scenario === undefined || each === scenario)) {
+    const steps: readonly Step[] = scenarios[scenarioName].steps
+    for (const eachStep of steps.filter(each => step === undefined || each === step)) {
+      for (const faultName of faultNames.filter(each => fault === undefined || each === fault)) {
+        yield await runCell(scenarioName, eachStep, faultName)
+      }
+    }
+  }
+}
--- a/packages/stand-ins/src/engine-server.ts
+++ b/packages/stand-ins/src/engine-server.ts
@@ -40,6 +40,7 @@
     }
     if (request.url === '/v1/load_lora_adapter') return await this.#load(request, response)
     if (request.url === '/v1/unload_lora_adapter') return await this.#unload(request, response)
+    if (request.url === '/v1/cancel') return await this.#cancel(request, response)
     await this.#generate(request, response)
   }
 
@@ -57,6 +58,13 @@
     sendJson(response, 200, {}, { 'x-engine-boot': this.engine.boot })
   }
 
+  async #cancel (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const order = await readJson(request) as { request_id: string }
+    const cancelled = await this.engine.cancel({ id: order.request_id, fence: fenceOf(request) })
+    if (cancelled.isErr()) return this.#refuse(response, cancelled.error)
+    sendJson(response, 200, {}, { 'x-engine-boot': this.engine.boot })
+  }
+
   async #generate (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const body = await readBytes(request)
     const id = String(request.headers['x-request-id'])
--- a/packages/stand-ins/src/memory-engine.ts
+++ b/packages/stand-ins/src/memory-engine.ts
@@ -24,6 +24,13 @@
   prompt: string
 }
 
+interface Active {
+  id: string
+  controller: AbortController
+  ended: Promise<void>
+  end: () => void
+}
+
 const defaultTokens = 8
 const perSequence = 0.01
 const perAdapter = 0.05
@@ -47,6 +54,7 @@
   #boot = randomToken()
   #fence = 0
   readonly #loaded = new Map<string, number>()
+  readonly #active = new Map<string, Active>()
   #running = 0
 
   constructor (private readonly options: MemoryEngineOptions) {}
@@ -96,6 +104,15 @@
     return ok(undefined)
   }
 
+  async cancel ({ id, fence }: { id: string, fence: number }): Promise<Result<void, BackendFault>> {
+    const refusal = this.#refuse(fence)
+    if (refusal !== undefined) return err(refusal)
+    const active = this.#active.get(id)
+    active?.controller.abort()
+    await active?.ended
+    return ok(undefined)
+  }
+
   async generate (generation: Generation): Promise<Result<GeneratedAnswer, BackendFault>> {
     const refusal = this.#refuse(generation.fence)
     if (refusal !== undefined) return err(refusal)
@@ -107,7 +124,7 @@
     this.runs.push({ id, label, boot, prompt: promptOf(body) })
     this.#loaded.set(label, using + 1)
     this.#running += 1
-    const tokens = this.#tokens(label, boot, body.max_tokens ?? defaultTokens, signal)
+    const tokens = this.#tokens(label, boot, body.max_tokens ?? defaultTokens, this.#activate(id, signal))
     if (this.delayMs > 0) await pause(this.delayMs)
     if (this.loseAnswers > 0) {
       this.loseAnswers -= 1
@@ -128,7 +145,18 @@
     return backendFault('unreachable', 'the engine is down')
   }
 
-  async * #tokens (label: string, boot: string, count: number, signal: AbortSignal): AsyncGenerator<string> {
+  #activate (id: string, signal: AbortSignal): Active {
+    const controller = new AbortController()
+    signal.addEventListener('abort', () => controller.abort())
+    let end = (): void => {}
+    const ended = new Promise<void>(resolve => { end = resolve })
+    const active = { id, controller, ended, end }
+    this.#active.set(id, active)
+    return active
+  }
+
+  async * #tokens (label: string, boot: string, count: number, active: Active): AsyncGenerator<string> {
+    const { signal } = active.controller
     try {
       for (let token = 0; token < count; token++) {
         const slowdown = 1 + perSequence * this.#running + perAdapter * this.#loaded.size
@@ -139,6 +167,8 @@
       }
     } finally {
       this.#running -= 1
+      this.#active.delete(active.id)
+      active.end()
       const using = this.#loaded.get(label)
       if (using !== undefined && boot === this.#boot) this.#loaded.set(label, using - 1)
     }
