Command line for operators; measurement of the path's own cost

Cause: declarations could only be applied by code, and nothing said what entry and side process add to a request.

A finished answer no longer aborts its own signal.

Ruled out: one hot spot. A profile of both processes is flat; the largest single item is writing to sockets, under 5%.

--- /dev/null
+++ b/packages/bench/src/report.ts
@@ -0,0 +1,33 @@
+/**
+ * Reports: one table on standard output and the same figures as JSON under docs/measurements.
+ */
+import { mkdir, writeFile } from 'node:fs/promises'
+import { cpus } from 'node:os'
+
+export type Row = Record<string, string | number>
+
+export interface Report {
+  name: string
+  /** How the figures came about, for whoever reads the JSON alone. */
+  about: string
+  rows: Row[]
+}
+
+const folder = new URL('../../../docs/measurements/', import.meta.url)
+const significant = 3
+
+export const rounded = (value: number): number => Number(value.toPrecision(significant))
+
+const printTable = (rows: Row[]): string => {
+  const columns = [...new Set(rows.flatMap(row => Object.keys(row)))]
+  const cells = [columns, ...rows.map(row => columns.map(column => String(row[column] ?? '')))]
+  const widths = columns.map((_, index) => Math.max(...cells.map(line => (line[index] ?? '').length)))
+  return cells.map(line => line.map((cell, index) => index === 0 ? cell.padEnd(widths[index] ?? 0) : cell.padStart(widths[index] ?? 0)).join('  ')).join('\n')
+}
+
+export const publish = async (report: Report): Promise<void> => {
+  process.stdout.write(`\n${report.name}: ${report.about}\n\n${printTable(report.rows)}\n`)
+  await mkdir(folder, { recursive: true })
+  const machine = { node: process.version, cpus: cpus().length }
+  await writeFile(new URL(`${report.name}.json`, folder), `${JSON.stringify({ ...report, machine }, null, 2)}\n`)
+}
--- a/packages/callers/src/routes.ts
+++ b/packages/callers/src/routes.ts
@@ -52,7 +52,9 @@
   const ask = await receive(kind, exchange)
   if (ask === undefined) return
   const hangUp = new AbortController()
-  response.once('close', () => hangUp.abort())
+  response.once('close', () => {
+    if (!response.writableFinished) hangUp.abort()
+  })
   const end = await deliver(exchange, ask, await serve(ask, hangUp.signal))
   const durationMs = performance.now() - startedAt
   observe(ask, { ...end, durationMs })
--- /dev/null
+++ b/packages/cli/src/commands/diff.ts
@@ -0,0 +1,19 @@
+/** `finchpitch diff`: what applying a folder would change. */
+import { Args, Flags } from '@oclif/core'
+import { difference, printDifference, withoutPruning, type Difference } from '../difference.js'
+import { OperatorCommand } from '../operator-command.js'
+
+export default class Diff extends OperatorCommand {
+  static override summary = 'Show what applying a folder would change.'
+  static override args = { folder: Args.string({ description: 'folder of YAML files', required: true }) }
+  static override flags = { prune: Flags.boolean({ description: 'also remove what is not declared' }) }
+
+  async run (): Promise<Difference[]> {
+    const { args, flags } = await this.parse(Diff)
+    const declared = await this.declarationsOrExit(args.folder)
+    const { configuration } = await this.inForce(this.client(flags))
+    const differences = difference(configuration, flags.prune ? declared : withoutPruning(configuration, declared))
+    this.log(differences.length === 0 ? 'no difference' : printDifference(differences))
+    return differences
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/get.ts
@@ -0,0 +1,14 @@
+/** `finchpitch get`: the configuration in force, as YAML that can be applied again. */
+import { stringify } from 'yaml'
+import { OperatorCommand } from '../operator-command.js'
+
+export default class Get extends OperatorCommand {
+  static override summary = 'Print the configuration in force.'
+
+  async run (): Promise<unknown> {
+    const { flags } = await this.parse(Get)
+    const reply = await this.inForce(this.client(flags))
+    this.log(`# revision ${reply.revision}\n${stringify(reply.configuration)}`)
+    return reply
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/log-level.ts
@@ -0,0 +1,16 @@
+/** `finchpitch logs level`: changes a process's log level while it runs. */
+import { Args } from '@oclif/core'
+import { LogLevelBody } from '@finchpitch/operators'
+import { OperatorCommand } from '../operator-command.js'
+
+export default class LogsLevel extends OperatorCommand {
+  static override summary = 'Set the log level of the process behind --entry; a side process takes it too.'
+  static override args = { level: Args.string({ options: [...LogLevelBody.shape.level.options], required: true, description: 'the level' }) }
+
+  async run (): Promise<unknown> {
+    const { args, flags } = await this.parse(LogsLevel)
+    const reply = this.valueOrExit(await this.client(flags).setLogLevel(LogLevelBody.parse(args)))
+    this.log(`log level ${reply.level}`)
+    return reply
+  }
+}
--- a/packages/stand-ins/src/memory-engine.ts
+++ b/packages/stand-ins/src/memory-engine.ts
@@ -49,6 +49,8 @@
   loseAnswers = 0
   /** Before the answer's head. */
   delayMs = 0
+  /** The time to a token in a batch of one. */
+  tokenMs: number
   /** Orders and requests find nobody. */
   down = false
   #boot = randomToken()
@@ -57,7 +59,9 @@
   readonly #active = new Map<string, Active>()
   #running = 0
 
-  constructor (private readonly options: MemoryEngineOptions) {}
+  constructor (private readonly options: MemoryEngineOptions) {
+    this.tokenMs = options.tokenMs
+  }
 
   get boot (): string {
     return this.#boot
@@ -160,7 +164,7 @@
     try {
       for (let token = 0; token < count; token++) {
         const slowdown = 1 + perSequence * this.#running + perAdapter * this.#loaded.size
-        await pause(this.options.tokenMs * slowdown, signal)
+        await pause(this.tokenMs * slowdown, signal)
         if (boot !== this.#boot) throw new AnswerFailure(unknown('answer_cut', { detail: 'the engine restarted' }))
         if (signal.aborted) return
         yield `${label}:${token} `
