Process tests; planned stops that cut off nothing

Cause: tests with real processes and signals showed two planned stops that cut streams off. The HTTP broker ended the process on SIGTERM by a handler of its own, and a side process closed its channels before the last frames had left.

Change: the broker's process handlers are off; a drained side process waits until its channels are flushed; an entry that drains closes kept-alive connections as they fall idle. Settings rules over several flags are reported with the rest.

--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -16,6 +16,9 @@
 const httpOrigin = z.url({ protocol: /^https?$/, error: 'expected http://host:port' }).transform(url => new URL(url).origin)
 const ipNumber = z.union([z.ipv4(), z.ipv6()], { error: 'expected an IP number' })
 
+/** A rule over several flags is checked also when one of them is at fault, so that all is reported together. */
+const always = (): boolean => true
+
 const Common = {
   process: ProcessId,
   domain: FailureDomain,
@@ -36,7 +39,7 @@
   'notice-ms': milliseconds.default(3000),
   'tls-key': z.string().optional(),
   'tls-cert': z.string().optional()
-}).refine(each => (each['tls-key'] === undefined) === (each['tls-cert'] === undefined), { path: ['tls-key'], error: 'give tls-key and tls-cert together' })
+}).refine(each => (each['tls-key'] === undefined) === (each['tls-cert'] === undefined), { path: ['tls-key'], error: 'give tls-key and tls-cert together', when: always })
 export type EntrySettings = z.infer<typeof EntrySettings>
 
 export const SideSettings = z.object({
@@ -46,7 +49,7 @@
   service: ServiceName.optional(),
   capacity: z.coerce.number().int().positive().default(64),
   'epoch-ms': milliseconds.default(600_000)
-}).refine(each => (each.model === undefined) !== (each.service === undefined), { path: ['model'], error: 'give either model or service' })
+}).refine(each => (each.model === undefined) !== (each.service === undefined), { path: ['model'], error: 'give either model or service', when: always })
 export type SideSettings = z.infer<typeof SideSettings>
 
 export const servingFrom = ({ model, service }: SideSettings): Serving => {
--- a/packages/daemon/src/side/side.ts
+++ b/packages/daemon/src/side/side.ts
@@ -87,9 +87,10 @@
     for (const channel of this.#channels) channel.send(this.#heartbeat())
   }
 
-  /** Resolves once nothing runs. */
+  /** Resolves once nothing runs and every answer has left. */
   async drained (): Promise<void> {
     while (this.#running.size > 0) await Promise.race(this.#running)
+    await Promise.all([...this.#channels].map(channel => channel.flushed()))
   }
 
   close (): void {
--- /dev/null
+++ b/packages/daemon/test/processes.test.ts
@@ -0,0 +1,230 @@
+import { once } from 'node:events'
+import { connect } from 'node:net'
+import { Daemon, SmallSystem, smallConfiguration } from '@finchpitch/stand-ins'
+import { expect } from 'chai'
+import { request } from 'undici'
+
+interface ErrorReply {
+  error: { code: string, message: string, outcome: string }
+}
+
+const errorOf = async (reply: Awaited<ReturnType<typeof request>>): Promise<string> => {
+  const { error } = await reply.body.json() as ErrorReply
+  return `${reply.statusCode} ${error.code} ${error.outcome}`
+}
+
+describe('processes', function () {
+  this.timeout(60_000)
+  let system: SmallSystem
+
+  afterEach(async () => {
+    await system.stop()
+  })
+
+  describe('requests that are not valid', () => {
+    it('each get an error that names the place, and the process goes on', async () => {
+      system = await SmallSystem.start()
+      const chat = '/v1/chat/completions'
+      const messages = [{ role: 'user', content: 'hei' }]
+      const statement = { model: 'quetzal/statement', prompt: 'x' }
+      const answers = [
+        await system.ask('quetzal', chat, '{"model": '),
+        await system.ask('quetzal', chat, { model: 'no-slash', messages }),
+        await system.ask('quetzal', '/v1/completions', { ...statement, model: 'quetzal/nothing' }),
+        await system.ask('quetzal', '/v1/completions', { ...statement, model: 'quetzal/statement@v9' }),
+        await system.ask('quetzal', '/v1/completions', { ...statement, model: 'fjordtavle/salon' }),
+        await system.ask('quetzal', '/v1/completions', statement, { headers: { authorization: 'Bearer wrong' } }),
+        await system.ask('quetzal', '/services/booking-ledger/x', {}),
+        await system.ask('quetzal', '/v1/completions', statement, { headers: { 'finchpitch-class': 'vip' } }),
+        await system.ask('fjordtavle', '/services/booking-ledger/x', {}, { headers: { 'finchpitch-repeatable': 'no' } }),
+        await system.ask('fjordtavle', '/services/booking-ledger/x', {}, { headers: { 'idempotency-key': 'tk1/not/a/ticket' } }),
+        await system.ask('quetzal', '/v2/nothing', {}),
+        await system.ask('quetzal', '/v1/completions', 'x'.repeat(3 * 1024 * 1024))
+      ]
+      expect(await Promise.all(answers.map(errorOf))).to.deep.equal([
+        '400 invalid_body not_run',
+        '400 invalid_body not_run',
+        '404 unknown_adapter not_run',
+        '404 unknown_version not_run',
+        '404 unknown_adapter not_run',
+        '401 unauthenticated not_run',
+        '404 unknown_service not_run',
+        '400 invalid_header not_run',
+        '400 key_required not_run',
+        '400 invalid_header not_run',
+        '404 unknown_path not_run',
+        '413 body_too_large not_run'
+      ])
+      expect((await system.ask('quetzal', '/v1/completions', statement)).statusCode).to.equal(200)
+    })
+
+    it('end one connection when they are broken frames', async () => {
+      system = await SmallSystem.start()
+      const [host, port] = (system.daemon('ledger-0').listening.peers ?? '').split(':')
+      const socket = connect(Number(port), host)
+      socket.on('error', () => {})
+      socket.resume()
+      socket.write(Buffer.from([0xff, 0xff, 0xff, 0xff, 1, 2, 3]))
+      await once(socket, 'close')
+      expect((await system.ask('fjordtavle', '/services/booking-ledger/x', {})).statusCode).to.equal(200)
+    })
+  })
+
+  describe('settings that are not valid', () => {
+    it('are reported together, with exit code 2', async () => {
+      system = await SmallSystem.start()
+      const start = Daemon.start({ role: 'side', process: 'Bad Name', domain: 'zone', platform: 'nowhere', flags: { 'log-level': 'loud', capacity: 0 } })
+      const { message } = await start.then(() => { throw new Error('it started') }, (error: Error) => error)
+      expect(message).to.contain('ended with 2')
+      for (const flag of ['--process', '--platform', '--log-level', '--capacity', '--backend', '--model']) expect(message).to.contain(flag)
+    })
+  })
+
+  describe('a planned stop', () => {
+    for (const stopped of ['engine-0', 'entry-0']) {
+      it(`of ${stopped} ends a stream in progress whole`, async () => {
+        system = await SmallSystem.start()
+        const [engine] = system.engines
+        if (engine === undefined) throw new Error('there is an engine')
+        engine.engine.tokenMs = 40
+        const reply = await system.ask('quetzal', '/v1/completions', { model: 'quetzal/statement', prompt: 'x', stream: true, max_tokens: 20 })
+        const exit = system.daemon(stopped).stop('SIGTERM')
+        const text = await reply.body.text()
+        expect(text).to.contain('statement@v4#1:19 ').and.to.contain('[DONE]')
+        expect(await exit).to.equal(0)
+      })
+    }
+
+    it('of a side process turns new work away at once, though the instance list still shows it', async () => {
+      system = await SmallSystem.start()
+      const { service } = system.ledger
+      let release = (): void => {}
+      service.held = new Promise<void>(resolve => { release = resolve })
+      const begun = once(service.events, 'change')
+      const early = system.ask('fjordtavle', '/services/booking-ledger/x', 'early')
+      await begun
+      const exit = system.daemon('ledger-0').stop('SIGTERM')
+      const refused = []
+      // The signal may take a moment to arrive; what comes after it is refused and not run.
+      do refused.push(await errorOf(await system.ask('fjordtavle', '/services/booking-ledger/x', 'late', { headers: { 'finchpitch-patience-ms': '200' } })))
+      while (refused.at(-1)?.includes('no_backend') === false && refused.at(-1)?.includes('leaving') === false)
+      release()
+      expect((await early).statusCode).to.equal(200)
+      expect(await exit).to.equal(0)
+    })
+  })
+
+  describe('a caller that hangs up', () => {
+    it('ends its request at the engine', async () => {
+      system = await SmallSystem.start()
+      const [engine] = system.engines
+      if (engine === undefined) throw new Error('there is an engine')
+      engine.engine.tokenMs = 50
+      const controller = new AbortController()
+      const reply = await system.ask('quetzal', '/v1/completions', { model: 'quetzal/statement', prompt: 'x', stream: true, max_tokens: 10_000 }, { signal: controller.signal })
+      const ended = once(engine.engine.events, 'end')
+      reply.body.on('error', () => {})
+      controller.abort()
+      await ended
+      expect(engine.engine.running).to.equal(0)
+    })
+  })
+
+  describe('a request with a key', () => {
+    it('runs once when its side process is paused, asked again elsewhere and resumed', async () => {
+      system = await SmallSystem.start({ entries: 2 })
+      const { service } = system.ledger
+      const headers = { 'idempotency-key': 'booking-7', 'finchpitch-patience-ms': '30000' }
+      let release = (): void => {}
+      service.held = new Promise<void>(resolve => { release = resolve })
+      const begun = once(service.events, 'change')
+      const first = system.ask('fjordtavle', '/services/booking-ledger/x', 'ingrid', { headers })
+      await begun
+      system.daemon('ledger-0').signal('SIGSTOP')
+      const second = system.ask('fjordtavle', '/services/booking-ledger/x', 'ingrid', { entry: 'entry-1', headers })
+      release()
+      system.daemon('ledger-0').signal('SIGCONT')
+      const answers = await Promise.all([first, second].map(async reply => await (await reply).body.text()))
+      expect(answers[0]).to.equal(answers[1])
+      expect(service.changes).to.deep.equal(['ingrid'])
+    })
+
+    it('is told as unknown when the process that ran it was killed', async () => {
+      system = await SmallSystem.start()
+      const { service } = system.ledger
+      service.held = new Promise<void>(() => {})
+      const headers = { 'idempotency-key': 'booking-8', 'finchpitch-patience-ms': '5000' }
+      const begun = once(service.events, 'change')
+      const first = system.ask('fjordtavle', '/services/booking-ledger/x', 'kari', { headers })
+      await begun
+      await system.daemon('ledger-0').stop('SIGKILL')
+      expect(await errorOf(await first)).to.match(/unknown$/)
+      expect(await errorOf(await system.ask('fjordtavle', '/services/booking-ledger/x', 'kari', { headers }))).to.match(/unknown$/)
+      expect(service.changes).to.deep.equal(['kari'])
+    })
+
+    it('runs by ticket while the store is down', async () => {
+      system = await SmallSystem.start()
+      const { store } = system.platform
+      store.down = true
+      const path = '/services/booking-ledger/x'
+      const refused = await system.ask('fjordtavle', path, 'ola', { headers: { 'idempotency-key': 'booking-9', 'finchpitch-first-try': 'yes' } })
+      const { error } = await refused.body.json() as { error: { outcome: string, ticket: string } }
+      expect(error.outcome).to.equal('not_run')
+      const answer = await system.ask('fjordtavle', path, 'ola', { headers: { 'idempotency-key': error.ticket } })
+      expect([answer.statusCode, system.ledger.service.changes]).to.deep.equal([200, ['ola']])
+    })
+  })
+
+  describe('an engine', () => {
+    it('that cuts a stream has it resumed at the next token', async () => {
+      system = await SmallSystem.start()
+      const [engine] = system.engines
+      if (engine === undefined) throw new Error('there is an engine')
+      engine.cuts = 1
+      const reply = await system.ask('quetzal', '/v1/completions', { model: 'quetzal/statement', prompt: 'x', stream: true, max_tokens: 8 })
+      const tokens = [...(await reply.body.text()).matchAll(/#1:(\d+) /g)].map(([, token]) => Number(token))
+      expect(tokens).to.deep.equal([0, 1, 2, 3, 4, 5, 6, 7])
+      expect(engine.engine.runs).to.have.length(1)
+    })
+
+    it('that restarts empty is noticed, and the adapter is loaded again', async () => {
+      system = await SmallSystem.start()
+      const [engine] = system.engines
+      const statement = { model: 'quetzal/statement', prompt: 'x' }
+      await (await system.ask('quetzal', '/v1/completions', statement)).body.dump()
+      engine?.engine.restart()
+      const reply = await system.ask('quetzal', '/v1/completions', statement)
+      expect(await reply.body.text()).to.contain('quetzal/statement@v4')
+    })
+  })
+
+  describe('health', () => {
+    it('tells readiness, metrics and takes a log level', async () => {
+      system = await SmallSystem.start()
+      const operators = system.daemon('entry-0').url('operators')
+      const [health, ready, metrics] = await Promise.all(['/healthz', '/readyz', '/metrics'].map(async path => await (await request(`${operators}${path}`)).body.text()))
+      expect([health, ready]).to.deep.equal(['ok\n', 'ready\n'])
+      expect(metrics).to.contain('finchpitch_configuration_revision 1')
+      expect((await system.operator().setLogLevel({ level: 'debug' }))._unsafeUnwrap().level).to.equal('debug')
+    })
+
+    it('keeps operators\' calls from others', async () => {
+      system = await SmallSystem.start()
+      const reply = await request(`${system.daemon('entry-0').url('operators')}/operator/v1/configuration`, { headers: { authorization: 'Bearer fjord-token' } })
+      expect(await errorOf(reply)).to.equal('401 unauthenticated not_run')
+    })
+  })
+
+  describe('a configuration', () => {
+    it('is in force at every process after it was accepted', async () => {
+      system = await SmallSystem.start({ entries: 2 })
+      const teams = smallConfiguration.teams.map(team => ({ ...team, weight: 2 }))
+      await system.apply({ ...smallConfiguration, teams }, 1)
+      const inForce = async (name: string): Promise<string> => await (await request(`${system.daemon(name).url('operators')}/metrics`)).body.text()
+      for (const name of system.daemons.keys()) {
+        while (!(await inForce(name)).includes('finchpitch_configuration_revision 2')) { /* asks until it is, or mocha's time is up */ }
+      }
+    })
+  })
+})
--- a/packages/http/src/gateway.ts
+++ b/packages/http/src/gateway.ts
@@ -34,6 +34,8 @@
   tls?: TlsFiles
 }
 
+const idleSweepMs = 50
+
 interface RoutedRequest extends IncomingMessage {
   $params: Record<string, string>
 }
@@ -59,7 +61,13 @@
   readonly #service: Service
 
   constructor (private readonly options: GatewayOptions) {
-    this.#broker = new ServiceBroker({ nodeID: options.name, logger: false, transporter: null, metrics: false, tracing: false })
+    this.#broker = new ServiceBroker({
+      nodeID: options.name,
+      logger: false,
+      transporter: null,
+      // The broker would end the process on SIGTERM, with every request in progress.
+      skipProcessEventRegistration: true
+    })
     const aliases = Object.fromEntries(Object.entries(options.routes).map(([path, handler]) => [path, toAlias(handler)]))
     const schema = {
       name: options.name,
@@ -92,9 +100,10 @@
   /** Takes no more connections and waits for the requests in progress. */
   async drain (): Promise<void> {
     const server = this.#server
-    const closed = new Promise<void>(resolve => server.close(() => resolve()))
-    server.closeIdleConnections()
-    await closed
+    // A connection that is kept alive falls idle only when its request has ended.
+    const sweep = setInterval(() => server.closeIdleConnections(), idleSweepMs)
+    await new Promise<void>(resolve => server.close(() => resolve()))
+    clearInterval(sweep)
   }
 
   async stop (): Promise<void> {
--- a/packages/stand-ins/src/memory-engine.ts
+++ b/packages/stand-ins/src/memory-engine.ts
@@ -4,6 +4,7 @@
  * A token takes longer the more sequences and the more distinct adapters there are in the batch. It records what it
  * ran and every order that would have broken a promise; observers read those records.
  */
+import { EventEmitter } from 'node:events'
 import { AnswerFailure, pause, randomToken, unknown } from '@finchpitch/core'
 import { backendFault, type BackendFault, type Engine, type EngineOrder, type EngineReport, type GeneratedAnswer, type Generation } from '@finchpitch/backend'
 import { err, ok, type Result } from 'neverthrow'
@@ -45,6 +46,8 @@
 export class MemoryEngine implements Engine {
   readonly runs: EngineRun[] = []
   readonly violations: string[] = []
+  /** Emits `run` as a request begins and `end` as it ends, with the request's id. */
+  readonly events = new EventEmitter()
   /** So many next requests run, and their answers are lost. */
   loseAnswers = 0
   /** Before the answer's head. */
@@ -126,6 +129,7 @@
     if (using === undefined) return err(backendFault('not_loaded', label, boot))
     const body = JSON.parse(Buffer.from(call.body).toString()) as Prompt
     this.runs.push({ id, label, boot, prompt: promptOf(body) })
+    this.events.emit('run', id)
     this.#loaded.set(label, using + 1)
     this.#running += 1
     const tokens = this.#tokens(label, boot, body.max_tokens ?? defaultTokens, this.#activate(id, signal))
@@ -173,6 +177,7 @@
       this.#running -= 1
       this.#active.delete(active.id)
       active.end()
+      this.events.emit('end', active.id)
       const using = this.#loaded.get(label)
       if (using !== undefined && boot === this.#boot) this.#loaded.set(label, using - 1)
     }
--- a/packages/stand-ins/src/memory-service.ts
+++ b/packages/stand-ins/src/memory-service.ts
@@ -2,6 +2,7 @@
  * A stand-in for a plain service that keeps bookings: it counts how often each was made, and never asks whether
  * it was meant to.
  */
+import { EventEmitter } from 'node:events'
 import { pause, type Answer } from '@finchpitch/core'
 import { backendFault, type BackendFault, type PlainService, type ServiceCall } from '@finchpitch/backend'
 import { err, ok, type Result } from 'neverthrow'
@@ -12,14 +13,22 @@
   running = 0
   down = false
   delayMs = 0
+  /** While set, calls have run and wait for this before they answer. */
+  held: Promise<void> | undefined
+  /** Emits `change` after each change. */
+  readonly events = new EventEmitter()
   /** So many next calls run, and their answers are lost. */
   loseAnswers = 0
 
   async call ({ call }: ServiceCall): Promise<Result<Answer, BackendFault>> {
     if (this.down) return err(backendFault('unreachable', 'the service is down'))
     const text = Buffer.from(call.body).toString()
-    if (call.method !== 'GET') this.changes.push(text)
+    if (call.method !== 'GET') {
+      this.changes.push(text)
+      this.events.emit('change')
+    }
     this.running += 1
+    await this.held
     if (this.delayMs > 0) await pause(this.delayMs)
     this.running -= 1
     if (this.loseAnswers > 0) {
--- a/packages/stand-ins/src/processes.ts
+++ b/packages/stand-ins/src/processes.ts
@@ -76,10 +76,11 @@
 
   /** Sends a signal and waits for the end; gives the exit code, or the signal that ended it. */
   async stop (signal: NodeJS.Signals = 'SIGTERM'): Promise<number | string | null> {
-    if (this.child.exitCode !== null) return this.child.exitCode
+    const ended = this.child.exitCode ?? this.child.signalCode
+    if (ended !== null) return ended
     const exited = once(this.child, 'exit') as Promise<[number | null, string | null]>
     this.child.kill(signal)
-    const [code, ended] = await exited
-    return code ?? ended
+    const [code, byOwnSignal] = await exited
+    return code ?? byOwnSignal
   }
 }
--- /dev/null
+++ b/packages/stand-ins/src/small-system.ts
@@ -0,0 +1,123 @@
+/**
+ * A small system of real processes with everything around it, for the process tests and the README's examples.
+ */
+import { ModelName, Revision, ServiceName, type Serving } from '@finchpitch/core'
+import { OperatorClient } from '@finchpitch/operators'
+import { hashOfToken } from '@finchpitch/platform'
+import { request, type Dispatcher } from 'undici'
+import { EngineServer } from './engine-server.js'
+import { MemoryEngine } from './memory-engine.js'
+import { MemoryService } from './memory-service.js'
+import { PlatformServer } from './platform-server.js'
+import { Daemon, operatorToken, type DaemonOptions } from './processes.js'
+import { ServiceServer } from './service-server.js'
+import { WeightStore } from './weights.js'
+
+export const callerTokens = { fjordtavle: 'fjord-token', quetzal: 'quetzal-token' }
+
+/** Two teams, one base model, three adapters, one plain service that only one of the teams may use. */
+export const smallConfiguration = {
+  teams: [
+    { name: 'fjordtavle', tokens: [hashOfToken(callerTokens.fjordtavle)] },
+    { name: 'quetzal', tokens: [hashOfToken(callerTokens.quetzal)] }
+  ],
+  models: [{ name: 'base-7b' }],
+  services: [{ name: 'booking-ledger', teams: ['fjordtavle'], onStoreOutage: 'ticket' }],
+  adapters: [
+    { team: 'fjordtavle', name: 'salon', model: 'base-7b', versions: [{ version: 'v1', source: 'weights/salon/v1' }], default: 'v1' },
+    {
+      team: 'quetzal',
+      name: 'statement',
+      model: 'base-7b',
+      versions: [{ version: 'v3', source: 'weights/statement/v3' }, { version: 'v4', source: 'weights/statement/v4' }],
+      aliases: { live: 'v4' },
+      default: 'live'
+    }
+  ]
+}
+
+export interface SmallSystemOptions {
+  entries?: number
+  engines?: number
+  entryFlags?: Record<string, string | number>
+}
+
+export class SmallSystem {
+  readonly platform = new PlatformServer()
+  readonly weights = new WeightStore({ loadsPerSecond: 50, fullSpeedPlaces: 6, loadMs: 50 })
+  readonly engines: EngineServer[] = []
+  readonly ledger = new ServiceServer(new MemoryService())
+  readonly daemons = new Map<string, Daemon>()
+
+  private constructor () {}
+
+  /** Starts everything and applies the small configuration. */
+  static async start ({ entries = 1, engines = 1, entryFlags = {} }: SmallSystemOptions = {}): Promise<SmallSystem> {
+    const system = new SmallSystem()
+    const { weights } = system
+    const platform = await system.platform.start()
+    const ledger = await system.ledger.start()
+    const model = { kind: 'model', model: ModelName.parse('base-7b') } as const
+    const service = { kind: 'service', service: ServiceName.parse('booking-ledger') } as const
+    const starting: Array<Promise<void>> = []
+    for (let index = 0; index < engines; index++) {
+      const engine = new EngineServer(new MemoryEngine({ slots: 4, capacity: 16, tokenMs: 5, weights, checksFences: true }))
+      system.engines.push(engine)
+      const backend = await engine.start()
+      starting.push(system.#add({ role: 'side', process: `engine-${index}`, domain: `oslo-${index}`, platform, flags: { backend, model: 'base-7b' } }, model))
+    }
+    starting.push(system.#add({ role: 'side', process: 'ledger-0', domain: 'oslo-0', platform, flags: { backend: ledger, service: 'booking-ledger' } }, service))
+    for (let index = 0; index < entries; index++) {
+      starting.push(system.#add({ role: 'entry', process: `entry-${index}`, domain: `oslo-${index}`, platform, flags: entryFlags }))
+    }
+    await Promise.all(starting)
+    await system.apply(smallConfiguration, 0)
+    return system
+  }
+
+  daemon (name: string): Daemon {
+    const daemon = this.daemons.get(name)
+    if (daemon === undefined) throw new Error(`there is no process ${name}`)
+    return daemon
+  }
+
+  operator (entry = 'entry-0'): OperatorClient {
+    return new OperatorClient({ origin: this.daemon(entry).url('operators'), token: operatorToken })
+  }
+
+  async apply (configuration: unknown, base: number): Promise<number> {
+    const reply = (await this.operator().apply({ configuration, base: Revision.parse(base), actor: 'ana', note: 'small' }))._unsafeUnwrap()
+    if (reply.kind !== 'applied') throw new Error(`not applied: ${JSON.stringify(reply)}`)
+    return reply.revision
+  }
+
+  /** One request of a team through an entry. */
+  async ask (team: keyof typeof callerTokens, path: string, body: unknown, { entry = 'entry-0', headers = {}, signal }: AskOptions = {}): Promise<Dispatcher.ResponseData> {
+    return await request(`${this.daemon(entry).url('callers')}${path}`, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${callerTokens[team]}`, 'content-type': 'application/json', ...headers },
+      body: typeof body === 'string' ? body : JSON.stringify(body),
+      ...(signal === undefined ? {} : { signal })
+    })
+  }
+
+  /** Stops every process by its signal; gives the exit codes by name. */
+  async stop (signal: NodeJS.Signals = 'SIGKILL'): Promise<Map<string, number | string | null>> {
+    const codes = new Map<string, number | string | null>()
+    await Promise.all([...this.daemons].map(async ([name, daemon]) => codes.set(name, await daemon.stop(signal))))
+    await Promise.all([this.platform.stop(), this.ledger.stop(), ...this.engines.map(engine => engine.stop())])
+    return codes
+  }
+
+  async #add (options: DaemonOptions, serving?: Serving): Promise<void> {
+    const daemon = await Daemon.start(options)
+    this.daemons.set(options.process, daemon)
+    this.platform.instances.push(daemon.instance(serving))
+  }
+}
+
+export interface AskOptions {
+  entry?: string
+  headers?: Record<string, string>
+  signal?: AbortSignal
+}
--- a/packages/wire/src/channel.ts
+++ b/packages/wire/src/channel.ts
@@ -75,6 +75,12 @@
     return true
   }
 
+  /** Resolves once all that was sent has left this process, or the channel has ended. */
+  async flushed (): Promise<void> {
+    if (!this.open || this.stream.writableLength === 0) return
+    await Promise.race([new Promise<void>(resolve => this.stream.write('', () => resolve())), this.#ended])
+  }
+
   close (end: ChannelEnd = { reason: 'closed' }): void {
     if (!this.open) return
     this.#end = end
