Process tests start their side processes first

Cause: entries that start before side processes are listed see them only at the next reading of the list, so tests that began at once were refused.

--- a/packages/stand-ins/src/small-system.ts
+++ b/packages/stand-ins/src/small-system.ts
@@ -67,10 +67,10 @@
       starting.push(system.#add({ role: 'side', process: `engine-${index}`, domain: `oslo-${index}`, platform, flags: { backend, model: 'base-7b' } }, model))
     }
     starting.push(system.#add({ role: 'side', process: 'ledger-0', domain: 'oslo-0', platform, flags: { backend: ledger, service: 'booking-ledger' } }, service))
-    for (let index = 0; index < entries; index++) {
-      starting.push(system.#add({ role: 'entry', process: `entry-${index}`, domain: `oslo-${index}`, platform, flags: entryFlags }))
-    }
     await Promise.all(starting)
+    // An entry reads the instance list as it starts, so what it should see first is listed by then.
+    await Promise.all(Array.from({ length: entries }, (_, index) =>
+      system.#add({ role: 'entry', process: `entry-${index}`, domain: `oslo-${index}`, platform, flags: entryFlags })))
     await system.apply(smallConfiguration, 0)
     return system
   }
