--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -72,7 +72,7 @@
     await Promise.all([
       watchInstances({ list: instances, log, random, update, signal }),
       this.#watch(),
-      keepUplink({ process, domain, instances: () => this.#instances, catalog, channel: this.#channelOptions, dial, log, random, signal })
+      keepUplink({ process, domain, instances: async () => this.#instances, catalog, channel: this.#channelOptions, dial, log, random, signal })
     ])
   }
 
--- a/packages/daemon/src/entry/sides.ts
+++ b/packages/daemon/src/entry/sides.ts
@@ -5,7 +5,7 @@
  * left alone for a growing, spread time, so that a failure domain's return is not met by a storm.
  */
 import { servingName, type Address, type Log, type ProcessId, type Revision, type Serving } from '@finchpitch/core'
-import { prefer, route, type Occupancy } from '@finchpitch/decisions'
+import { hashed, preferHashed, route, type HashedCandidate, type Occupancy } from '@finchpitch/decisions'
 import { backoff, type Catalog, type Instance, type Random } from '@finchpitch/platform'
 import type { ChannelOptions, Dial, FrameOf } from '@finchpitch/wire'
 import { LRUCache } from 'lru-cache'
@@ -49,7 +49,7 @@
 
 export class Sides {
   readonly #sides = new Map<string, Side>()
-  readonly #byServing = new Map<string, Instance[]>()
+  readonly #byServing = new Map<string, Array<HashedCandidate<Instance>>>()
   readonly #preferences = new LRUCache<string, Instance[]>({ max: cachedPreferences })
 
   constructor (private readonly options: SidesOptions) {}
@@ -141,19 +141,21 @@
   }
 
   #index (): void {
+    const groups = new Map<string, Instance[]>()
     this.#byServing.clear()
     this.#preferences.clear()
     for (const { instance } of this.#sides.values()) {
       if (instance.serving === undefined || instance.leaving) continue
       const name = servingName(instance.serving)
-      this.#byServing.set(name, [...this.#byServing.get(name) ?? [], instance])
+      groups.set(name, [...groups.get(name) ?? [], instance])
     }
+    for (const [name, instances] of groups) this.#byServing.set(name, hashed(instances))
   }
 
   #preferred (serving: Serving, key: string): Instance[] {
     const cached = this.#preferences.get(key)
     if (cached !== undefined) return cached
-    const list = prefer(key, this.#byServing.get(servingName(serving)) ?? [], preferenceLength)
+    const list = preferHashed(key, this.#byServing.get(servingName(serving)) ?? [], preferenceLength)
     this.#preferences.set(key, list)
     return list
   }
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -7,6 +7,9 @@
 
 const secondsBuckets = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60]
 
+/** Each sample wakes the process, so an idle one is left to sleep. */
+const eventLoopPrecisionMs = 200
+
 export class Metrics {
   readonly registry = new Registry()
   readonly #ended = new Counter({
@@ -25,7 +28,7 @@
   })
 
   constructor () {
-    collectDefaultMetrics({ register: this.registry })
+    collectDefaultMetrics({ register: this.registry, eventLoopMonitoringPrecision: eventLoopPrecisionMs })
   }
 
   /** A figure that is read when metrics are. */
--- a/packages/daemon/src/start-side.ts
+++ b/packages/daemon/src/start-side.ts
@@ -8,7 +8,6 @@
 import { Catalog, HttpInstanceList, HttpStore, backoff, takeFence, type Instance, type ObjectStore } from '@finchpitch/platform'
 import { dial, listen, protocolVersion } from '@finchpitch/wire'
 import type { Running } from './commands/daemon-command.js'
-import { watchInstances } from './instance-view.js'
 import { Metrics } from './metrics.js'
 import { servingFrom, type SideSettings } from './settings.js'
 import { EngineRunner, ServiceRunner, type Runner } from './side/runner.js'
@@ -75,8 +74,8 @@
   await operators.start()
 
   const ending = new AbortController()
-  let instances: Instance[] = []
-  const update = (list: Instance[]): void => { instances = list }
+  const list = new HttpInstanceList(settings.platform)
+  const instances = async (): Promise<Instance[]> => (await list.read()).unwrapOr([])
   const hello = { type: 'hello', protocol: protocolVersion, process, incarnation, address, domain } as const
   const channel = {
     hello: () => ({ ...hello, revision: catalog.revision }),
@@ -85,8 +84,7 @@
   const { signal } = ending
   const tasks = Promise.all([
     side.run(),
-    watchInstances({ list: new HttpInstanceList(settings.platform), log, random, update, signal }),
-    keepUplink({ process, domain, instances: () => instances, catalog, channel, dial, log, random, signal })
+    keepUplink({ process, domain, instances, catalog, channel, dial, log, random, signal })
   ])
 
   const stop = async (): Promise<void> => {
--- a/packages/daemon/src/uplink.ts
+++ b/packages/daemon/src/uplink.ts
@@ -25,7 +25,8 @@
 export interface UplinkOptions {
   process: ProcessId
   domain: FailureDomain
-  instances: () => readonly Instance[]
+  /** The instance list, read when an uplink is wanted and not before. */
+  instances: () => Promise<readonly Instance[]>
   catalog: Catalog
   channel: ChannelOptions
   dial: Dial
@@ -35,8 +36,8 @@
 }
 
 /** One watcher that isn't this process, spread so that each serves its share. */
-const pick = ({ process, domain, instances }: UplinkOptions, failures: number): Address | undefined => {
-  const others = watchersOf(instances(), domain).filter(each => each.process !== process)
+const pick = async ({ process, domain, instances }: UplinkOptions, failures: number): Promise<Address | undefined> => {
+  const others = watchersOf(await instances(), domain).filter(each => each.process !== process)
   return prefer(process, others, others.length)[failures % Math.max(1, others.length)]?.address
 }
 
@@ -45,7 +46,7 @@
   const { signal, random } = options
   let failures = 0
   while (!signal.aborted) {
-    const address = pick(options, failures)
+    const address = await pick(options, failures)
     const lasted = address === undefined ? false : await holdChannel(address, options)
     failures = lasted ? 0 : failures + 1
     await pause(backoff(failures, random), signal)
--- a/packages/platform/src/catalog.ts
+++ b/packages/platform/src/catalog.ts
@@ -8,14 +8,14 @@
  * not fit a node's budget.
  */
 import { createHash } from 'node:crypto'
-import { Adapter, Configuration, Model, Revision, Service, Team, adapterId, noRevision } from '@finchpitch/core'
+import { Model, Revision, Service, Team, adapterId, noRevision, type Adapter, type Configuration } from '@finchpitch/core'
 import { LRUCache } from 'lru-cache'
 import murmurhash from 'murmurhash'
 import { z } from 'zod'
 
 const hashLength = 16
 const adaptersPerShard = 100
-const decodedShards = 64
+const decodedShards = 128
 
 export const Change = z.object({
   revision: Revision,
@@ -39,7 +39,6 @@
 
 const Common = z.object({ teams: z.array(Team), models: z.array(Model), services: z.array(Service) })
 type Common = z.infer<typeof Common>
-const AdapterShard = z.array(Adapter)
 
 export const hashOf = (text: string): string =>
   createHash('sha256').update(text).digest('base64url').slice(0, hashLength)
@@ -171,7 +170,8 @@
   #shard (hash: string): Map<string, Adapter> {
     const known = this.#decoded.get(hash)
     if (known !== undefined) return known
-    const adapters = AdapterShard.parse(JSON.parse(this.#texts.get(hash) ?? '[]'))
+    // Its hash says that this is the text which was checked when it was applied: parsing is enough.
+    const adapters = JSON.parse(this.#texts.get(hash) ?? '[]') as Adapter[]
     const shard = new Map(adapters.map(adapter => [adapterId(adapter), adapter]))
     this.#decoded.set(hash, shard)
     return shard
--- a/packages/platform/src/instances.ts
+++ b/packages/platform/src/instances.ts
@@ -26,15 +26,25 @@
 const Listing = z.object({ items: z.array(Instance) })
 
 export class HttpInstanceList implements InstanceList {
+  /** The last reading, and the tag by which the platform knows it: one that has not changed is not sent again. */
+  #last: { tag: string, instances: Instance[] } | undefined
+
   constructor (private readonly origin: string) {}
 
   async read (): Promise<Result<Instance[], StoreFault>> {
     try {
-      const reply = await request(`${this.origin}/instances`, { headersTimeout: listMs, bodyTimeout: listMs })
+      const headers = this.#last === undefined ? {} : { 'if-none-match': this.#last.tag }
+      const reply = await request(`${this.origin}/instances`, { headers, headersTimeout: listMs, bodyTimeout: listMs })
+      if (reply.statusCode === 304 && this.#last !== undefined) {
+        await reply.body.dump()
+        return ok(this.#last.instances)
+      }
       const body = await reply.body.json()
       const listing = Listing.safeParse(body)
-      if (reply.statusCode === 200 && listing.success) return ok(listing.data.items)
-      return err(storeFault('refused', `status ${reply.statusCode}`))
+      if (reply.statusCode !== 200 || !listing.success) return err(storeFault('refused', `status ${reply.statusCode}`))
+      const { etag } = reply.headers
+      this.#last = typeof etag === 'string' ? { tag: etag, instances: listing.data.items } : undefined
+      return ok(listing.data.items)
     } catch (error) {
       return err(storeFault('unavailable', (error as Error).message))
     }
--- a/packages/proofs/src/matrix/cluster.ts
+++ b/packages/proofs/src/matrix/cluster.ts
@@ -239,7 +239,7 @@
     const hello = { type: 'hello', protocol: protocolVersion, process, incarnation, address, domain } as const
     const channel = { hello: () => ({ ...hello, revision: catalog.revision }), heartbeat: () => ({ type: 'heartbeat' as const, revision: catalog.revision }) }
     void side.run()
-    void keepUplink({ process, domain, instances: () => this.#listed, catalog, channel, dial: this.network.dialFrom(process), log: quietLog, random: seeded, signal: ending.signal })
+    void keepUplink({ process, domain, instances: async () => this.#listed, catalog, channel, dial: this.network.dialFrom(process), log: quietLog, random: seeded, signal: ending.signal })
     const close = (): void => {
       ending.abort()
       side.close()
--- a/packages/stand-ins/src/platform-server.ts
+++ b/packages/stand-ins/src/platform-server.ts
@@ -1,6 +1,7 @@
 /**
  * The platform's stand-in over HTTP: the object API with watches, and the instance list.
  */
+import { createHash } from 'node:crypto'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Instance, StoredObject, WatchEvent } from '@finchpitch/platform'
 import type { Result } from 'neverthrow'
@@ -29,6 +30,8 @@
 export class PlatformServer {
   readonly store = new MemoryStore()
   instances: Instance[] = []
+  /** How often the instance list was read. */
+  lists = 0
   /** The instance list doesn't answer. */
   listDown = false
   #server: HttpStandIn | undefined
@@ -44,7 +47,7 @@
 
   async #handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const url = new URL(request.url ?? '/', 'http://platform')
-    if (url.pathname === '/instances') return this.#list(response)
+    if (url.pathname === '/instances') return this.#list(request, response)
     const name = decodeURIComponent(url.pathname.slice(objects.length + 1))
     if (request.method === 'PUT') return await this.#put(name, request, response)
     if (request.method === 'DELETE') return reply(response, await this.store.remove(name, url.searchParams.get('resourceVersion') ?? ''))
@@ -54,9 +57,13 @@
     sendJson(response, names.isOk() ? 200 : 503, { items: names.unwrapOr([]) })
   }
 
-  #list (response: ServerResponse): void {
+  #list (request: IncomingMessage, response: ServerResponse): void {
+    this.lists += 1
     if (this.listDown) return sendJson(response, 503, {})
-    sendJson(response, 200, { items: this.instances })
+    const body = { items: this.instances }
+    const tag = `"${createHash('sha256').update(JSON.stringify(body)).digest('base64url')}"`
+    if (request.headers['if-none-match'] === tag) return sendJson(response, 304, undefined)
+    sendJson(response, 200, body, { etag: tag })
   }
 
   async #put (name: string, request: IncomingMessage, response: ServerResponse): Promise<void> {
