Recover an engine's slots after its side process was replaced

Cause: a new side process took the engine for empty. What an earlier incarnation had loaded kept its slots, so that every load was refused and nothing was served any more. The matrix showed it as 'not run' after the fault had ended, which no promise forbids; it now also checks that streams are served again.

Change: what an engine holds at start takes room until it is cleared. Where the engine checks fences, a first fenced order keeps the earlier process from starting anything, and each label is unloaded once it is idle past the report's lag. A side process gives up a little before its caller does, so that its proved refusal arrives. A fenced refusal is tried elsewhere.

The stand-in engine falls back to its base model after a restart, as some do, and ends a request when its connection ends.

Not found by the matrix: the second reading before 'not run' (the model rejects it) and a leaving side process's own refusal (its entries stop sending by themselves).

--- a/packages/backend/src/engine.ts
+++ b/packages/backend/src/engine.ts
@@ -33,6 +33,8 @@
   slots: number
   /** Labels of the adapters that it holds. */
   loaded: string[]
+  /** Labels with requests in progress; the report lags, so only what stays away for a while is idle. */
+  using: string[]
 }
 
 export interface EngineOrder {
--- a/packages/backend/src/http-engine.ts
+++ b/packages/backend/src/http-engine.ts
@@ -25,7 +25,8 @@
   waiting: z.number(),
   capacity: z.number().int().positive(),
   slots: z.number().int().positive(),
-  loaded: z.array(z.string())
+  loaded: z.array(z.string()),
+  using: z.array(z.string())
 })
 
 /** Statuses by which an engine says that it has not run the request. */
--- a/packages/bench/src/sample.ts
+++ b/packages/bench/src/sample.ts
@@ -1,8 +1,8 @@
 /**
- * Samples of durations, and what a process has used by its own metrics.
+ * Samples of durations, and what a process has used by the kernel's count.
  */
+import { readFile } from 'node:fs/promises'
 import { build, type Histogram } from 'hdr-histogram-js'
-import { request } from 'undici'
 
 const microseconds = 1000
 
@@ -44,9 +44,14 @@
   residentBytes: number
 }
 
-/** Reads a process's own `/metrics`. */
-export const usageOf = async (operators: string): Promise<Usage> => {
-  const text = await (await request(`${operators}/metrics`)).body.text()
-  const figure = (name: string): number => Number(new RegExp(`^${name} (\\S+)$`, 'm').exec(text)?.[1] ?? NaN)
-  return { cpuSeconds: figure('process_cpu_seconds_total'), residentBytes: figure('process_resident_memory_bytes') }
+const clockTicksPerSecond = 100
+const pageBytes = 4096
+
+/** Reads what the kernel has counted for a process, which costs the process nothing. */
+export const usageOf = async (pid: number | undefined): Promise<Usage> => {
+  const stat = await readFile(`/proc/${pid ?? 'self'}/stat`, 'utf8')
+  // The name, in parentheses, may hold spaces; fields are counted from after it.
+  const fields = stat.slice(stat.lastIndexOf(')') + 2).split(' ').map(Number)
+  const [user, system, resident] = [fields[11] ?? NaN, fields[12] ?? NaN, fields[21] ?? NaN]
+  return { cpuSeconds: (user + system) / clockTicksPerSecond, residentBytes: resident * pageBytes }
 }
--- a/packages/daemon/src/entry/dispatch.ts
+++ b/packages/daemon/src/entry/dispatch.ts
@@ -31,7 +31,7 @@
 const storeRetryMs = 1000
 
 /** Refusals that another process, or the same one a little later, may not give. */
-const elsewhere = new Set<Failure['code']>(['leaving', 'overloaded', 'no_backend', 'stale_revision', 'load_failed', 'backend_unreachable', 'engine_restarted', 'keys_full'])
+const elsewhere = new Set<Failure['code']>(['leaving', 'overloaded', 'no_backend', 'stale_revision', 'load_failed', 'backend_unreachable', 'backend_refused', 'engine_restarted', 'keys_full'])
 
 export class Dispatch {
   readonly #budget = new RetryBudget()
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -31,6 +31,8 @@
 }
 
 const roleCheckMs = 1000
+const answerMarginMs = 250
+const leastPatience = 0.8
 
 export class Entry {
   readonly sides: Sides
@@ -97,7 +99,7 @@
       leave.value()
       this.#running -= 1
     }
-    const answer = await this.#run(ask, resolved.value.work, deadline.signal)
+    const answer = await this.#run(ask, { ...resolved.value.work, patienceMs: patienceAt(ask.patienceMs) }, deadline.signal)
     if (answer.isOk()) return ok({ ...answer.value, body: finishing(answer.value.body, done) })
     done()
     return err(answer.error.code === 'cancelled' && !signal.aborted ? { ...answer.error, code: 'deadline' } : answer.error)
@@ -171,6 +173,9 @@
   }
 }
 
+/** A side process gives up a little before the caller does, so that its proved refusal still arrives. */
+const patienceAt = (patienceMs: number): number => Math.max(patienceMs - answerMarginMs, patienceMs * leastPatience)
+
 async function * finishing (body: AsyncIterable<Uint8Array>, done: () => void): AsyncGenerator<Uint8Array> {
   try {
     yield * body
--- a/packages/daemon/src/side/runner.ts
+++ b/packages/daemon/src/side/runner.ts
@@ -3,7 +3,7 @@
  *
  * `start` gives an `Err` with `not_run` only while nothing has been sent, and `unknown` from then on.
  */
-import { adapterLabel, notRun, pause, unknown, type AdapterTarget, type Answer, type AnswerBody, type Failure, type Log, type Work } from '@finchpitch/core'
+import { adapterLabel, notRun, pause, unknown, type AdapterTarget, type Answer, type AnswerBody, type Failure, type Log, type ModelName, type Work } from '@finchpitch/core'
 import type { BackendFault, Engine, EngineReport, PlainService } from '@finchpitch/backend'
 import { backoff, type Catalog, type Random } from '@finchpitch/platform'
 import { err, ok, type Result } from 'neverthrow'
@@ -84,6 +84,7 @@
 }
 
 export interface EngineRunnerOptions {
+  model: ModelName
   engine: Engine
   fence: number
   report: EngineReport
@@ -109,7 +110,7 @@
     const { report, catalog, engine, fence, log, random } = options
     const weightOf = (team: string): number => catalog.team(team)?.weight ?? 1
     this.gate = new Gate({ capacity: report.capacity, maxWaiting: defaultMaxWaiting, weightOf })
-    this.slots = new Slots({ engine, fence, slots: report.slots, log, random })
+    this.slots = new Slots({ engine, fence, slots: report.slots, leftovers: report.loaded, log, random })
     this.#boot = report.boot
   }
 
@@ -135,8 +136,13 @@
     return this.#generate(work, pin.value, release.value, signal)
   }
 
-  watch (signal: AbortSignal): Promise<void> {
-    return watchBoot(this.options.engine, bootCheckMs, signal, boot => this.#see(boot))
+  async watch (signal: AbortSignal): Promise<void> {
+    const { engine, catalog, model } = this.options
+    const mayClear = (): boolean => catalog.model(model)?.checksFences === true
+    await Promise.all([
+      watchBoot(engine, bootCheckMs, signal, boot => this.#see(boot)),
+      this.slots.clearLeftovers(mayClear, signal)
+    ])
   }
 
   /** The fence in the name keeps this incarnation's slots apart from an earlier one's. */
--- a/packages/daemon/src/side/slots.ts
+++ b/packages/daemon/src/side/slots.ts
@@ -17,6 +17,8 @@
   slots: number
   log: Log
   random: Random
+  /** What the engine held before this incarnation, by labels; they take room until they are cleared. */
+  leftovers: readonly string[]
 }
 
 export interface Demand {
@@ -48,6 +50,9 @@
 }
 
 const firstLoadMs = 500
+const clearMs = 500
+/** How far behind an engine's report may be. */
+const reportLagMs = 3000
 const classWorth: Record<WorkClass, number> = { desk: 8, caller: 4, batch: 1 }
 
 export class Slots {
@@ -56,9 +61,12 @@
   readonly #popularity = new Map<string, Popularity>()
   readonly #failed = new Map<string, Backoff>()
   readonly #loadMs = new Estimate(firstLoadMs)
+  readonly #leftovers: Set<string>
   #loading: string | undefined
 
-  constructor (private readonly options: SlotsOptions) {}
+  constructor (private readonly options: SlotsOptions) {
+    this.#leftovers = new Set(options.leftovers)
+  }
 
   get labels (): string[] {
     return [...this.#slots.keys()]
@@ -83,8 +91,34 @@
     return this.#wait(demand, signal)
   }
 
+  /**
+   * Puts out what an earlier incarnation left in the engine, one by one as it falls idle, until `signal` aborts.
+   *
+   * Only where the engine checks fences: a first order with this incarnation's fence keeps the earlier one from
+   * starting anything more, so a label that is idle a report's lag later stays idle.
+   */
+  async clearLeftovers (mayClear: () => boolean, signal: AbortSignal): Promise<void> {
+    const { engine, fence, log } = this.options
+    let fencedAt: number | undefined
+    while (this.#leftovers.size > 0 && !signal.aborted) {
+      if (fencedAt === undefined && mayClear() && (await engine.cancel({ id: 'none', fence })).isOk()) fencedAt = Date.now()
+      await pause(clearMs, signal)
+      if (fencedAt === undefined || Date.now() - fencedAt < reportLagMs) continue
+      const report = await engine.report()
+      if (report.isErr()) continue
+      for (const label of [...this.#leftovers].filter(each => !report.value.using.includes(each))) {
+        const unloaded = await engine.unload({ label, fence })
+        if (unloaded.isErr() && unloaded.error.code !== 'not_loaded') continue
+        this.#leftovers.delete(label)
+        log.info('slot.leftover_cleared', { label })
+        void this.#pump()
+      }
+    }
+  }
+
   /** The engine has restarted as `boot` and holds nothing. */
   restarted (boot: string): void {
+    this.#leftovers.clear()
     for (const [label, slot] of this.#slots) {
       if (slot.boot !== boot) this.#slots.delete(label)
     }
@@ -153,7 +187,7 @@
 
   /** False while every slot is in use; a released pin tries again. */
   async #makeRoom (): Promise<boolean> {
-    if (this.#slots.size < this.options.slots) return true
+    if (this.#slots.size + this.#leftovers.size < this.options.slots) return true
     const now = Date.now()
     const residents = [...this.#slots].map(([label, { pins, loadMs }]) =>
       ({ label, pins, loadMs, popularity: this.#popularity.get(label)?.at(now) ?? 0 }))
--- a/packages/daemon/src/start-side.ts
+++ b/packages/daemon/src/start-side.ts
@@ -41,7 +41,7 @@
     return new ServiceRunner({ service: new HttpService(settings.backend), fence, capacity: settings.capacity, catalog })
   }
   const engine = new HttpEngine(settings.backend)
-  return new EngineRunner({ engine, fence, report: await untilReported(engine, log), catalog, log, random })
+  return new EngineRunner({ model: settings.model, engine, fence, report: await untilReported(engine, log), catalog, log, random })
 }
 
 export const startSide = async (settings: SideSettings, log: Log): Promise<Running> => {
--- a/packages/proofs/src/matrix/cluster.ts
+++ b/packages/proofs/src/matrix/cluster.ts
@@ -214,7 +214,7 @@
     await this.#addSide(name, modelServing, async (guard, fence, catalog) => {
       const engine = new GuardedEngine(guard, at)
       const report = (await engine.report())._unsafeUnwrap()
-      return new EngineRunner({ engine, fence, report, catalog, log: quietLog, random: seeded })
+      return new EngineRunner({ model, engine, fence, report, catalog, log: quietLog, random: seeded })
     })
   }
 
--- a/packages/proofs/src/matrix/faults.ts
+++ b/packages/proofs/src/matrix/faults.ts
@@ -4,6 +4,8 @@
 import type { Cluster } from './cluster.js'
 
 export interface Fault {
+  /** Takes a backend server away: with one of its kind, nothing is served after it. */
+  forGood?: true
   /** Leaves a request that runs alone: a planned stop must end it whole all the same. */
   harmless?: true
   strike: (cluster: Cluster) => void
@@ -74,7 +76,10 @@
   },
   'engine restarts empty': {
     harmless: true,
-    strike: cluster => cluster.engines.forEach(engine => engine.restart()),
+    strike: cluster => cluster.engines.forEach(engine => {
+      engine.fallsBack = true
+      engine.restart()
+    }),
     end: stays
   },
   'load fails': {
@@ -111,6 +116,7 @@
     end: stays
   },
   'side leaves, list lags': {
+    forGood: true,
     harmless: true,
     strike: cluster => {
       cluster.listLags = true
--- a/packages/proofs/src/matrix/guard.ts
+++ b/packages/proofs/src/matrix/guard.ts
@@ -19,6 +19,7 @@
 export class Guard {
   #state: 'running' | 'paused' | 'killed' = 'running'
   readonly #waiting = new Set<() => void>()
+  readonly #death = new AbortController()
 
   constructor (readonly process: string, private readonly hit: Hit) {}
 
@@ -35,6 +36,12 @@
 
   kill (): void {
     this.#state = 'killed'
+    this.#death.abort()
+  }
+
+  /** Aborts with the process, as its connections end with it. */
+  get death (): AbortSignal {
+    return this.#death.signal
   }
 
   get killed (): boolean {
@@ -135,7 +142,8 @@
   }
 
   async generate (generation: Generation): Promise<Result<GeneratedAnswer, BackendFault>> {
-    const answer = await this.guard.call(() => this.engine.generate(generation), 'execute', 'executed')
+    const signal = AbortSignal.any([generation.signal, this.guard.death])
+    const answer = await this.guard.call(() => this.engine.generate({ ...generation, signal }), 'execute', 'executed')
     return answer.map(value => ({ ...value, body: guardedBody(this.guard, value.body) }))
   }
 }
--- a/packages/stand-ins/src/memory-engine.ts
+++ b/packages/stand-ins/src/memory-engine.ts
@@ -32,6 +32,9 @@
   end: () => void
 }
 
+/** What a run without its adapter is recorded as. */
+export const baseLabel = 'base'
+
 const defaultTokens = 8
 const perSequence = 0.01
 const perAdapter = 0.05
@@ -54,6 +57,8 @@
   delayMs = 0
   /** The time to a token in a batch of one. */
   tokenMs: number
+  /** Runs the base model in place of an adapter that it does not hold, as some engines do. */
+  fallsBack = false
   /** Orders and requests find nobody. */
   down = false
   #boot = randomToken()
@@ -87,7 +92,7 @@
   async report (): Promise<Result<EngineReport, BackendFault>> {
     if (this.down) return err(this.#unreachable())
     const { capacity, slots } = this.options
-    return ok({ boot: this.#boot, running: this.#running, waiting: 0, capacity, slots, loaded: this.loaded })
+    return ok({ boot: this.#boot, running: this.#running, waiting: 0, capacity, slots, loaded: this.loaded, using: [...this.#loaded].filter(([, count]) => count > 0).map(([label]) => label) })
   }
 
   async load ({ label, fence, source }: EngineOrder & { source: string }): Promise<Result<string, BackendFault>> {
@@ -124,22 +129,23 @@
     const refusal = this.#refuse(generation.fence)
     if (refusal !== undefined) return err(refusal)
     const { id, label, call, signal } = generation
-    const using = this.#loaded.get(label)
     const boot = this.#boot
-    if (using === undefined) return err(backendFault('not_loaded', label, boot))
+    const using = this.#loaded.get(label) ?? 0
+    if (!this.#loaded.has(label) && !this.fallsBack) return err(backendFault('not_loaded', label, boot))
+    const ranOn = this.#loaded.has(label) ? label : baseLabel
     const body = JSON.parse(Buffer.from(call.body).toString()) as Prompt
-    this.runs.push({ id, label, boot, prompt: promptOf(body) })
+    this.runs.push({ id, label: ranOn, boot, prompt: promptOf(body) })
     this.events.emit('run', id)
-    this.#loaded.set(label, using + 1)
+    if (ranOn === label) this.#loaded.set(label, using + 1)
     this.#running += 1
-    const tokens = this.#tokens(label, boot, body.max_tokens ?? defaultTokens, this.#activate(id, signal))
+    const tokens = this.#tokens(ranOn, boot, body.max_tokens ?? defaultTokens, this.#activate(id, ranOn, boot, signal))
     if (this.delayMs > 0) await pause(this.delayMs)
     if (this.loseAnswers > 0) {
       this.loseAnswers -= 1
       void this.#discard(tokens)
       return err(backendFault('lost', 'the answer was lost'))
     }
-    return body.stream === true ? ok(this.#streamed(tokens, boot)) : ok(this.#whole(tokens, boot, label))
+    return body.stream === true ? ok(this.#streamed(tokens, boot)) : ok(this.#whole(tokens, boot, ranOn))
   }
 
   #refuse (fence: number): BackendFault | undefined {
@@ -153,13 +159,24 @@
     return backendFault('unreachable', 'the engine is down')
   }
 
-  #activate (id: string, signal: AbortSignal): Active {
+  /** The request's place in the batch, given up at its end or as soon as it is cancelled. */
+  #activate (id: string, label: string, boot: string, signal: AbortSignal): Active {
     const controller = new AbortController()
-    signal.addEventListener('abort', () => controller.abort())
-    let end = (): void => {}
-    const ended = new Promise<void>(resolve => { end = resolve })
+    let resolveEnded = (): void => {}
+    const ended = new Promise<void>(resolve => { resolveEnded = resolve })
+    const end = (): void => {
+      if (this.#active.get(id) !== active) return
+      this.#active.delete(id)
+      this.#running -= 1
+      const using = this.#loaded.get(label)
+      if (using !== undefined && boot === this.#boot) this.#loaded.set(label, using - 1)
+      resolveEnded()
+      this.events.emit('end', id)
+    }
     const active = { id, controller, ended, end }
     this.#active.set(id, active)
+    controller.signal.addEventListener('abort', end)
+    signal.addEventListener('abort', () => controller.abort())
     return active
   }
 
@@ -174,12 +191,7 @@
         yield `${label}:${token} `
       }
     } finally {
-      this.#running -= 1
-      this.#active.delete(active.id)
       active.end()
-      this.events.emit('end', active.id)
-      const using = this.#loaded.get(label)
-      if (using !== undefined && boot === this.#boot) this.#loaded.set(label, using - 1)
     }
   }
 
