--- a/packages/daemon/src/side/gate.ts
+++ b/packages/daemon/src/side/gate.ts
@@ -75,6 +75,7 @@
       const ticket: Ticket = { team: work.team, class: work.class, since, deadline, admit }
       signal.addEventListener('abort', onAbort)
       this.#waiting.push(ticket)
+      this.#shares.join(work.team)
       this.#pump()
     })
     if (!admitted) return err(signal.aborted ? notRun('cancelled') : notRun('overloaded', { retryAfterMs: this.expectedWaitMs }))
--- a/packages/daemon/src/side/slots.ts
+++ b/packages/daemon/src/side/slots.ts
@@ -63,6 +63,8 @@
   readonly #loadMs = new Estimate(firstLoadMs)
   readonly #leftovers: Set<string>
   #loading: string | undefined
+  /** Something changed while a load was being decided on or made. */
+  #changed = false
 
   constructor (private readonly options: SlotsOptions) {
     this.#leftovers = new Set(options.leftovers)
@@ -168,7 +170,9 @@
 
   /** Loads what the waiting callers lose most by, one at a time, while there is room for it. */
   async #pump (): Promise<void> {
+    this.#changed = true
     if (this.#loading !== undefined) return
+    this.#changed = false
     const next = this.#costliest()
     if (next === undefined) return
     const { label } = next
@@ -176,7 +180,7 @@
     const made = await this.#makeRoom()
     if (made) await this.#load(next)
     this.#loading = undefined
-    if (made) void this.#pump()
+    if (made || this.#changed) void this.#pump()
   }
 
   #costliest (): Waiter | undefined {
--- /dev/null
+++ b/packages/daemon/test/executions.test.ts
@@ -0,0 +1,118 @@
+import { Incarnation, RequestId, RequestKey, Revision, ServiceName, TeamName, Address, ProcessId, notRun, type Answer, type Failure, type Work } from '@finchpitch/core'
+import { Executions, defaultLimits } from '@finchpitch/daemon'
+import { expect } from 'chai'
+import { ok, err, type Result } from 'neverthrow'
+
+const incarnation = Incarnation.parse('abcdefghijklmnop')
+type Once = NonNullable<Work['once']>
+
+const once = (nonce: string, epoch = 0, at = incarnation): Once => ({
+  key: RequestKey.parse('key'),
+  binding: { process: ProcessId.parse('side'), address: Address.parse('127.0.0.1:1'), incarnation: at, epoch, nonce }
+})
+
+const work = (body = 'a'): Work => ({
+  id: RequestId.parse('r'),
+  team: TeamName.parse('quetzal'),
+  class: 'desk',
+  patienceMs: 1000,
+  revision: Revision.parse(1),
+  target: { kind: 'service', service: ServiceName.parse('ledger') },
+  call: { method: 'PUT', path: '/', headers: {}, body: Buffer.from(body) }
+})
+
+const answer = (...chunks: string[]): Answer => ({
+  status: 200,
+  headers: {},
+  body: (async function * () { for (const chunk of chunks) yield Buffer.from(chunk) })()
+})
+
+const read = async (result: Result<Answer, Failure>): Promise<string> => {
+  if (result.isErr()) return `${result.error.outcome} ${result.error.code}`
+  let text = ''
+  try {
+    for await (const chunk of result.value.body) text += Buffer.from(chunk).toString()
+  } catch {
+    return `${text}|broken`
+  }
+  return text
+}
+
+describe('executions', () => {
+  let executions: Executions
+  let starts: number
+  const start = async (): Promise<Result<Answer, Failure>> => {
+    starts += 1
+    return ok(answer('whole ', 'answer'))
+  }
+
+  beforeEach(() => {
+    executions = new Executions({ incarnation, ...defaultLimits })
+    starts = 0
+  })
+
+  it('runs a binding once, for tries at once and later', async () => {
+    const tries = await Promise.all([1, 2, 3].map(async () => await read(await executions.run(work(), once('n'), start))))
+    tries.push(await read(await executions.run(work(), once('n'), start)))
+    expect(new Set(tries)).to.deep.equal(new Set(['whole answer']))
+    expect(starts).to.equal(1)
+  })
+
+  it('remembers a refusal, and runs a new binding of the key', async () => {
+    const refuse = async (): Promise<Result<Answer, Failure>> => err(notRun('leaving'))
+    expect(await read(await executions.run(work(), once('a'), refuse))).to.equal('not_run leaving')
+    expect(await read(await executions.run(work(), once('a'), start))).to.equal('not_run leaving')
+    expect(await read(await executions.run(work(), once('b'), start))).to.equal('whole answer')
+  })
+
+  it('refuses another request under the same binding', async () => {
+    await executions.run(work('a'), once('n'), start)
+    expect(await read(await executions.run(work('b'), once('n'), start))).to.equal('not_run key_reused')
+  })
+
+  it('keeps two teams\' equal nonces apart', async () => {
+    await executions.run(work(), once('n'), start)
+    await executions.run({ ...work(), team: TeamName.parse('fjordtavle') }, once('n'), start)
+    expect(starts).to.equal(2)
+  })
+
+  it('never runs what is bound to another incarnation', async () => {
+    const other = Incarnation.parse('ponmlkjihgfedcba')
+    expect(await read(await executions.run(work(), once('n', 0, other), start))).to.equal('unknown incarnation_gone')
+    expect(starts).to.equal(0)
+  })
+
+  describe('epochs', () => {
+    it('keep an answer through the next one and refuse it after that, without running it', async () => {
+      await executions.run(work(), once('n'), start)
+      executions.advance()
+      expect(await read(await executions.run(work(), once('n'), start))).to.equal('whole answer')
+      executions.advance()
+      expect(await read(await executions.run(work(), once('n'), start))).to.equal('unknown answer_expired')
+      expect([starts, executions.size]).to.deep.equal([1, 0])
+    })
+  })
+
+  describe('limits', () => {
+    it('say unknown, not refused, when no more keys can be remembered', async () => {
+      executions = new Executions({ incarnation, ...defaultLimits, maxKeys: 1 })
+      await executions.run(work(), once('a'), start)
+      expect(await read(await executions.run(work(), once('b'), start))).to.equal('unknown keys_full')
+    })
+
+    it('pass a long answer to its first reader whole and keep it for nobody', async () => {
+      executions = new Executions({ incarnation, ...defaultLimits, maxAnswerBytes: 10 })
+      const long = async (): Promise<Result<Answer, Failure>> => ok(answer('12345678', '12345678', '12345678', 'end'))
+      expect(await read(await executions.run(work(), once('n'), long))).to.equal('123456781234567812345678end')
+      expect(await read(await executions.run(work(), once('n'), long))).to.equal('unknown answer_expired')
+    })
+
+    it('let the oldest kept answers go first', async () => {
+      executions = new Executions({ incarnation, ...defaultLimits, maxKeptBytes: 20 })
+      for (const nonce of ['a', 'b']) await read(await executions.run(work(), once(nonce), start))
+      expect(await read(await executions.run(work(), once('a'), start))).to.equal('unknown answer_expired')
+      expect(await read(await executions.run(work(), once('b'), start))).to.equal('whole answer')
+      expect(executions.keptBytes).to.be.at.most(20)
+    })
+  })
+})
--- a/packages/decisions/src/queue.ts
+++ b/packages/decisions/src/queue.ts
@@ -25,6 +25,11 @@
 export class Shares {
   readonly #used = new Map<string, number>()
 
+  /** Takes a team in that has something waiting: it starts level with the least served. */
+  join (team: string): void {
+    if (!this.#used.has(team)) this.#used.set(team, this.#floor())
+  }
+
   used (team: string): number {
     return this.#used.get(team) ?? this.#floor()
   }
@@ -33,7 +38,7 @@
     this.#used.set(team, this.used(team) + 1 / weight)
   }
 
-  /** Drops the teams that have nothing waiting; on return they start level with the least served. */
+  /** Drops the teams that have nothing waiting. */
   keep (teams: ReadonlySet<string>): void {
     for (const team of this.#used.keys()) {
       if (!teams.has(team)) this.#used.delete(team)
