Cache events: read late and with gaps, counted for each engine

Cause: what an engine says of its prefix cache was not read.

Change: a side process follows its engine's cache events and keeps what they say under each team's salt; after a gap or a restart it keeps nothing. Two gauges show it. Routing does not use it yet.

--- a/packages/backend/src/engine.ts
+++ b/packages/backend/src/engine.ts
@@ -3,6 +3,7 @@
  */
 import type { Answer, Call } from '@finchpitch/core'
 import type { Result } from 'neverthrow'
+import type { CacheEvent } from './cache-event.js'
 import type { BackendFault } from './fault.js'
 
 export interface Generation {
@@ -49,5 +50,7 @@
   unload: (order: EngineOrder) => Promise<Result<void, BackendFault>>
   /** Resolves `Ok` once the request surely no longer runs; one that isn't known doesn't. */
   cancel: (order: { id: string, fence: number }) => Promise<Result<void, BackendFault>>
+  /** Events until the connection ends or `signal` aborts. */
+  cacheEvents: (signal: AbortSignal) => AsyncIterable<CacheEvent>
   generate: (generation: Generation) => Promise<Result<GeneratedAnswer, BackendFault>>
 }
--- a/packages/backend/src/http-engine.ts
+++ b/packages/backend/src/http-engine.ts
@@ -9,6 +9,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import { Pool, type Dispatcher } from 'undici'
 import { z } from 'zod'
+import { CacheEvent } from './cache-event.js'
 import type { Engine, EngineOrder, EngineReport, GeneratedAnswer, Generation } from './engine.js'
 import { backendFault, faultOf, type BackendFault, type BackendFaultCode } from './fault.js'
 import { endToEnd, wholeBody } from './service.js'
@@ -77,6 +78,22 @@
     return reply.map(() => undefined)
   }
 
+  async * cacheEvents (signal: AbortSignal): AsyncGenerator<CacheEvent> {
+    try {
+      const reply = await this.#pool.request({ method: 'GET', path: '/cache_events', signal })
+      if (reply.statusCode !== 200) {
+        await reply.body.dump()
+        return
+      }
+      for await (const { data } of events(reply.body)) {
+        const event = CacheEvent.safeParse(JSON.parse(data))
+        if (event.success) yield event.data
+      }
+    } catch {
+      // The stream has ended; whoever reads it opens another, and the sequence shows what was missed.
+    }
+  }
+
   async generate (generation: Generation): Promise<Result<GeneratedAnswer, BackendFault>> {
     try {
       const reply = await this.#send(generation)
--- a/packages/daemon/src/side/runner.ts
+++ b/packages/daemon/src/side/runner.ts
@@ -4,7 +4,7 @@
  * `start` gives an `Err` with `not_run` only while nothing has been sent, and `unknown` from then on.
  */
 import { adapterLabel, notRun, pause, unknown, type AdapterTarget, type Answer, type AnswerBody, type Failure, type Log, type ModelName, type Work } from '@finchpitch/core'
-import type { BackendFault, Engine, EngineReport, PlainService } from '@finchpitch/backend'
+import { PrefixCache, type BackendFault, type Engine, type EngineReport, type PlainService } from '@finchpitch/backend'
 import { backoff, type Catalog, type Random } from '@finchpitch/platform'
 import { err, ok, type Result } from 'neverthrow'
 import { Gate, defaultMaxWaiting, type Release } from './gate.js'
@@ -94,6 +94,7 @@
 }
 
 const bootCheckMs = 1000
+const maxPrefixBlocks = 100_000
 const priorities = { desk: 0, caller: 1, batch: 10 } as const
 
 const targetOf = (work: Work): AdapterTarget => {
@@ -104,6 +105,7 @@
 export class EngineRunner implements Runner {
   readonly gate: Gate
   readonly slots: Slots
+  readonly prefixes = new PrefixCache(maxPrefixBlocks)
   #boot: string
 
   constructor (private readonly options: EngineRunnerOptions) {
@@ -141,10 +143,18 @@
     const mayClear = (): boolean => catalog.model(model)?.checksFences === true
     await Promise.all([
       watchBoot(engine, bootCheckMs, signal, boot => this.#see(boot)),
-      this.slots.clearLeftovers(mayClear, signal)
+      this.slots.clearLeftovers(mayClear, signal),
+      this.#followCache(signal)
     ])
   }
 
+  async #followCache (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      for await (const event of this.options.engine.cacheEvents(signal)) this.prefixes.take(event)
+      await pause(bootCheckMs, signal)
+    }
+  }
+
   /** The fence in the name keeps this incarnation's slots apart from an earlier one's. */
   #label (target: AdapterTarget): string {
     return `${adapterLabel(target)}#${this.options.fence}`
--- a/packages/daemon/src/start-side.ts
+++ b/packages/daemon/src/start-side.ts
@@ -56,6 +56,12 @@
   const side = new Side({ process, incarnation, domain, address: () => address, serving: servingFrom(settings), runner, catalog, log, epochMs: settings['epoch-ms'] })
   metrics.gauge('finchpitch_requests_running', 'Requests in progress.', () => side.running)
   metrics.gauge('finchpitch_requests_waiting', 'Requests waiting for the backend server.', () => runner.gate.waiting)
+  if (runner instanceof EngineRunner) {
+    const { prefixes, slots } = runner
+    metrics.gauge('finchpitch_cached_prefix_blocks', 'Prefix blocks that the engine says it holds.', () => prefixes.size)
+    metrics.gauge('finchpitch_cache_event_gaps', 'How often cache events were missing.', () => prefixes.gaps)
+    metrics.gauge('finchpitch_adapters_loaded', 'Adapter versions in slots.', () => slots.labels.length)
+  }
   metrics.gauge('finchpitch_keys', 'Request keys remembered.', () => side.executions.size)
   metrics.gauge('finchpitch_kept_answer_bytes', 'Bytes of answers kept for later tries.', () => side.executions.keptBytes)
   metrics.gauge('finchpitch_configuration_revision', 'The revision in force here.', () => catalog.revision)
--- a/packages/daemon/test/processes.test.ts
+++ b/packages/daemon/test/processes.test.ts
@@ -209,6 +209,13 @@
       expect((await system.operator().setLogLevel({ level: 'debug' }))._unsafeUnwrap().level).to.equal('debug')
     })
 
+    it('counts the prefixes that an engine says it holds', async () => {
+      system = await SmallSystem.start()
+      const metrics = async (): Promise<string> => await (await request(`${system.daemon('engine-0').url('operators')}/metrics`)).body.text()
+      do await (await system.ask('quetzal', '/v1/completions', { model: 'quetzal/statement', prompt: 'x', max_tokens: 1 })).body.dump()
+      while (!(await metrics()).includes('finchpitch_cached_prefix_blocks 1'))
+    })
+
     it('keeps operators\' calls from others', async () => {
       system = await SmallSystem.start()
       const reply = await request(`${system.daemon('entry-0').url('operators')}/operator/v1/configuration`, { headers: { authorization: 'Bearer fjord-token' } })
--- a/packages/proofs/src/matrix/guard.ts
+++ b/packages/proofs/src/matrix/guard.ts
@@ -2,7 +2,7 @@
  * A guard on everything that one process does outside itself, so that it can be paused, or killed, between any two
  * steps. A killed process's calls never come back.
  */
-import type { BackendFault, Engine, EngineOrder, EngineReport, GeneratedAnswer, Generation, PlainService, ServiceCall } from '@finchpitch/backend'
+import type { BackendFault, CacheEvent, Engine, EngineOrder, EngineReport, GeneratedAnswer, Generation, PlainService, ServiceCall } from '@finchpitch/backend'
 import type { Answer, AnswerBody } from '@finchpitch/core'
 import type { Instance, InstanceList, ObjectStore, ResourceVersion, StoreFault, StoredObject, WatchEvent } from '@finchpitch/platform'
 import type { Result } from 'neverthrow'
@@ -141,6 +141,10 @@
     return this.guard.call(() => this.engine.cancel(order))
   }
 
+  cacheEvents (signal: AbortSignal): AsyncIterable<CacheEvent> {
+    return this.engine.cacheEvents(signal)
+  }
+
   async generate (generation: Generation): Promise<Result<GeneratedAnswer, BackendFault>> {
     const signal = AbortSignal.any([generation.signal, this.guard.death])
     const answer = await this.guard.call(() => this.engine.generate({ ...generation, signal }), 'execute', 'executed')
--- a/packages/stand-ins/src/engine-server.ts
+++ b/packages/stand-ins/src/engine-server.ts
@@ -34,6 +34,7 @@
   }
 
   async #handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (request.url === '/cache_events') return await this.#cacheEvents(response)
     if (request.method === 'GET') {
       const report = await this.engine.report()
       return sendJson(response, report.isOk() ? 200 : 503, report.unwrapOr(undefined as never))
@@ -58,6 +59,14 @@
     sendJson(response, 200, {}, { 'x-engine-boot': this.engine.boot })
   }
 
+  async #cacheEvents (response: ServerResponse): Promise<void> {
+    const hangUp = new AbortController()
+    response.once('close', () => hangUp.abort())
+    response.writeHead(200, { 'content-type': 'text/event-stream' })
+    response.flushHeaders()
+    for await (const event of this.engine.cacheEvents(hangUp.signal)) response.write(`data: ${JSON.stringify(event)}\n\n`)
+  }
+
   async #cancel (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const order = await readJson(request) as { request_id: string }
     const cancelled = await this.engine.cancel({ id: order.request_id, fence: fenceOf(request) })
@@ -71,9 +80,9 @@
     const lastEvent = request.headers['last-event-id']
     if (lastEvent !== undefined) return await this.#resume(id, Number(lastEvent), response)
     const hangUp = new AbortController()
-    const { model } = JSON.parse(body.toString()) as { model: string }
+    const { model, cache_salt: salt } = JSON.parse(body.toString()) as { model: string, cache_salt?: string }
     const call = { method: 'POST', path: request.url ?? '', headers: {}, body }
-    const answer = await this.engine.generate({ id, label: model, call, priority: 0, salt: '', fence: fenceOf(request), signal: hangUp.signal })
+    const answer = await this.engine.generate({ id, label: model, call, priority: 0, salt: salt ?? '', fence: fenceOf(request), signal: hangUp.signal })
     if (answer.isErr()) return this.#refuse(response, answer.error)
     const { status, headers, boot } = answer.value
     response.writeHead(status, { ...headers, 'x-engine-boot': boot })
--- a/packages/stand-ins/src/memory-engine.ts
+++ b/packages/stand-ins/src/memory-engine.ts
@@ -4,9 +4,10 @@
  * A token takes longer the more sequences and the more distinct adapters there are in the batch. It records what it
  * ran and every order that would have broken a promise; observers read those records.
  */
-import { EventEmitter } from 'node:events'
+import { createHash } from 'node:crypto'
+import { EventEmitter, on } from 'node:events'
 import { AnswerFailure, pause, randomToken, unknown } from '@finchpitch/core'
-import { backendFault, type BackendFault, type Engine, type EngineOrder, type EngineReport, type GeneratedAnswer, type Generation } from '@finchpitch/backend'
+import { backendFault, type BackendFault, type CacheEvent, type Engine, type EngineOrder, type EngineReport, type GeneratedAnswer, type Generation } from '@finchpitch/backend'
 import { err, ok, type Result } from 'neverthrow'
 import type { WeightStore } from './weights.js'
 
@@ -62,6 +63,7 @@
   /** Orders and requests find nobody. */
   down = false
   #boot = randomToken()
+  #cacheSequence = 0
   #fence = 0
   readonly #loaded = new Map<string, number>()
   readonly #active = new Map<string, Active>()
@@ -86,6 +88,7 @@
   /** Comes back empty; every stream in progress is cut. */
   restart (): void {
     this.#boot = randomToken()
+    this.#cacheSequence = 0
     this.#loaded.clear()
   }
 
@@ -125,6 +128,15 @@
     return ok(undefined)
   }
 
+  /** Events from now on: what was published before is a gap to this reader. */
+  async * cacheEvents (signal: AbortSignal): AsyncGenerator<CacheEvent> {
+    try {
+      for await (const [event] of on(this.events, 'cache', { signal })) yield event as CacheEvent
+    } catch (error) {
+      if (!signal.aborted) throw error
+    }
+  }
+
   async generate (generation: Generation): Promise<Result<GeneratedAnswer, BackendFault>> {
     const refusal = this.#refuse(generation.fence)
     if (refusal !== undefined) return err(refusal)
@@ -136,6 +148,8 @@
     const body = JSON.parse(Buffer.from(call.body).toString()) as Prompt
     this.runs.push({ id, label: ranOn, boot, prompt: promptOf(body) })
     this.events.emit('run', id)
+    const block = createHash('sha256').update(promptOf(body)).digest('base64url')
+    this.events.emit('cache', { type: 'stored', boot, sequence: this.#cacheSequence++, salt: generation.salt, blocks: [block] })
     if (ranOn === label) this.#loaded.set(label, using + 1)
     this.#running += 1
     const tokens = this.#tokens(ranOn, boot, body.max_tokens ?? defaultTokens, this.#activate(id, ranOn, boot, signal))
--- a/packages/wire/test/inbox.test.ts
+++ b/packages/wire/test/inbox.test.ts
@@ -1,5 +1,5 @@
 import { AnswerFailure } from '@finchpitch/core'
-import { Inbox } from '@finchpitch/wire'
+import { Inbox, Window, windowBytes } from '@finchpitch/wire'
 import { expect } from 'chai'
 
 const chunk = (sequence: number, text: string): Parameters<Inbox['chunk']>[0] => ({ type: 'chunk', id: 1, sequence, data: Buffer.from(text) })
@@ -16,6 +16,27 @@
   }
 }
 
+describe('window', () => {
+  it('holds a sender back until its reader has read', async () => {
+    const window = new Window()
+    expect(await window.take(windowBytes)).to.equal(true)
+    let went = false
+    const next = window.take(1).then(() => { went = true })
+    await new Promise(resolve => setImmediate(resolve))
+    expect(went).to.equal(false)
+    window.give(1)
+    await next
+  })
+
+  it('lets a sender go when it is closed', async () => {
+    const window = new Window()
+    await window.take(windowBytes)
+    const next = window.take(1)
+    window.close()
+    expect(await next).to.equal(false)
+  })
+})
+
 describe('inbox', () => {
   it('gives chunks in order and credit for each', async () => {
     let credit = 0
