--- a/packages/daemon/src/entry/sides.ts
+++ b/packages/daemon/src/entry/sides.ts
@@ -58,21 +58,14 @@
   update (instances: Instance[]): void {
     const sides = instances.filter(instance => instance.role === 'side' && instance.serving !== undefined)
     const present = new Set(sides.map(each => each.process as string))
-    for (const [process, side] of this.#sides) {
-      if (present.has(process)) continue
-      this.#sides.delete(process)
-      // Requests in progress there go on: only the list has let go of it.
-      if (side.peer !== undefined) side.notBefore = Infinity
+    for (const process of this.#sides.keys()) {
+      // Requests in progress there go on over their channel, which ends when it falls idle.
+      if (!present.has(process)) this.#sides.delete(process)
     }
     for (const instance of sides) this.#put(instance)
     this.#index()
   }
 
-  /** Sides for a serving, whatever their state. */
-  count (serving: Serving): number {
-    return this.#byServing.get(servingName(serving))?.length ?? 0
-  }
-
   /** The next side process for `key`, passing over those already tried; connected, or `undefined`. */
   async choose (serving: Serving, key: string, tried: ReadonlySet<string>): Promise<ChosenSide | undefined> {
     const list = this.#preferred(serving, key)
--- a/packages/daemon/src/side/slots.ts
+++ b/packages/daemon/src/side/slots.ts
@@ -78,10 +78,6 @@
     return this.#slots.has(label)
   }
 
-  get expectedLoadMs (): number {
-    return this.#loadMs.value
-  }
-
   /** Waits until the adapter version is loaded, and keeps it there until the pin is released. */
   pin (demand: Demand, signal: AbortSignal): Promise<Result<Pin, Failure>> {
     this.#count(demand.label)
--- a/packages/daemon/test/executions.test.ts
+++ b/packages/daemon/test/executions.test.ts
@@ -89,7 +89,7 @@
       expect(await read(await executions.run(work(), once('n'), start))).to.equal('whole answer')
       executions.advance()
       expect(await read(await executions.run(work(), once('n'), start))).to.equal('unknown answer_expired')
-      expect([starts, executions.size]).to.deep.equal([1, 0])
+      expect([starts, executions.size, executions.keptBytes]).to.deep.equal([1, 0, 0])
     })
   })
 
--- a/packages/stand-ins/src/engine-server.ts
+++ b/packages/stand-ins/src/engine-server.ts
@@ -4,7 +4,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { BackendFault, GeneratedAnswer } from '@finchpitch/backend'
-import { readBytes, readJson, sendJson, serve, type HttpStandIn } from './http-stand-in.js'
+import { HttpStandIn, readBytes, readJson, sendJson } from './http-stand-in.js'
 import type { MemoryEngine } from './memory-engine.js'
 
 const faultStatuses: Record<BackendFault['code'], number> = { unreachable: 503, lost: 502, not_loaded: 404, fenced: 412, busy: 429, refused: 400 }
@@ -15,25 +15,17 @@
   wake: Set<() => void>
 }
 
-export class EngineServer {
+export class EngineServer extends HttpStandIn {
   /** So many next streams are cut after this many events. */
   cuts = 0
   cutAfter = 3
   readonly #streams = new Map<string, Stream>()
-  #server: HttpStandIn | undefined
 
-  constructor (readonly engine: MemoryEngine) {}
-
-  async start (): Promise<string> {
-    this.#server = await serve((request, response) => this.#handle(request, response))
-    return this.#server.origin
-  }
-
-  async stop (): Promise<void> {
-    await this.#server?.stop()
+  constructor (readonly engine: MemoryEngine) {
+    super()
   }
 
-  async #handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+  protected override async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (request.url === '/cache_events') return await this.#cacheEvents(response)
     if (request.method === 'GET') {
       const report = await this.engine.report()
--- a/packages/stand-ins/src/http-stand-in.ts
+++ b/packages/stand-ins/src/http-stand-in.ts
@@ -2,29 +2,34 @@
  * What the stand-ins' HTTP servers share.
  */
 import { once } from 'node:events'
-import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 
-export interface HttpStandIn {
-  origin: string
-  stop: () => Promise<void>
-}
+/** A stand-in's server on a port that the system chooses. */
+export abstract class HttpStandIn {
+  #server: Server | undefined
 
-type Handler = (request: IncomingMessage, response: ServerResponse) => Promise<void>
+  /** Gives the server's origin. */
+  async start (): Promise<string> {
+    const server = createServer((request, response) => {
+      this.handle(request, response).catch(() => response.destroy())
+    })
+    this.#server = server
+    server.listen(0, '127.0.0.1')
+    await once(server, 'listening')
+    const { port } = server.address() as AddressInfo
+    return `http://127.0.0.1:${port}`
+  }
 
-export const serve = async (handle: Handler): Promise<HttpStandIn> => {
-  const server = createServer((request, response) => {
-    handle(request, response).catch(() => response.destroy())
-  })
-  server.listen(0, '127.0.0.1')
-  await once(server, 'listening')
-  const { port } = server.address() as AddressInfo
-  const stop = async (): Promise<void> => {
+  async stop (): Promise<void> {
+    const server = this.#server
+    if (server === undefined) return
     const closed = new Promise<void>(resolve => server.close(() => resolve()))
     server.closeAllConnections()
     await closed
   }
-  return { origin: `http://127.0.0.1:${port}`, stop }
+
+  protected abstract handle (request: IncomingMessage, response: ServerResponse): Promise<void>
 }
 
 export const readBytes = async (request: IncomingMessage): Promise<Buffer> => {
--- a/packages/stand-ins/src/platform-server.ts
+++ b/packages/stand-ins/src/platform-server.ts
@@ -6,7 +6,7 @@
 import type { Instance, StoredObject, WatchEvent } from '@finchpitch/platform'
 import type { Result } from 'neverthrow'
 import { MemoryStore } from './memory-store.js'
-import { readJson, sendJson, serve, type HttpStandIn } from './http-stand-in.js'
+import { HttpStandIn, readJson, sendJson } from './http-stand-in.js'
 
 const objects = '/apis/finchpitch/v1/objects'
 
@@ -27,25 +27,15 @@
   else sendJson(response, 200, toItem(result.value))
 }
 
-export class PlatformServer {
+export class PlatformServer extends HttpStandIn {
   readonly store = new MemoryStore()
   instances: Instance[] = []
   /** How often the instance list was read. */
   lists = 0
   /** The instance list doesn't answer. */
   listDown = false
-  #server: HttpStandIn | undefined
 
-  async start (): Promise<string> {
-    this.#server = await serve((request, response) => this.#handle(request, response))
-    return this.#server.origin
-  }
-
-  async stop (): Promise<void> {
-    await this.#server?.stop()
-  }
-
-  async #handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+  protected override async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const url = new URL(request.url ?? '/', 'http://platform')
     if (url.pathname === '/instances') return this.#list(request, response)
     const name = decodeURIComponent(url.pathname.slice(objects.length + 1))
