A request that was not sent refuses nothing

When an ask over a second connection could not be sent, the entry took its own 'not sent' for the side process's refusal, and bound the key anew although the first ask may have arrived: a second run was possible, or a false 'not run'. Neither the matrix (its cuts strike while a channel is open) nor the model (where only a record refuses) has that step.

Ruled out: asking once only; then every cut connection would end as unknown.

--- a/packages/core/src/failure.ts
+++ b/packages/core/src/failure.ts
@@ -28,6 +28,7 @@
   overloaded: { status: 503, message: 'The waiting work is too much for the deadline; nothing was run.' },
   keys_full: { status: 503, message: 'No more requests with keys can be remembered now; nothing was run.' },
   no_backend: { status: 503, message: 'No backend server can take this request now.' },
+  not_sent: { status: 503, message: 'The request could not be handed to the process that was chosen for it.' },
   leaving: { status: 503, message: 'The backend server is leaving and takes no new work.' },
   stale_revision: { status: 503, message: 'A process is behind the configuration and could not catch up.' },
   not_ready: { status: 503, message: 'This process holds no accepted configuration yet.' },
--- a/packages/daemon/src/entry/dispatch.ts
+++ b/packages/daemon/src/entry/dispatch.ts
@@ -31,7 +31,7 @@
 const storeRetryMs = 1000
 
 /** Refusals that another process, or the same one a little later, may not give. */
-const elsewhere = new Set<Failure['code']>(['leaving', 'overloaded', 'no_backend', 'stale_revision', 'load_failed', 'backend_unreachable', 'backend_refused', 'engine_restarted', 'keys_full'])
+const elsewhere = new Set<Failure['code']>(['not_sent', 'leaving', 'overloaded', 'no_backend', 'stale_revision', 'load_failed', 'backend_unreachable', 'backend_refused', 'engine_restarted', 'keys_full'])
 
 export class Dispatch {
   readonly #budget = new RetryBudget()
@@ -152,7 +152,10 @@
       if (peer.incarnation !== binding.incarnation) return err(unknown('incarnation_gone'))
       const bound = { ...work, revision: this.options.catalog.revision, once: { key: once.key, binding } }
       const answer = await peer.run(bound, signal)
-      if (answer.isOk() || answer.error.code !== 'connection_lost') return answer
+      if (answer.isOk()) return answer
+      // Not having sent it this time refuses nothing: an earlier ask, or another entry's, may have arrived.
+      if (answer.error.code === 'not_sent') continue
+      if (answer.error.code !== 'connection_lost') return answer
       failure = answer.error
     }
     return err(failure)
--- a/packages/daemon/src/entry/side-peer.ts
+++ b/packages/daemon/src/entry/side-peer.ts
@@ -89,9 +89,9 @@
     return { reported: load === undefined ? 0 : load.waiting + load.running, sentSince: this.#sentSince, capacity: load?.capacity ?? 1 }
   }
 
-  /** Sends work and waits for the answer's head, or a failure. */
+  /** Sends work and waits for the answer's head, or a failure; `not_sent` is this end's word, not the peer's. */
   async run (work: Work, signal: AbortSignal): Promise<Result<SideAnswer, Failure>> {
-    if (signal.aborted) return err(notRun('cancelled'))
+    if (signal.aborted) return err(notRun('not_sent', { detail: 'The caller no longer waits.' }))
     const id = this.#next++
     this.#usedAt = Date.now()
     const inbox = new Inbox(bytes => this.channel.send({ type: 'credit', id, bytes }))
@@ -99,7 +99,7 @@
       this.#exchanges.set(id, { inbox, head: resolve })
       signal.addEventListener('abort', () => this.#cancel(id), { once: true })
       this.#sentSince += 1
-      if (!this.channel.send({ type: 'run', id, work })) this.#end(id, notRun('no_backend', { detail: 'The channel had ended.' }))
+      if (!this.channel.send({ type: 'run', id, work })) this.#end(id, notRun('not_sent', { detail: 'The channel had ended.' }))
     })
     return head.map(({ status, headers, resident }) => ({ status, headers, resident, body: this.#body(id, inbox) }))
   }
