The stand-in engine can resume a stream that it has finished

The system ended the answer in an error, as it must.

Change: the stand-in keeps its last 1,000 streams.

--- a/packages/stand-ins/src/engine-server.ts
+++ b/packages/stand-ins/src/engine-server.ts
@@ -9,6 +9,9 @@
 
 const faultStatuses: Record<BackendFault['code'], number> = { unreachable: 503, lost: 502, not_loaded: 404, fenced: 412, busy: 429, refused: 400 }
 
+/** Streams that can be resumed, also after the engine has come to their end. */
+const keptStreams = 1000
+
 interface Stream {
   events: Uint8Array[]
   ended: boolean
@@ -100,11 +103,12 @@
         }
       } finally {
         stream.ended = true
-        this.#streams.delete(id)
         notify()
       }
     }
     this.#streams.set(id, stream)
+    const [oldest] = this.#streams.keys()
+    if (this.#streams.size > keptStreams && oldest !== undefined) this.#streams.delete(oldest)
     read().catch(() => {})
     return stream
   }
