A plain service uses all of its backend servers

Side processes are preferred by the target's name, four to a list; so a service with more than four backend servers used four.

Change: a service's requests are spread over 64 lists, by the first character of their ids; an adapter keeps its one list.

Measured: test of dispatch: three requests of a service had 1 list by the code before (the key was the service's name), 3 after.

--- a/packages/daemon/src/entry/dispatch.ts
+++ b/packages/daemon/src/entry/dispatch.ts
@@ -33,6 +33,13 @@
 /** Refusals that another process, or the same one a little later, may not give. */
 const elsewhere = new Set<Failure['code']>(['not_sent', 'leaving', 'overloaded', 'no_backend', 'stale_revision', 'load_failed', 'backend_unreachable', 'backend_refused', 'engine_restarted', 'keys_full'])
 
+/**
+ * An adapter has one list of preferred side processes, as it should be loaded at few. A plain service has nothing
+ * to load: its requests are spread over as many lists as there are first characters of a request's id.
+ */
+const preferenceKey = ({ id, target }: Pick<Work, 'id' | 'target'>): string =>
+  target.kind === 'adapter' ? targetLabel(target) : `${targetLabel(target)}/${id.charAt(0)}`
+
 export class Dispatch {
   readonly #budget = new RetryBudget()
 
@@ -61,13 +68,13 @@
   }
 
   /** A ticket for the work's target; `undefined` while no process can take it. */
-  async ticket (work: Pick<Work, 'target'>): Promise<Once['key'] | undefined> {
+  async ticket (work: Pick<Work, 'id' | 'target'>): Promise<Once['key'] | undefined> {
     const side = await this.#choose(work, new Set())
     return side === undefined ? undefined : issueTicket(side.process, side.peer.incarnation, side.peer.epoch)
   }
 
-  #choose (work: Pick<Work, 'target'>, tried: ReadonlySet<string>): Promise<ChosenSide | undefined> {
-    return this.options.sides.choose(servingOf(work.target), targetLabel(work.target), tried)
+  #choose (work: Pick<Work, 'id' | 'target'>, tried: ReadonlySet<string>): Promise<ChosenSide | undefined> {
+    return this.options.sides.choose(servingOf(work.target), preferenceKey(work), tried)
   }
 
   async #mayGoOn (failure: Failure, repeatable: boolean, tried: Set<string>, side: ChosenSide, signal: AbortSignal): Promise<boolean> {
--- a/packages/daemon/test/dispatch.test.ts
+++ b/packages/daemon/test/dispatch.test.ts
@@ -24,16 +24,23 @@
   /** What the side process tells each ask in turn. */
   let replies: Array<Result<Answer, Failure>>
   let asked: number
+  /** What side processes were preferred by. */
+  let keys: string[]
   const open = new AbortController().signal
 
   beforeEach(() => {
     time = new FakeTime()
     store = new MemoryStore()
     asked = 0
+    keys = []
     const run = async (): Promise<Result<Answer, Failure>> => replies[asked++] ?? err(unknown('connection_lost'))
     const peer = { run, incarnation: Incarnation.parse('abcdefghijklmnop'), epoch: 0 } as unknown as SidePeer
     const chosen = { process: ProcessId.parse('side'), address: Address.parse('127.0.0.1:1'), peer }
-    const sides = { choose: async () => chosen, reach: async () => peer } as unknown as Sides
+    const choose = async (_serving: unknown, key: string): Promise<typeof chosen> => {
+      keys.push(key)
+      return chosen
+    }
+    const sides = { choose, reach: async () => peer } as unknown as Sides
     const claims = new Claims({ store, random: () => 0.5, buckets: 1, keptMs: 60_000 })
     dispatch = new Dispatch({ sides, claims, catalog: new Catalog('all'), catchUp: async () => {}, log: quietLog, random: () => 0.5 })
   })
@@ -87,8 +94,16 @@
     })
   })
 
-  it('issues tickets that name the incarnation', async () => {
+  it('spreads a service over many lists and keeps an adapter to one', async () => {
     const target = { kind: 'adapter', team: work.team, adapter: 'a', version: 'v1', model: ModelName.parse('base-7b'), source: 's' } as Work['target']
-    expect(await dispatch.ticket({ target })).to.match(/^tk1\/side\/abcdefghijklmnop\/0\//)
+    for (const id of ['a', 'b', 'c']) await dispatch.ticket({ ...work, id: RequestId.parse(id) })
+    expect(new Set(keys).size).to.equal(3)
+    keys = []
+    for (const id of ['a', 'b', 'c']) await dispatch.ticket({ target, id: RequestId.parse(id) })
+    expect(new Set(keys).size).to.equal(1)
+  })
+
+  it('issues tickets that name the incarnation', async () => {
+    expect(await dispatch.ticket(work)).to.match(/^tk1\/side\/abcdefghijklmnop\/0\//)
   })
 })
