One rule for a refusal before the key was looked up

Cause: the callers' routes and the entry each wrote the same rule and sentence.

Change: untried in core serves both. Behaviour is the same.

--- a/packages/callers/src/routes.ts
+++ b/packages/callers/src/routes.ts
@@ -1,7 +1,7 @@
 /**
  * The callers' routes: each request is read, handed to `serve`, and its answer written at the caller's pace.
  */
-import { newRequestId, unknown, type Answer, type Failure, type Log } from '@finchpitch/core'
+import { newRequestId, untried, type Answer, type Failure, type Log } from '@finchpitch/core'
 import { readBody, sendAnswer, sendFailure, type Exchange, type RouteHandler, type Routes } from '@finchpitch/http'
 import type { Result } from 'neverthrow'
 import { readAsk, type Ask, type AskKind } from './ask.js'
@@ -26,7 +26,7 @@
 const rejectedOutcome = (failure: Failure, exchange: Exchange): Failure => {
   const { headers } = exchange.request
   const retried = headers['idempotency-key'] !== undefined && headers['finchpitch-first-try'] !== 'yes'
-  return retried ? unknown(failure.code, { detail: `${failure.detail ?? ''} This try was not run; an earlier one with its key may have been.`.trim() }) : failure
+  return retried ? untried(failure) : failure
 }
 
 /** The ask, or `undefined` after its rejection has been sent. */
--- a/packages/core/src/failure.ts
+++ b/packages/core/src/failure.ts
@@ -69,6 +69,12 @@
 
 export const unknown = (code: FailureCode, more: FailureDetail = {}): Failure => ({ code, outcome: 'unknown', ...more })
 
+/** A refusal given before the key was looked up: this try was not run, and nothing is known of earlier ones. */
+export const untried = (failure: Failure): Failure => {
+  const detail = `${failure.detail ?? ''} This try was not run; an earlier one with its key may have been.`.trim()
+  return { ...failure, outcome: 'unknown', detail }
+}
+
 export const statusOf = (failure: Failure): number => failureTexts[failure.code].status
 
 export const messageOf = (failure: Failure): string => {
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -5,7 +5,7 @@
  * configuration for its peers, and watches the store when it is one of its failure domain's few watchers.
  */
 import type { Duplex } from 'node:stream'
-import { deadlineIn, notRun, pause, type Address, type Answer, type Failure, type FailureDomain, type Incarnation, type Log, type ProcessId, type Work } from '@finchpitch/core'
+import { deadlineIn, notRun, pause, untried, type Address, type Answer, type Failure, type FailureDomain, type Incarnation, type Log, type ProcessId, type Work } from '@finchpitch/core'
 import type { Ask } from '@finchpitch/callers'
 import { Claims, StoreSource, catchUp, defaultBuckets, defaultKeptMs, follow, type Catalog, type Instance, type InstanceList, type ObjectStore, type Random } from '@finchpitch/platform'
 import { Channel, protocolVersion, type Dial, type FrameOf } from '@finchpitch/wire'
@@ -147,9 +147,7 @@
 
   /** Refused before the key was looked up: only a first try is known not to have run. */
   #untried (ask: Ask, failure: Failure): Failure {
-    if (ask.once === undefined || ask.once.firstTry) return failure
-    const detail = `${failure.detail ?? ''} This try was not run; an earlier one with its key may have been.`.trim()
-    return { ...failure, outcome: 'unknown', detail }
+    return ask.once === undefined || ask.once.firstTry ? failure : untried(failure)
   }
 
   /** Watches the store while this entry is one of its domain's watchers, or knows of none. */
