--- a/packages/bench/src/capacity.ts
+++ b/packages/bench/src/capacity.ts
@@ -3,7 +3,7 @@
  */
 import { Revision, check } from '@finchpitch/core'
 import { hashed, preferHashed } from '@finchpitch/decisions'
-import { Catalog, split, type Head } from '@finchpitch/platform'
+import { Catalog, split, type Head } from '@finchpitch/store'
 import { encode } from '@finchpitch/wire'
 import { publish, rounded, type Row } from './report.js'
 import { Rig, benchConfiguration } from './rig.js'
--- a/packages/bench/src/claims.ts
+++ b/packages/bench/src/claims.ts
@@ -2,7 +2,7 @@
  * `npm run bench -- claims`: store calls and added latency of a request that may run at most once, for each way.
  */
 import { Address, Incarnation, ProcessId, RequestKey, TeamName, randomToken, type Binding } from '@finchpitch/core'
-import { Claims, claimId } from '@finchpitch/platform'
+import { Claims, claimId } from '@finchpitch/store'
 import { MemoryStore } from '@finchpitch/stand-ins'
 import { publish, rounded, type Row } from './report.js'
 import { repeat } from './sample.js'
--- a/packages/bench/src/rig.ts
+++ b/packages/bench/src/rig.ts
@@ -3,7 +3,7 @@
  */
 import { ModelName, Revision, ServiceName, type Serving } from '@finchpitch/core'
 import { OperatorClient } from '@finchpitch/operators'
-import { hashOfToken } from '@finchpitch/platform'
+import { hashOfToken } from '@finchpitch/store'
 import { Daemon, EngineServer, MemoryEngine, MemoryService, PlatformServer, ServiceServer, WeightStore, operatorToken } from '@finchpitch/stand-ins'
 
 export const callerToken = 'bench-token'
--- /dev/null
+++ b/packages/core/src/line-sink.ts
@@ -0,0 +1,63 @@
+/**
+ * Where log lines go: a bounded queue before a file descriptor, so that a reader who is slow never blocks a request.
+ *
+ * Lines are written together, a few times a second. What the queue has no room for is dropped and counted, and the
+ * count is written as a line of its own once there is room again.
+ */
+import { write } from 'node:fs'
+
+export interface LineSink {
+  /** One line, without its end. */
+  write: (line: string) => void
+}
+
+/** Some seconds of a busy process's lines. */
+const queueBytes = 512 * 1024
+/** Long enough to gather many lines into one call, short enough to read along. */
+const flushMs = 100
+
+export class BoundedLines implements LineSink {
+  #lines: string[] = []
+  #bytes = 0
+  #dropped = 0
+  #writing = false
+  #timer: NodeJS.Timeout | undefined
+
+  constructor (private readonly descriptor: number, private readonly limit = queueBytes) {}
+
+  write (line: string): void {
+    if (this.#bytes + line.length > this.limit) {
+      this.#dropped += 1
+      return
+    }
+    this.#lines.push(line)
+    this.#bytes += line.length + 1
+    this.#timer ??= setTimeout(() => this.flush(), flushMs)
+  }
+
+  /** Hands over what is queued; one write at a time. */
+  flush (): void {
+    this.#timer = undefined
+    if (this.#writing || this.#lines.length === 0) return
+    if (this.#dropped > 0) {
+      this.#lines.push(JSON.stringify({ level: 'warn', event: 'log.dropped', lines: this.#dropped }))
+      this.#dropped = 0
+    }
+    const text = Buffer.from(`${this.#lines.join('\n')}\n`)
+    this.#lines = []
+    this.#writing = true
+    this.#write(text, 0)
+  }
+
+  #write (text: Buffer, from: number): void {
+    write(this.descriptor, text, from, text.length - from, null, (error, written) => {
+      const again = error?.code === 'EAGAIN'
+      if (again) return void setTimeout(() => this.#write(text, from), flushMs)
+      if (error === null && from + written < text.length) return this.#write(text, from + written)
+      // A descriptor that is closed can't be told anything; the lines are lost with it.
+      this.#writing = false
+      this.#bytes = this.#lines.reduce((sum, line) => sum + line.length + 1, 0)
+      if (this.#lines.length > 0) this.#timer ??= setTimeout(() => this.flush(), flushMs)
+    })
+  }
+}
--- a/packages/core/src/log.ts
+++ b/packages/core/src/log.ts
@@ -1,11 +1,14 @@
 /**
- * Logs: one JSON object a line on standard error, through `loglevel`, so the level can change at run time.
+ * Logs: one JSON object a line, through `loglevel`, so the level can change at run time.
  */
 import loglevel from 'loglevel'
+import type { LineSink } from './line-sink.js'
 
 export type LogLevel = 'trace' | 'debug' | 'info' | 'warn' | 'error' | 'silent'
 export type LogFields = Record<string, unknown>
 
+const standardError: LineSink = { write: line => { process.stderr.write(`${line}\n`) } }
+
 const hidden = new Set(['authorization', 'token', 'secret', 'body'])
 
 const shown = (fields: LogFields): LogFields =>
@@ -14,18 +17,18 @@
 export class Log {
   readonly #logger: loglevel.Logger
 
-  constructor (readonly name: string, private readonly fixed: LogFields = {}, level: LogLevel = 'info') {
+  constructor (readonly name: string, private readonly fixed: LogFields = {}, level: LogLevel = 'info', private readonly sink: LineSink = standardError) {
     this.#logger = loglevel.getLogger(name)
     this.#logger.methodFactory = methodName => (event: string, fields: LogFields = {}) => {
       const line = { at: new Date().toISOString(), level: methodName, event, ...fields }
-      process.stderr.write(JSON.stringify(line) + '\n')
+      this.sink.write(JSON.stringify(line))
     }
     this.#logger.setLevel(level, false)
   }
 
   /** The same log with more fields on each line. */
   with (fields: LogFields): Log {
-    return new Log(this.name, { ...this.fixed, ...fields }, this.level)
+    return new Log(this.name, { ...this.fixed, ...fields }, this.level, this.sink)
   }
 
   get level (): LogLevel {
--- a/packages/daemon/src/catalog-exchange.ts
+++ b/packages/daemon/src/catalog-exchange.ts
@@ -4,7 +4,7 @@
  * So a process that is behind catches up with the very peer that told it so, also while the store is down.
  */
 import { within, type Revision } from '@finchpitch/core'
-import { Head, catchUp, storeFault, type Catalog, type ConfigurationSource, type StoreFault } from '@finchpitch/platform'
+import { Head, catchUp, storeFault, type Catalog, type ConfigurationSource, type StoreFault } from '@finchpitch/store'
 import type { Channel, Frame, FrameOf } from '@finchpitch/wire'
 import { err, ok, type Result } from 'neverthrow'
 
--- a/packages/daemon/src/entry/dispatch.ts
+++ b/packages/daemon/src/entry/dispatch.ts
@@ -9,7 +9,7 @@
 import { notRun, pause, randomToken, servingOf, targetLabel, unknown, type Answer, type Binding, type Failure, type Log, type Service, type Work } from '@finchpitch/core'
 import type { Once } from '@finchpitch/callers'
 import { RetryBudget } from '@finchpitch/decisions'
-import { backoff, claimId, type Catalog, type Claims, type Random, type StoreFault } from '@finchpitch/platform'
+import { backoff, claimId, type Catalog, type Claims, type Random, type StoreFault } from '@finchpitch/store'
 import { err, ok, type Result } from 'neverthrow'
 import type { ChosenSide, Sides } from './sides.js'
 import { bindingOf, isTicket, issueTicket, readTicket } from './ticket.js'
--- a/packages/daemon/src/entry/resolve.ts
+++ b/packages/daemon/src/entry/resolve.ts
@@ -6,7 +6,7 @@
  */
 import { notRun, versionOf, type Failure, type Target, type Team, type Work } from '@finchpitch/core'
 import type { Ask, AskedTarget } from '@finchpitch/callers'
-import type { Catalog } from '@finchpitch/platform'
+import type { Catalog } from '@finchpitch/store'
 import { err, ok, type Result } from 'neverthrow'
 
 export interface Resolved {
--- a/packages/daemon/src/entry/side-peer.ts
+++ b/packages/daemon/src/entry/side-peer.ts
@@ -3,7 +3,7 @@
  */
 import { noRevision, notRun, unknown, pause, within, type Address, type Answer, type Failure, type Incarnation, type Log, type Revision, type Work } from '@finchpitch/core'
 import type { Occupancy } from '@finchpitch/decisions'
-import type { Catalog } from '@finchpitch/platform'
+import type { Catalog } from '@finchpitch/store'
 import { Channel, Inbox, type ChannelOptions, type Dial, type Frame, type FrameOf, type Load } from '@finchpitch/wire'
 import { err, ok, type Result } from 'neverthrow'
 import { CatalogExchange } from '../catalog-exchange.js'
--- a/packages/daemon/src/entry/sides.ts
+++ b/packages/daemon/src/entry/sides.ts
@@ -6,7 +6,7 @@
  */
 import { servingName, type Address, type Log, type ProcessId, type Revision, type Serving } from '@finchpitch/core'
 import { hashed, preferHashed, route, type HashedCandidate, type Occupancy } from '@finchpitch/decisions'
-import { backoff, type Catalog, type Instance, type Random } from '@finchpitch/platform'
+import { backoff, type Catalog, type Instance, type Random } from '@finchpitch/store'
 import type { ChannelOptions, Dial, FrameOf } from '@finchpitch/wire'
 import { LRUCache } from 'lru-cache'
 import { SidePeer } from './side-peer.js'
--- a/packages/daemon/src/instance-view.ts
+++ b/packages/daemon/src/instance-view.ts
@@ -2,7 +2,7 @@
  * The instance list as one process last read it, read again every few seconds at spread times.
  */
 import { pause, type Log } from '@finchpitch/core'
-import type { Instance, InstanceList, Random } from '@finchpitch/platform'
+import type { Instance, InstanceList, Random } from '@finchpitch/store'
 
 const readMs = 2000
 
--- a/packages/daemon/src/operations.ts
+++ b/packages/daemon/src/operations.ts
@@ -2,7 +2,7 @@
  * What operators can do at an entry.
  */
 import { check, servingName, type ProcessId } from '@finchpitch/core'
-import { apply, describeFault, type ApplyOutcome, type Catalog, type ObjectStore, type Random, type StoreFault } from '@finchpitch/platform'
+import { apply, describeFault, type ApplyOutcome, type Catalog, type ObjectStore, type Random, type StoreFault } from '@finchpitch/store'
 import type { ApplyBody, ApplyReply, Operations, ProcessStatus, StatusReply } from '@finchpitch/operators'
 import type { Entry } from './entry/entry.js'
 
--- a/packages/daemon/src/side/runner.ts
+++ b/packages/daemon/src/side/runner.ts
@@ -5,7 +5,7 @@
  */
 import { adapterLabel, notRun, pause, unknown, type AdapterTarget, type Answer, type AnswerBody, type Failure, type Log, type ModelName, type Work } from '@finchpitch/core'
 import { PrefixCache, type BackendFault, type Engine, type EngineReport, type PlainService } from '@finchpitch/backend'
-import { backoff, type Catalog, type Random } from '@finchpitch/platform'
+import { backoff, type Catalog, type Random } from '@finchpitch/store'
 import { err, ok, type Result } from 'neverthrow'
 import { Gate, defaultMaxWaiting, type Release } from './gate.js'
 import { Slots, watchBoot, type Pin } from './slots.js'
--- a/packages/daemon/src/side/side.ts
+++ b/packages/daemon/src/side/side.ts
@@ -6,7 +6,7 @@
  */
 import type { Duplex } from 'node:stream'
 import { notRun, pause, servingName, servingOf, type Address, type Answer, type Failure, type FailureDomain, type Incarnation, type Log, type ProcessId, type Serving, type Work } from '@finchpitch/core'
-import type { Catalog } from '@finchpitch/platform'
+import type { Catalog } from '@finchpitch/store'
 import { Channel, protocolVersion, type FrameOf, type Load } from '@finchpitch/wire'
 import { err, type Result } from 'neverthrow'
 import { CatalogExchange } from '../catalog-exchange.js'
--- a/packages/daemon/src/side/slots.ts
+++ b/packages/daemon/src/side/slots.ts
@@ -8,7 +8,7 @@
 import { notRun, pause, type Failure, type Log, type WorkClass } from '@finchpitch/core'
 import { Estimate, Popularity, evict } from '@finchpitch/decisions'
 import type { Engine } from '@finchpitch/backend'
-import { backoff, type Random } from '@finchpitch/platform'
+import { backoff, type Random } from '@finchpitch/store'
 import { err, ok, type Result } from 'neverthrow'
 
 export interface SlotsOptions {
--- a/packages/daemon/src/start-entry.ts
+++ b/packages/daemon/src/start-entry.ts
@@ -6,7 +6,7 @@
 import { callerRoutes, ticketRoutes } from '@finchpitch/callers'
 import { Gateway, type TlsFiles } from '@finchpitch/http'
 import { operatorRoutes, processRoutes } from '@finchpitch/operators'
-import { Catalog, HttpInstanceList, HttpStore } from '@finchpitch/platform'
+import { Catalog, HttpInstanceList, HttpStore } from '@finchpitch/store'
 import { dial, listen } from '@finchpitch/wire'
 import type { Running } from './commands/daemon-command.js'
 import { Entry } from './entry/entry.js'
--- a/packages/daemon/src/start-side.ts
+++ b/packages/daemon/src/start-side.ts
@@ -5,7 +5,7 @@
 import { HttpEngine, HttpService, type Engine, type EngineReport } from '@finchpitch/backend'
 import { Gateway } from '@finchpitch/http'
 import { processRoutes } from '@finchpitch/operators'
-import { Catalog, HttpInstanceList, HttpStore, backoff, takeFence, type Instance, type ObjectStore } from '@finchpitch/platform'
+import { Catalog, HttpInstanceList, HttpStore, backoff, takeFence, type Instance, type ObjectStore } from '@finchpitch/store'
 import { dial, listen, protocolVersion } from '@finchpitch/wire'
 import type { Running } from './commands/daemon-command.js'
 import { Metrics } from './metrics.js'
--- a/packages/daemon/src/uplink.ts
+++ b/packages/daemon/src/uplink.ts
@@ -7,7 +7,7 @@
  */
 import { pause, type Address, type FailureDomain, type Log, type ProcessId } from '@finchpitch/core'
 import { prefer } from '@finchpitch/decisions'
-import { backoff, type Catalog, type Instance, type Random } from '@finchpitch/platform'
+import { backoff, type Catalog, type Instance, type Random } from '@finchpitch/store'
 import { Channel, type ChannelOptions, type Dial } from '@finchpitch/wire'
 import { CatalogExchange } from './catalog-exchange.js'
 
--- a/packages/daemon/test/dispatch.test.ts
+++ b/packages/daemon/test/dispatch.test.ts
@@ -1,6 +1,6 @@
 import { Address, Incarnation, ModelName, ProcessId, RequestId, RequestKey, Revision, ServiceName, TeamName, notRun, quietLog, unknown, type Answer, type Failure, type Work } from '@finchpitch/core'
 import { Dispatch, type SidePeer, type Sides } from '@finchpitch/daemon'
-import { Catalog, Claims } from '@finchpitch/platform'
+import { Catalog, Claims } from '@finchpitch/store'
 import { FakeTime, MemoryStore } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
 import { err, ok, type Result } from 'neverthrow'
--- a/packages/decisions/src/slot-choice.ts
+++ b/packages/decisions/src/slot-choice.ts
@@ -7,6 +7,9 @@
 export const halfLifeMs = 10 * 60 * 1000
 
 export class Popularity {
+  /** `halfLife`: milliseconds after which a use counts half. */
+  constructor (private readonly halfLife = halfLifeMs) {}
+
   #count = 0
   #at = 0
 
@@ -18,7 +21,7 @@
 
   /** The aged count. */
   at (now: number): number {
-    return this.#count * 0.5 ** ((now - this.#at) / halfLifeMs)
+    return this.#count * 0.5 ** ((now - this.#at) / this.halfLife)
   }
 }
 
--- /dev/null
+++ b/packages/fleet/src/entry/attempt.ts
@@ -0,0 +1,163 @@
+/**
+ * One try of a request at one backend server.
+ *
+ * Its end says exactly how far it came, since that decides what may be done next: a request that was never sent or
+ * that the server refused may go elsewhere, any other may have run. An answer counts only if it is the server's own
+ * (it carries the seal), belongs to this request (it echoes the id) and came whole.
+ */
+import { request as openRequest, type Agent, type ClientRequest, type IncomingMessage } from 'node:http'
+import type { HeaderNames } from '../ports.js'
+import type { Delivery, RawHeaders } from './delivery.js'
+import type { EventCutter } from './event-stream.js'
+
+export interface Outgoing {
+  method: string
+  path: string
+  headers: string[]
+  body: Buffer
+}
+
+export interface AttemptOptions {
+  agent: Agent
+  /** `host:port`. */
+  address: string
+  outgoing: Outgoing
+  requestId: string
+  names: HeaderNames
+  connectMs: number
+  /** Answers of a stream go out as they come. */
+  stream: boolean
+  /** Where the stream may go on elsewhere: passes whole events only. */
+  cutter: EventCutter | undefined
+  delivery: Delivery
+  signal: AbortSignal
+  /** The first bytes of the answer came. */
+  heard: () => void
+}
+
+export type AttemptEnd =
+  | { type: 'not_sent', detail: string }
+  | { type: 'not_run', status: number, retryAfter: string | undefined, elsewhere: boolean }
+  | { type: 'broken', detail: string }
+  | { type: 'answer', status: number, headers: RawHeaders, body: Buffer }
+  | { type: 'streamed', status: number, bytes: number }
+  | { type: 'interrupted', detail: string }
+  | { type: 'cancelled', sent: boolean }
+
+const misdirected = 421
+/** By themselves these statuses would promise a caller that its request has not run. */
+const promising = new Set([408, 421, 429, 503])
+
+const splitAddress = (address: string): { host: string, port: number } => {
+  const colon = address.lastIndexOf(':')
+  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) }
+}
+
+const header = (answer: IncomingMessage, name: string): string | undefined => {
+  const value = answer.headers[name]
+  return Array.isArray(value) ? value[0] : value
+}
+
+export const attempt = (options: AttemptOptions): Promise<AttemptEnd> => new Promise(resolve => {
+  const { agent, outgoing, signal, connectMs } = options
+  let request: ClientRequest
+  try {
+    const { method, path, headers } = outgoing
+    request = openRequest({ ...splitAddress(options.address), agent, method, path, headers })
+  } catch (error) {
+    return resolve({ type: 'not_sent', detail: (error as Error).message })
+  }
+  let connected = false
+  let finished = false
+  const connecting = setTimeout(() => request.destroy(new Error(`no connection in ${connectMs} ms`)), connectMs)
+  const finish = (end: AttemptEnd): void => {
+    if (finished) return
+    finished = true
+    clearTimeout(connecting)
+    signal.removeEventListener('abort', cancel)
+    resolve(end)
+  }
+  const cancel = (): void => {
+    finish({ type: 'cancelled', sent: connected })
+    request.destroy()
+  }
+  const join = (): void => {
+    connected = true
+    clearTimeout(connecting)
+  }
+  request.on('socket', socket => {
+    if (socket.connecting) socket.once('connect', join)
+    else join()
+  })
+  request.on('error', error => finish(connected ? { type: 'broken', detail: error.message } : { type: 'not_sent', detail: error.message }))
+  request.on('response', answer => {
+    options.heard()
+    // The rest of a request that was answered early must not run into the next one on this connection.
+    if (!request.writableFinished) answer.once('end', () => request.destroy())
+    void read(answer, request, options).then(finish)
+  })
+  if (signal.aborted) return cancel()
+  signal.addEventListener('abort', cancel)
+  request.end(outgoing.body.length === 0 ? undefined : outgoing.body)
+})
+
+const read = async (answer: IncomingMessage, request: ClientRequest, options: AttemptOptions): Promise<AttemptEnd> => {
+  const { names, requestId, stream } = options
+  const refuse = (detail: string): AttemptEnd => {
+    answer.on('error', () => {})
+    request.destroy()
+    return { type: 'broken', detail }
+  }
+  const status = answer.statusCode ?? 0
+  const echoed = header(answer, names.requestId)
+  if (echoed !== undefined && echoed !== requestId) return refuse(`an answer to another request (${echoed})`)
+  if (header(answer, names.notRun) !== undefined || status === misdirected) return await readRefusal(answer, options)
+  const good = status >= 200 && status < 300
+  if (good && (echoed === undefined || header(answer, names.seal) === undefined)) return refuse(`status ${status} without seal or id`)
+  if (answer.headers['content-encoding'] !== undefined) return refuse('an encoded body')
+  if (promising.has(status)) return refuse(`status ${status} without saying that it has not run`)
+  return good && stream ? await passStream(answer, status, options) : await readWhole(answer, status)
+}
+
+const readRefusal = async (answer: IncomingMessage, { names }: AttemptOptions): Promise<AttemptEnd> => {
+  const status = answer.statusCode ?? 0
+  const retryAfter = header(answer, names.retryAfter)
+  const elsewhere = status === misdirected && header(answer, 'instance-id') !== undefined
+  answer.on('error', () => {})
+  answer.resume()
+  return { type: 'not_run', status, retryAfter, elsewhere }
+}
+
+const readWhole = (answer: IncomingMessage, status: number): Promise<AttemptEnd> => new Promise(resolve => {
+  const pieces: Buffer[] = []
+  answer.on('data', (piece: Buffer) => pieces.push(piece))
+  answer.on('error', error => resolve({ type: 'broken', detail: `the answer broke off: ${error.message}` }))
+  answer.on('end', () => {
+    if (!answer.complete) return resolve({ type: 'broken', detail: 'the answer broke off' })
+    resolve({ type: 'answer', status, headers: answer.rawHeaders, body: Buffer.concat(pieces) })
+  })
+  answer.on('close', () => resolve({ type: 'broken', detail: 'the answer was cut' }))
+})
+
+const passStream = (answer: IncomingMessage, status: number, { delivery, cutter }: AttemptOptions): Promise<AttemptEnd> => new Promise(resolve => {
+  if (!delivery.started) delivery.start(status, answer.rawHeaders)
+  let bytes = 0
+  const interrupted = (detail: string): void => {
+    cutter?.drop()
+    resolve({ type: 'interrupted', detail })
+  }
+  answer.on('data', (piece: Buffer) => {
+    bytes += piece.length
+    const full = delivery.write(cutter === undefined ? piece : cutter.push(piece))
+    if (full === undefined) return
+    answer.pause()
+    void full.then(() => answer.resume())
+  })
+  answer.on('error', error => interrupted(error.message))
+  answer.on('end', () => {
+    if (!answer.complete) return interrupted('the stream broke off')
+    if (cutter !== undefined && cutter.rest.length > 0) return interrupted('the stream ended within an event')
+    resolve({ type: 'streamed', status, bytes })
+  })
+  answer.on('close', () => interrupted('the stream was cut'))
+})
--- /dev/null
+++ b/packages/fleet/src/entry/balancer.ts
@@ -0,0 +1,124 @@
+/**
+ * The balancer: turns what the entry believes into the options of a choice, and keeps the states they rest on.
+ */
+import type { Log } from '@finchpitch/core'
+import { Popularity } from '@finchpitch/decisions'
+import { nowMs } from '../clock.js'
+import type { Facts } from '../facts.js'
+import type { Limits } from '../ports.js'
+import { parseRef, type BackendServer } from '../server.js'
+import type { FleetService } from '../table.js'
+import { chooseEngine, choosePlain, engineToAsk, type Choice, type EngineChoice, type EngineOption, type Option } from './choice.js'
+import { ServerStates, type ServerState } from './server-state.js'
+import type { SideLinks } from './side-links.js'
+
+/** Requests of the last seconds that went across for an adapter, before it is wanted in this domain too. */
+const worthNearer = 4
+const nearerHalfLifeMs = 10_000
+/** The part of the time allowed for a named version in which the one before it may still be used. */
+const oldVersionShare = 0.4
+/** Keys whose demand from across is remembered. */
+const mostTracked = 4000
+
+export interface Asked {
+  service: FleetService
+  /** Adapter or model key; `undefined` at a plain service. */
+  key: string | undefined
+  affinityKey: string
+  priority: number
+  /** Servers that have refused this request. */
+  excluded: ReadonlySet<string>
+}
+
+export class Balancer {
+  readonly states = new ServerStates()
+  readonly #across = new Map<string, Popularity>()
+
+  constructor (
+    private readonly facts: Facts,
+    private readonly domain: string,
+    private readonly limits: () => Limits,
+    private readonly links: () => SideLinks,
+    private readonly log: Log
+  ) {}
+
+  state (server: BackendServer): ServerState {
+    const service = this.facts.routes?.service(server.service)
+    return this.states.of(server, service?.maxConnections ?? 1)
+  }
+
+  choose (asked: Asked): Choice {
+    const servers = this.facts.serversOf(asked.service.name).filter(server => !server.leaving && !asked.excluded.has(server.id))
+    if (asked.key === undefined) return choosePlain(servers.map(server => this.#option(server)), this.domain)
+    const choice = this.#engineChoice(servers, asked.key, asked.affinityKey)
+    return chooseEngine(choice)
+  }
+
+  /** Counts a request that went across, and asks for its adapter to be brought nearer once there were several. */
+  sentAcross (asked: Asked): void {
+    const { key } = asked
+    if (key === undefined || parseRef(key).adapter === undefined) return
+    const popularity = this.#across.get(key) ?? new Popularity(nearerHalfLifeMs)
+    const now = nowMs()
+    popularity.add(now)
+    this.#across.set(key, popularity)
+    if (this.#across.size > mostTracked) this.#across.delete(this.#across.keys().next().value ?? '')
+    if (popularity.at(now) < worthNearer) return
+    const near = this.facts.serversOf(asked.service.name).filter(server => !server.leaving && server.domain === this.domain)
+    const ask = engineToAsk(this.#engineChoice(near, key, asked.affinityKey))
+    if (ask !== undefined) this.bring(ask, key, 0, asked.priority)
+  }
+
+  bring (ask: string, key: string, waiting: number, priority: number): void {
+    const engine = this.facts.servers.get(ask)
+    if (engine !== undefined) this.links().want(engine, key, waiting, priority, this.facts.version(key)?.version)
+  }
+
+  /** The version of the key that an engine holds, where it may be used. */
+  heldVersion (server: BackendServer, key: string): number | undefined {
+    const held = this.states.get(server.id)?.holding?.held.get(key)
+    if (held === undefined) return undefined
+    const newest = this.facts.version(key)
+    if (newest === undefined || held >= newest.version) return held
+    const age = nowMs() - newest.learnedAt
+    return age < this.limits().versionMs * oldVersionShare ? held : undefined
+  }
+
+  /** An engine said that it doesn't hold what was asked for. */
+  notHeld (server: BackendServer, key: string): void {
+    const holding = this.states.get(server.id)?.holding
+    if (holding === undefined) return
+    const held = new Map(holding.held)
+    held.delete(key)
+    this.states.get(server.id)?.tell({ ...holding, held })
+    this.log.info('holding.corrected', { server: server.id, key, age: Math.round(nowMs() - holding.at) })
+  }
+
+  #engineChoice (servers: readonly BackendServer[], key: string, affinityKey: string): EngineChoice {
+    return { options: servers.map(server => this.#engineOption(server, key)), domain: this.domain, key, affinityKey, popular: false }
+  }
+
+  #option (server: BackendServer): Option {
+    const state = this.state(server)
+    return {
+      id: server.id,
+      domain: server.domain,
+      load: state.load,
+      slots: server.slots,
+      doubtful: state.outlier.ejected(nowMs()) || state.silent,
+      lapsed: this.facts.lapsed(server.id)
+    }
+  }
+
+  #engineOption (server: BackendServer, key: string): EngineOption {
+    const option = this.#option(server)
+    const holding = this.states.get(server.id)?.holding
+    return {
+      ...option,
+      doubtful: option.doubtful || holding?.reachable === false,
+      holds: this.heldVersion(server, key) !== undefined,
+      coming: holding?.coming.has(key) ?? false,
+      orderable: this.links().orderable(server, key)
+    }
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/entry/choice.ts
@@ -0,0 +1,112 @@
+/**
+ * Which backend server gets a request: plain functions over what the entry knows.
+ *
+ * An engine must hold the adapter; one in the entry's own failure domain goes first, since bytes between domains
+ * cost. A load from the weight store costs more than some eight requests across, so a seldom used adapter is used
+ * where it is, and brought nearer only once it is asked for again and again.
+ */
+import murmurhash from 'murmurhash'
+
+export interface Option {
+  id: string
+  domain: string
+  /** Requests there. */
+  load: number
+  /** Requests that it runs at once. */
+  slots: number
+  /** Failing, silent or out of reach: used only where nothing else is left. */
+  doubtful: boolean
+  /** Its entry vanished a moment ago. */
+  lapsed: boolean
+}
+
+export interface EngineOption extends Option {
+  holds: boolean
+  coming: boolean
+  /** Its side process can be asked to bring an adapter in. */
+  orderable: boolean
+}
+
+export type Choice =
+  | { type: 'send', id: string, reason: string }
+  /** Wait for an adapter; `ask` is the engine to ask for it. */
+  | { type: 'bring', ask: string | undefined, reason: string }
+  /** Wait: all that could take it are full. */
+  | { type: 'full', reason: string }
+  /** There is nobody to wait for. */
+  | { type: 'none', reason: string }
+
+/** A full batch and a few waiting keep an engine busy; more would only wait there instead of here. */
+const batchSurplus = 2
+/** A plain server's own short queue. */
+const queueSurplus = 4
+/** How many more requests a server in the same domain may have than one across, before that is taken. */
+const domainAdvantage = 3
+/** Above this share of its batch an engine's tokens come noticeably slower, and another engine is looked for. */
+const busyShare = 0.75
+/** Loads within one such step count as equal, so that an adapter's requests stay where its prompts are cached. */
+const loadStep = 6
+
+/** The options that are sound, or all that are left. */
+const usable = <T extends Option>(options: readonly T[]): T[] => {
+  const sound = options.filter(option => !option.doubtful && !option.lapsed)
+  if (sound.length > 0) return sound
+  const present = options.filter(option => !option.lapsed)
+  return present.length > 0 ? present : [...options]
+}
+
+const lowest = <T>(items: readonly T[], cost: (item: T) => number): T | undefined =>
+  items.reduce<T | undefined>((best, item) => best === undefined || cost(item) < cost(best) ? item : best, undefined)
+
+export const choosePlain = (options: readonly Option[], domain: string): Choice => {
+  if (options.length === 0) return { type: 'none', reason: 'no server of the service' }
+  const open = usable(options).filter(option => option.load < option.slots + queueSurplus)
+  const best = lowest(open, option => option.load + (option.domain === domain ? 0 : domainAdvantage) + Math.random())
+  if (best === undefined) return { type: 'full', reason: 'all servers are full' }
+  return { type: 'send', id: best.id, reason: best.domain === domain ? 'least loaded near' : 'least loaded' }
+}
+
+/** Rendezvous hashing: each key has an order of engines that changes only where engines come and go. */
+const affinity = (key: string, id: string): number => murmurhash.v3(`${key} ${id}`)
+
+export interface EngineChoice {
+  options: readonly EngineOption[]
+  domain: string
+  /** The adapter or model. */
+  key: string
+  /** Requests with the same text share cached prompts. */
+  affinityKey: string
+  /** The key is asked for so often that it is worth a place in this domain. */
+  popular: boolean
+}
+
+const isOpen = (option: Option): boolean => option.load < option.slots + batchSurplus
+
+const preferred = (options: readonly EngineOption[], affinityKey: string): EngineOption | undefined =>
+  lowest(options, option => Math.floor(option.load / loadStep) + affinity(affinityKey, option.id) / 2 ** 32)
+
+export const chooseEngine = (choice: EngineChoice): Choice => {
+  const { options, domain, affinityKey } = choice
+  if (options.length === 0) return { type: 'none', reason: 'no engine of the service' }
+  const holders = usable(options.filter(option => option.holds))
+  const near = holders.filter(option => option.domain === domain && isOpen(option))
+  const calm = near.filter(option => option.load < option.slots * busyShare)
+  const best = preferred(calm, affinityKey)
+  if (best !== undefined) return { type: 'send', id: best.id, reason: 'held near' }
+  const across = holders.filter(option => option.domain !== domain && option.load < option.slots * busyShare)
+  const far = preferred(across, affinityKey)
+  if (far !== undefined) return { type: 'send', id: far.id, reason: 'held across' }
+  const busy = preferred(holders.filter(isOpen), affinityKey)
+  if (busy !== undefined) return { type: 'send', id: busy.id, reason: 'held, busy' }
+  const ask = engineToAsk(choice)
+  if (options.some(option => option.coming && !option.doubtful)) return { type: 'bring', ask: undefined, reason: 'on its way' }
+  if (ask !== undefined) return { type: 'bring', ask, reason: holders.length > 0 ? 'its holders are full' : 'held nowhere' }
+  return holders.length > 0 ? { type: 'full', reason: 'its holders are full' } : { type: 'none', reason: 'no engine can bring it in' }
+}
+
+/** The engine that should bring the key in: near, not full, first by affinity. */
+export const engineToAsk = ({ options, domain, key }: EngineChoice): string | undefined => {
+  const able = options.filter(option => option.orderable && !option.holds && !option.coming && !option.doubtful && !option.lapsed && isOpen(option))
+  const near = able.filter(option => option.domain === domain)
+  return lowest(near.length > 0 ? near : able, option => affinity(key, option.id))?.id
+}
--- /dev/null
+++ b/packages/fleet/src/entry/entry.ts
@@ -0,0 +1,190 @@
+/**
+ * The fleet's entry: takes callers' requests and relays them to backend servers.
+ *
+ * It keeps nothing over a restart: facts come from the store or from peers, holdings from side processes.
+ */
+import { createServer, type Server } from 'node:http'
+import type { Duplex } from 'node:stream'
+import { pause, type Log } from '@finchpitch/core'
+import { Channel, type ChannelOptions } from '@finchpitch/wire'
+import { backoffMs } from '../backoff.js'
+import { FactLink } from '../fact-exchange.js'
+import type { Facts } from '../facts.js'
+import { follow } from '../follow.js'
+import type { FactSource, HeaderNames, Limits } from '../ports.js'
+import { Balancer } from './balancer.js'
+import { EntryCounters } from './counters.js'
+import { RetryBudget } from './retry-budget.js'
+import { ServiceRequest } from './service-request.js'
+import { SideLinks } from './side-links.js'
+import { WaitingRoom } from './waiting-room.js'
+
+/** Waiting requests are looked at this often even when there is no news. */
+const sweepMs = 50
+/** Over what callers may send; the configuration's own limit is far lower. */
+const mostHeaderBytes = 65_536
+/** Beyond the rest that callers may take up a connection after. */
+const idleSlackMs = 2000
+const seedBackoff = { firstMs: 200, limitMs: 2000 }
+/** The balancer asks each second and takes an entry out after two refusals; then no new connections come. */
+const noticeMs = 2600
+/** Left of the time until the kill, for the process to end by itself. */
+const exitMs = 700
+
+export interface FleetEntryOptions {
+  process: string
+  domain: string
+  sidePort: number
+  seeds: () => string[]
+  ownPeerAddress: string
+  sources: FactSource[]
+  facts: Facts
+  names: HeaderNames
+  limits: () => Limits
+  channel: ChannelOptions
+  dial: (address: string) => Promise<Duplex>
+  log: Log
+}
+
+export class FleetEntry {
+  readonly counters = new EntryCounters()
+  readonly server: Server
+  readonly #balancer: Balancer
+  readonly #links: SideLinks
+  readonly #room = new WaitingRoom()
+  readonly #budget: RetryBudget
+  readonly #stop = new AbortController()
+  #closing = false
+  #running = 0
+
+  constructor (private readonly options: FleetEntryOptions) {
+    const { facts, domain, limits, log, process, sidePort, channel, dial } = options
+    this.#balancer = new Balancer(facts, domain, limits, () => this.#links, log)
+    this.#links = new SideLinks({ process, domain, facts, states: this.#balancer.states, sidePort, channel, dial, log, changed: () => this.#room.poke() })
+    this.#budget = new RetryBudget(limits, () => this.#links.entries)
+    this.server = createServer({ maxHeaderSize: mostHeaderBytes, connectionsCheckingInterval: 1000, requestTimeout: 0 })
+    this.server.on('request', (request, response) => { void this.#serve(request, response) })
+    this.counters.gauge('finchpitch_requests_running', 'Requests in progress.', () => this.#running)
+    this.counters.gauge('finchpitch_requests_waiting', 'Requests waiting at the entry.', () => this.#room.size)
+    this.counters.gauge('finchpitch_side_processes_connected', 'Side processes connected.', () => this.#links.connected)
+    this.counters.gauge('finchpitch_routing_table_version', 'Version of the routing table in force.', () => facts.routes?.table.version ?? 0)
+    facts.onChange(fact => {
+      if (fact.kind === 'server') this.#reconcile()
+      if (fact.kind === 'table') this.#applyTable()
+      this.#room.poke()
+    })
+  }
+
+  get running (): number {
+    return this.#running
+  }
+
+  /** Why it should not be sent callers; `undefined` when it should. */
+  get unready (): string | undefined {
+    if (this.#closing) return 'stopping'
+    if (this.options.facts.routes === undefined) return 'no routing table yet'
+    return this.options.facts.servers.size === 0 ? 'no backend servers yet' : undefined
+  }
+
+  run (): void {
+    const { sources, facts, log } = this.options
+    const { signal } = this.#stop
+    for (const source of sources) void follow({ source, facts, log, signal })
+    for (const seed of this.options.seeds()) void this.#keepSeed(seed)
+    void this.#links.tellUses(signal)
+    void this.#sweep()
+  }
+
+  /** Another entry's connection, to its end. */
+  async accept (stream: Duplex): Promise<void> {
+    await this.#exchange(stream)
+  }
+
+  /** Ends whole what is in progress. Resolves when nothing is left, or just before the kill. */
+  async close (): Promise<void> {
+    const started = performance.now()
+    const { graceMs } = this.options.limits()
+    this.#closing = true
+    this.options.log.info('entry.stopping', { running: this.#running, waiting: this.#room.size })
+    await pause(Math.min(noticeMs, graceMs / 2))
+    while (this.#running > 0 && performance.now() - started < graceMs - exitMs) await pause(sweepMs)
+    this.options.log.info('entry.stopped', { running: this.#running, ms: Math.round(performance.now() - started) })
+    this.#stop.abort()
+    this.#links.close()
+    this.server.close()
+    this.server.closeIdleConnections()
+  }
+
+  async #serve (request: import('node:http').IncomingMessage, response: import('node:http').ServerResponse): Promise<void> {
+    const { facts, names, log, domain } = this.options
+    this.#running += 1
+    try {
+      const served = new ServiceRequest({
+        facts, balancer: this.#balancer, room: this.#room, budget: this.#budget, names, counters: this.counters, domain, log, closing: () => this.#closing
+      }, request, response)
+      await served.serve()
+    } catch (error) {
+      log.error('request.crashed', { detail: (error as Error).stack })
+      response.destroy()
+    } finally {
+      this.#running -= 1
+    }
+  }
+
+  #reconcile (): void {
+    const { facts } = this.options
+    const engines = [...facts.servers.values()].filter(server => facts.routes?.service(server.service)?.engine !== undefined)
+    for (const server of facts.servers.values()) this.#balancer.state(server)
+    this.#balancer.states.keep(facts.servers)
+    this.#links.reconcile(engines)
+  }
+
+  #applyTable (): void {
+    const limits = this.options.facts.routes?.table.limits
+    if (limits === undefined) return
+    this.server.headersTimeout = limits.headerTimeoutMs
+    this.server.keepAliveTimeout = limits.idleTimeoutMs + idleSlackMs
+    this.#reconcile()
+  }
+
+  async #sweep (): Promise<void> {
+    const { signal } = this.#stop
+    while (!signal.aborted) {
+      await pause(sweepMs, signal)
+      this.options.facts.expire()
+      this.#room.poke()
+    }
+  }
+
+  /** Entries tell each other facts too, for one that the store turns away before it knows any side process. */
+  async #keepSeed (seed: string): Promise<void> {
+    const { dial, ownPeerAddress } = this.options
+    const { signal } = this.#stop
+    if (seed === ownPeerAddress) return
+    for (let failures = 1; !signal.aborted; failures++) {
+      try {
+        await this.#exchange(await dial(seed))
+        failures = 0
+      } catch (error) {
+        this.options.log.debug('seed.unreachable', { seed, detail: (error as Error).message })
+      }
+      await pause(backoffMs(failures, seedBackoff), signal)
+    }
+  }
+
+  async #exchange (stream: Duplex): Promise<void> {
+    const { facts, log } = this.options
+    const channel = new Channel(stream, this.options.channel)
+    const link = new FactLink(facts, channel, true, log)
+    void channel.greeted.then(welcome => {
+      if (!welcome) return
+      link.start()
+      log.info('peer.joined', { peer: channel.peer.process })
+    })
+    for await (const frame of channel.frames()) {
+      if (frame.type === 'fact') link.receive(frame)
+    }
+    link.stop()
+    log.info('peer.lost', { reason: (await channel.ended).reason })
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/entry/server-state.ts
@@ -0,0 +1,118 @@
+/**
+ * What an entry knows of each backend server from its own requests, and of each engine from its side process.
+ */
+import type { Agent } from 'node:http'
+import { Outlier, type OutlierLimits } from '@finchpitch/decisions'
+import { nowMs } from '../clock.js'
+import type { BackendServer } from '../server.js'
+import { serverAgent } from './connections.js'
+
+/** Three failures in a row, or two in five over some ten requests, are far over what sound servers show (0.14). */
+const outlierLimits: OutlierLimits = { inRow: 3, share: 0.4, least: 8, firstMs: 600, limitMs: 4000 }
+
+export interface Holding {
+  /** When it was told, on the steady clock. */
+  at: number
+  reachable: boolean
+  held: ReadonlyMap<string, number>
+  coming: ReadonlySet<string>
+  waiting: number
+  running: number
+}
+
+/** One request at one server. */
+export interface Pending {
+  sentAt: number
+  /** Silence up to here is ordinary. */
+  patienceMs: number
+  heard: boolean
+}
+
+export class ServerState {
+  readonly agent: Agent
+  readonly outlier = new Outlier(outlierLimits)
+  readonly #pending = new Set<Pending>()
+  /** Requests in progress on each adapter, and those begun since this was last told to its side process. */
+  readonly uses = new Map<string, { started: number, running: number }>()
+  holding: Holding | undefined
+  /** Requests sent since the holding was told. */
+  sentSince = 0
+
+  constructor (readonly id: string, maxConnections: number) {
+    this.agent = serverAgent(maxConnections)
+  }
+
+  get inFlight (): number {
+    return this.#pending.size
+  }
+
+  /** Requests there, one's own at least. */
+  get load (): number {
+    const told = this.holding === undefined ? 0 : this.holding.running + this.holding.waiting
+    return Math.max(this.#pending.size, told + this.sentSince)
+  }
+
+  begin (key: string | undefined, patienceMs: number): Pending {
+    const pending = { sentAt: nowMs(), patienceMs, heard: false }
+    this.#pending.add(pending)
+    this.sentSince += 1
+    if (key !== undefined) {
+      const uses = this.uses.get(key) ?? { started: 0, running: 0 }
+      uses.started += 1
+      uses.running += 1
+      this.uses.set(key, uses)
+    }
+    return pending
+  }
+
+  end (key: string | undefined, pending: Pending): void {
+    this.#pending.delete(pending)
+    this.sentSince = Math.max(0, this.sentSince - 1)
+    const uses = key === undefined ? undefined : this.uses.get(key)
+    if (uses !== undefined) uses.running -= 1
+  }
+
+  /** Requests there have met nothing but silence for longer than is ordinary. */
+  get silent (): boolean {
+    const now = nowMs()
+    for (const pending of this.#pending) {
+      if (!pending.heard && now - pending.sentAt > pending.patienceMs) return true
+    }
+    return false
+  }
+
+  tell (holding: Holding): void {
+    this.holding = holding
+    this.sentSince = 0
+  }
+
+  close (): void {
+    this.agent.destroy()
+  }
+}
+
+/** The states of all servers that are believed to be there. */
+export class ServerStates {
+  readonly #states = new Map<string, ServerState>()
+
+  of (server: BackendServer, maxConnections: number): ServerState {
+    const known = this.#states.get(server.id)
+    if (known !== undefined) return known
+    const state = new ServerState(server.id, maxConnections)
+    this.#states.set(server.id, state)
+    return state
+  }
+
+  get (id: string): ServerState | undefined {
+    return this.#states.get(id)
+  }
+
+  /** Lets go of servers that are gone, once their last request has ended. */
+  keep (present: ReadonlyMap<string, unknown>): void {
+    for (const [id, state] of this.#states) {
+      if (present.has(id) || state.inFlight > 0) continue
+      state.close()
+      this.#states.delete(id)
+    }
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/entry/side-links.ts
@@ -0,0 +1,224 @@
+/**
+ * Connections to the side processes: one task for each engine, for as long as the engine is listed.
+ *
+ * A side process is found beside its engine, on a port that is the same on all machines. What it tells is kept in
+ * the engine's state; what the entry wants brought in, and which adapters it uses, goes the other way.
+ */
+import type { Duplex } from 'node:stream'
+import { pause, type Log } from '@finchpitch/core'
+import { Channel, type ChannelOptions, type Frame, type HoldingFrame } from '@finchpitch/wire'
+import { backoffMs } from '../backoff.js'
+import { nowMs } from '../clock.js'
+import { FactLink } from '../fact-exchange.js'
+import type { Facts } from '../facts.js'
+import type { BackendServer } from '../server.js'
+import type { ServerStates } from './server-state.js'
+
+const reconnect = { firstMs: 100, limitMs: 1000 }
+
+/** Well under the time in which an adapter's use decides whether it stays. */
+const usesMs = 250
+/** A want is said again while requests wait, in case it was lost or declined. */
+const wantAgainMs = 600
+/** After a side process declined, others are asked first for this long. */
+const declinedMs = 500
+/** A side process says something at least every 0.7 s; this much silence is three times that. */
+const deafMs = 2000
+
+export interface SideLinksOptions {
+  process: string
+  domain: string
+  facts: Facts
+  states: ServerStates
+  sidePort: number
+  channel: ChannelOptions
+  dial: (address: string) => Promise<Duplex>
+  log: Log
+  changed: () => void
+}
+
+interface SideLink {
+  host: string
+  domain: string
+  stop: AbortController
+  channel: Channel | undefined
+  heardAt: number
+  entries: number
+  held: ReadonlyMap<string, number>
+  coming: ReadonlySet<string>
+  server: string | undefined
+  wanted: Map<string, number>
+  declined: Map<string, number>
+}
+
+const hostOf = (address: string): string => address.slice(0, address.lastIndexOf(':'))
+
+export class SideLinks {
+  readonly #links = new Map<string, SideLink>()
+  /** The highest fence that each side process was seen to use. */
+  readonly #fences = new Map<string, number>()
+
+  constructor (private readonly options: SideLinksOptions) {}
+
+  /** Opens links to new engines and closes those to engines that are gone. */
+  reconcile (engines: readonly BackendServer[]): void {
+    const hosts = new Map(engines.map(engine => [hostOf(engine.address), engine]))
+    for (const [host, link] of this.#links) {
+      if (hosts.has(host)) continue
+      link.stop.abort()
+      link.channel?.close()
+      this.#links.delete(host)
+    }
+    for (const [host, engine] of hosts) {
+      if (!this.#links.has(host)) this.#open(host, engine.domain)
+    }
+  }
+
+  /** The most entries that any side process is connected to; `undefined` while none has told. */
+  get entries (): number | undefined {
+    const now = nowMs()
+    const counts = [...this.#links.values()].filter(link => now - link.heardAt < deafMs).map(link => link.entries)
+    return counts.length === 0 ? undefined : Math.max(...counts)
+  }
+
+  get connected (): number {
+    return [...this.#links.values()].filter(link => link.channel !== undefined).length
+  }
+
+  /** Whether the engine's side process can be asked to bring the key in. */
+  orderable (engine: BackendServer, key: string): boolean {
+    const link = this.#links.get(hostOf(engine.address))
+    if (link?.channel === undefined) return false
+    const now = nowMs()
+    return now - link.heardAt < deafMs && now - (link.declined.get(key) ?? -Infinity) > declinedMs
+  }
+
+  want (engine: BackendServer, key: string, waiting: number, priority: number, version?: number): void {
+    const link = this.#links.get(hostOf(engine.address))
+    const now = nowMs()
+    if (link?.channel === undefined || now - (link.wanted.get(key) ?? -Infinity) < wantAgainMs) return
+    link.wanted.set(key, now)
+    link.channel.send({ type: 'want', key, waiting, priority, ...(version === undefined ? {} : { version }) })
+    this.options.log.info('adapter.wanted', { key, server: engine.id, waiting, priority })
+  }
+
+  /** Tells side processes which adapters are in use, until `signal` aborts. */
+  async tellUses (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await pause(usesMs, signal)
+      for (const server of this.options.facts.servers.values()) this.#tellUses(server)
+    }
+  }
+
+  #tellUses (server: BackendServer): void {
+    const link = this.#links.get(hostOf(server.address))
+    const state = this.options.states.get(server.id)
+    if (state === undefined || link?.channel === undefined || state.uses.size === 0) return
+    const uses: Array<[string, number, number]> = []
+    for (const [key, use] of state.uses) {
+      uses.push([key, use.started, use.running])
+      use.started = 0
+      if (use.running === 0) state.uses.delete(key)
+    }
+    link.channel.send({ type: 'uses', uses })
+  }
+
+  #open (host: string, domain: string): void {
+    const link: SideLink = {
+      host,
+      domain,
+      stop: new AbortController(),
+      channel: undefined,
+      heardAt: -Infinity,
+      entries: 0,
+      held: new Map(),
+      coming: new Set(),
+      server: undefined,
+      wanted: new Map(),
+      declined: new Map()
+    }
+    this.#links.set(host, link)
+    void this.#keep(link)
+  }
+
+  async #keep (link: SideLink): Promise<void> {
+    const { dial, sidePort, log } = this.options
+    const { signal } = link.stop
+    let failures = 0
+    while (!signal.aborted) {
+      try {
+        const stream = await dial(`${link.host}:${sidePort}`)
+        const reason = await this.#talk(link, stream)
+        failures = 0
+        if (!signal.aborted) log.warn('side.lost', { host: link.host, reason })
+      } catch (error) {
+        if (failures === 0) log.warn('side.unreachable', { host: link.host, detail: (error as Error).message })
+      }
+      failures += 1
+      await pause(backoffMs(failures, reconnect), signal)
+    }
+  }
+
+  async #talk (link: SideLink, stream: Duplex): Promise<string> {
+    const { facts, domain, log, changed } = this.options
+    const channel = new Channel(stream, this.options.channel)
+    const factLink = new FactLink(facts, channel, link.domain !== domain, log)
+    void channel.greeted.then(welcome => {
+      if (!welcome) return
+      link.channel = channel
+      channel.send({ type: 'fences', highest: Math.max(this.#fences.get(link.host) ?? 0, Math.floor(facts.revision)) })
+      factLink.start()
+      log.info('side.joined', { host: link.host, process: channel.peer.process })
+    })
+    for await (const frame of channel.frames()) {
+      link.heardAt = nowMs()
+      if (frame.type === 'fact') factLink.receive(frame)
+      else this.#take(link, frame)
+    }
+    factLink.stop()
+    link.channel = undefined
+    link.wanted.clear()
+    changed()
+    return (await channel.ended).reason
+  }
+
+  #take (link: SideLink, frame: Frame): void {
+    if (frame.type === 'holding') this.#hold(link, frame)
+    if (frame.type === 'declined') {
+      link.declined.set(frame.key, nowMs())
+      link.wanted.delete(frame.key)
+      this.options.log.info('adapter.declined', { key: frame.key, host: link.host, reason: frame.reason })
+      this.options.changed()
+    }
+  }
+
+  #hold (link: SideLink, frame: HoldingFrame): void {
+    if (frame.held !== undefined) link.held = new Map(Object.entries(frame.held))
+    if (frame.coming !== undefined) link.coming = new Set(frame.coming)
+    for (const key of link.wanted.keys()) if (link.held.has(key)) link.wanted.delete(key)
+    link.server = frame.server
+    link.entries = frame.entries
+    this.#fences.set(link.host, Math.max(this.#fences.get(link.host) ?? 0, frame.fence))
+    const server = this.#serverAt(link)
+    const { reachable, waiting, running } = frame
+    if (server !== undefined) {
+      this.options.states.get(server.id)?.tell({ at: nowMs(), reachable, held: link.held, coming: link.coming, waiting, running })
+    }
+    this.options.changed()
+  }
+
+  /** The engine that a side process tells of: the one that it names, or the last listed at its host. */
+  #serverAt (link: SideLink): BackendServer | undefined {
+    const { facts } = this.options
+    const named = link.server === undefined ? undefined : facts.servers.get(link.server)
+    if (named !== undefined && hostOf(named.address) === link.host) return named
+    return [...facts.servers.values()].findLast(server => hostOf(server.address) === link.host)
+  }
+
+  close (): void {
+    for (const link of this.#links.values()) {
+      link.stop.abort()
+      link.channel?.close()
+    }
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/entry/waiting-room.ts
@@ -0,0 +1,95 @@
+/**
+ * Requests that wait at the entry for a place or an adapter: the urgent first, then in order of arrival.
+ */
+import { nowMs } from '../clock.js'
+import type { Choice } from './choice.js'
+
+export interface Waiter {
+  /** Requests with the same key get the same choice. */
+  key: string
+  priority: number
+  /** When it stops waiting, on the steady clock. */
+  until: number
+  choose: () => Choice
+  /** Asks an engine to bring in what is waited for by so many. */
+  bring: (ask: string, waiting: number) => void
+}
+
+export type WaitEnd = { type: 'chosen', choice: Extract<Choice, { type: 'send' }> } | { type: 'expired', last: Choice } | { type: 'left' }
+
+interface Entry extends Waiter {
+  since: number
+  last: Choice
+  end: (end: WaitEnd) => void
+}
+
+/** News come in bursts; one look serves them all. */
+const scanMs = 4
+
+export class WaitingRoom {
+  readonly #entries = new Set<Entry>()
+  #scan: NodeJS.Timeout | undefined
+
+  get size (): number {
+    return this.#entries.size
+  }
+
+  /** How many wait for the key. */
+  waiting (key: string): number {
+    let count = 0
+    for (const entry of this.#entries) if (entry.key === key) count += 1
+    return count
+  }
+
+  wait (waiter: Waiter, first: Choice, signal: AbortSignal): Promise<WaitEnd> {
+    return new Promise(resolve => {
+      const timer = setTimeout(() => entry.end({ type: 'expired', last: entry.last }), Math.max(0, waiter.until - nowMs()))
+      const leave = (): void => entry.end({ type: 'left' })
+      const entry: Entry = {
+        ...waiter,
+        since: nowMs(),
+        last: first,
+        end: end => {
+          if (!this.#entries.delete(entry)) return
+          clearTimeout(timer)
+          signal.removeEventListener('abort', leave)
+          resolve(end)
+        }
+      }
+      this.#entries.add(entry)
+      signal.addEventListener('abort', leave)
+      if (signal.aborted) return leave()
+      this.#bring(first, entry)
+    })
+  }
+
+  /** Something changed that may let a waiting request go on. */
+  poke (): void {
+    if (this.#entries.size === 0 || this.#scan !== undefined) return
+    this.#scan = setTimeout(() => {
+      this.#scan = undefined
+      this.#look()
+    }, scanMs)
+  }
+
+  #look (): void {
+    const ordered = [...this.#entries].sort((a, b) => a.priority - b.priority || a.since - b.since)
+    const stuck = new Map<string, Choice>()
+    for (const entry of ordered) {
+      const known = stuck.get(entry.key)
+      const choice = known ?? entry.choose()
+      entry.last = choice
+      if (choice.type === 'send') {
+        entry.end({ type: 'chosen', choice })
+        continue
+      }
+      if (known !== undefined) continue
+      stuck.set(entry.key, choice)
+      this.#bring(choice, entry)
+    }
+  }
+
+  #bring (choice: Choice, entry: Entry): void {
+    if (choice.type === 'bring' && choice.ask !== undefined) entry.bring(choice.ask, this.waiting(entry.key))
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/facts.ts
@@ -0,0 +1,195 @@
+/**
+ * Facts: what a process believes of the routing table, the backend servers and the named versions.
+ *
+ * Each fact carries the store's revision at which it was last changed. The higher revision wins, whether it came
+ * from the store or from a peer, so a process that the store turns away is kept current by the others and no
+ * belief ever goes back. Removals are remembered as tombstones for as long as an older copy may travel.
+ */
+import { isDeepStrictEqual } from 'node:util'
+import type { Log } from '@finchpitch/core'
+import type { FactFrame } from '@finchpitch/wire'
+import { nowMs } from './clock.js'
+import { BackendServer, NamedVersion, refKey } from './server.js'
+import { RouteIndex, RoutingTable } from './table.js'
+
+export type Fact =
+  | { kind: 'table', key: 'table', revision: number, value: RoutingTable }
+  | { kind: 'server', key: string, revision: number, value: BackendServer | undefined }
+  | { kind: 'version', key: string, revision: number, value: NamedVersion | undefined }
+
+export interface VersionBelief {
+  version: number
+  /** When this process learned of it, on its steady clock. */
+  learnedAt: number
+}
+
+/** A removal is dated half a revision after the last change: newer than it, older than anything that follows. */
+export const removalStep = 0.5
+
+/** Longer than any message between processes is under way. */
+const tombstoneMs = 60_000
+
+type Listener = (fact: Fact) => void
+
+export class Facts {
+  readonly servers = new Map<string, BackendServer>()
+  /** Servers whose entry is gone, and until when they may still be sent work. */
+  readonly #lapsed = new Map<string, number>()
+  readonly #byService = new Map<string, BackendServer[]>()
+  readonly #versions = new Map<string, VersionBelief>()
+  readonly #current = new Map<string, Fact>()
+  readonly #tombstones = new Map<string, number>()
+  readonly #listeners = new Set<Listener>()
+  #routes: RouteIndex | undefined
+  #highest = 0
+
+  /** `lapseMs`: how long a server whose entry vanished without notice is kept in reserve. */
+  constructor (private readonly log: Log, private readonly lapseMs: () => number) {}
+
+  get routes (): RouteIndex | undefined {
+    return this.#routes
+  }
+
+  /** The highest revision seen of anything. */
+  get revision (): number {
+    return this.#highest
+  }
+
+  /** A revision of the store as a whole, read off an answer. */
+  saw (revision: number): void {
+    if (revision > this.#highest) this.#highest = revision
+  }
+
+  serversOf (service: string): readonly BackendServer[] {
+    return this.#byService.get(service) ?? []
+  }
+
+  /** Its entry is there, or vanished so lately that it may come back. */
+  lapsed (id: string): boolean {
+    return this.#lapsed.has(id)
+  }
+
+  /** Drops servers whose entries have not come back. */
+  expire (): void {
+    const now = nowMs()
+    for (const [id, until] of this.#lapsed) {
+      if (now < until) continue
+      this.#lapsed.delete(id)
+      this.#drop(id)
+      this.log.info('server.gone', { server: id, reason: 'its entry did not come back' })
+    }
+  }
+
+  /** The newest version named for an adapter; `undefined` where none was. */
+  version (key: string): VersionBelief | undefined {
+    return this.#versions.get(key)
+  }
+
+  /** The revision at which a fact was last changed, as believed here. */
+  revisionOf (kind: Fact['kind'], key: string): number {
+    return this.#current.get(`${kind} ${key}`)?.revision ?? 0
+  }
+
+  get versions (): ReadonlyMap<string, VersionBelief> {
+    return this.#versions
+  }
+
+  onChange (listener: Listener): () => void {
+    this.#listeners.add(listener)
+    return () => this.#listeners.delete(listener)
+  }
+
+  all (): Fact[] {
+    return [...this.#current.values()]
+  }
+
+  /** Takes a fact over if it is newer than what is believed; says whether it was. */
+  offer (fact: Fact, from: string): boolean {
+    const id = `${fact.kind} ${fact.key}`
+    const known = this.#current.get(id)
+    if (known !== undefined && known.revision >= fact.revision) return false
+    this.saw(fact.revision)
+    this.#current.set(id, fact)
+    if (known !== undefined && isDeepStrictEqual(known.value, fact.value)) return false
+    handlers[fact.kind](this, fact as never)
+    this.#keepTombstone(id, fact)
+    this.log.info('belief.changed', { kind: fact.kind, key: fact.key, revision: fact.revision, from, outcome: describe(fact) })
+    for (const listener of this.#listeners) listener(fact)
+    return true
+  }
+
+  setTable (table: RoutingTable): void {
+    this.#routes = new RouteIndex(table)
+  }
+
+  setServer (id: string, server: BackendServer | undefined): void {
+    const before = this.servers.get(id)
+    if (server === undefined) {
+      if (before === undefined) return
+      if (before.leaving) return this.#drop(id)
+      this.#lapsed.set(id, nowMs() + this.lapseMs())
+      return
+    }
+    this.#lapsed.delete(id)
+    this.#drop(id)
+    // A server that has said it leaves never comes back under the same id.
+    const settled = before?.leaving === true ? { ...server, leaving: true } : server
+    this.servers.set(id, settled)
+    const list = this.#byService.get(settled.service) ?? []
+    list.push(settled)
+    this.#byService.set(settled.service, list)
+  }
+
+  setVersion (key: string, named: NamedVersion | undefined): void {
+    if (named === undefined) this.#versions.delete(key)
+    else this.#versions.set(key, { version: named.version, learnedAt: nowMs() })
+  }
+
+  #drop (id: string): void {
+    const server = this.servers.get(id)
+    if (server === undefined) return
+    this.servers.delete(id)
+    const list = this.#byService.get(server.service) ?? []
+    this.#byService.set(server.service, list.filter(each => each.id !== id))
+  }
+
+  #keepTombstone (id: string, fact: Fact): void {
+    const now = nowMs()
+    if (fact.value === undefined) this.#tombstones.set(id, now)
+    else this.#tombstones.delete(id)
+    for (const [old, at] of this.#tombstones) {
+      if (now - at < tombstoneMs) return
+      this.#tombstones.delete(old)
+      this.#current.delete(old)
+    }
+  }
+}
+
+const handlers = {
+  table: (facts: Facts, fact: Extract<Fact, { kind: 'table' }>) => facts.setTable(fact.value),
+  server: (facts: Facts, fact: Extract<Fact, { kind: 'server' }>) => facts.setServer(fact.key, fact.value),
+  version: (facts: Facts, fact: Extract<Fact, { kind: 'version' }>) => facts.setVersion(fact.key, fact.value)
+}
+
+const describe = (fact: Fact): string => {
+  if (fact.value === undefined) return 'gone'
+  if (fact.kind === 'table') return `version ${fact.value.version}`
+  if (fact.kind === 'version') return `version ${fact.value.version}`
+  return `${fact.value.service} at ${fact.value.address}${fact.value.leaving ? ', leaving' : ''}`
+}
+
+export const versionFact = (named: NamedVersion, revision: number): Fact =>
+  ({ kind: 'version', key: refKey(named), revision, value: named })
+
+/** A fact as a peer sent it; `undefined` where its value doesn't fit. */
+export const factOf = (frame: FactFrame): Fact | undefined => {
+  const { kind, key, revision } = frame
+  if (frame.value === null) return kind === 'table' ? undefined : { kind, key, revision, value: undefined }
+  const parsed = schemas[kind].safeParse(frame.value)
+  return parsed.success ? { kind, key, revision, value: parsed.data } as Fact : undefined
+}
+
+export const frameOf = (fact: Fact): FactFrame =>
+  ({ type: 'fact', kind: fact.kind, key: fact.key, revision: fact.revision, value: fact.value ?? null })
+
+const schemas = { table: RoutingTable, server: BackendServer, version: NamedVersion }
--- /dev/null
+++ b/packages/fleet/src/side/demands.ts
@@ -0,0 +1,93 @@
+/**
+ * Demands and uses at one engine, as the entries tell them.
+ */
+import { Popularity } from '@finchpitch/decisions'
+import { nowMs } from '../clock.js'
+import type { Demand } from './placement.js'
+
+/** An entry that still waits asks again well within this time. */
+const demandMs = 1500
+
+/** Demand moves on within seconds, so older uses say little about the next. */
+const halfLifeMs = 10_000
+
+/** An adapter just brought in is kept for the requests that asked for it, until the entry tells of their use. */
+const freshMs = 500
+
+/** Entries tell their uses several times a second; what one said before falling silent is then forgotten. */
+const usesMs = 3000
+
+interface Asked extends Demand {
+  at: number
+}
+
+interface Uses {
+  at: number
+  running: Map<string, number>
+}
+
+export class Demands {
+  readonly #asked = new Map<string, Asked>()
+  readonly #popularity = new Map<string, Popularity>()
+  readonly #uses = new Map<string, Uses>()
+  readonly #fresh = new Map<string, number>()
+
+  ask (demand: Demand): void {
+    const before = this.#asked.get(demand.key)
+    const priority = Math.min(demand.priority, before?.priority ?? Infinity)
+    this.#asked.set(demand.key, { ...demand, priority, at: nowMs() })
+  }
+
+  /** Ends a demand: it was met, or declined. */
+  settle (key: string, met: boolean): void {
+    if (!this.#asked.delete(key)) return
+    if (met) this.#fresh.set(key, nowMs())
+  }
+
+  has (key: string): boolean {
+    return this.#asked.has(key)
+  }
+
+  /** What is waited for, the most urgent and then the longest list first. */
+  current (): Demand[] {
+    const now = nowMs()
+    for (const [key, asked] of this.#asked) {
+      if (now - asked.at > demandMs) this.#asked.delete(key)
+    }
+    return [...this.#asked.values()].sort((a, b) => a.priority - b.priority || b.waiting - a.waiting || a.at - b.at)
+  }
+
+  used (entry: string, uses: ReadonlyArray<readonly [key: string, started: number, running: number]>): void {
+    const now = nowMs()
+    const known = this.#uses.get(entry) ?? { at: now, running: new Map<string, number>() }
+    known.at = now
+    for (const [key, started, running] of uses) {
+      if (running === 0) known.running.delete(key)
+      else known.running.set(key, running)
+      const popularity = this.#popularity.get(key) ?? new Popularity(halfLifeMs)
+      for (let each = 0; each < started; each++) popularity.add(now)
+      this.#popularity.set(key, popularity)
+      this.#fresh.delete(key)
+    }
+    this.#uses.set(entry, known)
+  }
+
+  forget (entry: string): void {
+    this.#uses.delete(entry)
+  }
+
+  popularity (key: string): number {
+    return this.#popularity.get(key)?.at(nowMs()) ?? 0
+  }
+
+  /** Requests in progress, and one for an adapter that was brought in a moment ago. */
+  uses (key: string): number {
+    const now = nowMs()
+    const fresh = now - (this.#fresh.get(key) ?? -Infinity) < freshMs ? 1 : 0
+    let sum = fresh
+    for (const { at, running } of this.#uses.values()) {
+      if (now - at < usesMs) sum += running.get(key) ?? 0
+    }
+    return sum
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/side/side.ts
@@ -0,0 +1,322 @@
+/**
+ * The fleet's side process: the only giver of orders to the engine beside it.
+ *
+ * It reads the engine's account several times a second, decides at most one order at a time, and tells all entries
+ * what the engine holds and how full it is. It keeps nothing over a restart: the account says what the engine
+ * holds, the entries say again what they wait for.
+ */
+import type { Duplex } from 'node:stream'
+import { pause, type Log } from '@finchpitch/core'
+import { Channel, type ChannelOptions, type Frame, type HoldingFrame } from '@finchpitch/wire'
+import { nowMs } from '../clock.js'
+import { FactLink } from '../fact-exchange.js'
+import type { Facts } from '../facts.js'
+import type { EngineAccount, EngineOrder, EngineOrders, Limits } from '../ports.js'
+import { parseRef, refKey } from '../server.js'
+import type { EngineSpec } from '../table.js'
+import { Demands } from './demands.js'
+import { LoadRate, type LoadShare } from './load-rate.js'
+import type { Counters } from './counters.js'
+import { place } from './placement.js'
+
+/** Between two looks at the engine while nothing is awaited, and while something is. */
+const restMs = 100
+const awaitedMs = 15
+/** After an order without an answer: it may still come to be accepted, which the next account shows. */
+const unknownMs = 300
+/** After an engine refused an order that rested on its own account. */
+const refusedMs = 50
+
+/** How often entries hear of a load that changed: of engines in their own domain, and of others. */
+const nearMs = 200
+const farMs = 1000
+/** An entry hears something at least this often, and so can tell a silent side process. */
+const aliveMs = 700
+
+/** Loads that a new incarnation assumes its predecessor to have begun just before. */
+const assumedStarts = 1
+
+export interface SideOptions {
+  process: string
+  domain: string
+  engineAddress: string
+  engine: EngineOrders
+  facts: Facts
+  limits: () => Limits
+  channel: ChannelOptions
+  counters: Counters
+  log: Log
+}
+
+interface Link {
+  channel: Channel
+  facts: FactLink
+  near: boolean
+  sentAt: number
+  sentHeld: string
+}
+
+export class FleetSide {
+  readonly demands = new Demands()
+  readonly #rate = new LoadRate()
+  readonly #links = new Set<Link>()
+  #account: EngineAccount | undefined
+  #failures = 0
+  #fence = 0
+  #server: string | undefined
+  #wake = (): void => {}
+  #heldText = ''
+  #loadText = ''
+
+  constructor (private readonly options: SideOptions) {
+    for (let each = 0; each < assumedStarts; each++) this.#rate.started()
+  }
+
+  get account (): EngineAccount | undefined {
+    return this.#account
+  }
+
+  get entries (): number {
+    return this.#links.size
+  }
+
+  /** One entry's connection, to its end. */
+  async accept (stream: Duplex): Promise<void> {
+    const { log, facts, domain } = this.options
+    const channel = new Channel(stream, this.options.channel)
+    const greeted = channel.greeted.then(welcome => welcome ? this.#join(channel) : undefined)
+    for await (const frame of channel.frames()) {
+      const link = await greeted
+      if (link !== undefined) this.#take(frame, link)
+    }
+    const link = await greeted
+    const end = await channel.ended
+    if (link === undefined) return
+    this.#links.delete(link)
+    link.facts.stop()
+    this.demands.forget(channel.peer.process)
+    log.info('entry.lost', { entry: channel.peer.process, reason: end.reason, revision: facts.revision, domain })
+  }
+
+  /** Looks at the engine and gives it orders until `signal` aborts. */
+  async run (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const waitMs = await this.#step(signal)
+      this.#publish()
+      if (waitMs > 0) await this.#rest(waitMs, signal)
+    }
+  }
+
+  async #step (signal: AbortSignal): Promise<number> {
+    this.options.facts.expire()
+    if (!await this.#look()) return restMs
+    const account = this.#account
+    const spec = this.#spec()
+    if (account === undefined || spec === undefined || !this.#fenced() || signal.aborted) return restMs
+    this.#settleMet(account)
+    const placement = place({
+      spec,
+      account,
+      demands: this.demands.current(),
+      newest: key => this.options.facts.version(key)?.version,
+      popularity: key => this.demands.popularity(key),
+      uses: key => this.demands.uses(key),
+      mayLoad: () => this.#mayLoad(spec)
+    })
+    if (placement.type === 'declined') {
+      this.#decline(placement.key, placement.reason)
+      return awaitedMs
+    }
+    if (placement.type === 'order') return await this.#give(placement.order, placement.reason)
+    return account.busy || account.coming.length > 0 ? awaitedMs : restMs
+  }
+
+  async #look (): Promise<boolean> {
+    const { engine, log } = this.options
+    const account = await engine.account()
+    if (account.isErr()) {
+      if (this.#failures === 0) log.warn('engine.lost', { detail: account.error })
+      this.#failures += 1
+      this.#account = undefined
+      return false
+    }
+    if (this.#failures > 0) log.info('engine.regained', { failures: this.#failures })
+    this.#failures = 0
+    this.#account = account.value
+    this.#noteServer(account.value.server ?? this.#listedServer())
+    return true
+  }
+
+  #noteServer (server: string | undefined): void {
+    if (server === undefined || server === this.#server) return
+    this.options.log.info('engine.known', { server, before: this.#server })
+    this.#server = server
+  }
+
+  /** The engine at this address by the list of backend servers: the last that registered. */
+  #listedServer (): string | undefined {
+    const { facts, engineAddress } = this.options
+    const listed = [...facts.servers.values()].filter(server => server.address === engineAddress)
+    if (this.#server !== undefined && listed.length === 0) return this.#server
+    return listed.sort((a, b) => facts.revisionOf('server', b.id) - facts.revisionOf('server', a.id))[0]?.id
+  }
+
+  #serviceName (): string | undefined {
+    const { facts, engineAddress } = this.options
+    return [...facts.servers.values()].find(server => server.address === engineAddress)?.service
+  }
+
+  #spec (): EngineSpec | undefined {
+    const service = this.#serviceName()
+    return service === undefined ? undefined : this.options.facts.routes?.service(service)?.engine
+  }
+
+  /** The fence is fixed once, at a revision of the store that no earlier incarnation can have been past. */
+  #fenced (): boolean {
+    if (this.#fence > 0) return true
+    const { facts, log } = this.options
+    if (facts.revision === 0) return false
+    this.#fence = Math.floor(facts.revision)
+    log.info('fence.taken', { fence: this.#fence, revision: facts.revision })
+    return true
+  }
+
+  #share (spec: EngineSpec): LoadShare {
+    const { facts, limits } = this.options
+    const service = this.#serviceName() ?? ''
+    const engines = facts.serversOf(service).map(server => server.address).sort()
+    const { loadOverage: overage, loadWindowMs: windowMs } = limits()
+    const place = Math.max(0, engines.indexOf(this.options.engineAddress))
+    return { loadsPerSecond: spec.loadsPerSecond, overage, windowMs, engines: Math.max(1, engines.length), place }
+  }
+
+  #mayLoad (spec: EngineSpec): boolean {
+    return this.#rate.may(this.#share(spec))
+  }
+
+  #settleMet (account: EngineAccount): void {
+    for (const model of account.models) {
+      if (this.demands.has(model.name)) this.demands.settle(model.name, true)
+      for (const adapter of Object.keys(model.adapters)) this.demands.settle(refKey({ model: model.name, adapter }), true)
+    }
+  }
+
+  #decline (key: string, reason: string): void {
+    this.demands.settle(key, false)
+    this.options.counters.declined.inc({ reason })
+    this.options.log.info('demand.declined', { key, reason, orders: this.#account?.orders })
+    for (const { channel } of this.#links) channel.send({ type: 'declined', key, reason })
+  }
+
+  async #give (order: EngineOrder, reason: string): Promise<number> {
+    const { engine, log, counters } = this.options
+    const started = nowMs()
+    const { outcome, detail, server } = await engine.order(order, this.#fence, this.#server)
+    const { operation, model, adapter, version, expectedOrders } = order
+    counters.orders.inc({ operation, outcome })
+    log.info('engine.ordered', {
+      operation, key: refKey({ model, adapter }), version, reason, expectedOrders, fence: this.#fence, server: this.#server, outcome, detail, ms: Math.round(nowMs() - started)
+    })
+    if (operation === 'load' && (outcome === 'accepted' || outcome === 'unknown')) this.#rate.started()
+    return this.#afterOrder[outcome](server)
+  }
+
+  /** How long to wait for the next look, by an order's outcome. */
+  readonly #afterOrder = {
+    done: () => 0,
+    accepted: () => 0,
+    refused: () => refusedMs,
+    unknown: () => unknownMs,
+    fenced: () => {
+      this.#fence = Math.max(this.#fence + 1, Math.floor(this.options.facts.revision))
+      return refusedMs
+    },
+    moved: (server: string | undefined) => {
+      this.#noteServer(server)
+      return refusedMs
+    }
+  }
+
+  #join (channel: Channel): Link {
+    const { facts, domain, log } = this.options
+    const near = channel.peer.domain === domain
+    const link: Link = { channel, near, facts: new FactLink(facts, channel, true, log), sentAt: 0, sentHeld: '' }
+    this.#links.add(link)
+    link.facts.start()
+    log.info('entry.joined', { entry: channel.peer.process, domain: channel.peer.domain })
+    this.#wake()
+    return link
+  }
+
+  #take (frame: Frame, link: Link): void {
+    const entry = link.channel.peer.process
+    if (frame.type === 'fact') link.facts.receive(frame)
+    if (frame.type === 'uses') this.demands.used(entry, frame.uses)
+    if (frame.type === 'fences') {
+      this.options.facts.saw(frame.highest)
+      if (this.#fence > 0 && frame.highest > this.#fence) this.options.log.info('fence.behind', { fence: this.#fence, highest: frame.highest })
+    }
+    if (frame.type === 'want') {
+      this.demands.ask(frame)
+      this.options.log.info('demand.asked', { key: frame.key, entry, waiting: frame.waiting, priority: frame.priority })
+      this.#wake()
+    }
+  }
+
+  #publish (): void {
+    const now = nowMs()
+    const account = this.#account
+    const held = account === undefined ? {} : heldOf(account)
+    const coming = account?.coming.map(each => each.key) ?? []
+    this.#heldText = JSON.stringify([held, coming, this.#server, account !== undefined])
+    const waiting = account?.waiting ?? 0
+    const running = account?.running ?? 0
+    const loadText = `${waiting} ${running}`
+    const loadChanged = loadText !== this.#loadText
+    this.#loadText = loadText
+    for (const link of this.#links) {
+      const heldChanged = link.sentHeld !== this.#heldText
+      const age = now - link.sentAt
+      const due = heldChanged || age > aliveMs || (loadChanged && age > (link.near ? nearMs : farMs))
+      if (!due) continue
+      const frame: HoldingFrame = {
+        type: 'holding',
+        reachable: account !== undefined,
+        server: this.#server,
+        ...(heldChanged ? { held, coming } : {}),
+        waiting,
+        running,
+        entries: this.#links.size,
+        fence: this.#fence
+      }
+      link.sentAt = now
+      link.sentHeld = this.#heldText
+      link.channel.send(frame)
+    }
+  }
+
+  async #rest (ms: number, signal: AbortSignal): Promise<void> {
+    const woken = new AbortController()
+    this.#wake = () => woken.abort()
+    const stop = (): void => woken.abort()
+    signal.addEventListener('abort', stop)
+    await pause(ms, woken.signal)
+    signal.removeEventListener('abort', stop)
+  }
+
+  close (): void {
+    for (const { channel } of this.#links) channel.close()
+  }
+}
+
+const heldOf = (account: EngineAccount): Record<string, number> => {
+  const held: Record<string, number> = {}
+  for (const model of account.models) {
+    held[model.name] = model.version
+    for (const [adapter, version] of Object.entries(model.adapters)) held[refKey({ model: model.name, adapter })] = version
+  }
+  return held
+}
+
+/** Whether a key names an adapter, not a model. */
+export const isAdapter = (key: string): boolean => parseRef(key).adapter !== undefined
--- a/packages/operators/src/protocol.ts
+++ b/packages/operators/src/protocol.ts
@@ -2,7 +2,7 @@
  * The operators' protocol: shapes that both the entry's API and the command line use.
  */
 import { Configuration, Failure, ProcessId, Revision, FailureDomain } from '@finchpitch/core'
-import { Change } from '@finchpitch/platform'
+import { Change } from '@finchpitch/store'
 import { z } from 'zod'
 
 export const ApplyBody = z.strictObject({
--- a/packages/proofs/src/matrix/cluster.ts
+++ b/packages/proofs/src/matrix/cluster.ts
@@ -4,7 +4,7 @@
 import { Address, FailureDomain, ModelName, ProcessId, RequestKey, Revision, ServiceName, newIncarnation, newRequestId, quietLog, type Answer, type Failure, type Serving } from '@finchpitch/core'
 import { readAsk, type Ask } from '@finchpitch/callers'
 import { EngineRunner, Entry, EntryOperations, ServiceRunner, Side, defaultEpochMs, keepUplink } from '@finchpitch/daemon'
-import { Catalog, hashOfToken, takeFence, type Instance, type InstanceList } from '@finchpitch/platform'
+import { Catalog, hashOfToken, takeFence, type Instance, type InstanceList } from '@finchpitch/store'
 import { FakeTime, MemoryEngine, MemoryService, MemoryStore, WeightStore } from '@finchpitch/stand-ins'
 import { protocolVersion } from '@finchpitch/wire'
 import { ok, type Result } from 'neverthrow'
--- a/packages/proofs/src/matrix/guard.ts
+++ b/packages/proofs/src/matrix/guard.ts
@@ -4,7 +4,7 @@
  */
 import type { BackendFault, CacheEvent, Engine, EngineOrder, EngineReport, GeneratedAnswer, Generation, PlainService, ServiceCall } from '@finchpitch/backend'
 import type { Answer, AnswerBody } from '@finchpitch/core'
-import type { Instance, InstanceList, ObjectStore, ResourceVersion, StoreFault, StoredObject, WatchEvent } from '@finchpitch/platform'
+import type { Instance, InstanceList, ObjectStore, ResourceVersion, StoreFault, StoredObject, WatchEvent } from '@finchpitch/store'
 import type { Result } from 'neverthrow'
 
 /** Where a fault can strike. */
--- a/packages/stand-ins/src/memory-store.ts
+++ b/packages/stand-ins/src/memory-store.ts
@@ -5,7 +5,7 @@
  * writes without asking the system.
  */
 import { pause } from '@finchpitch/core'
-import { storeFault, type ObjectStore, type ResourceVersion, type StoreFault, type StoredObject, type WatchEvent } from '@finchpitch/platform'
+import { storeFault, type ObjectStore, type ResourceVersion, type StoreFault, type StoredObject, type WatchEvent } from '@finchpitch/store'
 import { err, ok, type Result } from 'neverthrow'
 
 const keptEvents = 100
--- a/packages/stand-ins/src/platform-server.ts
+++ b/packages/stand-ins/src/platform-server.ts
@@ -3,7 +3,7 @@
  */
 import { createHash } from 'node:crypto'
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { Instance, StoredObject, WatchEvent } from '@finchpitch/platform'
+import type { Instance, StoredObject, WatchEvent } from '@finchpitch/store'
 import type { Result } from 'neverthrow'
 import { MemoryStore } from './memory-store.js'
 import { HttpStandIn, readJson, sendJson } from './http-stand-in.js'
--- a/packages/stand-ins/src/processes.ts
+++ b/packages/stand-ins/src/processes.ts
@@ -6,7 +6,7 @@
 import { createRequire } from 'node:module'
 import { createInterface } from 'node:readline'
 import { Address, FailureDomain, ProcessId, type Serving } from '@finchpitch/core'
-import { hashOfToken, type Instance } from '@finchpitch/platform'
+import { hashOfToken, type Instance } from '@finchpitch/store'
 
 const binary = createRequire(import.meta.url).resolve('@finchpitch/daemon/bin/finchpitchd.js')
 
--- a/packages/stand-ins/src/small-system.ts
+++ b/packages/stand-ins/src/small-system.ts
@@ -3,7 +3,7 @@
  */
 import { ModelName, Revision, ServiceName, type Serving } from '@finchpitch/core'
 import { OperatorClient } from '@finchpitch/operators'
-import { hashOfToken } from '@finchpitch/platform'
+import { hashOfToken } from '@finchpitch/store'
 import { request, type Dispatcher } from 'undici'
 import { EngineServer } from './engine-server.js'
 import { MemoryEngine } from './memory-engine.js'
--- a/packages/platform/test/apply.test.ts
+++ b/packages/store/test/apply.test.ts
@@ -1,5 +1,5 @@
 import { Revision, check } from '@finchpitch/core'
-import { Catalog, StoreSource, apply, catchUp } from '@finchpitch/platform'
+import { Catalog, StoreSource, apply, catchUp } from '@finchpitch/store'
 import { FakeTime, MemoryStore } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
 
--- a/packages/platform/test/claims.test.ts
+++ b/packages/store/test/claims.test.ts
@@ -1,5 +1,5 @@
 import { Address, Incarnation, ProcessId, RequestKey, TeamName, type Binding } from '@finchpitch/core'
-import { Claims, claimId } from '@finchpitch/platform'
+import { Claims, claimId } from '@finchpitch/store'
 import { FakeTime, MemoryStore } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
 
--- a/packages/platform/test/follow.test.ts
+++ b/packages/store/test/follow.test.ts
@@ -1,5 +1,5 @@
 import { Revision, check, quietLog } from '@finchpitch/core'
-import { Catalog, apply, follow, takeFence } from '@finchpitch/platform'
+import { Catalog, apply, follow, takeFence } from '@finchpitch/store'
 import { FakeTime, MemoryStore } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
 
--- a/packages/wire/src/channel.ts
+++ b/packages/wire/src/channel.ts
@@ -24,6 +24,10 @@
 export interface ChannelOptions {
   hello: () => FrameOf<'hello'>
   heartbeat: () => FrameOf<'heartbeat'>
+  /** Milliseconds of rest after which a heartbeat is sent; `heartbeatMs` by default. */
+  heartbeatMs?: number
+  /** Milliseconds of silence after which the peer counts as gone; `silenceMs` by default. */
+  silenceMs?: number
 }
 
 export class Channel {
@@ -34,7 +38,7 @@
   #greetDone!: (greeted: boolean) => void
   #finish!: (end: ChannelEnd) => void
   #lastSent = 0
-  #lastHeard = Date.now()
+  #lastHeard = performance.now()
   #peer: Hello | undefined
   #end: ChannelEnd | undefined
 
@@ -70,7 +74,7 @@
   /** Sends one frame; false when the channel has ended and nothing was sent. */
   send (frame: Frame): boolean {
     if (!this.open) return false
-    this.#lastSent = Date.now()
+    this.#lastSent = performance.now()
     this.stream.write(encode(frame))
     return true
   }
@@ -94,7 +98,7 @@
   async * frames (): AsyncGenerator<Exclude<Frame, Hello>> {
     try {
       for await (const piece of this.stream) {
-        this.#lastHeard = Date.now()
+        this.#lastHeard = performance.now()
         const frames = this.#reader.read(piece as Uint8Array)
         if (frames.isErr()) return this.close({ reason: 'fault', fault: frames.error })
         for (const frame of frames.value) {
@@ -128,11 +132,13 @@
   }
 
   async #beat (): Promise<void> {
+    const beat = this.options.heartbeatMs ?? heartbeatMs
+    const silence = this.options.silenceMs ?? silenceMs
     while (this.open) {
-      await pause(heartbeatMs, this.#stop.signal)
-      const now = Date.now()
-      if (now - this.#lastHeard > silenceMs) this.close({ reason: 'silent' })
-      if (now - this.#lastSent >= heartbeatMs) this.send(this.options.heartbeat())
+      await pause(beat, this.#stop.signal)
+      const now = performance.now()
+      if (now - this.#lastHeard > silence) this.close({ reason: 'silent' })
+      if (now - this.#lastSent >= beat) this.send(this.options.heartbeat())
     }
   }
 }
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -36,8 +36,52 @@
 })
 export type Hello = z.infer<typeof Hello>
 
+/** Something that the platform's store says, with the revision at which it last changed; `null` once it is gone. */
+export const FactFrame = z.object({
+  type: z.literal('fact'),
+  kind: z.enum(['table', 'server', 'version']),
+  key: z.string().max(500),
+  /** A removal counts as half a revision after the last change. */
+  revision: z.number().nonnegative(),
+  value: z.unknown()
+})
+export type FactFrame = z.infer<typeof FactFrame>
+
+const AdapterKey = z.string().max(500)
+const Count = z.number().int().nonnegative()
+
+/** What the engine beside a side process holds and how full it is. */
+export const HoldingFrame = z.object({
+  type: z.literal('holding'),
+  /** The engine answers its side process. */
+  reachable: z.boolean(),
+  /** The engine's id where it is known. */
+  server: z.string().optional(),
+  /** Adapter or model key to the version held; absent where that did not change since the last frame. */
+  held: z.record(AdapterKey, z.number()).optional(),
+  /** Keys on their way in, under the same condition. */
+  coming: z.array(AdapterKey).optional(),
+  waiting: Count,
+  running: Count,
+  /** Entries connected to this side process. */
+  entries: Count,
+  /** The fence that its orders carry, so that its next incarnation never uses a lower one. */
+  fence: Count
+})
+export type HoldingFrame = z.infer<typeof HoldingFrame>
+
 export const Frame = z.discriminatedUnion('type', [
   Hello,
+  FactFrame,
+  HoldingFrame,
+  /** Asks a side process to bring an adapter in, `waiting` requests being held for it. */
+  z.object({ type: z.literal('want'), key: AdapterKey, version: z.number().optional(), waiting: Count, priority: Count }),
+  /** It can't be brought in now. */
+  z.object({ type: z.literal('declined'), key: AdapterKey, reason: z.string().max(100) }),
+  /** Uses since the last such frame, and requests in progress, for each adapter that was used. */
+  z.object({ type: z.literal('uses'), uses: z.array(z.tuple([AdapterKey, Count, Count])).max(5000) }),
+  /** The highest fence that the receiver was ever known to use, or the newest revision known: it goes no lower. */
+  z.object({ type: z.literal('fences'), highest: Count }),
   z.object({ type: z.literal('heartbeat'), revision: Revision, load: Load.optional() }),
   z.object({ type: z.literal('run'), id: ExchangeId, work: Work }),
   z.object({ type: z.literal('head'), id: ExchangeId, status: z.number().int(), headers: Headers, resident: z.boolean() }),
