--- a/packages/fleet/src/side/side.ts
+++ b/packages/fleet/src/side/side.ts
@@ -121,7 +121,7 @@
       newest: key => this.options.facts.version(key)?.version,
       popularity: key => this.demands.popularity(key),
       uses: key => this.demands.uses(key),
-      mayLoad: () => this.#mayLoad(spec)
+      mayLoad: key => isAdapter(key) || this.#mayLoad(spec)
     })
     if (placement.type === 'declined') {
       this.#decline(placement.key, placement.reason)
@@ -217,7 +217,7 @@
     log.info('engine.ordered', {
       operation, key: refKey({ model, adapter }), version, reason, expectedOrders, fence: this.#fence, server: this.#server, outcome, detail, ms: Math.round(nowMs() - started)
     })
-    if (operation === 'load' && (outcome === 'accepted' || outcome === 'unknown')) this.#rate.started()
+    if (operation === 'load' && adapter === undefined && (outcome === 'accepted' || outcome === 'unknown')) this.#rate.started()
     return this.#afterOrder[outcome](server)
   }
 
