--- /dev/null
+++ b/packages/decisions/test/outlier.test.ts
@@ -0,0 +1,47 @@
+import { Outlier, RetryWindow } from '@finchpitch/decisions'
+import { expect } from 'chai'
+
+const limits = { inRow: 3, share: 0.4, least: 8, firstMs: 100, limitMs: 1000 }
+
+describe('outlier', () => {
+  it('is ejected by failures in a row, for longer each time, and on probation by one', () => {
+    const outlier = new Outlier(limits)
+    expect([outlier.failed(0), outlier.failed(0), outlier.failed(0)]).to.deep.equal([false, false, true])
+    expect(outlier.ejected(99)).to.equal(true)
+    expect(outlier.ejected(100)).to.equal(false)
+    expect(outlier.failed(100)).to.equal(true)
+    expect(outlier.ejected(299)).to.equal(true)
+    expect(outlier.ejected(300)).to.equal(false)
+  })
+
+  it('is ejected by its share of failures, though never three in a row', () => {
+    const outlier = new Outlier(limits)
+    let ejected = false
+    for (let each = 0; each < 40 && !ejected; each++) {
+      if (each % 3 === 0) outlier.succeeded()
+      else ejected = outlier.failed(0)
+    }
+    expect(ejected).to.equal(true)
+  })
+
+  it('is left in at the failures that sound servers show', () => {
+    const outlier = new Outlier(limits)
+    for (let each = 0; each < 400; each++) {
+      if (each % 7 === 0) expect(outlier.failed(0)).to.equal(false)
+      else outlier.succeeded()
+    }
+  })
+})
+
+describe('retry window', () => {
+  const share = { ratio: 0.2, slack: 2, windowMs: 10_000 }
+
+  it('lets through a share of the first tries and the slack, over any window', () => {
+    const window = new RetryWindow()
+    for (let each = 0; each < 10; each++) window.first(0, share.windowMs)
+    const granted = Array.from({ length: 10 }, () => window.repeat(1, share)).filter(Boolean)
+    expect(granted).to.have.length(4)
+    expect(window.repeat(9000, share)).to.equal(false)
+    expect(window.repeat(11_000, share)).to.equal(true)
+  })
+})
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -153,19 +153,20 @@
   }
 
   /** The whole body, or the outcome if there is none to be had. */
-  async #readBody (limit: number): Promise<Buffer | string> {
+  #readBody (limit: number): Promise<Buffer | string> {
+    const { request } = this
     const pieces: Buffer[] = []
     let size = 0
-    try {
-      for await (const piece of this.request) {
-        size += (piece as Buffer).length
-        if (size > limit) return this.#end(413, 'too_large', 'the body is too large')
-        pieces.push(piece as Buffer)
-      }
-    } catch {
-      return 'caller_left'
-    }
-    return pieces.length === 1 ? pieces[0] ?? Buffer.alloc(0) : Buffer.concat(pieces)
+    return new Promise(resolve => {
+      request.on('data', (piece: Buffer) => {
+        size += piece.length
+        if (size <= limit) pieces.push(piece)
+        else resolve(this.#end(413, 'too_large', 'the body is too large'))
+      })
+      request.on('end', () => resolve(pieces.length === 1 ? pieces[0] ?? noBytes : Buffer.concat(pieces)))
+      request.on('error', () => resolve('caller_left'))
+      request.on('close', () => resolve('caller_left'))
+    })
   }
 
   #expire (): void {
@@ -387,6 +388,7 @@
   }
 }
 
+const noBytes = Buffer.alloc(0)
 /** The least urgent rank that engines know. */
 const leastUrgent = 9
 /** A server that refused is fuller than it was thought to be. */
--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -17,7 +17,7 @@
 const reconnect = { firstMs: 100, limitMs: 1000 }
 
 /** Well under the time in which an adapter's use decides whether it stays. */
-const usesMs = 250
+const usesMs = 400
 /** A want is said again while requests wait, in case it was lost or declined. */
 const wantAgainMs = 600
 /** After a side process declined, others are asked first for this long. */
@@ -162,6 +162,8 @@
   async #talk (link: SideLink, stream: Duplex): Promise<string> {
     const { facts, domain, log, changed } = this.options
     const channel = new Channel(stream, this.options.channel)
+    link.held = new Map()
+    link.coming = new Set()
     const factLink = new FactLink(facts, channel, link.domain !== domain, log)
     void channel.greeted.then(welcome => {
       if (!welcome) return
@@ -193,7 +195,12 @@
   }
 
   #hold (link: SideLink, frame: HoldingFrame): void {
-    if (frame.held !== undefined) link.held = new Map(Object.entries(frame.held))
+    if (frame.came !== undefined || frame.went !== undefined) {
+      const held = new Map(link.held)
+      for (const key of frame.went ?? []) held.delete(key)
+      for (const [key, version] of Object.entries(frame.came ?? {})) held.set(key, version)
+      link.held = held
+    }
     if (frame.coming !== undefined) link.coming = new Set(frame.coming)
     for (const key of link.wanted.keys()) if (link.held.has(key)) link.wanted.delete(key)
     link.server = frame.server
--- a/packages/fleet/src/side/side.ts
+++ b/packages/fleet/src/side/side.ts
@@ -6,6 +6,7 @@
  * holds, the entries say again what they wait for.
  */
 import type { Duplex } from 'node:stream'
+import { isDeepStrictEqual } from 'node:util'
 import { pause, type Log } from '@finchpitch/core'
 import { Channel, type ChannelOptions, type Frame, type HoldingFrame } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
@@ -20,8 +21,8 @@
 import { place } from './placement.js'
 
 /** Between two looks at the engine while nothing is awaited, and while something is. */
-const restMs = 100
-const awaitedMs = 15
+const restMs = 200
+const awaitedMs = 25
 /** After an order without an answer: it may still come to be accepted, which the next account shows. */
 const unknownMs = 300
 /** After an engine refused an order that rested on its own account. */
@@ -30,6 +31,8 @@
 /** How often entries hear of a load that changed: of engines in their own domain, and of others. */
 const nearMs = 200
 const farMs = 1000
+/** Changes of what is held are gathered this long for entries in other domains, which seldom use them. */
+const farChangeMs = 250
 /** An entry hears something at least this often, and so can tell a silent side process. */
 const aliveMs = 700
 
@@ -52,8 +55,15 @@
   channel: Channel
   facts: FactLink
   near: boolean
+  /** What this entry was last told, and when. */
   sentAt: number
-  sentHeld: string
+  changes: number
+  held: Record<string, number>
+  coming: string[]
+  waiting: number
+  running: number
+  reachable: boolean
+  server: string | undefined
 }
 
 export class FleetSide {
@@ -65,8 +75,10 @@
   #fence = 0
   #server: string | undefined
   #wake = (): void => {}
-  #heldText = ''
-  #loadText = ''
+  #held: Record<string, number> = {}
+  #coming: string[] = []
+  /** Counts changes of what is held or coming. */
+  #changes = 0
 
   constructor (private readonly options: SideOptions) {
     for (let each = 0; each < assumedStarts; each++) this.#rate.started()
@@ -240,7 +252,19 @@
   #join (channel: Channel): Link {
     const { facts, domain, log } = this.options
     const near = channel.peer.domain === domain
-    const link: Link = { channel, near, facts: new FactLink(facts, channel, true, log), sentAt: 0, sentHeld: '' }
+    const link: Link = {
+      channel,
+      near,
+      facts: new FactLink(facts, channel, true, log),
+      sentAt: -Infinity,
+      changes: -1,
+      held: {},
+      coming: [],
+      waiting: 0,
+      running: 0,
+      reachable: false,
+      server: undefined
+    }
     this.#links.add(link)
     link.facts.start()
     log.info('entry.joined', { entry: channel.peer.process, domain: channel.peer.domain })
@@ -266,35 +290,43 @@
   #publish (): void {
     const now = nowMs()
     const account = this.#account
-    const held = account === undefined ? {} : heldOf(account)
+    const held = account === undefined ? this.#held : heldOf(account)
     const coming = account?.coming.map(each => each.key) ?? []
-    this.#heldText = JSON.stringify([held, coming, this.#server, account !== undefined])
+    if (!isDeepStrictEqual(held, this.#held) || !isDeepStrictEqual(coming, this.#coming)) this.#changes += 1
+    this.#held = held
+    this.#coming = coming
     const waiting = account?.waiting ?? 0
     const running = account?.running ?? 0
-    const loadText = `${waiting} ${running}`
-    const loadChanged = loadText !== this.#loadText
-    this.#loadText = loadText
     for (const link of this.#links) {
-      const heldChanged = link.sentHeld !== this.#heldText
+      const restMs = link.near ? nearMs : farMs
+      const changed = link.changes !== this.#changes || link.reachable !== (account !== undefined) || link.server !== this.#server
+      const loadChanged = link.waiting !== waiting || link.running !== running
       const age = now - link.sentAt
-      const due = heldChanged || age > aliveMs || (loadChanged && age > (link.near ? nearMs : farMs))
-      if (!due) continue
-      const frame: HoldingFrame = {
-        type: 'holding',
-        reachable: account !== undefined,
-        server: this.#server,
-        ...(heldChanged ? { held, coming } : {}),
-        waiting,
-        running,
-        entries: this.#links.size,
-        fence: this.#fence
-      }
-      link.sentAt = now
-      link.sentHeld = this.#heldText
-      link.channel.send(frame)
+      const due = age > aliveMs || (changed && (link.near || age > farChangeMs)) || (loadChanged && age > restMs)
+      if (due) this.#tell(link, waiting, running)
     }
   }
 
+  #tell (link: Link, waiting: number, running: number): void {
+    const { came, went } = difference(link.held, this.#held)
+    const frame: HoldingFrame = {
+      type: 'holding',
+      reachable: this.#account !== undefined,
+      server: this.#server,
+      ...(came === undefined ? {} : { came }),
+      ...(went.length === 0 ? {} : { went }),
+      ...(isDeepStrictEqual(link.coming, this.#coming) ? {} : { coming: this.#coming }),
+      waiting,
+      running,
+      entries: this.#links.size,
+      fence: this.#fence
+    }
+    Object.assign(link, {
+      sentAt: nowMs(), changes: this.#changes, held: this.#held, coming: this.#coming, waiting, running, reachable: frame.reachable, server: this.#server
+    })
+    link.channel.send(frame)
+  }
+
   async #rest (ms: number, signal: AbortSignal): Promise<void> {
     const woken = new AbortController()
     this.#wake = () => woken.abort()
@@ -318,5 +350,11 @@
   return held
 }
 
+const difference = (before: Record<string, number>, after: Record<string, number>): { came: Record<string, number> | undefined, went: string[] } => {
+  const came = Object.entries(after).filter(([key, version]) => before[key] !== version)
+  const went = Object.keys(before).filter(key => !(key in after))
+  return { came: came.length === 0 ? undefined : Object.fromEntries(came), went }
+}
+
 /** Whether a key names an adapter, not a model. */
 export const isAdapter = (key: string): boolean => parseRef(key).adapter !== undefined
--- /dev/null
+++ b/packages/fleet/test/choice.test.ts
@@ -0,0 +1,62 @@
+import { chooseEngine, choosePlain, type EngineOption, type Option } from '@finchpitch/fleet'
+import { expect } from 'chai'
+
+const option = (id: string, domain: string, more: Partial<EngineOption> = {}): EngineOption => ({
+  id, domain, load: 0, slots: 10, doubtful: false, lapsed: false, holds: false, coming: false, orderable: true, ...more
+})
+const plain = (id: string, domain: string, more: Partial<Option> = {}): Option =>
+  ({ id, domain, load: 0, slots: 6, doubtful: false, lapsed: false, ...more })
+const engine = (options: EngineOption[]): ReturnType<typeof chooseEngine> =>
+  chooseEngine({ options, domain: 'a', key: 'm/x', affinityKey: 'm/x', popular: false })
+
+describe('choice', () => {
+  describe('of a plain server', () => {
+    it('stays in the domain while that is little fuller', () => {
+      expect(choosePlain([plain('near', 'a', { load: 1 }), plain('far', 'b')], 'a')).to.include({ id: 'near' })
+      expect(choosePlain([plain('near', 'a', { load: 6 }), plain('far', 'b')], 'a')).to.include({ id: 'far' })
+    })
+
+    it('avoids doubtful servers while there are others, and uses them when there are none', () => {
+      expect(choosePlain([plain('near', 'a', { doubtful: true }), plain('far', 'b')], 'a')).to.include({ id: 'far' })
+      expect(choosePlain([plain('near', 'a', { doubtful: true })], 'a')).to.include({ id: 'near' })
+    })
+
+    it('uses a lapsed server only where nothing else is left', () => {
+      expect(choosePlain([plain('near', 'a', { lapsed: true }), plain('far', 'b', { doubtful: true })], 'a')).to.include({ id: 'far' })
+      expect(choosePlain([plain('near', 'a', { lapsed: true })], 'a')).to.include({ id: 'near' })
+    })
+
+    it('waits when all are full', () => {
+      expect(choosePlain([plain('near', 'a', { load: 10 })], 'a').type).to.equal('full')
+      expect(choosePlain([], 'a').type).to.equal('none')
+    })
+  })
+
+  describe('of an engine', () => {
+    it('sends to one that holds the adapter, in the domain first', () => {
+      expect(engine([option('near', 'a', { holds: true, load: 5 }), option('far', 'b', { holds: true })])).to.include({ type: 'send', id: 'near' })
+    })
+
+    it('goes across for an adapter rather than load it again', () => {
+      expect(engine([option('near', 'a'), option('far', 'b', { holds: true })])).to.include({ type: 'send', id: 'far' })
+    })
+
+    it('asks the same near engine each time, and another once that one can not be asked', () => {
+      const options = [option('p', 'a'), option('q', 'a'), option('r', 'b')]
+      const first = engine(options)
+      expect(first.type).to.equal('bring')
+      expect(engine(options)).to.deep.equal(first)
+      const asked = first.type === 'bring' ? first.ask : undefined
+      const second = engine(options.map(each => each.id === asked ? { ...each, orderable: false } : each))
+      expect(second).to.have.property('ask').that.is.oneOf(['p', 'q']).and.not.equal(asked)
+    })
+
+    it('waits for an adapter on its way', () => {
+      expect(engine([option('p', 'a', { coming: true }), option('q', 'a')])).to.deep.include({ type: 'bring', ask: undefined })
+    })
+
+    it('wants another replica when the holders are full', () => {
+      expect(engine([option('p', 'a', { holds: true, load: 12 }), option('q', 'a')])).to.deep.include({ type: 'bring', ask: 'q' })
+    })
+  })
+})
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -57,9 +57,11 @@
   reachable: z.boolean(),
   /** The engine's id where it is known. */
   server: z.string().optional(),
-  /** Adapter or model key to the version held; absent where that did not change since the last frame. */
-  held: z.record(AdapterKey, z.number()).optional(),
-  /** Keys on their way in, under the same condition. */
+  /** Adapter or model keys that came or changed since the last frame, each with the version held. */
+  came: z.record(AdapterKey, z.number()).optional(),
+  /** Keys held at the last frame and no longer. */
+  went: z.array(AdapterKey).optional(),
+  /** All keys on their way in; absent where that did not change. */
   coming: z.array(AdapterKey).optional(),
   waiting: Count,
   running: Count,
