--- a/packages/fleet/src/entry/attempt.ts
+++ b/packages/fleet/src/entry/attempt.ts
@@ -89,7 +89,11 @@
     if (socket.connecting) socket.once('connect', join)
     else join()
   })
-  request.on('error', error => finish(connected ? { type: 'broken', detail: error.message } : { type: 'not_sent', detail: error.message }))
+  // Told before the answer's end: the runtime takes a reset for the end of an answer without a length.
+  request.on('error', error => {
+    if (!connected) return finish({ type: 'not_sent', detail: error.message })
+    finish({ type: options.delivery.started ? 'interrupted' : 'broken', detail: error.message })
+  })
   request.on('response', answer => {
     options.heard()
     // The rest of a request that was answered early must not run into the next one on this connection.
@@ -142,16 +146,15 @@
 const passStream = (answer: IncomingMessage, status: number, { delivery, cutter }: AttemptOptions): Promise<AttemptEnd> => new Promise(resolve => {
   if (!delivery.started) delivery.start(status, answer.rawHeaders)
   let bytes = 0
+  const resume = (): void => { answer.resume() }
   const interrupted = (detail: string): void => {
     cutter?.drop()
     resolve({ type: 'interrupted', detail })
   }
   answer.on('data', (piece: Buffer) => {
     bytes += piece.length
-    const full = delivery.write(cutter === undefined ? piece : cutter.push(piece))
-    if (full === undefined) return
-    answer.pause()
-    void full.then(() => answer.resume())
+    const ready = delivery.write(cutter === undefined ? piece : cutter.push(piece), resume)
+    if (!ready) answer.pause()
   })
   answer.on('error', error => interrupted(error.message))
   answer.on('end', () => {
--- a/packages/fleet/src/entry/connections.ts
+++ b/packages/fleet/src/entry/connections.ts
@@ -46,7 +46,8 @@
     return true
   }
 
-  override reuseSocket (socket: KeptSocket): void {
+  override reuseSocket (socket: KeptSocket, request: ClientRequest): void {
+    super.reuseSocket(socket, request)
     resting.get(socket)?.()
     resting.delete(socket)
   }
--- a/packages/fleet/src/entry/delivery.ts
+++ b/packages/fleet/src/entry/delivery.ts
@@ -3,7 +3,6 @@
  * isn't.
  */
 import type { ServerResponse } from 'node:http'
-import { once } from 'node:events'
 
 /** Headers that belong to one connection, and are never passed on. */
 const connectionHeaders = new Set([
@@ -33,6 +32,15 @@
   return passed
 }
 
+/** Whether an answer says where it ends. */
+const isFramed = (raw: RawHeaders): boolean => {
+  for (const [name] of headerPairs(raw)) {
+    const lower = name.toLowerCase()
+    if (lower === 'content-length' || lower === 'transfer-encoding') return true
+  }
+  return false
+}
+
 const ownFraming = new Set(['content-length'])
 
 export class Delivery {
@@ -48,8 +56,8 @@
   /** A server's whole answer. `bodyless`: it answers a HEAD, or has a status without a body. */
   whole (status: number, raw: RawHeaders, body: Buffer, bodyless: boolean): void {
     const headers = passedHeaders(raw, bodyless ? new Set() : ownFraming)
-    if (!bodyless) headers.push('Content-Length', String(body.length))
-    this.#head(status, headers)
+    if (!bodyless && isFramed(raw)) headers.push('Content-Length', String(body.length))
+    this.#head(status, headers, bodyless || isFramed(raw))
     this.response.end(bodyless ? undefined : body)
   }
 
@@ -58,19 +66,20 @@
     if (this.#started || this.response.headersSent) return this.cut()
     const body = Buffer.from(JSON.stringify({ error: message }))
     const flat = Object.entries({ 'Content-Type': 'application/json', 'Content-Length': String(body.length), ...headers }).flat()
-    this.#head(status, flat)
+    this.#head(status, flat, true)
     this.response.end(body)
   }
 
   start (status: number, raw: RawHeaders): void {
-    this.#head(status, passedHeaders(raw, ownFraming))
+    this.#head(status, passedHeaders(raw, ownFraming), isFramed(raw))
     this.response.flushHeaders()
   }
 
-  /** Resolves when more may be written; `undefined` where it may at once. */
-  write (piece: Buffer): Promise<unknown> | undefined {
-    if (piece.length === 0 || this.response.write(piece)) return undefined
-    return Promise.race([once(this.response, 'drain'), once(this.response, 'close')])
+  /** Says whether more may be written at once; if not, `drained` is called when it may. */
+  write (piece: Buffer, drained: () => void): boolean {
+    if (piece.length === 0 || this.response.write(piece)) return true
+    this.response.once('drain', drained)
+    return false
   }
 
   finish (): void {
@@ -82,9 +91,14 @@
     this.response.destroy()
   }
 
-  #head (status: number, headers: string[]): void {
+  /** An answer that ends with its connection does so towards the caller too: that it was whole can't be known here. */
+  #head (status: number, headers: string[], framed: boolean): void {
     this.#started = true
-    if (this.closing()) headers.push('Connection', 'close')
+    if (this.closing() || !framed) headers.push('Connection', 'close')
+    if (!framed) {
+      this.response.useChunkedEncodingByDefault = false
+      this.response.shouldKeepAlive = false
+    }
     this.response.writeHead(status, headers)
   }
 }
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -107,12 +107,14 @@
     this.#closing = true
     this.options.log.info('entry.stopping', { running: this.#running, waiting: this.#room.size })
     await pause(Math.min(noticeMs, graceMs / 2))
+    // From here on callers meet a closed connection, which tells them that nothing was read, and go elsewhere.
+    this.server.close()
+    const sweep = setInterval(() => this.server.closeIdleConnections(), sweepMs)
     while (this.#running > 0 && performance.now() - started < graceMs - exitMs) await pause(sweepMs)
     this.options.log.info('entry.stopped', { running: this.#running, ms: Math.round(performance.now() - started) })
+    clearInterval(sweep)
     this.#stop.abort()
     this.#links.close()
-    this.server.close()
-    this.server.closeIdleConnections()
   }
 
   async #serve (request: import('node:http').IncomingMessage, response: import('node:http').ServerResponse): Promise<void> {
