--- a/packages/fleet/src/side/side.ts
+++ b/packages/fleet/src/side/side.ts
@@ -22,7 +22,7 @@
 
 /** Between two looks at the engine while nothing is awaited, and while something is. */
 const restMs = 200
-const awaitedMs = 25
+const awaitedMs = 60
 /** After an order without an answer: it may still come to be accepted, which the next account shows. */
 const unknownMs = 300
 /** After an engine refused an order that rested on its own account. */
--- /dev/null
+++ b/packages/fleet/test/fleet.test.ts
@@ -0,0 +1,271 @@
+import { request, Agent, type IncomingHttpHeaders } from 'node:http'
+import { pause } from '@finchpitch/core'
+import { FleetSystem, type BackendStandIn } from '@finchpitch/stand-ins'
+import { expect } from 'chai'
+
+interface Reply {
+  status: number
+  headers: IncomingHttpHeaders
+  body: string
+  /** It came to its end. */
+  whole: boolean
+}
+
+interface Ask {
+  path: string
+  id: string
+  model?: string
+  remainingMs?: number
+  headers?: Record<string, string>
+  agent?: Agent
+  entry?: number
+  leaveAfterMs?: number
+}
+
+const settleMs = 2500
+let sent = 0
+
+describe('a fleet of real processes', function () {
+  this.timeout(60_000)
+  let fleet: FleetSystem
+
+  const ask = ({ path, id, model, remainingMs = 3000, headers = {}, agent, entry = 0, leaveAfterMs }: Ask): Promise<Reply> => new Promise((resolve, reject) => {
+    const all = { host: 'fleet.example', 'request-id': id, 'deadline-ms': String(remainingMs), ...(model === undefined ? {} : { model }), ...headers }
+    const outgoing = request({ ...fleet.callerAddress(entry), method: 'POST', path, headers: all, agent }, answer => {
+      let body = ''
+      answer.setEncoding('utf8').on('data', (piece: string) => { body += piece })
+      const end = (whole: boolean) => (): void => resolve({ status: answer.statusCode ?? 0, headers: answer.headers, body, whole })
+      answer.on('end', end(true))
+      answer.on('error', end(false))
+    })
+    outgoing.on('error', reject)
+    outgoing.end('{"ask":1}')
+    if (leaveAfterMs !== undefined) setTimeout(() => outgoing.destroy(), leaveAfterMs)
+  })
+
+  const nextId = (): string => `request-${sent++}`
+  const allServers = (): BackendStandIn[] => [...fleet.engines, ...fleet.plain]
+  const runsOf = (id: string): number => allServers().reduce((sum, server) => sum + server.ran.filter(each => each === id).length, 0)
+  const setFault = (servers: BackendStandIn[], fault: BackendStandIn['fault']): void => { for (const server of servers) server.fault = fault }
+  const eventually = async (what: string, check: () => boolean, ms = 4000): Promise<void> => {
+    const until = Date.now() + ms
+    while (!check()) {
+      if (Date.now() > until) throw new Error(`not within ${ms} ms: ${what}`)
+      await pause(20)
+    }
+  }
+
+  before(async () => {
+    fleet = new FleetSystem({ network: 31, domains: 2, entriesPerDomain: 1, enginesPerDomain: 1, plainPerDomain: 1, places: 3, loadMs: 60, workMs: 5, events: 5, eventMs: 5 })
+    await fleet.start()
+    await pause(settleMs)
+  })
+
+  after(async () => { await fleet.stop() })
+
+  afterEach(async () => {
+    setFault(allServers(), 'none')
+    for (const server of allServers()) server.lateOrdersMs = 0
+    await pause(700)
+  })
+
+  describe('answers', () => {
+    it('whole streams, with the seal of the server that made them', async () => {
+      const reply = await ask({ path: '/stream/x', id: nextId(), model: 'base/a1' })
+      expect(reply).to.include({ status: 200, whole: true })
+      expect(reply.body.match(/^id: /gm)).to.have.length(5)
+      expect(reply.headers['response-seal']).to.match(/^seal-engine/)
+    })
+
+    it('with what the caller sent, less what only the system may set', async () => {
+      const id = nextId()
+      await ask({ path: '/stream/x?y=1', id, model: 'base/a1', headers: { hold: 'h', 'request-priority': '0', 'x-own': 'kept', 'expect-instance': 'other', connection: 'x-hop', 'x-hop': '1' } })
+      const headers = fleet.engines.map(engine => engine.headers.get(id)).find(each => each !== undefined)
+      expect(headers).to.include({ 'x-own': 'kept', 'request-priority': '1', 'request-id': id, 'expect-version': '1' })
+      expect(headers).to.not.have.any.keys('hold', 'x-hop')
+      expect(headers?.['expect-instance']).to.match(/^engine-/)
+      expect(Number(headers?.['deadline-ms'])).to.be.within(1, 3000)
+    })
+
+    it('404 for what no route leads to', async () => {
+      expect(await ask({ path: '/nowhere/x', id: nextId() })).to.include({ status: 404 })
+    })
+  })
+
+  describe('a request that may not be repeated', () => {
+    for (const fault of ['reset', 'torn', 'unsealed', 'foreign'] as const) {
+      it(`is told as possibly run, and run once, when the answer is ${fault}`, async () => {
+        setFault(fleet.plain, fault)
+        const id = nextId()
+        expect(await ask({ path: '/once/x', id })).to.include({ status: 502, whole: true })
+        expect(runsOf(id)).to.equal(1)
+      })
+    }
+
+    it('is told as possibly run at its time limit, no earlier and at once', async () => {
+      setFault(fleet.plain, 'mute')
+      const id = nextId()
+      const started = Date.now()
+      expect(await ask({ path: '/once/x', id, remainingMs: 600 })).to.include({ status: 504 })
+      expect(Date.now() - started).to.be.within(550, 800)
+      expect(runsOf(id)).to.equal(1)
+    })
+
+    it('goes to another server when the first proves that it did not run', async () => {
+      setFault(fleet.plain.slice(0, 1), 'shedding')
+      const replies = await Promise.all(Array.from({ length: 6 }, async () => await ask({ path: '/once/x', id: nextId() })))
+      expect(replies.map(reply => reply.status)).to.deep.equal([200, 200, 200, 200, 200, 200])
+    })
+
+    it('is refused as not run, with when to come back, when all refuse', async () => {
+      setFault(fleet.plain, 'shedding')
+      const id = nextId()
+      const started = Date.now()
+      const reply = await ask({ path: '/once/x', id })
+      expect(reply.status).to.equal(503)
+      expect(Number(reply.headers['retry-after'])).to.be.greaterThan(0)
+      expect(Date.now() - started).to.be.lessThan(500)
+      expect(runsOf(id)).to.equal(0)
+    })
+  })
+
+  describe('a request that may be repeated', () => {
+    it('is tried at another server after a failure', async () => {
+      setFault(fleet.plain.slice(0, 1), 'failing')
+      const replies = await Promise.all(Array.from({ length: 8 }, async () => await ask({ path: '/again/x', id: nextId() })))
+      expect(replies.every(reply => reply.status === 200)).to.equal(true)
+    })
+
+    it('gets the failure as it was when every server fails', async () => {
+      setFault(fleet.plain, 'failing')
+      const reply = await ask({ path: '/again/x', id: nextId() })
+      expect(reply.status).to.equal(500)
+      expect(reply.headers['response-seal']).to.match(/^seal-plain/)
+    })
+  })
+
+  describe('a stream that breaks off', () => {
+    it('never looks whole', async () => {
+      await ask({ path: '/stream/x', id: nextId(), model: 'base/a1' })
+      setFault(fleet.engines, 'torn')
+      expect(await ask({ path: '/stream/x', id: nextId(), model: 'base/a1' })).to.include({ status: 200, whole: false })
+    })
+
+    it('goes on at another engine where it may be resumed, without a gap or a repeat', async () => {
+      await Promise.all([0, 1].map(async entry => await ask({ path: '/resume/x', id: nextId(), model: 'base', entry })))
+      const breaking = fleet.engines[0]
+      if (breaking !== undefined) breaking.fault = 'torn'
+      const reply = await ask({ path: '/resume/x', id: nextId(), model: 'base' })
+      expect(reply).to.include({ status: 200, whole: true })
+      expect(reply.body.match(/^id: \d/gm)).to.deep.equal(['id: 1', 'id: 2', 'id: 3', 'id: 4', 'id: 5'])
+    })
+  })
+
+  it('stops the server\'s work when the caller leaves', async () => {
+    setFault(fleet.plain, 'mute')
+    const id = nextId()
+    const gone = await ask({ path: '/again/x', id, leaveAfterMs: 100 }).catch(() => undefined)
+    expect(gone).to.equal(undefined)
+    await eventually('the server sees the caller leave', () => fleet.plain.some(server => server.left.includes(id)), 1000)
+  })
+
+  describe('orders', () => {
+    it('never go beyond an engine\'s places, whatever is asked for', async () => {
+      const replies = await Promise.all(Array.from({ length: 20 }, async (_, each) => await ask({ path: '/stream/x', id: nextId(), model: `base/b${each}`, entry: each % 2 })))
+      expect(fleet.engines.some(engine => engine.fell)).to.equal(false)
+      expect(replies.filter(reply => reply.status === 200)).to.have.length.at.least(10)
+      expect(replies.every(reply => reply.status === 200 || reply.status === 503)).to.equal(true)
+    })
+
+    it('stay right when answers are lost and orders are carried out late', async () => {
+      for (const engine of fleet.engines) engine.lateOrdersMs = 900
+      await Promise.all(Array.from({ length: 12 }, async (_, each) => await ask({ path: '/stream/x', id: nextId(), model: `base/c${each}`, entry: each % 2 })))
+      for (const engine of fleet.engines) engine.lateOrdersMs = 0
+      await Promise.all(Array.from({ length: 12 }, async (_, each) => await ask({ path: '/stream/x', id: nextId(), model: `base/d${each}`, entry: each % 2 })))
+      await pause(1000)
+      expect(fleet.engines.some(engine => engine.fell)).to.equal(false)
+    })
+
+    it('bring a named version in, and requests use it', async () => {
+      await ask({ path: '/stream/x', id: nextId(), model: 'base/e1' })
+      fleet.store.put('versions', 'base.e1', { model: 'base', adapter: 'e1', version: 2 })
+      await pause(2500)
+      const id = nextId()
+      expect(await ask({ path: '/stream/x', id, model: 'base/e1' })).to.include({ status: 200 })
+      const headers = fleet.engines.map(engine => engine.headers.get(id)).find(each => each !== undefined)
+      expect(headers).to.include({ 'expect-version': '2' })
+    })
+
+    it('go on with a side process that was killed and started again', async () => {
+      const [side] = fleet.sides
+      if (side === undefined) throw new Error('there is a side process')
+      await fleet.kill(side)
+      const fences = (): number[] => fleet.engines.flatMap(engine => engine.orders.map(order => order.fence))
+      const before = Math.max(...fences())
+      await fleet.startProcess(side)
+      await pause(settleMs)
+      const replies = await Promise.all(Array.from({ length: 6 }, async (_, each) => await ask({ path: '/stream/x', id: nextId(), model: `base/f${each}` })))
+      expect(replies.some(reply => reply.status === 200)).to.equal(true)
+      expect(fleet.engines.some(engine => engine.fell)).to.equal(false)
+      expect(fences().at(-1)).to.be.at.least(before)
+    })
+  })
+
+  describe('while the store is away', () => {
+    for (const fault of ['busy', 'reset', 'silent'] as const) {
+      it(`goes on with what it knows (${fault}), and learns the rest after`, async () => {
+        fleet.store.fault = fault
+        await pause(300)
+        expect(await ask({ path: '/once/x', id: nextId() })).to.include({ status: 200 })
+        fleet.store.put('config', 'main', fleet.table(fleet.store.revision + 10, { routes: (fleet.table(1) as { routes: unknown[] }).routes.concat({ name: fault, host: 'fleet.example', pathPrefix: `/${fault}/`, kind: 'non_idempotent', timeoutMs: 1000, targetLatencyMs: 150, priority: 2, service: 'ledger', maxAttempts: 1 }) }))
+        fleet.store.fault = 'none'
+        let status = 0
+        const until = Date.now() + 7000
+        while (status !== 200 && Date.now() < until) {
+          await pause(100)
+          status = (await ask({ path: `/${fault}/x`, id: nextId() })).status
+        }
+        expect(status).to.equal(200)
+      })
+    }
+
+    it('reads everything again when the history is gone', async () => {
+      fleet.store.put('config', 'main', fleet.table(fleet.store.revision + 10))
+      fleet.store.compact()
+      await pause(1500)
+      expect(await ask({ path: '/once/x', id: nextId() })).to.include({ status: 200 })
+    })
+  })
+
+  describe('a planned stop', () => {
+    it('ends whole what is in progress, refuses callers at once, and closes what rests', async () => {
+      const entry = fleet.entries[1]
+      if (entry === undefined) throw new Error('there are two entries')
+      const agent = new Agent({ keepAlive: true })
+      expect((await ask({ path: '/once/x', id: nextId(), entry: 1, agent })).status).to.equal(200)
+      const stopped = fleet.kill(entry, 'SIGTERM')
+      await pause(50)
+      const ready = await fetch(fleet.readyUrl(1)).then(answer => answer.status)
+      expect(ready).to.equal(503)
+      const during = await ask({ path: '/stream/x', id: nextId(), model: 'base', entry: 1, agent })
+      expect(during).to.include({ status: 200, whole: true })
+      expect(during.headers.connection).to.equal('close')
+      await stopped
+      expect(entry.process?.exitCode).to.equal(0)
+      agent.destroy()
+      await fleet.startProcess(entry)
+      await pause(settleMs)
+    })
+  })
+
+  it('can be followed from a request\'s id to its cause by the logs', async () => {
+    setFault(fleet.plain, 'shedding')
+    const id = nextId()
+    await ask({ path: '/once/x', id })
+    const [entry] = fleet.entries
+    if (entry === undefined) throw new Error('there is an entry')
+    await eventually('the end is logged', () => entry.output.some(line => line.includes('request.ended') && line.includes(`"${id}"`)))
+    const events = fleet.lines(entry).filter(line => line.request === id).map(line => line.event)
+    expect(events).to.include.members(['request.not_run', 'request.ended'])
+  })
+})
--- /dev/null
+++ b/packages/stand-ins/src/fleet/backend-server.ts
@@ -0,0 +1,169 @@
+/**
+ * A stand-in for a backend server of the users' platform: a model engine with adapter places, or a plain service.
+ *
+ * An engine counts its orders, loads adapters in some milliseconds, falls when it is ordered beyond its places, and
+ * answers streams of events. Faults are switched on by the test.
+ */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { pause } from '@finchpitch/core'
+import { HttpStandIn, readBytes, readJson, sendJson } from '../http-stand-in.js'
+
+export interface BackendServerOptions {
+  id: string
+  /** Present at an engine. */
+  engine?: { model: string, places: number, loadMs: number }
+  workMs: number
+  events: number
+  eventMs: number
+}
+
+interface Order {
+  operation: 'load' | 'unload'
+  model: string
+  adapter?: string
+  version?: number
+  expectedCount?: number
+  holder: string
+  fence: number
+}
+
+export type BackendFault = 'none' | 'mute' | 'reset' | 'failing' | 'shedding' | 'torn' | 'unsealed' | 'foreign'
+
+export class BackendStandIn extends HttpStandIn {
+  id: string
+  fault: BackendFault = 'none'
+  /** Orders get no answer and are carried out this much later. */
+  lateOrdersMs = 0
+  /** Every request that began to run, by its id. */
+  readonly ran: string[] = []
+  /** The headers that each came with. */
+  readonly headers = new Map<string, IncomingMessage['headers']>()
+  /** Requests whose caller was gone before their end. */
+  readonly left: string[] = []
+  readonly orders: Order[] = []
+  /** It was ordered beyond its places. */
+  fell = false
+  adapters = new Map<string, number>()
+  coming = new Map<string, number>()
+  hasModel = true
+  sequence = 0
+  running = 0
+
+  constructor (readonly options: BackendServerOptions) {
+    super()
+    this.id = options.id
+  }
+
+  /** Comes back empty, under another id. */
+  restart (id: string): void {
+    this.id = id
+    this.adapters.clear()
+    this.coming.clear()
+    this.sequence = 0
+  }
+
+  protected override async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const path = (request.url ?? '').split('?')[0]
+    if (path === '/v1/report') return sendJson(response, 200, this.#report())
+    if (path === '/v1/order') return await this.#order(await readJson(request) as Order, request, response)
+    await this.#serve(request, response)
+  }
+
+  #report (): unknown {
+    const { engine } = this.options
+    const name = engine?.model ?? ''
+    const adapters = [...this.adapters].map(([adapter, version]) => `${adapter}@${version}`)
+    const coming = [...this.coming].map(([adapter, version]) => `${name}/${adapter}@${version}`)
+    const models = this.hasModel ? [{ name, version: 1, adapters }] : []
+    return { stage: 'colocated', models, coming, busy: false, sequence: this.sequence, waiting: 0, running: this.running, kvUsed: 0, kvTotal: 1000, handles: 0 }
+  }
+
+  async #order (order: Order, request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const expected = request.headers['expect-instance']
+    if (expected !== undefined && expected !== this.id) return sendJson(response, 421, {}, { 'Instance-Id': this.id, 'Not-Executed': '1' })
+    if (this.lateOrdersMs > 0) {
+      await pause(this.lateOrdersMs)
+      this.#carryOut(order)
+      return
+    }
+    sendJson(response, this.#carryOut(order), {})
+  }
+
+  #carryOut (order: Order): number {
+    if (order.expectedCount !== undefined && order.expectedCount !== this.sequence) return 409
+    this.orders.push(order)
+    this.sequence += 1
+    const { adapter } = order
+    if (adapter === undefined) return 202
+    if (order.operation === 'unload') {
+      this.adapters.delete(adapter)
+      return 200
+    }
+    this.coming.set(adapter, order.version ?? 1)
+    const taken = new Set([...this.adapters.keys(), ...this.coming.keys()]).size
+    if (taken > (this.options.engine?.places ?? 0)) this.fell = true
+    setTimeout(() => {
+      if (!this.coming.has(adapter)) return
+      this.coming.delete(adapter)
+      this.adapters.set(adapter, order.version ?? 1)
+    }, this.options.engine?.loadMs ?? 0)
+    return 202
+  }
+
+  async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = await readBytes(request)
+    const requestId = String(request.headers['request-id'] ?? '')
+    const refused = this.#refusal(request)
+    if (refused !== undefined) return sendJson(response, refused, {}, { 'Not-Executed': '1', ...(refused === 421 && this.#misdirected(request) ? { 'Instance-Id': this.id } : {}) })
+    this.ran.push(requestId)
+    this.headers.set(requestId, request.headers)
+    response.on('close', () => { if (!response.writableFinished) this.left.push(requestId) })
+    if (this.fault === 'mute') return
+    if (this.fault === 'reset') return void response.destroy()
+    this.running += 1
+    try {
+      await pause(this.options.workMs)
+      await this.#answer(requestId, body, response, Number(request.headers['last-event-id'] ?? 0))
+    } finally {
+      this.running -= 1
+    }
+  }
+
+  #misdirected (request: IncomingMessage): boolean {
+    const expected = request.headers['expect-instance']
+    return expected !== undefined && expected !== this.id
+  }
+
+  #refusal (request: IncomingMessage): number | undefined {
+    if (this.#misdirected(request)) return 421
+    if (this.fault === 'shedding') return 503
+    const adapter = String(request.headers.model ?? '').split('/')[1]
+    if (this.options.engine === undefined || adapter === undefined) return undefined
+    const held = this.adapters.get(adapter)
+    const expected = request.headers['expect-version']
+    return held === undefined || (expected !== undefined && Number(expected) !== held) ? 421 : undefined
+  }
+
+  async #answer (requestId: string, body: Buffer, response: ServerResponse, after: number): Promise<void> {
+    const echoed = this.fault === 'foreign' ? 'another' : requestId
+    const headers = { 'Request-Id': echoed, ...(this.fault === 'unsealed' ? {} : { 'Response-Seal': `seal-${this.id}` }) }
+    if (this.fault === 'failing') return sendJson(response, 500, {}, headers)
+    if (this.options.engine === undefined) {
+      const text = `done ${requestId} ${body.length}`
+      response.writeHead(200, { ...headers, 'content-length': text.length })
+      if (this.fault === 'torn') {
+        response.write(text.slice(0, 4))
+        return void setTimeout(() => response.destroy(), 5)
+      }
+      response.end(text)
+      return
+    }
+    response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' })
+    for (let event = after + 1; event <= this.options.events; event++) {
+      if (this.fault === 'torn' && event === 3) return void response.destroy()
+      response.write(`id: ${event}\ndata: ${this.id} ${event}\n\n`)
+      await pause(this.options.eventMs)
+    }
+    response.end()
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/fleet/fleet-system.ts
@@ -0,0 +1,186 @@
+/**
+ * A small fleet on loopback: the platform's stand-ins and real processes of the adapter, each with an address of its
+ * own as its machine.
+ */
+import { spawn, type ChildProcess } from 'node:child_process'
+import { once } from 'node:events'
+import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { BackendStandIn } from './backend-server.js'
+import { ObjectServer } from './object-server.js'
+
+const program = fileURLToPath(new URL('../../../../platform/dist/main.js', import.meta.url))
+const ports = { caller: 8149, ready: 8141, peer: 7380, control: 8144, app: 8145, store: 8142 }
+
+export interface FleetOptions {
+  /** The second number of all its addresses, so that fleets of one machine don't meet. */
+  network: number
+  domains: number
+  entriesPerDomain: number
+  enginesPerDomain: number
+  plainPerDomain: number
+  places: number
+  loadMs: number
+  workMs: number
+  events: number
+  eventMs: number
+  bounds?: Record<string, number>
+  nodeOptions?: string[]
+  /** Program and arguments before the role; the compiled adapter by default. */
+  program?: string
+}
+
+export interface Machine {
+  name: string
+  ip: string
+  process: ChildProcess | undefined
+  output: string[]
+}
+
+const model = 'base'
+export const engineService = 'engines'
+export const plainService = 'ledger'
+
+export class FleetSystem {
+  readonly store = new ObjectServer()
+  readonly engines: BackendStandIn[] = []
+  readonly plain: BackendStandIn[] = []
+  readonly entries: Machine[] = []
+  readonly sides: Machine[] = []
+  #folder = ''
+
+  constructor (readonly options: FleetOptions) {}
+
+  async start (): Promise<void> {
+    this.#folder = await mkdtemp(join(tmpdir(), 'fleet-'))
+    await this.store.start(this.#ip(200, 1), ports.store)
+    this.store.put('config', 'main', this.table(1))
+    for (let domain = 0; domain < this.options.domains; domain++) await this.#startDomain(domain)
+    for (const machine of [...this.entries, ...this.sides]) await this.startProcess(machine)
+  }
+
+  /** The routing table as the operator writes it. */
+  table (version: number, more: Record<string, unknown> = {}): unknown {
+    const { places } = this.options
+    const stream = { kind: 'stream', timeoutMs: 5000, targetLatencyMs: 600, priority: 1, service: engineService, sticky: true, gapAimMs: 400 }
+    const plain = { timeoutMs: 1000, targetLatencyMs: 150, priority: 2, service: plainService, sticky: false, resumable: false }
+    return {
+      version,
+      routes: [
+        { name: 'r-stream', host: 'fleet.example', pathPrefix: '/stream/', maxAttempts: 1, resumable: false, ...stream },
+        { name: 'r-resume', host: 'fleet.example', pathPrefix: '/resume/', maxAttempts: 2, resumable: true, ...stream },
+        { name: 'r-once', host: 'fleet.example', pathPrefix: '/once/', kind: 'non_idempotent', maxAttempts: 1, ...plain },
+        { name: 'r-again', host: 'fleet.example', pathPrefix: '/again/', kind: 'idempotent', maxAttempts: 2, ...plain }
+      ],
+      services: [
+        { name: engineService, healthPath: '/health', maxConnections: 200, engine: { slots: 32, adapterSlots: places, weightsMb: 2000, loadsPerS: 50, models: [{ name: model, weightsMb: 1000, loadS: 0.5, adapters: 3000, adapterMb: 12 }] } },
+        { name: plainService, healthPath: '/health', maxConnections: 90 }
+      ],
+      limits: { maxHeaderBytes: 16384, maxBodyBytes: 4194304, headerTimeoutMs: 3000, idleTimeoutMs: 15000 },
+      ...more
+    }
+  }
+
+  async startProcess (machine: Machine): Promise<void> {
+    const role = machine.name.startsWith('side') ? 'side' : 'entry'
+    const path = join(this.#folder, `${machine.name}.toml`)
+    await writeFile(path, this.#settings(machine, role))
+    const started = spawn(process.execPath, [...this.options.nodeOptions ?? [], this.options.program ?? program, role], {
+      env: { ...process.env, FINCHPITCH_CONFIG: path }, stdio: ['ignore', 'pipe', 'inherit']
+    })
+    started.stdout.setEncoding('utf8').on('data', (text: string) => machine.output.push(...text.split('\n').filter(line => line !== '')))
+    machine.process = started
+  }
+
+  /** The log lines of a machine's processes, parsed. */
+  lines (machine: Machine): Array<Record<string, unknown>> {
+    return machine.output.map(line => JSON.parse(line) as Record<string, unknown>)
+  }
+
+  callerAddress (entry = 0): { host: string, port: number } {
+    return { host: this.entries[entry]?.ip ?? '', port: ports.caller }
+  }
+
+  readyUrl (entry = 0): string {
+    return `http://${this.entries[entry]?.ip ?? ''}:${ports.ready}/v1/readiness`
+  }
+
+  /** Registers a backend server, as it does itself with its heartbeat. */
+  register (server: BackendStandIn, ip: string, domain: string, state = 'ready'): void {
+    const engine = server.options.engine
+    this.store.put('servers', server.id, {
+      service: engine === undefined ? plainService : engineService,
+      address: `${ip}:${ports.app}`,
+      zone: domain,
+      version: 'v1',
+      slots: engine === undefined ? 6 : 32,
+      state,
+      coldRemainingMs: 0,
+      models: engine === undefined ? [] : [{ name: model, version: 1, adapters: [] }],
+      sequence: server.sequence
+    })
+  }
+
+  async stop (): Promise<void> {
+    await Promise.all([...this.entries, ...this.sides].map(machine => this.kill(machine)))
+    await Promise.all([this.store, ...this.engines, ...this.plain].map(each => each.stop()))
+    await rm(this.#folder, { recursive: true, force: true })
+  }
+
+  async kill (machine: Machine, signal: NodeJS.Signals = 'SIGKILL'): Promise<void> {
+    const started = machine.process
+    if (started === undefined || started.exitCode !== null || started.signalCode !== null) return
+    const ended = once(started, 'exit')
+    started.kill(signal)
+    await ended
+  }
+
+  async #startDomain (domain: number): Promise<void> {
+    const { entriesPerDomain, enginesPerDomain, plainPerDomain, places, loadMs, workMs, events, eventMs } = this.options
+    const name = `d${domain}`
+    for (let each = 0; each < entriesPerDomain; each++) {
+      this.entries.push({ name: `entry-${name}-${each}`, ip: this.#ip(domain, 10 + each), process: undefined, output: [] })
+    }
+    for (let each = 0; each < enginesPerDomain; each++) {
+      const ip = this.#ip(domain, 100 + each)
+      const server = new BackendStandIn({ id: `engine-${name}-${each}`, engine: { model, places, loadMs }, workMs, events, eventMs })
+      await server.start(ip, ports.app)
+      this.engines.push(server)
+      this.register(server, ip, name)
+      this.sides.push({ name: `side-${name}-${each}`, ip, process: undefined, output: [] })
+    }
+    for (let each = 0; each < plainPerDomain; each++) {
+      const ip = this.#ip(domain, 200 + each)
+      const server = new BackendStandIn({ id: `plain-${name}-${each}`, workMs, events, eventMs })
+      await server.start(ip, ports.app)
+      this.plain.push(server)
+      this.register(server, ip, name)
+    }
+  }
+
+  #ip (domain: number, machine: number): string {
+    return `127.${this.options.network}.${domain}.${machine}`
+  }
+
+  #settings (machine: Machine, role: 'entry' | 'side'): string {
+    const [, domain = 'd0'] = machine.name.split('-')
+    const bounds = { drainMs: 2000, graceS: 8, version_ms: 5000, retryBudgetRatio: 0.2, budgetWindowS: 10, retrySlack: 52, ceilingWindowS: 5, originOverage: 1.1, ...this.options.bounds }
+    return [
+      `node = "${machine.name}"`,
+      `ip = "${machine.ip}"`,
+      `zone = "${domain}"`,
+      `portRange = [${ports.peer},${ports.peer + 15}]`,
+      `seeds = [${this.entries.map(entry => `"${entry.ip}:${ports.control}"`).join(',')}]`,
+      ...(role === 'side' ? [`app = "${machine.ip}:${ports.app}"`] : []),
+      '[listen]',
+      ...(role === 'entry' ? [`front = "${machine.ip}:${ports.caller}"`, `ready = "${machine.ip}:${ports.ready}"`, `control = "${machine.ip}:${ports.control}"`] : []),
+      '[bounds]',
+      ...Object.entries(bounds).map(([key, value]) => `${key} = ${value}`),
+      '[provider]',
+      `address = "${this.#ip(200, 1)}:${ports.store}"`,
+      ''
+    ].join('\n')
+  }
+}
--- a/packages/stand-ins/src/http-stand-in.ts
+++ b/packages/stand-ins/src/http-stand-in.ts
@@ -9,16 +9,15 @@
 export abstract class HttpStandIn {
   #server: Server | undefined
 
-  /** Gives the server's origin. */
-  async start (): Promise<string> {
+  /** Gives the server's origin. Without a port the system chooses one. */
+  async start (host = '127.0.0.1', port = 0): Promise<string> {
     const server = createServer((request, response) => {
       this.handle(request, response).catch(() => response.destroy())
     })
     this.#server = server
-    server.listen(0, '127.0.0.1')
+    server.listen(port, host)
     await once(server, 'listening')
-    const { port } = server.address() as AddressInfo
-    return `http://127.0.0.1:${port}`
+    return `http://${host}:${(server.address() as AddressInfo).port}`
   }
 
   async stop (): Promise<void> {
