--- a/packages/fleet/src/entry/balancer.ts
+++ b/packages/fleet/src/entry/balancer.ts
@@ -13,8 +13,8 @@
 import type { SideLinks } from './side-links.js'
 
 /** Requests of the last seconds that went across for an adapter, before it is wanted in this domain too. */
-const worthNearer = 4
-const nearerHalfLifeMs = 10_000
+const worthNearer = 6
+const nearerHalfLifeMs = 20_000
 /** The part of the time allowed for a named version in which the one before it may still be used. */
 const oldVersionShare = 0.4
 /** Keys whose demand from across is remembered. */
@@ -118,6 +118,7 @@
       doubtful: option.doubtful || holding?.reachable === false,
       holds: this.heldVersion(server, key) !== undefined,
       coming: holding?.coming.has(key) ?? false,
+      warm: this.links().warm(server, key),
       orderable: this.links().orderable(server, key)
     }
   }
--- a/packages/fleet/src/entry/choice.ts
+++ b/packages/fleet/src/entry/choice.ts
@@ -23,6 +23,8 @@
 export interface EngineOption extends Option {
   holds: boolean
   coming: boolean
+  /** It held the key a while ago and has a copy at hand, so that a load is quick and spares the weight store. */
+  warm: boolean
   /** Its side process can be asked to bring an adapter in. */
   orderable: boolean
 }
@@ -80,6 +82,10 @@
   popular: boolean
 }
 
+/** A load from the weight store costs more than the few requests that come while an adapter is held across. */
+const coldCost = 4
+const acrossCost = 2
+
 const isOpen = (option: Option): boolean => option.load < option.slots + batchSurplus
 
 const preferred = (options: readonly EngineOption[], affinityKey: string): EngineOption | undefined =>
@@ -104,9 +110,10 @@
   return holders.length > 0 ? { type: 'full', reason: 'its holders are full' } : { type: 'none', reason: 'no engine can bring it in' }
 }
 
-/** The engine that should bring the key in: near, not full, first by affinity. */
+/** The engine that should bring the key in: one with a copy at hand, else near, not full, first by affinity. */
 export const engineToAsk = ({ options, domain, key }: EngineChoice): string | undefined => {
   const able = options.filter(option => option.orderable && !option.holds && !option.coming && !option.doubtful && !option.lapsed && isOpen(option))
-  const near = able.filter(option => option.domain === domain)
-  return lowest(near.length > 0 ? near : able, option => affinity(key, option.id))?.id
+  const cost = (option: EngineOption): number =>
+    (option.warm ? 0 : coldCost) + (option.domain === domain ? 0 : acrossCost) + affinity(key, option.id) / 2 ** 32
+  return lowest(able, cost)?.id
 }
--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -22,6 +22,8 @@
 const wantAgainMs = 600
 /** After a side process declined, others are asked first for this long. */
 const declinedMs = 500
+/** Copies that an engine is taken to have at hand; these engines keep some hundred. */
+const mostWarm = 80
 /** A side process says something at least every 0.7 s; this much silence is three times that. */
 const deafMs = 2000
 
@@ -47,6 +49,8 @@
   held: ReadonlyMap<string, number>
   coming: ReadonlySet<string>
   server: string | undefined
+  /** Versions of adapters that the engine has let go of, the latest last. */
+  warm: Map<string, number>
   wanted: Map<string, number>
   declined: Map<string, number>
 }
@@ -93,6 +97,12 @@
     return now - link.heardAt < deafMs && now - (link.declined.get(key) ?? -Infinity) > declinedMs
   }
 
+  /** Whether the engine had the key lately, in the version that would be loaded now. */
+  warm (engine: BackendServer, key: string): boolean {
+    const version = this.#links.get(hostOf(engine.address))?.warm.get(key)
+    return version !== undefined && version >= (this.options.facts.version(key)?.version ?? 0)
+  }
+
   want (engine: BackendServer, key: string, waiting: number, priority: number, version?: number): void {
     const link = this.#links.get(hostOf(engine.address))
     const now = nowMs()
@@ -134,6 +144,7 @@
       held: new Map(),
       coming: new Set(),
       server: undefined,
+      warm: new Map(),
       wanted: new Map(),
       declined: new Map()
     }
@@ -197,12 +208,16 @@
   #hold (link: SideLink, frame: HoldingFrame): void {
     if (frame.came !== undefined || frame.went !== undefined) {
       const held = new Map(link.held)
-      for (const key of frame.went ?? []) held.delete(key)
+      for (const key of frame.went ?? []) {
+        this.#keepWarm(link, key, held.get(key))
+        held.delete(key)
+      }
       for (const [key, version] of Object.entries(frame.came ?? {})) held.set(key, version)
       link.held = held
     }
     if (frame.coming !== undefined) link.coming = new Set(frame.coming)
     for (const key of link.wanted.keys()) if (link.held.has(key)) link.wanted.delete(key)
+    if (frame.server !== link.server) link.warm.clear()
     link.server = frame.server
     link.entries = frame.entries
     this.#fences.set(link.host, Math.max(this.#fences.get(link.host) ?? 0, frame.fence))
@@ -214,6 +229,13 @@
     this.options.changed()
   }
 
+  #keepWarm (link: SideLink, key: string, version: number | undefined): void {
+    if (version === undefined) return
+    link.warm.delete(key)
+    link.warm.set(key, version)
+    if (link.warm.size > mostWarm) link.warm.delete(link.warm.keys().next().value ?? '')
+  }
+
   /** The engine that a side process tells of: the one that it names, or the last listed at its host. */
   #serverAt (link: SideLink): BackendServer | undefined {
     const { facts } = this.options
--- a/packages/fleet/src/side/side.ts
+++ b/packages/fleet/src/side/side.ts
@@ -75,6 +75,8 @@
   #fence = 0
   #server: string | undefined
   #wake = (): void => {}
+  /** Loads that were ordered and have not been seen to end. */
+  readonly #loading = new Map<string, { at: number, version: number | undefined }>()
   #held: Record<string, number> = {}
   #coming: string[] = []
   /** Counts changes of what is held or coming. */
@@ -207,12 +209,21 @@
   }
 
   #settleMet (account: EngineAccount): void {
-    for (const model of account.models) {
-      if (this.demands.has(model.name)) this.demands.settle(model.name, true)
-      for (const adapter of Object.keys(model.adapters)) this.demands.settle(refKey({ model: model.name, adapter }), true)
+    for (const [key, version] of Object.entries(heldOf(account))) {
+      if (this.#loading.size > 0) this.#loaded(key, version)
+      if (this.demands.has(key)) this.demands.settle(key, true)
     }
   }
 
+  #loaded (key: string, version: number): void {
+    const started = this.#loading.get(key)
+    if (started === undefined || (started.version ?? version) !== version) return
+    this.#loading.delete(key)
+    const ms = nowMs() - started.at
+    this.options.counters.loads.observe(ms / 1000)
+    this.options.log.info('adapter.held', { key, version, ms: Math.round(ms), orders: this.#account?.orders })
+  }
+
   #decline (key: string, reason: string): void {
     this.demands.settle(key, false)
     this.options.counters.declined.inc({ reason })
@@ -230,6 +241,9 @@
       operation, key: refKey({ model, adapter }), version, reason, expectedOrders, fence: this.#fence, server: this.#server, outcome, detail, ms: Math.round(nowMs() - started)
     })
     if (operation === 'load' && adapter === undefined && (outcome === 'accepted' || outcome === 'unknown')) this.#rate.started()
+    const key = refKey({ model, adapter })
+    if (operation === 'load' && outcome === 'accepted') this.#loading.set(key, { at: started, version })
+    else this.#loading.delete(key)
     return this.#afterOrder[outcome](server)
   }
 
--- a/packages/fleet/test/choice.test.ts
+++ b/packages/fleet/test/choice.test.ts
@@ -2,7 +2,7 @@
 import { expect } from 'chai'
 
 const option = (id: string, domain: string, more: Partial<EngineOption> = {}): EngineOption => ({
-  id, domain, load: 0, slots: 10, doubtful: false, lapsed: false, holds: false, coming: false, orderable: true, ...more
+  id, domain, load: 0, slots: 10, doubtful: false, lapsed: false, holds: false, coming: false, warm: false, orderable: true, ...more
 })
 const plain = (id: string, domain: string, more: Partial<Option> = {}): Option =>
   ({ id, domain, load: 0, slots: 6, doubtful: false, lapsed: false, ...more })
@@ -51,6 +51,11 @@
       expect(second).to.have.property('ask').that.is.oneOf(['p', 'q']).and.not.equal(asked)
     })
 
+    it('asks an engine that has a copy at hand, even across, before the weight store', () => {
+      expect(engine([option('p', 'a'), option('q', 'b', { warm: true })])).to.deep.include({ ask: 'q' })
+      expect(engine([option('p', 'a', { warm: true }), option('q', 'b', { warm: true })])).to.deep.include({ ask: 'p' })
+    })
+
     it('waits for an adapter on its way', () => {
       expect(engine([option('p', 'a', { coming: true }), option('q', 'a')])).to.deep.include({ type: 'bring', ask: undefined })
     })
