--- a/packages/decisions/src/preference.ts
+++ b/packages/decisions/src/preference.ts
@@ -30,6 +30,11 @@
   return (mixed ^ (mixed >>> 16)) >>> 0
 }
 
+/** How much a key belongs to a candidate, from 0 to 1, by the hashes of both. */
+export const affinityOf = (keyHash: number, candidateHash: number): number => mix(keyHash ^ candidateHash) / 2 ** 32
+
+export const hashOf = (name: string): number => murmurhash.v3(name)
+
 /** The best candidate whose domain isn't in `used`. */
 const best = <C extends Candidate>(key: number, candidates: ReadonlyArray<HashedCandidate<C>>, chosen: ReadonlySet<C>, used: ReadonlySet<string>): C | undefined => {
   let leader: HashedCandidate<C> | undefined
--- a/packages/fleet/src/entry/balancer.ts
+++ b/packages/fleet/src/entry/balancer.ts
@@ -95,13 +95,14 @@
   }
 
   #engineChoice (servers: readonly BackendServer[], key: string, affinityKey: string): EngineChoice {
-    return { options: servers.map(server => this.#engineOption(server, key)), domain: this.domain, key, affinityKey, popular: false }
+    return { options: servers.map(server => this.#engineOption(server, key)), domain: this.domain, key, affinityKey }
   }
 
   #option (server: BackendServer): Option {
     const state = this.state(server)
     return {
       id: server.id,
+      hash: state.hash,
       domain: server.domain,
       load: state.load,
       slots: server.slots,
--- a/packages/fleet/src/entry/choice.ts
+++ b/packages/fleet/src/entry/choice.ts
@@ -5,10 +5,12 @@
  * cost. A load from the weight store costs more than some eight requests across, so a seldom used adapter is used
  * where it is, and brought nearer only once it is asked for again and again.
  */
-import murmurhash from 'murmurhash'
+import { affinityOf, hashOf } from '@finchpitch/decisions'
 
 export interface Option {
   id: string
+  /** Hash of the id. */
+  hash: number
   domain: string
   /** Requests there. */
   load: number
@@ -68,9 +70,6 @@
   return { type: 'send', id: best.id, reason: best.domain === domain ? 'least loaded near' : 'least loaded' }
 }
 
-/** Rendezvous hashing: each key has an order of engines that changes only where engines come and go. */
-const affinity = (key: string, id: string): number => murmurhash.v3(`${key} ${id}`)
-
 export interface EngineChoice {
   options: readonly EngineOption[]
   domain: string
@@ -78,8 +77,6 @@
   key: string
   /** Requests with the same text share cached prompts. */
   affinityKey: string
-  /** The key is asked for so often that it is worth a place in this domain. */
-  popular: boolean
 }
 
 /** A load from the weight store costs more than the few requests that come while an adapter is held across. */
@@ -88,8 +85,12 @@
 
 const isOpen = (option: Option): boolean => option.load < option.slots + batchSurplus
 
-const preferred = (options: readonly EngineOption[], affinityKey: string): EngineOption | undefined =>
-  lowest(options, option => Math.floor(option.load / loadStep) + affinity(affinityKey, option.id) / 2 ** 32)
+/** Rendezvous hashing: each key has an order of engines that changes only where engines come and go. */
+const preferred = (options: readonly EngineOption[], affinityKey: string): EngineOption | undefined => {
+  if (options.length < 2) return options[0]
+  const keyHash = hashOf(affinityKey)
+  return lowest(options, option => Math.floor(option.load / loadStep) + affinityOf(keyHash, option.hash))
+}
 
 export const chooseEngine = (choice: EngineChoice): Choice => {
   const { options, domain, affinityKey } = choice
@@ -113,7 +114,8 @@
 /** The engine that should bring the key in: one with a copy at hand, else near, not full, first by affinity. */
 export const engineToAsk = ({ options, domain, key }: EngineChoice): string | undefined => {
   const able = options.filter(option => option.orderable && !option.holds && !option.coming && !option.doubtful && !option.lapsed && isOpen(option))
+  const keyHash = hashOf(key)
   const cost = (option: EngineOption): number =>
-    (option.warm ? 0 : coldCost) + (option.domain === domain ? 0 : acrossCost) + affinity(key, option.id) / 2 ** 32
+    (option.warm ? 0 : coldCost) + (option.domain === domain ? 0 : acrossCost) + affinityOf(keyHash, option.hash)
   return lowest(able, cost)?.id
 }
--- a/packages/fleet/src/entry/server-state.ts
+++ b/packages/fleet/src/entry/server-state.ts
@@ -2,7 +2,7 @@
  * What an entry knows of each backend server from its own requests, and of each engine from its side process.
  */
 import type { Agent } from 'node:http'
-import { Outlier, type OutlierLimits } from '@finchpitch/decisions'
+import { Outlier, hashOf, type OutlierLimits } from '@finchpitch/decisions'
 import { nowMs } from '../clock.js'
 import type { BackendServer } from '../server.js'
 import { serverAgent } from './connections.js'
@@ -25,13 +25,14 @@
   sentAt: number
   /** Silence up to here is ordinary. */
   patienceMs: number
-  heard: boolean
 }
 
 export class ServerState {
   readonly agent: Agent
   readonly outlier = new Outlier(outlierLimits)
   readonly #pending = new Set<Pending>()
+  readonly #unheard = new Set<Pending>()
+  readonly hash: number
   /** Requests in progress on each adapter, and those begun since this was last told to its side process. */
   readonly uses = new Map<string, { started: number, running: number }>()
   holding: Holding | undefined
@@ -39,6 +40,7 @@
   sentSince = 0
 
   constructor (readonly id: string, maxConnections: number) {
+    this.hash = hashOf(id)
     this.agent = serverAgent(maxConnections)
   }
 
@@ -53,8 +55,9 @@
   }
 
   begin (key: string | undefined, patienceMs: number): Pending {
-    const pending = { sentAt: nowMs(), patienceMs, heard: false }
+    const pending = { sentAt: nowMs(), patienceMs }
     this.#pending.add(pending)
+    this.#unheard.add(pending)
     this.sentSince += 1
     if (key !== undefined) {
       const uses = this.uses.get(key) ?? { started: 0, running: 0 }
@@ -65,8 +68,14 @@
     return pending
   }
 
+  /** The answer has begun. */
+  heard (pending: Pending): void {
+    this.#unheard.delete(pending)
+  }
+
   end (key: string | undefined, pending: Pending): void {
     this.#pending.delete(pending)
+    this.#unheard.delete(pending)
     this.sentSince = Math.max(0, this.sentSince - 1)
     const uses = key === undefined ? undefined : this.uses.get(key)
     if (uses !== undefined) uses.running -= 1
@@ -75,8 +84,8 @@
   /** Requests there have met nothing but silence for longer than is ordinary. */
   get silent (): boolean {
     const now = nowMs()
-    for (const pending of this.#pending) {
-      if (!pending.heard && now - pending.sentAt > pending.patienceMs) return true
+    for (const pending of this.#unheard) {
+      if (now - pending.sentAt > pending.patienceMs) return true
     }
     return false
   }
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -219,7 +219,7 @@
       delivery: this.#delivery,
       signal: this.#left.signal,
       heard: () => {
-        pending.heard = true
+        state.heard(pending)
         this.#firstByteMs ??= nowMs() - this.#arrived
       }
     })
--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -16,8 +16,10 @@
 
 const reconnect = { firstMs: 100, limitMs: 1000 }
 
-/** Well under the time in which an adapter's use decides whether it stays. */
-const usesMs = 400
+/** An adapter whose last request ended can make room; places are short under load, so that is told soon. */
+const usesMs = 50
+/** Said again even where nothing changed, as a side process forgets what it hears no more of. */
+const usesAgainMs = 1000
 /** A want is said again while requests wait, in case it was lost or declined. */
 const wantAgainMs = 600
 /** After a side process declined, others are asked first for this long. */
@@ -114,23 +116,25 @@
 
   /** Tells side processes which adapters are in use, until `signal` aborts. */
   async tellUses (signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
+    for (let round = 1; !signal.aborted; round++) {
       await pause(usesMs, signal)
-      for (const server of this.options.facts.servers.values()) this.#tellUses(server)
+      const all = round % (usesAgainMs / usesMs) === 0
+      for (const server of this.options.facts.servers.values()) this.#tellUses(server, all)
     }
   }
 
-  #tellUses (server: BackendServer): void {
+  #tellUses (server: BackendServer, all: boolean): void {
     const link = this.#links.get(hostOf(server.address))
     const state = this.options.states.get(server.id)
     if (state === undefined || link?.channel === undefined || state.uses.size === 0) return
     const uses: Array<[string, number, number]> = []
     for (const [key, use] of state.uses) {
+      if (!all && use.started === 0 && use.running > 0) continue
       uses.push([key, use.started, use.running])
       use.started = 0
       if (use.running === 0) state.uses.delete(key)
     }
-    link.channel.send({ type: 'uses', uses })
+    if (uses.length > 0) link.channel.send({ type: 'uses', uses })
   }
 
   #open (host: string, domain: string): void {
--- a/packages/fleet/src/entry/waiting-room.ts
+++ b/packages/fleet/src/entry/waiting-room.ts
@@ -24,7 +24,7 @@
 }
 
 /** News come in bursts; one look serves them all. */
-const scanMs = 4
+const scanMs = 12
 
 export class WaitingRoom {
   readonly #entries = new Set<Entry>()
--- a/packages/fleet/test/choice.test.ts
+++ b/packages/fleet/test/choice.test.ts
@@ -1,13 +1,14 @@
+import { hashOf } from '@finchpitch/decisions'
 import { chooseEngine, choosePlain, type EngineOption, type Option } from '@finchpitch/fleet'
 import { expect } from 'chai'
 
 const option = (id: string, domain: string, more: Partial<EngineOption> = {}): EngineOption => ({
-  id, domain, load: 0, slots: 10, doubtful: false, lapsed: false, holds: false, coming: false, warm: false, orderable: true, ...more
+  id, hash: hashOf(id), domain, load: 0, slots: 10, doubtful: false, lapsed: false, holds: false, coming: false, warm: false, orderable: true, ...more
 })
 const plain = (id: string, domain: string, more: Partial<Option> = {}): Option =>
-  ({ id, domain, load: 0, slots: 6, doubtful: false, lapsed: false, ...more })
+  ({ id, hash: hashOf(id), domain, load: 0, slots: 6, doubtful: false, lapsed: false, ...more })
 const engine = (options: EngineOption[]): ReturnType<typeof chooseEngine> =>
-  chooseEngine({ options, domain: 'a', key: 'm/x', affinityKey: 'm/x', popular: false })
+  chooseEngine({ options, domain: 'a', key: 'm/x', affinityKey: 'm/x' })
 
 describe('choice', () => {
   describe('of a plain server', () => {
