An engine's refusal for lack of an adapter is told from another server at its address

Cause: every 421 names the refusing server, and its presence alone was read as another server. So an engine that had just let an adapter go was put out, and the request tried it four times. Now the ids are compared. Test failed first (503 for 200).

--- a/packages/fleet/src/entry/attempt.ts
+++ b/packages/fleet/src/entry/attempt.ts
@@ -23,6 +23,8 @@
   address: string
   outgoing: Outgoing
   requestId: string
+  /** The server that is meant. */
+  serverId: string
   names: HeaderNames
   connectMs: number
   /** Answers of a stream go out as they come. */
@@ -37,13 +39,16 @@
 
 export type AttemptEnd =
   | { type: 'not_sent', detail: string }
-  | { type: 'not_run', status: number, retryAfter: string | undefined, elsewhere: boolean }
+  | { type: 'not_run', status: number, retryAfter: string | undefined, cause: RefusalCause }
   | { type: 'broken', detail: string }
   | { type: 'answer', status: number, headers: RawHeaders, body: Buffer }
   | { type: 'streamed', status: number, bytes: number }
   | { type: 'interrupted', detail: string }
   | { type: 'cancelled', sent: boolean }
 
+/** Why a server refused: it is another one, it lacks what is asked for, or it takes no more. */
+export type RefusalCause = 'another_server' | 'not_held' | 'full'
+
 const misdirected = 421
 /** By themselves these statuses would promise a caller that its request has not run. */
 const promising = new Set([408, 421, 429, 503])
@@ -115,7 +120,7 @@
   const status = answer.statusCode ?? 0
   const echoed = header(answer, names.requestId)
   if (echoed !== undefined && echoed !== requestId) return refuse(`an answer to another request (${echoed})`)
-  if (header(answer, names.notRun) !== undefined || status === misdirected) return await readRefusal(answer, options)
+  if (header(answer, names.notRun) !== undefined || status === misdirected) return readRefusal(answer, options)
   const good = status >= 200 && status < 300
   if (good && (echoed === undefined || header(answer, names.seal) === undefined)) return refuse(`status ${status} without seal or id`)
   if (answer.headers['content-encoding'] !== undefined) return refuse('an encoded body')
@@ -123,13 +128,16 @@
   return good && stream ? await passStream(answer, status, options) : await readWhole(answer, status)
 }
 
-const readRefusal = async (answer: IncomingMessage, { names }: AttemptOptions): Promise<AttemptEnd> => {
+const readRefusal = (answer: IncomingMessage, { names, serverId }: AttemptOptions): AttemptEnd => {
   const status = answer.statusCode ?? 0
   const retryAfter = header(answer, names.retryAfter)
-  const elsewhere = status === misdirected && header(answer, 'instance-id') !== undefined
+  const refuser = header(answer, names.serverId)
+  // The refusal is known from the head; what becomes of its body does not matter.
   answer.on('error', () => {})
   answer.resume()
-  return { type: 'not_run', status, retryAfter, elsewhere }
+  if (status !== misdirected) return { type: 'not_run', status, retryAfter, cause: 'full' }
+  const another = refuser !== undefined && refuser !== serverId
+  return { type: 'not_run', status, retryAfter, cause: another ? 'another_server' : 'not_held' }
 }
 
 const readWhole = (answer: IncomingMessage, status: number): Promise<AttemptEnd> => new Promise(resolve => {
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -212,6 +212,7 @@
       address: server.address,
       outgoing: this.#outgoing(server, asked, route, body, remaining),
       requestId: this.#id,
+      serverId: server.id,
       names,
       connectMs: Math.min(connectMs, remaining),
       stream: route.kind === 'stream',
@@ -307,12 +308,25 @@
 
   #refused (end: Extract<AttemptEnd, { type: 'not_run' }>, server: BackendServer, asked: Asked): void {
     const { balancer, log } = this.options
-    log.info('request.not_run', { request: this.#id, server: server.id, status: end.status, elsewhere: end.elsewhere, tries: this.#tries })
-    const misdirected = end.status === 421
-    if (misdirected && !end.elsewhere && asked.key !== undefined) balancer.notHeld(server, asked.key)
-    else if (misdirected) balancer.state(server).outlier.eject(nowMs())
-    else balancer.state(server).sentSince += refusedLoad
-    if (!misdirected || asked.key === undefined) this.#excluded.add(server.id)
+    const { cause, status } = end
+    log.info('request.not_run', { request: this.#id, server: server.id, status, cause, key: asked.key, tries: this.#tries })
+    const state = balancer.state(server)
+    const refusals = {
+      another_server: () => {
+        state.outlier.eject(nowMs())
+        this.#excluded.add(server.id)
+      },
+      // The engine itself is sound and may be asked to bring the adapter back.
+      not_held: () => {
+        if (asked.key === undefined) this.#excluded.add(server.id)
+        else balancer.notHeld(server, asked.key)
+      },
+      full: () => {
+        state.sentSince += refusedLoad
+        this.#excluded.add(server.id)
+      }
+    }
+    refusals[cause]()
   }
 
   #failed (server: BackendServer, detail: string): void {
--- a/packages/fleet/src/ports.ts
+++ b/packages/fleet/src/ports.ts
@@ -83,6 +83,8 @@
   /** On answers: the request was surely not run. */
   notRun: string
   expectedServer: string
+  /** On refusals: the id of the server that refused. */
+  serverId: string
   expectedVersion: string
   priority: string
   /** Headers that only the system may set, taken off what callers send. */
--- a/packages/fleet/test/fleet.test.ts
+++ b/packages/fleet/test/fleet.test.ts
@@ -170,6 +170,19 @@
   })
 
   describe('orders', () => {
+    it('bring back at once what an engine turns out not to hold, without doubting the engine', async () => {
+      await ask({ path: '/stream/x', id: nextId(), model: 'base/g1' })
+      for (const engine of fleet.engines) engine.adapters.delete('g1')
+      const id = nextId()
+      expect(await ask({ path: '/stream/x', id, model: 'base/g1' })).to.include({ status: 200, whole: true })
+      const [entry] = fleet.entries
+      if (entry === undefined) throw new Error('there is an entry')
+      await eventually('the end is logged', () => fleet.lines(entry).some(line => line.event === 'request.ended' && line.request === id))
+      const refusals = fleet.lines(entry).filter(line => line.event === 'request.not_run' && line.request === id)
+      expect(refusals.every(line => line.cause === 'not_held')).to.equal(true)
+      expect(refusals).to.have.length.at.most(2)
+    })
+
     it('never go beyond an engine\'s places, whatever is asked for', async () => {
       const replies = await Promise.all(Array.from({ length: 20 }, async (_, each) => await ask({ path: '/stream/x', id: nextId(), model: `base/b${each}`, entry: each % 2 })))
       expect(fleet.engines.some(engine => engine.fell)).to.equal(false)
--- a/packages/stand-ins/src/fleet/backend-server.ts
+++ b/packages/stand-ins/src/fleet/backend-server.ts
@@ -114,7 +114,7 @@
     const body = await readBytes(request)
     const requestId = String(request.headers['request-id'] ?? '')
     const refused = this.#refusal(request)
-    if (refused !== undefined) return sendJson(response, refused, {}, { 'Not-Executed': '1', ...(refused === 421 && this.#misdirected(request) ? { 'Instance-Id': this.id } : {}) })
+    if (refused !== undefined) return sendJson(response, refused, {}, { 'Not-Executed': '1', ...(refused === 421 ? { 'Instance-Id': this.id } : {}) })
     this.ran.push(requestId)
     this.headers.set(requestId, request.headers)
     response.on('close', () => { if (!response.writableFinished) this.left.push(requestId) })
