--- a/packages/core/src/log.ts
+++ b/packages/core/src/log.ts
@@ -11,8 +11,13 @@
 
 const hidden = new Set(['authorization', 'token', 'secret', 'body'])
 
-const shown = (fields: LogFields): LogFields =>
-  Object.fromEntries(Object.entries(fields).filter(([key]) => !hidden.has(key.toLowerCase())))
+/** Most lines hide nothing, and are passed on without a copy. */
+const shown = (fields: LogFields): LogFields => {
+  for (const key in fields) {
+    if (hidden.has(key.toLowerCase())) return Object.fromEntries(Object.entries(fields).filter(([each]) => !hidden.has(each.toLowerCase())))
+  }
+  return fields
+}
 
 export class Log {
   readonly #logger: loglevel.Logger
--- a/packages/fleet/src/entry/balancer.ts
+++ b/packages/fleet/src/entry/balancer.ts
@@ -50,8 +50,17 @@
   choose (asked: Asked): Choice {
     const servers = this.facts.serversOf(asked.service.name).filter(server => !server.leaving && !asked.excluded.has(server.id))
     if (asked.key === undefined) return choosePlain(servers.map(server => this.#option(server)), this.domain)
-    const choice = this.#engineChoice(servers, asked.key, asked.affinityKey)
-    return chooseEngine(choice)
+    return this.#chooseEngine(servers, asked.key, asked.affinityKey)
+  }
+
+  /** Looks at the holders first; only where none will do, at all engines. */
+  #chooseEngine (servers: readonly BackendServer[], key: string, affinityKey: string): Choice {
+    const ids = this.states.holders.of(key)
+    if (ids.size > 0 && ids.size < servers.length) {
+      const choice = chooseEngine(this.#engineChoice(servers.filter(server => ids.has(server.id)), key, affinityKey))
+      if (choice.type === 'send') return choice
+    }
+    return chooseEngine(this.#engineChoice(servers, key, affinityKey))
   }
 
   /** Counts a request that went across, and asks for its adapter to be brought nearer once there were several. */
@@ -90,7 +99,7 @@
     if (holding === undefined) return
     const held = new Map(holding.held)
     held.delete(key)
-    this.states.get(server.id)?.tell({ ...holding, held })
+    this.states.tell(server.id, { ...holding, held })
     this.log.info('holding.corrected', { server: server.id, key, age: Math.round(nowMs() - holding.at) })
   }
 
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -20,7 +20,7 @@
 import { WaitingRoom } from './waiting-room.js'
 
 /** Waiting requests are looked at this often even when there is no news. */
-const sweepMs = 50
+const sweepMs = 60
 /** Over what callers may send; the configuration's own limit is far lower. */
 const mostHeaderBytes = 65_536
 /** Beyond the rest that callers may take up a connection after. */
@@ -60,7 +60,7 @@
   constructor (private readonly options: FleetEntryOptions) {
     const { facts, domain, limits, log, process, sidePort, channel, dial } = options
     this.#balancer = new Balancer(facts, domain, limits, () => this.#links, log)
-    this.#links = new SideLinks({ process, domain, facts, states: this.#balancer.states, sidePort, channel, dial, log, changed: () => this.#room.poke() })
+    this.#links = new SideLinks({ process, domain, facts, states: this.#balancer.states, sidePort, channel, dial, log, changed: keys => this.#room.poke(keys) })
     this.#budget = new RetryBudget(limits, () => this.#links.entries)
     this.server = createServer({ maxHeaderSize: mostHeaderBytes, connectionsCheckingInterval: 1000, requestTimeout: 0 })
     this.server.on('request', (request, response) => { void this.#serve(request, response) })
--- a/packages/fleet/src/entry/server-state.ts
+++ b/packages/fleet/src/entry/server-state.ts
@@ -100,8 +100,43 @@
   }
 }
 
+/** Which engines hold a key, so that a choice looks at those few and not at all engines. */
+export class Holders {
+  readonly #byKey = new Map<string, Set<string>>()
+  readonly #byServer = new Map<string, ReadonlyMap<string, number>>()
+
+  of (key: string): ReadonlySet<string> {
+    return this.#byKey.get(key) ?? nobody
+  }
+
+  /** Replaces what is known of one engine; `undefined` once it is gone. */
+  update (id: string, held: ReadonlyMap<string, number> | undefined): void {
+    const before = this.#byServer.get(id)
+    if (before === held) return
+    for (const key of before?.keys() ?? []) if (held?.has(key) !== true) this.#remove(key, id)
+    for (const key of held?.keys() ?? []) if (before?.has(key) !== true) this.#add(key, id)
+    if (held === undefined) this.#byServer.delete(id)
+    else this.#byServer.set(id, held)
+  }
+
+  #add (key: string, id: string): void {
+    const ids = this.#byKey.get(key)
+    if (ids === undefined) this.#byKey.set(key, new Set([id]))
+    else ids.add(id)
+  }
+
+  #remove (key: string, id: string): void {
+    const ids = this.#byKey.get(key)
+    ids?.delete(id)
+    if (ids?.size === 0) this.#byKey.delete(key)
+  }
+}
+
+const nobody: ReadonlySet<string> = new Set()
+
 /** The states of all servers that are believed to be there. */
 export class ServerStates {
+  readonly holders = new Holders()
   readonly #states = new Map<string, ServerState>()
 
   of (server: BackendServer, maxConnections: number): ServerState {
@@ -116,11 +151,20 @@
     return this.#states.get(id)
   }
 
+  /** Takes over what an engine's side process told. */
+  tell (id: string, holding: Holding): void {
+    const state = this.#states.get(id)
+    if (state === undefined) return
+    state.tell(holding)
+    this.holders.update(id, holding.held)
+  }
+
   /** Lets go of servers that are gone, once their last request has ended. */
   keep (present: ReadonlyMap<string, unknown>): void {
     for (const [id, state] of this.#states) {
       if (present.has(id) || state.inFlight > 0) continue
       state.close()
+      this.holders.update(id, undefined)
       this.#states.delete(id)
     }
   }
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -183,7 +183,7 @@
     const started = nowMs()
     const share = first.type === 'none' ? route.objectiveMs * nobodyShare : (this.#deadline - started) * waitShare
     const end = await room.wait({
-      key: `${asked.service.name} ${asked.key ?? ''}`,
+      key: asked.key ?? asked.service.name,
       priority: route.priority,
       until: started + share,
       choose: () => balancer.choose(asked),
@@ -227,7 +227,7 @@
     state.end(asked.key, pending)
     counters.attempts.inc({ end: end.type })
     if (server.domain !== this.options.domain) balancer.sentAcross(asked)
-    this.options.room.poke()
+    this.options.room.pokeFull()
     return this.#judge(end, server, asked, route)
   }
 
--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -38,7 +38,8 @@
   channel: ChannelOptions
   dial: (address: string) => Promise<Duplex>
   log: Log
-  changed: () => void
+  /** News that may let waiting requests go on: of these adapters, or of any. */
+  changed: (keys: string[] | undefined) => void
 }
 
 interface SideLink {
@@ -195,7 +196,7 @@
     factLink.stop()
     link.channel = undefined
     link.wanted.clear()
-    changed()
+    changed(undefined)
     return (await channel.ended).reason
   }
 
@@ -205,7 +206,7 @@
       link.declined.set(frame.key, nowMs())
       link.wanted.delete(frame.key)
       this.options.log.info('adapter.declined', { key: frame.key, host: link.host, reason: frame.reason })
-      this.options.changed()
+      this.options.changed([frame.key])
     }
   }
 
@@ -228,9 +229,9 @@
     const server = this.#serverAt(link)
     const { reachable, waiting, running } = frame
     if (server !== undefined) {
-      this.options.states.get(server.id)?.tell({ at: nowMs(), reachable, held: link.held, coming: link.coming, waiting, running })
+      this.options.states.tell(server.id, { at: nowMs(), reachable, held: link.held, coming: link.coming, waiting, running })
     }
-    this.options.changed()
+    if (frame.came !== undefined) this.options.changed(Object.keys(frame.came))
   }
 
   #keepWarm (link: SideLink, key: string, version: number | undefined): void {
--- a/packages/fleet/src/entry/waiting-room.ts
+++ b/packages/fleet/src/entry/waiting-room.ts
@@ -29,6 +29,8 @@
 export class WaitingRoom {
   readonly #entries = new Set<Entry>()
   #scan: NodeJS.Timeout | undefined
+  /** Keys to look at in the next scan; `undefined` for all. */
+  #due: Set<string> | undefined = new Set()
 
   get size (): number {
     return this.#entries.size
@@ -63,17 +65,26 @@
     })
   }
 
-  /** Something changed that may let a waiting request go on. */
-  poke (): void {
-    if (this.#entries.size === 0 || this.#scan !== undefined) return
-    this.#scan = setTimeout(() => {
-      this.#scan = undefined
-      this.#look()
-    }, scanMs)
+  /** Something changed that may let waiting requests go on: those for `keys`, or any. */
+  poke (keys?: readonly string[]): void {
+    if (this.#entries.size === 0) return
+    if (keys === undefined) this.#due = undefined
+    for (const key of keys ?? []) this.#due?.add(key)
+    this.#scan ??= setTimeout(() => this.#look(), scanMs)
+  }
+
+  /** A place fell free: that matters only to those who wait for one. */
+  pokeFull (): void {
+    const keys = [...this.#entries].filter(entry => entry.last.type === 'full').map(entry => entry.key)
+    if (keys.length > 0) this.poke(keys)
   }
 
   #look (): void {
-    const ordered = [...this.#entries].sort((a, b) => a.priority - b.priority || a.since - b.since)
+    this.#scan = undefined
+    const due = this.#due
+    this.#due = new Set()
+    const waiting = [...this.#entries].filter(entry => due === undefined || due.has(entry.key))
+    const ordered = waiting.sort((a, b) => a.priority - b.priority || a.since - b.since)
     const stuck = new Map<string, Choice>()
     for (const entry of ordered) {
       const known = stuck.get(entry.key)
--- a/packages/stand-ins/src/fleet/fleet-system.ts
+++ b/packages/stand-ins/src/fleet/fleet-system.ts
@@ -10,10 +10,14 @@
 import { fileURLToPath } from 'node:url'
 import { BackendStandIn } from './backend-server.js'
 import { ObjectServer } from './object-server.js'
+import type { HttpStandIn } from '../http-stand-in.js'
 
 const program = fileURLToPath(new URL('../../../../platform/dist/main.js', import.meta.url))
 const ports = { caller: 8149, ready: 8141, peer: 7380, control: 8144, app: 8145, store: 8142 }
 
+/** Ports of servers that stand behind something else. */
+const hiddenBy = 10_000
+
 export interface FleetOptions {
   /** The second number of all its addresses, so that fleets of one machine don't meet. */
   network: number
@@ -28,6 +32,8 @@
   eventMs: number
   bounds?: Record<string, number>
   nodeOptions?: string[]
+  /** Puts something between a server and its address: listens at `ip:port` for what listens at `ip:target`. */
+  between?: (ip: string, port: number, target: number) => Promise<void>
   /** Program and arguments before the role; the compiled adapter by default. */
   program?: string
 }
@@ -55,7 +61,7 @@
 
   async start (): Promise<void> {
     this.#folder = await mkdtemp(join(tmpdir(), 'fleet-'))
-    await this.store.start(this.#ip(200, 1), ports.store)
+    await this.#listen(this.store, this.#ip(200, 1), ports.store)
     this.store.put('config', 'main', this.table(1))
     for (let domain = 0; domain < this.options.domains; domain++) await this.#startDomain(domain)
     for (const machine of [...this.entries, ...this.sides]) await this.startProcess(machine)
@@ -146,7 +152,7 @@
     for (let each = 0; each < enginesPerDomain; each++) {
       const ip = this.#ip(domain, 100 + each)
       const server = new BackendStandIn({ id: `engine-${name}-${each}`, engine: { model, places, loadMs }, workMs, events, eventMs })
-      await server.start(ip, ports.app)
+      await this.#listen(server, ip, ports.app)
       this.engines.push(server)
       this.register(server, ip, name)
       this.sides.push({ name: `side-${name}-${each}`, ip, process: undefined, output: [] })
@@ -154,12 +160,19 @@
     for (let each = 0; each < plainPerDomain; each++) {
       const ip = this.#ip(domain, 200 + each)
       const server = new BackendStandIn({ id: `plain-${name}-${each}`, workMs, events, eventMs })
-      await server.start(ip, ports.app)
+      await this.#listen(server, ip, ports.app)
       this.plain.push(server)
       this.register(server, ip, name)
     }
   }
 
+  async #listen (server: HttpStandIn, ip: string, port: number): Promise<void> {
+    const { between } = this.options
+    if (between === undefined) return void await server.start(ip, port)
+    await server.start(ip, port + hiddenBy)
+    await between(ip, port, port + hiddenBy)
+  }
+
   #ip (domain: number, machine: number): string {
     return `127.${this.options.network}.${domain}.${machine}`
   }
