--- a/packages/fleet/src/entry/balancer.ts
+++ b/packages/fleet/src/entry/balancer.ts
@@ -17,6 +17,8 @@
 const nearerHalfLifeMs = 20_000
 /** The part of the time allowed for a named version in which the one before it may still be used. */
 const oldVersionShare = 0.4
+/** Tokens that an engine reads in some 100 ms, in which every stream beside it gets only a few events. */
+const heavyPrompt = 4000
 /** Keys whose demand from across is remembered. */
 const mostTracked = 4000
 
@@ -25,6 +27,8 @@
   /** Adapter or model key; `undefined` at a plain service. */
   key: string | undefined
   affinityKey: string
+  /** Tokens of the prompt. */
+  promptTokens: number
   priority: number
   /** Servers that have refused this request. */
   excluded: ReadonlySet<string>
@@ -50,17 +54,17 @@
   choose (asked: Asked): Choice {
     const servers = this.facts.serversOf(asked.service.name).filter(server => !server.leaving && !asked.excluded.has(server.id))
     if (asked.key === undefined) return choosePlain(servers.map(server => this.#option(server)), this.domain)
-    return this.#chooseEngine(servers, asked.key, asked.affinityKey)
+    return this.#chooseEngine(servers, asked.key, asked)
   }
 
   /** Looks at the holders first; only where none will do, at all engines. */
-  #chooseEngine (servers: readonly BackendServer[], key: string, affinityKey: string): Choice {
+  #chooseEngine (servers: readonly BackendServer[], key: string, asked: Asked): Choice {
     const ids = this.states.holders.of(key)
     if (ids.size > 0 && ids.size < servers.length) {
-      const choice = chooseEngine(this.#engineChoice(servers.filter(server => ids.has(server.id)), key, affinityKey))
+      const choice = chooseEngine(this.#engineChoice(servers.filter(server => ids.has(server.id)), key, asked))
       if (choice.type === 'send') return choice
     }
-    return chooseEngine(this.#engineChoice(servers, key, affinityKey))
+    return chooseEngine(this.#engineChoice(servers, key, asked))
   }
 
   /** Counts a request that went across, and asks for its adapter to be brought nearer once there were several. */
@@ -72,9 +76,9 @@
     popularity.add(now)
     this.#across.set(key, popularity)
     if (this.#across.size > mostTracked) this.#across.delete(this.#across.keys().next().value ?? '')
-    if (popularity.at(now) < worthNearer) return
+    if (popularity.at(now) < worthNearer || this.links().short) return
     const near = this.facts.serversOf(asked.service.name).filter(server => !server.leaving && server.domain === this.domain)
-    const ask = engineToAsk(this.#engineChoice(near, key, asked.affinityKey))
+    const ask = engineToAsk(this.#engineChoice(near, key, asked))
     if (ask !== undefined) this.bring(ask, key, 0, asked.priority)
   }
 
@@ -103,8 +107,9 @@
     this.log.info('holding.corrected', { server: server.id, key, age: Math.round(nowMs() - holding.at) })
   }
 
-  #engineChoice (servers: readonly BackendServer[], key: string, affinityKey: string): EngineChoice {
-    return { options: servers.map(server => this.#engineOption(server, key)), domain: this.domain, key, affinityKey }
+  #engineChoice (servers: readonly BackendServer[], key: string, { affinityKey, promptTokens }: Asked): EngineChoice {
+    const options = servers.map(server => this.#engineOption(server, key))
+    return { options, domain: this.domain, key, affinityKey, heavy: promptTokens > heavyPrompt }
   }
 
   #option (server: BackendServer): Option {
--- a/packages/fleet/src/entry/choice.ts
+++ b/packages/fleet/src/entry/choice.ts
@@ -77,6 +77,8 @@
   key: string
   /** Requests with the same text share cached prompts. */
   affinityKey: string
+  /** Its prompt is so long that reading it slows whatever runs beside it. */
+  heavy: boolean
 }
 
 /** A load from the weight store costs more than the few requests that come while an adapter is held across. */
@@ -86,24 +88,25 @@
 const isOpen = (option: Option): boolean => option.load < option.slots + batchSurplus
 
 /** Rendezvous hashing: each key has an order of engines that changes only where engines come and go. */
-const preferred = (options: readonly EngineOption[], affinityKey: string): EngineOption | undefined => {
+const preferred = (options: readonly EngineOption[], { affinityKey, heavy }: EngineChoice): EngineOption | undefined => {
   if (options.length < 2) return options[0]
+  if (heavy) return lowest(options, option => option.load)
   const keyHash = hashOf(affinityKey)
   return lowest(options, option => Math.floor(option.load / loadStep) + affinityOf(keyHash, option.hash))
 }
 
 export const chooseEngine = (choice: EngineChoice): Choice => {
-  const { options, domain, affinityKey } = choice
+  const { options, domain } = choice
   if (options.length === 0) return { type: 'none', reason: 'no engine of the service' }
   const holders = usable(options.filter(option => option.holds))
   const near = holders.filter(option => option.domain === domain && isOpen(option))
   const calm = near.filter(option => option.load < option.slots * busyShare)
-  const best = preferred(calm, affinityKey)
+  const best = preferred(calm, choice)
   if (best !== undefined) return { type: 'send', id: best.id, reason: 'held near' }
   const across = holders.filter(option => option.domain !== domain && option.load < option.slots * busyShare)
-  const far = preferred(across, affinityKey)
+  const far = preferred(across, choice)
   if (far !== undefined) return { type: 'send', id: far.id, reason: 'held across' }
-  const busy = preferred(holders.filter(isOpen), affinityKey)
+  const busy = preferred(holders.filter(isOpen), choice)
   if (busy !== undefined) return { type: 'send', id: busy.id, reason: 'held, busy' }
   const ask = engineToAsk(choice)
   if (options.some(option => option.coming && !option.doubtful)) return { type: 'bring', ask: undefined, reason: 'on its way' }
@@ -112,7 +115,7 @@
 }
 
 /** The engine that should bring the key in: one with a copy at hand, else near, not full, first by affinity. */
-export const engineToAsk = ({ options, domain, key }: EngineChoice): string | undefined => {
+export const engineToAsk = ({ options, domain, key }: Pick<EngineChoice, 'options' | 'domain' | 'key'>): string | undefined => {
   const able = options.filter(option => option.orderable && !option.holds && !option.coming && !option.doubtful && !option.lapsed && isOpen(option))
   const keyHash = hashOf(key)
   const cost = (option: EngineOption): number =>
--- a/packages/fleet/src/entry/connections.ts
+++ b/packages/fleet/src/entry/connections.ts
@@ -10,9 +10,9 @@
 import type { Duplex } from 'node:stream'
 
 /** The part of the stated rest that is used; the remainder covers the way there and a clock that is late. */
-const usedShare = 0.5
+const usedShare = 0.8
 /** Used where a server states no rest, and the most where it states a longer one: these servers drop after 1.5 s. */
-const mostRestMs = 700
+const mostRestMs = 800
 /** A server's address is given to another after some seconds; nothing may rest that long. */
 const socketTimeoutMs = 30_000
 
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -139,7 +139,8 @@
 
   #asked (service: FleetService, route: Route): Asked {
     const key = service.engine === undefined ? undefined : this.#header(this.options.names.model)
-    return { service, key, affinityKey: key ?? '', priority: route.priority, excluded: this.#excluded }
+    const promptTokens = Number.parseInt(this.#header(this.options.names.tokens) ?? '0', 10) || 0
+    return { service, key, affinityKey: key ?? '', promptTokens, priority: route.priority, excluded: this.#excluded }
   }
 
   #header (name: string): string | undefined {
--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -24,6 +24,8 @@
 const wantAgainMs = 600
 /** After a side process declined, others are asked first for this long. */
 const declinedMs = 500
+/** Runs last about half a second, so a shortage of places outlasts one refusal by several of them. */
+const shortMs = 2000
 /** Copies that an engine is taken to have at hand; these engines keep some hundred. */
 const mostWarm = 80
 /** A side process says something at least every 0.7 s; this much silence is three times that. */
@@ -62,6 +64,7 @@
 
 export class SideLinks {
   readonly #links = new Map<string, SideLink>()
+  #declinedAt = -Infinity
   /** The highest fence that each side process was seen to use. */
   readonly #fences = new Map<string, number>()
 
@@ -100,6 +103,11 @@
     return now - link.heardAt < deafMs && now - (link.declined.get(key) ?? -Infinity) > declinedMs
   }
 
+  /** Engines had no place left a moment ago, so none should be taken for anything that nobody waits for. */
+  get short (): boolean {
+    return nowMs() - this.#declinedAt < shortMs
+  }
+
   /** Whether the engine had the key lately, in the version that would be loaded now. */
   warm (engine: BackendServer, key: string): boolean {
     const version = this.#links.get(hostOf(engine.address))?.warm.get(key)
@@ -204,6 +212,7 @@
     if (frame.type === 'holding') this.#hold(link, frame)
     if (frame.type === 'declined') {
       link.declined.set(frame.key, nowMs())
+      this.#declinedAt = nowMs()
       link.wanted.delete(frame.key)
       this.options.log.info('adapter.declined', { key: frame.key, host: link.host, reason: frame.reason })
       this.options.changed([frame.key])
--- a/packages/fleet/src/follow.ts
+++ b/packages/fleet/src/follow.ts
@@ -13,7 +13,7 @@
 const watchMs = 4000
 
 /** The least time between two calls: a fraction of the bound within which each kind must be in force. */
-const gatherMs: Record<Fact['kind'], number> = { table: 100, server: 300, version: 400 }
+const gatherMs: Record<Fact['kind'], number> = { table: 100, server: 700, version: 500 }
 
 const backoff = { firstMs: 100, limitMs: 800 }
 
--- a/packages/fleet/src/side/demands.ts
+++ b/packages/fleet/src/side/demands.ts
@@ -48,13 +48,13 @@
     return this.#asked.has(key)
   }
 
-  /** What is waited for, the most urgent and then the longest list first. */
+  /** What is waited for before what only may be, the most urgent and then the longest list first. */
   current (): Demand[] {
     const now = nowMs()
     for (const [key, asked] of this.#asked) {
       if (now - asked.at > demandMs) this.#asked.delete(key)
     }
-    return [...this.#asked.values()].sort((a, b) => a.priority - b.priority || b.waiting - a.waiting || a.at - b.at)
+    return [...this.#asked.values()].sort((a, b) => Number(b.waiting > 0) - Number(a.waiting > 0) || a.priority - b.priority || b.waiting - a.waiting || a.at - b.at)
   }
 
   used (entry: string, uses: ReadonlyArray<readonly [key: string, started: number, running: number]>): void {
--- a/packages/fleet/test/choice.test.ts
+++ b/packages/fleet/test/choice.test.ts
@@ -7,8 +7,8 @@
 })
 const plain = (id: string, domain: string, more: Partial<Option> = {}): Option =>
   ({ id, hash: hashOf(id), domain, load: 0, slots: 6, doubtful: false, lapsed: false, ...more })
-const engine = (options: EngineOption[]): ReturnType<typeof chooseEngine> =>
-  chooseEngine({ options, domain: 'a', key: 'm/x', affinityKey: 'm/x' })
+const engine = (options: EngineOption[], heavy = false): ReturnType<typeof chooseEngine> =>
+  chooseEngine({ options, domain: 'a', key: 'm/x', affinityKey: 'm/x', heavy })
 
 describe('choice', () => {
   describe('of a plain server', () => {
@@ -38,6 +38,11 @@
       expect(engine([option('near', 'a', { holds: true, load: 5 }), option('far', 'b', { holds: true })])).to.include({ type: 'send', id: 'near' })
     })
 
+    it('gives a long prompt the emptiest of the near holders', () => {
+      const options = ['p', 'q', 'r', 's'].map((id, index) => option(id, 'a', { holds: true, load: 5 - index }))
+      expect(engine(options, true)).to.include({ id: 's' })
+    })
+
     it('goes across for an adapter rather than load it again', () => {
       expect(engine([option('near', 'a'), option('far', 'b', { holds: true })])).to.include({ type: 'send', id: 'far' })
     })
