--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -9,8 +9,8 @@
 import { Channel, type ChannelOptions } from '@finchpitch/wire'
 import { backoffMs } from '../backoff.js'
 import { FactLink } from '../fact-exchange.js'
-import type { Facts } from '../facts.js'
-import { follow } from '../follow.js'
+import type { Fact, Facts } from '../facts.js'
+import { Outage, follow, gatherMs } from '../follow.js'
 import type { FactSource, HeaderNames, Limits } from '../ports.js'
 import { Balancer } from './balancer.js'
 import { EntryCounters } from './counters.js'
@@ -87,9 +87,11 @@
   }
 
   run (): void {
-    const { sources, facts, log } = this.options
+    const { sources, facts, log, limits } = this.options
     const { signal } = this.#stop
-    for (const source of sources) void follow({ source, facts, log, signal })
+    const outage = new Outage()
+    const restMs = (kind: Fact['kind']): number => gatherMs(kind, this.#links.entries ?? 1, limits().drainMs)
+    for (const source of sources) void follow({ source, facts, log, signal, outage, restMs })
     for (const seed of this.options.seeds()) void this.#keepSeed(seed)
     void this.#links.tellUses(signal)
     void this.#sweep()
@@ -185,6 +187,7 @@
     })
     for await (const frame of channel.frames()) {
       if (frame.type === 'fact') link.receive(frame)
+      if (frame.type === 'heartbeat') link.heard(frame.revision)
     }
     link.stop()
     log.info('peer.lost', { reason: (await channel.ended).reason })
--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -28,8 +28,8 @@
 const shortMs = 2000
 /** Copies that an engine is taken to have at hand; these engines keep some hundred. */
 const mostWarm = 80
-/** A side process says something at least every 0.7 s; this much silence is three times that. */
-const deafMs = 2000
+/** A side process says something at least every 0.7 s near and 1.5 s across; this much silence is twice to four times that. */
+const deafMs = 3000
 
 export interface SideLinksOptions {
   process: string
@@ -199,6 +199,7 @@
     for await (const frame of channel.frames()) {
       link.heardAt = nowMs()
       if (frame.type === 'fact') factLink.receive(frame)
+      else if (frame.type === 'heartbeat') factLink.heard(frame.revision)
       else this.#take(link, frame)
     }
     factLink.stop()
--- a/packages/fleet/src/fact-exchange.ts
+++ b/packages/fleet/src/fact-exchange.ts
@@ -15,8 +15,8 @@
   /** The revision of each fact that the peer is known to have. */
   readonly #known = new Map<string, number>()
   readonly #stop: () => void
-  /** The peer's highest revision, from its heartbeats. */
-  peerRevision = 0
+  /** Up to here the peer lacks nothing, by its own word. */
+  #peerComplete = 0
 
   constructor (private readonly facts: Facts, private readonly channel: Channel, private readonly patient: boolean, private readonly log: Log) {
     this.#stop = facts.onChange(fact => this.#schedule(fact))
@@ -24,6 +24,7 @@
 
   /** Sends all that the peer may lack. */
   start (): void {
+    this.heard(this.channel.peer.revision)
     for (const fact of this.facts.all()) this.#schedule(fact)
   }
 
@@ -31,6 +32,11 @@
     this.#stop()
   }
 
+  /** What the peer's hello and heartbeats say. */
+  heard (revision: number): void {
+    this.#peerComplete = Math.max(this.#peerComplete, revision)
+  }
+
   receive (frame: FactFrame): void {
     const fact = factOf(frame)
     if (fact === undefined) {
@@ -48,7 +54,7 @@
 
   #send (fact: Fact): void {
     const known = this.#known.get(idOf(fact)) ?? 0
-    if (!this.channel.open || known >= fact.revision) return
+    if (!this.channel.open || known >= fact.revision || this.#peerComplete >= fact.revision) return
     if (this.facts.revisionOf(fact.kind, fact.key) > fact.revision) return
     this.#known.set(idOf(fact), fact.revision)
     this.channel.send(frameOf(fact))
--- a/packages/fleet/src/facts.ts
+++ b/packages/fleet/src/facts.ts
@@ -26,6 +26,8 @@
 /** A removal is dated half a revision after the last change: newer than it, older than anything that follows. */
 export const removalStep = 0.5
 
+const kinds = ['table', 'server', 'version'] as const
+
 /** Longer than any message between processes is under way. */
 const tombstoneMs = 60_000
 
@@ -40,8 +42,10 @@
   readonly #current = new Map<string, Fact>()
   readonly #tombstones = new Map<string, number>()
   readonly #listeners = new Set<Listener>()
+  readonly #complete = new Map<Fact['kind'], number>()
   #routes: RouteIndex | undefined
   #highest = 0
+  #caughtUp = 0
 
   /** `lapseMs`: how long a server whose entry vanished without notice is kept in reserve. */
   constructor (private readonly log: Log, private readonly lapseMs: () => number) {}
@@ -60,6 +64,23 @@
     if (revision > this.#highest) this.#highest = revision
   }
 
+  /** Up to this revision nothing of any kind is missing here. */
+  get completeTo (): number {
+    const own = this.#complete.size < kinds.length ? 0 : Math.min(...this.#complete.values())
+    return Math.max(own, this.#caughtUp)
+  }
+
+  /** The store was read completely up to `revision`, for one kind. */
+  completed (kind: Fact['kind'], revision: number): void {
+    this.#complete.set(kind, revision)
+    this.saw(revision)
+  }
+
+  /** A peer that sends all it learns at once is complete up to `revision`. */
+  caughtUp (revision: number): void {
+    this.#caughtUp = Math.max(this.#caughtUp, revision)
+  }
+
   serversOf (service: string): readonly BackendServer[] {
     return this.#byService.get(service) ?? []
   }
--- a/packages/fleet/src/follow.ts
+++ b/packages/fleet/src/follow.ts
@@ -9,56 +9,83 @@
 import { removalStep, type Fact, type Facts } from './facts.js'
 import type { FactSource, StoreFailure } from './ports.js'
 
-/** A call that waits this long and longer is answered even where nothing changed, so silence means a dead link. */
-const watchMs = 4000
-
-/** The least time between two calls: a fraction of the bound within which each kind must be in force. */
-const gatherMs: Record<Fact['kind'], number> = { table: 100, server: 700, version: 500 }
+/**
+ * How long a watch waits where nothing changes. Servers change all the time, so their watch is the one that notices a
+ * dead connection; the others are cut off and renewed as soon as it does.
+ */
+const watchMs: Record<Fact['kind'], number> = { table: 8000, server: 1500, version: 8000 }
 
 const backoff = { firstMs: 100, limitMs: 800 }
 
+/** The least rest between two calls: a fraction of the bound within which each kind must be in force. */
+const leastRestMs: Record<Fact['kind'], number> = { table: 100, server: 700, version: 500 }
+/** So many entries rest no longer than that; more share the work, since what one learns it passes on. */
+const restingEntries = 6
+/** The most, as a part of the time in which work may still go to a server that leaves. */
+const drainShare = 0.6
+
+export const gatherMs = (kind: Fact['kind'], entries: number, drainMs: number): number => {
+  if (kind !== 'server') return leastRestMs[kind]
+  return Math.min(drainMs * drainShare, leastRestMs.server * Math.max(1, entries / restingEntries))
+}
+
+/** What the tasks of one process tell each other of the store: a call that failed puts the other watches in doubt. */
+export class Outage {
+  #doubt = new AbortController()
+
+  /** Aborts when another task's call failed. */
+  get signal (): AbortSignal {
+    return this.#doubt.signal
+  }
+
+  noticed (): void {
+    this.#doubt.abort()
+    this.#doubt = new AbortController()
+  }
+}
+
 export interface Following {
   source: FactSource
   facts: Facts
   log: Log
   signal: AbortSignal
-  /** Told each time the store is lost or regained. */
-  reached?: (reachable: boolean) => void
+  outage: Outage
+  /** How long to rest after a call. */
+  restMs: (kind: Fact['kind']) => number
 }
 
 /** Runs until `signal` aborts. */
-export const follow = async ({ source, facts, log, signal, reached }: Following): Promise<void> => {
+export const follow = async ({ source, facts, log, signal, outage, restMs }: Following): Promise<void> => {
   const { kind } = source
   let revision: number | undefined
   let failures = 0
-  const succeed = (): void => {
-    if (failures > 0) log.info('store.regained', { kind, failures })
-    failures = 0
-    reached?.(true)
-  }
   const fail = (failure: StoreFailure): void => {
     if (failures === 0) log.warn('store.lost', { kind, code: failure.code, detail: failure.detail, revision })
     failures += 1
-    reached?.(false)
+    if (failures === 1) outage.noticed()
   }
   while (!signal.aborted) {
-    const page = revision === undefined ? await source.list() : await source.changes(revision, watchMs, signal)
+    const doubt = AbortSignal.any([signal, outage.signal])
+    const page = revision === undefined ? await source.list() : await source.changes(revision, watchMs[kind], doubt)
     if (signal.aborted) return
     if (page.isErr()) {
+      // A watch that was cut off here is simply asked again: it tells nothing of the store.
+      if (doubt.aborted && revision !== undefined) continue
       if (page.error.code === 'compacted' || page.error.code === 'not_valid') {
         log.warn('store.read_again', { kind, code: page.error.code, detail: page.error.detail, revision })
         revision = undefined
       }
       if (page.error.code !== 'compacted') fail(page.error)
-      await pause(backoffMs(failures, backoff), signal)
+      await pause(backoffMs(Math.max(1, failures), backoff), signal)
       continue
     }
-    succeed()
+    if (failures > 0) log.info('store.regained', { kind, failures })
+    failures = 0
     if (revision === undefined) removeMissing(facts, kind, page.value.facts)
     for (const fact of page.value.facts) facts.offer(fact, 'store')
     revision = page.value.revision
-    facts.saw(revision)
-    await pause(gatherMs[kind], signal)
+    facts.completed(kind, revision)
+    await pause(restMs(kind), signal)
   }
 }
 
--- a/packages/fleet/src/side/side.ts
+++ b/packages/fleet/src/side/side.ts
@@ -33,8 +33,9 @@
 const farMs = 1000
 /** Changes of what is held are gathered this long for entries in other domains, which seldom use them. */
 const farChangeMs = 250
-/** An entry hears something at least this often, and so can tell a silent side process. */
-const aliveMs = 700
+/** An entry hears something at least this often, and so can tell a silent side process; across, bytes cost. */
+const nearAliveMs = 700
+const farAliveMs = 1500
 
 /** Loads that a new incarnation assumes its predecessor to have begun just before. */
 const assumedStarts = 1
@@ -289,6 +290,11 @@
   #take (frame: Frame, link: Link): void {
     const entry = link.channel.peer.process
     if (frame.type === 'fact') link.facts.receive(frame)
+    if (frame.type === 'heartbeat') {
+      link.facts.heard(frame.revision)
+      // Entries of the same domain send what they learn at once, so by now it is all here.
+      if (link.near) this.options.facts.caughtUp(frame.revision)
+    }
     if (frame.type === 'uses') this.demands.used(entry, frame.uses)
     if (frame.type === 'fences') {
       this.options.facts.saw(frame.highest)
@@ -316,7 +322,7 @@
       const changed = link.changes !== this.#changes || link.reachable !== (account !== undefined) || link.server !== this.#server
       const loadChanged = link.waiting !== waiting || link.running !== running
       const age = now - link.sentAt
-      const due = age > aliveMs || (changed && (link.near || age > farChangeMs)) || (loadChanged && age > restMs)
+      const due = age > (link.near ? nearAliveMs : farAliveMs) || (changed && (link.near || age > farChangeMs)) || (loadChanged && age > restMs)
       if (due) this.#tell(link, waiting, running)
     }
   }
--- /dev/null
+++ b/packages/fleet/test/follow.test.ts
@@ -0,0 +1,107 @@
+import { quietLog } from '@finchpitch/core'
+import { Facts, Outage, follow, gatherMs, type Fact, type FactPage, type FactSource, type StoreFailure } from '@finchpitch/fleet'
+import { FakeTime } from '@finchpitch/stand-ins'
+import { expect } from 'chai'
+import { err, ok, type Result } from 'neverthrow'
+
+class ScriptedSource implements FactSource {
+  readonly kind = 'version' as const
+  readonly calls: string[] = []
+  facts: Fact[] = []
+  failure: StoreFailure | undefined
+  revision = 1
+  /** A watch hangs until it is cut off. */
+  hang = false
+
+  async list (): Promise<Result<FactPage, StoreFailure>> {
+    this.calls.push('list')
+    return this.failure === undefined ? ok({ facts: this.facts, revision: this.revision }) : err(this.failure)
+  }
+
+  async changes (revision: number, _waitMs: number, signal: AbortSignal): Promise<Result<FactPage, StoreFailure>> {
+    this.calls.push(`changes ${revision}`)
+    if (this.hang) {
+      await new Promise(resolve => signal.addEventListener('abort', resolve))
+      return err({ code: 'unreachable', detail: 'cut off' })
+    }
+    return this.failure === undefined ? ok({ facts: [], revision: this.revision }) : err(this.failure)
+  }
+}
+
+const named = (adapter: string, revision: number): Fact =>
+  ({ kind: 'version', key: `m/${adapter}`, revision, value: { model: 'm', adapter, version: revision } })
+
+describe('following a kind of fact', () => {
+  let time: FakeTime
+  let facts: Facts
+  let source: ScriptedSource
+  let outage: Outage
+  let stop: AbortController
+
+  beforeEach(() => {
+    time = new FakeTime()
+    facts = new Facts(quietLog, () => 1000)
+    source = new ScriptedSource()
+    outage = new Outage()
+    stop = new AbortController()
+  })
+
+  afterEach(() => {
+    stop.abort()
+    time.restore()
+  })
+
+  const start = (): void => { void follow({ source, facts, log: quietLog, signal: stop.signal, outage, restMs: () => 500 }) }
+
+  it('lists once, then asks for changes, resting in between', async () => {
+    source.facts = [named('a', 1)]
+    start()
+    await time.pass(1100)
+    expect(source.calls).to.deep.equal(['list', 'changes 1', 'changes 1'])
+    expect(facts.version('m/a')?.version).to.equal(1)
+  })
+
+  it('lists again when the history is gone, and drops what is no longer there', async () => {
+    source.facts = [named('a', 1), named('b', 1)]
+    start()
+    await time.pass(100)
+    source.facts = [named('b', 1)]
+    source.failure = { code: 'compacted', detail: '' }
+    await time.pass(520)
+    source.failure = undefined
+    await time.pass(1000)
+    expect(source.calls.filter(call => call === 'list').length).to.be.at.least(2)
+    expect(facts.version('m/a')).to.equal(undefined)
+    expect(facts.version('m/b')?.version).to.equal(1)
+  })
+
+  it('asks seldom while the store is away, and soon after its return', async () => {
+    start()
+    await time.pass(100)
+    source.failure = { code: 'turned_away', detail: '' }
+    await time.pass(20_000)
+    const asked = source.calls.length
+    expect(asked).to.be.lessThan(60)
+    source.failure = undefined
+    await time.pass(1000)
+    expect(source.calls.length).to.be.greaterThan(asked)
+  })
+
+  it('renews a watch that hangs as soon as another task notices the outage', async () => {
+    start()
+    await time.pass(100)
+    source.hang = true
+    await time.pass(3000)
+    const asked = source.calls.length
+    source.hang = false
+    outage.noticed()
+    await time.pass(50)
+    expect(source.calls.length).to.be.greaterThan(asked)
+  })
+
+  it('rests longer where many entries share the work, within the bound of a leaving server', () => {
+    expect(gatherMs('server', 3, 2000)).to.equal(700)
+    expect(gatherMs('server', 28, 3000)).to.equal(1800)
+    expect(gatherMs('table', 28, 3000)).to.equal(100)
+  })
+})
