--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import neostandard from 'neostandard'
 
 export default [
-  ...neostandard({ ts: true, ignores: ['**/dist/**', 'node_modules/**'] }),
+  ...neostandard({ ts: true, ignores: ['**/dist/**', 'node_modules/**', 'target/**'] }),
   {
     files: ['**/*.ts'],
     rules: {
--- a/packages/core/src/line-sink.ts
+++ b/packages/core/src/line-sink.ts
@@ -51,8 +51,10 @@
 
   #write (text: Buffer, from: number): void {
     write(this.descriptor, text, from, text.length - from, null, (error, written) => {
-      const again = error?.code === 'EAGAIN'
-      if (again) return void setTimeout(() => this.#write(text, from), flushMs)
+      if (error?.code === 'EAGAIN') {
+        setTimeout(() => this.#write(text, from), flushMs)
+        return
+      }
       if (error === null && from + written < text.length) return this.#write(text, from + written)
       // A descriptor that is closed can't be told anything; the lines are lost with it.
       this.#writing = false
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -8,7 +8,7 @@
 import { pause, type Log } from '@finchpitch/core'
 import { Channel, type ChannelOptions } from '@finchpitch/wire'
 import { backoffMs } from '../backoff.js'
-import { FactLink } from '../fact-exchange.js'
+import { FactLink, patienceMs } from '../fact-exchange.js'
 import type { Fact, Facts } from '../facts.js'
 import { Outage, follow, gatherMs } from '../follow.js'
 import type { FactSource, HeaderNames, Limits } from '../ports.js'
@@ -179,7 +179,7 @@
   async #exchange (stream: Duplex): Promise<void> {
     const { facts, log } = this.options
     const channel = new Channel(stream, this.options.channel)
-    const link = new FactLink(facts, channel, true, log)
+    const link = new FactLink(facts, channel, patienceMs.entry, log)
     void channel.greeted.then(welcome => {
       if (!welcome) return
       link.start()
@@ -187,7 +187,7 @@
     })
     for await (const frame of channel.frames()) {
       if (frame.type === 'fact') link.receive(frame)
-      if (frame.type === 'heartbeat') link.heard(frame.revision)
+      if (frame.type === 'heartbeat') link.heard(frame.complete)
     }
     link.stop()
     log.info('peer.lost', { reason: (await channel.ended).reason })
--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -9,7 +9,7 @@
 import { Channel, type ChannelOptions, type Frame, type HoldingFrame } from '@finchpitch/wire'
 import { backoffMs } from '../backoff.js'
 import { nowMs } from '../clock.js'
-import { FactLink } from '../fact-exchange.js'
+import { FactLink, patienceMs } from '../fact-exchange.js'
 import type { Facts } from '../facts.js'
 import type { BackendServer } from '../server.js'
 import type { ServerStates } from './server-state.js'
@@ -188,7 +188,7 @@
     const channel = new Channel(stream, this.options.channel)
     link.held = new Map()
     link.coming = new Set()
-    const factLink = new FactLink(facts, channel, link.domain !== domain, log)
+    const factLink = new FactLink(facts, channel, link.domain === domain ? patienceMs.nearSide : patienceMs.farSide, log)
     void channel.greeted.then(welcome => {
       if (!welcome) return
       link.channel = channel
@@ -199,7 +199,7 @@
     for await (const frame of channel.frames()) {
       link.heardAt = nowMs()
       if (frame.type === 'fact') factLink.receive(frame)
-      else if (frame.type === 'heartbeat') factLink.heard(frame.revision)
+      else if (frame.type === 'heartbeat') factLink.heard(frame.complete)
       else this.#take(link, frame)
     }
     factLink.stop()
--- a/packages/fleet/src/fact-exchange.ts
+++ b/packages/fleet/src/fact-exchange.ts
@@ -1,30 +1,38 @@
 /**
  * Passing facts between processes over the channels that they have anyway.
  *
- * Each link remembers what its peer is known to have, so a fact crosses it once. Links into other failure domains
- * wait a moment first: most peers have the fact from the store by then, and bytes between domains cost.
+ * Each link remembers what its peer has, from what crossed it and from the peer's heartbeats, so a fact crosses it
+ * once at most. Most peers have a fact from the store or from a nearer peer soon, and bytes between domains cost, so
+ * only links to side processes of one's own domain send at once; the others wait for the peer's word first.
  */
 import type { Log } from '@finchpitch/core'
-import type { Channel, FactFrame } from '@finchpitch/wire'
+import type { Channel, Complete, FactFrame } from '@finchpitch/wire'
 import { factOf, frameOf, type Fact, type Facts } from './facts.js'
 
-/** Longer than a watch rests between two calls, so that a peer which has the store is not told twice. */
-const forwardMs = 700
+/** How long a link waits before it sends. */
+export const patienceMs = {
+  /** Entry to the side processes of its domain, which have no other source. */
+  nearSide: 0,
+  /** To entries: a watch rests up to 0.7 s in small fleets, and a heartbeat follows within 1 s. */
+  entry: 1500,
+  /** Entry to side processes elsewhere: their own entries tell them, and two heartbeats later it is known here. */
+  farSide: 3000
+}
 
 export class FactLink {
   /** The revision of each fact that the peer is known to have. */
   readonly #known = new Map<string, number>()
   readonly #stop: () => void
-  /** Up to here the peer lacks nothing, by its own word. */
-  #peerComplete = 0
+  /** How far the peer lacks nothing, by its own word. */
+  #complete: Complete = { table: 0, server: 0, version: 0 }
 
-  constructor (private readonly facts: Facts, private readonly channel: Channel, private readonly patient: boolean, private readonly log: Log) {
+  constructor (private readonly facts: Facts, private readonly channel: Channel, private readonly patience: number, private readonly log: Log) {
     this.#stop = facts.onChange(fact => this.#schedule(fact))
   }
 
   /** Sends all that the peer may lack. */
   start (): void {
-    this.heard(this.channel.peer.revision)
+    this.heard(this.channel.peer.complete)
     for (const fact of this.facts.all()) this.#schedule(fact)
   }
 
@@ -33,8 +41,8 @@
   }
 
   /** What the peer's hello and heartbeats say. */
-  heard (revision: number): void {
-    this.#peerComplete = Math.max(this.#peerComplete, revision)
+  heard (complete: Complete | undefined): void {
+    if (complete !== undefined) this.#complete = complete
   }
 
   receive (frame: FactFrame): void {
@@ -48,13 +56,13 @@
   }
 
   #schedule (fact: Fact): void {
-    if (this.patient) setTimeout(() => this.#send(fact), forwardMs)
+    if (this.patience > 0) setTimeout(() => this.#send(fact), this.patience)
     else this.#send(fact)
   }
 
   #send (fact: Fact): void {
     const known = this.#known.get(idOf(fact)) ?? 0
-    if (!this.channel.open || known >= fact.revision || this.#peerComplete >= fact.revision) return
+    if (!this.channel.open || known >= fact.revision || this.#complete[fact.kind] >= fact.revision) return
     if (this.facts.revisionOf(fact.kind, fact.key) > fact.revision) return
     this.#known.set(idOf(fact), fact.revision)
     this.channel.send(frameOf(fact))
--- a/packages/fleet/src/facts.ts
+++ b/packages/fleet/src/facts.ts
@@ -7,7 +7,7 @@
  */
 import { isDeepStrictEqual } from 'node:util'
 import type { Log } from '@finchpitch/core'
-import type { FactFrame } from '@finchpitch/wire'
+import type { Complete, FactFrame } from '@finchpitch/wire'
 import { nowMs } from './clock.js'
 import { BackendServer, NamedVersion, refKey } from './server.js'
 import { RouteIndex, RoutingTable } from './table.js'
@@ -42,10 +42,9 @@
   readonly #current = new Map<string, Fact>()
   readonly #tombstones = new Map<string, number>()
   readonly #listeners = new Set<Listener>()
-  readonly #complete = new Map<Fact['kind'], number>()
+  readonly #complete: Complete = { table: 0, server: 0, version: 0 }
   #routes: RouteIndex | undefined
   #highest = 0
-  #caughtUp = 0
 
   /** `lapseMs`: how long a server whose entry vanished without notice is kept in reserve. */
   constructor (private readonly log: Log, private readonly lapseMs: () => number) {}
@@ -64,21 +63,20 @@
     if (revision > this.#highest) this.#highest = revision
   }
 
-  /** Up to this revision nothing of any kind is missing here. */
-  get completeTo (): number {
-    const own = this.#complete.size < kinds.length ? 0 : Math.min(...this.#complete.values())
-    return Math.max(own, this.#caughtUp)
+  /** Up to which revision nothing is missing here, for each kind. */
+  get complete (): Complete {
+    return { ...this.#complete }
   }
 
   /** The store was read completely up to `revision`, for one kind. */
   completed (kind: Fact['kind'], revision: number): void {
-    this.#complete.set(kind, revision)
+    this.#complete[kind] = Math.max(this.#complete[kind], revision)
     this.saw(revision)
   }
 
-  /** A peer that sends all it learns at once is complete up to `revision`. */
-  caughtUp (revision: number): void {
-    this.#caughtUp = Math.max(this.#caughtUp, revision)
+  /** A peer that sends all it learns at once has told how far it is. */
+  caughtUp (complete: Complete): void {
+    for (const kind of kinds) this.completed(kind, complete[kind])
   }
 
   serversOf (service: string): readonly BackendServer[] {
--- a/packages/fleet/src/side/side.ts
+++ b/packages/fleet/src/side/side.ts
@@ -10,7 +10,7 @@
 import { pause, type Log } from '@finchpitch/core'
 import { Channel, type ChannelOptions, type Frame, type HoldingFrame } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
-import { FactLink } from '../fact-exchange.js'
+import { FactLink, patienceMs } from '../fact-exchange.js'
 import type { Facts } from '../facts.js'
 import type { EngineAccount, EngineOrder, EngineOrders, Limits } from '../ports.js'
 import { parseRef, refKey } from '../server.js'
@@ -270,7 +270,7 @@
     const link: Link = {
       channel,
       near,
-      facts: new FactLink(facts, channel, true, log),
+      facts: new FactLink(facts, channel, patienceMs.entry, log),
       sentAt: -Infinity,
       changes: -1,
       held: {},
@@ -291,9 +291,9 @@
     const entry = link.channel.peer.process
     if (frame.type === 'fact') link.facts.receive(frame)
     if (frame.type === 'heartbeat') {
-      link.facts.heard(frame.revision)
+      link.facts.heard(frame.complete)
       // Entries of the same domain send what they learn at once, so by now it is all here.
-      if (link.near) this.options.facts.caughtUp(frame.revision)
+      if (link.near && frame.complete !== undefined) this.options.facts.caughtUp(frame.complete)
     }
     if (frame.type === 'uses') this.demands.used(entry, frame.uses)
     if (frame.type === 'fences') {
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -56,9 +56,9 @@
   await pause(startMs)
   const results: Array<Promise<Result>> = []
   const agents = fleet.entries.map(() => new Agent({ keepAlive: true, maxSockets: 40 }))
-  let asking = true
+  const asked = new AbortController()
   const asker = (async () => {
-    for (let each = 0; asking; each++) {
+    for (let each = 0; !asked.signal.aborted; each++) {
       results.push(ask(fleet, dice, agents, `soak-${seed}-${each}`))
       await pause(askEveryMs)
     }
@@ -73,7 +73,7 @@
   }
   await Promise.all(faults)
   await pause(recoverMs)
-  asking = false
+  asked.abort()
   await asker
   const last: Result[] = []
   for (let each = 0; each < 12; each++) last.push(await ask(fleet, dice, agents, `soak-${seed}-last-${each}`))
--- a/packages/stand-ins/src/fleet/backend-server.ts
+++ b/packages/stand-ins/src/fleet/backend-server.ts
@@ -119,7 +119,10 @@
     this.headers.set(requestId, request.headers)
     response.on('close', () => { if (!response.writableFinished) this.left.push(requestId) })
     if (this.fault === 'mute') return
-    if (this.fault === 'reset') return void response.destroy()
+    if (this.fault === 'reset') {
+      response.destroy()
+      return
+    }
     this.running += 1
     try {
       await pause(this.options.workMs)
@@ -153,14 +156,18 @@
       response.writeHead(200, { ...headers, 'content-length': text.length })
       if (this.fault === 'torn') {
         response.write(text.slice(0, 4))
-        return void setTimeout(() => response.destroy(), 5)
+        setTimeout(() => response.destroy(), 5)
+        return
       }
       response.end(text)
       return
     }
     response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' })
     for (let event = after + 1; event <= this.options.events; event++) {
-      if (this.fault === 'torn' && event === 3) return void response.destroy()
+      if (this.fault === 'torn' && event === 3) {
+        response.destroy()
+        return
+      }
       response.write(`id: ${event}\ndata: ${this.id} ${event}\n\n`)
       await pause(this.options.eventMs)
     }
--- a/packages/stand-ins/src/fleet/fleet-system.ts
+++ b/packages/stand-ins/src/fleet/fleet-system.ts
@@ -168,9 +168,8 @@
 
   async #listen (server: HttpStandIn, ip: string, port: number): Promise<void> {
     const { between } = this.options
-    if (between === undefined) return void await server.start(ip, port)
-    await server.start(ip, port + hiddenBy)
-    await between(ip, port, port + hiddenBy)
+    await server.start(ip, between === undefined ? port : port + hiddenBy)
+    await between?.(ip, port, port + hiddenBy)
   }
 
   #ip (domain: number, machine: number): string {
--- a/packages/stand-ins/src/fleet/object-server.ts
+++ b/packages/stand-ins/src/fleet/object-server.ts
@@ -64,7 +64,10 @@
   protected override async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     this.calls += 1
     if (this.fault === 'busy') return sendJson(response, 503, {})
-    if (this.fault === 'reset') return void response.destroy()
+    if (this.fault === 'reset') {
+      response.destroy()
+      return
+    }
     if (this.fault === 'silent') return
     const url = new URL(request.url ?? '/', 'http://store')
     const kind = url.pathname.split('/').at(-1) ?? ''
--- a/packages/wire/src/channel.ts
+++ b/packages/wire/src/channel.ts
@@ -26,6 +26,8 @@
   heartbeat: () => FrameOf<'heartbeat'>
   /** Milliseconds of rest after which a heartbeat is sent; `heartbeatMs` by default. */
   heartbeatMs?: number
+  /** Heartbeats are sent beside other frames too, since they tell something of their own. */
+  steady?: boolean
   /** Milliseconds of silence after which the peer counts as gone; `silenceMs` by default. */
   silenceMs?: number
 }
@@ -138,7 +140,7 @@
       await pause(beat, this.#stop.signal)
       const now = performance.now()
       if (now - this.#lastHeard > silence) this.close({ reason: 'silent' })
-      if (now - this.#lastSent >= beat) this.send(this.options.heartbeat())
+      if (this.options.steady === true || now - this.#lastSent >= beat) this.send(this.options.heartbeat())
     }
   }
 }
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -23,6 +23,10 @@
 })
 export type Load = z.infer<typeof Load>
 
+/** Up to which revision of the store a process lacks nothing, for each kind of fact. */
+export const Complete = z.object({ table: z.number().nonnegative(), server: z.number().nonnegative(), version: z.number().nonnegative() })
+export type Complete = z.infer<typeof Complete>
+
 export const Hello = z.object({
   type: z.literal('hello'),
   protocol: z.number().int(),
@@ -32,7 +36,8 @@
   domain: FailureDomain,
   revision: Revision,
   serving: Serving.optional(),
-  load: Load.optional()
+  load: Load.optional(),
+  complete: Complete.optional()
 })
 export type Hello = z.infer<typeof Hello>
 
@@ -84,7 +89,7 @@
   z.object({ type: z.literal('uses'), uses: z.array(z.tuple([AdapterKey, Count, Count])).max(5000) }),
   /** The highest fence that the receiver was ever known to use, or the newest revision known: it goes no lower. */
   z.object({ type: z.literal('fences'), highest: Count }),
-  z.object({ type: z.literal('heartbeat'), revision: Revision, load: Load.optional() }),
+  z.object({ type: z.literal('heartbeat'), revision: Revision, load: Load.optional(), complete: Complete.optional() }),
   z.object({ type: z.literal('run'), id: ExchangeId, work: Work }),
   z.object({ type: z.literal('head'), id: ExchangeId, status: z.number().int(), headers: Headers, resident: z.boolean() }),
   z.object({ type: z.literal('chunk'), id: ExchangeId, sequence: z.number().int().nonnegative(), data: Bytes }),
