--- a/packages/fleet/src/side/side.ts
+++ b/packages/fleet/src/side/side.ts
@@ -75,6 +75,8 @@
   #failures = 0
   #fence = 0
   #server: string | undefined
+  /** The engine's id as last listed. */
+  #listed: string | undefined
   #wake = (): void => {}
   /** Loads that were ordered and have not been seen to end. */
   readonly #loading = new Map<string, { at: number, version: number | undefined }>()
@@ -158,10 +160,17 @@
     if (this.#failures > 0) log.info('engine.regained', { failures: this.#failures })
     this.#failures = 0
     this.#account = account.value
-    this.#noteServer(account.value.server ?? this.#listedServer())
+    this.#noteListed(account.value.server ?? this.#listedServer())
     return true
   }
 
+  /** The list is believed when it changes. Until then an engine that named itself on a refusal is believed more. */
+  #noteListed (server: string | undefined): void {
+    if (server === this.#listed) return
+    this.#listed = server
+    this.#noteServer(server)
+  }
+
   #noteServer (server: string | undefined): void {
     if (server === undefined || server === this.#server) return
     this.options.log.info('engine.known', { server, before: this.#server })
@@ -172,7 +181,7 @@
   #listedServer (): string | undefined {
     const { facts, engineAddress } = this.options
     const listed = [...facts.servers.values()].filter(server => server.address === engineAddress)
-    if (this.#server !== undefined && listed.length === 0) return this.#server
+    if (listed.length === 0) return this.#listed
     return listed.sort((a, b) => facts.revisionOf('server', b.id) - facts.revisionOf('server', a.id))[0]?.id
   }
 
--- a/packages/fleet/test/fleet.test.ts
+++ b/packages/fleet/test/fleet.test.ts
@@ -209,6 +209,20 @@
       expect(headers).to.include({ 'expect-version': '2' })
     })
 
+    it('reach an engine that restarted empty before the platform lists it again', async () => {
+      const [engine] = fleet.engines
+      const [side] = fleet.sides
+      if (engine === undefined || side === undefined) throw new Error('there is an engine')
+      engine.restart('engine-d0-0-again')
+      await eventually('its model is back', () => engine.hasModel, 1500)
+      const moved = fleet.lines(side).filter(line => line.event === 'engine.ordered' && line.outcome === 'moved')
+      expect(moved).to.have.length.at.most(2)
+      fleet.register(engine, side.ip, 'd0')
+      fleet.store.remove('servers', 'engine-d0-0')
+      await pause(2500)
+      expect(await ask({ path: '/stream/x', id: nextId(), model: 'base/h1' })).to.include({ status: 200 })
+    })
+
     it('go on with a side process that was killed and started again', async () => {
       const [side] = fleet.sides
       if (side === undefined) throw new Error('there is a side process')
--- a/packages/stand-ins/src/fleet/backend-server.ts
+++ b/packages/stand-ins/src/fleet/backend-server.ts
@@ -60,6 +60,7 @@
     this.adapters.clear()
     this.coming.clear()
     this.sequence = 0
+    this.hasModel = false
   }
 
   protected override async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -94,7 +95,10 @@
     this.orders.push(order)
     this.sequence += 1
     const { adapter } = order
-    if (adapter === undefined) return 202
+    if (adapter === undefined) {
+      this.hasModel = order.operation === 'load'
+      return 202
+    }
     if (order.operation === 'unload') {
       this.adapters.delete(adapter)
       return 200
@@ -140,8 +144,10 @@
   #refusal (request: IncomingMessage): number | undefined {
     if (this.#misdirected(request)) return 421
     if (this.fault === 'shedding') return 503
+    if (this.options.engine === undefined) return undefined
+    if (!this.hasModel) return 421
     const adapter = String(request.headers.model ?? '').split('/')[1]
-    if (this.options.engine === undefined || adapter === undefined) return undefined
+    if (adapter === undefined) return undefined
     const held = this.adapters.get(adapter)
     const expected = request.headers['expect-version']
     return held === undefined || (expected !== undefined && Number(expected) !== held) ? 421 : undefined
