--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -1,11 +1,12 @@
 /**
- * `npm run soak -- [runs] [first seed] [seconds]`: plays seeds one after the other; says what broke, and with which seed.
+ * `npm run soak -- [runs] [first seed] [seconds] [network]`: plays seeds one after the other; says what broke, and with which seed.
  */
 import { soak } from './soak.js'
 
-const [runs = 5, first = Date.now() % 1_000_000, seconds = 8] = process.argv.slice(2).map(Number)
-/** Second number of the fleet's addresses. */
-const network = 41
+/** Second number of the fleet's addresses, so that several soaks can run beside each other. */
+const defaultNetwork = 41
+
+const [runs = 5, first = Date.now() % 1_000_000, seconds = 8, network = defaultNetwork] = process.argv.slice(2).map(Number)
 
 let failures = 0
 for (let seed = first; seed < first + runs; seed++) {
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -35,6 +35,8 @@
   whole: boolean
 }
 
+/** Lines of each side process that are told with a request that was not served at the end. */
+const lastLines = 12
 const startMs = 2500
 const askEveryMs = 12
 const remainingMs = 1500
@@ -81,7 +83,11 @@
   for (const agent of agents) agent.destroy()
   const report = judge(all, [...fleet.engines, ...fleet.plain])
   const unserved = last.filter(result => result.status !== 200)
-  if (unserved.length > 0) report.broken.push(`not recovered: ${unserved.map(result => `${result.path} ${result.status}`).join(', ')}`)
+  for (const { id, path, status } of unserved) {
+    const lines = fleet.entries.flatMap(entry => entry.output).filter(line => line.includes(`"${id}"`))
+    report.broken.push([`not recovered: ${id} ${path} ${status}`, ...lines].join('\n    '))
+  }
+  if (unserved.length > 0) report.broken.push(...fleet.sides.flatMap(side => side.output.slice(-lastLines)))
   await fleet.stop()
   await Promise.all(proxies.map(proxy => proxy.stop()))
   return report
