--- a/packages/fleet/src/entry/balancer.ts
+++ b/packages/fleet/src/entry/balancer.ts
@@ -12,6 +12,9 @@
 import { ServerStates, type ServerState } from './server-state.js'
 import type { SideLinks } from './side-links.js'
 
+/** What the balancer needs of the links to side processes. */
+export type Placers = Pick<SideLinks, 'orderable' | 'warm' | 'short' | 'want'>
+
 /** Requests of the last seconds that went across for an adapter, before it is wanted in this domain too. */
 const worthNearer = 6
 const nearerHalfLifeMs = 20_000
@@ -42,7 +45,7 @@
     private readonly facts: Facts,
     private readonly domain: string,
     private readonly limits: () => Limits,
-    private readonly links: () => SideLinks,
+    private readonly links: () => Placers,
     private readonly log: Log
   ) {}
 
@@ -52,7 +55,9 @@
   }
 
   choose (asked: Asked): Choice {
-    const servers = this.facts.serversOf(asked.service.name).filter(server => !server.leaving && !asked.excluded.has(server.id))
+    const staying = this.facts.serversOf(asked.service.name).filter(server => !server.leaving && !asked.excluded.has(server.id))
+    const listed = staying.filter(server => !this.facts.lapsed(server.id))
+    const servers = listed.length > 0 ? listed : staying
     if (asked.key === undefined) return choosePlain(servers.map(server => this.#option(server)), this.domain)
     return this.#chooseEngine(servers, asked.key, asked)
   }
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -10,7 +10,7 @@
 import { backoffMs } from '../backoff.js'
 import { FactLink, patienceMs } from '../fact-exchange.js'
 import type { Fact, Facts } from '../facts.js'
-import { Outage, follow, gatherMs } from '../follow.js'
+import { Outage, follow, gatherMs, reserveMs } from '../follow.js'
 import type { FactSource, HeaderNames, Limits } from '../ports.js'
 import { Balancer } from './balancer.js'
 import { EntryCounters } from './counters.js'
@@ -79,6 +79,11 @@
     return this.#running
   }
 
+  /** How long a server whose entry vanished stays in reserve. */
+  get reserveMs (): number {
+    return reserveMs(this.#restMs('server'), this.options.limits().drainMs)
+  }
+
   /** Why it should not be sent callers; `undefined` when it should. */
   get unready (): string | undefined {
     if (this.#closing) return 'stopping'
@@ -87,11 +92,10 @@
   }
 
   run (): void {
-    const { sources, facts, log, limits } = this.options
+    const { sources, facts, log } = this.options
     const { signal } = this.#stop
     const outage = new Outage()
-    const restMs = (kind: Fact['kind']): number => gatherMs(kind, this.#links.entries ?? 1, limits().drainMs)
-    for (const source of sources) void follow({ source, facts, log, signal, outage, restMs })
+    for (const source of sources) void follow({ source, facts, log, signal, outage, restMs: kind => this.#restMs(kind) })
     for (const seed of this.options.seeds()) void this.#keepSeed(seed)
     void this.#links.tellUses(signal)
     void this.#sweep()
@@ -135,6 +139,10 @@
     }
   }
 
+  #restMs (kind: Fact['kind']): number {
+    return gatherMs(kind, this.#links.entries ?? 1, this.options.limits().drainMs)
+  }
+
   #reconcile (): void {
     const { facts } = this.options
     const engines = [...facts.servers.values()].filter(server => facts.routes?.service(server.service)?.engine !== undefined)
--- a/packages/fleet/src/follow.ts
+++ b/packages/fleet/src/follow.ts
@@ -29,6 +29,15 @@
   return Math.min(drainMs * drainShare, leastRestMs.server * Math.max(1, entries / restingEntries))
 }
 
+/** What is left, for delays on the way, of the time in which work may still go to a server that leaves. */
+const reserveShare = 0.85
+
+/**
+ * How long a server whose entry vanished stays in reserve: work may go there for `drainMs` from the store's word, of
+ * which the watch may have rested `restMs`.
+ */
+export const reserveMs = (restMs: number, drainMs: number): number => Math.max(0, drainMs * reserveShare - restMs)
+
 /** What the tasks of one process tell each other of the store: a call that failed puts the other watches in doubt. */
 export class Outage {
   #doubt = new AbortController()
--- /dev/null
+++ b/packages/fleet/test/balancer.test.ts
@@ -0,0 +1,50 @@
+import { quietLog } from '@finchpitch/core'
+import { Balancer, Facts, nowMs, removalStep, reserveMs, type BackendServer, type FleetService, type Limits, type RoutingTable } from '@finchpitch/fleet'
+import { expect } from 'chai'
+
+const engines: FleetService = {
+  name: 'llm',
+  maxConnections: 100,
+  engine: { batchSize: 8, adapterSlots: 4, weightMemoryMb: 2000, loadsPerSecond: 9, models: [{ name: 'm', memoryMb: 1000, adapterMemoryMb: 12 }] }
+}
+const table: RoutingTable = { version: 1, routes: [], services: [engines], limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } }
+const limits: Limits = { graceMs: 8000, drainMs: 2000, versionMs: 5000, retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 50, loadWindowMs: 5000, loadOverage: 1.1 }
+const server = (id: string): BackendServer => ({ id, service: 'llm', address: `10.0.0.${id}:80`, domain: 'a', slots: 8, leaving: false, models: [] })
+const asked = { service: engines, key: 'm/x', affinityKey: 'm/x', promptTokens: 10, priority: 1, excluded: new Set<string>() }
+const links = { orderable: () => true, warm: () => false, short: false, want: () => {} }
+
+describe('balancer', () => {
+  const setUp = (): { facts: Facts, balancer: Balancer } => {
+    const facts = new Facts(quietLog, () => 1000)
+    facts.offer({ kind: 'table', key: 'table', revision: 1, value: table }, 'store')
+    const balancer = new Balancer(facts, 'a', () => limits, () => links, quietLog)
+    for (const id of ['1', '2']) {
+      facts.offer({ kind: 'server', key: id, revision: 2, value: server(id) }, 'store')
+      balancer.state(server(id))
+    }
+    balancer.states.tell('1', { at: nowMs(), reachable: true, held: new Map([['m/x', 1]]), coming: new Set(), waiting: 0, running: 0 })
+    return { facts, balancer }
+  }
+
+  it('sends to the holder', () => {
+    expect(setUp().balancer.choose(asked)).to.include({ type: 'send', id: '1' })
+  })
+
+  it('brings the adapter in elsewhere once the only holder\'s entry has vanished', () => {
+    const { facts, balancer } = setUp()
+    facts.offer({ kind: 'server', key: '1', revision: 2 + removalStep, value: undefined }, 'store')
+    expect(balancer.choose(asked)).to.include({ type: 'bring', ask: '2' })
+  })
+
+  it('uses what is left in reserve when all entries have vanished', () => {
+    const { facts, balancer } = setUp()
+    for (const id of ['1', '2']) facts.offer({ kind: 'server', key: id, revision: 2 + removalStep, value: undefined }, 'store')
+    expect(balancer.choose(asked)).to.include({ type: 'send', id: '1' })
+  })
+
+  it('keeps a reserve no longer than work may still go there, counted from the store\'s word', () => {
+    expect(reserveMs(700, 2000)).to.equal(1000)
+    expect(reserveMs(1800, 3000)).to.equal(750)
+    expect(reserveMs(5000, 2000)).to.equal(0)
+  })
+})
