A history that is gone makes every kind list again, and watches wait less

Now one 410 makes all kinds list. Ruled out: a lost connection of the table's watch (its answer came).

--- a/packages/fleet/src/follow.ts
+++ b/packages/fleet/src/follow.ts
@@ -13,7 +13,7 @@
  * How long a watch waits where nothing changes. Servers change all the time, so their watch is the one that notices a
  * dead connection; the others are cut off and renewed as soon as it does.
  */
-const watchMs: Record<Fact['kind'], number> = { table: 8000, server: 1500, version: 8000 }
+const watchMs: Record<Fact['kind'], number> = { table: 3000, server: 1500, version: 5000 }
 
 const backoff = { firstMs: 100, limitMs: 800 }
 
@@ -47,6 +47,15 @@
     return this.#doubt.signal
   }
 
+  /** How often the store's history was found gone; who has listed since an earlier count lists again. */
+  compactions = 0
+
+  /** One task found the history gone. A watch that was renewed in between may hang on it and say nothing. */
+  compacted (): void {
+    this.compactions += 1
+    this.noticed()
+  }
+
   noticed (): void {
     this.#doubt.abort()
     this.#doubt = new AbortController()
@@ -68,12 +77,15 @@
   const { kind } = source
   let revision: number | undefined
   let failures = 0
+  let compactions = outage.compactions
   const fail = (failure: StoreFailure): void => {
     if (failures === 0) log.warn('store.lost', { kind, code: failure.code, detail: failure.detail, revision })
     failures += 1
     if (failures === 1) outage.noticed()
   }
   while (!signal.aborted) {
+    if (compactions !== outage.compactions) revision = undefined
+    compactions = outage.compactions
     const doubt = AbortSignal.any([signal, outage.signal])
     const page = revision === undefined ? await source.list() : await source.changes(revision, watchMs[kind], doubt)
     if (signal.aborted) return
@@ -84,6 +96,10 @@
         log.warn('store.read_again', { kind, code: page.error.code, detail: page.error.detail, revision })
         revision = undefined
       }
+      if (page.error.code === 'compacted' && compactions === outage.compactions) {
+        outage.compacted()
+        compactions = outage.compactions
+      }
       if (page.error.code !== 'compacted') fail(page.error)
       await pause(backoffMs(Math.max(1, failures), backoff), signal)
       continue
--- a/packages/fleet/test/follow.test.ts
+++ b/packages/fleet/test/follow.test.ts
@@ -99,6 +99,18 @@
     expect(source.calls.length).to.be.greaterThan(asked)
   })
 
+  it('lists again when another task finds the history gone, though its own watch says nothing', async () => {
+    start()
+    await time.pass(100)
+    source.hang = true
+    await time.pass(1000)
+    source.hang = false
+    source.facts = [named('a', 2)]
+    outage.compacted()
+    await time.pass(50)
+    expect(facts.version('m/a')?.version).to.equal(2)
+  })
+
   it('rests longer where many entries share the work, within the bound of a leaving server', () => {
     expect(gatherMs('server', 3, 2000)).to.equal(700)
     expect(gatherMs('server', 28, 3000)).to.equal(1800)
