Entries that lapse with the store are kept until they would be back; unsent tries cost no retry budget; one server an address

Besides, an entry that vanished while the store was away was reserve for a second, where the platform brings it back within two. Change: only tries that arrive weigh on the budget and on the four tries; the connection's limit looks once more at what the sockets brought; a later server at an address ends the one before; removals learned up to 2 s after the store's return are held back and final then.

--- a/packages/fleet/src/entry/attempt.ts
+++ b/packages/fleet/src/entry/attempt.ts
@@ -74,7 +74,11 @@
   }
   let connected = false
   let finished = false
-  const connecting = setTimeout(() => request.destroy(new Error(`no connection in ${connectMs} ms`)), connectMs)
+  const connecting = setTimeout(() => setImmediate(giveUp), connectMs)
+  /** Timers run before what the sockets brought: after a stall of this process the connection may well be there. */
+  const giveUp = (): void => {
+    if (!connected) request.destroy(new Error(`no connection in ${connectMs} ms`))
+  }
   const finish = (end: AttemptEnd): void => {
     if (finished) return
     finished = true
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -24,8 +24,10 @@
 
 /** Connections come up in a few milliseconds here; a machine that is dark says nothing. */
 const connectMs = 200
-/** Tries of one request, whatever the reasons. */
-const mostTries = 4
+/** Tries of one request that come as far as a server, whatever their end. */
+const mostArrivals = 4
+/** All its tries, those that could not be sent too: a whole failure domain of servers may be out of reach. */
+const mostTries = 12
 /** Part of the time left for which a request may wait; the rest serves it, or a second try by its caller. */
 const waitShare = 0.45
 /** Part of the objective after which a request is refused that nobody could take. */
@@ -66,6 +68,8 @@
   #route: Route | undefined
   #deadline = Infinity
   #tries = 0
+  /** Tries that came as far as a server; only those weigh on the retry budget. */
+  #arrivals = 0
   #ran = 0
   #mayHaveRun = false
   #waitedMs = 0
@@ -203,7 +207,7 @@
     const remaining = Math.floor(this.#deadline - nowMs())
     if (remaining < leastRemainingMs) return { type: 'done', outcome: this.#mayHaveRun ? this.#fail(504, 'timed_out') : this.#refuse('too_late') }
     if (this.#tries === 0) budget.first(asked.service.name)
-    else if (!budget.repeat(asked.service.name)) return { type: 'done', outcome: this.#mayHaveRun ? this.#fail(502, 'no_retry_left') : this.#refuse('no_retry_left') }
+    if (this.#arrivals > 0 && !budget.repeat(asked.service.name)) return { type: 'done', outcome: this.#mayHaveRun ? this.#fail(502, 'no_retry_left') : this.#refuse('no_retry_left') }
     this.#tries += 1
     this.#server = server
     this.#reason = reason
@@ -227,6 +231,7 @@
       }
     })
     state.end(asked.key, pending)
+    if (end.type !== 'not_sent') this.#arrivals += 1
     counters.attempts.inc({ end: end.type })
     if (server.domain !== this.options.domain) balancer.sentAcross(asked)
     this.options.room.pokeFull()
@@ -264,7 +269,7 @@
     const repeatable = route.kind === 'repeatable' || (route.kind === 'stream' && route.resumable)
     const again: Verdict = { type: 'again' }
     const done = (outcome: string): Verdict => ({ type: 'done', outcome })
-    const left = this.#tries < mostTries
+    const left = this.#arrivals < mostArrivals && this.#tries < mostTries
     switch (end.type) {
       case 'streamed':
         outlier.succeeded()
--- a/packages/fleet/src/facts.ts
+++ b/packages/fleet/src/facts.ts
@@ -150,6 +150,14 @@
     return true
   }
 
+  /** Takes over that something is gone for good, so that nothing of it stays in reserve. */
+  remove (fact: Fact, from: string): void {
+    if (!this.offer(fact, from) || !this.#lapsed.delete(fact.key)) return
+    this.#drop(fact.key)
+    this.log.info('server.gone', { server: fact.key, reason: 'its entry did not come back with the store' })
+    for (const listener of this.#listeners) listener(fact)
+  }
+
   setTable (table: RoutingTable): void {
     this.#routes = new RouteIndex(table)
   }
@@ -165,6 +173,7 @@
     }
     this.#lapsed.delete(id)
     this.#drop(id)
+    if (this.#succeeded(id, server.address)) return
     // A server that has said it leaves never comes back under the same id.
     const settled = before?.leaving === true ? { ...server, leaving: true } : server
     this.servers.set(id, settled)
@@ -178,6 +187,19 @@
     else this.#versions.set(key, { version: named.version, learnedAt: nowMs() })
   }
 
+  /** Whether a later server has its address. Those before it at that address are gone, though their entries may stay for a while. */
+  #succeeded (id: string, address: string): boolean {
+    const revision = this.revisionOf('server', id)
+    for (const other of [...this.servers.values()]) {
+      if (other.address !== address) continue
+      if (this.revisionOf('server', other.id) > revision) return true
+      this.#lapsed.delete(other.id)
+      this.#drop(other.id)
+      this.log.info('server.gone', { server: other.id, reason: `${id} has its address` })
+    }
+    return false
+  }
+
   #drop (id: string): void {
     const server = this.servers.get(id)
     if (server === undefined) return
--- a/packages/fleet/src/follow.ts
+++ b/packages/fleet/src/follow.ts
@@ -6,8 +6,10 @@
  */
 import { pause, type Log } from '@finchpitch/core'
 import { backoffMs } from './backoff.js'
+import { nowMs } from './clock.js'
 import { removalStep, type Fact, type Facts } from './facts.js'
 import type { FactSource, StoreFailure } from './ports.js'
+import { Removals } from './removals.js'
 
 /**
  * How long a watch waits where nothing changes. Servers change all the time, so their watch is the one that notices a
@@ -78,8 +80,17 @@
   let revision: number | undefined
   let failures = 0
   let compactions = outage.compactions
-  const fail = (failure: StoreFailure): void => {
-    if (failures === 0) log.warn('store.lost', { kind, code: failure.code, detail: failure.detail, revision })
+  /** Since when nothing was heard that should have been. */
+  let lostAt = 0
+  const removals = new Removals(missing => {
+    log.info('store.entries_missing', { kind, keys: missing.map(fact => fact.key) })
+    for (const fact of missing) facts.remove(fact, 'store')
+  })
+  const fail = (failure: StoreFailure, askedAt: number): void => {
+    if (failures === 0) {
+      log.warn('store.lost', { kind, code: failure.code, detail: failure.detail, revision })
+      lostAt = Math.min(nowMs(), askedAt + watchMs[kind])
+    }
     failures += 1
     if (failures === 1) outage.noticed()
   }
@@ -87,8 +98,9 @@
     if (compactions !== outage.compactions) revision = undefined
     compactions = outage.compactions
     const doubt = AbortSignal.any([signal, outage.signal])
+    const askedAt = nowMs()
     const page = revision === undefined ? await source.list() : await source.changes(revision, watchMs[kind], doubt)
-    if (signal.aborted) return
+    if (signal.aborted) return removals.stop()
     if (page.isErr()) {
       // A watch that was cut off here is simply asked again: it tells nothing of the store.
       if (doubt.aborted && revision !== undefined) continue
@@ -100,26 +112,28 @@
         outage.compacted()
         compactions = outage.compactions
       }
-      if (page.error.code !== 'compacted') fail(page.error)
+      if (page.error.code !== 'compacted') fail(page.error, askedAt)
       await pause(backoffMs(Math.max(1, failures), backoff), signal)
       continue
     }
-    if (failures > 0) log.info('store.regained', { kind, failures })
+    if (failures > 0) {
+      log.info('store.regained', { kind, failures, awayMs: Math.round(nowMs() - lostAt) })
+      if (kind === 'server') removals.returned(lostAt)
+    }
     failures = 0
-    if (revision === undefined) removeMissing(facts, kind, page.value.facts)
-    for (const fact of page.value.facts) facts.offer(fact, 'store')
+    const missing = revision === undefined ? missingFrom(facts, kind, page.value.facts) : []
+    for (const fact of removals.sift([...missing, ...page.value.facts])) facts.offer(fact, 'store')
     revision = page.value.revision
     facts.completed(kind, revision)
     await pause(restMs(kind), signal)
   }
 }
 
-/** What was believed and isn't in a complete list has been removed. */
-const removeMissing = (facts: Facts, kind: Fact['kind'], listed: Fact[]): void => {
-  if (kind === 'table') return
+/** Removals of what was believed and isn't in a complete list. */
+const missingFrom = (facts: Facts, kind: Fact['kind'], listed: Fact[]): Fact[] => {
+  if (kind === 'table') return []
   const present = new Set(listed.map(fact => fact.key))
-  for (const fact of facts.all()) {
-    if (fact.kind !== kind || fact.value === undefined || present.has(fact.key)) continue
-    facts.offer({ kind, key: fact.key, revision: fact.revision + removalStep, value: undefined }, 'store')
-  }
+  return facts.all()
+    .filter(fact => fact.kind === kind && fact.value !== undefined && !present.has(fact.key))
+    .map(fact => ({ kind, key: fact.key, revision: fact.revision + removalStep, value: undefined }))
 }
--- /dev/null
+++ b/packages/fleet/src/removals.ts
@@ -0,0 +1,52 @@
+/**
+ * Removals of servers right after the store was away.
+ *
+ * While the store is away no server can renew its entry, so entries lapse though their servers live. Those servers
+ * write them again soon after the store's return; a removal that is learned until then is therefore held back, and
+ * only what is still missing afterwards counts as gone.
+ */
+import { nowMs } from './clock.js'
+import type { Fact } from './facts.js'
+
+/** A server that lives and reaches the store has its entry back within this time of the store's return (platform). */
+const returnMs = 2000
+/** A watch that is merely cut is renewed in a fraction of this; entries lapse after several heartbeats. */
+const awayMs = 1000
+
+export class Removals {
+  #until = -Infinity
+  #timer: NodeJS.Timeout | undefined
+  readonly #held = new Map<string, Fact>()
+
+  /** `release` takes what is still missing when its server would have been back. */
+  constructor (private readonly release: (facts: Fact[]) => void) {}
+
+  /** The store answers again and had not since `since`. */
+  returned (since: number): void {
+    const now = nowMs()
+    if (now - since < awayMs) return
+    this.#until = now + returnMs
+    clearTimeout(this.#timer)
+    this.#timer = setTimeout(() => this.#end(), returnMs)
+  }
+
+  /** What of it is to be believed now. */
+  sift (facts: readonly Fact[]): Fact[] {
+    if (nowMs() >= this.#until) return [...facts]
+    for (const fact of facts) {
+      if (fact.value === undefined) this.#held.set(fact.key, fact)
+      else this.#held.delete(fact.key)
+    }
+    return facts.filter(fact => fact.value !== undefined)
+  }
+
+  stop (): void {
+    clearTimeout(this.#timer)
+  }
+
+  #end (): void {
+    const missing = [...this.#held.values()]
+    this.#held.clear()
+    if (missing.length > 0) this.release(missing)
+  }
+}
--- /dev/null
+++ b/packages/fleet/test/attempt.test.ts
@@ -0,0 +1,63 @@
+import { Agent, createServer, type Server } from 'node:http'
+import { once } from 'node:events'
+import type { AddressInfo } from 'node:net'
+import { attempt, nowMs, type AttemptEnd, type Delivery, type HeaderNames } from '@finchpitch/fleet'
+import { expect } from 'chai'
+
+const names: HeaderNames = {
+  requestId: 'request-id',
+  remainingMs: 'remaining-ms',
+  model: 'model',
+  tokens: 'tokens',
+  lastEventId: 'last-event-id',
+  retryAfter: 'retry-after',
+  seal: 'seal',
+  notRun: 'not-run',
+  expectedServer: 'expected-server',
+  serverId: 'server-id',
+  expectedVersion: 'expected-version',
+  priority: 'priority',
+  reserved: new Set()
+}
+const connectMs = 60
+
+describe('an attempt', () => {
+  let server: Server
+
+  beforeEach(async () => {
+    server = createServer((request, response) => {
+      response.writeHead(200, { 'request-id': request.headers['request-id'], seal: 's' }).end('answer')
+    })
+    server.listen(0, '127.0.0.1')
+    await once(server, 'listening')
+  })
+
+  afterEach(() => { server.close() })
+
+  const send = (address: string): Promise<AttemptEnd> => attempt({
+    agent: new Agent(),
+    address,
+    outgoing: { method: 'GET', path: '/', headers: ['request-id', 'r'], body: Buffer.alloc(0) },
+    requestId: 'r',
+    serverId: 's',
+    names,
+    connectMs,
+    stream: false,
+    cutter: undefined,
+    delivery: { started: false } as unknown as Delivery,
+    signal: new AbortController().signal,
+    heard: () => {}
+  })
+
+  it('is not given up for a stall of this process, when the connection came up in time', async () => {
+    const { port } = server.address() as AddressInfo
+    const sent = send(`127.0.0.1:${port}`)
+    const until = nowMs() + connectMs * 3
+    while (nowMs() < until) { /* The process is busy. */ }
+    expect((await sent).type).to.equal('answer')
+  })
+
+  it('has surely not been sent where nothing listens', async () => {
+    expect(await send('127.0.0.1:9')).to.include({ type: 'not_sent' })
+  })
+})
--- a/packages/fleet/test/facts.test.ts
+++ b/packages/fleet/test/facts.test.ts
@@ -3,8 +3,8 @@
 import { FakeTime } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
 
-const server = (id: string, leaving = false): BackendServer =>
-  ({ id, service: 'llm', address: '10.0.0.1:80', domain: 'a', slots: 8, leaving, models: [] })
+const server = (id: string, leaving = false, address = `10.0.0.1:${id}`): BackendServer =>
+  ({ id, service: 'llm', address, domain: 'a', slots: 8, leaving, models: [] })
 const serverFact = (id: string, revision: number, value: BackendServer | undefined): Fact => ({ kind: 'server', key: id, revision, value })
 
 const table = (version: number): RoutingTable => ({
@@ -80,6 +80,22 @@
     })
   })
 
+  describe('of a server at another\'s address', () => {
+    const ids = (): string[] => facts.serversOf('llm').map(each => each.id)
+
+    it('takes the one before it for gone, though its entry is still there', () => {
+      facts.offer(serverFact('old', 1, server('old', false, '10.0.0.1:80')), 'store')
+      facts.offer(serverFact('new', 2, server('new', false, '10.0.0.1:80')), 'store')
+      expect(ids()).to.deep.equal(['new'])
+    })
+
+    it('does so in whichever order it learns of them', () => {
+      facts.offer(serverFact('new', 2, server('new', false, '10.0.0.1:80')), 'store')
+      facts.offer(serverFact('old', 1, server('old', false, '10.0.0.1:80')), 'peer')
+      expect(ids()).to.deep.equal(['new'])
+    })
+  })
+
   it('never takes back that a server leaves', () => {
     facts.offer(serverFact('s', 1, server('s', true)), 'store')
     facts.offer(serverFact('s', 2, server('s')), 'store')
--- a/packages/fleet/test/fleet.test.ts
+++ b/packages/fleet/test/fleet.test.ts
@@ -1,6 +1,6 @@
 import { request, Agent, type IncomingHttpHeaders } from 'node:http'
 import { pause } from '@finchpitch/core'
-import { FleetSystem, type BackendStandIn } from '@finchpitch/stand-ins'
+import { BackendStandIn, FleetSystem } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
 
 interface Reply {
@@ -309,3 +309,30 @@
     expect(events).to.include.members(['request.not_run', 'request.ended'])
   })
 })
+
+describe('a fleet without any retry budget', function () {
+  this.timeout(30_000)
+  let fleet: FleetSystem
+
+  before(async () => {
+    fleet = new FleetSystem({
+      network: 32, domains: 1, entriesPerDomain: 1, enginesPerDomain: 0, plainPerDomain: 1, places: 3, loadMs: 60, workMs: 5, events: 5, eventMs: 5, bounds: { retrySlack: 0, retryBudgetRatio: 0 }
+    })
+    await fleet.start()
+    await pause(settleMs)
+  })
+
+  after(async () => { await fleet.stop() })
+
+  it('still gets past servers that can not be reached, since nothing was sent there', async () => {
+    const [server] = fleet.plain
+    if (server === undefined) throw new Error('there is a plain server')
+    for (let each = 0; each < 12; each++) fleet.register(new BackendStandIn({ ...server.options, id: `dark-${each}` }), `127.32.0.${220 + each}`, 'd0')
+    await pause(settleMs)
+    const replies = await Promise.all(Array.from({ length: 6 }, (_, each) => new Promise<number>((resolve, reject) => {
+      const headers = { host: 'fleet.example', 'request-id': `dark-${each}`, 'deadline-ms': '3000' }
+      request({ ...fleet.callerAddress(), method: 'POST', path: '/once/x', headers }, answer => resolve(answer.resume().statusCode ?? 0)).on('error', reject).end()
+    })))
+    expect(replies).to.deep.equal([200, 200, 200, 200, 200, 200])
+  })
+})
--- a/packages/fleet/test/follow.test.ts
+++ b/packages/fleet/test/follow.test.ts
@@ -1,13 +1,16 @@
 import { quietLog } from '@finchpitch/core'
-import { Facts, Outage, follow, gatherMs, type Fact, type FactPage, type FactSource, type StoreFailure } from '@finchpitch/fleet'
+import { Facts, Outage, follow, gatherMs, removalStep, type BackendServer, type Fact, type FactPage, type FactSource, type StoreFailure } from '@finchpitch/fleet'
 import { FakeTime } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
 import { err, ok, type Result } from 'neverthrow'
 
 class ScriptedSource implements FactSource {
-  readonly kind = 'version' as const
+  constructor (readonly kind: Fact['kind'] = 'version') {}
+
   readonly calls: string[] = []
   facts: Fact[] = []
+  /** What the next watch tells. */
+  events: Fact[] = []
   failure: StoreFailure | undefined
   revision = 1
   /** A watch hangs until it is cut off. */
@@ -24,7 +27,9 @@
       await new Promise(resolve => signal.addEventListener('abort', resolve))
       return err({ code: 'unreachable', detail: 'cut off' })
     }
-    return this.failure === undefined ? ok({ facts: [], revision: this.revision }) : err(this.failure)
+    const page = { facts: this.events, revision: this.revision }
+    this.events = []
+    return this.failure === undefined ? ok(page) : err(this.failure)
   }
 }
 
@@ -111,6 +116,59 @@
     expect(facts.version('m/a')?.version).to.equal(2)
   })
 
+  describe('of servers, when the store was away', () => {
+    const entry = (id: string, revision: number, value: BackendServer | undefined): Fact => ({ kind: 'server', key: id, revision, value })
+    const server = (id: string): BackendServer => ({ id, service: 'llm', address: `10.0.0.1:${id}`, domain: 'a', slots: 8, leaving: false, models: [] })
+    const present = (): string[] => facts.openTo('llm').filter(each => !facts.lapsed(each.id)).map(each => each.id)
+
+    beforeEach(async () => {
+      source = new ScriptedSource('server')
+      source.facts = [entry('1', 1, server('1')), entry('2', 1, server('2'))]
+      start()
+      await time.pass(100)
+      source.failure = { code: 'turned_away', detail: '' }
+    })
+
+    it('uses those whose entries lapsed until they would have been back, and lets them come back', async () => {
+      await time.pass(4000)
+      source.failure = undefined
+      source.events = [entry('1', 1 + removalStep, undefined), entry('2', 1 + removalStep, undefined)]
+      await time.pass(1500)
+      expect(present()).to.deep.equal(['1', '2'])
+      source.events = [entry('1', 8, server('1')), entry('2', 9, server('2'))]
+      await time.pass(4000)
+      expect(present()).to.deep.equal(['1', '2'])
+    })
+
+    it('takes those still missing after that for gone, with nothing in reserve', async () => {
+      await time.pass(4000)
+      source.failure = undefined
+      source.events = [entry('1', 1 + removalStep, undefined)]
+      await time.pass(3200)
+      expect(facts.serversOf('llm').map(each => each.id)).to.deep.equal(['2'])
+    })
+
+    it('does the same for those missing from a list, where the history is gone too', async () => {
+      await time.pass(4000)
+      source.failure = { code: 'compacted', detail: '' }
+      await time.pass(500)
+      source.failure = undefined
+      source.facts = [entry('2', 1, server('2'))]
+      await time.pass(500)
+      expect(present()).to.deep.equal(['1', '2'])
+      await time.pass(3000)
+      expect(facts.serversOf('llm').map(each => each.id)).to.deep.equal(['2'])
+    })
+
+    it('believes a removal at once after a watch that was merely cut', async () => {
+      await time.pass(600)
+      source.failure = undefined
+      source.events = [entry('1', 1 + removalStep, undefined)]
+      await time.pass(700)
+      expect(facts.lapsed('1')).to.equal(true)
+    })
+  })
+
   it('rests longer where many entries share the work, within the bound of a leaving server', () => {
     expect(gatherMs('server', 3, 2000)).to.equal(700)
     expect(gatherMs('server', 28, 3000)).to.equal(1800)
