--- a/packages/core/src/line-sink.ts
+++ b/packages/core/src/line-sink.ts
@@ -5,6 +5,7 @@
  * count is written as a line of its own once there is room again.
  */
 import { write } from 'node:fs'
+import { pause } from './abort.js'
 
 export interface LineSink {
   /** One line, without its end. */
@@ -13,6 +14,9 @@
 
 /** Some seconds of a busy process's lines. */
 const queueBytes = 512 * 1024
+/** At a process's end, what is queued gets this long; a reader that is gone must not keep the process. */
+const endMs = 150
+const endStepMs = 10
 /** Long enough to gather many lines into one call, short enough to read along. */
 const flushMs = 100
 
@@ -49,6 +53,12 @@
     this.#write(text, 0)
   }
 
+  /** Writes what is queued before the process ends, as far as its reader takes it in time. */
+  async end (): Promise<void> {
+    this.flush()
+    for (let waited = 0; waited < endMs && (this.#writing || this.#lines.length > 0); waited += endStepMs) await pause(endStepMs)
+  }
+
   #write (text: Buffer, from: number): void {
     write(this.descriptor, text, from, text.length - from, null, (error, written) => {
       if (error?.code === 'EAGAIN') {
--- a/packages/daemon/src/entry/dispatch.ts
+++ b/packages/daemon/src/entry/dispatch.ts
@@ -6,10 +6,10 @@
  * - Work with a key is bound to one incarnation first, and only that one is asked. After a proved refusal it may
  *   be bound anew; the store decides between entries that do so at once.
  */
-import { notRun, pause, randomToken, servingOf, targetLabel, unknown, type Answer, type Binding, type Failure, type Log, type Service, type Work } from '@finchpitch/core'
+import { backoff, notRun, pause, randomToken, servingOf, targetLabel, unknown, type Answer, type Binding, type Failure, type Log, type Random, type Service, type Work } from '@finchpitch/core'
 import type { Once } from '@finchpitch/callers'
 import { RetryBudget } from '@finchpitch/decisions'
-import { backoff, claimId, type Catalog, type Claims, type Random, type StoreFault } from '@finchpitch/store'
+import { claimId, type Catalog, type Claims, type StoreFault } from '@finchpitch/store'
 import { err, ok, type Result } from 'neverthrow'
 import type { ChosenSide, Sides } from './sides.js'
 import { bindingOf, isTicket, issueTicket, readTicket } from './ticket.js'
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -5,9 +5,9 @@
  * configuration for its peers, and watches the store when it is one of its failure domain's few watchers.
  */
 import type { Duplex } from 'node:stream'
-import { deadlineIn, notRun, pause, untried, type Address, type Answer, type Failure, type FailureDomain, type Incarnation, type Log, type ProcessId, type Work } from '@finchpitch/core'
+import { deadlineIn, notRun, pause, untried, type Address, type Answer, type Failure, type FailureDomain, type Incarnation, type Log, type ProcessId, type Random, type Work } from '@finchpitch/core'
 import type { Ask } from '@finchpitch/callers'
-import { Claims, StoreSource, catchUp, defaultBuckets, defaultKeptMs, follow, type Catalog, type Instance, type InstanceList, type ObjectStore, type Random } from '@finchpitch/store'
+import { Claims, StoreSource, catchUp, defaultBuckets, defaultKeptMs, follow, type Catalog, type Instance, type InstanceList, type ObjectStore } from '@finchpitch/store'
 import { Channel, protocolVersion, type Dial, type FrameOf } from '@finchpitch/wire'
 import { err, ok, type Result } from 'neverthrow'
 import { watchInstances } from '../instance-view.js'
--- a/packages/daemon/src/entry/sides.ts
+++ b/packages/daemon/src/entry/sides.ts
@@ -4,9 +4,9 @@
  * A side process that says it is leaving is believed at once; the list is not asked. One that can't be reached is
  * left alone for a growing, spread time, so that a failure domain's return is not met by a storm.
  */
-import { servingName, type Address, type Log, type ProcessId, type Revision, type Serving } from '@finchpitch/core'
+import { backoff, servingName, type Address, type Log, type ProcessId, type Random, type Revision, type Serving } from '@finchpitch/core'
 import { hashed, preferHashed, route, type HashedCandidate, type Occupancy } from '@finchpitch/decisions'
-import { backoff, type Catalog, type Instance, type Random } from '@finchpitch/store'
+import { type Catalog, type Instance } from '@finchpitch/store'
 import type { ChannelOptions, Dial, FrameOf } from '@finchpitch/wire'
 import { LRUCache } from 'lru-cache'
 import { SidePeer } from './side-peer.js'
--- a/packages/daemon/src/instance-view.ts
+++ b/packages/daemon/src/instance-view.ts
@@ -1,8 +1,8 @@
 /**
  * The instance list as one process last read it, read again every few seconds at spread times.
  */
-import { pause, type Log } from '@finchpitch/core'
-import type { Instance, InstanceList, Random } from '@finchpitch/store'
+import { pause, type Log, type Random } from '@finchpitch/core'
+import type { Instance, InstanceList } from '@finchpitch/store'
 
 const readMs = 2000
 
--- a/packages/daemon/src/operations.ts
+++ b/packages/daemon/src/operations.ts
@@ -1,8 +1,8 @@
 /**
  * What operators can do at an entry.
  */
-import { check, servingName, type ProcessId } from '@finchpitch/core'
-import { apply, describeFault, type ApplyOutcome, type Catalog, type ObjectStore, type Random, type StoreFault } from '@finchpitch/store'
+import { check, servingName, type ProcessId, type Random } from '@finchpitch/core'
+import { apply, describeFault, type ApplyOutcome, type Catalog, type ObjectStore, type StoreFault } from '@finchpitch/store'
 import type { ApplyBody, ApplyReply, Operations, ProcessStatus, StatusReply } from '@finchpitch/operators'
 import type { Entry } from './entry/entry.js'
 
--- a/packages/daemon/src/side/runner.ts
+++ b/packages/daemon/src/side/runner.ts
@@ -3,9 +3,9 @@
  *
  * `start` gives an `Err` with `not_run` only while nothing has been sent, and `unknown` from then on.
  */
-import { adapterLabel, notRun, pause, unknown, type AdapterTarget, type Answer, type AnswerBody, type Failure, type Log, type ModelName, type Work } from '@finchpitch/core'
+import { adapterLabel, backoff, notRun, pause, unknown, type AdapterTarget, type Answer, type AnswerBody, type Failure, type Log, type ModelName, type Random, type Work } from '@finchpitch/core'
 import { PrefixCache, type BackendFault, type Engine, type EngineReport, type PlainService } from '@finchpitch/backend'
-import { backoff, type Catalog, type Random } from '@finchpitch/store'
+import { type Catalog } from '@finchpitch/store'
 import { err, ok, type Result } from 'neverthrow'
 import { Gate, defaultMaxWaiting, type Release } from './gate.js'
 import { Slots, watchBoot, type Pin } from './slots.js'
--- a/packages/daemon/src/side/slots.ts
+++ b/packages/daemon/src/side/slots.ts
@@ -5,10 +5,9 @@
  * is sent and given back after its last byte; a pinned slot is never unloaded. A load that fails makes its own
  * adapter version wait and no other.
  */
-import { notRun, pause, type Failure, type Log, type WorkClass } from '@finchpitch/core'
+import { backoff, notRun, pause, type Failure, type Log, type Random, type WorkClass } from '@finchpitch/core'
 import { Estimate, Popularity, evict } from '@finchpitch/decisions'
 import type { Engine } from '@finchpitch/backend'
-import { backoff, type Random } from '@finchpitch/store'
 import { err, ok, type Result } from 'neverthrow'
 
 export interface SlotsOptions {
--- a/packages/daemon/src/start-side.ts
+++ b/packages/daemon/src/start-side.ts
@@ -1,11 +1,11 @@
 /**
  * Starting a side process: its fence, its backend server, its listeners, and its planned stop.
  */
-import { Address, newIncarnation, pause, within, type Log } from '@finchpitch/core'
+import { Address, backoff, newIncarnation, pause, within, type Log } from '@finchpitch/core'
 import { HttpEngine, HttpService, type Engine, type EngineReport } from '@finchpitch/backend'
 import { Gateway } from '@finchpitch/http'
 import { processRoutes } from '@finchpitch/operators'
-import { Catalog, HttpInstanceList, HttpStore, backoff, takeFence, type Instance, type ObjectStore } from '@finchpitch/store'
+import { Catalog, HttpInstanceList, HttpStore, takeFence, type Instance, type ObjectStore } from '@finchpitch/store'
 import { dial, listen, protocolVersion } from '@finchpitch/wire'
 import type { Running } from './commands/daemon-command.js'
 import { Metrics } from './metrics.js'
--- a/packages/daemon/src/uplink.ts
+++ b/packages/daemon/src/uplink.ts
@@ -5,9 +5,9 @@
  * channel to one of them, whose heartbeat names a new revision as soon as it is there. Views of the instance list
  * may differ: then a few more watches are held, or a process hears of a change one step later.
  */
-import { pause, type Address, type FailureDomain, type Log, type ProcessId } from '@finchpitch/core'
+import { backoff, pause, type Address, type FailureDomain, type Log, type ProcessId, type Random } from '@finchpitch/core'
 import { prefer } from '@finchpitch/decisions'
-import { backoff, type Catalog, type Instance, type Random } from '@finchpitch/store'
+import { type Catalog, type Instance } from '@finchpitch/store'
 import { Channel, type ChannelOptions, type Dial } from '@finchpitch/wire'
 import { CatalogExchange } from './catalog-exchange.js'
 
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -5,9 +5,8 @@
  */
 import { createServer, type Server } from 'node:http'
 import type { Duplex } from 'node:stream'
-import { pause, type Log } from '@finchpitch/core'
+import { backoff, pause, type Log } from '@finchpitch/core'
 import { Channel, type ChannelOptions } from '@finchpitch/wire'
-import { backoffMs } from '../backoff.js'
 import { FactLink, patienceMs } from '../fact-exchange.js'
 import type { Fact, Facts } from '../facts.js'
 import { Outage, follow, gatherMs, reserveMs } from '../follow.js'
@@ -28,7 +27,7 @@
 const mostHeaderBytes = 65_536
 /** Beyond the rest that callers may take up a connection after. */
 const idleSlackMs = 2000
-const seedBackoff = { firstMs: 200, limitMs: 2000 }
+const seedSpan = { firstMs: 200, limitMs: 2000 }
 /** The balancer asks each second and takes an entry out after two refusals; then no new connections come. */
 const noticeMs = 2600
 /** Left of the time until the kill, for the process to end by itself. */
@@ -186,7 +185,7 @@
       } catch (error) {
         this.options.log.debug('seed.unreachable', { seed, detail: (error as Error).message })
       }
-      await pause(backoffMs(failures, seedBackoff), signal)
+      await pause(backoff(failures - 1, Math.random, seedSpan), signal)
     }
   }
 
--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -5,9 +5,8 @@
  * the engine's state; what the entry wants brought in, and which adapters it uses, goes the other way.
  */
 import type { Duplex } from 'node:stream'
-import { pause, type Log } from '@finchpitch/core'
+import { backoff, pause, type Log } from '@finchpitch/core'
 import { Channel, type ChannelOptions, type Frame, type HoldingFrame } from '@finchpitch/wire'
-import { backoffMs } from '../backoff.js'
 import { nowMs } from '../clock.js'
 import { FactLink, patienceMs } from '../fact-exchange.js'
 import type { Facts } from '../facts.js'
@@ -15,7 +14,7 @@
 import { WarmCopies } from '../warm-copies.js'
 import type { ServerStates } from './server-state.js'
 
-const reconnect = { firstMs: 100, limitMs: 1000 }
+const reconnectSpan = { firstMs: 100, limitMs: 1000 }
 
 /** An adapter whose last request ended can make room; places are short under load, so that is told soon. */
 const usesMs = 50
@@ -177,7 +176,7 @@
         if (failures === 0) log.warn('side.unreachable', { host: link.host, detail: (error as Error).message })
       }
       failures += 1
-      await pause(backoffMs(failures, reconnect), signal)
+      await pause(backoff(failures - 1, Math.random, reconnectSpan), signal)
     }
   }
 
--- a/packages/fleet/src/follow.ts
+++ b/packages/fleet/src/follow.ts
@@ -4,8 +4,7 @@
  * It lists once and then waits for changes. After each change it rests a moment, so that a burst of changes costs
  * one call and not one each; the store counts every call.
  */
-import { pause, type Log } from '@finchpitch/core'
-import { backoffMs } from './backoff.js'
+import { backoff, pause, type Log } from '@finchpitch/core'
 import { nowMs } from './clock.js'
 import { removalStep, type Fact, type Facts } from './facts.js'
 import type { FactSource, StoreFailure } from './ports.js'
@@ -17,7 +16,7 @@
  */
 const watchMs: Record<Fact['kind'], number> = { table: 3000, server: 1500, version: 5000 }
 
-const backoff = { firstMs: 100, limitMs: 800 }
+const storeSpan = { firstMs: 100, limitMs: 800 }
 
 /** The least rest between two calls: a fraction of the bound within which each kind must be in force. */
 const leastRestMs: Record<Fact['kind'], number> = { table: 100, server: 700, version: 500 }
@@ -113,7 +112,7 @@
         compactions = outage.compactions
       }
       if (page.error.code !== 'compacted') fail(page.error, askedAt)
-      await pause(backoffMs(Math.max(1, failures), backoff), signal)
+      await pause(backoff(failures - 1, Math.random, storeSpan), signal)
       continue
     }
     if (failures > 0) {
--- a/packages/stand-ins/src/processes.ts
+++ b/packages/stand-ins/src/processes.ts
@@ -21,10 +21,7 @@
 }
 
 export class Daemon {
-  readonly logs: string[] = []
-
   private constructor (readonly options: DaemonOptions, readonly child: ChildProcess, readonly listening: Record<string, string>) {
-    child.stderr?.on('data', (text: Buffer) => this.logs.push(text.toString()))
   }
 
   /** Resolves once the process listens. */
@@ -47,10 +44,16 @@
     child.stderr.on('data', keep)
     const exited = once(child, 'exit').then(([code]) => { throw new Error(`${options.process} ended with ${String(code)}: ${early.join('')}`) })
     const lines = createInterface({ input: child.stdout })
-    const [line] = await Promise.race([once(lines, 'line'), exited]) as [string]
+    const listening = new Promise<Record<string, string>>(resolve => {
+      lines.on('line', line => {
+        const said = JSON.parse(line) as Record<string, string>
+        if (said.event === 'listening') resolve(said)
+      })
+    })
+    const addresses = await Promise.race([listening, exited])
     exited.catch(() => {})
     child.stderr.off('data', keep)
-    return new Daemon(options, child, JSON.parse(line) as Record<string, string>)
+    return new Daemon(options, child, addresses)
   }
 
   url (listener: 'callers' | 'operators'): string {
--- a/packages/store/src/apply.ts
+++ b/packages/store/src/apply.ts
@@ -5,9 +5,8 @@
  * when others have built on it since. Another change in its place means that somebody else came first, and the
  * operator decides again.
  */
-import { Revision, pause, randomToken, type Configuration } from '@finchpitch/core'
+import { Revision, backoff, pause, randomToken, type Configuration, type Random } from '@finchpitch/core'
 import { err, ok, type Result } from 'neverthrow'
-import { backoff, type Random } from './backoff.js'
 import { split, type Change, type Head, type Shards } from './catalog.js'
 import { StoreSource, headName, shardName, type VersionedHead } from './configuration-store.js'
 import { storeFault, type ObjectStore, type StoreFault } from './object-store.js'
--- a/packages/store/src/claims.ts
+++ b/packages/store/src/claims.ts
@@ -9,10 +9,9 @@
  * So of all incarnations ever bound to a key, all but the last have refused it.
  */
 import { createHash } from 'node:crypto'
-import { Binding, pause, type RequestKey, type TeamName } from '@finchpitch/core'
+import { Binding, backoff, pause, type Random, type RequestKey, type TeamName } from '@finchpitch/core'
 import { err, ok, type Result } from 'neverthrow'
 import { z } from 'zod'
-import { backoff, type Random } from './backoff.js'
 import { storeFault, type ObjectStore, type ResourceVersion, type StoreFault } from './object-store.js'
 
 export interface ClaimsOptions {
--- a/packages/store/src/fence.ts
+++ b/packages/store/src/fence.ts
@@ -1,10 +1,9 @@
 /**
  * Fences: a number for each side process at a backend server, higher than that of every earlier one there.
  */
-import { pause } from '@finchpitch/core'
+import { backoff, pause, type Random } from '@finchpitch/core'
 import { err, ok, type Result } from 'neverthrow'
 import { z } from 'zod'
-import { backoff, type Random } from './backoff.js'
 import { storeFault, type ObjectStore, type StoreFault } from './object-store.js'
 
 const triesOfWrite = 8
--- a/packages/store/src/follow.ts
+++ b/packages/store/src/follow.ts
@@ -5,8 +5,7 @@
  * read and nothing else. The head is also read every few seconds, so that a watch which died unnoticed delays a
  * change by that and no more.
  */
-import { deadlineIn, pause, type Log } from '@finchpitch/core'
-import { backoff, type Random } from './backoff.js'
+import { backoff, deadlineIn, pause, type Log, type Random } from '@finchpitch/core'
 import type { Catalog } from './catalog.js'
 import { StoreSource, catchUp, headName } from './configuration-store.js'
 import type { ObjectStore } from './object-store.js'
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -2,7 +2,6 @@
 export * from './object-store.js'
 export * from './http-store.js'
 export * from './instances.js'
-export * from './backoff.js'
 export * from './catalog.js'
 export * from './configuration-store.js'
 export * from './follow.js'
