An entry that starts while the store is away learns all from its peers within 0.25 s

Change: a peer that has read nothing gets all after 0.25 s, unless it says by then that it has read; it says so at once.

--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -195,7 +195,7 @@
     const link = new FactLink(facts, channel, patienceMs.entry, log)
     void channel.greeted.then(welcome => {
       if (!welcome) return
-      link.start()
+      link.start(patienceMs.newcomer)
       log.info('peer.joined', { peer: channel.peer.process })
     })
     for await (const frame of channel.frames()) {
--- a/packages/fleet/src/fact-exchange.ts
+++ b/packages/fleet/src/fact-exchange.ts
@@ -13,6 +13,8 @@
 export const patienceMs = {
   /** Entry to the side processes of its domain, which have no other source. */
   nearSide: 0,
+  /** To an entry that has just started: it has read the store by then and says so at once, or it can't. */
+  newcomer: 250,
   /** To entries: a watch rests up to 0.7 s in small fleets, and a heartbeat follows within 1 s. */
   entry: 1500,
   /** Entry to side processes elsewhere: their own entries tell them, and two heartbeats later it is known here. */
@@ -22,22 +24,23 @@
 export class FactLink {
   /** The revision of each fact that the peer is known to have. */
   readonly #known = new Map<string, number>()
-  readonly #stop: () => void
+  readonly #stops: Array<() => void>
   /** How far the peer lacks nothing, by its own word. */
   #complete: Complete = { table: 0, server: 0, version: 0 }
 
   constructor (private readonly facts: Facts, private readonly channel: Channel, private readonly patience: number, private readonly log: Log) {
-    this.#stop = facts.onChange(fact => this.#schedule(fact))
+    this.#stops = [facts.onChange(fact => this.#schedule(fact, patience)), facts.onRead(() => channel.beat())]
   }
 
-  /** Sends all that the peer may lack. */
-  start (): void {
+  /** Sends all that the peer may lack; to one that has read nothing yet after `newcomerMs`. */
+  start (newcomerMs = this.patience): void {
     this.heard(this.channel.peer.complete)
-    for (const fact of this.facts.all()) this.#schedule(fact)
+    const patience = this.#complete.table === 0 ? newcomerMs : this.patience
+    for (const fact of this.facts.all()) this.#schedule(fact, patience)
   }
 
   stop (): void {
-    this.#stop()
+    for (const stop of this.#stops) stop()
   }
 
   /** What the peer's hello and heartbeats say. */
@@ -55,8 +58,8 @@
     this.facts.offer(fact, this.channel.peer.process)
   }
 
-  #schedule (fact: Fact): void {
-    if (this.patience > 0) setTimeout(() => this.#send(fact), this.patience)
+  #schedule (fact: Fact, patience: number): void {
+    if (patience > 0) setTimeout(() => this.#send(fact), patience)
     else this.#send(fact)
   }
 
--- a/packages/fleet/src/facts.ts
+++ b/packages/fleet/src/facts.ts
@@ -44,6 +44,7 @@
   readonly #current = new Map<string, Fact>()
   readonly #tombstones = new Map<string, number>()
   readonly #listeners = new Set<Listener>()
+  readonly #readListeners = new Set<() => void>()
   readonly #complete: Complete = { table: 0, server: 0, version: 0 }
   #routes: RouteIndex | undefined
   #highest = 0
@@ -72,8 +73,15 @@
 
   /** The store was read completely up to `revision`, for one kind. */
   completed (kind: Fact['kind'], revision: number): void {
+    const before = this.#read
     this.#complete[kind] = Math.max(this.#complete[kind], revision)
     this.saw(revision)
+    if (!before && this.#read) for (const listener of this.#readListeners) listener()
+  }
+
+  /** Every kind has been read completely at least once. */
+  get #read (): boolean {
+    return kinds.every(kind => this.#complete[kind] > 0)
   }
 
   /** A peer that sends all it learns at once has told how far it is. */
@@ -131,6 +139,12 @@
     return () => this.#listeners.delete(listener)
   }
 
+  /** Called once every kind has been read. */
+  onRead (listener: () => void): () => void {
+    this.#readListeners.add(listener)
+    return () => this.#readListeners.delete(listener)
+  }
+
   all (): Fact[] {
     return [...this.#current.values()]
   }
--- a/packages/fleet/test/fact-exchange.test.ts
+++ b/packages/fleet/test/fact-exchange.test.ts
@@ -2,7 +2,7 @@
 import { Address, FailureDomain, ProcessId, Revision, newIncarnation, quietLog } from '@finchpitch/core'
 import { FactLink, Facts, type Fact } from '@finchpitch/fleet'
 import { FakeTime } from '@finchpitch/stand-ins'
-import { Channel, protocolVersion, type Complete } from '@finchpitch/wire'
+import { Channel, protocolVersion, type Complete, type FrameOf } from '@finchpitch/wire'
 import { expect } from 'chai'
 
 const fact = (revision: number): Fact => ({ kind: 'version', key: 'm/a', revision, value: { model: 'm', adapter: 'a', version: revision } })
@@ -22,10 +22,10 @@
   return [near, far]
 }
 
-const channelOf = (stream: Duplex, name: string): Channel => {
-  const hello = { type: 'hello', protocol: protocolVersion, process: ProcessId.parse(name), incarnation: newIncarnation(), address: Address.parse('10.0.0.1:1'), domain: FailureDomain.parse('a'), revision: Revision.parse(0) } as const
-  return new Channel(stream, { hello: () => hello, heartbeat: () => ({ type: 'heartbeat', revision: Revision.parse(0) }) })
-}
+const hello = (name: string): FrameOf<'hello'> => ({ type: 'hello', protocol: protocolVersion, process: ProcessId.parse(name), incarnation: newIncarnation(), address: Address.parse('10.0.0.1:1'), domain: FailureDomain.parse('a'), revision: Revision.parse(0) })
+
+const channelOf = (stream: Duplex, name: string): Channel =>
+  new Channel(stream, { hello: () => hello(name), heartbeat: () => ({ type: 'heartbeat', revision: Revision.parse(0) }) })
 
 describe('a fact link', () => {
   let time: FakeTime
@@ -60,6 +60,44 @@
     expect(received).to.deep.equal([3])
   })
 
+  describe('to a peer that has read nothing yet', () => {
+    it('sends all that it knows soon', async () => {
+      facts.offer(fact(3), 'store')
+      await time.settle()
+      new FactLink(facts, near, 1500, quietLog).start(250)
+      await time.pass(300)
+      expect(received).to.deep.equal([3])
+    })
+
+    it('sends nothing once the peer has read the store', async () => {
+      facts.offer(fact(3), 'store')
+      await time.settle()
+      const link = new FactLink(facts, near, 1500, quietLog)
+      link.start(250)
+      link.heard(complete(3))
+      await time.pass(2000)
+      expect(received).to.deep.equal([])
+    })
+
+    it('hears from it at once when it has', async () => {
+      let beats = 0
+      const heartbeat = (): FrameOf<'heartbeat'> => {
+        beats += 1
+        return { type: 'heartbeat', revision: Revision.parse(0) }
+      }
+      const [one] = pair()
+      const channel = new Channel(one, { hello: () => hello('near'), heartbeat })
+      const link = new FactLink(facts, channel, 1500, quietLog)
+      facts.completed('table', 4)
+      facts.completed('server', 4)
+      expect(beats).to.equal(0)
+      facts.completed('version', 4)
+      expect(beats).to.equal(1)
+      link.stop()
+      channel.close()
+    })
+  })
+
   it('sends nothing that the peer says it has by then', async () => {
     await time.settle()
     const link = new FactLink(facts, near, 1500, quietLog)
--- a/packages/wire/src/channel.ts
+++ b/packages/wire/src/channel.ts
@@ -133,6 +133,11 @@
     return false
   }
 
+  /** Sends a heartbeat at once, for what it tells. */
+  beat (): void {
+    this.send(this.options.heartbeat())
+  }
+
   async #beat (): Promise<void> {
     const beat = this.options.heartbeatMs ?? heartbeatMs
     const silence = this.options.silenceMs ?? silenceMs
@@ -140,7 +145,7 @@
       await pause(beat, this.#stop.signal)
       const now = performance.now()
       if (now - this.#lastHeard > silence) this.close({ reason: 'silent' })
-      if (this.options.steady === true || now - this.#lastSent >= beat) this.send(this.options.heartbeat())
+      if (this.options.steady === true || now - this.#lastSent >= beat) this.beat()
     }
   }
 }
