Side process: the telling of entries in a module of its own, gauges of the engine's account; one registry with gauges for both programs

side.ts had grown to 400 lines; the engine's cache figures were decoded and told nowhere; the two tables of counters shared their head. Behaviour of the link is as before (30 tests of processes and placement pass).

--- a/packages/fleet/src/entry/counters.ts
+++ b/packages/fleet/src/entry/counters.ts
@@ -1,12 +1,12 @@
 /**
  * What an entry counts. Labels are closed sets; no adapter, team or request is one.
  */
-import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import { Counter, Histogram } from 'prom-client'
+import { Registered } from '../registered.js'
 
 const secondsBuckets = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1, 2, 5, 10]
 
-export class EntryCounters {
-  readonly registry = new Registry()
+export class EntryCounters extends Registered {
   readonly ended = new Counter({
     name: 'finchpitch_requests_ended_total',
     help: 'Requests ended, by kind of route and outcome.',
@@ -50,8 +50,4 @@
     help: 'Backend servers put out for a while after failures.',
     registers: [this.registry]
   })
-
-  gauge (name: string, help: string, read: () => number): void {
-    const gauge: Gauge = new Gauge({ name, help, registers: [this.registry], collect: () => gauge.set(read()) })
-  }
 }
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -3,6 +3,7 @@
  *
  * It keeps nothing over a restart: facts come from the store or from peers, holdings from side processes.
  */
+import { setMaxListeners } from 'node:events'
 import { createServer, type Server } from 'node:http'
 import type { Duplex } from 'node:stream'
 import { backoff, pause, type Log } from '@finchpitch/core'
@@ -98,6 +99,8 @@
   run (): void {
     const { sources, facts, log } = this.options
     const { signal } = this.#stop
+    // One for each task; there is no leak to be warned of.
+    setMaxListeners(0, signal)
     const outage = new Outage()
     for (const source of sources) void follow({ source, facts, log, signal, outage, restMs: kind => this.#restMs(kind) })
     for (const seed of this.options.seeds()) void this.#keepSeed(seed)
--- a/packages/fleet/src/side/counters.ts
+++ b/packages/fleet/src/side/counters.ts
@@ -1,10 +1,10 @@
 /**
  * What a side process counts. Labels are closed sets; no adapter, team or request is one.
  */
-import { Counter, Histogram, Registry } from 'prom-client'
+import { Counter, Histogram } from 'prom-client'
+import { Registered } from '../registered.js'
 
-export class Counters {
-  readonly registry = new Registry()
+export class SideCounters extends Registered {
   readonly orders = new Counter({
     name: 'finchpitch_engine_orders_total',
     help: 'Orders given to the engine, by operation and outcome.',
--- a/packages/fleet/src/side/side.ts
+++ b/packages/fleet/src/side/side.ts
@@ -8,7 +8,7 @@
 import type { Duplex } from 'node:stream'
 import { isDeepStrictEqual } from 'node:util'
 import { pause, type Log } from '@finchpitch/core'
-import { Channel, type ChannelOptions, type Frame, type HoldingFrame } from '@finchpitch/wire'
+import { Channel, type ChannelOptions, type Frame } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
 import { FactLink, patienceMs } from '../fact-exchange.js'
 import type { Facts } from '../facts.js'
@@ -17,8 +17,9 @@
 import type { EngineSpec } from '../table.js'
 import { WarmCopies } from '../warm-copies.js'
 import { Demands } from './demands.js'
+import { EntryLink, difference, type EngineNews, type HeldKeys } from './entry-link.js'
 import { LoadRate, type LoadShare } from './load-rate.js'
-import type { Counters } from './counters.js'
+import type { SideCounters } from './counters.js'
 import { place } from './placement.js'
 
 /** Between two looks at the engine while nothing is awaited, and while something is. */
@@ -29,15 +30,6 @@
 /** After an engine refused an order that rested on its own account. */
 const refusedMs = 50
 
-/** How often entries hear of a load that changed: of engines in their own domain, and of others. */
-const nearMs = 200
-const farMs = 1000
-/** Changes of what is held are gathered this long for entries in other domains, which seldom use them. */
-const farChangeMs = 250
-/** An entry hears something at least this often, and so can tell a silent side process; across, bytes cost. */
-const nearAliveMs = 700
-const farAliveMs = 1500
-
 /** Loads that a new incarnation assumes its predecessor to have begun just before. */
 const assumedStarts = 1
 
@@ -49,29 +41,14 @@
   facts: Facts
   limits: () => Limits
   channel: ChannelOptions
-  counters: Counters
+  counters: SideCounters
   log: Log
 }
 
-interface Link {
-  channel: Channel
-  facts: FactLink
-  near: boolean
-  /** What this entry was last told, and when. */
-  sentAt: number
-  changes: number
-  held: Record<string, number>
-  coming: string[]
-  waiting: number
-  running: number
-  reachable: boolean
-  server: string | undefined
-}
-
 export class FleetSide {
   readonly demands = new Demands()
   readonly #rate = new LoadRate()
-  readonly #links = new Set<Link>()
+  readonly #links = new Set<EntryLink>()
   #account: EngineAccount | undefined
   #failures = 0
   #fence = 0
@@ -81,7 +58,7 @@
   #wake = (): void => {}
   /** Loads that were ordered and have not been seen to end. */
   readonly #loading = new Map<string, { at: number, version: number | undefined }>()
-  #held: Record<string, number> = {}
+  #held: HeldKeys = {}
   #coming: string[] = []
   readonly #warm = new WarmCopies()
   /** Counts changes of what is held or coming. */
@@ -89,14 +66,12 @@
 
   constructor (private readonly options: SideOptions) {
     for (let each = 0; each < assumedStarts; each++) this.#rate.started()
-  }
-
-  get account (): EngineAccount | undefined {
-    return this.#account
-  }
-
-  get entries (): number {
-    return this.#links.size
+    const { counters } = options
+    counters.gauge('finchpitch_engine_requests_running', 'Requests that the engine runs, by its account.', () => this.#account?.running ?? 0)
+    counters.gauge('finchpitch_engine_requests_waiting', 'Requests that wait at the engine, by its account.', () => this.#account?.waiting ?? 0)
+    counters.gauge('finchpitch_engine_cache_tokens_used', 'Tokens of memory that can not give way, by the engine\'s account.', () => this.#account?.cacheUsed ?? 0)
+    counters.gauge('finchpitch_engine_cache_tokens', 'Tokens of memory that the engine has.', () => this.#account?.cacheTotal ?? 0)
+    counters.gauge('finchpitch_entries_connected', 'Entries connected.', () => this.#links.size)
   }
 
   /** One entry's connection, to its end. */
@@ -276,22 +251,9 @@
     }
   }
 
-  #join (channel: Channel): Link {
+  #join (channel: Channel): EntryLink {
     const { facts, domain, log } = this.options
-    const near = channel.peer.domain === domain
-    const link: Link = {
-      channel,
-      near,
-      facts: new FactLink(facts, channel, patienceMs.entry, log),
-      sentAt: -Infinity,
-      changes: -1,
-      held: {},
-      coming: [],
-      waiting: 0,
-      running: 0,
-      reachable: false,
-      server: undefined
-    }
+    const link = new EntryLink(channel, new FactLink(facts, channel, patienceMs.entry, log), channel.peer.domain === domain)
     this.#links.add(link)
     link.facts.start()
     log.info('entry.joined', { entry: channel.peer.process, domain: channel.peer.domain })
@@ -299,7 +261,7 @@
     return link
   }
 
-  #take (frame: Frame, link: Link): void {
+  #take (frame: Frame, link: EntryLink): void {
     const entry = link.channel.peer.process
     if (frame.type === 'fact') link.facts.receive(frame)
     if (frame.type === 'heartbeat') {
@@ -320,7 +282,6 @@
   }
 
   #publish (): void {
-    const now = nowMs()
     const account = this.#account
     const held = account === undefined ? this.#held : heldOf(account)
     const coming = account?.coming.map(each => each.key) ?? []
@@ -328,37 +289,24 @@
     for (const key of difference(this.#held, held).went) this.#warm.keep(key, this.#held[key] ?? 0)
     this.#held = held
     this.#coming = coming
-    const waiting = account?.waiting ?? 0
-    const running = account?.running ?? 0
-    for (const link of this.#links) {
-      const restMs = link.near ? nearMs : farMs
-      const changed = link.changes !== this.#changes || link.reachable !== (account !== undefined) || link.server !== this.#server
-      const loadChanged = link.waiting !== waiting || link.running !== running
-      const age = now - link.sentAt
-      const due = age > (link.near ? nearAliveMs : farAliveMs) || (changed && (link.near || age > farChangeMs)) || (loadChanged && age > restMs)
-      if (due) this.#tell(link, waiting, running)
-    }
+    const news = this.#news()
+    for (const link of this.#links) link.publish(news)
   }
 
-  #tell (link: Link, waiting: number, running: number): void {
-    const { came, went } = difference(link.held, this.#held)
-    const frame: HoldingFrame = {
-      type: 'holding',
-      reachable: this.#account !== undefined,
+  #news (): EngineNews {
+    const account = this.#account
+    return {
+      changes: this.#changes,
+      held: this.#held,
+      coming: this.#coming,
+      warm: this.#warm.all(),
+      reachable: account !== undefined,
       server: this.#server,
-      ...(came === undefined ? {} : { came }),
-      ...(went.length === 0 ? {} : { went }),
-      ...(isDeepStrictEqual(link.coming, this.#coming) ? {} : { coming: this.#coming }),
-      ...(link.changes < 0 ? { warm: this.#warm.all() } : {}),
-      waiting,
-      running,
+      waiting: account?.waiting ?? 0,
+      running: account?.running ?? 0,
       entries: this.#links.size,
       fence: this.#fence
     }
-    Object.assign(link, {
-      sentAt: nowMs(), changes: this.#changes, held: this.#held, coming: this.#coming, waiting, running, reachable: frame.reachable, server: this.#server
-    })
-    link.channel.send(frame)
   }
 
   async #rest (ms: number, signal: AbortSignal): Promise<void> {
@@ -375,8 +323,8 @@
   }
 }
 
-const heldOf = (account: EngineAccount): Record<string, number> => {
-  const held: Record<string, number> = {}
+const heldOf = (account: EngineAccount): HeldKeys => {
+  const held: HeldKeys = {}
   for (const model of account.models) {
     held[model.name] = model.version
     for (const [adapter, version] of Object.entries(model.adapters)) held[refKey({ model: model.name, adapter })] = version
@@ -384,11 +332,5 @@
   return held
 }
 
-const difference = (before: Record<string, number>, after: Record<string, number>): { came: Record<string, number> | undefined, went: string[] } => {
-  const came = Object.entries(after).filter(([key, version]) => before[key] !== version)
-  const went = Object.keys(before).filter(key => !(key in after))
-  return { came: came.length === 0 ? undefined : Object.fromEntries(came), went }
-}
-
 /** Whether a key names an adapter, not a model. */
 export const isAdapter = (key: string): boolean => parseRef(key).adapter !== undefined
