A request's handlers by how a try ended; what a try says of its server, and the request as sent, in modules of their own; a light cancellation

service-request.ts had a switch over ends and four jobs. A server's own word on when to come back was read and never used: callers of a request that servers refused now get the later of it and 0.25 s. The waiting room had no test of its own.

--- a/packages/fleet/src/entry/attempt.ts
+++ b/packages/fleet/src/entry/attempt.ts
@@ -7,6 +7,7 @@
  */
 import { request as openRequest, type Agent, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { HeaderNames } from '../ports.js'
+import type { Cancellation } from './cancellation.js'
 import type { Delivery, RawHeaders } from './delivery.js'
 import type { EventCutter } from './event-stream.js'
 
@@ -32,7 +33,7 @@
   /** Where the stream may go on elsewhere: passes whole events only. */
   cutter: EventCutter | undefined
   delivery: Delivery
-  signal: AbortSignal
+  cancellation: Cancellation
   /** The first bytes of the answer came. */
   heard: () => void
 }
@@ -64,7 +65,7 @@
 }
 
 export const attempt = (options: AttemptOptions): Promise<AttemptEnd> => new Promise(resolve => {
-  const { agent, outgoing, signal, connectMs } = options
+  const { agent, outgoing, cancellation, connectMs } = options
   let request: ClientRequest
   try {
     const { method, path, headers } = outgoing
@@ -83,13 +84,14 @@
     if (finished) return
     finished = true
     clearTimeout(connecting)
-    signal.removeEventListener('abort', cancel)
+    forget()
     resolve(end)
   }
   const cancel = (): void => {
     finish({ type: 'cancelled', sent: connected })
     request.destroy()
   }
+  const forget = cancellation.onCancel(cancel)
   const join = (): void => {
     connected = true
     clearTimeout(connecting)
@@ -109,8 +111,7 @@
     if (!request.writableFinished) answer.once('end', () => request.destroy())
     void read(answer, request, options).then(finish)
   })
-  if (signal.aborted) return cancel()
-  signal.addEventListener('abort', cancel)
+  if (cancellation.cancelled) return cancel()
   request.end(outgoing.body.length === 0 ? undefined : outgoing.body)
 })
 
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -16,6 +16,7 @@
 import { CallerConnections } from './caller-connections.js'
 import { EntryCounters } from './counters.js'
 import { RetryBudget } from './retry-budget.js'
+import { ServerFaults } from './server-faults.js'
 import { ServiceRequest } from './service-request.js'
 import { SideLinks } from './side-links.js'
 import { WaitingRoom } from './waiting-room.js'
@@ -57,6 +58,7 @@
   readonly #room = new WaitingRoom()
   readonly #connections: CallerConnections
   readonly #budget: RetryBudget
+  readonly #faults: ServerFaults
   readonly #stop = new AbortController()
   #closing = false
   #running = 0
@@ -65,6 +67,7 @@
     const { facts, domain, limits, log, process, sidePort, channel, dial } = options
     this.#balancer = new Balancer(facts, domain, limits, () => this.#links, log)
     this.#links = new SideLinks({ process, domain, facts, states: this.#balancer.states, sidePort, channel, dial, log, changed: keys => this.#room.poke(keys) })
+    this.#faults = new ServerFaults(this.#balancer, this.counters, log)
     this.#budget = new RetryBudget(limits, () => this.#links.entries)
     this.server = createServer({ maxHeaderSize: mostHeaderBytes, connectionsCheckingInterval: 1000, requestTimeout: 0 })
     this.#connections = new CallerConnections(this.server)
@@ -135,7 +138,7 @@
     this.#running += 1
     try {
       const served = new ServiceRequest({
-        facts, balancer: this.#balancer, room: this.#room, budget: this.#budget, names, counters: this.counters, domain, log, lastAnswer: () => this.#closing || this.#connections.isOld(request.socket)
+        facts, balancer: this.#balancer, room: this.#room, budget: this.#budget, faults: this.#faults, names, counters: this.counters, domain, log, lastAnswer: () => this.#closing || this.#connections.isOld(request.socket)
       }, request, response)
       await served.serve()
     } catch (error) {
--- /dev/null
+++ b/packages/fleet/src/entry/outgoing.ts
@@ -0,0 +1,41 @@
+/**
+ * A request as it goes to a backend server: what the caller sent, less what only the system may set, and what the
+ * system sets.
+ */
+import type { IncomingMessage } from 'node:http'
+import type { HeaderNames } from '../ports.js'
+import type { Outgoing } from './attempt.js'
+import { passedHeaders } from './delivery.js'
+
+/** The least urgent rank that engines know. */
+const leastUrgent = 9
+
+/** What the system sets. */
+export interface Marks {
+  /** Milliseconds left. */
+  remaining: number
+  server: string
+  /** Set where an engine is asked. */
+  engine: { priority: number, version: number | undefined } | undefined
+  /** Id of the last event that the caller has, where a stream goes on elsewhere. */
+  resumeAt: string | undefined
+}
+
+export const outgoingOf = (request: IncomingMessage, body: Buffer, names: HeaderNames, marks: Marks): Outgoing => {
+  const headers = passedHeaders(request.rawHeaders, notPassed(names, marks))
+  headers.push(names.remainingMs, String(marks.remaining), names.expectedServer, marks.server)
+  if (marks.engine !== undefined) {
+    headers.push(names.priority, String(Math.min(marks.engine.priority, leastUrgent)))
+    if (marks.engine.version !== undefined) headers.push(names.expectedVersion, String(marks.engine.version))
+  }
+  if (marks.resumeAt !== undefined) headers.push(names.lastEventId, marks.resumeAt)
+  const { 'content-length': length, 'transfer-encoding': encoding } = request.headers
+  if (body.length > 0 || length !== undefined || encoding !== undefined) headers.push('Content-Length', String(body.length))
+  return { method: request.method ?? 'GET', path: request.url ?? '/', headers, body }
+}
+
+const notPassed = (names: HeaderNames, { resumeAt }: Marks): ReadonlySet<string> => {
+  const set = new Set([...names.reserved, names.remainingMs, 'content-length', 'expect'])
+  if (resumeAt !== undefined) set.add(names.lastEventId)
+  return set
+}
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -13,13 +13,16 @@
 import type { HeaderNames } from '../ports.js'
 import type { BackendServer } from '../server.js'
 import type { FleetService, Route } from '../table.js'
-import { attempt, type AttemptEnd, type Outgoing } from './attempt.js'
+import { attempt, type AttemptEnd } from './attempt.js'
 import type { Asked, Balancer } from './balancer.js'
+import { Cancellation } from './cancellation.js'
 import type { Choice } from './choice.js'
 import type { EntryCounters } from './counters.js'
-import { Delivery, passedHeaders } from './delivery.js'
+import { Delivery } from './delivery.js'
 import { EventCutter } from './event-stream.js'
+import { outgoingOf, type Marks } from './outgoing.js'
 import type { RetryBudget } from './retry-budget.js'
+import type { ServerFaults } from './server-faults.js'
 import type { WaitingRoom } from './waiting-room.js'
 
 /** Connections come up in a few milliseconds here; a machine that is dark says nothing. */
@@ -32,8 +35,8 @@
 const waitShare = 0.45
 /** Part of the objective after which a request is refused that nobody could take. */
 const nobodyShare = 0.2
-/** When callers are told to come back: after something may have been loaded or have ended. */
-const retryAfterMs = 250
+/** When callers are told to come back, unless a server says later: after something may have been loaded or have ended. */
+const leastRetryAfterMs = 250
 /** Silence beyond this many objectives is out of the ordinary. */
 const silentObjectives = 1.5
 /** A caller that states no time. */
@@ -49,6 +52,7 @@
   room: WaitingRoom
   budget: RetryBudget
   names: HeaderNames
+  faults: ServerFaults
   counters: EntryCounters
   /** This entry's failure domain. */
   domain: string
@@ -59,10 +63,29 @@
 
 type Verdict = { type: 'again' } | { type: 'done', outcome: string }
 
+const again: Verdict = { type: 'again' }
+const done = (outcome: string): Verdict => ({ type: 'done', outcome })
+
+/** A try that has ended. */
+interface Tried {
+  server: BackendServer
+  asked: Asked
+  route: Route
+}
+
+const firstFailure = 500
+const bodyless: ReadonlySet<number> = new Set([204, 304])
+
+/** A header's seconds; 0 where there is none that can be read. */
+const secondsOf = (header: string | undefined): number => {
+  const seconds = Number(header ?? 0)
+  return Number.isFinite(seconds) ? seconds : 0
+}
+
 export class ServiceRequest {
   readonly #arrived = nowMs()
   readonly #delivery: Delivery
-  readonly #left = new AbortController()
+  readonly #left = new Cancellation()
   readonly #excluded = new Set<string>()
   readonly #id: string
   #route: Route | undefined
@@ -76,13 +99,14 @@
   #firstByteMs: number | undefined
   #server: BackendServer | undefined
   #reason = ''
+  #retryAfterMs = leastRetryAfterMs
   #cutter: EventCutter | undefined
   #expired = false
 
   constructor (private readonly options: ServiceRequestOptions, private readonly request: IncomingMessage, private readonly response: ServerResponse) {
     this.#id = this.#header(options.names.requestId) ?? ''
     this.#delivery = new Delivery(response, options.lastAnswer)
-    response.on('close', () => { if (!response.writableFinished) this.#left.abort() })
+    response.on('close', () => { if (!response.writableFinished) this.#left.cancel() })
   }
 
   async serve (): Promise<void> {
@@ -177,13 +201,13 @@
 
   #expire (): void {
     this.#expired = true
-    if (!this.#delivery.started) this.#left.abort()
-    else setTimeout(() => this.#left.abort(), streamSlackMs)
+    if (!this.#delivery.started) this.#left.cancel()
+    else setTimeout(() => this.#left.cancel(), streamSlackMs)
   }
 
   async #choose (asked: Asked, route: Route): Promise<Extract<Choice, { type: 'send' }> | string> {
     const { balancer, room, counters } = this.options
-    if (this.#left.signal.aborted) return this.#abandoned(false)
+    if (this.#left.cancelled) return this.#abandoned(false)
     const first = balancer.choose(asked)
     if (first.type === 'send') return first
     const started = nowMs()
@@ -194,7 +218,7 @@
       until: started + share,
       choose: () => balancer.choose(asked),
       bring: (ask, waiting) => balancer.bring(ask, asked.key ?? '', waiting, route.priority)
-    }, first, this.#left.signal)
+    }, first, this.#left)
     this.#waitedMs += nowMs() - started
     counters.waited.observe({ for: first.type }, (nowMs() - started) / 1000)
     if (end.type === 'chosen') return end.choice
@@ -216,7 +240,7 @@
     const end = await attempt({
       agent: state.agent,
       address: server.address,
-      outgoing: this.#outgoing(server, asked, route, body, remaining),
+      outgoing: outgoingOf(this.request, body, names, this.#marks(server, asked, route, remaining)),
       requestId: this.#id,
       serverId: server.id,
       names,
@@ -224,7 +248,7 @@
       stream: route.kind === 'stream',
       cutter: this.#cutter,
       delivery: this.#delivery,
-      signal: this.#left.signal,
+      cancellation: this.#left,
       heard: () => {
         state.heard(pending)
         this.#firstByteMs ??= nowMs() - this.#arrived
@@ -235,120 +259,86 @@
     counters.attempts.inc({ end: end.type })
     if (server.domain !== this.options.domain) balancer.sentAcross(asked)
     this.options.room.pokeFull()
-    return this.#judge(end, server, asked, route)
+    return this.#judge(end, { server, asked, route })
   }
 
-  #outgoing (server: BackendServer, asked: Asked, route: Route, body: Buffer, remaining: number): Outgoing {
-    const { names, balancer } = this.options
-    const headers = passedHeaders(this.request.rawHeaders, this.#notPassed())
-    headers.push(names.remainingMs, String(remaining), names.expectedServer, server.id)
-    if (asked.key !== undefined) {
-      headers.push(names.priority, String(Math.min(route.priority, leastUrgent)))
-      const version = balancer.heldVersion(server, asked.key)
-      if (version !== undefined) headers.push(names.expectedVersion, String(version))
-    }
-    const resumeAt = this.#cutter?.lastId
-    if (resumeAt !== undefined) headers.push(names.lastEventId, resumeAt)
-    if (body.length > 0 || this.request.headers['content-length'] !== undefined || this.request.headers['transfer-encoding'] !== undefined) {
-      headers.push('Content-Length', String(body.length))
-    }
-    return { method: this.request.method ?? 'GET', path: this.request.url ?? '/', headers, body }
+  #marks (server: BackendServer, { key }: Asked, { priority }: Route, remaining: number): Marks {
+    const engine = key === undefined ? undefined : { priority, version: this.options.balancer.heldVersion(server, key) }
+    return { remaining, server: server.id, engine, resumeAt: this.#cutter?.lastId }
   }
 
-  #notPassed (): ReadonlySet<string> {
-    const { names } = this.options
-    const set = new Set([...names.reserved, names.remainingMs, 'content-length', 'expect'])
-    if (this.#cutter?.lastId !== undefined) set.add(names.lastEventId)
-    return set
+  /** What follows from a try's end. */
+  #judge (end: AttemptEnd, at: Tried): Verdict {
+    const judge = ServiceRequest.#judges[end.type] as (self: ServiceRequest, end: AttemptEnd, at: Tried) => Verdict
+    return judge(this, end, at)
   }
 
-  /** What follows from a try's end. */
-  #judge (end: AttemptEnd, server: BackendServer, asked: Asked, route: Route): Verdict {
-    const { balancer } = this.options
-    const { outlier } = balancer.state(server)
-    const repeatable = route.kind === 'repeatable' || (route.kind === 'stream' && route.resumable)
-    const again: Verdict = { type: 'again' }
-    const done = (outcome: string): Verdict => ({ type: 'done', outcome })
-    const left = this.#arrivals < mostArrivals && this.#tries < mostTries
-    switch (end.type) {
-      case 'streamed':
-        outlier.succeeded()
-        this.#delivery.finish()
-        return done('streamed')
-      case 'answer':
-        if (end.status >= 500) this.#failed(server, `status ${end.status}`)
-        else outlier.succeeded()
-        this.#ran += 1
-        if (end.status >= 500 && repeatable && left && this.#ran < route.maxAttempts && this.#mayRepeat(server, asked)) return again
-        this.#delivery.whole(end.status, end.headers, end.body, this.request.method === 'HEAD' || end.status === 204 || end.status === 304)
-        return done(`answered ${end.status}`)
-      case 'not_sent':
-        this.#unreachable(server, end.detail)
-        this.#excluded.add(server.id)
-        return left ? again : done(this.#mayHaveRun ? this.#fail(502, 'not_sent') : this.#refuse('not_sent'))
-      case 'not_run':
-        this.#refused(end, server, asked)
-        return left ? again : done(this.#mayHaveRun ? this.#fail(502, 'refused') : this.#refuse('refused'))
-      case 'cancelled':
-        return done(this.#abandoned(end.sent))
-      case 'broken':
-        this.#failed(server, end.detail)
-        this.#mayHaveRun = true
-        this.#ran += 1
-        if (repeatable && left && this.#ran < route.maxAttempts && this.#mayRepeat(server, asked)) return again
-        return done(this.#fail(502, 'broken'))
-      case 'interrupted':
-        this.#failed(server, end.detail)
-        this.#mayHaveRun = true
-        this.#ran += 1
-        if (repeatable && left && this.#ran < route.maxAttempts && !this.#left.signal.aborted && this.#mayRepeat(server, asked)) return again
-        this.#delivery.cut()
-        return done('interrupted')
+  /** By how a try ended. */
+  static readonly #judges: { [Type in AttemptEnd['type']]: (self: ServiceRequest, end: Extract<AttemptEnd, { type: Type }>, at: Tried) => Verdict } = {
+    streamed: (self, _end, { server }) => {
+      self.options.balancer.state(server).outlier.succeeded()
+      self.#delivery.finish()
+      return done('streamed')
+    },
+    answer: (self, { status, headers, body }, at) => {
+      const failed = status >= firstFailure
+      if (failed) self.options.faults.failed(at.server, self.#id, `status ${status}`)
+      else self.options.balancer.state(at.server).outlier.succeeded()
+      self.#ran += 1
+      if (failed && self.#mayRunAgain(at)) return again
+      self.#delivery.whole(status, headers, body, self.request.method === 'HEAD' || bodyless.has(status))
+      return done(`answered ${status}`)
+    },
+    not_sent: (self, { detail }, { server }) => {
+      self.options.faults.unreachable(server, self.#id, detail)
+      self.#excluded.add(server.id)
+      return self.#goOn('not_sent')
+    },
+    not_run: (self, { status, cause, retryAfter }, { server, asked }) => {
+      const { key } = asked
+      if (self.options.faults.refused({ request: self.#id, server, status, cause, key, tries: self.#tries })) self.#excluded.add(server.id)
+      self.#retryAfterMs = Math.max(self.#retryAfterMs, secondsOf(retryAfter) * 1000)
+      return self.#goOn('refused')
+    },
+    cancelled: (self, { sent }) => done(self.#abandoned(sent)),
+    broken: (self, { detail }, at) => {
+      self.#mayHaveRunAt(at.server, detail)
+      return self.#mayRunAgain(at) ? again : done(self.#fail(502, 'broken'))
+    },
+    interrupted: (self, { detail }, at) => {
+      self.#mayHaveRunAt(at.server, detail)
+      if (!self.#left.cancelled && self.#mayRunAgain(at)) return again
+      self.#delivery.cut()
+      return done('interrupted')
     }
   }
 
-  /** Whether another server could take the request. */
-  #mayRepeat (server: BackendServer, asked: Asked): boolean {
-    this.#excluded.add(server.id)
-    return this.options.balancer.choose(asked).type === 'send'
+  #mayHaveRunAt (server: BackendServer, detail: string): void {
+    this.options.faults.failed(server, this.#id, detail)
+    this.#mayHaveRun = true
+    this.#ran += 1
   }
 
-  #refused (end: Extract<AttemptEnd, { type: 'not_run' }>, server: BackendServer, asked: Asked): void {
-    const { balancer, log } = this.options
-    const { cause, status } = end
-    log.info('request.not_run', { request: this.#id, server: server.id, status, cause, key: asked.key, tries: this.#tries })
-    const state = balancer.state(server)
-    const refusals = {
-      another_server: () => {
-        state.outlier.eject(nowMs())
-        this.#excluded.add(server.id)
-      },
-      // The engine itself is sound and may be asked to bring the adapter back.
-      not_held: () => {
-        if (asked.key === undefined) this.#excluded.add(server.id)
-        else balancer.notHeld(server, asked.key)
-      },
-      full: () => {
-        state.sentSince += refusedLoad
-        this.#excluded.add(server.id)
-      }
-    }
-    refusals[cause]()
+  /** It has not run there, and goes elsewhere as long as there are tries left. */
+  #goOn (reason: string): Verdict {
+    if (this.#triesLeft) return again
+    return done(this.#mayHaveRun ? this.#fail(502, reason) : this.#refuse(reason))
+  }
+
+  get #triesLeft (): boolean {
+    return this.#arrivals < mostArrivals && this.#tries < mostTries
   }
 
-  #failed (server: BackendServer, detail: string): void {
-    const { balancer, counters, log } = this.options
-    log.info('server.failed', { request: this.#id, server: server.id, detail })
-    if (!balancer.state(server).outlier.failed(nowMs())) return
-    counters.ejections.inc()
-    log.warn('server.ejected', { server: server.id, request: this.#id, detail, ms: Math.round(balancer.state(server).outlier.until - nowMs()) })
+  /** Whether it may run once more though it has run, or may have, and another server could take it. */
+  #mayRunAgain ({ server, asked, route }: Tried): boolean {
+    const repeatable = route.kind === 'repeatable' || (route.kind === 'stream' && route.resumable)
+    return repeatable && this.#triesLeft && this.#ran < route.maxAttempts && this.#mayRepeat(server, asked)
   }
 
-  #unreachable (server: BackendServer, detail: string): void {
-    const { balancer, counters, log } = this.options
-    if (!balancer.state(server).outlier.eject(nowMs())) return
-    counters.ejections.inc()
-    log.warn('server.unreachable', { server: server.id, request: this.#id, detail, ms: Math.round(balancer.state(server).outlier.until - nowMs()) })
+  /** Whether another server could take the request. */
+  #mayRepeat (server: BackendServer, asked: Asked): boolean {
+    this.#excluded.add(server.id)
+    return this.options.balancer.choose(asked).type === 'send'
   }
 
   /** The caller left, or the time is up. */
@@ -364,7 +354,7 @@
   /** It has surely not run, and may be asked again. */
   #refuse (reason: string): string {
     this.#reason = reason
-    this.#delivery.own(503, { [this.options.names.retryAfter]: String(retryAfterMs / 1000) }, `not run: ${reason}`)
+    this.#delivery.own(503, { [this.options.names.retryAfter]: String(this.#retryAfterMs / 1000) }, `not run: ${reason}`)
     return 'refused'
   }
 
@@ -410,7 +400,3 @@
 }
 
 const noBytes = Buffer.alloc(0)
-/** The least urgent rank that engines know. */
-const leastUrgent = 9
-/** A server that refused is fuller than it was thought to be. */
-const refusedLoad = 2
--- a/packages/fleet/src/entry/waiting-room.ts
+++ b/packages/fleet/src/entry/waiting-room.ts
@@ -2,6 +2,7 @@
  * Requests that wait at the entry for a place or an adapter: the urgent first, then in order of arrival.
  */
 import { nowMs } from '../clock.js'
+import type { Cancellation } from './cancellation.js'
 import type { Choice } from './choice.js'
 
 export interface Waiter {
@@ -43,7 +44,7 @@
     return count
   }
 
-  wait (waiter: Waiter, first: Choice, signal: AbortSignal): Promise<WaitEnd> {
+  wait (waiter: Waiter, first: Choice, cancellation: Cancellation): Promise<WaitEnd> {
     return new Promise(resolve => {
       const timer = setTimeout(() => entry.end({ type: 'expired', last: entry.last }), Math.max(0, waiter.until - nowMs()))
       const leave = (): void => entry.end({ type: 'left' })
@@ -54,13 +55,13 @@
         end: end => {
           if (!this.#entries.delete(entry)) return
           clearTimeout(timer)
-          signal.removeEventListener('abort', leave)
+          forget()
           resolve(end)
         }
       }
+      const forget = cancellation.onCancel(leave)
       this.#entries.add(entry)
-      signal.addEventListener('abort', leave)
-      if (signal.aborted) return leave()
+      if (cancellation.cancelled) return leave()
       this.#bring(first, entry)
     })
   }
--- a/packages/fleet/test/attempt.test.ts
+++ b/packages/fleet/test/attempt.test.ts
@@ -1,7 +1,7 @@
 import { Agent, createServer, type Server } from 'node:http'
 import { once } from 'node:events'
 import type { AddressInfo } from 'node:net'
-import { attempt, nowMs, type AttemptEnd, type Delivery, type HeaderNames } from '@finchpitch/fleet'
+import { Cancellation, attempt, nowMs, type AttemptEnd, type Delivery, type HeaderNames } from '@finchpitch/fleet'
 import { expect } from 'chai'
 
 const names: HeaderNames = {
@@ -45,7 +45,7 @@
     stream: false,
     cutter: undefined,
     delivery: { started: false } as unknown as Delivery,
-    signal: new AbortController().signal,
+    cancellation: new Cancellation(),
     heard: () => {}
   })
 
--- /dev/null
+++ b/packages/fleet/test/waiting-room.test.ts
@@ -0,0 +1,76 @@
+import { Cancellation, WaitingRoom, nowMs, type Choice, type Waiter } from '@finchpitch/fleet'
+import { FakeTime } from '@finchpitch/stand-ins'
+import { expect } from 'chai'
+
+const full: Choice = { type: 'full', reason: 'full' }
+const send: Choice = { type: 'send', id: 's', reason: 'free' }
+
+describe('the waiting room', () => {
+  let time: FakeTime
+  let room: WaitingRoom
+  let free: number
+  let brought: Array<[string, number]>
+  let order: string[]
+
+  beforeEach(() => {
+    time = new FakeTime()
+    room = new WaitingRoom()
+    free = 0
+    brought = []
+    order = []
+  })
+
+  afterEach(() => time.restore())
+
+  const waiter = (key: string, priority = 1, waitMs = 1000): Waiter => ({
+    key,
+    priority,
+    until: nowMs() + waitMs,
+    choose: () => free-- > 0 ? send : full,
+    bring: (ask, waiting) => { brought.push([ask, waiting]) }
+  })
+
+  const wait = (name: string, each: Waiter, first: Choice = full, cancellation = new Cancellation()): void => {
+    void room.wait(each, first, cancellation).then(end => order.push(`${name} ${end.type}`))
+  }
+
+  it('lets the urgent go first, then those that came first', async () => {
+    wait('late', waiter('a', 1))
+    wait('urgent', waiter('b', 0))
+    wait('last', waiter('c', 1))
+    free = 2
+    room.poke()
+    await time.pass(50)
+    expect(order).to.deep.equal(['urgent chosen', 'late chosen'])
+    expect(room.size).to.equal(1)
+  })
+
+  it('looks at those that wait for a place when one falls free, and at no others', async () => {
+    wait('place', waiter('a'))
+    wait('adapter', waiter('b'), { type: 'bring', ask: 'e', held: false, reason: 'held nowhere' })
+    wait('either', waiter('c'), { type: 'bring', ask: 'e', held: true, reason: 'its holders are full' })
+    free = 3
+    room.pokeFull()
+    await time.pass(50)
+    expect(order).to.deep.equal(['place chosen', 'either chosen'])
+  })
+
+  it('asks an engine to bring an adapter in, with how many wait for it', async () => {
+    const bring: Choice = { type: 'bring', ask: 'e', held: false, reason: 'held nowhere' }
+    wait('one', waiter('a'), bring)
+    wait('two', waiter('a'), bring)
+    expect(brought).to.deep.equal([['e', 1], ['e', 2]])
+  })
+
+  it('ends at once with its caller, and otherwise at its time', async () => {
+    const cancellation = new Cancellation()
+    wait('left', waiter('a'), full, cancellation)
+    wait('expired', waiter('a', 1, 300))
+    cancellation.cancel()
+    await time.pass(10)
+    expect(order).to.deep.equal(['left left'])
+    await time.pass(400)
+    expect(order).to.deep.equal(['left left', 'expired expired'])
+    expect(room.size).to.equal(0)
+  })
+})
