--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -22,6 +22,11 @@
 const usesAgainMs = 1000
 /** A want is said again while requests wait, in case it was lost or declined. */
 const wantAgainMs = 600
+/**
+ * A side process loads or declines what it is asked for within some 200 ms and tells within 250 more. One that has
+ * done neither by then is stuck or has too much to do, and another is asked.
+ */
+const answerMs = 600
 /** After a side process declined, others are asked first for this long. */
 const declinedMs = 500
 /** Runs last about half a second, so a shortage of places outlasts one refusal by several of them. */
@@ -97,7 +102,9 @@
     const link = this.#links.get(hostOf(engine.address))
     if (link?.channel === undefined) return false
     const now = nowMs()
-    return now - link.heardAt < deafMs && now - (link.declined.get(key) ?? -Infinity) > declinedMs
+    if (now - link.heardAt > deafMs || now - (link.declined.get(key) ?? -Infinity) < declinedMs) return false
+    const wanted = link.wanted.get(key)
+    return wanted === undefined || now - wanted < answerMs || link.coming.has(key)
   }
 
   /** Engines had no place left a moment ago, so none should be taken for anything that nobody waits for. */
@@ -239,7 +246,8 @@
       link.held = held
     }
     if (frame.coming !== undefined) link.coming = new Set(frame.coming)
-    for (const key of link.wanted.keys()) if (link.held.has(key)) link.wanted.delete(key)
+    const forgotten = nowMs() - deafMs
+    for (const [key, at] of link.wanted) if (link.held.has(key) || at < forgotten) link.wanted.delete(key)
     if (frame.server !== link.server) link.warm.clear()
     for (const [key, version] of frame.warm ?? []) link.warm.keep(key, version)
     link.server = frame.server
--- a/packages/fleet/src/side/side.ts
+++ b/packages/fleet/src/side/side.ts
@@ -119,7 +119,8 @@
     })
     if (placement.type === 'declined') {
       this.#decline(placement.key, placement.reason)
-      return awaitedMs
+      // There may be more that have waited long enough.
+      return 0
     }
     if (placement.type === 'order') return await this.#give(placement.order, placement.reason)
     return account.busy || account.coming.length > 0 || this.demands.any ? awaitedMs : restMs
--- a/packages/fleet/test/fleet.test.ts
+++ b/packages/fleet/test/fleet.test.ts
@@ -236,6 +236,16 @@
       expect(await ask({ path: '/stream/x', id: nextId(), model: 'base/h1' })).to.include({ status: 200 })
     })
 
+    it('are had from another engine when the side process asked says nothing', async () => {
+      const near = fleet.sides.find(each => each.name.startsWith('side-d0'))
+      if (near?.process === undefined) throw new Error('there is a side process near entry 0')
+      near.process.kill('SIGSTOP')
+      const replies = await Promise.all(['s1', 's2'].map(async adapter => await ask({ path: '/stream/x', id: nextId(), model: `base/${adapter}` })))
+      near.process.kill('SIGCONT')
+      expect(replies.map(reply => reply.status)).to.deep.equal([200, 200])
+      await pause(settleMs)
+    })
+
     it('go on with a side process that was killed and started again', async () => {
       const [side] = fleet.sides
       if (side === undefined) throw new Error('there is a side process')
