--- a/packages/fleet/src/warm-copies.ts
+++ b/packages/fleet/src/warm-copies.ts
@@ -3,7 +3,7 @@
  * times as fast and without the weight store.
  */
 
-/** Engines keep some hundred (measured: loads of the last 96 let go of were quick). */
+/** Engines keep some hundred; a copy taken to be there that isn't costs a load from the weight store. */
 const mostCopies = 80
 
 export class WarmCopies {
