--- a/packages/fleet/src/follow.ts
+++ b/packages/fleet/src/follow.ts
@@ -7,7 +7,7 @@
 import { backoff, pause, type Log } from '@finchpitch/core'
 import { nowMs } from './clock.js'
 import { removalStep, type Fact, type Facts } from './facts.js'
-import type { FactSource, StoreFailure } from './ports.js'
+import type { FactPage, FactSource, StoreFailure } from './ports.js'
 import { Removals } from './removals.js'
 
 /**
@@ -74,57 +74,99 @@
 }
 
 /** Runs until `signal` aborts. */
-export const follow = async ({ source, facts, log, signal, outage, restMs }: Following): Promise<void> => {
-  const { kind } = source
-  let revision: number | undefined
-  let failures = 0
-  let compactions = outage.compactions
+export const follow = async (following: Following): Promise<void> => await new Follower(following).run()
+
+/** The task of one kind: what it has read, and how the store answered it last. */
+class Follower {
+  readonly #kind: Fact['kind']
+  readonly #removals: Removals
+  /** Read completely up to here; `undefined` where everything has to be listed. */
+  #revision: number | undefined
+  #failures = 0
   /** Since when nothing was heard that should have been. */
-  let lostAt = 0
-  const removals = new Removals(missing => {
-    log.info('store.entries_missing', { kind, keys: missing.map(fact => fact.key) })
-    for (const fact of missing) facts.remove(fact, 'store')
-  })
-  const fail = (failure: StoreFailure, askedAt: number): void => {
-    if (failures === 0) {
-      log.warn('store.lost', { kind, code: failure.code, detail: failure.detail, revision })
-      lostAt = Math.min(nowMs(), askedAt + watchMs[kind])
+  #lostAt = 0
+  #compactions: number
+
+  constructor (private readonly options: Following) {
+    this.#kind = options.source.kind
+    this.#compactions = options.outage.compactions
+    this.#removals = new Removals(missing => this.#remove(missing))
+  }
+
+  async run (): Promise<void> {
+    const { signal } = this.options
+    while (!signal.aborted) {
+      const restMs = await this.#step()
+      if (restMs > 0) await pause(restMs, signal)
     }
-    failures += 1
-    if (failures === 1) outage.noticed()
+    this.#removals.stop()
   }
-  while (!signal.aborted) {
-    if (compactions !== outage.compactions) revision = undefined
-    compactions = outage.compactions
+
+  /** One call and what follows from it; gives how long to rest. */
+  async #step (): Promise<number> {
+    const { source, outage, signal, restMs } = this.options
+    if (this.#compactions !== outage.compactions) this.#revision = undefined
+    this.#compactions = outage.compactions
     const doubt = AbortSignal.any([signal, outage.signal])
     const askedAt = nowMs()
-    const page = revision === undefined ? await source.list() : await source.changes(revision, watchMs[kind], doubt)
-    if (signal.aborted) return removals.stop()
-    if (page.isErr()) {
-      // A watch that was cut off here is simply asked again: it tells nothing of the store.
-      if (doubt.aborted && revision !== undefined) continue
-      if (page.error.code === 'compacted' || page.error.code === 'not_valid') {
-        log.warn('store.read_again', { kind, code: page.error.code, detail: page.error.detail, revision })
-        revision = undefined
-      }
-      if (page.error.code === 'compacted' && compactions === outage.compactions) {
-        outage.compacted()
-        compactions = outage.compactions
-      }
-      if (page.error.code !== 'compacted') fail(page.error, askedAt)
-      await pause(backoff(failures - 1, Math.random, storeSpan), signal)
-      continue
+    const watching = this.#revision !== undefined
+    const page = this.#revision === undefined ? await source.list() : await source.changes(this.#revision, watchMs[this.#kind], doubt)
+    if (signal.aborted) return 0
+    if (page.isOk()) {
+      this.#answered(page.value)
+      return restMs(this.#kind)
     }
-    if (failures > 0) {
-      log.info('store.regained', { kind, failures, awayMs: Math.round(nowMs() - lostAt) })
-      if (kind === 'server') removals.returned(lostAt)
+    // A watch that was cut off here is simply asked again: it tells nothing of the store.
+    if (doubt.aborted && watching) return 0
+    this.#failed(page.error, askedAt)
+    return backoff(this.#failures - 1, Math.random, storeSpan)
+  }
+
+  #answered ({ facts: listed, revision }: FactPage): void {
+    const { facts, log } = this.options
+    const kind = this.#kind
+    if (this.#failures > 0) {
+      log.info('store.regained', { kind, failures: this.#failures, awayMs: Math.round(nowMs() - this.#lostAt) })
+      if (kind === 'server') this.#removals.returned(this.#lostAt)
     }
-    failures = 0
-    const missing = revision === undefined ? missingFrom(facts, kind, page.value.facts) : []
-    for (const fact of removals.sift([...missing, ...page.value.facts])) facts.offer(fact, 'store')
-    revision = page.value.revision
+    this.#failures = 0
+    const missing = this.#revision === undefined ? missingFrom(facts, kind, listed) : []
+    for (const fact of this.#removals.sift([...missing, ...listed])) facts.offer(fact, 'store')
+    this.#revision = revision
     facts.completed(kind, revision)
-    await pause(restMs(kind), signal)
+  }
+
+  #failed (failure: StoreFailure, askedAt: number): void {
+    const { code, detail } = failure
+    const kind = this.#kind
+    if (code === 'compacted' || code === 'not_valid') {
+      this.options.log.warn('store.read_again', { kind, code, detail, revision: this.#revision })
+      this.#revision = undefined
+    }
+    if (code === 'compacted') this.#compacted()
+    else this.#lost(failure, askedAt)
+  }
+
+  #compacted (): void {
+    const { outage } = this.options
+    if (this.#compactions === outage.compactions) outage.compacted()
+    this.#compactions = outage.compactions
+  }
+
+  #lost ({ code, detail }: StoreFailure, askedAt: number): void {
+    const { log, outage } = this.options
+    const kind = this.#kind
+    this.#failures += 1
+    if (this.#failures > 1) return
+    log.warn('store.lost', { kind, code, detail, revision: this.#revision })
+    this.#lostAt = Math.min(nowMs(), askedAt + watchMs[kind])
+    outage.noticed()
+  }
+
+  #remove (missing: Fact[]): void {
+    const { facts, log } = this.options
+    log.info('store.entries_missing', { kind: this.#kind, keys: missing.map(fact => fact.key) })
+    for (const fact of missing) facts.remove(fact, 'store')
   }
 }
 
