A side process counts as stuck by its silence, not by a demand that it has not answered

Asking elsewhere after 0.6 s doubled demands that were only queued behind others (four load at once). Change: a side process that has said nothing for 1 s near or 2 s across isn't asked; the test of a stopped one holds.

--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -22,11 +22,8 @@
 const usesAgainMs = 1000
 /** A want is said again while requests wait, in case it was lost or declined. */
 const wantAgainMs = 600
-/**
- * A side process loads or declines what it is asked for within some 200 ms and tells within 250 more. One that has
- * done neither by then is stuck or has too much to do, and another is asked.
- */
-const answerMs = 600
+/** One that has said nothing for this long, near and across, isn't asked for anything: it is stuck or gone. */
+const stuckMs = { near: 1000, far: 2000 }
 /** After a side process declined, others are asked first for this long. */
 const declinedMs = 500
 /** Runs last about half a second, so a shortage of places outlasts one refusal by several of them. */
@@ -102,9 +99,8 @@
     const link = this.#links.get(hostOf(engine.address))
     if (link?.channel === undefined) return false
     const now = nowMs()
-    if (now - link.heardAt > deafMs || now - (link.declined.get(key) ?? -Infinity) < declinedMs) return false
-    const wanted = link.wanted.get(key)
-    return wanted === undefined || now - wanted < answerMs || link.coming.has(key)
+    const patience = link.domain === this.options.domain ? stuckMs.near : stuckMs.far
+    return now - link.heardAt < patience && now - (link.declined.get(key) ?? -Infinity) > declinedMs
   }
 
   /** Engines had no place left a moment ago, so none should be taken for anything that nobody waits for. */
