--- a/packages/fleet/src/entry/balancer.ts
+++ b/packages/fleet/src/entry/balancer.ts
@@ -13,7 +13,7 @@
 import type { SideLinks } from './side-links.js'
 
 /** What the balancer needs of the links to side processes. */
-export type Placers = Pick<SideLinks, 'orderable' | 'warm' | 'pending' | 'short' | 'want'>
+export type Placers = Pick<SideLinks, 'orderable' | 'warm' | 'short' | 'want'>
 
 /** Requests of the last seconds that went across for an adapter, before it is wanted in this domain too. */
 const worthNearer = 6
@@ -150,8 +150,7 @@
       holds: (holding?.held.get(key) ?? -1) >= oldest,
       coming: holding?.coming.has(key) ?? false,
       get warm () { return links.warm(server, key) },
-      get orderable () { return links.orderable(server, key) },
-      get pending () { return links.pending(server) }
+      get orderable () { return links.orderable(server, key) }
     }
   }
 }
--- a/packages/fleet/src/entry/choice.ts
+++ b/packages/fleet/src/entry/choice.ts
@@ -29,8 +29,6 @@
   warm: boolean
   /** Its side process can be asked to bring an adapter in. */
   orderable: boolean
-  /** Adapters that it was asked for or is loading. */
-  pending: number
 }
 
 export type Choice =
@@ -95,9 +93,6 @@
 /** A load from the weight store costs more than the few requests that come while an adapter is held across. */
 const coldCost = 4
 const acrossCost = 2
-/** An engine loads four adapters at once. Each further round makes its callers wait as long as a load does. */
-const loadsAtOnce = 4
-const roundCost = 1.5
 
 const isOpen = (option: Option): boolean => option.load < option.slots + batchSurplus
 
@@ -134,7 +129,6 @@
   const able = options.filter(option => !option.holds && !option.coming && !option.doubtful && !option.lapsed && isOpen(option) && option.orderable)
   const keyHash = hashOf(key)
   const cost = (option: EngineOption): number =>
-    (option.warm ? 0 : coldCost) + (option.domain === domain ? 0 : acrossCost) +
-    Math.floor(option.pending / loadsAtOnce) * roundCost + affinityOf(keyHash, option.hash)
+    (option.warm ? 0 : coldCost) + (option.domain === domain ? 0 : acrossCost) + affinityOf(keyHash, option.hash)
   return lowest(able, cost)?.id
 }
--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -114,16 +114,6 @@
     return version !== undefined && version >= (this.options.facts.version(key)?.version ?? 0)
   }
 
-  /** Adapters that the engine was asked for here and has not got yet, and those on their way for others. */
-  pending (engine: BackendServer): number {
-    const link = this.#links.get(hostOf(engine.address))
-    if (link === undefined) return 0
-    const since = nowMs() - wantAgainMs
-    let asked = 0
-    for (const [key, at] of link.wanted) if (at > since && !link.coming.has(key)) asked += 1
-    return asked + link.coming.size
-  }
-
   want (engine: BackendServer, key: string, waiting: number, priority: number, version?: number): void {
     const link = this.#links.get(hostOf(engine.address))
     const now = nowMs()
