A request that a server ran and failed is never told as not run afterwards

Found in the reading: a repeatable request whose first server answered 5xx and whose second refused was ended with 503, which says that it has not run. Test red before: six of eight such requests got 503. Besides: an order whose connection fails at once is followed by a short rest; copies at hand are listed only for a new entry.

--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -223,15 +223,15 @@
     counters.waited.observe({ for: first.type }, (nowMs() - started) / 1000)
     if (end.type === 'chosen') return end.choice
     if (end.type === 'left') return this.#abandoned(false)
-    return this.#mayHaveRun ? this.#fail(502, `gave_up: ${end.last.reason}`) : this.#refuse(end.last.reason)
+    return this.#giveUp(end.last.reason)
   }
 
   async #try (server: BackendServer, asked: Asked, route: Route, body: Buffer, reason: string): Promise<Verdict> {
     const { balancer, budget, names, counters } = this.options
     const remaining = Math.floor(this.#deadline - nowMs())
-    if (remaining < leastRemainingMs) return { type: 'done', outcome: this.#mayHaveRun ? this.#fail(504, 'timed_out') : this.#refuse('too_late') }
+    if (remaining < leastRemainingMs) return done(this.#mayHaveRun ? this.#fail(504, 'timed_out') : this.#refuse('too_late'))
     if (this.#tries === 0) budget.first(asked.service.name)
-    if (this.#arrivals > 0 && !budget.repeat(asked.service.name)) return { type: 'done', outcome: this.#mayHaveRun ? this.#fail(502, 'no_retry_left') : this.#refuse('no_retry_left') }
+    if (this.#arrivals > 0 && !budget.repeat(asked.service.name)) return done(this.#giveUp('no_retry_left'))
     this.#tries += 1
     this.#server = server
     this.#reason = reason
@@ -285,7 +285,10 @@
       if (failed) self.options.faults.failed(at.server, self.#id, `status ${status}`)
       else self.options.balancer.state(at.server).outlier.succeeded()
       self.#ran += 1
-      if (failed && self.#mayRunAgain(at)) return again
+      if (failed && self.#mayRunAgain(at)) {
+        self.#mayHaveRun = true
+        return again
+      }
       self.#delivery.whole(status, headers, body, self.request.method === 'HEAD' || bodyless.has(status))
       return done(`answered ${status}`)
     },
@@ -322,7 +325,7 @@
   /** It has not run there, and goes elsewhere as long as there are tries left. */
   #goOn (reason: string): Verdict {
     if (this.#triesLeft) return again
-    return done(this.#mayHaveRun ? this.#fail(502, reason) : this.#refuse(reason))
+    return done(this.#giveUp(reason))
   }
 
   get #triesLeft (): boolean {
@@ -351,6 +354,11 @@
     return sent || this.#mayHaveRun ? this.#fail(504, 'timed_out') : this.#refuse('timed_out')
   }
 
+  /** There is nowhere left to send it. */
+  #giveUp (reason: string): string {
+    return this.#mayHaveRun ? this.#fail(502, reason) : this.#refuse(reason)
+  }
+
   /** It has surely not run, and may be asked again. */
   #refuse (reason: string): string {
     this.#reason = reason
--- a/packages/fleet/src/side/entry-link.ts
+++ b/packages/fleet/src/side/entry-link.ts
@@ -28,7 +28,7 @@
   held: HeldKeys
   coming: string[]
   /** Adapters that it has let go of and has at hand. */
-  warm: Array<[key: string, version: number]>
+  warm: () => Array<[key: string, version: number]>
   reachable: boolean
   server: string | undefined
   waiting: number
@@ -38,7 +38,7 @@
   fence: number
 }
 
-const nothingTold: EngineNews = { changes: -1, held: {}, coming: [], warm: [], reachable: false, server: undefined, waiting: 0, running: 0, entries: 0, fence: 0 }
+const nothingTold: EngineNews = { changes: -1, held: {}, coming: [], warm: () => [], reachable: false, server: undefined, waiting: 0, running: 0, entries: 0, fence: 0 }
 
 export class EntryLink {
   #told = nothingTold
@@ -58,7 +58,7 @@
       ...(came === undefined ? {} : { came }),
       ...(went.length === 0 ? {} : { went }),
       ...(isDeepStrictEqual(this.#told.coming, news.coming) ? {} : { coming: news.coming }),
-      ...(fresh ? { warm: news.warm } : {}),
+      ...(fresh ? { warm: news.warm() } : {}),
       waiting: news.waiting,
       running: news.running,
       entries: news.entries,
--- a/packages/fleet/src/side/side.ts
+++ b/packages/fleet/src/side/side.ts
@@ -25,6 +25,8 @@
 /** Between two looks at the engine while nothing is awaited, and while something is. */
 const restMs = 200
 const awaitedMs = 60
+/** After an order without an answer: it may have been accepted, which the next account shows, or may be yet; then its count is taken. */
+const unknownMs = 20
 /** After an engine refused an order that rested on its own account. */
 const refusedMs = 50
 
@@ -239,8 +241,7 @@
     done: () => 0,
     accepted: () => 0,
     refused: () => refusedMs,
-    // It may have been accepted, which the next account shows, or may be yet: then that count is taken.
-    unknown: () => 0,
+    unknown: () => unknownMs,
     fenced: () => {
       this.#fence = Math.max(this.#fence + 1, Math.floor(this.options.facts.revision))
       return refusedMs
@@ -285,8 +286,10 @@
     const account = this.#account
     const held = account === undefined ? this.#held : heldOf(account)
     const coming = account?.coming.map(each => each.key) ?? []
-    if (!isDeepStrictEqual(held, this.#held) || !isDeepStrictEqual(coming, this.#coming)) this.#changes += 1
-    for (const key of difference(this.#held, held).went) this.#warm.keep(key, this.#held[key] ?? 0)
+    if (!isDeepStrictEqual(held, this.#held) || !isDeepStrictEqual(coming, this.#coming)) {
+      this.#changes += 1
+      for (const key of difference(this.#held, held).went) this.#warm.keep(key, this.#held[key] ?? 0)
+    }
     this.#held = held
     this.#coming = coming
     const news = this.#news()
@@ -299,7 +302,7 @@
       changes: this.#changes,
       held: this.#held,
       coming: this.#coming,
-      warm: this.#warm.all(),
+      warm: () => this.#warm.all(),
       reachable: account !== undefined,
       server: this.#server,
       waiting: account?.waiting ?? 0,
--- a/packages/fleet/test/fleet.test.ts
+++ b/packages/fleet/test/fleet.test.ts
@@ -149,6 +149,16 @@
       expect(replies.every(reply => reply.status === 200)).to.equal(true)
     })
 
+    it('is not told as not run when it failed at one server and the other refuses', async () => {
+      setFault(fleet.plain.slice(0, 1), 'failing')
+      setFault(fleet.plain.slice(1), 'shedding')
+      const ids = Array.from({ length: 8 }, nextId)
+      const replies = await Promise.all(ids.map(async id => await ask({ path: '/again/x', id })))
+      const ran = replies.filter((_reply, each) => runsOf(ids[each] ?? '') > 0)
+      expect(ran.length).to.be.greaterThan(0)
+      expect(ran.map(reply => reply.status)).to.not.include(503)
+    })
+
     it('gets the failure as it was when every server fails', async () => {
       setFault(fleet.plain, 'failing')
       const reply = await ask({ path: '/again/x', id: nextId() })
