--- a/packages/fleet/src/entry/choice.ts
+++ b/packages/fleet/src/entry/choice.ts
@@ -121,7 +121,9 @@
   if (options.some(option => option.coming && !option.doubtful)) return { type: 'bring', ask: undefined, held, reason: 'on its way' }
   const ask = engineToAsk(choice)
   if (ask !== undefined) return { type: 'bring', ask, held, reason: held ? 'its holders are full' : 'held nowhere' }
-  return held ? { type: 'full', reason: 'its holders are full' } : { type: 'none', reason: 'no engine can bring it in' }
+  if (held) return { type: 'full', reason: 'its holders are full' }
+  // Engines that restarted are listed before their side processes can be asked; that is a matter of a second.
+  return { type: 'bring', ask: undefined, held, reason: 'no engine can bring it in' }
 }
 
 /** The engine that should bring the key in: one with a copy at hand, else near, not full, first by affinity. */
--- a/packages/fleet/test/choice.test.ts
+++ b/packages/fleet/test/choice.test.ts
@@ -62,6 +62,11 @@
       expect(engine([option('p', 'a', { warm: true }), option('q', 'b', { warm: true })])).to.deep.include({ ask: 'p' })
     })
 
+    it('waits for engines that can not be asked yet, and gives up where there are none', () => {
+      expect(engine([option('p', 'a', { orderable: false })])).to.deep.include({ type: 'bring', ask: undefined })
+      expect(engine([]).type).to.equal('none')
+    })
+
     it('waits for an adapter on its way', () => {
       expect(engine([option('p', 'a', { coming: true }), option('q', 'a')])).to.deep.include({ type: 'bring', ask: undefined })
     })
--- a/packages/fleet/test/fleet.test.ts
+++ b/packages/fleet/test/fleet.test.ts
@@ -268,6 +268,16 @@
       await pause(settleMs)
     })
 
+    it('are waited for while no side process can be asked', async () => {
+      await Promise.all(fleet.sides.map(async side => await fleet.kill(side)))
+      await pause(200)
+      const asked = ask({ path: '/stream/x', id: nextId(), model: 'base/w1', remainingMs: 5000 })
+      await pause(300)
+      for (const side of fleet.sides) await fleet.startProcess(side)
+      expect(await asked).to.include({ status: 200, whole: true })
+      await pause(settleMs)
+    })
+
     it('go on with a side process that was killed and started again', async () => {
       const [side] = fleet.sides
       if (side === undefined) throw new Error('there is a side process')
