Callers' connections are kept, and taken up anew once another entry has come

Cause: Node 20's event loop (libuv 1.46) takes up one new connection a turn: a probe with turns of 20 ms took up 40 a second. Change: connections are kept; when side processes tell of more entries than before, those from before are ended over 2.5 s. Ruled out: stalls of the loop (0.06 s at most by the lines' own times).

--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -174,6 +174,7 @@
     for (let round = 1; !signal.aborted; round++) {
       await pause(sweepMs, signal)
       this.options.facts.expire()
+      this.#connections.noteEntries(this.#links.entries ?? 0)
       if (round % sweepAllEvery === 0) this.#room.poke()
       else this.#room.pokeFull()
     }
