--- a/packages/fleet/src/entry/attempt.ts
+++ b/packages/fleet/src/entry/attempt.ts
@@ -6,6 +6,7 @@
  * (it carries the seal), belongs to this request (it echoes the id) and came whole.
  */
 import { request as openRequest, type Agent, type ClientRequest, type IncomingMessage } from 'node:http'
+import { nowMs } from '../clock.js'
 import type { HeaderNames } from '../ports.js'
 import type { Cancellation } from './cancellation.js'
 import type { Delivery, RawHeaders } from './delivery.js'
@@ -28,6 +29,8 @@
   serverId: string
   names: HeaderNames
   connectMs: number
+  /** A new connection came up, after so many milliseconds. */
+  cameUp: (ms: number) => void
   /** Answers of a stream go out as they come. */
   stream: boolean
   /** Where the stream may go on elsewhere: passes whole events only. */
@@ -97,8 +100,12 @@
     clearTimeout(connecting)
   }
   request.on('socket', socket => {
-    if (socket.connecting) socket.once('connect', join)
-    else join()
+    if (!socket.connecting) return join()
+    const began = nowMs()
+    socket.once('connect', () => {
+      join()
+      options.cameUp(nowMs() - began)
+    })
   })
   // Told before the answer's end: the runtime takes a reset for the end of an answer without a length.
   request.on('error', error => {
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -14,6 +14,7 @@
 import type { FactSource, HeaderNames, Limits } from '../ports.js'
 import { Balancer } from './balancer.js'
 import { CallerConnections } from './caller-connections.js'
+import { ConnectLimit } from './connect-limit.js'
 import { EntryCounters } from './counters.js'
 import { RetryBudget } from './retry-budget.js'
 import { ServerFaults } from './server-faults.js'
@@ -58,6 +59,7 @@
   readonly #room = new WaitingRoom()
   readonly #connections: CallerConnections
   readonly #budget: RetryBudget
+  readonly #connects = new ConnectLimit()
   readonly #faults: ServerFaults
   readonly #stop = new AbortController()
   #closing = false
@@ -138,7 +140,7 @@
     this.#running += 1
     try {
       const served = new ServiceRequest({
-        facts, balancer: this.#balancer, room: this.#room, budget: this.#budget, faults: this.#faults, names, counters: this.counters, domain, log, lastAnswer: () => this.#closing || this.#connections.isOld(request.socket)
+        facts, balancer: this.#balancer, room: this.#room, budget: this.#budget, faults: this.#faults, connects: this.#connects, names, counters: this.counters, domain, log, lastAnswer: () => this.#closing || this.#connections.isOld(request.socket)
       }, request, response)
       await served.serve()
     } catch (error) {
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -17,6 +17,7 @@
 import type { Asked, Balancer } from './balancer.js'
 import { Cancellation } from './cancellation.js'
 import type { Choice } from './choice.js'
+import type { ConnectLimit } from './connect-limit.js'
 import type { EntryCounters } from './counters.js'
 import { Delivery } from './delivery.js'
 import { EventCutter } from './event-stream.js'
@@ -25,8 +26,6 @@
 import type { ServerFaults } from './server-faults.js'
 import type { WaitingRoom } from './waiting-room.js'
 
-/** Connections come up in a few milliseconds here; a machine that is dark says nothing. */
-const connectMs = 200
 /** Tries of one request that come as far as a server, whatever their end. */
 const mostArrivals = 4
 /** All its tries, those that could not be sent too: a whole failure domain of servers may be out of reach. */
@@ -53,6 +52,7 @@
   budget: RetryBudget
   names: HeaderNames
   faults: ServerFaults
+  connects: ConnectLimit
   counters: EntryCounters
   /** This entry's failure domain. */
   domain: string
@@ -227,7 +227,7 @@
   }
 
   async #try (server: BackendServer, asked: Asked, route: Route, body: Buffer, reason: string): Promise<Verdict> {
-    const { balancer, budget, names, counters } = this.options
+    const { balancer, budget, names, counters, connects } = this.options
     const remaining = Math.floor(this.#deadline - nowMs())
     if (remaining < leastRemainingMs) return done(this.#mayHaveRun ? this.#fail(504, 'timed_out') : this.#refuse('too_late'))
     if (this.#tries === 0) budget.first(asked.service.name)
@@ -244,7 +244,8 @@
       requestId: this.#id,
       serverId: server.id,
       names,
-      connectMs: Math.min(connectMs, remaining),
+      connectMs: Math.min(connects.ms, remaining),
+      cameUp: ms => connects.cameUp(ms),
       stream: route.kind === 'stream',
       cutter: this.#cutter,
       delivery: this.#delivery,
--- a/packages/fleet/test/attempt.test.ts
+++ b/packages/fleet/test/attempt.test.ts
@@ -42,6 +42,7 @@
     serverId: 's',
     names,
     connectMs,
+    cameUp: () => {},
     stream: false,
     cutter: undefined,
     delivery: { started: false } as unknown as Delivery,
