A plain server's refusals count against it for a quarter of a second, not for good

Each refusal had made the server two requests fuller, which only a side process's word took back, and plain servers have none; five refusals locked one out until the entry restarted.

--- a/packages/fleet/src/entry/server-faults.ts
+++ b/packages/fleet/src/entry/server-faults.ts
@@ -8,9 +8,6 @@
 import type { Balancer } from './balancer.js'
 import type { EntryCounters } from './counters.js'
 
-/** A server that refused is fuller than it was thought to be. */
-const refusedLoad = 2
-
 export interface Refusal {
   request: string
   server: BackendServer
@@ -52,7 +49,7 @@
       return key === undefined
     },
     full: server => {
-      this.balancer.state(server).sentSince += refusedLoad
+      this.balancer.state(server).refusedOne()
       return true
     }
   }
--- a/packages/fleet/src/entry/server-state.ts
+++ b/packages/fleet/src/entry/server-state.ts
@@ -10,6 +10,11 @@
 /** Three failures in a row, or two in five over some ten requests, are far over what sound servers show (0.14). */
 const outlierLimits: OutlierLimits = { inRow: 3, share: 0.4, least: 8, firstMs: 600, limitMs: 4000 }
 
+/** A server that refused is fuller than it was thought to be, by this many requests, */
+const refusedLoad = 2
+/** for about as long as a request runs; a plain server never says that it has room again. */
+const refusedMs = 250
+
 export interface Holding {
   /** When it was told, on the steady clock. */
   at: number
@@ -37,7 +42,9 @@
   readonly uses = new Map<string, { started: number, running: number }>()
   holding: Holding | undefined
   /** Requests sent since the holding was told. */
-  sentSince = 0
+  #sentSince = 0
+  #refused = 0
+  #refusedUntil = -Infinity
 
   constructor (readonly id: string, maxConnections: number) {
     this.hash = hashOf(id)
@@ -51,14 +58,23 @@
   /** Requests there, one's own at least. */
   get load (): number {
     const told = this.holding === undefined ? 0 : this.holding.running + this.holding.waiting
-    return Math.max(this.#pending.size, told + this.sentSince)
+    const refused = nowMs() < this.#refusedUntil ? this.#refused : 0
+    return Math.max(this.#pending.size, told + this.#sentSince) + refused
+  }
+
+  /** It refused a request, being full. */
+  refusedOne (): void {
+    const now = nowMs()
+    if (now >= this.#refusedUntil) this.#refused = 0
+    this.#refused += refusedLoad
+    this.#refusedUntil = now + refusedMs
   }
 
   begin (key: string | undefined, patienceMs: number): Pending {
     const pending = { sentAt: nowMs(), patienceMs }
     this.#pending.add(pending)
     this.#unheard.add(pending)
-    this.sentSince += 1
+    this.#sentSince += 1
     if (key !== undefined) {
       const uses = this.uses.get(key) ?? { started: 0, running: 0 }
       uses.started += 1
@@ -76,7 +92,7 @@
   end (key: string | undefined, pending: Pending): void {
     this.#pending.delete(pending)
     this.#unheard.delete(pending)
-    this.sentSince = Math.max(0, this.sentSince - 1)
+    this.#sentSince = Math.max(0, this.#sentSince - 1)
     const uses = key === undefined ? undefined : this.uses.get(key)
     if (uses !== undefined) uses.running -= 1
   }
@@ -91,7 +107,8 @@
 
   tell (holding: Holding): void {
     this.holding = holding
-    this.sentSince = 0
+    this.#sentSince = 0
+    this.#refusedUntil = -Infinity
   }
 
   close (): void {
