Connections to a server follow the routing table, also where that comes after the server

Cause: an entry that learned a server before its routing table (every entry after all machines lost power, and any that restarts while the servers' list is read first) allowed that server one connection for good, since the agent was made with the limit known at that moment. Change: the limit follows the routing table. Test red before (1 for 100), green now. Ruled out: the servers' own limit of connections, and their queue of new ones: both were sound.

--- a/packages/fleet/src/entry/balancer.ts
+++ b/packages/fleet/src/entry/balancer.ts
@@ -51,7 +51,7 @@
 
   state (server: BackendServer): ServerState {
     const service = this.facts.routes?.service(server.service)
-    return this.states.of(server, service?.maxConnections ?? 1)
+    return this.states.of(server, service?.maxConnections)
   }
 
   choose (asked: Asked): Choice {
--- a/packages/fleet/src/entry/server-state.ts
+++ b/packages/fleet/src/entry/server-state.ts
@@ -51,6 +51,12 @@
     this.agent = serverAgent(maxConnections)
   }
 
+  /** Follows the routing table, which may come after the server did. */
+  limitConnections (maxConnections: number): void {
+    this.agent.maxSockets = maxConnections
+    this.agent.maxFreeSockets = maxConnections
+  }
+
   get inFlight (): number {
     return this.#pending.size
   }
@@ -150,15 +156,22 @@
 
 const nobody: ReadonlySet<string> = new Set()
 
+/** Connections to a server whose service the routing table does not name yet; nothing is sent there before it does. */
+const connectionsUntilKnown = 1
+
 /** The states of all servers that are believed to be there. */
 export class ServerStates {
   readonly holders = new Holders()
   readonly #states = new Map<string, ServerState>()
 
-  of (server: BackendServer, maxConnections: number): ServerState {
+  /** `maxConnections` is `undefined` while the routing table does not name the server's service. */
+  of (server: BackendServer, maxConnections: number | undefined): ServerState {
     const known = this.#states.get(server.id)
-    if (known !== undefined) return known
-    const state = new ServerState(server.id, maxConnections)
+    if (known !== undefined) {
+      if (maxConnections !== undefined) known.limitConnections(maxConnections)
+      return known
+    }
+    const state = new ServerState(server.id, maxConnections ?? connectionsUntilKnown)
     this.#states.set(server.id, state)
     return state
   }
--- a/packages/fleet/test/balancer.test.ts
+++ b/packages/fleet/test/balancer.test.ts
@@ -36,6 +36,15 @@
     expect(balancer.choose(asked)).to.include({ type: 'bring', ask: '2' })
   })
 
+  it('limits connections to a server by the routing table, also where that comes after the server', () => {
+    const facts = new Facts(quietLog, () => 1000)
+    const balancer = new Balancer(facts, 'a', () => limits, () => links, quietLog)
+    facts.offer({ kind: 'server', key: '1', revision: 2, value: server('1') }, 'store')
+    balancer.state(server('1'))
+    facts.offer({ kind: 'table', key: 'table', revision: 1, value: table }, 'store')
+    expect(balancer.state(server('1')).agent.maxSockets).to.equal(engines.maxConnections)
+  })
+
   it('uses what is left in reserve when all entries have vanished', () => {
     const { facts, balancer } = setUp()
     for (const id of ['1', '2']) facts.offer({ kind: 'server', key: id, revision: 2 + removalStep, value: undefined }, 'store')
