Engines are chosen by when the first token is expected

Change: entries count the prompt tokens not read yet at each engine (their own, and the others' through the side process) and learn the pace of reading from their own requests; among holders the one expected to answer first is chosen. The line at a request's end tells tokens and expected time.

--- a/packages/fleet/src/entry/balancer.ts
+++ b/packages/fleet/src/entry/balancer.ts
@@ -20,8 +20,6 @@
 const nearerHalfLifeMs = 20_000
 /** The part of the time allowed for a named version in which the one before it may still be used. */
 const oldVersionShare = 0.4
-/** Tokens that an engine reads in some 100 ms, in which every stream beside it gets only a few events. */
-const heavyPrompt = 4000
 /** Keys whose demand from across is remembered. */
 const mostTracked = 4000
 
@@ -110,8 +108,8 @@
   #engineChoice (servers: readonly BackendServer[], key: string, { affinityKey, promptTokens }: Asked): EngineChoice {
     const now = nowMs()
     const oldest = this.#oldestUsable(key, now)
-    const options = servers.map(server => this.#engineOption(server, key, now, oldest))
-    return { options, domain: this.domain, key, affinityKey, heavy: promptTokens > heavyPrompt }
+    const options = servers.map(server => this.#engineOption(server, key, promptTokens, now, oldest))
+    return { options, domain: this.domain, key, affinityKey }
   }
 
   /** The oldest version of the key that may be used. */
@@ -135,7 +133,7 @@
   }
 
   /** Made for each engine and choice, so without copies; what few choices look at is worked out when they do. */
-  #engineOption (server: BackendServer, key: string, now: number, oldest: number): EngineOption {
+  #engineOption (server: BackendServer, key: string, tokens: number, now: number, oldest: number): EngineOption {
     const state = this.state(server)
     const { holding } = state
     const links = this.links()
@@ -149,6 +147,7 @@
       lapsed: this.facts.lapsed(server.id),
       holds: (holding?.held.get(key) ?? -1) >= oldest,
       coming: holding?.coming.has(key) ?? false,
+      expectedMs: state.expectedMs(tokens, now),
       get warm () { return links.warm(server, key) },
       get orderable () { return links.orderable(server, key) }
     }
--- a/packages/fleet/src/entry/choice.ts
+++ b/packages/fleet/src/entry/choice.ts
@@ -25,6 +25,8 @@
 export interface EngineOption extends Option {
   holds: boolean
   coming: boolean
+  /** Until the first token, were the request sent there now. */
+  expectedMs: number
   /** It held the key a while ago and has a copy at hand, so that a load is quick and spares the weight store. */
   warm: boolean
   /** Its side process can be asked to bring an adapter in. */
@@ -48,8 +50,10 @@
 const domainAdvantage = 3
 /** Above this share of its batch an engine's tokens come noticeably slower, and another engine is looked for. */
 const busyShare = 0.75
-/** Loads within one such step count as equal, so that an adapter's requests stay where its prompts are cached. */
-const loadStep = 6
+/** Engines whose first tokens are expected within one such step count as equal, so that an adapter's requests stay where its prompts are cached. */
+const stepMs = 50
+/** So much sooner must an engine in another domain be expected to answer, as bytes between domains cost. */
+const acrossMs = 60
 
 /** The options that are sound, or all that are left. */
 const usable = <T extends Option>(options: readonly T[]): T[] => {
@@ -86,8 +90,6 @@
   key: string
   /** Requests with the same text share cached prompts. */
   affinityKey: string
-  /** Its prompt is so long that reading it slows whatever runs beside it. */
-  heavy: boolean
 }
 
 /** A load from the weight store costs more than the few requests that come while an adapter is held across. */
@@ -96,26 +98,23 @@
 
 const isOpen = (option: Option): boolean => option.load < option.slots + batchSurplus
 
-/** Rendezvous hashing: each key has an order of engines that changes only where engines come and go. */
-const preferred = (options: readonly EngineOption[], { affinityKey, heavy }: EngineChoice): EngineOption | undefined => {
+/** The engine expected to answer first. Among equals by rendezvous hashing, whose order changes only where engines come and go. */
+const soonest = (options: readonly EngineOption[], { affinityKey, domain }: EngineChoice): EngineOption | undefined => {
   if (options.length < 2) return options[0]
-  if (heavy) return lowest(options, option => option.load)
   const keyHash = hashOf(affinityKey)
-  return lowest(options, option => Math.floor(option.load / loadStep) + affinityOf(keyHash, option.hash))
+  const cost = (option: EngineOption): number =>
+    Math.floor((option.expectedMs + (option.domain === domain ? 0 : acrossMs)) / stepMs) + affinityOf(keyHash, option.hash)
+  return lowest(options, cost)
 }
 
 export const chooseEngine = (choice: EngineChoice): Choice => {
   const { options, domain } = choice
   if (options.length === 0) return { type: 'none', reason: 'no engine of the service' }
   const holders = usable(options.filter(option => option.holds))
-  const near = holders.filter(option => option.domain === domain && isOpen(option))
-  const calm = near.filter(option => option.load < option.slots * busyShare)
-  const best = preferred(calm, choice)
-  if (best !== undefined) return { type: 'send', id: best.id, reason: 'held near' }
-  const across = holders.filter(option => option.domain !== domain && option.load < option.slots * busyShare)
-  const far = preferred(across, choice)
-  if (far !== undefined) return { type: 'send', id: far.id, reason: 'held across' }
-  const busy = preferred(holders.filter(isOpen), choice)
+  const open = holders.filter(isOpen)
+  const calm = soonest(open.filter(option => option.load < option.slots * busyShare), choice)
+  if (calm !== undefined) return { type: 'send', id: calm.id, reason: calm.domain === domain ? 'held near' : 'held across' }
+  const busy = soonest(open, choice)
   if (busy !== undefined) return { type: 'send', id: busy.id, reason: 'held, busy' }
   const held = holders.length > 0
   if (options.some(option => option.coming && !option.doubtful)) return { type: 'bring', ask: undefined, held, reason: 'on its way' }
--- /dev/null
+++ b/packages/fleet/src/entry/reading-pace.ts
@@ -0,0 +1,43 @@
+/**
+ * How fast an engine reads prompts, by what one's own requests met: from sending to the first token, over all prompt
+ * tokens that were there to be read by then.
+ *
+ * So it holds whatever slows reading: tokens made for others in between, a full batch, a slow machine. It moves back
+ * to the starting value while nothing is sent, so that an engine which was slow once is tried again.
+ */
+
+/** Before anything was seen: 30 tokens a millisecond, what large engines with batches of 64 read beside their runs. */
+const startMsPerToken = 1 / 30
+/** The starting value weighs as much as so many tokens seen, one long prompt. */
+const startTokens = 8000
+/** Demand moves within seconds, and the pace with it. */
+const halfLifeMs = 4000
+
+export class ReadingPace {
+  #ms = 0
+  #tokens = 0
+  #at = 0
+
+  /** A first token came `ms` after its request was sent, with so many tokens to be read by then. */
+  add (ms: number, tokens: number, now: number): void {
+    this.#age(now)
+    this.#ms += ms
+    this.#tokens += tokens
+  }
+
+  msPerToken (now: number): number {
+    const left = this.#left(now)
+    return (this.#ms * left + startMsPerToken * startTokens) / (this.#tokens * left + startTokens)
+  }
+
+  #age (now: number): void {
+    const left = this.#left(now)
+    this.#ms *= left
+    this.#tokens *= left
+    this.#at = now
+  }
+
+  #left (now: number): number {
+    return 0.5 ** ((now - this.#at) / halfLifeMs)
+  }
+}
--- a/packages/fleet/src/entry/server-state.ts
+++ b/packages/fleet/src/entry/server-state.ts
@@ -6,6 +6,7 @@
 import { nowMs } from '../clock.js'
 import type { BackendServer } from '../server.js'
 import { serverAgent } from './connections.js'
+import { ReadingPace } from './reading-pace.js'
 
 /** Three failures in a row, or two in five over some ten requests, are far over what sound servers show (0.14). */
 const outlierLimits: OutlierLimits = { inRow: 3, share: 0.4, least: 8, firstMs: 600, limitMs: 4000 }
@@ -23,11 +24,16 @@
   coming: ReadonlySet<string>
   waiting: number
   running: number
+  /** Prompt tokens that requests of other entries have there, not read yet. */
+  unread: number
 }
 
 /** One request at one server. */
 export interface Pending {
   sentAt: number
+  /** Tokens of its prompt, and those that were there to be read before it. */
+  tokens: number
+  tokensAhead: number
   /** Silence up to here is ordinary. */
   patienceMs: number
 }
@@ -43,6 +49,9 @@
   holding: Holding | undefined
   /** Requests sent since the holding was told. */
   #sentSince = 0
+  /** Prompt tokens of one's own requests there, not read yet. */
+  #unread = 0
+  readonly #pace = new ReadingPace()
   #refused = 0
   #refusedUntil = -Infinity
 
@@ -76,8 +85,27 @@
     this.#refusedUntil = now + refusedMs
   }
 
-  begin (key: string | undefined, patienceMs: number): Pending {
-    const pending = { sentAt: nowMs(), patienceMs }
+  /** Prompt tokens of one's own requests there that are not read yet. */
+  get unread (): number {
+    return this.#unread
+  }
+
+  /** How long a request with so many prompt tokens would wait for its first token, were it sent now. */
+  expectedMs (tokens: number, now: number): number {
+    return (this.#unreadAt(now) + tokens) * this.#pace.msPerToken(now)
+  }
+
+  /** All prompt tokens there to be read. Those of others are read on while nothing new is told of them. */
+  #unreadAt (now: number): number {
+    if (this.holding === undefined) return this.#unread
+    const readSince = (now - this.holding.at) / this.#pace.msPerToken(now)
+    return this.#unread + Math.max(0, this.holding.unread - readSince)
+  }
+
+  begin (key: string | undefined, patienceMs: number, tokens = 0): Pending {
+    const now = nowMs()
+    const pending = { sentAt: now, patienceMs, tokens, tokensAhead: this.#unreadAt(now) }
+    this.#unread += tokens
     this.#pending.add(pending)
     this.#unheard.add(pending)
     this.#sentSince += 1
@@ -92,12 +120,15 @@
 
   /** The answer has begun. */
   heard (pending: Pending): void {
-    this.#unheard.delete(pending)
+    if (!this.#unheard.delete(pending)) return
+    this.#unread -= pending.tokens
+    const now = nowMs()
+    if (pending.tokens > 0) this.#pace.add(now - pending.sentAt, pending.tokensAhead + pending.tokens, now)
   }
 
   end (key: string | undefined, pending: Pending): void {
     this.#pending.delete(pending)
-    this.#unheard.delete(pending)
+    if (this.#unheard.delete(pending)) this.#unread -= pending.tokens
     this.#sentSince = Math.max(0, this.#sentSince - 1)
     const uses = key === undefined ? undefined : this.uses.get(key)
     if (uses !== undefined) uses.running -= 1
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -97,6 +97,9 @@
   #mayHaveRun = false
   #waitedMs = 0
   #firstByteMs: number | undefined
+  /** From the last sending to the first token, as expected then. */
+  #expectedMs: number | undefined
+  #sentAtMs = 0
   #server: BackendServer | undefined
   #reason = ''
   #retryAfterMs = leastRetryAfterMs
@@ -236,7 +239,9 @@
     this.#server = server
     this.#reason = reason
     const state = balancer.state(server)
-    const pending = state.begin(asked.key, route.objectiveMs * silentObjectives)
+    this.#sentAtMs = nowMs() - this.#arrived
+    this.#expectedMs = asked.key === undefined ? undefined : state.expectedMs(asked.promptTokens, nowMs())
+    const pending = state.begin(asked.key, route.objectiveMs * silentObjectives, asked.promptTokens)
     const end = await attempt({
       agent: state.agent,
       address: server.address,
@@ -399,6 +404,9 @@
       reason: this.#reason,
       outcome,
       tries: this.#tries,
+      tokens: this.#header(this.options.names.tokens),
+      sentAtMs: Math.round(this.#sentAtMs),
+      expectedMs: this.#expectedMs === undefined ? undefined : Math.round(this.#expectedMs),
       waitedMs: Math.round(this.#waitedMs),
       firstByteMs: this.#firstByteMs === undefined ? undefined : Math.round(this.#firstByteMs),
       ms: Math.round(ms),
--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -55,6 +55,8 @@
   coming: ReadonlySet<string>
   server: string | undefined
   warm: WarmCopies
+  /** Unread prompt tokens as last told. */
+  toldUnread: number
   wanted: Map<string, number>
   declined: Map<string, number>
 }
@@ -135,7 +137,9 @@
   #tellUses (server: BackendServer, all: boolean): void {
     const link = this.#links.get(hostOf(server.address))
     const state = this.options.states.get(server.id)
-    if (state === undefined || link?.channel === undefined || state.uses.size === 0) return
+    if (state === undefined || link?.channel === undefined) return
+    const { unread } = state
+    if (state.uses.size === 0 && unread === link.toldUnread) return
     const uses: Array<[string, number, number]> = []
     for (const [key, use] of state.uses) {
       if (!all && use.started === 0 && use.running > 0) continue
@@ -143,7 +147,9 @@
       use.started = 0
       if (use.running === 0) state.uses.delete(key)
     }
-    if (uses.length > 0) link.channel.send({ type: 'uses', uses })
+    if (uses.length === 0 && unread === link.toldUnread) return
+    link.toldUnread = unread
+    link.channel.send({ type: 'uses', uses, unread })
   }
 
   #open (host: string, domain: string): void {
@@ -158,6 +164,7 @@
       coming: new Set(),
       server: undefined,
       warm: new WarmCopies(),
+      toldUnread: 0,
       wanted: new Map(),
       declined: new Map()
     }
@@ -204,6 +211,7 @@
     }
     factLink.stop()
     link.channel = undefined
+    link.toldUnread = 0
     link.wanted.clear()
     changed(undefined)
     return (await channel.ended).reason
@@ -240,9 +248,9 @@
     link.entries = frame.entries
     this.#fences.set(link.host, Math.max(this.#fences.get(link.host) ?? 0, frame.fence))
     const server = this.#serverAt(link)
-    const { reachable, waiting, running } = frame
+    const { reachable, waiting, running, unread = 0 } = frame
     if (server !== undefined) {
-      this.options.states.tell(server.id, { at: nowMs(), reachable, held: link.held, coming: link.coming, waiting, running })
+      this.options.states.tell(server.id, { at: nowMs(), reachable, held: link.held, coming: link.coming, waiting, running, unread })
     }
     if (frame.came !== undefined) this.options.changed(Object.keys(frame.came))
   }
--- a/packages/fleet/src/side/demands.ts
+++ b/packages/fleet/src/side/demands.ts
@@ -25,6 +25,8 @@
 
 interface Uses {
   at: number
+  /** Prompt tokens of its requests that the engine has not read yet. */
+  unread: number
   running: Map<string, number>
 }
 
@@ -68,10 +70,11 @@
   }
 
   /** Takes over what an entry tells of its uses; says whether one of the adapters fell idle there. */
-  used (entry: string, uses: ReadonlyArray<readonly [key: string, started: number, running: number]>): boolean {
+  used (entry: string, uses: ReadonlyArray<readonly [key: string, started: number, running: number]>, unread = 0): boolean {
     const now = nowMs()
-    const known = this.#uses.get(entry) ?? { at: now, running: new Map<string, number>() }
+    const known = this.#uses.get(entry) ?? { at: now, unread, running: new Map<string, number>() }
     known.at = now
+    known.unread = unread
     let idle = false
     for (const [key, started, running] of uses) {
       if (running === 0) idle = known.running.delete(key) || idle
@@ -89,6 +92,16 @@
     this.#uses.delete(entry)
   }
 
+  /** Prompt tokens that requests of entries other than `entry` have at the engine, not read yet. */
+  unreadOfOthers (entry: string): number {
+    const now = nowMs()
+    let sum = 0
+    for (const [name, { at, unread }] of this.#uses) {
+      if (name !== entry && now - at < usesMs) sum += unread
+    }
+    return sum
+  }
+
   popularity (key: string): number {
     return this.#popularity.get(key)?.at(nowMs()) ?? 0
   }
--- a/packages/fleet/src/side/entry-link.ts
+++ b/packages/fleet/src/side/entry-link.ts
@@ -11,7 +11,7 @@
 
 /** How often entries hear of a load that changed: of engines in their own domain, and of others. */
 const nearMs = 200
-const farMs = 1000
+const farMs = 250
 /** Changes of what is held are gathered this long for entries in other domains, which seldom use them. */
 const farChangeMs = 250
 /** An entry hears something at least this often, and so can tell a silent side process; across, bytes cost. */
@@ -33,22 +33,26 @@
   server: string | undefined
   waiting: number
   running: number
+  /** Prompt tokens that requests of entries other than `entry` have there, not read yet. */
+  unreadOfOthers: (entry: string) => number
   /** Entries connected to the side process. */
   entries: number
   fence: number
 }
 
-const nothingTold: EngineNews = { changes: -1, held: {}, coming: [], warm: () => [], reachable: false, server: undefined, waiting: 0, running: 0, entries: 0, fence: 0 }
+const nothingTold: EngineNews = { changes: -1, held: {}, coming: [], warm: () => [], reachable: false, server: undefined, waiting: 0, running: 0, unreadOfOthers: () => 0, entries: 0, fence: 0 }
 
 export class EntryLink {
   #told = nothingTold
   #toldAt = -Infinity
+  #toldUnread = 0
 
   constructor (readonly channel: Channel, readonly facts: FactLink, readonly near: boolean) {}
 
   /** Tells the entry what it has to know by now. */
   publish (news: EngineNews): void {
-    if (!this.#due(news)) return
+    const unread = news.unreadOfOthers(this.channel.peer.process)
+    if (!this.#due(news, unread)) return
     const fresh = this.#told.changes < 0
     const { came, went } = difference(this.#told.held, news.held)
     const frame: HoldingFrame = {
@@ -61,21 +65,23 @@
       ...(fresh ? { warm: news.warm() } : {}),
       waiting: news.waiting,
       running: news.running,
+      unread,
       entries: news.entries,
       fence: news.fence
     }
     this.#told = news
+    this.#toldUnread = unread
     this.#toldAt = nowMs()
     this.channel.send(frame)
   }
 
-  #due (news: EngineNews): boolean {
+  #due (news: EngineNews, unread: number): boolean {
     const told = this.#told
     const age = nowMs() - this.#toldAt
     if (age > (this.near ? nearAliveMs : farAliveMs)) return true
     const changed = told.changes !== news.changes || told.reachable !== news.reachable || told.server !== news.server
     if (changed && (this.near || age > farChangeMs)) return true
-    const loadChanged = told.waiting !== news.waiting || told.running !== news.running
+    const loadChanged = told.waiting !== news.waiting || told.running !== news.running || unread !== this.#toldUnread
     return loadChanged && age > (this.near ? nearMs : farMs)
   }
 }
--- a/packages/fleet/src/side/side.ts
+++ b/packages/fleet/src/side/side.ts
@@ -270,7 +270,7 @@
       // Entries of the same domain send what they learn at once, so by now it is all here.
       if (link.near && frame.complete !== undefined) this.options.facts.caughtUp(frame.complete)
     }
-    if (frame.type === 'uses' && this.demands.used(entry, frame.uses) && this.demands.any) this.#wake()
+    if (frame.type === 'uses' && this.demands.used(entry, frame.uses, frame.unread) && this.demands.any) this.#wake()
     if (frame.type === 'fences') {
       this.options.facts.saw(frame.highest)
       if (this.#fence > 0 && frame.highest > this.#fence) this.options.log.info('fence.behind', { fence: this.#fence, highest: frame.highest })
@@ -307,6 +307,7 @@
       server: this.#server,
       waiting: account?.waiting ?? 0,
       running: account?.running ?? 0,
+      unreadOfOthers: entry => this.demands.unreadOfOthers(entry),
       entries: this.#links.size,
       fence: this.#fence
     }
--- /dev/null
+++ b/packages/fleet/test/reading-pace.test.ts
@@ -0,0 +1,59 @@
+import { ReadingPace, ServerState, nowMs } from '@finchpitch/fleet'
+import { FakeTime } from '@finchpitch/stand-ins'
+import { expect } from 'chai'
+
+describe('the reading of prompts', () => {
+  let time: FakeTime
+
+  beforeEach(() => { time = new FakeTime() })
+
+  afterEach(() => time.restore())
+
+  describe('its pace', () => {
+    it('follows what was seen and goes back to the starting value', async () => {
+      const pace = new ReadingPace()
+      const start = pace.msPerToken(nowMs())
+      for (let each = 0; each < 10; each++) pace.add(1000, 10_000, nowMs())
+      expect(pace.msPerToken(nowMs())).to.be.within(0.09, 0.1)
+      await time.pass(60_000)
+      expect(pace.msPerToken(nowMs())).to.be.closeTo(start, start / 100)
+    })
+  })
+
+  describe('at a server', () => {
+    let state: ServerState
+
+    beforeEach(() => { state = new ServerState('s', 10) })
+
+    afterEach(() => state.close())
+
+    it('makes a request wait for the prompts before it', async () => {
+      const alone = state.expectedMs(1000, nowMs())
+      const first = state.begin('m/x', 1000, 9000)
+      expect(state.expectedMs(1000, nowMs())).to.be.closeTo(alone * 10, 0.001)
+      expect(state.unread).to.equal(9000)
+      await time.pass(300)
+      state.heard(first)
+      expect(state.expectedMs(1000, nowMs())).to.be.closeTo(alone, 1)
+      state.end('m/x', first)
+      expect(state.unread).to.equal(0)
+    })
+
+    it('counts what other entries sent, as read on since they told', async () => {
+      const alone = state.expectedMs(1000, nowMs())
+      state.tell({ at: nowMs(), reachable: true, held: new Map(), coming: new Set(), waiting: 0, running: 1, unread: 9000 })
+      expect(state.expectedMs(1000, nowMs())).to.be.closeTo(alone * 10, 0.001)
+      await time.pass(150)
+      expect(state.expectedMs(1000, nowMs())).to.be.within(alone * 5, alone * 6)
+      await time.pass(1000)
+      expect(state.expectedMs(1000, nowMs())).to.be.closeTo(alone, 0.001)
+    })
+
+    it('forgets a request that ended without an answer', () => {
+      const pending = state.begin('m/x', 1000, 9000)
+      state.end('m/x', pending)
+      state.heard(pending)
+      expect(state.unread).to.equal(0)
+    })
+  })
+})
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -72,6 +72,8 @@
   warm: z.array(z.tuple([AdapterKey, z.number()])).max(1000).optional(),
   waiting: Count,
   running: Count,
+  /** Prompt tokens that requests of other entries have there and that are not read yet, as far as those have told. */
+  unread: Count.optional(),
   /** Entries connected to this side process. */
   entries: Count,
   /** The fence that its orders carry, so that its next incarnation never uses a lower one. */
@@ -87,8 +89,11 @@
   z.object({ type: z.literal('want'), key: AdapterKey, version: z.number().optional(), waiting: Count, priority: Count }),
   /** It can't be brought in now. */
   z.object({ type: z.literal('declined'), key: AdapterKey, reason: z.string().max(100) }),
-  /** Uses since the last such frame, and requests in progress, for each adapter that was used. */
-  z.object({ type: z.literal('uses'), uses: z.array(z.tuple([AdapterKey, Count, Count])).max(5000) }),
+  /**
+   * Uses since the last such frame, and requests in progress, for each adapter that was used. `unread`: prompt tokens of
+   * the sender's requests that the engine has not read yet.
+   */
+  z.object({ type: z.literal('uses'), uses: z.array(z.tuple([AdapterKey, Count, Count])).max(5000), unread: Count.optional() }),
   /** The highest fence that the receiver was ever known to use, or the newest revision known: it goes no lower. */
   z.object({ type: z.literal('fences'), highest: Count }),
   z.object({ type: z.literal('heartbeat'), revision: Revision, load: Load.optional(), complete: Complete.optional() }),
