Adapters have one home for all domains, on an engine with a place for it

Change: the home is chosen over all domains; side processes tell how many places they could give, and entries hear of changes across after 40 ms.

--- a/packages/fleet/src/entry/balancer.ts
+++ b/packages/fleet/src/entry/balancer.ts
@@ -13,7 +13,7 @@
 import type { SideLinks } from './side-links.js'
 
 /** What the balancer needs of the links to side processes. */
-export type Placers = Pick<SideLinks, 'orderable' | 'warm' | 'short' | 'want'>
+export type Placers = Pick<SideLinks, 'orderable' | 'warm' | 'asked' | 'short' | 'want'>
 
 /** Requests of the last seconds that went across for an adapter, before it is wanted in this domain too. */
 const worthNearer = 6
@@ -149,7 +149,8 @@
       coming: holding?.coming.has(key) ?? false,
       expectedMs: state.expectedMs(tokens, now),
       get warm () { return links.warm(server, key) },
-      get orderable () { return links.orderable(server, key) }
+      get orderable () { return links.orderable(server, key) },
+      get places () { return Math.max(0, (holding?.places ?? 0) - links.asked(server)) }
     }
   }
 }
--- a/packages/fleet/src/entry/choice.ts
+++ b/packages/fleet/src/entry/choice.ts
@@ -31,6 +31,8 @@
   warm: boolean
   /** Its side process can be asked to bring an adapter in. */
   orderable: boolean
+  /** Places there that nobody uses, less what was asked for already. */
+  places: number
 }
 
 export type Choice =
@@ -92,9 +94,9 @@
   affinityKey: string
 }
 
-/** A load from the weight store costs more than the few requests that come while an adapter is held across. */
+/** A load from the weight store, and a wait for a place where all are in use, as a declined demand is asked for elsewhere. */
 const coldCost = 4
-const acrossCost = 2
+const noPlaceCost = 6
 
 const isOpen = (option: Option): boolean => option.load < option.slots + batchSurplus
 
@@ -125,11 +127,14 @@
   return { type: 'bring', ask: undefined, held, reason: 'no engine can bring it in' }
 }
 
-/** The engine that should bring the key in: one with a copy at hand, else near, not full, first by affinity. */
-export const engineToAsk = ({ options, domain, key }: Pick<EngineChoice, 'options' | 'domain' | 'key'>): string | undefined => {
+/**
+ * The engine that should bring the key in: one with a place for it, with a copy at hand, and first by affinity. The same
+ * for all entries whatever their domain, so that requests which come at once don't make replicas.
+ */
+export const engineToAsk = ({ options, key }: Pick<EngineChoice, 'options' | 'key'>): string | undefined => {
   const able = options.filter(option => !option.holds && !option.coming && !option.doubtful && !option.lapsed && isOpen(option) && option.orderable)
   const keyHash = hashOf(key)
   const cost = (option: EngineOption): number =>
-    (option.warm ? 0 : coldCost) + (option.domain === domain ? 0 : acrossCost) + affinityOf(keyHash, option.hash)
+    (option.warm ? 0 : coldCost) + (option.places > 0 ? 0 : noPlaceCost) + affinityOf(keyHash, option.hash)
   return lowest(able, cost)?.id
 }
--- a/packages/fleet/src/entry/server-state.ts
+++ b/packages/fleet/src/entry/server-state.ts
@@ -26,6 +26,8 @@
   running: number
   /** Prompt tokens that requests of other entries have there, not read yet. */
   unread: number
+  /** Places that an adapter could be given there. */
+  places: number
 }
 
 /** One request at one server. */
--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -110,6 +110,11 @@
     return nowMs() - this.#declinedAt < shortMs
   }
 
+  /** Adapters that were asked of the engine and have neither come nor been declined. */
+  asked (engine: BackendServer): number {
+    return this.#links.get(hostOf(engine.address))?.wanted.size ?? 0
+  }
+
   /** Whether the engine had the key lately, in the version that would be loaded now. */
   warm (engine: BackendServer, key: string): boolean {
     const version = this.#links.get(hostOf(engine.address))?.warm.version(key)
@@ -248,9 +253,9 @@
     link.entries = frame.entries
     this.#fences.set(link.host, Math.max(this.#fences.get(link.host) ?? 0, frame.fence))
     const server = this.#serverAt(link)
-    const { reachable, waiting, running, unread = 0 } = frame
+    const { reachable, waiting, running, unread = 0, places = 0 } = frame
     if (server !== undefined) {
-      this.options.states.tell(server.id, { at: nowMs(), reachable, held: link.held, coming: link.coming, waiting, running, unread })
+      this.options.states.tell(server.id, { at: nowMs(), reachable, held: link.held, coming: link.coming, waiting, running, unread, places })
     }
     if (frame.came !== undefined) this.options.changed(Object.keys(frame.came))
   }
--- a/packages/fleet/src/side/entry-link.ts
+++ b/packages/fleet/src/side/entry-link.ts
@@ -13,7 +13,7 @@
 const nearMs = 200
 const farMs = 250
 /** Changes of what is held are gathered this long for entries in other domains, which seldom use them. */
-const farChangeMs = 250
+const farChangeMs = 40
 /** An entry hears something at least this often, and so can tell a silent side process; across, bytes cost. */
 const nearAliveMs = 700
 const farAliveMs = 1500
@@ -35,12 +35,14 @@
   running: number
   /** Prompt tokens that requests of entries other than `entry` have there, not read yet. */
   unreadOfOthers: (entry: string) => number
+  /** Places that an adapter could be given now. */
+  places: number
   /** Entries connected to the side process. */
   entries: number
   fence: number
 }
 
-const nothingTold: EngineNews = { changes: -1, held: {}, coming: [], warm: () => [], reachable: false, server: undefined, waiting: 0, running: 0, unreadOfOthers: () => 0, entries: 0, fence: 0 }
+const nothingTold: EngineNews = { changes: -1, held: {}, coming: [], warm: () => [], reachable: false, server: undefined, waiting: 0, running: 0, unreadOfOthers: () => 0, places: 0, entries: 0, fence: 0 }
 
 export class EntryLink {
   #told = nothingTold
@@ -66,6 +68,7 @@
       waiting: news.waiting,
       running: news.running,
       unread,
+      places: news.places,
       entries: news.entries,
       fence: news.fence
     }
@@ -81,7 +84,7 @@
     if (age > (this.near ? nearAliveMs : farAliveMs)) return true
     const changed = told.changes !== news.changes || told.reachable !== news.reachable || told.server !== news.server
     if (changed && (this.near || age > farChangeMs)) return true
-    const loadChanged = told.waiting !== news.waiting || told.running !== news.running || unread !== this.#toldUnread
+    const loadChanged = told.waiting !== news.waiting || told.running !== news.running || told.places !== news.places || unread !== this.#toldUnread
     return loadChanged && age > (this.near ? nearMs : farMs)
   }
 }
--- a/packages/fleet/src/side/side.ts
+++ b/packages/fleet/src/side/side.ts
@@ -20,7 +20,7 @@
 import { EntryLink, difference, type EngineNews, type HeldKeys } from './entry-link.js'
 import { LoadRate, type LoadShare } from './load-rate.js'
 import type { SideCounters } from './counters.js'
-import { place } from './placement.js'
+import { place, placesToGive } from './placement.js'
 
 /** Between two looks at the engine while nothing is awaited, and while something is. */
 const restMs = 200
@@ -308,11 +308,20 @@
       waiting: account?.waiting ?? 0,
       running: account?.running ?? 0,
       unreadOfOthers: entry => this.demands.unreadOfOthers(entry),
+      places: this.#placesToGive(),
       entries: this.#links.size,
       fence: this.#fence
     }
   }
 
+  /** Places that nobody uses, less those that demands wait for already. */
+  #placesToGive (): number {
+    const spec = this.#spec()
+    if (this.#account === undefined || spec === undefined) return 0
+    const places = placesToGive({ spec, account: this.#account, uses: key => this.demands.uses(key) })
+    return Math.max(0, places - this.demands.current().length)
+  }
+
   async #rest (ms: number, signal: AbortSignal): Promise<void> {
     const woken = new AbortController()
     this.#wake = () => woken.abort()
