Adapters are loaded where reading is short; a request that would be late waits for a replica

Hypothesis: after the choice by expected first token, 47 of 60 summaries sent to a holder with over 0.8 s to read were late, and 45 of 82 that had waited for a load, since the engine to load on was chosen without looking at what it has to read. Change: the engine to ask is the one that starts soonest (load, reading there, a place, a copy at hand), a holder that would make a request late gets a replica if that would be in time, and each rank of request has a pace of its own, as engines read urgent prompts first.

--- a/packages/fleet/src/entry/balancer.ts
+++ b/packages/fleet/src/entry/balancer.ts
@@ -8,7 +8,7 @@
 import type { Limits } from '../ports.js'
 import { parseRef, type BackendServer } from '../server.js'
 import type { FleetService } from '../table.js'
-import { chooseEngine, choosePlain, engineToAsk, type Choice, type EngineChoice, type EngineOption, type Option } from './choice.js'
+import { soonShare, chooseEngine, choosePlain, engineToAsk, type Choice, type EngineChoice, type EngineOption, type Option } from './choice.js'
 import { ServerStates, type ServerState } from './server-state.js'
 import type { SideLinks } from './side-links.js'
 
@@ -30,6 +30,8 @@
   affinityKey: string
   /** Tokens of the prompt. */
   promptTokens: number
+  /** Time to the first token that the caller hopes for. */
+  objectiveMs: number
   priority: number
   /** Servers that have refused this request. */
   excluded: ReadonlySet<string>
@@ -64,7 +66,7 @@
     const ids = this.states.holders.of(key)
     if (ids.size > 0 && ids.size < servers.length) {
       const choice = chooseEngine(this.#engineChoice(servers.filter(server => ids.has(server.id)), key, asked))
-      if (choice.type === 'send') return choice
+      if (choice.type === 'send' && choice.expectedMs < asked.objectiveMs * soonShare) return choice
     }
     return chooseEngine(this.#engineChoice(servers, key, asked))
   }
@@ -84,6 +86,11 @@
     if (ask !== undefined) this.bring(ask, key, 0, asked.priority)
   }
 
+  /** Asks for another holder, unless places are short: then none should be taken for what nobody waits for. */
+  replicate (ask: string, key: string, waiting: number, priority: number): void {
+    if (!this.links().short) this.bring(ask, key, waiting, priority)
+  }
+
   bring (ask: string, key: string, waiting: number, priority: number): void {
     const engine = this.facts.servers.get(ask)
     if (engine !== undefined) this.links().want(engine, key, waiting, priority, this.facts.version(key)?.version)
@@ -105,11 +112,12 @@
     this.log.info('holding.corrected', { server: server.id, key, age: Math.round(nowMs() - holding.at) })
   }
 
-  #engineChoice (servers: readonly BackendServer[], key: string, { affinityKey, promptTokens }: Asked): EngineChoice {
+  #engineChoice (servers: readonly BackendServer[], key: string, asked: Asked): EngineChoice {
+    const { affinityKey, objectiveMs } = asked
     const now = nowMs()
     const oldest = this.#oldestUsable(key, now)
-    const options = servers.map(server => this.#engineOption(server, key, promptTokens, now, oldest))
-    return { options, domain: this.domain, key, affinityKey }
+    const options = servers.map(server => this.#engineOption(server, key, asked, now, oldest))
+    return { options, domain: this.domain, key, affinityKey, objectiveMs }
   }
 
   /** The oldest version of the key that may be used. */
@@ -133,7 +141,7 @@
   }
 
   /** Made for each engine and choice, so without copies; what few choices look at is worked out when they do. */
-  #engineOption (server: BackendServer, key: string, tokens: number, now: number, oldest: number): EngineOption {
+  #engineOption (server: BackendServer, key: string, { promptTokens, priority }: Asked, now: number, oldest: number): EngineOption {
     const state = this.state(server)
     const { holding } = state
     const links = this.links()
@@ -147,7 +155,7 @@
       lapsed: this.facts.lapsed(server.id),
       holds: (holding?.held.get(key) ?? -1) >= oldest,
       coming: holding?.coming.has(key) ?? false,
-      expectedMs: state.expectedMs(tokens, now),
+      expectedMs: state.expectedMs(promptTokens, priority, now),
       get warm () { return links.warm(server, key) },
       get orderable () { return links.orderable(server, key) },
       get places () { return Math.max(0, (holding?.places ?? 0) - links.asked(server)) }
--- a/packages/fleet/src/entry/choice.ts
+++ b/packages/fleet/src/entry/choice.ts
@@ -36,7 +36,8 @@
 }
 
 export type Choice =
-  | { type: 'send', id: string, reason: string }
+  /** `replica`: an engine to be asked for another copy besides, as the holders are slow. */
+  | { type: 'send', id: string, reason: string, expectedMs: number, replica?: string }
   /** Wait for an adapter; `ask` is the engine to ask for it. `held`: engines have it, and a place there would do as well. */
   | { type: 'bring', ask: string | undefined, held: boolean, reason: string }
   /** Wait: all that could take it are full. */
@@ -82,7 +83,7 @@
   const open = usable(options).filter(option => option.load < option.slots + queueSurplus)
   const best = lowest(open, option => option.load + (option.domain === domain ? 0 : domainAdvantage) + Math.random())
   if (best === undefined) return { type: 'full', reason: 'all servers are full' }
-  return { type: 'send', id: best.id, reason: best.domain === domain ? 'least loaded near' : 'least loaded' }
+  return { type: 'send', id: best.id, reason: best.domain === domain ? 'least loaded near' : 'least loaded', expectedMs: 0 }
 }
 
 export interface EngineChoice {
@@ -92,11 +93,21 @@
   key: string
   /** Requests with the same text share cached prompts. */
   affinityKey: string
+  /** Time to the first token that the caller hopes for. */
+  objectiveMs: number
 }
 
-/** A load from the weight store, and a wait for a place where all are in use, as a declined demand is asked for elsewhere. */
-const coldCost = 4
-const noPlaceCost = 6
+/** Until a request can go to an adapter that is being loaded, from the weight store and from the engine's own memory. */
+const coldLoadMs = 300
+const warmLoadMs = 80
+/** A load from the weight store is worth avoiding for so much longer a wait: its price over what a second of lateness costs. */
+const coldPriceMs = 300
+/** Where all places are in use, a demand waits some 120 ms and is declined, and another engine is asked. */
+const noPlaceMs = 700
+/** Expected times differ a little between entries; within one such step the hash decides, so that all ask the same engine. */
+const homeStepMs = 200
+/** Holders are slow from this part of the objective on: a replica is then asked for, if it would be sooner. */
+export const soonShare = 0.6
 
 const isOpen = (option: Option): boolean => option.load < option.slots + batchSurplus
 
@@ -115,9 +126,8 @@
   const holders = usable(options.filter(option => option.holds))
   const open = holders.filter(isOpen)
   const calm = soonest(open.filter(option => option.load < option.slots * busyShare), choice)
-  if (calm !== undefined) return { type: 'send', id: calm.id, reason: calm.domain === domain ? 'held near' : 'held across' }
-  const busy = soonest(open, choice)
-  if (busy !== undefined) return { type: 'send', id: busy.id, reason: 'held, busy' }
+  const best = calm ?? soonest(open, choice)
+  if (best !== undefined) return sendOrReplicate(best, calm === undefined, choice)
   const held = holders.length > 0
   if (options.some(option => option.coming && !option.doubtful)) return { type: 'bring', ask: undefined, held, reason: 'on its way' }
   const ask = engineToAsk(choice)
@@ -127,14 +137,33 @@
   return { type: 'bring', ask: undefined, held, reason: 'no engine can bring it in' }
 }
 
+/** A request that would be late at the best holder waits for a replica if it is in time there; else a slow holder gets one for the next. */
+const sendOrReplicate = (best: EngineOption, busy: boolean, choice: EngineChoice): Choice => {
+  const { domain, objectiveMs, options } = choice
+  const { id, expectedMs } = best
+  const reason = busy ? 'held, busy' : best.domain === domain ? 'held near' : 'held across'
+  const send: Choice = { type: 'send', id, reason, expectedMs }
+  if (expectedMs < objectiveMs * soonShare || options.some(option => option.coming && !option.doubtful)) return send
+  const other = engineToAsk(choice)
+  const otherMs = other === undefined ? Infinity : startMs(options.find(option => option.id === other) ?? best)
+  if (other === undefined || otherMs + coldPriceMs > expectedMs) return send
+  if (expectedMs > objectiveMs && otherMs < objectiveMs) return { type: 'bring', ask: other, held: true, reason: 'its holders are slow' }
+  return { ...send, replica: other }
+}
+
+/** Until the first token at an engine that has to load the adapter first; what is there to be read is read meanwhile. */
+const startMs = ({ warm, expectedMs }: EngineOption): number => Math.max(warm ? warmLoadMs : coldLoadMs, expectedMs)
+
 /**
- * The engine that should bring the key in: one with a place for it, with a copy at hand, and first by affinity. The same
- * for all entries whatever their domain, so that requests which come at once don't make replicas.
+ * The engine that should bring the key in: one with a place for it, that starts soon, with a copy at hand, and among
+ * equals by affinity. The same for all entries whatever their domain, so that requests which come at once don't make
+ * replicas.
  */
 export const engineToAsk = ({ options, key }: Pick<EngineChoice, 'options' | 'key'>): string | undefined => {
   const able = options.filter(option => !option.holds && !option.coming && !option.doubtful && !option.lapsed && isOpen(option) && option.orderable)
   const keyHash = hashOf(key)
   const cost = (option: EngineOption): number =>
-    (option.warm ? 0 : coldCost) + (option.places > 0 ? 0 : noPlaceCost) + affinityOf(keyHash, option.hash)
+    Math.floor(startMs(option) / homeStepMs) * homeStepMs + (option.warm ? 0 : coldPriceMs) + (option.places > 0 ? 0 : noPlaceMs) +
+    affinityOf(keyHash, option.hash) * homeStepMs
   return lowest(able, cost)?.id
 }
--- a/packages/fleet/src/entry/server-state.ts
+++ b/packages/fleet/src/entry/server-state.ts
@@ -30,12 +30,23 @@
   places: number
 }
 
+/** A request that is being sent. */
+export interface Start {
+  key: string | undefined
+  /** Silence up to here is ordinary. */
+  patienceMs: number
+  /** Tokens of its prompt; 0 where it has none. */
+  tokens: number
+  priority: number
+}
+
 /** One request at one server. */
 export interface Pending {
   sentAt: number
   /** Tokens of its prompt, and those that were there to be read before it. */
   tokens: number
   tokensAhead: number
+  priority: number
   /** Silence up to here is ordinary. */
   patienceMs: number
 }
@@ -54,6 +65,8 @@
   /** Prompt tokens of one's own requests there, not read yet. */
   #unread = 0
   readonly #pace = new ReadingPace()
+  /** Engines read the prompts of urgent requests first, so each rank has a pace of its own. */
+  readonly #paces = new Map<number, ReadingPace>()
   #refused = 0
   #refusedUntil = -Infinity
 
@@ -93,8 +106,16 @@
   }
 
   /** How long a request with so many prompt tokens would wait for its first token, were it sent now. */
-  expectedMs (tokens: number, now: number): number {
-    return (this.#unreadAt(now) + tokens) * this.#pace.msPerToken(now)
+  expectedMs (tokens: number, priority: number, now: number): number {
+    return (this.#unreadAt(now) + tokens) * this.#paceOf(priority).msPerToken(now)
+  }
+
+  #paceOf (priority: number): ReadingPace {
+    const known = this.#paces.get(priority)
+    if (known !== undefined) return known
+    const pace = new ReadingPace()
+    this.#paces.set(priority, pace)
+    return pace
   }
 
   /** All prompt tokens there to be read. Those of others are read on while nothing new is told of them. */
@@ -104,9 +125,9 @@
     return this.#unread + Math.max(0, this.holding.unread - readSince)
   }
 
-  begin (key: string | undefined, patienceMs: number, tokens = 0): Pending {
+  begin ({ key, patienceMs, tokens, priority }: Start): Pending {
     const now = nowMs()
-    const pending = { sentAt: now, patienceMs, tokens, tokensAhead: this.#unreadAt(now) }
+    const pending = { sentAt: now, patienceMs, tokens, tokensAhead: this.#unreadAt(now), priority }
     this.#unread += tokens
     this.#pending.add(pending)
     this.#unheard.add(pending)
@@ -125,7 +146,10 @@
     if (!this.#unheard.delete(pending)) return
     this.#unread -= pending.tokens
     const now = nowMs()
-    if (pending.tokens > 0) this.#pace.add(now - pending.sentAt, pending.tokensAhead + pending.tokens, now)
+    if (pending.tokens === 0) return
+    const tokens = pending.tokensAhead + pending.tokens
+    this.#pace.add(now - pending.sentAt, tokens, now)
+    this.#paceOf(pending.priority).add(now - pending.sentAt, tokens, now)
   }
 
   end (key: string | undefined, pending: Pending): void {
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -61,6 +61,8 @@
   lastAnswer: () => boolean
 }
 
+type Sending = Extract<Choice, { type: 'send' }>
+
 type Verdict = { type: 'again' } | { type: 'done', outcome: string }
 
 const again: Verdict = { type: 'again' }
@@ -172,7 +174,7 @@
   #asked (service: FleetService, route: Route): Asked {
     const key = service.engine === undefined ? undefined : this.#header(this.options.names.model)
     const promptTokens = Number.parseInt(this.#header(this.options.names.tokens) ?? '0', 10) || 0
-    return { service, key, affinityKey: key ?? '', promptTokens, priority: route.priority, excluded: this.#excluded }
+    return { service, key, affinityKey: key ?? '', promptTokens, objectiveMs: route.objectiveMs, priority: route.priority, excluded: this.#excluded }
   }
 
   #header (name: string): string | undefined {
@@ -208,11 +210,11 @@
     else setTimeout(() => this.#left.cancel(), streamSlackMs)
   }
 
-  async #choose (asked: Asked, route: Route): Promise<Extract<Choice, { type: 'send' }> | string> {
+  async #choose (asked: Asked, route: Route): Promise<Sending | string> {
     const { balancer, room, counters } = this.options
     if (this.#left.cancelled) return this.#abandoned(false)
     const first = balancer.choose(asked)
-    if (first.type === 'send') return first
+    if (first.type === 'send') return this.#chosen(first, asked)
     const started = nowMs()
     const share = first.type === 'none' ? route.objectiveMs * nobodyShare : (this.#deadline - started) * waitShare
     const end = await room.wait({
@@ -224,11 +226,18 @@
     }, first, this.#left)
     this.#waitedMs += nowMs() - started
     counters.waited.observe({ for: first.type }, (nowMs() - started) / 1000)
-    if (end.type === 'chosen') return end.choice
+    if (end.type === 'chosen') return this.#chosen(end.choice, asked)
     if (end.type === 'left') return this.#abandoned(false)
     return this.#giveUp(end.last.reason)
   }
 
+  /** A choice that wants a replica besides has it asked for. */
+  #chosen (choice: Sending, asked: Asked): Sending {
+    const { balancer, room } = this.options
+    if (choice.replica !== undefined && asked.key !== undefined) balancer.replicate(choice.replica, asked.key, room.waiting(asked.key), asked.priority)
+    return choice
+  }
+
   async #try (server: BackendServer, asked: Asked, route: Route, body: Buffer, reason: string): Promise<Verdict> {
     const { balancer, budget, names, counters, connects } = this.options
     const remaining = Math.floor(this.#deadline - nowMs())
@@ -240,8 +249,8 @@
     this.#reason = reason
     const state = balancer.state(server)
     this.#sentAtMs = nowMs() - this.#arrived
-    this.#expectedMs = asked.key === undefined ? undefined : state.expectedMs(asked.promptTokens, nowMs())
-    const pending = state.begin(asked.key, route.objectiveMs * silentObjectives, asked.promptTokens)
+    this.#expectedMs = asked.key === undefined ? undefined : state.expectedMs(asked.promptTokens, route.priority, nowMs())
+    const pending = state.begin({ key: asked.key, patienceMs: route.objectiveMs * silentObjectives, tokens: asked.promptTokens, priority: route.priority })
     const end = await attempt({
       agent: state.agent,
       address: server.address,
--- a/packages/fleet/test/reading-pace.test.ts
+++ b/packages/fleet/test/reading-pace.test.ts
@@ -28,29 +28,29 @@
     afterEach(() => state.close())
 
     it('makes a request wait for the prompts before it', async () => {
-      const alone = state.expectedMs(1000, nowMs())
-      const first = state.begin('m/x', 1000, 9000)
-      expect(state.expectedMs(1000, nowMs())).to.be.closeTo(alone * 10, 0.001)
+      const alone = state.expectedMs(1000, 1, nowMs())
+      const first = state.begin({ key: 'm/x', patienceMs: 1000, tokens: 9000, priority: 1 })
+      expect(state.expectedMs(1000, 1, nowMs())).to.be.closeTo(alone * 10, 0.001)
       expect(state.unread).to.equal(9000)
       await time.pass(300)
       state.heard(first)
-      expect(state.expectedMs(1000, nowMs())).to.be.closeTo(alone, 1)
+      expect(state.expectedMs(1000, 1, nowMs())).to.be.closeTo(alone, 1)
       state.end('m/x', first)
       expect(state.unread).to.equal(0)
     })
 
     it('counts what other entries sent, as read on since they told', async () => {
-      const alone = state.expectedMs(1000, nowMs())
+      const alone = state.expectedMs(1000, 1, nowMs())
       state.tell({ at: nowMs(), reachable: true, held: new Map(), coming: new Set(), waiting: 0, running: 1, unread: 9000, places: 1 })
-      expect(state.expectedMs(1000, nowMs())).to.be.closeTo(alone * 10, 0.001)
+      expect(state.expectedMs(1000, 1, nowMs())).to.be.closeTo(alone * 10, 0.001)
       await time.pass(150)
-      expect(state.expectedMs(1000, nowMs())).to.be.within(alone * 5, alone * 6)
+      expect(state.expectedMs(1000, 1, nowMs())).to.be.within(alone * 5, alone * 6)
       await time.pass(1000)
-      expect(state.expectedMs(1000, nowMs())).to.be.closeTo(alone, 0.001)
+      expect(state.expectedMs(1000, 1, nowMs())).to.be.closeTo(alone, 0.001)
     })
 
     it('forgets a request that ended without an answer', () => {
-      const pending = state.begin('m/x', 1000, 9000)
+      const pending = state.begin({ key: 'm/x', patienceMs: 1000, tokens: 9000, priority: 1 })
       state.end('m/x', pending)
       state.heard(pending)
       expect(state.unread).to.equal(0)
--- a/packages/fleet/test/server-state.test.ts
+++ b/packages/fleet/test/server-state.test.ts
@@ -17,7 +17,7 @@
   })
 
   it('counts requests there, one\'s own at least', () => {
-    const pending = state.begin(undefined, 1000)
+    const pending = state.begin({ key: undefined, patienceMs: 1000, tokens: 0, priority: 1 })
     expect(state.load).to.equal(1)
     state.tell({ at: nowMs(), reachable: true, held: new Map(), coming: new Set(), waiting: 1, running: 4, unread: 0, places: 1 })
     expect(state.load).to.equal(5)
@@ -27,7 +27,7 @@
 
   it('is fuller for a moment after refusals, and not for good', async () => {
     for (let each = 0; each < 10; each++) {
-      const pending = state.begin(undefined, 1000)
+      const pending = state.begin({ key: undefined, patienceMs: 1000, tokens: 0, priority: 1 })
       state.refusedOne()
       state.end(undefined, pending)
     }
--- a/packages/fleet/test/waiting-room.test.ts
+++ b/packages/fleet/test/waiting-room.test.ts
@@ -3,7 +3,7 @@
 import { expect } from 'chai'
 
 const full: Choice = { type: 'full', reason: 'full' }
-const send: Choice = { type: 'send', id: 's', reason: 'free' }
+const send: Choice = { type: 'send', id: 's', reason: 'free', expectedMs: 0 }
 
 describe('the waiting room', () => {
   let time: FakeTime
