Requests wait no longer than their callers stay

Hypothesis: a chat could wait 6.7 s at an entry though its caller leaves after 2.4 s without a first event; such a request is held for nothing and its load is in vain. Change: the platform's adapter decodes how long callers of a stream stay, and a request waits no longer than that less half its objective, then gets its last answer with when to come back.

--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -32,6 +32,8 @@
 const mostTries = 12
 /** Part of the time left for which a request may wait; the rest serves it, or a second try by its caller. */
 const waitShare = 0.45
+/** Part of the objective kept for serving, before the caller leaves. */
+const servingShare = 0.5
 /** Part of the objective after which a request is refused that nobody could take. */
 const nobodyShare = 0.2
 /** When callers are told to come back, unless a server says later: after something may have been loaded or have ended. */
@@ -216,11 +218,11 @@
     const first = balancer.choose(asked)
     if (first.type === 'send') return this.#chosen(first, asked)
     const started = nowMs()
-    const share = first.type === 'none' ? route.objectiveMs * nobodyShare : (this.#deadline - started) * waitShare
+    const until = first.type === 'none' ? started + route.objectiveMs * nobodyShare : this.#waitUntil(started, route)
     const end = await room.wait({
       key: asked.key ?? asked.service.name,
       priority: route.priority,
-      until: started + share,
+      until,
       choose: () => balancer.choose(asked),
       bring: (ask, waiting) => balancer.bring(ask, asked.key ?? '', waiting, route.priority)
     }, first, this.#left)
@@ -231,6 +233,12 @@
     return this.#giveUp(end.last.reason)
   }
 
+  /** Its caller still has to wait for the first token once it was sent, and doesn't wait for ever. */
+  #waitUntil (started: number, { objectiveMs, patienceMs = Infinity }: Route): number {
+    const leaves = this.#arrived + patienceMs - objectiveMs * servingShare
+    return Math.min(started + (this.#deadline - started) * waitShare, leaves)
+  }
+
   /** A choice that wants a replica besides has it asked for. */
   #chosen (choice: Sending, asked: Asked): Sending {
     const { balancer, room } = this.options
--- a/packages/fleet/src/table.ts
+++ b/packages/fleet/src/table.ts
@@ -17,6 +17,8 @@
   timeoutMs: z.number().positive(),
   /** Latency objective: to the answer, or to the first event of a stream. */
   objectiveMs: z.number().positive(),
+  /** Callers of a stream leave after this long without an event, the first one included; absent where that isn't known. */
+  patienceMs: z.number().positive().optional(),
   /** 0 is the most urgent. */
   priority: z.number().int().nonnegative(),
   /** Backend servers that one request may run on. */
