Trial: fewer loads at once on an engine where they take longer than they did

Hypothesis: after a power loss 32 loads a second are asked of the weight store, four times more at once than it takes at full speed, so each takes 1.1 s for 0.25 s, those that many wait for too. Fewer at once on each engine, by what its own loads take, would have the first ones sooner.

--- a/packages/fleet/src/side/side.ts
+++ b/packages/fleet/src/side/side.ts
@@ -19,6 +19,7 @@
 import { Demands } from './demands.js'
 import { EntryLink, difference, type EngineNews, type HeldKeys } from './entry-link.js'
 import { LoadRate, type LoadShare } from './load-rate.js'
+import { LoadWindow } from './load-window.js'
 import type { SideCounters } from './counters.js'
 import { place, placesToGive } from './placement.js'
 
@@ -48,6 +49,7 @@
 export class FleetSide {
   readonly demands = new Demands()
   readonly #rate = new LoadRate()
+  readonly #window = new LoadWindow()
   readonly #links = new Set<EntryLink>()
   #account: EngineAccount | undefined
   #failures = 0
@@ -57,7 +59,7 @@
   #listed: string | undefined
   #wake = (): void => {}
   /** Loads that were ordered and have not been seen to end. */
-  readonly #loading = new Map<string, { at: number, version: number | undefined }>()
+  readonly #loading = new Map<string, { at: number, version: number | undefined, warm: boolean }>()
   #held: HeldKeys = {}
   #coming: string[] = []
   readonly #warm = new WarmCopies()
@@ -115,6 +117,7 @@
       newest: key => this.options.facts.version(key)?.version,
       popularity: key => this.demands.popularity(key),
       uses: key => this.demands.uses(key),
+      mostComing: this.#window.limit,
       mayLoad: key => isAdapter(key) || this.#mayLoad(spec)
     })
     if (placement.type === 'declined') {
@@ -210,7 +213,8 @@
     this.#loading.delete(key)
     const ms = nowMs() - started.at
     this.options.counters.loads.observe(ms / 1000)
-    this.options.log.info('adapter.held', { key, version, ms: Math.round(ms), orders: this.#account?.orders })
+    if (!started.warm && isAdapter(key)) this.#window.took(ms)
+    this.options.log.info('adapter.held', { key, version, ms: Math.round(ms), warm: started.warm, atOnce: this.#window.limit, orders: this.#account?.orders })
   }
 
   #decline (key: string, reason: string): void {
@@ -231,7 +235,7 @@
     })
     if (operation === 'load' && adapter === undefined && (outcome === 'accepted' || outcome === 'unknown')) this.#rate.started()
     const key = refKey({ model, adapter })
-    if (operation === 'load' && outcome === 'accepted') this.#loading.set(key, { at: started, version })
+    if (operation === 'load' && outcome === 'accepted') this.#loading.set(key, { at: started, version, warm: this.#warm.version(key) !== undefined })
     else this.#loading.delete(key)
     return this.#afterOrder[outcome](server)
   }
