--- a/packages/fleet/src/entry/outgoing.ts
+++ b/packages/fleet/src/entry/outgoing.ts
@@ -7,16 +7,13 @@
 import type { Outgoing } from './attempt.js'
 import { passedHeaders } from './delivery.js'
 
-/** The least urgent rank that engines know. */
-const leastUrgent = 9
-
 /** What the system sets. */
 export interface Marks {
   /** Milliseconds left. */
   remaining: number
   server: string
   /** Set where an engine is asked. */
-  engine: { priority: number, version: number | undefined } | undefined
+  engine: { rank: number, version: number | undefined } | undefined
   /** Id of the last event that the caller has, where a stream goes on elsewhere. */
   resumeAt: string | undefined
 }
@@ -25,7 +22,7 @@
   const headers = passedHeaders(request.rawHeaders, notPassed(names, marks))
   headers.push(names.remainingMs, String(marks.remaining), names.expectedServer, marks.server)
   if (marks.engine !== undefined) {
-    headers.push(names.priority, String(Math.min(marks.engine.priority, leastUrgent)))
+    headers.push(names.priority, String(marks.engine.rank))
     if (marks.engine.version !== undefined) headers.push(names.expectedVersion, String(marks.engine.version))
   }
   if (marks.resumeAt !== undefined) headers.push(names.lastEventId, marks.resumeAt)
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -24,6 +24,7 @@
 import { outgoingOf, type Marks } from './outgoing.js'
 import type { RetryBudget } from './retry-budget.js'
 import type { ServerFaults } from './server-faults.js'
+import { rankOf } from './urgency.js'
 import type { WaitingRoom } from './waiting-room.js'
 
 /** Tries of one request that come as far as a server, whatever their end. */
@@ -285,8 +286,10 @@
     return this.#judge(end, { server, asked, route })
   }
 
-  #marks (server: BackendServer, { key }: Asked, { priority }: Route, remaining: number): Marks {
-    const engine = key === undefined ? undefined : { priority, version: this.options.balancer.heldVersion(server, key) }
+  #marks (server: BackendServer, { key, promptTokens }: Asked, { priority, objectiveMs }: Route, remaining: number): Marks {
+    const readingMs = this.options.balancer.state(server).readingMs(promptTokens, nowMs())
+    const rank = rankOf({ priority, objectiveMs, waitedMs: nowMs() - this.#arrived, readingMs })
+    const engine = key === undefined ? undefined : { rank, version: this.options.balancer.heldVersion(server, key) }
     return { remaining, server: server.id, engine, resumeAt: this.#cutter?.lastId }
   }
 
