A planned stop refuses what comes once it has no time left to serve it

Change: once the entry has stopped listening (2.6 s after the signal), what still comes on open connections is refused at once as not run, with the connection ended. Test red before (a second stream served: 10 events for 5), green now. Ruled out: connections that rest are closed every 60 ms already; a request can come in between, or be pipelined.

--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -63,6 +63,8 @@
   readonly #faults: ServerFaults
   readonly #stop = new AbortController()
   #closing = false
+  /** No longer listening; what still comes does so on connections that were open. */
+  #closed = false
   #running = 0
 
   constructor (private readonly options: FleetEntryOptions) {
@@ -127,6 +129,7 @@
     await pause(Math.min(noticeMs, graceMs / 2))
     // From here on callers meet a closed connection, which tells them that nothing was read, and go elsewhere.
     this.server.close()
+    this.#closed = true
     const sweep = setInterval(() => this.server.closeIdleConnections(), sweepMs)
     while (this.#running > 0 && performance.now() - started < graceMs - exitMs) await pause(sweepMs)
     this.options.log.info('entry.stopped', { running: this.#running, ms: Math.round(performance.now() - started) })
@@ -140,7 +143,7 @@
     this.#running += 1
     try {
       const served = new ServiceRequest({
-        facts, balancer: this.#balancer, room: this.#room, budget: this.#budget, faults: this.#faults, connects: this.#connects, names, counters: this.counters, domain, log, lastAnswer: () => this.#closing || this.#connections.isOld(request.socket)
+        facts, balancer: this.#balancer, room: this.#room, budget: this.#budget, faults: this.#faults, connects: this.#connects, names, counters: this.counters, domain, log, closed: this.#closed, lastAnswer: () => this.#closing || this.#connections.isOld(request.socket)
       }, request, response)
       await served.serve()
     } catch (error) {
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -60,6 +60,8 @@
   /** This entry's failure domain. */
   domain: string
   log: Log
+  /** The process is about to end: what has not begun may not end in time, and is refused at once. */
+  closed: boolean
   /** Whether the connection should end with this answer. */
   lastAnswer: () => boolean
 }
@@ -123,9 +125,12 @@
   }
 
   async #serve (): Promise<string> {
-    const { facts } = this.options
+    const { facts, closed } = this.options
     const routes = facts.routes
-    if (routes === undefined) return this.#refuse('no_table')
+    if (closed || routes === undefined) {
+      this.request.resume()
+      return this.#refuse(closed ? 'stopping' : 'no_table')
+    }
     const route = this.#match()
     if (route === undefined) return this.#end(404, 'no_route', 'no such route')
     this.#route = route
--- a/packages/fleet/test/fleet.test.ts
+++ b/packages/fleet/test/fleet.test.ts
@@ -1,4 +1,5 @@
 import { request, Agent, type IncomingHttpHeaders } from 'node:http'
+import { connect } from 'node:net'
 import { pause } from '@finchpitch/core'
 import { BackendStandIn, FleetSystem } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
@@ -328,6 +329,30 @@
     })
   })
 
+  it('refuses what comes on an open connection once a planned stop has no time left to serve it', async () => {
+    const entry = fleet.entries[1]
+    if (entry === undefined) throw new Error('there are two entries')
+    const slowMs = 900
+    for (const engine of fleet.engines) engine.options.eventMs = slowMs
+    const [first, second] = [nextId(), nextId()]
+    const lines = (id: string): string => `POST /stream/x HTTP/1.1\r\nhost: fleet.example\r\nrequest-id: ${id}\r\ndeadline-ms: 5000\r\nmodel: base\r\ncontent-length: 0\r\n\r\n`
+    let received = ''
+    const caller = connect(fleet.callerAddress(1))
+    caller.setEncoding('utf8').on('data', (piece: string) => { received += piece })
+    caller.write(lines(first))
+    await eventually('the stream begins', () => received.includes('id: 1'))
+    const stopped = fleet.kill(entry, 'SIGTERM')
+    await pause(3100)
+    caller.write(lines(second))
+    await stopped
+    for (const engine of fleet.engines) engine.options.eventMs = 5
+    expect(received.match(/^id: /gm)).to.have.length(5)
+    expect(received).to.include('503').and.to.include('not run')
+    expect(runsOf(second)).to.equal(0)
+    await fleet.startProcess(entry)
+    await pause(settleMs)
+  })
+
   it('ends callers\' connections once another entry has come', async () => {
     const agent = new Agent({ keepAlive: true, maxSockets: 1 })
     const ask0 = async (): Promise<Reply> => await ask({ path: '/again/x', id: nextId(), agent })
