--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -8,6 +8,7 @@
 import type { Duplex } from 'node:stream'
 import { backoff, pause, type Log } from '@finchpitch/core'
 import { Channel, type ChannelOptions } from '@finchpitch/wire'
+import { nowMs } from '../clock.js'
 import { FactLink, patienceMs } from '../fact-exchange.js'
 import type { Fact, Facts } from '../facts.js'
 import { Outage, follow, gatherMs, reserveMs } from '../follow.js'
@@ -30,6 +31,10 @@
 const mostHeaderBytes = 65_536
 /** Beyond the rest that callers may take up a connection after. */
 const idleSlackMs = 2000
+/** A new entry has the routing table within some 0.2 s, where there is one to be had. */
+const learningMs = 500
+/** Else the store is away, which takes seconds; a caller that comes back sooner is refused a second time. */
+const outageRetryMs = 2000
 const seedSpan = { firstMs: 200, limitMs: 2000 }
 /** The balancer asks each second and takes an entry out after two refusals; then no new connections come. */
 const noticeMs = 2600
@@ -62,6 +67,7 @@
   readonly #connects = new ConnectLimit()
   readonly #faults: ServerFaults
   readonly #stop = new AbortController()
+  readonly #startedAt = nowMs()
   #closing = false
   /** No longer listening; what still comes does so on connections that were open. */
   #closed = false
@@ -143,7 +149,7 @@
     this.#running += 1
     try {
       const served = new ServiceRequest({
-        facts, balancer: this.#balancer, room: this.#room, budget: this.#budget, faults: this.#faults, connects: this.#connects, names, counters: this.counters, domain, log, closed: this.#closed, lastAnswer: () => this.#closing || this.#connections.isOld(request.socket)
+        facts, balancer: this.#balancer, room: this.#room, budget: this.#budget, faults: this.#faults, connects: this.#connects, names, counters: this.counters, domain, log, closed: this.#closed, blindRetryMs: () => this.#blindRetryMs, lastAnswer: () => this.#closing || this.#connections.isOld(request.socket)
       }, request, response)
       await served.serve()
     } catch (error) {
@@ -158,6 +164,11 @@
     return gatherMs(kind, this.#links.entries ?? 1, this.options.limits().drainMs)
   }
 
+  /** Soon while it is only starting; later once neither the store nor a peer had the table in the time that takes. */
+  get #blindRetryMs (): number {
+    return nowMs() - this.#startedAt < learningMs ? learningMs : outageRetryMs
+  }
+
   #reconcile (): void {
     const { facts } = this.options
     const engines = [...facts.servers.values()].filter(server => facts.routes?.service(server.service)?.engine !== undefined)
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -60,6 +60,8 @@
   /** This entry's failure domain. */
   domain: string
   log: Log
+  /** When callers should come back while this entry has no routing table. */
+  blindRetryMs: () => number
   /** The process is about to end: what has not begun may not end in time, and is refused at once. */
   closed: boolean
   /** Whether the connection should end with this answer. */
@@ -129,6 +131,7 @@
     const routes = facts.routes
     if (closed || routes === undefined) {
       this.request.resume()
+      if (!closed) this.#retryAfterMs = this.options.blindRetryMs()
       return this.#refuse(closed ? 'stopping' : 'no_table')
     }
     const route = this.#match()
--- a/packages/fleet/test/fleet.test.ts
+++ b/packages/fleet/test/fleet.test.ts
@@ -410,3 +410,28 @@
     expect(replies).to.deep.equal([200, 200, 200, 200, 200, 200])
   })
 })
+
+describe('an entry that finds neither the store nor a peer', function () {
+  this.timeout(30_000)
+  let fleet: FleetSystem
+
+  before(async () => {
+    fleet = new FleetSystem({ network: 33, domains: 1, entriesPerDomain: 1, enginesPerDomain: 0, plainPerDomain: 1, places: 3, loadMs: 60, workMs: 5, events: 5, eventMs: 5 })
+    fleet.store.fault = 'reset'
+    await fleet.start()
+    await pause(settleMs)
+  })
+
+  after(async () => { await fleet.stop() })
+
+  it('refuses at once, and tells callers to come back after the time of an outage', async () => {
+    const started = Date.now()
+    const headers = { host: 'fleet.example', 'request-id': 'blind', 'deadline-ms': '3000' }
+    const answer = await new Promise<{ status: number, retryAfter: number }>((resolve, reject) => {
+      request({ ...fleet.callerAddress(), method: 'POST', path: '/once/x', headers }, reply =>
+        resolve({ status: reply.resume().statusCode ?? 0, retryAfter: Number(reply.headers['retry-after']) })).on('error', reject).end()
+    })
+    expect(answer).to.deep.equal({ status: 503, retryAfter: 2 })
+    expect(Date.now() - started).to.be.lessThan(300)
+  })
+})
