--- a/packages/fleet/src/side/placement.ts
+++ b/packages/fleet/src/side/placement.ts
@@ -10,6 +10,9 @@
 import { parseRef, refKey } from '../server.js'
 import type { EngineSpec } from '../table.js'
 
+/** Loads that an engine takes at once. */
+const mostComing = 4
+
 /**
  * How long a demand waits for a place before it is declined. Runs last some 300 to 500 ms here, so with 16 places in
  * use one falls free each 30 ms; a place here often spares a load from the weight store elsewhere.
@@ -39,8 +42,6 @@
   popularity: (key: string) => number
   /** Requests in progress on an adapter, and held for it. */
   uses: (key: string) => number
-  /** Adapters that may be on their way at once. */
-  mostComing: number
   /** A load from the weight store may start now. */
   mayLoad: (key: string) => boolean
 }
@@ -102,7 +103,7 @@
     if (newest === undefined || newest <= held.version || isComing(account, held.key)) continue
     const idle = input.uses(held.key) === 0
     if (idle && input.popularity(held.key) < worthReplacing) return ordered(input, 'unload', held.key, `version ${newest} is named`)
-    if (!input.mayLoad(held.key) || account.coming.length >= input.mostComing) continue
+    if (!input.mayLoad(held.key) || account.coming.length >= mostComing) continue
     if (placesFree(input) > 0) return ordered(input, 'load', held.key, `replaces version ${held.version}`, newest)
     const victim = idle ? held.key : victimOf(input)
     if (victim !== undefined) return ordered(input, 'unload', victim, `makes room for version ${newest} of ${held.key}`)
@@ -146,7 +147,7 @@
     const ref = parseRef(key)
     if (ref.adapter === undefined || held.has(key) || isComing(account, key)) continue
     if (!account.models.some(model => model.name === ref.model)) return { type: 'declined', key, reason: 'unknown_model' }
-    if (account.coming.length >= input.mostComing) return undefined
+    if (account.coming.length >= mostComing) return undefined
     if (!input.mayLoad(key)) return { type: 'declined', key, reason: 'load_rate' }
     if (placesFree(input) > 0) return ordered(input, 'load', key, 'asked for', input.newest(key) ?? version)
     const victim = victimOf(input)
--- a/packages/fleet/src/side/side.ts
+++ b/packages/fleet/src/side/side.ts
@@ -19,7 +19,6 @@
 import { Demands } from './demands.js'
 import { EntryLink, difference, type EngineNews, type HeldKeys } from './entry-link.js'
 import { LoadRate, type LoadShare } from './load-rate.js'
-import { LoadWindow } from './load-window.js'
 import type { SideCounters } from './counters.js'
 import { place, placesToGive } from './placement.js'
 
@@ -49,7 +48,6 @@
 export class FleetSide {
   readonly demands = new Demands()
   readonly #rate = new LoadRate()
-  readonly #window = new LoadWindow()
   readonly #links = new Set<EntryLink>()
   #account: EngineAccount | undefined
   #failures = 0
@@ -59,7 +57,7 @@
   #listed: string | undefined
   #wake = (): void => {}
   /** Loads that were ordered and have not been seen to end. */
-  readonly #loading = new Map<string, { at: number, version: number | undefined, warm: boolean }>()
+  readonly #loading = new Map<string, { at: number, version: number | undefined }>()
   #held: HeldKeys = {}
   #coming: string[] = []
   readonly #warm = new WarmCopies()
@@ -117,7 +115,6 @@
       newest: key => this.options.facts.version(key)?.version,
       popularity: key => this.demands.popularity(key),
       uses: key => this.demands.uses(key),
-      mostComing: this.#window.limit,
       mayLoad: key => isAdapter(key) || this.#mayLoad(spec)
     })
     if (placement.type === 'declined') {
@@ -213,8 +210,7 @@
     this.#loading.delete(key)
     const ms = nowMs() - started.at
     this.options.counters.loads.observe(ms / 1000)
-    if (!started.warm && isAdapter(key)) this.#window.took(ms)
-    this.options.log.info('adapter.held', { key, version, ms: Math.round(ms), warm: started.warm, atOnce: this.#window.limit, orders: this.#account?.orders })
+    this.options.log.info('adapter.held', { key, version, ms: Math.round(ms), orders: this.#account?.orders })
   }
 
   #decline (key: string, reason: string): void {
@@ -235,7 +231,7 @@
     })
     if (operation === 'load' && adapter === undefined && (outcome === 'accepted' || outcome === 'unknown')) this.#rate.started()
     const key = refKey({ model, adapter })
-    if (operation === 'load' && outcome === 'accepted') this.#loading.set(key, { at: started, version, warm: this.#warm.version(key) !== undefined })
+    if (operation === 'load' && outcome === 'accepted') this.#loading.set(key, { at: started, version })
     else this.#loading.delete(key)
     return this.#afterOrder[outcome](server)
   }
--- a/packages/fleet/test/placement.test.ts
+++ b/packages/fleet/test/placement.test.ts
@@ -16,7 +16,7 @@
 const demand = (key: string): Demand => ({ key, waiting: 1, priority: 1, waitedMs: 1000 })
 
 const input = (more: Partial<PlacementInput>): PlacementInput => ({
-  spec, account: account({}), demands: [], newest: () => undefined, popularity: () => 0, uses: () => 0, mostComing: 4, mayLoad: () => true, ...more
+  spec, account: account({}), demands: [], newest: () => undefined, popularity: () => 0, uses: () => 0, mayLoad: () => true, ...more
 })
 
 describe('placement', () => {
