What is late yields to what can be in time, counted from the caller's first try; no replicas in advance

They are late already and lose nothing more, but hold places and are read before those that could still be in time; and replicas that nobody waits for, made for slow holders and for adapters asked for from another domain, cost loads and places. Change: an entry learns from the times that callers state how long ago a caller first tried; late requests rank behind all others, for engines, for loads and for places, and ask for no replica. Adapters are no longer brought nearer.

--- a/packages/fleet/src/entry/balancer.ts
+++ b/packages/fleet/src/entry/balancer.ts
@@ -2,26 +2,23 @@
  * The balancer: turns what the entry believes into the options of a choice, and keeps the states they rest on.
  */
 import type { Log } from '@finchpitch/core'
-import { Popularity } from '@finchpitch/decisions'
 import { nowMs } from '../clock.js'
 import type { Facts } from '../facts.js'
 import type { Limits } from '../ports.js'
-import { parseRef, type BackendServer } from '../server.js'
+import type { BackendServer } from '../server.js'
 import type { FleetService } from '../table.js'
-import { soonShare, chooseEngine, choosePlain, engineToAsk, type Choice, type EngineChoice, type EngineOption, type Option } from './choice.js'
-import { ServerStates, type ServerState } from './server-state.js'
+import { chooseEngine, choosePlain, type Choice, type EngineChoice, type EngineOption, type Option } from './choice.js'
+import { ReadingPace } from './reading-pace.js'
+import { ServerStates, type Pending, type ServerState } from './server-state.js'
 import type { SideLinks } from './side-links.js'
 
 /** What the balancer needs of the links to side processes. */
-export type Placers = Pick<SideLinks, 'orderable' | 'warm' | 'asked' | 'short' | 'want'>
+export type Placers = Pick<SideLinks, 'orderable' | 'warm' | 'asked' | 'want'>
 
-/** Requests of the last seconds that went across for an adapter, before it is wanted in this domain too. */
-const worthNearer = 6
-const nearerHalfLifeMs = 20_000
+/** With less to be read before it, a prompt's time is its own. */
+const aloneShare = 0.1
 /** The part of the time allowed for a named version in which the one before it may still be used. */
 const oldVersionShare = 0.4
-/** Keys whose demand from across is remembered. */
-const mostTracked = 4000
 
 export interface Asked {
   service: FleetService
@@ -30,8 +27,8 @@
   affinityKey: string
   /** Tokens of the prompt. */
   promptTokens: number
-  /** Time to the first token that the caller hopes for. */
-  objectiveMs: number
+  /** Time left in which its first token is in time. */
+  inTimeMs: number
   priority: number
   /** Servers that have refused this request. */
   excluded: ReadonlySet<string>
@@ -39,7 +36,8 @@
 
 export class Balancer {
   readonly states = new ServerStates()
-  readonly #across = new Map<string, Popularity>()
+  /** Of prompts that met few others before them. */
+  readonly pace = new ReadingPace()
 
   constructor (
     private readonly facts: Facts,
@@ -66,29 +64,20 @@
     const ids = this.states.holders.of(key)
     if (ids.size > 0 && ids.size < servers.length) {
       const choice = chooseEngine(this.#engineChoice(servers.filter(server => ids.has(server.id)), key, asked))
-      if (choice.type === 'send' && choice.expectedMs < asked.objectiveMs * soonShare) return choice
+      if (choice.type === 'send' && choice.expectedMs < asked.inTimeMs) return choice
     }
     return chooseEngine(this.#engineChoice(servers, key, asked))
   }
 
-  /** Counts a request that went across, and asks for its adapter to be brought nearer once there were several. */
-  sentAcross (asked: Asked): void {
-    const { key } = asked
-    if (key === undefined || parseRef(key).adapter === undefined) return
-    const popularity = this.#across.get(key) ?? new Popularity(nearerHalfLifeMs)
+  /** The answer to a request has begun. */
+  heard ({ sentAt, tokens, tokensAhead }: Pending): void {
     const now = nowMs()
-    popularity.add(now)
-    this.#across.set(key, popularity)
-    if (this.#across.size > mostTracked) this.#across.delete(this.#across.keys().next().value ?? '')
-    if (popularity.at(now) < worthNearer || this.links().short) return
-    const near = this.facts.serversOf(asked.service.name).filter(server => !server.leaving && server.domain === this.domain)
-    const ask = engineToAsk(this.#engineChoice(near, key, asked))
-    if (ask !== undefined) this.bring(ask, key, 0, asked.priority)
+    if (tokensAhead < tokens * aloneShare) this.pace.add(now - sentAt, tokens, now)
   }
 
-  /** Asks for another holder, unless places are short: then none should be taken for what nobody waits for. */
-  replicate (ask: string, key: string, waiting: number, priority: number): void {
-    if (!this.links().short) this.bring(ask, key, waiting, priority)
+  /** How long reading so many prompt tokens takes, by what requests of late met at the engines. */
+  readingMs (tokens: number): number {
+    return tokens * this.pace.msPerToken(nowMs())
   }
 
   bring (ask: string, key: string, waiting: number, priority: number): void {
@@ -113,11 +102,11 @@
   }
 
   #engineChoice (servers: readonly BackendServer[], key: string, asked: Asked): EngineChoice {
-    const { affinityKey, objectiveMs } = asked
+    const { affinityKey, inTimeMs } = asked
     const now = nowMs()
     const oldest = this.#oldestUsable(key, now)
     const options = servers.map(server => this.#engineOption(server, key, asked, now, oldest))
-    return { options, domain: this.domain, key, affinityKey, objectiveMs }
+    return { options, domain: this.domain, key, affinityKey, inTimeMs }
   }
 
   /** The oldest version of the key that may be used. */
--- a/packages/fleet/src/entry/choice.ts
+++ b/packages/fleet/src/entry/choice.ts
@@ -36,8 +36,7 @@
 }
 
 export type Choice =
-  /** `replica`: an engine to be asked for another copy besides, as the holders are slow. */
-  | { type: 'send', id: string, reason: string, expectedMs: number, replica?: string }
+  | { type: 'send', id: string, reason: string, expectedMs: number }
   /** Wait for an adapter; `ask` is the engine to ask for it. `held`: engines have it, and a place there would do as well. */
   | { type: 'bring', ask: string | undefined, held: boolean, reason: string }
   /** Wait: all that could take it are full. */
@@ -93,8 +92,8 @@
   key: string
   /** Requests with the same text share cached prompts. */
   affinityKey: string
-  /** Time to the first token that the caller hopes for. */
-  objectiveMs: number
+  /** Time left in which its first token is in time. */
+  inTimeMs: number
 }
 
 /** Until a request can go to an adapter that is being loaded, from the weight store and from the engine's own memory. */
@@ -106,8 +105,6 @@
 const noPlaceMs = 700
 /** Expected times differ a little between entries; within one such step the hash decides, so that all ask the same engine. */
 const homeStepMs = 200
-/** Holders are slow from this part of the objective on: a replica is then asked for, if it would be sooner. */
-export const soonShare = 0.6
 
 const isOpen = (option: Option): boolean => option.load < option.slots + batchSurplus
 
@@ -121,7 +118,7 @@
 }
 
 export const chooseEngine = (choice: EngineChoice): Choice => {
-  const { options, domain } = choice
+  const { options } = choice
   if (options.length === 0) return { type: 'none', reason: 'no engine of the service' }
   const holders = usable(options.filter(option => option.holds))
   const open = holders.filter(isOpen)
@@ -137,18 +134,17 @@
   return { type: 'bring', ask: undefined, held, reason: 'no engine can bring it in' }
 }
 
-/** A request that would be late at the best holder waits for a replica if it is in time there; else a slow holder gets one for the next. */
+/** A request that would be late at the best holder waits for a replica where it would be in time. */
 const sendOrReplicate = (best: EngineOption, busy: boolean, choice: EngineChoice): Choice => {
-  const { domain, objectiveMs, options } = choice
+  const { domain, inTimeMs, options } = choice
   const { id, expectedMs } = best
   const reason = busy ? 'held, busy' : best.domain === domain ? 'held near' : 'held across'
   const send: Choice = { type: 'send', id, reason, expectedMs }
-  if (expectedMs < objectiveMs * soonShare || options.some(option => option.coming && !option.doubtful)) return send
+  if (expectedMs < inTimeMs || options.some(option => option.coming && !option.doubtful)) return send
   const other = engineToAsk(choice)
   const otherMs = other === undefined ? Infinity : startMs(options.find(option => option.id === other) ?? best)
-  if (other === undefined || otherMs + coldPriceMs > expectedMs) return send
-  if (expectedMs > objectiveMs && otherMs < objectiveMs) return { type: 'bring', ask: other, held: true, reason: 'its holders are slow' }
-  return { ...send, replica: other }
+  if (otherMs > inTimeMs || otherMs + coldPriceMs > expectedMs) return send
+  return { type: 'bring', ask: other, held: true, reason: 'its holders are slow' }
 }
 
 /** Until the first token at an engine that has to load the adapter first; what is there to be read is read meanwhile. */
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -17,6 +17,7 @@
 import { CallerConnections } from './caller-connections.js'
 import { ConnectLimit } from './connect-limit.js'
 import { EntryCounters } from './counters.js'
+import { FirstTries } from './first-tries.js'
 import { RetryBudget } from './retry-budget.js'
 import { ServerFaults } from './server-faults.js'
 import { ServiceRequest } from './service-request.js'
@@ -65,6 +66,7 @@
   readonly #connections: CallerConnections
   readonly #budget: RetryBudget
   readonly #connects = new ConnectLimit()
+  readonly #firstTries = new FirstTries()
   readonly #faults: ServerFaults
   readonly #stop = new AbortController()
   readonly #startedAt = nowMs()
@@ -145,11 +147,11 @@
   }
 
   async #serve (request: import('node:http').IncomingMessage, response: import('node:http').ServerResponse): Promise<void> {
-    const { facts, names, log, domain } = this.options
+    const { facts, names, log } = this.options
     this.#running += 1
     try {
       const served = new ServiceRequest({
-        facts, balancer: this.#balancer, room: this.#room, budget: this.#budget, faults: this.#faults, connects: this.#connects, names, counters: this.counters, domain, log, closed: this.#closed, blindRetryMs: () => this.#blindRetryMs, lastAnswer: () => this.#closing || this.#connections.isOld(request.socket)
+        facts, balancer: this.#balancer, room: this.#room, budget: this.#budget, faults: this.#faults, connects: this.#connects, firstTries: this.#firstTries, names, counters: this.counters, log, closed: this.#closed, blindRetryMs: () => this.#blindRetryMs, lastAnswer: () => this.#closing || this.#connections.isOld(request.socket)
       }, request, response)
       await served.serve()
     } catch (error) {
--- a/packages/fleet/src/entry/server-state.ts
+++ b/packages/fleet/src/entry/server-state.ts
@@ -110,11 +110,6 @@
     return (this.#unreadAt(now) + tokens) * this.#paceOf(priority).msPerToken(now)
   }
 
-  /** How long so many prompt tokens take, were nothing before them. */
-  readingMs (tokens: number, now: number): number {
-    return tokens * this.#pace.msPerToken(now)
-  }
-
   #paceOf (priority: number): ReadingPace {
     const known = this.#paces.get(priority)
     if (known !== undefined) return known
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -21,6 +21,7 @@
 import type { EntryCounters } from './counters.js'
 import { Delivery } from './delivery.js'
 import { EventCutter } from './event-stream.js'
+import type { FirstTries } from './first-tries.js'
 import { outgoingOf, type Marks } from './outgoing.js'
 import type { RetryBudget } from './retry-budget.js'
 import type { ServerFaults } from './server-faults.js'
@@ -53,12 +54,11 @@
   balancer: Balancer
   room: WaitingRoom
   budget: RetryBudget
+  firstTries: FirstTries
   names: HeaderNames
   faults: ServerFaults
   connects: ConnectLimit
   counters: EntryCounters
-  /** This entry's failure domain. */
-  domain: string
   log: Log
   /** When callers should come back while this entry has no routing table. */
   blindRetryMs: () => number
@@ -109,6 +109,8 @@
   /** From the last sending to the first token, as expected then. */
   #expectedMs: number | undefined
   #sentAtMs = 0
+  /** How long before this request its caller first tried. */
+  #firstTriedMs = 0
   #server: BackendServer | undefined
   #reason = ''
   #retryAfterMs = leastRetryAfterMs
@@ -138,6 +140,7 @@
     if (route === undefined) return this.#end(404, 'no_route', 'no such route')
     this.#route = route
     this.#deadline = this.#arrived + Math.min(this.#remaining(), route.timeoutMs)
+    this.#firstTriedMs = this.options.firstTries.agoMs(route.name, this.#remaining())
     const body = await this.#readBody(routes.table.limits.bodyBytes)
     if (typeof body === 'string') return body
     this.#cutter = route.kind === 'stream' && route.resumable ? new EventCutter() : undefined
@@ -185,7 +188,7 @@
   #asked (service: FleetService, route: Route): Asked {
     const key = service.engine === undefined ? undefined : this.#header(this.options.names.model)
     const promptTokens = Number.parseInt(this.#header(this.options.names.tokens) ?? '0', 10) || 0
-    return { service, key, affinityKey: key ?? '', promptTokens, objectiveMs: route.objectiveMs, priority: route.priority, excluded: this.#excluded }
+    return { service, key, affinityKey: key ?? '', promptTokens, inTimeMs: this.#inTimeMs(route), priority: route.priority, excluded: this.#excluded }
   }
 
   #header (name: string): string | undefined {
@@ -225,19 +228,19 @@
     const { balancer, room, counters } = this.options
     if (this.#left.cancelled) return this.#abandoned(false)
     const first = balancer.choose(asked)
-    if (first.type === 'send') return this.#chosen(first, asked)
+    if (first.type === 'send') return first
     const started = nowMs()
     const until = first.type === 'none' ? started + route.objectiveMs * nobodyShare : this.#waitUntil(started, route)
     const end = await room.wait({
       key: asked.key ?? asked.service.name,
-      priority: route.priority,
+      rank: () => this.#rank(route, asked.promptTokens),
       until,
-      choose: () => balancer.choose(asked),
-      bring: (ask, waiting) => balancer.bring(ask, asked.key ?? '', waiting, route.priority)
+      choose: () => balancer.choose({ ...asked, inTimeMs: this.#inTimeMs(route) }),
+      bring: (ask, waiting) => balancer.bring(ask, asked.key ?? '', waiting, this.#rank(route, asked.promptTokens))
     }, first, this.#left)
     this.#waitedMs += nowMs() - started
     counters.waited.observe({ for: first.type }, (nowMs() - started) / 1000)
-    if (end.type === 'chosen') return this.#chosen(end.choice, asked)
+    if (end.type === 'chosen') return end.choice
     if (end.type === 'left') return this.#abandoned(false)
     return this.#giveUp(end.last.reason)
   }
@@ -248,13 +251,6 @@
     return Math.min(started + (this.#deadline - started) * waitShare, leaves)
   }
 
-  /** A choice that wants a replica besides has it asked for. */
-  #chosen (choice: Sending, asked: Asked): Sending {
-    const { balancer, room } = this.options
-    if (choice.replica !== undefined && asked.key !== undefined) balancer.replicate(choice.replica, asked.key, room.waiting(asked.key), asked.priority)
-    return choice
-  }
-
   async #try (server: BackendServer, asked: Asked, route: Route, body: Buffer, reason: string): Promise<Verdict> {
     const { balancer, budget, names, counters, connects } = this.options
     const remaining = Math.floor(this.#deadline - nowMs())
@@ -283,24 +279,37 @@
       cancellation: this.#left,
       heard: () => {
         state.heard(pending)
+        balancer.heard(pending)
         this.#firstByteMs ??= nowMs() - this.#arrived
       }
     })
     state.end(asked.key, pending)
     if (end.type !== 'not_sent') this.#arrivals += 1
     counters.attempts.inc({ end: end.type })
-    if (server.domain !== this.options.domain) balancer.sentAcross(asked)
     this.options.room.pokeFull()
     return this.#judge(end, { server, asked, route })
   }
 
-  #marks (server: BackendServer, { key, promptTokens }: Asked, { priority, objectiveMs }: Route, remaining: number): Marks {
-    const readingMs = this.options.balancer.state(server).readingMs(promptTokens, nowMs())
-    const rank = rankOf({ priority, objectiveMs, waitedMs: nowMs() - this.#arrived, readingMs })
-    const engine = key === undefined ? undefined : { rank, version: this.options.balancer.heldVersion(server, key) }
+  #marks (server: BackendServer, { key, promptTokens }: Asked, route: Route, remaining: number): Marks {
+    const engine = key === undefined ? undefined : { rank: this.#rank(route, promptTokens), version: this.options.balancer.heldVersion(server, key) }
     return { remaining, server: server.id, engine, resumeAt: this.#cutter?.lastId }
   }
 
+  /** Since its caller first tried. */
+  get #elapsedMs (): number {
+    return this.#firstTriedMs + nowMs() - this.#arrived
+  }
+
+  /** Left until it is late; without end once it is, as nothing can be gained any more. */
+  #inTimeMs ({ objectiveMs }: Route): number {
+    const left = objectiveMs - this.#elapsedMs
+    return left > 0 ? left : Infinity
+  }
+
+  #rank ({ priority, objectiveMs }: Route, promptTokens: number): number {
+    return rankOf({ priority, objectiveMs, elapsedMs: this.#elapsedMs, readingMs: this.options.balancer.readingMs(promptTokens) })
+  }
+
   /** What follows from a try's end. */
   #judge (end: AttemptEnd, at: Tried): Verdict {
     const judge = ServiceRequest.#judges[end.type] as (self: ServiceRequest, end: AttemptEnd, at: Tried) => Verdict
@@ -433,6 +442,7 @@
       outcome,
       tries: this.#tries,
       tokens: this.#header(this.options.names.tokens),
+      firstTriedMs: this.#firstTriedMs === 0 ? undefined : Math.round(this.#firstTriedMs),
       sentAtMs: Math.round(this.#sentAtMs),
       expectedMs: this.#expectedMs === undefined ? undefined : Math.round(this.#expectedMs),
       waitedMs: Math.round(this.#waitedMs),
--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -26,8 +26,6 @@
 const stuckMs = { near: 1000, far: 2000 }
 /** After a side process declined, others are asked first for this long. */
 const declinedMs = 500
-/** Runs last about half a second, so a shortage of places outlasts one refusal by several of them. */
-const shortMs = 2000
 /** A side process says something at least every 0.7 s near and 1.5 s across; this much silence is twice to four times that. */
 const deafMs = 3000
 
@@ -65,7 +63,6 @@
 
 export class SideLinks {
   readonly #links = new Map<string, SideLink>()
-  #declinedAt = -Infinity
   /** The highest fence that each side process was seen to use. */
   readonly #fences = new Map<string, number>()
 
@@ -105,11 +102,6 @@
     return now - link.heardAt < patience && now - (link.declined.get(key) ?? -Infinity) > declinedMs
   }
 
-  /** Engines had no place left a moment ago, so none should be taken for anything that nobody waits for. */
-  get short (): boolean {
-    return nowMs() - this.#declinedAt < shortMs
-  }
-
   /** Adapters that were asked of the engine and have neither come nor been declined. */
   asked (engine: BackendServer): number {
     return this.#links.get(hostOf(engine.address))?.wanted.size ?? 0
@@ -226,7 +218,6 @@
     if (frame.type === 'holding') this.#hold(link, frame)
     if (frame.type === 'declined') {
       link.declined.set(frame.key, nowMs())
-      this.#declinedAt = nowMs()
       link.wanted.delete(frame.key)
       this.options.log.info('adapter.declined', { key: frame.key, host: link.host, reason: frame.reason })
       this.options.changed([frame.key])
--- a/packages/fleet/src/entry/urgency.ts
+++ b/packages/fleet/src/entry/urgency.ts
@@ -1,15 +1,18 @@
 /**
- * The rank that an engine is given for a request: the route's own first, and within it by what waiting costs.
+ * The rank of a request among all that wait, at an entry, for an adapter and at an engine: by what waiting costs it.
  *
- * Engines read the prompts of better ranks first. A request that has little time left beyond its own reading is late
- * if anything goes before it, so it goes first; one that is late already loses nothing more and goes last.
+ * One that can still be in time goes before all that are late, which lose nothing more. Among those in time the
+ * route's own rank goes first, and within it a request that has little time left beyond its own reading, since it is
+ * late if anything goes before it.
  */
 
 /** The least urgent rank that engines know. */
-export const leastUrgent = 9
+const leastUrgent = 9
+/** Ranks of requests in time are below this, those of late ones from it on. */
+const firstLate = 6
 /** Ranks within one rank of a route. */
-const steps = { tight: 0, ample: 1, late: 2 } as const
-const stepsEach = 3
+const steps = { tight: 0, ample: 1 } as const
+const stepsEach = 2
 /** Less time to spare than this part of the objective is little: some two long prompts before it. */
 const tightShare = 0.6
 
@@ -17,14 +20,15 @@
   /** The route's rank, 0 being the most urgent. */
   priority: number
   objectiveMs: number
-  /** Since the request came. */
-  waitedMs: number
+  /** Since its caller first tried. */
+  elapsedMs: number
   /** To read its prompt, were it alone. */
   readingMs: number
 }
 
-export const rankOf = ({ priority, objectiveMs, waitedMs, readingMs }: Urgency): number => {
-  const spareMs = objectiveMs - waitedMs - readingMs
-  const step = spareMs < 0 ? steps.late : spareMs < objectiveMs * tightShare ? steps.tight : steps.ample
-  return Math.min(leastUrgent, priority * stepsEach + step)
+export const rankOf = ({ priority, objectiveMs, elapsedMs, readingMs }: Urgency): number => {
+  const spareMs = objectiveMs - elapsedMs - readingMs
+  if (spareMs < 0) return Math.min(leastUrgent, firstLate + priority)
+  const step = spareMs < objectiveMs * tightShare ? steps.tight : steps.ample
+  return Math.min(firstLate - 1, priority * stepsEach + step)
 }
--- a/packages/fleet/src/entry/waiting-room.ts
+++ b/packages/fleet/src/entry/waiting-room.ts
@@ -8,7 +8,8 @@
 export interface Waiter {
   /** Requests with the same key get the same choice. */
   key: string
-  priority: number
+  /** Its rank now; the lowest goes first. */
+  rank: () => number
   /** When it stops waiting, on the steady clock. */
   until: number
   choose: () => Choice
@@ -86,9 +87,10 @@
     const due = this.#due
     this.#due = new Set()
     const waiting = [...this.#entries].filter(entry => due === undefined || due.has(entry.key))
-    const ordered = waiting.sort((a, b) => a.priority - b.priority || a.since - b.since)
+    const ranked = waiting.map(entry => ({ entry, rank: entry.rank() }))
+    const ordered = ranked.sort((a, b) => a.rank - b.rank || a.entry.since - b.entry.since)
     const stuck = new Map<string, Choice>()
-    for (const entry of ordered) {
+    for (const { entry } of ordered) {
       const known = stuck.get(entry.key)
       const choice = known ?? entry.choose()
       entry.last = choice
--- a/packages/fleet/test/waiting-room.test.ts
+++ b/packages/fleet/test/waiting-room.test.ts
@@ -22,9 +22,9 @@
 
   afterEach(() => time.restore())
 
-  const waiter = (key: string, priority = 1, waitMs = 1000): Waiter => ({
+  const waiter = (key: string, rank = 1, waitMs = 1000): Waiter => ({
     key,
-    priority,
+    rank: () => rank,
     until: nowMs() + waitMs,
     choose: () => free-- > 0 ? send : full,
     bring: (ask, waiting) => { brought.push([ask, waiting]) }
