--- a/packages/fleet/src/entry/balancer.ts
+++ b/packages/fleet/src/entry/balancer.ts
@@ -13,7 +13,7 @@
 import type { SideLinks } from './side-links.js'
 
 /** What the balancer needs of the links to side processes. */
-export type Placers = Pick<SideLinks, 'orderable' | 'warm' | 'asked' | 'want'>
+export type Placers = Pick<SideLinks, 'orderable' | 'warm' | 'asked' | 'awaits' | 'want'>
 
 /** With less to be read before it, a prompt's time is its own. */
 const aloneShare = 0.1
@@ -143,7 +143,7 @@
       doubtful: state.outlier.ejected(now) || state.silentAt(now) || holding?.reachable === false,
       lapsed: this.facts.lapsed(server.id),
       holds: (holding?.held.get(key) ?? -1) >= oldest,
-      coming: holding?.coming.has(key) ?? false,
+      coming: holding?.coming.has(key) === true || links.awaits(server, key),
       expectedMs: state.expectedMs(promptTokens, priority, now),
       get warm () { return links.warm(server, key) },
       get orderable () { return links.orderable(server, key) },
--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -48,6 +48,8 @@
   stop: AbortController
   channel: Channel | undefined
   heardAt: number
+  /** When it last told what its engine holds. */
+  toldAt: number
   entries: number
   held: ReadonlyMap<string, number>
   coming: ReadonlySet<string>
@@ -102,9 +104,18 @@
     return now - link.heardAt < patience && now - (link.declined.get(key) ?? -Infinity) > declinedMs
   }
 
-  /** Adapters that were asked of the engine and have neither come nor been declined. */
+  /** Whether the engine was asked for the key a moment ago, and may well bring it in though it has not said so yet. */
+  awaits (engine: BackendServer, key: string): boolean {
+    const link = this.#links.get(hostOf(engine.address))
+    return link?.channel !== undefined && nowMs() - (link.wanted.get(key) ?? -Infinity) < wantAgainMs
+  }
+
+  /** Adapters asked of the engine since its side process last told how many places it has. */
   asked (engine: BackendServer): number {
-    return this.#links.get(hostOf(engine.address))?.wanted.size ?? 0
+    const link = this.#links.get(hostOf(engine.address))
+    let count = 0
+    for (const at of link?.wanted.values() ?? []) if (at >= (link?.toldAt ?? 0)) count += 1
+    return count
   }
 
   /** Whether the engine had the key lately, in the version that would be loaded now. */
@@ -156,6 +167,7 @@
       stop: new AbortController(),
       channel: undefined,
       heardAt: -Infinity,
+      toldAt: -Infinity,
       entries: 0,
       held: new Map(),
       coming: new Set(),
@@ -242,6 +254,7 @@
     for (const [key, version] of frame.warm ?? []) link.warm.keep(key, version)
     link.server = frame.server
     link.entries = frame.entries
+    link.toldAt = nowMs()
     this.#fences.set(link.host, Math.max(this.#fences.get(link.host) ?? 0, frame.fence))
     const server = this.#serverAt(link)
     const { reachable, waiting, running, unread = 0, places = 0 } = frame
--- a/packages/fleet/test/balancer.test.ts
+++ b/packages/fleet/test/balancer.test.ts
@@ -11,13 +11,13 @@
 const limits: Limits = { graceMs: 8000, drainMs: 2000, versionMs: 5000, retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 50, loadWindowMs: 5000, loadOverage: 1.1 }
 const server = (id: string): BackendServer => ({ id, service: 'llm', address: `10.0.0.${id}:80`, domain: 'a', slots: 8, leaving: false, models: [] })
 const asked = { service: engines, key: 'm/x', affinityKey: 'm/x', promptTokens: 10, inTimeMs: 600, priority: 1, excluded: new Set<string>() }
-const links = { orderable: () => true, warm: () => false, asked: () => 0, want: () => {} }
+const links = { orderable: () => true, warm: () => false, asked: () => 0, awaits: () => false, want: () => {} }
 
 describe('balancer', () => {
-  const setUp = (): { facts: Facts, balancer: Balancer } => {
+  const setUp = (placers = links): { facts: Facts, balancer: Balancer } => {
     const facts = new Facts(quietLog, () => 1000)
     facts.offer({ kind: 'table', key: 'table', revision: 1, value: table }, 'store')
-    const balancer = new Balancer(facts, 'a', () => limits, () => links, quietLog)
+    const balancer = new Balancer(facts, 'a', () => limits, () => placers, quietLog)
     for (const id of ['1', '2']) {
       facts.offer({ kind: 'server', key: id, revision: 2, value: server(id) }, 'store')
       balancer.state(server(id))
@@ -36,6 +36,12 @@
     expect(balancer.choose(asked)).to.include({ type: 'bring', ask: '2' })
   })
 
+  it('waits for what was asked for a moment ago, and asks no other engine for it', () => {
+    const { balancer } = setUp({ ...links, awaits: () => true })
+    expect(balancer.choose({ ...asked, key: 'm/y' })).to.deep.include({ type: 'bring', ask: undefined })
+    expect(setUp().balancer.choose({ ...asked, key: 'm/y' })).to.have.property('ask').that.is.oneOf(['1', '2'])
+  })
+
   it('limits connections to a server by the routing table, also where that comes after the server', () => {
     const facts = new Facts(quietLog, () => 1000)
     const balancer = new Balancer(facts, 'a', () => limits, () => links, quietLog)
