A home by hash weighs 0.5 s; a side process that does not answer a want is passed by; the request split into four

Home: where nobody remembers copies (all side processes restarted), the hash alone finds them, so it weighs more than the step of 0.2 s it had. Side processes: since homes lie in all domains, a frozen one across held a request up to its end (the test of silent side processes red: 503). One that has said nothing 0.5 s after it was asked for something is taken as stuck; green.

--- a/packages/fleet/src/entry/choice.ts
+++ b/packages/fleet/src/entry/choice.ts
@@ -101,10 +101,15 @@
 const warmLoadMs = 80
 /** A load from the weight store is worth avoiding for so much longer a wait: its price over what a second of lateness costs. */
 const coldPriceMs = 300
-/** Where all places are in use, a demand waits some 120 ms and is declined, and another engine is asked. */
-const noPlaceMs = 700
-/** Expected times differ a little between entries; within one such step the hash decides, so that all ask the same engine. */
+/** Where all places are in use a demand is declined after 120 ms and another engine asked: worse than a cold load anywhere. */
+const noPlaceMs = 1100
+/** Expected times differ a little between entries, so they count in whole steps. */
 const homeStepMs = 200
+/**
+ * How much sooner another engine has to start to be asked in place of the key's home by hash: there a copy is likely to be
+ * at hand, also where nobody remembers it.
+ */
+const homeMs = 500
 
 const isOpen = (option: Option): boolean => option.load < option.slots + batchSurplus
 
@@ -160,6 +165,6 @@
   const keyHash = hashOf(key)
   const cost = (option: EngineOption): number =>
     Math.floor(startMs(option) / homeStepMs) * homeStepMs + (option.warm ? 0 : coldPriceMs) + (option.places > 0 ? 0 : noPlaceMs) +
-    affinityOf(keyHash, option.hash) * homeStepMs
+    affinityOf(keyHash, option.hash) * homeMs
   return lowest(able, cost)?.id
 }
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -22,28 +22,22 @@
 import { Delivery } from './delivery.js'
 import { EventCutter } from './event-stream.js'
 import type { FirstTries } from './first-tries.js'
+import { Incoming } from './incoming.js'
 import { outgoingOf, type Marks } from './outgoing.js'
+import { RequestRecord } from './request-record.js'
+import { RequestTimes } from './request-times.js'
 import type { RetryBudget } from './retry-budget.js'
 import type { ServerFaults } from './server-faults.js'
-import { rankOf } from './urgency.js'
 import type { WaitingRoom } from './waiting-room.js'
 
 /** Tries of one request that come as far as a server, whatever their end. */
 const mostArrivals = 4
 /** All its tries, those that could not be sent too: a whole failure domain of servers may be out of reach. */
 const mostTries = 12
-/** Part of the time left for which a request may wait; the rest serves it, or a second try by its caller. */
-const waitShare = 0.45
-/** Part of the objective kept for serving, before the caller leaves. */
-const servingShare = 0.5
-/** Part of the objective after which a request is refused that nobody could take. */
-const nobodyShare = 0.2
 /** When callers are told to come back, unless a server says later: after something may have been loaded or have ended. */
 const leastRetryAfterMs = 250
 /** Silence beyond this many objectives is out of the ordinary. */
 const silentObjectives = 1.5
-/** A caller that states no time. */
-const defaultRemainingMs = 10_000
 /** A stream under way at its time limit is ended by its server; this much later by the entry. */
 const streamSlackMs = 200
 /** Below this, a try can't end in time. */
@@ -92,61 +86,55 @@
 }
 
 export class ServiceRequest {
-  readonly #arrived = nowMs()
+  readonly #incoming: Incoming
+  readonly #times = new RequestTimes()
+  readonly #record: RequestRecord
   readonly #delivery: Delivery
   readonly #left = new Cancellation()
   readonly #excluded = new Set<string>()
-  readonly #id: string
-  #route: Route | undefined
-  #deadline = Infinity
-  #tries = 0
+  /** A weighted draw of a service, the same for all tries. */
+  readonly #draw = Math.random()
   /** Tries that came as far as a server; only those weigh on the retry budget. */
   #arrivals = 0
   #ran = 0
   #mayHaveRun = false
-  #waitedMs = 0
-  #firstByteMs: number | undefined
-  /** From the last sending to the first token, as expected then. */
-  #expectedMs: number | undefined
-  #sentAtMs = 0
-  /** How long before this request its caller first tried. */
-  #firstTriedMs = 0
-  #server: BackendServer | undefined
-  #reason = ''
   #retryAfterMs = leastRetryAfterMs
   #cutter: EventCutter | undefined
   #expired = false
 
-  constructor (private readonly options: ServiceRequestOptions, private readonly request: IncomingMessage, private readonly response: ServerResponse) {
-    this.#id = this.#header(options.names.requestId) ?? ''
+  constructor (private readonly options: ServiceRequestOptions, request: IncomingMessage, response: ServerResponse) {
+    this.#incoming = new Incoming(request, options.names)
+    this.#record = new RequestRecord(this.#incoming, this.#times)
     this.#delivery = new Delivery(response, options.lastAnswer)
     response.on('close', () => { if (!response.writableFinished) this.#left.cancel() })
   }
 
   async serve (): Promise<void> {
     const outcome = await this.#serve()
-    this.#tell(outcome)
+    const { facts, balancer, log, counters } = this.options
+    const holding = balancer.states.get(this.#record.server?.id ?? '')?.holding
+    this.#record.tell(outcome, log, counters, { table: facts.routes?.table.version, holding })
   }
 
   async #serve (): Promise<string> {
-    const { facts, closed } = this.options
+    const { facts, closed, firstTries, blindRetryMs } = this.options
+    const { remainingMs, message } = this.#incoming
     const routes = facts.routes
     if (closed || routes === undefined) {
-      this.request.resume()
-      if (!closed) this.#retryAfterMs = this.options.blindRetryMs()
+      message.resume()
+      if (!closed) this.#retryAfterMs = blindRetryMs()
       return this.#refuse(closed ? 'stopping' : 'no_table')
     }
     const route = this.#match()
     if (route === undefined) return this.#end(404, 'no_route', 'no such route')
-    this.#route = route
-    this.#deadline = this.#arrived + Math.min(this.#remaining(), route.timeoutMs)
-    this.#firstTriedMs = this.options.firstTries.agoMs(route.name, this.#remaining())
-    const body = await this.#readBody(routes.table.limits.bodyBytes)
-    if (typeof body === 'string') return body
+    this.#times.deadline = this.#times.arrived + Math.min(remainingMs, route.timeoutMs)
+    this.#times.firstTriedMs = firstTries.agoMs(route.name, remainingMs)
+    const body = await this.#incoming.body(routes.table.limits.bodyBytes)
+    if (body.isErr()) return body.error === 'too_large' ? this.#end(413, 'too_large', 'the body is too large') : body.error
     this.#cutter = route.kind === 'stream' && route.resumable ? new EventCutter() : undefined
-    const timer = setTimeout(() => this.#expire(), Math.max(0, this.#deadline - nowMs()))
+    const timer = setTimeout(() => this.#expire(), Math.max(0, this.#times.leftMs))
     try {
-      return await this.#tryUntilDone(body)
+      return await this.#tryUntilDone(body.value)
     } finally {
       clearTimeout(timer)
     }
@@ -156,7 +144,6 @@
     for (;;) {
       const route = this.#match()
       if (route === undefined) return this.#mayHaveRun ? this.#fail(502, 'route_removed') : this.#end(404, 'no_route', 'no such route')
-      this.#route = route
       const service = this.#serviceOf(route)
       if (service === undefined) return this.#refuse('no_service')
       const asked = this.#asked(service, route)
@@ -170,12 +157,12 @@
   }
 
   #match (): Route | undefined {
-    const path = (this.request.url ?? '/').split('?')[0] ?? '/'
-    const host = (this.request.headers.host ?? '').replace(/:\d+$/, '')
-    return this.options.facts.routes?.find(host, path)
+    const { host, path } = this.#incoming
+    const route = this.options.facts.routes?.find(host, path)
+    if (route !== undefined) this.#record.route = route
+    return route
   }
 
-  /** A weighted draw, the same for all tries of the request. */
   #serviceOf (route: Route): FleetService | undefined {
     const total = route.targets.reduce((sum, target) => sum + target.weight, 0)
     let left = this.#draw * total
@@ -183,39 +170,10 @@
     return target === undefined ? undefined : this.options.facts.routes?.service(target.service)
   }
 
-  readonly #draw = Math.random()
-
   #asked (service: FleetService, route: Route): Asked {
-    const key = service.engine === undefined ? undefined : this.#header(this.options.names.model)
-    const promptTokens = Number.parseInt(this.#header(this.options.names.tokens) ?? '0', 10) || 0
-    return { service, key, affinityKey: key ?? '', promptTokens, inTimeMs: this.#inTimeMs(route), priority: route.priority, excluded: this.#excluded }
-  }
-
-  #header (name: string): string | undefined {
-    const value = this.request.headers[name]
-    return Array.isArray(value) ? value[0] : value
-  }
-
-  #remaining (): number {
-    const stated = Number(this.#header(this.options.names.remainingMs) ?? NaN)
-    return Number.isFinite(stated) && stated >= 0 ? stated : defaultRemainingMs
-  }
-
-  /** The whole body, or the outcome if there is none to be had. */
-  #readBody (limit: number): Promise<Buffer | string> {
-    const { request } = this
-    const pieces: Buffer[] = []
-    let size = 0
-    return new Promise(resolve => {
-      request.on('data', (piece: Buffer) => {
-        size += piece.length
-        if (size <= limit) pieces.push(piece)
-        else resolve(this.#end(413, 'too_large', 'the body is too large'))
-      })
-      request.on('end', () => resolve(pieces.length === 1 ? pieces[0] ?? noBytes : Buffer.concat(pieces)))
-      request.on('error', () => resolve('caller_left'))
-      request.on('close', () => resolve('caller_left'))
-    })
+    const { model, promptTokens } = this.#incoming
+    const key = service.engine === undefined ? undefined : model
+    return { service, key, affinityKey: key ?? '', promptTokens, inTimeMs: this.#times.inTimeMs(route), priority: route.priority, excluded: this.#excluded }
   }
 
   #expire (): void {
@@ -230,45 +188,36 @@
     const first = balancer.choose(asked)
     if (first.type === 'send') return first
     const started = nowMs()
-    const until = first.type === 'none' ? started + route.objectiveMs * nobodyShare : this.#waitUntil(started, route)
     const end = await room.wait({
       key: asked.key ?? asked.service.name,
-      rank: () => this.#rank(route, asked.promptTokens),
-      until,
-      choose: () => balancer.choose({ ...asked, inTimeMs: this.#inTimeMs(route) }),
-      bring: (ask, waiting) => balancer.bring(ask, asked.key ?? '', waiting, this.#rank(route, asked.promptTokens))
+      rank: () => this.#rank(route),
+      until: first.type === 'none' ? this.#times.waitForAnybodyUntil(route) : this.#times.waitUntil(route),
+      choose: () => balancer.choose({ ...asked, inTimeMs: this.#times.inTimeMs(route) }),
+      bring: (ask, waiting) => balancer.bring(ask, asked.key ?? '', waiting, this.#rank(route))
     }, first, this.#left)
-    this.#waitedMs += nowMs() - started
-    counters.waited.observe({ for: first.type }, (nowMs() - started) / 1000)
+    const waitedMs = nowMs() - started
+    this.#record.waitedMs += waitedMs
+    counters.waited.observe({ for: first.type }, waitedMs / 1000)
     if (end.type === 'chosen') return end.choice
     if (end.type === 'left') return this.#abandoned(false)
     return this.#giveUp(end.last.reason)
   }
 
-  /** Its caller still has to wait for the first token once it was sent, and doesn't wait for ever. */
-  #waitUntil (started: number, { objectiveMs, patienceMs = Infinity }: Route): number {
-    const leaves = this.#arrived + patienceMs - objectiveMs * servingShare
-    return Math.min(started + (this.#deadline - started) * waitShare, leaves)
-  }
-
   async #try (server: BackendServer, asked: Asked, route: Route, body: Buffer, reason: string): Promise<Verdict> {
     const { balancer, budget, names, counters, connects } = this.options
-    const remaining = Math.floor(this.#deadline - nowMs())
+    const remaining = Math.floor(this.#times.leftMs)
     if (remaining < leastRemainingMs) return done(this.#mayHaveRun ? this.#fail(504, 'timed_out') : this.#refuse('too_late'))
-    if (this.#tries === 0) budget.first(asked.service.name)
+    if (this.#record.tries === 0) budget.first(asked.service.name)
     if (this.#arrivals > 0 && !budget.repeat(asked.service.name)) return done(this.#giveUp('no_retry_left'))
-    this.#tries += 1
-    this.#server = server
-    this.#reason = reason
     const state = balancer.state(server)
-    this.#sentAtMs = nowMs() - this.#arrived
-    this.#expectedMs = asked.key === undefined ? undefined : state.expectedMs(asked.promptTokens, route.priority, nowMs())
-    const pending = state.begin({ key: asked.key, patienceMs: route.objectiveMs * silentObjectives, tokens: asked.promptTokens, priority: route.priority })
+    this.#noteTry(server, asked, reason)
+    const { key, promptTokens: tokens, priority } = asked
+    const pending = state.begin({ key, tokens, priority, patienceMs: route.objectiveMs * silentObjectives })
     const end = await attempt({
       agent: state.agent,
       address: server.address,
-      outgoing: outgoingOf(this.request, body, names, this.#marks(server, asked, route, remaining)),
-      requestId: this.#id,
+      outgoing: outgoingOf(this.#incoming.message, body, names, this.#marks(server, asked, route, remaining)),
+      requestId: this.#incoming.id,
       serverId: server.id,
       names,
       connectMs: Math.min(connects.ms, remaining),
@@ -280,34 +229,32 @@
       heard: () => {
         state.heard(pending)
         balancer.heard(pending)
-        this.#firstByteMs ??= nowMs() - this.#arrived
+        this.#record.firstByteMs ??= this.#times.ms
       }
     })
-    state.end(asked.key, pending)
+    state.end(key, pending)
     if (end.type !== 'not_sent') this.#arrivals += 1
     counters.attempts.inc({ end: end.type })
     this.options.room.pokeFull()
     return this.#judge(end, { server, asked, route })
   }
 
-  #marks (server: BackendServer, { key, promptTokens }: Asked, route: Route, remaining: number): Marks {
-    const engine = key === undefined ? undefined : { rank: this.#rank(route, promptTokens), version: this.options.balancer.heldVersion(server, key) }
-    return { remaining, server: server.id, engine, resumeAt: this.#cutter?.lastId }
-  }
-
-  /** Since its caller first tried. */
-  get #elapsedMs (): number {
-    return this.#firstTriedMs + nowMs() - this.#arrived
+  #noteTry (server: BackendServer, { key, promptTokens, priority }: Asked, reason: string): void {
+    const record = this.#record
+    record.tries += 1
+    record.server = server
+    record.reason = reason
+    record.sentAtMs = this.#times.ms
+    record.expectedMs = key === undefined ? undefined : this.options.balancer.state(server).expectedMs(promptTokens, priority, nowMs())
   }
 
-  /** Left until it is late; without end once it is, as nothing can be gained any more. */
-  #inTimeMs ({ objectiveMs }: Route): number {
-    const left = objectiveMs - this.#elapsedMs
-    return left > 0 ? left : Infinity
+  #marks (server: BackendServer, { key }: Asked, route: Route, remaining: number): Marks {
+    const engine = key === undefined ? undefined : { rank: this.#rank(route), version: this.options.balancer.heldVersion(server, key) }
+    return { remaining, server: server.id, engine, resumeAt: this.#cutter?.lastId }
   }
 
-  #rank ({ priority, objectiveMs }: Route, promptTokens: number): number {
-    return rankOf({ priority, objectiveMs, elapsedMs: this.#elapsedMs, readingMs: this.options.balancer.readingMs(promptTokens) })
+  #rank (route: Route): number {
+    return this.#times.rank(route, this.options.balancer.readingMs(this.#incoming.promptTokens))
   }
 
   /** What follows from a try's end. */
@@ -325,24 +272,24 @@
     },
     answer: (self, { status, headers, body }, at) => {
       const failed = status >= firstFailure
-      if (failed) self.options.faults.failed(at.server, self.#id, `status ${status}`)
+      if (failed) self.options.faults.failed(at.server, self.#incoming.id, `status ${status}`)
       else self.options.balancer.state(at.server).outlier.succeeded()
       self.#ran += 1
       if (failed && self.#mayRunAgain(at)) {
         self.#mayHaveRun = true
         return again
       }
-      self.#delivery.whole(status, headers, body, self.request.method === 'HEAD' || bodyless.has(status))
+      self.#delivery.whole(status, headers, body, self.#incoming.message.method === 'HEAD' || bodyless.has(status))
       return done(`answered ${status}`)
     },
     not_sent: (self, { detail }, { server }) => {
-      self.options.faults.unreachable(server, self.#id, detail)
+      self.options.faults.unreachable(server, self.#incoming.id, detail)
       self.#excluded.add(server.id)
       return self.#goOn('not_sent')
     },
     not_run: (self, { status, cause, retryAfter }, { server, asked }) => {
       const { key } = asked
-      if (self.options.faults.refused({ request: self.#id, server, status, cause, key, tries: self.#tries })) self.#excluded.add(server.id)
+      if (self.options.faults.refused({ request: self.#incoming.id, server, status, cause, key, tries: self.#record.tries })) self.#excluded.add(server.id)
       self.#retryAfterMs = Math.max(self.#retryAfterMs, secondsOf(retryAfter) * 1000)
       return self.#goOn('refused')
     },
@@ -360,7 +307,7 @@
   }
 
   #mayHaveRunAt (server: BackendServer, detail: string): void {
-    this.options.faults.failed(server, this.#id, detail)
+    this.options.faults.failed(server, this.#incoming.id, detail)
     this.#mayHaveRun = true
     this.#ran += 1
   }
@@ -372,7 +319,7 @@
   }
 
   get #triesLeft (): boolean {
-    return this.#arrivals < mostArrivals && this.#tries < mostTries
+    return this.#arrivals < mostArrivals && this.#record.tries < mostTries
   }
 
   /** Whether it may run once more though it has run, or may have, and another server could take it. */
@@ -404,54 +351,21 @@
 
   /** It has surely not run, and may be asked again. */
   #refuse (reason: string): string {
-    this.#reason = reason
+    this.#record.reason = reason
     this.#delivery.own(503, { [this.options.names.retryAfter]: String(this.#retryAfterMs / 1000) }, `not run: ${reason}`)
     return 'refused'
   }
 
   /** It may have run. */
   #fail (status: 502 | 504, reason: string): string {
-    this.#reason = reason
+    this.#record.reason = reason
     this.#delivery.own(status, {}, `may have run: ${reason}`)
     return 'failed'
   }
 
   #end (status: number, outcome: string, message: string): string {
-    this.request.resume()
+    this.#incoming.message.resume()
     this.#delivery.own(status, {}, message)
     return outcome
   }
-
-  #tell (outcome: string): void {
-    const { counters, log, facts, balancer } = this.options
-    const kind = this.#route?.kind ?? 'none'
-    const ms = nowMs() - this.#arrived
-    const label = outcome.split(' ')[0] ?? outcome
-    counters.ended.inc({ kind, outcome: label })
-    counters.duration.observe({ kind, outcome: label }, ms / 1000)
-    if (this.#firstByteMs !== undefined) counters.firstByte.observe({ kind }, this.#firstByteMs / 1000)
-    const holding = this.#server === undefined ? undefined : balancer.states.get(this.#server.id)?.holding
-    log.info('request.ended', {
-      request: this.#id,
-      route: this.#route?.name,
-      table: facts.routes?.table.version,
-      key: this.#header(this.options.names.model),
-      server: this.#server?.id,
-      domain: this.#server?.domain,
-      reason: this.#reason,
-      outcome,
-      tries: this.#tries,
-      tokens: this.#header(this.options.names.tokens),
-      firstTriedMs: this.#firstTriedMs === 0 ? undefined : Math.round(this.#firstTriedMs),
-      sentAtMs: Math.round(this.#sentAtMs),
-      expectedMs: this.#expectedMs === undefined ? undefined : Math.round(this.#expectedMs),
-      waitedMs: Math.round(this.#waitedMs),
-      firstByteMs: this.#firstByteMs === undefined ? undefined : Math.round(this.#firstByteMs),
-      ms: Math.round(ms),
-      leftMs: Math.round(this.#deadline - nowMs()),
-      holdingAgeMs: holding === undefined ? undefined : Math.round(nowMs() - holding.at)
-    })
-  }
 }
-
-const noBytes = Buffer.alloc(0)
--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -24,6 +24,8 @@
 const wantAgainMs = 600
 /** One that has said nothing for this long, near and across, isn't asked for anything: it is stuck or gone. */
 const stuckMs = { near: 1000, far: 2000 }
+/** A side process that takes a want tells of the place that it takes within 0.3 s; one that is silent for longer is stuck or gone. */
+const unansweredMs = 500
 /** After a side process declined, others are asked first for this long. */
 const declinedMs = 500
 /** A side process says something at least every 0.7 s near and 1.5 s across; this much silence is twice to four times that. */
@@ -48,6 +50,8 @@
   stop: AbortController
   channel: Channel | undefined
   heardAt: number
+  /** When it was first asked for something since it was last heard. */
+  unansweredSince: number
   /** When it last told what its engine holds. */
   toldAt: number
   entries: number
@@ -100,14 +104,19 @@
     const link = this.#links.get(hostOf(engine.address))
     if (link?.channel === undefined) return false
     const now = nowMs()
+    return !this.#stuck(link, now) && now - (link.declined.get(key) ?? -Infinity) > declinedMs
+  }
+
+  #stuck (link: SideLink, now: number): boolean {
     const patience = link.domain === this.options.domain ? stuckMs.near : stuckMs.far
-    return now - link.heardAt < patience && now - (link.declined.get(key) ?? -Infinity) > declinedMs
+    return now - link.heardAt > patience || now - link.unansweredSince > unansweredMs
   }
 
   /** Whether the engine was asked for the key a moment ago, and may well bring it in though it has not said so yet. */
   awaits (engine: BackendServer, key: string): boolean {
     const link = this.#links.get(hostOf(engine.address))
-    return link?.channel !== undefined && nowMs() - (link.wanted.get(key) ?? -Infinity) < wantAgainMs
+    const now = nowMs()
+    return link?.channel !== undefined && !this.#stuck(link, now) && now - (link.wanted.get(key) ?? -Infinity) < wantAgainMs
   }
 
   /** Adapters asked of the engine since its side process last told how many places it has. */
@@ -129,6 +138,7 @@
     const now = nowMs()
     if (link?.channel === undefined || now - (link.wanted.get(key) ?? -Infinity) < wantAgainMs) return
     link.wanted.set(key, now)
+    link.unansweredSince = Math.min(link.unansweredSince, now)
     link.channel.send({ type: 'want', key, waiting, priority, ...(version === undefined ? {} : { version }) })
     this.options.log.info('adapter.wanted', { key, server: engine.id, waiting, priority })
   }
@@ -167,6 +177,7 @@
       stop: new AbortController(),
       channel: undefined,
       heardAt: -Infinity,
+      unansweredSince: Infinity,
       toldAt: -Infinity,
       entries: 0,
       held: new Map(),
@@ -214,6 +225,7 @@
     })
     for await (const frame of channel.frames()) {
       link.heardAt = nowMs()
+      link.unansweredSince = Infinity
       if (frame.type === 'fact') factLink.receive(frame)
       else if (frame.type === 'heartbeat') factLink.heard(frame.complete)
       else this.#take(link, frame)
