--- a/packages/fleet/test/choice.test.ts
+++ b/packages/fleet/test/choice.test.ts
@@ -76,6 +76,22 @@
       expect(engine([]).type).to.equal('none')
     })
 
+    it('asks the engine that starts soonest, where that is sooner by more than a home is worth', () => {
+      const home = (options: EngineOption[]): unknown => Object.entries(engine(options)).find(([name]) => name === 'ask')?.[1]
+      const [p, q] = [option('p', 'a'), option('q', 'a')]
+      const other = home([p, q]) === 'p' ? 'q' : 'p'
+      const slow = (ms: number): EngineOption[] => [p, q].map(each => each.id === other ? each : { ...each, expectedMs: ms })
+      expect(home(slow(200))).to.not.equal(other)
+      expect(home(slow(2000))).to.equal(other)
+    })
+
+    it('waits for a replica where its only holder would make it late, and goes to the holder where nothing is gained', () => {
+      const holder = option('p', 'a', { holds: true, expectedMs: 1500 })
+      expect(engine([holder, option('q', 'b')])).to.deep.include({ type: 'bring', ask: 'q', held: true })
+      expect(engine([holder, option('q', 'b', { expectedMs: 900 })])).to.include({ type: 'send', id: 'p' })
+      expect(engine([{ ...holder, expectedMs: 500 }, option('q', 'b')])).to.include({ type: 'send', id: 'p' })
+    })
+
     it('waits for an adapter on its way', () => {
       expect(engine([option('p', 'a', { coming: true }), option('q', 'a')])).to.deep.include({ type: 'bring', ask: undefined })
     })
--- /dev/null
+++ b/packages/fleet/test/request-times.test.ts
@@ -0,0 +1,38 @@
+import { RequestTimes, nowMs, type Route } from '@finchpitch/fleet'
+import { FakeTime } from '@finchpitch/stand-ins'
+import { expect } from 'chai'
+
+const route: Route = {
+  name: 'r', host: 'h', pathPrefix: '/', kind: 'stream', timeoutMs: 15_000, objectiveMs: 600, patienceMs: 2400, priority: 0, maxAttempts: 1, resumable: false, targets: [{ service: 's', weight: 1 }]
+}
+
+describe('the times of a request', () => {
+  let time: FakeTime
+  let times: RequestTimes
+
+  beforeEach(() => {
+    time = new FakeTime()
+    times = new RequestTimes()
+    times.deadline = times.arrived + 15_000
+  })
+
+  afterEach(() => time.restore())
+
+  it('have it wait no longer than its caller stays, less the time to serve it', () => {
+    expect(times.waitUntil(route) - nowMs()).to.equal(2100)
+    expect(times.waitUntil({ ...route, patienceMs: undefined }) - nowMs()).to.equal(6750)
+    times.deadline = times.arrived + 2000
+    expect(times.waitUntil(route) - nowMs()).to.equal(900)
+  })
+
+  it('run from the caller\'s first try, and have no end to be in time for once it is late', async () => {
+    await time.pass(200)
+    expect(times.inTimeMs(route)).to.be.closeTo(400, 5)
+    times.firstTriedMs = 300
+    expect(times.inTimeMs(route)).to.be.closeTo(100, 5)
+    expect(times.rank(route, 20)).to.be.lessThan(6)
+    await time.pass(150)
+    expect(times.inTimeMs(route)).to.equal(Infinity)
+    expect(times.rank(route, 20)).to.be.at.least(6)
+  })
+})
