--- a/packages/fleet/src/entry/balancer.ts
+++ b/packages/fleet/src/entry/balancer.ts
@@ -10,7 +10,7 @@
 import { chooseEngine, choosePlain, type Choice, type EngineChoice, type EngineOption, type Option } from './choice.js'
 import { ReadingPace } from './reading-pace.js'
 import { ServerStates, type Pending, type ServerState } from './server-state.js'
-import type { Need, SideLinks } from './side-links.js'
+import type { SideLinks } from './side-links.js'
 
 /** What the balancer needs of the links to side processes. */
 export type Placers = Pick<SideLinks, 'orderable' | 'warm' | 'asked' | 'awaits' | 'want'>
@@ -80,9 +80,9 @@
     return tokens * this.pace.msPerToken(nowMs())
   }
 
-  bring (ask: string, key: string, need: Need): void {
+  bring (ask: string, key: string, waiting: number, priority: number): void {
     const engine = this.facts.servers.get(ask)
-    if (engine !== undefined) this.links().want(engine, key, need, this.facts.version(key)?.version)
+    if (engine !== undefined) this.links().want(engine, key, waiting, priority, this.facts.version(key)?.version)
   }
 
   /** The version of the key that an engine holds, where it may be used. */
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -19,7 +19,6 @@
 import { EntryCounters } from './counters.js'
 import { FirstTries } from './first-tries.js'
 import { RetryBudget } from './retry-budget.js'
-import { RunTimes } from './run-times.js'
 import { ServerFaults } from './server-faults.js'
 import { ServiceRequest } from './service-request.js'
 import { SideLinks } from './side-links.js'
@@ -68,7 +67,6 @@
   readonly #budget: RetryBudget
   readonly #connects = new ConnectLimit()
   readonly #firstTries = new FirstTries()
-  readonly #runs = new RunTimes()
   readonly #faults: ServerFaults
   readonly #stop = new AbortController()
   readonly #startedAt = nowMs()
@@ -153,7 +151,7 @@
     this.#running += 1
     try {
       const served = new ServiceRequest({
-        facts, balancer: this.#balancer, room: this.#room, budget: this.#budget, faults: this.#faults, connects: this.#connects, firstTries: this.#firstTries, runs: this.#runs, names, counters: this.counters, log, closed: this.#closed, blindRetryMs: () => this.#blindRetryMs, lastAnswer: () => this.#closing || this.#connections.isOld(request.socket)
+        facts, balancer: this.#balancer, room: this.#room, budget: this.#budget, faults: this.#faults, connects: this.#connects, firstTries: this.#firstTries, names, counters: this.counters, log, closed: this.#closed, blindRetryMs: () => this.#blindRetryMs, lastAnswer: () => this.#closing || this.#connections.isOld(request.socket)
       }, request, response)
       await served.serve()
     } catch (error) {
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -26,7 +26,6 @@
 import { outgoingOf, type Marks } from './outgoing.js'
 import { RequestRecord } from './request-record.js'
 import { RequestTimes } from './request-times.js'
-import type { RunTimes } from './run-times.js'
 import type { RetryBudget } from './retry-budget.js'
 import type { ServerFaults } from './server-faults.js'
 import type { WaitingRoom } from './waiting-room.js'
@@ -50,7 +49,6 @@
   room: WaitingRoom
   budget: RetryBudget
   firstTries: FirstTries
-  runs: RunTimes
   names: HeaderNames
   faults: ServerFaults
   connects: ConnectLimit
@@ -185,7 +183,7 @@
   }
 
   async #choose (asked: Asked, route: Route): Promise<Sending | string> {
-    const { balancer, room, counters, runs } = this.options
+    const { balancer, room, counters } = this.options
     if (this.#left.cancelled) return this.#abandoned(false)
     const first = balancer.choose(asked)
     if (first.type === 'send') return first
@@ -195,7 +193,7 @@
       rank: () => this.#rank(route),
       until: first.type === 'none' ? this.#times.waitForAnybodyUntil(route) : this.#times.waitUntil(route),
       choose: () => balancer.choose({ ...asked, inTimeMs: this.#times.inTimeMs(route) }),
-      bring: (ask, waiting) => balancer.bring(ask, asked.key ?? '', { waiting, priority: this.#rank(route), runMs: Math.round(runs.usualMs(route.name)) })
+      bring: (ask, waiting) => balancer.bring(ask, asked.key ?? '', waiting, this.#rank(route))
     }, first, this.#left)
     const waitedMs = nowMs() - started
     this.#record.waitedMs += waitedMs
@@ -267,9 +265,8 @@
 
   /** By how a try ended. */
   static readonly #judges: { [Type in AttemptEnd['type']]: (self: ServiceRequest, end: Extract<AttemptEnd, { type: Type }>, at: Tried) => Verdict } = {
-    streamed: (self, _end, { server, route }) => {
+    streamed: (self, _end, { server }) => {
       self.options.balancer.state(server).outlier.succeeded()
-      self.options.runs.ended(route.name, self.#times.ms - (self.#record.firstByteMs ?? 0))
       self.#delivery.finish()
       return done('streamed')
     },
--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -44,15 +44,6 @@
   changed: (keys: string[] | undefined) => void
 }
 
-/** What requests that wait for an adapter need. */
-export interface Need {
-  waiting: number
-  /** Rank of the most urgent. */
-  priority: number
-  /** How long they usually hold a place. */
-  runMs: number
-}
-
 interface SideLink {
   host: string
   domain: string
@@ -142,14 +133,14 @@
     return version !== undefined && version >= (this.options.facts.version(key)?.version ?? 0)
   }
 
-  want (engine: BackendServer, key: string, need: Need, version?: number): void {
+  want (engine: BackendServer, key: string, waiting: number, priority: number, version?: number): void {
     const link = this.#links.get(hostOf(engine.address))
     const now = nowMs()
     if (link?.channel === undefined || now - (link.wanted.get(key) ?? -Infinity) < wantAgainMs) return
     link.wanted.set(key, now)
     link.unansweredSince = Math.min(link.unansweredSince, now)
-    link.channel.send({ type: 'want', key, ...need, ...(version === undefined ? {} : { version }) })
-    this.options.log.info('adapter.wanted', { key, server: engine.id, ...need })
+    link.channel.send({ type: 'want', key, waiting, priority, ...(version === undefined ? {} : { version }) })
+    this.options.log.info('adapter.wanted', { key, server: engine.id, waiting, priority })
   }
 
   /** Tells side processes which adapters are in use, until `signal` aborts. */
--- a/packages/fleet/src/urgency.ts
+++ b/packages/fleet/src/entry/urgency.ts
@@ -26,8 +26,6 @@
   readingMs: number
 }
 
-export const isLate = (rank: number): boolean => rank >= firstLate
-
 export const rankOf = ({ priority, objectiveMs, elapsedMs, readingMs }: Urgency): number => {
   const spareMs = objectiveMs - elapsedMs - readingMs
   if (spareMs < 0) return Math.min(leastUrgent, firstLate + priority)
--- a/packages/fleet/src/side/demands.ts
+++ b/packages/fleet/src/side/demands.ts
@@ -1,9 +1,8 @@
 /**
  * Demands and uses at one engine, as the entries tell them.
  */
-import { Estimate, Popularity } from '@finchpitch/decisions'
+import { Popularity } from '@finchpitch/decisions'
 import { nowMs } from '../clock.js'
-import { isLate } from '../urgency.js'
 import type { Demand } from './placement.js'
 
 /** An entry that still waits asks again well within this time. */
@@ -18,12 +17,7 @@
 /** Entries tell their uses several times a second; what one said before falling silent is then forgotten. */
 const usesMs = 3000
 
-/** Before any demand was seen. */
-const startRunMs = 500
-/** A run this much longer than those usually waited for is long: in its time a place serves several others. */
-const longFactor = 1.25
-
-interface Asked extends Omit<Demand, 'waitedMs' | 'long'> {
+interface Asked extends Omit<Demand, 'waitedMs'> {
   since: number
   /** When it was last asked for. */
   at: number
@@ -41,11 +35,9 @@
   readonly #popularity = new Map<string, Popularity>()
   readonly #uses = new Map<string, Uses>()
   readonly #fresh = new Map<string, number>()
-  readonly #runs = new Estimate(startRunMs)
 
-  ask (demand: Omit<Demand, 'waitedMs' | 'long'>): void {
+  ask (demand: Omit<Demand, 'waitedMs'>): void {
     const now = nowMs()
-    if (!this.#asked.has(demand.key)) this.#runs.add(demand.runMs)
     const before = this.#asked.get(demand.key)
     const priority = Math.min(demand.priority, before?.priority ?? Infinity)
     this.#asked.set(demand.key, { ...demand, priority, since: before?.since ?? now, at: now })
@@ -66,16 +58,15 @@
     return this.#asked.has(key)
   }
 
-  /** What can be in time before what can't, short runs before long ones, then the most urgent and the longest list first. */
+  /** What is waited for before what only may be, the most urgent and then the longest list first. */
   current (): Demand[] {
     const now = nowMs()
     for (const [key, asked] of this.#asked) {
       if (now - asked.at > demandMs) this.#asked.delete(key)
     }
     return [...this.#asked.values()]
-      .map(asked => ({ ...asked, waitedMs: now - asked.since, long: asked.runMs > this.#runs.value * longFactor }))
-      .sort((a, b) => Number(isLate(a.priority)) - Number(isLate(b.priority)) || Number(a.long) - Number(b.long) ||
-        a.priority - b.priority || b.waiting - a.waiting || a.since - b.since)
+      .sort((a, b) => Number(b.waiting > 0) - Number(a.waiting > 0) || a.priority - b.priority || b.waiting - a.waiting || a.since - b.since)
+      .map(asked => ({ ...asked, waitedMs: now - asked.since }))
   }
 
   /** Takes over what an entry tells of its uses; says whether one of the adapters fell idle there. */
--- a/packages/fleet/src/side/placement.ts
+++ b/packages/fleet/src/side/placement.ts
@@ -19,9 +19,6 @@
  */
 const placePatienceMs = 120
 
-/** Places of an engine that are kept for runs which are not long. */
-const placesForShort = 1
-
 /** An adapter with fewer recent uses than this is let go rather than replaced when a newer version is named. */
 const worthReplacing = 1
 
@@ -30,10 +27,6 @@
   version?: number
   waiting: number
   priority: number
-  /** How long the requests that wait usually hold a place. */
-  runMs: number
-  /** Longer than most that is asked for here. */
-  long: boolean
   /** Since it was first asked for. */
   waitedMs: number
 }
@@ -150,17 +143,12 @@
 const placeAdapter = (input: PlacementInput): Placement | undefined => {
   const { account, demands } = input
   const held = new Map(heldAdapters(account).map(each => [each.key, each.version]))
-  const scarce = placesToGive(input) <= placesForShort
-  for (const { key, version, waitedMs, long } of demands) {
+  for (const { key, version, waitedMs } of demands) {
     const ref = parseRef(key)
     if (ref.adapter === undefined || held.has(key) || isComing(account, key)) continue
     if (!account.models.some(model => model.name === ref.model)) return { type: 'declined', key, reason: 'unknown_model' }
     if (account.coming.length >= mostComing) return undefined
     if (!input.mayLoad(key)) return { type: 'declined', key, reason: 'load_rate' }
-    if (long && scarce) {
-      if (waitedMs >= placePatienceMs) return { type: 'declined', key, reason: 'no_place' }
-      continue
-    }
     if (placesFree(input) > 0) return ordered(input, 'load', key, 'asked for', input.newest(key) ?? version)
     const victim = victimOf(input)
     if (victim !== undefined) return ordered(input, 'unload', victim, `makes room for ${key}`)
--- a/packages/fleet/src/side/side.ts
+++ b/packages/fleet/src/side/side.ts
@@ -274,7 +274,7 @@
       if (this.#fence > 0 && frame.highest > this.#fence) this.options.log.info('fence.behind', { fence: this.#fence, highest: frame.highest })
     }
     if (frame.type === 'want') {
-      this.demands.ask({ ...frame, runMs: frame.runMs ?? 0 })
+      this.demands.ask(frame)
       this.options.log.info('demand.asked', { key: frame.key, entry, waiting: frame.waiting, priority: frame.priority })
       this.#wake()
     }
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -87,8 +87,8 @@
   Hello,
   FactFrame,
   HoldingFrame,
-  /** Asks a side process to bring an adapter in, `waiting` requests being held for it, which usually run for `runMs`. */
-  z.object({ type: z.literal('want'), key: AdapterKey, version: z.number().optional(), waiting: Count, priority: Count, runMs: Count.optional() }),
+  /** Asks a side process to bring an adapter in, `waiting` requests being held for it. */
+  z.object({ type: z.literal('want'), key: AdapterKey, version: z.number().optional(), waiting: Count, priority: Count }),
   /** It can't be brought in now. */
   z.object({ type: z.literal('declined'), key: AdapterKey, reason: z.string().max(100) }),
   /**
