--- a/packages/fleet/src/entry/request-times.ts
+++ b/packages/fleet/src/entry/request-times.ts
@@ -3,7 +3,7 @@
  */
 import { nowMs } from '../clock.js'
 import type { Route } from '../table.js'
-import { rankOf } from './urgency.js'
+import { rankOf } from '../urgency.js'
 
 /** Part of the time left for which a request may wait; the rest serves it, or a second try by its caller. */
 const waitShare = 0.45
