--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,2 @@
+/** Measurements, and the table of where service is lost. */
+export * from './losses.js'
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,11 +1,22 @@
 /**
- * `npm run bench -- NAME`: runs one measurement, prints its table and keeps it as JSON.
+ * `npm run bench -- NAME`: runs one measurement, prints its table and keeps it as JSON. `losses FILE` prints where the
+ * requests of a log went, and keeps nothing.
  */
 import { capacity } from './capacity.js'
 import { claims } from './claims.js'
+import { readLosses } from './losses.js'
 import { path } from './path.js'
+import { printTable } from './report.js'
 
-const measurements: Record<string, () => Promise<void>> = { capacity, claims, path }
+const losses = async (): Promise<void> => {
+  const [, , , file] = process.argv
+  if (file === undefined) throw new Error('losses needs the path of a log')
+  const { byRoute, byMoment } = await readLosses(file)
+  if (byRoute.length === 0) throw new Error(`no line "request.ended" in ${file}`)
+  process.stdout.write(`${printTable(byRoute)}\n\n${printTable(byMoment)}\n`)
+}
+
+const measurements: Record<string, () => Promise<void>> = { capacity, claims, losses, path }
 
 const name = process.argv[2] ?? ''
 const measure = measurements[name]
@@ -13,5 +24,8 @@
   process.stderr.write(`no measurement "${name}"; there are: ${Object.keys(measurements).join(', ')}\n`)
   process.exitCode = 2
 } else {
-  await measure()
+  await measure().catch((error: unknown) => {
+    process.stderr.write(`${(error as Error).message}\n`)
+    process.exitCode = 1
+  })
 }
--- a/packages/bench/src/report.ts
+++ b/packages/bench/src/report.ts
@@ -18,7 +18,7 @@
 
 export const rounded = (value: number): number => Number(value.toPrecision(significant))
 
-const printTable = (rows: Row[]): string => {
+export const printTable = (rows: Row[]): string => {
   const columns = [...new Set(rows.flatMap(row => Object.keys(row)))]
   const cells = [columns, ...rows.map(row => columns.map(column => String(row[column] ?? '')))]
   const widths = columns.map((_, index) => Math.max(...cells.map(line => (line[index] ?? '').length)))
--- a/packages/fleet/src/entry/request-record.ts
+++ b/packages/fleet/src/entry/request-record.ts
@@ -38,6 +38,7 @@
     log.info('request.ended', {
       request: incoming.id,
       route: route?.name,
+      objectiveMs: route?.objectiveMs,
       table,
       key: incoming.model,
       tokens: incoming.tokens,
