--- a/packages/fleet/src/side/side.ts
+++ b/packages/fleet/src/side/side.ts
@@ -9,7 +9,6 @@
 import { isDeepStrictEqual } from 'node:util'
 import { pause, type Log } from '@finchpitch/core'
 import { Channel, type ChannelOptions, type Frame } from '@finchpitch/wire'
-import { nowMs } from '../clock.js'
 import { FactLink, patienceMs } from '../fact-exchange.js'
 import type { Facts } from '../facts.js'
 import type { EngineAccount, EngineOrder, EngineOrders, Limits } from '../ports.js'
@@ -19,18 +18,14 @@
 import { Demands } from './demands.js'
 import { EntryLink, difference, type EngineNews, type HeldKeys } from './entry-link.js'
 import { LoadRate, type LoadShare } from './load-rate.js'
-import { LoadTimes } from './load-times.js'
+import { LoadTimes, type LoadSource } from './load-times.js'
+import { OrderGiver } from './order-giver.js'
 import type { SideCounters } from './counters.js'
 import { place, placesToGive } from './placement.js'
 
 /** Between two looks at the engine while nothing is awaited, and while something is. */
 const restMs = 200
 const awaitedMs = 60
-/** After an order without an answer: it may have been accepted, which the next account shows, or may be yet; then its count is taken. */
-const unknownMs = 20
-/** After an engine refused an order that rested on its own account. */
-const refusedMs = 50
-
 /** Loads that a new incarnation assumes its predecessor to have begun just before. */
 const assumedStarts = 1
 
@@ -52,10 +47,7 @@
   readonly #links = new Set<EntryLink>()
   #account: EngineAccount | undefined
   #failures = 0
-  #fence = 0
-  #server: string | undefined
-  /** The engine's id as last listed. */
-  #listed: string | undefined
+  readonly #orders: OrderGiver
   #wake = (): void => {}
   readonly #loads = new LoadTimes()
   #held: HeldKeys = {}
@@ -66,6 +58,7 @@
 
   constructor (private readonly options: SideOptions) {
     for (let each = 0; each < assumedStarts; each++) this.#rate.started()
+    this.#orders = new OrderGiver({ ...options, replaced: () => this.#replaced() })
     const { counters } = options
     counters.gauge('finchpitch_engine_requests_running', 'Requests that the engine runs, by its account.', () => this.#account?.running ?? 0)
     counters.gauge('finchpitch_engine_requests_waiting', 'Requests that wait at the engine, by its account.', () => this.#account?.waiting ?? 0)
@@ -106,7 +99,7 @@
     if (!await this.#look()) return restMs
     const account = this.#account
     const spec = this.#spec()
-    if (account === undefined || spec === undefined || !this.#fenced() || signal.aborted) return restMs
+    if (account === undefined || spec === undefined || !this.#orders.ready || signal.aborted) return restMs
     this.#settleMet(account)
     const placement = place({
       spec,
@@ -138,30 +131,14 @@
     if (this.#failures > 0) log.info('engine.regained', { failures: this.#failures })
     this.#failures = 0
     this.#account = account.value
-    this.#noteListed(account.value.server ?? this.#listedServer())
+    this.#orders.noteAccount(account.value.server)
     return true
   }
 
-  /** The list is believed when it changes. Until then an engine that named itself on a refusal is believed more. */
-  #noteListed (server: string | undefined): void {
-    if (server === this.#listed) return
-    this.#listed = server
-    this.#noteServer(server)
-  }
-
-  #noteServer (server: string | undefined): void {
-    if (server === undefined || server === this.#server) return
-    this.options.log.info('engine.known', { server, before: this.#server })
-    if (this.#server !== undefined) this.#warm.clear()
-    this.#server = server
-  }
-
-  /** The engine at this address by the list of backend servers: the last that registered. */
-  #listedServer (): string | undefined {
-    const { facts, engineAddress } = this.options
-    const listed = [...facts.servers.values()].filter(server => server.address === engineAddress)
-    if (listed.length === 0) return this.#listed
-    return listed.sort((a, b) => facts.revisionOf('server', b.id) - facts.revisionOf('server', a.id))[0]?.id
+  /** The engine is another one: nothing at hand, and nothing on its way. */
+  #replaced (): void {
+    this.#warm.clear()
+    this.#loads.clear()
   }
 
   #serviceName (): string | undefined {
@@ -174,16 +151,6 @@
     return service === undefined ? undefined : this.options.facts.routes?.service(service)?.engine
   }
 
-  /** The fence is fixed once, at a revision of the store that no earlier incarnation can have been past. */
-  #fenced (): boolean {
-    if (this.#fence > 0) return true
-    const { facts, log } = this.options
-    if (facts.revision === 0) return false
-    this.#fence = Math.floor(facts.revision)
-    log.info('fence.taken', { fence: this.#fence, revision: facts.revision })
-    return true
-  }
-
   #share (spec: EngineSpec): LoadShare {
     const { facts, limits } = this.options
     const service = this.#serviceName() ?? ''
@@ -208,7 +175,7 @@
     const load = this.#loads.held(key, version)
     if (load === undefined) return
     this.options.counters.loads.observe(load.ms / 1000)
-    this.options.log.info('adapter.held', { key, version, ms: Math.round(load.ms), warm: load.warm, orders: this.#account?.orders })
+    this.options.log.info('adapter.held', { key, version, ms: Math.round(load.ms), from: load.from, orders: this.#account?.orders })
   }
 
   #decline (key: string, reason: string): void {
@@ -219,35 +186,18 @@
   }
 
   async #give (order: EngineOrder, reason: string): Promise<number> {
-    const { engine, log, counters } = this.options
-    const started = nowMs()
-    const { outcome, detail, server } = await engine.order(order, this.#fence, this.#server)
-    const { operation, model, adapter, version, expectedOrders } = order
-    counters.orders.inc({ operation, outcome })
-    log.info('engine.ordered', {
-      operation, key: refKey({ model, adapter }), version, reason, expectedOrders, fence: this.#fence, server: this.#server, outcome, detail, ms: Math.round(nowMs() - started)
-    })
-    if (operation === 'load' && adapter === undefined && (outcome === 'accepted' || outcome === 'unknown')) this.#rate.started()
+    const { outcome, at, waitMs } = await this.#orders.give(order, reason)
+    const { operation, model, adapter, version } = order
     const key = refKey({ model, adapter })
-    if (operation === 'load' && outcome === 'accepted') this.#loads.started(key, { at: started, version, warm: this.#warm.version(key) !== undefined })
+    if (operation === 'load' && adapter === undefined && (outcome === 'accepted' || outcome === 'unknown')) this.#rate.started()
+    if (operation === 'load' && outcome === 'accepted') this.#loads.started(key, { at, version, from: this.#sourceOf(key) })
     else this.#loads.forget(key)
-    return this.#afterOrder[outcome](server)
+    return waitMs
   }
 
-  /** How long to wait for the next look, by an order's outcome. */
-  readonly #afterOrder = {
-    done: () => 0,
-    accepted: () => 0,
-    refused: () => refusedMs,
-    unknown: () => unknownMs,
-    fenced: () => {
-      this.#fence = Math.max(this.#fence + 1, Math.floor(this.options.facts.revision))
-      return refusedMs
-    },
-    moved: (server: string | undefined) => {
-      this.#noteServer(server)
-      return refusedMs
-    }
+  #sourceOf (key: string): LoadSource {
+    if (!isAdapter(key)) return 'model'
+    return this.#warm.version(key) === undefined ? 'cold' : 'warm'
   }
 
   #join (channel: Channel): EntryLink {
@@ -271,7 +221,8 @@
     if (frame.type === 'uses' && this.demands.used(entry, frame.uses, frame.unread) && this.demands.any) this.#wake()
     if (frame.type === 'fences') {
       this.options.facts.saw(frame.highest)
-      if (this.#fence > 0 && frame.highest > this.#fence) this.options.log.info('fence.behind', { fence: this.#fence, highest: frame.highest })
+      const { fence } = this.#orders
+      if (fence > 0 && frame.highest > fence) this.options.log.info('fence.behind', { fence, highest: frame.highest })
     }
     if (frame.type === 'want') {
       this.demands.ask(frame)
@@ -302,13 +253,13 @@
       coming: this.#coming,
       warm: () => this.#warm.all(),
       reachable: account !== undefined,
-      server: this.#server,
+      server: this.#orders.server,
       waiting: account?.waiting ?? 0,
       running: account?.running ?? 0,
       unreadOfOthers: entry => this.demands.unreadOfOthers(entry),
       places: this.#placesToGive(),
       entries: this.#links.size,
-      fence: this.#fence
+      fence: this.#orders.fence
     }
   }
 
