Places to give are not told any more; a want is answered at once instead

The word that a side process gave when its places changed also showed that it lives; now it answers each want as such.

--- a/packages/fleet/src/entry/balancer.ts
+++ b/packages/fleet/src/entry/balancer.ts
@@ -13,7 +13,7 @@
 import type { SideLinks } from './side-links.js'
 
 /** What the balancer needs of the links to side processes. */
-export type Placers = Pick<SideLinks, 'orderable' | 'warm' | 'asked' | 'awaits' | 'want'>
+export type Placers = Pick<SideLinks, 'orderable' | 'warm' | 'awaits' | 'want'>
 
 /** With less to be read before it, a prompt's time is its own. */
 const aloneShare = 0.1
@@ -146,8 +146,7 @@
       coming: holding?.coming.has(key) === true || links.awaits(server, key),
       expectedMs: state.expectedMs(promptTokens, priority, now),
       get warm () { return links.warm(server, key) },
-      get orderable () { return links.orderable(server, key) },
-      get places () { return Math.max(0, (holding?.places ?? 0) - links.asked(server)) }
+      get orderable () { return links.orderable(server, key) }
     }
   }
 }
--- a/packages/fleet/src/entry/choice.ts
+++ b/packages/fleet/src/entry/choice.ts
@@ -31,8 +31,6 @@
   warm: boolean
   /** Its side process can be asked to bring an adapter in. */
   orderable: boolean
-  /** Places there that nobody uses, less what was asked for already. */
-  places: number
 }
 
 export type Choice =
@@ -101,8 +99,6 @@
 const warmLoadMs = 80
 /** A load from the weight store is worth avoiding for so much longer a wait: its price over what a second of lateness costs. */
 const coldPriceMs = 300
-/** Where all places are in use a demand is declined after 120 ms and another engine asked: worse than a cold load anywhere. */
-const noPlaceMs = 1100
 /** Expected times differ a little between entries, so they count in whole steps. */
 const homeStepMs = 200
 /**
@@ -156,15 +152,14 @@
 const startMs = ({ warm, expectedMs }: EngineOption): number => Math.max(warm ? warmLoadMs : coldLoadMs, expectedMs)
 
 /**
- * The engine that should bring the key in: one with a place for it, that starts soon, with a copy at hand, and among
- * equals by affinity. The same for all entries whatever their domain, so that requests which come at once don't make
+ * The engine that should bring the key in: one that starts soon, with a copy at hand, and among equals by
+ * affinity. The same for all entries whatever their domain, so that requests which come at once don't make
  * replicas.
  */
 export const engineToAsk = ({ options, key }: Pick<EngineChoice, 'options' | 'key'>): string | undefined => {
   const able = options.filter(option => !option.holds && !option.coming && !option.doubtful && !option.lapsed && isOpen(option) && option.orderable)
   const keyHash = hashOf(key)
   const cost = (option: EngineOption): number =>
-    Math.floor(startMs(option) / homeStepMs) * homeStepMs + (option.warm ? 0 : coldPriceMs) + (option.places > 0 ? 0 : noPlaceMs) +
-    affinityOf(keyHash, option.hash) * homeMs
+    Math.floor(startMs(option) / homeStepMs) * homeStepMs + (option.warm ? 0 : coldPriceMs) + affinityOf(keyHash, option.hash) * homeMs
   return lowest(able, cost)?.id
 }
--- a/packages/fleet/src/entry/server-state.ts
+++ b/packages/fleet/src/entry/server-state.ts
@@ -26,8 +26,6 @@
   running: number
   /** Prompt tokens that requests of other entries have there, not read yet. */
   unread: number
-  /** Places that an adapter could be given there. */
-  places: number
 }
 
 /** A request that is being sent. */
--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -26,7 +26,7 @@
 const wantAgainMs = 600
 /** One that has said nothing for this long, near and across, isn't asked for anything: it is stuck or gone. */
 const stuckMs = { near: 1000, far: 2000 }
-/** A side process that takes a want tells of the place that it takes within 0.3 s; one that is silent for longer is stuck or gone. */
+/** A side process answers a want as soon as it has looked at its engine, within 0.1 s; one that is silent for longer is stuck or gone. */
 const unansweredMs = 500
 /** After a side process declined, others are asked first for this long. */
 const declinedMs = 500
@@ -54,8 +54,6 @@
   heardAt: number
   /** When it was first asked for something since it was last heard. */
   unansweredSince: number
-  /** When it last told what its engine holds. */
-  toldAt: number
   entries: number
   held: ReadonlyMap<string, number>
   coming: ReadonlySet<string>
@@ -121,14 +119,6 @@
     return link?.channel !== undefined && !this.#stuck(link, now) && now - (link.wanted.get(key) ?? -Infinity) < wantAgainMs
   }
 
-  /** Adapters asked of the engine since its side process last told how many places it has. */
-  asked (engine: BackendServer): number {
-    const link = this.#links.get(hostOf(engine.address))
-    let count = 0
-    for (const at of link?.wanted.values() ?? []) if (at >= (link?.toldAt ?? 0)) count += 1
-    return count
-  }
-
   /** Whether the engine had the key lately, in the version that would be loaded now. */
   warm (engine: BackendServer, key: string): boolean {
     const version = this.#links.get(hostOf(engine.address))?.warm.version(key)
@@ -181,7 +171,6 @@
       channel: undefined,
       heardAt: -Infinity,
       unansweredSince: Infinity,
-      toldAt: -Infinity,
       entries: 0,
       held: new Map(),
       coming: new Set(),
@@ -269,12 +258,11 @@
     for (const [key, version] of frame.warm ?? []) link.warm.keep(key, version)
     link.server = frame.server
     link.entries = frame.entries
-    link.toldAt = nowMs()
     this.#fences.set(link.host, Math.max(this.#fences.get(link.host) ?? 0, frame.fence))
     const server = this.#serverAt(link)
-    const { reachable, waiting, running, unread = 0, places = 0 } = frame
+    const { reachable, waiting, running, unread = 0 } = frame
     if (server !== undefined) {
-      this.options.states.tell(server.id, { at: nowMs(), reachable, held: link.held, coming: link.coming, waiting, running, unread, places })
+      this.options.states.tell(server.id, { at: nowMs(), reachable, held: link.held, coming: link.coming, waiting, running, unread })
     }
     if (frame.came !== undefined) this.options.changed(Object.keys(frame.came))
   }
--- a/packages/fleet/src/side/entry-link.ts
+++ b/packages/fleet/src/side/entry-link.ts
@@ -18,10 +18,8 @@
 const nearAliveMs = 700
 const farAliveMs = 1500
 
-/** Unread prompt tokens that make no difference to a choice: some 60 ms of reading. Telling of each change took a side process 0.4% of a core more. */
+/** Unread prompt tokens that make no difference to a choice: some 60 ms of reading. */
 const unreadStep = 2000
-/** With more places to give than this, one more or less makes no difference. */
-const amplePlaces = 3
 
 /** Keys held, each with its version. */
 export type HeldKeys = Record<string, number>
@@ -40,22 +38,27 @@
   running: number
   /** Prompt tokens that requests of entries other than `entry` have there, not read yet. */
   unreadOfOthers: (entry: string) => number
-  /** Places that an adapter could be given now. */
-  places: number
   /** Entries connected to the side process. */
   entries: number
   fence: number
 }
 
-const nothingTold: EngineNews = { changes: -1, held: {}, coming: [], warm: () => [], reachable: false, server: undefined, waiting: 0, running: 0, unreadOfOthers: () => 0, places: 0, entries: 0, fence: 0 }
+const nothingTold: EngineNews = { changes: -1, held: {}, coming: [], warm: () => [], reachable: false, server: undefined, waiting: 0, running: 0, unreadOfOthers: () => 0, entries: 0, fence: 0 }
 
 export class EntryLink {
   #told = nothingTold
   #toldAt = -Infinity
   #toldUnread = 0
+  /** It asked for something and has heard nothing since. */
+  #owed = false
 
   constructor (readonly channel: Channel, readonly facts: FactLink, readonly near: boolean) {}
 
+  /** The entry waits for a word, to tell this process from one that hangs. */
+  owe (): void {
+    this.#owed = true
+  }
+
   /** Tells the entry what it has to know by now. */
   publish (news: EngineNews): void {
     const unread = news.unreadOfOthers(this.channel.peer.process)
@@ -73,27 +76,23 @@
       waiting: news.waiting,
       running: news.running,
       unread,
-      places: news.places,
       entries: news.entries,
       fence: news.fence
     }
     this.#told = news
+    this.#owed = false
     this.#toldUnread = unread
     this.#toldAt = nowMs()
     this.channel.send(frame)
   }
 
-  #placesChanged ({ places }: EngineNews): boolean {
-    return Math.min(places, amplePlaces) !== Math.min(this.#told.places, amplePlaces)
-  }
-
   #due (news: EngineNews, unread: number): boolean {
     const told = this.#told
     const age = nowMs() - this.#toldAt
-    if (age > (this.near ? nearAliveMs : farAliveMs)) return true
+    if (this.#owed || age > (this.near ? nearAliveMs : farAliveMs)) return true
     const changed = told.changes !== news.changes || told.reachable !== news.reachable || told.server !== news.server
     if (changed && (this.near || age > farChangeMs)) return true
-    const loadChanged = told.waiting !== news.waiting || told.running !== news.running || this.#placesChanged(news) || Math.abs(unread - this.#toldUnread) >= unreadStep
+    const loadChanged = told.waiting !== news.waiting || told.running !== news.running || Math.abs(unread - this.#toldUnread) >= unreadStep
     return loadChanged && age > (this.near ? nearMs : farMs)
   }
 }
--- a/packages/fleet/src/side/placement.ts
+++ b/packages/fleet/src/side/placement.ts
@@ -121,12 +121,6 @@
   return Math.min(spec.adapterSlots - taken, byMemory)
 }
 
-/** Places that could be given to adapters now: empty ones, and those of adapters that nobody uses. */
-export const placesToGive = ({ spec, account, uses }: Pick<PlacementInput, 'spec' | 'account' | 'uses'>): number => {
-  const used = heldAdapters(account).filter(held => uses(held.key) > 0).length
-  return Math.max(0, spec.adapterSlots - used - account.coming.length)
-}
-
 /** What a load from the weight store takes; the same for all adapters, so that popularity decides. */
 const loadMs = 250
 
--- a/packages/fleet/src/side/side.ts
+++ b/packages/fleet/src/side/side.ts
@@ -21,7 +21,7 @@
 import { LoadTimes, type LoadSource } from './load-times.js'
 import { OrderGiver } from './order-giver.js'
 import type { SideCounters } from './counters.js'
-import { place, placesToGive } from './placement.js'
+import { place } from './placement.js'
 
 /** Between two looks at the engine while nothing is awaited, and while something is. */
 const restMs = 200
@@ -226,6 +226,7 @@
     }
     if (frame.type === 'want') {
       this.demands.ask(frame)
+      link.owe()
       this.options.log.info('demand.asked', { key: frame.key, entry, waiting: frame.waiting, priority: frame.priority })
       this.#wake()
     }
@@ -257,20 +258,11 @@
       waiting: account?.waiting ?? 0,
       running: account?.running ?? 0,
       unreadOfOthers: entry => this.demands.unreadOfOthers(entry),
-      places: this.#placesToGive(),
       entries: this.#links.size,
       fence: this.#orders.fence
     }
   }
 
-  /** Places that nobody uses, less those that demands wait for already. */
-  #placesToGive (): number {
-    const spec = this.#spec()
-    if (this.#account === undefined || spec === undefined) return 0
-    const places = placesToGive({ spec, account: this.#account, uses: key => this.demands.uses(key) })
-    return Math.max(0, places - this.demands.current().length)
-  }
-
   async #rest (ms: number, signal: AbortSignal): Promise<void> {
     const woken = new AbortController()
     this.#wake = () => woken.abort()
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -74,8 +74,6 @@
   running: Count,
   /** Prompt tokens that requests of other entries have there and that are not read yet, as far as those have told. */
   unread: Count.optional(),
-  /** Places that an adapter could be given now: empty, or held by one that nobody uses. */
-  places: Count.optional(),
   /** Entries connected to this side process. */
   entries: Count,
   /** The fence that its orders carry, so that its next incarnation never uses a lower one. */
