What a caller states can not cut the links between processes

Stated sizes are taken up to 10 million tokens, and names that no frame carries get 400. Test red before (503 for 400, after a cut link).

--- a/packages/fleet/src/entry/incoming.ts
+++ b/packages/fleet/src/entry/incoming.ts
@@ -8,6 +8,10 @@
 /** A caller that states no time. */
 const defaultRemainingMs = 10_000
 const noBytes = Buffer.alloc(0)
+/** No prompt is longer; what a caller states goes into frames between processes, whose fields are bounded. */
+const mostTokens = 10_000_000
+/** Longest name of a model and adapter that such a frame carries. */
+const longestModel = 500
 
 /** Why there is no body: it is over the limit, or the caller went away. */
 export type BodyFault = 'too_large' | 'caller_left'
@@ -30,11 +34,16 @@
     this.path = (message.url ?? '/').split('?')[0] ?? '/'
     this.model = this.#header(names.model)
     this.tokens = this.#header(names.tokens)
-    this.promptTokens = Math.max(0, Number.parseInt(this.tokens ?? '0', 10) || 0)
+    this.promptTokens = Math.min(mostTokens, Math.max(0, Number.parseInt(this.tokens ?? '0', 10) || 0))
     const stated = Number(this.#header(names.remainingMs) ?? NaN)
     this.remainingMs = Number.isFinite(stated) && stated >= 0 ? stated : defaultRemainingMs
   }
 
+  /** Names something that no engine can hold. */
+  get impossible (): boolean {
+    return this.model !== undefined && this.model.length > longestModel
+  }
+
   /** The whole body, of `limit` bytes at most. */
   body (limit: number): Promise<Result<Buffer, BodyFault>> {
     const { message } = this
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -127,6 +127,7 @@
     }
     const route = this.#match()
     if (route === undefined) return this.#end(404, 'no_route', 'no such route')
+    if (this.#incoming.impossible) return this.#end(400, 'bad_model', 'the name of the model is too long')
     this.#times.deadline = this.#times.arrived + Math.min(remainingMs, route.timeoutMs)
     this.#times.firstTriedMs = firstTries.agoMs(route.name, remainingMs)
     const body = await this.#incoming.body(routes.table.limits.bodyBytes)
--- a/packages/fleet/test/fleet.test.ts
+++ b/packages/fleet/test/fleet.test.ts
@@ -88,6 +88,17 @@
       expect(Number(headers?.['deadline-ms'])).to.be.within(1, 3000)
     })
 
+    it('leave links between processes whole, whatever a caller states', async () => {
+      const before = fleet.lines(fleet.entries[0] as never).filter(line => line.event === 'side.lost').length
+      const huge = await ask({ path: '/stream/x', id: nextId(), model: 'base/a1', headers: { 'token-usage': `${'9'.repeat(30)},1` } })
+      expect(huge).to.include({ status: 200, whole: true })
+      const long = await ask({ path: '/stream/x', id: nextId(), model: `base/${'a'.repeat(600)}` })
+      expect(long).to.include({ status: 400 })
+      await pause(400)
+      expect(await ask({ path: '/stream/x', id: nextId(), model: 'base/a2' })).to.include({ status: 200 })
+      expect(fleet.lines(fleet.entries[0] as never).filter(line => line.event === 'side.lost')).to.have.length(before)
+    })
+
     it('404 for what no route leads to', async () => {
       expect(await ask({ path: '/nowhere/x', id: nextId() })).to.include({ status: 404 })
     })
