A request that may have run is never told as not run because its service left the table

Found in the reading: after a failed try the table was looked up again, and a service that it no longer had gave 503, which says that the request has not run. Test red before (503), green now (502).

--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -146,7 +146,7 @@
       const route = this.#match()
       if (route === undefined) return this.#mayHaveRun ? this.#fail(502, 'route_removed') : this.#end(404, 'no_route', 'no such route')
       const service = this.#serviceOf(route)
-      if (service === undefined) return this.#refuse('no_service')
+      if (service === undefined) return this.#giveUp('no_service')
       const asked = this.#asked(service, route)
       const choice = await this.#choose(asked, route)
       if (typeof choice === 'string') return choice
--- a/packages/fleet/test/fleet.test.ts
+++ b/packages/fleet/test/fleet.test.ts
@@ -148,6 +148,21 @@
       expect(replies.every(reply => reply.status === 200)).to.equal(true)
     })
 
+    it('is not told as not run when it failed and its service is gone from the table by then', async () => {
+      setFault(fleet.plain, 'failing')
+      for (const server of fleet.plain) server.options.workMs = 800
+      const table = fleet.table(1) as { routes: Array<Record<string, unknown>> }
+      const routes = table.routes.map(route => route.name === 'r-again' ? { ...route, service: 'nowhere' } : route)
+      const reply = ask({ path: '/again/x', id: nextId() })
+      await pause(50)
+      fleet.store.put('config', 'main', fleet.table(fleet.store.revision + 10, { routes }))
+      const { status } = await reply
+      for (const server of fleet.plain) server.options.workMs = 5
+      fleet.store.put('config', 'main', fleet.table(fleet.store.revision + 10))
+      await pause(settleMs)
+      expect(status).to.equal(502)
+    })
+
     it('is not told as not run when it failed at one server and the other refuses', async () => {
       setFault(fleet.plain.slice(0, 1), 'failing')
       setFault(fleet.plain.slice(1), 'shedding')
