The test of entries missing from a list waits for the call that it means

The store's 'history is gone' lasted 500 ms of the test's paused clock, and a follower that failed for seconds calls every 400 to 800 ms, drawn at random; where no call met those 500 ms, nothing was listed and the missing entry was never seen missing. Ruled out: load, as the clock is paused. It was so since the test was written; no fault of the program.

--- a/packages/fleet/test/follow.test.ts
+++ b/packages/fleet/test/follow.test.ts
@@ -151,7 +151,8 @@
     it('does the same for those missing from a list, where the history is gone too', async () => {
       await time.pass(4000)
       source.failure = { code: 'compacted', detail: '' }
-      await time.pass(500)
+      // Longer than the longest wait between two calls, so that one of them meets it.
+      await time.pass(900)
       source.failure = undefined
       source.facts = [entry('2', 1, server('2'))]
       await time.pass(500)
