Reading: what stood twice or was worked out twice serves once

The decaying sum of popularity serves the pace of reading too; one bound of an adapter's key, one step of unread tokens and one reader of a header, where there were two each. What others have an engine read is summed once a look and not once for each entry. The expected time is the one that was chosen by, not worked out again; whether an adapter is on its way is looked up where a choice asks. The home of an adapter is an option, not an id to be found again, and no longer exported; the affinity key, always the key itself, is gone. A log's lines are grouped without copying.

--- a/packages/bench/src/losses.ts
+++ b/packages/bench/src/losses.ts
@@ -74,11 +74,14 @@
   return counts
 }
 
+/** The causes of all lines of one name, by name. */
 const groups = (lines: readonly EndedLine[], nameOf: (line: EndedLine) => string): Array<[name: string, causes: string[]]> => {
   const all = new Map<string, string[]>()
   for (const line of lines) {
     const name = nameOf(line)
-    all.set(name, [...all.get(name) ?? [], causeOf(line)])
+    const causes = all.get(name) ?? []
+    causes.push(causeOf(line))
+    all.set(name, causes)
   }
   return [...all].sort(([a], [b]) => a < b ? -1 : 1)
 }
--- a/packages/decisions/src/slot-choice.ts
+++ b/packages/decisions/src/slot-choice.ts
@@ -3,25 +3,26 @@
  *
  * Popularity is a count that halves every `halfLifeMs`, so yesterday's hot adapter makes room for today's.
  */
+import { DecayingSum } from './decaying-sum.js'
 
 export const halfLifeMs = 10 * 60 * 1000
 
 export class Popularity {
-  /** `halfLife`: milliseconds after which a use counts half. */
-  constructor (private readonly halfLife = halfLifeMs) {}
+  readonly #uses: DecayingSum
 
-  #count = 0
-  #at = 0
+  /** `halfLife`: milliseconds after which a use counts half. */
+  constructor (halfLife = halfLifeMs) {
+    this.#uses = new DecayingSum(halfLife)
+  }
 
   /** Counts one use. */
   add (now: number): void {
-    this.#count = this.at(now) + 1
-    this.#at = now
+    this.#uses.add(1, now)
   }
 
   /** The aged count. */
   at (now: number): number {
-    return this.#count * 0.5 ** ((now - this.#at) / this.halfLife)
+    return this.#uses.at(now)
   }
 }
 
--- a/packages/fleet/src/entry/attempt.ts
+++ b/packages/fleet/src/entry/attempt.ts
@@ -11,6 +11,7 @@
 import type { Cancellation } from './cancellation.js'
 import type { Delivery, RawHeaders } from './delivery.js'
 import type { EventCutter } from './event-stream.js'
+import { headerOf } from './header.js'
 
 export interface Outgoing {
   method: string
@@ -62,11 +63,6 @@
   return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) }
 }
 
-const header = (answer: IncomingMessage, name: string): string | undefined => {
-  const value = answer.headers[name]
-  return Array.isArray(value) ? value[0] : value
-}
-
 export const attempt = (options: AttemptOptions): Promise<AttemptEnd> => new Promise(resolve => {
   const { agent, outgoing, cancellation, connectMs } = options
   let request: ClientRequest
@@ -130,11 +126,11 @@
     return { type: 'broken', detail }
   }
   const status = answer.statusCode ?? 0
-  const echoed = header(answer, names.requestId)
+  const echoed = headerOf(answer, names.requestId)
   if (echoed !== undefined && echoed !== requestId) return refuse(`an answer to another request (${echoed})`)
-  if (header(answer, names.notRun) !== undefined || status === misdirected) return readRefusal(answer, options)
+  if (headerOf(answer, names.notRun) !== undefined || status === misdirected) return readRefusal(answer, options)
   const good = status >= 200 && status < 300
-  if (good && (echoed === undefined || header(answer, names.seal) === undefined)) return refuse(`status ${status} without seal or id`)
+  if (good && (echoed === undefined || headerOf(answer, names.seal) === undefined)) return refuse(`status ${status} without seal or id`)
   if (answer.headers['content-encoding'] !== undefined) return refuse('an encoded body')
   if (promising.has(status)) return refuse(`status ${status} without saying that it has not run`)
   return good && stream ? await passStream(answer, status, options) : await readWhole(answer, status)
@@ -142,8 +138,8 @@
 
 const readRefusal = (answer: IncomingMessage, { names, serverId }: AttemptOptions): AttemptEnd => {
   const status = answer.statusCode ?? 0
-  const retryAfter = header(answer, names.retryAfter)
-  const refuser = header(answer, names.serverId)
+  const retryAfter = headerOf(answer, names.retryAfter)
+  const refuser = headerOf(answer, names.serverId)
   // The refusal is known from the head; what becomes of its body does not matter.
   answer.on('error', () => {})
   answer.resume()
--- a/packages/fleet/src/entry/balancer.ts
+++ b/packages/fleet/src/entry/balancer.ts
@@ -24,7 +24,6 @@
   service: FleetService
   /** Adapter or model key; `undefined` at a plain service. */
   key: string | undefined
-  affinityKey: string
   /** Tokens of the prompt. */
   promptTokens: number
   /** Time left in which its first token is in time. */
@@ -102,11 +101,10 @@
   }
 
   #engineChoice (servers: readonly BackendServer[], key: string, asked: Asked): EngineChoice {
-    const { affinityKey, inTimeMs } = asked
     const now = nowMs()
     const oldest = this.#oldestUsable(key, now)
     const options = servers.map(server => this.#engineOption(server, key, asked, now, oldest))
-    return { options, domain: this.domain, key, affinityKey, inTimeMs }
+    return { options, domain: this.domain, key, inTimeMs: asked.inTimeMs }
   }
 
   /** The oldest version of the key that may be used. */
@@ -143,8 +141,8 @@
       doubtful: state.outlier.ejected(now) || state.silentAt(now) || holding?.reachable === false,
       lapsed: this.facts.lapsed(server.id),
       holds: (holding?.held.get(key) ?? -1) >= oldest,
-      coming: holding?.coming.has(key) === true || links.awaits(server, key),
       expectedMs: state.expectedMs(promptTokens, priority, now),
+      get coming () { return holding?.coming.has(key) === true || links.awaits(server, key) },
       get warm () { return links.warm(server, key) },
       get orderable () { return links.orderable(server, key) }
     }
--- a/packages/fleet/src/entry/choice.ts
+++ b/packages/fleet/src/entry/choice.ts
@@ -88,8 +88,6 @@
   domain: string
   /** The adapter or model. */
   key: string
-  /** Requests with the same text share cached prompts. */
-  affinityKey: string
   /** Time left in which its first token is in time. */
   inTimeMs: number
 }
@@ -110,9 +108,9 @@
 const isOpen = (option: Option): boolean => option.load < option.slots + batchSurplus
 
 /** The engine expected to answer first. Among equals by rendezvous hashing, whose order changes only where engines come and go. */
-const soonest = (options: readonly EngineOption[], { affinityKey, domain }: EngineChoice): EngineOption | undefined => {
+const soonest = (options: readonly EngineOption[], { key, domain }: EngineChoice): EngineOption | undefined => {
   if (options.length < 2) return options[0]
-  const keyHash = hashOf(affinityKey)
+  const keyHash = hashOf(key)
   const cost = (option: EngineOption): number =>
     Math.floor((option.expectedMs + (option.domain === domain ? 0 : acrossMs)) / stepMs) + affinityOf(keyHash, option.hash)
   return lowest(options, cost)
@@ -128,7 +126,7 @@
   if (best !== undefined) return sendOrReplicate(best, calm === undefined, choice)
   const held = holders.length > 0
   if (options.some(option => option.coming && !option.doubtful)) return { type: 'bring', ask: undefined, held, reason: 'on its way' }
-  const ask = engineToAsk(choice)
+  const ask = homeOf(choice)?.id
   if (ask !== undefined) return { type: 'bring', ask, held, reason: held ? 'its holders are full' : 'held nowhere' }
   if (held) return { type: 'full', reason: 'its holders are full' }
   // Engines that restarted are listed before their side processes can be asked; that is a matter of a second.
@@ -145,10 +143,10 @@
   const reason = busy ? 'held, busy' : best.domain === domain ? 'held near' : 'held across'
   const send: Choice = { type: 'send', id, reason, expectedMs }
   if (expectedMs < inTimeMs || options.some(option => option.coming && !option.doubtful)) return send
-  const other = engineToAsk(choice)
-  const otherMs = other === undefined ? Infinity : startMs(options.find(option => option.id === other) ?? best)
+  const other = homeOf(choice)
+  const otherMs = other === undefined ? Infinity : startMs(other)
   if (otherMs > inTimeMs || otherMs + coldPriceMs > expectedMs) return send
-  return { type: 'bring', ask: other, held: true, reason: 'its holders are slow' }
+  return { type: 'bring', ask: other?.id, held: true, reason: 'its holders are slow' }
 }
 
 /** Until the first token at an engine that has to load the adapter first; what is there to be read is read meanwhile. */
@@ -159,10 +157,10 @@
  * affinity. The same for all entries whatever their domain, so that requests which come at once don't make replicas:
  * where each domain has a home of its own, 71.4% of 8,290 generations on 8 engines were in time and not 72.7%.
  */
-export const engineToAsk = ({ options, key }: Pick<EngineChoice, 'options' | 'key'>): string | undefined => {
+const homeOf = ({ options, key }: EngineChoice): EngineOption | undefined => {
   const able = options.filter(option => !option.holds && !option.coming && !option.doubtful && !option.lapsed && isOpen(option) && option.orderable)
   const keyHash = hashOf(key)
   const cost = (option: EngineOption): number =>
     Math.floor(startMs(option) / homeStepMs) * homeStepMs + (option.warm ? 0 : coldPriceMs) + affinityOf(keyHash, option.hash) * homeMs
-  return lowest(able, cost)?.id
+  return lowest(able, cost)
 }
--- a/packages/fleet/src/entry/incoming.ts
+++ b/packages/fleet/src/entry/incoming.ts
@@ -2,16 +2,16 @@
  * What a caller sent: the headers that decide something, read once, and the body.
  */
 import type { IncomingMessage } from 'node:http'
+import { longestAdapterKey } from '@finchpitch/wire'
 import { err, ok, type Result } from 'neverthrow'
 import type { HeaderNames } from '../ports.js'
+import { headerOf } from './header.js'
 
 /** A caller that states no time. */
 const defaultRemainingMs = 10_000
 const noBytes = Buffer.alloc(0)
 /** No prompt is longer; what a caller states goes into frames between processes, whose fields are bounded. */
 const mostTokens = 10_000_000
-/** Longest name of a model and adapter that such a frame carries. */
-const longestModel = 500
 
 /** Why there is no body: it is over the limit, or the caller went away. */
 export type BodyFault = 'too_large' | 'caller_left'
@@ -29,19 +29,19 @@
   readonly remainingMs: number
 
   constructor (readonly message: IncomingMessage, names: HeaderNames) {
-    this.id = this.#header(names.requestId) ?? ''
+    this.id = headerOf(message, names.requestId) ?? ''
     this.host = (message.headers.host ?? '').replace(/:\d+$/, '')
     this.path = (message.url ?? '/').split('?')[0] ?? '/'
-    this.model = this.#header(names.model)
-    this.tokens = this.#header(names.tokens)
+    this.model = headerOf(message, names.model)
+    this.tokens = headerOf(message, names.tokens)
     this.promptTokens = Math.min(mostTokens, Math.max(0, Number.parseInt(this.tokens ?? '0', 10) || 0))
-    const stated = Number(this.#header(names.remainingMs) ?? NaN)
+    const stated = Number(headerOf(message, names.remainingMs) ?? NaN)
     this.remainingMs = Number.isFinite(stated) && stated >= 0 ? stated : defaultRemainingMs
   }
 
   /** Names something that no engine can hold. */
   get impossible (): boolean {
-    return this.model !== undefined && this.model.length > longestModel
+    return this.model !== undefined && this.model.length > longestAdapterKey
   }
 
   /** The whole body, of `limit` bytes at most. */
@@ -60,9 +60,4 @@
       message.on('close', () => resolve(err('caller_left')))
     })
   }
-
-  #header (name: string): string | undefined {
-    const value = this.message.headers[name]
-    return Array.isArray(value) ? value[0] : value
-  }
 }
--- a/packages/fleet/src/entry/reading-pace.ts
+++ b/packages/fleet/src/entry/reading-pace.ts
@@ -8,6 +8,7 @@
  * Spread by this and not by their number, and with one home an adapter, 68.8% of 8,290 generations on 8 engines were in
  * time and not 63.2%.
  */
+import { DecayingSum } from '@finchpitch/decisions'
 
 /** Before anything was seen: 30 tokens a millisecond, what large engines with batches of 64 read beside their runs. */
 const startMsPerToken = 1 / 30
@@ -17,30 +18,16 @@
 const halfLifeMs = 4000
 
 export class ReadingPace {
-  #ms = 0
-  #tokens = 0
-  #at = 0
+  readonly #ms = new DecayingSum(halfLifeMs)
+  readonly #tokens = new DecayingSum(halfLifeMs)
 
   /** A first token came `ms` after its request was sent, with so many tokens to be read by then. */
   add (ms: number, tokens: number, now: number): void {
-    this.#age(now)
-    this.#ms += ms
-    this.#tokens += tokens
+    this.#ms.add(ms, now)
+    this.#tokens.add(tokens, now)
   }
 
   msPerToken (now: number): number {
-    const left = this.#left(now)
-    return (this.#ms * left + startMsPerToken * startTokens) / (this.#tokens * left + startTokens)
-  }
-
-  #age (now: number): void {
-    const left = this.#left(now)
-    this.#ms *= left
-    this.#tokens *= left
-    this.#at = now
-  }
-
-  #left (now: number): number {
-    return 0.5 ** ((now - this.#at) / halfLifeMs)
+    return (this.#ms.at(now) + startMsPerToken * startTokens) / (this.#tokens.at(now) + startTokens)
   }
 }
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -152,7 +152,7 @@
       if (typeof choice === 'string') return choice
       const server = this.options.facts.servers.get(choice.id)
       if (server === undefined) continue
-      const verdict = await this.#try(server, asked, route, body, choice.reason)
+      const verdict = await this.#try(server, asked, route, body, choice)
       if (verdict.type === 'done') return verdict.outcome
     }
   }
@@ -174,7 +174,7 @@
   #asked (service: FleetService, route: Route): Asked {
     const { model, promptTokens } = this.#incoming
     const key = service.engine === undefined ? undefined : model
-    return { service, key, affinityKey: key ?? '', promptTokens, inTimeMs: this.#times.inTimeMs(route), priority: route.priority, excluded: this.#excluded }
+    return { service, key, promptTokens, inTimeMs: this.#times.inTimeMs(route), priority: route.priority, excluded: this.#excluded }
   }
 
   #expire (): void {
@@ -204,14 +204,14 @@
     return this.#giveUp(end.last.reason)
   }
 
-  async #try (server: BackendServer, asked: Asked, route: Route, body: Buffer, reason: string): Promise<Verdict> {
+  async #try (server: BackendServer, asked: Asked, route: Route, body: Buffer, choice: Sending): Promise<Verdict> {
     const { balancer, budget, names, counters, connects } = this.options
     const remaining = Math.floor(this.#times.leftMs)
     if (remaining < leastRemainingMs) return done(this.#mayHaveRun ? this.#fail(504, 'timed_out') : this.#refuse('too_late'))
     if (this.#record.tries === 0) budget.first(asked.service.name)
     if (this.#arrivals > 0 && !budget.repeat(asked.service.name)) return done(this.#giveUp('no_retry_left'))
     const state = balancer.state(server)
-    this.#noteTry(server, asked, reason)
+    this.#noteTry(server, asked, choice)
     const { key, promptTokens: tokens, priority } = asked
     const pending = state.begin({ key, tokens, priority, patienceMs: route.objectiveMs * silentObjectives })
     const end = await attempt({
@@ -240,13 +240,13 @@
     return this.#judge(end, { server, asked, route })
   }
 
-  #noteTry (server: BackendServer, { key, promptTokens, priority }: Asked, reason: string): void {
+  #noteTry (server: BackendServer, { key }: Asked, { reason, expectedMs }: Sending): void {
     const record = this.#record
     record.tries += 1
     record.server = server
     record.reason = reason
     record.sentAtMs = this.#times.ms
-    record.expectedMs = key === undefined ? undefined : this.options.balancer.state(server).expectedMs(promptTokens, priority, nowMs())
+    record.expectedMs = key === undefined ? undefined : expectedMs
   }
 
   #marks (server: BackendServer, { key }: Asked, route: Route, remaining: number): Marks {
--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -11,6 +11,7 @@
 import { FactLink, patienceMs } from '../fact-exchange.js'
 import type { Facts } from '../facts.js'
 import type { BackendServer } from '../server.js'
+import { unreadDiffers } from '../unread.js'
 import { WarmCopies } from '../warm-copies.js'
 import type { ServerStates } from './server-state.js'
 
@@ -18,8 +19,6 @@
 
 /** An adapter whose last request ended can make room; places are short under load, so that is told soon. */
 const usesMs = 50
-/** Unread prompt tokens that make no difference to a choice: some 60 ms of reading. */
-const unreadStep = 2000
 /** Said again even where nothing changed, as a side process forgets what it hears no more of. */
 const usesAgainMs = 1000
 /** A want is said again while requests wait, in case it was lost or declined. */
@@ -153,7 +152,7 @@
     const state = this.options.states.get(server.id)
     if (state === undefined || link?.channel === undefined) return
     const { unread } = state
-    const unreadChanged = Math.abs(unread - link.toldUnread) >= unreadStep
+    const unreadChanged = unreadDiffers(link.toldUnread, unread)
     if (state.uses.size === 0 && !unreadChanged) return
     const uses: Array<[string, number, number]> = []
     for (const [key, use] of state.uses) {
--- a/packages/fleet/src/side/demands.ts
+++ b/packages/fleet/src/side/demands.ts
@@ -92,14 +92,16 @@
     this.#uses.delete(entry)
   }
 
-  /** Prompt tokens that requests of entries other than `entry` have at the engine, not read yet. */
-  unreadOfOthers (entry: string): number {
+  /**
+   * For each entry, the prompt tokens that requests of all others have at the engine, not read yet. Summed once, since it
+   * is told to every entry.
+   */
+  unreadOfOthers (): (entry: string) => number {
     const now = nowMs()
-    let sum = 0
-    for (const [name, { at, unread }] of this.#uses) {
-      if (name !== entry && now - at < usesMs) sum += unread
-    }
-    return sum
+    const unreadOf = (uses: Uses | undefined): number => uses !== undefined && now - uses.at < usesMs ? uses.unread : 0
+    let total = 0
+    for (const uses of this.#uses.values()) total += unreadOf(uses)
+    return entry => total - unreadOf(this.#uses.get(entry))
   }
 
   popularity (key: string): number {
--- a/packages/fleet/src/side/entry-link.ts
+++ b/packages/fleet/src/side/entry-link.ts
@@ -8,6 +8,7 @@
 import type { Channel, HoldingFrame } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
 import type { FactLink } from '../fact-exchange.js'
+import { unreadDiffers } from '../unread.js'
 
 /** How often entries hear of a load that changed: of engines in their own domain, and of others. */
 const nearMs = 200
@@ -18,9 +19,6 @@
 const nearAliveMs = 700
 const farAliveMs = 1500
 
-/** Unread prompt tokens that make no difference to a choice: some 60 ms of reading. */
-const unreadStep = 2000
-
 /** Keys held, each with its version. */
 export type HeldKeys = Record<string, number>
 
@@ -92,7 +90,7 @@
     if (this.#owed || age > (this.near ? nearAliveMs : farAliveMs)) return true
     const changed = told.changes !== news.changes || told.reachable !== news.reachable || told.server !== news.server
     if (changed && (this.near || age > farChangeMs)) return true
-    const loadChanged = told.waiting !== news.waiting || told.running !== news.running || Math.abs(unread - this.#toldUnread) >= unreadStep
+    const loadChanged = told.waiting !== news.waiting || told.running !== news.running || unreadDiffers(this.#toldUnread, unread)
     return loadChanged && age > (this.near ? nearMs : farMs)
   }
 }
--- a/packages/fleet/src/side/side.ts
+++ b/packages/fleet/src/side/side.ts
@@ -257,7 +257,7 @@
       server: this.#orders.server,
       waiting: account?.waiting ?? 0,
       running: account?.running ?? 0,
-      unreadOfOthers: entry => this.demands.unreadOfOthers(entry),
+      unreadOfOthers: this.demands.unreadOfOthers(),
       entries: this.#links.size,
       fence: this.#orders.fence
     }
--- a/packages/fleet/test/choice.test.ts
+++ b/packages/fleet/test/choice.test.ts
@@ -8,7 +8,7 @@
 const plain = (id: string, domain: string, more: Partial<Option> = {}): Option =>
   ({ id, hash: hashOf(id), domain, load: 0, slots: 6, doubtful: false, lapsed: false, ...more })
 const engine = (options: EngineOption[], domain = 'a'): ReturnType<typeof chooseEngine> =>
-  chooseEngine({ options, domain, key: 'm/x', affinityKey: 'm/x', inTimeMs: 600 })
+  chooseEngine({ options, domain, key: 'm/x', inTimeMs: 600 })
 
 describe('choice', () => {
   describe('of a plain server', () => {
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -52,7 +52,9 @@
 })
 export type FactFrame = z.infer<typeof FactFrame>
 
-const AdapterKey = z.string().max(500)
+/** Characters of the longest adapter key that a frame carries. */
+export const longestAdapterKey = 500
+const AdapterKey = z.string().max(longestAdapterKey)
 const Count = z.number().int().nonnegative()
 
 /** What the engine beside a side process holds and how full it is. */
