News of engines elsewhere are taken once a domain and passed on by side processes near

Cause: every entry was told by every side process: 68 entries x 54 side processes are 3,672 links, four fifths of them across domains, each with two heartbeats and up to four frames of news a second.

Wants and uses still go straight to the engine's side process, over a channel that is opened when needed and says little. A side process encodes news once for all readers that know the same. Unread tokens are told as a sum, and an entry takes off its own. An entry with no side process near for a second follows engines itself.

Ruled out: entries relaying for each other (they would have to find each other first; engines' hosts are known to all).

--- a/packages/fleet/src/entry/balancer.ts
+++ b/packages/fleet/src/entry/balancer.ts
@@ -96,7 +96,7 @@
     if (holding === undefined) return
     const held = new Map(holding.held)
     held.delete(key)
-    this.states.tell(server.id, { ...holding, held })
+    this.states.hold(server.id, held)
     this.log.info('holding.corrected', { server: server.id, key, age: Math.round(nowMs() - holding.at) })
   }
 
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -43,7 +43,6 @@
 const exitMs = 700
 
 export interface FleetEntryOptions {
-  process: string
   domain: string
   sidePort: number
   seeds: () => string[]
@@ -76,9 +75,9 @@
   #running = 0
 
   constructor (private readonly options: FleetEntryOptions) {
-    const { facts, domain, limits, log, process, sidePort, channel, dial } = options
+    const { facts, domain, limits, log, sidePort, channel, dial } = options
     this.#balancer = new Balancer(facts, domain, limits, () => this.#links, log)
-    this.#links = new SideLinks({ process, domain, facts, states: this.#balancer.states, sidePort, channel, dial, log, changed: keys => this.#room.poke(keys) })
+    this.#links = new SideLinks({ domain, facts, states: this.#balancer.states, sidePort, channel, dial, log, changed: keys => this.#room.poke(keys) })
     this.#faults = new ServerFaults(this.#balancer, this.counters, log)
     this.#budget = new RetryBudget(limits, () => this.#links.entries)
     this.server = createServer({ maxHeaderSize: mostHeaderBytes, connectionsCheckingInterval: 1000, requestTimeout: 0 })
@@ -119,7 +118,7 @@
     const outage = new Outage()
     for (const source of sources) void follow({ source, facts, log, signal, outage, restMs: kind => this.#restMs(kind) })
     for (const seed of this.options.seeds()) void this.#keepSeed(seed)
-    void this.#links.tellUses(signal)
+    void this.#links.tend(signal)
     void this.#sweep()
   }
 
--- a/packages/fleet/src/entry/server-state.ts
+++ b/packages/fleet/src/entry/server-state.ts
@@ -243,6 +243,14 @@
     this.holders.update(id, holding.held)
   }
 
+  /** Takes over what an engine holds, of which more than its load is known. */
+  hold (id: string, held: ReadonlyMap<string, number>): void {
+    const state = this.#states.get(id)
+    if (state?.holding === undefined) return
+    state.holding = { ...state.holding, held }
+    this.holders.update(id, held)
+  }
+
   /** Lets go of servers that are gone, once their last request has ended. */
   keep (present: ReadonlyMap<string, unknown>): void {
     for (const [id, state] of this.#states) {
--- /dev/null
+++ b/packages/fleet/src/entry/side-link.ts
@@ -0,0 +1,238 @@
+/**
+ * An entry's connection to one side process, for as long as the engine beside it is listed.
+ *
+ * To a side process near it is always open. To one elsewhere it is opened when there is something to say, and closed when
+ * there has been nothing for a while: news of far engines come through side processes near.
+ */
+import type { Duplex } from 'node:stream'
+import { backoff, pause, type Log } from '@finchpitch/core'
+import { Channel, type ChannelOptions, type Frame, type FrameOf } from '@finchpitch/wire'
+import { nowMs } from '../clock.js'
+import { FactLink, patienceMs } from '../fact-exchange.js'
+import type { Facts } from '../facts.js'
+import { quietPace } from '../side/entry-link.js'
+import { unreadDiffers } from '../unread.js'
+import type { ServerState } from './server-state.js'
+
+const reconnectSpan = { firstMs: 100, limitMs: 1000 }
+/** A want is said again while requests wait, in case it was lost or declined. */
+const wantAgainMs = 600
+/** One that tells news and has said nothing for this long, near and across, isn't asked for anything: it is stuck or gone. */
+const stuckMs = { near: 1000, far: 2000 }
+/** A side process answers a want as soon as it has looked at its engine, within 0.1 s; one that is silent for longer is stuck or gone. */
+const unansweredMs = 500
+/** A channel on which a want stays unanswered for this long is opened anew: it may have gone silent for good. */
+const deadMs = 1500
+/** After a side process declined, others are asked first for this long. */
+const declinedMs = 500
+/** A far link with nothing to say for this long is closed. At 8 requests a second to 43 far engines each is used every 5 s. */
+const idleMs = 15_000
+
+export interface SideLinkOptions {
+  facts: Facts
+  sidePort: number
+  channel: ChannelOptions
+  dial: (address: string) => Promise<Duplex>
+  log: Log
+  /** The highest fence that the side process was ever known to use. */
+  fence: () => number
+  /** It was joined or lost. */
+  changed: () => void
+  /** Frames that concern more than the link itself. */
+  take: (frame: Frame) => void
+}
+
+type Want = Omit<FrameOf<'want'>, 'type'>
+
+export class SideLink {
+  #channel: Channel | undefined
+  #running = false
+  readonly #stop = new AbortController()
+  #heardAt = -Infinity
+  /** When it was first asked for something since it was last heard. */
+  #unansweredSince = Infinity
+  /** Unread prompt tokens as last told. */
+  #toldUnread = 0
+  readonly #wanted = new Map<string, number>()
+  readonly #declined = new Map<string, number>()
+  /** Asked for while the link was being opened. */
+  readonly #queued = new Map<string, Want>()
+  #follows: readonly string[] = []
+  #usedAt = -Infinity
+
+  constructor (readonly host: string, readonly near: boolean, private readonly options: SideLinkOptions) {
+    if (near) this.#open()
+  }
+
+  get connected (): boolean {
+    return this.#channel !== undefined
+  }
+
+  /** Unread prompt tokens of this entry as its side process knows them. */
+  get toldUnread (): number {
+    return this.#toldUnread
+  }
+
+  /** It says something often, and has of late. */
+  get lively (): boolean {
+    return this.#channel !== undefined && nowMs() - this.#heardAt <= (this.near ? stuckMs.near : stuckMs.far)
+  }
+
+  /** The hosts of the engines whose news it has to tell. */
+  follow (hosts: readonly string[]): void {
+    if (hosts.length === this.#follows.length && hosts.every((host, at) => host === this.#follows[at])) return
+    this.#follows = hosts
+    if (hosts.length > 0) this.#open()
+    if (this.#channel !== undefined) this.#tellFollows(this.#channel)
+  }
+
+  /** Whether it can be asked to bring the key in. */
+  orderable (key: string): boolean {
+    const now = nowMs()
+    if (now - (this.#declined.get(key) ?? -Infinity) <= declinedMs) return false
+    if (now - this.#unansweredSince > unansweredMs) return false
+    // A far one may have nothing to say; whether it answers is seen once it is asked.
+    return this.near || this.#follows.length > 0 ? this.lively : true
+  }
+
+  /** It was asked for the key a moment ago, and may well bring it in. */
+  awaits (key: string): boolean {
+    return nowMs() - (this.#wanted.get(key) ?? -Infinity) < wantAgainMs
+  }
+
+  /** Asks for the key, unless that was done a moment ago; says whether it did. */
+  want (want: Want): boolean {
+    const now = nowMs()
+    if (this.awaits(want.key)) return false
+    this.#wanted.set(want.key, now)
+    this.#unansweredSince = Math.min(this.#unansweredSince, now)
+    this.#usedAt = now
+    this.#open()
+    if (this.#channel === undefined) this.#queued.set(want.key, want)
+    else this.#channel.send({ type: 'want', ...want })
+    return true
+  }
+
+  /** The engine holds these keys now. */
+  held (keys: Iterable<string>): void {
+    for (const key of keys) this.#wanted.delete(key)
+  }
+
+  /** Tells which adapters are in use; `all`: also what was told before. */
+  tellUses (state: ServerState, all: boolean): void {
+    if (this.#channel === undefined) {
+      if (state.uses.size > 0) this.#open()
+      return
+    }
+    const { unread } = state
+    const unreadChanged = unreadDiffers(this.#toldUnread, unread)
+    if (state.uses.size === 0 && !unreadChanged) return
+    const uses: Array<[string, number, number]> = []
+    for (const [key, use] of state.uses) {
+      if (!all && use.started === 0 && use.running > 0) continue
+      uses.push([key, use.started, use.running])
+      use.started = 0
+      if (use.running === 0) state.uses.delete(key)
+    }
+    if (uses.length === 0 && !unreadChanged) return
+    this.#usedAt = nowMs()
+    this.#toldUnread = unread
+    this.#channel.send({ type: 'uses', uses, unread })
+  }
+
+  /** Ends a channel that is of no use any more, or that is dead. */
+  check (): void {
+    const now = nowMs()
+    for (const [key, at] of this.#wanted) if (now - at > deadMs) this.#wanted.delete(key)
+    if (now - this.#unansweredSince > deadMs) {
+      this.#unansweredSince = Infinity
+      this.#queued.clear()
+      this.#channel?.close({ reason: 'silent' })
+    }
+    if (!this.#needed) this.#channel?.close()
+  }
+
+  close (): void {
+    this.#stop.abort()
+    this.#channel?.close()
+  }
+
+  get #needed (): boolean {
+    return this.near || this.#follows.length > 0 || this.#queued.size > 0 || nowMs() - this.#usedAt < idleMs
+  }
+
+  #open (): void {
+    this.#usedAt = nowMs()
+    if (this.#running) return
+    this.#running = true
+    void this.#keep()
+  }
+
+  async #keep (): Promise<void> {
+    const { dial, sidePort, log } = this.options
+    const { signal } = this.#stop
+    let failures = 0
+    while (!signal.aborted && this.#needed) {
+      try {
+        const reason = await this.#talk(await dial(`${this.host}:${sidePort}`))
+        failures = 0
+        if (!signal.aborted && this.#needed) log.warn('side.lost', { host: this.host, reason })
+      } catch (error) {
+        if (failures === 0) log.warn('side.unreachable', { host: this.host, detail: (error as Error).message })
+      }
+      failures += 1
+      await pause(backoff(failures - 1, Math.random, reconnectSpan), signal)
+    }
+    this.#running = false
+  }
+
+  async #talk (stream: Duplex): Promise<string> {
+    const { facts, log } = this.options
+    const channel = new Channel(stream, this.options.channel)
+    if (this.#stop.signal.aborted) channel.close()
+    const factLink = new FactLink(facts, channel, this.near ? patienceMs.nearSide : patienceMs.farSide, log)
+    void channel.greeted.then(welcome => { if (welcome) this.#joined(channel, factLink) })
+    for await (const frame of channel.frames()) {
+      this.#heardAt = nowMs()
+      this.#unansweredSince = Infinity
+      this.#take(frame, factLink)
+    }
+    factLink.stop()
+    this.#channel = undefined
+    this.#toldUnread = 0
+    this.#wanted.clear()
+    this.options.changed()
+    return (await channel.ended).reason
+  }
+
+  #joined (channel: Channel, factLink: FactLink): void {
+    const { facts, fence, log, changed } = this.options
+    this.#channel = channel
+    this.#heardAt = nowMs()
+    channel.send({ type: 'fences', highest: Math.max(fence(), Math.floor(facts.revision)) })
+    this.#tellFollows(channel)
+    // Entries elsewhere and side processes pass facts on; one more copy of each over every link across would cost bytes.
+    if (this.near) factLink.start()
+    else factLink.stop()
+    for (const want of this.#queued.values()) channel.send({ type: 'want', ...want })
+    this.#queued.clear()
+    log.info('side.joined', { host: this.host, process: channel.peer.process })
+    changed()
+  }
+
+  #tellFollows (channel: Channel): void {
+    const quiet = this.#follows.length === 0
+    channel.setPace(quiet ? quietPace : this.options.channel)
+    channel.send({ type: 'follow', hosts: [...this.#follows], relay: false })
+  }
+
+  #take (frame: Frame, factLink: FactLink): void {
+    if (frame.type === 'fact') factLink.receive(frame)
+    if (frame.type === 'heartbeat') factLink.heard(frame.complete)
+    if (frame.type === 'declined') {
+      this.#declined.set(frame.key, nowMs())
+      this.#wanted.delete(frame.key)
+    }
+    this.options.take(frame)
+  }
+}
--- a/packages/fleet/src/side/demands.ts
+++ b/packages/fleet/src/side/demands.ts
@@ -92,16 +92,12 @@
     this.#uses.delete(entry)
   }
 
-  /**
-   * For each entry, the prompt tokens that requests of all others have at the engine, not read yet. Summed once, since it
-   * is told to every entry.
-   */
-  unreadOfOthers (): (entry: string) => number {
+  /** Prompt tokens that requests of all entries have at the engine, not read yet. */
+  get unread (): number {
     const now = nowMs()
-    const unreadOf = (uses: Uses | undefined): number => uses !== undefined && now - uses.at < usesMs ? uses.unread : 0
-    let total = 0
-    for (const uses of this.#uses.values()) total += unreadOf(uses)
-    return entry => total - unreadOf(this.#uses.get(entry))
+    let sum = 0
+    for (const { at, unread } of this.#uses.values()) if (now - at < usesMs) sum += unread
+    return sum
   }
 
   popularity (key: string): number {
--- a/packages/fleet/src/side/entry-link.ts
+++ b/packages/fleet/src/side/entry-link.ts
@@ -1,103 +1,108 @@
 /**
- * One entry as a side process sees it: what it was last told of the engine, and when it has to be told again.
+ * One peer as a side process sees it: an entry near or far, or a side process of another failure domain.
  *
- * An entry of the same failure domain hears of changes at once, since it sends most of what the engine gets. One
- * elsewhere hears of them gathered, since bytes between domains cost. Only differences are sent.
+ * A peer is told the news of the engines that it follows and of no others. An entry elsewhere follows none as a rule: it
+ * hears of far engines through a side process near it, asks here for adapters, and is told when those have come. With all
+ * entries told by all side processes, 68 entries and 54 side processes spent most of their processor time on it.
  */
-import { isDeepStrictEqual } from 'node:util'
-import type { Channel, HoldingFrame } from '@finchpitch/wire'
+import { encode, type Channel, type ChannelPace } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
 import type { FactLink } from '../fact-exchange.js'
-import { unreadDiffers } from '../unread.js'
+import { NewsTeller, newsPaces, type EngineNews } from './news.js'
 
-/** How often entries hear of a load that changed: of engines in their own domain, and of others. */
-const nearMs = 200
-const farMs = 250
-/** Changes of what is held are gathered this long for entries in other domains, which seldom use them. */
-const farChangeMs = 40
-/** An entry hears something at least this often, and so can tell a silent side process; across, bytes cost. */
-const nearAliveMs = 700
-const farAliveMs = 1500
+/** A channel that says something now and then only: heartbeats across cost bytes, and an unanswered want shows a dead one. */
+export const quietPace: ChannelPace = { heartbeatMs: 5000, silenceMs: 12_000, steady: false }
 
-/** Keys held, each with its version. */
-export type HeldKeys = Record<string, number>
+/** A want that is neither met nor declined by then was given up; an entry that still waits has asked again. */
+const wantedMs = 3000
 
-/** All that entries are told of an engine. */
-export interface EngineNews {
-  /** Rises with each change of `held` or `coming`. */
-  changes: number
-  held: HeldKeys
-  coming: string[]
-  /** Adapters that it has let go of and has at hand. */
-  warm: () => Array<[key: string, version: number]>
-  reachable: boolean
-  server: string | undefined
-  waiting: number
-  running: number
-  /** Prompt tokens that requests of entries other than `entry` have there, not read yet. */
-  unreadOfOthers: (entry: string) => number
-  /** Entries connected to the side process. */
-  entries: number
-  fence: number
+export interface EntryLinkOptions {
+  channel: Channel
+  /** The peer is of the same failure domain. */
+  near: boolean
+  /** The host of the engine beside this process. */
+  ownHost: string
 }
 
-const nothingTold: EngineNews = { changes: -1, held: {}, coming: [], warm: () => [], reachable: false, server: undefined, waiting: 0, running: 0, unreadOfOthers: () => 0, entries: 0, fence: 0 }
-
 export class EntryLink {
-  #told = nothingTold
-  #toldAt = -Infinity
-  #toldUnread = 0
+  readonly channel: Channel
+  readonly near: boolean
+  /** Passing on what the store says; only with peers that follow something. */
+  facts: FactLink | undefined
+  /** It is a side process that passes news on to its entries. */
+  relay = false
+  readonly #ownHost: string
+  readonly #tellers = new Map<string, NewsTeller>()
+  /** Keys that it asked for and was not told of since, and when. */
+  readonly #wanted = new Map<string, number>()
   /** It asked for something and has heard nothing since. */
   #owed = false
 
-  constructor (readonly channel: Channel, readonly facts: FactLink, readonly near: boolean) {}
+  constructor ({ channel, near, ownHost }: EntryLinkOptions) {
+    this.channel = channel
+    this.near = near
+    this.#ownHost = ownHost
+  }
+
+  get follows (): ReadonlySet<string> {
+    return new Set(this.#tellers.keys())
+  }
+
+  /** It is told the news of the engine beside this process. */
+  get followsOwn (): boolean {
+    return this.#tellers.has(this.#ownHost)
+  }
+
+  /** The hosts that it follows from now on. */
+  follow (hosts: readonly string[]): void {
+    const wanted = new Set(hosts)
+    for (const host of this.#tellers.keys()) if (!wanted.has(host)) this.#tellers.delete(host)
+    for (const host of wanted) {
+      if (!this.#tellers.has(host)) this.#tellers.set(host, new NewsTeller(this.#paceOf(host)))
+    }
+  }
 
-  /** The entry waits for a word, to tell this process from one that hangs. */
-  owe (): void {
+  /** It waits for the key, and for a word, to tell this process from one that hangs. */
+  want (key: string): void {
     this.#owed = true
+    this.#wanted.set(key, nowMs())
+  }
+
+  /** Tells it that the key can't be brought in, if it asked. */
+  decline (key: string, reason: string): void {
+    if (this.#wanted.delete(key)) this.channel.send({ type: 'declined', key, reason })
   }
 
-  /** Tells the entry what it has to know by now. */
-  publish (news: EngineNews): void {
-    const unread = news.unreadOfOthers(this.channel.peer.process)
-    if (!this.#due(news, unread)) return
-    const fresh = this.#told.changes < 0
-    const { came, went } = difference(this.#told.held, news.held)
-    const frame: HoldingFrame = {
-      type: 'holding',
-      reachable: news.reachable,
-      server: news.server,
-      ...(came === undefined ? {} : { came }),
-      ...(went.length === 0 ? {} : { went }),
-      ...(isDeepStrictEqual(this.#told.coming, news.coming) ? {} : { coming: news.coming }),
-      ...(fresh ? { warm: news.warm() } : {}),
-      waiting: news.waiting,
-      running: news.running,
-      unread,
-      entries: news.entries,
-      fence: news.fence
+  /** Tells it what it has to know by now. */
+  publish (own: EngineNews, passedOn: ReadonlyMap<string, EngineNews>): void {
+    const frames: Buffer[] = []
+    for (const [host, teller] of this.#tellers) {
+      const isOwn = host === this.#ownHost
+      const news = isOwn ? own : passedOn.get(host)
+      const frame = news === undefined ? undefined : teller.next(news, isOwn && this.#owed)
+      if (frame !== undefined) frames.push(frame)
     }
-    this.#told = news
+    frames.push(...this.#arrivals(own))
+    if (this.#owed && frames.length === 0) this.channel.beat()
     this.#owed = false
-    this.#toldUnread = unread
-    this.#toldAt = nowMs()
-    this.channel.send(frame)
+    if (frames.length > 0) this.channel.sendEncoded(frames)
   }
 
-  #due (news: EngineNews, unread: number): boolean {
-    const told = this.#told
-    const age = nowMs() - this.#toldAt
-    if (this.#owed || age > (this.near ? nearAliveMs : farAliveMs)) return true
-    const changed = told.changes !== news.changes || told.reachable !== news.reachable || told.server !== news.server
-    if (changed && (this.near || age > farChangeMs)) return true
-    const loadChanged = told.waiting !== news.waiting || told.running !== news.running || unreadDiffers(this.#toldUnread, unread)
-    return loadChanged && age > (this.near ? nearMs : farMs)
+  /** What it asked for and is held. One that follows the engine hears of it with the news. */
+  #arrivals (own: EngineNews): Buffer[] {
+    const frames: Buffer[] = []
+    for (const [key, at] of this.#wanted) {
+      if (nowMs() - at > wantedMs) this.#wanted.delete(key)
+      const version = own.account.held.get(key)
+      if (version === undefined) continue
+      this.#wanted.delete(key)
+      if (!this.followsOwn) frames.push(encode({ type: 'arrived', key, version }))
+    }
+    return frames
   }
-}
 
-/** What came or changed its version, and what went. */
-export const difference = (before: HeldKeys, after: HeldKeys): { came: HeldKeys | undefined, went: string[] } => {
-  const came = Object.entries(after).filter(([key, version]) => before[key] !== version)
-  const went = Object.keys(before).filter(key => !(key in after))
-  return { came: came.length === 0 ? undefined : Object.fromEntries(came), went }
+  #paceOf (host: string): typeof newsPaces[keyof typeof newsPaces] {
+    if (host !== this.#ownHost) return newsPaces.passedOn
+    return this.near ? newsPaces.near : newsPaces.far
+  }
 }
--- /dev/null
+++ b/packages/fleet/src/side/news.ts
@@ -0,0 +1,122 @@
+/**
+ * News of an engine, and what of them a reader has to be told by when.
+ *
+ * Only differences are sent. Readers that were told the same get the same bytes, encoded once: a side process tells some
+ * ten entries of its failure domain, and the entries of a large deployment hear of every engine.
+ */
+import { isDeepStrictEqual } from 'node:util'
+import { encode, type HoldingFrame } from '@finchpitch/wire'
+import { nowMs } from '../clock.js'
+import type { HeldKeys } from '../engine-mirror.js'
+import { unreadDiffers } from '../unread.js'
+
+/** All that is told of an engine at one moment. */
+export interface EngineAccountNews {
+  host: string
+  /** Rises with each change of `held` or `coming`. */
+  changes: number
+  held: HeldKeys
+  coming: readonly string[]
+  /** Adapters that it has let go of and has at hand. */
+  warm: () => Array<[key: string, version: number]>
+  reachable: boolean
+  server: string | undefined
+  waiting: number
+  running: number
+  /** Prompt tokens of all entries that it has not read yet. */
+  unread: number
+  entries: number
+  strangers: number
+  fence: number
+}
+
+export class EngineNews {
+  /** By what a reader was told before; weakly, as each would keep all before it alive. */
+  readonly #frames = new WeakMap<EngineNews, Buffer>()
+  #first: Buffer | undefined
+
+  constructor (readonly account: EngineAccountNews) {}
+
+  /** For a reader that was last told `told`, or nothing yet. */
+  frameAfter (told: EngineNews | undefined): Buffer {
+    const known = told === undefined ? this.#first : this.#frames.get(told)
+    if (known !== undefined) return known
+    const frame = encode(this.#frameAfter(told?.account))
+    if (told === undefined) this.#first = frame
+    else this.#frames.set(told, frame)
+    return frame
+  }
+
+  #frameAfter (told: EngineAccountNews | undefined): HoldingFrame {
+    const { host, held, coming, warm, reachable, server, waiting, running, unread, entries, strangers, fence } = this.account
+    const { came, went } = difference(told?.held ?? new Map(), held)
+    return {
+      type: 'holding',
+      host,
+      reachable,
+      server,
+      ...(told === undefined ? { whole: true, warm: warm() } : {}),
+      ...(came.size === 0 ? {} : { came: Object.fromEntries(came) }),
+      ...(went.length === 0 ? {} : { went }),
+      ...(isDeepStrictEqual(told?.coming ?? [], coming) ? {} : { coming: [...coming] }),
+      waiting,
+      running,
+      unread,
+      entries,
+      strangers,
+      fence
+    }
+  }
+}
+
+/** How often a reader hears of an engine. */
+export interface NewsPace {
+  /** At most so often of a load that changed. */
+  loadMs: number
+  /** Changes of what is held are gathered so long. */
+  changeMs: number
+  /** At least so often of anything, to tell a silent side process. */
+  aliveMs: number
+}
+
+export const newsPaces = {
+  /** To entries of the engine's own domain, which send it most of what it gets; bytes there cost nothing. */
+  near: { loadMs: 200, changeMs: 0, aliveMs: 700 },
+  /** Across, where bytes cost. */
+  far: { loadMs: 250, changeMs: 40, aliveMs: 1500 },
+  /** What was told across is passed on as it comes. */
+  passedOn: { loadMs: 0, changeMs: 0, aliveMs: 1500 }
+} as const satisfies Record<string, NewsPace>
+
+export class NewsTeller {
+  #told: EngineNews | undefined
+  #toldAt = -Infinity
+
+  constructor (private readonly pace: NewsPace) {}
+
+  /** What the reader has to be told by now; `owed`: it waits for a word. */
+  next (news: EngineNews, owed = false): Buffer | undefined {
+    if (!owed && !this.#due(news.account)) return undefined
+    const frame = news.frameAfter(this.#told)
+    this.#told = news
+    this.#toldAt = nowMs()
+    return frame
+  }
+
+  #due (news: EngineAccountNews): boolean {
+    const told = this.#told?.account
+    const age = nowMs() - this.#toldAt
+    if (told === undefined || age > this.pace.aliveMs) return true
+    const changed = told.changes !== news.changes || told.reachable !== news.reachable || told.server !== news.server
+    if (changed && age >= this.pace.changeMs) return true
+    const loadChanged = told.waiting !== news.waiting || told.running !== news.running || unreadDiffers(told.unread, news.unread)
+    return loadChanged && age >= this.pace.loadMs
+  }
+}
+
+/** What came or changed its version, and what went. */
+export const difference = (before: HeldKeys, after: HeldKeys): { came: Map<string, number>, went: string[] } => {
+  const came = new Map([...after].filter(([key, version]) => before.get(key) !== version))
+  const went = [...before.keys()].filter(key => !after.has(key))
+  return { came, went }
+}
--- /dev/null
+++ b/packages/fleet/src/side/relay.ts
@@ -0,0 +1,129 @@
+/**
+ * News of engines in other failure domains, taken once and passed on to the entries near.
+ *
+ * A side process opens a channel to another one for as long as an entry near it follows the engine there. It only reads:
+ * requests and wants go from the entries straight to where they belong, so a relay that fails delays news and nothing else.
+ */
+import type { Duplex } from 'node:stream'
+import { backoff, pause, type Log } from '@finchpitch/core'
+import { Channel, type ChannelOptions } from '@finchpitch/wire'
+import { nowMs } from '../clock.js'
+import { EngineMirror } from '../engine-mirror.js'
+import { FactLink, patienceMs } from '../fact-exchange.js'
+import type { Facts } from '../facts.js'
+import { EngineNews } from './news.js'
+
+const reconnectSpan = { firstMs: 100, limitMs: 1000 }
+/** News come at least every 1.5 s; a channel without any for twice that is dead. */
+const deafMs = 3000
+/** News from several engines that come close together go on in one write. */
+const gatherMs = 15
+
+export interface RelayOptions {
+  facts: Facts
+  sidePort: number
+  channel: ChannelOptions
+  dial: (address: string) => Promise<Duplex>
+  log: Log
+  /** There is something to pass on. */
+  changed: () => void
+}
+
+interface Source {
+  stop: AbortController
+  mirror: EngineMirror
+  channel: Channel | undefined
+}
+
+export class Relay {
+  readonly #sources = new Map<string, Source>()
+  /** The latest of each engine that was told of. */
+  readonly news = new Map<string, EngineNews>()
+  #due: NodeJS.Timeout | undefined
+
+  constructor (private readonly options: RelayOptions) {}
+
+  /** Takes the news of the engines at these hosts and of no others. */
+  follow (hosts: ReadonlySet<string>): void {
+    for (const [host, source] of this.#sources) {
+      if (!hosts.has(host)) this.#close(host, source)
+    }
+    for (const host of hosts) {
+      if (!this.#sources.has(host)) this.#open(host)
+    }
+  }
+
+  get following (): number {
+    return this.#sources.size
+  }
+
+  close (): void {
+    clearTimeout(this.#due)
+    for (const [host, source] of this.#sources) this.#close(host, source)
+  }
+
+  #open (host: string): void {
+    const source: Source = { stop: new AbortController(), mirror: new EngineMirror(), channel: undefined }
+    this.#sources.set(host, source)
+    void this.#keep(host, source)
+  }
+
+  #close (host: string, source: Source): void {
+    source.stop.abort()
+    source.channel?.close()
+    this.#sources.delete(host)
+    this.news.delete(host)
+  }
+
+  async #keep (host: string, source: Source): Promise<void> {
+    const { dial, sidePort, log } = this.options
+    const { signal } = source.stop
+    for (let failures = 0; !signal.aborted; failures++) {
+      try {
+        const reason = await this.#read(host, source, await dial(`${host}:${sidePort}`))
+        failures = 0
+        if (!signal.aborted) log.info('relay.lost', { host, reason })
+      } catch (error) {
+        if (failures === 0) log.info('relay.unreachable', { host, detail: (error as Error).message })
+      }
+      await pause(backoff(failures, Math.random, reconnectSpan), signal)
+    }
+  }
+
+  async #read (host: string, source: Source, stream: Duplex): Promise<string> {
+    const { facts, log, channel: options } = this.options
+    const channel = new Channel(stream, options)
+    source.channel = channel
+    if (source.stop.signal.aborted) channel.close()
+    const factLink = new FactLink(facts, channel, patienceMs.farSide, log)
+    let heardAt = nowMs()
+    const watch = setInterval(() => { if (nowMs() - heardAt > deafMs) channel.close({ reason: 'silent' }) }, deafMs / 2)
+    void channel.greeted.then(welcome => {
+      if (!welcome) return
+      channel.send({ type: 'follow', hosts: [host], relay: true })
+      factLink.start()
+    })
+    for await (const frame of channel.frames()) {
+      if (frame.type === 'fact') factLink.receive(frame)
+      if (frame.type === 'heartbeat') factLink.heard(frame.complete)
+      if (frame.type !== 'holding') continue
+      heardAt = nowMs()
+      source.mirror.take(frame)
+      this.news.set(host, newsOf(host, source.mirror))
+      this.#due ??= setTimeout(() => this.#passOn(), gatherMs)
+    }
+    clearInterval(watch)
+    factLink.stop()
+    return (await channel.ended).reason
+  }
+
+  #passOn (): void {
+    this.#due = undefined
+    this.options.changed()
+  }
+}
+
+const newsOf = (host: string, mirror: EngineMirror): EngineNews => {
+  const { changes, held, coming, reachable, server, waiting, running, unread, entries, strangers, fence } = mirror
+  return new EngineNews({ host, changes, held, coming, warm: () => mirror.warm.all(), reachable, server, waiting, running, unread, entries, strangers, fence })
+}
--- a/packages/fleet/src/side/side.ts
+++ b/packages/fleet/src/side/side.ts
@@ -1,14 +1,14 @@
 /**
  * The fleet's side process: the only giver of orders to the engine beside it.
  *
- * It reads the engine's account several times a second, decides at most one order at a time, and tells all entries
- * what the engine holds and how full it is. It keeps nothing over a restart: the account says what the engine
+ * It reads the engine's account several times a second, decides at most one order at a time, and tells those that follow
+ * the engine what it holds and how full it is. To the entries near it passes on what others tell of engines elsewhere. It keeps nothing over a restart: the account says what the engine
  * holds, the entries say again what they wait for.
  */
 import type { Duplex } from 'node:stream'
 import { isDeepStrictEqual } from 'node:util'
 import { pause, type Log } from '@finchpitch/core'
-import { Channel, type ChannelOptions, type Frame } from '@finchpitch/wire'
+import { Channel, type ChannelOptions, type Frame, type FrameOf } from '@finchpitch/wire'
 import { FactLink, patienceMs } from '../fact-exchange.js'
 import type { Facts } from '../facts.js'
 import type { EngineAccount, EngineOrder, EngineOrders, Limits } from '../ports.js'
@@ -16,12 +16,15 @@
 import type { EngineSpec } from '../table.js'
 import { WarmCopies } from '../warm-copies.js'
 import { Demands } from './demands.js'
-import { EntryLink, difference, type EngineNews, type HeldKeys } from './entry-link.js'
+import type { HeldKeys } from '../engine-mirror.js'
+import { EntryLink, quietPace } from './entry-link.js'
 import { LoadRate, type LoadShare } from './load-rate.js'
 import { LoadTimes, type LoadSource } from './load-times.js'
 import { OrderGiver } from './order-giver.js'
 import type { SideCounters } from './counters.js'
+import { EngineNews, difference } from './news.js'
 import { place } from './placement.js'
+import { Relay } from './relay.js'
 
 /** Between two looks at the engine while nothing is awaited, and while something is. */
 const restMs = 200
@@ -33,6 +36,9 @@
   process: string
   domain: string
   engineAddress: string
+  /** Where side processes listen, on all machines. */
+  sidePort: number
+  dial: (address: string) => Promise<Duplex>
   engine: EngineOrders
   facts: Facts
   limits: () => Limits
@@ -50,7 +56,9 @@
   readonly #orders: OrderGiver
   #wake = (): void => {}
   readonly #loads = new LoadTimes()
-  #held: HeldKeys = {}
+  readonly #relay: Relay
+  readonly #host: string
+  #held: HeldKeys = new Map()
   #coming: string[] = []
   readonly #warm = new WarmCopies()
   /** Counts changes of what is held or coming. */
@@ -59,12 +67,15 @@
   constructor (private readonly options: SideOptions) {
     for (let each = 0; each < assumedStarts; each++) this.#rate.started()
     this.#orders = new OrderGiver({ ...options, replaced: () => this.#replaced() })
-    const { counters } = options
+    const { counters, engineAddress } = options
+    this.#host = engineAddress.slice(0, engineAddress.lastIndexOf(':'))
+    this.#relay = new Relay({ ...options, changed: () => this.#tell(this.#news()) })
     counters.gauge('finchpitch_engine_requests_running', 'Requests that the engine runs, by its account.', () => this.#account?.running ?? 0)
     counters.gauge('finchpitch_engine_requests_waiting', 'Requests that wait at the engine, by its account.', () => this.#account?.waiting ?? 0)
     counters.gauge('finchpitch_engine_cache_tokens_used', 'Tokens of memory that can not give way, by the engine\'s account.', () => this.#account?.cacheUsed ?? 0)
     counters.gauge('finchpitch_engine_cache_tokens', 'Tokens of memory that the engine has.', () => this.#account?.cacheTotal ?? 0)
-    counters.gauge('finchpitch_entries_connected', 'Entries connected.', () => this.#links.size)
+    counters.gauge('finchpitch_peers_connected', 'Entries and side processes connected.', () => this.#links.size)
+    counters.gauge('finchpitch_engines_relayed', 'Engines elsewhere whose news are passed on.', () => this.#relay.following)
   }
 
   /** One entry's connection, to its end. */
@@ -80,7 +91,8 @@
     const end = await channel.ended
     if (link === undefined) return
     this.#links.delete(link)
-    link.facts.stop()
+    link.facts?.stop()
+    this.#chooseRelayed()
     this.demands.forget(channel.peer.process)
     log.info('entry.lost', { entry: channel.peer.process, reason: end.reason, revision: facts.revision, domain })
   }
@@ -165,7 +177,7 @@
   }
 
   #settleMet (account: EngineAccount): void {
-    for (const [key, version] of Object.entries(heldOf(account))) {
+    for (const [key, version] of heldOf(account)) {
       this.#loaded(key, version)
       if (this.demands.has(key)) this.demands.settle(key, true)
     }
@@ -182,7 +194,7 @@
     this.demands.settle(key, false)
     this.options.counters.declined.inc({ reason })
     this.options.log.info('demand.declined', { key, reason, orders: this.#account?.orders })
-    for (const { channel } of this.#links) channel.send({ type: 'declined', key, reason })
+    for (const link of this.#links) link.decline(key, reason)
   }
 
   async #give (order: EngineOrder, reason: string): Promise<number> {
@@ -201,20 +213,49 @@
   }
 
   #join (channel: Channel): EntryLink {
-    const { facts, domain, log } = this.options
-    const link = new EntryLink(channel, new FactLink(facts, channel, patienceMs.entry, log), channel.peer.domain === domain)
+    const { domain, log } = this.options
+    const near = channel.peer.domain === domain
+    const link = new EntryLink({ channel, near, ownHost: this.#host })
     this.#links.add(link)
-    link.facts.start()
+    if (near) this.#exchangeFacts(link)
+    else channel.setPace(quietPace)
     log.info('entry.joined', { entry: channel.peer.process, domain: channel.peer.domain })
     this.#wake()
     return link
   }
 
+  #exchangeFacts (link: EntryLink): void {
+    const { facts, log } = this.options
+    if (link.facts !== undefined) return
+    link.facts = new FactLink(facts, link.channel, patienceMs.entry, log)
+    link.facts.start()
+  }
+
+  /** A peer says which engines it wants to hear of. */
+  #follow (link: EntryLink, { hosts, relay }: FrameOf<'follow'>): void {
+    link.follow(hosts)
+    link.relay = relay
+    if (!link.near) link.channel.setPace(link.followsOwn ? this.options.channel : quietPace)
+    if (link.followsOwn) this.#exchangeFacts(link)
+    this.#chooseRelayed()
+    this.#tell(this.#news())
+  }
+
+  /** Engines elsewhere that any entry near follows through this process. */
+  #chooseRelayed (): void {
+    const hosts = new Set<string>()
+    for (const link of this.#links) {
+      if (!link.near || link.relay) continue
+      for (const host of link.follows) if (host !== this.#host) hosts.add(host)
+    }
+    this.#relay.follow(hosts)
+  }
+
   #take (frame: Frame, link: EntryLink): void {
     const entry = link.channel.peer.process
-    if (frame.type === 'fact') link.facts.receive(frame)
+    if (frame.type === 'fact') link.facts?.receive(frame)
     if (frame.type === 'heartbeat') {
-      link.facts.heard(frame.complete)
+      link.facts?.heard(frame.complete)
       // Entries of the same domain send what they learn at once, so by now it is all here.
       if (link.near && frame.complete !== undefined) this.options.facts.caughtUp(frame.complete)
     }
@@ -224,9 +265,10 @@
       const { fence } = this.#orders
       if (fence > 0 && frame.highest > fence) this.options.log.info('fence.behind', { fence, highest: frame.highest })
     }
+    if (frame.type === 'follow') this.#follow(link, frame)
     if (frame.type === 'want') {
       this.demands.ask(frame)
-      link.owe()
+      link.want(frame.key)
       this.options.log.info('demand.asked', { key: frame.key, entry, waiting: frame.waiting, priority: frame.priority })
       this.#wake()
     }
@@ -238,17 +280,22 @@
     const coming = account?.coming.map(each => each.key) ?? []
     if (!isDeepStrictEqual(held, this.#held) || !isDeepStrictEqual(coming, this.#coming)) {
       this.#changes += 1
-      for (const key of difference(this.#held, held).went) this.#warm.keep(key, this.#held[key] ?? 0)
+      for (const key of difference(this.#held, held).went) this.#warm.keep(key, this.#held.get(key) ?? 0)
     }
     this.#held = held
     this.#coming = coming
-    const news = this.#news()
-    for (const link of this.#links) link.publish(news)
+    this.#tell(this.#news())
+  }
+
+  #tell (news: EngineNews): void {
+    for (const link of this.#links) link.publish(news, this.#relay.news)
   }
 
   #news (): EngineNews {
     const account = this.#account
-    return {
+    const links = [...this.#links].filter(link => !link.relay)
+    return new EngineNews({
+      host: this.#host,
       changes: this.#changes,
       held: this.#held,
       coming: this.#coming,
@@ -257,10 +304,11 @@
       server: this.#orders.server,
       waiting: account?.waiting ?? 0,
       running: account?.running ?? 0,
-      unreadOfOthers: this.demands.unreadOfOthers(),
-      entries: this.#links.size,
+      unread: this.demands.unread,
+      entries: links.filter(link => link.near).length,
+      strangers: links.filter(link => !link.near && link.followsOwn).length,
       fence: this.#orders.fence
-    }
+    })
   }
 
   async #rest (ms: number, signal: AbortSignal): Promise<void> {
@@ -273,15 +321,16 @@
   }
 
   close (): void {
+    this.#relay.close()
     for (const { channel } of this.#links) channel.close()
   }
 }
 
 const heldOf = (account: EngineAccount): HeldKeys => {
-  const held: HeldKeys = {}
+  const held = new Map<string, number>()
   for (const model of account.models) {
-    held[model.name] = model.version
-    for (const [adapter, version] of Object.entries(model.adapters)) held[refKey({ model: model.name, adapter })] = version
+    held.set(model.name, model.version)
+    for (const [adapter, version] of Object.entries(model.adapters)) held.set(refKey({ model: model.name, adapter }), version)
   }
   return held
 }
--- /dev/null
+++ b/packages/fleet/test/relay.test.ts
@@ -0,0 +1,83 @@
+import { request } from 'node:http'
+import { pause } from '@finchpitch/core'
+import { FleetSystem, type Machine } from '@finchpitch/stand-ins'
+import { expect } from 'chai'
+
+const settleMs = 2500
+let sent = 0
+
+describe('news across failure domains', function () {
+  this.timeout(60_000)
+  let fleet: FleetSystem
+
+  const ask = (model: string, entry: number): Promise<number> => new Promise((resolve, reject) => {
+    const headers = { host: 'fleet.example', 'request-id': `relay-${sent++}`, 'deadline-ms': '3000', model }
+    request({ ...fleet.callerAddress(entry), method: 'POST', path: '/stream/x', headers }, answer => {
+      answer.resume().on('end', () => resolve(answer.statusCode ?? 0))
+    }).on('error', reject).end('{}')
+  })
+
+  /** Peers that a side process has a channel with now. */
+  const joined = (side: Machine, prefix: string): string[] => {
+    const count = (event: string, name: string): number => events(side, event).filter(line => line.entry === name).length
+    const names = new Set(events(side, 'entry.joined').map(line => String(line.entry)))
+    return [...names].filter(name => name.startsWith(prefix) && count('entry.joined', name) > count('entry.lost', name))
+  }
+  const events = (machine: Machine | undefined, event: string): Array<Record<string, unknown>> =>
+    machine === undefined ? [] : fleet.lines(machine).filter(line => line.event === event)
+  const eventually = async (what: string, check: () => boolean, ms: number): Promise<void> => {
+    const until = Date.now() + ms
+    while (!check()) {
+      if (Date.now() > until) throw new Error(`not within ${ms} ms: ${what}`)
+      await pause(20)
+    }
+  }
+
+  beforeEach(async () => {
+    fleet = new FleetSystem({ network: 34, domains: 2, entriesPerDomain: 2, enginesPerDomain: 2, plainPerDomain: 0, places: 3, loadMs: 60, workMs: 5, events: 3, eventMs: 5 })
+    await fleet.start()
+    await pause(settleMs)
+  })
+
+  afterEach(async () => { await fleet.stop() })
+
+  it('cross once for all entries of a domain, and entries keep no channels across that they don\'t use', () => {
+    for (const side of fleet.sides) {
+      const own = side.name.split('-')[1]
+      const other = own === 'd0' ? 'd1' : 'd0'
+      expect(joined(side, `entry-${own}`), side.name).to.have.length(2)
+      expect(joined(side, `entry-${other}`), side.name).to.have.length(0)
+      expect(joined(side, `side-${other}`), side.name).to.have.length(1)
+    }
+  })
+
+  it('let an entry use what engines elsewhere hold, and bring adapters in there', async () => {
+    const adapters = Array.from({ length: 10 }, (_, each) => `base/far${each}`)
+    for (const model of adapters) expect(await ask(model, 0)).to.equal(200)
+    await pause(300)
+    const loads = (): number => fleet.engines.reduce((sum, engine) => sum + engine.orders.filter(order => order.operation === 'load').length, 0)
+    const before = loads()
+    // The last ones are still held somewhere, and an entry of the other domain finds them there.
+    for (const model of adapters.slice(-3)) expect(await ask(model, 2)).to.equal(200)
+    expect(loads()).to.equal(before)
+  })
+
+  it('come through another side process within 1.5 s when the one that passed them on freezes', async () => {
+    const [side] = fleet.sides
+    side?.process?.kill('SIGSTOP')
+    const changed = (entry: Machine | undefined): boolean => events(entry, 'news.source_changed').length > 0
+    await eventually('both entries of its domain take them elsewhere', () => changed(fleet.entries[0]) && changed(fleet.entries[1]), 1500)
+    for (let each = 0; each < 6; each++) expect(await ask(`base/frozen${each}`, 0)).to.equal(200)
+    side?.process?.kill('SIGCONT')
+  })
+
+  it('are taken from the engines\' own side processes while none is left near', async () => {
+    for (const side of fleet.sides.slice(0, 2)) await fleet.kill(side)
+    const others = fleet.sides.slice(2)
+    await eventually('its entries follow engines elsewhere themselves', () => others.every(side => joined(side, 'entry-d0').length === 2), 2500)
+    expect(await ask('base/alone', 0)).to.equal(200)
+    for (const side of fleet.sides.slice(0, 2)) await fleet.startProcess(side)
+    await eventually('the side processes near tell again', () => events(fleet.entries[0], 'news.source_changed').length > 0, 4000)
+    expect(await ask('base/back', 0)).to.equal(200)
+  })
+})
--- a/packages/wire/src/channel.ts
+++ b/packages/wire/src/channel.ts
@@ -21,9 +21,8 @@
   | { reason: 'fault', fault: FrameFault }
   | { reason: 'protocol', detail: string }
 
-export interface ChannelOptions {
-  hello: () => FrameOf<'hello'>
-  heartbeat: () => FrameOf<'heartbeat'>
+/** How often a channel shows that it lives, and how long it waits for the peer to. */
+export interface ChannelPace {
   /** Milliseconds of rest after which a heartbeat is sent; `heartbeatMs` by default. */
   heartbeatMs?: number
   /** Heartbeats are sent beside other frames too, since they tell something of their own. */
@@ -32,19 +31,27 @@
   silenceMs?: number
 }
 
+export interface ChannelOptions extends ChannelPace {
+  hello: () => FrameOf<'hello'>
+  heartbeat: () => FrameOf<'heartbeat'>
+}
+
 export class Channel {
   readonly #reader = new FrameReader()
   readonly #ended: Promise<ChannelEnd>
   readonly #greeted: Promise<boolean>
-  readonly #stop = new AbortController()
   #greetDone!: (greeted: boolean) => void
   #finish!: (end: ChannelEnd) => void
+  #pace: ChannelPace
+  /** Cuts a rest between heartbeats short. */
+  #rest = new AbortController()
   #lastSent = 0
   #lastHeard = performance.now()
   #peer: Hello | undefined
   #end: ChannelEnd | undefined
 
   constructor (private readonly stream: Duplex, private readonly options: ChannelOptions) {
+    this.#pace = options
     this.#ended = new Promise(resolve => { this.#finish = resolve })
     this.#greeted = new Promise(resolve => { this.#greetDone = resolve })
     stream.on('error', error => this.close({ reason: 'broken', detail: error.message }))
@@ -75,9 +82,16 @@
 
   /** Sends one frame; false when the channel has ended and nothing was sent. */
   send (frame: Frame): boolean {
+    return this.sendEncoded([encode(frame)])
+  }
+
+  /** Sends frames that were encoded before, for several peers, in one write; false when the channel has ended. */
+  sendEncoded (frames: readonly Buffer[]): boolean {
     if (!this.open) return false
     this.#lastSent = performance.now()
-    this.stream.write(encode(frame))
+    if (frames.length > 1) this.stream.cork()
+    for (const frame of frames) this.stream.write(frame)
+    if (frames.length > 1) this.stream.uncork()
     return true
   }
 
@@ -90,7 +104,7 @@
   close (end: ChannelEnd = { reason: 'closed' }): void {
     if (!this.open) return
     this.#end = end
-    this.#stop.abort()
+    this.#rest.abort()
     this.stream.destroy()
     this.#greetDone(false)
     this.#finish(end)
@@ -138,14 +152,22 @@
     this.send(this.options.heartbeat())
   }
 
+  /** Both ends change it alike, once they know what the channel is for. Silence counts from here. */
+  setPace (pace: ChannelPace): void {
+    if (!this.open) return
+    this.#pace = pace
+    this.#lastHeard = performance.now()
+    this.#rest.abort()
+    this.#rest = new AbortController()
+  }
+
   async #beat (): Promise<void> {
-    const beat = this.options.heartbeatMs ?? heartbeatMs
-    const silence = this.options.silenceMs ?? silenceMs
     while (this.open) {
-      await pause(beat, this.#stop.signal)
+      const { heartbeatMs: beat = heartbeatMs, silenceMs: silence = silenceMs, steady } = this.#pace
+      await pause(beat, this.#rest.signal)
       const now = performance.now()
       if (now - this.#lastHeard > silence) this.close({ reason: 'silent' })
-      if (this.options.steady === true || now - this.#lastSent >= beat) this.beat()
+      if (steady === true || now - this.#lastSent >= beat) this.beat()
     }
   }
 }
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -8,7 +8,7 @@
 import * as z from 'zod'
 
 /** Raised when two versions can't talk to each other; the first frame carries it. */
-export const protocolVersion = 1
+export const protocolVersion = 2
 
 const ExchangeId = z.number().int().nonnegative()
 
@@ -57,9 +57,15 @@
 const AdapterKey = z.string().max(longestAdapterKey)
 const Count = z.number().int().nonnegative()
 
-/** What the engine beside a side process holds and how full it is. */
+/** The machine that an engine and its side process share, by its IP number. */
+const Host = z.string().max(64)
+
+/** What an engine holds and how full it is, told by its side process or by one that passes its news on. */
 export const HoldingFrame = z.object({
   type: z.literal('holding'),
+  host: Host,
+  /** `came` lists all that is held, and what was told of this engine before is void. */
+  whole: z.boolean().optional(),
   /** The engine answers its side process. */
   reachable: z.boolean(),
   /** The engine's id where it is known. */
@@ -74,10 +80,12 @@
   warm: z.array(z.tuple([AdapterKey, z.number()])).max(1000).optional(),
   waiting: Count,
   running: Count,
-  /** Prompt tokens that requests of other entries have there and that are not read yet, as far as those have told. */
-  unread: Count.optional(),
-  /** Entries connected to this side process. */
+  /** Prompt tokens that requests of all entries have there and that are not read yet, as far as those have told. */
+  unread: Count,
+  /** Entries of the engine's failure domain that its side process hears. */
   entries: Count,
+  /** Entries of other domains that it tells its news to directly, as they have no side process near. */
+  strangers: Count,
   /** The fence that its orders carry, so that its next incarnation never uses a lower one. */
   fence: Count
 })
@@ -89,6 +97,10 @@
   HoldingFrame,
   /** Asks a side process to bring an adapter in, `waiting` requests being held for it. */
   z.object({ type: z.literal('want'), key: AdapterKey, version: z.number().optional(), waiting: Count, priority: Count }),
+  /** Asks for the news of the engines at these hosts and of no others. `relay`: the sender passes them on. */
+  z.object({ type: z.literal('follow'), hosts: z.array(Host).max(5000), relay: z.boolean() }),
+  /** What the receiver asked for is held now. */
+  z.object({ type: z.literal('arrived'), key: AdapterKey, version: z.number() }),
   /** It can't be brought in now. */
   z.object({ type: z.literal('declined'), key: AdapterKey, reason: z.string().max(100) }),
   /**
