A few entries of each failure domain watch the store, and the others are told at once

Change: side processes name three watchers among the entries that they hear and that the store answers (watchers.ts); an entry watches where any names it, where nobody near answers, until all was read, or where nothing new was heard for 5 s (watch-duty.ts). The others depend on one side process near, which sends them all it learns at once.

Found on the way, red first: a removal carries half a revision after the last change, and a peer complete up to a later revision was taken to have it, so that an entry cut from the store was never told that a server had gone. Removals carry the revision at which they were seen. A process that holds removals back no longer claims to lack nothing.

--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -11,7 +11,7 @@
 import { nowMs } from '../clock.js'
 import { FactLink, patienceMs } from '../fact-exchange.js'
 import type { Fact, Facts } from '../facts.js'
-import { Outage, follow, gatherMs, reserveMs } from '../follow.js'
+import { gatherMs, reserveMs } from '../follow.js'
 import type { FactSource, HeaderNames, Limits } from '../ports.js'
 import { Balancer } from './balancer.js'
 import { CallerConnections } from './caller-connections.js'
@@ -22,6 +22,7 @@
 import { ServerFaults } from './server-faults.js'
 import { ServiceRequest } from './service-request.js'
 import { SideLinks } from './side-links.js'
+import { StoreWatch } from './store-watch.js'
 import { WaitingRoom } from './waiting-room.js'
 
 /** Requests that wait for a place are looked at this often, as places fall free at engines without any news. */
@@ -43,6 +44,7 @@
 const exitMs = 700
 
 export interface FleetEntryOptions {
+  process: string
   domain: string
   sidePort: number
   seeds: () => string[]
@@ -61,6 +63,7 @@
   readonly server: Server
   readonly #balancer: Balancer
   readonly #links: SideLinks
+  readonly #watch: StoreWatch
   readonly #room = new WaitingRoom()
   readonly #connections: CallerConnections
   readonly #budget: RetryBudget
@@ -75,9 +78,14 @@
   #running = 0
 
   constructor (private readonly options: FleetEntryOptions) {
-    const { facts, domain, limits, log, sidePort, channel, dial } = options
+    const { facts, domain, limits, log, process, sidePort, channel, dial, sources } = options
     this.#balancer = new Balancer(facts, domain, limits, () => this.#links, log)
-    this.#links = new SideLinks({ domain, facts, states: this.#balancer.states, sidePort, channel, dial, log, changed: keys => this.#room.poke(keys) })
+    this.#links = new SideLinks({
+      process, domain, facts, states: this.#balancer.states, sidePort, channel, dial, log, watching: () => this.#watch.watching, changed: keys => this.#room.poke(keys)
+    })
+    this.#watch = new StoreWatch({
+      sources, facts, log, restMs: kind => this.#restMs(kind), appointments: () => this.#links.appointments, changed: () => this.#links.watchingChanged()
+    })
     this.#faults = new ServerFaults(this.#balancer, this.counters, log)
     this.#budget = new RetryBudget(limits, () => this.#links.entries)
     this.server = createServer({ maxHeaderSize: mostHeaderBytes, connectionsCheckingInterval: 1000, requestTimeout: 0 })
@@ -86,6 +94,7 @@
     this.counters.gauge('finchpitch_requests_running', 'Requests in progress.', () => this.#running)
     this.counters.gauge('finchpitch_requests_waiting', 'Requests waiting at the entry.', () => this.#room.size)
     this.counters.gauge('finchpitch_side_processes_connected', 'Side processes connected.', () => this.#links.connected)
+    this.counters.gauge('finchpitch_store_watched', 'Whether this entry watches the platform\'s store.', () => Number(this.#watch.watching))
     this.counters.gauge('finchpitch_routing_table_version', 'Version of the routing table in force.', () => facts.routes?.table.version ?? 0)
     facts.onChange(fact => {
       if (fact.kind === 'server') this.#reconcile()
@@ -111,12 +120,10 @@
   }
 
   run (): void {
-    const { sources, facts, log } = this.options
     const { signal } = this.#stop
     // One for each task; there is no leak to be warned of.
     setMaxListeners(0, signal)
-    const outage = new Outage()
-    for (const source of sources) void follow({ source, facts, log, signal, outage, restMs: kind => this.#restMs(kind) })
+    this.#watch.run(signal)
     for (const seed of this.options.seeds()) void this.#keepSeed(seed)
     void this.#links.tend(signal)
     void this.#sweep()
@@ -162,7 +169,7 @@
   }
 
   #restMs (kind: Fact['kind']): number {
-    return gatherMs(kind, this.#links.entries ?? 1, this.options.limits().drainMs)
+    return gatherMs(kind, this.#links.watchers ?? 1, this.options.limits().drainMs)
   }
 
   /** Soon while it is only starting; later once neither the store nor a peer had the table in the time that takes. */
@@ -191,6 +198,7 @@
     for (let round = 1; !signal.aborted; round++) {
       await pause(sweepMs, signal)
       this.options.facts.expire()
+      this.#watch.check()
       this.#connections.noteEntries(this.#links.entries ?? 0)
       if (round % sweepAllEvery === 0) this.#room.poke()
       else this.#room.pokeFull()
--- a/packages/fleet/src/entry/news-sources.ts
+++ b/packages/fleet/src/entry/news-sources.ts
@@ -18,17 +18,20 @@
 /** For each host of an engine, the host whose side process tells of it. */
 export const newsSources = ({ near, far }: NewsHosts): Map<string, string> => {
   const sources = new Map<string, string>(near.map(host => [host, host]))
-  const relays = near.map(host => ({ host, hash: hashOf(host) }))
-  for (const host of far) sources.set(host, relayOf(host, relays) ?? host)
+  for (const host of far) sources.set(host, relayOf(host, near) ?? host)
   return sources
 }
 
-const relayOf = (host: string, relays: ReadonlyArray<{ host: string, hash: number }>): string | undefined => {
-  const hash = hashOf(host)
-  let best: { host: string, cost: number } | undefined
-  for (const relay of relays) {
-    const cost = affinityOf(hash, relay.hash)
-    if (best === undefined || cost < best.cost) best = { host: relay.host, cost }
+/** The side process near that serves `key`: the same for all that know the same ones. */
+export const relayOf = (key: string, near: readonly string[]): string | undefined => {
+  const hash = hashOf(key)
+  let best: string | undefined
+  let least = Infinity
+  for (const host of near) {
+    const cost = affinityOf(hash, hashOf(host))
+    if (best !== undefined && cost >= least) continue
+    best = host
+    least = cost
   }
-  return best?.host
+  return best
 }
--- a/packages/fleet/src/entry/side-link.ts
+++ b/packages/fleet/src/entry/side-link.ts
@@ -6,7 +6,7 @@
  */
 import type { Duplex } from 'node:stream'
 import { backoff, pause, type Log } from '@finchpitch/core'
-import { Channel, type ChannelOptions, type Frame, type FrameOf } from '@finchpitch/wire'
+import { Channel, type Appointment, type ChannelOptions, type Frame, type FrameOf } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
 import { FactLink, patienceMs } from '../fact-exchange.js'
 import type { Facts } from '../facts.js'
@@ -34,6 +34,8 @@
   channel: ChannelOptions
   dial: (address: string) => Promise<Duplex>
   log: Log
+  /** This entry watches the store, so that the side process hears of everything from it at once. */
+  watching: () => boolean
   /** The highest fence that the side process was ever known to use. */
   fence: () => number
   /** It was joined or lost. */
@@ -58,6 +60,10 @@
   /** Asked for while the link was being opened. */
   readonly #queued = new Map<string, Want>()
   #follows: readonly string[] = []
+  #dependent = false
+  #factLink: FactLink | undefined
+  /** Whether this entry is to watch the store, as last told. */
+  #appointment: Appointment | undefined
   #usedAt = -Infinity
 
   constructor (readonly host: string, readonly near: boolean, private readonly options: SideLinkOptions) {
@@ -86,6 +92,23 @@
     if (this.#channel !== undefined) this.#tellFollows(this.#channel)
   }
 
+  /** Whether it names this entry as a watcher of the store; `undefined` where it says nothing. */
+  get appointment (): Appointment | undefined {
+    return this.lively ? this.#appointment : undefined
+  }
+
+  /** Whether this entry learns of the store's facts from it alone. */
+  depend (on: boolean): void {
+    if (on === this.#dependent) return
+    this.#dependent = on
+    this.#channel?.send({ type: 'depend', on })
+  }
+
+  /** This entry began to watch the store, or left it to others. */
+  watchingChanged (): void {
+    if (this.near) this.#factLink?.setPatience(this.#patience)
+  }
+
   /** Whether it can be asked to bring the key in. */
   orderable (key: string): boolean {
     const now = nowMs()
@@ -190,7 +213,8 @@
     const { facts, log } = this.options
     const channel = new Channel(stream, this.options.channel)
     if (this.#stop.signal.aborted) channel.close()
-    const factLink = new FactLink(facts, channel, this.near ? patienceMs.nearSide : patienceMs.farSide, log)
+    const factLink = new FactLink(facts, channel, this.#patience, log)
+    this.#factLink = factLink
     void channel.greeted.then(welcome => { if (welcome) this.#joined(channel, factLink) })
     for await (const frame of channel.frames()) {
       this.#heardAt = nowMs()
@@ -198,6 +222,8 @@
       this.#take(frame, factLink)
     }
     factLink.stop()
+    this.#factLink = undefined
+    this.#appointment = undefined
     this.#channel = undefined
     this.#toldUnread = 0
     this.#wanted.clear()
@@ -211,6 +237,7 @@
     this.#heardAt = nowMs()
     channel.send({ type: 'fences', highest: Math.max(fence(), Math.floor(facts.revision)) })
     this.#tellFollows(channel)
+    if (this.#dependent) channel.send({ type: 'depend', on: true })
     // Entries elsewhere and side processes pass facts on; one more copy of each over every link across would cost bytes.
     if (this.near) factLink.start()
     else factLink.stop()
@@ -220,6 +247,11 @@
     changed()
   }
 
+  get #patience (): number {
+    if (!this.near) return patienceMs.farSide
+    return this.options.watching() ? patienceMs.dependent : patienceMs.entry
+  }
+
   #tellFollows (channel: Channel): void {
     const quiet = this.#follows.length === 0
     channel.setPace(quiet ? quietPace : this.options.channel)
@@ -229,6 +261,8 @@
   #take (frame: Frame, factLink: FactLink): void {
     if (frame.type === 'fact') factLink.receive(frame)
     if (frame.type === 'heartbeat') factLink.heard(frame.complete)
+    if (frame.type === 'caught_up') this.options.facts.caughtUp(frame.complete)
+    if (frame.type === 'appoint') this.#appointment = frame
     if (frame.type === 'declined') {
       this.#declined.set(frame.key, nowMs())
       this.#wanted.delete(frame.key)
--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -7,12 +7,13 @@
  */
 import type { Duplex } from 'node:stream'
 import { pause, type Log } from '@finchpitch/core'
-import type { ChannelOptions, Frame, FrameOf, HoldingFrame } from '@finchpitch/wire'
+import type { Appointment, ChannelOptions, Frame, FrameOf, HoldingFrame } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
 import { EngineMirror } from '../engine-mirror.js'
 import type { Facts } from '../facts.js'
 import type { BackendServer } from '../server.js'
-import { newsSources } from './news-sources.js'
+import { watchersOf } from '../side/watchers.js'
+import { newsSources, relayOf } from './news-sources.js'
 import type { ServerStates } from './server-state.js'
 import { SideLink } from './side-link.js'
 
@@ -27,6 +28,7 @@
 const settledMs = 200
 
 export interface SideLinksOptions {
+  process: string
   domain: string
   facts: Facts
   states: ServerStates
@@ -34,6 +36,8 @@
   channel: ChannelOptions
   dial: (address: string) => Promise<Duplex>
   log: Log
+  /** This entry watches the store. */
+  watching: () => boolean
   /** News that may let waiting requests go on: of these adapters, or of any. */
   changed: (keys: string[] | undefined) => void
 }
@@ -75,6 +79,25 @@
 
   /** How many entries there are, by what side processes tell; `undefined` while none has. */
   get entries (): number | undefined {
+    return this.#sumOfDomains(entries => entries)
+  }
+
+  /** How many of them watch the store. */
+  get watchers (): number | undefined {
+    return this.#sumOfDomains(watchersOf)
+  }
+
+  /** What side processes near that answer say of this entry as a watcher of the store. */
+  get appointments (): Appointment[] {
+    return [...this.#engines.values()].filter(({ link }) => link.near).map(({ link }) => link.appointment).filter(each => each !== undefined)
+  }
+
+  /** This entry began to watch the store, or left it to others. */
+  watchingChanged (): void {
+    for (const { link } of this.#engines.values()) link.watchingChanged()
+  }
+
+  #sumOfDomains (count: (entries: number) => number): number | undefined {
     const byDomain = new Map<string, number>()
     let strangers = 0
     for (const { domain, mirror } of this.#engines.values()) {
@@ -83,7 +106,7 @@
       strangers = Math.max(strangers, mirror.strangers)
     }
     if (byDomain.size === 0) return undefined
-    return [...byDomain.values()].reduce((sum, entries) => sum + entries, strangers)
+    return [...byDomain.values()].reduce((sum, entries) => sum + count(entries), strangers)
   }
 
   get connected (): number {
@@ -124,6 +147,7 @@
       for (const server of this.options.facts.servers.values()) this.#tellUses(server, all)
       if (all) for (const { link } of this.#engines.values()) link.check()
       this.#chooseSources()
+      this.#chooseTeller()
     }
   }
 
@@ -142,13 +166,14 @@
 
   #begin (host: string, domain: string): Engine {
     const mirror = new EngineMirror()
-    const { facts, sidePort, channel, dial, log, changed } = this.options
+    const { facts, sidePort, channel, dial, log, watching, changed } = this.options
     const link: SideLink = new SideLink(host, domain === this.options.domain, {
       facts,
       sidePort,
       channel,
       dial,
       log,
+      watching,
       fence: () => mirror.fence,
       changed: () => changed(undefined),
       take: frame => this.#take(host, frame)
@@ -173,6 +198,14 @@
     for (const [host, { link }] of this.#engines) link.follow(this.#toldBy(host, link))
   }
 
+  /** An entry that doesn't watch the store learns of it from one side process near, each entry from another. */
+  #chooseTeller (): void {
+    const { process, watching } = this.options
+    const near = [...this.#engines].filter(([, { link }]) => link.near && link.lively).map(([host]) => host)
+    const teller = watching() ? undefined : relayOf(process, near)
+    for (const [host, { link }] of this.#engines) if (link.near) link.depend(host === teller)
+  }
+
   /** Whether sources have to be chosen anew, by what is present now. */
   #settled (present: string): boolean {
     const now = nowMs()
--- /dev/null
+++ b/packages/fleet/src/entry/store-watch.ts
@@ -0,0 +1,65 @@
+/**
+ * An entry's watching of the platform's store: it begins and rests as its duty says, and tells how it sees the store.
+ */
+import type { Log } from '@finchpitch/core'
+import type { Appointment, StoreSight } from '@finchpitch/wire'
+import { nowMs } from '../clock.js'
+import type { Fact, Facts } from '../facts.js'
+import { Outage, WatchTurn, follow } from '../follow.js'
+import type { FactSource } from '../ports.js'
+import { dutyOf, type DutyView } from './watch-duty.js'
+
+/** An entry that the store did not answer isn't named again for this long: it would fail once more, and others would wait for it. */
+const blindMs = 5000
+
+export interface StoreWatchOptions {
+  sources: FactSource[]
+  facts: Facts
+  log: Log
+  restMs: (kind: Fact['kind']) => number
+  /** What side processes near that answer last said. */
+  appointments: () => readonly Appointment[]
+  /** The duty began or ended. */
+  changed: () => void
+}
+
+export class StoreWatch {
+  readonly #turn = new WatchTurn()
+  readonly #outage = new Outage()
+  #blindUntil = -Infinity
+
+  constructor (private readonly options: StoreWatchOptions) {}
+
+  get watching (): boolean {
+    return this.#turn.on
+  }
+
+  run (signal: AbortSignal): void {
+    const { sources, facts, log, restMs } = this.options
+    for (const source of sources) void follow({ source, facts, log, signal, outage: this.#outage, turn: this.#turn, restMs })
+  }
+
+  /** Looks at the duty anew. */
+  check (): void {
+    const { facts, appointments } = this.options
+    this.#setDuty({ appointments: appointments(), read: facts.read, confirmedMs: nowMs() - facts.confirmedAt })
+    facts.setSight(this.#sight())
+  }
+
+  #setDuty (view: DutyView): void {
+    const { watch, reason } = dutyOf(view)
+    if (watch === this.#turn.on) return
+    this.options.log.info('store.duty_changed', { watch, reason, confirmedMs: Math.round(view.confirmedMs), revision: this.options.facts.revision })
+    this.#turn.set(watch)
+    // What was learned while others watched goes to the side processes before they are told of the new sight, since they
+    // take the word of one that reads for complete.
+    this.options.changed()
+  }
+
+  #sight (): StoreSight {
+    const now = nowMs()
+    if (this.#turn.on && this.#outage.failing) this.#blindUntil = now + blindMs
+    if (this.#turn.on) return this.#outage.failing ? 'blind' : this.options.facts.read ? 'reading' : 'resting'
+    return now < this.#blindUntil ? 'blind' : 'resting'
+  }
+}
--- a/packages/fleet/src/fact-exchange.ts
+++ b/packages/fleet/src/fact-exchange.ts
@@ -3,16 +3,17 @@
  *
  * Each link remembers what its peer has, from what crossed it and from the peer's heartbeats, so a fact crosses it
  * once at most. Most peers have a fact from the store or from a nearer peer soon, and bytes between domains cost, so
- * only links to side processes of one's own domain send at once; the others wait for the peer's word first.
+ * links send at once only to peers without another source: from entries that watch the store to the side processes of
+ * their domain, and from those to the entries that depend on them. The others wait for the peer's word first.
  */
 import type { Log } from '@finchpitch/core'
 import type { Channel, Complete, FactFrame } from '@finchpitch/wire'
-import { factOf, frameOf, type Fact, type Facts } from './facts.js'
+import { coveredBy, factOf, frameOf, type Fact, type Facts } from './facts.js'
 
 /** How long a link waits before it sends. */
 export const patienceMs = {
-  /** Entry to the side processes of its domain, which have no other source. */
-  nearSide: 0,
+  /** To a peer without another source. */
+  dependent: 0,
   /** To an entry that has just started: it has read the store by then and says so at once, or it can't. */
   newcomer: 250,
   /** To entries: a watch rests up to 0.7 s in small fleets, and a heartbeat follows within 1 s. */
@@ -28,17 +29,29 @@
   /** How far the peer lacks nothing, by its own word. */
   #complete: Complete = { table: 0, server: 0, version: 0 }
 
-  constructor (private readonly facts: Facts, private readonly channel: Channel, private readonly patience: number, private readonly log: Log) {
-    this.#stops = [facts.onChange(fact => this.#schedule(fact, patience)), facts.onRead(() => channel.beat())]
+  #patience: number
+  #started = false
+
+  constructor (private readonly facts: Facts, private readonly channel: Channel, patience: number, private readonly log: Log) {
+    this.#patience = patience
+    this.#stops = [facts.onChange(fact => this.#schedule(fact, this.#patience)), facts.onRead(() => channel.beat())]
   }
 
   /** Sends all that the peer may lack; to one that has read nothing yet after `newcomerMs`. */
-  start (newcomerMs = this.patience): void {
+  start (newcomerMs = this.#patience): void {
+    this.#started = true
     this.heard(this.channel.peer.complete)
-    const patience = this.#complete.table === 0 ? newcomerMs : this.patience
+    const patience = this.#complete.table === 0 ? newcomerMs : this.#patience
     for (const fact of this.facts.all()) this.#schedule(fact, patience)
   }
 
+  /** How long it waits from now on; with less patience than before, what it has not sent yet goes now. */
+  setPatience (patience: number): void {
+    const shorter = patience < this.#patience
+    this.#patience = patience
+    if (shorter && this.#started) for (const fact of this.facts.all()) this.#schedule(fact, patience)
+  }
+
   stop (): void {
     for (const stop of this.#stops) stop()
   }
@@ -65,7 +78,7 @@
 
   #send (fact: Fact): void {
     const known = this.#known.get(idOf(fact)) ?? 0
-    if (!this.channel.open || known >= fact.revision || this.#complete[fact.kind] >= fact.revision) return
+    if (!this.channel.open || known >= fact.revision || this.#complete[fact.kind] >= coveredBy(fact)) return
     if (this.facts.revisionOf(fact.kind, fact.key) > fact.revision) return
     this.#known.set(idOf(fact), fact.revision)
     this.channel.send(frameOf(fact))
--- a/packages/fleet/src/facts.ts
+++ b/packages/fleet/src/facts.ts
@@ -7,15 +7,15 @@
  */
 import { isDeepStrictEqual } from 'node:util'
 import type { Log } from '@finchpitch/core'
-import type { Complete, FactFrame } from '@finchpitch/wire'
+import type { Complete, FactFrame, StoreSight } from '@finchpitch/wire'
 import { nowMs } from './clock.js'
 import { BackendServer, NamedVersion, refKey } from './server.js'
 import { RouteIndex, RoutingTable } from './table.js'
 
 export type Fact =
   | { kind: 'table', key: 'table', revision: number, value: RoutingTable }
-  | { kind: 'server', key: string, revision: number, value: BackendServer | undefined }
-  | { kind: 'version', key: string, revision: number, value: NamedVersion | undefined }
+  | { kind: 'server', key: string, revision: number, value: BackendServer | undefined, seenAt?: number }
+  | { kind: 'version', key: string, revision: number, value: NamedVersion | undefined, seenAt?: number }
 
 export interface VersionBelief {
   version: number
@@ -23,7 +23,10 @@
   learnedAt: number
 }
 
-/** A removal is dated half a revision after the last change: newer than it, older than anything that follows. */
+/**
+ * A removal is dated half a revision after the last change: newer than it, older than anything that follows. When it took
+ * place is not told; `seenAt` is the store's revision at which it was seen, and who has read up to there has it too.
+ */
 export const removalStep = 0.5
 
 const kinds = ['table', 'server', 'version'] as const
@@ -48,6 +51,9 @@
   readonly #complete: Complete = { table: 0, server: 0, version: 0 }
   #routes: RouteIndex | undefined
   #highest = 0
+  #sight: StoreSight = 'resting'
+  /** When a kind was last known to be complete up to a later revision. */
+  #confirmedAt = -Infinity
 
   /** `lapseMs`: how long a server whose entry vanished without notice is kept in reserve. */
   constructor (private readonly log: Log, private readonly lapseMs: () => number) {}
@@ -71,16 +77,34 @@
     return { ...this.#complete }
   }
 
+  /** How this process sees the store; peers are told of a change at once. */
+  get sight (): StoreSight {
+    return this.#sight
+  }
+
+  setSight (sight: StoreSight): void {
+    if (sight === this.#sight) return
+    this.log.info('store.sight_changed', { sight, before: this.#sight, revision: this.#highest })
+    this.#sight = sight
+    for (const listener of this.#readListeners) listener()
+  }
+
+  /** Since when nothing new is known of the list of servers, which changes all the time, on the steady clock. */
+  get confirmedAt (): number {
+    return this.#confirmedAt
+  }
+
   /** The store was read completely up to `revision`, for one kind. */
   completed (kind: Fact['kind'], revision: number): void {
-    const before = this.#read
+    const before = this.read
+    if (kind === 'server' && revision > this.#complete.server) this.#confirmedAt = nowMs()
     this.#complete[kind] = Math.max(this.#complete[kind], revision)
     this.saw(revision)
-    if (!before && this.#read) for (const listener of this.#readListeners) listener()
+    if (!before && this.read) for (const listener of this.#readListeners) listener()
   }
 
-  /** Every kind has been read completely at least once. */
-  get #read (): boolean {
+  /** Every kind has been read completely at least once, here or by a peer that told all. */
+  get read (): boolean {
     return kinds.every(kind => this.#complete[kind] > 0)
   }
 
@@ -139,7 +163,7 @@
     return () => this.#listeners.delete(listener)
   }
 
-  /** Called once every kind has been read. */
+  /** Called once every kind has been read, and when the sight of the store changes. */
   onRead (listener: () => void): () => void {
     this.#readListeners.add(listener)
     return () => this.#readListeners.delete(listener)
@@ -253,13 +277,21 @@
 
 /** A fact as a peer sent it; `undefined` where its value doesn't fit. */
 export const factOf = (frame: FactFrame): Fact | undefined => {
-  const { kind, key, revision } = frame
-  if (frame.value === null) return kind === 'table' ? undefined : { kind, key, revision, value: undefined }
+  const { kind, key, revision, seenAt } = frame
+  if (frame.value === null) return kind === 'table' ? undefined : { kind, key, revision, value: undefined, seenAt }
   const parsed = schemas[kind].safeParse(frame.value)
   return parsed.success ? { kind, key, revision, value: parsed.data } as Fact : undefined
 }
 
-export const frameOf = (fact: Fact): FactFrame =>
-  ({ type: 'fact', kind: fact.kind, key: fact.key, revision: fact.revision, value: fact.value ?? null })
+export const frameOf = (fact: Fact): FactFrame => {
+  const { kind, key, revision, value } = fact
+  const seenAt = seenAtOf(fact)
+  return { type: 'fact', kind, key, revision, value: value ?? null, ...(seenAt === undefined ? {} : { seenAt }) }
+}
+
+const seenAtOf = (fact: Fact): number | undefined => 'seenAt' in fact ? fact.seenAt : undefined
+
+/** Who lacks nothing up to this revision of the store has the fact. */
+export const coveredBy = (fact: Fact): number => seenAtOf(fact) ?? fact.revision
 
 const schemas = { table: RoutingTable, server: BackendServer, version: NamedVersion }
--- a/packages/fleet/src/follow.ts
+++ b/packages/fleet/src/follow.ts
@@ -20,7 +20,7 @@
 
 /** The least rest between two calls: a fraction of the bound within which each kind must be in force. */
 const leastRestMs: Record<Fact['kind'], number> = { table: 100, server: 700, version: 500 }
-/** So many entries rest no longer than that; more share the work, since what one learns it passes on. */
+/** So many watching entries rest no longer than that; more share the work, since what one learns it passes on. */
 const restingEntries = 6
 /** The most, as a part of the time in which work may still go to a server that leaves. */
 const drainShare = 0.6
@@ -57,18 +57,56 @@
     this.noticed()
   }
 
+  readonly #failing = new Set<Fact['kind']>()
+
+  /** The store did not answer the last call of one of the tasks. */
+  get failing (): boolean {
+    return this.#failing.size > 0
+  }
+
+  note (kind: Fact['kind'], answered: boolean): void {
+    if (answered) this.#failing.delete(kind)
+    else this.#failing.add(kind)
+  }
+
   noticed (): void {
     this.#doubt.abort()
     this.#doubt = new AbortController()
   }
 }
 
+/** Whether this process watches the store now, or leaves that to others. */
+export class WatchTurn {
+  #on = true
+  #begin = new AbortController()
+
+  get on (): boolean {
+    return this.#on
+  }
+
+  set (on: boolean): void {
+    if (on === this.#on) return
+    this.#on = on
+    if (on) this.#begin.abort()
+    else this.#begin = new AbortController()
+  }
+
+  /** Resolves once it is on, or `signal` aborts. */
+  async begun (signal: AbortSignal): Promise<void> {
+    if (!this.#on) await pause(longestRestMs, AbortSignal.any([signal, this.#begin.signal]))
+  }
+}
+
+/** A rest without a known end is looked at again after so long. */
+const longestRestMs = 600_000
+
 export interface Following {
   source: FactSource
   facts: Facts
   log: Log
   signal: AbortSignal
   outage: Outage
+  turn: WatchTurn
   /** How long to rest after a call. */
   restMs: (kind: Fact['kind']) => number
 }
@@ -96,12 +134,24 @@
   async run (): Promise<void> {
     const { signal } = this.options
     while (!signal.aborted) {
+      if (!this.options.turn.on) await this.#rest()
+      if (signal.aborted) break
       const restMs = await this.#step()
       if (restMs > 0) await pause(restMs, signal)
     }
     this.#removals.stop()
   }
 
+  /** Leaves the watching to others, and goes on from where they brought this process. */
+  async #rest (): Promise<void> {
+    const { turn, signal, facts, outage } = this.options
+    outage.note(this.#kind, true)
+    await turn.begun(signal)
+    const complete = facts.complete[this.#kind]
+    this.#revision = complete > 0 ? Math.max(complete, this.#revision ?? 0) : undefined
+    this.#failures = 0
+  }
+
   /** One call and what follows from it; gives how long to rest. */
   async #step (): Promise<number> {
     const { source, outage, signal, restMs } = this.options
@@ -130,10 +180,12 @@
       if (kind === 'server') this.#removals.returned(this.#lostAt)
     }
     this.#failures = 0
+    this.options.outage.note(kind, true)
     const missing = this.#revision === undefined ? missingFrom(facts, kind, listed) : []
-    for (const fact of this.#removals.sift([...missing, ...listed])) facts.offer(fact, 'store')
+    for (const fact of this.#removals.sift([...missing, ...listed])) facts.offer(seenAt(fact, revision), 'store')
     this.#revision = revision
-    facts.completed(kind, revision)
+    // What is held back is not known here yet, and peers that were told so would never be told of it.
+    if (!this.#removals.holding) facts.completed(kind, revision)
   }
 
   #failed (failure: StoreFailure, askedAt: number): void {
@@ -157,6 +209,7 @@
     const { log, outage } = this.options
     const kind = this.#kind
     this.#failures += 1
+    outage.note(kind, false)
     if (this.#failures > 1) return
     log.warn('store.lost', { kind, code, detail, revision: this.#revision })
     this.#lostAt = Math.min(nowMs(), askedAt + watchMs[kind])
@@ -165,11 +218,17 @@
 
   #remove (missing: Fact[]): void {
     const { facts, log } = this.options
-    log.info('store.entries_missing', { kind: this.#kind, keys: missing.map(fact => fact.key) })
-    for (const fact of missing) facts.remove(fact, 'store')
+    if (missing.length > 0) log.info('store.entries_missing', { kind: this.#kind, keys: missing.map(fact => fact.key) })
+    const revision = this.#revision ?? facts.revision
+    for (const fact of missing) facts.remove(seenAt(fact, revision), 'store')
+    if (this.#revision !== undefined) facts.completed(this.#kind, this.#revision)
   }
 }
 
+/** A removal with the store's revision at which it was seen. */
+const seenAt = (fact: Fact, revision: number): Fact =>
+  fact.kind === 'table' || fact.value !== undefined ? fact : { ...fact, seenAt: revision }
+
 /** Removals of what was believed and isn't in a complete list. */
 const missingFrom = (facts: Facts, kind: Fact['kind'], listed: Fact[]): Fact[] => {
   if (kind === 'table') return []
--- a/packages/fleet/src/removals.ts
+++ b/packages/fleet/src/removals.ts
@@ -18,6 +18,11 @@
   #timer: NodeJS.Timeout | undefined
   readonly #held = new Map<string, Fact>()
 
+  /** Removals are held back, so less is known than was read. */
+  get holding (): boolean {
+    return nowMs() < this.#until
+  }
+
   /** `release` takes what is still missing when its server would have been back. */
   constructor (private readonly release: (facts: Fact[]) => void) {}
 
@@ -32,7 +37,7 @@
 
   /** What of it is to be believed now. */
   sift (facts: readonly Fact[]): Fact[] {
-    if (nowMs() >= this.#until) return [...facts]
+    if (!this.holding) return [...facts]
     for (const fact of facts) {
       if (fact.value === undefined) this.#held.set(fact.key, fact)
       else this.#held.delete(fact.key)
@@ -45,8 +50,9 @@
   }
 
   #end (): void {
+    this.#until = -Infinity
     const missing = [...this.#held.values()]
     this.#held.clear()
-    if (missing.length > 0) this.release(missing)
+    this.release(missing)
   }
 }
--- a/packages/fleet/src/side/entry-link.ts
+++ b/packages/fleet/src/side/entry-link.ts
@@ -5,9 +5,10 @@
  * hears of far engines through a side process near it, asks here for adapters, and is told when those have come. With all
  * entries told by all side processes, 68 entries and 54 side processes spent most of their processor time on it.
  */
-import { encode, type Channel, type ChannelPace } from '@finchpitch/wire'
+import { isDeepStrictEqual } from 'node:util'
+import { encode, type Appointment, type Channel, type ChannelPace, type Complete, type StoreSight } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
-import type { FactLink } from '../fact-exchange.js'
+import { patienceMs, type FactLink } from '../fact-exchange.js'
 import { NewsTeller, newsPaces, type EngineNews } from './news.js'
 
 /** A channel that says something now and then only: heartbeats across cost bytes, and an unanswered want shows a dead one. */
@@ -31,6 +32,14 @@
   facts: FactLink | undefined
   /** It is a side process that passes news on to its entries. */
   relay = false
+  /** How it sees the store, by its last heartbeat. */
+  sight: StoreSight | undefined
+  /** When it was last heard, on the steady clock. */
+  heardAt = nowMs()
+  /** It learns of the store's facts from here alone. */
+  #dependent = false
+  #toldComplete: Complete | undefined
+  #appointed: Appointment | undefined
   readonly #ownHost: string
   readonly #tellers = new Map<string, NewsTeller>()
   /** Keys that it asked for and was not told of since, and when. */
@@ -62,6 +71,27 @@
     }
   }
 
+  /** Says whether it learns of the store's facts from here alone. */
+  depend (on: boolean): void {
+    this.#dependent = on
+    this.#toldComplete = undefined
+    this.facts?.setPatience(on ? patienceMs.dependent : patienceMs.entry)
+  }
+
+  /** Tells a dependent how far it has been told all. */
+  tellComplete (complete: Complete): void {
+    if (!this.#dependent || isDeepStrictEqual(complete, this.#toldComplete)) return
+    this.#toldComplete = complete
+    this.channel.send({ type: 'caught_up', complete })
+  }
+
+  /** Tells an entry whether it is one of those that watch the store. */
+  appoint (appointment: Appointment): void {
+    if (isDeepStrictEqual(appointment, this.#appointed)) return
+    this.#appointed = appointment
+    this.channel.send(appointment)
+  }
+
   /** It waits for the key, and for a word, to tell this process from one that hangs. */
   want (key: string): void {
     this.#owed = true
--- a/packages/fleet/src/side/side.ts
+++ b/packages/fleet/src/side/side.ts
@@ -9,6 +9,7 @@
 import { isDeepStrictEqual } from 'node:util'
 import { pause, type Log } from '@finchpitch/core'
 import { Channel, type ChannelOptions, type Frame, type FrameOf } from '@finchpitch/wire'
+import { nowMs } from '../clock.js'
 import { FactLink, patienceMs } from '../fact-exchange.js'
 import type { Facts } from '../facts.js'
 import type { EngineAccount, EngineOrder, EngineOrders, Limits } from '../ports.js'
@@ -25,6 +26,7 @@
 import { EngineNews, difference } from './news.js'
 import { place } from './placement.js'
 import { Relay } from './relay.js'
+import { watchersAmong } from './watchers.js'
 
 /** Between two looks at the engine while nothing is awaited, and while something is. */
 const restMs = 200
@@ -253,12 +255,15 @@
 
   #take (frame: Frame, link: EntryLink): void {
     const entry = link.channel.peer.process
+    link.heardAt = nowMs()
     if (frame.type === 'fact') link.facts?.receive(frame)
     if (frame.type === 'heartbeat') {
       link.facts?.heard(frame.complete)
-      // Entries of the same domain send what they learn at once, so by now it is all here.
-      if (link.near && frame.complete !== undefined) this.options.facts.caughtUp(frame.complete)
+      link.sight = frame.sight
+      // Entries of the same domain that read the store send what they learn at once, so by now it is all here.
+      if (link.near && frame.sight === 'reading' && frame.complete !== undefined) this.options.facts.caughtUp(frame.complete)
     }
+    if (frame.type === 'depend') link.depend(frame.on)
     if (frame.type === 'uses' && this.demands.used(entry, frame.uses, frame.unread) && this.demands.any) this.#wake()
     if (frame.type === 'fences') {
       this.options.facts.saw(frame.highest)
@@ -288,7 +293,19 @@
   }
 
   #tell (news: EngineNews): void {
-    for (const link of this.#links) link.publish(news, this.#relay.news)
+    const { complete } = this.options.facts
+    for (const link of this.#links) {
+      link.publish(news, this.#relay.news)
+      link.tellComplete(complete)
+    }
+    this.#appointWatchers()
+  }
+
+  #appointWatchers (): void {
+    const now = nowMs()
+    const entries = [...this.#links].filter(link => link.near && !link.relay)
+    const { named, outage } = watchersAmong(entries.map(({ channel, sight, heardAt }) => ({ process: channel.peer.process, silentMs: now - heardAt, sight })))
+    for (const link of entries) link.appoint({ type: 'appoint', watch: named.has(link.channel.peer.process), outage })
   }
 
   #news (): EngineNews {
--- a/packages/fleet/test/fact-exchange.test.ts
+++ b/packages/fleet/test/fact-exchange.test.ts
@@ -109,6 +109,46 @@
     expect(received).to.deep.equal([])
   })
 
+  describe('of a server that is gone, which last changed long before', () => {
+    const removal: Fact = { kind: 'server', key: 's', revision: 3.5, value: undefined, seenAt: 90 }
+
+    beforeEach(async () => {
+      await time.settle()
+      facts.offer({ kind: 'server', key: 's', revision: 3, value: { id: 's', service: 'llm', address: '10.0.0.1:1', domain: 'a', slots: 8, leaving: false, models: [] } }, 'store')
+    })
+
+    it('tells a peer that lacks nothing up to a later change only', async () => {
+      const link = new FactLink(facts, near, 0, quietLog)
+      link.start()
+      await time.settle()
+      link.heard({ table: 50, server: 50, version: 50 })
+      facts.offer(removal, 'store')
+      await time.settle()
+      expect(received).to.deep.equal([3, 3.5])
+    })
+
+    it('tells nothing to a peer that has read the store since', async () => {
+      const link = new FactLink(facts, near, 1500, quietLog)
+      link.start()
+      link.heard({ table: 50, server: 90, version: 50 })
+      facts.offer(removal, 'store')
+      await time.pass(2000)
+      expect(received).to.deep.equal([])
+    })
+  })
+
+  it('sends at once what it has not sent yet when its peer has no other source any more', async () => {
+    await time.settle()
+    const link = new FactLink(facts, near, 1500, quietLog)
+    link.start()
+    facts.offer(fact(3), 'store')
+    await time.settle()
+    link.setPatience(0)
+    facts.offer(fact(4), 'store')
+    await time.settle()
+    expect(received).to.deep.equal([3, 4])
+  })
+
   it('sends what the peer still lacks after a while, the newest only', async () => {
     await time.settle()
     const link = new FactLink(facts, near, 1500, quietLog)
--- a/packages/fleet/test/follow.test.ts
+++ b/packages/fleet/test/follow.test.ts
@@ -1,5 +1,5 @@
 import { quietLog } from '@finchpitch/core'
-import { Facts, Outage, follow, gatherMs, removalStep, type BackendServer, type Fact, type FactPage, type FactSource, type StoreFailure } from '@finchpitch/fleet'
+import { Facts, Outage, WatchTurn, follow, gatherMs, removalStep, type BackendServer, type Fact, type FactPage, type FactSource, type StoreFailure } from '@finchpitch/fleet'
 import { FakeTime } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
 import { err, ok, type Result } from 'neverthrow'
@@ -41,6 +41,7 @@
   let facts: Facts
   let source: ScriptedSource
   let outage: Outage
+  let turn: WatchTurn
   let stop: AbortController
 
   beforeEach(() => {
@@ -48,6 +49,7 @@
     facts = new Facts(quietLog, () => 1000)
     source = new ScriptedSource()
     outage = new Outage()
+    turn = new WatchTurn()
     stop = new AbortController()
   })
 
@@ -56,7 +58,7 @@
     time.restore()
   })
 
-  const start = (): void => { void follow({ source, facts, log: quietLog, signal: stop.signal, outage, restMs: () => 500 }) }
+  const start = (): void => { void follow({ source, facts, log: quietLog, signal: stop.signal, outage, turn, restMs: () => 500 }) }
 
   it('lists once, then asks for changes, resting in between', async () => {
     source.facts = [named('a', 1)]
@@ -66,6 +68,47 @@
     expect(facts.version('m/a')?.version).to.equal(1)
   })
 
+  describe('that is left to others', () => {
+    it('asks nothing, and goes on from where they brought this process', async () => {
+      start()
+      await time.pass(100)
+      turn.set(false)
+      await time.pass(5000)
+      const asked = source.calls.length
+      await time.pass(20_000)
+      expect(source.calls.length).to.equal(asked)
+      facts.caughtUp({ table: 0, server: 0, version: 40 })
+      turn.set(true)
+      await time.pass(50)
+      expect(source.calls.at(-1)).to.equal('changes 40')
+    })
+
+    it('lists again where the history is gone by then', async () => {
+      start()
+      await time.pass(100)
+      turn.set(false)
+      await time.pass(5000)
+      source.failure = { code: 'compacted', detail: '' }
+      turn.set(true)
+      await time.pass(50)
+      source.failure = undefined
+      await time.pass(1000)
+      expect(source.calls.filter(call => call === 'list').length).to.be.at.least(2)
+    })
+  })
+
+  it('says that the store does not answer, until it does', async () => {
+    start()
+    await time.pass(100)
+    expect(outage.failing).to.equal(false)
+    source.failure = { code: 'turned_away', detail: '' }
+    await time.pass(600)
+    expect(outage.failing).to.equal(true)
+    source.failure = undefined
+    await time.pass(1000)
+    expect(outage.failing).to.equal(false)
+  })
+
   it('lists again when the history is gone, and drops what is no longer there', async () => {
     source.facts = [named('a', 1), named('b', 1)]
     start()
@@ -148,6 +191,17 @@
       expect(facts.serversOf('llm').map(each => each.id)).to.deep.equal(['2'])
     })
 
+    it('claims to lack nothing only once what it held back is told', async () => {
+      await time.pass(4000)
+      source.failure = undefined
+      source.revision = 60
+      source.events = [entry('1', 1 + removalStep, undefined)]
+      await time.pass(1000)
+      expect(facts.complete.server).to.equal(1)
+      await time.pass(3000)
+      expect(facts.complete.server).to.equal(60)
+    })
+
     it('does the same for those missing from a list, where the history is gone too', async () => {
       await time.pass(4000)
       source.failure = { code: 'compacted', detail: '' }
--- /dev/null
+++ b/packages/fleet/test/store-watch.test.ts
@@ -0,0 +1,87 @@
+import { request } from 'node:http'
+import { pause } from '@finchpitch/core'
+import { FleetSystem, type Machine } from '@finchpitch/stand-ins'
+import { expect } from 'chai'
+
+const settleMs = 3500
+let sent = 0
+
+describe('few entries of a domain watch the store', function () {
+  this.timeout(60_000)
+  let fleet: FleetSystem
+
+  const status = (path: string, entry: number): Promise<number> => new Promise((resolve, reject) => {
+    const headers = { host: 'fleet.example', 'request-id': `watch-${sent++}`, 'deadline-ms': '3000' }
+    request({ ...fleet.callerAddress(entry), method: 'POST', path, headers }, answer => {
+      answer.resume().on('end', () => resolve(answer.statusCode ?? 0))
+    }).on('error', reject).end('{}')
+  })
+
+  const watching = (entry: Machine): boolean =>
+    fleet.lines(entry).filter(line => line.event === 'store.duty_changed').at(-1)?.watch !== false
+  const watchers = (): string[] => fleet.entries.filter(entry => entry.process?.exitCode === null && entry.process.signalCode === null && watching(entry)).map(entry => entry.name)
+
+  /** How long until all entries of `entries` serve a route that was just added. */
+  const msUntilAllServe = async (name: string, entries: readonly number[]): Promise<number> => {
+    const added = { name, host: 'fleet.example', pathPrefix: `/${name}/`, kind: 'non_idempotent', timeoutMs: 1000, targetLatencyMs: 150, priority: 2, service: 'ledger', maxAttempts: 1 }
+    const { routes } = fleet.table(1) as { routes: unknown[] }
+    fleet.store.put('config', 'main', fleet.table(fleet.store.revision + 10, { routes: [...routes, added] }))
+    const started = Date.now()
+    while (Date.now() - started < 10_000) {
+      const all = await Promise.all(entries.map(async entry => await status(`/${name}/x`, entry)))
+      if (all.every(each => each === 200)) break
+      await pause(50)
+    }
+    return Date.now() - started
+  }
+
+  beforeEach(async () => {
+    fleet = new FleetSystem({ network: 35, domains: 1, entriesPerDomain: 6, enginesPerDomain: 2, plainPerDomain: 1, places: 3, loadMs: 60, workMs: 5, events: 3, eventMs: 5 })
+    await fleet.start()
+    await pause(settleMs)
+  })
+
+  afterEach(async () => { await fleet.stop() })
+
+  it('and all learn of a change within a second', async () => {
+    expect(watchers()).to.have.length(3)
+    expect(await msUntilAllServe('added', [0, 1, 2, 3, 4, 5])).to.be.lessThan(1000)
+  })
+
+  it('and others take over from those that are killed', async () => {
+    for (const entry of fleet.entries.filter(entry => watchers().includes(entry.name))) await fleet.kill(entry)
+    const left = fleet.entries.flatMap((entry, at) => entry.process?.signalCode === null ? [at] : [])
+    expect(left).to.have.length(3)
+    expect(await msUntilAllServe('killed', left)).to.be.lessThan(2500)
+    const until = Date.now() + 1000
+    while (watchers().length < 3 && Date.now() < until) await pause(20)
+    expect(watchers()).to.have.length(3)
+  })
+
+  it('and others take over from those that freeze', async () => {
+    const frozen = fleet.entries.filter(entry => watchers().includes(entry.name))
+    for (const entry of frozen) entry.process?.kill('SIGSTOP')
+    const left = fleet.entries.flatMap((entry, at) => frozen.includes(entry) ? [] : [at])
+    expect(await msUntilAllServe('frozen', left)).to.be.lessThan(3500)
+    for (const entry of frozen) entry.process?.kill('SIGCONT')
+  })
+
+  it('and all watch where no side process is left to name any', async () => {
+    for (const side of fleet.sides) await fleet.kill(side)
+    await pause(300)
+    expect(watchers()).to.have.length(6)
+    expect(await msUntilAllServe('alone', [0, 1, 2, 3, 4, 5])).to.be.lessThan(2500)
+  })
+
+  it('and none is asked in vain for long while the store is away', async () => {
+    fleet.store.fault = 'busy'
+    await pause(2000)
+    const before = fleet.store.calls
+    await pause(2500)
+    // Three watchers, three kinds, a call every 0.4 s on average each: 56. All six would make 112.
+    expect(fleet.store.calls - before).to.be.lessThan(80)
+    fleet.store.fault = 'none'
+    await pause(1500)
+    expect(await msUntilAllServe('back', [0, 1, 2, 3, 4, 5])).to.be.lessThan(2500)
+  })
+})
--- /dev/null
+++ b/packages/fleet/test/watch-duty.test.ts
@@ -0,0 +1,54 @@
+import { dutyOf, watchersAmong, type Candidate } from '@finchpitch/fleet'
+import { expect } from 'chai'
+
+describe('who watches the platform\'s store', () => {
+  describe('as an entry sees it', () => {
+    const other = { watch: false, outage: false }
+    const view = { appointments: [other, other], read: true, confirmedMs: 300 }
+
+    it('is others, where side processes near say so', () => {
+      expect(dutyOf(view)).to.deep.equal({ watch: false, reason: 'left to others' })
+    })
+
+    it('is itself, where any names it', () => {
+      expect(dutyOf({ ...view, appointments: [other, { watch: true, outage: false }] })).to.include({ watch: true, reason: 'named' })
+    })
+
+    it('is itself, where nobody near answers', () => {
+      expect(dutyOf({ ...view, appointments: [] })).to.include({ watch: true })
+    })
+
+    it('is itself, until everything was read', () => {
+      expect(dutyOf({ ...view, read: false })).to.include({ watch: true })
+    })
+
+    it('is itself, where nothing new was heard for long', () => {
+      expect(dutyOf({ ...view, confirmedMs: 5500 })).to.include({ watch: true, reason: 'nothing new was heard' })
+    })
+
+    it('is others still, where none is answered by the store', () => {
+      expect(dutyOf({ ...view, appointments: [{ watch: false, outage: true }], confirmedMs: 5500 })).to.include({ watch: false })
+    })
+  })
+
+  describe('as side processes name them', () => {
+    const entries = (more: Partial<Candidate>[] = []): Candidate[] =>
+      ['e', 'd', 'c', 'b', 'a'].map((process, at) => ({ process, silentMs: 100, sight: 'resting', ...more[at] }))
+
+    it('is the same three for all', () => {
+      expect([...watchersAmong(entries()).named]).to.deep.equal(['a', 'b', 'c'])
+      expect(watchersAmong(entries().reverse())).to.deep.equal(watchersAmong(entries()))
+    })
+
+    it('is not one that is silent, or that the store does not answer', () => {
+      expect([...watchersAmong(entries([{}, {}, { silentMs: 1600 }, { sight: 'blind' }, {}])).named]).to.deep.equal(['a', 'd', 'e'])
+    })
+
+    it('is the first of those heard where the store answers none', () => {
+      const blind = entries(Array.from({ length: 5 }, () => ({ sight: 'blind' as const })))
+      expect([...watchersAmong(blind).named]).to.deep.equal(['a', 'b', 'c'])
+      expect(watchersAmong(blind).outage).to.equal(true)
+      expect(watchersAmong(entries([{ sight: 'blind' }])).outage).to.equal(false)
+    })
+  })
+})
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -23,6 +23,13 @@
 })
 export type Load = z.infer<typeof Load>
 
+/**
+ * How a process sees the store: it watches it, it tries to and is not answered, or it leaves that to others. One that
+ * reads sends what it learns at once.
+ */
+export const StoreSight = z.enum(['reading', 'blind', 'resting'])
+export type StoreSight = z.infer<typeof StoreSight>
+
 /** Up to which revision of the store a process lacks nothing, for each kind of fact. */
 export const Complete = z.object({ table: z.number().nonnegative(), server: z.number().nonnegative(), version: z.number().nonnegative() })
 export type Complete = z.infer<typeof Complete>
@@ -48,6 +55,8 @@
   key: z.string().max(500),
   /** A removal counts as half a revision after the last change. */
   revision: z.number().nonnegative(),
+  /** Of a removal: the store's revision when it was seen. */
+  seenAt: z.number().nonnegative().optional(),
   value: z.unknown()
 })
 export type FactFrame = z.infer<typeof FactFrame>
@@ -91,6 +100,14 @@
 })
 export type HoldingFrame = z.infer<typeof HoldingFrame>
 
+export const Appointment = z.object({
+  type: z.literal('appoint'),
+  watch: z.boolean(),
+  /** No entry that the sender hears is answered by the store. */
+  outage: z.boolean()
+})
+export type Appointment = z.infer<typeof Appointment>
+
 export const Frame = z.discriminatedUnion('type', [
   Hello,
   FactFrame,
@@ -99,6 +116,12 @@
   z.object({ type: z.literal('want'), key: AdapterKey, version: z.number().optional(), waiting: Count, priority: Count }),
   /** Asks for the news of the engines at these hosts and of no others. `relay`: the sender passes them on. */
   z.object({ type: z.literal('follow'), hosts: z.array(Host).max(5000), relay: z.boolean() }),
+  /** Asks for all that the sender lacks of the store's facts, at once and from now on (`true`), or only what it still lacks after a while. */
+  z.object({ type: z.literal('depend'), on: z.boolean() }),
+  /** To one that depends on the sender: with what was sent before, it lacks nothing up to here. */
+  z.object({ type: z.literal('caught_up'), complete: Complete }),
+  /** Whether the receiver, an entry, is one of those that watch the store for its failure domain. */
+  Appointment,
   /** What the receiver asked for is held now. */
   z.object({ type: z.literal('arrived'), key: AdapterKey, version: z.number() }),
   /** It can't be brought in now. */
@@ -110,7 +133,7 @@
   z.object({ type: z.literal('uses'), uses: z.array(z.tuple([AdapterKey, Count, Count])).max(5000), unread: Count.optional() }),
   /** The highest fence that the receiver was ever known to use, or the newest revision known: it goes no lower. */
   z.object({ type: z.literal('fences'), highest: Count }),
-  z.object({ type: z.literal('heartbeat'), revision: Revision, load: Load.optional(), complete: Complete.optional() }),
+  z.object({ type: z.literal('heartbeat'), revision: Revision, load: Load.optional(), complete: Complete.optional(), sight: StoreSight.optional() }),
   z.object({ type: z.literal('run'), id: ExchangeId, work: Work }),
   z.object({ type: z.literal('head'), id: ExchangeId, status: z.number().int(), headers: Headers, resident: z.boolean() }),
   z.object({ type: z.literal('chunk'), id: ExchangeId, sequence: z.number().int().nonnegative(), data: Bytes }),
