--- a/packages/fleet/src/side/news.ts
+++ b/packages/fleet/src/side/news.ts
@@ -107,11 +107,16 @@
     const told = this.#told?.account
     const age = nowMs() - this.#toldAt
     if (told === undefined || age > this.pace.aliveMs) return true
-    const changed = told.changes !== news.changes || told.reachable !== news.reachable || told.server !== news.server
+    const changed = told.changes !== news.changes || told.reachable !== news.reachable || told.server !== news.server || this.#entriesDiffer(told, news)
     if (changed && age >= this.pace.changeMs) return true
     const loadChanged = told.waiting !== news.waiting || told.running !== news.running || unreadDiffers(told.unread, news.unread)
     return loadChanged && age >= this.pace.loadMs
   }
+
+  /** Entries divide the retry budget by their number, and end callers' connections politely once one more has come. */
+  #entriesDiffer (told: EngineAccountNews, news: EngineAccountNews): boolean {
+    return told.entries !== news.entries || told.strangers !== news.strangers
+  }
 }
 
 /** What came or changed its version, and what went. */
--- a/packages/fleet/test/entry-link.test.ts
+++ b/packages/fleet/test/entry-link.test.ts
@@ -74,6 +74,12 @@
       expect(sent.at(-1)).to.include({ unread: 2500 })
     })
 
+    it('is how many entries there are as soon as that changes', async () => {
+      await time.pass(50)
+      link.publish(news({ entries: 2 }), passedOn)
+      expect(sent.at(-1)).to.include({ entries: 2 })
+    })
+
     it('is only what came and went since', async () => {
       await time.pass(50)
       const first = news({ changes: 1, held: new Map([['m/a', 1], ['m/b', 1]]) })
