--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -76,6 +76,8 @@
   /** No longer listening; what still comes does so on connections that were open. */
   #closed = false
   #running = 0
+  /** Entries of all domains, as last counted; 0 where nothing is known. */
+  #entries = 0
 
   constructor (private readonly options: FleetEntryOptions) {
     const { facts, domain, limits, log, process, sidePort, channel, dial, sources } = options
@@ -199,12 +201,20 @@
       await pause(sweepMs, signal)
       this.options.facts.expire()
       this.#watch.check()
-      this.#connections.noteEntries(this.#links.entries ?? 0)
+      this.#noteEntries(this.#links.entries ?? 0)
       if (round % sweepAllEvery === 0) this.#room.poke()
       else this.#room.pokeFull()
     }
   }
 
+  #noteEntries (entries: number): void {
+    const before = this.#entries
+    if (entries === before) return
+    this.#entries = entries
+    this.#connections.noteEntries(entries)
+    this.options.log.info('entries.counted', { entries, before })
+  }
+
   /** Entries tell each other facts too, for one that the store turns away before it knows any side process. */
   async #keepSeed (seed: string): Promise<void> {
     const { dial, ownPeerAddress } = this.options
--- a/packages/fleet/test/fleet.test.ts
+++ b/packages/fleet/test/fleet.test.ts
@@ -64,7 +64,8 @@
 
   after(async () => { await fleet.stop() })
 
-  afterEach(async () => {
+  afterEach(async function () {
+    if (this.currentTest?.state === 'failed') console.log(`logs kept: ${await fleet.keepLines(this.currentTest.title)}`)
     setFault(allServers(), 'none')
     for (const server of allServers()) server.lateOrdersMs = 0
     await pause(700)
--- a/packages/stand-ins/src/fleet/fleet-system.ts
+++ b/packages/stand-ins/src/fleet/fleet-system.ts
@@ -105,6 +105,14 @@
     return machine.output.map(line => JSON.parse(line) as Record<string, unknown>)
   }
 
+  /** Keeps the lines of all machines in a file, for a failure that may not come back; gives its path. */
+  async keepLines (name: string): Promise<string> {
+    const path = join(tmpdir(), `fleet-${name.replaceAll(/\W+/g, '-')}-${Date.now()}.jsonl`)
+    const lines = [...this.entries, ...this.sides].flatMap(machine => machine.output)
+    await writeFile(path, `${lines.join('\n')}\n`)
+    return path
+  }
+
   callerAddress (entry = 0): { host: string, port: number } {
     return { host: this.entries[entry]?.ip ?? '', port: ports.caller }
   }
