--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -25,10 +25,10 @@
 import { StoreWatch } from './store-watch.js'
 import { WaitingRoom } from './waiting-room.js'
 
-/** Requests that wait for a place are looked at this often, as places fall free at engines without any news. */
-const sweepMs = 60
-/** Of so many such looks one is at all that wait: what they wait for is told, so this only helps where news was lost. */
-const sweepAllEvery = 4
+/** How often it looks at what lapses, at its duty and at how many entries there are. */
+const sweepMs = 200
+/** In a planned stop, how often it looks whether everything has ended. */
+const stopCheckMs = 60
 /** Over what callers may send; the configuration's own limit is far lower. */
 const mostHeaderBytes = 65_536
 /** Beyond the rest that callers may take up a connection after. */
@@ -148,8 +148,8 @@
     // From here on callers meet a closed connection, which tells them that nothing was read, and go elsewhere.
     this.server.close()
     this.#closed = true
-    const sweep = setInterval(() => this.server.closeIdleConnections(), sweepMs)
-    while (this.#running > 0 && performance.now() - started < graceMs - exitMs) await pause(sweepMs)
+    const sweep = setInterval(() => this.server.closeIdleConnections(), stopCheckMs)
+    while (this.#running > 0 && performance.now() - started < graceMs - exitMs) await pause(stopCheckMs)
     this.options.log.info('entry.stopped', { running: this.#running, ms: Math.round(performance.now() - started) })
     clearInterval(sweep)
     this.#stop.abort()
@@ -199,13 +199,11 @@
 
   async #sweep (): Promise<void> {
     const { signal } = this.#stop
-    for (let round = 1; !signal.aborted; round++) {
+    while (!signal.aborted) {
       await pause(sweepMs, signal)
       this.options.facts.expire()
       this.#watch.check()
       this.#noteEntries(this.#links.entries ?? 0)
-      if (round % sweepAllEvery === 0) this.#room.poke()
-      else this.#room.pokeFull()
     }
   }
 
--- a/packages/fleet/src/entry/side-link.ts
+++ b/packages/fleet/src/entry/side-link.ts
@@ -249,7 +249,7 @@
 
   get #patience (): number {
     if (!this.near) return patienceMs.farSide
-    return this.options.watching() ? patienceMs.dependent : patienceMs.entry
+    return this.options.watching() ? patienceMs.dependent : patienceMs.resting
   }
 
   #tellFollows (channel: Channel): void {
--- a/packages/fleet/src/entry/waiting-room.ts
+++ b/packages/fleet/src/entry/waiting-room.ts
@@ -27,10 +27,17 @@
 
 /** News come in bursts; one look serves them all. */
 const scanMs = 12
+/** Requests that wait for a place are looked at this often, as places fall free at engines without any news. */
+const sweepMs = 60
+/** Of so many such looks one is at all that wait: what they wait for is told, so this only helps where news was lost. */
+const sweepAllEvery = 4
 
 export class WaitingRoom {
   readonly #entries = new Set<Entry>()
   #scan: NodeJS.Timeout | undefined
+  /** Runs while anybody waits. */
+  #sweep: NodeJS.Timeout | undefined
+  #sweeps = 0
   /** Keys to look at in the next scan; `undefined` for all. */
   #due: Set<string> | undefined = new Set()
 
@@ -56,12 +63,14 @@
         end: end => {
           if (!this.#entries.delete(entry)) return
           clearTimeout(timer)
+          if (this.#entries.size === 0) this.#endSweep()
           forget()
           resolve(end)
         }
       }
       const forget = cancellation.onCancel(leave)
       this.#entries.add(entry)
+      this.#sweep ??= setInterval(() => this.#sweepOnce(), sweepMs)
       if (cancellation.cancelled) return leave()
       this.#bring(first, entry)
     })
@@ -82,6 +91,17 @@
     if (keys.size > 0) this.poke([...keys])
   }
 
+  #sweepOnce (): void {
+    this.#sweeps += 1
+    if (this.#sweeps % sweepAllEvery === 0) this.poke()
+    else this.pokeFull()
+  }
+
+  #endSweep (): void {
+    clearInterval(this.#sweep)
+    this.#sweep = undefined
+  }
+
   #look (): void {
     this.#scan = undefined
     const due = this.#due
--- a/packages/fleet/src/fact-exchange.ts
+++ b/packages/fleet/src/fact-exchange.ts
@@ -18,6 +18,8 @@
   newcomer: 250,
   /** To entries: a watch rests up to 0.7 s in small fleets, and a heartbeat follows within 1 s. */
   entry: 1500,
+  /** Entry that leaves the store to others to the side processes of its domain: those say every 1.8 s what they have. */
+  resting: 2500,
   /** Entry to side processes elsewhere: their own entries tell them, and two heartbeats later it is known here. */
   farSide: 3000
 }
--- a/packages/fleet/src/side/entry-link.ts
+++ b/packages/fleet/src/side/entry-link.ts
@@ -103,14 +103,16 @@
     if (this.#wanted.delete(key)) this.channel.send({ type: 'declined', key, reason })
   }
 
-  /** Tells it what it has to know by now. */
+  /**
+   * Tells it what it has to know by now. Whatever else has changed goes with it: most of what news cost a reader is that
+   * it wakes for them.
+   */
   publish (own: EngineNews, passedOn: ReadonlyMap<string, EngineNews>): void {
+    const followed = this.#followed(own, passedOn)
+    const due = this.#owed || followed.some(({ teller, news }) => teller.due(news))
     const frames: Buffer[] = []
-    for (const [host, teller] of this.#tellers) {
-      const isOwn = host === this.#ownHost
-      const news = isOwn ? own : passedOn.get(host)
-      const frame = news === undefined ? undefined : teller.next(news, isOwn && this.#owed)
-      if (frame !== undefined) frames.push(frame)
+    for (const { teller, news } of due ? followed : []) {
+      if (teller.due(news) || teller.differs(news) || (this.#owed && news === own)) frames.push(teller.tell(news))
     }
     frames.push(...this.#arrivals(own))
     if (this.#owed && frames.length === 0) this.channel.beat()
@@ -118,6 +120,15 @@
     if (frames.length > 0) this.channel.sendEncoded(frames)
   }
 
+  #followed (own: EngineNews, passedOn: ReadonlyMap<string, EngineNews>): Array<{ teller: NewsTeller, news: EngineNews }> {
+    const followed = []
+    for (const [host, teller] of this.#tellers) {
+      const news = host === this.#ownHost ? own : passedOn.get(host)
+      if (news !== undefined) followed.push({ teller, news })
+    }
+    return followed
+  }
+
   /** What it asked for and is held. One that follows the engine hears of it with the news. */
   #arrivals (own: EngineNews): Buffer[] {
     const frames: Buffer[] = []
--- a/packages/fleet/src/side/news.ts
+++ b/packages/fleet/src/side/news.ts
@@ -84,8 +84,8 @@
   near: { loadMs: 200, changeMs: 0, aliveMs: 700 },
   /** Across, where bytes cost. */
   far: { loadMs: 250, changeMs: 40, aliveMs: 1500 },
-  /** What was told across is passed on as it comes. */
-  passedOn: { loadMs: 0, changeMs: 0, aliveMs: 1500 }
+  /** What was told across, to entries of one's own domain; gathered, as each write wakes the reader. */
+  passedOn: { loadMs: 200, changeMs: 60, aliveMs: 1500 }
 } as const satisfies Record<string, NewsPace>
 
 export class NewsTeller {
@@ -94,9 +94,19 @@
 
   constructor (private readonly pace: NewsPace) {}
 
-  /** What the reader has to be told by now; `owed`: it waits for a word. */
-  next (news: EngineNews, owed = false): Buffer | undefined {
-    if (!owed && !this.#due(news.account)) return undefined
+  /** Whether the reader has to be told something by now. */
+  due (news: EngineNews): boolean {
+    return this.#due(news.account)
+  }
+
+  /** Whether there is anything to tell, due or not. */
+  differs ({ account }: EngineNews): boolean {
+    const told = this.#told?.account
+    return told === undefined || told.changes !== account.changes || told.waiting !== account.waiting || told.running !== account.running || told.unread !== account.unread
+  }
+
+  /** What the reader has to be told to know these news. */
+  tell (news: EngineNews): Buffer {
     const frame = news.frameAfter(this.#told)
     this.#told = news
     this.#toldAt = nowMs()
--- a/packages/wire/src/channel.ts
+++ b/packages/wire/src/channel.ts
@@ -36,6 +36,9 @@
   heartbeat: () => FrameOf<'heartbeat'>
 }
 
+/** All channels of a process beat at the same moments, so that it wakes once for them. */
+const untilTick = (beat: number): number => beat - performance.now() % beat
+
 export class Channel {
   readonly #reader = new FrameReader()
   readonly #ended: Promise<ChannelEnd>
@@ -164,7 +167,7 @@
   async #beat (): Promise<void> {
     while (this.open) {
       const { heartbeatMs: beat = heartbeatMs, silenceMs: silence = silenceMs, steady } = this.#pace
-      await pause(beat, this.#rest.signal)
+      await pause(untilTick(beat), this.#rest.signal)
       const now = performance.now()
       if (now - this.#lastHeard > silence) this.close({ reason: 'silent' })
       if (steady === true || now - this.#lastSent >= beat) this.beat()
