--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -161,7 +161,7 @@
     this.#running += 1
     try {
       const served = new ServiceRequest({
-        facts, balancer: this.#balancer, room: this.#room, budget: this.#budget, faults: this.#faults, connects: this.#connects, firstTries: this.#firstTries, names, counters: this.counters, log, closed: this.#closed, blindRetryMs: () => this.#blindRetryMs, lastAnswer: () => this.#closing || this.#connections.isOld(request.socket)
+        facts, balancer: this.#balancer, room: this.#room, budget: this.#budget, faults: this.#faults, connects: this.#connects, firstTries: this.#firstTries, names, counters: this.counters, log, closed: this.#closed, learned: () => this.#learned(), blindRetryMs: () => this.#blindRetryMs, lastAnswer: () => this.#closing || this.#connections.isOld(request.socket)
       }, request, response)
       await served.serve()
     } catch (error) {
@@ -176,6 +176,20 @@
     return gatherMs(kind, this.#links.watchers ?? 1, this.options.limits().drainMs)
   }
 
+  /**
+   * Callers reach a process that has just started before it has read the store, some 0.1 s later. Each would be told to
+   * come back in 0.5 s, and is served after that tenth of a second instead.
+   */
+  async #learned (): Promise<void> {
+    const { facts } = this.options
+    const leftMs = learningMs - (nowMs() - this.#startedAt)
+    if (facts.routes !== undefined || leftMs <= 0) return
+    const learned = new AbortController()
+    const forget = facts.onChange(() => { if (facts.routes !== undefined) learned.abort() })
+    await pause(leftMs, learned.signal)
+    forget()
+  }
+
   /** Soon while it is only starting; later once neither the store nor a peer had the table in the time that takes. */
   get #blindRetryMs (): number {
     return nowMs() - this.#startedAt < learningMs ? learningMs : outageRetryMs
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -54,6 +54,8 @@
   connects: ConnectLimit
   counters: EntryCounters
   log: Log
+  /** Resolves once this entry has a routing table, or had the time that learning it takes after a start. */
+  learned: () => Promise<void>
   /** When callers should come back while this entry has no routing table. */
   blindRetryMs: () => number
   /** The process is about to end: what has not begun may not end in time, and is refused at once. */
@@ -119,6 +121,7 @@
   async #serve (): Promise<string> {
     const { facts, closed, firstTries, blindRetryMs } = this.options
     const { remainingMs, message } = this.#incoming
+    if (!closed) await this.options.learned()
     const routes = facts.routes
     if (closed || routes === undefined) {
       message.resume()
--- a/packages/fleet/test/fleet.test.ts
+++ b/packages/fleet/test/fleet.test.ts
@@ -380,6 +380,24 @@
     await pause(settleMs)
   })
 
+  it('serves what comes while an entry that starts has not read the store yet', async () => {
+    const [entry] = fleet.entries
+    if (entry === undefined) throw new Error('there is an entry')
+    await fleet.kill(entry)
+    fleet.store.listMs = 200
+    await fleet.startProcess(entry)
+    const statuses: number[] = []
+    const until = Date.now() + 10_000
+    while (!statuses.includes(200) && Date.now() < until) {
+      const asked = ask({ path: '/once/x', id: nextId() }).then(reply => reply.status, () => 0)
+      statuses.push(await asked)
+      await pause(2)
+    }
+    fleet.store.listMs = 0
+    expect(statuses.filter(status => status !== 0)).to.deep.equal([200])
+    await pause(settleMs)
+  })
+
   it('ends callers\' connections once another entry has come', async () => {
     const agent = new Agent({ keepAlive: true, maxSockets: 1 })
     const ask0 = async (): Promise<Reply> => await ask({ path: '/again/x', id: nextId(), agent })
--- a/packages/stand-ins/src/fleet/object-server.ts
+++ b/packages/stand-ins/src/fleet/object-server.ts
@@ -24,6 +24,8 @@
 export class ObjectServer extends HttpStandIn {
   /** Every call is answered so: 503, a reset, or not at all. */
   fault: 'none' | 'busy' | 'reset' | 'silent' = 'none'
+  /** How long a list takes. */
+  listMs = 0
   calls = 0
   #revision = 0
   #oldest = 0
@@ -73,6 +75,7 @@
     const kind = url.pathname.split('/').at(-1) ?? ''
     if (request.method !== 'GET') return sendJson(response, 405, {})
     const watch = url.searchParams.get('watch')
+    if (watch === null) await pause(this.listMs)
     if (watch === null) return this.#list(kind, url.searchParams.get('after') ?? '', response)
     await this.#watch(kind, Number(watch), Number(url.searchParams.get('waitMs')), response)
   }
