--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,6 @@
 /** What every package shares: ids, findings, failures, work, the configuration and the log. */
 export * from './id.js'
+export * from './address.js'
 export * from './finding.js'
 export * from './failure.js'
 export * from './work.js'
--- a/packages/fleet/src/entry/attempt.ts
+++ b/packages/fleet/src/entry/attempt.ts
@@ -6,6 +6,7 @@
  * (it carries the seal), belongs to this request (it echoes the id) and came whole.
  */
 import { request as openRequest, type Agent, type ClientRequest, type IncomingMessage } from 'node:http'
+import { splitAddress } from '@finchpitch/core'
 import { nowMs } from '../clock.js'
 import type { HeaderNames } from '../ports.js'
 import type { Cancellation } from './cancellation.js'
@@ -58,11 +59,6 @@
 /** By themselves these statuses would promise a caller that its request has not run. */
 const promising = new Set([408, 421, 429, 503])
 
-const splitAddress = (address: string): { host: string, port: number } => {
-  const colon = address.lastIndexOf(':')
-  return { host: address.slice(0, colon), port: Number(address.slice(colon + 1)) }
-}
-
 export const attempt = (options: AttemptOptions): Promise<AttemptEnd> => new Promise(resolve => {
   const { agent, outgoing, cancellation, connectMs } = options
   let request: ClientRequest
--- a/packages/fleet/src/entry/side-link.ts
+++ b/packages/fleet/src/entry/side-link.ts
@@ -5,16 +5,16 @@
  * there has been nothing for a while: news of far engines come through side processes near.
  */
 import type { Duplex } from 'node:stream'
-import { backoff, pause, type Log } from '@finchpitch/core'
+import type { Log } from '@finchpitch/core'
 import { Channel, type Appointment, type ChannelOptions, type Frame, type FrameOf } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
 import { FactLink, patienceMs } from '../fact-exchange.js'
 import type { Facts } from '../facts.js'
+import { redial } from '../redial.js'
 import { quietPace } from '../side/entry-link.js'
 import { unreadDiffers } from '../unread.js'
 import type { ServerState } from './server-state.js'
 
-const reconnectSpan = { firstMs: 100, limitMs: 1000 }
 /** A want is said again while requests wait, in case it was lost or declined. */
 const wantAgainMs = 600
 /** One that tells news and has said nothing for this long, near and across, isn't asked for anything: it is stuck or gone. */
@@ -193,19 +193,15 @@
 
   async #keep (): Promise<void> {
     const { dial, sidePort, log } = this.options
-    const { signal } = this.#stop
-    let failures = 0
-    while (!signal.aborted && this.#needed) {
-      try {
-        const reason = await this.#talk(await dial(`${this.host}:${sidePort}`))
-        failures = 0
-        if (!signal.aborted && this.#needed) log.warn('side.lost', { host: this.host, reason })
-      } catch (error) {
-        if (failures === 0) log.warn('side.unreachable', { host: this.host, detail: (error as Error).message })
-      }
-      failures += 1
-      await pause(backoff(failures - 1, Math.random, reconnectSpan), signal)
-    }
+    await redial({
+      host: this.host,
+      dial: () => dial(`${this.host}:${sidePort}`),
+      talk: stream => this.#talk(stream),
+      needed: () => this.#needed,
+      signal: this.#stop.signal,
+      log,
+      peer: 'side'
+    })
     this.#running = false
   }
 
--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -6,7 +6,7 @@
  * engine's side process.
  */
 import type { Duplex } from 'node:stream'
-import { pause, type Log } from '@finchpitch/core'
+import { hostOf, pause, type Log } from '@finchpitch/core'
 import type { Appointment, ChannelOptions, Frame, FrameOf, HoldingFrame } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
 import { EngineMirror } from '../engine-mirror.js'
@@ -48,8 +48,6 @@
   mirror: EngineMirror
 }
 
-const hostOf = (address: string): string => address.slice(0, address.lastIndexOf(':'))
-
 export class SideLinks {
   /** By the host that an engine shares with its side process. */
   readonly #engines = new Map<string, Engine>()
--- a/packages/fleet/src/side/relay.ts
+++ b/packages/fleet/src/side/relay.ts
@@ -5,15 +5,15 @@
  * requests and wants go from the entries straight to where they belong, so a relay that fails delays news and nothing else.
  */
 import type { Duplex } from 'node:stream'
-import { backoff, pause, type Log } from '@finchpitch/core'
+import type { Log } from '@finchpitch/core'
 import { Channel, type ChannelOptions } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
 import { EngineMirror } from '../engine-mirror.js'
 import { FactLink, patienceMs } from '../fact-exchange.js'
 import type { Facts } from '../facts.js'
+import { redial } from '../redial.js'
 import { EngineNews } from './news.js'
 
-const reconnectSpan = { firstMs: 100, limitMs: 1000 }
 /** News come at least every 1.5 s; a channel without any for twice that is dead. */
 const deafMs = 3000
 /** News from several engines that come close together go on in one write. */
@@ -77,17 +77,15 @@
 
   async #keep (host: string, source: Source): Promise<void> {
     const { dial, sidePort, log } = this.options
-    const { signal } = source.stop
-    for (let failures = 0; !signal.aborted; failures++) {
-      try {
-        const reason = await this.#read(host, source, await dial(`${host}:${sidePort}`))
-        failures = 0
-        if (!signal.aborted) log.info('relay.lost', { host, reason })
-      } catch (error) {
-        if (failures === 0) log.info('relay.unreachable', { host, detail: (error as Error).message })
-      }
-      await pause(backoff(failures, Math.random, reconnectSpan), signal)
-    }
+    await redial({
+      host,
+      dial: () => dial(`${host}:${sidePort}`),
+      talk: stream => this.#read(host, source, stream),
+      needed: () => true,
+      signal: source.stop.signal,
+      log,
+      peer: 'relay'
+    })
   }
 
   async #read (host: string, source: Source, stream: Duplex): Promise<string> {
--- a/packages/fleet/src/side/side.ts
+++ b/packages/fleet/src/side/side.ts
@@ -7,26 +7,23 @@
  */
 import type { Duplex } from 'node:stream'
 import { isDeepStrictEqual } from 'node:util'
-import { pause, type Log } from '@finchpitch/core'
-import { Channel, type ChannelOptions, type Frame, type FrameOf } from '@finchpitch/wire'
-import { nowMs } from '../clock.js'
-import { FactLink, patienceMs } from '../fact-exchange.js'
+import { hostOf, pause, type Log } from '@finchpitch/core'
+import { Channel, type ChannelOptions, type Frame } from '@finchpitch/wire'
 import type { Facts } from '../facts.js'
 import type { EngineAccount, EngineOrder, EngineOrders, Limits } from '../ports.js'
 import { parseRef, refKey } from '../server.js'
 import type { EngineSpec } from '../table.js'
 import { WarmCopies } from '../warm-copies.js'
 import { Demands } from './demands.js'
+import type { EntryLink } from './entry-link.js'
 import type { HeldKeys } from '../engine-mirror.js'
-import { EntryLink, quietPace } from './entry-link.js'
 import { LoadRate, type LoadShare } from './load-rate.js'
 import { LoadTimes, type LoadSource } from './load-times.js'
 import { OrderGiver } from './order-giver.js'
 import type { SideCounters } from './counters.js'
 import { EngineNews, difference } from './news.js'
 import { place } from './placement.js'
-import { Relay } from './relay.js'
-import { watchersAmong } from './watchers.js'
+import { Readers } from './readers.js'
 
 /** Between two looks at the engine while nothing is awaited, and while something is. */
 const restMs = 200
@@ -52,13 +49,12 @@
 export class FleetSide {
   readonly demands = new Demands()
   readonly #rate = new LoadRate()
-  readonly #links = new Set<EntryLink>()
   #account: EngineAccount | undefined
   #failures = 0
   readonly #orders: OrderGiver
   #wake = (): void => {}
   readonly #loads = new LoadTimes()
-  readonly #relay: Relay
+  readonly #readers: Readers
   readonly #host: string
   #held: HeldKeys = new Map()
   #coming: string[] = []
@@ -70,14 +66,14 @@
     for (let each = 0; each < assumedStarts; each++) this.#rate.started()
     this.#orders = new OrderGiver({ ...options, replaced: () => this.#replaced() })
     const { counters, engineAddress } = options
-    this.#host = engineAddress.slice(0, engineAddress.lastIndexOf(':'))
-    this.#relay = new Relay({ ...options, changed: () => this.#tell(this.#news()) })
+    this.#host = hostOf(engineAddress)
+    this.#readers = new Readers({ ...options, host: this.#host, news: () => this.#news() })
     counters.gauge('finchpitch_engine_requests_running', 'Requests that the engine runs, by its account.', () => this.#account?.running ?? 0)
     counters.gauge('finchpitch_engine_requests_waiting', 'Requests that wait at the engine, by its account.', () => this.#account?.waiting ?? 0)
     counters.gauge('finchpitch_engine_cache_tokens_used', 'Tokens of memory that can not give way, by the engine\'s account.', () => this.#account?.cacheUsed ?? 0)
     counters.gauge('finchpitch_engine_cache_tokens', 'Tokens of memory that the engine has.', () => this.#account?.cacheTotal ?? 0)
-    counters.gauge('finchpitch_peers_connected', 'Entries and side processes connected.', () => this.#links.size)
-    counters.gauge('finchpitch_engines_relayed', 'Engines elsewhere whose news are passed on.', () => this.#relay.following)
+    counters.gauge('finchpitch_peers_connected', 'Entries and side processes connected.', () => this.#readers.size)
+    counters.gauge('finchpitch_engines_relayed', 'Engines elsewhere whose news are passed on.', () => this.#readers.relayed)
   }
 
   /** One entry's connection, to its end. */
@@ -92,9 +88,7 @@
     const link = await greeted
     const end = await channel.ended
     if (link === undefined) return
-    this.#links.delete(link)
-    link.facts?.stop()
-    this.#chooseRelayed()
+    this.#readers.leave(link)
     this.demands.forget(channel.peer.process)
     log.info('entry.lost', { entry: channel.peer.process, reason: end.reason, revision: facts.revision, domain })
   }
@@ -196,7 +190,7 @@
     this.demands.settle(key, false)
     this.options.counters.declined.inc({ reason })
     this.options.log.info('demand.declined', { key, reason, orders: this.#account?.orders })
-    for (const link of this.#links) link.decline(key, reason)
+    this.#readers.decline(key, reason)
   }
 
   async #give (order: EngineOrder, reason: string): Promise<number> {
@@ -215,62 +209,20 @@
   }
 
   #join (channel: Channel): EntryLink {
-    const { domain, log } = this.options
-    const near = channel.peer.domain === domain
-    const link = new EntryLink({ channel, near, ownHost: this.#host })
-    this.#links.add(link)
-    if (near) this.#exchangeFacts(link)
-    else channel.setPace(quietPace)
-    log.info('entry.joined', { entry: channel.peer.process, domain: channel.peer.domain })
+    const link = this.#readers.join(channel)
     this.#wake()
     return link
   }
 
-  #exchangeFacts (link: EntryLink): void {
-    const { facts, log } = this.options
-    if (link.facts !== undefined) return
-    link.facts = new FactLink(facts, link.channel, patienceMs.entry, log)
-    link.facts.start()
-  }
-
-  /** A peer says which engines it wants to hear of. */
-  #follow (link: EntryLink, { hosts, relay }: FrameOf<'follow'>): void {
-    link.follow(hosts)
-    link.relay = relay
-    if (!link.near) link.channel.setPace(link.followsOwn ? this.options.channel : quietPace)
-    if (link.followsOwn) this.#exchangeFacts(link)
-    this.#chooseRelayed()
-    this.#tell(this.#news())
-  }
-
-  /** Engines elsewhere that any entry near follows through this process. */
-  #chooseRelayed (): void {
-    const hosts = new Set<string>()
-    for (const link of this.#links) {
-      if (!link.near || link.relay) continue
-      for (const host of link.follows) if (host !== this.#host) hosts.add(host)
-    }
-    this.#relay.follow(hosts)
-  }
-
   #take (frame: Frame, link: EntryLink): void {
     const entry = link.channel.peer.process
-    link.heardAt = nowMs()
-    if (frame.type === 'fact') link.facts?.receive(frame)
-    if (frame.type === 'heartbeat') {
-      link.facts?.heard(frame.complete)
-      link.sight = frame.sight
-      // Entries of the same domain that read the store send what they learn at once, so by now it is all here.
-      if (link.near && frame.sight === 'reading' && frame.complete !== undefined) this.options.facts.caughtUp(frame.complete)
-    }
-    if (frame.type === 'depend') link.depend(frame.on)
+    this.#readers.take(frame, link)
     if (frame.type === 'uses' && this.demands.used(entry, frame.uses, frame.unread) && this.demands.any) this.#wake()
     if (frame.type === 'fences') {
       this.options.facts.saw(frame.highest)
       const { fence } = this.#orders
       if (fence > 0 && frame.highest > fence) this.options.log.info('fence.behind', { fence, highest: frame.highest })
     }
-    if (frame.type === 'follow') this.#follow(link, frame)
     if (frame.type === 'want') {
       this.demands.ask(frame)
       link.want(frame.key)
@@ -289,28 +241,12 @@
     }
     this.#held = held
     this.#coming = coming
-    this.#tell(this.#news())
-  }
-
-  #tell (news: EngineNews): void {
-    const { complete } = this.options.facts
-    for (const link of this.#links) {
-      link.publish(news, this.#relay.news)
-      link.tellComplete(complete)
-    }
-    this.#appointWatchers()
-  }
-
-  #appointWatchers (): void {
-    const now = nowMs()
-    const entries = [...this.#links].filter(link => link.near && !link.relay)
-    const { named, outage } = watchersAmong(entries.map(({ channel, sight, heardAt }) => ({ process: channel.peer.process, silentMs: now - heardAt, sight })))
-    for (const link of entries) link.appoint({ type: 'appoint', watch: named.has(link.channel.peer.process), outage })
+    this.#readers.tell()
   }
 
   #news (): EngineNews {
     const account = this.#account
-    const links = [...this.#links].filter(link => !link.relay)
+    const { near, strangers } = this.#readers.entries
     return new EngineNews({
       host: this.#host,
       changes: this.#changes,
@@ -322,8 +258,8 @@
       waiting: account?.waiting ?? 0,
       running: account?.running ?? 0,
       unread: this.demands.unread,
-      entries: links.filter(link => link.near).length,
-      strangers: links.filter(link => !link.near && link.followsOwn).length,
+      entries: near,
+      strangers,
       fence: this.#orders.fence
     })
   }
@@ -338,8 +274,7 @@
   }
 
   close (): void {
-    this.#relay.close()
-    for (const { channel } of this.#links) channel.close()
+    this.#readers.close()
   }
 }
 
--- a/packages/wire/src/listener.ts
+++ b/packages/wire/src/listener.ts
@@ -4,7 +4,7 @@
 import { connect, createServer, type Socket } from 'node:net'
 import { once } from 'node:events'
 import type { Duplex } from 'node:stream'
-import { Address } from '@finchpitch/core'
+import { Address, splitAddress } from '@finchpitch/core'
 
 const connectMs = 1000
 
@@ -35,8 +35,7 @@
 
 /** Opens a connection, or rejects within a second. */
 export const dial = async (address: Address): Promise<Duplex> => {
-  const split = address.lastIndexOf(':')
-  const socket = connect({ host: address.slice(0, split), port: Number(address.slice(split + 1)), noDelay: true })
+  const socket = connect({ ...splitAddress(address), noDelay: true })
   const timer = setTimeout(() => socket.destroy(new Error('no connection in time')), connectMs)
   try {
     await once(socket, 'connect')
