Entries hear that a far side process is lost; a server gone for good is so for entries that hear it from peers

Two faults that taking news from others brought, each red first: an entry without a channel of its own to a far side process asked it in vain when it was dead, 0.5 s each time (781 ms for a request; now under 450); a removal confirmed after an outage reached the entries that leave the store to others as one that may come back, and kept the server in reserve.

--- a/packages/fleet/src/engine-mirror.ts
+++ b/packages/fleet/src/engine-mirror.ts
@@ -36,6 +36,8 @@
   entries = 0
   strangers = 0
   fence = 0
+  /** Its side process is lost to the one that passes its news on. */
+  lost = false
   /** Counts changes of what is held or coming. */
   changes = 0
 
@@ -49,6 +51,7 @@
     this.#hold(frame)
     for (const [key, version] of frame.warm ?? []) this.warm.keep(key, version)
     this.reachable = frame.reachable
+    this.lost = frame.lost === true
     this.server = frame.server
     this.waiting = frame.waiting
     this.running = frame.running
--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -113,7 +113,8 @@
 
   /** Whether the engine's side process can be asked to bring the key in. */
   orderable (engine: BackendServer, key: string): boolean {
-    return this.#at(engine)?.link.orderable(key) === true
+    const known = this.#at(engine)
+    return known !== undefined && !known.mirror.lost && known.link.orderable(key)
   }
 
   /**
--- a/packages/fleet/src/fact-exchange.ts
+++ b/packages/fleet/src/fact-exchange.ts
@@ -8,7 +8,7 @@
  */
 import type { Log } from '@finchpitch/core'
 import type { Channel, Complete, FactFrame } from '@finchpitch/wire'
-import { coveredBy, factOf, frameOf, type Fact, type Facts } from './facts.js'
+import { coveredBy, factOf, frameOf, isFinal, type Fact, type Facts } from './facts.js'
 
 /** How long a link waits before it sends. */
 export const patienceMs = {
@@ -70,7 +70,9 @@
       return
     }
     this.#known.set(idOf(fact), fact.revision)
-    this.facts.offer(fact, this.channel.peer.process)
+    const from = this.channel.peer.process
+    if (isFinal(fact)) this.facts.remove(fact, from)
+    else this.facts.offer(fact, from)
   }
 
   #schedule (fact: Fact, patience: number): void {
--- a/packages/fleet/src/facts.ts
+++ b/packages/fleet/src/facts.ts
@@ -14,7 +14,7 @@
 
 export type Fact =
   | { kind: 'table', key: 'table', revision: number, value: RoutingTable }
-  | { kind: 'server', key: string, revision: number, value: BackendServer | undefined, seenAt?: number }
+  | { kind: 'server', key: string, revision: number, value: BackendServer | undefined, seenAt?: number, final?: boolean }
   | { kind: 'version', key: string, revision: number, value: NamedVersion | undefined, seenAt?: number }
 
 export interface VersionBelief {
@@ -190,7 +190,7 @@
 
   /** Takes over that something is gone for good, so that nothing of it stays in reserve. */
   remove (fact: Fact, from: string): void {
-    if (!this.offer(fact, from) || !this.#lapsed.delete(fact.key)) return
+    if (!this.offer({ ...fact, final: true } as Fact, from) || !this.#lapsed.delete(fact.key)) return
     this.#drop(fact.key)
     this.log.info('server.gone', { server: fact.key, reason: 'its entry did not come back with the store' })
     for (const listener of this.#listeners) listener(fact)
@@ -277,8 +277,8 @@
 
 /** A fact as a peer sent it; `undefined` where its value doesn't fit. */
 export const factOf = (frame: FactFrame): Fact | undefined => {
-  const { kind, key, revision, seenAt } = frame
-  if (frame.value === null) return kind === 'table' ? undefined : { kind, key, revision, value: undefined, seenAt }
+  const { kind, key, revision, seenAt, final } = frame
+  if (frame.value === null) return kind === 'table' ? undefined : { kind, key, revision, value: undefined, seenAt, final } as Fact
   const parsed = schemas[kind].safeParse(frame.value)
   return parsed.success ? { kind, key, revision, value: parsed.data } as Fact : undefined
 }
@@ -286,11 +286,14 @@
 export const frameOf = (fact: Fact): FactFrame => {
   const { kind, key, revision, value } = fact
   const seenAt = seenAtOf(fact)
-  return { type: 'fact', kind, key, revision, value: value ?? null, ...(seenAt === undefined ? {} : { seenAt }) }
+  return { type: 'fact', kind, key, revision, value: value ?? null, ...(seenAt === undefined ? {} : { seenAt }), ...(isFinal(fact) ? { final: true } : {}) }
 }
 
 const seenAtOf = (fact: Fact): number | undefined => 'seenAt' in fact ? fact.seenAt : undefined
 
+/** It is gone for good, so that nothing of it stays in reserve. */
+export const isFinal = (fact: Fact): boolean => fact.kind === 'server' && fact.final === true
+
 /** Who lacks nothing up to this revision of the store has the fact. */
 export const coveredBy = (fact: Fact): number => seenAtOf(fact) ?? fact.revision
 
--- a/packages/fleet/src/side/news.ts
+++ b/packages/fleet/src/side/news.ts
@@ -28,6 +28,8 @@
   entries: number
   strangers: number
   fence: number
+  /** Its side process is lost to the one that passes its news on. */
+  lost?: boolean
 }
 
 export class EngineNews {
@@ -48,13 +50,14 @@
   }
 
   #frameAfter (told: EngineAccountNews | undefined): HoldingFrame {
-    const { host, held, coming, warm, reachable, server, waiting, running, unread, entries, strangers, fence } = this.account
+    const { host, held, coming, warm, reachable, server, waiting, running, unread, entries, strangers, fence, lost } = this.account
     const { came, went } = difference(told?.held ?? new Map(), held)
     return {
       type: 'holding',
       host,
       reachable,
       server,
+      ...(lost === true ? { lost } : {}),
       ...(told === undefined ? { whole: true, warm: warm() } : {}),
       ...(came.size === 0 ? {} : { came: Object.fromEntries(came) }),
       ...(went.length === 0 ? {} : { went }),
@@ -117,7 +120,7 @@
     const told = this.#told?.account
     const age = nowMs() - this.#toldAt
     if (told === undefined || age > this.pace.aliveMs) return true
-    const changed = told.changes !== news.changes || told.reachable !== news.reachable || told.server !== news.server || this.#entriesDiffer(told, news)
+    const changed = told.changes !== news.changes || told.reachable !== news.reachable || told.lost !== news.lost || told.server !== news.server || this.#entriesDiffer(told, news)
     if (changed && age >= this.pace.changeMs) return true
     const loadChanged = told.waiting !== news.waiting || told.running !== news.running || unreadDiffers(told.unread, news.unread)
     return loadChanged && age >= this.pace.loadMs
--- a/packages/fleet/src/side/relay.ts
+++ b/packages/fleet/src/side/relay.ts
@@ -14,8 +14,9 @@
 import { redial } from '../redial.js'
 import { EngineNews } from './news.js'
 
-/** News come at least every 1.5 s; a channel without any for twice that is dead. */
-const deafMs = 3000
+/** News come at least every 1.5 s; a channel without any for longer is dead, or its process hangs. */
+const deafMs = 2200
+const checkMs = 300
 /** News from several engines that come close together go on in one write. */
 const gatherMs = 15
 
@@ -95,7 +96,7 @@
     if (source.stop.signal.aborted) channel.close()
     const factLink = new FactLink(facts, channel, patienceMs.farSide, log)
     let heardAt = nowMs()
-    const watch = setInterval(() => { if (nowMs() - heardAt > deafMs) channel.close({ reason: 'silent' }) }, deafMs / 2)
+    const watch = setInterval(() => { if (nowMs() - heardAt > deafMs) channel.close({ reason: 'silent' }) }, checkMs)
     void channel.greeted.then(welcome => {
       if (!welcome) return
       channel.send({ type: 'follow', hosts: [host], relay: true })
@@ -107,14 +108,21 @@
       if (frame.type !== 'holding') continue
       heardAt = nowMs()
       source.mirror.take(frame)
-      this.news.set(host, newsOf(host, source.mirror))
-      this.#due ??= setTimeout(() => this.#passOn(), gatherMs)
+      this.#note(host, source)
     }
     clearInterval(watch)
     factLink.stop()
+    source.mirror.lost = true
+    // Entries would ask it for adapters in vain, for half a second each time.
+    if (!source.stop.signal.aborted && source.mirror.told) this.#note(host, source)
     return (await channel.ended).reason
   }
 
+  #note (host: string, { mirror }: Source): void {
+    this.news.set(host, newsOf(host, mirror))
+    this.#due ??= setTimeout(() => this.#passOn(), gatherMs)
+  }
+
   #passOn (): void {
     this.#due = undefined
     this.options.changed()
@@ -122,6 +130,6 @@
 }
 
 const newsOf = (host: string, mirror: EngineMirror): EngineNews => {
-  const { changes, held, coming, reachable, server, waiting, running, unread, entries, strangers, fence } = mirror
-  return new EngineNews({ host, changes, held, coming, warm: () => mirror.warm.all(), reachable, server, waiting, running, unread, entries, strangers, fence })
+  const { changes, held, coming, reachable, server, waiting, running, unread, entries, strangers, fence, lost } = mirror
+  return new EngineNews({ host, changes, held, coming, warm: () => mirror.warm.all(), reachable, server, waiting, running, unread, entries, strangers, fence, lost })
 }
--- a/packages/fleet/test/engine-mirror.test.ts
+++ b/packages/fleet/test/engine-mirror.test.ts
@@ -38,6 +38,13 @@
     expect(mirror.coming).to.deep.equal([])
   })
 
+  it('tells that its side process is lost, until it is heard again', () => {
+    told({ lost: true })
+    expect(mirror.lost).to.equal(true)
+    told()
+    expect(mirror.lost).to.equal(false)
+  })
+
   it('never goes below a fence that was told once', () => {
     told({ fence: 7 })
     told({ fence: 3 })
--- a/packages/fleet/test/fact-exchange.test.ts
+++ b/packages/fleet/test/fact-exchange.test.ts
@@ -1,6 +1,6 @@
 import { Duplex } from 'node:stream'
 import { Address, FailureDomain, ProcessId, Revision, newIncarnation, quietLog } from '@finchpitch/core'
-import { FactLink, Facts, type Fact } from '@finchpitch/fleet'
+import { FactLink, Facts, frameOf, type Fact } from '@finchpitch/fleet'
 import { FakeTime } from '@finchpitch/stand-ins'
 import { Channel, protocolVersion, type Complete, type FrameOf } from '@finchpitch/wire'
 import { expect } from 'chai'
@@ -127,6 +127,21 @@
       expect(received).to.deep.equal([3, 3.5])
     })
 
+    it('is gone at once for a peer that hears it is gone for good', async () => {
+      const other = new Facts(quietLog, () => 1000)
+      const server = { id: 's', service: 'llm', address: '10.0.0.1:1', domain: 'a', slots: 8, leaving: false, models: [] }
+      other.offer({ kind: 'server', key: 's', revision: 3, value: server }, 'store')
+      const receiver = new FactLink(other, near, 0, quietLog)
+      receiver.receive({ type: 'fact', kind: 'server', key: 's', revision: 3.5, seenAt: 90, value: null })
+      expect(other.servers.size).to.equal(1)
+      other.offer({ kind: 'server', key: 's', revision: 4, value: server }, 'store')
+      facts.remove({ ...removal, revision: 4.5 }, 'store')
+      const [fact] = facts.all().filter(each => each.kind === 'server')
+      if (fact === undefined) throw new Error('the removal is remembered')
+      receiver.receive(frameOf(fact))
+      expect(other.servers.size).to.equal(0)
+    })
+
     it('tells nothing to a peer that has read the store since', async () => {
       const link = new FactLink(facts, near, 1500, quietLog)
       link.start()
--- a/packages/fleet/test/relay.test.ts
+++ b/packages/fleet/test/relay.test.ts
@@ -71,6 +71,21 @@
     side?.process?.kill('SIGCONT')
   })
 
+  it('tell of a side process that is lost, so that nobody waits for its answer', async () => {
+    const lost = fleet.sides.slice(2, 3)
+    for (const side of lost) await fleet.kill(side)
+    await pause(400)
+    const times: number[] = []
+    for (let each = 0; each < 12; each++) {
+      const started = Date.now()
+      expect(await ask(`base/lost${each}`, 0)).to.equal(200)
+      times.push(Date.now() - started)
+    }
+    // A load takes 60 ms; an entry that asks in vain waits for half a second before it asks elsewhere.
+    expect(Math.max(...times)).to.be.lessThan(450)
+    for (const side of lost) await fleet.startProcess(side)
+  })
+
   it('are taken from the engines\' own side processes while none is left near', async () => {
     for (const side of fleet.sides.slice(0, 2)) await fleet.kill(side)
     const others = fleet.sides.slice(2)
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -57,6 +57,8 @@
   revision: z.number().nonnegative(),
   /** Of a removal: the store's revision when it was seen. */
   seenAt: z.number().nonnegative().optional(),
+  /** Of a removal: it is known to be none of those that an outage makes, which come back. */
+  final: z.boolean().optional(),
   value: z.unknown()
 })
 export type FactFrame = z.infer<typeof FactFrame>
@@ -85,6 +87,8 @@
   went: z.array(AdapterKey).optional(),
   /** All keys on their way in; absent where that did not change. */
   coming: z.array(AdapterKey).optional(),
+  /** The one that passes these news on has lost the engine's side process; until then, they are what it last said. */
+  lost: z.boolean().optional(),
   /** Adapters that the engine has let go of and has at hand, with their versions; to a new peer only. */
   warm: z.array(z.tuple([AdapterKey, z.number()])).max(1000).optional(),
   waiting: Count,
