--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -12,7 +12,7 @@
 import { EngineMirror } from '../engine-mirror.js'
 import type { Facts } from '../facts.js'
 import type { BackendServer } from '../server.js'
-import { watchersOf } from '../side/watchers.js'
+import { countEntries, countWatchers, type DomainEntries } from './entry-count.js'
 import { newsSources, relayOf } from './news-sources.js'
 import type { ServerStates } from './server-state.js'
 import { SideLink } from './side-link.js'
@@ -77,12 +77,12 @@
 
   /** How many entries there are, by what side processes tell; `undefined` while none has. */
   get entries (): number | undefined {
-    return this.#sumOfDomains(entries => entries)
+    return countEntries(this.#toldEntries)
   }
 
   /** How many of them watch the store. */
   get watchers (): number | undefined {
-    return this.#sumOfDomains(watchersOf)
+    return countWatchers(this.#toldEntries)
   }
 
   /** What side processes near that answer say of this entry as a watcher of the store. */
@@ -95,16 +95,9 @@
     for (const { link } of this.#engines.values()) link.watchingChanged()
   }
 
-  #sumOfDomains (count: (entries: number) => number): number | undefined {
-    const byDomain = new Map<string, number>()
-    let strangers = 0
-    for (const { domain, mirror } of this.#engines.values()) {
-      if (!mirror.told) continue
-      byDomain.set(domain, Math.max(byDomain.get(domain) ?? 0, mirror.entries))
-      strangers = Math.max(strangers, mirror.strangers)
-    }
-    if (byDomain.size === 0) return undefined
-    return [...byDomain.values()].reduce((sum, entries) => sum + count(entries), strangers)
+  get #toldEntries (): DomainEntries[] {
+    return [...this.#engines.values()].map(({ domain, mirror }) =>
+      ({ domain, entries: mirror.told ? mirror.entries : undefined, strangers: mirror.strangers }))
   }
 
   get connected (): number {
--- a/packages/fleet/src/side/relay.ts
+++ b/packages/fleet/src/side/relay.ts
@@ -100,7 +100,7 @@
     void channel.greeted.then(welcome => {
       if (!welcome) return
       channel.send({ type: 'follow', hosts: [host], relay: true })
-      factLink.start()
+      factLink.start(patienceMs.newcomer)
     })
     for await (const frame of channel.frames()) {
       if (frame.type === 'fact') factLink.receive(frame)
