--- /dev/null
+++ b/packages/stand-ins/src/fleet/caller.ts
@@ -0,0 +1,54 @@
+/**
+ * A caller of a fleet, and waiting for what tests expect to come about.
+ */
+import { request, type Agent, type IncomingHttpHeaders } from 'node:http'
+import { pause } from '@finchpitch/core'
+import type { FleetSystem } from './fleet-system.js'
+
+export interface Reply {
+  status: number
+  headers: IncomingHttpHeaders
+  body: string
+  /** It came to its end. */
+  whole: boolean
+}
+
+export interface Ask {
+  path: string
+  id: string
+  model?: string
+  /** Time that the caller states it has left. */
+  remainingMs?: number
+  headers?: Record<string, string>
+  agent?: Agent
+  /** The place of the entry in the fleet's list. */
+  entry?: number
+  /** The caller closes its connection then. */
+  leaveAfterMs?: number
+}
+
+/** Rejects where no answer begins. */
+export const askFleet = (fleet: FleetSystem, { path, id, model, remainingMs = 3000, headers = {}, agent, entry = 0, leaveAfterMs }: Ask): Promise<Reply> => new Promise((resolve, reject) => {
+  const all = { host: 'fleet.example', 'request-id': id, 'deadline-ms': String(remainingMs), ...(model === undefined ? {} : { model }), ...headers }
+  const outgoing = request({ ...fleet.callerAddress(entry), method: 'POST', path, headers: all, agent }, answer => {
+    let body = ''
+    answer.setEncoding('utf8').on('data', (piece: string) => { body += piece })
+    const end = (whole: boolean) => (): void => resolve({ status: answer.statusCode ?? 0, headers: answer.headers, body, whole })
+    answer.on('end', end(true))
+    answer.on('error', end(false))
+  })
+  outgoing.on('error', reject)
+  outgoing.end('{"ask":1}')
+  if (leaveAfterMs !== undefined) setTimeout(() => outgoing.destroy(), leaveAfterMs)
+})
+
+const lookMs = 20
+
+/** Resolves once `check` holds; rejects with `what` where it doesn't within `ms`. */
+export const eventually = async (what: string, check: () => boolean, ms = 4000): Promise<void> => {
+  const until = Date.now() + ms
+  while (!check()) {
+    if (Date.now() > until) throw new Error(`not within ${ms} ms: ${what}`)
+    await pause(lookMs)
+  }
+}
