--- a/packages/fleet/src/urgency.ts
+++ b/packages/fleet/src/urgency.ts
@@ -7,7 +7,9 @@
  * they have waited.
  *
  * Of 8,290 generations on 8 engines, played with failures, 72.7% were in time; with the route's priority alone 70.5%, and
- * where late requests keep their place 69.7%.
+ * where late requests keep their place 69.7% (all three with the route's rank before the time to spare). With the time to
+ * spare first, the kind of request that fares worst, the longest prompts among them, earns 0.87 of its worth on a calm minute
+ * and not 0.81 (one play each).
  */
 
 /** The least urgent rank that engines know. */
