--- a/packages/fleet/src/entry/side-link.ts
+++ b/packages/fleet/src/entry/side-link.ts
@@ -167,6 +167,7 @@
   check (): void {
     const now = nowMs()
     for (const [key, at] of this.#wanted) if (now - at > deadMs) this.#wanted.delete(key)
+    for (const [key, at] of this.#declined) if (now - at > declinedMs) this.#declined.delete(key)
     if (now - this.#unansweredSince > deadMs) {
       this.#unansweredSince = Infinity
       this.#queued.clear()
