The least of several stands once

No change of behaviour: the choice of a relay wrote again the loop that the choice of a server had (lowest.ts). Two comments had stray backslashes.

--- a/packages/fleet/src/entry/choice.ts
+++ b/packages/fleet/src/entry/choice.ts
@@ -6,6 +6,7 @@
  * where it is, and brought nearer only once it is asked for again and again.
  */
 import { affinityOf, hashOf } from '@finchpitch/decisions'
+import { lowest } from '../lowest.js'
 
 export interface Option {
   id: string
@@ -63,18 +64,6 @@
   return present.length > 0 ? present : [...options]
 }
 
-const lowest = <T>(items: readonly T[], cost: (item: T) => number): T | undefined => {
-  let best: T | undefined
-  let least = Infinity
-  for (const item of items) {
-    const itemCost = cost(item)
-    if (best !== undefined && itemCost >= least) continue
-    best = item
-    least = itemCost
-  }
-  return best
-}
-
 export const choosePlain = (options: readonly Option[], domain: string): Choice => {
   if (options.length === 0) return { type: 'none', reason: 'no server of the service' }
   const open = usable(options).filter(option => option.load < option.slots + queueSurplus)
--- a/packages/fleet/src/entry/entry-count.ts
+++ b/packages/fleet/src/entry/entry-count.ts
@@ -8,13 +8,13 @@
 
 export interface DomainEntries {
   domain: string
-  /** Entries of the domain; \`undefined\` while no side process there has told. */
+  /** Entries of the domain; `undefined` while no side process there has told. */
   entries: number | undefined
   /** Entries elsewhere that follow engines of the domain directly. */
   strangers: number
 }
 
-/** One row for each engine. \`undefined\` while none has told. */
+/** One row for each engine. `undefined` while none has told. */
 export const countEntries = (told: readonly DomainEntries[]): number | undefined => sumOfDomains(told, entries => entries)
 
 /** How many of them watch the store. */
--- a/packages/fleet/src/entry/news-sources.ts
+++ b/packages/fleet/src/entry/news-sources.ts
@@ -7,6 +7,7 @@
  * moment, the news cross twice, and no promise depends on it. An entry with no side process near follows engines itself.
  */
 import { affinityOf, hashOf } from '@finchpitch/decisions'
+import { lowest } from '../lowest.js'
 
 export interface NewsHosts {
   /** Hosts of engines in the entry's own failure domain whose side processes answer. */
@@ -25,13 +26,5 @@
 /** The side process near that serves `key`: the same for all that know the same ones. */
 export const relayOf = (key: string, near: readonly string[]): string | undefined => {
   const hash = hashOf(key)
-  let best: string | undefined
-  let least = Infinity
-  for (const host of near) {
-    const cost = affinityOf(hash, hashOf(host))
-    if (best !== undefined && cost >= least) continue
-    best = host
-    least = cost
-  }
-  return best
+  return lowest(near, host => affinityOf(hash, hashOf(host)))
 }
