An entry takes up watching the moment the last side process near is lost

An entry looked at its duty every 200 ms only, so that the last of six took 198 to 234 ms on an idle machine (8 trials) and up to 304 ms beside 16 busy processes (1 of 8): the window was nearly used up by the wait for that look. Change: a side process that is lost, or says something else of who watches, has the duty looked at at once. Ruled out: a lost connection that an entry did not notice (all six watch in every trial, none later than 304 ms). The pair of streams in memory that tests use stands in the stand-ins, once.

--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -85,7 +85,7 @@
     const { facts, domain, limits, log, process, sidePort, channel, dial, sources } = options
     this.#balancer = new Balancer(facts, domain, limits, () => this.#links, log)
     this.#links = new SideLinks({
-      process, domain, facts, states: this.#balancer.states, sidePort, channel, dial, log, watching: () => this.#watch.watching, changed: keys => this.#room.poke(keys)
+      process, domain, facts, states: this.#balancer.states, sidePort, channel, dial, log, watching: () => this.#watch.watching, changed: keys => this.#room.poke(keys), appointmentsChanged: () => this.#watch.check()
     })
     this.#watch = new StoreWatch({
       sources, facts, log, restMs: kind => this.#restMs(kind), appointments: () => this.#links.appointments, changed: () => this.#links.watchingChanged()
--- a/packages/fleet/src/entry/side-link.ts
+++ b/packages/fleet/src/entry/side-link.ts
@@ -40,6 +40,8 @@
   fence: () => number
   /** It was joined or lost. */
   changed: () => void
+  /** It named this entry as a watcher or no longer does, or one that had spoken of it was lost. */
+  appointmentChanged: () => void
   /** Frames that concern more than the link itself. */
   take: (frame: Frame) => void
 }
@@ -220,10 +222,10 @@
     }
     factLink.stop()
     this.#factLink = undefined
-    this.#appointment = undefined
     this.#channel = undefined
     this.#toldUnread = 0
     this.#wanted.clear()
+    this.#appoint(undefined)
     this.options.changed()
     return (await channel.ended).reason
   }
@@ -244,6 +246,12 @@
     changed()
   }
 
+  #appoint (appointment: Appointment | undefined): void {
+    if (appointment === undefined && this.#appointment === undefined) return
+    this.#appointment = appointment
+    this.options.appointmentChanged()
+  }
+
   get #patience (): number {
     if (!this.near) return patienceMs.farSide
     return this.options.watching() ? patienceMs.dependent : patienceMs.resting
@@ -259,7 +267,7 @@
     if (frame.type === 'fact') factLink.receive(frame)
     if (frame.type === 'heartbeat') factLink.heard(frame.complete)
     if (frame.type === 'caught_up') this.options.facts.caughtUp(frame.complete)
-    if (frame.type === 'appoint') this.#appointment = frame
+    if (frame.type === 'appoint') this.#appoint(frame)
     if (frame.type === 'declined') {
       this.#declined.set(frame.key, nowMs())
       this.#wanted.delete(frame.key)
--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -40,6 +40,8 @@
   watching: () => boolean
   /** News that may let waiting requests go on: of these adapters, or of any. */
   changed: (keys: string[] | undefined) => void
+  /** Who watches the store, as side processes near tell it, may have changed. */
+  appointmentsChanged: () => void
 }
 
 interface Engine {
@@ -158,7 +160,7 @@
 
   #begin (host: string, domain: string): Engine {
     const mirror = new EngineMirror()
-    const { facts, sidePort, channel, dial, log, watching, changed } = this.options
+    const { facts, sidePort, channel, dial, log, watching, changed, appointmentsChanged } = this.options
     const link: SideLink = new SideLink(host, domain === this.options.domain, {
       facts,
       sidePort,
@@ -168,6 +170,7 @@
       watching,
       fence: () => mirror.fence,
       changed: () => changed(undefined),
+      appointmentChanged: appointmentsChanged,
       take: frame => this.#take(host, frame)
     })
     if (link.near) link.follow([host])
--- a/packages/fleet/test/fact-exchange.test.ts
+++ b/packages/fleet/test/fact-exchange.test.ts
@@ -1,27 +1,13 @@
-import { Duplex } from 'node:stream'
+import type { Duplex } from 'node:stream'
 import { Address, FailureDomain, ProcessId, Revision, newIncarnation, quietLog } from '@finchpitch/core'
 import { FactLink, Facts, frameOf, type Fact } from '@finchpitch/fleet'
-import { FakeTime } from '@finchpitch/stand-ins'
+import { FakeTime, duplexPair } from '@finchpitch/stand-ins'
 import { Channel, protocolVersion, type Complete, type FrameOf } from '@finchpitch/wire'
 import { expect } from 'chai'
 
 const fact = (revision: number): Fact => ({ kind: 'version', key: 'm/a', revision, value: { model: 'm', adapter: 'a', version: revision } })
 const complete = (version: number): Complete => ({ table: 0, server: 0, version })
 
-/** Two ends of one connection in memory. */
-const pair = (): [Duplex, Duplex] => {
-  const make = (other: () => Duplex): Duplex => new Duplex({
-    read () {},
-    write (piece, _encoding, done) {
-      other().push(piece)
-      done()
-    }
-  })
-  const near: Duplex = make(() => far)
-  const far: Duplex = make(() => near)
-  return [near, far]
-}
-
 const hello = (name: string): FrameOf<'hello'> => ({ type: 'hello', protocol: protocolVersion, process: ProcessId.parse(name), incarnation: newIncarnation(), address: Address.parse('10.0.0.1:1'), domain: FailureDomain.parse('a'), revision: Revision.parse(0) })
 
 const channelOf = (stream: Duplex, name: string): Channel =>
@@ -38,7 +24,7 @@
     time = new FakeTime()
     facts = new Facts(quietLog, () => 1000)
     received = []
-    const [one, other] = pair()
+    const [one, other] = duplexPair()
     near = channelOf(one, 'near')
     far = channelOf(other, 'far')
     void (async () => { for await (const frame of near.frames()) void frame })()
@@ -85,7 +71,7 @@
         beats += 1
         return { type: 'heartbeat', revision: Revision.parse(0) }
       }
-      const [one] = pair()
+      const [one] = duplexPair()
       const channel = new Channel(one, { hello: () => hello('near'), heartbeat })
       const link = new FactLink(facts, channel, 1500, quietLog)
       facts.completed('table', 4)
--- /dev/null
+++ b/packages/fleet/test/side-links.test.ts
@@ -0,0 +1,71 @@
+import { Address, FailureDomain, ProcessId, Revision, newIncarnation, quietLog } from '@finchpitch/core'
+import { BackendServer, Facts, ServerStates, SideLinks } from '@finchpitch/fleet'
+import { FakeTime, duplexPair } from '@finchpitch/stand-ins'
+import { Channel, protocolVersion, type ChannelOptions, type FrameOf } from '@finchpitch/wire'
+import { expect } from 'chai'
+
+const revision = Revision.parse(0)
+const hello = (name: string): FrameOf<'hello'> => ({ type: 'hello', protocol: protocolVersion, process: ProcessId.parse(name), incarnation: newIncarnation(), address: Address.parse('10.0.0.1:1'), domain: FailureDomain.parse('a'), revision })
+const channelOptions = (name: string): ChannelOptions => ({ hello: () => hello(name), heartbeat: () => ({ type: 'heartbeat', revision }) })
+
+const engineAt = (host: string): BackendServer => BackendServer.parse({ id: `engine-${host}`, service: 'engines', address: `${host}:80`, domain: 'a', slots: 4, leaving: false, models: [] })
+
+describe('an entry\'s links to side processes', () => {
+  let time: FakeTime
+  let links: SideLinks
+  let sides: Map<string, Channel>
+  let changes: number
+
+  const sideAt = (host: string): Channel => sides.get(host) ?? expect.fail(`no channel to ${host}`)
+
+  beforeEach(async () => {
+    time = new FakeTime()
+    sides = new Map()
+    changes = 0
+    links = new SideLinks({
+      process: 'entry',
+      domain: 'a',
+      facts: new Facts(quietLog, () => 1000),
+      states: new ServerStates(),
+      sidePort: 7,
+      channel: channelOptions('entry'),
+      dial: async address => {
+        const [near, far] = duplexPair()
+        const side = new Channel(far, channelOptions(`side-${address.split(':')[0]}`))
+        sides.set(address.split(':')[0] ?? '', side)
+        void (async () => { for await (const frame of side.frames()) void frame })()
+        return near
+      },
+      log: quietLog,
+      watching: () => false,
+      changed: () => {},
+      appointmentsChanged: () => { changes += 1 }
+    })
+    links.reconcile([engineAt('10.0.0.1'), engineAt('10.0.0.2')])
+    await time.settle(10)
+    for (const side of sides.values()) side.send({ type: 'appoint', watch: false, outage: false })
+    await time.settle(10)
+  })
+
+  afterEach(() => {
+    links.close()
+    time.restore()
+  })
+
+  it('tell at once of a side process that named watchers and is lost', async () => {
+    expect(links.appointments).to.have.length(2)
+    changes = 0
+    sideAt('10.0.0.1').close()
+    await time.settle(10)
+    expect(changes).to.equal(1)
+    expect(links.appointments).to.have.length(1)
+  })
+
+  it('tell at once of being named', async () => {
+    changes = 0
+    sideAt('10.0.0.1').send({ type: 'appoint', watch: true, outage: false })
+    await time.settle(10)
+    expect(changes).to.equal(1)
+    expect(links.appointments.filter(({ watch }) => watch)).to.have.length(1)
+  })
+})
