News of an engine tell what changed and nothing else

Cause: reading news is the largest single item of an entry's processor time under load (1.0 of some 6% of a core; 0.46 of 4 at a side process), and most frames told 9 fields to change one of them. Change: a field that did not change is absent; after a whole frame nothing is known from before. The protocol's version is 3.

--- a/packages/fleet/src/engine-mirror.ts
+++ b/packages/fleet/src/engine-mirror.ts
@@ -11,6 +11,9 @@
 /** News of what came follow well within this time. Where a key came and went in between, they say nothing of it. */
 const arrivedMs = 1000
 
+/** Before anything is told. */
+const unknownFields = { reachable: false, lost: false, waiting: 0, running: 0, unread: 0, entries: 0, strangers: 0 }
+
 /** Keys held, each with its version. */
 export type HeldKeys = ReadonlyMap<string, number>
 
@@ -47,18 +50,20 @@
 
   take (frame: HoldingFrame): void {
     this.at = nowMs()
-    if (frame.server !== this.server) this.warm.clear()
+    const server = frame.server === undefined && frame.whole !== true ? this.server : frame.server ?? undefined
+    if (frame.whole === true) Object.assign(this, unknownFields)
+    if (server !== this.server) this.warm.clear()
     this.#hold(frame)
     for (const [key, version] of frame.warm ?? []) this.warm.keep(key, version)
-    this.reachable = frame.reachable
-    this.lost = frame.lost === true
-    this.server = frame.server
-    this.waiting = frame.waiting
-    this.running = frame.running
-    this.unread = frame.unread
-    this.entries = frame.entries
-    this.strangers = frame.strangers
-    this.fence = Math.max(this.fence, frame.fence)
+    this.server = server
+    this.reachable = frame.reachable ?? this.reachable
+    this.lost = frame.lost ?? this.lost
+    this.waiting = frame.waiting ?? this.waiting
+    this.running = frame.running ?? this.running
+    this.unread = frame.unread ?? this.unread
+    this.entries = frame.entries ?? this.entries
+    this.strangers = frame.strangers ?? this.strangers
+    this.fence = Math.max(this.fence, frame.fence ?? 0)
   }
 
   /** The engine holds the key, by a word sent ahead of its news. */
--- a/packages/fleet/src/side/news.ts
+++ b/packages/fleet/src/side/news.ts
@@ -50,28 +50,35 @@
   }
 
   #frameAfter (told: EngineSnapshot | undefined): HoldingFrame {
-    const { host, held, coming, warm, reachable, server, waiting, running, unread, entries, strangers, fence, lost } = this.snapshot
+    const { host, held, coming, warm } = this.snapshot
     const { came, went } = difference(told?.held ?? new Map(), held)
     return {
       type: 'holding',
       host,
-      reachable,
-      server,
-      ...(lost === true ? { lost } : {}),
       ...(told === undefined ? { whole: true, warm: warm() } : {}),
       ...(came.size === 0 ? {} : { came: Object.fromEntries(came) }),
       ...(went.length === 0 ? {} : { went }),
       ...(isDeepStrictEqual(told?.coming ?? [], coming) ? {} : { coming: [...coming] }),
-      waiting,
-      running,
-      unread,
-      entries,
-      strangers,
-      fence
+      ...changedFields(told, this.snapshot)
     }
   }
 }
 
+/** What a reader is told of an engine beside what it holds. */
+const plainFields = ['reachable', 'server', 'lost', 'waiting', 'running', 'unread', 'entries', 'strangers', 'fence'] as const
+
+/**
+ * Those that differ from what the reader was told, all where it was told nothing. Most news are of one or two of them, and
+ * what a reader spends on news is mostly reading them: 1.0 of some 6% of a core at an entry that was told all fields.
+ */
+const changedFields = (told: EngineSnapshot | undefined, now: EngineSnapshot): Partial<HoldingFrame> => {
+  const changed = plainFields.filter(field => now[field] !== told?.[field])
+  return Object.fromEntries(changed.map(field => [field, now[field] ?? absentValues[field as 'server']]))
+}
+
+/** How it is told that something is no longer so. */
+const absentValues = { server: null, lost: false } as const
+
 /** How often a reader hears of an engine. */
 export interface NewsPace {
   /** At most so often of a load that changed. */
--- a/packages/fleet/test/reader.test.ts
+++ b/packages/fleet/test/reader.test.ts
@@ -74,6 +74,21 @@
       expect(sent.at(-1)).to.include({ unread: 2500 })
     })
 
+    it('is nothing but the differences', async () => {
+      await time.pass(300)
+      link.publish(news({ running: 1 }), passedOn)
+      expect(sent.at(-1)).to.deep.equal({ type: 'holding', host: ownHost, running: 1 })
+      await time.pass(300)
+      link.publish(news({ running: 1, server: undefined, changes: 1, held: new Map([['m/a', 2]]) }), passedOn)
+      expect(sent.at(-1)).to.deep.equal({ type: 'holding', host: ownHost, server: null, came: { 'm/a': 2 } })
+      await time.pass(300)
+      link.publish(news({ running: 1, lost: true, changes: 1, held: new Map([['m/a', 2]]) }), passedOn)
+      expect(sent.at(-1)).to.deep.equal({ type: 'holding', host: ownHost, server: 's', lost: true })
+      await time.pass(300)
+      link.publish(news({ running: 1, changes: 1, held: new Map([['m/a', 2]]) }), passedOn)
+      expect(sent.at(-1)).to.deep.equal({ type: 'holding', host: ownHost, lost: false })
+    })
+
     it('is how many entries there are as soon as that changes', async () => {
       await time.pass(50)
       link.publish(news({ entries: 2 }), passedOn)
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -8,7 +8,7 @@
 import * as z from 'zod'
 
 /** Raised when two versions can't talk to each other; the first frame carries it. */
-export const protocolVersion = 2
+export const protocolVersion = 3
 
 const ExchangeId = z.number().int().nonnegative()
 
@@ -71,36 +71,39 @@
 /** The machine that an engine and its side process share, by its IP number. */
 const Host = z.string().max(64)
 
-/** What an engine holds and how full it is, told by its side process or by one that passes its news on. */
+/**
+ * What an engine holds and how full it is, told by its side process or by one that passes its news on. A field that is
+ * absent has not changed since the last frame of this engine; after `whole` there was none.
+ */
 export const HoldingFrame = z.object({
   type: z.literal('holding'),
   host: Host,
   /** `came` lists all that is held, and what was told of this engine before is void. */
   whole: z.boolean().optional(),
   /** The engine answers its side process. */
-  reachable: z.boolean(),
-  /** The engine's id where it is known. */
-  server: z.string().optional(),
+  reachable: z.boolean().optional(),
+  /** The engine's id; `null` where it is no longer known. */
+  server: z.string().nullable().optional(),
   /** Adapter or model keys that came or changed since the last frame, each with the version held. */
   came: z.record(AdapterKey, z.number()).optional(),
   /** Keys held at the last frame and no longer. */
   went: z.array(AdapterKey).optional(),
-  /** All keys on their way in; absent where that did not change. */
+  /** All keys on their way in. */
   coming: z.array(AdapterKey).optional(),
   /** The one that passes these news on has lost the engine's side process; until then, they are what it last said. */
   lost: z.boolean().optional(),
   /** Adapters that the engine has let go of and has at hand, with their versions; to a new peer only. */
   warm: z.array(z.tuple([AdapterKey, z.number()])).max(1000).optional(),
-  waiting: Count,
-  running: Count,
+  waiting: Count.optional(),
+  running: Count.optional(),
   /** Prompt tokens that requests of all entries have there and that are not read yet, as far as those have told. */
-  unread: Count,
+  unread: Count.optional(),
   /** Entries of the engine's failure domain that its side process hears. */
-  entries: Count,
+  entries: Count.optional(),
   /** Entries of other domains that it tells its news to directly, as they have no side process near. */
-  strangers: Count,
+  strangers: Count.optional(),
   /** The fence that its orders carry, so that its next incarnation never uses a lower one. */
-  fence: Count
+  fence: Count.optional()
 })
 export type HoldingFrame = z.infer<typeof HoldingFrame>
 
