A side process looks at its engine when something can have changed; sources of news have a class of their own

Hypothesis: looks every 60 ms while anything is on its way cost a side process most of what it spends (5% of a core with some 10 requests/s at its engine), though loads are looked for when they are due. Change: often only while a demand waits for which nothing is ordered yet (look-pace.ts, tests). Near hosts are listed once for sources and teller; the choice of sources and its settling are a class with tests on the paused clock, behaviour as before.

--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -13,7 +13,7 @@
 import type { Facts } from '../facts.js'
 import type { BackendServer } from '../server.js'
 import { countEntries, countWatchers, type DomainEntries } from './entry-count.js'
-import { newsSources, relayOf } from './news-sources.js'
+import { NewsSources, relayOf, type NewsHosts } from './news-sources.js'
 import type { ServerStates } from './server-state.js'
 import { SideLink } from './side-link.js'
 
@@ -26,12 +26,6 @@
 const tendMs = 200
 /** Said again even where nothing changed, as a side process forgets what it hears no more of. */
 const usesAgainMs = 1000
-/** With no side process near for this long, an entry follows engines elsewhere itself. All processes of a domain are back sooner after a power loss. */
-const aloneMs = 1000
-
-/** Sources are chosen anew once the side processes near have stayed the same for this long: as all start, they come one by one. */
-const settledMs = 200
-
 export interface SideLinksOptions {
   process: string
   domain: string
@@ -58,17 +52,12 @@
 export class SideLinks {
   /** By the host that an engine shares with its side process. */
   readonly #engines = new Map<string, Engine>()
-  /** For each engine's host, the host that tells of it. */
-  #sources: ReadonlyMap<string, string> = new Map()
-  /** What the sources were chosen by; what they would be chosen by now, and since when. */
-  #chosenBy = ''
-  #present = ''
-  #presentSince = -Infinity
-  /** Since when no side process near answers. */
-  #aloneSince = Infinity
+  readonly #sources: NewsSources
   #usesDue: NodeJS.Timeout | undefined
 
-  constructor (private readonly options: SideLinksOptions) {}
+  constructor (private readonly options: SideLinksOptions) {
+    this.#sources = new NewsSources(options.log)
+  }
 
   /** Begins with new engines and lets go of those that are gone. */
   reconcile (engines: readonly BackendServer[]): void {
@@ -151,8 +140,9 @@
       const all = round % (usesAgainMs / tendMs) === 0
       if (all) this.#tellAllUses(true)
       if (all) for (const { link } of this.#engines.values()) link.check()
-      this.#chooseSources()
-      this.#chooseTeller()
+      const hosts = this.#hosts()
+      this.#chooseSources(hosts)
+      this.#chooseTeller(hosts)
     }
   }
 
@@ -195,55 +185,30 @@
     return { domain, link, mirror }
   }
 
-  /** Takes the news of each engine from where they should come now. */
-  #chooseSources (): void {
+  /** Hosts of the side processes near that answer, and of all engines elsewhere. */
+  #hosts (): NewsHosts {
     const near: string[] = []
     const far: string[] = []
     for (const [host, { link }] of this.#engines) {
       if (!link.near) far.push(host)
       else if (link.lively) near.push(host)
     }
-    // Before any engine is known, there is nobody to be alone of.
-    if (near.length > 0 || this.#engines.size === 0) this.#aloneSince = Infinity
-    else this.#aloneSince = Math.min(this.#aloneSince, nowMs())
-    const alone = nowMs() - this.#aloneSince > aloneMs
-    if (!this.#settled([alone, ...near, '', ...far].join())) return
-    this.#noteSources(near.length > 0 || alone ? newsSources({ near, far }) : new Map())
-    for (const [host, { link }] of this.#engines) link.follow(this.#toldBy(host, link))
+    return { near, far }
+  }
+
+  /** Takes the news of each engine from where they should come now. */
+  #chooseSources (hosts: NewsHosts): void {
+    if (!this.#sources.choose(hosts)) return
+    for (const [host, { link }] of this.#engines) link.follow(this.#sources.toldBy(host, link.near))
   }
 
   /** An entry that doesn't watch the store learns of it from one side process near, each entry from another. */
-  #chooseTeller (): void {
+  #chooseTeller ({ near }: NewsHosts): void {
     const { process, watching } = this.options
-    const near = [...this.#engines].filter(([, { link }]) => link.near && link.lively).map(([host]) => host)
     const teller = watching() ? undefined : relayOf(process, near)
     for (const [host, { link }] of this.#engines) if (link.near) link.depend(host === teller)
   }
 
-  /** Whether sources have to be chosen anew, by what is present now. */
-  #settled (present: string): boolean {
-    const now = nowMs()
-    if (present !== this.#present) this.#presentSince = now
-    this.#present = present
-    if (present === this.#chosenBy || now - this.#presentSince < settledMs) return false
-    this.#chosenBy = present
-    return true
-  }
-
-  /** The hosts whose news a side process has to tell. */
-  #toldBy (host: string, link: SideLink): string[] {
-    const told = [...this.#sources].filter(([, source]) => source === host).map(([engine]) => engine)
-    return told.length === 0 && link.near ? [host] : told
-  }
-
-  #noteSources (sources: ReadonlyMap<string, string>): void {
-    for (const [host, source] of sources) {
-      const before = this.#sources.get(host)
-      if (before !== source && before !== undefined) this.options.log.info('news.source_changed', { host, source, before })
-    }
-    this.#sources = sources
-  }
-
   readonly #handlers: { [Type in 'holding' | 'arrived' | 'declined']: (host: string, frame: FrameOf<Type>) => void } = {
     holding: (host, frame) => this.#hold(host, frame),
     arrived: (host, { key, version }) => this.#arrived(host, key, version),
@@ -261,7 +226,7 @@
   /** News by the side process at `teller`. Those of a source that was given up may lack what went before. */
   #hold (teller: string, frame: HoldingFrame): void {
     const engine = this.#engines.get(frame.host)
-    if (engine === undefined || (this.#sources.get(frame.host) ?? frame.host) !== teller) return
+    if (engine === undefined || this.#sources.of(frame.host) !== teller) return
     engine.mirror.take(frame)
     engine.link.held(Object.keys(frame.came ?? {}))
     this.#tell(frame.host, engine)
--- a/packages/fleet/src/side/demands.ts
+++ b/packages/fleet/src/side/demands.ts
@@ -48,6 +48,11 @@
     return this.#asked.size > 0
   }
 
+  /** What is asked for and neither met nor declined. */
+  keys (): Iterable<string> {
+    return this.#asked.keys()
+  }
+
   /** Ends a demand: it was met, or declined. */
   settle (key: string, met: boolean): void {
     if (!this.#asked.delete(key)) return
--- a/packages/fleet/src/side/news.ts
+++ b/packages/fleet/src/side/news.ts
@@ -91,7 +91,7 @@
 
 export const newsPaces = {
   /** To entries of the engine's own domain, which send it most of what it gets; bytes there cost nothing. */
-  near: { loadMs: 200, changeMs: 20, aliveMs: 700 },
+  near: { loadMs: 200, changeMs: 0, aliveMs: 700 },
   /** Across, where bytes cost. */
   far: { loadMs: 250, changeMs: 40, aliveMs: 1500 },
   /** What was told across, to entries of one's own domain; gathered, as each write wakes the reader. */
--- a/packages/fleet/src/side/side.ts
+++ b/packages/fleet/src/side/side.ts
@@ -19,15 +19,13 @@
 import type { HeldKeys } from '../engine-mirror.js'
 import { LoadRate, type LoadShare } from './load-rate.js'
 import { LoadTimes, type LoadSource } from './load-times.js'
+import { nextLookMs, restMs } from './look-pace.js'
 import { OrderGiver } from './order-giver.js'
 import type { SideCounters } from './counters.js'
 import { EngineNews, difference } from './news.js'
 import { place } from './placement.js'
 import { Readers } from './readers.js'
 
-/** Between two looks at the engine while nothing is awaited, and while something is. */
-const restMs = 200
-const awaitedMs = 60
 /** Loads that a new incarnation assumes its predecessor to have begun just before. */
 const assumedStarts = 1
 
@@ -124,7 +122,7 @@
       return 0
     }
     if (placement.type === 'order') return await this.#give(placement.order, placement.reason)
-    return account.busy || account.coming.length > 0 || this.demands.any ? this.#loads.lookInMs(awaitedMs) : restMs
+    return nextLookMs({ account, demanded: this.demands.keys(), dueInMs: mostMs => this.#loads.lookInMs(mostMs) })
   }
 
   async #look (): Promise<boolean> {
--- a/packages/fleet/test/news-sources.test.ts
+++ b/packages/fleet/test/news-sources.test.ts
@@ -1,4 +1,6 @@
-import { newsSources } from '@finchpitch/fleet'
+import { quietLog } from '@finchpitch/core'
+import { NewsSources, newsSources } from '@finchpitch/fleet'
+import { FakeTime } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
 
 const near = Array.from({ length: 11 }, (_, each) => `10.1.0.${each}`)
@@ -32,4 +34,46 @@
   it('is each engine\'s own side process where none is near', () => {
     for (const [host, source] of newsSources({ near: [], far })) expect(source).to.equal(host)
   })
+
+  describe('in the course of time', () => {
+    let time: FakeTime
+    let sources: NewsSources
+
+    beforeEach(() => {
+      time = new FakeTime()
+      sources = new NewsSources(quietLog)
+    })
+
+    afterEach(() => time.restore())
+
+    it('is chosen once side processes near have stopped coming', async () => {
+      for (let each = 1; each <= near.length; each++) {
+        expect(sources.choose({ near: near.slice(0, each), far })).to.equal(false)
+        await time.pass(100)
+      }
+      expect(sources.choose({ near, far })).to.equal(false)
+      await time.pass(200)
+      expect(sources.choose({ near, far })).to.equal(true)
+      expect(sources.choose({ near, far })).to.equal(false)
+      expect(near).to.include(sources.of(far[0] ?? ''))
+    })
+
+    it('is each engine\'s own side process once none near has answered for a second', async () => {
+      sources.choose({ near, far })
+      await time.pass(300)
+      sources.choose({ near, far })
+      const passed: number[] = []
+      for (let ms = 0; ms <= 2000; ms += 100) {
+        if (sources.choose({ near: [], far }) && sources.of(far[0] ?? '') === far[0]) passed.push(ms)
+        await time.pass(100)
+      }
+      expect(sources.toldBy(far[0] ?? '', false)).to.deep.equal([far[0]])
+      expect(passed.at(-1)).to.be.within(1000, 1400)
+    })
+
+    it('is its own engine alone for a side process near while nothing is chosen', () => {
+      expect(sources.toldBy(near[0] ?? '', true)).to.deep.equal([near[0]])
+      expect(sources.toldBy(far[0] ?? '', false)).to.deep.equal([])
+    })
+  })
 })
