--- a/packages/fleet/src/side/news.ts
+++ b/packages/fleet/src/side/news.ts
@@ -79,23 +79,31 @@
 /** How it is told that something is no longer so. */
 const absentValues = { server: null, lost: false } as const
 
-/** How often a reader hears of an engine. */
+/** How often and how exactly a reader hears of an engine. */
 export interface NewsPace {
-  /** At most so often of a load that changed. */
+  /** At most so often of a load that changed, all waiting and running requests being its load. */
   loadMs: number
+  /** By fewer requests a load does not count as changed. */
+  loadStep: number
   /** Changes of what is held are gathered so long. */
   changeMs: number
+  /** What differs at all goes along with other news, but not within this time of the last. */
+  alongMs: number
   /** At least so often of anything, to tell a silent side process. */
   aliveMs: number
 }
 
+/**
+ * An entry knows what it sent itself since it was last told, so steps hide only what others did. A quarter of the smallest
+ * batch seen, 12 requests, is no reason to choose another engine, least of all one elsewhere.
+ */
 export const newsPaces = {
   /** To entries of the engine's own domain, which send it most of what it gets; bytes there cost nothing. */
-  near: { loadMs: 200, changeMs: 0, aliveMs: 700 },
+  near: { loadMs: 200, loadStep: 2, changeMs: 0, alongMs: 100, aliveMs: 700 },
   /** Across, where bytes cost. */
-  far: { loadMs: 250, changeMs: 40, aliveMs: 1500 },
-  /** What was told across, to entries of one's own domain; gathered, as each write wakes the reader. */
-  passedOn: { loadMs: 400, changeMs: 100, aliveMs: 1500 }
+  far: { loadMs: 250, loadStep: 3, changeMs: 40, alongMs: 100, aliveMs: 1500 },
+  /** What was told across, to entries of one's own domain. One that asked for an adapter is told of it by its side process. */
+  passedOn: { loadMs: 400, loadStep: 3, changeMs: 150, alongMs: 200, aliveMs: 1500 }
 } as const satisfies Record<string, NewsPace>
 
 export class NewsTeller {
@@ -105,14 +113,20 @@
   constructor (private readonly pace: NewsPace) {}
 
   /** Whether the reader has to be told something by now. */
-  due (news: EngineNews): boolean {
-    return this.#due(news.snapshot)
+  due ({ snapshot }: EngineNews): boolean {
+    const told = this.#told?.snapshot
+    const age = nowMs() - this.#toldAt
+    if (told === undefined || age > this.pace.aliveMs) return true
+    if (changeDiffers(told, snapshot) && age >= this.pace.changeMs) return true
+    return age >= this.pace.loadMs && this.#loadDiffers(told, snapshot)
   }
 
-  /** Whether there is anything to tell, due or not. */
-  differs ({ snapshot }: EngineNews): boolean {
+  /** Whether there is anything to tell where the reader is told of others anyway. */
+  mayGoAlong ({ snapshot }: EngineNews): boolean {
     const told = this.#told?.snapshot
-    return told === undefined || told.changes !== snapshot.changes || told.waiting !== snapshot.waiting || told.running !== snapshot.running || told.unread !== snapshot.unread
+    if (told === undefined) return true
+    const differs = changeDiffers(told, snapshot) || loadOf(told) !== loadOf(snapshot) || told.unread !== snapshot.unread
+    return differs && nowMs() - this.#toldAt >= this.pace.alongMs
   }
 
   /** What the reader has to be told to know these news. */
@@ -123,22 +137,18 @@
     return frame
   }
 
-  #due (news: EngineSnapshot): boolean {
-    const told = this.#told?.snapshot
-    const age = nowMs() - this.#toldAt
-    if (told === undefined || age > this.pace.aliveMs) return true
-    const changed = told.changes !== news.changes || told.reachable !== news.reachable || told.lost !== news.lost || told.server !== news.server || this.#entriesDiffer(told, news)
-    if (changed && age >= this.pace.changeMs) return true
-    const loadChanged = told.waiting !== news.waiting || told.running !== news.running || unreadDiffers(told.unread, news.unread)
-    return loadChanged && age >= this.pace.loadMs
-  }
-
-  /** Entries divide the retry budget by their number, and end callers' connections politely once one more has come. */
-  #entriesDiffer (told: EngineSnapshot, news: EngineSnapshot): boolean {
-    return told.entries !== news.entries || told.strangers !== news.strangers
+  #loadDiffers (told: EngineSnapshot, now: EngineSnapshot): boolean {
+    return Math.abs(loadOf(told) - loadOf(now)) >= this.pace.loadStep || unreadDiffers(told.unread, now.unread)
   }
 }
 
+const loadOf = ({ waiting, running }: EngineSnapshot): number => waiting + running
+
+/** Something else than its load. Entries divide the retry budget by their number, and end callers' connections politely once one more has come. */
+const changeDiffers = (told: EngineSnapshot, now: EngineSnapshot): boolean =>
+  told.changes !== now.changes || told.reachable !== now.reachable || told.lost !== now.lost || told.server !== now.server ||
+  told.entries !== now.entries || told.strangers !== now.strangers
+
 /** What came or changed its version, and what went. */
 export const difference = (before: HeldKeys, after: HeldKeys): { came: Map<string, number>, went: string[] } => {
   const came = new Map([...after].filter(([key, version]) => before.get(key) !== version))
--- a/packages/fleet/src/side/reader.ts
+++ b/packages/fleet/src/side/reader.ts
@@ -119,7 +119,7 @@
     const due = this.#owed || followed.some(({ teller, news }) => teller.due(news))
     const frames: Buffer[] = []
     for (const { teller, news } of due ? followed : []) {
-      if (teller.due(news) || teller.differs(news) || (this.#owed && news === own)) frames.push(teller.tell(news))
+      if (teller.due(news) || teller.mayGoAlong(news) || (this.#owed && news === own)) frames.push(teller.tell(news))
     }
     frames.push(...this.#arrivals(own))
     if (this.#owed && frames.length === 0) this.channel.beat()
--- a/packages/fleet/src/side/relay.ts
+++ b/packages/fleet/src/side/relay.ts
@@ -17,8 +17,8 @@
 /** News come at least every 1.5 s; a channel without any for longer is dead, or its process hangs. */
 const deafMs = 2200
 const checkMs = 300
-/** News from several engines that come close together go on in one write. */
-const gatherMs = 15
+/** News from several engines that come close together go on in one write: each write wakes all entries near. */
+const gatherMs = 60
 
 export interface RelayOptions {
   facts: Facts
