A fleet of the tests has started once its entries have joined their side processes

Shown: the same two groups beside three such fleets, started one after the other: 3 of 11 failed. Change: FleetSystem.start ends once every entry has joined the side processes of its domain, 20 s at most; waits and limits of the tests count from there and stay as they are. Waiting for conditions has a module of its own.

--- a/packages/stand-ins/src/fleet/caller.ts
+++ b/packages/stand-ins/src/fleet/caller.ts
@@ -1,8 +1,7 @@
 /**
- * A caller of a fleet, and waiting for what tests expect to come about.
+ * A caller of a fleet.
  */
 import { request, type Agent, type IncomingHttpHeaders } from 'node:http'
-import { pause } from '@finchpitch/core'
 import type { FleetSystem } from './fleet-system.js'
 
 export interface Reply {
@@ -41,14 +40,3 @@
   outgoing.end('{"ask":1}')
   if (leaveAfterMs !== undefined) setTimeout(() => outgoing.destroy(), leaveAfterMs)
 })
-
-const lookMs = 20
-
-/** Resolves once `check` holds; rejects with `what` where it doesn't within `ms`. */
-export const eventually = async (what: string, check: () => boolean, ms = 4000): Promise<void> => {
-  const until = Date.now() + ms
-  while (!check()) {
-    if (Date.now() > until) throw new Error(`not within ${ms} ms: ${what}`)
-    await pause(lookMs)
-  }
-}
--- a/packages/stand-ins/src/fleet/fleet-system.ts
+++ b/packages/stand-ins/src/fleet/fleet-system.ts
@@ -9,12 +9,16 @@
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { BackendStandIn } from './backend-server.js'
+import { eventually } from './eventually.js'
 import { ObjectServer } from './object-server.js'
 import type { HttpStandIn } from '../http-stand-in.js'
 
 const program = fileURLToPath(new URL('../../../../platform/dist/main.js', import.meta.url))
 const ports = { caller: 8149, ready: 8141, peer: 7380, control: 8144, app: 8145, store: 8142 }
 
+/** A machine that needs longer to start a fleet can't run it either. */
+const mostStartMs = 20_000
+
 /** Ports of servers that stand behind something else. */
 const hiddenBy = 10_000
 
@@ -65,6 +69,17 @@
     this.store.put('config', 'main', this.table(1))
     for (let domain = 0; domain < this.options.domains; domain++) await this.#startDomain(domain)
     for (const machine of [...this.entries, ...this.sides]) await this.startProcess(machine)
+    await this.#joined()
+  }
+
+  /**
+   * Until each entry has joined the side processes of its domain. A start takes 0.3 s, and over 3 s beside fleets of 55
+   * processes that start too: tests that waited a fixed time from the start on met processes that were not there yet.
+   */
+  async #joined (): Promise<void> {
+    const { enginesPerDomain } = this.options
+    const joins = (entry: Machine): number => this.lines(entry).filter(line => line.event === 'side.joined').length
+    await eventually('all entries have joined their side processes', () => this.entries.every(entry => joins(entry) >= enginesPerDomain), mostStartMs)
   }
 
   /** The routing table as the operator writes it. */
