--- a/packages/fleet/src/follow.ts
+++ b/packages/fleet/src/follow.ts
@@ -106,7 +106,7 @@
 
   /** Resolves once it is on, or `signal` aborts. */
   async begun (signal: AbortSignal): Promise<void> {
-    if (!this.#on) await pause(longestRestMs, AbortSignal.any([signal, this.#begin.signal]))
+    while (!this.#on && !signal.aborted) await pause(longestRestMs, AbortSignal.any([signal, this.#begin.signal]))
   }
 }
 
--- a/packages/fleet/src/side/news.ts
+++ b/packages/fleet/src/side/news.ts
@@ -67,18 +67,18 @@
 /** What a reader is told of an engine beside what it holds. */
 const plainFields = ['reachable', 'server', 'lost', 'waiting', 'running', 'unread', 'entries', 'strangers', 'fence'] as const
 
+/** How a reader is told that one of them is no longer set. */
+const unsetValues: Partial<Record<typeof plainFields[number], null | false>> = { server: null, lost: false }
+
 /**
  * Those that differ from what the reader was told, all where it was told nothing. Most news are of one or two of them, and
  * what a reader spends on news is mostly reading them: 1.0 of some 6% of a core at an entry that was told all fields.
  */
 const changedFields = (told: EngineSnapshot | undefined, now: EngineSnapshot): Partial<HoldingFrame> => {
   const changed = plainFields.filter(field => now[field] !== told?.[field])
-  return Object.fromEntries(changed.map(field => [field, now[field] ?? absentValues[field as 'server']]))
+  return Object.fromEntries(changed.map(field => [field, now[field] ?? unsetValues[field]]))
 }
 
-/** How it is told that something is no longer so. */
-const absentValues = { server: null, lost: false } as const
-
 /** How often and how exactly a reader hears of an engine. */
 export interface NewsPace {
   /** At most so often of a load that changed, all waiting and running requests being its load. */
--- a/packages/fleet/test/replay/load-replay.test.ts
+++ b/packages/fleet/test/replay/load-replay.test.ts
@@ -28,6 +28,12 @@
     expect(once(1)).to.not.deep.equal(once(2))
   })
 
+  it('ends each request once', () => {
+    for (const { asked, inTime, late, refused } of new LoadReplay({ ...burst, seconds: 3, seed: 1 }, ownPolicy).play().values()) {
+      expect(inTime + late + refused).to.equal(asked)
+    }
+  })
+
   describe('of a burst', () => {
     let own: number
 
--- a/packages/fleet/test/replay/load-replay.ts
+++ b/packages/fleet/test/replay/load-replay.ts
@@ -66,14 +66,26 @@
 }
 
 const tickMs = 5
-/** Prompt tokens that an engine reads in a millisecond, by our own logs. */
+/** Played on after the last arrival, so that all that came are served or refused. */
+const restMs = 6000
+/** Prompt tokens that an engine reads in a millisecond, by the deployments' sheets. */
 const tokensPerMs = 38.7
+/** A load from the weight store and from the engine's own memory, by the times that side processes log. */
 const coldMs = 250
 const warmMs = 25
+/** Adapters that an engine has at hand beside those it holds, by the sheets. */
 const warmCopies = 96
+/** Loads that an engine takes at once, as side processes let it. */
+const mostComing = 4
+/** An adapter that came in or was used less long ago isn't let go: its requests are on their way. */
+const freshMs = 100
 /** Age of what an entry knows of an engine. */
 const newsMs = 250
+/** Part of its time for which a request waits before it is refused, as entries have it. */
 const waitShare = 0.45
+/** The larger, the fewer adapters have most of the requests, and the fewer prompts are nearly as long as the longest. */
+const popularitySkew = 5
+const lengthSkew = 3
 
 interface Job {
   kind: Kind
@@ -88,8 +100,36 @@
   sentRank: number
 }
 
-interface Engine { id: string, pace: number, reading: Job[], running: Array<{ job: Job, endsAt: number }>, held: Map<string, number>, coming: Map<string, number>, warm: Map<string, number>, asked: string[] }
-interface Told { load: number, unread: number, held: ReadonlySet<string>, coming: ReadonlySet<string> }
+interface Engine {
+  id: string
+  /** Prompt tokens a millisecond. */
+  pace: number
+  /** Prompts that it has not read to their end, the next ones first. */
+  reading: Job[]
+  running: Array<{ job: Job, endsAt: number }>
+  /** Adapters and when each was last used; on their way, and when each is there; at hand, the oldest first. */
+  held: Map<string, number>
+  coming: Map<string, number>
+  warm: Set<string>
+  /** What entries asked for, the first first. */
+  asked: string[]
+}
+
+/** What entries are told of an engine's load. */
+interface Told {
+  load: number
+  unread: number
+}
+
+/** A request that an entry sent and is not told of yet. */
+interface Sent {
+  at: number
+  entry: number
+  engine: number
+  tokens: number
+}
+
+const nothingYet = (): Outcome => ({ asked: 0, inTime: 0, late: 0, refused: 0, loads: 0 })
 
 const range = (count: number): number[] => Array.from({ length: count }, (_, at) => at)
 
@@ -100,20 +140,23 @@
   /** What is told of each engine, a while after it was so. */
   readonly #news: Told[][] = []
   readonly #waiting = new Set<Job>()
-  readonly #recent: Array<{ at: number, entry: number, engine: number, tokens: number }> = []
+  readonly #recent: Sent[] = []
   #now = 0
 
   constructor (private readonly pattern: Pattern, private readonly policy: Policy) {
     this.#random = xoroshiro128plus(pattern.seed)
     const { engines, slow } = pattern
-    this.#engines = range(engines).map(at => ({ id: `engine-${at}`, pace: tokensPerMs * (at < (slow?.engines ?? 0) ? slow?.share ?? 1 : 1), reading: [], running: [], held: new Map(), coming: new Map(), warm: new Map(), asked: [] }))
-    for (const { name } of pattern.kinds) this.outcomes.set(name, { asked: 0, inTime: 0, late: 0, refused: 0, loads: 0 })
+    const paceOf = (at: number): number => slow !== undefined && at < slow.engines ? tokensPerMs * slow.share : tokensPerMs
+    this.#engines = range(engines).map(at => ({
+      id: `engine-${at}`, pace: paceOf(at), reading: [], running: [], held: new Map(), coming: new Map(), warm: new Set(), asked: []
+    }))
+    for (const { name } of pattern.kinds) this.outcomes.set(name, nothingYet())
   }
 
   /** Plays it to the end; gives the outcomes by kind. */
   play (): ReadonlyMap<string, Outcome> {
     const end = this.pattern.seconds * 1000
-    for (this.#now = 0; this.#now < end + 6000; this.#now += tickMs) {
+    for (this.#now = 0; this.#now < end + restMs; this.#now += tickMs) {
       if (this.#now < end) this.#arrive()
       for (const engine of this.#engines) this.#advance(engine)
       this.#tell()
@@ -133,9 +176,8 @@
       let due = kind.perSecond * (third === 1 ? burst : 1) * tickMs / 1000
       for (; due > 0; due -= 1) {
         if (this.#draw() >= due) continue
-        const tokens = Math.round(kind.tokens.least + (kind.tokens.most - kind.tokens.least) * this.#draw() ** 3)
-        // Popularity falls off steeply: a few adapters have most of the requests.
-        const key = `m/a${Math.floor(adapters * this.#draw() ** 5)}`
+        const tokens = Math.round(kind.tokens.least + (kind.tokens.most - kind.tokens.least) * this.#draw() ** lengthSkew)
+        const key = `m/a${Math.floor(adapters * this.#draw() ** popularitySkew)}`
         this.#waiting.add({ kind, key, tokens, arrived: this.#now, entry: Math.floor(this.#draw() * entries), unread: tokens, sentAt: 0, sentRank: 0 })
         this.#outcome(kind).asked += 1
       }
@@ -143,7 +185,7 @@
   }
 
   #outcome (kind: Kind): Outcome {
-    return this.outcomes.get(kind.name) ?? { asked: 0, inTime: 0, late: 0, refused: 0, loads: 0 }
+    return this.outcomes.get(kind.name) ?? nothingYet()
   }
 
   #advance (engine: Engine): void {
@@ -168,9 +210,9 @@
     this.#place(engine)
   }
 
-  /** Brings in what was asked for, in place of what was used longest ago and nothing runs on. */
+  /** Brings in what was asked for, in order, in place of what was used longest ago and nothing runs on. */
   #place (engine: Engine): void {
-    while (engine.asked.length > 0 && engine.coming.size < 4) {
+    while (engine.asked.length > 0 && engine.coming.size < mostComing) {
       const key = engine.asked[0] ?? ''
       if (!engine.held.has(key) && !engine.coming.has(key)) {
         if (engine.held.size + engine.coming.size >= this.pattern.places && !this.#evict(engine)) return
@@ -187,19 +229,19 @@
 
   #evict (engine: Engine): boolean {
     const used = new Set([...engine.running.map(({ job }) => job.key), ...engine.reading.map(job => job.key)])
-    const [victim] = [...engine.held].filter(([key, at]) => !used.has(key) && this.#now - at > 100).sort(([, a], [, b]) => a - b)
+    const [victim] = [...engine.held].filter(([key, at]) => !used.has(key) && this.#now - at > freshMs).sort(([, a], [, b]) => a - b)
     if (victim === undefined) return false
     engine.held.delete(victim[0])
     engine.warm.delete(victim[0])
-    engine.warm.set(victim[0], this.#now)
-    const [oldest] = engine.warm.keys()
+    engine.warm.add(victim[0])
+    const [oldest] = engine.warm
     if (engine.warm.size > warmCopies && oldest !== undefined) engine.warm.delete(oldest)
     return true
   }
 
   #tell (): void {
-    this.#news.push(this.#engines.map(({ reading, running, held, coming }) => ({
-      load: reading.length + running.length, unread: reading.reduce((sum, job) => sum + job.unread, 0), held: new Set(held.keys()), coming: new Set(coming.keys())
+    this.#news.push(this.#engines.map(({ reading, running }) => ({
+      load: reading.length + running.length, unread: reading.reduce((sum, job) => sum + job.unread, 0)
     })))
     if (this.#news.length > newsMs / tickMs) this.#news.shift()
     while (this.#recent[0] !== undefined && this.#now - this.#recent[0].at > newsMs) this.#recent.shift()
