Reading: what stood twice serves once, and what was worked out twice is so once

In the wrong place: requests to plain services set the timer for telling uses, though no side process is told of them. Gone: the replay's count of loads, which nothing read; a reset of a mirror's fields before they are set. Tried and taken back: Turn waiting by events.once on a composite signal, which only its listener would have kept alive. Behaviour as before; tests keep their assertions.

--- a/packages/fleet/src/engine-mirror.ts
+++ b/packages/fleet/src/engine-mirror.ts
@@ -12,7 +12,7 @@
 const arrivedMs = 1000
 
 /** Before anything is told. */
-const unknownFields = { reachable: false, lost: false, waiting: 0, running: 0, unread: 0, entries: 0, strangers: 0 }
+const unknownFields = { server: undefined, reachable: false, lost: false, waiting: 0, running: 0, unread: 0, entries: 0, strangers: 0 }
 
 /** Keys held, each with its version. */
 export type HeldKeys = ReadonlyMap<string, number>
@@ -50,19 +50,19 @@
 
   take (frame: HoldingFrame): void {
     this.at = nowMs()
-    const server = frame.server === undefined && frame.whole !== true ? this.server : frame.server ?? undefined
-    if (frame.whole === true) Object.assign(this, unknownFields)
+    const before = frame.whole === true ? unknownFields : this
+    const server = frame.server === undefined ? before.server : frame.server ?? undefined
     if (server !== this.server) this.warm.clear()
     this.#hold(frame)
     for (const [key, version] of frame.warm ?? []) this.warm.keep(key, version)
     this.server = server
-    this.reachable = frame.reachable ?? this.reachable
-    this.lost = frame.lost ?? this.lost
-    this.waiting = frame.waiting ?? this.waiting
-    this.running = frame.running ?? this.running
-    this.unread = frame.unread ?? this.unread
-    this.entries = frame.entries ?? this.entries
-    this.strangers = frame.strangers ?? this.strangers
+    this.reachable = frame.reachable ?? before.reachable
+    this.lost = frame.lost ?? before.lost
+    this.waiting = frame.waiting ?? before.waiting
+    this.running = frame.running ?? before.running
+    this.unread = frame.unread ?? before.unread
+    this.entries = frame.entries ?? before.entries
+    this.strangers = frame.strangers ?? before.strangers
     this.fence = Math.max(this.fence, frame.fence ?? 0)
   }
 
--- a/packages/fleet/src/entry/caller-connections.ts
+++ b/packages/fleet/src/entry/caller-connections.ts
@@ -25,6 +25,7 @@
 
 export class CallerConnections {
   readonly #opened = new WeakMap<Socket, Opened>()
+  /** How many entries there are, as last noted; 0 where nothing is known. */
   #entries = 0
   /** Connections from before this are ended. */
   #renewAt = -Infinity
@@ -35,7 +36,10 @@
     })
   }
 
-  /** How many entries there are, as far as is known; 0 where nothing is. */
+  get entries (): number {
+    return this.#entries
+  }
+
   noteEntries (entries: number): void {
     if (this.#entries > 0 && entries > this.#entries) this.#renewAt = nowMs() + settleMs
     this.#entries = entries
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -80,8 +80,6 @@
   /** No longer listening; what still comes does so on connections that were open. */
   #closed = false
   #running = 0
-  /** Entries of all domains, as last counted; 0 where nothing is known. */
-  #entries = 0
 
   constructor (private readonly options: FleetEntryOptions) {
     const { facts, domain, limits, log, process, sidePort, channel, dial, sources } = options
@@ -225,9 +223,8 @@
   }
 
   #noteEntries (entries: number): void {
-    const before = this.#entries
+    const before = this.#connections.entries
     if (entries === before) return
-    this.#entries = entries
     this.#connections.noteEntries(entries)
     this.options.log.info('entries.counted', { entries, before })
   }
@@ -272,8 +269,7 @@
       log.info('peer.joined', { peer: channel.peer.process })
     })
     for await (const frame of channel.frames()) {
-      if (frame.type === 'fact') link.receive(frame)
-      if (frame.type === 'heartbeat') link.heard(frame.complete)
+      link.take(frame)
     }
     clearInterval(check)
     link.stop()
--- a/packages/fleet/src/entry/request-times.ts
+++ b/packages/fleet/src/entry/request-times.ts
@@ -6,7 +6,7 @@
 import { rankOf } from '../urgency.js'
 
 /** Part of the time left for which a request may wait; the rest serves it, or a second try by its caller. */
-const waitShare = 0.45
+export const waitShare = 0.45
 /** Part of the objective kept for serving, before the caller leaves: nothing is begun for one that is gone by then. */
 const servingShare = 0.5
 /** Part of the objective after which a request is refused that nobody could take. */
--- a/packages/fleet/src/entry/server-state.ts
+++ b/packages/fleet/src/entry/server-state.ts
@@ -136,8 +136,8 @@
       uses.started += 1
       uses.running += 1
       this.uses.set(key, uses)
+      this.changed()
     }
-    this.changed()
     return pending
   }
 
@@ -145,9 +145,9 @@
   heard (pending: Pending): void {
     if (!this.#unheard.delete(pending)) return
     this.#unread -= pending.tokens
-    this.changed()
     const now = nowMs()
     if (pending.tokens === 0) return
+    this.changed()
     const tokens = pending.tokensAhead + pending.tokens
     this.#pace.add(now - pending.sentAt, tokens, now)
     this.#paceOf(pending.priority).add(now - pending.sentAt, tokens, now)
@@ -157,7 +157,8 @@
     this.#pending.delete(pending)
     if (this.#unheard.delete(pending)) this.#unread -= pending.tokens
     this.#sentSince = Math.max(0, this.#sentSince - 1)
-    const uses = key === undefined ? undefined : this.uses.get(key)
+    if (key === undefined) return
+    const uses = this.uses.get(key)
     if (uses !== undefined) uses.running -= 1
     this.changed()
   }
--- a/packages/fleet/src/entry/side-link.ts
+++ b/packages/fleet/src/entry/side-link.ts
@@ -5,12 +5,10 @@
  * there has been nothing for a while: news of far engines come through side processes near.
  */
 import type { Duplex } from 'node:stream'
-import type { Log } from '@finchpitch/core'
-import { Channel, type Appointment, type ChannelOptions, type Frame, type FrameOf } from '@finchpitch/wire'
+import { Channel, type Appointment, type Frame, type FrameOf } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
 import { FactLink, patienceMs } from '../fact-exchange.js'
-import type { Facts } from '../facts.js'
-import { redial } from '../redial.js'
+import { redial, type SidePeering } from '../redial.js'
 import { quietPace } from '../side/reader.js'
 import { unreadDiffers } from '../unread.js'
 import type { ServerState } from './server-state.js'
@@ -28,12 +26,7 @@
 /** A far link with nothing to say for this long is closed. At 8 requests a second to 43 far engines each is used every 5 s. */
 const idleMs = 15_000
 
-export interface SideLinkOptions {
-  facts: Facts
-  sidePort: number
-  channel: ChannelOptions
-  dial: (address: string) => Promise<Duplex>
-  log: Log
+export interface SideLinkOptions extends SidePeering {
   /** This entry watches the store, so that the side process hears of everything from it at once. */
   watching: () => boolean
   /** The highest fence that the side process was ever known to use. */
@@ -195,14 +188,12 @@
   }
 
   async #keep (): Promise<void> {
-    const { dial, sidePort, log } = this.options
     await redial({
       host: this.host,
-      dial: () => dial(`${this.host}:${sidePort}`),
+      peering: this.options,
       talk: stream => this.#talk(stream),
       needed: () => this.#needed,
       signal: this.#stop.signal,
-      log,
       peer: 'side'
     })
     this.#running = false
@@ -264,8 +255,7 @@
   }
 
   #take (frame: Frame, factLink: FactLink): void {
-    if (frame.type === 'fact') factLink.receive(frame)
-    if (frame.type === 'heartbeat') factLink.heard(frame.complete)
+    factLink.take(frame)
     if (frame.type === 'caught_up') this.options.facts.caughtUp(frame.complete)
     if (frame.type === 'appoint') this.#appoint(frame)
     if (frame.type === 'declined') {
--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -5,12 +5,11 @@
  * own side process or, across failure domains, through one near (`news-sources.ts`); wants and uses go straight to the
  * engine's side process.
  */
-import type { Duplex } from 'node:stream'
-import { hostOf, pause, type Log } from '@finchpitch/core'
-import type { Appointment, ChannelOptions, Frame, FrameOf, HoldingFrame } from '@finchpitch/wire'
+import { hostOf, pause } from '@finchpitch/core'
+import type { Appointment, Frame, FrameOf, HoldingFrame } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
 import { EngineMirror } from '../engine-mirror.js'
-import type { Facts } from '../facts.js'
+import type { SidePeering } from '../redial.js'
 import type { BackendServer } from '../server.js'
 import { countEntries, countWatchers, type DomainEntries } from './entry-count.js'
 import { NewsSources, relayOf, type NewsHosts } from './news-sources.js'
@@ -26,15 +25,11 @@
 const tendMs = 200
 /** Said again even where nothing changed, as a side process forgets what it hears no more of. */
 const usesAgainMs = 1000
-export interface SideLinksOptions {
+
+export interface SideLinksOptions extends SidePeering {
   process: string
   domain: string
-  facts: Facts
   states: ServerStates
-  sidePort: number
-  channel: ChannelOptions
-  dial: (address: string) => Promise<Duplex>
-  log: Log
   /** This entry watches the store. */
   watching: () => boolean
   /** News that may let waiting requests go on: of these adapters, or of any. */
@@ -138,8 +133,10 @@
     for (let round = 1; !signal.aborted; round++) {
       await pause(tendMs, signal)
       const all = round % (usesAgainMs / tendMs) === 0
-      if (all) this.#tellAllUses(true)
-      if (all) for (const { link } of this.#engines.values()) link.check()
+      if (all) {
+        this.#tellAllUses(true)
+        for (const { link } of this.#engines.values()) link.check()
+      }
       const hosts = this.#hosts()
       this.#chooseSources(hosts)
       this.#chooseTeller(hosts)
@@ -168,14 +165,9 @@
 
   #begin (host: string, domain: string): Engine {
     const mirror = new EngineMirror()
-    const { facts, sidePort, channel, dial, log, watching, changed, appointmentsChanged } = this.options
+    const { changed, appointmentsChanged } = this.options
     const link: SideLink = new SideLink(host, domain === this.options.domain, {
-      facts,
-      sidePort,
-      channel,
-      dial,
-      log,
-      watching,
+      ...this.options,
       fence: () => mirror.fence,
       changed: () => changed(undefined),
       appointmentChanged: appointmentsChanged,
--- a/packages/fleet/src/fact-exchange.ts
+++ b/packages/fleet/src/fact-exchange.ts
@@ -7,7 +7,7 @@
  * their domain, and from those to the entries that depend on them. The others wait for the peer's word first.
  */
 import type { Log } from '@finchpitch/core'
-import type { Channel, Complete, FactFrame } from '@finchpitch/wire'
+import type { Channel, Complete, FactFrame, Frame } from '@finchpitch/wire'
 import { coveredBy, factOf, frameOf, isFinal, type Fact, type Facts } from './facts.js'
 
 /** How long a link waits before it sends. */
@@ -63,6 +63,12 @@
     if (complete !== undefined) this.#complete = complete
   }
 
+  /** A frame of the peer's; those that say nothing of facts are for others. */
+  take (frame: Frame): void {
+    if (frame.type === 'fact') this.receive(frame)
+    if (frame.type === 'heartbeat') this.heard(frame.complete)
+  }
+
   receive (frame: FactFrame): void {
     const fact = factOf(frame)
     if (fact === undefined) {
--- a/packages/fleet/src/side/placement.ts
+++ b/packages/fleet/src/side/placement.ts
@@ -11,7 +11,7 @@
 import type { EngineSpec } from '../table.js'
 
 /** Loads that an engine takes at once. */
-const mostComing = 4
+export const mostComing = 4
 
 /**
  * How long a demand waits for a place before it is declined. Runs last some 300 to 500 ms here, so with 16 places in
--- a/packages/fleet/src/side/reader.ts
+++ b/packages/fleet/src/side/reader.ts
@@ -28,6 +28,14 @@
   ownHost: string
 }
 
+/** News of one engine that it follows. */
+interface Followed {
+  teller: NewsTeller
+  news: EngineNews
+  /** It has to be told them by now. */
+  due: boolean
+}
+
 export class Reader {
   readonly channel: Channel
   readonly near: boolean
@@ -116,10 +124,9 @@
    */
   publish (own: EngineNews, passedOn: ReadonlyMap<string, EngineNews>): void {
     const followed = this.#followed(own, passedOn)
-    const due = this.#owed || followed.some(({ teller, news }) => teller.due(news))
     const frames: Buffer[] = []
-    for (const { teller, news } of due ? followed : []) {
-      if (teller.due(news) || teller.mayGoAlong(news) || (this.#owed && news === own)) frames.push(teller.tell(news))
+    if (this.#owed || followed.some(({ due }) => due)) {
+      for (const { teller, news, due } of followed) if (due || teller.mayGoAlong(news)) frames.push(teller.tell(news))
     }
     frames.push(...this.#arrivals(own))
     if (this.#owed && frames.length === 0) this.channel.beat()
@@ -127,11 +134,11 @@
     if (frames.length > 0) this.channel.sendEncoded(frames)
   }
 
-  #followed (own: EngineNews, passedOn: ReadonlyMap<string, EngineNews>): Array<{ teller: NewsTeller, news: EngineNews }> {
-    const followed = []
+  #followed (own: EngineNews, passedOn: ReadonlyMap<string, EngineNews>): Followed[] {
+    const followed: Followed[] = []
     for (const [host, teller] of this.#tellers) {
       const news = host === this.#ownHost ? own : passedOn.get(host)
-      if (news !== undefined) followed.push({ teller, news })
+      if (news !== undefined) followed.push({ teller, news, due: teller.due(news) || (this.#owed && news === own) })
     }
     return followed
   }
--- a/packages/fleet/src/side/readers.ts
+++ b/packages/fleet/src/side/readers.ts
@@ -5,11 +5,9 @@
  * that don't watch depend on it. Side processes elsewhere take its news for their own entries. Entries elsewhere ask for
  * adapters and hear of those alone.
  */
-import type { Log } from '@finchpitch/core'
-import type { Channel, ChannelOptions, Frame, FrameOf } from '@finchpitch/wire'
+import type { Channel, Frame, FrameOf } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
 import { FactLink, patienceMs } from '../fact-exchange.js'
-import type { Facts } from '../facts.js'
 import { Reader, quietPace } from './reader.js'
 import type { EngineNews } from './news.js'
 import { Relay, type RelayOptions } from './relay.js'
@@ -19,9 +17,6 @@
   domain: string
   /** The machine that this process shares with its engine. */
   host: string
-  channel: ChannelOptions
-  facts: Facts
-  log: Log
   /** What is to be told of the engine now. */
   news: () => EngineNews
 }
@@ -72,7 +67,7 @@
   /** What concerns telling; says nothing of adapters. */
   take (frame: Frame, reader: Reader): void {
     reader.heardAt = nowMs()
-    if (frame.type === 'fact') reader.facts?.receive(frame)
+    reader.facts?.take(frame)
     if (frame.type === 'heartbeat') this.#heard(frame, reader)
     if (frame.type === 'depend') reader.depend(frame.on)
     if (frame.type === 'follow') this.#follow(reader, frame)
@@ -100,7 +95,6 @@
   }
 
   #heard (frame: FrameOf<'heartbeat'>, reader: Reader): void {
-    reader.facts?.heard(frame.complete)
     reader.sight = frame.sight
     // Entries of the same domain that read the store send what they learn at once, so by now it is all here.
     if (reader.near && frame.sight === 'reading' && frame.complete !== undefined) this.options.facts.caughtUp(frame.complete)
--- a/packages/fleet/src/side/relay.ts
+++ b/packages/fleet/src/side/relay.ts
@@ -5,13 +5,11 @@
  * requests and wants go from the entries straight to where they belong, so a relay that fails delays news and nothing else.
  */
 import type { Duplex } from 'node:stream'
-import type { Log } from '@finchpitch/core'
-import { Channel, type ChannelOptions } from '@finchpitch/wire'
+import { Channel } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
 import { EngineMirror } from '../engine-mirror.js'
 import { FactLink, patienceMs } from '../fact-exchange.js'
-import type { Facts } from '../facts.js'
-import { redial } from '../redial.js'
+import { redial, type SidePeering } from '../redial.js'
 import { EngineNews } from './news.js'
 
 /** News come at least every 1.5 s; a channel without any for longer is dead, or its process hangs. */
@@ -20,12 +18,7 @@
 /** News from several engines that come close together go on in one write: each write wakes all entries near. */
 const gatherMs = 60
 
-export interface RelayOptions {
-  facts: Facts
-  sidePort: number
-  channel: ChannelOptions
-  dial: (address: string) => Promise<Duplex>
-  log: Log
+export interface RelayOptions extends SidePeering {
   /** There is something to pass on. */
   changed: () => void
 }
@@ -77,14 +70,12 @@
   }
 
   async #keep (host: string, source: Source): Promise<void> {
-    const { dial, sidePort, log } = this.options
     await redial({
       host,
-      dial: () => dial(`${host}:${sidePort}`),
+      peering: this.options,
       talk: stream => this.#read(host, source, stream),
       needed: () => true,
       signal: source.stop.signal,
-      log,
       peer: 'relay'
     })
   }
@@ -103,8 +94,7 @@
       factLink.start(patienceMs.newcomer)
     })
     for await (const frame of channel.frames()) {
-      if (frame.type === 'fact') factLink.receive(frame)
-      if (frame.type === 'heartbeat') factLink.heard(frame.complete)
+      factLink.take(frame)
       if (frame.type !== 'holding') continue
       heardAt = nowMs()
       source.mirror.take(frame)
--- a/packages/fleet/src/side/side.ts
+++ b/packages/fleet/src/side/side.ts
@@ -7,10 +7,10 @@
  */
 import type { Duplex } from 'node:stream'
 import { isDeepStrictEqual } from 'node:util'
-import { hostOf, pause, type Log } from '@finchpitch/core'
-import { Channel, type ChannelOptions, type Frame } from '@finchpitch/wire'
-import type { Facts } from '../facts.js'
+import { hostOf, pause } from '@finchpitch/core'
+import { Channel, type Frame } from '@finchpitch/wire'
 import type { EngineAccount, EngineOrder, EngineOrders, Limits } from '../ports.js'
+import type { SidePeering } from '../redial.js'
 import { parseRef, refKey } from '../server.js'
 import type { EngineSpec } from '../table.js'
 import { WarmCopies } from '../warm-copies.js'
@@ -29,19 +29,13 @@
 /** Loads that a new incarnation assumes its predecessor to have begun just before. */
 const assumedStarts = 1
 
-export interface SideOptions {
+export interface SideOptions extends SidePeering {
   process: string
   domain: string
   engineAddress: string
-  /** Where side processes listen, on all machines. */
-  sidePort: number
-  dial: (address: string) => Promise<Duplex>
   engine: EngineOrders
-  facts: Facts
   limits: () => Limits
-  channel: ChannelOptions
   counters: SideCounters
-  log: Log
 }
 
 export class FleetSide {
--- a/packages/fleet/test/fact-exchange.test.ts
+++ b/packages/fleet/test/fact-exchange.test.ts
@@ -1,18 +1,12 @@
-import type { Duplex } from 'node:stream'
-import { Address, FailureDomain, ProcessId, Revision, newIncarnation, quietLog } from '@finchpitch/core'
+import { Revision, quietLog } from '@finchpitch/core'
 import { FactLink, Facts, frameOf, type Fact } from '@finchpitch/fleet'
-import { FakeTime, duplexPair } from '@finchpitch/stand-ins'
-import { Channel, protocolVersion, type Complete, type FrameOf } from '@finchpitch/wire'
+import { FakeTime, channelOptions, duplexPair } from '@finchpitch/stand-ins'
+import { Channel, type Complete, type FrameOf } from '@finchpitch/wire'
 import { expect } from 'chai'
 
 const fact = (revision: number): Fact => ({ kind: 'version', key: 'm/a', revision, value: { model: 'm', adapter: 'a', version: revision } })
 const complete = (version: number): Complete => ({ table: 0, server: 0, version })
 
-const hello = (name: string): FrameOf<'hello'> => ({ type: 'hello', protocol: protocolVersion, process: ProcessId.parse(name), incarnation: newIncarnation(), address: Address.parse('10.0.0.1:1'), domain: FailureDomain.parse('a'), revision: Revision.parse(0) })
-
-const channelOf = (stream: Duplex, name: string): Channel =>
-  new Channel(stream, { hello: () => hello(name), heartbeat: () => ({ type: 'heartbeat', revision: Revision.parse(0) }) })
-
 describe('a fact link', () => {
   let time: FakeTime
   let facts: Facts
@@ -25,8 +19,8 @@
     facts = new Facts(quietLog, () => 1000)
     received = []
     const [one, other] = duplexPair()
-    near = channelOf(one, 'near')
-    far = channelOf(other, 'far')
+    near = new Channel(one, channelOptions('near'))
+    far = new Channel(other, channelOptions('far'))
     void (async () => { for await (const frame of near.frames()) void frame })()
     void (async () => { for await (const frame of far.frames()) if (frame.type === 'fact') received.push(frame.revision) })()
   })
@@ -72,7 +66,7 @@
         return { type: 'heartbeat', revision: Revision.parse(0) }
       }
       const [one] = duplexPair()
-      const channel = new Channel(one, { hello: () => hello('near'), heartbeat })
+      const channel = new Channel(one, { ...channelOptions('near'), heartbeat })
       const link = new FactLink(facts, channel, 1500, quietLog)
       facts.completed('table', 4)
       facts.completed('server', 4)
--- a/packages/fleet/test/replay/load-replay.ts
+++ b/packages/fleet/test/replay/load-replay.ts
@@ -5,7 +5,7 @@
  * know them as they were a while ago. It is a model of what this system serves, with the times that its own logs show, for
  * tests that compare one rule with another under the same load. It has no failures, no domains and no network.
  */
-import { chooseEngine, rankOf, type Choice, type EngineChoice, type EngineOption, type Urgency } from '@finchpitch/fleet'
+import { chooseEngine, mostComing, rankOf, waitShare, type Choice, type EngineChoice, type EngineOption, type Urgency } from '@finchpitch/fleet'
 import { hashOf } from '@finchpitch/decisions'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
@@ -62,7 +62,6 @@
   inTime: number
   late: number
   refused: number
-  loads: number
 }
 
 const tickMs = 5
@@ -75,14 +74,10 @@
 const warmMs = 25
 /** Adapters that an engine has at hand beside those it holds, by the sheets. */
 const warmCopies = 96
-/** Loads that an engine takes at once, as side processes let it. */
-const mostComing = 4
 /** An adapter that came in or was used less long ago isn't let go: its requests are on their way. */
 const freshMs = 100
 /** Age of what an entry knows of an engine. */
 const newsMs = 250
-/** Part of its time for which a request waits before it is refused, as entries have it. */
-const waitShare = 0.45
 /** The larger, the fewer adapters have most of the requests, and the fewer prompts are nearly as long as the longest. */
 const popularitySkew = 5
 const lengthSkew = 3
@@ -102,6 +97,7 @@
 
 interface Engine {
   id: string
+  hash: number
   /** Prompt tokens a millisecond. */
   pace: number
   /** Prompts that it has not read to their end, the next ones first. */
@@ -129,7 +125,7 @@
   tokens: number
 }
 
-const nothingYet = (): Outcome => ({ asked: 0, inTime: 0, late: 0, refused: 0, loads: 0 })
+const nothingYet = (): Outcome => ({ asked: 0, inTime: 0, late: 0, refused: 0 })
 
 const range = (count: number): number[] => Array.from({ length: count }, (_, at) => at)
 
@@ -148,7 +144,7 @@
     const { engines, slow } = pattern
     const paceOf = (at: number): number => slow !== undefined && at < slow.engines ? tokensPerMs * slow.share : tokensPerMs
     this.#engines = range(engines).map(at => ({
-      id: `engine-${at}`, pace: paceOf(at), reading: [], running: [], held: new Map(), coming: new Map(), warm: new Set(), asked: []
+      id: `engine-${at}`, hash: hashOf(`engine-${at}`), pace: paceOf(at), reading: [], running: [], held: new Map(), coming: new Map(), warm: new Set(), asked: []
     }))
     for (const { name } of pattern.kinds) this.outcomes.set(name, nothingYet())
   }
@@ -217,16 +213,11 @@
       if (!engine.held.has(key) && !engine.coming.has(key)) {
         if (engine.held.size + engine.coming.size >= this.pattern.places && !this.#evict(engine)) return
         engine.coming.set(key, this.#now + (engine.warm.has(key) ? warmMs : coldMs))
-        this.#loaded(key)
       }
       engine.asked.shift()
     }
   }
 
-  #loaded (key: string): void {
-    for (const { kind } of [...this.#waiting].filter(job => job.key === key).slice(0, 1)) this.#outcome(kind).loads += 1
-  }
-
   #evict (engine: Engine): boolean {
     const used = new Set([...engine.running.map(({ job }) => job.key), ...engine.reading.map(job => job.key)])
     const [victim] = [...engine.held].filter(([key, at]) => !used.has(key) && this.#now - at > freshMs).sort(([, a], [, b]) => a - b)
@@ -252,8 +243,9 @@
   }
 
   #decide (): void {
-    const ordered = [...this.#waiting].sort((a, b) => this.#rank(a) - this.#rank(b) || a.arrived - b.arrived)
-    for (const job of ordered) {
+    const ranked = [...this.#waiting].map(job => ({ job, rank: this.#rank(job) }))
+    ranked.sort((a, b) => a.rank - b.rank || a.job.arrived - b.job.arrived)
+    for (const { job } of ranked) {
       const choice = this.policy.choose(this.#choiceOf(job))
       if (choice.type === 'send') this.#send(job, Number(choice.id.split('-')[1]))
       else if (choice.type === 'bring' && choice.ask !== undefined) this.#ask(job, Number(choice.ask.split('-')[1]))
@@ -294,7 +286,7 @@
     const unread = Math.max(0, (told?.unread ?? 0) - newsMs * engine.pace) + own.reduce((sum, sent) => sum + sent.tokens, 0)
     return {
       id: engine.id,
-      hash: hashOf(engine.id),
+      hash: engine.hash,
       domain: 'd',
       load: (told?.load ?? 0) + own.length,
       slots: this.pattern.slots,
--- a/packages/fleet/test/side-links.test.ts
+++ b/packages/fleet/test/side-links.test.ts
@@ -1,13 +1,9 @@
-import { Address, FailureDomain, ProcessId, Revision, newIncarnation, quietLog } from '@finchpitch/core'
+import { quietLog } from '@finchpitch/core'
 import { BackendServer, Facts, ServerStates, SideLinks } from '@finchpitch/fleet'
-import { FakeTime, duplexPair } from '@finchpitch/stand-ins'
-import { Channel, protocolVersion, type ChannelOptions, type FrameOf } from '@finchpitch/wire'
+import { FakeTime, channelOptions, duplexPair } from '@finchpitch/stand-ins'
+import { Channel } from '@finchpitch/wire'
 import { expect } from 'chai'
 
-const revision = Revision.parse(0)
-const hello = (name: string): FrameOf<'hello'> => ({ type: 'hello', protocol: protocolVersion, process: ProcessId.parse(name), incarnation: newIncarnation(), address: Address.parse('10.0.0.1:1'), domain: FailureDomain.parse('a'), revision })
-const channelOptions = (name: string): ChannelOptions => ({ hello: () => hello(name), heartbeat: () => ({ type: 'heartbeat', revision }) })
-
 const engineAt = (host: string): BackendServer => BackendServer.parse({ id: `engine-${host}`, service: 'engines', address: `${host}:80`, domain: 'a', slots: 4, leaving: false, models: [] })
 
 describe('an entry\'s links to side processes', () => {
--- a/packages/wire/src/quick-check.ts
+++ b/packages/wire/src/quick-check.ts
@@ -5,7 +5,7 @@
  * fault. An entry of a large deployment reads some hundred frames a second in code that has run little: reading one of the
  * first 400 takes 30 µs and not 73, and 3 µs and not 6 once it has been compiled (three runs each of 400 and of 100,000).
  */
-import { longestAdapterKey, longestHost, mostUses, type Frame, type FrameOf } from './frame.js'
+import { StoreSight, longestAdapterKey, longestHost, mostUses, type Frame, type FrameOf } from './frame.js'
 
 type Check = (value: unknown) => boolean
 
@@ -25,13 +25,15 @@
   return true
 }
 
+const sights: ReadonlySet<unknown> = new Set(StoreSight.options)
+
 type Shape<Type extends Frame['type']> = { [Field in keyof FrameOf<Type>]?: Check }
 
 const complete: Record<string, Check> = { table: isPosition, server: isPosition, version: isPosition }
+const completeFields = Object.keys(complete)
 
 /** Whether the value has all fields of `needed` and none without a check that it passes. */
-const fits = (value: unknown, shape: Record<string, Check>, needed: readonly string[]): boolean => {
-  if (!isPlain(value)) return false
+const fits = (value: Record<string, unknown>, shape: Record<string, Check>, needed: readonly string[]): boolean => {
   for (const field in value) if (!Object.hasOwn(shape, field) || shape[field]?.(value[field]) !== true) return false
   return needed.every(field => Object.hasOwn(value, field))
 }
@@ -63,8 +65,8 @@
   heartbeat: {
     type: value => value === 'heartbeat',
     revision: isCount,
-    complete: value => fits(value, complete, Object.keys(complete)),
-    sight: value => value === 'reading' || value === 'blind' || value === 'resting'
+    complete: value => isPlain(value) && fits(value, complete, completeFields),
+    sight: value => sights.has(value)
   }
 } satisfies { [Type in Frame['type']]?: Shape<Type> }
 
