Callers' keys tell teams apart; no key reaches a server, and the team does

Cause: where the routing table knows teams, each request has to carry a key; the entry passed keys on as they came and named no team. A route that is not public needs a known key, else 401 before the body is read; the question is asked again at each sending, so a key or route that goes while a request waits is seen. The team's name is set by the entry, its priority goes before the route's. Two different keys on one request are none. Tests: teams.test, 23, which can't be built without the change; where the table knows no teams, headers pass as before. Ruled out: believing the first of two keys, as another reader of the request may take the second.

--- /dev/null
+++ b/packages/fleet/src/entry/gate.ts
@@ -0,0 +1,35 @@
+/**
+ * Who may ask for what, by the routing table in force: plain functions.
+ *
+ * They are asked when a request arrives, before its body is read, and again at each sending, since a request may wait for
+ * seconds and a route or a key may go meanwhile.
+ */
+import type { Route, RouteIndex } from '../table.js'
+import type { FleetTeam } from '../team.js'
+import type { Credential } from './identity.js'
+
+export interface Admitted {
+  type: 'admitted'
+  route: Route
+  /** Whose request it is; `undefined` where the table knows no teams, or on a public route that needs no key. */
+  team: FleetTeam | undefined
+  /** The team's priority, else the route's; 0 is the most urgent. */
+  priority: number
+}
+
+/** Why a request may not be sent. `key_not_known`: none came, or one that the table doesn't hold. */
+export type Denial = { type: 'denied', reason: 'no_route' | 'key_not_known', route: Route | undefined }
+
+export interface Asking {
+  host: string
+  path: string
+  credential: Credential
+}
+
+export const admit = (routes: RouteIndex, { host, path, credential }: Asking): Admitted | Denial => {
+  const route = routes.find(host, path)
+  if (route === undefined) return { type: 'denied', reason: 'no_route', route }
+  const team = credential.type === 'key' ? routes.teamOf(credential.hash) : undefined
+  if (team === undefined && routes.keyed && route.public !== true) return { type: 'denied', reason: 'key_not_known', route }
+  return { type: 'admitted', route, team, priority: team?.priority ?? route.priority }
+}
--- a/packages/fleet/src/entry/outgoing.ts
+++ b/packages/fleet/src/entry/outgoing.ts
@@ -14,6 +14,10 @@
   server: string
   /** Set where an engine is asked. */
   engine: { rank: number, version: number | undefined } | undefined
+  /** The team that it belongs to, where the table knows teams and a key came. */
+  team: string | undefined
+  /** The table knows teams, so that neither a caller's key nor a team that it named itself is passed on. */
+  keyed: boolean
   /** Id of the last event that the caller has, where a stream goes on elsewhere. */
   resumeAt: string | undefined
 }
@@ -25,14 +29,16 @@
     headers.push(names.priority, String(marks.engine.rank))
     if (marks.engine.version !== undefined) headers.push(names.expectedVersion, String(marks.engine.version))
   }
+  if (marks.team !== undefined) headers.push(names.team, marks.team)
   if (marks.resumeAt !== undefined) headers.push(names.lastEventId, marks.resumeAt)
   const { 'content-length': length, 'transfer-encoding': encoding } = request.headers
   if (body.length > 0 || length !== undefined || encoding !== undefined) headers.push('Content-Length', String(body.length))
   return { method: request.method ?? 'GET', path: request.url ?? '/', headers, body }
 }
 
-const notPassed = (names: HeaderNames, { resumeAt }: Marks): ReadonlySet<string> => {
+const notPassed = (names: HeaderNames, { resumeAt, keyed }: Marks): ReadonlySet<string> => {
   const set = new Set([...names.reserved, names.remainingMs, 'content-length', 'expect'])
+  if (keyed) set.add(names.key).add(names.team)
   if (resumeAt !== undefined) set.add(names.lastEventId)
   return set
 }
--- a/packages/fleet/src/entry/request-record.ts
+++ b/packages/fleet/src/entry/request-record.ts
@@ -15,6 +15,8 @@
 
 export class RequestRecord {
   route: Route | undefined
+  /** Name of the team whose key came with it. */
+  team: string | undefined
   /** The last server that it was sent to. */
   server: BackendServer | undefined
   /** Why that server, or why none. */
@@ -38,6 +40,7 @@
     log.info('request.ended', {
       request: incoming.id,
       route: route?.name,
+      team: this.team,
       objectiveMs: route?.objectiveMs,
       table,
       key: incoming.model,
--- a/packages/fleet/src/entry/request-times.ts
+++ b/packages/fleet/src/entry/request-times.ts
@@ -3,7 +3,7 @@
  */
 import { nowMs } from '../clock.js'
 import type { Route } from '../table.js'
-import { rankOf } from '../urgency.js'
+import { rankOf, type Urgency } from '../urgency.js'
 
 /** Part of the time left for which a request may wait; the rest serves it, or a second try by its caller. */
 export const waitShare = 0.45
@@ -35,7 +35,7 @@
   }
 
   /** Its rank among all that wait. `readingMs`: to read its prompt, were it alone. */
-  rank ({ priority, objectiveMs }: Route, readingMs: number): number {
+  rank ({ priority, objectiveMs }: Pick<Urgency, 'priority' | 'objectiveMs'>, readingMs: number): number {
     return rankOf({ priority, objectiveMs, elapsedMs: this.#elapsedMs, readingMs })
   }
 
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -12,7 +12,7 @@
 import type { Facts } from '../facts.js'
 import type { HeaderNames } from '../ports.js'
 import type { BackendServer } from '../server.js'
-import type { FleetService, Route } from '../table.js'
+import type { FleetService, Route, RouteIndex } from '../table.js'
 import { attempt, type AttemptEnd } from './attempt.js'
 import type { Asked, Balancer } from './balancer.js'
 import { Cancellation } from './cancellation.js'
@@ -22,6 +22,8 @@
 import { Delivery } from './delivery.js'
 import { EventCutter } from './event-stream.js'
 import type { FirstTries } from './first-tries.js'
+import { admit, type Admitted, type Denial } from './gate.js'
+import { credentialOf, type Credential } from './identity.js'
 import { Incoming } from './incoming.js'
 import { outgoingOf, type Marks } from './outgoing.js'
 import { RequestRecord } from './request-record.js'
@@ -78,6 +80,11 @@
   route: Route
 }
 
+const denialStatus: Record<Denial['reason'], number> = { no_route: 404, key_not_known: 401 }
+const denialText: Record<Denial['reason'], string> = { no_route: 'no such route', key_not_known: 'a key is needed that is known here' }
+
+const noCredential: Credential = { type: 'none' }
+
 const firstFailure = 500
 const bodyless: ReadonlySet<number> = new Set([204, 304])
 
@@ -89,6 +96,8 @@
 
 export class ServiceRequest {
   readonly #incoming: Incoming
+  /** Read once, and only where the table knows teams. */
+  #credential: Credential | undefined
   readonly #times = new RequestTimes()
   readonly #record: RequestRecord
   readonly #delivery: Delivery
@@ -128,8 +137,9 @@
       if (!closed) this.#retryAfterMs = blindRetryMs()
       return this.#refuse(closed ? 'stopping' : 'no_table')
     }
-    const route = this.#match()
-    if (route === undefined) return this.#end(404, 'no_route', 'no such route')
+    const admission = this.#admit(routes)
+    if (admission.type === 'denied') return this.#deny(admission)
+    const { route } = admission
     if (this.#incoming.impossible) return this.#end(400, 'bad_model', 'the name of the model is too long')
     this.#times.deadline = this.#times.arrived + Math.min(remainingMs, route.timeoutMs)
     this.#times.firstTriedMs = firstTries.agoMs(route.name, remainingMs)
@@ -146,25 +156,30 @@
 
   async #tryUntilDone (body: Buffer): Promise<string> {
     for (;;) {
-      const route = this.#match()
-      if (route === undefined) return this.#mayHaveRun ? this.#fail(502, 'route_removed') : this.#end(404, 'no_route', 'no such route')
-      const service = this.#serviceOf(route)
+      const { routes, servers } = this.options.facts
+      if (routes === undefined) return this.#giveUp('no_table')
+      const admission = this.#admit(routes)
+      if (admission.type === 'denied') return this.#mayHaveRun ? this.#fail(502, admission.reason) : this.#deny(admission)
+      const service = this.#serviceOf(admission.route)
       if (service === undefined) return this.#giveUp('no_service')
-      const asked = this.#asked(service, route)
-      const choice = await this.#choose(asked, route)
+      const asked = this.#asked(service, admission)
+      const choice = await this.#choose(asked, admission)
       if (typeof choice === 'string') return choice
-      const server = this.options.facts.servers.get(choice.id)
-      if (server === undefined) continue
-      const verdict = await this.#try(server, asked, route, body, choice)
+      const server = servers.get(choice.id)
+      // While it waited, the table may have changed, and with it who may ask for what.
+      if (server === undefined || this.options.facts.routes !== routes) continue
+      const verdict = await this.#try(server, asked, admission, body, choice)
       if (verdict.type === 'done') return verdict.outcome
     }
   }
 
-  #match (): Route | undefined {
-    const { host, path } = this.#incoming
-    const route = this.options.facts.routes?.find(host, path)
-    if (route !== undefined) this.#record.route = route
-    return route
+  #admit (routes: RouteIndex): Admitted | Denial {
+    const { host, path, message } = this.#incoming
+    if (routes.keyed) this.#credential ??= credentialOf(message, this.options.names)
+    const admission = admit(routes, { host, path, credential: this.#credential ?? noCredential })
+    this.#record.route = admission.route ?? this.#record.route
+    if (admission.type === 'admitted') this.#record.team = admission.team?.name
+    return admission
   }
 
   #serviceOf (route: Route): FleetService | undefined {
@@ -174,10 +189,10 @@
     return target === undefined ? undefined : this.options.facts.routes?.service(target.service)
   }
 
-  #asked (service: FleetService, route: Route): Asked {
+  #asked (service: FleetService, { route, priority }: Admitted): Asked {
     const { model, promptTokens } = this.#incoming
     const key = service.engine === undefined ? undefined : model
-    return { service, key, promptTokens, inTimeMs: this.#times.inTimeMs(route), priority: route.priority, excluded: this.#excluded }
+    return { service, key, promptTokens, inTimeMs: this.#times.inTimeMs(route), priority, excluded: this.#excluded }
   }
 
   #expire (): void {
@@ -186,18 +201,19 @@
     else setTimeout(() => this.#left.cancel(), streamSlackMs)
   }
 
-  async #choose (asked: Asked, route: Route): Promise<Sending | string> {
+  async #choose (asked: Asked, admitted: Admitted): Promise<Sending | string> {
     const { balancer, room, counters } = this.options
+    const { route } = admitted
     if (this.#left.cancelled) return this.#abandoned(false)
     const first = balancer.choose(asked)
     if (first.type === 'send') return first
     const started = nowMs()
     const end = await room.wait({
       key: asked.key ?? asked.service.name,
-      rank: () => this.#rank(route),
+      rank: () => this.#rank(admitted),
       until: first.type === 'none' ? this.#times.waitForAnybodyUntil(route) : this.#times.waitUntil(route),
       choose: () => balancer.choose({ ...asked, inTimeMs: this.#times.inTimeMs(route) }),
-      bring: (ask, waiting) => balancer.bring(ask, asked.key ?? '', waiting, this.#rank(route))
+      bring: (ask, waiting) => balancer.bring(ask, asked.key ?? '', waiting, this.#rank(admitted))
     }, first, this.#left)
     const waitedMs = nowMs() - started
     this.#record.waitedMs += waitedMs
@@ -207,8 +223,9 @@
     return this.#giveUp(end.last.reason)
   }
 
-  async #try (server: BackendServer, asked: Asked, route: Route, body: Buffer, choice: Sending): Promise<Verdict> {
+  async #try (server: BackendServer, asked: Asked, admitted: Admitted, body: Buffer, choice: Sending): Promise<Verdict> {
     const { balancer, budget, names, counters, connects } = this.options
+    const { route } = admitted
     const remaining = Math.floor(this.#times.leftMs)
     if (remaining < leastRemainingMs) return done(this.#mayHaveRun ? this.#fail(504, 'timed_out') : this.#refuse('too_late'))
     if (this.#record.tries === 0) budget.first(asked.service.name)
@@ -220,7 +237,7 @@
     const end = await attempt({
       agent: state.agent,
       address: server.address,
-      outgoing: outgoingOf(this.#incoming.message, body, names, this.#marks(server, asked, route, remaining)),
+      outgoing: outgoingOf(this.#incoming.message, body, names, this.#marks(server, asked, admitted, remaining)),
       requestId: this.#incoming.id,
       serverId: server.id,
       names,
@@ -252,13 +269,15 @@
     record.expectedMs = key === undefined ? undefined : expectedMs
   }
 
-  #marks (server: BackendServer, { key }: Asked, route: Route, remaining: number): Marks {
-    const engine = key === undefined ? undefined : { rank: this.#rank(route), version: this.options.balancer.heldVersion(server, key) }
-    return { remaining, server: server.id, engine, resumeAt: this.#cutter?.lastId }
+  #marks (server: BackendServer, { key }: Asked, admitted: Admitted, remaining: number): Marks {
+    const { balancer, facts } = this.options
+    const engine = key === undefined ? undefined : { rank: this.#rank(admitted), version: balancer.heldVersion(server, key) }
+    const keyed = facts.routes?.keyed === true
+    return { remaining, server: server.id, engine, team: admitted.team?.name, keyed, resumeAt: this.#cutter?.lastId }
   }
 
-  #rank (route: Route): number {
-    return this.#times.rank(route, this.options.balancer.readingMs(this.#incoming.promptTokens))
+  #rank ({ route, priority }: Admitted): number {
+    return this.#times.rank({ priority, objectiveMs: route.objectiveMs }, this.options.balancer.readingMs(this.#incoming.promptTokens))
   }
 
   /** What follows from a try's end. */
@@ -367,6 +386,10 @@
     return 'failed'
   }
 
+  #deny ({ reason }: Denial): string {
+    return this.#end(denialStatus[reason], reason, denialText[reason])
+  }
+
   #end (status: number, outcome: string, message: string): string {
     this.#incoming.message.resume()
     this.#delivery.own(status, {}, message)
--- a/packages/fleet/src/ports.ts
+++ b/packages/fleet/src/ports.ts
@@ -87,6 +87,12 @@
   serverId: string
   expectedVersion: string
   priority: string
+  /** A caller's key, as `SCHEME KEY`; never passed on where the table knows teams. */
+  key: string
+  /** In lower case. */
+  keyScheme: string
+  /** Towards servers: the team that the request belongs to. */
+  team: string
   /** Headers that only the system may set, taken off what callers send. */
   reserved: ReadonlySet<string>
 }
--- a/packages/fleet/src/table.ts
+++ b/packages/fleet/src/table.ts
@@ -3,6 +3,7 @@
  * and is replaced whole.
  */
 import * as z from 'zod'
+import { FleetTeam, type KeyHash } from './team.js'
 
 /** What may be done again: `repeatable` freely, `once` never; a `stream` is `once` unless it may be resumed. */
 export const RouteKind = z.enum(['repeatable', 'once', 'stream'])
@@ -24,6 +25,8 @@
   /** Backend servers that one request may run on. */
   maxAttempts: z.number().int().positive(),
   resumable: z.boolean(),
+  /** Needs no key. */
+  public: z.boolean().optional(),
   targets: z.array(z.object({ service: z.string(), weight: z.number().nonnegative() })).min(1)
 })
 export type Route = z.infer<typeof Route>
@@ -69,6 +72,8 @@
   version: z.number(),
   routes: z.array(Route),
   services: z.array(FleetService),
+  /** Absent where callers need no key. */
+  teams: z.array(FleetTeam).optional(),
   limits: CallerLimits
 })
 export type RoutingTable = z.infer<typeof RoutingTable>
@@ -77,9 +82,11 @@
 export class RouteIndex {
   readonly #routes = new Map<string, Route[]>()
   readonly #services: Map<string, FleetService>
+  readonly #teams = new Map<KeyHash, FleetTeam>()
 
   constructor (readonly table: RoutingTable) {
     this.#services = new Map(table.services.map(service => [service.name, service]))
+    for (const team of table.teams ?? []) for (const key of team.keys) this.#teams.set(key, team)
     for (const route of table.routes) {
       const key = route.host.toLowerCase()
       const sameHost = this.#routes.get(key) ?? []
@@ -97,4 +104,14 @@
   service (name: string): FleetService | undefined {
     return this.#services.get(name)
   }
+
+  /** Callers need a key. */
+  get keyed (): boolean {
+    return this.table.teams !== undefined
+  }
+
+  /** The team that holds the key. */
+  teamOf (key: KeyHash): FleetTeam | undefined {
+    return this.#teams.get(key)
+  }
 }
--- a/packages/fleet/test/attempt.test.ts
+++ b/packages/fleet/test/attempt.test.ts
@@ -17,6 +17,9 @@
   serverId: 'server-id',
   expectedVersion: 'expected-version',
   priority: 'priority',
+  key: 'authorization',
+  keyScheme: 'token',
+  team: 'team',
   reserved: new Set()
 }
 const connectMs = 60
--- /dev/null
+++ b/packages/fleet/test/teams.test.ts
@@ -0,0 +1,159 @@
+import { FleetSystem, askFleet, eventually, type Ask, type Reply } from '@finchpitch/stand-ins'
+import { RouteIndex, admit, credentialOf, hashKey, outgoingOf, type HeaderNames, type Marks, type Route } from '@finchpitch/fleet'
+import { headerNames } from '@finchpitch/platform'
+import { pause } from '@finchpitch/core'
+import { expect } from 'chai'
+import type { IncomingMessage } from 'node:http'
+
+const names: HeaderNames = headerNames
+
+const message = (rawHeaders: string[]): IncomingMessage => ({ rawHeaders, headers: {}, method: 'POST', url: '/p/x' }) as unknown as IncomingMessage
+
+const route = (name: string, more: Partial<Route> = {}): Route => ({
+  name, host: 'h', pathPrefix: `/${name}/`, kind: 'once', timeoutMs: 1000, objectiveMs: 100, priority: 2, maxAttempts: 1, resumable: false, targets: [{ service: 's', weight: 1 }], ...more
+})
+
+const routes = new RouteIndex({
+  version: 1,
+  routes: [route('p'), route('open', { public: true })],
+  services: [],
+  teams: [{ name: 'red', keys: [hashKey('red-1'), hashKey('red-2')], priority: 1 }, { name: 'blue', keys: [hashKey('blue-1')] }],
+  limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 }
+})
+
+describe('teams', () => {
+  describe('the key of a request', () => {
+    const spellings: Array<[string, string[]]> = [
+      ['plain', ['Authorization', 'Token red-1']],
+      ['in lower case', ['authorization', 'token red-1']],
+      ['in capitals', ['AUTHORIZATION', 'TOKEN red-1']],
+      ['with more blanks', ['Authorization', ' Token   red-1 ']],
+      ['twice alike', ['Authorization', 'Token red-1', 'authorization', 'Token red-1']]
+    ]
+    for (const [spelling, raw] of spellings) {
+      it(`is read ${spelling}`, () => {
+        expect(credentialOf(message(raw), names)).to.deep.equal({ type: 'key', hash: hashKey('red-1') })
+      })
+    }
+
+    const faulty: Array<[string, string[]]> = [
+      ['two different ones', ['Authorization', 'Token red-1', 'Authorization', 'Token blue-1']],
+      ['another scheme', ['Authorization', 'Basic red-1']],
+      ['no scheme', ['Authorization', 'red-1']],
+      ['nothing after the scheme', ['Authorization', 'Token']],
+      ['two words', ['Authorization', 'Token red-1 blue-1']]
+    ]
+    for (const [what, raw] of faulty) {
+      it(`is none that can be known with ${what}`, () => {
+        expect(credentialOf(message(raw), names)).to.deep.equal({ type: 'invalid' })
+      })
+    }
+
+    it('is missing where no header says it', () => {
+      expect(credentialOf(message(['X-Authorization', 'Token red-1']), names)).to.deep.equal({ type: 'none' })
+    })
+  })
+
+  describe('admission', () => {
+    const key = (text: string): Parameters<typeof admit>[1]['credential'] => ({ type: 'key', hash: hashKey(text) })
+
+    it('names the team that holds the key, whose priority goes first', () => {
+      expect(admit(routes, { host: 'h', path: '/p/x', credential: key('red-2') })).to.deep.include({ type: 'admitted', priority: 1 })
+      expect(admit(routes, { host: 'h', path: '/p/x', credential: key('blue-1') })).to.deep.include({ type: 'admitted', priority: 2 })
+    })
+
+    it('denies a key that the table does not hold, none and an invalid one', () => {
+      for (const credential of [key('red-3'), { type: 'none' } as const, { type: 'invalid' } as const]) {
+        expect(admit(routes, { host: 'h', path: '/p/x', credential })).to.deep.include({ type: 'denied', reason: 'key_not_known' })
+      }
+    })
+
+    it('asks for no key on a public route, and believes none that it does not know', () => {
+      const admitted = admit(routes, { host: 'h', path: '/open/x', credential: key('red-3') })
+      expect(admitted).to.deep.include({ type: 'admitted', team: undefined })
+    })
+
+    it('tells a missing route before a missing key', () => {
+      expect(admit(routes, { host: 'h', path: '/q/x', credential: { type: 'none' } })).to.deep.include({ type: 'denied', reason: 'no_route' })
+    })
+  })
+
+  describe('what goes to a server', () => {
+    const marks: Marks = { remaining: 100, server: 'i', engine: undefined, team: 'red', keyed: true, resumeAt: undefined }
+    const sent = (raw: string[], more: Partial<Marks> = {}): string[] => outgoingOf(message(raw), Buffer.alloc(0), names, { ...marks, ...more }).headers
+    const valuesOf = (headers: string[], name: string): string[] => headers.filter((_value, at) => at % 2 === 1 && headers[at - 1]?.toLowerCase() === name)
+
+    it('never has the key, in no spelling and number', () => {
+      const headers = sent(['Authorization', 'Token red-1', 'AUTHORIZATION', 'Token red-1', 'authorization', 'x'])
+      expect(valuesOf(headers, 'authorization')).to.deep.equal([])
+      expect(headers.join()).to.not.include('red-1')
+    })
+
+    it('has the team by its name, whatever the caller named', () => {
+      expect(valuesOf(sent(['Tenant', 'blue', 'TENANT', 'green']), 'tenant')).to.deep.equal(['red'])
+      expect(valuesOf(sent(['Tenant', 'blue', 'Connection', 'tenant']), 'tenant')).to.deep.equal(['red'])
+    })
+
+    it('has no team where none is known', () => {
+      expect(valuesOf(sent(['Tenant', 'blue'], { team: undefined }), 'tenant')).to.deep.equal([])
+    })
+
+    it('is left as it came where the table knows no teams', () => {
+      const headers = sent(['Authorization', 'Token x', 'Tenant', 'blue'], { team: undefined, keyed: false })
+      expect(valuesOf(headers, 'authorization')).to.deep.equal(['Token x'])
+      expect(valuesOf(headers, 'tenant')).to.deep.equal(['blue'])
+    })
+  })
+
+  describe('in a fleet of real processes', function () {
+    this.timeout(60_000)
+    let fleet: FleetSystem
+    let sent = 0
+    const ask = (asked: Omit<Ask, 'id'> & { id?: string }): Promise<Reply> => askFleet(fleet, { id: `team-request-${sent++}`, ...asked })
+    const withKey = (key: string): Record<string, string> => ({ authorization: `Token ${key}` })
+    const tenants = (...keys: string[]): Record<string, unknown> => ({ tenants: [{ name: 'red', apiKeys: keys, priority: 0 }] })
+    const publish = (more: Record<string, unknown>): void => { fleet.store.put('config', 'main', fleet.table(fleet.store.revision + 10, more)) }
+
+    before(async () => {
+      fleet = new FleetSystem({ network: 45, domains: 1, entriesPerDomain: 1, enginesPerDomain: 1, plainPerDomain: 1, places: 3, loadMs: 60, workMs: 5, events: 5, eventMs: 5 })
+      await fleet.start()
+      publish(tenants('red-key-one', 'red-key-two'))
+      await eventually('keys are asked for', async () => (await ask({ path: '/once/x' })).status === 401)
+    })
+
+    after(async () => { await fleet.stop() })
+
+    it('a request with a key runs for its team, and its server sees no key', async () => {
+      const id = 'team-request-known'
+      expect(await ask({ id, path: '/once/x', headers: { ...withKey('red-key-one'), tenant: 'blue' } })).to.include({ status: 200 })
+      const headers = fleet.plain[0]?.headers.get(id)
+      expect(headers).to.include({ tenant: 'red' })
+      expect(headers).to.not.have.property('authorization')
+    })
+
+    it('one without, or with another, is told so before its body is read, and does not run', async () => {
+      const id = 'team-request-unknown'
+      expect(await ask({ id, path: '/once/x', headers: withKey('green-key') })).to.include({ status: 401 })
+      expect(await ask({ path: '/stream/x', model: 'base/a1', headers: { authorization: ['Token red-key-one', 'Token green-key'] } })).to.include({ status: 401 })
+      expect(fleet.plain[0]?.ran).to.not.include(id)
+    })
+
+    it('a key that is taken away stops working, also for a request that waits', async () => {
+      const engine = fleet.engines[0]
+      if (engine === undefined) throw new Error('the fleet has no engine')
+      engine.options.engine = { model: 'base', places: 3, loadMs: 700 }
+      const waiting = ask({ id: 'team-request-waiting', path: '/stream/x', model: 'base/a9', headers: withKey('red-key-two') })
+      await pause(200)
+      publish(tenants('red-key-one'))
+      expect((await waiting).status).to.equal(401)
+      expect(engine.ran).to.not.include('team-request-waiting')
+      expect(await ask({ path: '/once/x', headers: withKey('red-key-one') })).to.include({ status: 200 })
+    })
+
+    it('no key is in any line of the logs', () => {
+      const lines = [...fleet.entries, ...fleet.sides].flatMap(machine => machine.output).join('\n')
+      expect(lines).to.not.match(/red-key|green-key/)
+      expect(lines).to.include('"team":"red"')
+    })
+  })
+})
--- a/packages/stand-ins/src/fleet/caller.ts
+++ b/packages/stand-ins/src/fleet/caller.ts
@@ -18,7 +18,7 @@
   model?: string
   /** Time that the caller states it has left. */
   remainingMs?: number
-  headers?: Record<string, string>
+  headers?: Record<string, string | string[]>
   agent?: Agent
   /** The place of the entry in the fleet's list. */
   entry?: number
