Requests with keys are sent under a lease: on a proof of the newest table that passes between processes without clocks

Change: a proof is the start of a call to the store that was answered. Reading entries get one with each watch of the table, which waits 0.14 of the bound at most; side processes and other entries ask for it, with a stamp of their own clock that comes back with the proof's age, so that delays and freezes make a proof older and never younger. At 0.8 of the bound without one an entry refuses at once (503, 0.25 s, 2 s in an outage), says that it is not ready and ends connections with its answer, so that callers meet another one. The lease is looked at when a request comes and, in the turn of the event loop that writes it, once its connection is up: before, a request that was connecting when its process froze was written after the thaw. Ruled out: a watch's end as the proof (its answer may have been under way for seconds); stamps on heartbeats (one each 1.8 s at side processes: two hops could need 4.5 s of 5).

--- a/packages/fleet/src/entry/attempt.ts
+++ b/packages/fleet/src/entry/attempt.ts
@@ -31,6 +31,8 @@
   serverId: string
   names: HeaderNames
   connectMs: number
+  /** Asked with the connection up and nothing sent yet, which may be long after the try began: whether it may still be sent. */
+  permit: () => boolean
   /** A new connection came up, after so many milliseconds. */
   cameUp: (ms: number) => void
   /** Answers of a stream go out as they come. */
@@ -45,6 +47,8 @@
 
 export type AttemptEnd =
   | { type: 'not_sent', detail: string }
+  /** What allowed it to be sent no longer holds. */
+  | { type: 'withheld' }
   | { type: 'not_run', status: number, retryAfter: string | undefined, cause: RefusalCause }
   | { type: 'broken', detail: string }
   | { type: 'answer', status: number, headers: RawHeaders, body: Buffer }
@@ -87,16 +91,24 @@
     request.destroy()
   }
   const forget = cancellation.onCancel(cancel)
-  const join = (): void => {
-    connected = true
+  /** In one turn of the event loop, since this process may be frozen between any two. */
+  const send = (): void => {
     clearTimeout(connecting)
+    if (finished) return
+    if (!options.permit()) {
+      finish({ type: 'withheld' })
+      request.destroy()
+      return
+    }
+    connected = true
+    request.end(outgoing.body.length === 0 ? undefined : outgoing.body)
   }
   request.on('socket', socket => {
-    if (!socket.connecting) return join()
+    if (!socket.connecting) return send()
     const began = nowMs()
     socket.once('connect', () => {
-      join()
       options.cameUp(nowMs() - began)
+      send()
     })
   })
   // Told before the answer's end: the runtime takes a reset for the end of an answer without a length.
@@ -110,8 +122,7 @@
     if (!request.writableFinished) answer.once('end', () => request.destroy())
     void read(answer, request, options).then(finish)
   })
-  if (cancellation.cancelled) return cancel()
-  request.end(outgoing.body.length === 0 ? undefined : outgoing.body)
+  if (cancellation.cancelled) cancel()
 })
 
 const read = async (answer: IncomingMessage, request: ClientRequest, options: AttemptOptions): Promise<AttemptEnd> => {
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -11,13 +11,14 @@
 import { nowMs } from '../clock.js'
 import { FactLink, patienceMs } from '../fact-exchange.js'
 import type { Fact, Facts } from '../facts.js'
-import { Turn, gatherMs, reserveMs } from '../follow.js'
+import { Turn, gatherMs, reserveMs, watchMs } from '../follow.js'
 import type { FactSource, HeaderNames, Limits } from '../ports.js'
 import { Balancer } from './balancer.js'
 import { CallerConnections } from './caller-connections.js'
 import { ConnectLimit } from './connect-limit.js'
 import { EntryCounters } from './counters.js'
 import { FirstTries } from './first-tries.js'
+import { KeyLease } from './key-lease.js'
 import { RetryBudget } from './retry-budget.js'
 import { ServerFaults } from './server-faults.js'
 import { ServiceRequest } from './service-request.js'
@@ -37,6 +38,8 @@
 const learningMs = 500
 /** Else the store is away, which takes seconds; a caller that comes back sooner is refused a second time. */
 const outageRetryMs = 2000
+/** A caller's next try meets another entry; the balancer knows within a second that this one is not ready. */
+const elsewhereRetryMs = 250
 const seedSpan = { firstMs: 200, limitMs: 2000 }
 /** How often it is looked at whether another entry is still needed to learn from. */
 const seedCheckMs = 1000
@@ -71,6 +74,7 @@
   readonly #budget: RetryBudget
   readonly #connects = new ConnectLimit()
   readonly #firstTries = new FirstTries()
+  readonly #lease: KeyLease
   /** Other entries are needed to learn from. */
   readonly #seedTurn = new Turn()
   readonly #faults: ServerFaults
@@ -83,12 +87,13 @@
 
   constructor (private readonly options: FleetEntryOptions) {
     const { facts, domain, limits, log, process, sidePort, channel, dial, sources } = options
+    this.#lease = new KeyLease(facts, limits)
     this.#balancer = new Balancer(facts, domain, limits, () => this.#links, log)
     this.#links = new SideLinks({
       process, domain, facts, states: this.#balancer.states, sidePort, channel, dial, log, watching: () => this.#watch.watching, changed: keys => this.#room.poke(keys), appointmentsChanged: () => this.#watch.check()
     })
     this.#watch = new StoreWatch({
-      sources, facts, log, restMs: kind => this.#restMs(kind), appointments: () => this.#links.appointments, changed: () => this.#links.watchingChanged()
+      sources, facts, log, watchMs: kind => this.#watchMs(kind), restMs: kind => this.#restMs(kind), unproven: () => this.#lease.watchDue, appointments: () => this.#links.appointments, changed: () => this.#links.watchingChanged()
     })
     this.#faults = new ServerFaults(this.#balancer, this.counters, log)
     this.#budget = new RetryBudget(limits, () => this.#links.entries)
@@ -120,6 +125,7 @@
   get unready (): string | undefined {
     if (this.#closing) return 'stopping'
     if (this.options.facts.routes === undefined) return 'no routing table yet'
+    if (!this.#lease.held) return 'keys are not confirmed'
     return this.options.facts.servers.size === 0 ? 'no backend servers yet' : undefined
   }
 
@@ -161,7 +167,7 @@
     this.#running += 1
     try {
       const served = new ServiceRequest({
-        facts, balancer: this.#balancer, room: this.#room, budget: this.#budget, faults: this.#faults, connects: this.#connects, firstTries: this.#firstTries, names, counters: this.counters, log, closed: this.#closed, learned: () => this.#learned(), blindRetryMs: () => this.#blindRetryMs, lastAnswer: () => this.#closing || this.#connections.isOld(request.socket)
+        facts, balancer: this.#balancer, room: this.#room, budget: this.#budget, faults: this.#faults, connects: this.#connects, lease: this.#lease, unconfirmedRetryMs: () => this.#unconfirmedRetryMs, firstTries: this.#firstTries, names, counters: this.counters, log, closed: this.#closed, learned: () => this.#learned(), blindRetryMs: () => this.#blindRetryMs, lastAnswer: () => this.#closing || !this.#lease.held || this.#connections.isOld(request.socket)
       }, request, response)
       await served.serve()
     } catch (error) {
@@ -183,11 +189,13 @@
   async #learned (): Promise<void> {
     const { facts } = this.options
     const leftMs = learningMs - (nowMs() - this.#startedAt)
-    if (facts.routes !== undefined || leftMs <= 0) return
+    const known = (): boolean => facts.routes !== undefined && this.#lease.held
+    if (known() || leftMs <= 0) return
     const learned = new AbortController()
-    const forget = facts.onChange(() => { if (facts.routes !== undefined) learned.abort() })
+    const look = (): void => { if (known()) learned.abort() }
+    const forget = [facts.onChange(look), facts.freshness.onProof(look)]
     await pause(leftMs, learned.signal)
-    forget()
+    for (const each of forget) each()
   }
 
   /** Soon while it is only starting; later once neither the store nor a peer had the table in the time that takes. */
@@ -195,6 +203,15 @@
     return nowMs() - this.#startedAt < learningMs ? learningMs : outageRetryMs
   }
 
+  /** Other entries may hold the lease, and callers' new connections go to those; in an outage nobody does for a while. */
+  get #unconfirmedRetryMs (): number {
+    return this.#links.outage ? outageRetryMs : elsewhereRetryMs
+  }
+
+  #watchMs (kind: Fact['kind']): number {
+    return kind === 'table' ? this.#lease.watchMs ?? watchMs.table : watchMs[kind]
+  }
+
   #reconcile (): void {
     const { facts } = this.options
     const engines = [...facts.servers.values()].filter(server => facts.routes?.service(server.service)?.engine !== undefined)
@@ -216,6 +233,7 @@
     while (!signal.aborted) {
       await pause(sweepMs, signal)
       this.options.facts.expire()
+      if (this.#lease.askDue) this.#links.askFresh(this.#lease.askFarDue)
       this.#watch.check()
       this.#seedTurn.set(this.#needsSeeds)
       this.#noteEntries(this.#links.entries ?? 0)
--- a/packages/fleet/src/entry/gate.ts
+++ b/packages/fleet/src/entry/gate.ts
@@ -17,19 +17,23 @@
   priority: number
 }
 
-/** Why a request may not be sent. `key_not_known`: none came, or one that the table doesn't hold. */
-export type Denial = { type: 'denied', reason: 'no_route' | 'key_not_known', route: Route | undefined }
+/** Why a request may not be sent. `key_not_known`: none came, or one that the table doesn't hold; `keys_not_confirmed`: whether the table still holds it can't be known now. */
+export type Denial = { type: 'denied', reason: 'no_route' | 'key_not_known' | 'keys_not_confirmed', route: Route | undefined }
 
 export interface Asking {
   host: string
   path: string
   credential: Credential
+  /** It is known that the table is new enough to say who holds a key. */
+  confirmed: boolean
 }
 
-export const admit = (routes: RouteIndex, { host, path, credential }: Asking): Admitted | Denial => {
+export const admit = (routes: RouteIndex, { host, path, credential, confirmed }: Asking): Admitted | Denial => {
   const route = routes.find(host, path)
   if (route === undefined) return { type: 'denied', reason: 'no_route', route }
   const team = credential.type === 'key' ? routes.teamOf(credential.hash) : undefined
+  const keyed = team !== undefined || (credential.type === 'key' && route.public !== true)
+  if (routes.keyed && keyed && !confirmed) return { type: 'denied', reason: 'keys_not_confirmed', route }
   if (team === undefined && routes.keyed && route.public !== true) return { type: 'denied', reason: 'key_not_known', route }
   return { type: 'admitted', route, team, priority: team?.priority ?? route.priority }
 }
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -25,6 +25,7 @@
 import { admit, type Admitted, type Denial } from './gate.js'
 import { credentialOf, type Credential } from './identity.js'
 import { Incoming } from './incoming.js'
+import type { KeyLease } from './key-lease.js'
 import { outgoingOf, type Marks } from './outgoing.js'
 import { RequestRecord } from './request-record.js'
 import { RequestTimes } from './request-times.js'
@@ -54,12 +55,15 @@
   names: HeaderNames
   faults: ServerFaults
   connects: ConnectLimit
+  lease: KeyLease
   counters: EntryCounters
   log: Log
   /** Resolves once this entry has a routing table, or had the time that learning it takes after a start. */
   learned: () => Promise<void>
   /** When callers should come back while this entry has no routing table. */
   blindRetryMs: () => number
+  /** When they should while it can't be known whether a key still works. */
+  unconfirmedRetryMs: () => number
   /** The process is about to end: what has not begun may not end in time, and is refused at once. */
   closed: boolean
   /** Whether the connection should end with this answer. */
@@ -80,8 +84,9 @@
   route: Route
 }
 
-const denialStatus: Record<Denial['reason'], number> = { no_route: 404, key_not_known: 401 }
-const denialText: Record<Denial['reason'], string> = { no_route: 'no such route', key_not_known: 'a key is needed that is known here' }
+type Final = Exclude<Denial['reason'], 'keys_not_confirmed'>
+const denialStatus: Record<Final, number> = { no_route: 404, key_not_known: 401 }
+const denialText: Record<Final, string> = { no_route: 'no such route', key_not_known: 'a key is needed that is known here' }
 
 const noCredential: Credential = { type: 'none' }
 
@@ -176,7 +181,7 @@
   #admit (routes: RouteIndex): Admitted | Denial {
     const { host, path, message } = this.#incoming
     if (routes.keyed) this.#credential ??= credentialOf(message, this.options.names)
-    const admission = admit(routes, { host, path, credential: this.#credential ?? noCredential })
+    const admission = admit(routes, { host, path, credential: this.#credential ?? noCredential, confirmed: this.options.lease.held })
     this.#record.route = admission.route ?? this.#record.route
     if (admission.type === 'admitted') this.#record.team = admission.team?.name
     return admission
@@ -224,7 +229,8 @@
   }
 
   async #try (server: BackendServer, asked: Asked, admitted: Admitted, body: Buffer, choice: Sending): Promise<Verdict> {
-    const { balancer, budget, names, counters, connects } = this.options
+    const { balancer, budget, names, counters, connects, facts } = this.options
+    const table = facts.routes
     const { route } = admitted
     const remaining = Math.floor(this.#times.leftMs)
     if (remaining < leastRemainingMs) return done(this.#mayHaveRun ? this.#fail(504, 'timed_out') : this.#refuse('too_late'))
@@ -242,6 +248,7 @@
       serverId: server.id,
       names,
       connectMs: Math.min(connects.ms, remaining),
+      permit: () => this.#mayStillSend(admitted, table),
       cameUp: ms => connects.cameUp(ms),
       stream: route.kind === 'stream',
       cutter: this.#cutter,
@@ -254,12 +261,18 @@
       }
     })
     state.end(key, pending)
-    if (end.type !== 'not_sent') this.#arrivals += 1
+    if (end.type !== 'not_sent' && end.type !== 'withheld') this.#arrivals += 1
     counters.attempts.inc({ end: end.type })
     this.options.room.pokeFull()
     return this.#judge(end, { server, asked, route })
   }
 
+  /** Under a table that changed, it is asked anew who may ask for what. */
+  #mayStillSend ({ team }: Admitted, table: RouteIndex | undefined): boolean {
+    const { facts, lease } = this.options
+    return facts.routes === table && (team === undefined || lease.held)
+  }
+
   #noteTry (server: BackendServer, { key }: Asked, { reason, expectedMs }: Sending): void {
     const record = this.#record
     record.tries += 1
@@ -310,6 +323,7 @@
       self.#excluded.add(server.id)
       return self.#goOn('not_sent')
     },
+    withheld: self => self.#goOn('withheld'),
     not_run: (self, { status, cause, retryAfter }, { server, asked }) => {
       const { key } = asked
       if (self.options.faults.refused({ request: self.#incoming.id, server, status, cause, key, tries: self.#record.tries })) self.#excluded.add(server.id)
@@ -387,9 +401,17 @@
   }
 
   #deny ({ reason }: Denial): string {
+    if (reason === 'keys_not_confirmed') return this.#unconfirmed()
     return this.#end(denialStatus[reason], reason, denialText[reason])
   }
 
+  /** Another entry may know more at once; where the store answers nobody, none does. */
+  #unconfirmed (): string {
+    this.#retryAfterMs = this.options.unconfirmedRetryMs()
+    this.#incoming.message.resume()
+    return this.#refuse('keys_not_confirmed')
+  }
+
   #end (status: number, outcome: string, message: string): string {
     this.#incoming.message.resume()
     this.#delivery.own(status, {}, message)
--- a/packages/fleet/src/entry/side-link.ts
+++ b/packages/fleet/src/entry/side-link.ts
@@ -8,6 +8,7 @@
 import { Channel, type Appointment, type Frame, type FrameOf } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
 import { FactLink, patienceMs } from '../fact-exchange.js'
+import { acceptFresh, answerFresh, askFresh } from '../fresh-exchange.js'
 import { redial, type SidePeering } from '../redial.js'
 import { quietPace } from '../side/reader.js'
 import { unreadDiffers } from '../unread.js'
@@ -57,6 +58,8 @@
   #follows: readonly string[] = []
   #dependent = false
   #factLink: FactLink | undefined
+  /** A proof of freshness is to be asked for once it is joined. */
+  #freshDue = false
   /** Whether this entry is to watch the store, as last told. */
   #appointment: Appointment | undefined
   #usedAt = -Infinity
@@ -104,6 +107,14 @@
     if (this.near) this.#factLink?.setPatience(this.#patience)
   }
 
+  /** Asks how fresh the side process's table is. */
+  askFresh (): void {
+    this.#usedAt = nowMs()
+    this.#open()
+    if (this.#channel === undefined) this.#freshDue = true
+    else askFresh(this.options.facts, this.#channel)
+  }
+
   /** Whether it can be asked to bring the key in. */
   orderable (key: string): boolean {
     const now = nowMs()
@@ -233,6 +244,8 @@
     else factLink.stop()
     for (const want of this.#queued.values()) channel.send({ type: 'want', ...want })
     this.#queued.clear()
+    if (this.#freshDue) askFresh(facts, channel)
+    this.#freshDue = false
     log.info('side.joined', { host: this.host, process: channel.peer.process })
     changed()
   }
@@ -258,6 +271,8 @@
     factLink.take(frame)
     if (frame.type === 'caught_up') this.options.facts.caughtUp(frame.complete)
     if (frame.type === 'appoint') this.#appoint(frame)
+    if (frame.type === 'fresh') acceptFresh(this.options.facts, frame)
+    if (frame.type === 'ask_fresh' && this.#channel !== undefined) answerFresh(this.options.facts, { channel: this.#channel, ask: frame, cameAt: nowMs() })
     if (frame.type === 'declined') {
       this.#declined.set(frame.key, nowMs())
       this.#wanted.delete(frame.key)
--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -25,6 +25,8 @@
 const tendMs = 200
 /** Said again even where nothing changed, as a side process forgets what it hears no more of. */
 const usesAgainMs = 1000
+/** Over the number of side processes, so that each may be the first. */
+const mostStart = 10_000
 
 export interface SideLinksOptions extends SidePeering {
   process: string
@@ -48,6 +50,8 @@
   /** By the host that an engine shares with its side process. */
   readonly #engines = new Map<string, Engine>()
   readonly #sources: NewsSources
+  /** Side processes take turns in being asked for proofs; entries begin with different ones. */
+  #freshRounds = Math.floor(Math.random() * mostStart)
   #usesDue: NodeJS.Timeout | undefined
 
   constructor (private readonly options: SideLinksOptions) {
@@ -82,6 +86,20 @@
     return [...this.#engines.values()].filter(({ link }) => link.near).map(({ link }) => link.appointment).filter(each => each !== undefined)
   }
 
+  /** The store answers no entry near. */
+  get outage (): boolean {
+    return this.appointments.some(each => each.outage)
+  }
+
+  /** Asks one side process after the other for a proof that the table is the newest: those near, and on `far` also the others. */
+  askFresh (far: boolean): void {
+    const links = [...this.#engines.values()].map(({ link }) => link)
+    this.#freshRounds += 1
+    for (const asked of [links.filter(link => link.near && link.lively), far ? links.filter(link => !link.near) : []]) {
+      asked[this.#freshRounds % asked.length]?.askFresh()
+    }
+  }
+
   /** This entry began to watch the store, or left it to others. */
   watchingChanged (): void {
     for (const { link } of this.#engines.values()) link.watchingChanged()
--- a/packages/fleet/src/entry/store-watch.ts
+++ b/packages/fleet/src/entry/store-watch.ts
@@ -16,7 +16,10 @@
   sources: FactSource[]
   facts: Facts
   log: Log
+  watchMs: (kind: Fact['kind']) => number
   restMs: (kind: Fact['kind']) => number
+  /** No proof of late that the table is the newest, where one is needed. */
+  unproven: () => boolean
   /** What side processes near that answer last said. */
   appointments: () => readonly Appointment[]
   /** The duty began or ended. */
@@ -35,14 +38,14 @@
   }
 
   run (signal: AbortSignal): void {
-    const { sources, facts, log, restMs } = this.options
-    for (const source of sources) void follow({ source, facts, log, signal, outage: this.#outage, turn: this.#turn, restMs })
+    const { sources, facts, log, restMs, watchMs } = this.options
+    for (const source of sources) void follow({ source, facts, log, signal, outage: this.#outage, turn: this.#turn, restMs, watchMs })
   }
 
   /** Looks at the duty anew. */
   check (): void {
-    const { facts, appointments } = this.options
-    this.#setDuty({ appointments: appointments(), read: facts.read, confirmedMs: nowMs() - facts.confirmedAt })
+    const { facts, appointments, unproven } = this.options
+    this.#setDuty({ appointments: appointments(), read: facts.read, confirmedMs: nowMs() - facts.confirmedAt, unproven: unproven() })
     facts.setSight(this.#sight())
   }
 
--- a/packages/fleet/src/entry/watch-duty.ts
+++ b/packages/fleet/src/entry/watch-duty.ts
@@ -19,19 +19,22 @@
   read: boolean
   /** Since the list of servers was known to be complete. */
   confirmedMs: number
+  /** No proof of late that the table is the newest, where one is needed. */
+  unproven: boolean
 }
 
 export interface Duty {
   watch: boolean
-  reason: 'nobody near to name watchers' | 'named' | 'nothing read yet' | 'nothing was confirmed' | 'left to others'
+  reason: 'nobody near to name watchers' | 'named' | 'nothing read yet' | 'nothing was confirmed' | 'keys are not confirmed' | 'left to others'
 }
 
-export const dutyOf = ({ appointments, read, confirmedMs }: DutyView): Duty => {
+export const dutyOf = ({ appointments, read, confirmedMs, unproven }: DutyView): Duty => {
   if (appointments.length === 0) return { watch: true, reason: 'nobody near to name watchers' }
   if (appointments.some(({ watch }) => watch)) return { watch: true, reason: 'named' }
   if (!read) return { watch: true, reason: 'nothing read yet' }
   // In an outage there is nothing to be heard, and every entry that asks is one more call in vain.
   const outage = appointments.some(each => each.outage)
   if (confirmedMs > staleMs && !outage) return { watch: true, reason: 'nothing was confirmed' }
+  if (unproven && !outage) return { watch: true, reason: 'keys are not confirmed' }
   return { watch: false, reason: 'left to others' }
 }
--- a/packages/fleet/src/facts.ts
+++ b/packages/fleet/src/facts.ts
@@ -9,6 +9,7 @@
 import type { Log } from '@finchpitch/core'
 import type { Complete, FactFrame, StoreSight } from '@finchpitch/wire'
 import { nowMs } from './clock.js'
+import { Freshness } from './freshness.js'
 import { BackendServer, NamedVersion, refKey } from './server.js'
 import { RouteIndex, RoutingTable } from './table.js'
 
@@ -37,6 +38,7 @@
 type Listener = (fact: Fact) => void
 
 export class Facts {
+  readonly freshness = new Freshness()
   readonly servers = new Map<string, BackendServer>()
   /** Servers whose entry is gone, and until when they may still be sent work. */
   readonly #lapsed = new Map<string, number>()
@@ -150,7 +152,12 @@
 
   /** The revision at which a fact was last changed, as believed here. */
   revisionOf (kind: Fact['kind'], key: string): number {
-    return this.#current.get(`${kind} ${key}`)?.revision ?? 0
+    return this.current(kind, key)?.revision ?? 0
+  }
+
+  /** What is believed, as it was last told. */
+  current (kind: Fact['kind'], key: string): Fact | undefined {
+    return this.#current.get(`${kind} ${key}`)
   }
 
   get versions (): ReadonlyMap<string, VersionBelief> {
--- a/packages/fleet/src/ports.ts
+++ b/packages/fleet/src/ports.ts
@@ -16,6 +16,8 @@
   facts: Fact[]
   /** The store's revision that the page is complete up to. */
   revision: number
+  /** Objects that could not be read. */
+  unread?: number
 }
 
 /** One kind of fact in the store. */
@@ -104,6 +106,8 @@
   drainMs: number
   /** Time after a version was named in which the one before it may still be used. */
   versionMs: number
+  /** Time after which a key that was taken away no longer works anywhere; absent where that isn't asked for. */
+  revokeMs?: number
   retryRatio: number
   retryWindowMs: number
   retrySlack: number
--- a/packages/fleet/src/side/readers.ts
+++ b/packages/fleet/src/side/readers.ts
@@ -8,6 +8,7 @@
 import type { Channel, Frame, FrameOf } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
 import { FactLink, patienceMs } from '../fact-exchange.js'
+import { FreshRelay } from './fresh-relay.js'
 import { Reader, quietPace } from './reader.js'
 import type { EngineNews } from './news.js'
 import { Relay, type RelayOptions } from './relay.js'
@@ -24,9 +25,11 @@
 export class Readers {
   readonly #readers = new Set<Reader>()
   readonly #relay: Relay
+  readonly #fresh: FreshRelay
 
   constructor (private readonly options: ReadersOptions) {
     this.#relay = new Relay({ ...options, changed: () => this.tell() })
+    this.#fresh = new FreshRelay(options.facts, () => this.#readingNear())
   }
 
   get size (): number {
@@ -71,6 +74,8 @@
     if (frame.type === 'heartbeat') this.#heard(frame, reader)
     if (frame.type === 'depend') reader.depend(frame.on)
     if (frame.type === 'follow') this.#follow(reader, frame)
+    if (frame.type === 'ask_fresh') this.#fresh.ask(reader.channel, frame)
+    if (frame.type === 'fresh') this.#fresh.answered(frame)
   }
 
   /** Tells everybody what they have to know by now. */
@@ -91,9 +96,16 @@
 
   close (): void {
     this.#relay.close()
+    this.#fresh.close()
     for (const { channel } of this.#readers) channel.close()
   }
 
+  /** Channels to the entries near that read the store, the one heard last in front. */
+  #readingNear (): Channel[] {
+    const reading = [...this.#readers].filter(reader => reader.near && !reader.relay && reader.sight === 'reading')
+    return reading.sort((a, b) => b.heardAt - a.heardAt).map(reader => reader.channel)
+  }
+
   #heard (frame: FrameOf<'heartbeat'>, reader: Reader): void {
     reader.sight = frame.sight
     // Entries of the same domain that read the store send what they learn at once, so by now it is all here.
--- a/packages/fleet/test/attempt.test.ts
+++ b/packages/fleet/test/attempt.test.ts
@@ -26,9 +26,14 @@
 
 describe('an attempt', () => {
   let server: Server
+  let permitted: boolean
+  let received: number
 
   beforeEach(async () => {
+    permitted = true
+    received = 0
     server = createServer((request, response) => {
+      received += 1
       response.writeHead(200, { 'request-id': request.headers['request-id'], seal: 's' }).end('answer')
     })
     server.listen(0, '127.0.0.1')
@@ -45,6 +50,7 @@
     serverId: 's',
     names,
     connectMs,
+    permit: () => permitted,
     cameUp: () => {},
     stream: false,
     cutter: undefined,
@@ -64,4 +70,12 @@
   it('has surely not been sent where nothing listens', async () => {
     expect(await send('127.0.0.1:9')).to.include({ type: 'not_sent' })
   })
+
+  it('sends nothing once it may no longer be sent, though it might when it began', async () => {
+    const { port } = server.address() as AddressInfo
+    const end = send(`127.0.0.1:${port}`)
+    permitted = false
+    expect(await end).to.deep.equal({ type: 'withheld' })
+    expect(received).to.equal(0)
+  })
 })
--- a/packages/fleet/test/teams.test.ts
+++ b/packages/fleet/test/teams.test.ts
@@ -58,23 +58,32 @@
     const key = (text: string): Parameters<typeof admit>[1]['credential'] => ({ type: 'key', hash: hashKey(text) })
 
     it('names the team that holds the key, whose priority goes first', () => {
-      expect(admit(routes, { host: 'h', path: '/p/x', credential: key('red-2') })).to.deep.include({ type: 'admitted', priority: 1 })
-      expect(admit(routes, { host: 'h', path: '/p/x', credential: key('blue-1') })).to.deep.include({ type: 'admitted', priority: 2 })
+      expect(admit(routes, { host: 'h', path: '/p/x', credential: key('red-2'), confirmed: true })).to.deep.include({ type: 'admitted', priority: 1 })
+      expect(admit(routes, { host: 'h', path: '/p/x', credential: key('blue-1'), confirmed: true })).to.deep.include({ type: 'admitted', priority: 2 })
     })
 
     it('denies a key that the table does not hold, none and an invalid one', () => {
       for (const credential of [key('red-3'), { type: 'none' } as const, { type: 'invalid' } as const]) {
-        expect(admit(routes, { host: 'h', path: '/p/x', credential })).to.deep.include({ type: 'denied', reason: 'key_not_known' })
+        expect(admit(routes, { host: 'h', path: '/p/x', credential, confirmed: true })).to.deep.include({ type: 'denied', reason: 'key_not_known' })
       }
     })
 
     it('asks for no key on a public route, and believes none that it does not know', () => {
-      const admitted = admit(routes, { host: 'h', path: '/open/x', credential: key('red-3') })
+      const admitted = admit(routes, { host: 'h', path: '/open/x', credential: key('red-3'), confirmed: true })
       expect(admitted).to.deep.include({ type: 'admitted', team: undefined })
     })
 
+    it('says nothing of keys while the table may be old, known or not', () => {
+      for (const credential of [key('red-1'), key('red-3')]) {
+        expect(admit(routes, { host: 'h', path: '/p/x', credential, confirmed: false })).to.deep.include({ type: 'denied', reason: 'keys_not_confirmed' })
+      }
+      expect(admit(routes, { host: 'h', path: '/p/x', credential: { type: 'none' }, confirmed: false })).to.deep.include({ reason: 'key_not_known' })
+      expect(admit(routes, { host: 'h', path: '/open/x', credential: { type: 'none' }, confirmed: false })).to.deep.include({ type: 'admitted' })
+      expect(admit(routes, { host: 'h', path: '/open/x', credential: key('red-1'), confirmed: false })).to.deep.include({ reason: 'keys_not_confirmed' })
+    })
+
     it('tells a missing route before a missing key', () => {
-      expect(admit(routes, { host: 'h', path: '/q/x', credential: { type: 'none' } })).to.deep.include({ type: 'denied', reason: 'no_route' })
+      expect(admit(routes, { host: 'h', path: '/q/x', credential: { type: 'none' }, confirmed: true })).to.deep.include({ type: 'denied', reason: 'no_route' })
     })
   })
 
--- a/packages/fleet/test/watch-duty.test.ts
+++ b/packages/fleet/test/watch-duty.test.ts
@@ -4,7 +4,7 @@
 describe('who watches the platform\'s store', () => {
   describe('as an entry sees it', () => {
     const other = { watch: false, outage: false }
-    const view = { appointments: [other, other], read: true, confirmedMs: 300 }
+    const view = { appointments: [other, other], read: true, confirmedMs: 300, unproven: false }
 
     it('is others, where side processes near say so', () => {
       expect(dutyOf(view)).to.deep.equal({ watch: false, reason: 'left to others' })
@@ -26,6 +26,14 @@
       expect(dutyOf({ ...view, confirmedMs: 6500 })).to.include({ watch: true, reason: 'nothing was confirmed' })
     })
 
+    it('is itself, where keys have to be confirmed and nobody does', () => {
+      expect(dutyOf({ ...view, unproven: true })).to.include({ watch: true, reason: 'keys are not confirmed' })
+    })
+
+    it('is others still, where keys have to be confirmed and none is answered by the store', () => {
+      expect(dutyOf({ ...view, appointments: [{ watch: false, outage: true }], unproven: true })).to.include({ watch: false })
+    })
+
     it('is others still, where none is answered by the store', () => {
       expect(dutyOf({ ...view, appointments: [{ watch: false, outage: true }], confirmedMs: 6500 })).to.include({ watch: false })
     })
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -8,7 +8,7 @@
 import * as z from 'zod'
 
 /** Raised when two versions can't talk to each other; the first frame carries it. */
-export const protocolVersion = 3
+export const protocolVersion = 4
 
 const ExchangeId = z.number().int().nonnegative()
 
@@ -132,6 +132,13 @@
   z.object({ type: z.literal('depend'), on: z.boolean() }),
   /** To one that depends on the sender: with what was sent before, it lacks nothing up to here. */
   z.object({ type: z.literal('caught_up'), complete: Complete }),
+  /** Asks how fresh the receiver's routing table is. `stamp`: the sender's steady clock in ms; `revision`: of the table that it has. */
+  z.object({ type: z.literal('ask_fresh'), stamp: z.number(), revision: z.number().nonnegative() }),
+  /**
+   * The answer. The table with `revision` was the newest `ageMs` before the stamp came, or later where that is 0; absent
+   * where nothing proves it.
+   */
+  z.object({ type: z.literal('fresh'), stamp: z.number(), revision: z.number().nonnegative(), ageMs: z.number().nonnegative().optional() }),
   /** Whether the receiver, an entry, is one of those that watch the store for its failure domain. */
   Appointment,
   /** What the receiver asked for is held now. */
