Quotas summed over all entries without a coordinator: equal shares whose unused tokens move and lapse

Cause: teams have quotas in tokens over all entries together; nothing counted them. Change: each entry earns an equal share of each quota, by the most entries that may exist, and sets tokens aside when a request comes. What it doesn't need goes, with its age, to a side process that all entries choose by the same hashing, and from there to entries that lack it, four times a second and at once for a request that lacks some. A token is earned once and lapses, so the sum over any window holds by construction: (rate x (window + life)), with the life worked out from the bound. A lost message loses tokens; an entry out of touch lives on its share; processes that start again begin with nothing. Ages are taken over without comparing clocks (echoed stamps). Over the quota: 429 at once with when tokens may be there. A lost link now says which field of a frame was at fault. Ruled out: one owner of each quota (two owners for a moment give out twice; an owner by lease in the store is away with the store, as it is for 4 to 9 s at a time); counts of others with an error bound (a flood uses the slack within 0.3 s).

--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -19,6 +19,9 @@
 import { EntryCounters } from './counters.js'
 import { FirstTries } from './first-tries.js'
 import { KeyLease } from './key-lease.js'
+import { EntryCeiling } from './entry-ceiling.js'
+import { QuotaExchange } from './quota-exchange.js'
+import { Quotas } from './quotas.js'
 import { RetryBudget } from './retry-budget.js'
 import { ServerFaults } from './server-faults.js'
 import { ServiceRequest } from './service-request.js'
@@ -75,6 +78,11 @@
   readonly #connects = new ConnectLimit()
   readonly #firstTries = new FirstTries()
   readonly #lease: KeyLease
+  readonly #ceiling = new EntryCeiling()
+  /** The most entries that may exist, as last looked at. */
+  #mostEntries: number
+  readonly #quotas: Quotas
+  readonly #quotaExchange: QuotaExchange
   /** Other entries are needed to learn from. */
   readonly #seedTurn = new Turn()
   readonly #faults: ServerFaults
@@ -90,11 +98,14 @@
     this.#lease = new KeyLease(facts, limits)
     this.#balancer = new Balancer(facts, domain, limits, () => this.#links, log)
     this.#links = new SideLinks({
-      process, domain, facts, states: this.#balancer.states, sidePort, channel, dial, log, watching: () => this.#watch.watching, changed: keys => this.#room.poke(keys), appointmentsChanged: () => this.#watch.check()
+      process, domain, facts, states: this.#balancer.states, sidePort, channel, dial, log, watching: () => this.#watch.watching, changed: keys => this.#room.poke(keys), granted: (host, channel, frame) => this.#quotaExchange.take(host, channel, frame), appointmentsChanged: () => this.#watch.check()
     })
     this.#watch = new StoreWatch({
       sources, facts, log, watchMs: kind => this.#watchMs(kind), restMs: kind => this.#restMs(kind), unproven: () => this.#lease.watchDue, appointments: () => this.#links.appointments, changed: () => this.#links.watchingChanged()
     })
+    this.#mostEntries = this.#ceiling.of(undefined, 0)
+    this.#quotas = new Quotas({ limits, entries: () => this.#mostEntries, bring: (team, tokens) => this.#quotaExchange.bring(team, tokens) })
+    this.#quotaExchange = new QuotaExchange({ quotas: this.#quotas, hosts: () => this.#links.hosts, channelTo: host => this.#links.channelTo(host), log })
     this.#faults = new ServerFaults(this.#balancer, this.counters, log)
     this.#budget = new RetryBudget(limits, () => this.#links.entries)
     this.server = createServer({ maxHeaderSize: mostHeaderBytes, connectionsCheckingInterval: 1000, requestTimeout: 0 })
@@ -134,6 +145,7 @@
     // One for each task; there is no leak to be warned of.
     setMaxListeners(0, signal)
     this.#watch.run(signal)
+    void this.#quotaExchange.run(signal)
     for (const seed of this.options.seeds()) void this.#keepSeed(seed)
     void this.#links.tend(signal)
     void this.#sweep()
@@ -167,7 +179,7 @@
     this.#running += 1
     try {
       const served = new ServiceRequest({
-        facts, balancer: this.#balancer, room: this.#room, budget: this.#budget, faults: this.#faults, connects: this.#connects, lease: this.#lease, unconfirmedRetryMs: () => this.#unconfirmedRetryMs, firstTries: this.#firstTries, names, counters: this.counters, log, closed: this.#closed, learned: () => this.#learned(), blindRetryMs: () => this.#blindRetryMs, lastAnswer: () => this.#closing || !this.#lease.held || this.#connections.isOld(request.socket)
+        facts, balancer: this.#balancer, room: this.#room, budget: this.#budget, faults: this.#faults, connects: this.#connects, lease: this.#lease, quotas: this.#quotas, unconfirmedRetryMs: () => this.#unconfirmedRetryMs, firstTries: this.#firstTries, names, counters: this.counters, log, closed: this.#closed, learned: () => this.#learned(), blindRetryMs: () => this.#blindRetryMs, lastAnswer: () => this.#closing || !this.#lease.held || this.#connections.isOld(request.socket)
       }, request, response)
       await served.serve()
     } catch (error) {
@@ -225,6 +237,7 @@
     if (limits === undefined) return
     this.server.headersTimeout = limits.headerTimeoutMs
     this.server.keepAliveTimeout = limits.idleTimeoutMs + idleSlackMs
+    this.#quotas.follow(this.options.facts.routes?.table.teams ?? [])
     this.#reconcile()
   }
 
@@ -236,7 +249,9 @@
       if (this.#lease.askDue) this.#links.askFresh(this.#lease.askFarDue)
       this.#watch.check()
       this.#seedTurn.set(this.#needsSeeds)
-      this.#noteEntries(this.#links.entries ?? 0)
+      const { entries } = this.#links
+      this.#mostEntries = this.#ceiling.of(entries, this.options.facts.servers.size)
+      this.#noteEntries(entries ?? 0)
     }
   }
 
--- a/packages/fleet/src/entry/incoming.ts
+++ b/packages/fleet/src/entry/incoming.ts
@@ -50,6 +50,8 @@
     const pieces: Buffer[] = []
     let size = 0
     return new Promise(resolve => {
+      // It may have gone before its body was asked for, and says nothing more then.
+      if (message.destroyed && !message.readableEnded) resolve(err('caller_left'))
       message.on('data', (piece: Buffer) => {
         size += piece.length
         if (size <= limit) pieces.push(piece)
--- /dev/null
+++ b/packages/fleet/src/entry/quota-exchange.ts
@@ -0,0 +1,148 @@
+/**
+ * The exchange of quota tokens with other entries, through one side process that all choose by the same hashing.
+ *
+ * It goes on several times a second while some team has a quota, and at once where a request lacks tokens. Without an answer
+ * the next side process is asked; meanwhile each entry lives on its share.
+ */
+import { affinityOf, ageOf, hashOf, type TokenSlice } from '@finchpitch/decisions'
+import { pause, type Log } from '@finchpitch/core'
+import type { Channel, FrameOf, TokenAge } from '@finchpitch/wire'
+import { nowMs } from '../clock.js'
+import { lowest } from '../lowest.js'
+import type { Quotas } from './quotas.js'
+
+const exchangeMs = 250
+/** A side process answers within some ms. */
+const answerMs = 400
+/** One that did not answer isn't asked for this long. */
+const passedByMs = 2000
+/** A request waits for tokens of others no longer: an eighth of the shortest objective of streams. */
+const bringMs = 75
+/** A team that was found to be short is not asked for again at once by each of its requests. */
+const shortMs = 60
+/** Tokens of one team come in slices of 50 ms; of so many teams one frame can tell. */
+const mostTeams = 200
+
+export interface QuotaExchangeOptions {
+  quotas: Quotas
+  /** Hosts of all side processes. */
+  hosts: () => readonly string[]
+  /** The channel to a side process; opens one where there is none yet. */
+  channelTo: (host: string) => Channel | undefined
+  log: Log
+}
+
+interface Echo { stamp: number, cameAt: number }
+
+export class QuotaExchange {
+  #bank: string | undefined
+  readonly #passedBy = new Map<string, number>()
+  /** By channel, since a side process that starts again has another clock. */
+  readonly #echoes = new WeakMap<Channel, Echo>()
+  readonly #short = new Map<string, number>()
+  /** Wanted by requests beyond what is asked for anyway: to be asked for next, and asked for now. */
+  #urgent = new Map<string, number>()
+  #urged = new Map<string, number>()
+  #needed: ReadonlySet<string> = new Set()
+  #sentAt: number | undefined
+  /** Aborts with the answer to what was sent last, and to what is sent next. */
+  #answered = new AbortController()
+  #nextAnswered = new AbortController()
+
+  constructor (private readonly options: QuotaExchangeOptions) {}
+
+  async run (signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await pause(exchangeMs, signal)
+      this.#tick()
+    }
+  }
+
+  /** Asks for tokens at once; resolves with the answer, or after a moment. */
+  async bring (team: string, tokens: number): Promise<void> {
+    if (nowMs() - (this.#short.get(team) ?? -Infinity) < shortMs) return
+    this.#urgent.set(team, Math.max(tokens, this.#urgent.get(team) ?? 0))
+    const { signal } = this.#nextAnswered
+    if (this.#sentAt === undefined) this.#send()
+    await pause(bringMs, signal)
+  }
+
+  take (host: string, channel: Channel, frame: FrameOf<'quota_grant'>): void {
+    const now = nowMs()
+    this.#echoes.set(channel, { stamp: frame.bankStamp, cameAt: now })
+    const granted = slicesOf(frame, now)
+    for (const [team, slices] of granted) this.options.quotas.accounts.get(team)?.granted(slices)
+    if (host !== this.#bank) return
+    this.#needed = new Set(frame.needed)
+    this.#sentAt = undefined
+    for (const [team, tokens] of this.#urged) if (sumOf(granted.get(team)) < tokens) this.#short.set(team, now)
+    this.#answered.abort()
+    if (this.#urgent.size > 0) this.#send()
+  }
+
+  #tick (): void {
+    if (this.options.quotas.accounts.size === 0) return
+    if (this.#sentAt !== undefined) {
+      if (nowMs() - this.#sentAt < answerMs) return
+      this.#passBy()
+    }
+    this.#send()
+  }
+
+  #passBy (): void {
+    if (this.#bank !== undefined) this.#passedBy.set(this.#bank, nowMs())
+    this.#sentAt = undefined
+  }
+
+  #choose (): string | undefined {
+    const now = nowMs()
+    const hosts = this.options.hosts().filter(host => now - (this.#passedBy.get(host) ?? -Infinity) > passedByMs)
+    const bank = lowest(hosts, host => affinityOf(meeting, hashOf(host)))
+    if (bank !== this.#bank) this.options.log.info('quota.bank_changed', { host: bank, before: this.#bank })
+    this.#bank = bank
+    return bank
+  }
+
+  #send (): void {
+    const bank = this.#choose()
+    const channel = bank === undefined ? undefined : this.options.channelTo(bank)
+    if (channel === undefined) return
+    const frame = this.#frame(channel)
+    channel.send(frame)
+    this.#sentAt = frame.stamp
+    this.#answered = this.#nextAnswered
+    this.#nextAnswered = new AbortController()
+    this.#urged = this.#urgent
+    this.#urgent = new Map()
+  }
+
+  #frame (channel: Channel): FrameOf<'quota'> {
+    const now = nowMs()
+    const echo = this.#echoes.get(channel)
+    const gives: TokenAge[] = []
+    const wants: Array<[string, number]> = []
+    for (const [team, account] of this.options.quotas.accounts) {
+      if (wants.length >= mostTeams) break
+      const wanted = account.wants(this.#urgent.get(team))
+      if (wanted > 0) wants.push([team, wanted])
+      else if (echo !== undefined && this.#needed.has(team)) gives.push(...account.takeSurplus().map((slice): TokenAge => [team, slice.tokens, ageOf(slice, now)]))
+    }
+    return { type: 'quota', stamp: now, ...(echo === undefined ? {} : { echo: { stamp: echo.stamp, heldMs: now - echo.cameAt } }), gives, wants }
+  }
+}
+
+const sumOf = (slices: readonly TokenSlice[] = []): number => slices.reduce((sum, slice) => sum + slice.tokens, 0)
+
+/** All entries choose the side process that is nearest to this by rendezvous hashing. */
+const meeting = hashOf('quota')
+
+/** By team, on this process's clock: tokens were that old when the answer was made, which was after the stamp. */
+const slicesOf = ({ grants, stamp }: FrameOf<'quota_grant'>, now: number): Map<string, TokenSlice[]> => {
+  const byTeam = new Map<string, TokenSlice[]>()
+  for (const [team, tokens, ageMs] of grants) {
+    const slices = byTeam.get(team) ?? []
+    slices.push({ tokens, earnedAt: Math.min(now, stamp) - ageMs })
+    byTeam.set(team, slices)
+  }
+  return byTeam
+}
--- /dev/null
+++ b/packages/fleet/src/entry/quotas.ts
@@ -0,0 +1,209 @@
+/**
+ * What each team may still ask at this entry.
+ *
+ * Load pattern: a team's callers stay on few entries, and one team sends many times its usual. Equal shares would leave such
+ * a team one part in 26 of its quota. So each entry earns an equal share of every quota, by the most entries that may exist,
+ * and what it does not need goes to a side process that hands it to entries that do (`quota-exchange.ts`). A token is earned
+ * once, moves with its age and lapses, so nothing has to be agreed on: a lost message loses tokens, and an entry out of touch
+ * still has its share.
+ */
+import { DecayingSum, TokenStock, tokenLifeMs, type TokenSlice } from '@finchpitch/decisions'
+import { nowMs } from '../clock.js'
+import type { Limits } from '../ports.js'
+import type { FleetTeam, Quota } from '../team.js'
+
+/** Earned tokens are dated in steps, each as old as its start. */
+const earnStepMs = 100
+/** Over which demand is averaged: a flood is met within half a second, and single requests make no demand. */
+const demandHalfLifeMs = 500
+/** So much of its demand an entry keeps at hand: two exchanges. */
+const keptMs = 500
+/** Fewer tokens aren't worth giving away: a request of the usual size has some 700. */
+const leastGiven = 200
+/** When a refused caller should come back, whatever the sums say. */
+const retrySpan = { leastMs: 100, mostMs: 5000 }
+
+/** Tokens of the request's stated prompt and answer together, `plain` where it states none. */
+export const tokensOf = (stated: string | undefined, plain: number): number => {
+  const [tokensIn, tokensOut] = (stated ?? '').split(',').map(Number)
+  const sum = (tokensIn ?? NaN) + (tokensOut ?? NaN)
+  return Number.isFinite(sum) && sum >= 0 ? sum : plain
+}
+
+/** What one request counts. */
+export const costOf = ({ unit, plainTokens }: Quota, stated: string | undefined): number =>
+  unit === 'requests' ? 1 : tokensOf(stated, plainTokens)
+
+/** Tokens set aside for one request. */
+export interface Reservation {
+  team: string
+  slices: TokenSlice[]
+  spent: boolean
+}
+
+export class TeamAccount {
+  readonly #stock = new TokenStock()
+  readonly #demand = new DecayingSum(demandHalfLifeMs)
+  readonly #granted = new DecayingSum(demandHalfLifeMs)
+  #quota: Quota
+  #earnedAt = nowMs()
+
+  constructor (quota: Quota, private readonly limits: () => Limits, private readonly entries: () => number) {
+    this.#quota = quota
+  }
+
+  /** A new table has another quota. What was earned before lapses soon. */
+  setQuota (quota: Quota): void {
+    if (quota === this.#quota) return
+    this.#earn()
+    this.#quota = quota
+  }
+
+  /** A request asks for so many. */
+  demand (tokens: number): void {
+    this.#demand.add(tokens, nowMs())
+  }
+
+  take (tokens: number): TokenSlice[] | undefined {
+    this.#earn()
+    return this.#stock.take(tokens, this.#since)
+  }
+
+  give (slices: readonly TokenSlice[]): void {
+    this.#stock.addAll(slices)
+  }
+
+  granted (slices: readonly TokenSlice[]): void {
+    this.give(slices)
+    for (const { tokens } of slices) this.#granted.add(tokens, nowMs())
+  }
+
+  /** Whether what was set aside may still be spent. */
+  lasts (slices: readonly TokenSlice[]): boolean {
+    return slices.every(slice => slice.earnedAt >= this.#since)
+  }
+
+  /** How many it lacks for what is asked here, and for a request of `more` tokens. */
+  wants (more = 0): number {
+    this.#earn()
+    const kept = Math.max(more, this.#keeps)
+    const has = this.#stock.total(this.#since)
+    return has < kept ? kept - has : 0
+  }
+
+  /** What it does not need, the youngest first. */
+  takeSurplus (): TokenSlice[] {
+    this.#earn()
+    const surplus = this.#stock.total(this.#since) - this.#keeps
+    return surplus < leastGiven ? [] : this.#stock.takeYoungest(surplus, this.#since)
+  }
+
+  /** Until so many may be there, by what came of late. */
+  readyInMs (tokens: number): number {
+    const lacking = tokens - this.#stock.total(this.#since)
+    const ms = lacking / Math.max(this.#ownRate, this.#ownRate + rateOf(this.#granted)) * 1000
+    return Math.min(retrySpan.mostMs, Math.max(retrySpan.leastMs, ms))
+  }
+
+  get #ownRate (): number {
+    return this.#quota.perSecond / this.entries()
+  }
+
+  get #keeps (): number {
+    return rateOf(this.#demand) * keptMs / 1000
+  }
+
+  /** Tokens that were earned earlier have lapsed. */
+  get #since (): number {
+    const { quotaWindowMs, quotaOverage, quotaSlack } = this.limits()
+    return nowMs() - tokenLifeMs(this.#quota, { windowMs: quotaWindowMs, overage: quotaOverage, slack: quotaSlack })
+  }
+
+  #earn (): void {
+    const now = nowMs()
+    const perMs = this.#ownRate / 1000
+    let from = Math.max(this.#earnedAt, this.#since)
+    while (from < now) {
+      const until = Math.min(now, from + earnStepMs)
+      this.#stock.add((until - from) * perMs, from)
+      from = until
+    }
+    this.#earnedAt = now
+  }
+}
+
+/** Tokens a second. */
+const rateOf = (sum: DecayingSum): number => sum.at(nowMs()) * Math.LN2 / demandHalfLifeMs * 1000
+
+export interface QuotasOptions {
+  limits: () => Limits
+  /** The most entries that may exist. */
+  entries: () => number
+  /** Asks others for tokens at once; resolves when they answered, or after a moment. */
+  bring: (team: string, tokens: number) => Promise<void>
+}
+
+export class Quotas {
+  readonly #accounts = new Map<string, TeamAccount>()
+
+  constructor (private readonly options: QuotasOptions) {}
+
+  get accounts (): ReadonlyMap<string, TeamAccount> {
+    return this.#accounts
+  }
+
+  /** Follows the table: accounts begin at once, as they earn before their first request. */
+  follow (teams: readonly FleetTeam[]): void {
+    const { limits, entries } = this.options
+    const limited = new Map(teams.flatMap(({ name, quota }) => quota === undefined ? [] : [[name, quota] as const]))
+    for (const name of this.#accounts.keys()) if (!limited.has(name)) this.#accounts.delete(name)
+    for (const [name, quota] of limited) {
+      const known = this.#accounts.get(name)
+      if (known === undefined) this.#accounts.set(name, new TeamAccount(quota, limits, entries))
+      else known.setQuota(quota)
+    }
+  }
+
+  /** Sets aside what the request counts. Gives the milliseconds until that may be there where it isn't. */
+  async reserve (team: FleetTeam, stated: string | undefined): Promise<Reservation | number> {
+    const account = this.#accounts.get(team.name)
+    if (account === undefined || team.quota === undefined) return { team: team.name, slices: [], spent: false }
+    const tokens = costOf(team.quota, stated)
+    account.demand(tokens)
+    const taken = account.take(tokens) ?? await this.#bring(account, team.name, tokens)
+    return taken === undefined ? account.readyInMs(tokens) : { team: team.name, slices: taken, spent: false }
+  }
+
+  /** Whether what was set aside is for this team and may still be spent. */
+  lasts ({ team, slices }: Reservation, { name }: FleetTeam): boolean {
+    return team === name && this.#accounts.get(team)?.lasts(slices) !== false
+  }
+
+  /** The request is being sent. Says whether its tokens, or others in their place, may be spent now. */
+  spend (reservation: Reservation): boolean {
+    const account = this.#accounts.get(reservation.team)
+    if (reservation.spent || account === undefined || account.lasts(reservation.slices)) {
+      reservation.spent = true
+      return true
+    }
+    const tokens = reservation.slices.reduce((sum, slice) => sum + slice.tokens, 0)
+    const fresh = account.take(tokens)
+    if (fresh === undefined) return false
+    account.give(reservation.slices)
+    reservation.slices = fresh
+    reservation.spent = true
+    return true
+  }
+
+  /** The request was not sent. */
+  release (reservation: Reservation): void {
+    if (reservation.spent) return
+    this.#accounts.get(reservation.team)?.give(reservation.slices)
+    reservation.slices = []
+  }
+
+  async #bring (account: TeamAccount, team: string, tokens: number): Promise<TokenSlice[] | undefined> {
+    await this.options.bring(team, tokens)
+    return account.take(tokens)
+  }
+}
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -29,6 +29,7 @@
 import { outgoingOf, type Marks } from './outgoing.js'
 import { RequestRecord } from './request-record.js'
 import { RequestTimes } from './request-times.js'
+import type { Quotas, Reservation } from './quotas.js'
 import type { RetryBudget } from './retry-budget.js'
 import type { ServerFaults } from './server-faults.js'
 import type { WaitingRoom } from './waiting-room.js'
@@ -56,6 +57,7 @@
   faults: ServerFaults
   connects: ConnectLimit
   lease: KeyLease
+  quotas: Quotas
   counters: EntryCounters
   log: Log
   /** Resolves once this entry has a routing table, or had the time that learning it takes after a start. */
@@ -117,6 +119,8 @@
   #retryAfterMs = leastRetryAfterMs
   #cutter: EventCutter | undefined
   #expired = false
+  /** What the request counts of its team's quota. */
+  #reservation: Reservation | undefined
 
   constructor (private readonly options: ServiceRequestOptions, request: IncomingMessage, response: ServerResponse) {
     this.#incoming = new Incoming(request, options.names)
@@ -127,7 +131,8 @@
 
   async serve (): Promise<void> {
     const outcome = await this.#serve()
-    const { facts, balancer, log, counters } = this.options
+    const { facts, balancer, log, counters, quotas } = this.options
+    if (this.#reservation !== undefined) quotas.release(this.#reservation)
     const holding = balancer.states.get(this.#record.server?.id ?? '')?.holding
     this.#record.tell(outcome, log, counters, { table: facts.routes?.table.version, holding })
   }
@@ -146,6 +151,8 @@
     if (admission.type === 'denied') return this.#deny(admission)
     const { route } = admission
     if (this.#incoming.impossible) return this.#end(400, 'bad_model', 'the name of the model is too long')
+    const overQuota = await this.#reserve(admission)
+    if (overQuota !== undefined) return overQuota
     this.#times.deadline = this.#times.arrived + Math.min(remainingMs, route.timeoutMs)
     this.#times.firstTriedMs = firstTries.agoMs(route.name, remainingMs)
     const body = await this.#incoming.body(routes.table.limits.bodyBytes)
@@ -165,6 +172,8 @@
       if (routes === undefined) return this.#giveUp('no_table')
       const admission = this.#admit(routes)
       if (admission.type === 'denied') return this.#mayHaveRun ? this.#fail(502, admission.reason) : this.#deny(admission)
+      const overQuota = await this.#reserve(admission)
+      if (overQuota !== undefined) return overQuota
       const service = this.#serviceOf(admission.route)
       if (service === undefined) return this.#giveUp('no_service')
       const asked = this.#asked(service, admission)
@@ -269,8 +278,28 @@
 
   /** Under a table that changed, it is asked anew who may ask for what. */
   #mayStillSend ({ team }: Admitted, table: RouteIndex | undefined): boolean {
-    const { facts, lease } = this.options
-    return facts.routes === table && (team === undefined || lease.held)
+    const { facts, lease, quotas } = this.options
+    if (facts.routes !== table || (team !== undefined && !lease.held)) return false
+    return this.#reservation === undefined || quotas.spend(this.#reservation)
+  }
+
+  /** Sets aside what the request counts of its team's quota, once; gives the outcome where it can't. */
+  async #reserve ({ team }: Admitted): Promise<string | undefined> {
+    const { quotas, names } = this.options
+    const known = this.#reservation
+    if (team?.quota === undefined || known?.spent === true || (known !== undefined && quotas.lasts(known, team))) return undefined
+    if (known !== undefined) quotas.release(known)
+    this.#reservation = undefined
+    const reserved = await quotas.reserve(team, this.#incoming.tokens)
+    if (typeof reserved !== 'number') {
+      this.#reservation = reserved
+      return undefined
+    }
+    if (this.#mayHaveRun) return this.#fail(502, 'over_quota')
+    this.#incoming.message.resume()
+    this.#record.reason = 'over_quota'
+    this.#delivery.own(429, { [names.retryAfter]: String(reserved / 1000) }, 'not run: the quota of the team is used up')
+    return 'over_quota'
   }
 
   #noteTry (server: BackendServer, { key }: Asked, { reason, expectedMs }: Sending): void {
--- a/packages/fleet/src/entry/side-link.ts
+++ b/packages/fleet/src/entry/side-link.ts
@@ -37,7 +37,7 @@
   /** It named this entry as a watcher or no longer does, or one that had spoken of it was lost. */
   appointmentChanged: () => void
   /** Frames that concern more than the link itself. */
-  take: (frame: Frame) => void
+  take: (frame: Frame, channel: Channel) => void
 }
 
 type Want = Omit<FrameOf<'want'>, 'type'>
@@ -107,6 +107,13 @@
     if (this.near) this.#factLink?.setPatience(this.#patience)
   }
 
+  /** The channel once it is joined; opens one where there is none. */
+  get channel (): Channel | undefined {
+    this.#usedAt = nowMs()
+    this.#open()
+    return this.#channel
+  }
+
   /** Asks how fresh the side process's table is. */
   askFresh (): void {
     this.#usedAt = nowMs()
@@ -277,6 +284,6 @@
       this.#declined.set(frame.key, nowMs())
       this.#wanted.delete(frame.key)
     }
-    this.options.take(frame)
+    if (this.#channel !== undefined) this.options.take(frame, this.#channel)
   }
 }
--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -6,7 +6,7 @@
  * engine's side process.
  */
 import { hostOf, pause } from '@finchpitch/core'
-import type { Appointment, Frame, FrameOf, HoldingFrame } from '@finchpitch/wire'
+import type { Appointment, Channel, Frame, FrameOf, HoldingFrame } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
 import { EngineMirror } from '../engine-mirror.js'
 import type { SidePeering } from '../redial.js'
@@ -36,6 +36,8 @@
   watching: () => boolean
   /** News that may let waiting requests go on: of these adapters, or of any. */
   changed: (keys: string[] | undefined) => void
+  /** An answer about quotas came from the side process at `host`. */
+  granted: (host: string, channel: Channel, frame: FrameOf<'quota_grant'>) => void
   /** Who watches the store, as side processes near tell it, may have changed. */
   appointmentsChanged: () => void
 }
@@ -86,6 +88,16 @@
     return [...this.#engines.values()].filter(({ link }) => link.near).map(({ link }) => link.appointment).filter(each => each !== undefined)
   }
 
+  /** Hosts of all side processes. */
+  get hosts (): string[] {
+    return [...this.#engines.keys()]
+  }
+
+  /** The channel to the side process at a host; opens one where there is none yet. */
+  channelTo (host: string): Channel | undefined {
+    return this.#engines.get(host)?.link.channel
+  }
+
   /** The store answers no entry near. */
   get outage (): boolean {
     return this.appointments.some(each => each.outage)
@@ -189,7 +201,7 @@
       fence: () => mirror.fence,
       changed: () => changed(undefined),
       appointmentChanged: appointmentsChanged,
-      take: frame => this.#take(host, frame)
+      take: (frame, channel) => this.#take(host, frame, channel)
     })
     if (link.near) link.follow([host])
     return { domain, link, mirror }
@@ -228,7 +240,8 @@
     }
   }
 
-  #take (host: string, frame: Frame): void {
+  #take (host: string, frame: Frame, channel: Channel): void {
+    if (frame.type === 'quota_grant') return this.options.granted(host, channel, frame)
     if (!(frame.type in this.#handlers)) return
     this.#handlers[frame.type as 'holding'](host, frame as HoldingFrame)
   }
--- a/packages/fleet/src/ports.ts
+++ b/packages/fleet/src/ports.ts
@@ -114,4 +114,9 @@
   /** Window of the weight store's rate. */
   loadWindowMs: number
   loadOverage: number
+  /** Of quotas: in any window a team may use (rate x window + burst) x (1 + overage) + slack, over all entries together. */
+  quotaWindowMs: number
+  quotaOverage: number
+  /** In tokens. */
+  quotaSlack: number
 }
--- a/packages/fleet/src/side/side.ts
+++ b/packages/fleet/src/side/side.ts
@@ -8,6 +8,7 @@
 import type { Duplex } from 'node:stream'
 import { isDeepStrictEqual } from 'node:util'
 import { hostOf, pause } from '@finchpitch/core'
+import { tokenLifeMs } from '@finchpitch/decisions'
 import { Channel, type Frame } from '@finchpitch/wire'
 import type { EngineAccount, EngineOrder, EngineOrders, Limits } from '../ports.js'
 import type { SidePeering } from '../redial.js'
@@ -24,6 +25,7 @@
 import type { SideCounters } from './counters.js'
 import { EngineNews, difference } from './news.js'
 import { place } from './placement.js'
+import { QuotaBank } from './quota-bank.js'
 import { Readers } from './readers.js'
 
 /** Loads that a new incarnation assumes its predecessor to have begun just before. */
@@ -51,6 +53,7 @@
   #held: HeldKeys = new Map()
   #coming: string[] = []
   readonly #warm = new WarmCopies()
+  readonly #bank = new QuotaBank()
   /** Counts changes of what is held or coming. */
   #changes = 0
 
@@ -82,7 +85,7 @@
     if (reader === undefined) return
     this.#readers.leave(reader)
     this.demands.forget(channel.peer.process)
-    log.info('reader.lost', { reader: channel.peer.process, reason: end.reason, revision: facts.revision, domain })
+    log.info('reader.lost', { reader: channel.peer.process, reason: end.reason, detail: end.reason === 'fault' ? `${end.fault.message}, ${end.fault.path}` : undefined, revision: facts.revision, domain })
   }
 
   /** Looks at the engine and gives it orders until `signal` aborts. */
@@ -215,6 +218,7 @@
       const { fence } = this.#orders
       if (fence > 0 && frame.highest > fence) this.options.log.info('fence.behind', { fence, highest: frame.highest })
     }
+    if (frame.type === 'quota') reader.channel.send(this.#bank.exchange(entry, frame, team => this.#tokenLifeMs(team)))
     if (frame.type === 'want') {
       this.demands.ask(frame)
       reader.want(frame.key)
@@ -223,6 +227,13 @@
     }
   }
 
+  #tokenLifeMs (name: string): number | undefined {
+    const { facts, limits } = this.options
+    const quota = facts.routes?.team(name)?.quota
+    const { quotaWindowMs: windowMs, quotaOverage: overage, quotaSlack: slack } = limits()
+    return quota === undefined ? undefined : tokenLifeMs(quota, { windowMs, overage, slack })
+  }
+
   #publish (): void {
     const account = this.#account
     const held = account === undefined ? this.#held : heldOf(account)
--- a/packages/fleet/src/table.ts
+++ b/packages/fleet/src/table.ts
@@ -110,6 +110,10 @@
     return this.table.teams !== undefined
   }
 
+  team (name: string): FleetTeam | undefined {
+    return this.table.teams?.find(team => team.name === name)
+  }
+
   /** The team that holds the key. */
   teamOf (key: KeyHash): FleetTeam | undefined {
     return this.#teams.get(key)
--- a/packages/fleet/test/side-links.test.ts
+++ b/packages/fleet/test/side-links.test.ts
@@ -35,6 +35,7 @@
       log: quietLog,
       watching: () => false,
       changed: () => {},
+      granted: () => {},
       appointmentsChanged: () => { changes += 1 }
     })
     links.reconcile([engineAt('10.0.0.1'), engineAt('10.0.0.2')])
--- a/packages/stand-ins/src/fake-time.ts
+++ b/packages/stand-ins/src/fake-time.ts
@@ -30,6 +30,11 @@
     await this.settle()
   }
 
+  /** Lets `ms` pass at once, with the timers that fall due and nothing that waits for promises. */
+  jump (ms: number): void {
+    this.#clock.tick(ms)
+  }
+
   /** Moves from timer to timer until `promise` has settled. */
   async until<T> (promise: Promise<T>): Promise<T> {
     let settled = false
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -70,6 +70,8 @@
 
 /** Characters of the longest host that a frame carries; an IP number has 45 at most. */
 export const longestHost = 64
+/** Characters of the longest name of a team. */
+export const longestTeam = 200
 /** Adapters of which one frame tells the uses. */
 export const mostUses = 5000
 
@@ -112,6 +114,10 @@
 })
 export type HoldingFrame = z.infer<typeof HoldingFrame>
 
+/** Tokens of a team's quota: its name, how many, and how many ms before the frame was made the oldest was earned. */
+export const TokenAge = z.tuple([z.string().max(longestTeam), z.number().nonnegative(), z.number().nonnegative()])
+export type TokenAge = z.infer<typeof TokenAge>
+
 export const Appointment = z.object({
   type: z.literal('appoint'),
   watch: z.boolean(),
@@ -139,6 +145,20 @@
    * where nothing proves it.
    */
   z.object({ type: z.literal('fresh'), stamp: z.number(), revision: z.number().nonnegative(), ageMs: z.number().nonnegative().optional() }),
+  /**
+   * An entry gives tokens of quotas that it doesn't need, and asks for some. `stamp`: its steady clock in ms. `echo`: the last
+   * `bankStamp` on this channel and how long ago that came, by which it is known how long the frame was under way at most;
+   * without one, nothing is given.
+   */
+  z.object({
+    type: z.literal('quota'),
+    stamp: z.number(),
+    echo: z.object({ stamp: z.number(), heldMs: z.number().nonnegative() }).optional(),
+    gives: z.array(TokenAge),
+    wants: z.array(z.tuple([z.string().max(longestTeam), z.number().nonnegative()]))
+  }),
+  /** The answer to the frame with that stamp. `needed`: teams that were short of late, for which entries should give. */
+  z.object({ type: z.literal('quota_grant'), stamp: z.number(), bankStamp: z.number(), grants: z.array(TokenAge), needed: z.array(z.string().max(longestTeam)) }),
   /** Whether the receiver, an entry, is one of those that watch the store for its failure domain. */
   Appointment,
   /** What the receiver asked for is held now. */
