A server that starts again under its id is another; entries of other writers name no server and stop nobody

Change: servers have their start; states, news, mirrors and the side process begin anew with it, whoever says it first, and what tells of an earlier start is not believed.

--- a/packages/fleet/src/engine-mirror.ts
+++ b/packages/fleet/src/engine-mirror.ts
@@ -12,7 +12,7 @@
 const arrivedMs = 1000
 
 /** Before anything is told. */
-const unknownFields = { server: undefined, reachable: false, lost: false, waiting: 0, running: 0, unread: 0, entries: 0, strangers: 0 }
+const unknownFields = { server: undefined, bornAt: undefined, reachable: false, lost: false, waiting: 0, running: 0, unread: 0, entries: 0, strangers: 0 }
 
 /** Keys held, each with its version. */
 export type HeldKeys = ReadonlyMap<string, number>
@@ -31,6 +31,8 @@
   reachable = false
   /** The engine's id where it is known. */
   server: string | undefined
+  /** Unix ms of its start. */
+  bornAt: number | undefined
   waiting = 0
   running = 0
   /** Prompt tokens of all entries that the engine has not read yet. */
@@ -52,7 +54,9 @@
     this.at = nowMs()
     const before = frame.whole === true ? unknownFields : this
     const server = frame.server === undefined ? before.server : frame.server ?? undefined
-    if (server !== this.server) this.warm.clear()
+    const bornAt = frame.bornAt === undefined ? before.bornAt : frame.bornAt ?? undefined
+    if (server !== this.server || bornAt !== this.bornAt) this.#begin()
+    this.bornAt = bornAt
     this.#hold(frame)
     for (const [key, version] of frame.warm ?? []) this.warm.keep(key, version)
     this.server = server
@@ -66,6 +70,12 @@
     this.fence = Math.max(this.fence, frame.fence ?? 0)
   }
 
+  /** It is another engine, or has started again: it has nothing at hand, and words of before count no more. */
+  #begin (): void {
+    this.warm.clear()
+    this.#arrived.clear()
+  }
+
   /** The engine holds the key, by a word sent ahead of its news. */
   arrived (key: string, version: number): void {
     this.#arrived.set(key, { version, at: nowMs() })
--- a/packages/fleet/src/entry/server-state.ts
+++ b/packages/fleet/src/entry/server-state.ts
@@ -4,7 +4,7 @@
 import type { Agent } from 'node:http'
 import { Outlier, hashOf, type OutlierLimits } from '@finchpitch/decisions'
 import { nowMs } from '../clock.js'
-import type { BackendServer } from '../server.js'
+import { isFormer, type BackendServer } from '../server.js'
 import { serverAgent } from './connections.js'
 import { ReadingPace } from './reading-pace.js'
 
@@ -69,7 +69,7 @@
   #refusedUntil = -Infinity
 
   /** `changed`: what its side process has to be told of its use. */
-  constructor (readonly id: string, maxConnections: number, private readonly changed: () => void = () => {}) {
+  constructor (readonly id: string, maxConnections: number, private readonly changed: () => void = () => {}, readonly bornAt?: number) {
     this.hash = hashOf(id)
     this.agent = serverAgent(maxConnections)
   }
@@ -230,12 +230,17 @@
   /** `maxConnections` is `undefined` while the routing table does not name the server's service. */
   of (server: BackendServer, maxConnections: number | undefined): ServerState {
     const known = this.#states.get(server.id)
-    if (known !== undefined) {
-      if (maxConnections !== undefined) known.limitConnections(maxConnections)
-      return known
-    }
-    const state = new ServerState(server.id, maxConnections ?? connectionsUntilKnown, this.changed)
-    this.#states.set(server.id, state)
+    if (known === undefined || isFormer(known.bornAt, server.bornAt)) return this.#begin(server.id, maxConnections ?? connectionsUntilKnown, server.bornAt)
+    if (maxConnections !== undefined) known.limitConnections(maxConnections)
+    return known
+  }
+
+  /** A new server, or one that has started again: what is known of its former life, and connections to that, are of no use. */
+  #begin (id: string, maxConnections: number, bornAt: number | undefined): ServerState {
+    this.#states.get(id)?.close()
+    this.holders.update(id, undefined)
+    const state = new ServerState(id, maxConnections, this.changed, bornAt)
+    this.#states.set(id, state)
     return state
   }
 
@@ -243,10 +248,11 @@
     return this.#states.get(id)
   }
 
-  /** Takes over what an engine's side process told. */
-  tell (id: string, holding: Holding): void {
-    const state = this.#states.get(id)
-    if (state === undefined) return
+  /** Takes over what an engine's side process told of its life that began at `bornAt`, which the store may not say yet. */
+  tell (id: string, holding: Holding, bornAt?: number): void {
+    const known = this.#states.get(id)
+    if (known === undefined || isFormer(bornAt, known.bornAt)) return
+    const state = isFormer(known.bornAt, bornAt) ? this.#begin(id, known.agent.maxSockets, bornAt) : known
     state.tell(holding)
     this.holders.update(id, holding.held)
   }
--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -270,10 +270,10 @@
   #tell (host: string, { link, mirror }: Engine): void {
     const server = this.#serverAt(host, mirror.server)
     if (server === undefined) return
-    const { reachable, held, coming, waiting, running, unread } = mirror
+    const { reachable, held, coming, waiting, running, unread, bornAt } = mirror
     // What this entry itself told of is known here better.
     const others = Math.max(0, unread - link.toldUnread)
-    this.options.states.tell(server.id, { at: nowMs(), reachable, held, coming: new Set(coming), waiting, running, unread: others })
+    this.options.states.tell(server.id, { at: nowMs(), reachable, held, coming: new Set(coming), waiting, running, unread: others }, bornAt)
   }
 
   /** The engine that a side process tells of: the one that it names, or the last listed at its host. */
--- a/packages/fleet/src/facts.ts
+++ b/packages/fleet/src/facts.ts
@@ -10,7 +10,7 @@
 import type { Complete, FactFrame, StoreSight } from '@finchpitch/wire'
 import { nowMs } from './clock.js'
 import { Freshness } from './freshness.js'
-import { BackendServer, NamedVersion, refKey } from './server.js'
+import { BackendServer, NamedVersion, isFormer, refKey } from './server.js'
 import { RouteIndex, RoutingTable } from './table.js'
 
 export type Fact =
@@ -185,6 +185,7 @@
     const known = this.#current.get(id)
     if (known !== undefined && known.revision >= fact.revision) return false
     this.saw(fact.revision)
+    if (known !== undefined && isOfFormerLife(fact, known)) return false
     this.#current.set(id, fact)
     if (known !== undefined && isDeepStrictEqual(known.value, fact.value)) return false
     handlers[fact.kind](this, fact as never)
@@ -217,9 +218,9 @@
     }
     this.#lapsed.delete(id)
     this.#drop(id)
-    if (this.#succeeded(id, server.address)) return
-    // A server that has said it leaves never comes back under the same id.
-    const settled = before?.leaving === true ? { ...server, leaving: true } : server
+    if (this.#succeeded(id, server)) return
+    // One life of a server that has said it leaves never takes it back.
+    const settled = before?.leaving === true && before.bornAt === server.bornAt ? { ...server, leaving: true } : server
     this.servers.set(id, settled)
     const list = this.#byService.get(settled.service) ?? []
     list.push(settled)
@@ -231,11 +232,16 @@
     else this.#versions.set(key, { version: named.version, learnedAt: nowMs() })
   }
 
+  /** Entries that name a service which nobody knows come from other writers, and put out nobody. */
+  #serves (service: string): boolean {
+    return this.#routes === undefined || this.#routes.service(service) !== undefined
+  }
+
   /** Whether a later server has its address. Those before it at that address are gone, though their entries may stay for a while. */
-  #succeeded (id: string, address: string): boolean {
+  #succeeded (id: string, { address, service }: BackendServer): boolean {
     const revision = this.revisionOf('server', id)
     for (const other of [...this.servers.values()]) {
-      if (other.address !== address) continue
+      if (other.address !== address || !this.#serves(service) || !this.#serves(other.service)) continue
       if (this.revisionOf('server', other.id) > revision) return true
       this.#lapsed.delete(other.id)
       this.#drop(other.id)
@@ -271,6 +277,10 @@
   version: (facts: Facts, fact: Extract<Fact, { kind: 'version' }>) => facts.setVersion(fact.key, fact.value)
 }
 
+/** A write of the former life may take effect in the store after the server has started again. */
+const isOfFormerLife = (fact: Fact, known: Fact): boolean =>
+  fact.kind === 'server' && known.kind === 'server' && isFormer(fact.value?.bornAt, known.value?.bornAt)
+
 const describe = (fact: Fact): string => {
   if (fact.value === undefined) return 'gone'
   if (fact.kind === 'table') return `version ${fact.value.version}`
--- a/packages/fleet/src/follow.ts
+++ b/packages/fleet/src/follow.ts
@@ -6,7 +6,7 @@
  */
 import { backoff, pause, type Log } from '@finchpitch/core'
 import { nowMs } from './clock.js'
-import { removalStep, type Fact, type Facts } from './facts.js'
+import { isFinal, removalStep, type Fact, type Facts } from './facts.js'
 import type { FactPage, FactSource, StoreFailure } from './ports.js'
 import { Removals } from './removals.js'
 
@@ -199,12 +199,18 @@
     this.#failures = 0
     this.options.outage.note(kind, true)
     const missing = this.#revision === undefined ? missingFrom(facts, kind, listed) : []
-    for (const fact of this.#removals.sift([...missing, ...listed])) facts.offer(seenAt(fact, revision), 'store')
+    for (const fact of this.#removals.sift([...missing, ...listed])) this.#take(seenAt(fact, revision))
     this.#revision = revision
     // What is held back is not known here yet, and peers that were told so would never be told of it.
     if (!this.#removals.holding) facts.completed(kind, revision)
   }
 
+  #take (fact: Fact): void {
+    const { facts } = this.options
+    if (isFinal(fact)) facts.remove(fact, 'store')
+    else facts.offer(fact, 'store')
+  }
+
   /** A table that could not be read may have taken a key away. */
   #proved ({ unread = 0 }: FactPage, askedAt: number): void {
     if (this.#kind === 'table' && unread === 0) this.options.facts.freshness.prove(askedAt)
--- a/packages/fleet/src/ports.ts
+++ b/packages/fleet/src/ports.ts
@@ -33,6 +33,8 @@
 export interface EngineAccount {
   /** The engine's id, where its answer says it. */
   server?: string
+  /** Unix ms of its start. */
+  bornAt?: number | undefined
   models: HeldModel[]
   /** Adapters on their way in: key to version. */
   coming: Array<{ key: string, version: number }>
--- a/packages/fleet/src/server.ts
+++ b/packages/fleet/src/server.ts
@@ -13,8 +13,9 @@
 export type HeldModel = z.infer<typeof HeldModel>
 
 export const BackendServer = z.object({
-  /** A restart is another id. */
   id: z.string(),
+  /** Unix ms of its start. A server may start again under its id; it knows nothing of before then. */
+  bornAt: z.number().int().optional(),
   service: z.string(),
   /** `host:port`. */
   address: z.string(),
@@ -26,6 +27,10 @@
 })
 export type BackendServer = z.infer<typeof BackendServer>
 
+/** Whether it is an earlier life of the same server than the other; not where either says nothing of its start. */
+export const isFormer = (bornAt: number | undefined, other: number | undefined): boolean =>
+  bornAt !== undefined && other !== undefined && bornAt < other
+
 /** The newest version that was named for an adapter, or for a model's own weights. */
 export const NamedVersion = z.object({
   model: z.string(),
--- a/packages/fleet/src/side/news.ts
+++ b/packages/fleet/src/side/news.ts
@@ -21,6 +21,8 @@
   warm: () => Array<[key: string, version: number]>
   reachable: boolean
   server: string | undefined
+  /** Unix ms of its start. */
+  bornAt?: number | undefined
   waiting: number
   running: number
   /** Prompt tokens of all entries that it has not read yet. */
@@ -65,10 +67,10 @@
 }
 
 /** What a reader is told of an engine beside what it holds. */
-const plainFields = ['reachable', 'server', 'lost', 'waiting', 'running', 'unread', 'entries', 'strangers', 'fence'] as const
+const plainFields = ['reachable', 'server', 'bornAt', 'lost', 'waiting', 'running', 'unread', 'entries', 'strangers', 'fence'] as const
 
 /** How a reader is told that one of them is no longer set. */
-const unsetValues: Partial<Record<typeof plainFields[number], null | false>> = { server: null, lost: false }
+const unsetValues: Partial<Record<typeof plainFields[number], null | false>> = { server: null, bornAt: null, lost: false }
 
 /**
  * Those that differ from what the reader was told, all where it was told nothing. Most news are of one or two of them, and
@@ -146,7 +148,7 @@
 
 /** Something else than its load. Entries divide the retry budget by their number, and end callers' connections politely once one more has come. */
 const changeDiffers = (told: EngineSnapshot, now: EngineSnapshot): boolean =>
-  told.changes !== now.changes || told.reachable !== now.reachable || told.lost !== now.lost || told.server !== now.server ||
+  told.changes !== now.changes || told.reachable !== now.reachable || told.lost !== now.lost || told.server !== now.server || told.bornAt !== now.bornAt ||
   told.entries !== now.entries || told.strangers !== now.strangers
 
 /** What came or changed its version, and what went. */
--- a/packages/fleet/src/side/order-giver.ts
+++ b/packages/fleet/src/side/order-giver.ts
@@ -35,6 +35,7 @@
 export class OrderGiver {
   #fence = 0
   #server: string | undefined
+  #bornAt: number | undefined
   /** The engine's id as last listed. */
   #listed: string | undefined
 
@@ -50,6 +51,11 @@
     return this.#server
   }
 
+  /** Unix ms of the engine's start, where it says so. */
+  get bornAt (): number | undefined {
+    return this.#bornAt
+  }
+
   /** Whether orders may be given. The fence is fixed once, at a revision of the store that no earlier incarnation can have been past. */
   get ready (): boolean {
     if (this.#fence > 0) return true
@@ -60,6 +66,14 @@
     return true
   }
 
+  /** The engine started again under its id: what was at hand and on its way is gone. */
+  noteStart (bornAt: number | undefined): void {
+    if (bornAt === undefined || bornAt === this.#bornAt) return
+    this.options.log.info('engine.started', { server: this.#server, bornAt, before: this.#bornAt })
+    if (this.#bornAt !== undefined) this.options.replaced()
+    this.#bornAt = bornAt
+  }
+
   /** `named`: the id that the engine's account says. The list is believed when it changes; until then an engine that named itself on a refusal is believed more. */
   noteAccount (named: string | undefined): void {
     const listed = named ?? this.#listedServer()
--- a/packages/fleet/src/side/relay.ts
+++ b/packages/fleet/src/side/relay.ts
@@ -120,6 +120,6 @@
 }
 
 const newsOf = (host: string, mirror: EngineMirror): EngineNews => {
-  const { changes, held, coming, reachable, server, waiting, running, unread, entries, strangers, fence, lost } = mirror
-  return new EngineNews({ host, changes, held, coming, warm: () => mirror.warm.all(), reachable, server, waiting, running, unread, entries, strangers, fence, lost })
+  const { changes, held, coming, reachable, server, bornAt, waiting, running, unread, entries, strangers, fence, lost } = mirror
+  return new EngineNews({ host, changes, held, coming, warm: () => mirror.warm.all(), reachable, server, bornAt, waiting, running, unread, entries, strangers, fence, lost })
 }
--- a/packages/fleet/src/side/side.ts
+++ b/packages/fleet/src/side/side.ts
@@ -135,6 +135,7 @@
     this.#failures = 0
     this.#account = account.value
     this.#orders.noteAccount(account.value.server)
+    this.#orders.noteStart(account.value.bornAt)
     return true
   }
 
@@ -258,6 +259,7 @@
       warm: () => this.#warm.all(),
       reachable: account !== undefined,
       server: this.#orders.server,
+      bornAt: this.#orders.bornAt,
       waiting: account?.waiting ?? 0,
       running: account?.running ?? 0,
       unread: this.demands.unread,
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -91,6 +91,8 @@
   reachable: z.boolean().optional(),
   /** The engine's id; `null` where it is no longer known. */
   server: z.string().nullable().optional(),
+  /** Unix ms of the engine's start; `null` where it is not known. */
+  bornAt: z.number().nullable().optional(),
   /** Adapter or model keys that came or changed since the last frame, each with the version held. */
   came: z.record(AdapterKey, z.number()).optional(),
   /** Keys held at the last frame and no longer. */
--- a/packages/wire/src/quick-check.ts
+++ b/packages/wire/src/quick-check.ts
@@ -46,6 +46,7 @@
     whole: isFlag,
     reachable: isFlag,
     server: value => value === null || typeof value === 'string',
+    bornAt: value => value === null || Number.isFinite(value),
     came: areVersions,
     went: areKeys,
     coming: areKeys,
