Entries give what they don't need of every quota, not only of teams that were short; a count of entries settles in 1.5 s

Change: surplus goes to the bank for up to 32 teams in each exchange, those that were short first. The most entries are assumed for 1.5 s after a start and not 3.

--- a/packages/fleet/src/entry/entry-ceiling.ts
+++ b/packages/fleet/src/entry/entry-ceiling.ts
@@ -9,8 +9,8 @@
 
 /** Side processes that were cut off from some entries, or restarted, count too few for as long. */
 const holdMs = 15_000
-/** All entries of a domain have joined its side processes this long after a start. */
-const settleMs = 3000
+/** All entries of a domain have joined its side processes this long after a start; it takes some 0.5 s where all start at once. */
+const settleMs = 1500
 const assumedPerServer = 1.5
 /** Assumed while there is nothing to go by. */
 const assumedEntries = 12
--- a/packages/fleet/src/entry/quota-exchange.ts
+++ b/packages/fleet/src/entry/quota-exchange.ts
@@ -9,7 +9,7 @@
 import type { Channel, FrameOf, TokenAge } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
 import { lowest } from '../lowest.js'
-import type { Quotas } from './quotas.js'
+import type { Quotas, TeamAccount } from './quotas.js'
 
 const exchangeMs = 250
 /** A side process answers within some ms. */
@@ -20,8 +20,9 @@
 const bringMs = 75
 /** A team that was found to be short is not asked for again at once by each of its requests. */
 const shortMs = 60
-/** Tokens of one team come in slices of 50 ms; of so many teams one frame can tell. */
-const mostTeams = 200
+/** Of so many teams one frame tells, those that were short of late first: 16 slices of 20 bytes each, four times a second, are 2.5 KB/s. */
+const mostGiven = 32
+const mostWanted = 200
 
 export interface QuotaExchangeOptions {
   quotas: Quotas
@@ -121,11 +122,17 @@
     const echo = this.#echoes.get(channel)
     const gives: TokenAge[] = []
     const wants: Array<[string, number]> = []
+    const idle: Array<[team: string, account: TeamAccount]> = []
     for (const [team, account] of this.options.quotas.accounts) {
-      if (wants.length >= mostTeams) break
       const wanted = account.wants(this.#urgent.get(team))
-      if (wanted > 0) wants.push([team, wanted])
-      else if (echo !== undefined && this.#needed.has(team)) gives.push(...account.takeSurplus().map((slice): TokenAge => [team, slice.tokens, ageOf(slice, now)]))
+      if (wanted === 0) idle.push([team, account])
+      else if (wants.length < mostWanted) wants.push([team, wanted])
+    }
+    if (echo !== undefined) {
+      idle.sort(([a], [b]) => Number(this.#needed.has(b)) - Number(this.#needed.has(a)))
+      for (const [team, account] of idle.slice(0, mostGiven)) {
+        for (const slice of account.takeSurplus()) gives.push([team, slice.tokens, ageOf(slice, now)])
+      }
     }
     return { type: 'quota', stamp: now, ...(echo === undefined ? {} : { echo: { stamp: echo.stamp, heldMs: now - echo.cameAt } }), gives, wants }
   }
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -161,7 +161,7 @@
     gives: z.array(TokenAge),
     wants: z.array(z.tuple([z.string().max(longestTeam), z.number().nonnegative()]))
   }),
-  /** The answer to the frame with that stamp. `needed`: teams that were short of late, for which entries should give. */
+  /** The answer to the frame with that stamp. `needed`: teams that were short of late, for which entries should give first. */
   z.object({ type: z.literal('quota_grant'), stamp: z.number(), bankStamp: z.number(), grants: z.array(TokenAge), needed: z.array(z.string().max(longestTeam)) }),
   /** Whether the receiver, an entry, is one of those that watch the store for its failure domain. */
   Appointment,
