--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -78,6 +78,8 @@
   readonly #connects = new ConnectLimit()
   readonly #firstTries = new FirstTries()
   readonly #lease: KeyLease
+  /** As last told in the log. */
+  #leaseHeld = true
   readonly #ceiling = new EntryCeiling()
   /** The most entries that may exist, as last looked at. */
   #mostEntries: number
@@ -116,6 +118,8 @@
     this.counters.gauge('finchpitch_side_processes_connected', 'Side processes connected.', () => this.#links.connected)
     this.counters.gauge('finchpitch_store_watched', 'Whether this entry watches the platform\'s store.', () => Number(this.#watch.watching))
     this.counters.gauge('finchpitch_routing_table_version', 'Version of the routing table in force.', () => facts.routes?.table.version ?? 0)
+    this.counters.gauge('finchpitch_table_proof_age_seconds', 'Since the routing table was last surely the newest; 0 where nothing was proved.', () => Number.isFinite(facts.freshness.ageMs) ? facts.freshness.ageMs / 1000 : 0)
+    this.counters.gauge('finchpitch_entries_assumed', 'The most entries that may exist, by which quotas are divided.', () => this.#mostEntries)
     facts.onChange(fact => {
       if (fact.kind === 'server') this.#reconcile()
       if (fact.kind === 'table') this.#applyTable()
@@ -247,6 +251,7 @@
       await pause(sweepMs, signal)
       this.options.facts.expire()
       if (this.#lease.askDue) this.#links.askFresh(this.#lease.askFarDue)
+      this.#tellLease()
       this.#watch.check()
       this.#seedTurn.set(this.#needsSeeds)
       const { entries } = this.#links
@@ -255,6 +260,15 @@
     }
   }
 
+  #tellLease (): void {
+    const { log, facts } = this.options
+    const { held } = this.#lease
+    if (held === this.#leaseHeld) return
+    this.#leaseHeld = held
+    const { ageMs } = facts.freshness
+    log.info('keys.lease_changed', { held, ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined, table: facts.routes?.table.version, outage: this.#links.outage })
+  }
+
   #noteEntries (entries: number): void {
     const before = this.#connections.entries
     if (entries === before) return
