Proofs that the table is the newest are asked of the store on demand, in place of shorter watches

Way two: the watch waits 3 s as before; whoever needs a proof asks, and a reading entry makes a short call unless its last proof is under 0.75 s old. All side processes of a domain ask the same reading entry first, so that one call serves them. Tests: one call for all who ask meanwhile, dated from its start; none without an answer or where the table can't be read.

--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -11,7 +11,7 @@
 import { nowMs } from '../clock.js'
 import { FactLink, patienceMs } from '../fact-exchange.js'
 import type { Fact, Facts } from '../facts.js'
-import { Turn, gatherMs, reserveMs, watchMs } from '../follow.js'
+import { Turn, gatherMs, reserveMs } from '../follow.js'
 import type { FactSource, HeaderNames, Limits } from '../ports.js'
 import { Balancer } from './balancer.js'
 import { CallerConnections } from './caller-connections.js'
@@ -100,10 +100,10 @@
     this.#lease = new KeyLease(facts, limits)
     this.#balancer = new Balancer(facts, domain, limits, () => this.#links, log)
     this.#links = new SideLinks({
-      process, domain, facts, states: this.#balancer.states, sidePort, channel, dial, log, watching: () => this.#watch.watching, changed: keys => this.#room.poke(keys), granted: (host, channel, frame) => this.#quotaExchange.take(host, channel, frame), appointmentsChanged: () => this.#watch.check()
+      process, domain, facts, states: this.#balancer.states, sidePort, channel, dial, log, watching: () => this.#watch.watching, prove: () => this.#watch.prove(), changed: keys => this.#room.poke(keys), granted: (host, channel, frame) => this.#quotaExchange.take(host, channel, frame), appointmentsChanged: () => this.#watch.check()
     })
     this.#watch = new StoreWatch({
-      sources, facts, log, watchMs: kind => this.#watchMs(kind), restMs: kind => this.#restMs(kind), unproven: () => this.#lease.watchDue, appointments: () => this.#links.appointments, changed: () => this.#links.watchingChanged()
+      sources, facts, log, restMs: kind => this.#restMs(kind), unproven: () => this.#lease.watchDue, appointments: () => this.#links.appointments, changed: () => this.#links.watchingChanged()
     })
     this.#mostEntries = this.#ceiling.of(undefined, 0)
     this.#quotas = new Quotas({ limits, entries: () => this.#mostEntries, bring: (team, tokens) => this.#quotaExchange.bring(team, tokens) })
@@ -224,10 +224,6 @@
     return this.#links.outage ? outageRetryMs : elsewhereRetryMs
   }
 
-  #watchMs (kind: Fact['kind']): number {
-    return kind === 'table' ? this.#lease.watchMs ?? watchMs.table : watchMs[kind]
-  }
-
   #reconcile (): void {
     const { facts } = this.options
     const engines = [...facts.servers.values()].filter(server => facts.routes?.service(server.service)?.engine !== undefined)
@@ -250,7 +246,7 @@
     while (!signal.aborted) {
       await pause(sweepMs, signal)
       this.options.facts.expire()
-      if (this.#lease.askDue) this.#links.askFresh(this.#lease.askFarDue)
+      this.#keepLease()
       this.#tellLease()
       this.#watch.check()
       this.#seedTurn.set(this.#needsSeeds)
@@ -260,6 +256,13 @@
     }
   }
 
+  /** One that reads the store proves by itself that its table is the newest; others ask, and so does one that gets no answer. */
+  #keepLease (): void {
+    if (!this.#lease.askDue) return
+    void this.#watch.prove()
+    if (!this.#watch.watching || this.#lease.askFarDue) this.#links.askFresh(this.#lease.askFarDue)
+  }
+
   #tellLease (): void {
     const { log, facts } = this.options
     const { held } = this.#lease
--- a/packages/fleet/src/entry/key-lease.ts
+++ b/packages/fleet/src/entry/key-lease.ts
@@ -2,8 +2,8 @@
  * The lease under which an entry sends requests with keys: how old its proof that no key was taken away may be.
  *
  * Of the time in which a key that was taken away must stop working, a fifth is kept for a request on its way to its server.
- * The rest is divided so that each step of finding a proof has a second try before the lease ends: reading entries bring a
- * new one each 0.14 of the time, others ask from 0.3 on, look elsewhere from 0.4 and read the store themselves from 0.5.
+ * The rest is divided so that each step of finding a proof has a second try before the lease ends: from 0.3 on an entry that
+ * reads the store asks that and others ask a side process near, from 0.4 one elsewhere, from 0.5 they read the store themselves.
  */
 import type { Facts } from '../facts.js'
 import type { Limits } from '../ports.js'
@@ -11,8 +11,6 @@
 const shares = {
   /** Requests with keys are sent on a proof no older. */
   lease: 0.8,
-  /** A watch of the table waits no longer, since its answer proves nothing later than its start. */
-  watch: 0.14,
   /** A proof from a side process near is asked for. */
   ask: 0.3,
   /** Side processes of other failure domains are asked too. */
@@ -41,12 +39,6 @@
     return this.#olderThan('watchItself')
   }
 
-  /** The longest that a watch of the table may wait; `undefined` where no lease is needed. */
-  get watchMs (): number | undefined {
-    const { revokeMs } = this.limits()
-    return this.#needed && revokeMs !== undefined ? Math.floor(revokeMs * shares.watch) : undefined
-  }
-
   get #needed (): boolean {
     return this.facts.routes?.keyed === true
   }
--- a/packages/fleet/src/entry/side-link.ts
+++ b/packages/fleet/src/entry/side-link.ts
@@ -8,7 +8,7 @@
 import { Channel, type Appointment, type Frame, type FrameOf } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
 import { FactLink, patienceMs } from '../fact-exchange.js'
-import { acceptFresh, answerFresh, askFresh } from '../fresh-exchange.js'
+import { acceptFresh, answerFresh, askFresh, type Question } from '../fresh-exchange.js'
 import { redial, type SidePeering } from '../redial.js'
 import { quietPace } from '../side/reader.js'
 import { unreadDiffers } from '../unread.js'
@@ -28,6 +28,8 @@
 const idleMs = 15_000
 
 export interface SideLinkOptions extends SidePeering {
+  /** Gets a proof that the table is the newest, where this entry reads the store and has none that is young. */
+  prove: () => Promise<void>
   /** This entry watches the store, so that the side process hears of everything from it at once. */
   watching: () => boolean
   /** The highest fence that the side process was ever known to use. */
@@ -274,12 +276,17 @@
     channel.send({ type: 'follow', hosts: [...this.#follows], relay: false })
   }
 
+  async #answerFresh (question: Question): Promise<void> {
+    await this.options.prove()
+    answerFresh(this.options.facts, question)
+  }
+
   #take (frame: Frame, factLink: FactLink): void {
     factLink.take(frame)
     if (frame.type === 'caught_up') this.options.facts.caughtUp(frame.complete)
     if (frame.type === 'appoint') this.#appoint(frame)
     if (frame.type === 'fresh') acceptFresh(this.options.facts, frame)
-    if (frame.type === 'ask_fresh' && this.#channel !== undefined) answerFresh(this.options.facts, { channel: this.#channel, ask: frame, cameAt: nowMs() })
+    if (frame.type === 'ask_fresh' && this.#channel !== undefined) void this.#answerFresh({ channel: this.#channel, ask: frame, cameAt: nowMs() })
     if (frame.type === 'declined') {
       this.#declined.set(frame.key, nowMs())
       this.#wanted.delete(frame.key)
--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -32,6 +32,8 @@
   process: string
   domain: string
   states: ServerStates
+  /** Gets a proof that the table is the newest, where this entry reads the store. */
+  prove: () => Promise<void>
   /** This entry watches the store. */
   watching: () => boolean
   /** News that may let waiting requests go on: of these adapters, or of any. */
--- a/packages/fleet/src/entry/store-watch.ts
+++ b/packages/fleet/src/entry/store-watch.ts
@@ -7,6 +7,7 @@
 import type { Fact, Facts } from '../facts.js'
 import { Outage, Turn, follow } from '../follow.js'
 import type { FactSource } from '../ports.js'
+import { TableProver } from './table-prover.js'
 import { dutyOf, type DutyView } from './watch-duty.js'
 
 /** An entry that the store did not answer isn't named again for this long: it would fail once more, and others would wait for it. */
@@ -16,7 +17,6 @@
   sources: FactSource[]
   facts: Facts
   log: Log
-  watchMs: (kind: Fact['kind']) => number
   restMs: (kind: Fact['kind']) => number
   /** No proof of late that the table is the newest, where one is needed. */
   unproven: () => boolean
@@ -30,6 +30,7 @@
   readonly #turn = new Turn()
   readonly #outage = new Outage()
   #blindUntil = -Infinity
+  #prover: TableProver | undefined
 
   constructor (private readonly options: StoreWatchOptions) {}
 
@@ -38,8 +39,15 @@
   }
 
   run (signal: AbortSignal): void {
-    const { sources, facts, log, restMs, watchMs } = this.options
-    for (const source of sources) void follow({ source, facts, log, signal, outage: this.#outage, turn: this.#turn, restMs, watchMs })
+    const { sources, facts, log, restMs } = this.options
+    const table = sources.find(source => source.kind === 'table')
+    if (table !== undefined) this.#prover = new TableProver(table, facts, signal)
+    for (const source of sources) void follow({ source, facts, log, signal, outage: this.#outage, turn: this.#turn, restMs })
+  }
+
+  /** Gets a proof that the table is the newest from the store, unless there is a young one or the store is left to others. */
+  async prove (): Promise<void> {
+    if (this.#turn.on) await this.#prover?.prove()
   }
 
   /** Looks at the duty anew. */
--- a/packages/fleet/src/follow.ts
+++ b/packages/fleet/src/follow.ts
@@ -14,7 +14,7 @@
  * How long a watch waits where nothing changes. Servers change all the time, so their watch is the one that notices a
  * dead connection; the others are cut off and renewed as soon as it does.
  */
-export const watchMs: Readonly<Record<Fact['kind'], number>> = { table: 3000, server: 1500, version: 5000 }
+const watchMs: Record<Fact['kind'], number> = { table: 3000, server: 1500, version: 5000 }
 
 const storeSpan = { firstMs: 100, limitMs: 800 }
 
@@ -121,8 +121,6 @@
   outage: Outage
   /** Whether this process watches the store now. */
   turn: Turn
-  /** How long a watch waits where nothing changes. */
-  watchMs: (kind: Fact['kind']) => number
   /** How long to rest after a call. */
   restMs: (kind: Fact['kind']) => number
 }
@@ -170,13 +168,13 @@
 
   /** One call and what follows from it; gives how long to rest. */
   async #step (): Promise<number> {
-    const { source, outage, signal, restMs, watchMs } = this.options
+    const { source, outage, signal, restMs } = this.options
     if (this.#compactions !== outage.compactions) this.#revision = undefined
     this.#compactions = outage.compactions
     const doubt = AbortSignal.any([signal, outage.signal])
     const askedAt = nowMs()
     const watching = this.#revision !== undefined
-    const page = this.#revision === undefined ? await source.list() : await source.changes(this.#revision, watchMs(this.#kind), doubt)
+    const page = this.#revision === undefined ? await source.list() : await source.changes(this.#revision, watchMs[this.#kind], doubt)
     if (signal.aborted) return 0
     if (page.isOk()) {
       this.#answered(page.value)
@@ -240,7 +238,7 @@
     outage.note(kind, false)
     if (this.#failures > 1) return
     log.warn('store.lost', { kind, code, detail, revision: this.#revision })
-    this.#lostAt = Math.min(nowMs(), askedAt + this.options.watchMs(kind))
+    this.#lostAt = Math.min(nowMs(), askedAt + watchMs[kind])
     outage.noticed()
   }
 
--- a/packages/fleet/src/side/readers.ts
+++ b/packages/fleet/src/side/readers.ts
@@ -100,10 +100,10 @@
     for (const { channel } of this.#readers) channel.close()
   }
 
-  /** Channels to the entries near that read the store, the one heard last in front. */
+  /** Channels to the entries near that read the store. All side processes ask the same one first, as its proof then serves them all. */
   #readingNear (): Channel[] {
     const reading = [...this.#readers].filter(reader => reader.near && !reader.relay && reader.sight === 'reading')
-    return reading.sort((a, b) => b.heardAt - a.heardAt).map(reader => reader.channel)
+    return reading.map(reader => reader.channel).sort((a, b) => a.peer.process < b.peer.process ? -1 : 1)
   }
 
   #heard (frame: FrameOf<'heartbeat'>, reader: Reader): void {
--- a/packages/fleet/test/follow.test.ts
+++ b/packages/fleet/test/follow.test.ts
@@ -1,5 +1,5 @@
 import { quietLog } from '@finchpitch/core'
-import { Facts, Outage, Turn, follow, watchMs, gatherMs, removalStep, type BackendServer, type Fact, type FactPage, type FactSource, type StoreFailure } from '@finchpitch/fleet'
+import { Facts, Outage, Turn, follow, gatherMs, removalStep, type BackendServer, type Fact, type FactPage, type FactSource, type StoreFailure } from '@finchpitch/fleet'
 import { FakeTime } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
 import { err, ok, type Result } from 'neverthrow'
@@ -58,7 +58,7 @@
     time.restore()
   })
 
-  const start = (): void => { void follow({ source, facts, log: quietLog, signal: stop.signal, outage, turn, watchMs: kind => watchMs[kind], restMs: () => 500 }) }
+  const start = (): void => { void follow({ source, facts, log: quietLog, signal: stop.signal, outage, turn, restMs: () => 500 }) }
 
   it('lists once, then asks for changes, resting in between', async () => {
     source.facts = [named('a', 1)]
--- a/packages/fleet/test/freshness.test.ts
+++ b/packages/fleet/test/freshness.test.ts
@@ -1,8 +1,9 @@
 import { pause, quietLog } from '@finchpitch/core'
-import { Facts, Freshness, KeyLease, hashKey, type RoutingTable } from '@finchpitch/fleet'
+import { Facts, Freshness, KeyLease, TableProver, hashKey, type FactPage, type FactSource, type RoutingTable, type StoreFailure } from '@finchpitch/fleet'
 import { FakeTime, FleetSystem, askFleet, eventually, type Reply } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
 import fc from 'fast-check'
+import { err, ok, type Result } from 'neverthrow'
 
 /** A process of the model: a steady clock of its own, the table that it holds and what it believes of it. */
 class Believer {
@@ -147,16 +148,16 @@
 
   it('is not needed where the table knows no teams, or keys may be taken away in time only where processes are in touch', () => {
     offer({})
-    expect(new KeyLease(facts, () => ({ revokeMs: 5000 }))).to.include({ held: true, askDue: false, watchMs: undefined })
+    expect(new KeyLease(facts, () => ({ revokeMs: 5000 }))).to.include({ held: true, askDue: false, watchDue: false })
     facts = new Facts(quietLog, () => 1000)
     offer({ teams: [{ name: 'red', keys: [hashKey('k')] }] })
-    expect(new KeyLease(facts, () => ({}))).to.include({ held: true, watchDue: false, watchMs: undefined })
+    expect(new KeyLease(facts, () => ({}))).to.include({ held: true, watchDue: false })
   })
 
   it('is asked for before it ends, and ends well before the bound', async () => {
     offer({ teams: [{ name: 'red', keys: [hashKey('k')] }] })
     const lease = new KeyLease(facts, () => ({ revokeMs: 5000 }))
-    expect(lease).to.include({ held: false, askDue: true, watchDue: true, watchMs: 700 })
+    expect(lease).to.include({ held: false, askDue: true, watchDue: true })
     facts.freshness.prove(performance.now())
     await time.pass(1400)
     expect(lease).to.include({ held: true, askDue: false })
@@ -244,3 +245,59 @@
     await eventually('it serves again', () => served('one', 2), 8000)
   })
 })
+
+describe('proofs from the store', () => {
+  let time: FakeTime
+  let facts: Facts
+  let calls: number
+  let answerMs: number
+  let answer: Result<FactPage, StoreFailure>
+  let prover: TableProver
+
+  beforeEach(() => {
+    time = new FakeTime()
+    facts = new Facts(quietLog, () => 1000)
+    calls = 0
+    answerMs = 4
+    answer = ok({ facts: [], revision: 9 })
+    const source: FactSource = {
+      kind: 'table',
+      list: async () => answer,
+      changes: async () => {
+        calls += 1
+        await pause(answerMs)
+        return answer
+      }
+    }
+    prover = new TableProver(source, facts, new AbortController().signal)
+    facts.completed('table', 9)
+  })
+
+  afterEach(() => time.restore())
+
+  it('date from the start of the call, and one call serves all who ask meanwhile', async () => {
+    answerMs = 400
+    const asked = [prover.prove(), prover.prove(), prover.prove()]
+    await time.pass(500)
+    await Promise.all(asked)
+    expect(calls).to.equal(1)
+    expect(facts.freshness.ageMs).to.equal(500)
+    await prover.prove()
+    expect(calls).to.equal(1)
+  })
+
+  it('are asked for again once the last is no longer young', async () => {
+    await time.until(prover.prove())
+    await time.pass(800)
+    await time.until(prover.prove())
+    expect(calls).to.equal(2)
+  })
+
+  it('are none where the store does not answer, or the newest table can not be read', async () => {
+    answer = err({ code: 'turned_away', detail: '' })
+    await time.until(prover.prove())
+    answer = ok({ facts: [], revision: 10, unread: 1 })
+    await time.until(prover.prove())
+    expect(facts.freshness.provenAt).to.equal(-Infinity)
+  })
+})
--- a/packages/fleet/test/side-links.test.ts
+++ b/packages/fleet/test/side-links.test.ts
@@ -34,6 +34,7 @@
       },
       log: quietLog,
       watching: () => false,
+      prove: async () => {},
       changed: () => {},
       granted: () => {},
       appointmentsChanged: () => { changes += 1 }
