A stock of tokens keeps few slices whatever comes to it, and a quota without slack is served too

It kept a slice for each gift and sorted them at each: 900 of a team, and some 5,000 gifts a second. Now slices are steps of 0.1 s, 40 for the longest life. A quota whose bound leaves nothing beyond rate times window would have served nobody: tokens live 0.5 s at least, and less is earned where the bound asks for it.

--- a/packages/decisions/src/token-stock.ts
+++ b/packages/decisions/src/token-stock.ts
@@ -13,8 +13,11 @@
 /** Never below 0: a slice may be earned between the moment looked at and the look. */
 export const ageOf = ({ earnedAt }: TokenSlice, now: number): number => Math.max(0, now - earnedAt)
 
-/** Tokens earned within so many milliseconds are kept as one slice, all as old as the oldest. */
-const sliceMs = 50
+/**
+ * Tokens of one such step are kept as one slice, all as old as its start. It bounds the slices that a stock has, 40 for the
+ * longest life, wherever its tokens come from, and costs a token at most this much of its life in each stock.
+ */
+const sliceMs = 100
 
 export class TokenStock {
   /** The oldest first. */
@@ -22,13 +25,12 @@
 
   add (tokens: number, earnedAt: number): void {
     if (tokens <= 0) return
-    const last = this.#slices.at(-1)
-    if (last !== undefined && earnedAt >= last.earnedAt && earnedAt - last.earnedAt < sliceMs) {
-      last.tokens += tokens
-      return
-    }
-    this.#slices.push({ tokens, earnedAt })
-    if (last !== undefined && earnedAt < last.earnedAt) this.#slices.sort((a, b) => a.earnedAt - b.earnedAt)
+    const step = Math.floor(earnedAt / sliceMs) * sliceMs
+    let at = this.#slices.length
+    while (at > 0 && (this.#slices[at - 1]?.earnedAt ?? -Infinity) > step) at -= 1
+    const before = this.#slices[at - 1]
+    if (before?.earnedAt === step) before.tokens += tokens
+    else this.#slices.splice(at, 0, { tokens, earnedAt: step })
   }
 
   addAll (slices: readonly TokenSlice[]): void {
@@ -103,8 +105,18 @@
 /** A quota with much slack would let old tokens pile up, and a burst that a team saved for so long serves nobody better. */
 const longestLifeMs = 4000
 
+/** Two exchanges between entries: with a shorter life nothing would reach those that need it. */
+const shortestLifeMs = 500
+
+const mostInWindow = ({ perSecond, burst }: QuotaRate, { windowMs, overage, slack }: QuotaBound): number =>
+  (perSecond * windowMs / 1000 + burst) * (1 + overage) + slack
+
 /** How long a token may be spent after it was earned, so that no window holds more than the bound. */
-export const tokenLifeMs = ({ perSecond, burst }: QuotaRate, { windowMs, overage, slack }: QuotaBound): number => {
-  const most = (perSecond * windowMs / 1000 + burst) * (1 + overage) + slack
-  return Math.max(0, Math.min(longestLifeMs, (most / perSecond * 1000 - windowMs) * lifeShare))
+export const tokenLifeMs = (rate: QuotaRate, bound: QuotaBound): number => {
+  const spareMs = mostInWindow(rate, bound) / rate.perSecond * 1000 - bound.windowMs
+  return Math.max(shortestLifeMs, Math.min(longestLifeMs, spareMs * lifeShare))
 }
+
+/** Tokens that are earned a second: the quota's rate, or less where its bound leaves less than the shortest life. */
+export const earnedPerSecond = (rate: QuotaRate, bound: QuotaBound): number =>
+  Math.min(rate.perSecond, mostInWindow(rate, bound) / (bound.windowMs + tokenLifeMs(rate, bound)) * 1000)
--- /dev/null
+++ b/packages/decisions/test/token-stock.test.ts
@@ -0,0 +1,45 @@
+import { TokenStock, earnedPerSecond, tokenLifeMs } from '@finchpitch/decisions'
+import { expect } from 'chai'
+
+describe('a stock of tokens', () => {
+  it('gives the oldest first, or the youngest', () => {
+    const stock = new TokenStock()
+    stock.addAll([{ tokens: 10, earnedAt: 300 }, { tokens: 10, earnedAt: 100 }, { tokens: 10, earnedAt: 200 }])
+    expect(stock.takeUpTo(15, 0)).to.deep.equal([{ tokens: 10, earnedAt: 100 }, { tokens: 5, earnedAt: 200 }])
+    expect(stock.takeYoungest(12, 0)).to.deep.equal([{ tokens: 10, earnedAt: 300 }, { tokens: 2, earnedAt: 200 }])
+  })
+
+  it('gives all that is asked for or nothing, and nothing that has lapsed', () => {
+    const stock = new TokenStock()
+    stock.add(10, 100)
+    stock.add(10, 200)
+    expect(stock.take(21, 0)).to.equal(undefined)
+    expect(stock.take(11, 150)).to.equal(undefined)
+    expect(stock.take(10, 150)).to.deep.equal([{ tokens: 10, earnedAt: 200 }])
+  })
+
+  it('never makes a token younger, and keeps few slices of many gifts that come out of order', () => {
+    const stock = new TokenStock()
+    let seed = 7
+    const random = (): number => { seed = (seed * 48_271) % 2_147_483_647; return seed / 2_147_483_647 }
+    for (let each = 0; each < 50_000; each++) stock.add(1, 1000 + random() * 3000)
+    expect(stock.total(0)).to.equal(50_000)
+    const slices = stock.takeUpTo(Infinity, 0)
+    expect(slices).to.have.length.at.most(31)
+    const early = slices.filter(({ earnedAt }) => earnedAt < 2000).reduce((sum, { tokens }) => sum + tokens, 0)
+    expect(early).to.be.within(16_000, 17_500)
+  })
+
+  it('lets tokens live so long that rate times window and life stay under the bound', () => {
+    for (const perSecond of [29_000, 206_000]) {
+      const bound = { windowMs: 8000, overage: 0.1, slack: 110_000 }
+      const life = tokenLifeMs({ perSecond, burst: perSecond }, bound)
+      expect(life).to.be.greaterThan(1000)
+      expect(perSecond * (8000 + life) / 1000).to.be.lessThan((perSecond * 8 + perSecond) * 1.1 + 110_000)
+    }
+    const tight = { windowMs: 8000, overage: 0, slack: 0 }
+    const rate = { perSecond: 100, burst: 0 }
+    expect(earnedPerSecond(rate, tight) * (8000 + tokenLifeMs(rate, tight)) / 1000).to.be.within(750, 800.001)
+    expect(earnedPerSecond({ perSecond: 100, burst: 100 }, tight)).to.equal(100)
+  })
+})
--- a/packages/fleet/src/entry/quotas.ts
+++ b/packages/fleet/src/entry/quotas.ts
@@ -7,9 +7,9 @@
  * once, moves with its age and lapses, so nothing has to be agreed on: a lost message loses tokens, and an entry out of touch
  * still has its share.
  */
-import { DecayingSum, TokenStock, tokenLifeMs, type TokenSlice } from '@finchpitch/decisions'
+import { DecayingSum, TokenStock, earnedPerSecond, tokenLifeMs, type QuotaBound, type TokenSlice } from '@finchpitch/decisions'
 import { nowMs } from '../clock.js'
-import type { Limits } from '../ports.js'
+import { quotaBoundOf, type Limits } from '../ports.js'
 import type { FleetTeam, Quota } from '../team.js'
 
 /** Earned tokens are dated in steps, each as old as its start. */
@@ -106,7 +106,7 @@
   }
 
   get #ownRate (): number {
-    return this.#quota.perSecond / this.entries()
+    return earnedPerSecond(this.#quota, this.#bound) / this.entries()
   }
 
   get #keeps (): number {
@@ -115,8 +115,11 @@
 
   /** Tokens that were earned earlier have lapsed. */
   get #since (): number {
-    const { quotaWindowMs, quotaOverage, quotaSlack } = this.limits()
-    return nowMs() - tokenLifeMs(this.#quota, { windowMs: quotaWindowMs, overage: quotaOverage, slack: quotaSlack })
+    return nowMs() - tokenLifeMs(this.#quota, this.#bound)
+  }
+
+  get #bound (): QuotaBound {
+    return quotaBoundOf(this.limits())
   }
 
   #earn (): void {
--- a/packages/fleet/src/ports.ts
+++ b/packages/fleet/src/ports.ts
@@ -1,6 +1,7 @@
 /**
  * What this package needs from the platform it runs on. An adapter implements these; nothing here knows its names.
  */
+import type { QuotaBound } from '@finchpitch/decisions'
 import type { Result } from 'neverthrow'
 import type { Fact } from './facts.js'
 import type { HeldModel, ModelRef } from './server.js'
@@ -101,6 +102,10 @@
   reserved: ReadonlySet<string>
 }
 
+/** The bound that holds for every quota. */
+export const quotaBoundOf = ({ quotaWindowMs, quotaOverage, quotaSlack }: Limits): QuotaBound =>
+  ({ windowMs: quotaWindowMs, overage: quotaOverage, slack: quotaSlack })
+
 export interface Limits {
   /** Time from a planned stop's signal to the kill. */
   graceMs: number
--- a/packages/fleet/src/side/side.ts
+++ b/packages/fleet/src/side/side.ts
@@ -10,7 +10,7 @@
 import { hostOf, pause } from '@finchpitch/core'
 import { tokenLifeMs } from '@finchpitch/decisions'
 import { Channel, type Frame } from '@finchpitch/wire'
-import type { EngineAccount, EngineOrder, EngineOrders, Limits } from '../ports.js'
+import { quotaBoundOf, type EngineAccount, type EngineOrder, type EngineOrders, type Limits } from '../ports.js'
 import type { SidePeering } from '../redial.js'
 import { parseRef, refKey } from '../server.js'
 import type { EngineSpec } from '../table.js'
@@ -231,8 +231,7 @@
   #tokenLifeMs (name: string): number | undefined {
     const { facts, limits } = this.options
     const quota = facts.routes?.team(name)?.quota
-    const { quotaWindowMs: windowMs, quotaOverage: overage, quotaSlack: slack } = limits()
-    return quota === undefined ? undefined : tokenLifeMs(quota, { windowMs, overage, slack })
+    return quota === undefined ? undefined : tokenLifeMs(quota, quotaBoundOf(limits()))
   }
 
   #publish (): void {
