Service request: admission and own answers have modules of their own

Behaviour as before but that a refusal always lets the rest of a body pass. 88 tests of the fleet, teams, freshness and quotas pass.

--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -10,7 +10,6 @@
 import type { Log } from '@finchpitch/core'
 import { nowMs } from '../clock.js'
 import type { Facts } from '../facts.js'
-import type { HeaderNames } from '../ports.js'
 import type { BackendServer } from '../server.js'
 import type { FleetService, Route, RouteIndex } from '../table.js'
 import { attempt, type AttemptEnd } from './attempt.js'
@@ -22,14 +21,13 @@
 import { Delivery } from './delivery.js'
 import { EventCutter } from './event-stream.js'
 import type { FirstTries } from './first-tries.js'
-import { admit, type Admitted, type Denial } from './gate.js'
-import { credentialOf, type Credential } from './identity.js'
+import type { Admitted, Denial } from './gate.js'
 import { Incoming } from './incoming.js'
-import type { KeyLease } from './key-lease.js'
 import { outgoingOf, type Marks } from './outgoing.js'
+import { OwnAnswers } from './own-answers.js'
 import { RequestRecord } from './request-record.js'
 import { RequestTimes } from './request-times.js'
-import type { Quotas, Reservation } from './quotas.js'
+import { RequestAdmission, type RequestAdmissionOptions } from './request-admission.js'
 import type { RetryBudget } from './retry-budget.js'
 import type { ServerFaults } from './server-faults.js'
 import type { WaitingRoom } from './waiting-room.js'
@@ -38,8 +36,6 @@
 const mostArrivals = 4
 /** All its tries, those that could not be sent too: a whole failure domain of servers may be out of reach. */
 const mostTries = 12
-/** When callers are told to come back, unless a server says later: after something may have been loaded or have ended. */
-const leastRetryAfterMs = 250
 /** Silence beyond this many objectives is out of the ordinary. */
 const silentObjectives = 1.5
 /** A stream under way at its time limit is ended by its server; this much later by the entry. */
@@ -47,17 +43,14 @@
 /** Below this, a try can't end in time. */
 const leastRemainingMs = 5
 
-export interface ServiceRequestOptions {
+export interface ServiceRequestOptions extends RequestAdmissionOptions {
   facts: Facts
   balancer: Balancer
   room: WaitingRoom
   budget: RetryBudget
   firstTries: FirstTries
-  names: HeaderNames
   faults: ServerFaults
   connects: ConnectLimit
-  lease: KeyLease
-  quotas: Quotas
   counters: EntryCounters
   log: Log
   /** Resolves once this entry has a routing table, or had the time that learning it takes after a start. */
@@ -86,12 +79,6 @@
   route: Route
 }
 
-type Final = Exclude<Denial['reason'], 'keys_not_confirmed'>
-const denialStatus: Record<Final, number> = { no_route: 404, key_not_known: 401 }
-const denialText: Record<Final, string> = { no_route: 'no such route', key_not_known: 'a key is needed that is known here' }
-
-const noCredential: Credential = { type: 'none' }
-
 const firstFailure = 500
 const bodyless: ReadonlySet<number> = new Set([204, 304])
 
@@ -103,11 +90,11 @@
 
 export class ServiceRequest {
   readonly #incoming: Incoming
-  /** Read once, and only where the table knows teams. */
-  #credential: Credential | undefined
+  readonly #admission: RequestAdmission
   readonly #times = new RequestTimes()
   readonly #record: RequestRecord
   readonly #delivery: Delivery
+  readonly #answers: OwnAnswers
   readonly #left = new Cancellation()
   readonly #excluded = new Set<string>()
   /** A weighted draw of a service, the same for all tries. */
@@ -116,47 +103,46 @@
   #arrivals = 0
   #ran = 0
   #mayHaveRun = false
-  #retryAfterMs = leastRetryAfterMs
   #cutter: EventCutter | undefined
   #expired = false
-  /** What the request counts of its team's quota. */
-  #reservation: Reservation | undefined
 
   constructor (private readonly options: ServiceRequestOptions, request: IncomingMessage, response: ServerResponse) {
     this.#incoming = new Incoming(request, options.names)
     this.#record = new RequestRecord(this.#incoming, this.#times)
     this.#delivery = new Delivery(response, options.lastAnswer)
+    this.#admission = new RequestAdmission(options, this.#incoming)
+    this.#answers = new OwnAnswers({ names: options.names, unconfirmedRetryMs: options.unconfirmedRetryMs, incoming: this.#incoming, delivery: this.#delivery, record: this.#record })
     response.on('close', () => { if (!response.writableFinished) this.#left.cancel() })
   }
 
   async serve (): Promise<void> {
     const outcome = await this.#serve()
-    const { facts, balancer, log, counters, quotas } = this.options
-    if (this.#reservation !== undefined) quotas.release(this.#reservation)
+    const { facts, balancer, log, counters } = this.options
+    this.#admission.release()
     const holding = balancer.states.get(this.#record.server?.id ?? '')?.holding
     this.#record.tell(outcome, log, counters, { table: facts.routes?.table.version, holding })
   }
 
   async #serve (): Promise<string> {
     const { facts, closed, firstTries, blindRetryMs } = this.options
-    const { remainingMs, message } = this.#incoming
-    if (!closed) await this.options.learned()
+    const { remainingMs } = this.#incoming
+    if (closed) return this.#answers.refuse('stopping')
+    await this.options.learned()
     const routes = facts.routes
-    if (closed || routes === undefined) {
-      message.resume()
-      if (!closed) this.#retryAfterMs = blindRetryMs()
-      return this.#refuse(closed ? 'stopping' : 'no_table')
+    if (routes === undefined) {
+      this.#answers.notBefore(blindRetryMs())
+      return this.#answers.refuse('no_table')
     }
     const admission = this.#admit(routes)
-    if (admission.type === 'denied') return this.#deny(admission)
+    if (admission.type === 'denied') return this.#answers.deny(admission)
     const { route } = admission
-    if (this.#incoming.impossible) return this.#end(400, 'bad_model', 'the name of the model is too long')
-    const overQuota = await this.#reserve(admission)
-    if (overQuota !== undefined) return overQuota
+    if (this.#incoming.impossible) return this.#answers.end('bad_model')
+    const readyInMs = await this.#admission.reserve(admission)
+    if (readyInMs !== undefined) return this.#answers.overQuota(readyInMs)
     this.#times.deadline = this.#times.arrived + Math.min(remainingMs, route.timeoutMs)
     this.#times.firstTriedMs = firstTries.agoMs(route.name, remainingMs)
     const body = await this.#incoming.body(routes.table.limits.bodyBytes)
-    if (body.isErr()) return body.error === 'too_large' ? this.#end(413, 'too_large', 'the body is too large') : body.error
+    if (body.isErr()) return body.error === 'too_large' ? this.#answers.end(body.error) : body.error
     this.#cutter = route.kind === 'stream' && route.resumable ? new EventCutter() : undefined
     const timer = setTimeout(() => this.#expire(), Math.max(0, this.#times.leftMs))
     try {
@@ -171,9 +157,9 @@
       const { routes, servers } = this.options.facts
       if (routes === undefined) return this.#giveUp('no_table')
       const admission = this.#admit(routes)
-      if (admission.type === 'denied') return this.#mayHaveRun ? this.#fail(502, admission.reason) : this.#deny(admission)
-      const overQuota = await this.#reserve(admission)
-      if (overQuota !== undefined) return overQuota
+      if (admission.type === 'denied') return this.#mayHaveRun ? this.#answers.fail(502, admission.reason) : this.#answers.deny(admission)
+      const readyInMs = await this.#admission.reserve(admission)
+      if (readyInMs !== undefined) return this.#mayHaveRun ? this.#answers.fail(502, 'over_quota') : this.#answers.overQuota(readyInMs)
       const service = this.#serviceOf(admission.route)
       if (service === undefined) return this.#giveUp('no_service')
       const asked = this.#asked(service, admission)
@@ -188,9 +174,7 @@
   }
 
   #admit (routes: RouteIndex): Admitted | Denial {
-    const { host, path, message } = this.#incoming
-    if (routes.keyed) this.#credential ??= credentialOf(message, this.options.names)
-    const admission = admit(routes, { host, path, credential: this.#credential ?? noCredential, confirmed: this.options.lease.held })
+    const admission = this.#admission.admit(routes)
     this.#record.route = admission.route ?? this.#record.route
     if (admission.type === 'admitted') this.#record.team = admission.team?.name
     return admission
@@ -242,7 +226,7 @@
     const table = facts.routes
     const { route } = admitted
     const remaining = Math.floor(this.#times.leftMs)
-    if (remaining < leastRemainingMs) return done(this.#mayHaveRun ? this.#fail(504, 'timed_out') : this.#refuse('too_late'))
+    if (remaining < leastRemainingMs) return done(this.#mayHaveRun ? this.#answers.fail(504, 'timed_out') : this.#answers.refuse('too_late'))
     if (this.#record.tries === 0) budget.first(asked.service.name)
     if (this.#arrivals > 0 && !budget.repeat(asked.service.name)) return done(this.#giveUp('no_retry_left'))
     const state = balancer.state(server)
@@ -257,7 +241,8 @@
       serverId: server.id,
       names,
       connectMs: Math.min(connects.ms, remaining),
-      permit: () => this.#mayStillSend(admitted, table),
+      // Under a table that changed, it is asked anew who may ask for what.
+      permit: () => facts.routes === table && this.#admission.spend(admitted),
       cameUp: ms => connects.cameUp(ms),
       stream: route.kind === 'stream',
       cutter: this.#cutter,
@@ -276,32 +261,6 @@
     return this.#judge(end, { server, asked, route })
   }
 
-  /** Under a table that changed, it is asked anew who may ask for what. */
-  #mayStillSend ({ team }: Admitted, table: RouteIndex | undefined): boolean {
-    const { facts, lease, quotas } = this.options
-    if (facts.routes !== table || (team !== undefined && !lease.held)) return false
-    return this.#reservation === undefined || quotas.spend(this.#reservation)
-  }
-
-  /** Sets aside what the request counts of its team's quota, once; gives the outcome where it can't. */
-  async #reserve ({ team }: Admitted): Promise<string | undefined> {
-    const { quotas, names } = this.options
-    const known = this.#reservation
-    if (team?.quota === undefined || known?.spent === true || (known !== undefined && quotas.lasts(known, team))) return undefined
-    if (known !== undefined) quotas.release(known)
-    this.#reservation = undefined
-    const reserved = await quotas.reserve(team, this.#incoming.tokens)
-    if (typeof reserved !== 'number') {
-      this.#reservation = reserved
-      return undefined
-    }
-    if (this.#mayHaveRun) return this.#fail(502, 'over_quota')
-    this.#incoming.message.resume()
-    this.#record.reason = 'over_quota'
-    this.#delivery.own(429, { [names.retryAfter]: String(reserved / 1000) }, 'not run: the quota of the team is used up')
-    return 'over_quota'
-  }
-
   #noteTry (server: BackendServer, { key }: Asked, { reason, expectedMs }: Sending): void {
     const record = this.#record
     record.tries += 1
@@ -356,13 +315,13 @@
     not_run: (self, { status, cause, retryAfter }, { server, asked }) => {
       const { key } = asked
       if (self.options.faults.refused({ request: self.#incoming.id, server, status, cause, key, tries: self.#record.tries })) self.#excluded.add(server.id)
-      self.#retryAfterMs = Math.max(self.#retryAfterMs, secondsOf(retryAfter) * 1000)
+      self.#answers.notBefore(secondsOf(retryAfter) * 1000)
       return self.#goOn('refused')
     },
     cancelled: (self, { sent }) => done(self.#abandoned(sent)),
     broken: (self, { detail }, at) => {
       self.#mayHaveRunAt(at.server, detail)
-      return self.#mayRunAgain(at) ? again : done(self.#fail(502, 'broken'))
+      return self.#mayRunAgain(at) ? again : done(self.#answers.fail(502, 'broken'))
     },
     interrupted: (self, { detail }, at) => {
       self.#mayHaveRunAt(at.server, detail)
@@ -407,43 +366,11 @@
       this.#delivery.cut()
       return 'timed_out'
     }
-    return sent || this.#mayHaveRun ? this.#fail(504, 'timed_out') : this.#refuse('timed_out')
+    return sent || this.#mayHaveRun ? this.#answers.fail(504, 'timed_out') : this.#answers.refuse('timed_out')
   }
 
   /** There is nowhere left to send it. */
   #giveUp (reason: string): string {
-    return this.#mayHaveRun ? this.#fail(502, reason) : this.#refuse(reason)
-  }
-
-  /** It has surely not run, and may be asked again. */
-  #refuse (reason: string): string {
-    this.#record.reason = reason
-    this.#delivery.own(503, { [this.options.names.retryAfter]: String(this.#retryAfterMs / 1000) }, `not run: ${reason}`)
-    return 'refused'
-  }
-
-  /** It may have run. */
-  #fail (status: 502 | 504, reason: string): string {
-    this.#record.reason = reason
-    this.#delivery.own(status, {}, `may have run: ${reason}`)
-    return 'failed'
-  }
-
-  #deny ({ reason }: Denial): string {
-    if (reason === 'keys_not_confirmed') return this.#unconfirmed()
-    return this.#end(denialStatus[reason], reason, denialText[reason])
-  }
-
-  /** Another entry may know more at once; where the store answers nobody, none does. */
-  #unconfirmed (): string {
-    this.#retryAfterMs = this.options.unconfirmedRetryMs()
-    this.#incoming.message.resume()
-    return this.#refuse('keys_not_confirmed')
-  }
-
-  #end (status: number, outcome: string, message: string): string {
-    this.#incoming.message.resume()
-    this.#delivery.own(status, {}, message)
-    return outcome
+    return this.#mayHaveRun ? this.#answers.fail(502, reason) : this.#answers.refuse(reason)
   }
 }
