--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -31,6 +31,8 @@
 
 /** How often it looks at what lapses, at its duty and at how many entries there are. */
 const sweepMs = 200
+/** Between two questions for a proof after the lease on keys has ended. */
+const lapsedRestMs = 600
 /** In a planned stop, how often it looks whether everything has ended. */
 const stopCheckMs = 60
 /** Over what callers may send; the configuration's own limit is far lower. */
@@ -80,6 +82,8 @@
   readonly #lease: KeyLease
   /** As last told in the log. */
   #leaseHeld = true
+  /** When a proof of freshness was last asked for. */
+  #askedAt = -Infinity
   readonly #ceiling = new EntryCeiling()
   /** The most entries that may exist, as last looked at. */
   #mostEntries: number
@@ -258,7 +262,11 @@
 
   /** One that reads the store proves by itself that its table is the newest; others ask, and so does one that gets no answer. */
   #keepLease (): void {
-    if (!this.#lease.askDue) return
+    const now = nowMs()
+    // Once the lease has ended, everybody asks at once, and mostly because the store answers nobody.
+    const restMs = this.#lease.held ? sweepMs : lapsedRestMs
+    if (!this.#lease.askDue || now - this.#askedAt < restMs) return
+    this.#askedAt = now
     void this.#watch.prove()
     if (!this.#watch.watching || this.#lease.askFarDue) this.#links.askFresh(this.#lease.askFarDue)
   }
