--- a/packages/fleet/src/side/news.ts
+++ b/packages/fleet/src/side/news.ts
@@ -32,6 +32,8 @@
   fence: number
   /** Its side process is lost to the one that passes its news on. */
   lost?: boolean
+  /** Requests that it runs at once; not told, since the list of servers says it. */
+  batchSize?: number | undefined
 }
 
 export class EngineNews {
@@ -85,8 +87,9 @@
 export interface NewsPace {
   /** At most so often of a load that changed, all waiting and running requests being its load. */
   loadMs: number
-  /** By fewer requests a load does not count as changed. */
+  /** By fewer requests a load does not count as changed, nor by a smaller part of the batch. */
   loadStep: number
+  batchShare: number
   /** Changes of what is held are gathered so long. */
   changeMs: number
   /** What differs at all goes along with other news, but not within this time of the last. */
@@ -97,15 +100,15 @@
 
 /**
  * An entry knows what it sent itself since it was last told, so steps hide only what others did. A quarter of the smallest
- * batch seen, 12 requests, is no reason to choose another engine, least of all one elsewhere.
+ * batch seen, 12 requests, is no reason to choose another engine, least of all one elsewhere; nor is a tenth of a larger one.
  */
 export const newsPaces = {
   /** To entries of the engine's own domain, which send it most of what it gets; bytes there cost nothing. */
-  near: { loadMs: 200, loadStep: 2, changeMs: 0, alongMs: 100, aliveMs: 700 },
+  near: { loadMs: 200, loadStep: 2, batchShare: 0.1, changeMs: 0, alongMs: 100, aliveMs: 700 },
   /** Across, where bytes cost. */
-  far: { loadMs: 250, loadStep: 3, changeMs: 40, alongMs: 100, aliveMs: 1500 },
+  far: { loadMs: 250, loadStep: 3, batchShare: 0.1, changeMs: 40, alongMs: 100, aliveMs: 1500 },
   /** What was told across, to entries of one's own domain. One that asked for an adapter is told of it by its side process. */
-  passedOn: { loadMs: 400, loadStep: 3, changeMs: 150, alongMs: 200, aliveMs: 1500 }
+  passedOn: { loadMs: 400, loadStep: 3, batchShare: 0.1, changeMs: 150, alongMs: 200, aliveMs: 1500 }
 } as const satisfies Record<string, NewsPace>
 
 export class NewsTeller {
@@ -140,7 +143,8 @@
   }
 
   #loadDiffers (told: EngineSnapshot, now: EngineSnapshot): boolean {
-    return Math.abs(loadOf(told) - loadOf(now)) >= this.pace.loadStep || unreadDiffers(told.unread, now.unread)
+    const step = Math.max(this.pace.loadStep, (now.batchSize ?? 0) * this.pace.batchShare)
+    return Math.abs(loadOf(told) - loadOf(now)) >= step || unreadDiffers(told.unread, now.unread)
   }
 }
 
--- a/packages/fleet/src/side/relay.ts
+++ b/packages/fleet/src/side/relay.ts
@@ -5,6 +5,7 @@
  * requests and wants go from the entries straight to where they belong, so a relay that fails delays news and nothing else.
  */
 import type { Duplex } from 'node:stream'
+import { hostOf } from '@finchpitch/core'
 import { Channel } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
 import { EngineMirror } from '../engine-mirror.js'
@@ -109,17 +110,22 @@
   }
 
   #note (host: string, { mirror }: Source): void {
-    this.news.set(host, newsOf(host, mirror))
+    this.news.set(host, newsOf(host, mirror, this.#batchSizeAt(host)))
     this.#due ??= setTimeout(() => this.#passOn(), gatherMs)
   }
 
+  #batchSizeAt (host: string): number | undefined {
+    for (const { address, slots } of this.options.facts.servers.values()) if (hostOf(address) === host) return slots
+    return undefined
+  }
+
   #passOn (): void {
     this.#due = undefined
     this.options.changed()
   }
 }
 
-const newsOf = (host: string, mirror: EngineMirror): EngineNews => {
+const newsOf = (host: string, mirror: EngineMirror, batchSize: number | undefined): EngineNews => {
   const { changes, held, coming, reachable, server, bornAt, waiting, running, unread, entries, strangers, fence, lost } = mirror
-  return new EngineNews({ host, changes, held, coming, warm: () => mirror.warm.all(), reachable, server, bornAt, waiting, running, unread, entries, strangers, fence, lost })
+  return new EngineNews({ host, changes, held, coming, warm: () => mirror.warm.all(), reachable, server, bornAt, waiting, running, unread, entries, strangers, fence, lost, batchSize })
 }
--- a/packages/fleet/src/side/side.ts
+++ b/packages/fleet/src/side/side.ts
@@ -264,7 +264,8 @@
       unread: this.demands.unread,
       entries: near,
       strangers,
-      fence: this.#orders.fence
+      fence: this.#orders.fence,
+      batchSize: this.#spec()?.batchSize
     })
   }
 
--- a/packages/fleet/test/reader.test.ts
+++ b/packages/fleet/test/reader.test.ts
@@ -201,6 +201,20 @@
       expect(hostsSince(3)).to.deep.equal([ownHost, farHost])
     })
 
+    it('counts a load as changed by a tenth of the batch, where that is more than the usual step', async () => {
+      const link = linkOf(true)
+      link.follow([ownHost])
+      link.publish(news({ batchSize: 48 }), passedOn)
+      await time.pass(250)
+      link.publish(news({ batchSize: 48, running: 4 }), passedOn)
+      expect(sent).to.have.length(1)
+      link.publish(news({ batchSize: 48, running: 5 }), passedOn)
+      expect(sent).to.have.length(2)
+      await time.pass(250)
+      link.publish(news({ batchSize: 12, running: 7 }), passedOn)
+      expect(sent).to.have.length(3)
+    })
+
     it('begins with all of it again for a reader that comes back', () => {
       const link = linkOf(true)
       passedOn.set(farHost, news({ host: farHost, held: new Map([['m/a', 1]]) }))
