--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -20,6 +20,7 @@
 import { FirstTries } from './first-tries.js'
 import { KeyLease } from './key-lease.js'
 import { EntryCeiling } from './entry-ceiling.js'
+import { LeaseKeeper } from './lease-keeper.js'
 import { QuotaExchange } from './quota-exchange.js'
 import { Quotas } from './quotas.js'
 import { RetryBudget } from './retry-budget.js'
@@ -31,8 +32,6 @@
 
 /** How often it looks at what lapses, at its duty and at how many entries there are. */
 const sweepMs = 200
-/** Between two questions for a proof after the lease on keys has ended. */
-const lapsedRestMs = 600
 /** In a planned stop, how often it looks whether everything has ended. */
 const stopCheckMs = 60
 /** Over what callers may send; the configuration's own limit is far lower. */
@@ -43,8 +42,6 @@
 const learningMs = 500
 /** Else the store is away, which takes seconds; a caller that comes back sooner is refused a second time. */
 const outageRetryMs = 2000
-/** A caller's next try meets another entry; the balancer knows within a second that this one is not ready. */
-const elsewhereRetryMs = 250
 const seedSpan = { firstMs: 200, limitMs: 2000 }
 /** How often it is looked at whether another entry is still needed to learn from. */
 const seedCheckMs = 1000
@@ -80,10 +77,7 @@
   readonly #connects = new ConnectLimit()
   readonly #firstTries = new FirstTries()
   readonly #lease: KeyLease
-  /** As last told in the log. */
-  #leaseHeld = true
-  /** When a proof of freshness was last asked for. */
-  #askedAt = -Infinity
+  readonly #leaseKeeper: LeaseKeeper
   readonly #ceiling = new EntryCeiling()
   /** The most entries that may exist, as last looked at. */
   #mostEntries: number
@@ -104,14 +98,33 @@
     this.#lease = new KeyLease(facts, limits)
     this.#balancer = new Balancer(facts, domain, limits, () => this.#links, log)
     this.#links = new SideLinks({
-      process, domain, facts, states: this.#balancer.states, sidePort, channel, dial, log, watching: () => this.#watch.watching, prove: () => this.#watch.prove(), changed: keys => this.#room.poke(keys), granted: (host, channel, frame) => this.#quotaExchange.take(host, channel, frame), appointmentsChanged: () => this.#watch.check()
+      process,
+      domain,
+      facts,
+      states: this.#balancer.states,
+      sidePort,
+      channel,
+      dial,
+      log,
+      watching: () => this.#watch.watching,
+      prove: () => this.#watch.prove(),
+      changed: keys => this.#room.poke(keys),
+      granted: (host, channel, frame) => this.#quotaExchange.take(host, channel, frame),
+      appointmentsChanged: () => this.#watch.check()
     })
     this.#watch = new StoreWatch({
-      sources, facts, log, restMs: kind => this.#restMs(kind), unproven: () => this.#lease.watchDue, appointments: () => this.#links.appointments, changed: () => this.#links.watchingChanged()
+      sources,
+      facts,
+      log,
+      restMs: kind => this.#restMs(kind),
+      unproven: () => this.#lease.watchDue,
+      appointments: () => this.#links.appointments,
+      changed: () => this.#links.watchingChanged()
     })
     this.#mostEntries = this.#ceiling.of(undefined, 0)
     this.#quotas = new Quotas({ limits, entries: () => this.#mostEntries, bring: (team, tokens) => this.#quotaExchange.bring(team, tokens) })
     this.#quotaExchange = new QuotaExchange({ quotas: this.#quotas, hosts: () => this.#links.hosts, channelTo: host => this.#links.channelTo(host), log })
+    this.#leaseKeeper = new LeaseKeeper({ lease: this.#lease, facts, links: this.#links, watch: this.#watch, log })
     this.#faults = new ServerFaults(this.#balancer, this.counters, log)
     this.#budget = new RetryBudget(limits, () => this.#links.entries)
     this.server = createServer({ maxHeaderSize: mostHeaderBytes, connectionsCheckingInterval: 1000, requestTimeout: 0 })
@@ -187,7 +200,7 @@
     this.#running += 1
     try {
       const served = new ServiceRequest({
-        facts, balancer: this.#balancer, room: this.#room, budget: this.#budget, faults: this.#faults, connects: this.#connects, lease: this.#lease, quotas: this.#quotas, unconfirmedRetryMs: () => this.#unconfirmedRetryMs, firstTries: this.#firstTries, names, counters: this.counters, log, closed: this.#closed, learned: () => this.#learned(), blindRetryMs: () => this.#blindRetryMs, lastAnswer: () => this.#closing || !this.#lease.held || this.#connections.isOld(request.socket)
+        facts, balancer: this.#balancer, room: this.#room, budget: this.#budget, faults: this.#faults, connects: this.#connects, lease: this.#lease, quotas: this.#quotas, unconfirmedRetryMs: () => this.#leaseKeeper.retryMs, firstTries: this.#firstTries, names, counters: this.counters, log, closed: this.#closed, learned: () => this.#learned(), blindRetryMs: () => this.#blindRetryMs, lastAnswer: () => this.#closing || !this.#lease.held || this.#connections.isOld(request.socket)
       }, request, response)
       await served.serve()
     } catch (error) {
@@ -223,11 +236,6 @@
     return nowMs() - this.#startedAt < learningMs ? learningMs : outageRetryMs
   }
 
-  /** Other entries may hold the lease, and callers' new connections go to those; in an outage nobody does for a while. */
-  get #unconfirmedRetryMs (): number {
-    return this.#links.outage ? outageRetryMs : elsewhereRetryMs
-  }
-
   #reconcile (): void {
     const { facts } = this.options
     const engines = [...facts.servers.values()].filter(server => facts.routes?.service(server.service)?.engine !== undefined)
@@ -250,8 +258,7 @@
     while (!signal.aborted) {
       await pause(sweepMs, signal)
       this.options.facts.expire()
-      this.#keepLease()
-      this.#tellLease()
+      this.#leaseKeeper.check()
       this.#watch.check()
       this.#seedTurn.set(this.#needsSeeds)
       const { entries } = this.#links
@@ -260,26 +267,6 @@
     }
   }
 
-  /** One that reads the store proves by itself that its table is the newest; others ask, and so does one that gets no answer. */
-  #keepLease (): void {
-    const now = nowMs()
-    // Once the lease has ended, everybody asks at once, and mostly because the store answers nobody.
-    const restMs = this.#lease.held ? sweepMs : lapsedRestMs
-    if (!this.#lease.askDue || now - this.#askedAt < restMs) return
-    this.#askedAt = now
-    void this.#watch.prove()
-    if (!this.#watch.watching || this.#lease.askFarDue) this.#links.askFresh(this.#lease.askFarDue)
-  }
-
-  #tellLease (): void {
-    const { log, facts } = this.options
-    const { held } = this.#lease
-    if (held === this.#leaseHeld) return
-    this.#leaseHeld = held
-    const { ageMs } = facts.freshness
-    log.info('keys.lease_changed', { held, ageMs: Number.isFinite(ageMs) ? Math.round(ageMs) : undefined, table: facts.routes?.table.version, outage: this.#links.outage })
-  }
-
   #noteEntries (entries: number): void {
     const before = this.#connections.entries
     if (entries === before) return
--- a/packages/fleet/src/entry/quotas.ts
+++ b/packages/fleet/src/entry/quotas.ts
@@ -102,7 +102,7 @@
   /** Until so many may be there, by what came of late. */
   readyInMs (tokens: number): number {
     const lacking = tokens - this.#stock.total(this.#since)
-    const ms = lacking / Math.max(this.#ownRate, this.#ownRate + rateOf(this.#granted)) * 1000
+    const ms = lacking / (this.#ownRate + rateOf(this.#granted)) * 1000
     return Math.min(retrySpan.mostMs, Math.max(retrySpan.leastMs, ms))
   }
 
--- a/packages/fleet/test/freshness.test.ts
+++ b/packages/fleet/test/freshness.test.ts
@@ -1,5 +1,5 @@
-import { pause, quietLog } from '@finchpitch/core'
-import { Facts, Freshness, KeyLease, TableProver, hashKey, type FactPage, type FactSource, type RoutingTable, type StoreFailure } from '@finchpitch/fleet'
+import { pause, quietLog, type Log } from '@finchpitch/core'
+import { Facts, Freshness, KeyLease, LeaseKeeper, TableProver, hashKey, type FactPage, type FactSource, type RoutingTable, type StoreFailure } from '@finchpitch/fleet'
 import { FakeTime, FleetSystem, askFleet, eventually, type Reply } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
 import fc from 'fast-check'
@@ -170,6 +170,70 @@
   })
 })
 
+describe('keeping the lease on keys', () => {
+  let time: FakeTime
+  let facts: Facts
+  let asked: boolean[]
+  let proved: number
+  let watching: boolean
+  let keeper: LeaseKeeper
+  let told: unknown[]
+
+  const pass = async (ms: number): Promise<void> => {
+    for (let each = 0; each < ms; each += 100) {
+      await time.pass(100)
+      keeper.check()
+    }
+  }
+
+  beforeEach(() => {
+    time = new FakeTime()
+    facts = new Facts(quietLog, () => 1000)
+    const table = { version: 1, routes: [], services: [], teams: [{ name: 'red', keys: [hashKey('k')] }], limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } }
+    facts.offer({ kind: 'table', key: 'table', revision: 1, value: table }, 'store')
+    facts.freshness.prove(performance.now())
+    asked = []
+    proved = 0
+    watching = false
+    told = []
+    const lease = new KeyLease(facts, () => ({ revokeMs: 5000 }))
+    const log = { info: (event: string, fields: { held?: boolean }) => { if (event === 'keys.lease_changed') told.push(fields.held) } } as unknown as Log
+    const watch = { prove: async () => { proved += 1 }, get watching () { return watching } }
+    const links = { askFresh: (far: boolean) => { asked.push(far) }, get outage () { return false } }
+    keeper = new LeaseKeeper({ lease, facts, links, watch, log })
+  })
+
+  afterEach(() => time.restore())
+
+  it('asks nobody while the proof is young, then one after the other, and at last those elsewhere too', async () => {
+    await pass(1400)
+    expect(asked).to.deep.equal([])
+    await pass(500)
+    expect(asked).to.deep.equal([false, false])
+    await pass(500)
+    expect(asked.slice(2)).to.include(true)
+  })
+
+  it('asks the store first where this entry reads it, and others only if that does not help', async () => {
+    watching = true
+    await pass(1900)
+    expect(proved).to.equal(2)
+    expect(asked).to.deep.equal([])
+    await pass(500)
+    expect(asked).to.include(true)
+  })
+
+  it('asks less often once it has ended, and tells its end and its return once', async () => {
+    await pass(4100)
+    const before = asked.length
+    await pass(1800)
+    expect(asked.length - before).to.equal(3)
+    facts.freshness.prove(performance.now())
+    await pass(200)
+    expect(told).to.deep.equal([false, true])
+  })
+})
+
 describe('taking keys away in a fleet of real processes', function () {
   this.timeout(90_000)
   let fleet: FleetSystem
