Quota tokens that requests wait for: asked for all of them, and short only where fewer came than were asked for

Causes: of two requests of a team that waited at an entry only the larger one was asked for; one that came meanwhile could take what had been brought; and a team counted as short for 60 ms after it had got all it asked, as that was compared with the request and not with what was lacking. Now sums are asked for, a request asks again up to three times while its team isn't short, two requests of the usual size are kept at hand, and an answer that came during a stall is read before the wait ends.

--- a/packages/fleet/src/entry/quota-exchange.ts
+++ b/packages/fleet/src/entry/quota-exchange.ts
@@ -4,6 +4,7 @@
  * It goes on several times a second while some team has a quota, and at once where a request lacks tokens. Without an answer
  * the next side process is asked; meanwhile each entry lives on its share.
  */
+import { setImmediate } from 'node:timers/promises'
 import { affinityOf, ageOf, hashOf, type TokenSlice } from '@finchpitch/decisions'
 import { pause, type Log } from '@finchpitch/core'
 import type { Channel, FrameOf, TokenAge } from '@finchpitch/wire'
@@ -16,10 +17,12 @@
 const answerMs = 400
 /** One that did not answer isn't asked for this long. */
 const passedByMs = 2000
-/** A request waits for tokens of others no longer: an eighth of the shortest objective of streams. */
-const bringMs = 75
+/** A request waits for tokens of others no longer, a quarter of the shortest objective of streams; most answers take 2 to 20 ms. */
+const bringMs = 150
 /** A team that was found to be short is not asked for again at once by each of its requests. */
 const shortMs = 60
+/** With this part of what was asked for, a team counts as not short: the rest is rounding. */
+const metShare = 0.99
 /** Of so many teams one frame tells, those that were short of late first: 16 slices of 20 bytes each, four times a second, are 2.5 KB/s. */
 const mostGiven = 32
 const mostWanted = 200
@@ -41,9 +44,10 @@
   /** By channel, since a side process that starts again has another clock. */
   readonly #echoes = new WeakMap<Channel, Echo>()
   readonly #short = new Map<string, number>()
-  /** Wanted by requests beyond what is asked for anyway: to be asked for next, and asked for now. */
-  #urgent = new Map<string, number>()
-  #urged = new Map<string, number>()
+  /** What requests lack that wait: asked for with the next frame. */
+  readonly #urgent = new Map<string, number>()
+  /** What the last frame asked for because of such requests. */
+  readonly #urged = new Map<string, number>()
   #needed: ReadonlySet<string> = new Set()
   #sentAt: number | undefined
   /** Aborts with the answer to what was sent last, and to what is sent next. */
@@ -59,13 +63,17 @@
     }
   }
 
-  /** Asks for tokens at once; resolves with the answer, or after a moment. */
-  async bring (team: string, tokens: number): Promise<void> {
-    if (nowMs() - (this.#short.get(team) ?? -Infinity) < shortMs) return
-    this.#urgent.set(team, Math.max(tokens, this.#urgent.get(team) ?? 0))
+  /** Asks for tokens at once; resolves with the answer, or after a moment. Says whether it is of use to ask again. */
+  async bring (team: string, tokens: number): Promise<boolean> {
+    if (this.#isShort(team)) return false
+    this.#urgent.set(team, tokens + (this.#urgent.get(team) ?? 0))
     const { signal } = this.#nextAnswered
     if (this.#sentAt === undefined) this.#send()
+    if (this.#sentAt === undefined) return false
     await pause(bringMs, signal)
+    // Timers run before what the sockets brought: after a stall of this process the answer may well be there.
+    if (!signal.aborted) await setImmediate()
+    return signal.aborted && !this.#isShort(team)
   }
 
   take (host: string, channel: Channel, frame: FrameOf<'quota_grant'>): void {
@@ -76,11 +84,16 @@
     if (host !== this.#bank) return
     this.#needed = new Set(frame.needed)
     this.#sentAt = undefined
-    for (const [team, tokens] of this.#urged) if (sumOf(granted.get(team)) < tokens) this.#short.set(team, now)
+    for (const [team, wanted] of this.#urged) if (sumOf(granted.get(team)) < wanted * metShare) this.#short.set(team, now)
+    this.#urged.clear()
     this.#answered.abort()
     if (this.#urgent.size > 0) this.#send()
   }
 
+  #isShort (team: string): boolean {
+    return nowMs() - (this.#short.get(team) ?? -Infinity) < shortMs
+  }
+
   #tick (): void {
     if (this.options.quotas.accounts.size === 0) return
     if (this.#sentAt !== undefined) {
@@ -113,8 +126,6 @@
     this.#sentAt = frame.stamp
     this.#answered = this.#nextAnswered
     this.#nextAnswered = new AbortController()
-    this.#urged = this.#urgent
-    this.#urgent = new Map()
   }
 
   #frame (channel: Channel): FrameOf<'quota'> {
@@ -124,10 +135,13 @@
     const wants: Array<[string, number]> = []
     const idle: Array<[team: string, account: TeamAccount]> = []
     for (const [team, account] of this.options.quotas.accounts) {
-      const wanted = account.wants(this.#urgent.get(team))
+      const urgent = this.#urgent.get(team)
+      const wanted = account.wants(urgent)
+      if (urgent !== undefined && wanted > 0) this.#urged.set(team, wanted)
       if (wanted === 0) idle.push([team, account])
       else if (wants.length < mostWanted) wants.push([team, wanted])
     }
+    this.#urgent.clear()
     if (echo !== undefined) {
       idle.sort(([a], [b]) => Number(this.#needed.has(b)) - Number(this.#needed.has(a)))
       for (const [team, account] of idle.slice(0, mostGiven)) {
--- a/packages/fleet/src/entry/quotas.ts
+++ b/packages/fleet/src/entry/quotas.ts
@@ -20,8 +20,16 @@
 const keptMs = 500
 /** With less than this part of it at hand, it asks for more; so most exchanges ask for nothing. */
 const askShare = 0.5
+/** So many requests of the usual size are kept at hand, or most requests of a team with a small share would wait for an exchange, */
+const keptRequests = 2
+/** but no more than this part of what its own share can hold: the rest is for others, and lapses if it stays. */
+const ownShare = 0.6
+/** The part by which a request moves the usual size. */
+const sizeWeight = 0.1
 /** Fewer tokens aren't worth giving away: a request of the usual size has some 700. */
 const leastGiven = 200
+/** Requests that come meanwhile may take what was brought for one that waits, which then asks again. */
+const mostBrings = 3
 /** When a refused caller should come back, whatever the sums say. */
 const retrySpan = { leastMs: 100, mostMs: 5000 }
 
@@ -49,6 +57,8 @@
   readonly #granted = new DecayingSum(demandHalfLifeMs)
   #quota: Quota
   #earnedAt = nowMs()
+  /** Of requests here, aged. */
+  #usualSize = 0
 
   constructor (quota: Quota, private readonly limits: () => Limits, private readonly entries: () => number) {
     this.#quota = quota
@@ -64,6 +74,7 @@
   /** A request asks for so many. */
   demand (tokens: number): void {
     this.#demand.add(tokens, nowMs())
+    this.#usualSize += (tokens - this.#usualSize) * sizeWeight
   }
 
   take (tokens: number): TokenSlice[] | undefined {
@@ -115,12 +126,18 @@
    * have to wait for an exchange, 700 a second of them at one side process.
    */
   get #keeps (): number {
-    return Math.max(rateOf(this.#demand), this.#ownRate) * keptMs / 1000
+    const own = this.#ownRate
+    const requests = Math.min(keptRequests * this.#usualSize, own * this.#lifeMs / 1000 * ownShare)
+    return Math.max(rateOf(this.#demand) * keptMs / 1000, own * keptMs / 1000, requests)
   }
 
   /** Tokens that were earned earlier have lapsed. */
   get #since (): number {
-    return nowMs() - tokenLifeMs(this.#quota, this.#bound)
+    return nowMs() - this.#lifeMs
+  }
+
+  get #lifeMs (): number {
+    return tokenLifeMs(this.#quota, this.#bound)
   }
 
   get #bound (): QuotaBound {
@@ -147,8 +164,8 @@
   limits: () => Limits
   /** The most entries that may exist. */
   entries: () => number
-  /** Asks others for tokens at once; resolves when they answered, or after a moment. */
-  bring: (team: string, tokens: number) => Promise<void>
+  /** Asks others for tokens at once; resolves when they answered, or after a moment. Says whether it is of use to ask again. */
+  bring: (team: string, tokens: number) => Promise<boolean>
 }
 
 export class Quotas {
@@ -211,7 +228,11 @@
   }
 
   async #bring (account: TeamAccount, team: string, tokens: number): Promise<TokenSlice[] | undefined> {
-    await this.options.bring(team, tokens)
-    return account.take(tokens)
+    for (let each = 0; each < mostBrings; each++) {
+      const more = await this.options.bring(team, tokens)
+      const taken = account.take(tokens)
+      if (taken !== undefined || !more) return taken
+    }
+    return undefined
   }
 }
--- a/packages/fleet/test/quotas.test.ts
+++ b/packages/fleet/test/quotas.test.ts
@@ -1,8 +1,8 @@
-import { pause } from '@finchpitch/core'
+import { pause, quietLog } from '@finchpitch/core'
 import { tokenLifeMs, type TokenSlice } from '@finchpitch/decisions'
-import { EntryCeiling, QuotaBank, Quotas, TeamAccount, costOf, nowMs, type Limits, type Quota } from '@finchpitch/fleet'
+import { EntryCeiling, QuotaBank, QuotaExchange, Quotas, TeamAccount, costOf, nowMs, type Limits, type Quota } from '@finchpitch/fleet'
 import { FakeTime, FleetSystem, askFleet, eventually } from '@finchpitch/stand-ins'
-import type { FrameOf, TokenAge } from '@finchpitch/wire'
+import type { Channel, FrameOf, TokenAge } from '@finchpitch/wire'
 import { expect } from 'chai'
 import fc from 'fast-check'
 
@@ -177,7 +177,14 @@
     const red = { name: team, keys: [], quota }
     const brought: number[] = []
     const quotas = (): Quotas => {
-      const made = new Quotas({ limits: () => limits, entries: () => 10, bring: async (_team, tokens) => { brought.push(tokens) } })
+      const made = new Quotas({
+        limits: () => limits,
+        entries: () => 10,
+        bring: async (_team, tokens) => {
+          brought.push(tokens)
+          return false
+        }
+      })
       made.follow([red])
       return made
     }
@@ -246,6 +253,51 @@
     })
   })
 
+  describe('exchanged for requests that wait', () => {
+    let quotas: Quotas
+    let exchange: QuotaExchange
+    let sent: Array<FrameOf<'quota'>>
+    const red = { name: team, keys: [], quota }
+    const channel = { send: (frame: FrameOf<'quota'>) => { sent.push(frame) } } as unknown as Channel
+
+    beforeEach(() => {
+      sent = []
+      quotas = new Quotas({ limits: () => limits, entries: () => 26, bring: (name, tokens) => exchange.bring(name, tokens) })
+      exchange = new QuotaExchange({ quotas, hosts: () => ['10.0.0.1'], channelTo: () => channel, log: quietLog })
+      quotas.follow([red])
+      time.jump(1000)
+    })
+
+    /** The bank gives all that the last frame asked for, times `part`. */
+    const answer = async (part = 1): Promise<void> => {
+      const frame = sent.at(-1)
+      const grants = (frame?.wants ?? []).map(([name, tokens]): TokenAge => [name, tokens * part, 0])
+      exchange.take('10.0.0.1', channel, { type: 'quota_grant', stamp: frame?.stamp ?? 0, bankStamp: nowMs(), grants, needed: [] })
+      await time.settle()
+    }
+
+    it('are enough for all that wait, also for one that comes while they are under way', async () => {
+      const waiting = [quotas.reserve(red, '900,0'), quotas.reserve(red, '1500,0'), quotas.reserve(red, '1500,0')]
+      await time.settle()
+      const between = quotas.reserve(red, '200,0')
+      for (let each = 0; each < 4; each++) await answer()
+      for (const reserved of [...waiting, between]) expect(await reserved).to.have.property('slices')
+    })
+
+    it('count as short only where fewer came than were asked for', async () => {
+      const first = quotas.reserve(red, '1500,0')
+      await answer()
+      expect(await first).to.have.property('slices')
+      const second = quotas.reserve(red, '9000,0')
+      await time.settle()
+      await answer(0.5)
+      expect(await second).to.be.a('number')
+      const frames = sent.length
+      expect(await quotas.reserve(red, '9000,0')).to.be.a('number')
+      expect(sent).to.have.length(frames)
+    })
+  })
+
   describe('are divided by the most entries that may exist', () => {
     it('many while they have not been counted, the most counted of late afterwards', () => {
       const ceiling = new EntryCeiling()
