Lines that connect the tries of one request, and tell an ended server from a broken connection

Cause of the change: the incident's lines could not tell whether one request ended the servers or met servers that ended of something else. A line named adapter and size, not what was asked; a reset and the end of a server looked alike. Now each try that breaks off at its server is told with the request's print (96 bits of a hash of method, host, path, team and body) and with whether the server refuses connections right after. No decision rests on it yet. Ruled out: the request's id (another with each try), adapter and size (shared by different requests).

--- a/packages/core/src/id.ts
+++ b/packages/core/src/id.ts
@@ -46,6 +46,10 @@
 export const RequestId = z.string().min(1).max(64).brand<'RequestId'>()
 export type RequestId = z.infer<typeof RequestId>
 
+/** What makes two tries the same request: 96 bits of a hash of who asks for what. It gives back neither. */
+export const RequestPrint = z.string().regex(/^[A-Za-z0-9_-]{16}$/).brand<'RequestPrint'>()
+export type RequestPrint = z.infer<typeof RequestPrint>
+
 /** Counts accepted configurations, from 1; 0 is "none seen yet". */
 export const Revision = z.number().int().nonnegative().brand<'Revision'>()
 export type Revision = z.infer<typeof Revision>
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -16,6 +16,7 @@
 import { Balancer } from './balancer.js'
 import { CallerConnections } from './caller-connections.js'
 import { ConnectLimit } from './connect-limit.js'
+import { Crashes } from './crashes.js'
 import { EntryCounters } from './counters.js'
 import { FirstTries } from './first-tries.js'
 import { KeyLease } from './key-lease.js'
@@ -24,6 +25,7 @@
 import { QuotaExchange } from './quota-exchange.js'
 import { Quotas } from './quotas.js'
 import { RetryBudget } from './retry-budget.js'
+import { ServerEnds } from './server-ends.js'
 import { ServerFaults } from './server-faults.js'
 import { ServiceRequest } from './service-request.js'
 import { SideLinks } from './side-links.js'
@@ -86,6 +88,7 @@
   /** Other entries are needed to learn from. */
   readonly #seedTurn = new Turn()
   readonly #faults: ServerFaults
+  readonly #crashes: Crashes
   readonly #stop = new AbortController()
   readonly #startedAt = nowMs()
   #closing = false
@@ -126,6 +129,7 @@
     this.#quotaExchange = new QuotaExchange({ quotas: this.#quotas, hosts: () => this.#links.hosts, channelTo: host => this.#links.channelTo(host), log })
     this.#leaseKeeper = new LeaseKeeper({ lease: this.#lease, facts, links: this.#links, watch: this.#watch, log })
     this.#faults = new ServerFaults(this.#balancer, this.counters, log)
+    this.#crashes = new Crashes(new ServerEnds(), log)
     this.#budget = new RetryBudget(limits, () => this.#links.entries)
     this.server = createServer({ maxHeaderSize: mostHeaderBytes, connectionsCheckingInterval: 1000, requestTimeout: 0 })
     this.#connections = new CallerConnections(this.server)
@@ -200,7 +204,7 @@
     this.#running += 1
     try {
       const served = new ServiceRequest({
-        facts, balancer: this.#balancer, room: this.#room, budget: this.#budget, faults: this.#faults, connects: this.#connects, lease: this.#lease, quotas: this.#quotas, unconfirmedRetryMs: () => this.#leaseKeeper.retryMs, firstTries: this.#firstTries, names, counters: this.counters, log, closed: this.#closed, learned: () => this.#learned(), blindRetryMs: () => this.#blindRetryMs, lastAnswer: () => this.#closing || !this.#lease.held || this.#connections.isOld(request.socket)
+        facts, balancer: this.#balancer, room: this.#room, budget: this.#budget, faults: this.#faults, crashes: this.#crashes, connects: this.#connects, lease: this.#lease, quotas: this.#quotas, unconfirmedRetryMs: () => this.#leaseKeeper.retryMs, firstTries: this.#firstTries, names, counters: this.counters, log, closed: this.#closed, learned: () => this.#learned(), blindRetryMs: () => this.#blindRetryMs, lastAnswer: () => this.#closing || !this.#lease.held || this.#connections.isOld(request.socket)
       }, request, response)
       await served.serve()
     } catch (error) {
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -7,7 +7,7 @@
  * Given up, it gets its last answer at once: 503 and when to come back if it has surely not run, else 502 or 504.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { Log } from '@finchpitch/core'
+import type { Log, RequestPrint } from '@finchpitch/core'
 import { nowMs } from '../clock.js'
 import type { Facts } from '../facts.js'
 import type { BackendServer } from '../server.js'
@@ -17,6 +17,7 @@
 import { Cancellation } from './cancellation.js'
 import type { Choice } from './choice.js'
 import type { ConnectLimit } from './connect-limit.js'
+import type { Crashes } from './crashes.js'
 import type { EntryCounters } from './counters.js'
 import { Delivery } from './delivery.js'
 import { EventCutter } from './event-stream.js'
@@ -25,6 +26,7 @@
 import { Incoming } from './incoming.js'
 import { outgoingOf, type Marks } from './outgoing.js'
 import { OwnAnswers } from './own-answers.js'
+import { printOf } from './request-print.js'
 import { RequestRecord } from './request-record.js'
 import { RequestTimes } from './request-times.js'
 import { RequestAdmission, type RequestAdmissionOptions } from './request-admission.js'
@@ -50,6 +52,7 @@
   budget: RetryBudget
   firstTries: FirstTries
   faults: ServerFaults
+  crashes: Crashes
   connects: ConnectLimit
   counters: EntryCounters
   log: Log
@@ -76,7 +79,9 @@
 interface Tried {
   server: BackendServer
   asked: Asked
-  route: Route
+  admitted: Admitted
+  /** When it was written to its server, on the steady clock. */
+  sentAt: number
 }
 
 const firstFailure = 500
@@ -104,6 +109,7 @@
   #ran = 0
   #mayHaveRun = false
   #cutter: EventCutter | undefined
+  #body: Buffer = Buffer.alloc(0)
   #expired = false
 
   constructor (private readonly options: ServiceRequestOptions, request: IncomingMessage, response: ServerResponse) {
@@ -146,13 +152,14 @@
     this.#cutter = route.kind === 'stream' && route.resumable ? new EventCutter() : undefined
     const timer = setTimeout(() => this.#expire(), Math.max(0, this.#times.leftMs))
     try {
-      return await this.#tryUntilDone(body.value)
+      this.#body = body.value
+      return await this.#tryUntilDone()
     } finally {
       clearTimeout(timer)
     }
   }
 
-  async #tryUntilDone (body: Buffer): Promise<string> {
+  async #tryUntilDone (): Promise<string> {
     for (;;) {
       const { routes, servers } = this.options.facts
       if (routes === undefined) return this.#giveUp('no_table')
@@ -168,7 +175,7 @@
       const server = servers.get(choice.id)
       // While it waited, the table may have changed, and with it who may ask for what.
       if (server === undefined || this.options.facts.routes !== routes) continue
-      const verdict = await this.#try(server, asked, admission, body, choice)
+      const verdict = await this.#try(server, asked, admission, choice)
       if (verdict.type === 'done') return verdict.outcome
     }
   }
@@ -221,7 +228,7 @@
     return this.#giveUp(end.last.reason)
   }
 
-  async #try (server: BackendServer, asked: Asked, admitted: Admitted, body: Buffer, choice: Sending): Promise<Verdict> {
+  async #try (server: BackendServer, asked: Asked, admitted: Admitted, choice: Sending): Promise<Verdict> {
     const { balancer, budget, names, counters, connects, facts } = this.options
     const table = facts.routes
     const { route } = admitted
@@ -233,16 +240,20 @@
     this.#noteTry(server, asked, choice)
     const { key, promptTokens: tokens, priority } = asked
     const pending = state.begin({ key, tokens, priority, patienceMs: route.objectiveMs * silentObjectives })
+    let sentAt = pending.sentAt
     const end = await attempt({
       agent: state.agent,
       address: server.address,
-      outgoing: outgoingOf(this.#incoming.message, body, names, this.#marks(server, asked, admitted, remaining)),
+      outgoing: outgoingOf(this.#incoming.message, this.#body, names, this.#marks(server, asked, admitted, remaining)),
       requestId: this.#incoming.id,
       serverId: server.id,
       names,
       connectMs: Math.min(connects.ms, remaining),
       // Under a table that changed, it is asked anew who may ask for what.
-      permit: () => facts.routes === table && this.#admission.spend(admitted),
+      permit: () => {
+        sentAt = nowMs()
+        return facts.routes === table && this.#admission.spend(admitted)
+      },
       cameUp: ms => connects.cameUp(ms),
       stream: route.kind === 'stream',
       cutter: this.#cutter,
@@ -258,7 +269,7 @@
     if (end.type !== 'not_sent' && end.type !== 'withheld') this.#arrivals += 1
     counters.attempts.inc({ end: end.type })
     this.options.room.pokeFull()
-    return this.#judge(end, { server, asked, route })
+    return this.#judge(end, { server, asked, admitted, sentAt })
   }
 
   #noteTry (server: BackendServer, { key }: Asked, { reason, expectedMs }: Sending): void {
@@ -320,23 +331,31 @@
     },
     cancelled: (self, { sent }) => done(self.#abandoned(sent)),
     broken: (self, { detail }, at) => {
-      self.#mayHaveRunAt(at.server, detail)
+      self.#mayHaveRunAt(at, detail)
       return self.#mayRunAgain(at) ? again : done(self.#answers.fail(502, 'broken'))
     },
     interrupted: (self, { detail }, at) => {
-      self.#mayHaveRunAt(at.server, detail)
+      self.#mayHaveRunAt(at, detail)
       if (!self.#left.cancelled && self.#mayRunAgain(at)) return again
       self.#delivery.cut()
       return done('interrupted')
     }
   }
 
-  #mayHaveRunAt (server: BackendServer, detail: string): void {
-    this.options.faults.failed(server, this.#incoming.id, detail)
+  /** The try broke off with its server at work. */
+  #mayHaveRunAt ({ server, admitted, sentAt }: Tried, detail: string): void {
+    const { faults, crashes } = this.options
+    faults.failed(server, this.#incoming.id, detail)
+    void crashes.brokeOff({ request: this.#incoming.id, print: this.#printFor(admitted), server, sentAt })
     this.#mayHaveRun = true
     this.#ran += 1
   }
 
+  #printFor ({ team }: Admitted): RequestPrint {
+    const { host, message: { method, url } } = this.#incoming
+    return printOf({ method, host, url, team: team?.name, body: this.#body })
+  }
+
   /** It has not run there, and goes elsewhere as long as there are tries left. */
   #goOn (reason: string): Verdict {
     if (this.#triesLeft) return again
@@ -348,7 +367,7 @@
   }
 
   /** Whether it may run once more though it has run, or may have, and another server could take it. */
-  #mayRunAgain ({ server, asked, route }: Tried): boolean {
+  #mayRunAgain ({ server, asked, admitted: { route } }: Tried): boolean {
     const repeatable = route.kind === 'repeatable' || (route.kind === 'stream' && route.resumable)
     return repeatable && this.#triesLeft && this.#ran < route.maxAttempts && this.#mayRepeat(server, asked)
   }
--- /dev/null
+++ b/packages/fleet/test/server-ends.test.ts
@@ -0,0 +1,42 @@
+import { once } from 'node:events'
+import { createServer, type AddressInfo, type Server } from 'node:net'
+import { ServerEnds, type BackendServer } from '@finchpitch/fleet'
+import { expect } from 'chai'
+
+const serverAt = (address: string): BackendServer => ({ id: 'i', service: 's', address, domain: 'a', slots: 1, leaving: false, models: [] })
+
+describe('whether a server has ended', () => {
+  let listener: Server
+  let server: BackendServer
+
+  beforeEach(async () => {
+    listener = createServer(socket => { socket.on('error', () => {}) })
+    listener.listen(0, '127.0.0.1')
+    await once(listener, 'listening')
+    server = serverAt(`127.0.0.1:${(listener.address() as AddressInfo).port}`)
+  })
+
+  afterEach(() => { listener.close() })
+
+  it('is denied while its address accepts', async () => {
+    expect(await new ServerEnds().ended(server)).to.equal(false)
+  })
+
+  it('is shown by an address that refuses', async () => {
+    listener.close()
+    await once(listener, 'close')
+    expect(await new ServerEnds().ended(server)).to.equal(true)
+  })
+
+  it('is asked once for all that broke off together, and anew later', async () => {
+    let asked = 0
+    const ends = new ServerEnds(async () => {
+      asked += 1
+      return true
+    })
+    expect(await Promise.all([ends.ended(server), ends.ended(server), ends.ended(server)])).to.deep.equal([true, true, true])
+    expect(asked).to.equal(1)
+    await ends.ended(server)
+    expect(asked).to.equal(2)
+  })
+})
