--- a/packages/stand-ins/src/fleet/backend-server.ts
+++ b/packages/stand-ins/src/fleet/backend-server.ts
@@ -50,6 +50,11 @@
   coming = new Map<string, number>()
   hasModel = true
   sequence = 0
+  /** A request to this path ends it, `fatalMs` after it began to run it. */
+  fatalPath: string | undefined
+  fatalMs = 30
+  /** What the machine does when it ends. */
+  ending: () => void = () => {}
   running = 0
 
   constructor (readonly options: BackendServerOptions) {
@@ -131,6 +136,7 @@
       response.destroy()
       return
     }
+    if ((request.url ?? '') === this.fatalPath) return await this.#end()
     this.running += 1
     try {
       await pause(this.options.workMs)
@@ -140,6 +146,12 @@
     }
   }
 
+  /** The process ends with all that it runs. */
+  async #end (): Promise<void> {
+    await pause(this.fatalMs)
+    this.ending()
+  }
+
   #misdirected (request: IncomingMessage): boolean {
     const expected = request.headers['expect-instance']
     return expected !== undefined && expected !== this.id
--- a/packages/stand-ins/src/fleet/caller.ts
+++ b/packages/stand-ins/src/fleet/caller.ts
@@ -24,19 +24,20 @@
   entry?: number
   /** The caller closes its connection then. */
   leaveAfterMs?: number
+  body?: string
 }
 
 /** Rejects where no answer begins. */
-export const askFleet = (fleet: FleetSystem, { path, id, model, remainingMs = 3000, headers = {}, agent, entry = 0, leaveAfterMs }: Ask): Promise<Reply> => new Promise((resolve, reject) => {
+export const askFleet = (fleet: FleetSystem, { path, id, model, remainingMs = 3000, headers = {}, agent, entry = 0, leaveAfterMs, body = '{"ask":1}' }: Ask): Promise<Reply> => new Promise((resolve, reject) => {
   const all = { host: 'fleet.example', 'request-id': id, 'deadline-ms': String(remainingMs), ...(model === undefined ? {} : { model }), ...headers }
   const outgoing = request({ ...fleet.callerAddress(entry), method: 'POST', path, headers: all, agent }, answer => {
-    let body = ''
-    answer.setEncoding('utf8').on('data', (piece: string) => { body += piece })
-    const end = (whole: boolean) => (): void => resolve({ status: answer.statusCode ?? 0, headers: answer.headers, body, whole })
+    let text = ''
+    answer.setEncoding('utf8').on('data', (piece: string) => { text += piece })
+    const end = (whole: boolean) => (): void => resolve({ status: answer.statusCode ?? 0, headers: answer.headers, body: text, whole })
     answer.on('end', end(true))
     answer.on('error', end(false))
   })
   outgoing.on('error', reject)
-  outgoing.end('{"ask":1}')
+  outgoing.end(body)
   if (leaveAfterMs !== undefined) setTimeout(() => outgoing.destroy(), leaveAfterMs)
 })
--- a/packages/stand-ins/src/fleet/fleet-system.ts
+++ b/packages/stand-ins/src/fleet/fleet-system.ts
@@ -8,6 +8,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { fileURLToPath } from 'node:url'
+import { pause } from '@finchpitch/core'
 import { BackendStandIn } from './backend-server.js'
 import { eventually } from './eventually.js'
 import { ObjectServer } from './object-server.js'
@@ -19,6 +20,9 @@
 /** A machine that needs longer to start a fleet can't run it either. */
 const mostStartMs = 20_000
 
+/** A backend server whose process has ended is back after so long. */
+const downMs = 500
+
 /** Ports of servers that stand behind something else. */
 const hiddenBy = 10_000
 
@@ -60,6 +64,7 @@
   readonly entries: Machine[] = []
   readonly sides: Machine[] = []
   #folder = ''
+  #stopped = false
 
   constructor (readonly options: FleetOptions) {}
 
@@ -153,6 +158,7 @@
   }
 
   async stop (): Promise<void> {
+    this.#stopped = true
     await Promise.all([...this.entries, ...this.sides].map(machine => this.kill(machine)))
     await Promise.all([this.store, ...this.engines, ...this.plain].map(each => each.stop()))
     await rm(this.#folder, { recursive: true, force: true })
@@ -176,6 +182,7 @@
       const ip = this.#ip(domain, 100 + each)
       const server = new BackendStandIn({ id: `engine-${name}-${each}`, engine: { model, places, loadMs }, workMs, events, eventMs })
       await this.#listen(server, ip, ports.app)
+      server.ending = () => { void this.#restart(server, ip, name) }
       this.engines.push(server)
       this.register(server, ip, name)
       this.sides.push({ name: `side-${name}-${each}`, ip, process: undefined, output: [] })
@@ -184,11 +191,24 @@
       const ip = this.#ip(domain, 200 + each)
       const server = new BackendStandIn({ id: `plain-${name}-${each}`, workMs, events, eventMs })
       await this.#listen(server, ip, ports.app)
+      server.ending = () => { void this.#restart(server, ip, name) }
       this.plain.push(server)
       this.register(server, ip, name)
     }
   }
 
+  /** A backend server's process ends at once, and is back a moment later: empty, under another id, and in the list. */
+  async #restart (server: BackendStandIn, ip: string, domain: string): Promise<void> {
+    const former = server.id
+    await server.stop()
+    await pause(downMs)
+    if (this.#stopped) return
+    server.restart(`${former}-again`)
+    await this.#listen(server, ip, ports.app)
+    this.store.remove('servers', former)
+    this.register(server, ip, domain)
+  }
+
   async #listen (server: HttpStandIn, ip: string, port: number): Promise<void> {
     const { between } = this.options
     await server.start(ip, between === undefined ? port : port + hiddenBy)
