A request that ended two servers in a row is sent to none, at any entry

Cause: nothing connected the tries of one request. Each comes under an id of its own, and a server that ended under it counted against the server alone, so each entry chose the next sound engine for the next try. Class: a fault that travels with the request is counted only against the place where it showed. Change: a request is known by its fingerprint (96 bits of a hash of method, host, path, team and body). A try that breaks off has the entry ask the server's address whether it still accepts; if it refuses, and the server was not leaving, the end counts against the request. Ends go to one side process of each failure domain, which passes them on to its entries, and are kept for those that start. Two ends in a row (the second sent after the first server had ended) quarantine the request for 5 s, three for ten minutes; a run that comes to its end voids all before. It is asked before each sending, in the turn that writes the request, and by those that wait. A refused caller gets 503 at once, with the time that is left, and the line names the servers. Ruled out: counting ends without their order (a rack that ends accuses all that ran there), the weight of a short run (the request may end its server later), the platform's store as the place where ends are summed (it may be away when engines end, and each call costs), remembering requests that went well (each would have to be hashed). Protocol version 5: two frames more.

--- a/packages/core/src/id.ts
+++ b/packages/core/src/id.ts
@@ -47,8 +47,8 @@
 export type RequestId = z.infer<typeof RequestId>
 
 /** What makes two tries the same request: 96 bits of a hash of who asks for what. It gives back neither. */
-export const RequestPrint = z.string().regex(/^[A-Za-z0-9_-]{16}$/).brand<'RequestPrint'>()
-export type RequestPrint = z.infer<typeof RequestPrint>
+export const RequestFingerprint = z.string().regex(/^[A-Za-z0-9_-]{16}$/).brand<'RequestFingerprint'>()
+export type RequestFingerprint = z.infer<typeof RequestFingerprint>
 
 /** Counts accepted configurations, from 1; 0 is "none seen yet". */
 export const Revision = z.number().int().nonnegative().brand<'Revision'>()
--- /dev/null
+++ b/packages/decisions/test/crash-ledger.test.ts
@@ -0,0 +1,123 @@
+import { RequestFingerprint } from '@finchpitch/core'
+import { CrashLedger, type Crash, type CrashLimits } from '@finchpitch/decisions'
+import { expect } from 'chai'
+import fc from 'fast-check'
+
+const limits: CrashLimits = { ends: 2, holdMs: 500, sureEnds: 3, keepMs: 1000, most: 4 }
+const fingerprint = (name: string): RequestFingerprint => RequestFingerprint.parse(name.padEnd(16, '_'))
+const bad = fingerprint('bad')
+const crash = (server: string, sentAt: number, endedAt: number, of = bad): Crash => ({ fingerprint: of, server, sentAt, endedAt })
+
+describe('requests under which servers ended', () => {
+  let ledger: CrashLedger
+
+  beforeEach(() => { ledger = new CrashLedger(limits) })
+
+  describe('a quarantine', () => {
+    it('begins with the second end in a row, and names the servers', () => {
+      ledger.crashed(crash('a', 0, 10), 10)
+      expect(ledger.quarantine(bad, 10)).to.equal(undefined)
+      ledger.crashed(crash('b', 20, 30), 30)
+      expect(ledger.quarantine(bad, 30)).to.deep.equal({ servers: ['a', 'b'], leftMs: 500 })
+    })
+
+    it('does not begin where one trouble ended several servers at a time', () => {
+      ledger.crashed(crash('a', 0, 10), 11)
+      ledger.crashed(crash('b', 5, 10), 11)
+      ledger.crashed(crash('c', 9, 11), 11)
+      expect(ledger.quarantine(bad, 11)).to.equal(undefined)
+    })
+
+    it('does not begin with one server that is reported twice', () => {
+      ledger.crashed(crash('a', 0, 10), 10)
+      expect(ledger.crashed(crash('a', 20, 30), 30)).to.equal(false)
+      expect(ledger.quarantine(bad, 30)).to.equal(undefined)
+    })
+
+    it('concerns no other request', () => {
+      ledger.crashed(crash('a', 0, 10), 10)
+      ledger.crashed(crash('b', 20, 30), 30)
+      expect(ledger.quarantine(fingerprint('other'), 30)).to.equal(undefined)
+    })
+
+    it('ends after a while, as other trouble may have ended two servers in a row', () => {
+      ledger.crashed(crash('a', 0, 10), 10)
+      ledger.crashed(crash('b', 20, 30), 30)
+      expect(ledger.quarantine(bad, 529)).to.not.equal(undefined)
+      expect(ledger.quarantine(bad, 530)).to.equal(undefined)
+    })
+
+    it('lasts as long as the ends count after one more', () => {
+      ledger.crashed(crash('a', 0, 10), 10)
+      ledger.crashed(crash('b', 20, 30), 30)
+      ledger.crashed(crash('c', 540, 550), 550)
+      expect(ledger.quarantine(bad, 550)).to.deep.equal({ servers: ['a', 'b', 'c'], leftMs: 500 })
+      ledger.crashed(crash('d', 560, 570), 570)
+      expect(ledger.quarantine(bad, 1069)).to.not.equal(undefined)
+      expect(ledger.quarantine(bad, 1070)).to.equal(undefined)
+    })
+  })
+
+  describe('a run that comes to its end', () => {
+    it('voids the ends before it, also those that are reported later', () => {
+      ledger.crashed(crash('a', 0, 10), 10)
+      expect(ledger.sound({ fingerprint: bad, endedAt: 40 })).to.equal(true)
+      expect(ledger.crashed(crash('b', 20, 30), 50)).to.equal(false)
+      expect(ledger.quarantine(bad, 50)).to.equal(undefined)
+    })
+
+    it('lets a request go that was quarantined', () => {
+      ledger.crashed(crash('a', 0, 10), 10)
+      ledger.crashed(crash('b', 20, 30), 30)
+      ledger.sound({ fingerprint: bad, endedAt: 31 })
+      expect(ledger.quarantine(bad, 31)).to.equal(undefined)
+    })
+
+    it('voids no later end', () => {
+      ledger.crashed(crash('a', 0, 10), 10)
+      ledger.sound({ fingerprint: bad, endedAt: 15 })
+      ledger.crashed(crash('b', 20, 30), 30)
+      ledger.crashed(crash('c', 40, 50), 50)
+      expect(ledger.quarantine(bad, 50)?.servers).to.deep.equal(['b', 'c'])
+    })
+
+    it('is no news of a request that nothing is held against', () => {
+      expect(ledger.sound({ fingerprint: bad, endedAt: 1 })).to.equal(false)
+      expect(ledger.size).to.equal(0)
+    })
+  })
+
+  describe('what is kept', () => {
+    it('is bounded; a request that is quarantined goes last', () => {
+      ledger.crashed(crash('a', 0, 10), 10)
+      ledger.crashed(crash('b', 20, 30), 30)
+      for (let each = 0; each < 20; each++) ledger.crashed(crash('c', 40, 50, fingerprint(`p${each}`)), 50)
+      expect(ledger.size).to.be.at.most(limits.most)
+      expect(ledger.quarantine(bad, 50)).to.not.equal(undefined)
+    })
+
+    it('is forgotten with the last end that counts', () => {
+      ledger.crashed(crash('a', 0, 10), 10)
+      ledger.crashed(crash('b', 2000, 2010, fingerprint('other')), 2010)
+      expect(ledger.size).to.equal(1)
+      expect(ledger.crashed(crash('a', 0, 10), 2010)).to.equal(false)
+    })
+  })
+
+  it('says the same whatever the order of the reports, and however often each comes', () => {
+    const report = fc.record({ server: fc.constantFrom('a', 'b', 'c', 'd'), sentAt: fc.integer({ min: 0, max: 400 }), ranMs: fc.integer({ min: 1, max: 100 }) })
+    fc.assert(fc.property(fc.uniqueArray(report, { selector: each => each.server, maxLength: 4 }), fc.option(fc.integer({ min: 0, max: 500 })), fc.infiniteStream(fc.nat()), (reports, soundAt, draws) => {
+      const crashes = reports.map(({ server, sentAt, ranMs }) => crash(server, sentAt, sentAt + ranMs))
+      const tell = (told: CrashLedger, order: readonly Crash[]): unknown => {
+        order.forEach((each, at) => {
+          told.crashed(each, 600)
+          if (at === 0 && soundAt !== null) told.sound({ fingerprint: bad, endedAt: soundAt })
+        })
+        if (soundAt !== null) told.sound({ fingerprint: bad, endedAt: soundAt })
+        return told.quarantine(bad, 600)
+      }
+      const shuffled = [...crashes, ...crashes].map(each => ({ each, draw: draws.next().value as number })).sort((a, b) => a.draw - b.draw).map(({ each }) => each)
+      expect(tell(new CrashLedger(limits), shuffled)).to.deep.equal(tell(ledger = new CrashLedger(limits), crashes))
+    }))
+  })
+})
--- /dev/null
+++ b/packages/fleet/src/crash-news.ts
@@ -0,0 +1,40 @@
+/**
+ * Ends of servers under requests, as processes tell them to each other.
+ *
+ * Times cross as ages, so no clocks are compared. What lies on its way for long seems to have happened later than it did,
+ * which can only let two ends seem to overlap that did not, and so count as one.
+ */
+import type { Crash, CrashLedger, SoundRun } from '@finchpitch/decisions'
+import { mostCrashes, type FrameOf } from '@finchpitch/wire'
+import { nowMs } from './clock.js'
+
+/** What a process has learned of late, or all that it knows. */
+export interface CrashNews {
+  crashes: readonly Crash[]
+  sound: readonly SoundRun[]
+}
+
+export const isEmpty = ({ crashes, sound }: CrashNews): boolean => crashes.length === 0 && sound.length === 0
+
+/** As many frames as it takes. */
+export const framesOf = ({ crashes, sound }: CrashNews): Array<FrameOf<'crashes'>> => {
+  const now = nowMs()
+  const frames: Array<FrameOf<'crashes'>> = []
+  for (let from = 0; from < Math.max(crashes.length, sound.length); from += mostCrashes) {
+    frames.push({
+      type: 'crashes',
+      stamp: now + frames.length,
+      crashes: crashes.slice(from, from + mostCrashes).map(({ fingerprint, server, sentAt, endedAt }) => [fingerprint, server, Math.max(0, now - sentAt), Math.max(0, now - endedAt)]),
+      sound: sound.slice(from, from + mostCrashes).map(({ fingerprint, endedAt }) => [fingerprint, Math.max(0, now - endedAt)])
+    })
+  }
+  return frames
+}
+
+/** Takes over what a peer tells; gives what of it was news. */
+export const takeCrashes = (ledger: CrashLedger, frame: FrameOf<'crashes'>): CrashNews => {
+  const now = nowMs()
+  const crashes = frame.crashes.map(([fingerprint, server, sentAgoMs, endedAgoMs]) => ({ fingerprint, server, sentAt: now - sentAgoMs, endedAt: now - endedAgoMs }))
+  const sound = frame.sound.map(([fingerprint, agoMs]) => ({ fingerprint, endedAt: now - agoMs }))
+  return { crashes: crashes.filter(crash => ledger.crashed(crash, now)), sound: sound.filter(run => ledger.sound(run)) }
+}
--- a/packages/fleet/src/entry/counters.ts
+++ b/packages/fleet/src/entry/counters.ts
@@ -50,4 +50,16 @@
     help: 'Backend servers put out for a while after failures.',
     registers: [this.registry]
   })
+
+  readonly serverEnds = new Counter({
+    name: 'finchpitch_server_ends_total',
+    help: 'Tries that broke off as their backend server ended, unexpectedly.',
+    registers: [this.registry]
+  })
+
+  readonly quarantines = new Counter({
+    name: 'finchpitch_quarantines_total',
+    help: 'Requests found to end the backend servers that run them.',
+    registers: [this.registry]
+  })
 }
--- /dev/null
+++ b/packages/fleet/src/entry/crash-exchange.ts
@@ -0,0 +1,140 @@
+/**
+ * Telling the other entries of servers that ended under requests.
+ *
+ * One side process of each failure domain is told, the same by all entries, and tells the entries that follow it. So an end
+ * costs an entry one frame a domain, and each entry one frame for what all others met together. A side process that does not
+ * answer is passed by and the next one is told.
+ */
+import type { Log } from '@finchpitch/core'
+import { affinityOf, hashOf } from '@finchpitch/decisions'
+import type { Channel } from '@finchpitch/wire'
+import { nowMs } from '../clock.js'
+import { framesOf, isEmpty, type CrashNews } from '../crash-news.js'
+import { lowest } from '../lowest.js'
+
+/** A server that ends takes a batch of requests along; they are told together. */
+const gatherMs = 5
+/** Side processes answer within some ms, across domains too; one that is not joined yet within 0.3 s. */
+const answerMs = 400
+const checkMs = 100
+/** One that did not answer isn't told for this long. */
+const passedByMs = 5000
+/** By then every side process of a small domain was tried. */
+const mostTries = 5
+
+/** Where a side process is, and whether it can be told now. */
+export interface SidePlace {
+  host: string
+  domain: string
+  /** Not shown to be stuck or gone. */
+  lively: boolean
+}
+
+export interface CrashExchangeOptions {
+  places: () => SidePlace[]
+  /** The channel to a side process; opens one where there is none yet. */
+  channelTo: (host: string) => Channel | undefined
+  log: Log
+}
+
+/** What one side process of a domain has to have. */
+interface Due {
+  news: CrashNews
+  domain: string
+  /** The one that is told now. */
+  host: string | undefined
+  /** Of the last frame that it was sent. */
+  stamp: number | undefined
+  triedAt: number
+  tries: number
+}
+
+export class CrashExchange {
+  readonly #due = new Set<Due>()
+  readonly #passedBy = new Map<string, number>()
+  #gathered: CrashNews = nothing
+  #gather: NodeJS.Timeout | undefined
+  /** Runs while something is due. */
+  #check: NodeJS.Timeout | undefined
+
+  constructor (private readonly options: CrashExchangeOptions) {}
+
+  tell ({ crashes, sound }: CrashNews): void {
+    this.#gathered = { crashes: [...this.#gathered.crashes, ...crashes], sound: [...this.#gathered.sound, ...sound] }
+    this.#gather ??= setTimeout(() => this.#tellGathered(), gatherMs)
+  }
+
+  /** The side process at `host` has the frame with that stamp. */
+  noted (host: string, stamp: number): void {
+    for (const due of this.#due) if (due.host === host && due.stamp === stamp) this.#due.delete(due)
+    this.#rest()
+  }
+
+  close (): void {
+    clearTimeout(this.#gather)
+    clearInterval(this.#check)
+  }
+
+  #tellGathered (): void {
+    this.#gather = undefined
+    const news = this.#gathered
+    this.#gathered = nothing
+    if (isEmpty(news)) return
+    const domains = new Set(this.options.places().map(place => place.domain))
+    for (const domain of domains) this.#begin(news, domain)
+  }
+
+  #begin (news: CrashNews, domain: string): void {
+    const due: Due = { news, domain, host: undefined, stamp: undefined, triedAt: -Infinity, tries: 0 }
+    this.#due.add(due)
+    this.#tryNext(due)
+    this.#check ??= setInterval(() => this.#checkAll(), checkMs)
+  }
+
+  #checkAll (): void {
+    for (const due of this.#due) {
+      if (due.stamp === undefined) this.#send(due)
+      if (nowMs() - due.triedAt < answerMs) continue
+      if (due.host !== undefined) this.#passedBy.set(due.host, nowMs())
+      this.#tryNext(due)
+    }
+    this.#rest()
+  }
+
+  #rest (): void {
+    if (this.#due.size > 0) return
+    clearInterval(this.#check)
+    this.#check = undefined
+  }
+
+  #tryNext (due: Due): void {
+    if (due.tries >= mostTries) {
+      this.#due.delete(due)
+      this.options.log.warn('crashes.not_passed_on', { domain: due.domain, crashes: due.news.crashes.length, sound: due.news.sound.length, tries: due.tries })
+      return
+    }
+    due.host = this.#choose(due.domain)
+    due.tries += 1
+    due.triedAt = nowMs()
+    due.stamp = undefined
+    this.#send(due)
+  }
+
+  #choose (domain: string): string | undefined {
+    const now = nowMs()
+    const there = this.options.places().filter(place => place.domain === domain)
+    const hosts = there.filter(({ host, lively }) => lively && now - (this.#passedBy.get(host) ?? -Infinity) > passedByMs).map(({ host }) => host)
+    return lowest(hosts, host => affinityOf(meeting, hashOf(host)))
+  }
+
+  #send (due: Due): void {
+    const channel = due.host === undefined ? undefined : this.options.channelTo(due.host)
+    if (channel === undefined) return
+    for (const frame of framesOf(due.news)) if (channel.send(frame)) due.stamp = frame.stamp
+  }
+}
+
+const nothing: CrashNews = { crashes: [], sound: [] }
+
+/** All entries choose the side process of a domain that is nearest to this by rendezvous hashing. */
+const meeting = hashOf('crashes')
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -16,6 +16,7 @@
 import { Balancer } from './balancer.js'
 import { CallerConnections } from './caller-connections.js'
 import { ConnectLimit } from './connect-limit.js'
+import { CrashExchange } from './crash-exchange.js'
 import { Crashes } from './crashes.js'
 import { EntryCounters } from './counters.js'
 import { FirstTries } from './first-tries.js'
@@ -89,6 +90,7 @@
   readonly #seedTurn = new Turn()
   readonly #faults: ServerFaults
   readonly #crashes: Crashes
+  readonly #crashExchange: CrashExchange
   readonly #stop = new AbortController()
   readonly #startedAt = nowMs()
   #closing = false
@@ -113,6 +115,9 @@
       prove: () => this.#watch.prove(),
       changed: keys => this.#room.poke(keys),
       granted: (host, channel, frame) => this.#quotaExchange.take(host, channel, frame),
+      crashes: (frame, from) => this.#crashes.take(frame, from),
+      crashesNoted: (host, stamp) => this.#crashExchange.noted(host, stamp),
+      joinedNear: side => this.#crashes.greet(side),
       appointmentsChanged: () => this.#watch.check()
     })
     this.#watch = new StoreWatch({
@@ -129,7 +134,8 @@
     this.#quotaExchange = new QuotaExchange({ quotas: this.#quotas, hosts: () => this.#links.hosts, channelTo: host => this.#links.channelTo(host), log })
     this.#leaseKeeper = new LeaseKeeper({ lease: this.#lease, facts, links: this.#links, watch: this.#watch, log })
     this.#faults = new ServerFaults(this.#balancer, this.counters, log)
-    this.#crashes = new Crashes(new ServerEnds(), log)
+    this.#crashExchange = new CrashExchange({ places: () => this.#links.places, channelTo: host => this.#links.channelTo(host), log })
+    this.#crashes = new Crashes({ facts, ends: new ServerEnds(), exchange: this.#crashExchange, quarantined: () => this.#room.poke(), counters: this.counters, log })
     this.#budget = new RetryBudget(limits, () => this.#links.entries)
     this.server = createServer({ maxHeaderSize: mostHeaderBytes, connectionsCheckingInterval: 1000, requestTimeout: 0 })
     this.#connections = new CallerConnections(this.server)
@@ -196,6 +202,7 @@
     this.options.log.info('entry.stopped', { running: this.#running, ms: Math.round(performance.now() - started) })
     clearInterval(sweep)
     this.#stop.abort()
+    this.#crashExchange.close()
     this.#links.close()
   }
 
--- a/packages/fleet/src/entry/own-answers.ts
+++ b/packages/fleet/src/entry/own-answers.ts
@@ -4,6 +4,7 @@
  * 429 and 503 say that the request has surely not run, and when to come back; 502 and 504 that it may have run; 400, 401,
  * 404 and 413 that asking again is of no use.
  */
+import type { QuarantineCase } from '@finchpitch/decisions'
 import type { HeaderNames } from '../ports.js'
 import type { Delivery } from './delivery.js'
 import type { Denial } from './gate.js'
@@ -54,6 +55,12 @@
     return 'over_quota'
   }
 
+  /** It ends the servers that run it, and is refused until too few of those ends count. */
+  quarantined ({ servers, leftMs }: QuarantineCase): string {
+    this.#promise(503, `quarantined: ${servers.join(', ')} ended under it`, 'not run: servers ended under this request', Math.round(leftMs))
+    return 'quarantined'
+  }
+
   /** It may have run. */
   fail (status: 502 | 504, reason: string): string {
     const { record, delivery } = this.options
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -7,8 +7,9 @@
  * Given up, it gets its last answer at once: 503 and when to come back if it has surely not run, else 502 or 504.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { Log, RequestPrint } from '@finchpitch/core'
+import type { Log, RequestFingerprint } from '@finchpitch/core'
 import { nowMs } from '../clock.js'
+import type { QuarantineCase } from '@finchpitch/decisions'
 import type { Facts } from '../facts.js'
 import type { BackendServer } from '../server.js'
 import type { FleetService, Route, RouteIndex } from '../table.js'
@@ -26,7 +27,7 @@
 import { Incoming } from './incoming.js'
 import { outgoingOf, type Marks } from './outgoing.js'
 import { OwnAnswers } from './own-answers.js'
-import { printOf } from './request-print.js'
+import { fingerprintOf } from './fingerprint.js'
 import { RequestRecord } from './request-record.js'
 import { RequestTimes } from './request-times.js'
 import { RequestAdmission, type RequestAdmissionOptions } from './request-admission.js'
@@ -110,6 +111,8 @@
   #mayHaveRun = false
   #cutter: EventCutter | undefined
   #body: Buffer = Buffer.alloc(0)
+  /** Made once for a team, which may change with the table while it waits. */
+  #fingerprint: { team: string | undefined, fingerprint: RequestFingerprint } | undefined
   #expired = false
 
   constructor (private readonly options: ServiceRequestOptions, request: IncomingMessage, response: ServerResponse) {
@@ -167,11 +170,14 @@
       if (admission.type === 'denied') return this.#mayHaveRun ? this.#answers.fail(502, admission.reason) : this.#answers.deny(admission)
       const readyInMs = await this.#admission.reserve(admission)
       if (readyInMs !== undefined) return this.#mayHaveRun ? this.#answers.fail(502, 'over_quota') : this.#answers.overQuota(readyInMs)
+      const held = this.#quarantine(admission)
+      if (held !== undefined) return this.#mayHaveRun ? this.#answers.fail(502, 'quarantined') : this.#answers.quarantined(held)
       const service = this.#serviceOf(admission.route)
       if (service === undefined) return this.#giveUp('no_service')
       const asked = this.#asked(service, admission)
       const choice = await this.#choose(asked, admission)
       if (typeof choice === 'string') return choice
+      if (choice === undefined) continue
       const server = servers.get(choice.id)
       // While it waited, the table may have changed, and with it who may ask for what.
       if (server === undefined || this.options.facts.routes !== routes) continue
@@ -206,7 +212,8 @@
     else setTimeout(() => this.#left.cancel(), streamSlackMs)
   }
 
-  async #choose (asked: Asked, admitted: Admitted): Promise<Sending | string> {
+  /** Gives the outcome where it is sent nowhere; `undefined` where it has to be asked anew whether it may be sent. */
+  async #choose (asked: Asked, admitted: Admitted): Promise<Sending | string | undefined> {
     const { balancer, room, counters } = this.options
     const { route } = admitted
     if (this.#left.cancelled) return this.#abandoned(false)
@@ -218,6 +225,7 @@
       rank: () => this.#rank(admitted),
       until: first.type === 'none' ? this.#times.waitForAnybodyUntil(route) : this.#times.waitUntil(route),
       choose: () => balancer.choose({ ...asked, inTimeMs: this.#times.inTimeMs(route) }),
+      hopeless: () => this.#quarantine(admitted) !== undefined,
       bring: (ask, waiting) => balancer.bring(ask, asked.key ?? '', waiting, this.#rank(admitted))
     }, first, this.#left)
     const waitedMs = nowMs() - started
@@ -225,6 +233,7 @@
     counters.waited.observe({ for: first.type }, waitedMs / 1000)
     if (end.type === 'chosen') return end.choice
     if (end.type === 'left') return this.#abandoned(false)
+    if (end.type === 'hopeless') return undefined
     return this.#giveUp(end.last.reason)
   }
 
@@ -252,7 +261,8 @@
       // Under a table that changed, it is asked anew who may ask for what.
       permit: () => {
         sentAt = nowMs()
-        return facts.routes === table && this.#admission.spend(admitted)
+        // Tries that waited for a connection as the second server ended would each end one more.
+        return facts.routes === table && this.#quarantine(admitted) === undefined && this.#admission.spend(admitted)
       },
       cameUp: ms => connects.cameUp(ms),
       stream: route.kind === 'stream',
@@ -300,8 +310,9 @@
 
   /** By how a try ended. */
   static readonly #judges: { [Type in AttemptEnd['type']]: (self: ServiceRequest, end: Extract<AttemptEnd, { type: Type }>, at: Tried) => Verdict } = {
-    streamed: (self, _end, { server }) => {
+    streamed: (self, _end, { server, admitted }) => {
       self.options.balancer.state(server).outlier.succeeded()
+      self.#endedWell(admitted)
       self.#delivery.finish()
       return done('streamed')
     },
@@ -310,6 +321,7 @@
       if (failed) self.options.faults.failed(at.server, self.#incoming.id, `status ${status}`)
       else self.options.balancer.state(at.server).outlier.succeeded()
       self.#ran += 1
+      self.#endedWell(at.admitted)
       if (failed && self.#mayRunAgain(at)) {
         self.#mayHaveRun = true
         return again
@@ -346,14 +358,28 @@
   #mayHaveRunAt ({ server, admitted, sentAt }: Tried, detail: string): void {
     const { faults, crashes } = this.options
     faults.failed(server, this.#incoming.id, detail)
-    void crashes.brokeOff({ request: this.#incoming.id, print: this.#printFor(admitted), server, sentAt })
+    void crashes.brokeOff({ request: this.#incoming.id, fingerprint: this.#fingerprintFor(admitted), server, sentAt })
     this.#mayHaveRun = true
     this.#ran += 1
   }
 
-  #printFor ({ team }: Admitted): RequestPrint {
+  /** It ran to its end, so it ends no server. */
+  #endedWell (admitted: Admitted): void {
+    const { crashes } = this.options
+    if (!crashes.none) crashes.endedWell(this.#fingerprintFor(admitted))
+  }
+
+  /** Why it is to be sent to no server now: it ends those that run it. */
+  #quarantine (admitted: Admitted): QuarantineCase | undefined {
+    const { crashes } = this.options
+    return crashes.none ? undefined : crashes.quarantine(this.#fingerprintFor(admitted))
+  }
+
+  #fingerprintFor ({ team }: Admitted): RequestFingerprint {
     const { host, message: { method, url } } = this.#incoming
-    return printOf({ method, host, url, team: team?.name, body: this.#body })
+    if (this.#fingerprint?.team !== team?.name) this.#fingerprint = undefined
+    this.#fingerprint ??= { team: team?.name, fingerprint: fingerprintOf({ method, host, url, team: team?.name, body: this.#body }) }
+    return this.#fingerprint.fingerprint
   }
 
   /** It has not run there, and goes elsewhere as long as there are tries left. */
--- a/packages/fleet/src/entry/side-link.ts
+++ b/packages/fleet/src/entry/side-link.ts
@@ -36,6 +36,7 @@
   fence: () => number
   /** It was joined or lost. */
   changed: () => void
+  joined: (channel: Channel) => void
   /** It named this entry as a watcher or no longer does, or one that had spoken of it was lost. */
   appointmentChanged: () => void
   /** Frames that concern more than the link itself. */
@@ -242,7 +243,7 @@
   }
 
   #joined (channel: Channel, factLink: FactLink): void {
-    const { facts, fence, log, changed } = this.options
+    const { facts, fence, log, changed, joined } = this.options
     this.#channel = channel
     this.#heardAt = nowMs()
     channel.send({ type: 'fences', highest: Math.max(fence(), Math.floor(facts.revision)) })
@@ -256,6 +257,7 @@
     if (this.#freshDue) askFresh(facts, channel)
     this.#freshDue = false
     log.info('side.joined', { host: this.host, process: channel.peer.process })
+    joined(channel)
     changed()
   }
 
--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -11,6 +11,7 @@
 import { EngineMirror } from '../engine-mirror.js'
 import type { SidePeering } from '../redial.js'
 import type { BackendServer } from '../server.js'
+import type { SidePlace } from './crash-exchange.js'
 import { countEntries, countWatchers, type DomainEntries } from './entry-count.js'
 import { NewsSources, relayOf, type NewsHosts } from './news-sources.js'
 import type { ServerStates } from './server-state.js'
@@ -40,6 +41,12 @@
   changed: (keys: string[] | undefined) => void
   /** An answer about quotas came from the side process at `host`. */
   granted: (host: string, channel: Channel, frame: FrameOf<'quota_grant'>) => void
+  /** News of servers that ended under requests came. */
+  crashes: (frame: FrameOf<'crashes'>, from: string) => void
+  /** The side process at `host` has what it was told of such. */
+  crashesNoted: (host: string, stamp: number) => void
+  /** A side process near was joined. */
+  joinedNear: (channel: Channel) => void
   /** Who watches the store, as side processes near tell it, may have changed. */
   appointmentsChanged: () => void
 }
@@ -97,6 +104,11 @@
     return [...this.#engines.keys()]
   }
 
+  /** Of all side processes. What a far one is worth is only seen once it is told something. */
+  get places (): SidePlace[] {
+    return [...this.#engines].map(([host, { domain, link }]) => ({ host, domain, lively: link.lively || !link.near }))
+  }
+
   /** The channel to the side process at a host; opens one where there is none yet. */
   channelTo (host: string): Channel | undefined {
     return this.#engines.get(host)?.link.channel
@@ -211,11 +223,12 @@
 
   #begin (host: string, domain: string): Engine {
     const mirror = new EngineMirror()
-    const { changed, appointmentsChanged } = this.options
+    const { changed, appointmentsChanged, joinedNear } = this.options
     const link: SideLink = new SideLink(host, domain === this.options.domain, {
       ...this.options,
       fence: () => mirror.fence,
       changed: () => changed(undefined),
+      joined: channel => { if (link.near) joinedNear(channel) },
       appointmentChanged: appointmentsChanged,
       take: (frame, channel) => this.#take(host, frame, channel)
     })
@@ -247,19 +260,21 @@
     for (const [host, { link }] of this.#engines) if (link.near) link.depend(host === teller)
   }
 
-  readonly #handlers: { [Type in 'holding' | 'arrived' | 'declined']: (host: string, frame: FrameOf<Type>) => void } = {
+  readonly #handlers: { [Type in Frame['type']]?: (host: string, frame: FrameOf<Type>, channel: Channel) => void } = {
     holding: (host, frame) => this.#hold(host, frame),
     arrived: (host, { key, version }) => this.#arrived(host, key, version),
     declined: (host, { key, reason }) => {
       this.options.log.info('adapter.declined', { key, host, reason })
       this.options.changed([key])
-    }
+    },
+    quota_grant: (host, frame, channel) => this.options.granted(host, channel, frame),
+    crashes: (_host, frame, channel) => this.options.crashes(frame, channel.peer.process),
+    crashes_noted: (host, { stamp }) => this.options.crashesNoted(host, stamp)
   }
 
   #take (host: string, frame: Frame, channel: Channel): void {
-    if (frame.type === 'quota_grant') return this.options.granted(host, channel, frame)
-    if (!(frame.type in this.#handlers)) return
-    this.#handlers[frame.type as 'holding'](host, frame as HoldingFrame)
+    const handle = this.#handlers[frame.type] as ((host: string, frame: Frame, channel: Channel) => void) | undefined
+    handle?.(host, frame, channel)
   }
 
   /** News by the side process at `teller`. Those of a source that was given up may lack what went before. */
--- a/packages/fleet/src/entry/waiting-room.ts
+++ b/packages/fleet/src/entry/waiting-room.ts
@@ -13,11 +13,13 @@
   /** When it stops waiting, on the steady clock. */
   until: number
   choose: () => Choice
+  /** It is to be sent nowhere, whatever falls free. */
+  hopeless: () => boolean
   /** Asks an engine to bring in what is waited for by so many. */
   bring: (ask: string, waiting: number) => void
 }
 
-export type WaitEnd = { type: 'chosen', choice: Extract<Choice, { type: 'send' }> } | { type: 'expired', last: Choice } | { type: 'left' }
+export type WaitEnd = { type: 'chosen', choice: Extract<Choice, { type: 'send' }> } | { type: 'expired', last: Choice } | { type: 'left' } | { type: 'hopeless' }
 
 interface Entry extends Waiter {
   since: number
@@ -111,6 +113,10 @@
     const ordered = ranked.sort((a, b) => a.rank - b.rank || a.entry.since - b.entry.since)
     const stuck = new Map<string, Choice>()
     for (const { entry } of ordered) {
+      if (entry.hopeless()) {
+        entry.end({ type: 'hopeless' })
+        continue
+      }
       const known = stuck.get(entry.key)
       const choice = known ?? entry.choose()
       entry.last = choice
--- /dev/null
+++ b/packages/fleet/src/side/crash-relay.ts
@@ -0,0 +1,50 @@
+/**
+ * Passing on to entries what other entries met: servers that ended under requests, and requests that are sound.
+ *
+ * It keeps what it was told, for entries that start or come later.
+ */
+import { CrashLedger, crashLimits } from '@finchpitch/decisions'
+import type { Channel, FrameOf } from '@finchpitch/wire'
+import { nowMs } from '../clock.js'
+import { framesOf, isEmpty, takeCrashes, type CrashNews } from '../crash-news.js'
+
+/** All entries that had requests at a server tell of its end within some ms; they are passed on together. */
+const gatherMs = 20
+
+export class CrashRelay {
+  readonly #ledger = new CrashLedger(crashLimits)
+  #news: Array<{ news: CrashNews, from: Channel }> = []
+  #due: NodeJS.Timeout | undefined
+
+  /** `entries`: channels to the entries that are told the news of this process. */
+  constructor (private readonly entries: () => Channel[]) {}
+
+  take (from: Channel, frame: FrameOf<'crashes'>): void {
+    from.send({ type: 'crashes_noted', stamp: frame.stamp })
+    const news = takeCrashes(this.#ledger, frame)
+    if (isEmpty(news)) return
+    this.#news.push({ news, from })
+    this.#due ??= setTimeout(() => this.#passOn(), gatherMs)
+  }
+
+  /** All that is known, to an entry that has come. */
+  greet (entry: Channel): void {
+    const known: CrashNews = { crashes: this.#ledger.crashes(nowMs()), sound: [] }
+    for (const frame of framesOf(known)) entry.send(frame)
+  }
+
+  close (): void {
+    clearTimeout(this.#due)
+  }
+
+  #passOn (): void {
+    this.#due = undefined
+    const told = this.#news
+    this.#news = []
+    for (const entry of this.entries()) {
+      const others = told.filter(({ from }) => from !== entry).map(({ news }) => news)
+      const news = { crashes: others.flatMap(each => each.crashes), sound: others.flatMap(each => each.sound) }
+      for (const frame of framesOf(news)) entry.send(frame)
+    }
+  }
+}
--- a/packages/fleet/src/side/readers.ts
+++ b/packages/fleet/src/side/readers.ts
@@ -8,6 +8,7 @@
 import type { Channel, Frame, FrameOf } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
 import { FactLink, patienceMs } from '../fact-exchange.js'
+import { CrashRelay } from './crash-relay.js'
 import { FreshRelay } from './fresh-relay.js'
 import { Reader, quietPace } from './reader.js'
 import type { EngineNews } from './news.js'
@@ -26,10 +27,12 @@
   readonly #readers = new Set<Reader>()
   readonly #relay: Relay
   readonly #fresh: FreshRelay
+  readonly #crashes: CrashRelay
 
   constructor (private readonly options: ReadersOptions) {
     this.#relay = new Relay({ ...options, changed: () => this.tell() })
     this.#fresh = new FreshRelay(options.facts, () => this.#readingNear())
+    this.#crashes = new CrashRelay(() => this.#entriesHere.map(reader => reader.channel))
   }
 
   get size (): number {
@@ -43,11 +46,14 @@
 
   /** Entries of its own failure domain, and entries elsewhere that follow its engine directly. */
   get entries (): { near: number, strangers: number } {
-    const entries = [...this.#readers].filter(reader => !reader.relay)
-    return {
-      near: entries.filter(reader => reader.near).length,
-      strangers: entries.filter(reader => !reader.near && reader.followsOwn).length
-    }
+    const entries = this.#entriesHere
+    const near = entries.filter(reader => reader.near).length
+    return { near, strangers: entries.length - near }
+  }
+
+  /** Those near, and those elsewhere that follow the engine directly. */
+  get #entriesHere (): Reader[] {
+    return [...this.#readers].filter(reader => !reader.relay && (reader.near || reader.followsOwn))
   }
 
   join (channel: Channel): Reader {
@@ -76,6 +82,7 @@
     if (frame.type === 'follow') this.#follow(reader, frame)
     if (frame.type === 'ask_fresh') this.#fresh.ask(reader.channel, frame)
     if (frame.type === 'fresh') this.#fresh.answered(frame)
+    if (frame.type === 'crashes') this.#crashes.take(reader.channel, frame)
   }
 
   /** Tells everybody what they have to know by now. */
@@ -97,6 +104,7 @@
   close (): void {
     this.#relay.close()
     this.#fresh.close()
+    this.#crashes.close()
     for (const { channel } of this.#readers) channel.close()
   }
 
@@ -117,6 +125,7 @@
     if (reader.facts !== undefined) return
     reader.facts = new FactLink(facts, reader.channel, patienceMs.entry, log)
     reader.facts.start()
+    this.#crashes.greet(reader.channel)
   }
 
   /** A peer says which engines it wants to hear of. */
--- a/packages/fleet/test/side-links.test.ts
+++ b/packages/fleet/test/side-links.test.ts
@@ -37,6 +37,9 @@
       prove: async () => {},
       changed: () => {},
       granted: () => {},
+      crashes: () => {},
+      crashesNoted: () => {},
+      joinedNear: () => {},
       appointmentsChanged: () => { changes += 1 }
     })
     links.reconcile([engineAt('10.0.0.1'), engineAt('10.0.0.2')])
--- a/packages/fleet/test/waiting-room.test.ts
+++ b/packages/fleet/test/waiting-room.test.ts
@@ -27,6 +27,7 @@
     rank: () => rank,
     until: nowMs() + waitMs,
     choose: () => free-- > 0 ? send : full,
+    hopeless: () => false,
     bring: (ask, waiting) => { brought.push([ask, waiting]) }
   })
 
@@ -73,4 +74,14 @@
     expect(order).to.deep.equal(['left left', 'expired expired'])
     expect(room.size).to.equal(0)
   })
+
+  it('ends the wait of a request that is to be sent nowhere, with the next look', async () => {
+    let hopeless = false
+    wait('bad', { ...waiter('k'), hopeless: () => hopeless })
+    wait('good', waiter('k'))
+    hopeless = true
+    room.poke()
+    await time.pass(20)
+    expect(order).to.deep.equal(['bad hopeless'])
+  })
 })
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -4,11 +4,11 @@
  * On the wire a frame is a big-endian length of four bytes and that many bytes of CBOR. The schema below is the
  * one definition; a frame that doesn't fit it ends the connection it came on and nothing else.
  */
-import { Address, Bytes, Failure, Headers, Incarnation, ProcessId, Revision, FailureDomain, Serving, Work } from '@finchpitch/core'
+import { Address, Bytes, Failure, Headers, Incarnation, ProcessId, RequestFingerprint, Revision, FailureDomain, Serving, Work } from '@finchpitch/core'
 import * as z from 'zod'
 
 /** Raised when two versions can't talk to each other; the first frame carries it. */
-export const protocolVersion = 4
+export const protocolVersion = 5
 
 const ExchangeId = z.number().int().nonnegative()
 
@@ -74,6 +74,10 @@
 export const longestReason = 100
 /** Characters of the longest name of a team. */
 export const longestTeam = 200
+/** Characters of what names one life of a server. */
+export const longestLife = 200
+/** Ends of servers, and runs that came to their end, that one frame tells of. */
+export const mostCrashes = 500
 /** Adapters of which one frame tells the uses. */
 export const mostUses = 5000
 
@@ -122,6 +126,14 @@
 export const TokenAge = z.tuple([z.string().max(longestTeam), z.number().nonnegative(), z.number().nonnegative()])
 export type TokenAge = z.infer<typeof TokenAge>
 
+/** A server that ended under a request: the request's fingerprint, the server's life, and how many ms before the frame was made the request was sent and the server had ended. */
+export const CrashAge = z.tuple([RequestFingerprint, z.string().max(longestLife), z.number().nonnegative(), z.number().nonnegative()])
+export type CrashAge = z.infer<typeof CrashAge>
+
+/** A run of a request that came to its end, and how many ms before the frame was made. */
+export const SoundAge = z.tuple([RequestFingerprint, z.number().nonnegative()])
+export type SoundAge = z.infer<typeof SoundAge>
+
 export const Appointment = z.object({
   type: z.literal('appoint'),
   watch: z.boolean(),
@@ -163,6 +175,10 @@
   }),
   /** The answer to the frame with that stamp. `needed`: teams that were short of late, for which entries should give first. */
   z.object({ type: z.literal('quota_grant'), stamp: z.number(), bankStamp: z.number(), grants: z.array(TokenAge), needed: z.array(z.string().max(longestTeam)) }),
+  /** Servers that ended under requests, and requests that are sound. An entry's frame is answered by its `stamp`. */
+  z.object({ type: z.literal('crashes'), stamp: z.number(), crashes: z.array(CrashAge).max(mostCrashes), sound: z.array(SoundAge).max(mostCrashes) }),
+  /** The frame with that stamp has come, and goes on to the entries that the sender tells its news. */
+  z.object({ type: z.literal('crashes_noted'), stamp: z.number() }),
   /** Whether the receiver, an entry, is one of those that watch the store for its failure domain. */
   Appointment,
   /** What the receiver asked for is held now. */
