Proofs, leases on keys and quota tokens are dated by a clock that counts the sleeps of the machine

Cause, found by looking for places where a belief looks younger than it is: the steady clock stands still while a machine is suspended. A lease on keys that had ended 2 s ago passed as good after a sleep of 6 s, an answer to a question from before it renewed the lease, and tokens that had lapsed were spent beside those that other entries had earned meanwhile. Change: an elapsed clock, the steady one with what the time of day ran ahead of it between two looks (over 20 ms). Freshness, the frames that carry it, quotas, their exchange and their banks use it; an entry earns no tokens for a sleep, as a time of day that was set ahead looks the same and would earn them twice.

--- a/packages/decisions/src/token-stock.ts
+++ b/packages/decisions/src/token-stock.ts
@@ -6,7 +6,7 @@
  */
 export interface TokenSlice {
   tokens: number
-  /** On the holder's steady clock; the oldest of its tokens. */
+  /** On the holder's elapsed clock; the oldest of its tokens. */
   earnedAt: number
 }
 
--- a/packages/fleet/src/entry/quota-exchange.ts
+++ b/packages/fleet/src/entry/quota-exchange.ts
@@ -8,7 +8,7 @@
 import { affinityOf, ageOf, hashOf, type TokenSlice } from '@finchpitch/decisions'
 import { pause, type Log } from '@finchpitch/core'
 import type { Channel, FrameOf, TokenAge } from '@finchpitch/wire'
-import { nowMs } from '../clock.js'
+import { elapsedMs } from '../clock.js'
 import { lowest } from '../lowest.js'
 import type { Quotas, TeamAccount } from './quotas.js'
 
@@ -77,7 +77,7 @@
   }
 
   take (host: string, channel: Channel, frame: FrameOf<'quota_grant'>): void {
-    const now = nowMs()
+    const now = elapsedMs()
     this.#echoes.set(channel, { stamp: frame.bankStamp, cameAt: now })
     const granted = slicesOf(frame, now)
     for (const [team, slices] of granted) this.options.quotas.accounts.get(team)?.granted(slices)
@@ -91,25 +91,25 @@
   }
 
   #isShort (team: string): boolean {
-    return nowMs() - (this.#short.get(team) ?? -Infinity) < shortMs
+    return elapsedMs() - (this.#short.get(team) ?? -Infinity) < shortMs
   }
 
   #tick (): void {
     if (this.options.quotas.accounts.size === 0) return
     if (this.#sentAt !== undefined) {
-      if (nowMs() - this.#sentAt < answerMs) return
+      if (elapsedMs() - this.#sentAt < answerMs) return
       this.#passBy()
     }
     this.#send()
   }
 
   #passBy (): void {
-    if (this.#bank !== undefined) this.#passedBy.set(this.#bank, nowMs())
+    if (this.#bank !== undefined) this.#passedBy.set(this.#bank, elapsedMs())
     this.#sentAt = undefined
   }
 
   #choose (): string | undefined {
-    const now = nowMs()
+    const now = elapsedMs()
     const hosts = this.options.hosts().filter(host => now - (this.#passedBy.get(host) ?? -Infinity) > passedByMs)
     const bank = lowest(hosts, host => affinityOf(meeting, hashOf(host)))
     if (bank !== this.#bank) this.options.log.info('quota.bank_changed', { host: bank, before: this.#bank })
@@ -129,7 +129,7 @@
   }
 
   #frame (channel: Channel): FrameOf<'quota'> {
-    const now = nowMs()
+    const now = elapsedMs()
     const echo = this.#echoes.get(channel)
     const gives: TokenAge[] = []
     const wants: Array<[string, number]> = []
--- a/packages/fleet/src/entry/quotas.ts
+++ b/packages/fleet/src/entry/quotas.ts
@@ -8,7 +8,7 @@
  * still has its share.
  */
 import { DecayingSum, TokenStock, earnedPerSecond, tokenLifeMs, type QuotaBound, type TokenSlice } from '@finchpitch/decisions'
-import { nowMs } from '../clock.js'
+import { elapsedMs, sleptMs } from '../clock.js'
 import { quotaBoundOf, type Limits } from '../ports.js'
 import type { FleetTeam, Quota } from '../team.js'
 
@@ -56,7 +56,8 @@
   readonly #demand = new DecayingSum(demandHalfLifeMs)
   readonly #granted = new DecayingSum(demandHalfLifeMs)
   #quota: Quota
-  #earnedAt = nowMs()
+  #earnedAt = elapsedMs()
+  #sleptMs = sleptMs()
   /** Of requests here, aged. */
   #usualSize = 0
 
@@ -73,7 +74,7 @@
 
   /** A request asks for so many. */
   demand (tokens: number): void {
-    this.#demand.add(tokens, nowMs())
+    this.#demand.add(tokens, elapsedMs())
     this.#usualSize += (tokens - this.#usualSize) * sizeWeight
   }
 
@@ -88,7 +89,7 @@
 
   granted (slices: readonly TokenSlice[]): void {
     this.give(slices)
-    for (const { tokens } of slices) this.#granted.add(tokens, nowMs())
+    for (const { tokens } of slices) this.#granted.add(tokens, elapsedMs())
   }
 
   /** Whether what was set aside may still be spent. */
@@ -133,7 +134,7 @@
 
   /** Tokens that were earned earlier have lapsed. */
   get #since (): number {
-    return nowMs() - this.#lifeMs
+    return elapsedMs() - this.#lifeMs
   }
 
   get #lifeMs (): number {
@@ -145,7 +146,8 @@
   }
 
   #earn (): void {
-    const now = nowMs()
+    const now = elapsedMs()
+    this.#skipSleep(now)
     const perMs = this.#ownRate / 1000
     let from = Math.max(this.#earnedAt, this.#since)
     while (from < now) {
@@ -155,10 +157,17 @@
     }
     this.#earnedAt = now
   }
+
+  /** A time of day that was set ahead looks like a sleep of the machine, and would earn the same tokens twice. */
+  #skipSleep (now: number): void {
+    const slept = sleptMs()
+    if (slept > this.#sleptMs) this.#earnedAt = now
+    this.#sleptMs = slept
+  }
 }
 
 /** Tokens a second. */
-const rateOf = (sum: DecayingSum): number => sum.at(nowMs()) * Math.LN2 / demandHalfLifeMs * 1000
+const rateOf = (sum: DecayingSum): number => sum.at(elapsedMs()) * Math.LN2 / demandHalfLifeMs * 1000
 
 export interface QuotasOptions {
   limits: () => Limits
--- a/packages/fleet/src/entry/side-link.ts
+++ b/packages/fleet/src/entry/side-link.ts
@@ -6,7 +6,7 @@
  */
 import type { Duplex } from 'node:stream'
 import { Channel, type Appointment, type Frame, type FrameOf } from '@finchpitch/wire'
-import { nowMs } from '../clock.js'
+import { elapsedMs, nowMs } from '../clock.js'
 import { FactLink, patienceMs } from '../fact-exchange.js'
 import { acceptFresh, answerFresh, askFresh, type Question } from '../fresh-exchange.js'
 import { redial, type SidePeering } from '../redial.js'
@@ -288,7 +288,7 @@
     if (frame.type === 'caught_up') this.options.facts.caughtUp(frame.complete)
     if (frame.type === 'appoint') this.#appoint(frame)
     if (frame.type === 'fresh') acceptFresh(this.options.facts, frame)
-    if (frame.type === 'ask_fresh' && this.#channel !== undefined) void this.#answerFresh({ channel: this.#channel, ask: frame, cameAt: nowMs() })
+    if (frame.type === 'ask_fresh' && this.#channel !== undefined) void this.#answerFresh({ channel: this.#channel, ask: frame, cameAt: elapsedMs() })
     if (frame.type === 'declined') {
       this.#declined.set(frame.key, nowMs())
       this.#wanted.delete(frame.key)
--- a/packages/fleet/src/follow.ts
+++ b/packages/fleet/src/follow.ts
@@ -5,7 +5,7 @@
  * one call and not one each; the store counts every call.
  */
 import { backoff, pause, type Log } from '@finchpitch/core'
-import { nowMs } from './clock.js'
+import { elapsedMs, nowMs } from './clock.js'
 import { isFinal, removalStep, type Fact, type Facts } from './facts.js'
 import type { FactPage, FactSource, StoreFailure } from './ports.js'
 import { Removals } from './removals.js'
@@ -173,12 +173,13 @@
     this.#compactions = outage.compactions
     const doubt = AbortSignal.any([signal, outage.signal])
     const askedAt = nowMs()
+    const provenAt = elapsedMs()
     const watching = this.#revision !== undefined
     const page = this.#revision === undefined ? await source.list() : await source.changes(this.#revision, watchMs[this.#kind], doubt)
     if (signal.aborted) return 0
     if (page.isOk()) {
       this.#answered(page.value)
-      this.#proved(page.value, askedAt)
+      this.#proved(page.value, provenAt)
       return restMs(this.#kind)
     }
     // A watch that was cut off here is simply asked again: it tells nothing of the store.
@@ -210,8 +211,8 @@
   }
 
   /** A table that could not be read may have taken a key away. */
-  #proved ({ unread = 0 }: FactPage, askedAt: number): void {
-    if (this.#kind === 'table' && unread === 0) this.options.facts.freshness.prove(askedAt)
+  #proved ({ unread = 0 }: FactPage, provenAt: number): void {
+    if (this.#kind === 'table' && unread === 0) this.options.facts.freshness.prove(provenAt)
   }
 
   #failed (failure: StoreFailure, askedAt: number): void {
--- a/packages/fleet/src/fresh-exchange.ts
+++ b/packages/fleet/src/fresh-exchange.ts
@@ -2,18 +2,18 @@
  * Asking a peer how fresh its routing table is, and answering, over the channels that exist anyway.
  */
 import type { Channel, FrameOf } from '@finchpitch/wire'
-import { nowMs } from './clock.js'
+import { elapsedMs } from './clock.js'
 import { frameOf, type Facts } from './facts.js'
 
 const tableRevision = (facts: Facts): number => facts.revisionOf('table', 'table')
 
 export const askFresh = (facts: Facts, channel: Channel): void => {
-  channel.send({ type: 'ask_fresh', stamp: nowMs(), revision: tableRevision(facts) })
+  channel.send({ type: 'ask_fresh', stamp: elapsedMs(), revision: tableRevision(facts) })
 }
 
 export const acceptFresh = (facts: Facts, proof: FrameOf<'fresh'>): boolean => facts.freshness.accept(proof, tableRevision(facts))
 
-/** A question, and when it came on this process's clock. */
+/** A question, and when it came on this process's elapsed clock. */
 export interface Question {
   channel: Channel
   ask: FrameOf<'ask_fresh'>
--- a/packages/fleet/src/freshness.ts
+++ b/packages/fleet/src/freshness.ts
@@ -11,15 +11,15 @@
  * stamp less that difference is no later than the proof. Freezes, queues and slow links make it older, never younger.
  */
 import type { FrameOf } from '@finchpitch/wire'
-import { nowMs } from './clock.js'
+import { elapsedMs } from './clock.js'
 
 export class Freshness {
   #provenAt = -Infinity
   readonly #listeners = new Set<() => void>()
 
-  constructor (private readonly now: () => number = nowMs) {}
+  constructor (private readonly now: () => number = elapsedMs) {}
 
-  /** When the table was surely the newest, on this process's steady clock. */
+  /** When the table was surely the newest, on this process's elapsed clock. */
   get provenAt (): number {
     return this.#provenAt
   }
--- a/packages/fleet/src/side/fresh-relay.ts
+++ b/packages/fleet/src/side/fresh-relay.ts
@@ -5,7 +5,7 @@
  * is young is passed on as it is; for an older one, one reading entry is asked, and everybody who waits gets the answer.
  */
 import type { Channel, FrameOf } from '@finchpitch/wire'
-import { nowMs } from '../clock.js'
+import { elapsedMs } from '../clock.js'
 import type { Facts } from '../facts.js'
 import { acceptFresh, answerFresh, askFresh, type Question } from '../fresh-exchange.js'
 
@@ -24,7 +24,7 @@
   constructor (private readonly facts: Facts, private readonly sources: () => Channel[]) {}
 
   ask (channel: Channel, ask: FrameOf<'ask_fresh'>): void {
-    const question = { channel, ask, cameAt: nowMs() }
+    const question = { channel, ask, cameAt: elapsedMs() }
     if (this.facts.freshness.ageMs <= passOnMs) return answerFresh(this.facts, question)
     this.#waiting.push(question)
     if (this.#next === undefined) this.#askNext()
--- a/packages/fleet/src/side/quota-bank.ts
+++ b/packages/fleet/src/side/quota-bank.ts
@@ -6,7 +6,7 @@
  */
 import { TokenStock, ageOf, type TokenSlice } from '@finchpitch/decisions'
 import type { FrameOf, TokenAge } from '@finchpitch/wire'
-import { nowMs } from '../clock.js'
+import { elapsedMs } from '../clock.js'
 
 /** Entries ask again each quarter of a second while they need more. */
 const askedMs = 600
@@ -25,7 +25,7 @@
 
   /** Takes what an entry gives and answers what it asks. */
   exchange (entry: string, { stamp, echo, gives, wants }: FrameOf<'quota'>, lifeMs: (team: string) => number | undefined): FrameOf<'quota_grant'> {
-    const now = nowMs()
+    const now = elapsedMs()
     if (echo !== undefined) {
       // It was sent after the answer that it echoes had come, so it can't have been under way for longer.
       const wayMs = Math.max(0, now - (echo.stamp + echo.heldMs))
@@ -40,7 +40,7 @@
   }
 
   #grant (entry: string, team: string, tokens: number, since: number): TokenAge[] {
-    const now = nowMs()
+    const now = elapsedMs()
     const bank = this.#at(team)
     bank.askedAt = now
     const part = Math.min(tokens, bank.stock.total(since) * tokens / (tokens + this.#unmetOfOthers(bank, entry)))
@@ -50,7 +50,7 @@
 
   /** What they asked of late and did not get: they share with this entry what there is. */
   #unmetOfOthers ({ unmet }: TeamBank, entry: string): number {
-    const now = nowMs()
+    const now = elapsedMs()
     let sum = 0
     for (const [each, { tokens, at }] of unmet) {
       if (now - at > askedMs) unmet.delete(each)
--- a/packages/stand-ins/src/fake-time.ts
+++ b/packages/stand-ins/src/fake-time.ts
@@ -35,6 +35,11 @@
     this.#clock.tick(ms)
   }
 
+  /** The machine is suspended for `ms`: the time of day goes on, the steady clock and timers stand still. */
+  suspend (ms: number): void {
+    this.#clock.setSystemTime(Date.now() + ms)
+  }
+
   /** Moves from timer to timer until `promise` has settled. */
   async until<T> (promise: Promise<T>): Promise<T> {
     let settled = false
