A server that is found replaced soon after a break ended under it; the soak sends a request that ends its engines

Cause: whether a server ended was asked of its address alone. Behind a proxy, or with a server that is back at once, the address accepts and its end counted against nobody; the soak's proxies show it. Change: breaks at servers whose address accepted are kept for 10 s, and count once another server, or a later life of the same one, is listed at that address. Tests: two red before.

--- a/packages/fleet/src/entry/crashes.ts
+++ b/packages/fleet/src/entry/crashes.ts
@@ -10,11 +10,19 @@
 import { nowMs } from '../clock.js'
 import { framesOf, takeCrashes, type CrashNews } from '../crash-news.js'
 import type { Facts } from '../facts.js'
-import type { BackendServer } from '../server.js'
+import { isFormer, type BackendServer } from '../server.js'
 import type { EntryCounters } from './counters.js'
 import type { CrashExchange } from './crash-exchange.js'
 import type { ServerEnds } from './server-ends.js'
 
+/**
+ * A server that ends is back, listed as another one, within some seconds. One whose address accepted after the break, since
+ * something stands before it or it was back at once, is known by that to have ended.
+ */
+const replacedMs = 10_000
+/** Breaks of which it isn't known yet; a server that resets all its connections brings a batch at a time. */
+const mostUnproved = 500
+
 /** A try that broke off at its server. */
 export interface BrokenTry {
   request: string
@@ -34,10 +42,19 @@
   log: Log
 }
 
+/** A try that broke off, and when. */
+interface Break extends BrokenTry {
+  endedAt: number
+}
+
 export class Crashes {
   readonly #ledger = new CrashLedger(crashLimits)
+  /** Whose servers have not shown to have ended; the oldest first. */
+  #unproved: Break[] = []
 
-  constructor (private readonly options: CrashesOptions) {}
+  constructor (private readonly options: CrashesOptions) {
+    options.facts.onChange(fact => { if (fact.kind === 'server' && fact.value !== undefined) this.#replaced(fact.value) })
+  }
 
   /** Nothing is held against any request, so no fingerprint need be made. */
   get none (): boolean {
@@ -50,16 +67,36 @@
   }
 
   /** Finds out whether the server ended under it. One that was leaving, or had left the list, ended for another reason. */
-  async brokeOff ({ request, fingerprint, server, sentAt }: BrokenTry): Promise<void> {
-    const { facts, ends, exchange, counters, log } = this.options
+  async brokeOff (broken: BrokenTry): Promise<void> {
+    const { facts, ends, log } = this.options
+    const { request, fingerprint, server, sentAt } = broken
     const endedAt = nowMs()
     const expected = facts.servers.get(server.id)?.leaving !== false
     const ended = !expected && await ends.ended(server)
     log.info('request.broke_off', { request, fingerprint, server: server.id, ranMs: Math.round(endedAt - sentAt), expected, ended })
-    if (!ended) return
-    counters.serverEnds.inc()
-    const crash = { fingerprint, server: lifeOf(server), sentAt, endedAt }
-    const news = { crashes: this.#ledger.crashed(crash, nowMs()) ? [crash] : [], sound: [] }
+    if (ended) this.#ended([{ ...broken, endedAt }])
+    else if (!expected) this.#unproved = [...this.#unproved, { ...broken, endedAt }].slice(-mostUnproved)
+  }
+
+  /** Another server, or another life of the same one, is at the address. */
+  #replaced (by: BackendServer): void {
+    if (this.#unproved.length === 0) return
+    const now = nowMs()
+    const recent = this.#unproved.filter(each => now - each.endedAt < replacedMs)
+    const ended = recent.filter(({ server }) => server.address === by.address && (server.id !== by.id || isFormer(server.bornAt, by.bornAt)))
+    this.#unproved = recent.filter(each => !ended.includes(each))
+    if (ended.length === 0) return
+    this.options.log.info('server.replaced', { by: by.id, brokeOff: ended.map(each => each.fingerprint), agoMs: Math.round(now - (ended[0]?.endedAt ?? now)) })
+    this.#ended(ended)
+  }
+
+  /** Servers ended under these tries. */
+  #ended (tries: readonly Break[]): void {
+    const { exchange, counters } = this.options
+    const now = nowMs()
+    counters.serverEnds.inc(tries.length)
+    const crashes = tries.map(({ fingerprint, server, sentAt, endedAt }) => ({ fingerprint, server: lifeOf(server), sentAt, endedAt }))
+    const news = { crashes: crashes.filter(crash => this.#ledger.crashed(crash, now)), sound: [] }
     exchange.tell(news)
     this.#note(news, 'own try')
   }
--- a/packages/fleet/test/crash-exchange.test.ts
+++ b/packages/fleet/test/crash-exchange.test.ts
@@ -197,6 +197,31 @@
       expect(crashes.none).to.equal(true)
     })
 
+    it('count a server that is found replaced a moment later, though its address never refused', async () => {
+      refuses = false
+      await brokeOff()
+      await time.pass(500)
+      facts.offer({ kind: 'server', key: 'j', revision: 9, value: { ...server, id: 'j' } }, 'store')
+      expect(told.flatMap(news => news.crashes.map(each => [each.server, nowMs() - each.endedAt]))).to.deep.equal([['i', 600]])
+    })
+
+    it('count one that started again under its id', async () => {
+      refuses = false
+      await brokeOff({ bornAt: 1 })
+      offer({ bornAt: 2 }, 9)
+      expect(told.flatMap(news => news.crashes.map(each => each.server))).to.deep.equal(['i 1'])
+    })
+
+    it('count none that is replaced long after, or at another address, or that writes again', async () => {
+      refuses = false
+      await brokeOff()
+      facts.offer({ kind: 'server', key: 'j', revision: 9, value: { ...server, id: 'j', address: '10.0.0.2:80' } }, 'store')
+      offer({ slots: 2 }, 10)
+      await time.pass(15_000)
+      facts.offer({ kind: 'server', key: 'k', revision: 11, value: { ...server, id: 'k' } }, 'store')
+      expect(told).to.have.length(0)
+    })
+
     it('are joined with what others met', async () => {
       await brokeOff()
       const [frame] = framesOf(newsOf(crash('j')))
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -43,6 +43,12 @@
 /** All faults are over and reconnects done: from here on everything must be answered again. */
 const recoverMs = 5000
 const events = 6
+/** After all faults, a caller sends a request that ends its engines so often, */
+const fatalTries = 6
+/** each once the engine before is back and everybody knows. */
+const fatalRestMs = 1500
+const mostFatalRuns = 3
+const fatalPath = '/stream/fatal'
 const paths = ['/once/x', '/again/x', '/stream/x', '/resume/x'] as const
 
 export const soak = async ({ seed, network, faultMs, log }: SoakOptions): Promise<SoakReport> => {
@@ -80,7 +86,6 @@
   const last: Result[] = []
   for (let each = 0; each < 12; each++) last.push(await ask(fleet, dice, agents, `soak-${seed}-last-${each}`))
   const all = [...await Promise.all(results), ...last]
-  for (const agent of agents) agent.destroy()
   const report = judge(all, [...fleet.engines, ...fleet.plain])
   const unserved = last.filter(result => result.status !== 200)
   for (const { id, path, status } of unserved) {
@@ -88,15 +93,30 @@
     report.broken.push([`not recovered: ${id} ${path} ${status}`, ...lines].join('\n    '))
   }
   if (unserved.length > 0) report.broken.push(...fleet.sides.flatMap(side => side.output.slice(-lastLines)))
+  report.broken.push(...await sendFatal(fleet, dice, agents, seed))
+  for (const agent of agents) agent.destroy()
   await fleet.stop()
   await Promise.all(proxies.map(proxy => proxy.stop()))
   return report
 }
 
-const ask = (fleet: FleetSystem, dice: Dice, agents: Agent[], id: string): Promise<Result> => new Promise(resolve => {
-  const path = dice.pick(paths)
+/** All is well, and one request ends each engine that runs it, at whichever entry it comes: gives what of the promise is broken. */
+const sendFatal = async (fleet: FleetSystem, dice: Dice, agents: Agent[], seed: number): Promise<string[]> => {
+  for (const engine of fleet.engines) engine.fatalPath = fatalPath
+  const results: Result[] = []
+  for (let each = 0; each < fatalTries; each++) {
+    results.push(await ask(fleet, dice, agents, `soak-${seed}-fatal-${each}`, fatalPath))
+    await pause(fatalRestMs)
+  }
+  const runs = fleet.engines.flatMap(engine => engine.ran).filter(id => id.startsWith(`soak-${seed}-fatal-`)).length
+  if (runs <= mostFatalRuns) return []
+  const lines = fleet.entries.flatMap(entry => entry.output).filter(line => /request\.(broke_off|quarantined|sound)|server\.replaced/.test(line))
+  return [`a request ended ${runs} engines; its answers: ${results.map(result => result.status).join(' ')}`, ...lines.slice(-lastLines)]
+}
+
+const ask = (fleet: FleetSystem, dice: Dice, agents: Agent[], id: string, path: string = dice.pick(paths)): Promise<Result> => new Promise(resolve => {
   const entry = dice.between(0, fleet.entries.length - 1)
-  const engine = path === '/stream/x' || path === '/resume/x'
+  const engine = path.startsWith('/stream') || path.startsWith('/resume')
   const headers = { host: 'fleet.example', 'request-id': id, 'deadline-ms': String(remainingMs), ...(engine ? { model: `base/a${dice.between(1, 10)}` } : {}) }
   let status = 0
   let body = ''
--- a/packages/stand-ins/src/fleet/fleet-system.ts
+++ b/packages/stand-ins/src/fleet/fleet-system.ts
@@ -204,7 +204,7 @@
     await pause(downMs)
     if (this.#stopped) return
     server.restart(`${former}-again`)
-    await this.#listen(server, ip, ports.app)
+    await server.start(ip, this.options.between === undefined ? ports.app : ports.app + hiddenBy)
     this.store.remove('servers', former)
     this.register(server, ip, domain)
   }
