--- a/packages/decisions/src/token-stock.ts
+++ b/packages/decisions/src/token-stock.ts
@@ -13,6 +13,8 @@
 /** Never below 0: a slice may be earned between the moment looked at and the look. */
 export const ageOf = ({ earnedAt }: TokenSlice, now: number): number => Math.max(0, now - earnedAt)
 
+export const tokensIn = (slices: readonly TokenSlice[]): number => slices.reduce((sum, slice) => sum + slice.tokens, 0)
+
 /**
  * Tokens of one such step are kept as one slice, all as old as its start. It bounds the slices that a stock has, 40 for the
  * longest life, wherever its tokens come from, and costs a token at most this much of its life in each stock.
@@ -40,7 +42,7 @@
   /** What can still be spent of what was earned since `since`. */
   total (since: number): number {
     this.#drop(since)
-    return this.#slices.reduce((sum, slice) => sum + slice.tokens, 0)
+    return tokensIn(this.#slices)
   }
 
   /** So many tokens, the oldest first; none where there are fewer. */
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -23,6 +23,7 @@
 import { KeyLease } from './key-lease.js'
 import { EntryCeiling } from './entry-ceiling.js'
 import { LeaseKeeper } from './lease-keeper.js'
+import { outageRetryMs } from './own-answers.js'
 import { QuotaExchange } from './quota-exchange.js'
 import { Quotas } from './quotas.js'
 import { RetryBudget } from './retry-budget.js'
@@ -43,8 +44,6 @@
 const idleSlackMs = 2000
 /** A new entry has the routing table within some 0.2 s, where there is one to be had. */
 const learningMs = 500
-/** Else the store is away, which takes seconds; a caller that comes back sooner is refused a second time. */
-const outageRetryMs = 2000
 const seedSpan = { firstMs: 200, limitMs: 2000 }
 /** How often it is looked at whether another entry is still needed to learn from. */
 const seedCheckMs = 1000
--- a/packages/fleet/src/entry/lease-keeper.ts
+++ b/packages/fleet/src/entry/lease-keeper.ts
@@ -5,6 +5,7 @@
 import { nowMs } from '../clock.js'
 import type { Facts } from '../facts.js'
 import type { KeyLease } from './key-lease.js'
+import { outageRetryMs } from './own-answers.js'
 import type { SideLinks } from './side-links.js'
 import type { StoreWatch } from './store-watch.js'
 
@@ -12,10 +13,8 @@
 const askMs = 200
 /** The same after the lease has ended, when everybody asks at once, and mostly because the store answers nobody. */
 const lapsedAskMs = 600
-/** When callers should come back that were turned away for want of a proof. Their next try meets another entry, since the balancer knows within a second that this one is not ready; */
+/** When callers should come back that were turned away for want of a proof. Their next try meets another entry, since the balancer knows within a second that this one is not ready; in an outage of the store no entry has a proof for a while. */
 const elsewhereRetryMs = 250
-/** but in an outage of the store no entry has a proof for a while. */
-const outageRetryMs = 2000
 
 export interface LeaseKeeperOptions {
   lease: KeyLease
--- a/packages/fleet/src/entry/own-answers.ts
+++ b/packages/fleet/src/entry/own-answers.ts
@@ -14,6 +14,9 @@
 /** When callers are told to come back, unless a server says later: after something may have been loaded or have ended. */
 const leastRetryAfterMs = 250
 
+/** An outage of the platform's store takes seconds; a caller that comes back sooner is refused a second time. */
+export const outageRetryMs = 2000
+
 const finalStatuses = { no_route: 404, key_not_known: 401, bad_model: 400, too_large: 413 } as const
 export type FinalReason = keyof typeof finalStatuses
 
--- a/packages/fleet/src/entry/quota-exchange.ts
+++ b/packages/fleet/src/entry/quota-exchange.ts
@@ -5,7 +5,7 @@
  * the next side process is asked; meanwhile each entry lives on its share.
  */
 import { setImmediate } from 'node:timers/promises'
-import { affinityOf, ageOf, hashOf, type TokenSlice } from '@finchpitch/decisions'
+import { affinityOf, ageOf, hashOf, tokensIn, type TokenSlice } from '@finchpitch/decisions'
 import { pause, type Log } from '@finchpitch/core'
 import type { Channel, FrameOf, TokenAge } from '@finchpitch/wire'
 import { elapsedMs } from '../clock.js'
@@ -84,7 +84,7 @@
     if (host !== this.#bank) return
     this.#needed = new Set(frame.needed)
     this.#sentAt = undefined
-    for (const [team, wanted] of this.#urged) if (sumOf(granted.get(team)) < wanted * metShare) this.#short.set(team, now)
+    for (const [team, wanted] of this.#urged) if (tokensIn(granted.get(team) ?? []) < wanted * metShare) this.#short.set(team, now)
     this.#urged.clear()
     this.#answered.abort()
     if (this.#urgent.size > 0) this.#send()
@@ -152,8 +152,6 @@
   }
 }
 
-const sumOf = (slices: readonly TokenSlice[] = []): number => slices.reduce((sum, slice) => sum + slice.tokens, 0)
-
 /** All entries choose the side process that is nearest to this by rendezvous hashing. */
 const meeting = hashOf('quota')
 
--- a/packages/fleet/src/entry/quotas.ts
+++ b/packages/fleet/src/entry/quotas.ts
@@ -7,7 +7,7 @@
  * once, moves with its age and lapses, so nothing has to be agreed on: a lost message loses tokens, and an entry out of touch
  * still has its share.
  */
-import { DecayingSum, TokenStock, earnedPerSecond, tokenLifeMs, type QuotaBound, type TokenSlice } from '@finchpitch/decisions'
+import { DecayingSum, TokenStock, earnedPerSecond, tokenLifeMs, tokensIn, type QuotaBound, type TokenSlice } from '@finchpitch/decisions'
 import { elapsedMs, sleptMs } from '../clock.js'
 import { quotaBoundOf, type Limits } from '../ports.js'
 import type { FleetTeam, Quota } from '../team.js'
@@ -220,8 +220,7 @@
       reservation.spent = true
       return true
     }
-    const tokens = reservation.slices.reduce((sum, slice) => sum + slice.tokens, 0)
-    const fresh = account.take(tokens)
+    const fresh = account.take(tokensIn(reservation.slices))
     if (fresh === undefined) return false
     account.give(reservation.slices)
     reservation.slices = fresh
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -7,9 +7,8 @@
  * Given up, it gets its last answer at once: 503 and when to come back if it has surely not run, else 502 or 504.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import type { Log, RequestFingerprint } from '@finchpitch/core'
+import type { Log } from '@finchpitch/core'
 import { nowMs } from '../clock.js'
-import type { QuarantineCase } from '@finchpitch/decisions'
 import type { Facts } from '../facts.js'
 import type { BackendServer } from '../server.js'
 import type { FleetService, Route, RouteIndex } from '../table.js'
@@ -27,7 +26,7 @@
 import { Incoming } from './incoming.js'
 import { outgoingOf, type Marks } from './outgoing.js'
 import { OwnAnswers } from './own-answers.js'
-import { fingerprintOf } from './fingerprint.js'
+import { RequestCrashes } from './request-crashes.js'
 import { RequestRecord } from './request-record.js'
 import { RequestTimes } from './request-times.js'
 import { RequestAdmission, type RequestAdmissionOptions } from './request-admission.js'
@@ -101,6 +100,7 @@
   readonly #record: RequestRecord
   readonly #delivery: Delivery
   readonly #answers: OwnAnswers
+  readonly #crashes: RequestCrashes
   readonly #left = new Cancellation()
   readonly #excluded = new Set<string>()
   /** A weighted draw of a service, the same for all tries. */
@@ -110,9 +110,6 @@
   #ran = 0
   #mayHaveRun = false
   #cutter: EventCutter | undefined
-  #body: Buffer = Buffer.alloc(0)
-  /** Made once for a team, which may change with the table while it waits. */
-  #fingerprint: { team: string | undefined, fingerprint: RequestFingerprint } | undefined
   #expired = false
 
   constructor (private readonly options: ServiceRequestOptions, request: IncomingMessage, response: ServerResponse) {
@@ -120,6 +117,7 @@
     this.#record = new RequestRecord(this.#incoming, this.#times)
     this.#delivery = new Delivery(response, options.lastAnswer)
     this.#admission = new RequestAdmission(options, this.#incoming)
+    this.#crashes = new RequestCrashes(options.crashes, this.#incoming)
     this.#answers = new OwnAnswers({ names: options.names, unconfirmedRetryMs: options.unconfirmedRetryMs, incoming: this.#incoming, delivery: this.#delivery, record: this.#record })
     response.on('close', () => { if (!response.writableFinished) this.#left.cancel() })
   }
@@ -155,7 +153,7 @@
     this.#cutter = route.kind === 'stream' && route.resumable ? new EventCutter() : undefined
     const timer = setTimeout(() => this.#expire(), Math.max(0, this.#times.leftMs))
     try {
-      this.#body = body.value
+      this.#crashes.body = body.value
       return await this.#tryUntilDone()
     } finally {
       clearTimeout(timer)
@@ -170,7 +168,7 @@
       if (admission.type === 'denied') return this.#mayHaveRun ? this.#answers.fail(502, admission.reason) : this.#answers.deny(admission)
       const readyInMs = await this.#admission.reserve(admission)
       if (readyInMs !== undefined) return this.#mayHaveRun ? this.#answers.fail(502, 'over_quota') : this.#answers.overQuota(readyInMs)
-      const held = this.#quarantine(admission)
+      const held = this.#crashes.quarantine(admission.team)
       if (held !== undefined) return this.#mayHaveRun ? this.#answers.fail(502, 'quarantined') : this.#answers.quarantined(held)
       const service = this.#serviceOf(admission.route)
       if (service === undefined) return this.#giveUp('no_service')
@@ -225,7 +223,7 @@
       rank: () => this.#rank(admitted),
       until: first.type === 'none' ? this.#times.waitForAnybodyUntil(route) : this.#times.waitUntil(route),
       choose: () => balancer.choose({ ...asked, inTimeMs: this.#times.inTimeMs(route) }),
-      hopeless: () => this.#quarantine(admitted) !== undefined,
+      hopeless: () => this.#crashes.quarantine(admitted.team) !== undefined,
       bring: (ask, waiting) => balancer.bring(ask, asked.key ?? '', waiting, this.#rank(admitted))
     }, first, this.#left)
     const waitedMs = nowMs() - started
@@ -253,7 +251,7 @@
     const end = await attempt({
       agent: state.agent,
       address: server.address,
-      outgoing: outgoingOf(this.#incoming.message, this.#body, names, this.#marks(server, asked, admitted, remaining)),
+      outgoing: outgoingOf(this.#incoming.message, this.#crashes.body, names, this.#marks(server, asked, admitted, remaining)),
       requestId: this.#incoming.id,
       serverId: server.id,
       names,
@@ -262,7 +260,7 @@
       permit: () => {
         sentAt = nowMs()
         // Tries that waited for a connection as the second server ended would each end one more.
-        return facts.routes === table && this.#quarantine(admitted) === undefined && this.#admission.spend(admitted)
+        return facts.routes === table && this.#crashes.quarantine(admitted.team) === undefined && this.#admission.spend(admitted)
       },
       cameUp: ms => connects.cameUp(ms),
       stream: route.kind === 'stream',
@@ -312,7 +310,7 @@
   static readonly #judges: { [Type in AttemptEnd['type']]: (self: ServiceRequest, end: Extract<AttemptEnd, { type: Type }>, at: Tried) => Verdict } = {
     streamed: (self, _end, { server, admitted }) => {
       self.options.balancer.state(server).outlier.succeeded()
-      self.#endedWell(admitted)
+      self.#crashes.endedWell(admitted.team)
       self.#delivery.finish()
       return done('streamed')
     },
@@ -321,7 +319,7 @@
       if (failed) self.options.faults.failed(at.server, self.#incoming.id, `status ${status}`)
       else self.options.balancer.state(at.server).outlier.succeeded()
       self.#ran += 1
-      self.#endedWell(at.admitted)
+      self.#crashes.endedWell(at.admitted.team)
       if (failed && self.#mayRunAgain(at)) {
         self.#mayHaveRun = true
         return again
@@ -356,32 +354,12 @@
 
   /** The try broke off with its server at work. */
   #mayHaveRunAt ({ server, admitted, sentAt }: Tried, detail: string): void {
-    const { faults, crashes } = this.options
-    faults.failed(server, this.#incoming.id, detail)
-    void crashes.brokeOff({ request: this.#incoming.id, fingerprint: this.#fingerprintFor(admitted), server, sentAt })
+    this.options.faults.failed(server, this.#incoming.id, detail)
+    this.#crashes.brokeOff(server, sentAt, admitted.team)
     this.#mayHaveRun = true
     this.#ran += 1
   }
 
-  /** It ran to its end, so it ends no server. */
-  #endedWell (admitted: Admitted): void {
-    const { crashes } = this.options
-    if (!crashes.none) crashes.endedWell(this.#fingerprintFor(admitted))
-  }
-
-  /** Why it is to be sent to no server now: it ends those that run it. */
-  #quarantine (admitted: Admitted): QuarantineCase | undefined {
-    const { crashes } = this.options
-    return crashes.none ? undefined : crashes.quarantine(this.#fingerprintFor(admitted))
-  }
-
-  #fingerprintFor ({ team }: Admitted): RequestFingerprint {
-    const { host, message: { method, url } } = this.#incoming
-    if (this.#fingerprint?.team !== team?.name) this.#fingerprint = undefined
-    this.#fingerprint ??= { team: team?.name, fingerprint: fingerprintOf({ method, host, url, team: team?.name, body: this.#body }) }
-    return this.#fingerprint.fingerprint
-  }
-
   /** It has not run there, and goes elsewhere as long as there are tries left. */
   #goOn (reason: string): Verdict {
     if (this.#triesLeft) return again
