A side process answers an entry's news of a server's end with what else it knows of the request

Cause, reasoned: an entry that started anew, in a domain whose side processes did too, knew of no ends, and side processes elsewhere passed on only what was news to them. It counted from one again and would have let two more servers end, where one tells it all. Test: red before (nothing answered), green after.

--- a/packages/fleet/src/side/crash-relay.ts
+++ b/packages/fleet/src/side/crash-relay.ts
@@ -21,12 +21,24 @@
 
   take (from: Channel, frame: FrameOf<'crashes'>): void {
     from.send({ type: 'crashes_noted', stamp: frame.stamp })
+    this.#answer(from, frame)
     const news = takeCrashes(this.#ledger, frame)
     if (isEmpty(news)) return
     this.#news.push({ news, from })
     this.#due ??= setTimeout(() => this.#passOn(), gatherMs)
   }
 
+  /**
+   * What else is known of these requests. An entry that started while no side process near knew of them would otherwise
+   * count from one again, and let two more servers end.
+   */
+  #answer (entry: Channel, { crashes }: FrameOf<'crashes'>): void {
+    const reported = new Set(crashes.map(([fingerprint, server]) => `${fingerprint} ${server}`))
+    const fingerprints = new Set(crashes.map(([fingerprint]) => fingerprint))
+    const more = this.#ledger.crashes(nowMs()).filter(({ fingerprint, server }) => fingerprints.has(fingerprint) && !reported.has(`${fingerprint} ${server}`))
+    for (const frame of framesOf({ crashes: more, sound: [] })) entry.send(frame)
+  }
+
   /** All that is known, to an entry that has come. */
   greet (entry: Channel): void {
     const known: CrashNews = { crashes: this.#ledger.crashes(nowMs()), sound: [] }
--- a/packages/fleet/test/crash-exchange.test.ts
+++ b/packages/fleet/test/crash-exchange.test.ts
@@ -123,6 +123,16 @@
       relay.close()
     })
 
+    it('are answered with what is known besides, as the entry may have started anew', () => {
+      const relay = new CrashRelay(() => [])
+      const [before, anew] = [new Sent(), new Sent()]
+      for (const frame of framesOf(newsOf(crash('s'), crash('t'), crash('u', { fingerprint: other })))) relay.take(before.channel, frame)
+      expect(before.crashes).to.have.length(0)
+      for (const frame of framesOf(newsOf(crash('v')))) relay.take(anew.channel, frame)
+      expect(anew.crashes.flatMap(frame => frame.crashes.map(([, server]) => server))).to.deep.equal(['s', 't'])
+      relay.close()
+    })
+
     it('are told to an entry that comes later', () => {
       const relay = new CrashRelay(() => [])
       const [from, late] = [new Sent(), new Sent()]
