That a request is sound is told gathered; only quarantines and their ends are logged; what no longer counts is let go of in time

After a domain of engines has ended, some hundred callers' second tries show within two seconds that their requests are sound. Each was a frame to each domain, one more from there to each entry, and a line at each of them. They are gathered for 0.4 s now and go along with the next end; a line is written where a request was quarantined. Tests: gathered news, and a ledger that empties by itself.

--- a/packages/decisions/src/crash-ledger.ts
+++ b/packages/decisions/src/crash-ledger.ts
@@ -3,9 +3,9 @@
  *
  * Load pattern: a request ends each server that begins to run it, and its caller sends it again. A server that ends takes all
  * its requests along, so one end accuses up to a whole batch of which one request at most is to blame. What tells that one from
- * the others is that it was sent anew and another server ended under it: such ends in a row quarantine it, some for a while, one more for long. Ends of which
- * each request was sent before the other server ended count once, as one trouble may end many servers at a time. A run that
- * comes to its end shows that the request ends no server, and voids all ends before.
+ * the others is that it was sent anew and another server ended under it: such ends in a row quarantine it, two for a while,
+ * three for long. Ends of which each request was sent before the other server ended count once, as one trouble may end many
+ * servers at a time. A run that comes to its end shows that the request ends no server, and voids all ends before.
  */
 import type { RequestFingerprint } from '@finchpitch/core'
 
@@ -60,6 +60,7 @@
   leftMs: number
 }
 
+/** How often it is looked for what no longer counts. */
 const sweepMs = 1000
 /** What is left of a full ledger, so that room is not made for each request. */
 const keptShare = 0.9
@@ -72,7 +73,6 @@
 export class CrashLedger {
   /** The one that was longest without news first. */
   readonly #suspects = new Map<RequestFingerprint, Suspect>()
-
   #sweptAt = -Infinity
 
   constructor (private readonly limits: CrashLimits) {}
@@ -90,11 +90,11 @@
     suspect.crashes.set(server, crash)
     this.#suspects.delete(fingerprint)
     this.#suspects.set(fingerprint, suspect)
-    this.#forget(now)
+    this.expire(now)
     return true
   }
 
-  /** Says whether it was news; of requests that are not kept nothing is. */
+  /** Says whether it voids anything; of requests that are not kept it does not. */
   sound ({ fingerprint, endedAt }: SoundRun): boolean {
     const suspect = this.#suspects.get(fingerprint)
     if (suspect === undefined || endedAt <= suspect.soundAt) return false
@@ -118,6 +118,17 @@
     return [...this.#suspects.values()].flatMap(suspect => this.#current(suspect, now))
   }
 
+  /** Lets go of what no longer counts, and of the rest where there is too much. Looks now and then only, however often it is called. */
+  expire (now: number): void {
+    if (this.#suspects.size <= this.limits.most && now - this.#sweptAt < sweepMs) return
+    this.#sweptAt = now
+    for (const [fingerprint, suspect] of this.#suspects) {
+      // A sound run is kept as long as an end: reports of the ends that it voids may still be under way.
+      if (this.#current(suspect, now).length === 0 && now - suspect.soundAt >= this.limits.keepMs) this.#suspects.delete(fingerprint)
+    }
+    if (this.#suspects.size > this.limits.most) this.#makeRoom(now)
+  }
+
   #heldUntil (row: readonly Crash[]): number {
     const { ends, holdMs, sureEnds, keepMs } = this.limits
     const last = row.at(-1)
@@ -131,17 +142,6 @@
     return [...crashes.values()].filter(crash => now - crash.endedAt < this.limits.keepMs)
   }
 
-  /** A server that ends brings up to a batch of requests, so it isn't looked through for each. */
-  #forget (now: number): void {
-    if (this.#suspects.size <= this.limits.most && now - this.#sweptAt < sweepMs) return
-    this.#sweptAt = now
-    for (const [fingerprint, suspect] of this.#suspects) {
-      // A sound run is kept as long as an end: reports of the ends that it voids may still be under way.
-      if (this.#current(suspect, now).length === 0 && now - suspect.soundAt >= this.limits.keepMs) this.#suspects.delete(fingerprint)
-    }
-    if (this.#suspects.size > this.limits.most) this.#makeRoom(now)
-  }
-
   /** Those that are not quarantined go first, of them those longest without news. */
   #makeRoom (now: number): void {
     const fingerprints = [...this.#suspects.keys()]
--- a/packages/decisions/test/crash-ledger.test.ts
+++ b/packages/decisions/test/crash-ledger.test.ts
@@ -96,6 +96,13 @@
       expect(ledger.quarantine(bad, 50)).to.not.equal(undefined)
     })
 
+    it('is let go of in time, also where nothing more happens', () => {
+      ledger.crashed(crash('a', 0, 10), 10)
+      ledger.sound({ fingerprint: bad, endedAt: 40 })
+      ledger.expire(1100)
+      expect(ledger.size).to.equal(0)
+    })
+
     it('is forgotten with the last end that counts', () => {
       ledger.crashed(crash('a', 0, 10), 10)
       ledger.crashed(crash('b', 2000, 2010, fingerprint('other')), 2010)
--- a/packages/fleet/src/crash-news.ts
+++ b/packages/fleet/src/crash-news.ts
@@ -14,6 +14,13 @@
   sound: readonly SoundRun[]
 }
 
+/**
+ * How long such news may wait for others. Ends are told at once, as the request may be on its way again. That a request is sound
+ * concerns only the next end under it; after a domain of engines has ended, some hundred callers' second tries show it.
+ */
+export const gatherCrashesMs = ({ crashes }: CrashNews, crashesMs: number): number => crashes.length > 0 ? crashesMs : soundMs
+const soundMs = 400
+
 export const isEmpty = ({ crashes, sound }: CrashNews): boolean => crashes.length === 0 && sound.length === 0
 
 /** As many frames as it takes. */
--- a/packages/fleet/src/entry/crash-exchange.ts
+++ b/packages/fleet/src/entry/crash-exchange.ts
@@ -9,11 +9,12 @@
 import { affinityOf, hashOf } from '@finchpitch/decisions'
 import type { Channel } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
-import { framesOf, isEmpty, type CrashNews } from '../crash-news.js'
+import { framesOf, gatherCrashesMs, isEmpty, type CrashNews } from '../crash-news.js'
 import { lowest } from '../lowest.js'
+import { SoonTimer } from '../soon-timer.js'
 
 /** A server that ends takes a batch of requests along; they are told together. */
-const gatherMs = 5
+const crashesMs = 5
 /** Side processes answer within some ms, across domains too; one that is not joined yet within 0.3 s. */
 const answerMs = 400
 const checkMs = 100
@@ -53,15 +54,17 @@
   readonly #due = new Set<Due>()
   readonly #passedBy = new Map<string, number>()
   #gathered: CrashNews = nothing
-  #gather: NodeJS.Timeout | undefined
+  readonly #gather = new SoonTimer(() => this.#tellGathered())
   /** Runs while something is due. */
   #check: NodeJS.Timeout | undefined
 
   constructor (private readonly options: CrashExchangeOptions) {}
 
-  tell ({ crashes, sound }: CrashNews): void {
-    this.#gathered = { crashes: [...this.#gathered.crashes, ...crashes], sound: [...this.#gathered.sound, ...sound] }
-    this.#gather ??= setTimeout(() => this.#tellGathered(), gatherMs)
+  tell (news: CrashNews): void {
+    if (isEmpty(news)) return
+    const { crashes, sound } = this.#gathered
+    this.#gathered = { crashes: [...crashes, ...news.crashes], sound: [...sound, ...news.sound] }
+    this.#gather.within(gatherCrashesMs(news, crashesMs))
   }
 
   /** The side process at `host` has the frame with that stamp. */
@@ -71,15 +74,13 @@
   }
 
   close (): void {
-    clearTimeout(this.#gather)
+    this.#gather.stop()
     clearInterval(this.#check)
   }
 
   #tellGathered (): void {
-    this.#gather = undefined
     const news = this.#gathered
     this.#gathered = nothing
-    if (isEmpty(news)) return
     const domains = new Set(this.options.places().map(place => place.domain))
     for (const domain of domains) this.#begin(news, domain)
   }
--- a/packages/fleet/src/entry/crashes.ts
+++ b/packages/fleet/src/entry/crashes.ts
@@ -104,14 +104,22 @@
   /** A run of the request came to its end. */
   endedWell (fingerprint: RequestFingerprint): void {
     const run = { fingerprint, endedAt: nowMs() }
+    const held = this.quarantine(fingerprint) !== undefined
     if (!this.#ledger.sound(run)) return
-    this.options.log.info('request.sound', { fingerprint, from: 'own try' })
+    if (held) this.#released([fingerprint], 'own try')
     this.options.exchange.tell({ crashes: [], sound: [run] })
   }
 
   /** What a side process passes on. */
   take (frame: FrameOf<'crashes'>, from: string): void {
+    const held = frame.sound.map(([fingerprint]) => fingerprint).filter(fingerprint => this.quarantine(fingerprint) !== undefined)
     this.#note(takeCrashes(this.#ledger, frame), from)
+    this.#released(held, from)
+  }
+
+  /** Called now and then, so that fingerprints are made no longer than needed. */
+  expire (): void {
+    this.#ledger.expire(nowMs())
   }
 
   /** All that is known, to a side process that was joined: it may have started anew. */
@@ -119,9 +127,8 @@
     for (const frame of framesOf({ crashes: this.#ledger.crashes(nowMs()), sound: [] })) side.send(frame)
   }
 
-  #note ({ crashes, sound }: CrashNews, from: string): void {
+  #note ({ crashes }: CrashNews, from: string): void {
     const { counters, log, quarantined } = this.options
-    for (const { fingerprint } of sound) log.info('request.sound', { fingerprint, from })
     let any = false
     for (const fingerprint of new Set(crashes.map(crash => crash.fingerprint))) {
       const held = this.quarantine(fingerprint)
@@ -132,6 +139,10 @@
     }
     if (any) quarantined()
   }
+
+  #released (fingerprints: readonly RequestFingerprint[], from: string): void {
+    for (const fingerprint of fingerprints) if (this.quarantine(fingerprint) === undefined) this.options.log.info('request.released', { fingerprint, from })
+  }
 }
 
 /** A server that starts again under its id is another one. */
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -268,6 +268,7 @@
     while (!signal.aborted) {
       await pause(sweepMs, signal)
       this.options.facts.expire()
+      this.#crashes.expire()
       this.#leaseKeeper.check()
       this.#watch.check()
       this.#seedTurn.set(this.#needsSeeds)
--- a/packages/fleet/src/side/crash-relay.ts
+++ b/packages/fleet/src/side/crash-relay.ts
@@ -6,15 +6,16 @@
 import { CrashLedger, crashLimits } from '@finchpitch/decisions'
 import type { Channel, FrameOf } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
-import { framesOf, isEmpty, takeCrashes, type CrashNews } from '../crash-news.js'
+import { framesOf, gatherCrashesMs, isEmpty, takeCrashes, type CrashNews } from '../crash-news.js'
+import { SoonTimer } from '../soon-timer.js'
 
 /** All entries that had requests at a server tell of its end within some ms; they are passed on together. */
-const gatherMs = 20
+const crashesMs = 20
 
 export class CrashRelay {
   readonly #ledger = new CrashLedger(crashLimits)
   #news: Array<{ news: CrashNews, from: Channel }> = []
-  #due: NodeJS.Timeout | undefined
+  readonly #gather = new SoonTimer(() => this.#passOn())
 
   /** `entries`: channels to the entries that are told the news of this process. */
   constructor (private readonly entries: () => Channel[]) {}
@@ -25,7 +26,7 @@
     const news = takeCrashes(this.#ledger, frame)
     if (isEmpty(news)) return
     this.#news.push({ news, from })
-    this.#due ??= setTimeout(() => this.#passOn(), gatherMs)
+    this.#gather.within(gatherCrashesMs(news, crashesMs))
   }
 
   /**
@@ -46,11 +47,10 @@
   }
 
   close (): void {
-    clearTimeout(this.#due)
+    this.#gather.stop()
   }
 
   #passOn (): void {
-    this.#due = undefined
     const told = this.#news
     this.#news = []
     for (const entry of this.entries()) {
--- a/packages/fleet/test/crash-exchange.test.ts
+++ b/packages/fleet/test/crash-exchange.test.ts
@@ -63,6 +63,21 @@
       expect(sides.get(told()[0] ?? '')?.crashes.map(frame => frame.crashes.length)).to.deep.equal([2])
     })
 
+    it('that a request is sound are told together, and at once with an end', async () => {
+      const sound = (): void => exchange.tell({ crashes: [], sound: [{ fingerprint: other, endedAt: nowMs() }] })
+      sound()
+      await time.pass(100)
+      sound()
+      expect(told()).to.have.length(0)
+      await time.pass(350)
+      expect(sides.get(told()[0] ?? '')?.crashes.map(frame => frame.sound.length)).to.deep.equal([2])
+      for (const host of told()) for (const frame of sides.get(host)?.crashes ?? []) exchange.noted(host, frame.stamp)
+      sound()
+      exchange.tell(newsOf(crash('s')))
+      await time.pass(10)
+      expect(sides.get(told()[0] ?? '')?.crashes.at(-1)).to.have.nested.property('sound.length', 1)
+    })
+
     it('are done with once they were noted', async () => {
       exchange.tell(newsOf(crash('s')))
       await time.pass(10)
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -110,7 +110,7 @@
   }
   const runs = fleet.engines.flatMap(engine => engine.ran).filter(id => id.startsWith(`soak-${seed}-fatal-`)).length
   if (runs <= mostFatalRuns) return []
-  const lines = fleet.entries.flatMap(entry => entry.output).filter(line => /request\.(broke_off|quarantined|sound)|server\.replaced/.test(line))
+  const lines = fleet.entries.flatMap(entry => entry.output).filter(line => /request\.(broke_off|quarantined|released)|server\.replaced/.test(line))
   return [`a request ended ${runs} engines; its answers: ${results.map(result => result.status).join(' ')}`, ...lines.slice(-lastLines)]
 }
 
