What the watches tell each other of an outage, and turns, have modules of their own

Change: outage.ts and turn.ts; nothing behaves otherwise. Measured: the tests of following pass as before. Ruled out: one module for both, as quotas and seeds use turns without any store.

--- a/packages/fleet/src/follow.ts
+++ b/packages/fleet/src/follow.ts
@@ -7,8 +7,10 @@
 import { backoff, pause, type Log } from '@finchpitch/core'
 import { elapsedMs, nowMs } from './clock.js'
 import { isFinal, removalStep, type Fact, type Facts } from './facts.js'
+import type { Outage } from './outage.js'
 import type { FactPage, FactSource, StoreFailure } from './ports.js'
 import { Removals } from './removals.js'
+import type { Turn } from './turn.js'
 
 /**
  * How long a watch waits where nothing changes. Servers change all the time, so their watch is the one that notices a
@@ -39,80 +41,6 @@
  */
 export const reserveMs = (restMs: number, drainMs: number): number => Math.max(0, drainMs * reserveShare - restMs)
 
-/** What the tasks of one process tell each other of the store: a call that failed puts the other watches in doubt. */
-export class Outage {
-  #doubt = new AbortController()
-
-  /** Aborts when another task's call failed. */
-  get signal (): AbortSignal {
-    return this.#doubt.signal
-  }
-
-  /** How often the store's history was found gone; who has listed since an earlier count lists again. */
-  compactions = 0
-
-  /** One task found the history gone. A watch that was renewed in between may hang on it and say nothing. */
-  compacted (): void {
-    this.compactions += 1
-    this.noticed()
-  }
-
-  readonly #failing = new Set<Fact['kind']>()
-  readonly #answered = new Set<Fact['kind']>()
-
-  /** The store did not answer the last call of one of the tasks. */
-  get failing (): boolean {
-    return this.#failing.size > 0
-  }
-
-  /** The store answered one of them since they began to watch. */
-  get answered (): boolean {
-    return this.#answered.size > 0
-  }
-
-  note (kind: Fact['kind'], answered: boolean): void {
-    this.forget(kind)
-    const kinds = answered ? this.#answered : this.#failing
-    kinds.add(kind)
-  }
-
-  /** One of the tasks no longer watches. */
-  forget (kind: Fact['kind']): void {
-    this.#answered.delete(kind)
-    this.#failing.delete(kind)
-  }
-
-  noticed (): void {
-    this.#doubt.abort()
-    this.#doubt = new AbortController()
-  }
-}
-
-/** Whether something is this process's to do now, or is left to others; what is done in turns waits here for its own. */
-export class Turn {
-  #on = true
-  #begin = new AbortController()
-
-  get on (): boolean {
-    return this.#on
-  }
-
-  set (on: boolean): void {
-    if (on === this.#on) return
-    this.#on = on
-    if (on) this.#begin.abort()
-    else this.#begin = new AbortController()
-  }
-
-  /** Resolves once it is on, or `signal` aborts. */
-  async begun (signal: AbortSignal): Promise<void> {
-    while (!this.#on && !signal.aborted) await pause(longestRestMs, AbortSignal.any([signal, this.#begin.signal]))
-  }
-}
-
-/** A rest without a known end is looked at again after so long. */
-const longestRestMs = 600_000
-
 export interface Following {
   source: FactSource
   facts: Facts
