--- /dev/null
+++ b/packages/fleet/test/leaving-servers.test.ts
@@ -0,0 +1,108 @@
+/*
+ * An engine said in each of its answers that it leaves, while the store was silent and went on listing it as ready. Two entries
+ * had passed such answers on and sent it requests for 6 s more, until it ended; 2 s are allowed. An entry read of an answer what
+ * it says of the request, and passed on what it says of its server without looking at it, so that the store was the only one
+ * from which a leaving was learned.
+ *
+ * What settled it: 60 lines `request.ended` with this engine as the server after the first such answer, its reason `held across`
+ * as before, and not one line of any entry that speaks of its leaving.
+ */
+import { pause } from '@finchpitch/core'
+import { FleetSystem, askFleet, eventually, type BackendStandIn } from '@finchpitch/stand-ins'
+import { expect } from 'chai'
+
+/** A server that said it leaves gets nothing that a caller sent later than this after an answer that said so. */
+const drainMs = 2000
+const askEveryMs = 40
+const model = 'base/a1'
+/** For two domains the first engine and the first plain server of the first one. */
+const firstIp = { engine: 100, plain: 200 }
+
+interface Sent {
+  entry: number
+  id: string
+  at: number
+  server: string | undefined
+  status: number
+  endedAt: number
+}
+
+describe('servers that say in their answers that they leave', function () {
+  this.timeout(60_000)
+  const network = 38
+  let fleet: FleetSystem
+  let asked = 0
+
+  beforeEach(async () => {
+    fleet = new FleetSystem({ network, domains: 2, entriesPerDomain: 1, enginesPerDomain: 2, plainPerDomain: 2, places: 4, loadMs: 20, workMs: 10, events: 3, eventMs: 5 })
+    await fleet.start()
+    for (const entry of fleet.entries.keys()) for (const path of ['/stream/x', '/again/x']) await eventually('served', async () => (await send(entry, path)).status === 200)
+  })
+
+  afterEach(async function () {
+    if (this.currentTest?.state === 'failed') console.log(`logs kept: ${await fleet.keepLines(this.currentTest.title)}`)
+    await fleet.stop()
+  })
+
+  const send = async (entry: number, path: string): Promise<Sent> => {
+    const id = `leave-${entry}-${asked++}`
+    const at = performance.now()
+    const reply = await askFleet(fleet, { path, id, entry, ...(path.startsWith('/stream') ? { model } : {}) })
+    const server = String(reply.headers['response-seal'] ?? '').replace('seal-', '')
+    return { entry, id, at, server, status: reply.status, endedAt: performance.now() }
+  }
+
+  /** All entries are sent requests of both kinds for a while. */
+  const sendFor = async (ms: number): Promise<Sent[]> => {
+    const sent: Array<Promise<Sent>> = []
+    const until = performance.now() + ms
+    while (performance.now() < until) {
+      for (const entry of fleet.entries.keys()) sent.push(send(entry, '/stream/x'), send(entry, '/again/x'))
+      await pause(askEveryMs)
+    }
+    return await Promise.all(sent)
+  }
+
+  /** Requests that reached `server` though they came to an entry too late after its first answer of the server. */
+  const late = (server: BackendStandIn, sent: Sent[], saidAt: number): string[] => fleet.entries.flatMap((_, entry) => {
+    const mine = sent.filter(each => each.entry === entry)
+    const told = mine.filter(each => each.server === server.id && each.at >= saidAt).map(each => each.endedAt)
+    const boundAt = Math.min(...told) + drainMs
+    const reached = new Set(server.arrivals.map(({ id }) => id))
+    return mine.filter(each => each.at > boundAt && reached.has(each.id)).map(each => each.id)
+  })
+
+  const leave = (...servers: BackendStandIn[]): number => {
+    for (const server of servers) server.leaving = true
+    return performance.now()
+  }
+
+  it('get nothing that comes later than the bound, while the store is silent', async () => {
+    const [engine, plain] = [fleet.engines.find(each => each.adapters.has('a1')), fleet.plain[0]] as BackendStandIn[]
+    fleet.store.fault = 'silent'
+    const saidAt = leave(engine as BackendStandIn, plain as BackendStandIn)
+    const sent = await sendFor(drainMs + 1500)
+    expect(sent.filter(each => each.status !== 200)).to.deep.equal([])
+    expect(late(engine as BackendStandIn, sent, saidAt)).to.deep.equal([])
+    expect(late(plain as BackendStandIn, sent, saidAt)).to.deep.equal([])
+  })
+
+  it('get nothing either when the store lists them as ready again, and do once they have started again under their id', async () => {
+    const plain = fleet.plain[0] as BackendStandIn
+    plain.bornAt = 1000
+    fleet.register(plain, `127.${network}.0.${firstIp.plain}`, 'd0')
+    await pause(1000)
+    const saidAt = leave(plain)
+    const before = await sendFor(drainMs + 200)
+    fleet.store.remove('servers', plain.id)
+    await pause(200)
+    fleet.register(plain, `127.${network}.0.${firstIp.plain}`, 'd0')
+    const sent = [...before, ...await sendFor(1500)]
+    expect(late(plain, sent, saidAt)).to.deep.equal([])
+    plain.leaving = false
+    plain.bornAt = 2000
+    fleet.register(plain, `127.${network}.0.${firstIp.plain}`, 'd0')
+    await pause(1000)
+    expect((await sendFor(500)).some(each => each.server === plain.id)).to.equal(true)
+  })
+})
--- a/packages/stand-ins/src/fleet/backend-server.ts
+++ b/packages/stand-ins/src/fleet/backend-server.ts
@@ -37,6 +37,14 @@
   /** Of so many orders one is late. */
   lateEvery = 1
   #received = 0
+  /** It says in all its answers that it leaves. */
+  leaving = false
+  /** What it asks for with each 503, in seconds; `undefined` for no rest. */
+  restSeconds: string | undefined
+  /** When it started, as the store and its report say. */
+  bornAt: number | undefined
+  /** Every request that reached it, when, and whether it was turned away. */
+  readonly arrivals: Array<{ id: string, at: number, refused: boolean }> = []
   /** Every request that began to run, by its id. */
   readonly ran: string[] = []
   /** The headers that each came with. */
@@ -72,6 +80,7 @@
   }
 
   protected override async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (this.leaving) response.setHeader('Server-Leaving', '1')
     const path = (request.url ?? '').split('?')[0]
     if (path === '/v1/report') return sendJson(response, 200, this.#report())
     if (path === '/v1/order') return await this.#order(await readJson(request) as Order, request, response)
@@ -84,7 +93,8 @@
     const adapters = [...this.adapters].map(([adapter, version]) => `${adapter}@${version}`)
     const coming = [...this.coming].map(([adapter, version]) => `${name}/${adapter}@${version}`)
     const models = this.hasModel ? [{ name, version: 1, adapters }] : []
-    return { stage: 'colocated', models, coming, busy: false, sequence: this.sequence, waiting: 0, running: this.running, kvUsed: 0, kvTotal: 1000, handles: 0 }
+    const born = this.bornAt === undefined ? {} : { born: this.bornAt }
+    return { ...born, stage: 'colocated', models, coming, busy: false, sequence: this.sequence, waiting: 0, running: this.running, kvUsed: 0, kvTotal: 1000, handles: 0 }
   }
 
   async #order (order: Order, request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -127,7 +137,8 @@
     const body = await readBytes(request)
     const requestId = String(request.headers['request-id'] ?? '')
     const refused = this.#refusal(request)
-    if (refused !== undefined) return sendJson(response, refused, {}, { 'Not-Executed': '1', ...(refused === 421 ? { 'Instance-Id': this.id } : {}) })
+    this.arrivals.push({ id: requestId, at: performance.now(), refused: refused !== undefined })
+    if (refused !== undefined) return sendJson(response, refused, {}, this.#refusalHeaders(refused))
     this.ran.push(requestId)
     this.headers.set(requestId, request.headers)
     response.on('close', () => { if (!response.writableFinished) this.left.push(requestId) })
@@ -169,6 +180,11 @@
     return held === undefined || (expected !== undefined && Number(expected) !== held) ? 421 : undefined
   }
 
+  #refusalHeaders (status: number): Record<string, string> {
+    const rest: Record<string, string> = status === 503 && this.restSeconds !== undefined ? { 'Retry-After': this.restSeconds } : {}
+    return { 'Not-Executed': '1', ...rest, ...(status === 421 ? { 'Instance-Id': this.id } : {}) }
+  }
+
   async #answer (requestId: string, body: Buffer, response: ServerResponse, after: number): Promise<void> {
     const echoed = this.fault === 'foreign' ? 'another' : requestId
     const headers = { 'Request-Id': echoed, ...(this.fault === 'unsealed' ? {} : { 'Response-Seal': `seal-${this.id}` }) }
--- a/packages/stand-ins/src/fleet/fleet-system.ts
+++ b/packages/stand-ins/src/fleet/fleet-system.ts
@@ -145,6 +145,7 @@
   register (server: BackendStandIn, ip: string, domain: string, state = 'ready'): void {
     const engine = server.options.engine
     this.store.put('servers', server.id, {
+      ...(server.bornAt === undefined ? {} : { born: server.bornAt }),
       service: engine === undefined ? plainService : engineService,
       address: `${ip}:${ports.app}`,
       zone: domain,
--- a/packages/stand-ins/src/fleet/object-server.ts
+++ b/packages/stand-ins/src/fleet/object-server.ts
@@ -92,6 +92,7 @@
       if (since < this.#oldest) return sendJson(response, 410, {})
       const events = this.#changes.filter(change => change.kind === kind && change.revision > since)
       if (events.length > 0 || Date.now() >= until || response.destroyed) {
+        if (this.fault === 'silent') return
         const bodies = events.map(({ deleted, object }) => ({ deleted, object }))
         return sendJson(response, 200, { events: bodies, storeRevision: this.#revision })
       }
