What a server says of its leaving in its answers is read first, and holds for its life

Cause: an entry read of an answer what it says of the request only; the store was the one source of a server's leaving. Class: a word about a server that comes with an answer, taken in by that one request. Change: each answer's head is read for it before status, seal and id are judged (server-word.ts); Facts.leaves puts that life of the server out at once, wakes who waits, and no entry of the store takes it back, older, newer or come back after a lapse (leavers.ts; before, one that lapsed and came back was forgotten). Where a service has nobody left and the store, which would tell of others, does not answer, callers are told at once. Ruled out: only marking it in the state of the entry's connections, since that is let go of with the store's entry. In the test of attempts a request now has a host: without one the runtime's server answered 400 by itself, so that the check that nothing is sent could not fail.

--- a/packages/fleet/src/entry/attempt.ts
+++ b/packages/fleet/src/entry/attempt.ts
@@ -13,6 +13,7 @@
 import type { Delivery, RawHeaders } from './delivery.js'
 import type { EventCutter } from './event-stream.js'
 import { headerOf } from './header.js'
+import { serverWordOf, type ServerWord } from './server-word.js'
 
 export interface Outgoing {
   method: string
@@ -43,6 +44,8 @@
   cancellation: Cancellation
   /** The first bytes of the answer came. */
   heard: () => void
+  /** What the server says of itself with its answer; before anything else of that answer is judged. */
+  said: (word: ServerWord) => void
 }
 
 export type AttemptEnd =
@@ -117,6 +120,8 @@
     finish({ type: options.delivery.started ? 'interrupted' : 'broken', detail: error.message })
   })
   request.on('response', answer => {
+    const word = serverWordOf(answer, options.names, options.serverId)
+    if (word !== undefined) options.said(word)
     options.heard()
     // The rest of a request that was answered early must not run into the next one on this connection.
     if (!request.writableFinished) answer.once('end', () => request.destroy())
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -25,7 +25,7 @@
 import type { Admitted, Denial } from './gate.js'
 import { Incoming } from './incoming.js'
 import { outgoingOf, type Marks } from './outgoing.js'
-import { OwnAnswers } from './own-answers.js'
+import { OwnAnswers, outageRetryMs } from './own-answers.js'
 import { RequestCrashes } from './request-crashes.js'
 import { RequestRecord } from './request-record.js'
 import { RequestTimes } from './request-times.js'
@@ -206,6 +206,12 @@
     return { service, key, promptTokens, inTimeMs: this.#times.inTimeMs(route), priority, excluded: this.#excluded }
   }
 
+  /** The service has no server that takes new work, and the store, which would tell of others, does not answer. */
+  #nobodyWillCome (service: FleetService): boolean {
+    const { facts } = this.options
+    return facts.sight === 'blind' && facts.openTo(service.name).length === 0
+  }
+
   #expire (): void {
     this.#expired = true
     if (!this.#delivery.started) this.#left.cancel()
@@ -219,6 +225,10 @@
     if (this.#left.cancelled) return this.#abandoned(false)
     const first = balancer.choose(asked)
     if (first.type === 'send') return first
+    if (first.type === 'none' && this.#nobodyWillCome(asked.service)) {
+      this.#answers.notBefore(outageRetryMs)
+      return this.#giveUp('nobody_left')
+    }
     const started = nowMs()
     const end = await room.wait({
       key: asked.key ?? asked.service.name,
@@ -273,7 +283,8 @@
         state.heard(pending)
         balancer.heard(pending)
         this.#record.firstByteMs ??= this.#times.ms
-      }
+      },
+      said: word => { if (word.leaving) facts.leaves(server, `answer to ${this.#incoming.id}`) }
     })
     state.end(key, pending)
     if (end.type !== 'not_sent' && end.type !== 'withheld') this.#arrivals += 1
--- a/packages/fleet/src/facts.ts
+++ b/packages/fleet/src/facts.ts
@@ -10,6 +10,7 @@
 import type { Complete, FactFrame, StoreSight } from '@finchpitch/wire'
 import { nowMs } from './clock.js'
 import { Freshness } from './freshness.js'
+import { Leavers, type ServerLife } from './leavers.js'
 import { BackendServer, NamedVersion, isFormer, refKey } from './server.js'
 import { RouteIndex, RoutingTable } from './table.js'
 
@@ -45,6 +46,7 @@
   readonly #byService = new Map<string, BackendServer[]>()
   /** By service, what `openTo` gave since the servers last changed. */
   readonly #open = new Map<string, readonly BackendServer[]>()
+  readonly #leavers = new Leavers()
   readonly #versions = new Map<string, VersionBelief>()
   readonly #current = new Map<string, Fact>()
   readonly #tombstones = new Map<string, number>()
@@ -134,8 +136,24 @@
     return this.#lapsed.has(id)
   }
 
+  /**
+   * A server said itself that it leaves. While the store is away nothing else tells it: an engine got 60 requests in the 6 s
+   * after its word, until it ended.
+   */
+  leaves (life: ServerLife, from: string): void {
+    const server = this.servers.get(life.id)
+    if (server !== undefined && isFormer(life.bornAt, server.bornAt)) return
+    if (!this.#leavers.note(life)) return
+    this.log.info('server.leaves', { server: life.id, bornAt: life.bornAt, from, address: server?.address, listed: server === undefined ? 'no' : server.leaving ? 'leaving' : 'ready', revision: this.revisionOf('server', life.id) })
+    if (server === undefined || server.leaving) return
+    this.#replace({ ...server, leaving: true })
+    const fact = this.current('server', life.id)
+    if (fact !== undefined) for (const listener of this.#listeners) listener(fact)
+  }
+
   /** Drops servers whose entries have not come back. */
   expire (): void {
+    this.#leavers.expire(this.servers)
     const now = nowMs()
     for (const [id, until] of this.#lapsed) {
       if (now < until) continue
@@ -219,12 +237,21 @@
     this.#lapsed.delete(id)
     this.#drop(id)
     if (this.#succeeded(id, server)) return
-    // One life of a server that has said it leaves never takes it back.
-    const settled = before?.leaving === true && before.bornAt === server.bornAt ? { ...server, leaving: true } : server
-    this.servers.set(id, settled)
-    const list = this.#byService.get(settled.service) ?? []
-    list.push(settled)
-    this.#byService.set(settled.service, list)
+    if (server.leaving) this.#leavers.note(server)
+    this.#list(this.#leavers.has(server) ? { ...server, leaving: true } : server)
+  }
+
+  #list (server: BackendServer): void {
+    this.servers.set(server.id, server)
+    const list = this.#byService.get(server.service) ?? []
+    list.push(server)
+    this.#byService.set(server.service, list)
+  }
+
+  /** What is believed of a server that stays listed. */
+  #replace (server: BackendServer): void {
+    this.#drop(server.id)
+    this.#list(server)
   }
 
   setVersion (key: string, named: NamedVersion | undefined): void {
--- a/packages/fleet/src/ports.ts
+++ b/packages/fleet/src/ports.ts
@@ -90,6 +90,8 @@
   expectedServer: string
   /** On refusals: the id of the server that refused. */
   serverId: string
+  /** On all answers of a server that leaves. */
+  leaving: string
   expectedVersion: string
   priority: string
   /** A caller's key, as `SCHEME KEY`; never passed on where the table knows teams. */
--- a/packages/fleet/test/attempt.test.ts
+++ b/packages/fleet/test/attempt.test.ts
@@ -1,7 +1,7 @@
-import { Agent, createServer, type Server } from 'node:http'
+import { Agent, createServer, type Server, type ServerResponse } from 'node:http'
 import { once } from 'node:events'
 import type { AddressInfo } from 'node:net'
-import { Cancellation, attempt, nowMs, type AttemptEnd, type Delivery, type HeaderNames } from '@finchpitch/fleet'
+import { Cancellation, attempt, nowMs, type AttemptEnd, type Delivery, type HeaderNames, type ServerWord } from '@finchpitch/fleet'
 import { expect } from 'chai'
 
 const names: HeaderNames = {
@@ -15,6 +15,7 @@
   notRun: 'not-run',
   expectedServer: 'expected-server',
   serverId: 'server-id',
+  leaving: 'leaving',
   expectedVersion: 'expected-version',
   priority: 'priority',
   key: 'authorization',
@@ -28,13 +29,17 @@
   let server: Server
   let permitted: boolean
   let received: number
+  let said: ServerWord[]
+  let answer: (response: ServerResponse) => void
 
   beforeEach(async () => {
     permitted = true
     received = 0
-    server = createServer((request, response) => {
+    said = []
+    answer = response => { response.writeHead(200, { 'request-id': 'r', seal: 's' }).end('answer') }
+    server = createServer((_request, response) => {
       received += 1
-      response.writeHead(200, { 'request-id': request.headers['request-id'], seal: 's' }).end('answer')
+      answer(response)
     })
     server.listen(0, '127.0.0.1')
     await once(server, 'listening')
@@ -45,7 +50,7 @@
   const send = (address: string): Promise<AttemptEnd> => attempt({
     agent: new Agent(),
     address,
-    outgoing: { method: 'GET', path: '/', headers: ['request-id', 'r'], body: Buffer.alloc(0) },
+    outgoing: { method: 'GET', path: '/', headers: ['host', 'h', 'request-id', 'r'], body: Buffer.alloc(0) },
     requestId: 'r',
     serverId: 's',
     names,
@@ -56,7 +61,8 @@
     cutter: undefined,
     delivery: { started: false } as unknown as Delivery,
     cancellation: new Cancellation(),
-    heard: () => {}
+    heard: () => {},
+    said: word => said.push(word)
   })
 
   it('is not given up for a stall of this process, when the connection came up in time', async () => {
@@ -67,6 +73,38 @@
     expect((await sent).type).to.equal('answer')
   })
 
+  describe('tells what the server says of itself', () => {
+    const leaving = { leaving: '1' }
+    const answers: Record<string, (response: ServerResponse) => void> = {
+      'in a good answer': response => response.writeHead(200, { 'request-id': 'r', seal: 's', ...leaving }).end('answer'),
+      'in an answer whose body breaks off': response => {
+        response.writeHead(200, { 'request-id': 'r', seal: 's', 'content-length': '10', ...leaving }).write('part')
+        setTimeout(() => response.destroy(), 5)
+      },
+      'in a failure of its own': response => response.writeHead(500, { 'request-id': 'r', seal: 's', ...leaving }).end(),
+      'in a refusal': response => response.writeHead(503, { 'not-run': '1', ...leaving }).end(),
+      'in a refusal without the mark that it has not run': response => response.writeHead(503, leaving).end(),
+      'in a refusal of what it lacks': response => response.writeHead(421, { 'not-run': '1', 'server-id': 's', ...leaving }).end(),
+      'in an answer without a seal': response => response.writeHead(200, { 'request-id': 'r', ...leaving }).end('answer'),
+      'in an answer to another request': response => response.writeHead(200, { 'request-id': 'another', seal: 's', ...leaving }).end('answer'),
+      'in an encoded answer': response => response.writeHead(200, { 'request-id': 'r', seal: 's', 'content-encoding': 'br', ...leaving }).end('answer')
+    }
+
+    for (const [where, respond] of Object.entries(answers)) {
+      it(where, async () => {
+        answer = respond
+        await send(`127.0.0.1:${(server.address() as AddressInfo).port}`)
+        expect(said.map(word => word.leaving)).to.deep.equal([true])
+      })
+    }
+
+    it('and takes nothing of another server for it', async () => {
+      answer = response => response.writeHead(421, { 'not-run': '1', 'server-id': 'another', ...leaving }).end()
+      await send(`127.0.0.1:${(server.address() as AddressInfo).port}`)
+      expect(said).to.deep.equal([])
+    })
+  })
+
   it('has surely not been sent where nothing listens', async () => {
     expect(await send('127.0.0.1:9')).to.include({ type: 'not_sent' })
   })
--- a/packages/fleet/test/facts.test.ts
+++ b/packages/fleet/test/facts.test.ts
@@ -96,6 +96,53 @@
     })
   })
 
+  describe('of a server that says itself that it leaves', () => {
+    const born = (bornAt: number, leaving = false): BackendServer => ({ ...server('s', leaving), bornAt })
+    const open = (): string[] => facts.openTo('llm').map(each => each.id)
+
+    beforeEach(() => {
+      facts.offer(serverFact('s', 5, born(10)), 'store')
+      facts.offer(serverFact('other', 5, server('other')), 'store')
+      facts.leaves({ id: 's', bornAt: 10 }, 'answer')
+    })
+
+    it('gives it no more work, and tells who waits', () => {
+      const told: string[] = []
+      facts.onChange(fact => told.push(fact.key))
+      expect(open()).to.deep.equal(['other'])
+      facts.leaves({ id: 'other', bornAt: undefined }, 'answer')
+      facts.leaves({ id: 'other', bornAt: undefined }, 'answer')
+      expect(open()).to.deep.equal([])
+      expect(told).to.deep.equal(['other'])
+    })
+
+    it('believes no entry of that life any more, older, newer or come back after it had vanished', async () => {
+      facts.offer(serverFact('s', 4, born(10)), 'peer')
+      facts.offer(serverFact('s', 6, born(10)), 'store')
+      expect(open()).to.deep.equal(['other'])
+      facts.offer(serverFact('s', 6 + removalStep, undefined), 'store')
+      await time.pass(5000)
+      facts.expire()
+      facts.offer(serverFact('s', 9, born(10)), 'store')
+      expect(open()).to.deep.equal(['other'])
+    })
+
+    it('gives its next life work, of which a late word of the one before says nothing', () => {
+      facts.offer(serverFact('s', 9, born(20)), 'store')
+      expect(open()).to.have.members(['other', 's'])
+      facts.leaves({ id: 's', bornAt: 10 }, 'a late answer')
+      expect(open()).to.have.members(['other', 's'])
+      facts.leaves({ id: 's', bornAt: 20 }, 'answer')
+      expect(open()).to.deep.equal(['other'])
+    })
+
+    it('knows it also where the server is listed only later', () => {
+      facts.leaves({ id: 'new', bornAt: 7 }, 'its side process')
+      facts.offer(serverFact('new', 9, { ...server('new'), bornAt: 7 }), 'peer')
+      expect(open()).to.deep.equal(['other'])
+    })
+  })
+
   it('never takes back that a server leaves', () => {
     facts.offer(serverFact('s', 1, server('s', true)), 'store')
     facts.offer(serverFact('s', 2, server('s')), 'store')
--- a/packages/fleet/test/leaving-servers.test.ts
+++ b/packages/fleet/test/leaving-servers.test.ts
@@ -14,6 +14,8 @@
 /** A server that said it leaves gets nothing that a caller sent later than this after an answer that said so. */
 const drainMs = 2000
 const askEveryMs = 40
+/** Less than a request waits where somebody may come: a fifth of the route's 150 ms. */
+const atOnceMs = 25
 const model = 'base/a1'
 /** For two domains the first engine and the first plain server of the first one. */
 const firstIp = { engine: 100, plain: 200 }
@@ -87,6 +89,18 @@
     expect(late(plain as BackendStandIn, sent, saidAt)).to.deep.equal([])
   })
 
+  it('have callers told at once where they are the last of their service', async () => {
+    fleet.store.fault = 'silent'
+    await pause(3500)
+    leave(...fleet.plain)
+    for (let each = 0; each < fleet.plain.length; each++) await Promise.all([...fleet.entries.keys()].map(async entry => await send(entry, '/again/x')))
+    const sent = await Promise.all([...fleet.entries.keys()].map(async entry => await send(entry, '/again/x')))
+    for (const { status, at, endedAt } of sent) {
+      expect(status).to.equal(503)
+      expect(endedAt - at).to.be.lessThan(atOnceMs)
+    }
+  })
+
   it('get nothing either when the store lists them as ready again, and do once they have started again under their id', async () => {
     const plain = fleet.plain[0] as BackendStandIn
     plain.bornAt = 1000
