A side process tells all entries that its engine says it leaves

Cause: each entry learned of it by an answer of its own, an entry that has just started too. Ruled out: entries telling each other of plain servers, which have no side process: such a server serves what reaches it until it ends, and each entry's first answer tells. What is told as soon as what is held changes is a list of fields now.

--- a/packages/fleet/src/engine-mirror.ts
+++ b/packages/fleet/src/engine-mirror.ts
@@ -12,7 +12,7 @@
 const arrivedMs = 1000
 
 /** Before anything is told. */
-const unknownFields = { server: undefined, bornAt: undefined, reachable: false, lost: false, waiting: 0, running: 0, unread: 0, entries: 0, strangers: 0 }
+const unknownFields = { server: undefined, bornAt: undefined, leaving: false, reachable: false, lost: false, waiting: 0, running: 0, unread: 0, entries: 0, strangers: 0 }
 
 /** Keys held, each with its version. */
 export type HeldKeys = ReadonlyMap<string, number>
@@ -33,6 +33,8 @@
   server: string | undefined
   /** Unix ms of its start. */
   bornAt: number | undefined
+  /** It says itself that it leaves. */
+  leaving = false
   waiting = 0
   running = 0
   /** Prompt tokens of all entries that the engine has not read yet. */
@@ -60,6 +62,7 @@
     this.#hold(frame)
     for (const [key, version] of frame.warm ?? []) this.warm.keep(key, version)
     this.server = server
+    this.leaving = frame.leaving ?? before.leaving
     this.reachable = frame.reachable ?? before.reachable
     this.lost = frame.lost ?? before.lost
     this.waiting = frame.waiting ?? before.waiting
--- a/packages/fleet/src/ports.ts
+++ b/packages/fleet/src/ports.ts
@@ -36,6 +36,8 @@
   server?: string
   /** Unix ms of its start. */
   bornAt?: number | undefined
+  /** It says that it leaves. */
+  leaving?: boolean
   models: HeldModel[]
   /** Adapters on their way in: key to version. */
   coming: Array<{ key: string, version: number }>
--- a/packages/fleet/src/side/news.ts
+++ b/packages/fleet/src/side/news.ts
@@ -23,6 +23,8 @@
   server: string | undefined
   /** Unix ms of its start. */
   bornAt?: number | undefined
+  /** It says itself that it leaves. */
+  leaving?: boolean
   waiting: number
   running: number
   /** Prompt tokens of all entries that it has not read yet. */
@@ -69,10 +71,10 @@
 }
 
 /** What a reader is told of an engine beside what it holds. */
-const plainFields = ['reachable', 'server', 'bornAt', 'lost', 'waiting', 'running', 'unread', 'entries', 'strangers', 'fence'] as const
+const plainFields = ['reachable', 'server', 'bornAt', 'leaving', 'lost', 'waiting', 'running', 'unread', 'entries', 'strangers', 'fence'] as const
 
 /** How a reader is told that one of them is no longer set. */
-const unsetValues: Partial<Record<typeof plainFields[number], null | false>> = { server: null, bornAt: null, lost: false }
+const unsetValues: Partial<Record<typeof plainFields[number], null | false>> = { server: null, bornAt: null, leaving: false, lost: false }
 
 /**
  * Those that differ from what the reader was told, all where it was told nothing. Most news are of one or two of them, and
@@ -152,8 +154,10 @@
 
 /** Something else than its load. Entries divide the retry budget by their number, and end callers' connections politely once one more has come. */
 const changeDiffers = (told: EngineSnapshot, now: EngineSnapshot): boolean =>
-  told.changes !== now.changes || told.reachable !== now.reachable || told.lost !== now.lost || told.server !== now.server || told.bornAt !== now.bornAt ||
-  told.entries !== now.entries || told.strangers !== now.strangers
+  told.changes !== now.changes || weightyFields.some(field => told[field] !== now[field])
+
+/** Changes of these are told as soon as those of what is held. */
+const weightyFields = ['reachable', 'server', 'bornAt', 'leaving', 'lost', 'entries', 'strangers'] as const
 
 /** What came or changed its version, and what went. */
 export const difference = (before: HeldKeys, after: HeldKeys): { came: Map<string, number>, went: string[] } => {
--- a/packages/fleet/src/side/relay.ts
+++ b/packages/fleet/src/side/relay.ts
@@ -126,6 +126,6 @@
 }
 
 const newsOf = (host: string, mirror: EngineMirror, batchSize: number | undefined): EngineNews => {
-  const { changes, held, coming, reachable, server, bornAt, waiting, running, unread, entries, strangers, fence, lost } = mirror
-  return new EngineNews({ host, changes, held, coming, warm: () => mirror.warm.all(), reachable, server, bornAt, waiting, running, unread, entries, strangers, fence, lost, batchSize })
+  const { changes, held, coming, reachable, server, bornAt, leaving, waiting, running, unread, entries, strangers, fence, lost } = mirror
+  return new EngineNews({ host, changes, held, coming, warm: () => mirror.warm.all(), reachable, server, bornAt, leaving, waiting, running, unread, entries, strangers, fence, lost, batchSize })
 }
--- a/packages/fleet/src/side/side.ts
+++ b/packages/fleet/src/side/side.ts
@@ -140,9 +140,15 @@
     this.#account = account.value
     this.#orders.noteAccount(account.value.server)
     this.#orders.noteStart(account.value.bornAt)
+    this.#noteLeaving()
     return true
   }
 
+  #noteLeaving (): void {
+    const { server, bornAt } = this.#orders
+    if (this.#account?.leaving === true && server !== undefined) this.options.facts.leaves({ id: server, bornAt }, 'its account')
+  }
+
   /** The engine is another one: nothing at hand, and nothing on its way. */
   #replaced (): void {
     this.#warm.clear()
@@ -274,6 +280,7 @@
       reachable: account !== undefined,
       server: this.#orders.server,
       bornAt: this.#orders.bornAt,
+      leaving: account?.leaving ?? false,
       waiting: account?.waiting ?? 0,
       running: account?.running ?? 0,
       unread: this.demands.unread,
--- a/packages/fleet/test/leaving-servers.test.ts
+++ b/packages/fleet/test/leaving-servers.test.ts
@@ -8,7 +8,7 @@
  * as before, and not one line of any entry that speaks of its leaving.
  */
 import { pause } from '@finchpitch/core'
-import { FleetSystem, askFleet, eventually, type BackendStandIn } from '@finchpitch/stand-ins'
+import { FleetSystem, askFleet, eventually, type BackendStandIn, type Machine } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
 
 /** A server that said it leaves gets nothing that a caller sent later than this after an answer that said so. */
@@ -89,6 +89,21 @@
     expect(late(plain as BackendStandIn, sent, saidAt)).to.deep.equal([])
   })
 
+  it('are known to all entries from the side process beside them, also to one that has just started', async () => {
+    const engine = fleet.engines.find(each => each.adapters.has('a1')) as BackendStandIn
+    fleet.store.fault = 'silent'
+    const started = fleet.entries[1] as Machine
+    await fleet.kill(started)
+    leave(engine)
+    await pause(1000)
+    const before = engine.arrivals.length
+    await fleet.startProcess(started)
+    await eventually('the entry serves', async () => (await send(1, '/again/x').catch(() => undefined))?.status === 200, 8000)
+    await pause(500)
+    await sendFor(500)
+    expect(engine.arrivals.slice(before)).to.deep.equal([])
+  })
+
   it('have callers told at once where they are the last of their service', async () => {
     fleet.store.fault = 'silent'
     await pause(3500)
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -99,6 +99,8 @@
   server: z.string().nullable().optional(),
   /** Unix ms of the engine's start; `null` where it is not known. */
   bornAt: z.number().nullable().optional(),
+  /** The engine says itself that it leaves. */
+  leaving: z.boolean().optional(),
   /** Adapter or model keys that came or changed since the last frame, each with the version held. */
   came: z.record(AdapterKey, z.number()).optional(),
   /** Keys held at the last frame and no longer. */
