The failing test of servers that ask for rest is stricter where all of them rest

Cause: its second test passed on the code as it is, though it was listed as known red with the first. Change: requests go on for a second of the rest, and callers have to be told what is left of it.

--- a/packages/fleet/test/resting-servers.test.ts
+++ b/packages/fleet/test/resting-servers.test.ts
@@ -19,6 +19,8 @@
 const model = 'base/a1'
 /** Less than a request waits for a place. */
 const atOnceMs = 40
+/** Until the first requests of a test have reached the servers. */
+const slackMs = 100
 
 interface Sent {
   status: number
@@ -88,11 +90,12 @@
 
   it('have callers told at once when the first of them takes requests again, where all of them rest', async () => {
     askForRest(fleet.plain)
-    await sendFor(bindingMs, ['/again/x'])
+    const askedForMs = bindingMs * 2
+    await sendFor(askedForMs, ['/again/x'])
     const [told] = await Promise.all([send(0, '/again/x'), send(1, '/again/x')])
     expect(told.status).to.equal(503)
     expect(told.ms).to.be.lessThan(atOnceMs)
-    expect(told.retryAfterMs).to.be.within(restMs - bindingMs * 2, restMs)
+    expect(told.retryAfterMs).to.be.within(1, restMs - askedForMs + slackMs)
     for (const server of fleet.plain) server.fault = 'none'
     await pause(told.retryAfterMs)
     expect(await send(0, '/again/x')).to.include({ status: 200 })
