The states of all servers, and which engines hold a key, have modules of their own

Change: holders.ts and server-states.ts; nothing behaves otherwise. Ruled out: one module for both, as holders are looked up by key and states by server.

--- a/packages/fleet/src/entry/balancer.ts
+++ b/packages/fleet/src/entry/balancer.ts
@@ -9,7 +9,8 @@
 import type { FleetService } from '../table.js'
 import { chooseEngine, choosePlain, type Choice, type EngineChoice, type EngineOption, type Option } from './choice.js'
 import { ReadingPace } from './reading-pace.js'
-import { ServerStates, type Pending, type ServerState } from './server-state.js'
+import type { Pending, ServerState } from './server-state.js'
+import { ServerStates } from './server-states.js'
 import type { SideLinks } from './side-links.js'
 
 /** What the balancer needs of the links to side processes. */
--- /dev/null
+++ b/packages/fleet/src/entry/holders.ts
@@ -0,0 +1,36 @@
+/**
+ * Which engines hold a key, so that a choice looks at those few and not at all engines.
+ */
+
+const nobody: ReadonlySet<string> = new Set()
+
+export class Holders {
+  readonly #byKey = new Map<string, Set<string>>()
+  readonly #byServer = new Map<string, ReadonlyMap<string, number>>()
+
+  of (key: string): ReadonlySet<string> {
+    return this.#byKey.get(key) ?? nobody
+  }
+
+  /** Replaces what is known of one engine; `undefined` once it is gone. */
+  update (id: string, held: ReadonlyMap<string, number> | undefined): void {
+    const before = this.#byServer.get(id)
+    if (before === held) return
+    for (const key of before?.keys() ?? []) if (held?.has(key) !== true) this.#remove(key, id)
+    for (const key of held?.keys() ?? []) if (before?.has(key) !== true) this.#add(key, id)
+    if (held === undefined) this.#byServer.delete(id)
+    else this.#byServer.set(id, held)
+  }
+
+  #add (key: string, id: string): void {
+    const ids = this.#byKey.get(key)
+    if (ids === undefined) this.#byKey.set(key, new Set([id]))
+    else ids.add(id)
+  }
+
+  #remove (key: string, id: string): void {
+    const ids = this.#byKey.get(key)
+    ids?.delete(id)
+    if (ids?.size === 0) this.#byKey.delete(key)
+  }
+}
--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -14,7 +14,7 @@
 import type { SidePlace } from './crash-exchange.js'
 import { countEntries, countWatchers, type DomainEntries } from './entry-count.js'
 import { NewsSources, relayOf, type NewsHosts } from './news-sources.js'
-import type { ServerStates } from './server-state.js'
+import type { ServerStates } from './server-states.js'
 import { SideLink } from './side-link.js'
 
 /** An adapter whose last request ended can make room; places are short under load, so that is told soon. */
