--- a/packages/fleet/test/leaving-servers.test.ts
+++ b/packages/fleet/test/leaving-servers.test.ts
@@ -17,8 +17,6 @@
 /** Less than a request waits where somebody may come: a fifth of the route's 150 ms. */
 const atOnceMs = 25
 const model = 'base/a1'
-/** For two domains the first engine and the first plain server of the first one. */
-const firstIp = { engine: 100, plain: 200 }
 
 interface Sent {
   entry: number
@@ -119,18 +117,18 @@
   it('get nothing either when the store lists them as ready again, and do once they have started again under their id', async () => {
     const plain = fleet.plain[0] as BackendStandIn
     plain.bornAt = 1000
-    fleet.register(plain, `127.${network}.0.${firstIp.plain}`, 'd0')
+    fleet.list(plain)
     await pause(1000)
     const saidAt = leave(plain)
     const before = await sendFor(drainMs + 200)
     fleet.store.remove('servers', plain.id)
     await pause(200)
-    fleet.register(plain, `127.${network}.0.${firstIp.plain}`, 'd0')
+    fleet.list(plain)
     const sent = [...before, ...await sendFor(1500)]
     expect(late(plain, sent, saidAt)).to.deep.equal([])
     plain.leaving = false
     plain.bornAt = 2000
-    fleet.register(plain, `127.${network}.0.${firstIp.plain}`, 'd0')
+    fleet.list(plain)
     await pause(1000)
     expect((await sendFor(500)).some(each => each.server === plain.id)).to.equal(true)
   })
--- a/packages/stand-ins/src/fleet/backend-server.ts
+++ b/packages/stand-ins/src/fleet/backend-server.ts
@@ -41,6 +41,8 @@
   leaving = false
   /** What it asks for with each 503, in seconds; `undefined` for no rest. */
   restSeconds: string | undefined
+  /** It refuses all requests and asks for so much rest each time. */
+  overloadedRestMs: number | undefined
   /** When it started, as the store and its report say. */
   bornAt: number | undefined
   /** Every request that reached it, when, and whether it was turned away. */
@@ -170,7 +172,7 @@
 
   #refusal (request: IncomingMessage): number | undefined {
     if (this.#misdirected(request)) return 421
-    if (this.fault === 'shedding') return 503
+    if (this.fault === 'shedding' || this.overloadedRestMs !== undefined) return 503
     if (this.options.engine === undefined) return undefined
     if (!this.hasModel) return 421
     const adapter = String(request.headers.model ?? '').split('/')[1]
@@ -181,7 +183,8 @@
   }
 
   #refusalHeaders (status: number): Record<string, string> {
-    const rest: Record<string, string> = status === 503 && this.restSeconds !== undefined ? { 'Retry-After': this.restSeconds } : {}
+    const seconds = this.overloadedRestMs === undefined ? this.restSeconds : String(this.overloadedRestMs / 1000)
+    const rest: Record<string, string> = status === 503 && seconds !== undefined ? { 'Retry-After': seconds } : {}
     return { 'Not-Executed': '1', ...rest, ...(status === 421 ? { 'Instance-Id': this.id } : {}) }
   }
 
--- a/packages/stand-ins/src/fleet/fleet-system.ts
+++ b/packages/stand-ins/src/fleet/fleet-system.ts
@@ -38,6 +38,8 @@
   workMs: number
   events: number
   eventMs: number
+  /** When all backend servers started, as they say; they say nothing of it without. */
+  bornAt?: number
   bounds?: Record<string, number>
   nodeOptions?: string[]
   /** Puts something between a server and its address: listens at `ip:port` for what listens at `ip:target`. */
@@ -63,6 +65,7 @@
   readonly plain: BackendStandIn[] = []
   readonly entries: Machine[] = []
   readonly sides: Machine[] = []
+  readonly #places = new Map<BackendStandIn, { ip: string, domain: string }>()
   #folder = ''
   #stopped = false
 
@@ -141,9 +144,16 @@
     return `http://${this.entries[entry]?.ip ?? ''}:${ports.ready}/v1/readiness`
   }
 
+  /** Lists a backend server again, where it was listed before. */
+  list (server: BackendStandIn, state = 'ready'): void {
+    const { ip, domain } = this.#places.get(server) ?? { ip: '', domain: '' }
+    this.register(server, ip, domain, state)
+  }
+
   /** Registers a backend server, as it does itself with its heartbeat. */
   register (server: BackendStandIn, ip: string, domain: string, state = 'ready'): void {
     const engine = server.options.engine
+    this.#places.set(server, { ip, domain })
     this.store.put('servers', server.id, {
       ...(server.bornAt === undefined ? {} : { born: server.bornAt }),
       service: engine === undefined ? plainService : engineService,
@@ -184,6 +194,7 @@
       const server = new BackendStandIn({ id: `engine-${name}-${each}`, engine: { model, places, loadMs }, workMs, events, eventMs })
       await this.#listen(server, ip, ports.app)
       server.ending = () => { void this.#restart(server, ip, name) }
+      server.bornAt = this.options.bornAt
       this.engines.push(server)
       this.register(server, ip, name)
       this.sides.push({ name: `side-${name}-${each}`, ip, process: undefined, output: [] })
@@ -193,6 +204,7 @@
       const server = new BackendStandIn({ id: `plain-${name}-${each}`, workMs, events, eventMs })
       await this.#listen(server, ip, ports.app)
       server.ending = () => { void this.#restart(server, ip, name) }
+      server.bornAt = this.options.bornAt
       this.plain.push(server)
       this.register(server, ip, name)
     }
