--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -15,7 +15,6 @@
 import { attempt, type AttemptEnd } from './attempt.js'
 import type { Asked, Balancer } from './balancer.js'
 import { Cancellation } from './cancellation.js'
-import type { Choice } from './choice.js'
 import type { ConnectLimit } from './connect-limit.js'
 import type { Crashes } from './crashes.js'
 import type { EntryCounters } from './counters.js'
@@ -25,7 +24,8 @@
 import type { Admitted, Denial } from './gate.js'
 import { Incoming } from './incoming.js'
 import { outgoingOf, type Marks } from './outgoing.js'
-import { OwnAnswers, outageRetryMs } from './own-answers.js'
+import { NextServer, nowhereOf, type Nowhere, type Sending } from './next-server.js'
+import { OwnAnswers } from './own-answers.js'
 import { RequestCrashes } from './request-crashes.js'
 import { RequestRecord } from './request-record.js'
 import type { ServerWord } from './server-word.js'
@@ -69,8 +69,6 @@
   lastAnswer: () => boolean
 }
 
-type Sending = Extract<Choice, { type: 'send' }>
-
 type Verdict = { type: 'again' } | { type: 'done', outcome: string }
 
 const again: Verdict = { type: 'again' }
@@ -104,6 +102,7 @@
   readonly #delivery: Delivery
   readonly #answers: OwnAnswers
   readonly #crashes: RequestCrashes
+  readonly #next: NextServer
   readonly #left = new Cancellation()
   readonly #excluded = new Set<string>()
   /** A weighted draw of a service, the same for all tries. */
@@ -121,6 +120,7 @@
     this.#delivery = new Delivery(response, options.lastAnswer)
     this.#admission = new RequestAdmission(options, this.#incoming)
     this.#crashes = new RequestCrashes(options.crashes, this.#incoming)
+    this.#next = new NextServer({ ...options, times: this.#times, record: this.#record, crashes: this.#crashes, left: this.#left })
     this.#answers = new OwnAnswers({ names: options.names, unconfirmedRetryMs: options.unconfirmedRetryMs, incoming: this.#incoming, delivery: this.#delivery, record: this.#record })
     response.on('close', () => { if (!response.writableFinished) this.#left.cancel() })
   }
@@ -178,13 +178,13 @@
       const service = this.#serviceOf(admission.route)
       if (service === undefined) return this.#giveUp('no_service')
       const asked = this.#asked(service, admission)
-      const choice = await this.#choose(asked, admission)
-      if (typeof choice === 'string') return choice
-      if (choice === undefined) continue
-      const server = servers.get(choice.id)
+      const next = await this.#next.choose(asked, admission)
+      if (next.type === 'left') return this.#abandoned(false)
+      if (next.type === 'nowhere') return this.#giveUpNowhere(next)
+      const server = next.type === 'chosen' ? servers.get(next.choice.id) : undefined
       // While it waited, the table may have changed, and with it who may ask for what.
-      if (server === undefined || this.options.facts.routes !== routes) continue
-      const verdict = await this.#try(server, asked, admission, choice)
+      if (next.type === 'anew' || server === undefined || this.options.facts.routes !== routes) continue
+      const verdict = await this.#try(server, asked, admission, next.choice)
       if (verdict.type === 'done') return verdict.outcome
     }
   }
@@ -209,50 +209,12 @@
     return { service, key, promptTokens, inTimeMs: this.#times.inTimeMs(route), priority, excluded: this.#excluded }
   }
 
-  /** The service has no server that takes new work, and the store, which would tell of others, does not answer. */
-  #nobodyWillCome (service: FleetService): boolean {
-    const { facts } = this.options
-    return facts.sight === 'blind' && facts.openTo(service.name).length === 0
-  }
-
   #expire (): void {
     this.#expired = true
     if (!this.#delivery.started) this.#left.cancel()
     else setTimeout(() => this.#left.cancel(), streamSlackMs)
   }
 
-  /** Gives the outcome where it is sent nowhere; `undefined` where it has to be asked anew whether it may be sent. */
-  async #choose (asked: Asked, admitted: Admitted): Promise<Sending | string | undefined> {
-    const { balancer, room, counters } = this.options
-    const { route } = admitted
-    if (this.#left.cancelled) return this.#abandoned(false)
-    const first = balancer.choose(asked)
-    if (first.type === 'send') return first
-    if (first.type === 'none' && this.#nobodyWillCome(asked.service)) {
-      this.#answers.notBefore(outageRetryMs)
-      return this.#giveUp('nobody_left')
-    }
-    const started = nowMs()
-    const mayWaitFor = (choice: Choice): boolean => choice.type !== 'resting' || nowMs() + choice.readyInMs <= this.#times.waitForRestUntil(route)
-    if (!mayWaitFor(first)) return this.#giveUpChoice(first)
-    const end = await room.wait({
-      key: asked.key ?? asked.service.name,
-      rank: () => this.#rank(admitted),
-      until: first.type === 'none' ? this.#times.waitForAnybodyUntil(route) : this.#times.waitUntil(route),
-      mayWaitFor,
-      choose: () => balancer.choose({ ...asked, inTimeMs: this.#times.inTimeMs(route) }),
-      hopeless: () => this.#crashes.quarantine(admitted.team) !== undefined,
-      bring: (ask, waiting) => balancer.bring(ask, asked.key ?? '', waiting, this.#rank(admitted))
-    }, first, this.#left)
-    const waitedMs = nowMs() - started
-    this.#record.waitedMs += waitedMs
-    counters.waited.observe({ for: first.type }, waitedMs / 1000)
-    if (end.type === 'chosen') return end.choice
-    if (end.type === 'left') return this.#abandoned(false)
-    if (end.type === 'hopeless') return undefined
-    return this.#giveUpChoice(end.last)
-  }
-
   async #try (server: BackendServer, asked: Asked, admitted: Admitted, choice: Sending): Promise<Verdict> {
     const { balancer, budget, names, counters, connects, facts } = this.options
     const table = facts.routes
@@ -320,15 +282,11 @@
 
   #marks (server: BackendServer, { key }: Asked, admitted: Admitted, remaining: number): Marks {
     const { balancer, facts } = this.options
-    const engine = key === undefined ? undefined : { rank: this.#rank(admitted), version: balancer.heldVersion(server, key) }
+    const engine = key === undefined ? undefined : { rank: this.#next.rank(admitted, this.#incoming.promptTokens), version: balancer.heldVersion(server, key) }
     const keyed = facts.routes?.keyed === true
     return { remaining, server: server.id, engine, team: admitted.team?.name, keyed, resumeAt: this.#cutter?.lastId }
   }
 
-  #rank ({ route, priority }: Admitted): number {
-    return this.#times.rank({ priority, objectiveMs: route.objectiveMs }, this.options.balancer.readingMs(this.#incoming.promptTokens))
-  }
-
   /** What follows from a try's end. */
   #judge (end: AttemptEnd, at: Tried): Verdict {
     const judge = ServiceRequest.#judges[end.type] as (self: ServiceRequest, end: AttemptEnd, at: Tried) => Verdict
@@ -394,7 +352,7 @@
   #goOn (reason: string, asked: Asked): Verdict {
     if (this.#triesLeft) return again
     const choice = this.options.balancer.choose(asked)
-    return done(choice.type === 'resting' ? this.#giveUpChoice(choice) : this.#giveUp(reason))
+    return done(choice.type === 'resting' ? this.#giveUpNowhere(nowhereOf(choice)) : this.#giveUp(reason))
   }
 
   get #triesLeft (): boolean {
@@ -423,10 +381,10 @@
     return sent || this.#mayHaveRun ? this.#answers.fail(504, 'timed_out') : this.#answers.refuse('timed_out')
   }
 
-  /** What it waited for did not come, or can't come in time. */
-  #giveUpChoice (choice: Choice): string {
-    if (choice.type === 'resting') this.#answers.notBefore(Math.ceil(choice.readyInMs))
-    return this.#giveUp(choice.reason)
+  /** What it needs did not come, or can't come in time. */
+  #giveUpNowhere ({ reason, notBeforeMs }: Nowhere): string {
+    this.#answers.notBefore(notBeforeMs)
+    return this.#giveUp(reason)
   }
 
   /** There is nowhere left to send it. */
