Entries meet at a side process by one class; ends of servers are looked up by request

Cause: the rendezvous choice of a side process, passed by for a while where it did not answer, stood in two exchanges, telling all that a ledger holds in two, and a relay looked through its whole ledger for each frame that came. Change: MeetingPlace, greetWith, joined, CrashLedger.crashesOf; behaviour as before.

--- a/packages/decisions/src/crash-ledger.ts
+++ b/packages/decisions/src/crash-ledger.ts
@@ -118,6 +118,12 @@
     return [...this.#suspects.values()].flatMap(suspect => this.#current(suspect, now))
   }
 
+  /** What still counts against one request. */
+  crashesOf (fingerprint: RequestFingerprint, now: number): Crash[] {
+    const suspect = this.#suspects.get(fingerprint)
+    return suspect === undefined ? [] : this.#current(suspect, now)
+  }
+
   /** Lets go of what no longer counts, and of the rest where there is too much. Looks now and then only, however often it is called. */
   expire (now: number): void {
     if (this.#suspects.size <= this.limits.most && now - this.#sweptAt < sweepMs) return
--- a/packages/fleet/src/crash-news.ts
+++ b/packages/fleet/src/crash-news.ts
@@ -5,7 +5,7 @@
  * which can only let two ends seem to overlap that did not, and so count as one.
  */
 import type { Crash, CrashLedger, SoundRun } from '@finchpitch/decisions'
-import { mostCrashes, type FrameOf } from '@finchpitch/wire'
+import { mostCrashes, type Channel, type FrameOf } from '@finchpitch/wire'
 import { nowMs } from './clock.js'
 
 /** What a process has learned of late, or all that it knows. */
@@ -21,6 +21,11 @@
 export const gatherCrashesMs = ({ crashes }: CrashNews, crashesMs: number): number => crashes.length > 0 ? crashesMs : soundMs
 const soundMs = 400
 
+export const nothing: CrashNews = { crashes: [], sound: [] }
+
+export const joined = (all: readonly CrashNews[]): CrashNews =>
+  ({ crashes: all.flatMap(({ crashes }) => crashes), sound: all.flatMap(({ sound }) => sound) })
+
 export const isEmpty = ({ crashes, sound }: CrashNews): boolean => crashes.length === 0 && sound.length === 0
 
 /** As many frames as it takes. */
@@ -38,6 +43,11 @@
   return frames
 }
 
+/** Tells a peer that has come all that a ledger holds: it may have started anew. */
+export const greetWith = (ledger: CrashLedger, peer: Channel): void => {
+  for (const frame of framesOf({ crashes: ledger.crashes(nowMs()), sound: [] })) peer.send(frame)
+}
+
 /** Takes over what a peer tells; gives what of it was news. */
 export const takeCrashes = (ledger: CrashLedger, frame: FrameOf<'crashes'>): CrashNews => {
   const now = nowMs()
--- a/packages/fleet/src/entry/crash-exchange.ts
+++ b/packages/fleet/src/entry/crash-exchange.ts
@@ -6,12 +6,11 @@
  * answer is passed by and the next one is told.
  */
 import type { Log } from '@finchpitch/core'
-import { affinityOf, hashOf } from '@finchpitch/decisions'
 import type { Channel } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
-import { framesOf, gatherCrashesMs, isEmpty, type CrashNews } from '../crash-news.js'
-import { lowest } from '../lowest.js'
+import { framesOf, gatherCrashesMs, isEmpty, joined, nothing, type CrashNews } from '../crash-news.js'
 import { SoonTimer } from '../soon-timer.js'
+import { MeetingPlace } from './meeting-place.js'
 
 /** A server that ends takes a batch of requests along; they are told together. */
 const crashesMs = 5
@@ -52,7 +51,7 @@
 
 export class CrashExchange {
   readonly #due = new Set<Due>()
-  readonly #passedBy = new Map<string, number>()
+  readonly #meeting = new MeetingPlace({ matter: 'crashes', passedByMs, now: nowMs })
   #gathered: CrashNews = nothing
   readonly #gather = new SoonTimer(() => this.#tellGathered())
   /** Runs while something is due. */
@@ -62,8 +61,7 @@
 
   tell (news: CrashNews): void {
     if (isEmpty(news)) return
-    const { crashes, sound } = this.#gathered
-    this.#gathered = { crashes: [...crashes, ...news.crashes], sound: [...sound, ...news.sound] }
+    this.#gathered = joined([this.#gathered, news])
     this.#gather.within(gatherCrashesMs(news, crashesMs))
   }
 
@@ -96,7 +94,7 @@
     for (const due of this.#due) {
       if (due.stamp === undefined) this.#send(due)
       if (nowMs() - due.triedAt < answerMs) continue
-      if (due.host !== undefined) this.#passedBy.set(due.host, nowMs())
+      if (due.host !== undefined) this.#meeting.passBy(due.host)
       this.#tryNext(due)
     }
     this.#rest()
@@ -122,10 +120,8 @@
   }
 
   #choose (domain: string): string | undefined {
-    const now = nowMs()
-    const there = this.options.places().filter(place => place.domain === domain)
-    const hosts = there.filter(({ host, lively }) => lively && now - (this.#passedBy.get(host) ?? -Infinity) > passedByMs).map(({ host }) => host)
-    return lowest(hosts, host => affinityOf(meeting, hashOf(host)))
+    const there = this.options.places().filter(place => place.domain === domain && place.lively)
+    return this.#meeting.choose(there.map(({ host }) => host))
   }
 
   #send (due: Due): void {
@@ -134,8 +130,3 @@
     for (const frame of framesOf(due.news)) if (channel.send(frame)) due.stamp = frame.stamp
   }
 }
-
-const nothing: CrashNews = { crashes: [], sound: [] }
-
-/** All entries choose the side process of a domain that is nearest to this by rendezvous hashing. */
-const meeting = hashOf('crashes')
--- a/packages/fleet/src/entry/crashes.ts
+++ b/packages/fleet/src/entry/crashes.ts
@@ -8,7 +8,7 @@
 import { CrashLedger, crashLimits, type QuarantineCase } from '@finchpitch/decisions'
 import { longestLife, type Channel, type FrameOf } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
-import { framesOf, takeCrashes, type CrashNews } from '../crash-news.js'
+import { greetWith, takeCrashes, type CrashNews } from '../crash-news.js'
 import type { Facts } from '../facts.js'
 import { isFormer, type BackendServer } from '../server.js'
 import type { EntryCounters } from './counters.js'
@@ -124,7 +124,7 @@
 
   /** All that is known, to a side process that was joined: it may have started anew. */
   greet (side: Channel): void {
-    for (const frame of framesOf({ crashes: this.#ledger.crashes(nowMs()), sound: [] })) side.send(frame)
+    greetWith(this.#ledger, side)
   }
 
   #note ({ crashes }: CrashNews, from: string): void {
--- a/packages/fleet/src/entry/quota-exchange.ts
+++ b/packages/fleet/src/entry/quota-exchange.ts
@@ -5,11 +5,11 @@
  * the next side process is asked; meanwhile each entry lives on its share.
  */
 import { setImmediate } from 'node:timers/promises'
-import { affinityOf, ageOf, hashOf, tokensIn, type TokenSlice } from '@finchpitch/decisions'
+import { ageOf, tokensIn, type TokenSlice } from '@finchpitch/decisions'
 import { pause, type Log } from '@finchpitch/core'
 import type { Channel, FrameOf, TokenAge } from '@finchpitch/wire'
 import { elapsedMs } from '../clock.js'
-import { lowest } from '../lowest.js'
+import { MeetingPlace } from './meeting-place.js'
 import type { Quotas, TeamAccount } from './quotas.js'
 
 const exchangeMs = 250
@@ -40,7 +40,7 @@
 
 export class QuotaExchange {
   #bank: string | undefined
-  readonly #passedBy = new Map<string, number>()
+  readonly #meeting = new MeetingPlace({ matter: 'quota', passedByMs, now: elapsedMs })
   /** By channel, since a side process that starts again has another clock. */
   readonly #echoes = new WeakMap<Channel, Echo>()
   readonly #short = new Map<string, number>()
@@ -104,14 +104,12 @@
   }
 
   #passBy (): void {
-    if (this.#bank !== undefined) this.#passedBy.set(this.#bank, elapsedMs())
+    if (this.#bank !== undefined) this.#meeting.passBy(this.#bank)
     this.#sentAt = undefined
   }
 
   #choose (): string | undefined {
-    const now = elapsedMs()
-    const hosts = this.options.hosts().filter(host => now - (this.#passedBy.get(host) ?? -Infinity) > passedByMs)
-    const bank = lowest(hosts, host => affinityOf(meeting, hashOf(host)))
+    const bank = this.#meeting.choose(this.options.hosts())
     if (bank !== this.#bank) this.options.log.info('quota.bank_changed', { host: bank, before: this.#bank })
     this.#bank = bank
     return bank
@@ -152,9 +150,6 @@
   }
 }
 
-/** All entries choose the side process that is nearest to this by rendezvous hashing. */
-const meeting = hashOf('quota')
-
 /** By team, on this process's clock: tokens were that old when the answer was made, which was after the stamp. */
 const slicesOf = ({ grants, stamp }: FrameOf<'quota_grant'>, now: number): Map<string, TokenSlice[]> => {
   const byTeam = new Map<string, TokenSlice[]>()
--- a/packages/fleet/src/side/crash-relay.ts
+++ b/packages/fleet/src/side/crash-relay.ts
@@ -6,7 +6,7 @@
 import { CrashLedger, crashLimits } from '@finchpitch/decisions'
 import type { Channel, FrameOf } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
-import { framesOf, gatherCrashesMs, isEmpty, takeCrashes, type CrashNews } from '../crash-news.js'
+import { framesOf, gatherCrashesMs, greetWith, isEmpty, joined, takeCrashes, type CrashNews } from '../crash-news.js'
 import { SoonTimer } from '../soon-timer.js'
 
 /** All entries that had requests at a server tell of its end within some ms; they are passed on together. */
@@ -35,15 +35,14 @@
    */
   #answer (entry: Channel, { crashes }: FrameOf<'crashes'>): void {
     const reported = new Set(crashes.map(([fingerprint, server]) => `${fingerprint} ${server}`))
-    const fingerprints = new Set(crashes.map(([fingerprint]) => fingerprint))
-    const more = this.#ledger.crashes(nowMs()).filter(({ fingerprint, server }) => fingerprints.has(fingerprint) && !reported.has(`${fingerprint} ${server}`))
+    const known = [...new Set(crashes.map(([fingerprint]) => fingerprint))].flatMap(fingerprint => this.#ledger.crashesOf(fingerprint, nowMs()))
+    const more = known.filter(({ fingerprint, server }) => !reported.has(`${fingerprint} ${server}`))
     for (const frame of framesOf({ crashes: more, sound: [] })) entry.send(frame)
   }
 
   /** All that is known, to an entry that has come. */
   greet (entry: Channel): void {
-    const known: CrashNews = { crashes: this.#ledger.crashes(nowMs()), sound: [] }
-    for (const frame of framesOf(known)) entry.send(frame)
+    greetWith(this.#ledger, entry)
   }
 
   close (): void {
@@ -55,8 +54,7 @@
     this.#news = []
     for (const entry of this.entries()) {
       const others = told.filter(({ from }) => from !== entry).map(({ news }) => news)
-      const news = { crashes: others.flatMap(each => each.crashes), sound: others.flatMap(each => each.sound) }
-      for (const frame of framesOf(news)) entry.send(frame)
+      for (const frame of framesOf(joined(others))) entry.send(frame)
     }
   }
 }
