An entry that stalled reads what its sockets hold before it takes the quota bank for silent

Found while a test of floods was traced that failed beside load. Change: the sockets are read first; the wait for that has a name and one place (socketsRead). Measured: the new test is red before (another side process is asked after each stall) and green after. Ruled out: a longer limit, as a stall may be as long as it likes.

--- a/packages/fleet/src/clock.ts
+++ b/packages/fleet/src/clock.ts
@@ -5,6 +5,8 @@
  * out from it may be too young by the length of the sleep. What must never pass as younger than it is (proofs, leases, tokens
  * that lapse) is dated by the elapsed clock.
  */
+import { setImmediate } from 'node:timers/promises'
+
 export const nowMs = (): number => performance.now()
 
 /**
@@ -47,6 +49,12 @@
 
 const clock = new ElapsedClock()
 
+/**
+ * Resolves once what the sockets brought so far was read. Timers run before that, so after a stall of this process an answer may
+ * well be there that a timer takes for missing.
+ */
+export const socketsRead = async (): Promise<void> => await setImmediate()
+
 /** The elapsed clock. */
 export const elapsedMs = (): number => clock.now
 
--- a/packages/fleet/src/entry/quota-exchange.ts
+++ b/packages/fleet/src/entry/quota-exchange.ts
@@ -4,11 +4,10 @@
  * It goes on several times a second while some team has a quota, and at once where a request lacks tokens. Without an answer
  * the next side process is asked; meanwhile each entry lives on its share.
  */
-import { setImmediate } from 'node:timers/promises'
 import { ageOf, tokensIn, type TokenSlice } from '@finchpitch/decisions'
 import { pause, type Log } from '@finchpitch/core'
 import type { Channel, FrameOf, TokenAge } from '@finchpitch/wire'
-import { elapsedMs } from '../clock.js'
+import { elapsedMs, socketsRead } from '../clock.js'
 import { MeetingPlace } from './meeting-place.js'
 import type { Quotas, TeamAccount } from './quotas.js'
 
@@ -59,7 +58,7 @@
   async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await pause(exchangeMs, signal)
-      this.#tick()
+      await this.#tick()
     }
   }
 
@@ -71,8 +70,7 @@
     if (this.#sentAt === undefined) this.#send()
     if (this.#sentAt === undefined) return false
     await pause(bringMs, signal)
-    // Timers run before what the sockets brought: after a stall of this process the answer may well be there.
-    if (!signal.aborted) await setImmediate()
+    if (!signal.aborted) await socketsRead()
     return signal.aborted && !this.#isShort(team)
   }
 
@@ -94,13 +92,15 @@
     return elapsedMs() - (this.#short.get(team) ?? -Infinity) < shortMs
   }
 
-  #tick (): void {
+  async #tick (): Promise<void> {
     if (this.options.quotas.accounts.size === 0) return
-    if (this.#sentAt !== undefined) {
-      if (elapsedMs() - this.#sentAt < answerMs) return
-      this.#passBy()
-    }
-    this.#send()
+    if (this.#overdue) await socketsRead()
+    if (this.#overdue) this.#passBy()
+    if (this.#sentAt === undefined) this.#send()
+  }
+
+  get #overdue (): boolean {
+    return this.#sentAt !== undefined && elapsedMs() - this.#sentAt >= answerMs
   }
 
   #passBy (): void {
--- a/packages/fleet/test/quotas.test.ts
+++ b/packages/fleet/test/quotas.test.ts
@@ -298,6 +298,33 @@
     })
   })
 
+  describe('exchanged with a bank whose answer lies in the sockets while this process stalls', () => {
+    it('stay with that bank', async () => {
+      const asked: string[] = []
+      const sent: Array<FrameOf<'quota'>> = []
+      const channelTo = (host: string): Channel => {
+        asked.push(host)
+        return { send: (frame: FrameOf<'quota'>) => { sent.push(frame) } } as unknown as Channel
+      }
+      const quotas = new Quotas({ limits: () => limits, entries: () => 4, bring: async () => false })
+      quotas.follow([{ name: team, keys: [], quota }])
+      const exchange = new QuotaExchange({ quotas, hosts: () => ['10.0.0.1', '10.0.0.2'], channelTo, log: quietLog })
+      const stop = new AbortController()
+      void exchange.run(stop.signal)
+      await time.pass(300)
+      const [bank] = asked
+      for (let stall = 0; stall < 4; stall++) {
+        time.jump(600)
+        const frame = sent.at(-1)
+        setImmediate(() => exchange.take(asked.at(-1) ?? '', channelTo(asked.at(-1) ?? ''), { type: 'quota_grant', stamp: frame?.stamp ?? 0, bankStamp: 0, grants: [], needed: [] }))
+        await time.settle()
+      }
+      stop.abort()
+      expect(new Set(asked)).to.deep.equal(new Set([bank]))
+      expect(sent.length).to.be.greaterThan(3)
+    })
+  })
+
   describe('are divided by the most entries that may exist', () => {
     it('many while they have not been counted, the most counted of late afterwards', () => {
       const ceiling = new EntryCeiling()
