A rest that a former life asked for does not bind the next; Facts.noteLeaving

Cause: found in reading: a late answer of a server's former life was counted against the state of the life that is listed by then. Change: the state that the try began with is told; names and one expression that stopped a reader. Measured: the new line of the test of lives is red before, green after; tests of words, facts and the balancer pass. Ruled out: comparing starts, as the state is the life already.

--- a/packages/fleet/src/entry/balancer.ts
+++ b/packages/fleet/src/entry/balancer.ts
@@ -72,10 +72,11 @@
 
   /**
    * A server wants no requests for a while. It binds this whole entry: with the one request that it came with bound alone, a
-   * server that had asked for 3 s got 10 to 25 requests in each of them.
+   * server that had asked for 3 s got 10 to 25 requests in each of them. `state`: of the life that asked; the next is free of it.
    */
-  rest (server: BackendServer, askedMs: number, request: string): void {
-    const { rest } = this.state(server)
+  rest (server: BackendServer, state: ServerState, askedMs: number, request: string): void {
+    if (this.states.get(server.id) !== state) return
+    const { rest } = state
     const now = nowMs()
     const began = rest.ask(askedMs + Math.random() * this.#spreadMs(server), now)
     this.#resting.add(server.id)
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -28,6 +28,7 @@
 import { OwnAnswers } from './own-answers.js'
 import { RequestCrashes } from './request-crashes.js'
 import { RequestRecord } from './request-record.js'
+import type { ServerState } from './server-state.js'
 import type { ServerWord } from './server-word.js'
 import { RequestTimes } from './request-times.js'
 import { RequestAdmission, type RequestAdmissionOptions } from './request-admission.js'
@@ -252,7 +253,7 @@
         balancer.heard(pending)
         this.#record.firstByteMs ??= this.#times.ms
       },
-      said: word => this.#noteWord(server, word)
+      said: word => this.#noteWord(server, state, word)
     })
     state.end(key, pending)
     if (end.type !== 'not_sent' && end.type !== 'withheld') this.#arrivals += 1
@@ -262,11 +263,11 @@
   }
 
   /** What the server said of itself with its answer. */
-  #noteWord (server: BackendServer, { leaving, restMs }: ServerWord): void {
+  #noteWord (server: BackendServer, state: ServerState, { leaving, restMs }: ServerWord): void {
     const { facts, balancer, room } = this.options
-    if (leaving) facts.leaves(server, `answer to ${this.#incoming.id}`)
-    if (restMs === undefined) return balancer.state(server).rest.answered(nowMs())
-    balancer.rest(server, restMs, this.#incoming.id)
+    if (leaving) facts.noteLeaving(server, `answer to ${this.#incoming.id}`)
+    if (restMs === undefined) return state.rest.answered(nowMs())
+    balancer.rest(server, state, restMs, this.#incoming.id)
     // Those that wait for it may go elsewhere.
     room.poke()
   }
--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -302,7 +302,7 @@
     const server = this.#serverAt(host, mirror.server)
     if (server === undefined) return
     const { reachable, held, coming, waiting, running, unread, bornAt, leaving } = mirror
-    if (leaving && mirror.server === server.id) this.options.facts.leaves({ id: server.id, bornAt }, `the side process at ${host}`)
+    if (leaving && mirror.server === server.id) this.options.facts.noteLeaving({ id: server.id, bornAt }, `the side process at ${host}`)
     // What this entry itself told of is known here better.
     const others = Math.max(0, unread - link.toldUnread)
     this.options.states.tell(server.id, { at: nowMs(), reachable, held, coming: new Set(coming), waiting, running, unread: others }, bornAt)
--- a/packages/fleet/src/facts.ts
+++ b/packages/fleet/src/facts.ts
@@ -140,11 +140,11 @@
    * A server said itself that it leaves. While the store is away nothing else tells it: an engine got 60 requests in the 6 s
    * after its word, until it ended.
    */
-  leaves (life: ServerLife, from: string): void {
+  noteLeaving (life: ServerLife, from: string): void {
     const server = this.servers.get(life.id)
     if (server !== undefined && isFormer(life.bornAt, server.bornAt)) return
     if (!this.#leavers.note(life)) return
-    this.log.info('server.leaves', { server: life.id, bornAt: life.bornAt, from, address: server?.address, listed: server === undefined ? 'no' : server.leaving ? 'leaving' : 'ready', revision: this.revisionOf('server', life.id) })
+    this.log.info('server.leaves', { server: life.id, bornAt: life.bornAt, from, address: server?.address, listed: listedAs(server), revision: this.revisionOf('server', life.id) })
     if (server === undefined || server.leaving) return
     this.#replace({ ...server, leaving: true })
     const fact = this.current('server', life.id)
@@ -298,6 +298,12 @@
   }
 }
 
+/** What the store says of a server, as it is believed here. */
+const listedAs = (server: BackendServer | undefined): 'no' | 'leaving' | 'ready' => {
+  if (server === undefined) return 'no'
+  return server.leaving ? 'leaving' : 'ready'
+}
+
 const handlers = {
   table: (facts: Facts, fact: Extract<Fact, { kind: 'table' }>) => facts.setTable(fact.value),
   server: (facts: Facts, fact: Extract<Fact, { kind: 'server' }>) => facts.setServer(fact.key, fact.value),
--- a/packages/fleet/src/side/side.ts
+++ b/packages/fleet/src/side/side.ts
@@ -146,7 +146,7 @@
 
   #noteLeaving (): void {
     const { server, bornAt } = this.#orders
-    if (this.#account?.leaving === true && server !== undefined) this.options.facts.leaves({ id: server, bornAt }, 'its account')
+    if (this.#account?.leaving === true && server !== undefined) this.options.facts.noteLeaving({ id: server, bornAt }, 'its account')
   }
 
   /** The engine is another one: nothing at hand, and nothing on its way. */
--- a/packages/fleet/test/balancer.test.ts
+++ b/packages/fleet/test/balancer.test.ts
@@ -69,7 +69,7 @@
 
     afterEach(() => time.restore())
 
-    const rest = (id: string, ms: number): void => balancer.rest(server(id), ms, 'r')
+    const rest = (id: string, ms: number): void => balancer.rest(server(id), balancer.state(server(id)), ms, 'r')
     /** A request begins there. */
     const begin = (id: string): Pending => balancer.state(server(id)).begin({ key: 'm/x', patienceMs: 1000, tokens: 0, priority: 1 })
 
@@ -117,10 +117,15 @@
 
     it('remembers it where the entry of a server lapses and comes back, and not for its next life', () => {
       const first = { ...server('3'), bornAt: 10 }
-      balancer.rest(first, 3000, 'r')
+      const state = balancer.state(first)
+      balancer.rest(first, state, 3000, 'r')
       balancer.states.keep(new Map())
       expect(balancer.mayTake(first)).to.equal(false)
-      expect(balancer.mayTake({ ...first, bornAt: 20 })).to.equal(true)
+      const second = { ...first, bornAt: 20 }
+      expect(balancer.mayTake(second)).to.equal(true)
+      // An answer of the former life that comes late.
+      balancer.rest(first, state, 3000, 'r')
+      expect(balancer.mayTake(second)).to.equal(true)
     })
   })
 
--- a/packages/fleet/test/facts.test.ts
+++ b/packages/fleet/test/facts.test.ts
@@ -103,15 +103,15 @@
     beforeEach(() => {
       facts.offer(serverFact('s', 5, born(10)), 'store')
       facts.offer(serverFact('other', 5, server('other')), 'store')
-      facts.leaves({ id: 's', bornAt: 10 }, 'answer')
+      facts.noteLeaving({ id: 's', bornAt: 10 }, 'answer')
     })
 
     it('gives it no more work, and tells who waits', () => {
       const told: string[] = []
       facts.onChange(fact => told.push(fact.key))
       expect(open()).to.deep.equal(['other'])
-      facts.leaves({ id: 'other', bornAt: undefined }, 'answer')
-      facts.leaves({ id: 'other', bornAt: undefined }, 'answer')
+      facts.noteLeaving({ id: 'other', bornAt: undefined }, 'answer')
+      facts.noteLeaving({ id: 'other', bornAt: undefined }, 'answer')
       expect(open()).to.deep.equal([])
       expect(told).to.deep.equal(['other'])
     })
@@ -130,14 +130,14 @@
     it('gives its next life work, of which a late word of the one before says nothing', () => {
       facts.offer(serverFact('s', 9, born(20)), 'store')
       expect(open()).to.have.members(['other', 's'])
-      facts.leaves({ id: 's', bornAt: 10 }, 'a late answer')
+      facts.noteLeaving({ id: 's', bornAt: 10 }, 'a late answer')
       expect(open()).to.have.members(['other', 's'])
-      facts.leaves({ id: 's', bornAt: 20 }, 'answer')
+      facts.noteLeaving({ id: 's', bornAt: 20 }, 'answer')
       expect(open()).to.deep.equal(['other'])
     })
 
     it('knows it also where the server is listed only later', () => {
-      facts.leaves({ id: 'new', bornAt: 7 }, 'its side process')
+      facts.noteLeaving({ id: 'new', bornAt: 7 }, 'its side process')
       facts.offer(serverFact('new', 9, { ...server('new'), bornAt: 7 }), 'peer')
       expect(open()).to.deep.equal(['other'])
     })
