The soak keeps its logs where a promise was broken; an engine that starts again under its id is used again

Change: all lines are kept in a file that is told; a test of an engine that left, started again empty and is the only one left. Ruled out: that such an engine gets no more work after its leaving.

--- a/packages/fleet/test/leaving-servers.test.ts
+++ b/packages/fleet/test/leaving-servers.test.ts
@@ -102,6 +102,27 @@
     expect(engine.arrivals.slice(before)).to.deep.equal([])
   })
 
+  it('bring adapters in again once they have started again under their id, empty', async () => {
+    for (const engine of fleet.engines) {
+      engine.bornAt = 1000
+      fleet.list(engine)
+    }
+    await pause(1000)
+    const engine = fleet.engines.find(each => each.adapters.has('a1')) as BackendStandIn
+    leave(engine)
+    await sendFor(1000)
+    engine.restart(engine.id)
+    engine.leaving = false
+    engine.bornAt = 2000
+    fleet.list(engine)
+    // The other engines leave, so that it is the only one.
+    leave(...fleet.engines.filter(each => each !== engine))
+    await pause(2000)
+    const sent = await sendFor(500)
+    expect(sent.filter(each => each.server === engine.id).length).to.be.greaterThan(0)
+    expect(sent.filter(each => each.status !== 200)).to.deep.equal([])
+  })
+
   it('have callers told at once where they are the last of their service', async () => {
     fleet.store.fault = 'silent'
     await pause(3500)
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -85,6 +85,7 @@
   }
   if (unserved.length > 0) report.broken.push(...fleet.sides.flatMap(side => side.output.slice(-lastLines)))
   report.broken.push(...await sendFatal(fleet, dice, agents, seed))
+  if (report.broken.length > 0) report.broken.push(`logs kept: ${await fleet.keepLines(`soak-${seed}`)}`)
   for (const agent of agents) agent.destroy()
   await fleet.stop()
   await Promise.all(proxies.map(proxy => proxy.stop()))
