--- a/packages/fleet/src/entry/balancer.ts
+++ b/packages/fleet/src/entry/balancer.ts
@@ -99,12 +99,16 @@
     return this.entries() / slots * firstRequestsMs
   }
 
+  /** Called now and then: while any server rests or has rested a moment ago, each choice looks at all servers. */
+  expire (): void {
+    const now = nowMs()
+    for (const id of this.#resting) if (this.states.get(id)?.rest.over(now) !== false) this.#resting.delete(id)
+  }
+
   #hasRoom (server: BackendServer): boolean {
     if (!this.#resting.has(server.id)) return true
     const { rest, inFlight } = this.state(server)
-    const now = nowMs()
-    if (rest.over(now)) this.#resting.delete(server.id)
-    return inFlight < rest.room(server.slots, now)
+    return inFlight < rest.room(server.slots, nowMs())
   }
 
   /** What to do where none of `servers` has room after a rest; `undefined` where other things keep requests from them. */
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -271,6 +271,7 @@
       await pause(sweepMs, signal)
       this.options.facts.expire()
       this.#crashes.expire()
+      this.#balancer.expire()
       this.#leaseKeeper.check()
       this.#watch.check()
       this.#seedTurn.set(this.#needsSeeds)
--- a/packages/fleet/test/balancer.test.ts
+++ b/packages/fleet/test/balancer.test.ts
@@ -110,8 +110,10 @@
       balancer.state(server('1')).end('m/x', first)
       expect(balancer.choose(asked).type).to.equal('send')
       begin('1')
+      balancer.expire()
       expect(balancer.choose(asked).type).to.equal('full')
       await time.pass(1000)
+      balancer.expire()
       expect(balancer.choose(asked).type).to.equal('send')
     })
 
