--- a/packages/fleet/src/entry/server-word.ts
+++ b/packages/fleet/src/entry/server-word.ts
@@ -17,7 +17,7 @@
 /** How a server says yes. */
 const yes = '1'
 /** A server that asks for rest turns the request away with this status. */
-const turnedAway = 503
+export const turnedAway = 503
 
 /** `undefined` where another server than `serverId` answered: that says nothing of this one. */
 export const serverWordOf = (answer: IncomingMessage, names: HeaderNames, serverId: string): ServerWord | undefined => {
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -29,7 +29,7 @@
 import { RequestCrashes } from './request-crashes.js'
 import { RequestRecord } from './request-record.js'
 import type { ServerState } from './server-state.js'
-import type { ServerWord } from './server-word.js'
+import { turnedAway, type ServerWord } from './server-word.js'
 import { RequestTimes } from './request-times.js'
 import { RequestAdmission, type RequestAdmissionOptions } from './request-admission.js'
 import type { RetryBudget } from './retry-budget.js'
@@ -85,8 +85,6 @@
 }
 
 const firstFailure = 500
-/** With this status a server may ask for rest. */
-const turnedAway = 503
 const bodyless: ReadonlySet<number> = new Set([204, 304])
 
 /** A header's seconds; 0 where there is none that can be read. */
