Entries tell in their log when a server names a limit, changes it or names none any more

Change: the limit is read with the server's other words; server.limits has the server, the request, the figure and the one before. Figures that can't be read say nothing. Nothing is decided by it yet.

--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -261,8 +261,12 @@
   }
 
   /** What the server said of itself with its answer. */
-  #noteWord (server: BackendServer, state: ServerState, { leaving, restMs }: ServerWord): void {
-    const { facts, balancer, room } = this.options
+  #noteWord (server: BackendServer, state: ServerState, { leaving, restMs, limitPerSecond }: ServerWord): void {
+    const { facts, balancer, room, log } = this.options
+    if (limitPerSecond !== undefined && limitPerSecond !== state.limitPerSecond) {
+      log.info('server.limits', { server: server.id, request: this.#incoming.id, perSecond: limitPerSecond, before: state.limitPerSecond })
+      state.limitPerSecond = limitPerSecond
+    }
     if (leaving) facts.noteLeaving(server, `answer to ${this.#incoming.id}`)
     if (restMs === undefined) return state.rest.answered(nowMs())
     balancer.rest(server, state, restMs, this.#incoming.id)
--- a/packages/fleet/src/ports.ts
+++ b/packages/fleet/src/ports.ts
@@ -94,6 +94,8 @@
   serverId: string
   /** On all answers of a server that leaves. */
   leaving: string
+  /** On answers of a server in need: the requests a second that it takes from all entries together, a decimal number. */
+  limit: string
   expectedVersion: string
   priority: string
   /** A caller's key, as `SCHEME KEY`; never passed on where the table knows teams. */
--- a/packages/fleet/test/attempt.test.ts
+++ b/packages/fleet/test/attempt.test.ts
@@ -16,6 +16,7 @@
   expectedServer: 'expected-server',
   serverId: 'server-id',
   leaving: 'leaving',
+  limit: 'limit',
   expectedVersion: 'expected-version',
   priority: 'priority',
   key: 'authorization',
@@ -132,6 +133,36 @@
     }
   })
 
+  describe('tells how many requests a second the server takes', () => {
+    const limits: Array<[named: string | undefined, perSecond: number | undefined]> = [
+      ['4.8', 4.8],
+      [' 1.3 ', 1.3],
+      ['50', 50],
+      ['0', 0],
+      ['0.5', 0.5],
+      ['1000000000', 1_000_000_000],
+      [undefined, Infinity],
+      ['', undefined],
+      ['-1', undefined],
+      ['few', undefined],
+      ['Infinity', undefined],
+      ['NaN', undefined],
+      ['0x10', undefined],
+      ['1,5', undefined],
+      ['9'.repeat(400), undefined]
+    ]
+
+    for (const [named, perSecond] of limits) {
+      for (const status of [200, 500, 503]) {
+        it(`${status} with ${named === undefined ? 'nothing' : `"${named.slice(0, 12)}"`}`, async () => {
+          answer = response => response.writeHead(status, { 'request-id': 'r', seal: 's', ...(named === undefined ? {} : { limit: named }) }).end()
+          await send(`127.0.0.1:${(server.address() as AddressInfo).port}`)
+          expect(said.map(word => word.limitPerSecond)).to.deep.equal([perSecond])
+        })
+      }
+    }
+  })
+
   it('has surely not been sent where nothing listens', async () => {
     expect(await send('127.0.0.1:9')).to.include({ type: 'not_sent' })
   })
--- a/packages/stand-ins/src/fleet/backend-server.ts
+++ b/packages/stand-ins/src/fleet/backend-server.ts
@@ -43,6 +43,8 @@
   restSeconds: string | undefined
   /** It refuses all requests and asks for so much rest each time. */
   overloadedRestMs: number | undefined
+  /** The requests a second that it says it takes, with all its answers. */
+  limitPerSecond: number | undefined
   /** When it started, as the store and its report say. */
   bornAt: number | undefined
   /** Every request that reached it, when, and whether it was turned away. */
@@ -83,6 +85,7 @@
 
   protected override async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (this.leaving) response.setHeader('Server-Leaving', '1')
+    if (this.limitPerSecond !== undefined) response.setHeader('Server-Limit', String(this.limitPerSecond))
     const path = (request.url ?? '').split('?')[0]
     if (path === '/v1/report') return sendJson(response, 200, this.#report())
     if (path === '/v1/order') return await this.#order(await readJson(request) as Order, request, response)
