What an entry earns of a shared rate has a module of its own

Cause: shares of limits that servers name are earned, lapse and move just as tokens of quotas do. Change: EarnedTokens is taken out of TeamAccount; behaviour as before.

--- a/packages/fleet/src/entry/quotas.ts
+++ b/packages/fleet/src/entry/quotas.ts
@@ -3,17 +3,14 @@
  *
  * Load pattern: a team's callers stay on few entries, and one team sends many times its usual. Equal shares would leave such
  * a team one part in 26 of its quota. So each entry earns an equal share of every quota, by the most entries that may exist,
- * and what it does not need goes to a side process that hands it to entries that do (`quota-exchange.ts`). A token is earned
- * once, moves with its age and lapses, so nothing has to be agreed on: a lost message loses tokens, and an entry out of touch
- * still has its share.
+ * and what it does not need goes to a side process that hands it to entries that do (`quota-exchange.ts`).
  */
-import { DecayingSum, TokenStock, earnedPerSecond, tokenLifeMs, tokensIn, type QuotaBound, type TokenSlice } from '@finchpitch/decisions'
-import { elapsedMs, sleptMs } from '../clock.js'
+import { DecayingSum, tokensIn, type TokenSlice } from '@finchpitch/decisions'
+import { elapsedMs } from '../clock.js'
 import { quotaBoundOf, type Limits } from '../ports.js'
 import type { FleetTeam, Quota } from '../team.js'
+import { EarnedTokens } from './earned-tokens.js'
 
-/** Earned tokens are dated in steps, each as old as its start. */
-const earnStepMs = 100
 /** Over which demand is averaged: a flood is met within half a second, and single requests make no demand. */
 const demandHalfLifeMs = 500
 /** So much of its demand, and of its own share, an entry keeps at hand: two exchanges. */
@@ -52,24 +49,19 @@
 }
 
 export class TeamAccount {
-  readonly #stock = new TokenStock()
+  readonly #tokens: EarnedTokens
   readonly #demand = new DecayingSum(demandHalfLifeMs)
   readonly #granted = new DecayingSum(demandHalfLifeMs)
-  #quota: Quota
-  #earnedAt = elapsedMs()
-  #sleptMs = sleptMs()
   /** Of requests here, aged. */
   #usualSize = 0
 
-  constructor (quota: Quota, private readonly limits: () => Limits, private readonly entries: () => number) {
-    this.#quota = quota
+  constructor (quota: Quota, limits: () => Limits, entries: () => number) {
+    this.#tokens = new EarnedTokens(quota, () => quotaBoundOf(limits()), entries)
   }
 
-  /** A new table has another quota. What was earned before lapses soon. */
+  /** A new table has another quota. */
   setQuota (quota: Quota): void {
-    if (quota === this.#quota) return
-    this.#earn()
-    this.#quota = quota
+    this.#tokens.setRate(quota)
   }
 
   /** A request asks for so many. */
@@ -79,12 +71,11 @@
   }
 
   take (tokens: number): TokenSlice[] | undefined {
-    this.#earn()
-    return this.#stock.take(tokens, this.#since)
+    return this.#tokens.take(tokens)
   }
 
   give (slices: readonly TokenSlice[]): void {
-    this.#stock.addAll(slices)
+    this.#tokens.give(slices)
   }
 
   granted (slices: readonly TokenSlice[]): void {
@@ -94,76 +85,39 @@
 
   /** Whether what was set aside may still be spent. */
   lasts (slices: readonly TokenSlice[]): boolean {
-    return slices.every(slice => slice.earnedAt >= this.#since)
+    return slices.every(slice => slice.earnedAt >= this.#tokens.since)
   }
 
   /** How many it lacks for what is asked here, and for a request of `more` tokens. */
   wants (more = 0): number {
-    this.#earn()
-    const has = this.#stock.total(this.#since)
+    this.#tokens.earn()
+    const has = this.#tokens.total
     return has < Math.max(more, this.#keeps * askShare) ? more + this.#keeps - has : 0
   }
 
   /** What it does not need, the oldest first: what is kept stays young, and nothing lapses at an entry without demand. */
   takeSurplus (): TokenSlice[] {
-    this.#earn()
-    const surplus = this.#stock.total(this.#since) - this.#keeps
-    return surplus < leastGiven ? [] : this.#stock.takeUpTo(surplus, this.#since)
+    this.#tokens.earn()
+    const surplus = this.#tokens.total - this.#keeps
+    return surplus < leastGiven ? [] : this.#tokens.takeUpTo(surplus)
   }
 
   /** Until so many may be there, by what came of late. */
   readyInMs (tokens: number): number {
-    const lacking = tokens - this.#stock.total(this.#since)
-    const ms = lacking / (this.#ownRate + rateOf(this.#granted)) * 1000
+    const lacking = tokens - this.#tokens.total
+    const ms = lacking / (this.#tokens.ownRate + rateOf(this.#granted)) * 1000
     return Math.min(retrySpan.mostMs, Math.max(retrySpan.leastMs, ms))
   }
 
-  get #ownRate (): number {
-    return earnedPerSecond(this.#quota, this.#bound) / this.entries()
-  }
-
   /**
    * Where nothing was asked for, some of its own share too: with none, the first request of each team at each entry would
    * have to wait for an exchange, 700 a second of them at one side process.
    */
   get #keeps (): number {
-    const own = this.#ownRate
-    const requests = Math.min(keptRequests * this.#usualSize, own * this.#lifeMs / 1000 * ownShare)
+    const { ownRate: own, lifeMs } = this.#tokens
+    const requests = Math.min(keptRequests * this.#usualSize, own * lifeMs / 1000 * ownShare)
     return Math.max(rateOf(this.#demand) * keptMs / 1000, own * keptMs / 1000, requests)
   }
-
-  /** Tokens that were earned earlier have lapsed. */
-  get #since (): number {
-    return elapsedMs() - this.#lifeMs
-  }
-
-  get #lifeMs (): number {
-    return tokenLifeMs(this.#quota, this.#bound)
-  }
-
-  get #bound (): QuotaBound {
-    return quotaBoundOf(this.limits())
-  }
-
-  #earn (): void {
-    const now = elapsedMs()
-    this.#skipSleep(now)
-    const perMs = this.#ownRate / 1000
-    let from = Math.max(this.#earnedAt, this.#since)
-    while (from < now) {
-      const until = Math.min(now, from + earnStepMs)
-      this.#stock.add((until - from) * perMs, from)
-      from = until
-    }
-    this.#earnedAt = now
-  }
-
-  /** A time of day that was set ahead looks like a sleep of the machine, and would earn the same tokens twice. */
-  #skipSleep (now: number): void {
-    const slept = sleptMs()
-    if (slept > this.#sleptMs) this.#earnedAt = now
-    this.#sleptMs = slept
-  }
 }
 
 /** Tokens a second. */
