--- a/packages/fleet/src/entry/balancer.ts
+++ b/packages/fleet/src/entry/balancer.ts
@@ -11,6 +11,7 @@
 import { ReadingPace } from './reading-pace.js'
 import type { Pending, ServerState } from './server-state.js'
 import { ServerStates } from './server-states.js'
+import { noLimits, type LimitsView } from './server-limits.js'
 import type { SideLinks } from './side-links.js'
 
 /** What the balancer needs of the links to side processes. */
@@ -23,6 +24,15 @@
 /** The part of the time allowed for a named version in which the one before it may still be used. */
 const oldVersionShare = 0.4
 
+/** What all options of one choice have in common. */
+interface Sight {
+  now: number
+  /** The oldest version of the key that may be used. */
+  oldest: number
+  /** Nothing is newly brought to an engine that names a limit, as others don't. */
+  sparing: boolean
+}
+
 export interface Asked {
   service: FleetService
   /** Adapter or model key; `undefined` at a plain service. */
@@ -50,7 +60,9 @@
     private readonly links: () => Placers,
     private readonly log: Log,
     /** How many entries there are, as far as is known. */
-    private readonly entries: () => number = () => 1
+    private readonly entries: () => number = () => 1,
+    /** Servers that name how many requests they take. */
+    private readonly serverLimits: LimitsView = noLimits
   ) {}
 
   state (server: BackendServer): ServerState {
@@ -58,8 +70,39 @@
     return this.states.of(server, service?.maxConnections)
   }
 
-  choose (asked: Asked): Choice {
-    const open = this.facts.openTo(asked.service.name)
+  /**
+   * A server that names a limit is chosen as any other while this entry may send it one; what it does not take goes to the rest
+   * of its service. `first`: this request has not wanted a server before.
+   */
+  choose (asked: Asked, first = false): Choice {
+    if (this.serverLimits.none) return this.#chooseAmong(asked)
+    const choice = this.#chooseAmong(asked)
+    const server = choice.type === 'send' ? this.facts.servers.get(choice.id) : undefined
+    const limit = server === undefined ? undefined : this.serverLimits.state(server)
+    if (server === undefined || limit === undefined) return choice
+    if (first) this.serverLimits.demand(server)
+    if (limit.ready) return choice
+    const other = this.#chooseAmong(asked, each => this.serverLimits.state(each)?.ready !== false)
+    return other.type === 'none' || other.type === 'resting' ? this.limitedChoice(asked.service.name) ?? other : other
+  }
+
+  /** When this entry may send a request to the first of the service's servers that name limits; `undefined` where none does. */
+  limitedChoice (service: string): Extract<Choice, { type: 'limited' }> | undefined {
+    const states = this.facts.openTo(service).map(server => this.serverLimits.state(server)).filter(state => state !== undefined)
+    if (states.length === 0) return undefined
+    const readyInMs = Math.min(...states.map(state => state.readyInMs))
+    const perSecond = states.reduce((sum, state) => sum + state.perSecond, 0)
+    return { type: 'limited', readyInMs, everyMs: 1000 / perSecond, reason: 'all servers name limits' }
+  }
+
+  /** Whether the server names a limit. */
+  isLimited (id: string): boolean {
+    const server = this.facts.servers.get(id)
+    return server !== undefined && this.serverLimits.state(server) !== undefined
+  }
+
+  #chooseAmong (asked: Asked, mayUse: (server: BackendServer) => boolean = () => true): Choice {
+    const open = this.facts.openTo(asked.service.name).filter(mayUse)
     const left = asked.excluded.size === 0 ? open : open.filter(server => !asked.excluded.has(server.id))
     const servers = this.#resting.size === 0 ? left : left.filter(server => this.#hasRoom(server))
     if (servers.length === 0 && this.#resting.size > 0) {
@@ -165,7 +208,8 @@
   #engineChoice (servers: readonly BackendServer[], key: string, asked: Asked): EngineChoice {
     const now = nowMs()
     const oldest = this.#oldestUsable(key, now)
-    const options = servers.map(server => this.#engineOption(server, key, asked, now, oldest))
+    const sparing = !this.serverLimits.none && servers.some(server => this.serverLimits.state(server) === undefined)
+    const options = servers.map(server => this.#engineOption(server, key, asked, { now, oldest, sparing }))
     return { options, domain: this.domain, key, inTimeMs: asked.inTimeMs }
   }
 
@@ -190,10 +234,11 @@
   }
 
   /** Made for each engine and choice, so without copies; what few choices look at is worked out when they do. */
-  #engineOption (server: BackendServer, key: string, { promptTokens, priority }: Asked, now: number, oldest: number): EngineOption {
+  #engineOption (server: BackendServer, key: string, { promptTokens, priority }: Asked, { now, oldest, sparing }: Sight): EngineOption {
     const state = this.state(server)
     const { holding } = state
     const links = this.links()
+    const limits = this.serverLimits
     return {
       id: server.id,
       hash: state.hash,
@@ -206,7 +251,7 @@
       expectedMs: state.expectedMs(promptTokens, priority, now),
       get coming () { return holding?.coming.has(key) === true || links.awaits(server, key) },
       get warm () { return links.warm(server, key) },
-      get orderable () { return links.orderable(server, key) }
+      get orderable () { return !(sparing && limits.state(server) !== undefined) && links.orderable(server, key) }
     }
   }
 }
--- a/packages/fleet/src/entry/choice.ts
+++ b/packages/fleet/src/entry/choice.ts
@@ -40,6 +40,11 @@
   | { type: 'bring', ask: string | undefined, held: boolean, reason: string }
   /** All that could take it have asked for rest; the first takes requests again after so long. */
   | { type: 'resting', readyInMs: number, reason: string }
+  /**
+   * All that could take it name a limit, and this entry may send them none now: the first may be sent in so long, and another
+   * each `everyMs`.
+   */
+  | { type: 'limited', readyInMs: number, everyMs: number, reason: string }
   /** Wait: all that could take it are full. */
   | { type: 'full', reason: string }
   /** There is nobody to wait for. */
--- a/packages/fleet/src/entry/counters.ts
+++ b/packages/fleet/src/entry/counters.ts
@@ -62,4 +62,10 @@
     help: 'Requests found to end the backend servers that run them.',
     registers: [this.registry]
   })
+
+  readonly heldBack = new Counter({
+    name: 'finchpitch_requests_held_back_total',
+    help: 'Times that a request was kept from a backend server by the limit that it names.',
+    registers: [this.registry]
+  })
 }
--- a/packages/fleet/src/entry/crash-exchange.ts
+++ b/packages/fleet/src/entry/crash-exchange.ts
@@ -1,5 +1,5 @@
 /**
- * Telling the other entries of servers that ended under requests.
+ * Telling the other entries what tries met: servers that ended under requests, and limits that servers name.
  *
  * One side process of each failure domain is told, the same by all entries, and tells the entries that follow it. So an end
  * costs an entry one frame a domain, and each entry one frame for what all others met together. A side process that does not
@@ -109,7 +109,7 @@
   #tryNext (due: Due): void {
     if (due.tries >= mostTries) {
       this.#due.delete(due)
-      this.options.log.warn('crashes.not_passed_on', { domain: due.domain, crashes: due.news.crashes.length, sound: due.news.sound.length, tries: due.tries })
+      this.options.log.warn('crashes.not_passed_on', { domain: due.domain, crashes: due.news.crashes.length, sound: due.news.sound.length, limits: due.news.limits.length, tries: due.tries })
       return
     }
     due.host = this.#choose(due.domain)
--- a/packages/fleet/src/entry/crashes.ts
+++ b/packages/fleet/src/entry/crashes.ts
@@ -6,10 +6,11 @@
  */
 import type { Log, RequestFingerprint } from '@finchpitch/core'
 import { CrashLedger, crashLimits, type QuarantineCase } from '@finchpitch/decisions'
-import { longestLife, type Channel, type FrameOf } from '@finchpitch/wire'
+import type { Channel, FrameOf } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
 import { greetWith, takeCrashes, type CrashNews } from '../crash-news.js'
 import type { Facts } from '../facts.js'
+import { lifeOf } from '../limit-name.js'
 import { isFormer, type BackendServer } from '../server.js'
 import type { EntryCounters } from './counters.js'
 import type { CrashExchange } from './crash-exchange.js'
@@ -96,7 +97,7 @@
     const now = nowMs()
     counters.serverEnds.inc(tries.length)
     const crashes = tries.map(({ fingerprint, server, sentAt, endedAt }) => ({ fingerprint, server: lifeOf(server), sentAt, endedAt }))
-    const news = { crashes: crashes.filter(crash => this.#ledger.crashed(crash, now)), sound: [] }
+    const news = { crashes: crashes.filter(crash => this.#ledger.crashed(crash, now)), sound: [], limits: [] }
     exchange.tell(news)
     this.#note(news, 'own try')
   }
@@ -107,7 +108,7 @@
     const held = this.quarantine(fingerprint) !== undefined
     if (!this.#ledger.sound(run)) return
     if (held) this.#released([fingerprint], 'own try')
-    this.options.exchange.tell({ crashes: [], sound: [run] })
+    this.options.exchange.tell({ crashes: [], sound: [run], limits: [] })
   }
 
   /** What a side process passes on. */
@@ -127,7 +128,7 @@
     greetWith(this.#ledger, side)
   }
 
-  #note ({ crashes }: CrashNews, from: string): void {
+  #note ({ crashes }: Pick<CrashNews, 'crashes'>, from: string): void {
     const { counters, log, quarantined } = this.options
     let any = false
     for (const fingerprint of new Set(crashes.map(crash => crash.fingerprint))) {
@@ -144,6 +145,3 @@
     for (const fingerprint of fingerprints) if (this.quarantine(fingerprint) === undefined) this.options.log.info('request.released', { fingerprint, from })
   }
 }
-
-/** A server that starts again under its id is another one. */
-const lifeOf = ({ id, bornAt }: BackendServer): string => (bornAt === undefined ? id : `${id} ${bornAt}`).slice(0, longestLife)
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -30,6 +30,7 @@
 import { RetryBudget } from './retry-budget.js'
 import { ServerEnds } from './server-ends.js'
 import { ServerFaults } from './server-faults.js'
+import { ServerLimits } from './server-limits.js'
 import { ServiceRequest } from './service-request.js'
 import { SideLinks } from './side-links.js'
 import { StoreWatch } from './store-watch.js'
@@ -89,6 +90,7 @@
   /** Other entries are needed to learn from. */
   readonly #seedTurn = new Turn()
   readonly #faults: ServerFaults
+  readonly #serverLimits: ServerLimits
   readonly #crashes: Crashes
   readonly #crashExchange: CrashExchange
   readonly #stop = new AbortController()
@@ -101,7 +103,17 @@
   constructor (private readonly options: FleetEntryOptions) {
     const { facts, domain, limits, log, process, sidePort, channel, dial, sources } = options
     this.#lease = new KeyLease(facts, limits)
-    this.#balancer = new Balancer(facts, domain, limits, () => this.#links, log, () => this.#links.entries ?? 1)
+    this.#mostEntries = this.#ceiling.of(undefined, 0)
+    this.#crashExchange = new CrashExchange({ places: () => this.#links.places, channelTo: host => this.#links.channelTo(host), log })
+    this.#serverLimits = new ServerLimits({
+      entries: () => this.#mostEntries,
+      exchange: this.#crashExchange,
+      lacking: () => this.#quotaExchange.hurry(),
+      changed: () => this.#room.poke(),
+      counters: this.counters,
+      log
+    })
+    this.#balancer = new Balancer(facts, domain, limits, () => this.#links, log, () => this.#links.entries ?? 1, this.#serverLimits)
     this.#links = new SideLinks({
       process,
       domain,
@@ -115,9 +127,15 @@
       prove: () => this.#watch.prove(),
       changed: keys => this.#room.poke(keys),
       granted: (host, channel, frame) => this.#quotaExchange.take(host, channel, frame),
-      crashes: (frame, from) => this.#crashes.take(frame, from),
+      crashes: (frame, from) => {
+        this.#crashes.take(frame, from)
+        this.#serverLimits.take(frame, from)
+      },
       crashesNoted: (host, stamp) => this.#crashExchange.noted(host, stamp),
-      joinedNear: side => this.#crashes.greet(side),
+      joinedNear: side => {
+        this.#crashes.greet(side)
+        this.#serverLimits.greet(side)
+      },
       appointmentsChanged: () => this.#watch.check()
     })
     this.#watch = new StoreWatch({
@@ -129,12 +147,10 @@
       appointments: () => this.#links.appointments,
       changed: () => this.#links.watchingChanged()
     })
-    this.#mostEntries = this.#ceiling.of(undefined, 0)
     this.#quotas = new Quotas({ limits, entries: () => this.#mostEntries, bring: (team, tokens) => this.#quotaExchange.bring(team, tokens) })
-    this.#quotaExchange = new QuotaExchange({ quotas: this.#quotas, hosts: () => this.#links.hosts, channelTo: host => this.#links.channelTo(host), log })
+    this.#quotaExchange = new QuotaExchange({ quotas: this.#quotas, serverLimits: this.#serverLimits, hosts: () => this.#links.hosts, channelTo: host => this.#links.channelTo(host), log })
     this.#leaseKeeper = new LeaseKeeper({ lease: this.#lease, facts, links: this.#links, watch: this.#watch, log })
     this.#faults = new ServerFaults(this.#balancer, this.counters, log)
-    this.#crashExchange = new CrashExchange({ places: () => this.#links.places, channelTo: host => this.#links.channelTo(host), log })
     this.#crashes = new Crashes({ facts, ends: new ServerEnds(), exchange: this.#crashExchange, quarantined: () => this.#room.poke(), counters: this.counters, log })
     this.#budget = new RetryBudget(limits, () => this.#links.entries)
     this.server = createServer({ maxHeaderSize: mostHeaderBytes, connectionsCheckingInterval: 1000, requestTimeout: 0 })
@@ -143,6 +159,7 @@
     this.counters.gauge('finchpitch_requests_running', 'Requests in progress.', () => this.#running)
     this.counters.gauge('finchpitch_requests_waiting', 'Requests waiting at the entry.', () => this.#room.size)
     this.counters.gauge('finchpitch_servers_resting', 'Backend servers that have asked this entry for rest.', () => this.#balancer.resting)
+    this.counters.gauge('finchpitch_servers_limited', 'Backend servers that name how many requests they take.', () => this.#serverLimits.size)
     this.counters.gauge('finchpitch_side_processes_connected', 'Side processes connected.', () => this.#links.connected)
     this.counters.gauge('finchpitch_store_watched', 'Whether this entry watches the platform\'s store.', () => Number(this.#watch.watching))
     this.counters.gauge('finchpitch_routing_table_version', 'Version of the routing table in force.', () => facts.routes?.table.version ?? 0)
@@ -212,7 +229,7 @@
     this.#running += 1
     try {
       const served = new ServiceRequest({
-        facts, balancer: this.#balancer, room: this.#room, budget: this.#budget, faults: this.#faults, crashes: this.#crashes, connects: this.#connects, lease: this.#lease, quotas: this.#quotas, unconfirmedRetryMs: () => this.#leaseKeeper.retryMs, firstTries: this.#firstTries, names, counters: this.counters, log, closed: this.#closed, learned: () => this.#learned(), blindRetryMs: () => this.#blindRetryMs, lastAnswer: () => this.#closing || !this.#lease.held || this.#connections.isOld(request.socket)
+        facts, balancer: this.#balancer, room: this.#room, budget: this.#budget, faults: this.#faults, serverLimits: this.#serverLimits, crashes: this.#crashes, connects: this.#connects, lease: this.#lease, quotas: this.#quotas, unconfirmedRetryMs: () => this.#leaseKeeper.retryMs, firstTries: this.#firstTries, names, counters: this.counters, log, closed: this.#closed, learned: () => this.#learned(), blindRetryMs: () => this.#blindRetryMs, lastAnswer: () => this.#closing || !this.#lease.held || this.#connections.isOld(request.socket)
       }, request, response)
       await served.serve()
     } catch (error) {
@@ -271,6 +288,7 @@
       await pause(sweepMs, signal)
       this.options.facts.expire()
       this.#crashes.expire()
+      this.#serverLimits.expire()
       this.#balancer.expire()
       this.#leaseKeeper.check()
       this.#watch.check()
--- a/packages/fleet/src/entry/next-server.ts
+++ b/packages/fleet/src/entry/next-server.ts
@@ -16,7 +16,7 @@
 import type { RequestCrashes } from './request-crashes.js'
 import type { RequestRecord } from './request-record.js'
 import type { RequestTimes } from './request-times.js'
-import type { WaitingRoom } from './waiting-room.js'
+import { behind, type WaitingRoom } from './waiting-room.js'
 
 export type Sending = Extract<Choice, { type: 'send' }>
 
@@ -36,7 +36,10 @@
   | { type: 'left' }
 
 export const nowhereOf = (choice: Choice): Nowhere =>
-  ({ type: 'nowhere', reason: choice.reason, notBeforeMs: choice.type === 'resting' ? Math.ceil(choice.readyInMs) : 0 })
+  ({ type: 'nowhere', reason: choice.reason, notBeforeMs: isTimed(choice) ? Math.ceil(choice.readyInMs) : 0 })
+
+/** Whether it is known when what is waited for comes. */
+export const isTimed = (choice: Choice): choice is Extract<Choice, { type: 'resting' | 'limited' }> => choice.type === 'resting' || choice.type === 'limited'
 
 export interface NextServerOptions {
   facts: Facts
@@ -55,13 +58,22 @@
 
   async choose (asked: Asked, admitted: Admitted): Promise<Next> {
     if (this.options.left.cancelled) return { type: 'left' }
-    const first = this.options.balancer.choose(asked)
+    const first = this.#behindWaiting(this.options.balancer.choose(asked, true), asked, admitted)
     if (first.type === 'send') return { type: 'chosen', choice: first }
     if (first.type === 'none' && this.#nobodyWillCome(asked.service)) return { type: 'nowhere', reason: 'nobody_left', notBeforeMs: outageRetryMs }
     if (!this.#mayWaitFor(first, admitted.route)) return nowhereOf(first)
     return await this.#wait(first, asked, admitted)
   }
 
+  /** Requests that wait for servers which name limits go first where they rank higher: this one can only be sent after them. */
+  #behindWaiting (choice: Choice, { service, promptTokens }: Asked, admitted: Admitted): Choice {
+    const { balancer, room } = this.options
+    if (choice.type === 'send' ? !balancer.isLimited(choice.id) : choice.type !== 'limited') return choice
+    const ahead = room.limitedAhead(service.name, this.rank(admitted, promptTokens))
+    const limited = ahead === 0 ? undefined : balancer.limitedChoice(service.name)
+    return limited === undefined ? choice : behind(limited, ahead)
+  }
+
   /** Its rank among all that wait, here and at its engine. */
   rank ({ route, priority }: Admitted, promptTokens: number): number {
     const { times, balancer } = this.options
@@ -75,6 +87,7 @@
     const started = nowMs()
     const end = await room.wait({
       key: asked.key ?? asked.service.name,
+      service: asked.service.name,
       rank,
       until: first.type === 'none' ? times.waitForAnybodyUntil(route) : times.waitUntil(route),
       mayWaitFor: choice => this.#mayWaitFor(choice, route),
@@ -93,7 +106,7 @@
   }
 
   #mayWaitFor (choice: Choice, route: Route): boolean {
-    return choice.type !== 'resting' || nowMs() + choice.readyInMs <= this.options.times.waitForRestUntil(route)
+    return !isTimed(choice) || nowMs() + choice.readyInMs <= this.options.times.waitForRestUntil(route)
   }
 
   /** The service has no server that takes new work, and the store, which would tell of others, does not answer. */
--- a/packages/fleet/src/entry/quota-exchange.ts
+++ b/packages/fleet/src/entry/quota-exchange.ts
@@ -1,7 +1,8 @@
 /**
- * The exchange of quota tokens with other entries, through one side process that all choose by the same hashing.
+ * The exchange of tokens with other entries, of teams' quotas and of limits that servers name, through one side process that all
+ * choose by the same hashing.
  *
- * It goes on several times a second while some team has a quota, and at once where a request lacks tokens. Without an answer
+ * It goes on several times a second while there is a quota or a limit, and at once where a request lacks tokens. Without an answer
  * the next side process is asked; meanwhile each entry lives on its share.
  */
 import { ageOf, tokensIn, type TokenSlice } from '@finchpitch/decisions'
@@ -10,6 +11,7 @@
 import { elapsedMs, socketsRead } from '../clock.js'
 import { MeetingPlace } from './meeting-place.js'
 import type { Quotas, TeamAccount } from './quotas.js'
+import type { LimitsView } from './server-limits.js'
 
 const exchangeMs = 250
 /** A side process answers within some ms. */
@@ -20,6 +22,8 @@
 const bringMs = 150
 /** A team that was found to be short is not asked for again at once by each of its requests. */
 const shortMs = 60
+/** Requests that lack a place at a server's limit ask at once, but no more often than this. */
+const hurryMs = 60
 /** With this part of what was asked for, a team counts as not short: the rest is rounding. */
 const metShare = 0.99
 /** Of so many teams one frame tells, those that were short of late first: 16 slices of 20 bytes each, four times a second, are 2.5 KB/s. */
@@ -28,6 +32,7 @@
 
 export interface QuotaExchangeOptions {
   quotas: Quotas
+  serverLimits: LimitsView
   /** Hosts of all side processes. */
   hosts: () => readonly string[]
   /** The channel to a side process; opens one where there is none yet. */
@@ -49,6 +54,10 @@
   readonly #urged = new Map<string, number>()
   #needed: ReadonlySet<string> = new Set()
   #sentAt: number | undefined
+  /** When the last frame was sent, answered or not. */
+  #lastAt = -Infinity
+  /** What the last frame asked for of servers' limits. */
+  #askedServers: ReadonlyMap<string, number> = new Map()
   /** Aborts with the answer to what was sent last, and to what is sent next. */
   #answered = new AbortController()
   #nextAnswered = new AbortController()
@@ -74,12 +83,20 @@
     return signal.aborted && !this.#isShort(team)
   }
 
+  /** A request lacks a place at a server's limit: others may have one. */
+  hurry (): void {
+    if (this.#sentAt === undefined && elapsedMs() - this.#lastAt >= hurryMs) this.#send()
+  }
+
   take (host: string, channel: Channel, frame: FrameOf<'quota_grant'>): void {
     const now = elapsedMs()
     this.#echoes.set(channel, { stamp: frame.bankStamp, cameAt: now })
-    const granted = slicesOf(frame, now)
+    const granted = slicesOf(frame.grants, frame.stamp, now)
+    const servers = slicesOf(frame.servers ?? [], frame.stamp, now)
     for (const [team, slices] of granted) this.options.quotas.accounts.get(team)?.granted(slices)
+    if (host === this.#bank) this.options.serverLimits.granted(servers, this.#askedServers)
     if (host !== this.#bank) return
+    this.#askedServers = new Map()
     this.#needed = new Set(frame.needed)
     this.#sentAt = undefined
     for (const [team, wanted] of this.#urged) if (tokensIn(granted.get(team) ?? []) < wanted * metShare) this.#short.set(team, now)
@@ -93,7 +110,7 @@
   }
 
   async #tick (): Promise<void> {
-    if (this.options.quotas.accounts.size === 0) return
+    if (this.options.quotas.accounts.size === 0 && this.options.serverLimits.none) return
     if (this.#overdue) await socketsRead()
     if (this.#overdue) this.#passBy()
     if (this.#sentAt === undefined) this.#send()
@@ -122,6 +139,7 @@
     const frame = this.#frame(channel)
     channel.send(frame)
     this.#sentAt = frame.stamp
+    this.#lastAt = frame.stamp
     this.#answered = this.#nextAnswered
     this.#nextAnswered = new AbortController()
   }
@@ -146,17 +164,26 @@
         for (const slice of account.takeSurplus()) gives.push([team, slice.tokens, ageOf(slice, now)])
       }
     }
-    return { type: 'quota', stamp: now, ...(echo === undefined ? {} : { echo: { stamp: echo.stamp, heldMs: now - echo.cameAt } }), gives, wants }
+    return { type: 'quota', stamp: now, ...(echo === undefined ? {} : { echo: { stamp: echo.stamp, heldMs: now - echo.cameAt } }), gives, wants, ...this.#serversPart(echo !== undefined) }
+  }
+
+  /** What is given and asked of servers' limits; nothing is given where it can't be told how long it is under way. */
+  #serversPart (giving: boolean): Pick<FrameOf<'quota'>, 'servers'> {
+    const { serverLimits } = this.options
+    if (serverLimits.none) return {}
+    const { gives, wants } = serverLimits.exchanged(giving)
+    this.#askedServers = new Map(wants.map(([limit, count]) => [limit, count]))
+    return { servers: { gives, wants } }
   }
 }
 
-/** By team, on this process's clock: tokens were that old when the answer was made, which was after the stamp. */
-const slicesOf = ({ grants, stamp }: FrameOf<'quota_grant'>, now: number): Map<string, TokenSlice[]> => {
-  const byTeam = new Map<string, TokenSlice[]>()
-  for (const [team, tokens, ageMs] of grants) {
-    const slices = byTeam.get(team) ?? []
+/** By name, on this process's clock: tokens were that old when the answer was made, which was after the stamp. */
+const slicesOf = (grants: readonly TokenAge[], stamp: number, now: number): Map<string, TokenSlice[]> => {
+  const byName = new Map<string, TokenSlice[]>()
+  for (const [name, tokens, ageMs] of grants) {
+    const slices = byName.get(name) ?? []
     slices.push({ tokens, earnedAt: Math.min(now, stamp) - ageMs })
-    byTeam.set(team, slices)
+    byName.set(name, slices)
   }
-  return byTeam
+  return byName
 }
--- /dev/null
+++ b/packages/fleet/src/entry/server-limits.ts
@@ -0,0 +1,190 @@
+/**
+ * Servers that name how many requests a second they take from all entries together, as this entry knows them: by its own answers
+ * and by what others tell.
+ *
+ * It binds at once and at every entry that hears of it, whatever becomes of the requests: first ones, repeats and resumed streams
+ * are counted in the moment in which they are written. Each entry earns its share; what it does not need goes to those that do.
+ */
+import type { Log } from '@finchpitch/core'
+import { LimitLedger, ageOf, type LimitWord, type TokenSlice } from '@finchpitch/decisions'
+import type { Channel, FrameOf, RequestAge, RequestWant } from '@finchpitch/wire'
+import { elapsedMs, nowMs } from '../clock.js'
+import { greetWithLimits, takeLimits } from '../crash-news.js'
+import { lifeOf, limitNameOf } from '../limit-name.js'
+import type { BackendServer } from '../server.js'
+import type { EntryCounters } from './counters.js'
+import type { CrashExchange } from './crash-exchange.js'
+import { LimitAccount } from './limit-account.js'
+
+/**
+ * A server from which nothing was heard for so long may be sent one request, or an entry whose share never makes one would not
+ * hear the end. Entries that hear nothing of each other do so one each three seconds.
+ */
+const quietMs = 10_000
+const quietPerEntryMs = 3000
+
+/** Whose word it is where no other process told it. */
+const ownAnswer = 'own answer'
+
+/** One server under a limit. */
+interface Limited {
+  name: string
+  account: LimitAccount
+  /** When it may be asked anew, on the steady clock. */
+  quietUntil: number
+}
+
+/** What allows one request to be sent to a server. */
+export type LimitPass = { type: 'free' } | { type: 'spent', account: LimitAccount, slices: TokenSlice[] } | { type: 'asking' }
+
+/** Where one server's limit stands for a choice. */
+export interface LimitState {
+  ready: boolean
+  readyInMs: number
+  /** That this entry may send now. */
+  perSecond: number
+}
+
+export interface ServerLimitsOptions {
+  /** The most entries that may exist. */
+  entries: () => number
+  exchange: Pick<CrashExchange, 'tell'>
+  /** Requests are lacked; they may be asked for. */
+  lacking: () => void
+  /** Another figure holds, or requests came: those that wait look again. */
+  changed: () => void
+  counters: EntryCounters
+  log: Log
+}
+
+export class ServerLimits {
+  readonly #ledger = new LimitLedger()
+  readonly #limited = new Map<string, Limited>()
+
+  constructor (private readonly options: ServerLimitsOptions) {}
+
+  /** No server names a limit, so nothing need be looked up. */
+  get none (): boolean {
+    return this.#limited.size === 0
+  }
+
+  get size (): number {
+    return this.#limited.size
+  }
+
+  /** What an answer of the server said of its limit. `sentAt`: of its request, on the steady clock. */
+  heard (server: BackendServer, perSecond: number | undefined, sentAt: number, request: string): void {
+    if (perSecond === undefined || (perSecond === Infinity && this.none)) return
+    const word = { server: lifeOf(server), perSecond, sentAt, heardAt: nowMs() }
+    const changed = this.#note(word, ownAnswer, request)
+    if (changed) this.options.exchange.tell({ crashes: [], sound: [], limits: [word] })
+    const limited = this.#limited.get(word.server)
+    if (limited !== undefined) limited.quietUntil = this.#nextAsked()
+  }
+
+  /** What a side process passes on. */
+  take (frame: FrameOf<'crashes'>, from: string): void {
+    for (const word of takeLimits(frame)) this.#note(word, from)
+  }
+
+  /** Where the server's limit stands; `undefined` where it names none. */
+  state (server: BackendServer): LimitState | undefined {
+    const limited = this.#at(server)
+    if (limited === undefined) return undefined
+    const { account, quietUntil } = limited
+    return { ready: account.ready > 0 || nowMs() >= quietUntil, readyInMs: account.readyInMs, perSecond: account.perSecond }
+  }
+
+  /** A request would go there. */
+  demand (server: BackendServer): void {
+    const account = this.#at(server)?.account
+    account?.demand()
+    if (account !== undefined && account.wants() > 0) this.options.lacking()
+  }
+
+  /** A request is about to be written; `undefined` where the server takes none now. */
+  pass (server: BackendServer): LimitPass | undefined {
+    const limited = this.#at(server)
+    if (limited === undefined) return { type: 'free' }
+    const slices = limited.account.take()
+    if (slices !== undefined) return { type: 'spent', account: limited.account, slices }
+    if (nowMs() >= limited.quietUntil) {
+      limited.quietUntil = this.#nextAsked()
+      return { type: 'asking' }
+    }
+    this.options.counters.heldBack.inc()
+    return undefined
+  }
+
+  /** It was not written after all. */
+  giveBack (pass: LimitPass): void {
+    if (pass.type === 'spent') pass.account.give(pass.slices)
+  }
+
+  /** What is given to other entries where anything may be, and asked of them. */
+  exchanged (giving: boolean): { gives: RequestAge[], wants: RequestWant[] } {
+    const now = elapsedMs()
+    const gives: RequestAge[] = []
+    const wants: RequestWant[] = []
+    for (const { name, account } of this.#limited.values()) {
+      const wanted = account.wants()
+      if (wanted > 0) wants.push([name, wanted, account.lifeMs])
+      for (const slice of giving ? account.takeSurplus() : []) gives.push([name, slice.tokens, ageOf(slice, now)])
+    }
+    return { gives, wants }
+  }
+
+  /** Others gave `slices` of the requests that were `asked` for, by the names of the limits. */
+  granted (slices: ReadonlyMap<string, TokenSlice[]>, asked: ReadonlyMap<string, number>): void {
+    for (const { name, account } of this.#limited.values()) {
+      const wanted = asked.get(name)
+      if (wanted !== undefined) account.granted(slices.get(name) ?? [], wanted)
+    }
+    if (slices.size > 0) this.options.changed()
+  }
+
+  /** Called now and then. */
+  expire (): void {
+    if (this.#ledger.size === 0) return
+    this.#ledger.expire(nowMs())
+    for (const life of this.#limited.keys()) if (this.#ledger.perSecond(life) === Infinity) this.#limited.delete(life)
+  }
+
+  /** All limits that hold, to a side process that was joined: it may have started anew. */
+  greet (side: Channel): void {
+    greetWithLimits(this.#ledger, side)
+  }
+
+  #at (server: BackendServer): Limited | undefined {
+    return this.none ? undefined : this.#limited.get(lifeOf(server))
+  }
+
+  #nextAsked (): number {
+    return nowMs() + quietMs + Math.random() * this.options.entries() * quietPerEntryMs
+  }
+
+  #note (word: LimitWord, from: string, request?: string): boolean {
+    const { server, perSecond } = word
+    const before = this.#ledger.perSecond(server)
+    if (!this.#ledger.note(word)) {
+      // It may be newer than what was heard here in the same moment: one request finds out.
+      const limited = this.#limited.get(server)
+      if (limited !== undefined && perSecond > before && from !== ownAnswer) limited.quietUntil = nowMs()
+      return false
+    }
+    this.options.log.info('server.limited', { server, perSecond: figureOf(perSecond), before: figureOf(before), from, request, agoMs: Math.round(nowMs() - word.heardAt), entries: this.options.entries() })
+    if (perSecond === Infinity) this.#limited.delete(server)
+    else this.#limited.set(server, { name: limitNameOf(server, perSecond), account: new LimitAccount(perSecond, this.options.entries), quietUntil: this.#nextAsked() })
+    this.options.changed()
+    return true
+  }
+}
+
+/** As the log shows it. */
+const figureOf = (perSecond: number): number | 'none' => perSecond === Infinity ? 'none' : perSecond
+
+/** What those need to know who choose servers and exchange tokens. */
+export type LimitsView = Pick<ServerLimits, 'none' | 'state' | 'demand' | 'exchanged' | 'granted'>
+
+/** Where no server names a limit. */
+export const noLimits: LimitsView = { none: true, state: () => undefined, demand: () => {}, exchanged: () => ({ gives: [], wants: [] }), granted: () => {} }
--- a/packages/fleet/src/entry/server-state.ts
+++ b/packages/fleet/src/entry/server-state.ts
@@ -52,8 +52,6 @@
   readonly agent: Agent
   readonly outlier = new Outlier(outlierLimits)
   readonly rest = new Rest()
-  /** Requests a second that it takes from all entries together, as it last said; `Infinity` while it names no limit. */
-  limitPerSecond = Infinity
   readonly #pending = new Set<Pending>()
   readonly #unheard = new Set<Pending>()
   readonly hash: number
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -24,7 +24,7 @@
 import type { Admitted, Denial } from './gate.js'
 import { Incoming } from './incoming.js'
 import { outgoingOf, type Marks } from './outgoing.js'
-import { NextServer, nowhereOf, type Nowhere, type Sending } from './next-server.js'
+import { NextServer, isTimed, nowhereOf, type Nowhere, type Sending } from './next-server.js'
 import { OwnAnswers } from './own-answers.js'
 import { RequestCrashes } from './request-crashes.js'
 import { RequestRecord } from './request-record.js'
@@ -34,6 +34,7 @@
 import { RequestAdmission, type RequestAdmissionOptions } from './request-admission.js'
 import type { RetryBudget } from './retry-budget.js'
 import type { ServerFaults } from './server-faults.js'
+import type { ServerLimits } from './server-limits.js'
 import type { WaitingRoom } from './waiting-room.js'
 
 /** Tries of one request that come as far as a server, whatever their end. */
@@ -54,6 +55,7 @@
   budget: RetryBudget
   firstTries: FirstTries
   faults: ServerFaults
+  serverLimits: ServerLimits
   crashes: Crashes
   connects: ConnectLimit
   counters: EntryCounters
@@ -239,7 +241,7 @@
       permit: () => {
         sentAt = nowMs()
         // Tries that waited for a connection as the second server ended would each end one more.
-        return facts.routes === table && balancer.mayTake(server) && this.#crashes.quarantine(admitted.team) === undefined && this.#admission.spend(admitted)
+        return facts.routes === table && balancer.mayTake(server) && this.#crashes.quarantine(admitted.team) === undefined && this.#spend(server, admitted)
       },
       cameUp: ms => connects.cameUp(ms),
       stream: route.kind === 'stream',
@@ -251,7 +253,7 @@
         balancer.heard(pending)
         this.#record.firstByteMs ??= this.#times.ms
       },
-      said: word => this.#noteWord(server, state, word)
+      said: word => this.#noteWord(server, state, word, sentAt)
     })
     state.end(key, pending)
     if (end.type !== 'not_sent' && end.type !== 'withheld') this.#arrivals += 1
@@ -260,13 +262,20 @@
     return this.#judge(end, { server, asked, admitted, sentAt })
   }
 
-  /** What the server said of itself with its answer. */
-  #noteWord (server: BackendServer, state: ServerState, { leaving, restMs, limitPerSecond }: ServerWord): void {
-    const { facts, balancer, room, log } = this.options
-    if (limitPerSecond !== undefined && limitPerSecond !== state.limitPerSecond) {
-      log.info('server.limits', { server: server.id, request: this.#incoming.id, perSecond: limitPerSecond, before: state.limitPerSecond })
-      state.limitPerSecond = limitPerSecond
-    }
+  /** Spends what is counted of the request in the moment of sending; says whether it may be sent. */
+  #spend (server: BackendServer, admitted: Admitted): boolean {
+    const { serverLimits } = this.options
+    const pass = serverLimits.pass(server)
+    if (pass === undefined) return false
+    if (this.#admission.spend(admitted)) return true
+    serverLimits.giveBack(pass)
+    return false
+  }
+
+  /** What the server said of itself with its answer to the request that was sent at `sentAt`, on the steady clock. */
+  #noteWord (server: BackendServer, state: ServerState, { leaving, restMs, limitPerSecond }: ServerWord, sentAt: number): void {
+    const { facts, balancer, room, serverLimits } = this.options
+    serverLimits.heard(server, limitPerSecond, sentAt, this.#incoming.id)
     if (leaving) facts.noteLeaving(server, `answer to ${this.#incoming.id}`)
     if (restMs === undefined) return state.rest.answered(nowMs())
     balancer.rest(server, state, restMs, this.#incoming.id)
@@ -355,7 +364,7 @@
   #goOn (reason: string, asked: Asked): Verdict {
     if (this.#triesLeft) return again
     const choice = this.options.balancer.choose(asked)
-    return done(choice.type === 'resting' ? this.#giveUpNowhere(nowhereOf(choice)) : this.#giveUp(reason))
+    return done(isTimed(choice) ? this.#giveUpNowhere(nowhereOf(choice)) : this.#giveUp(reason))
   }
 
   get #triesLeft (): boolean {
--- a/packages/fleet/src/entry/waiting-room.ts
+++ b/packages/fleet/src/entry/waiting-room.ts
@@ -8,6 +8,8 @@
 export interface Waiter {
   /** Requests with the same key get the same choice. */
   key: string
+  /** The service that it asks. */
+  service: string
   /** Its rank now; the lowest goes first. */
   rank: () => number
   /** When it stops waiting, on the steady clock. */
@@ -36,6 +38,10 @@
 /** Of so many such looks one is at all that wait: what they wait for is told, so this only helps where news was lost. */
 const sweepAllEvery = 4
 
+/** The choice for one that comes after `ahead` others. */
+export const behind = (choice: Choice, ahead: number): Choice =>
+  choice.type === 'limited' ? { ...choice, readyInMs: choice.readyInMs + ahead * choice.everyMs } : choice
+
 export class WaitingRoom {
   readonly #entries = new Set<Entry>()
   #scan: NodeJS.Timeout | undefined
@@ -56,6 +62,13 @@
     return count
   }
 
+  /** How many with a better rank wait for servers of the service that name limits. */
+  limitedAhead (service: string, rank: number): number {
+    let count = 0
+    for (const entry of this.#entries) if (entry.last.type === 'limited' && entry.service === service && entry.rank() <= rank) count += 1
+    return count
+  }
+
   wait (waiter: Waiter, first: Choice, cancellation: Cancellation): Promise<WaitEnd> {
     return new Promise(resolve => {
       const timer = setTimeout(() => entry.end({ type: 'expired', last: entry.last }), Math.max(0, waiter.until - nowMs()))
@@ -91,7 +104,7 @@
   /** A place fell free: that matters only to those who wait for one. */
   pokeFull (): void {
     const keys = new Set<string>()
-    for (const { last, key } of this.#entries) if (last.type === 'full' || last.type === 'resting' || (last.type === 'bring' && last.held)) keys.add(key)
+    for (const { last, key } of this.#entries) if (last.type === 'full' || last.type === 'resting' || last.type === 'limited' || (last.type === 'bring' && last.held)) keys.add(key)
     if (keys.size > 0) this.poke([...keys])
   }
 
@@ -114,13 +127,17 @@
     const ranked = waiting.map(entry => ({ entry, rank: entry.rank() }))
     const ordered = ranked.sort((a, b) => a.rank - b.rank || a.entry.since - b.entry.since)
     const stuck = new Map<string, Choice>()
+    /** How many go before the next one to servers that name limits, by service. */
+    const limited = new Map<string, number>()
     for (const { entry } of ordered) {
       if (entry.hopeless()) {
         entry.end({ type: 'hopeless' })
         continue
       }
       const known = stuck.get(entry.key)
-      const choice = known ?? entry.choose()
+      const ahead = limited.get(entry.service) ?? 0
+      const alone = known ?? entry.choose()
+      const choice = behind(alone, ahead)
       entry.last = choice
       if (!entry.mayWaitFor(choice)) {
         entry.end({ type: 'expired', last: choice })
@@ -130,8 +147,9 @@
         entry.end({ type: 'chosen', choice })
         continue
       }
+      if (choice.type === 'limited') limited.set(entry.service, ahead + 1)
       if (known !== undefined) continue
-      stuck.set(entry.key, choice)
+      stuck.set(entry.key, alone)
       this.#bring(choice, entry)
     }
   }
--- a/packages/fleet/src/side/crash-relay.ts
+++ b/packages/fleet/src/side/crash-relay.ts
@@ -1,12 +1,13 @@
 /**
- * Passing on to entries what other entries met: servers that ended under requests, and requests that are sound.
+ * Passing on to entries what other entries met: servers that ended under requests, requests that are sound, and limits that
+ * servers name.
  *
  * It keeps what it was told, for entries that start or come later.
  */
-import { CrashLedger, crashLimits } from '@finchpitch/decisions'
+import { CrashLedger, LimitLedger, crashLimits } from '@finchpitch/decisions'
 import type { Channel, FrameOf } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
-import { framesOf, gatherCrashesMs, greetWith, isEmpty, joined, takeCrashes, type CrashNews } from '../crash-news.js'
+import { framesOf, gatherCrashesMs, greetWith, greetWithLimits, isEmpty, joined, takeCrashes, takeLimits, type CrashNews } from '../crash-news.js'
 import { SoonTimer } from '../soon-timer.js'
 
 /** All entries that had requests at a server tell of its end within some ms; they are passed on together. */
@@ -14,6 +15,7 @@
 
 export class CrashRelay {
   readonly #ledger = new CrashLedger(crashLimits)
+  readonly #limits = new LimitLedger()
   #news: Array<{ news: CrashNews, from: Channel }> = []
   readonly #gather = new SoonTimer(() => this.#passOn())
 
@@ -23,7 +25,9 @@
   take (from: Channel, frame: FrameOf<'crashes'>): void {
     from.send({ type: 'crashes_noted', stamp: frame.stamp })
     this.#answer(from, frame)
-    const news = takeCrashes(this.#ledger, frame)
+    const limits = takeLimits(frame).filter(word => this.#limits.note(word))
+    this.#limits.expire(nowMs())
+    const news = { ...takeCrashes(this.#ledger, frame), limits }
     if (isEmpty(news)) return
     this.#news.push({ news, from })
     this.#gather.within(gatherCrashesMs(news, crashesMs))
@@ -37,12 +41,13 @@
     const reported = new Set(crashes.map(([fingerprint, server]) => `${fingerprint} ${server}`))
     const known = [...new Set(crashes.map(([fingerprint]) => fingerprint))].flatMap(fingerprint => this.#ledger.crashesOf(fingerprint, nowMs()))
     const more = known.filter(({ fingerprint, server }) => !reported.has(`${fingerprint} ${server}`))
-    for (const frame of framesOf({ crashes: more, sound: [] })) entry.send(frame)
+    for (const frame of framesOf({ crashes: more, sound: [], limits: [] })) entry.send(frame)
   }
 
   /** All that is known, to an entry that has come. */
   greet (entry: Channel): void {
     greetWith(this.#ledger, entry)
+    greetWithLimits(this.#limits, entry)
   }
 
   close (): void {
--- a/packages/fleet/test/crash-exchange.test.ts
+++ b/packages/fleet/test/crash-exchange.test.ts
@@ -19,7 +19,7 @@
 }
 
 const crash = (server: string, more: Partial<Crash> = {}): Crash => ({ fingerprint, server, sentAt: nowMs() - 100, endedAt: nowMs(), ...more })
-const newsOf = (...crashes: Crash[]): CrashNews => ({ crashes, sound: [] })
+const newsOf = (...crashes: Crash[]): CrashNews => ({ crashes, sound: [], limits: [] })
 
 describe('news of servers that ended under requests', () => {
   let time: FakeTime
@@ -64,7 +64,7 @@
     })
 
     it('that a request is sound are told together, and at once with an end', async () => {
-      const sound = (): void => exchange.tell({ crashes: [], sound: [{ fingerprint: other, endedAt: nowMs() }] })
+      const sound = (): void => exchange.tell({ crashes: [], sound: [{ fingerprint: other, endedAt: nowMs() }], limits: [] })
       sound()
       await time.pass(100)
       sound()
--- a/packages/fleet/test/limited-servers.test.ts
+++ b/packages/fleet/test/limited-servers.test.ts
@@ -34,7 +34,7 @@
   let asked = 0
 
   beforeEach(async () => {
-    fleet = new FleetSystem({ network: 43, domains: 3, entriesPerDomain: 1, enginesPerDomain: 1, plainPerDomain: 1, places: 4, loadMs: 20, workMs: 10, events: 3, eventMs: 5 })
+    fleet = new FleetSystem({ network: 48, domains: 3, entriesPerDomain: 1, enginesPerDomain: 1, plainPerDomain: 1, places: 4, loadMs: 20, workMs: 10, events: 3, eventMs: 5 })
     await fleet.start()
     for (const entry of fleet.entries.keys()) for (const path of ['/stream/x', '/again/x']) await eventually('served', async () => (await send(entry, path)).status === 200)
   })
--- a/packages/fleet/test/quotas.test.ts
+++ b/packages/fleet/test/quotas.test.ts
@@ -1,6 +1,6 @@
 import { pause, quietLog } from '@finchpitch/core'
 import { tokenLifeMs, type TokenSlice } from '@finchpitch/decisions'
-import { EntryCeiling, QuotaBank, QuotaExchange, Quotas, TeamAccount, costOf, nowMs, type Limits, type Quota } from '@finchpitch/fleet'
+import { EntryCeiling, QuotaBank, QuotaExchange, Quotas, TeamAccount, costOf, noLimits, nowMs, type Limits, type Quota } from '@finchpitch/fleet'
 import { FakeTime, FleetSystem, askFleet, eventually } from '@finchpitch/stand-ins'
 import type { Channel, FrameOf, TokenAge } from '@finchpitch/wire'
 import { expect } from 'chai'
@@ -263,7 +263,7 @@
     beforeEach(() => {
       sent = []
       quotas = new Quotas({ limits: () => limits, entries: () => 26, bring: (name, tokens) => exchange.bring(name, tokens) })
-      exchange = new QuotaExchange({ quotas, hosts: () => ['10.0.0.1'], channelTo: () => channel, log: quietLog })
+      exchange = new QuotaExchange({ quotas, serverLimits: noLimits, hosts: () => ['10.0.0.1'], channelTo: () => channel, log: quietLog })
       quotas.follow([red])
       time.jump(1000)
     })
@@ -308,7 +308,7 @@
       }
       const quotas = new Quotas({ limits: () => limits, entries: () => 4, bring: async () => false })
       quotas.follow([{ name: team, keys: [], quota }])
-      const exchange = new QuotaExchange({ quotas, hosts: () => ['10.0.0.1', '10.0.0.2'], channelTo, log: quietLog })
+      const exchange = new QuotaExchange({ quotas, serverLimits: noLimits, hosts: () => ['10.0.0.1', '10.0.0.2'], channelTo, log: quietLog })
       const stop = new AbortController()
       void exchange.run(stop.signal)
       await time.pass(300)
--- /dev/null
+++ b/packages/fleet/test/replay/limit-replay.ts
@@ -0,0 +1,150 @@
+/**
+ * A replay of one server that names a limit, and of many entries that exchange their shares of it, on the paused clock.
+ *
+ * Entries are real but for their sockets: frames between them and two banks take the time that is set, or are lost where an entry
+ * or a bank is cut off. Requests come at random, as a seed draws them.
+ */
+import { quietLog } from '@finchpitch/core'
+import { EntryCounters, QuotaBank, QuotaExchange, Quotas, ServerLimits, framesOf, nowMs, type BackendServer, type CrashNews } from '@finchpitch/fleet'
+import type { FakeTime } from '@finchpitch/stand-ins'
+import type { Channel, FrameOf } from '@finchpitch/wire'
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import type { RandomGenerator } from 'pure-rand/types/RandomGenerator'
+
+export interface LimitPattern {
+  seed: number
+  entries: number
+  /** Requests a second that would go to the server, at each entry. */
+  demand: (entry: number) => number
+  /** How many entries are thought to exist at most; as many as there are by default. */
+  assumed?: number
+  /** One way between an entry and a bank, and with which news go from one entry to another. */
+  wayMs?: number
+}
+
+/** How long the server takes to begin its answer. */
+const answerMs = 20
+const stepMs = 10
+const bankHosts = ['10.0.0.1', '10.0.0.2']
+
+interface Player {
+  limits: ServerLimits
+  exchange: QuotaExchange
+  /** Neither banks nor other entries hear it, nor it them. */
+  cut: boolean
+  stop: AbortController
+}
+
+export class LimitReplay {
+  readonly arrivals: number[] = []
+  readonly entries: Player[]
+  perSecond = Infinity
+  bornAt = 1
+  readonly deadBanks = new Set<string>()
+  readonly #banks = new Map(bankHosts.map(host => [host, new QuotaBank()]))
+  readonly #random: RandomGenerator
+  readonly #wayMs: number
+
+  constructor (private readonly time: FakeTime, private readonly pattern: LimitPattern) {
+    this.#random = xoroshiro128plus(pattern.seed)
+    this.#wayMs = pattern.wayMs ?? 3
+    this.entries = Array.from({ length: pattern.entries }, (_, entry) => this.#begin(entry))
+  }
+
+  async play (ms: number): Promise<void> {
+    const until = nowMs() + ms
+    while (nowMs() < until) {
+      for (const entry of this.entries.keys()) if (uniformFloat64(this.#random) < this.pattern.demand(entry) * stepMs / 1000) this.ask(entry)
+      await this.time.pass(stepMs)
+    }
+  }
+
+  /** A request that would go to the server; says whether it does. */
+  ask (entry: number): boolean {
+    const player = this.entries[entry]
+    const limits = player?.limits
+    if (limits === undefined) return false
+    const server = this.server
+    limits.demand(server)
+    if (limits.state(server)?.ready === false) return false
+    const pass = limits.pass(server)
+    if (pass === undefined) return false
+    const sentAt = nowMs()
+    this.arrivals.push(sentAt)
+    const said = this.perSecond
+    setTimeout(() => { if (this.entries[entry] === player) limits.heard(server, said, sentAt, 'r') }, answerMs)
+    return true
+  }
+
+  /** It knows nothing of its former life. */
+  restart (entry: number): void {
+    this.entries[entry]?.stop.abort()
+    this.entries[entry] = this.#begin(entry)
+  }
+
+  stop (): void {
+    for (const { stop } of this.entries) stop.abort()
+  }
+
+  /** The most requests in any `windowMs` of those that came after `from`. */
+  most (windowMs: number, from = 0): number {
+    const times = this.arrivals.filter(at => at >= from)
+    let most = 0
+    let first = 0
+    for (const [last, at] of times.entries()) {
+      while (at - (times[first] ?? at) >= windowMs) first += 1
+      most = Math.max(most, last - first + 1)
+    }
+    return most
+  }
+
+  get server (): BackendServer {
+    return { id: 'engine-1', bornAt: this.bornAt, service: 'engines', address: '10.0.1.1:80', domain: 'a', slots: 32, leaving: false, models: [] }
+  }
+
+  #begin (entry: number): Player {
+    const entries = (): number => this.pattern.assumed ?? this.pattern.entries
+    const limits = new ServerLimits({ entries, exchange: { tell: news => this.#tell(entry, news) }, lacking: () => player.exchange.hurry(), changed: () => {}, counters: new EntryCounters(), log: quietLog })
+    const channels = new Map(bankHosts.map(host => [host, this.#channel(entry, host)]))
+    const exchange = new QuotaExchange({
+      quotas: new Quotas({ limits: () => { throw new Error('no team has a quota') }, entries, bring: async () => false }),
+      serverLimits: limits,
+      hosts: () => bankHosts,
+      channelTo: host => channels.get(host),
+      log: quietLog
+    })
+    const player: Player = { limits, exchange, cut: false, stop: new AbortController() }
+    void exchange.run(player.stop.signal)
+    return player
+  }
+
+  #tell (from: number, news: CrashNews): void {
+    const frames = framesOf(news)
+    this.#later(from, () => {
+      for (const [entry, { limits, cut }] of this.entries.entries()) if (entry !== from && !cut) for (const frame of frames) limits.take(frame, 'a side process')
+    })
+  }
+
+  /** What is under way as either end is cut off does not arrive. */
+  #later (entry: number, act: () => void): void {
+    const player = this.entries[entry]
+    if (player?.cut === true) return
+    setTimeout(() => { if (this.entries[entry] === player && player?.cut !== true) act() }, this.#wayMs)
+  }
+
+  #channel (entry: number, host: string): Channel {
+    const channel = {
+      send: (frame: FrameOf<'quota'>): boolean => {
+        this.#later(entry, () => {
+          const bank = this.#banks.get(host)
+          if (bank === undefined || this.deadBanks.has(host)) return
+          const grant = bank.exchange(`entry-${entry}`, frame, () => undefined)
+          this.#later(entry, () => this.entries[entry]?.exchange.take(host, channel, grant))
+        })
+        return true
+      }
+    } as unknown as Channel
+    return channel
+  }
+}
--- a/packages/fleet/test/suspension.test.ts
+++ b/packages/fleet/test/suspension.test.ts
@@ -5,7 +5,7 @@
  */
 import { quietLog } from '@finchpitch/core'
 import { tokenLifeMs, type QuotaRate } from '@finchpitch/decisions'
-import { Facts, KeyLease, QuotaBank, QuotaExchange, Quotas, TableProver, acceptFresh, answerFresh, askFresh, elapsedMs, hashKey, nowMs, quotaBoundOf, type FactPage, type FactSource, type FleetTeam, type Limits, type RoutingTable, type StoreFailure } from '@finchpitch/fleet'
+import { Facts, KeyLease, QuotaBank, QuotaExchange, Quotas, TableProver, acceptFresh, answerFresh, askFresh, elapsedMs, hashKey, noLimits, nowMs, quotaBoundOf, type FactPage, type FactSource, type FleetTeam, type Limits, type RoutingTable, type StoreFailure } from '@finchpitch/fleet'
 import { FakeTime } from '@finchpitch/stand-ins'
 import type { Channel, Frame, FrameOf } from '@finchpitch/wire'
 import { expect } from 'chai'
@@ -135,7 +135,7 @@
     it('that come to it after the sleep, asked for before it, are no younger than the question', async () => {
       const frames: Frame[] = []
       const channel = channelOver(frames)
-      const exchange = new QuotaExchange({ quotas, hosts: () => ['h'], channelTo: () => channel, log: quietLog })
+      const exchange = new QuotaExchange({ quotas, serverLimits: noLimits, hosts: () => ['h'], channelTo: () => channel, log: quietLog })
       void exchange.bring('red', 50_000)
       const { stamp } = frames[0] as FrameOf<'quota'>
       time.suspend(sleepMs)
--- a/packages/fleet/test/waiting-room.test.ts
+++ b/packages/fleet/test/waiting-room.test.ts
@@ -28,6 +28,7 @@
     until: nowMs() + waitMs,
     choose: () => free-- > 0 ? send : full,
     hopeless: () => false,
+    service: 'engines',
     mayWaitFor: () => true,
     bring: (ask, waiting) => { brought.push([ask, waiting]) }
   })
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -128,6 +128,28 @@
 export const TokenAge = z.tuple([z.string().max(longestTeam), z.number().nonnegative(), z.number().nonnegative()])
 export type TokenAge = z.infer<typeof TokenAge>
 
+/** Characters of what names one life of a server and the limit that it names. */
+export const longestServerLimit = longestLife + 30
+const ServerLimit = z.string().max(longestServerLimit)
+
+/** Requests that a server's limit allows: the limit, how many, and how many ms before the frame was made the oldest was earned. */
+export const RequestAge = z.tuple([ServerLimit, z.number().nonnegative(), z.number().nonnegative()])
+export type RequestAge = z.infer<typeof RequestAge>
+
+/** Whole requests that an entry lacks at a server's limit: the limit, how many, and how many ms they last. */
+export const RequestWant = z.tuple([ServerLimit, Count, z.number().nonnegative()])
+export type RequestWant = z.infer<typeof RequestWant>
+
+/** Limits of which one frame tells. */
+export const mostLimits = 500
+
+/**
+ * What a server said of how many requests a second it takes: its life, the figure (`null` where it named none), and how many ms
+ * before the frame was made the request was sent and its answer came.
+ */
+export const LimitAge = z.tuple([z.string().max(longestLife), z.number().nonnegative().nullable(), z.number().nonnegative(), z.number().nonnegative()])
+export type LimitAge = z.infer<typeof LimitAge>
+
 /** A server that ended under a request: the request's fingerprint, the server's life, and how many ms before the frame was made the request was sent and the server had ended. */
 export const CrashAge = z.tuple([RequestFingerprint, z.string().max(longestLife), z.number().nonnegative(), z.number().nonnegative()])
 export type CrashAge = z.infer<typeof CrashAge>
@@ -173,12 +195,21 @@
     stamp: z.number(),
     echo: z.object({ stamp: z.number(), heldMs: z.number().nonnegative() }).optional(),
     gives: z.array(TokenAge),
-    wants: z.array(z.tuple([z.string().max(longestTeam), z.number().nonnegative()]))
+    wants: z.array(z.tuple([z.string().max(longestTeam), z.number().nonnegative()])),
+    /** The same of requests to servers that name a limit. */
+    servers: z.object({ gives: z.array(RequestAge).max(mostLimits), wants: z.array(RequestWant).max(mostLimits) }).optional()
   }),
   /** The answer to the frame with that stamp. `needed`: teams that were short of late, for which entries should give first. */
-  z.object({ type: z.literal('quota_grant'), stamp: z.number(), bankStamp: z.number(), grants: z.array(TokenAge), needed: z.array(z.string().max(longestTeam)) }),
-  /** Servers that ended under requests, and requests that are sound. An entry's frame is answered by its `stamp`. */
-  z.object({ type: z.literal('crashes'), stamp: z.number(), crashes: z.array(CrashAge).max(mostCrashes), sound: z.array(SoundAge).max(mostCrashes) }),
+  z.object({
+    type: z.literal('quota_grant'),
+    stamp: z.number(),
+    bankStamp: z.number(),
+    grants: z.array(TokenAge),
+    needed: z.array(z.string().max(longestTeam)),
+    servers: z.array(RequestAge).optional()
+  }),
+  /** Servers that ended under requests, requests that are sound, and limits that servers name. An entry's frame is answered by its `stamp`. */
+  z.object({ type: z.literal('crashes'), stamp: z.number(), crashes: z.array(CrashAge).max(mostCrashes), sound: z.array(SoundAge).max(mostCrashes), limits: z.array(LimitAge).max(mostLimits).optional() }),
   /** The frame with that stamp has come, and goes on to the entries that the sender tells its news. */
   z.object({ type: z.literal('crashes_noted'), stamp: z.number() }),
   /** Whether the receiver, an entry, is one of those that watch the store for its failure domain. */
