Requests that a limit allows go to the entry where one waits

Cause: an entry kept what it might need soon. Where demand was scattered, requests came to others than the entries that held what the limit allowed, and it lapsed.

--- a/packages/fleet/src/entry/balancer.ts
+++ b/packages/fleet/src/entry/balancer.ts
@@ -72,20 +72,27 @@
 
   /**
    * A server that names a limit is chosen as any other while this entry may send it one; what it does not take goes to the rest
-   * of its service. `first`: this request has not wanted a server before.
+   * of its service.
    */
-  choose (asked: Asked, first = false): Choice {
+  choose (asked: Asked): Choice {
     if (this.serverLimits.none) return this.#chooseAmong(asked)
     const choice = this.#chooseAmong(asked)
     const server = choice.type === 'send' ? this.facts.servers.get(choice.id) : undefined
     const limit = server === undefined ? undefined : this.serverLimits.state(server)
     if (server === undefined || limit === undefined) return choice
-    if (first) this.serverLimits.demand(server)
     if (limit.ready) return choice
     const other = this.#chooseAmong(asked, each => this.serverLimits.state(each)?.ready !== false)
     return other.type === 'none' || other.type === 'resting' ? this.limitedChoice(asked.service.name) ?? other : other
   }
 
+  /** Where the server that would be chosen names a limit: resolves once this entry may send it one, or others were asked. */
+  async bringRequest (asked: Asked): Promise<void> {
+    if (this.serverLimits.none) return
+    const choice = this.#chooseAmong(asked)
+    const server = choice.type === 'send' ? this.facts.servers.get(choice.id) : undefined
+    if (server !== undefined) await this.serverLimits.bring(server)
+  }
+
   /** When this entry may send a request to the first of the service's servers that name limits; `undefined` where none does. */
   limitedChoice (service: string): Extract<Choice, { type: 'limited' }> | undefined {
     const states = this.facts.openTo(service).map(server => this.serverLimits.state(server)).filter(state => state !== undefined)
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -108,7 +108,8 @@
     this.#serverLimits = new ServerLimits({
       entries: () => this.#mostEntries,
       exchange: this.#crashExchange,
-      lacking: () => this.#quotaExchange.hurry(),
+      exchanged: async () => await this.#quotaExchange.exchanged(),
+      waiting: service => this.#room.limitedAhead(service, Infinity),
       changed: () => this.#room.poke(),
       counters: this.counters,
       log
--- a/packages/fleet/src/entry/next-server.ts
+++ b/packages/fleet/src/entry/next-server.ts
@@ -57,8 +57,11 @@
   constructor (private readonly options: NextServerOptions) {}
 
   async choose (asked: Asked, admitted: Admitted): Promise<Next> {
-    if (this.options.left.cancelled) return { type: 'left' }
-    const first = this.#behindWaiting(this.options.balancer.choose(asked, true), asked, admitted)
+    const { balancer, left } = this.options
+    // Others have what this entry lacks within some ms; elsewhere an adapter may have to be brought in first.
+    if (!left.cancelled) await balancer.bringRequest(asked)
+    if (left.cancelled) return { type: 'left' }
+    const first = this.#behindWaiting(balancer.choose(asked), asked, admitted)
     if (first.type === 'send') return { type: 'chosen', choice: first }
     if (first.type === 'none' && this.#nobodyWillCome(asked.service)) return { type: 'nowhere', reason: 'nobody_left', notBeforeMs: outageRetryMs }
     if (!this.#mayWaitFor(first, admitted.route)) return nowhereOf(first)
--- a/packages/fleet/src/entry/quota-exchange.ts
+++ b/packages/fleet/src/entry/quota-exchange.ts
@@ -5,6 +5,7 @@
  * It goes on several times a second while there is a quota or a limit, and at once where a request lacks tokens. Without an answer
  * the next side process is asked; meanwhile each entry lives on its share.
  */
+import { setMaxListeners } from 'node:events'
 import { ageOf, tokensIn, type TokenSlice } from '@finchpitch/decisions'
 import { pause, type Log } from '@finchpitch/core'
 import type { Channel, FrameOf, TokenAge } from '@finchpitch/wire'
@@ -22,8 +23,6 @@
 const bringMs = 150
 /** A team that was found to be short is not asked for again at once by each of its requests. */
 const shortMs = 60
-/** Requests that lack a place at a server's limit ask at once, but no more often than this. */
-const hurryMs = 60
 /** With this part of what was asked for, a team counts as not short: the rest is rounding. */
 const metShare = 0.99
 /** Of so many teams one frame tells, those that were short of late first: 16 slices of 20 bytes each, four times a second, are 2.5 KB/s. */
@@ -40,6 +39,13 @@
   log: Log
 }
 
+/** As many wait for it as there are requests that lack something; there is no leak to be warned of. */
+const answerSignal = (): AbortController => {
+  const answered = new AbortController()
+  setMaxListeners(0, answered.signal)
+  return answered
+}
+
 interface Echo { stamp: number, cameAt: number }
 
 export class QuotaExchange {
@@ -52,15 +58,15 @@
   readonly #urgent = new Map<string, number>()
   /** What the last frame asked for because of such requests. */
   readonly #urged = new Map<string, number>()
+  /** Some request waits for the answer to the next frame. */
+  #due = false
   #needed: ReadonlySet<string> = new Set()
   #sentAt: number | undefined
-  /** When the last frame was sent, answered or not. */
-  #lastAt = -Infinity
   /** What the last frame asked for of servers' limits. */
   #askedServers: ReadonlyMap<string, number> = new Map()
   /** Aborts with the answer to what was sent last, and to what is sent next. */
-  #answered = new AbortController()
-  #nextAnswered = new AbortController()
+  #answered = answerSignal()
+  #nextAnswered = answerSignal()
 
   constructor (private readonly options: QuotaExchangeOptions) {}
 
@@ -75,17 +81,18 @@
   async bring (team: string, tokens: number): Promise<boolean> {
     if (this.#isShort(team)) return false
     this.#urgent.set(team, tokens + (this.#urgent.get(team) ?? 0))
+    return await this.exchanged() && !this.#isShort(team)
+  }
+
+  /** Asks for what is lacked by now, at once; resolves with the answer, or after a moment. Says whether it was answered. */
+  async exchanged (): Promise<boolean> {
     const { signal } = this.#nextAnswered
+    this.#due = true
     if (this.#sentAt === undefined) this.#send()
     if (this.#sentAt === undefined) return false
     await pause(bringMs, signal)
     if (!signal.aborted) await socketsRead()
-    return signal.aborted && !this.#isShort(team)
-  }
-
-  /** A request lacks a place at a server's limit: others may have one. */
-  hurry (): void {
-    if (this.#sentAt === undefined && elapsedMs() - this.#lastAt >= hurryMs) this.#send()
+    return signal.aborted
   }
 
   take (host: string, channel: Channel, frame: FrameOf<'quota_grant'>): void {
@@ -102,7 +109,7 @@
     for (const [team, wanted] of this.#urged) if (tokensIn(granted.get(team) ?? []) < wanted * metShare) this.#short.set(team, now)
     this.#urged.clear()
     this.#answered.abort()
-    if (this.#urgent.size > 0) this.#send()
+    if (this.#due) this.#send()
   }
 
   #isShort (team: string): boolean {
@@ -137,11 +144,11 @@
     const channel = bank === undefined ? undefined : this.options.channelTo(bank)
     if (channel === undefined) return
     const frame = this.#frame(channel)
+    this.#due = false
     channel.send(frame)
     this.#sentAt = frame.stamp
-    this.#lastAt = frame.stamp
     this.#answered = this.#nextAnswered
-    this.#nextAnswered = new AbortController()
+    this.#nextAnswered = answerSignal()
   }
 
   #frame (channel: Channel): FrameOf<'quota'> {
--- a/packages/fleet/src/entry/server-limits.ts
+++ b/packages/fleet/src/entry/server-limits.ts
@@ -29,6 +29,8 @@
 /** One server under a limit. */
 interface Limited {
   name: string
+  /** Its service; `undefined` until a request asks for it. */
+  service: string | undefined
   account: LimitAccount
   /** When it may be asked anew, on the steady clock. */
   quietUntil: number
@@ -49,8 +51,10 @@
   /** The most entries that may exist. */
   entries: () => number
   exchange: Pick<CrashExchange, 'tell'>
-  /** Requests are lacked; they may be asked for. */
-  lacking: () => void
+  /** Asks other entries for what is lacked; resolves with their answer, or after a moment. */
+  exchanged: () => Promise<unknown>
+  /** How many requests wait at this entry until a server of the service may be sent one. */
+  waiting: (service: string) => number
   /** Another figure holds, or requests came: those that wait look again. */
   changed: () => void
   counters: EntryCounters
@@ -95,11 +99,12 @@
     return { ready: account.ready > 0 || nowMs() >= quietUntil, readyInMs: account.readyInMs, perSecond: account.perSecond }
   }
 
-  /** A request would go there. */
-  demand (server: BackendServer): void {
+  /** A request would go there. Where this entry may send none now and others have some, resolves once they were asked. */
+  async bring (server: BackendServer): Promise<void> {
     const account = this.#at(server)?.account
     account?.demand()
-    if (account !== undefined && account.wants() > 0) this.options.lacking()
+    if (account === undefined || account.ready > 0 || !account.askable) return
+    await account.asking(this.options.exchanged)
   }
 
   /** A request is about to be written; `undefined` where the server takes none now. */
@@ -126,10 +131,11 @@
     const now = elapsedMs()
     const gives: RequestAge[] = []
     const wants: RequestWant[] = []
-    for (const { name, account } of this.#limited.values()) {
-      const wanted = account.wants()
+    for (const { name, service, account } of this.#limited.values()) {
+      const waiting = this.#waitingFor(service)
+      const wanted = account.wants(waiting)
       if (wanted > 0) wants.push([name, wanted, account.lifeMs])
-      for (const slice of giving ? account.takeSurplus() : []) gives.push([name, slice.tokens, ageOf(slice, now)])
+      for (const slice of giving ? account.takeSurplus(waiting) : []) gives.push([name, slice.tokens, ageOf(slice, now)])
     }
     return { gives, wants }
   }
@@ -156,7 +162,16 @@
   }
 
   #at (server: BackendServer): Limited | undefined {
-    return this.none ? undefined : this.#limited.get(lifeOf(server))
+    const limited = this.none ? undefined : this.#limited.get(lifeOf(server))
+    if (limited !== undefined) limited.service = server.service
+    return limited
+  }
+
+  /** Its part of the requests that wait for any of the service's servers. */
+  #waitingFor (service: string | undefined): number {
+    if (service === undefined) return 0
+    const servers = [...this.#limited.values()].filter(limited => limited.service === service).length
+    return Math.ceil(this.options.waiting(service) / servers)
   }
 
   #nextAsked (): number {
@@ -174,7 +189,7 @@
     }
     this.options.log.info('server.limited', { server, perSecond: figureOf(perSecond), before: figureOf(before), from, request, agoMs: Math.round(nowMs() - word.heardAt), entries: this.options.entries() })
     if (perSecond === Infinity) this.#limited.delete(server)
-    else this.#limited.set(server, { name: limitNameOf(server, perSecond), account: new LimitAccount(perSecond, this.options.entries), quietUntil: this.#nextAsked() })
+    else this.#limited.set(server, { name: limitNameOf(server, perSecond), service: undefined, account: new LimitAccount(perSecond, this.options.entries), quietUntil: this.#nextAsked() })
     this.options.changed()
     return true
   }
@@ -184,7 +199,7 @@
 const figureOf = (perSecond: number): number | 'none' => perSecond === Infinity ? 'none' : perSecond
 
 /** What those need to know who choose servers and exchange tokens. */
-export type LimitsView = Pick<ServerLimits, 'none' | 'state' | 'demand' | 'exchanged' | 'granted'>
+export type LimitsView = Pick<ServerLimits, 'none' | 'state' | 'bring' | 'exchanged' | 'granted'>
 
 /** Where no server names a limit. */
-export const noLimits: LimitsView = { none: true, state: () => undefined, demand: () => {}, exchanged: () => ({ gives: [], wants: [] }), granted: () => {} }
+export const noLimits: LimitsView = { none: true, state: () => undefined, bring: async () => {}, exchanged: () => ({ gives: [], wants: [] }), granted: () => {} }
