A line of each request names the server that its limit kept it from

Cause: from a refused or diverted request nobody could tell which server's limit stood against it; and of an answer that may be newer than the figure that holds, an entry without a share could not find out before the next silence was over. Change: limitedBy in request.ended; held-back requests are counted as they are turned to others; a word that is not surely newer has one request asked at once, by one's own answer too.

--- a/packages/fleet/src/entry/balancer.ts
+++ b/packages/fleet/src/entry/balancer.ts
@@ -85,12 +85,15 @@
     return other.type === 'none' || other.type === 'resting' ? this.limitedChoice(asked.service.name) ?? other : other
   }
 
-  /** Where the server that would be chosen names a limit: resolves once this entry may send it one, or others were asked. */
-  async bringRequest (asked: Asked): Promise<void> {
-    if (this.serverLimits.none) return
+  /**
+   * Where the server that would be chosen names a limit: resolves once this entry may send it one, or others were asked. Gives the
+   * id of a server that may be sent none.
+   */
+  async bringRequest (asked: Asked): Promise<string | undefined> {
+    if (this.serverLimits.none) return undefined
     const choice = this.#chooseAmong(asked)
     const server = choice.type === 'send' ? this.facts.servers.get(choice.id) : undefined
-    if (server !== undefined) await this.serverLimits.bring(server)
+    return server === undefined || await this.serverLimits.bring(server) ? undefined : server.id
   }
 
   /** When this entry may send a request to the first of the service's servers that name limits; `undefined` where none does. */
--- a/packages/fleet/src/entry/next-server.ts
+++ b/packages/fleet/src/entry/next-server.ts
@@ -57,9 +57,9 @@
   constructor (private readonly options: NextServerOptions) {}
 
   async choose (asked: Asked, admitted: Admitted): Promise<Next> {
-    const { balancer, left } = this.options
+    const { balancer, left, record } = this.options
     // Others have what this entry lacks within some ms; elsewhere an adapter may have to be brought in first.
-    if (!left.cancelled) await balancer.bringRequest(asked)
+    if (!left.cancelled) record.limitedBy = await balancer.bringRequest(asked) ?? record.limitedBy
     if (left.cancelled) return { type: 'left' }
     const first = this.#behindWaiting(balancer.choose(asked), asked, admitted)
     if (first.type === 'send') return { type: 'chosen', choice: first }
--- a/packages/fleet/src/entry/request-record.ts
+++ b/packages/fleet/src/entry/request-record.ts
@@ -19,6 +19,8 @@
   team: string | undefined
   /** The last server that it was sent to. */
   server: BackendServer | undefined
+  /** The last server that would have been chosen and was spared, as it names a limit. */
+  limitedBy: string | undefined
   /** Why that server, or why none. */
   reason = ''
   tries = 0
@@ -48,6 +50,7 @@
       server: server?.id,
       domain: server?.domain,
       reason: this.reason,
+      limitedBy: this.limitedBy,
       outcome,
       tries: this.tries,
       firstTriedMs: times.firstTriedMs === 0 ? undefined : rounded(times.firstTriedMs),
--- a/packages/fleet/src/entry/server-limits.ts
+++ b/packages/fleet/src/entry/server-limits.ts
@@ -80,10 +80,7 @@
   heard (server: BackendServer, perSecond: number | undefined, sentAt: number, request: string): void {
     if (perSecond === undefined || (perSecond === Infinity && this.none)) return
     const word = { server: lifeOf(server), perSecond, sentAt, heardAt: nowMs() }
-    const changed = this.#note(word, ownAnswer, request)
-    if (changed) this.options.exchange.tell({ crashes: [], sound: [], limits: [word] })
-    const limited = this.#limited.get(word.server)
-    if (limited !== undefined) limited.quietUntil = this.#nextAsked()
+    if (this.#note(word, ownAnswer, request)) this.options.exchange.tell({ crashes: [], sound: [], limits: [word] })
   }
 
   /** What a side process passes on. */
@@ -99,12 +96,17 @@
     return { ready: account.ready > 0 || nowMs() >= quietUntil, readyInMs: account.readyInMs, perSecond: account.perSecond }
   }
 
-  /** A request would go there. Where this entry may send none now and others have some, resolves once they were asked. */
-  async bring (server: BackendServer): Promise<void> {
+  /**
+   * A request would go there. Where this entry may send none now and others have some, resolves once they were asked. Says whether
+   * it may be sent.
+   */
+  async bring (server: BackendServer): Promise<boolean> {
     const account = this.#at(server)?.account
     account?.demand()
-    if (account === undefined || account.ready > 0 || !account.askable) return
-    await account.asking(this.options.exchanged)
+    if (account !== undefined && account.ready === 0 && account.askable) await account.asking(this.options.exchanged)
+    const ready = this.state(server)?.ready !== false
+    if (!ready) this.options.counters.heldBack.inc()
+    return ready
   }
 
   /** A request is about to be written; `undefined` where the server takes none now. */
@@ -179,19 +181,26 @@
   }
 
   #note (word: LimitWord, from: string, request?: string): boolean {
-    const { server, perSecond } = word
+    const { server } = word
     const before = this.#ledger.perSecond(server)
-    if (!this.#ledger.note(word)) {
-      // It may be newer than what was heard here in the same moment: one request finds out.
-      const limited = this.#limited.get(server)
-      if (limited !== undefined && perSecond > before && from !== ownAnswer) limited.quietUntil = nowMs()
-      return false
-    }
-    this.options.log.info('server.limited', { server, perSecond: figureOf(perSecond), before: figureOf(before), from, request, agoMs: Math.round(nowMs() - word.heardAt), entries: this.options.entries() })
+    const holds = this.#ledger.note(word)
+    if (holds) this.#begin(word, { from, request, before: figureOf(before) })
+    else this.#heardAgain(word, before)
+    return holds
+  }
+
+  #begin ({ server, perSecond, heardAt }: LimitWord, source: { from: string, request: string | undefined, before: number | 'none' }): void {
+    const { entries, log, changed } = this.options
+    log.info('server.limited', { server, perSecond: figureOf(perSecond), ...source, agoMs: Math.round(nowMs() - heardAt), entries: entries() })
     if (perSecond === Infinity) this.#limited.delete(server)
-    else this.#limited.set(server, { name: limitNameOf(server, perSecond), service: undefined, account: new LimitAccount(perSecond, this.options.entries), quietUntil: this.#nextAsked() })
-    this.options.changed()
-    return true
+    else this.#limited.set(server, { name: limitNameOf(server, perSecond), service: undefined, account: new LimitAccount(perSecond, entries), quietUntil: this.#nextAsked() })
+    changed()
+  }
+
+  /** Nothing changed by the word: it says the same again, or is not surely newer than the figure that holds. Then one request finds out. */
+  #heardAgain ({ server, perSecond }: LimitWord, before: number): void {
+    const limited = this.#limited.get(server)
+    if (limited !== undefined) limited.quietUntil = perSecond > before ? nowMs() : this.#nextAsked()
   }
 }
 
@@ -202,4 +211,4 @@
 export type LimitsView = Pick<ServerLimits, 'none' | 'state' | 'bring' | 'exchanged' | 'granted'>
 
 /** Where no server names a limit. */
-export const noLimits: LimitsView = { none: true, state: () => undefined, bring: async () => {}, exchanged: () => ({ gives: [], wants: [] }), granted: () => {} }
+export const noLimits: LimitsView = { none: true, state: () => undefined, bring: async () => true, exchanged: () => ({ gives: [], wants: [] }), granted: () => {} }
