A stand-in that ends under several requests starts again once

Change: a server's process ends once until it is back; a fleet that stops waits for those that start again. Result: the run of the test of a lapsing quarantine ended by itself, in 18 s; before, it had not after ten minutes. It is red as before, with 18 sendings where the doubled servers had made 147 of them.

--- a/packages/stand-ins/src/fleet/fleet-system.ts
+++ b/packages/stand-ins/src/fleet/fleet-system.ts
@@ -66,6 +66,8 @@
   readonly entries: Machine[] = []
   readonly sides: Machine[] = []
   readonly #places = new Map<BackendStandIn, { ip: string, domain: string }>()
+  /** Backend servers whose processes have ended and are not back. */
+  readonly #restarts = new Map<BackendStandIn, Promise<void>>()
   #folder = ''
   #stopped = false
 
@@ -171,6 +173,7 @@
   async stop (): Promise<void> {
     this.#stopped = true
     await Promise.all([...this.entries, ...this.sides].map(machine => this.kill(machine)))
+    await Promise.all(this.#restarts.values())
     await Promise.all([this.store, ...this.engines, ...this.plain].map(each => each.stop()))
     await rm(this.#folder, { recursive: true, force: true })
   }
@@ -193,7 +196,7 @@
       const ip = this.#ip(domain, 100 + each)
       const server = new BackendStandIn({ id: `engine-${name}-${each}`, engine: { model, places, loadMs }, workMs, events, eventMs })
       await this.#listen(server, ip, ports.app)
-      server.ending = () => { void this.#restart(server, ip, name) }
+      server.ending = () => this.#end(server, ip, name)
       server.bornAt = this.options.bornAt
       this.engines.push(server)
       this.register(server, ip, name)
@@ -203,13 +206,19 @@
       const ip = this.#ip(domain, 200 + each)
       const server = new BackendStandIn({ id: `plain-${name}-${each}`, workMs, events, eventMs })
       await this.#listen(server, ip, ports.app)
-      server.ending = () => { void this.#restart(server, ip, name) }
+      server.ending = () => this.#end(server, ip, name)
       server.bornAt = this.options.bornAt
       this.plain.push(server)
       this.register(server, ip, name)
     }
   }
 
+  /** Its process ends once, whatever else it ran would end it too: two that start again would both listen, one of them for good. */
+  #end (server: BackendStandIn, ip: string, domain: string): void {
+    if (this.#restarts.has(server)) return
+    this.#restarts.set(server, this.#restart(server, ip, domain).finally(() => this.#restarts.delete(server)))
+  }
+
   /** A backend server's process ends at once, and is back a moment later: empty, under another id, and in the list. */
   async #restart (server: BackendStandIn, ip: string, domain: string): Promise<void> {
     const former = server.id
