A request whose quarantine lapses is run once, by one entry for all, until that shows something

Cause: two ends in a row hold a request back for 5 s. As that ended, at all entries within some 20 ms, each sent whatever copies came: callers lost the streams that ran beside them on engines that ended for the fourth time and later. Change: a lapsed quarantine leaves the request half open: an entry asks one side process, the same for all, whether it may run it, tells the others so, and sends it once. An end then quarantines it for ten minutes, a run that ends well clears it everywhere; a probe that shows nothing in 15 s may be followed by one more, and two such hold it for ten minutes. Without an answer nobody runs it. That a side process which has just started grants none is shown red by no test.

--- a/packages/decisions/src/crash-ledger.ts
+++ b/packages/decisions/src/crash-ledger.ts
@@ -6,6 +6,9 @@
  * the others is that it was sent anew and another server ended under it: such ends in a row quarantine it, two for a while,
  * three for long. Ends of which each request was sent before the other server ended count once, as one trouble may end many
  * servers at a time. A run that comes to its end shows that the request ends no server, and voids all ends before.
+ *
+ * The end of a quarantine frees nothing: whatever sends the request again comes at all entries in the same moment. One run of it is
+ * a probe, for all entries together, and what becomes of that decides.
  */
 import type { RequestFingerprint } from '@finchpitch/core'
 
@@ -25,6 +28,13 @@
   endedAt: number
 }
 
+/** The one run of a request whose quarantine lapsed. */
+export interface Probe {
+  fingerprint: RequestFingerprint
+  /** On the holder's steady clock. */
+  at: number
+}
+
 export interface CrashLimits {
   /** Ends in a row that quarantine a request for `holdMs`, */
   ends: number
@@ -33,6 +43,10 @@
   sureEnds: number
   /** How long an end counts. */
   keepMs: number
+  /** A probe that has not shown anything after so long may be followed by another. */
+  probeMs: number
+  /** Probes in a row that showed nothing quarantine a request for as long as an end counts. */
+  probes: number
   /** Requests that are kept. */
   most: number
 }
@@ -49,6 +63,9 @@
   sureEnds: 3,
   /** A server that ends under a request is mended by people; each time this lapses, three more servers end. */
   keepMs: 600_000,
+  /** The longest time that callers give a request, and until an end is known for one. */
+  probeMs: 15_000,
+  probes: 2,
   /** Some 200 bytes each, with two ends. One end of a server brings up to a batch of requests. */
   most: 2000
 }
@@ -60,6 +77,9 @@
   leftMs: number
 }
 
+/** Reports of one probe by way of several processes are no further from each other. */
+const sameProbeMs = 1000
+
 /** How often it is looked for what no longer counts. */
 const sweepMs = 1000
 /** What is left of a full ledger, so that room is not made for each request. */
@@ -68,8 +88,14 @@
 interface Suspect {
   readonly crashes: Map<string, Crash>
   soundAt: number
+  /** When probes were begun that have shown nothing yet. */
+  probedAt: number[]
+  /** Until when it is sent as a probe only, where it is not quarantined. */
+  probeUntil: number
 }
 
+const newSuspect = (): Suspect => ({ crashes: new Map(), soundAt: -Infinity, probedAt: [], probeUntil: -Infinity })
+
 export class CrashLedger {
   /** The one that was longest without news first. */
   readonly #suspects = new Map<RequestFingerprint, Suspect>()
@@ -85,12 +111,22 @@
   crashed (crash: Crash, now: number): boolean {
     const { fingerprint, server, endedAt } = crash
     if (now - endedAt >= this.limits.keepMs) return false
-    const suspect = this.#suspects.get(fingerprint) ?? { crashes: new Map(), soundAt: -Infinity }
+    const suspect = this.#suspects.get(fingerprint) ?? newSuspect()
     if (suspect.crashes.has(server) || endedAt <= suspect.soundAt) return false
     suspect.crashes.set(server, crash)
-    this.#suspects.delete(fingerprint)
-    this.#suspects.set(fingerprint, suspect)
-    this.expire(now)
+    suspect.probedAt = suspect.probedAt.filter(at => at > endedAt)
+    this.#heardOf(fingerprint, suspect, now)
+    return true
+  }
+
+  /** A probe was begun. Says whether it was news. */
+  probed ({ fingerprint, at }: Probe, now: number): boolean {
+    const suspect = this.#suspects.get(fingerprint) ?? newSuspect()
+    if (at <= suspect.soundAt || now - at >= this.limits.keepMs) return false
+    // Ages that cross between processes differ by their ways.
+    if (suspect.probedAt.some(each => Math.abs(each - at) < sameProbeMs)) return false
+    suspect.probedAt.push(at)
+    this.#heardOf(fingerprint, suspect, now)
     return true
   }
 
@@ -100,8 +136,11 @@
     if (suspect === undefined || endedAt <= suspect.soundAt) return false
     const voided = [...suspect.crashes.values()].filter(crash => crash.endedAt <= endedAt)
     for (const { server } of voided) suspect.crashes.delete(server)
+    const probed = suspect.probedAt.length > 0
     suspect.soundAt = endedAt
-    return voided.length > 0
+    suspect.probedAt = []
+    suspect.probeUntil = -Infinity
+    return voided.length > 0 || probed
   }
 
   /** `undefined` where the request may be sent. */
@@ -109,10 +148,21 @@
     const suspect = this.#suspects.get(fingerprint)
     if (suspect === undefined) return undefined
     const row = inRow(this.#current(suspect, now))
-    const leftMs = this.#heldUntil(row) - now
+    const leftMs = Math.max(this.#heldUntil(row), this.#probedUntil(suspect)) - now
     return leftMs > 0 ? { servers: row.map(crash => crash.server), leftMs } : undefined
   }
 
+  /** Its quarantine has lapsed and nothing has shown since that it is sound: it may be sent once, by one entry of all. */
+  probeDue (fingerprint: RequestFingerprint, now: number): boolean {
+    const suspect = this.#suspects.get(fingerprint)
+    return suspect !== undefined && now < suspect.probeUntil && this.quarantine(fingerprint, now) === undefined
+  }
+
+  /** Probes that have shown nothing yet. */
+  probes (): Probe[] {
+    return [...this.#suspects].flatMap(([fingerprint, { probedAt }]) => probedAt.map(at => ({ fingerprint, at })))
+  }
+
   /** All that still counts. */
   crashes (now: number): Crash[] {
     return [...this.#suspects.values()].flatMap(suspect => this.#current(suspect, now))
@@ -130,11 +180,26 @@
     this.#sweptAt = now
     for (const [fingerprint, suspect] of this.#suspects) {
       // A sound run is kept as long as an end: reports of the ends that it voids may still be under way.
-      if (this.#current(suspect, now).length === 0 && now - suspect.soundAt >= this.limits.keepMs) this.#suspects.delete(fingerprint)
+      if (this.#current(suspect, now).length === 0 && now - suspect.soundAt >= this.limits.keepMs && now >= suspect.probeUntil) this.#suspects.delete(fingerprint)
     }
     if (this.#suspects.size > this.limits.most) this.#makeRoom(now)
   }
 
+  /** Keeps what is known of a request of which something new was heard. */
+  #heardOf (fingerprint: RequestFingerprint, suspect: Suspect, now: number): void {
+    const heldUntil = Math.max(this.#heldUntil(inRow(this.#current(suspect, now))), this.#probedUntil(suspect))
+    if (heldUntil > -Infinity) suspect.probeUntil = Math.max(suspect.probeUntil, heldUntil + this.limits.keepMs)
+    this.#suspects.delete(fingerprint)
+    this.#suspects.set(fingerprint, suspect)
+    this.expire(now)
+  }
+
+  #probedUntil ({ probedAt }: Suspect): number {
+    const { probes, probeMs, keepMs } = this.limits
+    if (probedAt.length === 0) return -Infinity
+    return Math.max(...probedAt) + (probedAt.length >= probes ? keepMs : probeMs)
+  }
+
   #heldUntil (row: readonly Crash[]): number {
     const { ends, holdMs, sureEnds, keepMs } = this.limits
     const last = row.at(-1)
--- a/packages/decisions/test/crash-ledger.test.ts
+++ b/packages/decisions/test/crash-ledger.test.ts
@@ -3,7 +3,7 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
 
-const limits: CrashLimits = { ends: 2, holdMs: 500, sureEnds: 3, keepMs: 1000, most: 4 }
+const limits: CrashLimits = { ends: 2, holdMs: 500, sureEnds: 3, keepMs: 1000, probeMs: 200, probes: 2, most: 4 }
 const fingerprint = (name: string): RequestFingerprint => RequestFingerprint.parse(name.padEnd(16, '_'))
 const bad = fingerprint('bad')
 const crash = (server: string, sentAt: number, endedAt: number, of = bad): Crash => ({ fingerprint: of, server, sentAt, endedAt })
--- a/packages/decisions/test/replay/crash-replay.test.ts
+++ b/packages/decisions/test/replay/crash-replay.test.ts
@@ -30,13 +30,13 @@
     ['both', { fatalEveryMs: 1300, endEveryMs: 3000 }]
   ]
   const keepMs = 600_000
-  const most = 2000
-  const oneEnd: CrashLimits = { ends: 1, holdMs: keepMs, sureEnds: 1, keepMs, most }
-  const neverRefused: CrashLimits = { ends: never, holdMs: 0, sureEnds: never, keepMs, most }
+  const rest = { keepMs, probeMs: 15_000, probes: 2, most: 2000 }
+  const oneEnd: CrashLimits = { ends: 1, holdMs: keepMs, sureEnds: 1, ...rest }
+  const neverRefused: CrashLimits = { ends: never, holdMs: 0, sureEnds: never, ...rest }
   const rules: Array<[string, CrashLimits]> = [
     ['one end, for long', oneEnd],
-    ['two ends, for long', { ends: 2, holdMs: keepMs, sureEnds: 2, keepMs, most }],
-    ['three ends, for long', { ends: 3, holdMs: keepMs, sureEnds: 3, keepMs, most }],
+    ['two ends, for long', { ends: 2, holdMs: keepMs, sureEnds: 2, ...rest }],
+    ['three ends, for long', { ends: 3, holdMs: keepMs, sureEnds: 3, ...rest }],
     ['two for 5 s, three for long', crashLimits],
     ['two for 15 s, three for long', { ...crashLimits, holdMs: 15_000 }],
     ['never refused', neverRefused]
--- a/packages/decisions/test/replay/crash-replay.ts
+++ b/packages/decisions/test/replay/crash-replay.ts
@@ -103,6 +103,7 @@
       if (!ask.fatal) this.counts.refused += 1
       return this.#lose(ask)
     }
+    if (this.#ledger.probeDue(ask.fingerprint, this.#now)) this.#ledger.probed({ fingerprint: ask.fingerprint, at: this.#now }, this.#now)
     const place = this.#pick(this.#up)
     const engine = this.#engines[place]
     const run = { ask, sentAt: this.#now }
--- a/packages/fleet/src/crash-news.ts
+++ b/packages/fleet/src/crash-news.ts
@@ -4,7 +4,7 @@
  * Times cross as ages, so no clocks are compared. What lies on its way for long seems to have happened later than it did,
  * which can only let two ends seem to overlap that did not, and so count as one.
  */
-import type { Crash, CrashLedger, LimitLedger, LimitWord, SoundRun } from '@finchpitch/decisions'
+import type { Crash, CrashLedger, LimitLedger, LimitWord, Probe, SoundRun } from '@finchpitch/decisions'
 import { mostCrashes, mostLimits, type Channel, type FrameOf } from '@finchpitch/wire'
 import { nowMs } from './clock.js'
 
@@ -13,6 +13,7 @@
   crashes: readonly Crash[]
   sound: readonly SoundRun[]
   limits: readonly LimitWord[]
+  probes: readonly Probe[]
 }
 
 /**
@@ -20,27 +21,28 @@
  * is in need. That a request is sound concerns only the next end under it; after a domain of engines has ended, some hundred
  * callers' second tries show it.
  */
-export const gatherCrashesMs = ({ crashes, limits }: CrashNews, crashesMs: number): number => crashes.length + limits.length > 0 ? crashesMs : soundMs
+export const gatherCrashesMs = ({ crashes, limits, probes }: CrashNews, crashesMs: number): number => crashes.length + limits.length + probes.length > 0 ? crashesMs : soundMs
 const soundMs = 400
 
-export const nothing: CrashNews = { crashes: [], sound: [], limits: [] }
+export const nothing: CrashNews = { crashes: [], sound: [], limits: [], probes: [] }
 
 export const joined = (all: readonly CrashNews[]): CrashNews =>
-  ({ crashes: all.flatMap(({ crashes }) => crashes), sound: all.flatMap(({ sound }) => sound), limits: all.flatMap(({ limits }) => limits) })
+  ({ crashes: all.flatMap(({ crashes }) => crashes), sound: all.flatMap(({ sound }) => sound), limits: all.flatMap(({ limits }) => limits), probes: all.flatMap(({ probes }) => probes) })
 
-export const isEmpty = ({ crashes, sound, limits }: CrashNews): boolean => crashes.length === 0 && sound.length === 0 && limits.length === 0
+export const isEmpty = ({ crashes, sound, limits, probes }: CrashNews): boolean => [crashes, sound, limits, probes].every(each => each.length === 0)
 
 /** As many frames as it takes. */
-export const framesOf = ({ crashes, sound, limits }: CrashNews): Array<FrameOf<'crashes'>> => {
+export const framesOf = ({ crashes, sound, limits, probes }: CrashNews): Array<FrameOf<'crashes'>> => {
   const now = nowMs()
   const agoMs = (at: number): number => Math.max(0, now - at)
-  const parts = Math.ceil(Math.max(crashes.length / mostCrashes, sound.length / mostCrashes, limits.length / mostLimits))
+  const parts = Math.ceil(Math.max(crashes.length / mostCrashes, sound.length / mostCrashes, probes.length / mostCrashes, limits.length / mostLimits))
   return Array.from({ length: parts }, (_, part) => ({
     type: 'crashes',
     stamp: now + part,
     crashes: partOf(crashes, part, mostCrashes).map(({ fingerprint, server, sentAt, endedAt }) => [fingerprint, server, agoMs(sentAt), agoMs(endedAt)]),
     sound: partOf(sound, part, mostCrashes).map(({ fingerprint, endedAt }) => [fingerprint, agoMs(endedAt)]),
-    ...(limits.length === 0 ? {} : { limits: partOf(limits, part, mostLimits).map(({ server, perSecond, sentAt, heardAt }) => [server, perSecond === Infinity ? null : perSecond, agoMs(sentAt), agoMs(heardAt)]) })
+    ...(limits.length === 0 ? {} : { limits: partOf(limits, part, mostLimits).map(({ server, perSecond, sentAt, heardAt }) => [server, perSecond === Infinity ? null : perSecond, agoMs(sentAt), agoMs(heardAt)]) }),
+    ...(probes.length === 0 ? {} : { probes: partOf(probes, part, mostCrashes).map(({ fingerprint, at }) => [fingerprint, agoMs(at)]) })
   }))
 }
 
@@ -48,7 +50,7 @@
 
 /** Tells a peer that has come all that a ledger holds: it may have started anew. */
 export const greetWith = (ledger: CrashLedger, peer: Channel): void => {
-  for (const frame of framesOf({ ...nothing, crashes: ledger.crashes(nowMs()) })) peer.send(frame)
+  for (const frame of framesOf({ ...nothing, crashes: ledger.crashes(nowMs()), probes: ledger.probes() })) peer.send(frame)
 }
 
 /** The same of limits. */
@@ -61,7 +63,12 @@
   const now = nowMs()
   const crashes = frame.crashes.map(([fingerprint, server, sentAgoMs, endedAgoMs]) => ({ fingerprint, server, sentAt: now - sentAgoMs, endedAt: now - endedAgoMs }))
   const sound = frame.sound.map(([fingerprint, agoMs]) => ({ fingerprint, endedAt: now - agoMs }))
-  return { crashes: crashes.filter(crash => ledger.crashed(crash, now)), sound: sound.filter(run => ledger.sound(run)) }
+  const probes = (frame.probes ?? []).map(([fingerprint, agoMs]) => ({ fingerprint, at: now - agoMs }))
+  return {
+    probes: probes.filter(probe => ledger.probed(probe, now)),
+    crashes: crashes.filter(crash => ledger.crashed(crash, now)),
+    sound: sound.filter(run => ledger.sound(run))
+  }
 }
 
 /** What a peer tells of limits, on this process's clock. */
--- a/packages/fleet/src/entry/crashes.ts
+++ b/packages/fleet/src/entry/crashes.ts
@@ -8,7 +8,7 @@
 import { CrashLedger, crashLimits, type QuarantineCase } from '@finchpitch/decisions'
 import type { Channel, FrameOf } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
-import { greetWith, takeCrashes, type CrashNews } from '../crash-news.js'
+import { greetWith, nothing, takeCrashes, type CrashNews } from '../crash-news.js'
 import type { Facts } from '../facts.js'
 import { lifeOf } from '../limit-name.js'
 import { isFormer, type BackendServer } from '../server.js'
@@ -37,6 +37,8 @@
   facts: Facts
   ends: ServerEnds
   exchange: Pick<CrashExchange, 'tell'>
+  /** Asks whether this entry may run a request whose quarantine has lapsed. */
+  askProbe: (fingerprint: RequestFingerprint) => Promise<boolean>
   /** A request is quarantined from now on, so those that wait look again. */
   quarantined: () => void
   counters: EntryCounters
@@ -67,6 +69,23 @@
     return this.#ledger.quarantine(fingerprint, nowMs())
   }
 
+  /** Its quarantine has lapsed: it may be sent once, by one entry of all. */
+  probeDue (fingerprint: RequestFingerprint): boolean {
+    return this.#ledger.probeDue(fingerprint, nowMs())
+  }
+
+  /** Says whether this entry may send it, once, to see whether it still ends its server. */
+  async probe (fingerprint: RequestFingerprint, request: string): Promise<boolean> {
+    const { askProbe, exchange, log } = this.options
+    const granted = await askProbe(fingerprint)
+    log.info('request.probe', { request, fingerprint, granted })
+    if (!granted) return false
+    const probe = { fingerprint, at: nowMs() }
+    this.#ledger.probed(probe, nowMs())
+    exchange.tell({ ...nothing, probes: [probe] })
+    return true
+  }
+
   /** Finds out whether the server ended under it. One that was leaving, or had left the list, ended for another reason. */
   async brokeOff (broken: BrokenTry): Promise<void> {
     const { facts, ends, log } = this.options
@@ -97,7 +116,7 @@
     const now = nowMs()
     counters.serverEnds.inc(tries.length)
     const crashes = tries.map(({ fingerprint, server, sentAt, endedAt }) => ({ fingerprint, server: lifeOf(server), sentAt, endedAt }))
-    const news = { crashes: crashes.filter(crash => this.#ledger.crashed(crash, now)), sound: [], limits: [] }
+    const news = { crashes: crashes.filter(crash => this.#ledger.crashed(crash, now)), sound: [], limits: [], probes: [] }
     exchange.tell(news)
     this.#note(news, 'own try')
   }
@@ -108,7 +127,7 @@
     const held = this.quarantine(fingerprint) !== undefined
     if (!this.#ledger.sound(run)) return
     if (held) this.#released([fingerprint], 'own try')
-    this.options.exchange.tell({ crashes: [], sound: [run], limits: [] })
+    this.options.exchange.tell({ crashes: [], sound: [run], limits: [], probes: [] })
   }
 
   /** What a side process passes on. */
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -25,6 +25,7 @@
 import { EntryCeiling } from './entry-ceiling.js'
 import { LeaseKeeper } from './lease-keeper.js'
 import { outageRetryMs } from './own-answers.js'
+import { ProbeExchange } from './probe-exchange.js'
 import { QuotaExchange } from './quota-exchange.js'
 import { Quotas } from './quotas.js'
 import { RetryBudget } from './retry-budget.js'
@@ -93,6 +94,7 @@
   readonly #serverLimits: ServerLimits
   readonly #crashes: Crashes
   readonly #crashExchange: CrashExchange
+  readonly #probes: ProbeExchange
   readonly #stop = new AbortController()
   readonly #startedAt = nowMs()
   #closing = false
@@ -132,7 +134,10 @@
         this.#crashes.take(frame, from)
         this.#serverLimits.take(frame, from)
       },
-      crashesNoted: (host, stamp) => this.#crashExchange.noted(host, stamp),
+      crashesNoted: (host, stamp, granted) => {
+        this.#crashExchange.noted(host, stamp)
+        this.#probes.noted(host, stamp, granted)
+      },
       joinedNear: side => {
         this.#crashes.greet(side)
         this.#serverLimits.greet(side)
@@ -152,7 +157,8 @@
     this.#quotaExchange = new QuotaExchange({ quotas: this.#quotas, serverLimits: this.#serverLimits, hosts: () => this.#links.hosts, channelTo: host => this.#links.channelTo(host), log })
     this.#leaseKeeper = new LeaseKeeper({ lease: this.#lease, facts, links: this.#links, watch: this.#watch, log })
     this.#faults = new ServerFaults(this.#balancer, this.counters, log)
-    this.#crashes = new Crashes({ facts, ends: new ServerEnds(), exchange: this.#crashExchange, quarantined: () => this.#room.poke(), counters: this.counters, log })
+    this.#probes = new ProbeExchange({ hosts: () => this.#links.hosts, channelTo: host => this.#links.channelTo(host), log })
+    this.#crashes = new Crashes({ facts, ends: new ServerEnds(), exchange: this.#crashExchange, askProbe: async fingerprint => await this.#probes.ask(fingerprint), quarantined: () => this.#room.poke(), counters: this.counters, log })
     this.#budget = new RetryBudget(limits, () => this.#links.entries)
     this.server = createServer({ maxHeaderSize: mostHeaderBytes, connectionsCheckingInterval: 1000, requestTimeout: 0 })
     this.#connections = new CallerConnections(this.server)
--- a/packages/fleet/src/entry/own-answers.ts
+++ b/packages/fleet/src/entry/own-answers.ts
@@ -17,6 +17,9 @@
 /** An outage of the platform's store takes seconds; a caller that comes back sooner is refused a second time. */
 export const outageRetryMs = 2000
 
+/** Most runs have shown by then whether a server ends under the request. */
+const probeRetryMs = 2000
+
 const finalStatuses = { no_route: 404, key_not_known: 401, bad_model: 400, too_large: 413 } as const
 export type FinalReason = keyof typeof finalStatuses
 
@@ -64,6 +67,12 @@
     return 'quarantined'
   }
 
+  /** Its quarantine has lapsed, and another entry runs it to see whether it still ends its server. */
+  probedElsewhere (): string {
+    this.#promise(503, 'quarantined: run elsewhere to see whether servers still end under it', 'not run: servers ended under this request', probeRetryMs)
+    return 'quarantined'
+  }
+
   /** It may have run. */
   fail (status: 502 | 504, reason: string): string {
     const { record, delivery } = this.options
--- a/packages/fleet/src/entry/request-crashes.ts
+++ b/packages/fleet/src/entry/request-crashes.ts
@@ -14,6 +14,8 @@
 export class RequestCrashes {
   /** Set once it has been read. */
   body: Buffer = noBytes
+  /** This entry may send it though its quarantine has only lapsed. */
+  #probing = false
   /** Made once for a team, which may change with the table while the request waits. */
   #made: { team: string | undefined, fingerprint: RequestFingerprint } | undefined
 
@@ -24,6 +26,21 @@
     return this.crashes.none ? undefined : this.crashes.quarantine(this.#fingerprint(team))
   }
 
+  /** Whether it may be sent now, which is asked of others where its quarantine has only lapsed. */
+  async mayRun (team: FleetTeam | undefined): Promise<boolean> {
+    if (this.crashes.none || !this.crashes.probeDue(this.#fingerprint(team))) return true
+    this.#probing = await this.crashes.probe(this.#fingerprint(team), this.incoming.id)
+    return this.#probing
+  }
+
+  /** Asked in the moment of sending: whether it may be sent after all. A probe is one sending. */
+  spend (team: FleetTeam | undefined): boolean {
+    if (this.crashes.none) return true
+    if (!this.#probing) return this.quarantine(team) === undefined && !this.crashes.probeDue(this.#fingerprint(team))
+    this.#probing = false
+    return true
+  }
+
   /** It ran to its end, so it ends no server. */
   endedWell (team: FleetTeam | undefined): void {
     if (!this.crashes.none) this.crashes.endedWell(this.#fingerprint(team))
--- a/packages/fleet/src/entry/server-limits.ts
+++ b/packages/fleet/src/entry/server-limits.ts
@@ -80,7 +80,7 @@
   heard (server: BackendServer, perSecond: number | undefined, sentAt: number, request: string): void {
     if (perSecond === undefined || (perSecond === Infinity && this.none)) return
     const word = { server: lifeOf(server), perSecond, sentAt, heardAt: nowMs() }
-    if (this.#note(word, ownAnswer, request)) this.options.exchange.tell({ crashes: [], sound: [], limits: [word] })
+    if (this.#note(word, ownAnswer, request)) this.options.exchange.tell({ crashes: [], sound: [], limits: [word], probes: [] })
   }
 
   /** What a side process passes on. */
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -185,6 +185,8 @@
       const server = next.type === 'chosen' ? servers.get(next.choice.id) : undefined
       // While it waited, the table may have changed, and with it who may ask for what.
       if (next.type === 'anew' || server === undefined || this.options.facts.routes !== routes) continue
+      // What ends its servers would be sent by all entries in the moment in which its quarantine lapses.
+      if (!await this.#crashes.mayRun(admission.team)) return this.#mayHaveRun ? this.#answers.fail(502, 'quarantined') : this.#answers.probedElsewhere()
       const verdict = await this.#try(server, asked, admission, next.choice)
       if (verdict.type === 'done') return verdict.outcome
     }
@@ -240,8 +242,7 @@
       // Under a table that changed, it is asked anew who may ask for what.
       permit: () => {
         sentAt = nowMs()
-        // Tries that waited for a connection as the second server ended would each end one more.
-        return facts.routes === table && balancer.mayTake(server) && this.#crashes.quarantine(admitted.team) === undefined && this.#spend(server, admitted)
+        return facts.routes === table && balancer.mayTake(server) && this.#spend(server, admitted)
       },
       cameUp: ms => connects.cameUp(ms),
       stream: route.kind === 'stream',
@@ -267,7 +268,8 @@
     const { serverLimits } = this.options
     const pass = serverLimits.pass(server)
     if (pass === undefined) return false
-    if (this.#admission.spend(admitted)) return true
+    // Tries that waited for a connection as the second server ended would each end one more.
+    if (this.#crashes.spend(admitted.team) && this.#admission.spend(admitted)) return true
     serverLimits.giveBack(pass)
     return false
   }
--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/side-links.ts
@@ -44,7 +44,7 @@
   /** News of servers that ended under requests came. */
   crashes: (frame: FrameOf<'crashes'>, from: string) => void
   /** The side process at `host` has what it was told of such. */
-  crashesNoted: (host: string, stamp: number) => void
+  crashesNoted: (host: string, stamp: number, granted: boolean) => void
   /** A side process near was joined. */
   joinedNear: (channel: Channel) => void
   /** Who watches the store, as side processes near tell it, may have changed. */
@@ -269,7 +269,7 @@
     },
     quota_grant: (host, frame, channel) => this.options.granted(host, channel, frame),
     crashes: (_host, frame, channel) => this.options.crashes(frame, channel.peer.process),
-    crashes_noted: (host, { stamp }) => this.options.crashesNoted(host, stamp)
+    crashes_noted: (host, { stamp, granted }) => this.options.crashesNoted(host, stamp, granted === true)
   }
 
   #take (host: string, frame: Frame, channel: Channel): void {
--- a/packages/fleet/src/side/crash-relay.ts
+++ b/packages/fleet/src/side/crash-relay.ts
@@ -4,6 +4,7 @@
  *
  * It keeps what it was told, for entries that start or come later.
  */
+import type { RequestFingerprint } from '@finchpitch/core'
 import { CrashLedger, LimitLedger, crashLimits } from '@finchpitch/decisions'
 import type { Channel, FrameOf } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
@@ -16,6 +17,7 @@
 export class CrashRelay {
   readonly #ledger = new CrashLedger(crashLimits)
   readonly #limits = new LimitLedger()
+  readonly #startedAt = nowMs()
   #news: Array<{ news: CrashNews, from: Channel }> = []
   readonly #gather = new SoonTimer(() => this.#passOn())
 
@@ -23,6 +25,7 @@
   constructor (private readonly entries: () => Channel[]) {}
 
   take (from: Channel, frame: FrameOf<'crashes'>): void {
+    if (frame.ask !== undefined) return this.#answerAsk(from, frame.ask, frame.stamp)
     from.send({ type: 'crashes_noted', stamp: frame.stamp })
     this.#answer(from, frame)
     const limits = takeLimits(frame).filter(word => this.#limits.note(word))
@@ -33,6 +36,16 @@
     this.#gather.within(gatherCrashesMs(news, crashesMs))
   }
 
+  /**
+   * An entry would run a request whose quarantine has lapsed. One may, and tells the others; what its run shows comes as news. A
+   * process that has just started can't know whether its former life let another one do so.
+   */
+  #answerAsk (entry: Channel, fingerprint: RequestFingerprint, stamp: number): void {
+    const now = nowMs()
+    const granted = now - this.#startedAt >= crashLimits.probeMs && this.#ledger.quarantine(fingerprint, now) === undefined && this.#ledger.probed({ fingerprint, at: now }, now)
+    entry.send({ type: 'crashes_noted', stamp, granted })
+  }
+
   /**
    * What else is known of these requests. An entry that started while no side process near knew of them would otherwise
    * count from one again, and let two more servers end.
@@ -41,7 +54,7 @@
     const reported = new Set(crashes.map(([fingerprint, server]) => `${fingerprint} ${server}`))
     const known = [...new Set(crashes.map(([fingerprint]) => fingerprint))].flatMap(fingerprint => this.#ledger.crashesOf(fingerprint, nowMs()))
     const more = known.filter(({ fingerprint, server }) => !reported.has(`${fingerprint} ${server}`))
-    for (const frame of framesOf({ crashes: more, sound: [], limits: [] })) entry.send(frame)
+    for (const frame of framesOf({ crashes: more, sound: [], limits: [], probes: [] })) entry.send(frame)
   }
 
   /** All that is known, to an entry that has come. */
--- a/packages/fleet/test/crash-exchange.test.ts
+++ b/packages/fleet/test/crash-exchange.test.ts
@@ -19,7 +19,7 @@
 }
 
 const crash = (server: string, more: Partial<Crash> = {}): Crash => ({ fingerprint, server, sentAt: nowMs() - 100, endedAt: nowMs(), ...more })
-const newsOf = (...crashes: Crash[]): CrashNews => ({ crashes, sound: [], limits: [] })
+const newsOf = (...crashes: Crash[]): CrashNews => ({ crashes, sound: [], limits: [], probes: [] })
 
 describe('news of servers that ended under requests', () => {
   let time: FakeTime
@@ -64,7 +64,7 @@
     })
 
     it('that a request is sound are told together, and at once with an end', async () => {
-      const sound = (): void => exchange.tell({ crashes: [], sound: [{ fingerprint: other, endedAt: nowMs() }], limits: [] })
+      const sound = (): void => exchange.tell({ crashes: [], sound: [{ fingerprint: other, endedAt: nowMs() }], limits: [], probes: [] })
       sound()
       await time.pass(100)
       sound()
@@ -191,7 +191,7 @@
       told = []
       looked = 0
       refuses = true
-      crashes = new Crashes({ facts, ends: new ServerEnds(async () => refuses), exchange: { tell: news => { told.push(news) } }, quarantined: () => { looked += 1 }, counters: new EntryCounters(), log: quietLog })
+      crashes = new Crashes({ facts, ends: new ServerEnds(async () => refuses), exchange: { tell: news => { told.push(news) } }, askProbe: async () => true, quarantined: () => { looked += 1 }, counters: new EntryCounters(), log: quietLog })
     })
 
     it('count a server that ended, and tell the others of it', async () => {
--- a/packages/fleet/test/lapsed-quarantine.test.ts
+++ b/packages/fleet/test/lapsed-quarantine.test.ts
@@ -3,6 +3,9 @@
  * refused it for 5 s; then that lapsed at all of them within 20 ms, and every copy that came was sent, eight in a tenth of a
  * second. Eleven engines ended under it, and seven sendings were made long after three had ended.
  *
+ * The end of a hold freed the request, at each entry by itself and for whatever copies came. It is run once now, by one entry for
+ * all, and what becomes of that run decides.
+ *
  * What settled it: `request.quarantined … "forMs":5000` at three entries, and 5 s later eight lines `request.broke_off` with the
  * same fingerprint at all three within 0.1 s.
  */
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -208,10 +208,13 @@
     needed: z.array(z.string().max(longestTeam)),
     servers: z.array(RequestAge).optional()
   }),
-  /** Servers that ended under requests, requests that are sound, and limits that servers name. An entry's frame is answered by its `stamp`. */
-  z.object({ type: z.literal('crashes'), stamp: z.number(), crashes: z.array(CrashAge).max(mostCrashes), sound: z.array(SoundAge).max(mostCrashes), limits: z.array(LimitAge).max(mostLimits).optional() }),
-  /** The frame with that stamp has come, and goes on to the entries that the sender tells its news. */
-  z.object({ type: z.literal('crashes_noted'), stamp: z.number() }),
+  /**
+   * Servers that ended under requests, requests that are sound, limits that servers name, and runs of requests whose quarantine had
+   * lapsed. An entry's frame is answered by its `stamp`. `ask`: a request whose quarantine has lapsed, which the sender would run.
+   */
+  z.object({ type: z.literal('crashes'), stamp: z.number(), crashes: z.array(CrashAge).max(mostCrashes), sound: z.array(SoundAge).max(mostCrashes), limits: z.array(LimitAge).max(mostLimits).optional(), probes: z.array(SoundAge).max(mostCrashes).optional(), ask: RequestFingerprint.optional() }),
+  /** The frame with that stamp has come, and goes on to the entries that the sender tells its news. `granted`: whether what it asks may be run. */
+  z.object({ type: z.literal('crashes_noted'), stamp: z.number(), granted: z.boolean().optional() }),
   /** Whether the receiver, an entry, is one of those that watch the store for its failure domain. */
   Appointment,
   /** What the receiver asked for is held now. */
