A process that is told to read its settings again while it starts goes on

Change: the first thing that the program does, from its bundle and without, is to set one; settings are read after. The runtime's own start, before any of the program runs, can't be guarded.

--- a/packages/stand-ins/src/fleet/fleet-system.ts
+++ b/packages/stand-ins/src/fleet/fleet-system.ts
@@ -14,7 +14,7 @@
 import { ObjectServer } from './object-server.js'
 import type { HttpStandIn } from '../http-stand-in.js'
 
-const program = fileURLToPath(new URL('../../../../platform/dist/main.js', import.meta.url))
+const program = fileURLToPath(new URL('../../../../platform/dist/start.js', import.meta.url))
 const ports = { caller: 8149, ready: 8141, peer: 7380, control: 8144, app: 8145, store: 8142 }
 
 /** A machine that needs longer to start a fleet can't run it either. */
