The soak has servers that name limits, change them and end them, and counts what reaches them

Cause: words of limits were met by no other fault than in tests. Change: a third part deals limits from dice of its own, so that a seed deals all else as ever: figures from 0.5 to 50 a second that fall and end, beside leavings, rests, restarts, freezes, cuts and outages. Arrivals of entries that had been told and were not disturbed since are counted in each 4 s.

--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -10,6 +10,7 @@
 import { FaultProxy } from './fault-proxy.js'
 import { faultTable } from './faults.js'
 import { events, judge, type SoakReport } from './judge.js'
+import { Limits } from './limits.js'
 import { Dice } from './random.js'
 import { Words, firstStart } from './words.js'
 
@@ -60,8 +61,9 @@
   const disturbances = new Disturbances()
   // Dice of their own, so that a seed deals the other faults as ever.
   const words = new Words(fleet, new Dice(seed + wordSeeds), log)
+  const limits = new Limits(fleet, new Dice(seed + 2 * wordSeeds), log)
   const until = Date.now() + faultMs
-  const spoken = words.deal(faultMs)
+  const spoken = Promise.all([words.deal(faultMs), limits.deal(faultMs)])
   const faults: Array<Promise<void>> = []
   while (Date.now() < until) {
     const fault = dice.pick(faultTable)
@@ -77,7 +79,7 @@
   for (let each = 0; each < 12; each++) last.push(await ask(fleet, dice, agents, `soak-${seed}-last-${each}`))
   const all = [...await Promise.all(results), ...last]
   const report = judge(all, [...fleet.engines, ...fleet.plain])
-  report.broken.push(...words.judge(all, disturbances))
+  report.broken.push(...words.judge(all, disturbances), ...limits.judge(all, disturbances))
   const unserved = last.filter(result => result.status !== 200)
   for (const { id, path, status } of unserved) {
     const lines = fleet.entries.flatMap(entry => entry.output).filter(line => line.includes(`"${id}"`))
