Names for what tries met at servers; what servers say is taken in by a module of its own

Cause: the exchange named after crashes carries limits and probes too, and a newcomer would not look there for them; what an answer says of its server stood in the class of one request; each choice copied the list of servers. Change: TryNews, TryNewsExchange and TryNewsRelay for CrashNews and its kin (the frame keeps its name, by which versions understand each other); ServerWords; server-life.ts has the names of lives. The list is filtered only while some server names a limit. Result: behaviour as before; tests keep their assertions, imports follow.

--- a/packages/fleet/src/entry/balancer.ts
+++ b/packages/fleet/src/entry/balancer.ts
@@ -78,9 +78,7 @@
     if (this.serverLimits.none) return this.#chooseAmong(asked)
     const choice = this.#chooseAmong(asked)
     const server = choice.type === 'send' ? this.facts.servers.get(choice.id) : undefined
-    const limit = server === undefined ? undefined : this.serverLimits.state(server)
-    if (server === undefined || limit === undefined) return choice
-    if (limit.ready) return choice
+    if (server === undefined || this.serverLimits.state(server)?.ready !== false) return choice
     const other = this.#chooseAmong(asked, each => this.serverLimits.state(each)?.ready !== false)
     return other.type === 'none' || other.type === 'resting' ? this.limitedChoice(asked.service.name) ?? other : other
   }
@@ -111,8 +109,9 @@
     return server !== undefined && this.serverLimits.state(server) !== undefined
   }
 
-  #chooseAmong (asked: Asked, mayUse: (server: BackendServer) => boolean = () => true): Choice {
-    const open = this.facts.openTo(asked.service.name).filter(mayUse)
+  #chooseAmong (asked: Asked, mayUse?: (server: BackendServer) => boolean): Choice {
+    const all = this.facts.openTo(asked.service.name)
+    const open = mayUse === undefined ? all : all.filter(mayUse)
     const left = asked.excluded.size === 0 ? open : open.filter(server => !asked.excluded.has(server.id))
     const servers = this.#resting.size === 0 ? left : left.filter(server => this.#hasRoom(server))
     if (servers.length === 0 && this.#resting.size > 0) {
--- a/packages/fleet/src/entry/crashes.ts
+++ b/packages/fleet/src/entry/crashes.ts
@@ -8,12 +8,12 @@
 import { CrashLedger, crashLimits, type QuarantineCase } from '@finchpitch/decisions'
 import type { Channel, FrameOf } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
-import { greetWith, nothing, takeCrashes, type CrashNews } from '../crash-news.js'
+import { greetWith, nothing, takeCrashes, type TryNews } from '../try-news.js'
 import type { Facts } from '../facts.js'
-import { lifeOf } from '../limit-name.js'
+import { lifeOf } from '../server-life.js'
 import { isFormer, type BackendServer } from '../server.js'
 import type { EntryCounters } from './counters.js'
-import type { CrashExchange } from './crash-exchange.js'
+import type { TryNewsExchange } from './try-news-exchange.js'
 import type { ServerEnds } from './server-ends.js'
 
 /**
@@ -36,7 +36,7 @@
 export interface CrashesOptions {
   facts: Facts
   ends: ServerEnds
-  exchange: Pick<CrashExchange, 'tell'>
+  exchange: Pick<TryNewsExchange, 'tell'>
   /** Asks whether this entry may run a request whose quarantine has lapsed. */
   askProbe: (fingerprint: RequestFingerprint) => Promise<boolean>
   /** A request is quarantined from now on, so those that wait look again. */
@@ -147,7 +147,7 @@
     greetWith(this.#ledger, side)
   }
 
-  #note ({ crashes }: Pick<CrashNews, 'crashes'>, from: string): void {
+  #note ({ crashes }: Pick<TryNews, 'crashes'>, from: string): void {
     const { counters, log, quarantined } = this.options
     let any = false
     for (const fingerprint of new Set(crashes.map(crash => crash.fingerprint))) {
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -17,7 +17,7 @@
 import { Balancer } from './balancer.js'
 import { CallerConnections } from './caller-connections.js'
 import { ConnectLimit } from './connect-limit.js'
-import { CrashExchange } from './crash-exchange.js'
+import { TryNewsExchange } from './try-news-exchange.js'
 import { Crashes } from './crashes.js'
 import { EntryCounters } from './counters.js'
 import { FirstTries } from './first-tries.js'
@@ -32,6 +32,7 @@
 import { ServerEnds } from './server-ends.js'
 import { ServerFaults } from './server-faults.js'
 import { ServerLimits } from './server-limits.js'
+import { ServerWords } from './server-words.js'
 import { ServiceRequest } from './service-request.js'
 import { SideLinks } from './side-links.js'
 import { StoreWatch } from './store-watch.js'
@@ -92,8 +93,9 @@
   readonly #seedTurn = new Turn()
   readonly #faults: ServerFaults
   readonly #serverLimits: ServerLimits
+  readonly #words: ServerWords
   readonly #crashes: Crashes
-  readonly #crashExchange: CrashExchange
+  readonly #tryNews: TryNewsExchange
   readonly #probes: ProbeExchange
   readonly #stop = new AbortController()
   readonly #startedAt = nowMs()
@@ -106,10 +108,10 @@
     const { facts, domain, limits, log, process, sidePort, channel, dial, sources } = options
     this.#lease = new KeyLease(facts, limits)
     this.#mostEntries = this.#ceiling.of(undefined, 0)
-    this.#crashExchange = new CrashExchange({ places: () => this.#links.places, channelTo: host => this.#links.channelTo(host), log })
+    this.#tryNews = new TryNewsExchange({ places: () => this.#links.places, channelTo: host => this.#links.channelTo(host), log })
     this.#serverLimits = new ServerLimits({
       entries: () => this.#mostEntries,
-      exchange: this.#crashExchange,
+      exchange: this.#tryNews,
       exchanged: async () => await this.#quotaExchange.exchanged(),
       waiting: service => this.#room.limitedAhead(service, Infinity),
       changed: () => this.#room.poke(),
@@ -135,7 +137,7 @@
         this.#serverLimits.take(frame, from)
       },
       crashesNoted: (host, stamp, granted) => {
-        this.#crashExchange.noted(host, stamp)
+        this.#tryNews.noted(host, stamp)
         this.#probes.noted(host, stamp, granted)
       },
       joinedNear: side => {
@@ -156,9 +158,10 @@
     this.#quotas = new Quotas({ limits, entries: () => this.#mostEntries, bring: (team, tokens) => this.#quotaExchange.bring(team, tokens) })
     this.#quotaExchange = new QuotaExchange({ quotas: this.#quotas, serverLimits: this.#serverLimits, hosts: () => this.#links.hosts, channelTo: host => this.#links.channelTo(host), log })
     this.#leaseKeeper = new LeaseKeeper({ lease: this.#lease, facts, links: this.#links, watch: this.#watch, log })
+    this.#words = new ServerWords({ facts, balancer: this.#balancer, room: this.#room, serverLimits: this.#serverLimits })
     this.#faults = new ServerFaults(this.#balancer, this.counters, log)
     this.#probes = new ProbeExchange({ hosts: () => this.#links.hosts, channelTo: host => this.#links.channelTo(host), log })
-    this.#crashes = new Crashes({ facts, ends: new ServerEnds(), exchange: this.#crashExchange, askProbe: async fingerprint => await this.#probes.ask(fingerprint), quarantined: () => this.#room.poke(), counters: this.counters, log })
+    this.#crashes = new Crashes({ facts, ends: new ServerEnds(), exchange: this.#tryNews, askProbe: async fingerprint => await this.#probes.ask(fingerprint), quarantined: () => this.#room.poke(), counters: this.counters, log })
     this.#budget = new RetryBudget(limits, () => this.#links.entries)
     this.server = createServer({ maxHeaderSize: mostHeaderBytes, connectionsCheckingInterval: 1000, requestTimeout: 0 })
     this.#connections = new CallerConnections(this.server)
@@ -227,7 +230,7 @@
     this.options.log.info('entry.stopped', { running: this.#running, ms: Math.round(performance.now() - started) })
     clearInterval(sweep)
     this.#stop.abort()
-    this.#crashExchange.close()
+    this.#tryNews.close()
     this.#links.close()
   }
 
@@ -236,7 +239,7 @@
     this.#running += 1
     try {
       const served = new ServiceRequest({
-        facts, balancer: this.#balancer, room: this.#room, budget: this.#budget, faults: this.#faults, serverLimits: this.#serverLimits, crashes: this.#crashes, connects: this.#connects, lease: this.#lease, quotas: this.#quotas, unconfirmedRetryMs: () => this.#leaseKeeper.retryMs, firstTries: this.#firstTries, names, counters: this.counters, log, closed: this.#closed, learned: () => this.#learned(), blindRetryMs: () => this.#blindRetryMs, lastAnswer: () => this.#closing || !this.#lease.held || this.#connections.isOld(request.socket)
+        facts, balancer: this.#balancer, room: this.#room, budget: this.#budget, faults: this.#faults, serverLimits: this.#serverLimits, words: this.#words, crashes: this.#crashes, connects: this.#connects, lease: this.#lease, quotas: this.#quotas, unconfirmedRetryMs: () => this.#leaseKeeper.retryMs, firstTries: this.#firstTries, names, counters: this.counters, log, closed: this.#closed, learned: () => this.#learned(), blindRetryMs: () => this.#blindRetryMs, lastAnswer: () => this.#closing || !this.#lease.held || this.#connections.isOld(request.socket)
       }, request, response)
       await served.serve()
     } catch (error) {
--- a/packages/fleet/src/entry/server-limits.ts
+++ b/packages/fleet/src/entry/server-limits.ts
@@ -9,11 +9,11 @@
 import { LimitLedger, ageOf, type LimitWord, type TokenSlice } from '@finchpitch/decisions'
 import type { Channel, FrameOf, RequestAge, RequestWant } from '@finchpitch/wire'
 import { elapsedMs, nowMs } from '../clock.js'
-import { greetWithLimits, takeLimits } from '../crash-news.js'
-import { lifeOf, limitNameOf } from '../limit-name.js'
+import { greetWithLimits, takeLimits } from '../try-news.js'
+import { lifeOf, limitNameOf } from '../server-life.js'
 import type { BackendServer } from '../server.js'
 import type { EntryCounters } from './counters.js'
-import type { CrashExchange } from './crash-exchange.js'
+import type { TryNewsExchange } from './try-news-exchange.js'
 import { LimitAccount } from './limit-account.js'
 
 /**
@@ -50,7 +50,7 @@
 export interface ServerLimitsOptions {
   /** The most entries that may exist. */
   entries: () => number
-  exchange: Pick<CrashExchange, 'tell'>
+  exchange: Pick<TryNewsExchange, 'tell'>
   /** Asks other entries for what is lacked; resolves with their answer, or after a moment. */
   exchanged: () => Promise<unknown>
   /** How many requests wait at this entry until a server of the service may be sent one. */
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -28,8 +28,8 @@
 import { OwnAnswers } from './own-answers.js'
 import { RequestCrashes } from './request-crashes.js'
 import { RequestRecord } from './request-record.js'
-import type { ServerState } from './server-state.js'
-import { turnedAway, type ServerWord } from './server-word.js'
+import { turnedAway } from './server-word.js'
+import type { ServerWords } from './server-words.js'
 import { RequestTimes } from './request-times.js'
 import { RequestAdmission, type RequestAdmissionOptions } from './request-admission.js'
 import type { RetryBudget } from './retry-budget.js'
@@ -56,6 +56,7 @@
   firstTries: FirstTries
   faults: ServerFaults
   serverLimits: ServerLimits
+  words: ServerWords
   crashes: Crashes
   connects: ConnectLimit
   counters: EntryCounters
@@ -254,7 +255,7 @@
         balancer.heard(pending)
         this.#record.firstByteMs ??= this.#times.ms
       },
-      said: word => this.#noteWord(server, state, word, sentAt)
+      said: word => this.options.words.take(word, { server, state, request: this.#incoming.id, sentAt })
     })
     state.end(key, pending)
     if (end.type !== 'not_sent' && end.type !== 'withheld') this.#arrivals += 1
@@ -274,17 +275,6 @@
     return false
   }
 
-  /** What the server said of itself with its answer to the request that was sent at `sentAt`, on the steady clock. */
-  #noteWord (server: BackendServer, state: ServerState, { leaving, restMs, limitPerSecond }: ServerWord, sentAt: number): void {
-    const { facts, balancer, room, serverLimits } = this.options
-    serverLimits.heard(server, limitPerSecond, sentAt, this.#incoming.id)
-    if (leaving) facts.noteLeaving(server, `answer to ${this.#incoming.id}`)
-    if (restMs === undefined) return state.rest.answered(nowMs())
-    balancer.rest(server, state, restMs, this.#incoming.id)
-    // Those that wait for it may go elsewhere.
-    room.poke()
-  }
-
   #noteTry (server: BackendServer, { key }: Asked, { reason, expectedMs }: Sending): void {
     const record = this.#record
     record.tries += 1
--- a/packages/fleet/src/entry/crash-exchange.ts
+++ b/packages/fleet/src/entry/try-news-exchange.ts
@@ -8,7 +8,7 @@
 import type { Log } from '@finchpitch/core'
 import type { Channel } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
-import { framesOf, gatherCrashesMs, isEmpty, joined, nothing, type CrashNews } from '../crash-news.js'
+import { framesOf, gatherMsOf, isEmpty, joined, nothing, type TryNews } from '../try-news.js'
 import { SoonTimer } from '../soon-timer.js'
 import { MeetingPlace } from './meeting-place.js'
 
@@ -30,7 +30,7 @@
   lively: boolean
 }
 
-export interface CrashExchangeOptions {
+export interface TryNewsExchangeOptions {
   places: () => SidePlace[]
   /** The channel to a side process; opens one where there is none yet. */
   channelTo: (host: string) => Channel | undefined
@@ -39,7 +39,7 @@
 
 /** What one side process of a domain has to have. */
 interface Due {
-  news: CrashNews
+  news: TryNews
   domain: string
   /** The one that is told now. */
   host: string | undefined
@@ -49,20 +49,20 @@
   tries: number
 }
 
-export class CrashExchange {
+export class TryNewsExchange {
   readonly #due = new Set<Due>()
   readonly #meeting = new MeetingPlace({ matter: 'crashes', passedByMs, now: nowMs })
-  #gathered: CrashNews = nothing
+  #gathered: TryNews = nothing
   readonly #gather = new SoonTimer(() => this.#tellGathered())
   /** Runs while something is due. */
   #check: NodeJS.Timeout | undefined
 
-  constructor (private readonly options: CrashExchangeOptions) {}
+  constructor (private readonly options: TryNewsExchangeOptions) {}
 
-  tell (news: CrashNews): void {
+  tell (news: TryNews): void {
     if (isEmpty(news)) return
     this.#gathered = joined([this.#gathered, news])
-    this.#gather.within(gatherCrashesMs(news, crashesMs))
+    this.#gather.within(gatherMsOf(news, crashesMs))
   }
 
   /** The side process at `host` has the frame with that stamp. */
@@ -83,7 +83,7 @@
     for (const domain of domains) this.#begin(news, domain)
   }
 
-  #begin (news: CrashNews, domain: string): void {
+  #begin (news: TryNews, domain: string): void {
     const due: Due = { news, domain, host: undefined, stamp: undefined, triedAt: -Infinity, tries: 0 }
     this.#due.add(due)
     this.#tryNext(due)
--- a/packages/fleet/src/side/readers.ts
+++ b/packages/fleet/src/side/readers.ts
@@ -8,7 +8,7 @@
 import type { Channel, Frame, FrameOf } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
 import { FactLink, patienceMs } from '../fact-exchange.js'
-import { CrashRelay } from './crash-relay.js'
+import { TryNewsRelay } from './try-news-relay.js'
 import { FreshRelay } from './fresh-relay.js'
 import { Reader, quietPace } from './reader.js'
 import type { EngineNews } from './news.js'
@@ -27,12 +27,12 @@
   readonly #readers = new Set<Reader>()
   readonly #relay: Relay
   readonly #fresh: FreshRelay
-  readonly #crashes: CrashRelay
+  readonly #tryNews: TryNewsRelay
 
   constructor (private readonly options: ReadersOptions) {
     this.#relay = new Relay({ ...options, changed: () => this.tell() })
     this.#fresh = new FreshRelay(options.facts, () => this.#readingNear())
-    this.#crashes = new CrashRelay(() => this.#entriesHere.map(reader => reader.channel))
+    this.#tryNews = new TryNewsRelay(() => this.#entriesHere.map(reader => reader.channel))
   }
 
   get size (): number {
@@ -82,7 +82,7 @@
     if (frame.type === 'follow') this.#follow(reader, frame)
     if (frame.type === 'ask_fresh') this.#fresh.ask(reader.channel, frame)
     if (frame.type === 'fresh') this.#fresh.answered(frame)
-    if (frame.type === 'crashes') this.#crashes.take(reader.channel, frame)
+    if (frame.type === 'crashes') this.#tryNews.take(reader.channel, frame)
   }
 
   /** Tells everybody what they have to know by now. */
@@ -104,7 +104,7 @@
   close (): void {
     this.#relay.close()
     this.#fresh.close()
-    this.#crashes.close()
+    this.#tryNews.close()
     for (const { channel } of this.#readers) channel.close()
   }
 
@@ -125,7 +125,7 @@
     if (reader.facts !== undefined) return
     reader.facts = new FactLink(facts, reader.channel, patienceMs.entry, log)
     reader.facts.start()
-    this.#crashes.greet(reader.channel)
+    this.#tryNews.greet(reader.channel)
   }
 
   /** A peer says which engines it wants to hear of. */
--- a/packages/fleet/src/side/crash-relay.ts
+++ b/packages/fleet/src/side/try-news-relay.ts
@@ -8,17 +8,17 @@
 import { CrashLedger, LimitLedger, crashLimits } from '@finchpitch/decisions'
 import type { Channel, FrameOf } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
-import { framesOf, gatherCrashesMs, greetWith, greetWithLimits, isEmpty, joined, takeCrashes, takeLimits, type CrashNews } from '../crash-news.js'
+import { framesOf, gatherMsOf, greetWith, greetWithLimits, isEmpty, joined, takeCrashes, takeLimits, type TryNews } from '../try-news.js'
 import { SoonTimer } from '../soon-timer.js'
 
 /** All entries that had requests at a server tell of its end within some ms; they are passed on together. */
 const crashesMs = 20
 
-export class CrashRelay {
+export class TryNewsRelay {
   readonly #ledger = new CrashLedger(crashLimits)
   readonly #limits = new LimitLedger()
   readonly #startedAt = nowMs()
-  #news: Array<{ news: CrashNews, from: Channel }> = []
+  #news: Array<{ news: TryNews, from: Channel }> = []
   readonly #gather = new SoonTimer(() => this.#passOn())
 
   /** `entries`: channels to the entries that are told the news of this process. */
@@ -33,7 +33,7 @@
     const news = { ...takeCrashes(this.#ledger, frame), limits }
     if (isEmpty(news)) return
     this.#news.push({ news, from })
-    this.#gather.within(gatherCrashesMs(news, crashesMs))
+    this.#gather.within(gatherMsOf(news, crashesMs))
   }
 
   /**
--- a/packages/fleet/src/crash-news.ts
+++ b/packages/fleet/src/try-news.ts
@@ -9,7 +9,7 @@
 import { nowMs } from './clock.js'
 
 /** What a process has learned of late, or all that it knows. */
-export interface CrashNews {
+export interface TryNews {
   crashes: readonly Crash[]
   sound: readonly SoundRun[]
   limits: readonly LimitWord[]
@@ -21,18 +21,18 @@
  * is in need. That a request is sound concerns only the next end under it; after a domain of engines has ended, some hundred
  * callers' second tries show it.
  */
-export const gatherCrashesMs = ({ crashes, limits, probes }: CrashNews, crashesMs: number): number => crashes.length + limits.length + probes.length > 0 ? crashesMs : soundMs
+export const gatherMsOf = ({ crashes, limits, probes }: TryNews, crashesMs: number): number => crashes.length + limits.length + probes.length > 0 ? crashesMs : soundMs
 const soundMs = 400
 
-export const nothing: CrashNews = { crashes: [], sound: [], limits: [], probes: [] }
+export const nothing: TryNews = { crashes: [], sound: [], limits: [], probes: [] }
 
-export const joined = (all: readonly CrashNews[]): CrashNews =>
+export const joined = (all: readonly TryNews[]): TryNews =>
   ({ crashes: all.flatMap(({ crashes }) => crashes), sound: all.flatMap(({ sound }) => sound), limits: all.flatMap(({ limits }) => limits), probes: all.flatMap(({ probes }) => probes) })
 
-export const isEmpty = ({ crashes, sound, limits, probes }: CrashNews): boolean => [crashes, sound, limits, probes].every(each => each.length === 0)
+export const isEmpty = ({ crashes, sound, limits, probes }: TryNews): boolean => [crashes, sound, limits, probes].every(each => each.length === 0)
 
 /** As many frames as it takes. */
-export const framesOf = ({ crashes, sound, limits, probes }: CrashNews): Array<FrameOf<'crashes'>> => {
+export const framesOf = ({ crashes, sound, limits, probes }: TryNews): Array<FrameOf<'crashes'>> => {
   const now = nowMs()
   const agoMs = (at: number): number => Math.max(0, now - at)
   const parts = Math.ceil(Math.max(crashes.length / mostCrashes, sound.length / mostCrashes, probes.length / mostCrashes, limits.length / mostLimits))
@@ -59,7 +59,7 @@
 }
 
 /** Takes over what a peer tells of ends; gives what of it was news. */
-export const takeCrashes = (ledger: CrashLedger, frame: FrameOf<'crashes'>): Omit<CrashNews, 'limits'> => {
+export const takeCrashes = (ledger: CrashLedger, frame: FrameOf<'crashes'>): Omit<TryNews, 'limits'> => {
   const now = nowMs()
   const crashes = frame.crashes.map(([fingerprint, server, sentAgoMs, endedAgoMs]) => ({ fingerprint, server, sentAt: now - sentAgoMs, endedAt: now - endedAgoMs }))
   const sound = frame.sound.map(([fingerprint, agoMs]) => ({ fingerprint, endedAt: now - agoMs }))
--- a/packages/fleet/test/crash-exchange.test.ts
+++ b/packages/fleet/test/crash-exchange.test.ts
@@ -1,6 +1,6 @@
 import { RequestFingerprint, quietLog, type Log } from '@finchpitch/core'
 import { CrashLedger, crashLimits, type Crash } from '@finchpitch/decisions'
-import { CrashExchange, CrashRelay, Crashes, EntryCounters, Facts, ServerEnds, framesOf, nowMs, takeCrashes, type BackendServer, type CrashNews, type SidePlace } from '@finchpitch/fleet'
+import { TryNewsExchange, TryNewsRelay, Crashes, EntryCounters, Facts, ServerEnds, framesOf, nowMs, takeCrashes, type BackendServer, type TryNews, type SidePlace } from '@finchpitch/fleet'
 import { FakeTime } from '@finchpitch/stand-ins'
 import type { Channel, Frame, FrameOf } from '@finchpitch/wire'
 import { expect } from 'chai'
@@ -19,7 +19,7 @@
 }
 
 const crash = (server: string, more: Partial<Crash> = {}): Crash => ({ fingerprint, server, sentAt: nowMs() - 100, endedAt: nowMs(), ...more })
-const newsOf = (...crashes: Crash[]): CrashNews => ({ crashes, sound: [], limits: [], probes: [] })
+const newsOf = (...crashes: Crash[]): TryNews => ({ crashes, sound: [], limits: [], probes: [] })
 
 describe('news of servers that ended under requests', () => {
   let time: FakeTime
@@ -31,9 +31,9 @@
     let places: SidePlace[]
     let sides: Map<string, Sent>
     let warned: string[]
-    let exchange: CrashExchange
+    let exchange: TryNewsExchange
     const log = { ...quietLog, warn: (event: string) => { warned.push(event) } } as unknown as Log
-    const begin = (): CrashExchange => new CrashExchange({ places: () => places, channelTo: host => sides.get(host)?.channel, log })
+    const begin = (): TryNewsExchange => new TryNewsExchange({ places: () => places, channelTo: host => sides.get(host)?.channel, log })
     const told = (): string[] => [...sides].filter(([, side]) => side.crashes.length > 0).map(([host]) => host)
 
     beforeEach(() => {
@@ -118,7 +118,7 @@
   describe('through a side process', () => {
     it('are answered, and go on to all other entries at once', async () => {
       const entries = [new Sent(), new Sent(), new Sent()]
-      const relay = new CrashRelay(() => entries.map(entry => entry.channel))
+      const relay = new TryNewsRelay(() => entries.map(entry => entry.channel))
       const [first, ...others] = entries
       for (const frame of framesOf(newsOf(crash('s')))) relay.take(first?.channel as Channel, frame)
       await time.pass(30)
@@ -129,7 +129,7 @@
 
     it('do not go on twice', async () => {
       const entries = [new Sent(), new Sent()]
-      const relay = new CrashRelay(() => entries.map(entry => entry.channel))
+      const relay = new TryNewsRelay(() => entries.map(entry => entry.channel))
       for (let each = 0; each < 3; each++) {
         for (const frame of framesOf(newsOf(crash('s')))) relay.take(entries[0]?.channel as Channel, frame)
         await time.pass(30)
@@ -139,7 +139,7 @@
     })
 
     it('are answered with what is known besides, as the entry may have started anew', () => {
-      const relay = new CrashRelay(() => [])
+      const relay = new TryNewsRelay(() => [])
       const [before, anew] = [new Sent(), new Sent()]
       for (const frame of framesOf(newsOf(crash('s'), crash('t'), crash('u', { fingerprint: other })))) relay.take(before.channel, frame)
       expect(before.crashes).to.have.length(0)
@@ -149,7 +149,7 @@
     })
 
     it('are told to an entry that comes later', () => {
-      const relay = new CrashRelay(() => [])
+      const relay = new TryNewsRelay(() => [])
       const [from, late] = [new Sent(), new Sent()]
       for (const frame of framesOf(newsOf(crash('s'), crash('t')))) relay.take(from.channel, frame)
       relay.greet(late.channel)
@@ -175,7 +175,7 @@
   describe('at an entry', () => {
     let facts: Facts
     let crashes: Crashes
-    let told: CrashNews[]
+    let told: TryNews[]
     let looked: number
     let refuses: boolean
     const server: BackendServer = { id: 'i', service: 's', address: '10.0.0.1:80', domain: 'a', slots: 1, leaving: false, models: [] }
--- a/packages/fleet/test/replay/probe-replay.ts
+++ b/packages/fleet/test/replay/probe-replay.ts
@@ -5,7 +5,7 @@
  * is cut off or has ended.
  */
 import { quietLog } from '@finchpitch/core'
-import { CrashRelay, Crashes, EntryCounters, ProbeExchange, RequestCrashes, ServerEnds, framesOf, nowMs, type BackendServer, type CrashNews, type Facts, type Incoming } from '@finchpitch/fleet'
+import { TryNewsRelay, Crashes, EntryCounters, ProbeExchange, RequestCrashes, ServerEnds, framesOf, nowMs, type BackendServer, type TryNews, type Facts, type Incoming } from '@finchpitch/fleet'
 import type { FakeTime } from '@finchpitch/stand-ins'
 import type { Channel, Frame } from '@finchpitch/wire'
 
@@ -35,7 +35,7 @@
   /** Called with the entry that has just sent it. */
   sent: (entry: number) => void = () => {}
   readonly entries: Player[]
-  readonly #relays = new Map<string, CrashRelay>()
+  readonly #relays = new Map<string, TryNewsRelay>()
   readonly #channels: Array<Map<string, Channel>>
   #copies = 0
 
@@ -47,7 +47,7 @@
 
   startRelay (host: string): void {
     this.#relays.get(host)?.close()
-    this.#relays.set(host, new CrashRelay(() => this.#channels.map(channels => channels.get(host)).filter(channel => channel !== undefined)))
+    this.#relays.set(host, new TryNewsRelay(() => this.#channels.map(channels => channels.get(host)).filter(channel => channel !== undefined)))
   }
 
   endRelay (host: string): void {
@@ -104,7 +104,7 @@
     return { crashes, probes, deaf: false }
   }
 
-  #tell (entry: number, news: CrashNews): void {
+  #tell (entry: number, news: TryNews): void {
     for (const frame of framesOf(news)) for (const host of hosts) this.#toRelay(entry, host).send(frame)
   }
 
