Limits of servers that are gone are let go of; times told are finite where a server takes nothing

Cause: by reading. A limit of a life that had ended was kept for ten minutes, with an exchange four times a second; a server that names 0 made the time told to callers no number; a frame with what many limits had left after a while without a bank could have been longer than its schema allows, which ends the channel. Change: a life that was not listed for 30 s is forgotten; the time between two requests is 5 s at most; gives have no bound of their own, as those of teams, and wants keep to it. Tests: for the first two, not run on the code before; choices where servers name limits, and the order in which requests wait for them, have tests of their own. The third has none.

--- a/packages/decisions/src/limit-ledger.ts
+++ b/packages/decisions/src/limit-ledger.ts
@@ -59,6 +59,11 @@
     return [...this.#words.values()].filter(word => word.perSecond !== Infinity)
   }
 
+  /** The server is gone for good. */
+  forget (server: string): void {
+    this.#words.delete(server)
+  }
+
   expire (now: number): void {
     for (const [server, { heardAt }] of this.#words) if (now - heardAt > keepMs) this.#words.delete(server)
   }
--- a/packages/fleet/src/entry/balancer.ts
+++ b/packages/fleet/src/entry/balancer.ts
@@ -21,6 +21,8 @@
 const aloneShare = 0.1
 /** In this time after a rest, a server gets no more first requests from all entries than it works on at once. */
 const firstRequestsMs = 100
+/** Where servers take next to nothing, callers are told no longer for each request that goes before theirs. */
+const mostEveryMs = 5000
 /** The part of the time allowed for a named version in which the one before it may still be used. */
 const oldVersionShare = 0.4
 
@@ -100,7 +102,7 @@
     if (states.length === 0) return undefined
     const readyInMs = Math.min(...states.map(state => state.readyInMs))
     const perSecond = states.reduce((sum, state) => sum + state.perSecond, 0)
-    return { type: 'limited', readyInMs, everyMs: 1000 / perSecond, reason: 'all servers name limits' }
+    return { type: 'limited', readyInMs, everyMs: Math.min(mostEveryMs, 1000 / perSecond), reason: 'all servers name limits' }
   }
 
   /** Whether the server names a limit. */
--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -298,7 +298,7 @@
       await pause(sweepMs, signal)
       this.options.facts.expire()
       this.#crashes.expire()
-      this.#serverLimits.expire()
+      this.#serverLimits.expire(this.options.facts.servers.values())
       this.#balancer.expire()
       this.#leaseKeeper.check()
       this.#watch.check()
--- a/packages/fleet/src/entry/quota-exchange.ts
+++ b/packages/fleet/src/entry/quota-exchange.ts
@@ -101,8 +101,8 @@
     const granted = slicesOf(frame.grants, frame.stamp, now)
     const servers = slicesOf(frame.servers ?? [], frame.stamp, now)
     for (const [team, slices] of granted) this.options.quotas.accounts.get(team)?.granted(slices)
-    if (host === this.#bank) this.options.serverLimits.granted(servers, this.#askedServers)
     if (host !== this.#bank) return
+    this.options.serverLimits.granted(servers, this.#askedServers)
     this.#askedServers = new Map()
     this.#needed = new Set(frame.needed)
     this.#sentAt = undefined
--- a/packages/fleet/src/entry/server-limits.ts
+++ b/packages/fleet/src/entry/server-limits.ts
@@ -7,7 +7,7 @@
  */
 import type { Log } from '@finchpitch/core'
 import { LimitLedger, ageOf, type LimitWord, type TokenSlice } from '@finchpitch/decisions'
-import type { Channel, FrameOf, RequestAge, RequestWant } from '@finchpitch/wire'
+import { mostLimits, type Channel, type FrameOf, type RequestAge, type RequestWant } from '@finchpitch/wire'
 import { elapsedMs, nowMs } from '../clock.js'
 import { greetWithLimits, takeLimits } from '../try-news.js'
 import { lifeOf, limitNameOf } from '../server-life.js'
@@ -23,6 +23,9 @@
 const quietMs = 10_000
 const quietPerEntryMs = 3000
 
+/** A server whose entry lapsed while the store was away is back within some seconds; one that is not listed for so long is gone. */
+const unlistedMs = 30_000
+
 /** Whose word it is where no other process told it. */
 const ownAnswer = 'own answer'
 
@@ -34,6 +37,8 @@
   account: LimitAccount
   /** When it may be asked anew, on the steady clock. */
   quietUntil: number
+  /** When it was last listed. */
+  listedAt: number
 }
 
 /** What allows one request to be sent to a server. */
@@ -136,7 +141,7 @@
     for (const { name, service, account } of this.#limited.values()) {
       const waiting = this.#waitingFor(service)
       const wanted = account.wants(waiting)
-      if (wanted > 0) wants.push([name, wanted, account.lifeMs])
+      if (wanted > 0 && wants.length < mostLimits) wants.push([name, wanted, account.lifeMs])
       for (const slice of giving ? account.takeSurplus(waiting) : []) gives.push([name, slice.tokens, ageOf(slice, now)])
     }
     return { gives, wants }
@@ -151,11 +156,17 @@
     if (slices.size > 0) this.options.changed()
   }
 
-  /** Called now and then. */
-  expire (): void {
+  /** Called now and then, with all servers that are listed. */
+  expire (listed: Iterable<BackendServer>): void {
     if (this.#ledger.size === 0) return
-    this.#ledger.expire(nowMs())
-    for (const life of this.#limited.keys()) if (this.#ledger.perSecond(life) === Infinity) this.#limited.delete(life)
+    const now = nowMs()
+    this.#ledger.expire(now)
+    const lives = new Set(Array.from(listed, lifeOf))
+    for (const [life, limited] of this.#limited) {
+      if (lives.has(life)) limited.listedAt = now
+      else if (now - limited.listedAt > unlistedMs) this.#ledger.forget(life)
+      if (this.#ledger.perSecond(life) === Infinity) this.#limited.delete(life)
+    }
   }
 
   /** All limits that hold, to a side process that was joined: it may have started anew. */
@@ -193,7 +204,7 @@
     const { entries, log, changed } = this.options
     log.info('server.limited', { server, perSecond: figureOf(perSecond), ...source, agoMs: Math.round(nowMs() - heardAt), entries: entries() })
     if (perSecond === Infinity) this.#limited.delete(server)
-    else this.#limited.set(server, { name: limitNameOf(server, perSecond), service: undefined, account: new LimitAccount(perSecond, entries), quietUntil: this.#nextAsked() })
+    else this.#limited.set(server, { name: limitNameOf(server, perSecond), service: undefined, account: new LimitAccount(perSecond, entries), quietUntil: this.#nextAsked(), listedAt: nowMs() })
     changed()
   }
 
--- a/packages/fleet/src/entry/waiting-room.ts
+++ b/packages/fleet/src/entry/waiting-room.ts
@@ -40,7 +40,7 @@
 
 /** The choice for one that comes after `ahead` others. */
 export const behind = (choice: Choice, ahead: number): Choice =>
-  choice.type === 'limited' ? { ...choice, readyInMs: choice.readyInMs + ahead * choice.everyMs } : choice
+  choice.type === 'limited' && ahead > 0 ? { ...choice, readyInMs: choice.readyInMs + ahead * choice.everyMs } : choice
 
 export class WaitingRoom {
   readonly #entries = new Set<Entry>()
--- a/packages/fleet/test/server-limits.test.ts
+++ b/packages/fleet/test/server-limits.test.ts
@@ -70,6 +70,32 @@
     }
   })
 
+  describe('at an entry', () => {
+    it('hold while their server is listed, and are let go of some time after it is gone', async () => {
+      begin({ seed: 3, entries: 1, demand: () => 5 })
+      replay.perSecond = 1.3
+      await replay.play(1000)
+      const { limits } = replay.entries[0] ?? expect.fail('no entry')
+      for (const listed of [[replay.server], []]) {
+        await time.pass(25_000)
+        limits.expire(listed)
+        expect(limits.none).to.equal(false)
+      }
+      await time.pass(31_000)
+      limits.expire([])
+      expect(limits.none).to.equal(true)
+    })
+
+    it('concern one life of their server', async () => {
+      begin({ seed: 4, entries: 1, demand: () => 5 })
+      replay.perSecond = 1.3
+      await replay.play(1000)
+      const { limits } = replay.entries[0] ?? expect.fail('no entry')
+      expect(limits.state(replay.server)).to.not.equal(undefined)
+      expect(limits.state({ ...replay.server, bornAt: 2 })).to.equal(undefined)
+    })
+  })
+
   describe('keep what is allowed', () => {
     const figures = [0.5, 1.3, 4.8, 12, 50]
     const entry = fc.integer({ min: 0, max: 25 })
--- a/packages/fleet/test/waiting-room.test.ts
+++ b/packages/fleet/test/waiting-room.test.ts
@@ -86,4 +86,31 @@
     await time.pass(20)
     expect(order).to.deep.equal(['bad hopeless'])
   })
+
+  describe('for servers that name limits', () => {
+    const limited: Choice = { type: 'limited', readyInMs: 100, everyMs: 200, reason: 'all servers name limits' }
+    const limitedWaiter = (rank: number, mostMs = Infinity): Waiter => ({
+      ...waiter(`key ${rank}`, rank),
+      choose: () => free-- > 0 ? send : limited,
+      mayWaitFor: choice => choice.type !== 'limited' || choice.readyInMs <= mostMs
+    })
+
+    it('counts those that go first, of the same service', () => {
+      for (const rank of [1, 2, 5]) wait(`rank ${rank}`, limitedWaiter(rank), limited)
+      wait('elsewhere', { ...limitedWaiter(1), service: 'others' }, limited)
+      wait('for a place', waiter('key', 1))
+      expect([0, 2, 9].map(rank => room.limitedAhead('engines', rank))).to.deep.equal([0, 2, 3])
+    })
+
+    it('ends the wait of those whose turn comes too late, the last in rank first', async () => {
+      for (const rank of [3, 1, 2]) wait(`rank ${rank}`, limitedWaiter(rank, 300), limited)
+      room.poke()
+      await time.pass(20)
+      expect(order).to.deep.equal(['rank 3 expired'])
+      free = 1
+      room.poke()
+      await time.pass(20)
+      expect(order).to.deep.equal(['rank 3 expired', 'rank 1 chosen'])
+    })
+  })
 })
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -197,7 +197,7 @@
     gives: z.array(TokenAge),
     wants: z.array(z.tuple([z.string().max(longestTeam), z.number().nonnegative()])),
     /** The same of requests to servers that name a limit. */
-    servers: z.object({ gives: z.array(RequestAge).max(mostLimits), wants: z.array(RequestWant).max(mostLimits) }).optional()
+    servers: z.object({ gives: z.array(RequestAge), wants: z.array(RequestWant).max(mostLimits) }).optional()
   }),
   /** The answer to the frame with that stamp. `needed`: teams that were short of late, for which entries should give first. */
   z.object({
