--- a/packages/fleet/src/entry/quota-exchange.ts
+++ b/packages/fleet/src/entry/quota-exchange.ts
@@ -178,7 +178,7 @@
   #serversPart (giving: boolean): Pick<FrameOf<'quota'>, 'servers'> {
     const { serverLimits } = this.options
     if (serverLimits.none) return {}
-    const { gives, wants } = serverLimits.exchanged(giving)
+    const { gives, wants } = serverLimits.offers(giving)
     this.#askedServers = new Map(wants.map(([limit, count]) => [limit, count]))
     return { servers: { gives, wants } }
   }
--- a/packages/fleet/src/entry/server-limits.ts
+++ b/packages/fleet/src/entry/server-limits.ts
@@ -134,7 +134,7 @@
   }
 
   /** What is given to other entries where anything may be, and asked of them. */
-  exchanged (giving: boolean): { gives: RequestAge[], wants: RequestWant[] } {
+  offers (giving: boolean): { gives: RequestAge[], wants: RequestWant[] } {
     const now = elapsedMs()
     const gives: RequestAge[] = []
     const wants: RequestWant[] = []
@@ -219,7 +219,7 @@
 const figureOf = (perSecond: number): number | 'none' => perSecond === Infinity ? 'none' : perSecond
 
 /** What those need to know who choose servers and exchange tokens. */
-export type LimitsView = Pick<ServerLimits, 'none' | 'state' | 'bring' | 'exchanged' | 'granted'>
+export type LimitsView = Pick<ServerLimits, 'none' | 'state' | 'bring' | 'offers' | 'granted'>
 
 /** Where no server names a limit. */
-export const noLimits: LimitsView = { none: true, state: () => undefined, bring: async () => true, exchanged: () => ({ gives: [], wants: [] }), granted: () => {} }
+export const noLimits: LimitsView = { none: true, state: () => undefined, bring: async () => true, offers: () => ({ gives: [], wants: [] }), granted: () => {} }
--- a/packages/fleet/test/leaving-servers.test.ts
+++ b/packages/fleet/test/leaving-servers.test.ts
@@ -8,7 +8,7 @@
  * as before, and not one line of any entry that speaks of its leaving.
  */
 import { pause } from '@finchpitch/core'
-import { FleetSystem, askFleet, eventually, type BackendStandIn, type Machine } from '@finchpitch/stand-ins'
+import { FleetLoad, FleetSystem, eventually, type BackendStandIn, type Machine, type Sent } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
 
 /** A server that said it leaves gets nothing that a caller sent later than this after an answer that said so. */
@@ -16,27 +16,19 @@
 const askEveryMs = 40
 /** Less than a request waits where somebody may come: a fifth of the route's 150 ms. */
 const atOnceMs = 25
-const model = 'base/a1'
-
-interface Sent {
-  entry: number
-  id: string
-  at: number
-  server: string | undefined
-  status: number
-  endedAt: number
-}
+const paths = ['/stream/x', '/again/x']
 
 describe('servers that say in their answers that they leave', function () {
   this.timeout(60_000)
   const network = 38
   let fleet: FleetSystem
-  let asked = 0
+  let load: FleetLoad
 
   beforeEach(async () => {
     fleet = new FleetSystem({ network, domains: 2, entriesPerDomain: 1, enginesPerDomain: 2, plainPerDomain: 2, places: 4, loadMs: 20, workMs: 10, events: 3, eventMs: 5 })
     await fleet.start()
-    for (const entry of fleet.entries.keys()) for (const path of ['/stream/x', '/again/x']) await eventually('served', async () => (await send(entry, path)).status === 200)
+    load = new FleetLoad(fleet, 'leave')
+    await load.served(paths)
   })
 
   afterEach(async function () {
@@ -44,25 +36,6 @@
     await fleet.stop()
   })
 
-  const send = async (entry: number, path: string): Promise<Sent> => {
-    const id = `leave-${entry}-${asked++}`
-    const at = performance.now()
-    const reply = await askFleet(fleet, { path, id, entry, ...(path.startsWith('/stream') ? { model } : {}) })
-    const server = String(reply.headers['response-seal'] ?? '').replace('seal-', '')
-    return { entry, id, at, server, status: reply.status, endedAt: performance.now() }
-  }
-
-  /** All entries are sent requests of both kinds for a while. */
-  const sendFor = async (ms: number): Promise<Sent[]> => {
-    const sent: Array<Promise<Sent>> = []
-    const until = performance.now() + ms
-    while (performance.now() < until) {
-      for (const entry of fleet.entries.keys()) sent.push(send(entry, '/stream/x'), send(entry, '/again/x'))
-      await pause(askEveryMs)
-    }
-    return await Promise.all(sent)
-  }
-
   /** Requests that reached `server` though they came to an entry too late after its first answer of the server. */
   const late = (server: BackendStandIn, sent: Sent[], saidAt: number): string[] => fleet.entries.flatMap((_, entry) => {
     const mine = sent.filter(each => each.entry === entry)
@@ -81,7 +54,7 @@
     const [engine, plain] = [fleet.engines.find(each => each.adapters.has('a1')), fleet.plain[0]] as BackendStandIn[]
     fleet.store.fault = 'silent'
     const saidAt = leave(engine as BackendStandIn, plain as BackendStandIn)
-    const sent = await sendFor(drainMs + 1500)
+    const sent = await load.sendFor(drainMs + 1500, askEveryMs, paths)
     expect(sent.filter(each => each.status !== 200)).to.deep.equal([])
     expect(late(engine as BackendStandIn, sent, saidAt)).to.deep.equal([])
     expect(late(plain as BackendStandIn, sent, saidAt)).to.deep.equal([])
@@ -96,9 +69,9 @@
     await pause(1000)
     const before = engine.arrivals.length
     await fleet.startProcess(started)
-    await eventually('the entry serves', async () => (await send(1, '/again/x').catch(() => undefined))?.status === 200, 8000)
+    await eventually('the entry serves', async () => (await load.send(1, '/again/x').catch(() => undefined))?.status === 200, 8000)
     await pause(500)
-    await sendFor(500)
+    await load.sendFor(500, askEveryMs, paths)
     expect(engine.arrivals.slice(before)).to.deep.equal([])
   })
 
@@ -110,7 +83,7 @@
     await pause(1000)
     const engine = fleet.engines.find(each => each.adapters.has('a1')) as BackendStandIn
     leave(engine)
-    await sendFor(1000)
+    await load.sendFor(1000, askEveryMs, paths)
     engine.restart(engine.id)
     engine.leaving = false
     engine.bornAt = 2000
@@ -118,7 +91,7 @@
     // The other engines leave, so that it is the only one.
     leave(...fleet.engines.filter(each => each !== engine))
     await pause(2000)
-    const sent = await sendFor(500)
+    const sent = await load.sendFor(500, askEveryMs, paths)
     expect(sent.filter(each => each.server === engine.id).length).to.be.greaterThan(0)
     expect(sent.filter(each => each.status !== 200)).to.deep.equal([])
   })
@@ -127,8 +100,8 @@
     fleet.store.fault = 'silent'
     await pause(3500)
     leave(...fleet.plain)
-    for (let each = 0; each < fleet.plain.length; each++) await Promise.all([...fleet.entries.keys()].map(async entry => await send(entry, '/again/x')))
-    const sent = await Promise.all([...fleet.entries.keys()].map(async entry => await send(entry, '/again/x')))
+    for (let each = 0; each < fleet.plain.length; each++) await Promise.all([...fleet.entries.keys()].map(async entry => await load.send(entry, '/again/x')))
+    const sent = await Promise.all([...fleet.entries.keys()].map(async entry => await load.send(entry, '/again/x')))
     for (const { status, at, endedAt } of sent) {
       expect(status).to.equal(503)
       expect(endedAt - at).to.be.lessThan(atOnceMs)
@@ -141,16 +114,16 @@
     fleet.list(plain)
     await pause(1000)
     const saidAt = leave(plain)
-    const before = await sendFor(drainMs + 200)
+    const before = await load.sendFor(drainMs + 200, askEveryMs, paths)
     fleet.store.remove('servers', plain.id)
     await pause(200)
     fleet.list(plain)
-    const sent = [...before, ...await sendFor(1500)]
+    const sent = [...before, ...await load.sendFor(1500, askEveryMs, paths)]
     expect(late(plain, sent, saidAt)).to.deep.equal([])
     plain.leaving = false
     plain.bornAt = 2000
     fleet.list(plain)
     await pause(1000)
-    expect((await sendFor(500)).some(each => each.server === plain.id)).to.equal(true)
+    expect((await load.sendFor(500, askEveryMs, paths)).some(each => each.server === plain.id)).to.equal(true)
   })
 })
--- a/packages/fleet/test/limited-servers.test.ts
+++ b/packages/fleet/test/limited-servers.test.ts
@@ -10,7 +10,7 @@
  * `request.ended` with it as the server, its reason `held near` as before, at all three entries.
  */
 import { pause } from '@finchpitch/core'
-import { FleetSystem, askFleet, eventually, type BackendStandIn } from '@finchpitch/stand-ins'
+import { FleetLoad, FleetSystem, type BackendStandIn } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
 
 /** From so long after a server first named its limit, */
@@ -26,25 +26,19 @@
 const toldMs = 300
 /** Half of the route's objective is waited for a place that is sure to come, and no longer. */
 const mostHeldMs = 150
-const model = 'base/a1'
 /** Long enough for a window of which nothing lies in the time that is for passing the word on. */
 const playMs = contactMs + windowMs + 1500
 
-interface Sent {
-  status: number
-  retryAfterMs: number
-  ms: number
-}
-
 describe('servers that name a limit', function () {
   this.timeout(60_000)
   let fleet: FleetSystem
-  let asked = 0
+  let load: FleetLoad
 
   beforeEach(async () => {
     fleet = new FleetSystem({ network: 48, domains: 3, entriesPerDomain: 1, enginesPerDomain: 1, plainPerDomain: 1, places: 4, loadMs: 20, workMs: 10, events: 3, eventMs: 5 })
     await fleet.start()
-    for (const entry of fleet.entries.keys()) for (const path of ['/stream/x', '/again/x']) await eventually('served', async () => (await send(entry, path)).status === 200)
+    load = new FleetLoad(fleet, 'limit')
+    await load.served(['/stream/x', '/again/x'])
   })
 
   afterEach(async function () {
@@ -52,22 +46,6 @@
     await fleet.stop()
   })
 
-  const send = async (entry: number, path: string): Promise<Sent> => {
-    const at = performance.now()
-    const reply = await askFleet(fleet, { path, id: `limit-${entry}-${asked++}`, entry, ...(path.startsWith('/stream') ? { model } : {}) })
-    return { status: reply.status, retryAfterMs: Number(reply.headers['retry-after'] ?? 0) * 1000, ms: performance.now() - at }
-  }
-
-  const sendFor = async (ms: number, paths: readonly string[]): Promise<Sent[]> => {
-    const sent: Array<Promise<Sent>> = []
-    const until = performance.now() + ms
-    while (performance.now() < until) {
-      for (const entry of fleet.entries.keys()) for (const path of paths) sent.push(send(entry, path))
-      await pause(askEveryMs)
-    }
-    return await Promise.all(sent)
-  }
-
   /** The most requests that reached the server in any window, from when its word binds. */
   const mostArrivals = (server: BackendStandIn, namedAt: number): number => {
     const times = server.arrivals.map(({ at }) => at).filter(at => at > namedAt + contactMs)
@@ -82,7 +60,7 @@
       const plain = fleet.plain[0] as BackendStandIn
       const namedAt = performance.now()
       for (const server of [engine, plain]) server.limitPerSecond = perSecond
-      const sent = await sendFor(playMs, ['/stream/x', '/again/x'])
+      const sent = await load.sendFor(playMs, askEveryMs, ['/stream/x', '/again/x'])
       expect([engine, plain].map(server => mostArrivals(server, namedAt) <= allowed(perSecond))).to.deep.equal([true, true])
       expect(sent.filter(each => each.status !== 200)).to.deep.equal([])
     })
@@ -91,10 +69,10 @@
   it('are spared by an entry that only others have told', async () => {
     const plain = fleet.plain[0] as BackendStandIn
     plain.limitPerSecond = 1.3
-    while (plain.arrivals.length === 0 || plain.arrivals.at(-1)?.id.startsWith('limit-0-') !== true) await send(0, '/again/x')
+    while (plain.arrivals.length === 0 || plain.arrivals.at(-1)?.id.startsWith(load.idPrefix(0)) !== true) await load.send(0, '/again/x')
     await pause(toldMs)
     const from = performance.now()
-    const sent = await Promise.all(Array.from({ length: 60 }, () => send(1, '/again/x')))
+    const sent = await Promise.all(Array.from({ length: 60 }, () => load.send(1, '/again/x')))
     expect(sent.filter(each => each.status !== 200)).to.deep.equal([])
     expect(plain.arrivals.filter(({ at }) => at > from).length).to.be.at.most(allowed(1.3))
   })
@@ -102,15 +80,15 @@
   it('get as much as ever once they name none, or are born again', async () => {
     const [ended, born] = fleet.plain as [BackendStandIn, BackendStandIn]
     for (const server of [ended, born]) server.limitPerSecond = 1.3
-    await sendFor(1000, ['/again/x'])
+    await load.sendFor(1000, askEveryMs, ['/again/x'])
     ended.limitPerSecond = undefined
     born.limitPerSecond = undefined
     born.bornAt = 2
     born.restart(born.id)
     fleet.list(born)
-    await sendFor(3000, ['/again/x'])
+    await load.sendFor(3000, askEveryMs, ['/again/x'])
     const from = performance.now()
-    await sendFor(1000, ['/again/x'])
+    await load.sendFor(1000, askEveryMs, ['/again/x'])
     const freely = 1000 / askEveryMs * fleet.entries.length / fleet.plain.length / 3
     for (const server of [ended, born]) expect(server.arrivals.filter(({ at }) => at > from).length).to.be.above(freely)
   })
@@ -118,14 +96,14 @@
   it('have callers refused at once with a time of which something comes, where all of them name limits', async () => {
     const namedAt = performance.now()
     for (const server of fleet.plain) server.limitPerSecond = 4.8
-    const sent = await sendFor(playMs, ['/again/x'])
+    const sent = await load.sendFor(playMs, askEveryMs, ['/again/x'])
     for (const server of fleet.plain) expect(mostArrivals(server, namedAt)).to.be.at.most(allowed(4.8))
     const served = sent.filter(each => each.status === 200).length
     expect(served).to.be.above(fleet.plain.length * 4.8 * playMs / 1000 / 2)
     const refused = sent.filter(each => each.status === 503)
     expect(served + refused.length).to.equal(sent.length)
     expect(refused.every(each => each.retryAfterMs >= 100 && each.retryAfterMs <= 5000)).to.equal(true)
-    const held = refused.filter(each => each.ms > mostHeldMs).length
+    const held = refused.filter(each => each.endedAt - each.at > mostHeldMs).length
     expect(held / refused.length).to.be.below(0.1)
   })
 })
--- a/packages/fleet/test/resting-servers.test.ts
+++ b/packages/fleet/test/resting-servers.test.ts
@@ -7,7 +7,7 @@
  * each the first try of another request.
  */
 import { pause } from '@finchpitch/core'
-import { FleetSystem, askFleet, eventually, type BackendStandIn } from '@finchpitch/stand-ins'
+import { FleetLoad, FleetSystem, type BackendStandIn } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
 
 const restMs = 1500
@@ -16,27 +16,21 @@
 /** to its end, so many requests of one entry may reach the server. */
 const mostInRest = 2
 const askEveryMs = 25
-const model = 'base/a1'
 /** Less than a request waits for a place. */
 const atOnceMs = 40
 /** Until the first requests of a test have reached the servers. */
 const slackMs = 100
 
-interface Sent {
-  status: number
-  retryAfterMs: number
-  ms: number
-}
-
 describe('servers that ask for rest', function () {
   this.timeout(60_000)
   let fleet: FleetSystem
-  let asked = 0
+  let load: FleetLoad
 
   beforeEach(async () => {
     fleet = new FleetSystem({ network: 39, domains: 2, entriesPerDomain: 1, enginesPerDomain: 2, plainPerDomain: 2, places: 4, loadMs: 20, workMs: 10, events: 3, eventMs: 5 })
     await fleet.start()
-    for (const entry of fleet.entries.keys()) for (const path of ['/stream/x', '/again/x']) await eventually('served', async () => (await send(entry, path)).status === 200)
+    load = new FleetLoad(fleet, 'rest')
+    await load.served(['/stream/x', '/again/x'])
   })
 
   afterEach(async function () {
@@ -44,22 +38,6 @@
     await fleet.stop()
   })
 
-  const send = async (entry: number, path: string): Promise<Sent> => {
-    const at = performance.now()
-    const reply = await askFleet(fleet, { path, id: `rest-${entry}-${asked++}`, entry, ...(path.startsWith('/stream') ? { model } : {}) })
-    return { status: reply.status, retryAfterMs: Number(reply.headers['retry-after'] ?? 0) * 1000, ms: performance.now() - at }
-  }
-
-  const sendFor = async (ms: number, paths: readonly string[]): Promise<Sent[]> => {
-    const sent: Array<Promise<Sent>> = []
-    const until = performance.now() + ms
-    while (performance.now() < until) {
-      for (const entry of fleet.entries.keys()) for (const path of paths) sent.push(send(entry, path))
-      await pause(askEveryMs)
-    }
-    return await Promise.all(sent)
-  }
-
   const askForRest = (servers: readonly BackendStandIn[]): void => {
     for (const server of servers) {
       server.fault = 'shedding'
@@ -70,7 +48,7 @@
   /** The most requests of one entry that reached the server within a rest that it had asked that entry for. */
   const mostArrivals = (server: BackendStandIn): number => {
     const counts = fleet.entries.flatMap((_, entry) => {
-      const mine = server.arrivals.filter(({ id }) => id.startsWith(`rest-${entry}-`))
+      const mine = server.arrivals.filter(({ id }) => id.startsWith(load.idPrefix(entry)))
       return mine.filter(({ refused }) => refused).map(({ at }) =>
         mine.filter(other => other.at > at + bindingMs && other.at < at + restMs).length)
     })
@@ -81,7 +59,7 @@
     const engine = fleet.engines.find(each => each.adapters.has('a1')) as BackendStandIn
     const plain = fleet.plain[0] as BackendStandIn
     askForRest([engine, plain])
-    const sent = await sendFor(restMs * 2, ['/stream/x', '/again/x'])
+    const sent = await load.sendFor(restMs * 2, askEveryMs, ['/stream/x', '/again/x'])
     expect(sent.filter(each => each.status !== 200)).to.deep.equal([])
     expect([engine, plain].map(server => server.arrivals.some(({ refused }) => refused))).to.deep.equal([true, true])
     expect(mostArrivals(engine)).to.be.at.most(mostInRest)
@@ -91,14 +69,14 @@
   it('have callers told at once when the first of them takes requests again, where all of them rest', async () => {
     askForRest(fleet.plain)
     const askedForMs = bindingMs * 2
-    await sendFor(askedForMs, ['/again/x'])
-    const [told] = await Promise.all([send(0, '/again/x'), send(1, '/again/x')])
+    await load.sendFor(askedForMs, askEveryMs, ['/again/x'])
+    const [told] = await Promise.all([load.send(0, '/again/x'), load.send(1, '/again/x')])
     expect(told.status).to.equal(503)
-    expect(told.ms).to.be.lessThan(atOnceMs)
+    expect(told.endedAt - told.at).to.be.lessThan(atOnceMs)
     expect(told.retryAfterMs).to.be.within(1, restMs - askedForMs + slackMs)
     for (const server of fleet.plain) server.fault = 'none'
     await pause(told.retryAfterMs)
-    expect(await send(0, '/again/x')).to.include({ status: 200 })
+    expect(await load.send(0, '/again/x')).to.include({ status: 200 })
     expect(fleet.plain.map(mostArrivals).every(most => most <= mostInRest)).to.equal(true)
   })
 })
