--- /dev/null
+++ b/packages/fleet/test/changes-in-force.test.ts
@@ -0,0 +1,68 @@
+/*
+ * Callers were refused a route for 3 s and more after it had been added, and a dropped one was served for as long, at an entry that
+ * the store turned away while it served all others: 2 s are allowed. In 20 s of changes each 1.7 s, 295 requests at that entry and
+ * none at the two others were handled as an older configuration allows.
+ */
+import { pause } from '@finchpitch/core'
+import { FleetSystem, RouteChanges, type Harm, type LateChange } from '@finchpitch/stand-ins'
+import { expect } from 'chai'
+
+/** A change has to be in force so long after the store has acknowledged it. */
+const applyMs = 2000
+/** An entry that has shown a change goes back on it no later. */
+const slackMs = 250
+/** An entry is owed nothing so long after something troubled it. */
+const contactMs = 3000
+const changeEveryMs = 1700
+const awayMs = 11_000
+const failureShows = 5
+
+const fleetOptions = { network: 60, domains: 3, entriesPerDomain: 1, enginesPerDomain: 1, plainPerDomain: 1, places: 4, loadMs: 50, workMs: 5, events: 4, eventMs: 5, storeFronts: true }
+
+const describeLate = ({ probe, fault, afterMs }: LateChange): string => `${probe.id} ${probe.route.path} at entry ${probe.entry}: ${fault} for ${Math.round(afterMs)} ms`
+
+describe('changes of routes while the store turns one entry away', function () {
+  this.timeout(60_000)
+  let fleet: FleetSystem
+  let changes: RouteChanges
+
+  beforeEach(async () => {
+    fleet = new FleetSystem(fleetOptions)
+    await fleet.start()
+    changes = new RouteChanges(fleet, 'changed')
+  })
+
+  afterEach(async () => {
+    changes.close()
+    await fleet.stop()
+  })
+
+  const change = async (signal: AbortSignal): Promise<void> => {
+    for (let each = 0; !signal.aborted; each++) {
+      changes.add()
+      if (each % 2 === 1) changes.drop()
+      await pause(changeEveryMs)
+    }
+  }
+
+  for (const harm of [{ type: 'reset' }, { type: 'silence' }] as Harm[]) {
+    it(`are in force everywhere in time where it is met with ${harm.type}`, async () => {
+      const stop = new AbortController()
+      const asked = [changes.ask(stop.signal), change(stop.signal)]
+      await pause(contactMs)
+      const [front] = fleet.storeFronts
+      if (front === undefined) throw new Error('the fleet has no proxies before its store')
+      const turnedAwayAt = performance.now()
+      front.harm = harm
+      front.resetAll()
+      await pause(awayMs)
+      front.harm = { type: 'none' }
+      front.resetAll()
+      await pause(contactMs + changeEveryMs)
+      stop.abort()
+      await Promise.all(asked)
+      const late = changes.late(applyMs, slackMs).filter(({ probe }) => probe.sentAt > turnedAwayAt + contactMs)
+      expect(late.length, late.slice(0, failureShows).map(describeLate).join('\n')).to.equal(0)
+    })
+  }
+})
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -2,9 +2,8 @@
  * The faults that a soak deals, one after the other and over each other, each drawn from the seed.
  */
 import { pause } from '@finchpitch/core'
-import type { BackendStandIn, FleetSystem, Machine } from '@finchpitch/stand-ins'
+import type { BackendStandIn, FaultProxy, FleetSystem, Machine } from '@finchpitch/stand-ins'
 import { everywhere, type Disturbances } from './disturbances.js'
-import type { FaultProxy } from './fault-proxy.js'
 import type { Dice } from './random.js'
 
 export interface Scene {
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -1,4 +1,3 @@
 /** A soak of real processes under random faults. */
 export * from './soak.js'
 export * from './judge.js'
-export * from './fault-proxy.js'
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -4,10 +4,9 @@
  */
 import { Agent } from 'node:http'
 import { pause } from '@finchpitch/core'
-import { FleetSystem } from '@finchpitch/stand-ins'
+import { FaultProxy, FleetSystem } from '@finchpitch/stand-ins'
 import { ask, type Result } from './caller.js'
 import { Disturbances } from './disturbances.js'
-import { FaultProxy } from './fault-proxy.js'
 import { faultTable } from './faults.js'
 import { events, judge, type SoakReport } from './judge.js'
 import { Limits } from './limits.js'
--- a/packages/soak/src/fault-proxy.ts
+++ b/packages/stand-ins/src/fleet/fault-proxy.ts
@@ -18,8 +18,9 @@
   readonly #pairs = new Set<[Socket, Socket]>()
   #server: Server | undefined
 
-  async start (ip: string, port: number, target: number): Promise<void> {
-    const server = createServer({ allowHalfOpen: true }, near => this.#join(near, connect({ host: ip, port: target, allowHalfOpen: true })))
+  /** Listens at `ip:port` for what listens at `targetIp:target`. */
+  async start (ip: string, port: number, target: number, targetIp = ip): Promise<void> {
+    const server = createServer({ allowHalfOpen: true }, near => this.#join(near, connect({ host: targetIp, port: target, allowHalfOpen: true })))
     this.#server = server
     server.listen(port, ip)
     await once(server, 'listening')
--- a/packages/stand-ins/src/fleet/fleet-system.ts
+++ b/packages/stand-ins/src/fleet/fleet-system.ts
@@ -11,6 +11,7 @@
 import { pause } from '@finchpitch/core'
 import { BackendStandIn } from './backend-server.js'
 import { eventually } from './eventually.js'
+import { FaultProxy } from './fault-proxy.js'
 import { ObjectServer } from './object-server.js'
 import type { HttpStandIn } from '../http-stand-in.js'
 
@@ -42,6 +43,8 @@
   bornAt?: number
   bounds?: Record<string, number>
   nodeOptions?: string[]
+  /** Each entry reaches the store through a proxy of its own. */
+  storeFronts?: boolean
   /** Puts something between a server and its address: listens at `ip:port` for what listens at `ip:target`. */
   between?: (ip: string, port: number, target: number) => Promise<void>
   /** Program and arguments before the role; the compiled adapter by default. */
@@ -65,6 +68,10 @@
   readonly plain: BackendStandIn[] = []
   readonly entries: Machine[] = []
   readonly sides: Machine[] = []
+  /** What stands between each entry and the store, by the place of the entry; empty without `storeFronts`. */
+  readonly storeFronts: FaultProxy[] = []
+  /** Routes of every table beside the lasting ones. */
+  moreRoutes: unknown[] = []
   readonly #places = new Map<BackendStandIn, { ip: string, domain: string }>()
   /** Backend servers whose processes have ended and are not back. */
   readonly #restarts = new Map<BackendStandIn, Promise<void>>()
@@ -78,6 +85,7 @@
     await this.#listen(this.store, this.#ip(200, 1), ports.store)
     this.store.put('config', 'main', this.table(1))
     for (let domain = 0; domain < this.options.domains; domain++) await this.#startDomain(domain)
+    if (this.options.storeFronts === true) await this.#startStoreFronts()
     for (const machine of [...this.entries, ...this.sides]) await this.startProcess(machine)
     await this.#joined()
   }
@@ -103,7 +111,8 @@
         { name: 'r-stream', host: 'fleet.example', pathPrefix: '/stream/', maxAttempts: 1, resumable: false, ...stream },
         { name: 'r-resume', host: 'fleet.example', pathPrefix: '/resume/', maxAttempts: 2, resumable: true, ...stream },
         { name: 'r-once', host: 'fleet.example', pathPrefix: '/once/', kind: 'non_idempotent', maxAttempts: 1, ...plain },
-        { name: 'r-again', host: 'fleet.example', pathPrefix: '/again/', kind: 'idempotent', maxAttempts: 2, ...plain }
+        { name: 'r-again', host: 'fleet.example', pathPrefix: '/again/', kind: 'idempotent', maxAttempts: 2, ...plain },
+        ...this.moreRoutes
       ],
       services: [
         { name: engineService, healthPath: '/health', maxConnections: 200, engine: { slots: 32, adapterSlots: places, weightsMb: 2000, loadsPerS: 50, models: [{ name: model, weightsMb: 1000, loadS: 0.5, adapters: 3000, adapterMb: 12 }] } },
@@ -174,7 +183,7 @@
     this.#stopped = true
     await Promise.all([...this.entries, ...this.sides].map(machine => this.kill(machine)))
     await Promise.all(this.#restarts.values())
-    await Promise.all([this.store, ...this.engines, ...this.plain].map(each => each.stop()))
+    await Promise.all([this.store, ...this.storeFronts, ...this.engines, ...this.plain].map(each => each.stop()))
     await rm(this.#folder, { recursive: true, force: true })
   }
 
@@ -237,6 +246,20 @@
     await between?.(ip, port, port + hiddenBy)
   }
 
+  async #startStoreFronts (): Promise<void> {
+    for (const entry of this.entries) {
+      const front = new FaultProxy()
+      await front.start(this.#storeIp(entry), ports.store, ports.store, this.#ip(200, 1))
+      this.storeFronts.push(front)
+    }
+  }
+
+  /** Where a machine finds the store. */
+  #storeIp (machine: Machine): string {
+    const place = this.options.storeFronts === true ? this.entries.indexOf(machine) : -1
+    return this.#ip(200, 2 + place)
+  }
+
   #ip (domain: number, machine: number): string {
     return `127.${this.options.network}.${domain}.${machine}`
   }
@@ -256,7 +279,7 @@
       '[bounds]',
       ...Object.entries(bounds).map(([key, value]) => `${key} = ${value}`),
       '[provider]',
-      `address = "${this.#ip(200, 1)}:${ports.store}"`,
+      `address = "${this.#storeIp(machine)}:${ports.store}"`,
       ''
     ].join('\n')
   }
