--- a/packages/fleet/src/entry/request-record.ts
+++ b/packages/fleet/src/entry/request-record.ts
@@ -10,8 +10,21 @@
 import type { RequestTimes } from './request-times.js'
 import type { Holding } from './server-state.js'
 
+/** Characters of a path that are told. */
+const mostPath = 200
+
 /** A time for the log; none where nothing was measured. */
-const rounded = (ms: number | undefined): number | undefined => ms === undefined ? undefined : Math.round(ms)
+const rounded = (ms: number | undefined): number | undefined => ms === undefined || !Number.isFinite(ms) ? undefined : Math.round(ms)
+
+/** What an entry knew at the end of a request. */
+export interface RecordContext {
+  /** Version of the routing table in force. */
+  table: number | undefined
+  /** Since the table was surely the newest; not finite where nothing was proved. */
+  tableAgeMs: number
+  /** What is known of the server that it was sent to last. */
+  holding: Holding | undefined
+}
 
 export class RequestRecord {
   route: Route | undefined
@@ -35,8 +48,8 @@
 
   constructor (private readonly incoming: Incoming, private readonly times: RequestTimes) {}
 
-  /** `table`: version of the routing table in force; `holding`: what is known of the server. */
-  tell (outcome: string, log: Log, counters: EntryCounters, { table, holding }: { table: number | undefined, holding: Holding | undefined }): void {
+  /** What the end of a request is told with. */
+  tell (outcome: string, log: Log, counters: EntryCounters, { table, tableAgeMs, holding }: RecordContext): void {
     const { incoming, times, route, server } = this
     this.#count(outcome, counters)
     log.info('request.ended', {
@@ -45,6 +58,9 @@
       team: this.team,
       objectiveMs: route?.objectiveMs,
       table,
+      tableAgeMs: rounded(tableAgeMs),
+      // A request that matched no route is known by nothing else.
+      ...(route === undefined ? { host: incoming.host, path: incoming.path.slice(0, mostPath) } : {}),
       key: incoming.model,
       tokens: incoming.tokens,
       server: server?.id,
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -132,7 +132,7 @@
     const { facts, balancer, log, counters } = this.options
     this.#admission.release()
     const holding = balancer.states.get(this.#record.server?.id ?? '')?.holding
-    this.#record.tell(outcome, log, counters, { table: facts.routes?.table.version, holding })
+    this.#record.tell(outcome, log, counters, { table: facts.routes?.table.version, tableAgeMs: facts.freshness.ageMs, holding })
   }
 
   async #serve (): Promise<string> {
