--- a/packages/fleet/src/side/reader.ts
+++ b/packages/fleet/src/side/reader.ts
@@ -8,7 +8,7 @@
 import { isDeepStrictEqual } from 'node:util'
 import { encode, type Appointment, type Channel, type ChannelPace, type Complete, type StoreSight } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
-import { patienceMs, type FactLink } from '../fact-exchange.js'
+import { patienceElsewhere, patienceMs, patienceToEntry, type FactLink, type Patience } from '../fact-exchange.js'
 import { NewsTeller, newsPaces, type EngineNews } from './news.js'
 
 /** A channel that says something now and then only: heartbeats across cost bytes, and an unanswered want shows a dead one. */
@@ -43,10 +43,9 @@
   facts: FactLink | undefined
   /** It is a side process that passes news on to its entries. */
   relay = false
-  /** How it sees the store, by its last heartbeat. */
-  sight: StoreSight | undefined
   /** When it was last heard, on the steady clock. */
   heardAt = nowMs()
+  #sight: StoreSight | undefined
   /** It learns of the store's facts from here alone. */
   #dependent = false
   #toldComplete: Complete | undefined
@@ -65,6 +64,24 @@
     this.#ownHost = ownHost
   }
 
+  /** How it sees the store, by its last heartbeat. */
+  get sight (): StoreSight | undefined {
+    return this.#sight
+  }
+
+  /** Its heartbeat says how it sees the store. */
+  sees (sight: StoreSight | undefined): void {
+    if (sight === this.#sight) return
+    this.#sight = sight
+    this.facts?.setPatience(this.patience)
+  }
+
+  /** How long it is left to learn of a fact elsewhere. */
+  get patience (): Patience {
+    if (this.#dependent) return patienceMs.dependent
+    return (this.near ? patienceToEntry : patienceElsewhere)[this.#sight ?? 'resting']
+  }
+
   get follows (): ReadonlySet<string> {
     return new Set(this.#tellers.keys())
   }
@@ -87,7 +104,7 @@
   depend (on: boolean): void {
     this.#dependent = on
     this.#toldComplete = undefined
-    this.facts?.setPatience(on ? patienceMs.dependent : patienceMs.entry)
+    this.facts?.setPatience(this.patience)
   }
 
   /** Tells a dependent how far it has been told all, and now and then that this is still so; `confirmedAt`: when that was last known. */
--- a/packages/fleet/src/side/readers.ts
+++ b/packages/fleet/src/side/readers.ts
@@ -5,9 +5,9 @@
  * that don't watch depend on it. Side processes elsewhere take its news for their own entries. Entries elsewhere ask for
  * adapters and hear of those alone.
  */
-import type { Channel, Frame, FrameOf } from '@finchpitch/wire'
+import type { Channel, Frame, FrameOf, StoreSight } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
-import { FactLink, patienceMs } from '../fact-exchange.js'
+import { FactLink } from '../fact-exchange.js'
 import { TryNewsRelay } from './try-news-relay.js'
 import { FreshRelay } from './fresh-relay.js'
 import { Reader, quietPace } from './reader.js'
@@ -115,15 +115,22 @@
   }
 
   #heard (frame: FrameOf<'heartbeat'>, reader: Reader): void {
-    reader.sight = frame.sight
+    reader.sees(frame.sight)
+    this.options.facts.setSight(this.#sightNear())
     // Entries of the same domain that read the store send what they learn at once, so by now it is all here.
     if (reader.near && frame.sight === 'reading' && frame.complete !== undefined) this.options.facts.caughtUp(frame.complete)
   }
 
+  /** How the entries near see the store between them; side processes elsewhere send at once where it answers none. */
+  #sightNear (): StoreSight {
+    const sights = new Set([...this.#readers].filter(reader => reader.near && !reader.relay).map(reader => reader.sight))
+    return (['reading', 'blind'] as const).find(sight => sights.has(sight)) ?? 'resting'
+  }
+
   #exchangeFacts (reader: Reader): void {
     const { facts, log } = this.options
     if (reader.facts !== undefined) return
-    reader.facts = new FactLink(facts, reader.channel, patienceMs.entry, log)
+    reader.facts = new FactLink(facts, reader.channel, reader.patience, log)
     reader.facts.start()
     this.#tryNews.greet(reader.channel)
   }
--- a/packages/wire/src/quick-check.ts
+++ b/packages/wire/src/quick-check.ts
@@ -75,7 +75,8 @@
     type: value => value === 'heartbeat',
     revision: isCount,
     complete: value => isPlain(value) && fits(value, complete, completeFields),
-    sight: value => sights.has(value)
+    sight: value => sights.has(value),
+    table: isPosition
   },
   want: {
     type: value => value === 'want',
