--- a/packages/stand-ins/src/fleet/fault-proxy.ts
+++ b/packages/stand-ins/src/fleet/fault-proxy.ts
@@ -13,6 +13,15 @@
   /** Requests pass, answers don't. */
   | { type: 'one_way' }
 
+/**
+ * Resets a connection, or closes it where its end is on its way: a socket that is reset then never closes, and its process never
+ * ends (seen with Node 20).
+ */
+export const resetSocket = (socket: Socket): void => {
+  if (socket.writableEnded) socket.destroy()
+  else socket.resetAndDestroy()
+}
+
 export class FaultProxy {
   harm: Harm = { type: 'none' }
   readonly #pairs = new Set<[Socket, Socket]>()
@@ -28,7 +37,7 @@
 
   /** Resets what is open. */
   resetAll (): void {
-    for (const pair of this.#pairs) for (const socket of pair) socket.resetAndDestroy()
+    for (const pair of this.#pairs) for (const socket of pair) resetSocket(socket)
   }
 
   async stop (): Promise<void> {
@@ -42,7 +51,7 @@
 
   #join (near: Socket, far: Socket): void {
     if (this.harm.type === 'reset') {
-      near.resetAndDestroy()
+      resetSocket(near)
       far.destroy()
       return
     }
@@ -51,7 +60,7 @@
     this.#pass(near, far, false)
     this.#pass(far, near, true)
     for (const [socket, other] of [[near, far], [far, near]] as const) {
-      socket.on('error', () => other.resetAndDestroy())
+      socket.on('error', () => resetSocket(other))
       socket.on('close', () => {
         this.#pairs.delete(pair)
         other.destroy()
