--- a/packages/fleet/src/side/reader.ts
+++ b/packages/fleet/src/side/reader.ts
@@ -57,6 +57,7 @@
   readonly #wanted = new Map<string, number>()
   /** It asked for something and has heard nothing since. */
   #owed = false
+  #introduced = false
 
   constructor ({ channel, near, ownHost }: ReaderOptions) {
     this.channel = channel
@@ -69,6 +70,14 @@
     return this.#sight
   }
 
+  /**
+   * It has said what it follows, and with that sent all that it knew. Before, its heartbeats tell how far it is itself: one that
+   * dials a process that stands still goes on telling, and ends the connection without having sent anything.
+   */
+  get introduced (): boolean {
+    return this.#introduced
+  }
+
   /** Its heartbeat says how it sees the store. */
   sees (sight: StoreSight | undefined): void {
     if (sight === this.#sight) return
@@ -93,6 +102,7 @@
 
   /** The hosts that it follows from now on. */
   follow (hosts: readonly string[]): void {
+    this.#introduced = true
     const wanted = new Set(hosts)
     for (const host of this.#tellers.keys()) if (!wanted.has(host)) this.#tellers.delete(host)
     for (const host of wanted) {
--- a/packages/fleet/src/side/readers.ts
+++ b/packages/fleet/src/side/readers.ts
@@ -118,7 +118,7 @@
     reader.sees(frame.sight)
     this.options.facts.setSight(this.#sightNear())
     // Entries of the same domain that read the store send what they learn at once, so by now it is all here.
-    if (reader.near && frame.sight === 'reading' && frame.complete !== undefined) this.options.facts.caughtUp(frame.complete)
+    if (reader.near && reader.introduced && frame.sight === 'reading' && frame.complete !== undefined) this.options.facts.caughtUp(frame.complete)
   }
 
   /** How the entries near see the store between them; side processes elsewhere send at once where it answers none. */
--- a/packages/fleet/test/readers.test.ts
+++ b/packages/fleet/test/readers.test.ts
@@ -1,6 +1,9 @@
 /*
  * A side process that had stood still for some seconds took itself for as far as the store was, without what had changed meanwhile.
- * Its entry had opened a connection while it stood, which nobody answered, and given it up.
+ * Its entry had opened a connection while it stood, which nobody answered, and given it up: heartbeats on it said how far the entry
+ * was, the facts would have followed once both sides had said hello, and the side process read the heartbeats when it woke. On its
+ * next connection it said that it lacked nothing, so nobody told it. In the record of real processes `reader.lost` of one side
+ * process told of two entries lost at revision 316 and, 80 ms later, of the same two at revision 324.
  */
 import { ProcessId, FailureDomain, quietLog } from '@finchpitch/core'
 import { EngineNews, Facts, Readers, type Reader } from '@finchpitch/fleet'
