--- a/packages/fleet/src/entry/entry.ts
+++ b/packages/fleet/src/entry/entry.ts
@@ -36,6 +36,7 @@
 import { ServiceRequest } from './service-request.js'
 import { SideLinks } from './side-links.js'
 import { StoreWatch } from './store-watch.js'
+import { TableConfirmation } from './table-confirmation.js'
 import { WaitingRoom } from './waiting-room.js'
 
 /** How often it looks at what lapses, at its duty and at how many entries there are. */
@@ -84,6 +85,7 @@
   readonly #firstTries = new FirstTries()
   readonly #lease: KeyLease
   readonly #leaseKeeper: LeaseKeeper
+  readonly #confirmation: TableConfirmation
   readonly #ceiling = new EntryCeiling()
   /** The most entries that may exist, as last looked at. */
   #mostEntries: number
@@ -158,6 +160,7 @@
     this.#quotas = new Quotas({ limits, entries: () => this.#mostEntries, bring: (team, tokens) => this.#quotaExchange.bring(team, tokens) })
     this.#quotaExchange = new QuotaExchange({ quotas: this.#quotas, serverLimits: this.#serverLimits, hosts: () => this.#links.hosts, channelTo: host => this.#links.channelTo(host), log })
     this.#leaseKeeper = new LeaseKeeper({ lease: this.#lease, facts, links: this.#links, watch: this.#watch, log })
+    this.#confirmation = new TableConfirmation({ facts, limits, links: this.#links, watch: this.#watch })
     this.#words = new ServerWords({ facts, balancer: this.#balancer, room: this.#room, serverLimits: this.#serverLimits })
     this.#faults = new ServerFaults(this.#balancer, this.counters, log)
     this.#probes = new ProbeExchange({ hosts: () => this.#links.hosts, channelTo: host => this.#links.channelTo(host), log })
@@ -239,7 +242,7 @@
     this.#running += 1
     try {
       const served = new ServiceRequest({
-        facts, balancer: this.#balancer, room: this.#room, budget: this.#budget, faults: this.#faults, serverLimits: this.#serverLimits, words: this.#words, crashes: this.#crashes, connects: this.#connects, lease: this.#lease, quotas: this.#quotas, unconfirmedRetryMs: () => this.#leaseKeeper.retryMs, firstTries: this.#firstTries, names, counters: this.counters, log, closed: this.#closed, learned: () => this.#learned(), blindRetryMs: () => this.#blindRetryMs, lastAnswer: () => this.#closing || !this.#lease.held || this.#connections.isOld(request.socket)
+        facts, balancer: this.#balancer, room: this.#room, budget: this.#budget, faults: this.#faults, serverLimits: this.#serverLimits, words: this.#words, crashes: this.#crashes, connects: this.#connects, lease: this.#lease, quotas: this.#quotas, confirmation: this.#confirmation, unconfirmedRetryMs: () => this.#leaseKeeper.retryMs, firstTries: this.#firstTries, names, counters: this.counters, log, closed: this.#closed, learned: () => this.#learned(), blindRetryMs: () => this.#blindRetryMs, lastAnswer: () => this.#closing || !this.#lease.held || this.#connections.isOld(request.socket)
       }, request, response)
       await served.serve()
     } catch (error) {
--- a/packages/fleet/src/entry/gate.ts
+++ b/packages/fleet/src/entry/gate.ts
@@ -17,8 +17,18 @@
   priority: number
 }
 
-/** Why a request may not be sent. `key_not_known`: none came, or one that the table doesn't hold; `keys_not_confirmed`: whether the table still holds it can't be known now. */
-export type Denial = { type: 'denied', reason: 'no_route' | 'key_not_known' | 'keys_not_confirmed', route: Route | undefined }
+/**
+ * Why a request may not be sent. `key_not_known`: none came, or one that the table doesn't hold. It can't be known now, with
+ * `keys_not_confirmed`, whether the table still holds it; with `table_not_confirmed`, whether there is such a route or key by now.
+ */
+export type Denial = { type: 'denied', reason: FinalDenial | 'keys_not_confirmed' | 'table_not_confirmed', route: Route | undefined }
+
+/** Asking again is of no use. */
+export type FinalDenial = 'no_route' | 'key_not_known'
+
+const finalDenials: ReadonlySet<Denial['reason']> = new Set<FinalDenial>(['no_route', 'key_not_known'])
+
+export const isFinalDenial = (reason: Denial['reason']): reason is FinalDenial => finalDenials.has(reason)
 
 export interface Asking {
   host: string
--- a/packages/fleet/src/entry/own-answers.ts
+++ b/packages/fleet/src/entry/own-answers.ts
@@ -7,7 +7,7 @@
 import type { QuarantineCase } from '@finchpitch/decisions'
 import type { HeaderNames } from '../ports.js'
 import type { Delivery } from './delivery.js'
-import type { Denial } from './gate.js'
+import { isFinalDenial, type Denial } from './gate.js'
 import type { Incoming } from './incoming.js'
 import type { RequestRecord } from './request-record.js'
 
@@ -35,7 +35,7 @@
   delivery: Delivery
   record: RequestRecord
   names: HeaderNames
-  /** When callers should come back while it can't be known whether a key still works. */
+  /** When callers should come back while it can't be known what the newest table says. */
   unconfirmedRetryMs: () => number
 }
 
@@ -82,7 +82,7 @@
   }
 
   deny ({ reason }: Denial): string {
-    if (reason !== 'keys_not_confirmed') return this.end(reason)
+    if (isFinalDenial(reason)) return this.end(reason)
     // Another entry may know more at once; where the store answers nobody, none does.
     this.notBefore(this.options.unconfirmedRetryMs())
     return this.refuse(reason)
--- a/packages/fleet/src/entry/request-admission.ts
+++ b/packages/fleet/src/entry/request-admission.ts
@@ -1,35 +1,54 @@
 /**
  * One request's admission: whose it is, whether it may be sent now, and what it counts of its team's quota.
  */
+import { elapsedMs, nowMs } from '../clock.js'
+import type { Facts } from '../facts.js'
 import type { HeaderNames } from '../ports.js'
 import type { RouteIndex } from '../table.js'
-import { admit, type Admitted, type Denial } from './gate.js'
+import { admit, isFinalDenial, type Admitted, type Denial } from './gate.js'
 import { credentialOf, type Credential } from './identity.js'
 import type { Incoming } from './incoming.js'
 import type { KeyLease } from './key-lease.js'
 import type { Quotas, Reservation } from './quotas.js'
+import type { TableConfirmation } from './table-confirmation.js'
 
 const noCredential: Credential = { type: 'none' }
 
+/** A proof comes within some ms over two processes, or none is to be had for a while. */
+const confirmMs = 300
+/** Of the time that its caller has left, a request waits for a proof no longer than this part. */
+const confirmShare = 0.2
+
 export interface RequestAdmissionOptions {
+  facts: Facts
   names: HeaderNames
   lease: KeyLease
   quotas: Quotas
+  confirmation: TableConfirmation
 }
 
 export class RequestAdmission {
   /** Read once, and only where the table knows teams. */
   #credential: Credential | undefined
   #reservation: Reservation | undefined
+  readonly #arrivedAt = elapsedMs()
 
   constructor (private readonly options: RequestAdmissionOptions, private readonly incoming: Incoming) {}
 
-  /** Asked on arrival and before each sending, since routes and keys may go while it waits. */
-  admit (routes: RouteIndex): Admitted | Denial {
-    const { names, lease } = this.options
-    const { host, path, message } = this.incoming
-    if (routes.keyed) this.#credential ??= credentialOf(message, names)
-    return admit(routes, { host, path, credential: this.#credential ?? noCredential, confirmed: lease.held })
+  /**
+   * Asked on arrival and before each sending, since routes and keys may go while it waits. What the table does not hold may have
+   * been added, so it is refused for good only on a proof that the table is new enough.
+   */
+  async admit (): Promise<Admitted | Denial> {
+    const { facts, confirmation } = this.options
+    const until = nowMs() + Math.min(confirmMs, this.incoming.remainingMs * confirmShare)
+    for (;;) {
+      const admission = this.#look(facts.routes)
+      if (admission.type === 'admitted' || !isFinalDenial(admission.reason) || confirmation.covers(this.#arrivedAt)) return admission
+      const leftMs = until - nowMs()
+      if (leftMs <= 0) return { ...admission, reason: 'table_not_confirmed' }
+      await confirmation.next(leftMs)
+    }
   }
 
   /** Sets aside what the request counts, once; gives the ms until that may be there where it isn't. */
@@ -52,6 +71,14 @@
     return this.#reservation === undefined || quotas.spend(this.#reservation)
   }
 
+  #look (routes: RouteIndex | undefined): Admitted | Denial {
+    const { names, lease } = this.options
+    const { host, path, message } = this.incoming
+    if (routes === undefined) return { type: 'denied', reason: 'table_not_confirmed', route: undefined }
+    if (routes.keyed) this.#credential ??= credentialOf(message, names)
+    return admit(routes, { host, path, credential: this.#credential ?? noCredential, confirmed: lease.held })
+  }
+
   /** Gives back what was set aside and not spent. */
   release (): void {
     if (this.#reservation !== undefined) this.options.quotas.release(this.#reservation)
--- a/packages/fleet/src/entry/service-request.ts
+++ b/packages/fleet/src/entry/service-request.ts
@@ -11,7 +11,7 @@
 import { nowMs } from '../clock.js'
 import type { Facts } from '../facts.js'
 import type { BackendServer } from '../server.js'
-import type { FleetService, Route, RouteIndex } from '../table.js'
+import type { FleetService, Route } from '../table.js'
 import { attempt, type AttemptEnd } from './attempt.js'
 import type { Asked, Balancer } from './balancer.js'
 import { Cancellation } from './cancellation.js'
@@ -65,7 +65,7 @@
   learned: () => Promise<void>
   /** When callers should come back while this entry has no routing table. */
   blindRetryMs: () => number
-  /** When they should while it can't be known whether a key still works. */
+  /** When they should while it can't be known what the newest table says. */
   unconfirmedRetryMs: () => number
   /** The process is about to end: what has not begun may not end in time, and is refused at once. */
   closed: boolean
@@ -145,7 +145,7 @@
       this.#answers.notBefore(blindRetryMs())
       return this.#answers.refuse('no_table')
     }
-    const admission = this.#admit(routes)
+    const admission = await this.#admit()
     if (admission.type === 'denied') return this.#answers.deny(admission)
     const { route } = admission
     if (this.#incoming.impossible) return this.#answers.end('bad_model')
@@ -169,7 +169,7 @@
     for (;;) {
       const { routes, servers } = this.options.facts
       if (routes === undefined) return this.#giveUp('no_table')
-      const admission = this.#admit(routes)
+      const admission = await this.#admit()
       if (admission.type === 'denied') return this.#mayHaveRun ? this.#answers.fail(502, admission.reason) : this.#answers.deny(admission)
       const readyInMs = await this.#admission.reserve(admission)
       if (readyInMs !== undefined) return this.#mayHaveRun ? this.#answers.fail(502, 'over_quota') : this.#answers.overQuota(readyInMs)
@@ -193,8 +193,8 @@
     }
   }
 
-  #admit (routes: RouteIndex): Admitted | Denial {
-    const admission = this.#admission.admit(routes)
+  async #admit (): Promise<Admitted | Denial> {
+    const admission = await this.#admission.admit()
     this.#record.route = admission.route ?? this.#record.route
     if (admission.type === 'admitted') this.#record.team = admission.team?.name
     return admission
--- a/packages/fleet/src/ports.ts
+++ b/packages/fleet/src/ports.ts
@@ -117,6 +117,8 @@
   graceMs: number
   /** Time after a server's leaving was told in which work may still be sent to it. */
   drainMs: number
+  /** Time after which a changed configuration has to be in force; absent where that isn't asked for. */
+  applyMs?: number
   /** Time after a version was named in which the one before it may still be used. */
   versionMs: number
   /** Time after which a key that was taken away no longer works anywhere; absent where that isn't asked for. */
--- a/packages/fleet/test/unknown-routes.test.ts
+++ b/packages/fleet/test/unknown-routes.test.ts
@@ -1,6 +1,8 @@
 /*
  * Callers were told that there is no such route (404, which says that asking again is of no use) by entries that could not know:
- * a route had been added, and their tables were older than any change may take to be in force.
+ * a route had been added, and their tables were older than any change may take to be in force. The answer was given from whatever
+ * table was there: one that was 4 s old, with the store silent, said 404 at once, and the line of the request told the version and not
+ * its age.
  */
 import { pause } from '@finchpitch/core'
 import { FleetSystem, askFleet, type Reply } from '@finchpitch/stand-ins'
