--- a/packages/soak/src/disturbances.ts
+++ b/packages/soak/src/disturbances.ts
@@ -10,6 +10,8 @@
 }
 
 export const everywhere = ''
+/** In place of a machine: the store answers nobody, or has just forgotten its history. */
+export const storeAway = 'store'
 
 export class Disturbances {
   readonly #all: Disturbance[] = []
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -3,7 +3,7 @@
  */
 import { pause } from '@finchpitch/core'
 import type { BackendStandIn, FaultProxy, FleetSystem, Machine } from '@finchpitch/stand-ins'
-import { everywhere, type Disturbances } from './disturbances.js'
+import { everywhere, storeAway, type Disturbances } from './disturbances.js'
 import type { Dice } from './random.js'
 
 export interface Scene {
@@ -37,6 +37,19 @@
   busy.delete(machine)
 }
 
+/** All machines that no other fault has stopped end at once, and start again at once a moment later. */
+export const endAll = async (scene: Scene): Promise<void> => {
+  const ended = machines(scene).filter(machine => !busy.has(machine))
+  const downMs = scene.dice.between(50, 500)
+  for (const machine of ended) busy.add(machine)
+  await Promise.all(ended.map(machine => scene.disturbances.during(machine.name, async () => {
+    await scene.fleet.kill(machine)
+    await pause(downMs)
+    await scene.fleet.startProcess(machine)
+  })))
+  for (const machine of ended) busy.delete(machine)
+}
+
 const harmed = async ({ dice, proxies, disturbances }: Scene, harm: FaultProxy['harm']): Promise<void> => {
   const proxy = dice.pick(proxies)
   await disturbances.during(everywhere, async () => {
@@ -76,13 +89,13 @@
     ({ name: `a server is ${fault}`, deal: async (scene: Scene) => await faulty(scene, fault) })),
   {
     name: 'the store is away',
-    deal: async ({ fleet, dice }) => {
+    deal: async ({ fleet, dice, disturbances }) => await disturbances.during(storeAway, async () => {
       fleet.store.fault = dice.pick(['busy', 'reset', 'silent'] as const)
       await pause(dice.between(300, 2500))
       fleet.store.fault = 'none'
-    }
+    })
   },
-  { name: 'the store forgets its history', deal: async ({ fleet }) => fleet.store.compact() },
+  { name: 'the store forgets its history', deal: async ({ fleet, disturbances }) => await disturbances.during(storeAway, async () => fleet.store.compact()) },
   { name: 'the configuration changes', deal: async ({ fleet }) => fleet.store.put('config', 'main', fleet.table(fleet.store.revision + 100)) },
   {
     name: 'a version is named',
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -6,8 +6,9 @@
 import { pause } from '@finchpitch/core'
 import { FaultProxy, FleetSystem } from '@finchpitch/stand-ins'
 import { ask, type Result } from './caller.js'
+import { Changes } from './changes.js'
 import { Disturbances } from './disturbances.js'
-import { faultTable } from './faults.js'
+import { endAll, faultTable } from './faults.js'
 import { events, judge, type SoakReport } from './judge.js'
 import { Limits } from './limits.js'
 import { Dice } from './random.js'
@@ -36,6 +37,7 @@
 const fatalPath = '/stream/fatal'
 /** Far from the seeds that are played one after the other. */
 const wordSeeds = 1_000_000_000
+const changeSeeds = 500_000_000
 
 export const soak = async ({ seed, network, faultMs, log }: SoakOptions): Promise<SoakReport> => {
   const dice = new Dice(seed)
@@ -45,7 +47,7 @@
     await proxy.start(ip, port, target)
     proxies.push(proxy)
   }
-  const fleet = new FleetSystem({ network, domains: 2, entriesPerDomain: 1, enginesPerDomain: 1, plainPerDomain: 1, places: 4, loadMs: 80, workMs: 8, events, eventMs: 6, bornAt: firstStart, between })
+  const fleet = new FleetSystem({ network, domains: 2, entriesPerDomain: 1, enginesPerDomain: 1, plainPerDomain: 1, places: 4, loadMs: 80, workMs: 8, events, eventMs: 6, bornAt: firstStart, between, storeFronts: true })
   await fleet.start()
   await pause(startMs)
   const results: Array<Promise<Result>> = []
@@ -61,8 +63,16 @@
   // Dice of their own, so that a seed deals the other faults as ever.
   const words = new Words(fleet, new Dice(seed + wordSeeds), log)
   const limits = new Limits(fleet, new Dice(seed + 2 * wordSeeds), log)
+  const troubles = new Dice(seed + 3 * changeSeeds)
+  const changes = new Changes({
+    fleet,
+    dice: { operator: new Dice(seed + changeSeeds), troubles },
+    disturbances,
+    endAll: async () => await endAll({ fleet, dice: troubles, proxies, disturbances }),
+    log
+  })
   const until = Date.now() + faultMs
-  const spoken = Promise.all([words.deal(faultMs), limits.deal(faultMs)])
+  const spoken = Promise.all([words.deal(faultMs), limits.deal(faultMs), changes.deal(faultMs)])
   const faults: Array<Promise<void>> = []
   while (Date.now() < until) {
     const fault = dice.pick(faultTable)
@@ -79,7 +89,7 @@
   for (let each = 0; each < 12; each++) last.push(await ask(fleet, dice, agents, `soak-${seed}-last-${each}`))
   const all = [...await Promise.all(results), ...last]
   const report = judge(all, [...fleet.engines, ...fleet.plain])
-  report.broken.push(...words.judge(all, disturbances), ...limits.judge(all, disturbances))
+  report.broken.push(...words.judge(all, disturbances), ...limits.judge(all, disturbances), ...changes.judge())
   const unserved = last.filter(result => result.status !== 200)
   for (const { id, path, status } of unserved) {
     const lines = fleet.entries.flatMap(entry => entry.output).filter(line => line.includes(`"${id}"`))
--- a/packages/stand-ins/src/fleet/route-changes.ts
+++ b/packages/stand-ins/src/fleet/route-changes.ts
@@ -8,7 +8,7 @@
 
 /** A caller's time; answers of plain servers take some ms. */
 const remainingMs = 1000
-const askEveryMs = 25
+const defaultAskEveryMs = 25
 /** Of the routes that were added, and of those that were dropped, so many of the last are asked for. */
 const lastAsked = 2
 const served = 200
@@ -48,7 +48,7 @@
   readonly probes: RouteProbe[] = []
 
   /** `name`: tells the routes and requests of one operator from those of others. */
-  constructor (private readonly fleet: FleetSystem, private readonly name: string) {
+  constructor (private readonly fleet: FleetSystem, private readonly name: string, private readonly askEveryMs = defaultAskEveryMs) {
     this.#agents = fleet.entries.map(() => new Agent({ keepAlive: true, maxSockets: 40 }))
   }
 
@@ -72,7 +72,7 @@
     const asked: Array<Promise<void>> = []
     while (!signal.aborted) {
       for (const entry of this.fleet.entries.keys()) for (const route of this.#lastChanged()) asked.push(this.#probe(route, entry))
-      await pause(askEveryMs)
+      await pause(this.askEveryMs)
     }
     await Promise.all(asked)
   }
