--- a/packages/fleet/src/entry/side-link.ts
+++ b/packages/fleet/src/entry/side-link.ts
@@ -7,7 +7,7 @@
 import type { Duplex } from 'node:stream'
 import { Channel, type Appointment, type Frame, type FrameOf } from '@finchpitch/wire'
 import { elapsedMs, nowMs } from '../clock.js'
-import { FactLink, patienceMs, type Patience } from '../fact-exchange.js'
+import { FactLink, patienceMs } from '../fact-exchange.js'
 import { acceptFresh, answerFresh, askFresh, type Question } from '../fresh-exchange.js'
 import { redial, type SidePeering } from '../redial.js'
 import { quietPace } from '../side/reader.js'
@@ -268,7 +268,7 @@
     this.options.appointmentChanged()
   }
 
-  get #patience (): Patience {
+  get #patience (): number {
     if (!this.near) return patienceMs.farSide
     return this.options.watching() ? patienceMs.dependent : patienceMs.resting
   }
--- a/packages/fleet/src/fact-exchange.ts
+++ b/packages/fleet/src/fact-exchange.ts
@@ -8,42 +8,28 @@
  * others wait for the peer's word first.
  */
 import type { Log } from '@finchpitch/core'
-import type { Channel, Complete, FactFrame, Frame, FrameOf, StoreSight } from '@finchpitch/wire'
+import type { Channel, Complete, FactFrame, Frame, StoreSight } from '@finchpitch/wire'
 import { coveredBy, factOf, frameOf, isFinal, type Fact, type Facts } from './facts.js'
 
-/** How long a link waits before it sends a fact of each kind, in ms. */
-export type Patience = Record<Fact['kind'], number>
-
-/** The same for all kinds. */
-export const patienceOf = (ms: number): Patience => ({ table: ms, server: ms, version: ms })
-
-/** A heartbeat with the peer's word comes within so long. */
-const heardMs = 1500
-
+/** How long a link waits before it sends. */
 export const patienceMs = {
   /** To a peer without another source. */
-  dependent: patienceOf(0),
+  dependent: 0,
   /** To an entry that has just started: it has read the store by then and says so at once, or it can't. */
-  newcomer: patienceOf(250),
-  /** To one that leaves the store to others: a side process that it chose sends at once, and a heartbeat tells of it. */
-  entry: patienceOf(heardMs),
-  /** To an entry that watches the store: it passes a table on some 0.1 s after the change, and one that does not is late. */
-  watching: { table: 300, server: heardMs, version: heardMs },
-  /** To a side process elsewhere: an entry near it has told it by then, and it says so at once. */
-  elsewhere: { table: 600, server: heardMs, version: heardMs },
+  newcomer: 250,
+  /** To entries: a watch rests up to 0.7 s in small fleets, and a heartbeat follows within 1 s. */
+  entry: 1500,
   /** Entry that leaves the store to others to the side processes of its domain: those say every 1.8 s what they have. */
-  resting: patienceOf(2500),
+  resting: 2500,
   /** Entry to side processes elsewhere: their own entries tell them, and two heartbeats later it is known here. */
-  farSide: patienceOf(3000)
+  farSide: 3000
 }
 
-/** To an entry near, by how it sees the store. What the store does not tell it, nobody else tells it sooner. */
-export const patienceToEntry: Record<StoreSight, Patience> = { reading: patienceMs.watching, blind: patienceMs.dependent, resting: patienceMs.entry }
-
-/** To a side process elsewhere, by how the entries near it see the store. */
-export const patienceElsewhere: Record<StoreSight, Patience> = { reading: patienceMs.elsewhere, blind: patienceMs.dependent, resting: patienceMs.elsewhere }
-
-const kinds = ['table', 'server', 'version'] as const
+/**
+ * From a side process to an entry near, or to a side process elsewhere that says it of its entries, by how they see the store.
+ * One that the store turns away would wait for both links.
+ */
+export const patienceBySight: Record<StoreSight, number> = { reading: patienceMs.entry, resting: patienceMs.entry, blind: patienceMs.dependent }
 
 export class FactLink {
   /** The revision of each fact that the peer is known to have. */
@@ -52,28 +38,27 @@
   /** How far the peer lacks nothing, by its own word. */
   #complete: Complete = { table: 0, server: 0, version: 0 }
 
-  #patience: Patience
+  #patience: number
   #started = false
 
-  constructor (private readonly facts: Facts, private readonly channel: Channel, patience: Patience, private readonly log: Log) {
+  constructor (private readonly facts: Facts, private readonly channel: Channel, patience: number, private readonly log: Log) {
     this.#patience = patience
     this.#stops = [facts.onChange(fact => this.#schedule(fact, this.#patience)), facts.onRead(() => channel.beat())]
   }
 
-  /** Sends all that the peer may lack; to one that has read nothing yet after `newcomer`. */
-  start (newcomer = this.#patience): void {
+  /** Sends all that the peer may lack; to one that has read nothing yet after `newcomerMs`. */
+  start (newcomerMs = this.#patience): void {
     this.#started = true
     this.heard(this.channel.peer.complete)
-    const patience = this.#complete.table === 0 ? newcomer : this.#patience
+    const patience = this.#complete.table === 0 ? newcomerMs : this.#patience
     for (const fact of this.facts.all()) this.#schedule(fact, patience)
   }
 
   /** How long it waits from now on; with less patience than before, what it has not sent yet goes now. */
-  setPatience (patience: Patience): void {
-    const shorter = new Set(kinds.filter(kind => patience[kind] < this.#patience[kind]))
+  setPatience (patience: number): void {
+    const shorter = patience < this.#patience
     this.#patience = patience
-    if (!this.#started) return
-    for (const fact of this.facts.all()) if (shorter.has(fact.kind)) this.#schedule(fact, patience)
+    if (shorter && this.#started) for (const fact of this.facts.all()) this.#schedule(fact, patience)
   }
 
   stop (): void {
@@ -88,16 +73,7 @@
   /** A frame of the peer's; those that say nothing of facts are for others. */
   take (frame: Frame): void {
     if (frame.type === 'fact') this.receive(frame)
-    if (frame.type === 'heartbeat') this.#heartbeat(frame)
-  }
-
-  #heartbeat ({ complete, table }: FrameOf<'heartbeat'>): void {
-    this.heard(complete)
-    if (table !== undefined) this.#knows(tableId, table)
-  }
-
-  #knows (id: string, revision: number): void {
-    this.#known.set(id, Math.max(revision, this.#known.get(id) ?? 0))
+    if (frame.type === 'heartbeat') this.heard(frame.complete)
   }
 
   receive (frame: FactFrame): void {
@@ -106,15 +82,14 @@
       this.log.error('peer.fact_not_valid', { peer: this.channel.peer.process, kind: frame.kind, key: frame.key })
       return
     }
-    this.#knows(idOf(fact), fact.revision)
+    this.#known.set(idOf(fact), fact.revision)
     const from = this.channel.peer.process
     if (isFinal(fact)) this.facts.remove(fact, from)
     else this.facts.offer(fact, from)
   }
 
-  #schedule (fact: Fact, patience: Patience): void {
-    const ms = patience[fact.kind]
-    if (ms > 0) setTimeout(() => this.#send(fact), ms)
+  #schedule (fact: Fact, patience: number): void {
+    if (patience > 0) setTimeout(() => this.#send(fact), patience)
     else this.#send(fact)
   }
 
@@ -127,5 +102,4 @@
   }
 }
 
-const idOf = (fact: Pick<Fact, 'kind' | 'key'>): string => `${fact.kind} ${fact.key}`
-const tableId = idOf({ kind: 'table', key: 'table' })
+const idOf = (fact: Fact): string => `${fact.kind} ${fact.key}`
--- a/packages/fleet/src/side/reader.ts
+++ b/packages/fleet/src/side/reader.ts
@@ -8,7 +8,7 @@
 import { isDeepStrictEqual } from 'node:util'
 import { encode, type Appointment, type Channel, type ChannelPace, type Complete, type StoreSight } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
-import { patienceElsewhere, patienceMs, patienceToEntry, type FactLink, type Patience } from '../fact-exchange.js'
+import { patienceBySight, patienceMs, type FactLink } from '../fact-exchange.js'
 import { NewsTeller, newsPaces, type EngineNews } from './news.js'
 
 /** A channel that says something now and then only: heartbeats across cost bytes, and an unanswered want shows a dead one. */
@@ -86,9 +86,8 @@
   }
 
   /** How long it is left to learn of a fact elsewhere. */
-  get patience (): Patience {
-    if (this.#dependent) return patienceMs.dependent
-    return (this.near ? patienceToEntry : patienceElsewhere)[this.#sight ?? 'resting']
+  get patience (): number {
+    return this.#dependent ? patienceMs.dependent : patienceBySight[this.#sight ?? 'resting']
   }
 
   get follows (): ReadonlySet<string> {
--- a/packages/fleet/src/side/relay.ts
+++ b/packages/fleet/src/side/relay.ts
@@ -36,10 +36,7 @@
   readonly news = new Map<string, EngineNews>()
   #due: NodeJS.Timeout | undefined
 
-  constructor (private readonly options: RelayOptions) {
-    // A source sends the table where it does not hear soon that it is here.
-    options.facts.onChange(({ kind }) => { if (kind === 'table') for (const { channel } of this.#sources.values()) channel?.beat() })
-  }
+  constructor (private readonly options: RelayOptions) {}
 
   /** Takes the news of the engines at these hosts and of no others. */
   follow (hosts: ReadonlySet<string>): void {
--- a/packages/fleet/test/fact-exchange.test.ts
+++ b/packages/fleet/test/fact-exchange.test.ts
@@ -1,5 +1,5 @@
 import { Revision, quietLog } from '@finchpitch/core'
-import { FactLink, Facts, frameOf, patienceOf, type Fact } from '@finchpitch/fleet'
+import { FactLink, Facts, frameOf, type Fact } from '@finchpitch/fleet'
 import { FakeTime, channelOptions, duplexPair } from '@finchpitch/stand-ins'
 import { Channel, type Complete, type FrameOf } from '@finchpitch/wire'
 import { expect } from 'chai'
@@ -33,7 +33,7 @@
 
   it('sends what changes, at once to a peer without another source', async () => {
     await time.settle()
-    const link = new FactLink(facts, near, patienceOf(0), quietLog)
+    const link = new FactLink(facts, near, 0, quietLog)
     link.start()
     facts.offer(fact(3), 'store')
     await time.settle()
@@ -44,7 +44,7 @@
     it('sends all that it knows soon', async () => {
       facts.offer(fact(3), 'store')
       await time.settle()
-      new FactLink(facts, near, patienceOf(1500), quietLog).start(patienceOf(250))
+      new FactLink(facts, near, 1500, quietLog).start(250)
       await time.pass(300)
       expect(received).to.deep.equal([3])
     })
@@ -52,8 +52,8 @@
     it('sends nothing once the peer has read the store', async () => {
       facts.offer(fact(3), 'store')
       await time.settle()
-      const link = new FactLink(facts, near, patienceOf(1500), quietLog)
-      link.start(patienceOf(250))
+      const link = new FactLink(facts, near, 1500, quietLog)
+      link.start(250)
       link.heard(complete(3))
       await time.pass(2000)
       expect(received).to.deep.equal([])
@@ -67,7 +67,7 @@
       }
       const [one] = duplexPair()
       const channel = new Channel(one, { ...channelOptions('near'), heartbeat })
-      const link = new FactLink(facts, channel, patienceOf(1500), quietLog)
+      const link = new FactLink(facts, channel, 1500, quietLog)
       facts.completed('table', 4)
       facts.completed('server', 4)
       expect(beats).to.equal(0)
@@ -80,7 +80,7 @@
 
   it('sends nothing that the peer says it has by then', async () => {
     await time.settle()
-    const link = new FactLink(facts, near, patienceOf(1500), quietLog)
+    const link = new FactLink(facts, near, 1500, quietLog)
     link.start()
     facts.offer(fact(3), 'store')
     await time.pass(1000)
@@ -98,7 +98,7 @@
     })
 
     it('tells a peer that lacks nothing up to a later change only', async () => {
-      const link = new FactLink(facts, near, patienceOf(0), quietLog)
+      const link = new FactLink(facts, near, 0, quietLog)
       link.start()
       await time.settle()
       link.heard({ table: 50, server: 50, version: 50 })
@@ -111,7 +111,7 @@
       const other = new Facts(quietLog, () => 1000)
       const server = { id: 's', service: 'llm', address: '10.0.0.1:1', domain: 'a', slots: 8, leaving: false, models: [] }
       other.offer({ kind: 'server', key: 's', revision: 3, value: server }, 'store')
-      const receiver = new FactLink(other, near, patienceOf(0), quietLog)
+      const receiver = new FactLink(other, near, 0, quietLog)
       receiver.receive({ type: 'fact', kind: 'server', key: 's', revision: 3.5, seenAt: 90, value: null })
       expect(other.servers.size).to.equal(1)
       other.offer({ kind: 'server', key: 's', revision: 4, value: server }, 'store')
@@ -123,7 +123,7 @@
     })
 
     it('tells nothing to a peer that has read the store since', async () => {
-      const link = new FactLink(facts, near, patienceOf(1500), quietLog)
+      const link = new FactLink(facts, near, 1500, quietLog)
       link.start()
       link.heard({ table: 50, server: 90, version: 50 })
       facts.offer(removal, 'store')
@@ -134,11 +134,11 @@
 
   it('sends at once what it has not sent yet when its peer has no other source any more', async () => {
     await time.settle()
-    const link = new FactLink(facts, near, patienceOf(1500), quietLog)
+    const link = new FactLink(facts, near, 1500, quietLog)
     link.start()
     facts.offer(fact(3), 'store')
     await time.settle()
-    link.setPatience(patienceOf(0))
+    link.setPatience(0)
     facts.offer(fact(4), 'store')
     await time.settle()
     expect(received).to.deep.equal([3, 4])
@@ -146,7 +146,7 @@
 
   it('sends what the peer still lacks after a while, the newest only', async () => {
     await time.settle()
-    const link = new FactLink(facts, near, patienceOf(1500), quietLog)
+    const link = new FactLink(facts, near, 1500, quietLog)
     link.start()
     facts.offer(fact(3), 'store')
     await time.pass(200)
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -228,8 +228,7 @@
   z.object({ type: z.literal('uses'), uses: z.array(z.tuple([AdapterKey, Count, Count])).max(mostUses), unread: Count.optional() }),
   /** The highest fence that the receiver was ever known to use, or the newest revision known: it goes no lower. */
   z.object({ type: z.literal('fences'), highest: Count }),
-  /** `table`: revision of the routing table that the sender has. */
-  z.object({ type: z.literal('heartbeat'), revision: Revision, load: Load.optional(), complete: Complete.optional(), sight: StoreSight.optional(), table: z.number().nonnegative().optional() }),
+  z.object({ type: z.literal('heartbeat'), revision: Revision, load: Load.optional(), complete: Complete.optional(), sight: StoreSight.optional() }),
   z.object({ type: z.literal('run'), id: ExchangeId, work: Work }),
   z.object({ type: z.literal('head'), id: ExchangeId, status: z.number().int(), headers: Headers, resident: z.boolean() }),
   z.object({ type: z.literal('chunk'), id: ExchangeId, sequence: z.number().int().nonnegative(), data: Bytes }),
--- a/packages/wire/src/quick-check.ts
+++ b/packages/wire/src/quick-check.ts
@@ -75,8 +75,7 @@
     type: value => value === 'heartbeat',
     revision: isCount,
     complete: value => isPlain(value) && fits(value, complete, completeFields),
-    sight: value => sights.has(value),
-    table: isPosition
+    sight: value => sights.has(value)
   },
   want: {
     type: value => value === 'want',
--- a/packages/wire/test/quick-check.test.ts
+++ b/packages/wire/test/quick-check.test.ts
@@ -40,7 +40,6 @@
   revision: count,
   complete: fc.oneof(fc.record({ table: count, server: count, version: count }, { requiredKeys: ['table'] }), fc.constantFrom(null, [], { table: 0.5, server: 0, version: 1, other: 1 })),
   sight: fc.constantFrom('reading', 'blind', 'resting', 'resting', 'asleep', null),
-  table: fc.oneof(count, fc.constantFrom(0.5, -1, NaN, '3', null)),
   load: fc.constantFrom({}, null)
 }, { requiredKeys: [] })
 
