--- a/packages/fleet/src/facts.ts
+++ b/packages/fleet/src/facts.ts
@@ -148,7 +148,7 @@
     if (server === undefined || server.leaving) return
     this.#replace({ ...server, leaving: true })
     const fact = this.current('server', life.id)
-    if (fact !== undefined) for (const listener of this.#listeners) listener(fact)
+    if (fact !== undefined) this.#tell(fact)
   }
 
   /** Drops servers whose entries have not come back. */
@@ -209,7 +209,7 @@
     handlers[fact.kind](this, fact as never)
     this.#keepTombstone(id, fact)
     this.log.info('belief.changed', { kind: fact.kind, key: fact.key, revision: fact.revision, from, outcome: describe(fact) })
-    for (const listener of this.#listeners) listener(fact)
+    this.#tell(fact)
     return true
   }
 
@@ -218,7 +218,18 @@
     if (!this.offer({ ...fact, final: true } as Fact, from) || !this.#lapsed.delete(fact.key)) return
     this.#drop(fact.key)
     this.log.info('server.gone', { server: fact.key, reason: 'its entry did not come back with the store' })
-    for (const listener of this.#listeners) listener(fact)
+    this.#tell(fact)
+  }
+
+  /** An error of one listener ends neither the others' hearing nor the task that brought the fact, which would learn nothing any more. */
+  #tell (fact: Fact): void {
+    for (const listener of this.#listeners) {
+      try {
+        listener(fact)
+      } catch (error) {
+        this.log.error('belief.listener_failed', { kind: fact.kind, key: fact.key, revision: fact.revision, detail: (error as Error).stack })
+      }
+    }
   }
 
   setTable (table: RoutingTable): void {
