--- a/packages/fleet/src/fact-exchange.ts
+++ b/packages/fleet/src/fact-exchange.ts
@@ -9,7 +9,8 @@
  */
 import type { Log } from '@finchpitch/core'
 import type { Channel, Complete, FactFrame, Frame, StoreSight } from '@finchpitch/wire'
-import { coveredBy, factOf, frameOf, isFinal, type Fact, type Facts } from './facts.js'
+import { coveredBy, factOf, frameOf, isFinal, type Fact } from './fact.js'
+import type { Facts } from './facts.js'
 
 /** How long a link waits before it sends. */
 export const patienceMs = {
--- a/packages/fleet/src/facts.ts
+++ b/packages/fleet/src/facts.ts
@@ -7,17 +7,13 @@
  */
 import { isDeepStrictEqual } from 'node:util'
 import type { Log } from '@finchpitch/core'
-import type { Complete, FactFrame, StoreSight } from '@finchpitch/wire'
+import type { Complete, StoreSight } from '@finchpitch/wire'
 import { nowMs } from './clock.js'
+import type { Fact } from './fact.js'
 import { Freshness } from './freshness.js'
 import { Leavers, type ServerLife } from './leavers.js'
-import { BackendServer, NamedVersion, isFormer, refKey } from './server.js'
-import { RouteIndex, RoutingTable } from './table.js'
-
-export type Fact =
-  | { kind: 'table', key: 'table', revision: number, value: RoutingTable }
-  | { kind: 'server', key: string, revision: number, value: BackendServer | undefined, seenAt?: number, final?: boolean }
-  | { kind: 'version', key: string, revision: number, value: NamedVersion | undefined, seenAt?: number }
+import { isFormer, type BackendServer, type NamedVersion } from './server.js'
+import { RouteIndex, type RoutingTable } from './table.js'
 
 export interface VersionBelief {
   version: number
@@ -25,12 +21,6 @@
   learnedAt: number
 }
 
-/**
- * A removal is dated half a revision after the last change: newer than it, older than anything that follows. When it took
- * place is not told; `seenAt` is the store's revision at which it was seen, and who has read up to there has it too.
- */
-export const removalStep = 0.5
-
 const kinds = ['table', 'server', 'version'] as const
 
 /** Longer than any message between processes is under way. */
@@ -331,30 +321,3 @@
   if (fact.kind === 'version') return `version ${fact.value.version}`
   return `${fact.value.service} at ${fact.value.address}${fact.value.leaving ? ', leaving' : ''}`
 }
-
-export const versionFact = (named: NamedVersion, revision: number): Fact =>
-  ({ kind: 'version', key: refKey(named), revision, value: named })
-
-/** A fact as a peer sent it; `undefined` where its value doesn't fit. */
-export const factOf = (frame: FactFrame): Fact | undefined => {
-  const { kind, key, revision, seenAt, final } = frame
-  if (frame.value === null) return kind === 'table' ? undefined : { kind, key, revision, value: undefined, seenAt, final } as Fact
-  const parsed = schemas[kind].safeParse(frame.value)
-  return parsed.success ? { kind, key, revision, value: parsed.data } as Fact : undefined
-}
-
-export const frameOf = (fact: Fact): FactFrame => {
-  const { kind, key, revision, value } = fact
-  const seenAt = seenAtOf(fact)
-  return { type: 'fact', kind, key, revision, value: value ?? null, ...(seenAt === undefined ? {} : { seenAt }), ...(isFinal(fact) ? { final: true } : {}) }
-}
-
-const seenAtOf = (fact: Fact): number | undefined => 'seenAt' in fact ? fact.seenAt : undefined
-
-/** It is gone for good, so that nothing of it stays in reserve. */
-export const isFinal = (fact: Fact): boolean => fact.kind === 'server' && fact.final === true
-
-/** Who lacks nothing up to this revision of the store has the fact. */
-export const coveredBy = (fact: Fact): number => seenAtOf(fact) ?? fact.revision
-
-const schemas = { table: RoutingTable, server: BackendServer, version: NamedVersion }
--- a/packages/fleet/src/follow.ts
+++ b/packages/fleet/src/follow.ts
@@ -6,7 +6,8 @@
  */
 import { backoff, pause, type Log } from '@finchpitch/core'
 import { elapsedMs, nowMs } from './clock.js'
-import { isFinal, removalStep, type Fact, type Facts } from './facts.js'
+import { isFinal, removalStep, type Fact } from './fact.js'
+import type { Facts } from './facts.js'
 import type { Outage } from './outage.js'
 import type { FactPage, FactSource, StoreFailure } from './ports.js'
 import { Removals } from './removals.js'
--- a/packages/fleet/src/fresh-exchange.ts
+++ b/packages/fleet/src/fresh-exchange.ts
@@ -3,7 +3,8 @@
  */
 import type { Channel, FrameOf } from '@finchpitch/wire'
 import { elapsedMs } from './clock.js'
-import { frameOf, type Facts } from './facts.js'
+import { frameOf } from './fact.js'
+import type { Facts } from './facts.js'
 
 const tableRevision = (facts: Facts): number => facts.revisionOf('table', 'table')
 
--- a/packages/fleet/src/outage.ts
+++ b/packages/fleet/src/outage.ts
@@ -1,7 +1,7 @@
 /**
  * What the tasks that watch the store for one process tell each other of it.
  */
-import type { Fact } from './facts.js'
+import type { Fact } from './fact.js'
 
 /** A call that failed puts the other watches in doubt, and so does the first that is answered after that: theirs may be older. */
 export class Outage {
--- a/packages/fleet/src/ports.ts
+++ b/packages/fleet/src/ports.ts
@@ -3,7 +3,7 @@
  */
 import type { QuotaBound } from '@finchpitch/decisions'
 import type { Result } from 'neverthrow'
-import type { Fact } from './facts.js'
+import type { Fact } from './fact.js'
 import type { HeldModel, ModelRef } from './server.js'
 
 /** Why a call to the platform's store brought nothing. */
--- a/packages/fleet/src/removals.ts
+++ b/packages/fleet/src/removals.ts
@@ -6,7 +6,7 @@
  * only what is still missing afterwards counts as gone.
  */
 import { nowMs } from './clock.js'
-import type { Fact } from './facts.js'
+import type { Fact } from './fact.js'
 
 /** A server that lives and reaches the store has its entry back within this time of the store's return (platform). */
 const returnMs = 2000
