--- a/packages/soak/src/limits.ts
+++ b/packages/soak/src/limits.ts
@@ -6,6 +6,7 @@
 import type { Result } from './caller.js'
 import type { Disturbances } from './disturbances.js'
 import type { Dice } from './random.js'
+import { haveServersSpeak } from './speakers.js'
 
 /** From so long after a server first named its limit, */
 const contactMs = 3000
@@ -34,22 +35,12 @@
 
 export class Limits {
   readonly #limits: Limited[] = []
-  readonly #speaking = new Set<BackendStandIn>()
 
   constructor (private readonly fleet: FleetSystem, private readonly dice: Dice, private readonly log: (line: string) => void) {}
 
   /** Has servers name limits for `ms`; resolves once none does. */
   async deal (ms: number): Promise<void> {
-    const until = performance.now() + ms
-    const spoken: Array<Promise<void>> = []
-    while (performance.now() < until) {
-      await pause(this.dice.between(200, 1500))
-      const server = this.dice.pick([...this.fleet.engines, ...this.fleet.plain])
-      if (this.#speaking.has(server)) continue
-      this.#speaking.add(server)
-      spoken.push(this.#limit(server).then(() => { this.#speaking.delete(server) }))
-    }
-    await Promise.all(spoken)
+    await haveServersSpeak(ms, { fleet: this.fleet, dice: this.dice, mostRestMs: 1500, speak: async server => await this.#limit(server) })
   }
 
   /** Nothing else troubles anybody, so that no entry is excused: one server names a limit for long enough to bind. */
--- a/packages/soak/src/words.ts
+++ b/packages/soak/src/words.ts
@@ -6,6 +6,7 @@
 import type { Result } from './caller.js'
 import type { Disturbances } from './disturbances.js'
 import type { Dice } from './random.js'
+import { haveServersSpeak } from './speakers.js'
 
 /** A server gets nothing that a caller sent later than this after an entry had passed on an answer that says it leaves. */
 const drainMs = 2000
@@ -36,23 +37,17 @@
   readonly #overloads: Overload[] = []
   /** Starts of servers that are back under their ids. */
   #born = firstStart
-  readonly #speaking = new Set<BackendStandIn>()
 
   constructor (private readonly fleet: FleetSystem, private readonly dice: Dice, private readonly log: (line: string) => void) {}
 
   /** Has servers speak for `ms`; resolves once all are as before. */
   async deal (ms: number): Promise<void> {
-    const until = performance.now() + ms
-    const spoken: Array<Promise<void>> = []
-    while (performance.now() < until) {
-      await pause(this.dice.between(200, 1200))
-      const server = this.dice.pick([...this.fleet.engines, ...this.fleet.plain])
-      if (this.#speaking.has(server)) continue
-      this.#speaking.add(server)
-      const spoke = this.dice.chance(50) ? this.#leave(server) : this.#askForRest(server)
-      spoken.push(spoke.then(() => { this.#speaking.delete(server) }))
-    }
-    await Promise.all(spoken)
+    await haveServersSpeak(ms, {
+      fleet: this.fleet,
+      dice: this.dice,
+      mostRestMs: 1200,
+      speak: async server => await (this.dice.chance(50) ? this.#leave(server) : this.#askForRest(server))
+    })
   }
 
   async #leave (server: BackendStandIn): Promise<void> {
