--- a/packages/fleet/src/entry/request-admission.ts
+++ b/packages/fleet/src/entry/request-admission.ts
@@ -14,9 +14,9 @@
 
 const noCredential: Credential = { type: 'none' }
 
-/** A proof comes within some ms over two processes, or none is to be had for a while. */
+/** A proof takes some ms over two processes; where none has come by then, none is available. */
 const confirmMs = 300
-/** Of the time that its caller has left, a request waits for a proof no longer than this part. */
+/** The most that a request waits for a proof, as a part of the time that its caller has left. */
 const confirmShare = 0.2
 
 export interface RequestAdmissionOptions {
@@ -36,18 +36,18 @@
   constructor (private readonly options: RequestAdmissionOptions, private readonly incoming: Incoming) {}
 
   /**
-   * Asked on arrival and before each sending, since routes and keys may go while it waits. What the table does not hold may have
-   * been added, so it is refused for good only on a proof that the table is new enough.
+   * Asked on arrival and before each sending, since routes and keys may go while it waits. A missing route or key may have been
+   * added, so the denial is final only if the table is proved to be current.
    */
   async admit (): Promise<Admitted | Denial> {
     const { facts, confirmation } = this.options
     const until = nowMs() + Math.min(confirmMs, this.incoming.remainingMs * confirmShare)
     for (;;) {
-      const admission = this.#look(facts.routes)
-      if (admission.type === 'admitted' || !isFinalDenial(admission.reason) || confirmation.covers(this.#arrivedAt)) return admission
+      const admission = this.#lookUp(facts.routes)
+      if (admission.type === 'admitted' || !isFinalDenial(admission.reason) || confirmation.isCurrent(this.#arrivedAt)) return admission
       const leftMs = until - nowMs()
       if (leftMs <= 0) return { ...admission, reason: 'table_not_confirmed' }
-      await confirmation.next(leftMs)
+      await confirmation.nextProof(leftMs)
     }
   }
 
@@ -71,7 +71,7 @@
     return this.#reservation === undefined || quotas.spend(this.#reservation)
   }
 
-  #look (routes: RouteIndex | undefined): Admitted | Denial {
+  #lookUp (routes: RouteIndex | undefined): Admitted | Denial {
     const { names, lease } = this.options
     const { host, path, message } = this.incoming
     if (routes === undefined) return { type: 'denied', reason: 'table_not_confirmed', route: undefined }
--- a/packages/fleet/src/entry/side-link.ts
+++ b/packages/fleet/src/entry/side-link.ts
@@ -247,7 +247,7 @@
     this.#channel = channel
     this.#heardAt = nowMs()
     channel.send({ type: 'fences', highest: Math.max(fence(), Math.floor(facts.revision)) })
-    // From here on the side process believes how far this entry is, so what is known goes out in the same turn, before any heartbeat.
+    // The side process trusts the progress in heartbeats from this frame on, so the facts must follow before the next heartbeat.
     this.#tellFollows(channel)
     if (this.#dependent) channel.send({ type: 'depend', on: true })
     // Entries elsewhere and side processes pass facts on; one more copy of each over every link across would cost bytes.
--- a/packages/fleet/src/entry/table-confirmation.ts
+++ b/packages/fleet/src/entry/table-confirmation.ts
@@ -1,8 +1,8 @@
 /**
- * Whether the routing table surely holds every change that has to be in force.
+ * Whether the routing table is proved to be current: to hold every change that has to be in force by now.
  *
- * A final refusal tells a caller that asking again is of no use, so it is given only from such a table. Most entries have a proof
- * that is young enough, or get one within some ms; questions for one are shared by all requests that need it.
+ * A 404 or 401 tells a caller not to retry, so it is given only from a current table. An entry that reads the store has a proof
+ * anyway; the others ask a side process near. Requests that wait for a proof at the same time share one question.
  */
 import { pause } from '@finchpitch/core'
 import { nowMs } from '../clock.js'
@@ -11,7 +11,7 @@
 import type { SideLinks } from './side-links.js'
 import type { StoreWatch } from './store-watch.js'
 
-/** Between two questions, however many requests wait for the answer. */
+/** The least time between two questions. */
 const askMs = 100
 
 export interface TableConfirmationOptions {
@@ -26,15 +26,15 @@
 
   constructor (private readonly options: TableConfirmationOptions) {}
 
-  /** The table holds what has to be in force for a request that came at `at`, on the elapsed clock. */
-  covers (at: number): boolean {
+  /** For a request that came at `at`, on the elapsed clock. */
+  isCurrent (at: number): boolean {
     const { facts, limits } = this.options
     const { applyMs } = limits()
     return applyMs === undefined || facts.freshness.provenAt >= at - applyMs
   }
 
-  /** Asks for a proof; resolves with the next one, with another table, or after `mostMs`. */
-  async next (mostMs: number): Promise<void> {
+  /** Asks for a proof; resolves with the next one, with another table, or after `mostMs` at the latest. */
+  async nextProof (mostMs: number): Promise<void> {
     const { facts } = this.options
     const came = new AbortController()
     const forget = [
@@ -46,7 +46,7 @@
     for (const each of forget) each()
   }
 
-  /** An entry that watches the store and has no proof asks elsewhere too: those near may know only what it knows itself. */
+  /** A watching entry without a proof is not answered by the store, and side processes near may depend on it; so it asks elsewhere too. */
   #ask (): void {
     const { links, watch } = this.options
     if (nowMs() - this.#askedAt < askMs) return
--- a/packages/fleet/src/fact-exchange.ts
+++ b/packages/fleet/src/fact-exchange.ts
@@ -27,8 +27,8 @@
 }
 
 /**
- * From a side process to an entry near, or to a side process elsewhere that says it of its entries, by how they see the store.
- * One that the store turns away would wait for both links.
+ * How long a side process holds facts back for a peer, by how the peer sees the store. A peer that the store rejects has no other
+ * source, and would wait at each hop between it and an entry that reads.
  */
 export const patienceBySight: Record<StoreSight, number> = { reading: patienceMs.entry, resting: patienceMs.entry, blind: patienceMs.dependent }
 
--- a/packages/fleet/src/side/reader.ts
+++ b/packages/fleet/src/side/reader.ts
@@ -57,7 +57,7 @@
   readonly #wanted = new Map<string, number>()
   /** It asked for something and has heard nothing since. */
   #owed = false
-  #introduced = false
+  #hasSentFacts = false
 
   constructor ({ channel, near, ownHost }: ReaderOptions) {
     this.channel = channel
@@ -71,21 +71,21 @@
   }
 
   /**
-   * It has said what it follows, and with that sent all that it knew. Before, its heartbeats tell how far it is itself: one that
-   * dials a process that stands still goes on telling, and ends the connection without having sent anything.
+   * It has sent the facts that it had when it joined. Its heartbeats before that report its own progress, not what it has sent: a
+   * peer that dials a frozen process keeps sending heartbeats, and may close the connection without having sent a fact.
    */
-  get introduced (): boolean {
-    return this.#introduced
+  get hasSentFacts (): boolean {
+    return this.#hasSentFacts
   }
 
-  /** Its heartbeat says how it sees the store. */
-  sees (sight: StoreSight | undefined): void {
+  /** Takes over how it sees the store from its heartbeat. */
+  noteSight (sight: StoreSight | undefined): void {
     if (sight === this.#sight) return
     this.#sight = sight
     this.facts?.setPatience(this.patience)
   }
 
-  /** How long it is left to learn of a fact elsewhere. */
+  /** How long a fact is held back in case it learns of it elsewhere, in ms. */
   get patience (): number {
     return this.#dependent ? patienceMs.dependent : patienceBySight[this.#sight ?? 'resting']
   }
@@ -101,7 +101,7 @@
 
   /** The hosts that it follows from now on. */
   follow (hosts: readonly string[]): void {
-    this.#introduced = true
+    this.#hasSentFacts = true
     const wanted = new Set(hosts)
     for (const host of this.#tellers.keys()) if (!wanted.has(host)) this.#tellers.delete(host)
     for (const host of wanted) {
--- a/packages/fleet/src/side/readers.ts
+++ b/packages/fleet/src/side/readers.ts
@@ -115,13 +115,13 @@
   }
 
   #heard (frame: FrameOf<'heartbeat'>, reader: Reader): void {
-    reader.sees(frame.sight)
+    reader.noteSight(frame.sight)
     this.options.facts.setSight(this.#sightNear())
     // Entries of the same domain that read the store send what they learn at once, so by now it is all here.
-    if (reader.near && reader.introduced && frame.sight === 'reading' && frame.complete !== undefined) this.options.facts.caughtUp(frame.complete)
+    if (reader.near && reader.hasSentFacts && frame.sight === 'reading' && frame.complete !== undefined) this.options.facts.caughtUp(frame.complete)
   }
 
-  /** How the entries near see the store between them; side processes elsewhere send at once where it answers none. */
+  /** How the entries near see the store, taken together: `reading` if any of them does, else `blind` if it rejects any. */
   #sightNear (): StoreSight {
     const sights = new Set([...this.#readers].filter(reader => reader.near && !reader.relay).map(reader => reader.sight))
     return (['reading', 'blind'] as const).find(sight => sights.has(sight)) ?? 'resting'
--- a/packages/soak/src/changes.ts
+++ b/packages/soak/src/changes.ts
@@ -18,8 +18,8 @@
 const askEveryMs = 100
 const harms: readonly Harm[] = [{ type: 'reset' }, { type: 'silence' }, { type: 'one_way' }]
 
-/** An entry that the store turns away, from when until when. */
-interface Exile {
+/** The store rejects one entry's calls for a while. */
+interface Rejection {
   entry: number
   from: number
   until: number
@@ -37,7 +37,7 @@
 
 export class Changes {
   readonly #routes: RouteChanges
-  readonly #exiles: Exile[] = []
+  readonly #rejections: Rejection[] = []
 
   constructor (private readonly options: ChangesOptions) {
     this.#routes = new RouteChanges(options.fleet, 'changed', askEveryMs)
@@ -89,14 +89,14 @@
     const ms = troubles.between(1000, 9000)
     if (front.harm.type !== 'none') return
     log(`the store meets ${fleet.entries[entry]?.name} with ${harm.type} for ${ms} ms`)
-    const exile = { entry, from: performance.now(), until: Infinity }
-    this.#exiles.push(exile)
+    const rejection = { entry, from: performance.now(), until: Infinity }
+    this.#rejections.push(rejection)
     front.harm = harm
     front.resetAll()
     await pause(ms)
     front.harm = { type: 'none' }
     front.resetAll()
-    exile.until = performance.now()
+    rejection.until = performance.now()
   }
 
   judge (): string[] {
@@ -112,9 +112,9 @@
     if (fault === 'older') return disturbances.any(name, sentAt - afterMs, sentAt)
     if ([name, everywhere, storeAway].some(each => disturbances.any(each, sentAt - contactMs, sentAt))) return true
     const others = [...fleet.entries, ...fleet.sides].filter(machine => machine.name !== name)
-    const exiled = this.#exiles.some(each => each.from < sentAt && each.until > sentAt - contactMs)
-    const helpless = others.some(machine => disturbances.any(machine.name, sentAt - afterMs - contactMs, sentAt))
-    return exiled && helpless && afterMs <= applyMs + skewMs
+    const rejected = this.#rejections.some(each => each.from < sentAt && each.until > sentAt - contactMs)
+    const othersDisturbed = others.some(machine => disturbances.any(machine.name, sentAt - afterMs - contactMs, sentAt))
+    return rejected && othersDisturbed && afterMs <= applyMs + skewMs
   }
 
   #nameOf (entry: number): string {
--- a/packages/stand-ins/src/fleet/route-changes.ts
+++ b/packages/stand-ins/src/fleet/route-changes.ts
@@ -94,9 +94,9 @@
 
   #lateness (probe: RouteProbe, applyMs: number, slackMs: number): LateChange | undefined {
     const { route, status, sentAt, endedAt } = probe
-    if (status === served) return longer(probe, 'dropped', sentAt - route.droppedAt, applyMs)
+    if (status === served) return lateBy(probe, 'dropped', sentAt - route.droppedAt, applyMs)
     if (status !== noRoute || endedAt > route.droppedAt) return undefined
-    return longer(probe, 'missing', sentAt - route.addedAt, applyMs) ?? longer(probe, 'older', sentAt - this.#servedAt(probe), slackMs)
+    return lateBy(probe, 'missing', sentAt - route.addedAt, applyMs) ?? lateBy(probe, 'older', sentAt - this.#servedAt(probe), slackMs)
   }
 
   /** When the entry was first seen to serve the route. */
@@ -128,5 +128,5 @@
   }
 }
 
-const longer = (probe: RouteProbe, fault: RouteFault, afterMs: number, boundMs: number): LateChange | undefined =>
+const lateBy = (probe: RouteProbe, fault: RouteFault, afterMs: number, boundMs: number): LateChange | undefined =>
   afterMs > boundMs ? { probe, fault, afterMs } : undefined
