--- a/packages/fleet/test/changes-in-force.test.ts
+++ b/packages/fleet/test/changes-in-force.test.ts
@@ -9,7 +9,7 @@
  * table came 1.5 and 3.0 s after the entries elsewhere had it.
  */
 import { pause } from '@finchpitch/core'
-import { FleetSystem, RouteChanges, type FaultProxy, type Harm, type LateChange, type Machine } from '@finchpitch/stand-ins'
+import { FleetSystem, RouteChanges, type FaultProxy, type Harm, type LateChange, type Machine, type RouteProbe } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
 
 /** A change has to be in force so long after the store has acknowledged it. */
@@ -57,7 +57,10 @@
   await pause(contactMs + changeEveryMs)
   stop.abort()
   await Promise.all(asked)
-  return changes.late(applyMs, slackMs).filter(({ probe }) => probe.sentAt > (troubled.includes(probe.entry) ? until + contactMs : from))
+  const counts = ({ entry, sentAt }: RouteProbe): boolean => sentAt > (troubled.includes(entry) ? until + contactMs : from)
+  // No caller is served by an entry that refuses whatever it has not heard of yet.
+  expect(changes.refused(applyMs).filter(counts)).to.deep.equal([])
+  return changes.late(applyMs, slackMs).filter(({ probe }) => counts(probe))
 }
 
 describe('changes of routes while the store turns one entry away', function () {
--- a/packages/stand-ins/src/fleet/route-changes.ts
+++ b/packages/stand-ins/src/fleet/route-changes.ts
@@ -13,6 +13,7 @@
 const lastAsked = 2
 const served = 200
 const noRoute = 404
+const notRun = 503
 
 /** A route with the times of the acknowledgements of its changes, on the steady clock. */
 interface ChangingRoute {
@@ -82,6 +83,11 @@
     return this.probes.flatMap(probe => this.#lateness(probe, applyMs, slackMs) ?? [])
   }
 
+  /** Requests for a route that was added more than `applyMs` before, and that were refused as not run. */
+  refused (applyMs: number): RouteProbe[] {
+    return this.probes.filter(({ route, status, sentAt, endedAt }) => status === notRun && sentAt - route.addedAt > applyMs && endedAt < route.droppedAt)
+  }
+
   close (): void {
     for (const agent of this.#agents) agent.destroy()
   }
