--- a/packages/fleet/test/readers.test.ts
+++ b/packages/fleet/test/readers.test.ts
@@ -6,9 +6,9 @@
  * process told of two entries lost at revision 316 and, 80 ms later, of the same two at revision 324.
  */
 import { ProcessId, FailureDomain, quietLog } from '@finchpitch/core'
-import { EngineNews, Facts, Readers, type Reader } from '@finchpitch/fleet'
-import { channelOptions } from '@finchpitch/stand-ins'
-import type { Channel, Frame } from '@finchpitch/wire'
+import { EngineNews, Facts, Readers, type Fact, type Reader } from '@finchpitch/fleet'
+import { FakeTime, channelOptions } from '@finchpitch/stand-ins'
+import type { Channel, Frame, StoreSight } from '@finchpitch/wire'
 import { expect } from 'chai'
 
 const domain = 'a'
@@ -44,4 +44,66 @@
       expect(facts.complete).to.deep.equal(complete)
     })
   })
+
+  /*
+   * What the store says came 3.0 s late to an entry that it turned away, over one side process elsewhere and one near, which
+   * waited 1.5 s each though the entry had said that the store does not answer it. `belief.changed` at the three told the two waits.
+   */
+  describe('of which one is turned away by the store', () => {
+    /** Longer than nothing, shorter than any wait for the peer's own word. */
+    const promptMs = 50
+    const waitMs = 1600
+    let time: FakeTime
+    let received: number[]
+
+    const named = (revision: number): Fact => ({ kind: 'version', key: 'm/a', revision, value: { model: 'm', adapter: 'a', version: revision } })
+    const peerIn = (peerDomain: string): Channel => ({
+      ...channel,
+      peer: { process: ProcessId.parse('peer'), domain: FailureDomain.parse(peerDomain) },
+      setPace: () => {},
+      send: (frame: Frame) => {
+        if (frame.type === 'fact') received.push(frame.revision)
+        return true
+      }
+    }) as unknown as Channel
+    const says = (reader: Reader, sight: StoreSight): void => readers.take({ type: 'heartbeat', revision: 1, sight } as Frame, reader)
+
+    beforeEach(() => {
+      time = new FakeTime()
+      received = []
+    })
+
+    afterEach(() => time.restore())
+
+    for (const [peer, peerDomain, relay] of [['an entry near', domain, false], ['a side process elsewhere', 'b', true]] as const) {
+      it(`sends at once to ${peer} that says so, and what was still held back for it`, async () => {
+        const reader = readers.join(peerIn(peerDomain))
+        readers.take({ type: 'follow', hosts: [host], relay }, reader)
+        says(reader, 'reading')
+        facts.offer(named(2), 'store')
+        await time.pass(promptMs)
+        expect(received).to.deep.equal([])
+        says(reader, 'blind')
+        await time.pass(promptMs)
+        expect(received).to.deep.equal([2])
+        facts.offer(named(3), 'store')
+        await time.pass(promptMs)
+        expect(received).to.deep.equal([2, 3])
+        says(reader, 'reading')
+        facts.offer(named(4), 'store')
+        await time.pass(promptMs)
+        expect(received).to.deep.equal([2, 3])
+        await time.pass(waitMs)
+        expect(received).to.deep.equal([2, 3, 4])
+      })
+    }
+
+    it('says so itself, unless another entry near reads the store', () => {
+      says(entry, 'blind')
+      expect(facts.sight).to.equal('blind')
+      const other = readers.join(peerIn(domain))
+      says(other, 'reading')
+      expect(facts.sight).to.equal('reading')
+    })
+  })
 })
