--- a/packages/stand-ins/src/fleet/object-server.ts
+++ b/packages/stand-ins/src/fleet/object-server.ts
@@ -1,6 +1,6 @@
 /**
  * A stand-in for the users' platform's store: objects by kind and name, one revision counter, lists and long-polled
- * watches. It can be down, turn callers away, cut its watches and forget its history.
+ * watches. It can be down, turn callers away, cut its watches, forget its history and be restored from a copy.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { pause } from '@finchpitch/core'
@@ -19,7 +19,22 @@
   object: FleetObject
 }
 
+/** What the store held at one moment. */
+export interface StoreCopy {
+  revision: number
+  objects: Map<string, Map<string, FleetObject>>
+  changes: Change[]
+}
+
+/** The last write to an object that a restore has undone; `spec` is absent where the object was removed. */
+export interface LostWrite {
+  kind: string
+  name: string
+  spec?: unknown
+}
+
 const pageSize = 500
+const eraHeader = 'store-era'
 
 export class ObjectServer extends HttpStandIn {
   /** Every call is answered so: 503, a reset, or not at all. */
@@ -27,6 +42,7 @@
   /** How long a list takes. */
   listMs = 0
   calls = 0
+  #era = 1
   #revision = 0
   #oldest = 0
   #objects = new Map<string, Map<string, FleetObject>>()
@@ -63,9 +79,33 @@
     this.#wakeAll()
   }
 
+  copy (): StoreCopy {
+    const objects = new Map([...this.#objects].map(([kind, named]) => [kind, new Map(named)]))
+    return { revision: this.#revision, objects, changes: [...this.#changes] }
+  }
+
+  /** Goes back to the copy: what was written since is lost, and its revisions are given out again. Returns the lost writes. */
+  restore ({ revision, objects, changes }: StoreCopy): LostWrite[] {
+    const lost = lostWrites(objects, this.#objects)
+    this.#era += 1
+    this.#revision = revision
+    this.#objects = new Map([...objects].map(([kind, named]) => [kind, new Map(named)]))
+    this.#changes = [...changes]
+    this.#wakeAll()
+    return lost
+  }
+
+  /** Writes what a restore has undone, as the operator and the servers do. */
+  writeAgain (lost: readonly LostWrite[]): void {
+    for (const { kind, name, spec } of lost) {
+      if (spec === undefined) this.remove(kind, name)
+      else this.put(kind, name, spec)
+    }
+  }
+
   protected override async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     this.calls += 1
-    if (this.fault === 'busy') return sendJson(response, 503, {})
+    if (this.fault === 'busy') return this.#send(response, 503, {})
     if (this.fault === 'reset') {
       response.destroy()
       return
@@ -73,7 +113,7 @@
     if (this.fault === 'silent') return
     const url = new URL(request.url ?? '/', 'http://store')
     const kind = url.pathname.split('/').at(-1) ?? ''
-    if (request.method !== 'GET') return sendJson(response, 405, {})
+    if (request.method !== 'GET') return this.#send(response, 405, {})
     const watch = url.searchParams.get('watch')
     if (watch === null) await pause(this.listMs)
     if (watch === null) return this.#list(kind, url.searchParams.get('after') ?? '', response)
@@ -83,18 +123,18 @@
   #list (kind: string, after: string, response: ServerResponse): void {
     const sorted = [...this.#objects.get(kind)?.values() ?? []].sort((a, b) => a.metadata.name < b.metadata.name ? -1 : 1)
     const rest = sorted.filter(object => object.metadata.name > after)
-    sendJson(response, 200, { items: rest.slice(0, pageSize), hasMore: rest.length > pageSize, storeRevision: this.#revision })
+    this.#send(response, 200, { items: rest.slice(0, pageSize), hasMore: rest.length > pageSize, storeRevision: this.#revision })
   }
 
   async #watch (kind: string, since: number, waitMs: number, response: ServerResponse): Promise<void> {
     const until = Date.now() + waitMs
     for (;;) {
-      if (since < this.#oldest) return sendJson(response, 410, {})
+      if (since < this.#oldest || since > this.#revision) return this.#send(response, 410, {})
       const events = this.#changes.filter(change => change.kind === kind && change.revision > since)
       if (events.length > 0 || Date.now() >= until || response.destroyed) {
         if (this.fault === 'silent') return
         const bodies = events.map(({ deleted, object }) => ({ deleted, object }))
-        return sendJson(response, 200, { events: bodies, storeRevision: this.#revision })
+        return this.#send(response, 200, { events: bodies, storeRevision: this.#revision })
       }
       const woken = new AbortController()
       const wake = (): void => woken.abort()
@@ -104,6 +144,10 @@
     }
   }
 
+  #send (response: ServerResponse, status: number, body: unknown): void {
+    sendJson(response, status, body, { [eraHeader]: String(this.#era) })
+  }
+
   #changed (change: Change): void {
     this.#changes.push(change)
     this.#wakeAll()
@@ -113,3 +157,15 @@
     for (const wake of this.#wake) wake()
   }
 }
+
+/** Writes of `now` that `before` lacks or holds an older revision of. */
+const lostWrites = (before: StoreCopy['objects'], now: StoreCopy['objects']): LostWrite[] => {
+  const lost: LostWrite[] = []
+  for (const [kind, named] of now) {
+    for (const [name, { spec, metadata }] of named) {
+      if (before.get(kind)?.get(name)?.metadata.revision !== metadata.revision) lost.push({ kind, name, spec })
+    }
+  }
+  for (const [kind, named] of before) for (const name of named.keys()) if (now.get(kind)?.has(name) !== true) lost.push({ kind, name })
+  return lost
+}
