Order facts by store era before revision, so that restores from a backup hide no changes

Callers were handled by an older configuration more than 2 s after a newer one had been acknowledged, and requests reached servers more than 2 s after their leaving had been acknowledged. The store had been restored from a backup that was some seconds old. Its revision counter went back and revisions were reused, but every process ordered facts by revision alone.

A revision now holds the store's era, taken from the store's responses, in the bits above the store's own counter, so facts, completeness, proofs, removals and fences are compared as before. A watch that is answered from another era is restarted with a list. A backup reverts nothing: an older table or named version is ignored, a removed server is accepted only once it has written its entry again or its entry has not lapsed within 5 s, and entries missing from the backup count as removed only after 2 s (servers) or 10 s (named versions). For 2 s after a restore, and while the known table is newer than the store's, no answer proves that the table is the newest.

Log lines include the era beside the revision; the events store.restored and belief.kept are new.

Each rule of what is believed is tested on the paused clock, the reading of the era against a stand-in of the store.

--- a/packages/fleet/src/entry/store-watch.ts
+++ b/packages/fleet/src/entry/store-watch.ts
@@ -9,6 +9,7 @@
 import { follow } from '../follow.js'
 import { Outage } from '../outage.js'
 import type { FactSource } from '../ports.js'
+import { revisionFields } from '../store-revision.js'
 import { Turn } from '../turn.js'
 import { TableProver } from './table-prover.js'
 import { dutyOf, type DutyView } from './watch-duty.js'
@@ -63,7 +64,7 @@
   #setDuty (view: DutyView): void {
     const { watch, reason } = dutyOf(view)
     if (watch === this.#turn.on) return
-    this.options.log.info('store.duty_changed', { watch, reason, confirmedMs: Math.round(view.confirmedMs), revision: this.options.facts.revision })
+    this.options.log.info('store.duty_changed', { watch, reason, confirmedMs: Math.round(view.confirmedMs), ...revisionFields(this.options.facts.revision) })
     this.#turn.set(watch)
     // What was learned while others watched goes to the side processes before they are told of the new sight, since they
     // take the word of one that reads for complete.
--- a/packages/fleet/src/entry/table-prover.ts
+++ b/packages/fleet/src/entry/table-prover.ts
@@ -36,6 +36,6 @@
     const page = await this.source.changes(revision, waitMs, this.signal)
     if (page.isErr()) return
     for (const fact of page.value.facts) facts.offer(fact, 'store')
-    if ((page.value.unread ?? 0) === 0) facts.freshness.prove(began)
+    if ((page.value.unread ?? 0) === 0) facts.proveTable(began, page.value.revision)
   }
 }
--- a/packages/fleet/src/fact.ts
+++ b/packages/fleet/src/fact.ts
@@ -4,6 +4,7 @@
  */
 import type { FactFrame } from '@finchpitch/wire'
 import { BackendServer, NamedVersion, refKey } from './server.js'
+import { eraOf } from './store-revision.js'
 import { RoutingTable } from './table.js'
 
 export type Fact =
@@ -39,6 +40,24 @@
 /** It is gone for good, so that nothing of it stays in reserve. */
 export const isFinal = (fact: Fact): boolean => fact.kind === 'server' && fact.final === true
 
+/**
+ * Whether a fact replaces `known`. A restored store may hold an older version than the known one, which is kept until the store
+ * holds at least the same version again.
+ */
+export const supersedes = (fact: Fact, known: Fact): boolean => {
+  if (fact.revision <= known.revision) return false
+  const [version, knownVersion] = [versionOf(fact), versionOf(known)]
+  const isOlder = version !== undefined && knownVersion !== undefined && version < knownVersion
+  return eraOf(fact.revision) === eraOf(known.revision) || !isOlder
+}
+
+/** The version number in a fact's value; `undefined` for servers and removals, which have none. */
+const versionOf = ({ kind, value }: Fact): number | undefined => kind === 'server' ? undefined : value?.version
+
+/** Whether a server that was removed before a restore is listed again after it. */
+export const isReturned = (fact: Fact, known: Fact): boolean =>
+  fact.kind === 'server' && fact.value !== undefined && known.value === undefined && eraOf(fact.revision) !== eraOf(known.revision)
+
 /** Who lacks nothing up to this revision of the store has the fact. */
 export const coveredBy = (fact: Fact): number => seenAtOf(fact) ?? fact.revision
 
--- a/packages/fleet/src/facts.ts
+++ b/packages/fleet/src/facts.ts
@@ -3,16 +3,19 @@
  *
  * Each fact carries the store's revision at which it was last changed. The higher revision wins, whether it came
  * from the store or from a peer, so a process that the store turns away is kept current by the others and no
- * belief ever goes back. Removals are remembered as tombstones for as long as an older copy may travel.
+ * belief ever goes back. Removals are remembered as tombstones for as long as an older copy may travel. After a
+ * restore from a backup, the store may list facts that have since been replaced or removed; see `supersedes` and `ReturnedServers`.
  */
 import { isDeepStrictEqual } from 'node:util'
 import type { Log } from '@finchpitch/core'
 import type { Complete, StoreSight } from '@finchpitch/wire'
 import { nowMs } from './clock.js'
-import type { Fact } from './fact.js'
+import { isReturned, supersedes, type Fact } from './fact.js'
 import { Freshness } from './freshness.js'
 import { Leavers, type ServerLife } from './leavers.js'
 import { isFormer, type BackendServer, type NamedVersion } from './server.js'
+import { ReturnedServers } from './returned-servers.js'
+import { eraOf, revisionFields } from './store-revision.js'
 import { RouteIndex, type RoutingTable } from './table.js'
 
 export interface VersionBelief {
@@ -26,6 +29,9 @@
 /** Longer than any message between processes is under way. */
 const tombstoneMs = 60_000
 
+/** Time allowed after a restore for lost writes to be repeated. */
+const rewriteGraceMs = 2000
+
 type Listener = (fact: Fact) => void
 
 export class Facts {
@@ -37,6 +43,7 @@
   /** By service, what `openTo` gave since the servers last changed. */
   readonly #open = new Map<string, readonly BackendServer[]>()
   readonly #leavers = new Leavers()
+  readonly #returned = new ReturnedServers()
   readonly #versions = new Map<string, VersionBelief>()
   readonly #current = new Map<string, Fact>()
   readonly #tombstones = new Map<string, number>()
@@ -62,7 +69,21 @@
 
   /** A revision of the store as a whole, read off an answer. */
   saw (revision: number): void {
-    if (revision > this.#highest) this.#highest = revision
+    if (revision <= this.#highest) return
+    const before = this.#highest
+    this.#highest = revision
+    if (before > 0 && eraOf(revision) > eraOf(before)) this.#noteRestore(before)
+  }
+
+  #noteRestore (before: number): void {
+    this.log.warn('store.restored', { ...revisionFields(this.#highest), before: revisionFields(before) })
+    this.freshness.rejectProofsFor(rewriteGraceMs)
+  }
+
+  /** Records that a call begun at `at`, on the elapsed clock, read the store's newest state, at `revision`. */
+  proveTable (at: number, revision: number): void {
+    // A table from before a restore may be newer than the store's, so it can't be proven until it is written again.
+    if (eraOf(this.revisionOf('table', 'table')) === eraOf(revision)) this.freshness.prove(at)
   }
 
   /** Up to which revision nothing is missing here, for each kind. */
@@ -77,7 +98,7 @@
 
   setSight (sight: StoreSight): void {
     if (sight === this.#sight) return
-    this.log.info('store.sight_changed', { sight, before: this.#sight, revision: this.#highest })
+    this.log.info('store.sight_changed', { sight, before: this.#sight, ...revisionFields(this.#highest) })
     this.#sight = sight
     for (const listener of this.#readListeners) listener()
   }
@@ -91,7 +112,8 @@
   completed (kind: Fact['kind'], revision: number): void {
     const before = this.read
     if (kind === 'server') this.#confirmedAt = nowMs()
-    this.#complete[kind] = Math.max(this.#complete[kind], revision)
+    // Peers would never be sent a held server if the list were reported complete.
+    if (kind !== 'server' || this.#returned.size === 0) this.#complete[kind] = Math.max(this.#complete[kind], revision)
     this.saw(revision)
     if (!before && this.read) for (const listener of this.#readListeners) listener()
   }
@@ -134,7 +156,7 @@
     const server = this.servers.get(life.id)
     if (server !== undefined && isFormer(life.bornAt, server.bornAt)) return
     if (!this.#leavers.note(life)) return
-    this.log.info('server.leaves', { server: life.id, bornAt: life.bornAt, from, address: server?.address, listed: listedAs(server), revision: this.revisionOf('server', life.id) })
+    this.log.info('server.leaves', { server: life.id, bornAt: life.bornAt, from, address: server?.address, listed: listedAs(server), ...revisionFields(this.revisionOf('server', life.id)) })
     if (server === undefined || server.leaving) return
     this.#replace({ ...server, leaving: true })
     const fact = this.current('server', life.id)
@@ -144,6 +166,7 @@
   /** Drops servers whose entries have not come back. */
   expire (): void {
     this.#leavers.expire(this.servers)
+    for (const { fact, from } of this.#returned.due()) this.#replaceFact(fact, from)
     const now = nowMs()
     for (const [id, until] of this.#lapsed) {
       if (now < until) continue
@@ -189,16 +212,33 @@
 
   /** Takes a fact over if it is newer than what is believed; says whether it was. */
   offer (fact: Fact, from: string): boolean {
+    const known = this.current(fact.kind, fact.key)
+    if (known !== undefined && fact.revision <= known.revision) return false
+    this.saw(fact.revision)
+    if (known !== undefined) {
+      if (!supersedes(fact, known)) return this.#ignore(fact, known, from)
+      if (isOfFormerLife(fact, known)) return false
+      if (isReturned(fact, known) && this.#returned.hold(fact, from)) return this.#ignore(fact, known, from)
+    }
+    return this.#replaceFact(fact, from)
+  }
+
+  /** Logs a fact from a restored store that has since been replaced or removed. */
+  #ignore (fact: Fact, known: Fact, from: string): false {
+    this.log.info('belief.kept', { kind: fact.kind, key: fact.key, ...revisionFields(fact.revision), from, outcome: describe(known), listed: describe(fact) })
+    return false
+  }
+
+  /** Returns whether the value changed. */
+  #replaceFact (fact: Fact, from: string): boolean {
     const id = `${fact.kind} ${fact.key}`
     const known = this.#current.get(id)
-    if (known !== undefined && known.revision >= fact.revision) return false
-    this.saw(fact.revision)
-    if (known !== undefined && isOfFormerLife(fact, known)) return false
+    if (fact.kind === 'server') this.#returned.forget(fact.key)
     this.#current.set(id, fact)
     if (known !== undefined && isDeepStrictEqual(known.value, fact.value)) return false
     handlers[fact.kind](this, fact as never)
     this.#keepTombstone(id, fact)
-    this.log.info('belief.changed', { kind: fact.kind, key: fact.key, revision: fact.revision, from, outcome: describe(fact) })
+    this.log.info('belief.changed', { kind: fact.kind, key: fact.key, ...revisionFields(fact.revision), from, outcome: describe(fact) })
     this.#tell(fact)
     return true
   }
@@ -217,7 +257,7 @@
       try {
         listener(fact)
       } catch (error) {
-        this.log.error('belief.listener_failed', { kind: fact.kind, key: fact.key, revision: fact.revision, detail: (error as Error).stack })
+        this.log.error('belief.listener_failed', { kind: fact.kind, key: fact.key, ...revisionFields(fact.revision), detail: (error as Error).stack })
       }
     }
   }
@@ -237,7 +277,7 @@
     }
     this.#lapsed.delete(id)
     this.#drop(id)
-    if (this.#succeeded(id, server)) return
+    if (this.#succeeded(server)) return
     if (server.leaving) this.#leavers.note(server)
     this.#list(this.#leavers.has(server) ? { ...server, leaving: true } : server)
   }
@@ -266,11 +306,11 @@
   }
 
   /** Whether a later server has its address. Those before it at that address are gone, though their entries may stay for a while. */
-  #succeeded (id: string, { address, service }: BackendServer): boolean {
-    const revision = this.revisionOf('server', id)
+  #succeeded (server: BackendServer): boolean {
+    const { id, address, service } = server
     for (const other of [...this.servers.values()]) {
       if (other.address !== address || !this.#serves(service) || !this.#serves(other.service)) continue
-      if (this.revisionOf('server', other.id) > revision) return true
+      if (this.#isLater(other, server)) return true
       this.#lapsed.delete(other.id)
       this.#drop(other.id)
       this.log.info('server.gone', { server: other.id, reason: `${id} has its address` })
@@ -278,6 +318,14 @@
     return false
   }
 
+  /** Whether `server` started after `other`; compares start times across a restore, where revisions are not comparable. */
+  #isLater (server: BackendServer, other: BackendServer): boolean {
+    const revision = this.revisionOf('server', server.id)
+    const otherRevision = this.revisionOf('server', other.id)
+    const comparable = eraOf(revision) === eraOf(otherRevision) || server.bornAt === undefined || other.bornAt === undefined
+    return comparable ? revision > otherRevision : isFormer(other.bornAt, server.bornAt)
+  }
+
   #drop (id: string): void {
     const server = this.servers.get(id)
     if (server === undefined) return
--- a/packages/fleet/src/follow.ts
+++ b/packages/fleet/src/follow.ts
@@ -10,7 +10,8 @@
 import type { Facts } from './facts.js'
 import type { Outage } from './outage.js'
 import type { FactPage, FactSource, StoreFailure } from './ports.js'
-import { Removals } from './removals.js'
+import { Removals, returnMs } from './removals.js'
+import { eraOf, revisionFields } from './store-revision.js'
 import type { Turn } from './turn.js'
 
 /**
@@ -50,6 +51,9 @@
  */
 export const reserveMs = (restMs: number, drainMs: number): number => Math.max(0, drainMs * reserveShare - restMs)
 
+/** How long an entry may be missing from a restored store before it counts as removed. Operators repeat writes later than servers do. */
+const rewriteGraceMs: Record<Fact['kind'], number> = { table: returnMs, server: returnMs, version: 10_000 }
+
 export interface Following {
   source: FactSource
   facts: Facts
@@ -77,6 +81,8 @@
   /** Since when nothing was heard that should have been. */
   #lostAt = 0
   #compactions: number
+  /** The latest era for which removals have been held back. */
+  #heldEra = 0
 
   constructor (private readonly options: Following) {
     this.#kind = options.source.kind
@@ -123,19 +129,19 @@
     const page = this.#revision === undefined ? await source.list() : await source.changes(this.#revision, waitMs, doubt)
     if (signal.aborted) return 0
     this.#doubtful = page.isErr()
-    if (page.isOk()) {
+    if (page.isOk() && !this.#isOutdated(page.value)) {
       this.#answered(page.value)
       this.#proved(page.value, provenAt)
       return restMs(this.#kind)
     }
     if (doubt.aborted && watching) return this.#cutOff(askedAt)
-    this.#failed(page.error, askedAt + waitMs)
+    this.#failed(page.isErr() ? page.error : outdatedAnswer, askedAt + waitMs)
     return backoff(this.#failures - 1, Math.random, storeSpan)
   }
 
   /** A watch that was cut off here is asked again at once: it tells nothing of the store. */
   #cutOff (askedAt: number): number {
-    this.options.log.info('store.asked_anew', { kind: this.#kind, afterMs: Math.round(nowMs() - askedAt), failures: this.#failures, revision: this.#revision })
+    this.options.log.info('store.asked_anew', { kind: this.#kind, afterMs: Math.round(nowMs() - askedAt), failures: this.#failures, ...this.#revisionFields })
     return 0
   }
 
@@ -148,6 +154,7 @@
     }
     this.#failures = 0
     this.options.outage.note(kind, true)
+    this.#holdAfterRestore(revision)
     const missing = this.#revision === undefined ? missingFrom(facts, kind, listed) : []
     for (const fact of this.#removals.sift([...missing, ...listed])) this.#take(seenAt(fact, revision))
     this.#revision = revision
@@ -155,6 +162,20 @@
     if (!this.#removals.holding) facts.completed(kind, revision)
   }
 
+  /** Whether an answer predates a restore that is already known, for example from a peer. */
+  #isOutdated ({ revision }: FactPage): boolean {
+    return eraOf(revision) < eraOf(this.options.facts.revision)
+  }
+
+  /** Holds removals back after a restore, since writes newer than the backup are missing until they are repeated. */
+  #holdAfterRestore (revision: number): void {
+    const era = eraOf(revision)
+    const complete = this.options.facts.complete[this.#kind]
+    if (complete === 0 || era <= eraOf(complete) || era <= this.#heldEra) return
+    this.#heldEra = era
+    this.#removals.hold(rewriteGraceMs[this.#kind])
+  }
+
   #take (fact: Fact): void {
     const { facts } = this.options
     if (isFinal(fact)) facts.remove(fact, 'store')
@@ -162,19 +183,20 @@
   }
 
   /** A table that could not be read may have taken a key away. */
-  #proved ({ unread = 0 }: FactPage, provenAt: number): void {
-    if (this.#kind === 'table' && unread === 0) this.options.facts.freshness.prove(provenAt)
+  #proved ({ revision, unread = 0 }: FactPage, provenAt: number): void {
+    if (this.#kind === 'table' && unread === 0) this.options.facts.proveTable(provenAt, revision)
   }
 
   /** `dueAt`: when the answer should have come at the latest. */
   #failed (failure: StoreFailure, dueAt: number): void {
     const { code, detail } = failure
     const kind = this.#kind
-    if (code === 'compacted' || code === 'not_valid') {
-      this.options.log.warn('store.read_again', { kind, code, detail, revision: this.#revision })
+    const historyGone = code === 'compacted' || code === 'restored'
+    if (historyGone || code === 'not_valid') {
+      this.options.log.warn('store.read_again', { kind, code, detail, ...this.#revisionFields })
       this.#revision = undefined
     }
-    if (code === 'compacted') this.#compacted()
+    if (historyGone) this.#compacted()
     else this.#lost(failure, dueAt)
   }
 
@@ -190,11 +212,15 @@
     this.#failures += 1
     outage.note(kind, false)
     if (this.#failures > 1) return
-    log.warn('store.lost', { kind, code, detail, revision: this.#revision })
+    log.warn('store.lost', { kind, code, detail, ...this.#revisionFields })
     this.#lostAt = Math.min(nowMs(), dueAt)
     outage.noticed()
   }
 
+  get #revisionFields (): { era?: number, revision?: number } {
+    return this.#revision === undefined ? {} : revisionFields(this.#revision)
+  }
+
   #remove (missing: Fact[]): void {
     const { facts, log } = this.options
     if (missing.length > 0) log.info('store.entries_missing', { kind: this.#kind, keys: missing.map(fact => fact.key) })
@@ -204,6 +230,8 @@
   }
 }
 
+const outdatedAnswer: StoreFailure = { code: 'restored', detail: 'answer predates a restore of the store' }
+
 /** A removal with the store's revision at which it was seen. */
 const seenAt = (fact: Fact, revision: number): Fact =>
   fact.kind === 'table' || fact.value !== undefined ? fact : { ...fact, seenAt: revision }
--- a/packages/fleet/src/freshness.ts
+++ b/packages/fleet/src/freshness.ts
@@ -15,6 +15,7 @@
 
 export class Freshness {
   #provenAt = -Infinity
+  #validFrom = -Infinity
   readonly #listeners = new Set<() => void>()
 
   constructor (private readonly now: () => number = elapsedMs) {}
@@ -30,11 +31,16 @@
 
   /** The table held here was the newest at that moment. */
   prove (at: number): void {
-    if (at <= this.#provenAt) return
+    if (at <= this.#provenAt || at < this.#validFrom) return
     this.#provenAt = at
     for (const listener of this.#listeners) listener()
   }
 
+  /** Rejects proofs dated earlier than `ms` from now: a restored store may lack changes until they are written again. */
+  rejectProofsFor (ms: number): void {
+    this.#validFrom = this.now() + ms
+  }
+
   /** Called at each newer proof, until the function given back is called. */
   onProof (listener: () => void): () => void {
     this.#listeners.add(listener)
--- a/packages/fleet/src/ports.ts
+++ b/packages/fleet/src/ports.ts
@@ -8,14 +8,17 @@
 
 /** Why a call to the platform's store brought nothing. */
 export interface StoreFailure {
-  /** `compacted`: the history asked for is gone, so everything has to be read again. */
-  code: 'unreachable' | 'turned_away' | 'compacted' | 'not_valid'
+  /**
+   * `compacted`: the history asked for is gone, so everything has to be read again; `restored`: the store was restored from a
+   * backup, so everything has to be read again.
+   */
+  code: 'unreachable' | 'turned_away' | 'compacted' | 'restored' | 'not_valid'
   detail: string
 }
 
 export interface FactPage {
   facts: Fact[]
-  /** The store's revision that the page is complete up to. */
+  /** The store's revision that the page is complete up to, including the era (see `store-revision.ts`). */
   revision: number
   /** Objects that could not be read. */
   unread?: number
--- a/packages/fleet/src/removals.ts
+++ b/packages/fleet/src/removals.ts
@@ -1,15 +1,16 @@
 /**
- * Removals of servers right after the store was away.
+ * Removals right after the store was away or was restored from a backup.
  *
  * While the store is away no server can renew its entry, so entries lapse though their servers live. Those servers
  * write them again soon after the store's return; a removal that is learned until then is therefore held back, and
- * only what is still missing afterwards counts as gone.
+ * only what is still missing afterwards counts as gone. Entries missing from a restored store
+ * are held back in the same way.
  */
 import { nowMs } from './clock.js'
 import type { Fact } from './fact.js'
 
 /** A server that lives and reaches the store has its entry back within this time of the store's return (platform). */
-const returnMs = 2000
+export const returnMs = 2000
 /** A watch that is merely cut is renewed in a fraction of this; entries lapse after several heartbeats. */
 const awayMs = 1000
 
@@ -28,11 +29,16 @@
 
   /** The store answers again and had not since `since`. */
   returned (since: number): void {
-    const now = nowMs()
-    if (now - since < awayMs) return
-    this.#until = now + returnMs
+    if (nowMs() - since >= awayMs) this.hold(returnMs)
+  }
+
+  /** Holds back removals learned within the next `ms`; never shortens a current hold. */
+  hold (ms: number): void {
+    const until = nowMs() + ms
+    if (until <= this.#until) return
+    this.#until = until
     clearTimeout(this.#timer)
-    this.#timer = setTimeout(() => this.#end(), returnMs)
+    this.#timer = setTimeout(() => this.#end(), ms)
   }
 
   /** What of it is to be believed now. */
--- a/packages/fleet/src/side/order-giver.ts
+++ b/packages/fleet/src/side/order-giver.ts
@@ -7,6 +7,7 @@
 import type { Facts } from '../facts.js'
 import type { EngineOrder, EngineOrders, OrderOutcome } from '../ports.js'
 import { refKey } from '../server.js'
+import { revisionFields } from '../store-revision.js'
 import type { SideCounters } from './counters.js'
 
 /** After an order without an answer: it may have been accepted, which the next account shows, or may be yet; then its count is taken. */
@@ -62,7 +63,7 @@
     const { facts, log } = this.options
     if (facts.revision === 0) return false
     this.#fence = Math.floor(facts.revision)
-    log.info('fence.taken', { fence: this.#fence, revision: facts.revision })
+    log.info('fence.taken', { fence: this.#fence, ...revisionFields(facts.revision) })
     return true
   }
 
--- a/packages/fleet/src/side/side.ts
+++ b/packages/fleet/src/side/side.ts
@@ -13,6 +13,7 @@
 import { quotaBoundOf, type EngineAccount, type EngineOrder, type EngineOrders, type Limits } from '../ports.js'
 import type { SidePeering } from '../redial.js'
 import { parseRef, refKey } from '../server.js'
+import { revisionFields } from '../store-revision.js'
 import type { EngineSpec } from '../table.js'
 import { WarmCopies } from '../warm-copies.js'
 import { accountAfter } from './account-after.js'
@@ -88,7 +89,7 @@
     if (reader === undefined) return
     this.#readers.leave(reader)
     this.demands.forget(channel.peer.process)
-    log.info('reader.lost', { reader: channel.peer.process, reason: end.reason, detail: end.reason === 'fault' ? `${end.fault.message}, ${end.fault.path}` : undefined, revision: facts.revision, domain })
+    log.info('reader.lost', { reader: channel.peer.process, reason: end.reason, detail: end.reason === 'fault' ? `${end.fault.message}, ${end.fault.path}` : undefined, ...revisionFields(facts.revision), domain })
   }
 
   /** Looks at the engine and gives it orders until `signal` aborts. */
--- a/packages/fleet/test/facts.test.ts
+++ b/packages/fleet/test/facts.test.ts
@@ -1,5 +1,5 @@
 import { quietLog } from '@finchpitch/core'
-import { Facts, removalStep, type BackendServer, type Fact, type RoutingTable } from '@finchpitch/fleet'
+import { Facts, removalStep, storeRevision, type BackendServer, type Fact, type NamedVersion, type RoutingTable } from '@finchpitch/fleet'
 import { FakeTime } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
 
@@ -49,6 +49,113 @@
     expect(seen).to.deep.equal([1, 3])
   })
 
+  describe('of a store that was restored from a backup', () => {
+    /** A revision after the restore. */
+    const restored = (revision: number): number => storeRevision(1, revision)
+    const tableFact = (revision: number, version: number): Fact => ({ kind: 'table', key: 'table', revision, value: table(version) })
+    const versionFact = (revision: number, value: NamedVersion): Fact => ({ kind: 'version', key: 'm/a', revision, value })
+    const open = (): string[] => facts.openTo('llm').map(each => each.id)
+
+    it('accepts a newer routing table with a lower revision in the store', () => {
+      facts.offer(tableFact(94, 22), 'store')
+      facts.offer(tableFact(restored(90), 24), 'store')
+      expect(facts.routes?.table.version).to.equal(24)
+    })
+
+    it('keeps the routing table until the older one from the backup is replaced', () => {
+      facts.offer(tableFact(94, 22), 'store')
+      facts.offer(tableFact(restored(80), 18), 'store')
+      expect(facts.routes?.table.version).to.equal(22)
+      facts.offer(tableFact(restored(81), 22), 'store')
+      facts.offer(tableFact(94, 22), 'peer')
+      facts.offer(tableFact(restored(82), 24), 'store')
+      expect(facts.routes?.table.version).to.equal(24)
+    })
+
+    it('keeps a named version until the older one from the backup is replaced', () => {
+      const named = (version: number): NamedVersion => ({ model: 'm', adapter: 'a', version })
+      facts.offer(versionFact(94, named(3)), 'store')
+      facts.offer(versionFact(restored(80), named(2)), 'store')
+      expect(facts.version('m/a')?.version).to.equal(3)
+      facts.offer(versionFact(restored(81), named(4)), 'store')
+      expect(facts.version('m/a')?.version).to.equal(4)
+    })
+
+    it('accepts a version that is named again after its removal', () => {
+      facts.offer(versionFact(90, { model: 'm', adapter: 'a', version: 3 }), 'store')
+      facts.offer({ kind: 'version', key: 'm/a', revision: 90 + removalStep, value: undefined }, 'store')
+      facts.offer(versionFact(restored(95), { model: 'm', adapter: 'a', version: 4 }), 'store')
+      expect(facts.version('m/a')?.version).to.equal(4)
+    })
+
+    it('sends no requests to a leaving server that the backup lists as ready', () => {
+      facts.offer(serverFact('s', 94, server('s', true)), 'store')
+      facts.offer(serverFact('s', restored(80), server('s')), 'store')
+      expect(open()).to.deep.equal([])
+    })
+
+    describe('that lists a removed server', () => {
+      beforeEach(() => {
+        facts.offer(serverFact('s', 90, server('s')), 'store')
+        facts.remove(serverFact('s', 90 + removalStep, undefined), 'store')
+        facts.offer(serverFact('s', restored(80), server('s')), 'store')
+      })
+
+      it('sends it no requests and reports no complete list to peers until the entry lapses', async () => {
+        facts.completed('server', restored(85))
+        expect(open()).to.deep.equal([])
+        expect(facts.complete.server).to.equal(0)
+        facts.offer(serverFact('s', restored(80) + removalStep, undefined), 'store')
+        facts.completed('server', restored(86))
+        await time.pass(20_000)
+        facts.expire()
+        expect(open()).to.deep.equal([])
+        expect(facts.complete.server).to.equal(restored(86))
+      })
+
+      it('sends it requests once it has written its entry again', () => {
+        facts.offer(serverFact('s', restored(87), server('s')), 'store')
+        expect(open()).to.deep.equal(['s'])
+      })
+
+      it('sends it requests if the entry does not lapse', async () => {
+        await time.pass(4900)
+        facts.expire()
+        expect(open()).to.deep.equal([])
+        await time.pass(200)
+        facts.expire()
+        expect(open()).to.deep.equal(['s'])
+      })
+    })
+
+    it('keeps a server whose address the backup lists for one that started earlier', () => {
+      const bornAt = (id: string, at: number): BackendServer => ({ ...server(id, false, '10.0.0.1:80'), bornAt: at })
+      facts.offer(serverFact('new', 94, bornAt('new', 20)), 'store')
+      facts.offer(serverFact('old', restored(30), bornAt('old', 10)), 'store')
+      expect(open()).to.deep.equal(['new'])
+    })
+
+    it('proves no table newer than the one in the backup, and none before lost writes can have been repeated', async () => {
+      facts.offer(tableFact(94, 22), 'store')
+      facts.offer(tableFact(restored(80), 18), 'store')
+      await time.pass(2100)
+      facts.proveTable(performance.now(), restored(85))
+      expect(facts.freshness.provenAt).to.equal(-Infinity)
+      facts.offer(tableFact(restored(86), 22), 'store')
+      facts.proveTable(performance.now(), restored(86))
+      expect(facts.freshness.provenAt).to.equal(performance.now())
+      facts.saw(storeRevision(2, 40))
+      facts.offer(tableFact(storeRevision(2, 30), 22), 'store')
+      const before = facts.freshness.provenAt
+      await time.pass(1900)
+      facts.proveTable(performance.now(), storeRevision(2, 40))
+      expect(facts.freshness.provenAt).to.equal(before)
+      await time.pass(200)
+      facts.proveTable(performance.now(), storeRevision(2, 40))
+      expect(facts.freshness.provenAt).to.equal(performance.now())
+    })
+  })
+
   describe('of a server whose entry vanished', () => {
     it('keeps it in reserve, and lets it come back', async () => {
       facts.offer(serverFact('s', 1, server('s')), 'store')
--- a/packages/fleet/test/follow.test.ts
+++ b/packages/fleet/test/follow.test.ts
@@ -1,5 +1,5 @@
 import { quietLog } from '@finchpitch/core'
-import { Facts, Outage, Turn, follow, gatherMs, removalStep, type BackendServer, type Fact, type FactPage, type FactSource, type StoreFailure } from '@finchpitch/fleet'
+import { Facts, Outage, Turn, follow, gatherMs, removalStep, storeRevision, type BackendServer, type Fact, type FactPage, type FactSource, type StoreFailure } from '@finchpitch/fleet'
 import { FakeTime } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
 import { err, ok, type Result } from 'neverthrow'
@@ -224,6 +224,72 @@
     })
   })
 
+  describe('when the store was restored from a backup', () => {
+    const restored = (revision: number): number => storeRevision(1, revision)
+    const entry = (id: string, revision: number): Fact =>
+      ({ kind: 'server', key: id, revision, value: { id, service: 'llm', address: `10.0.0.1:${id}`, domain: 'a', slots: 8, leaving: false, models: [] } })
+    const listed = (): string[] => facts.serversOf('llm').map(each => each.id)
+
+    /** Restores the store with only these facts. */
+    const restore = async (backup: Fact[]): Promise<void> => {
+      source.failure = { code: 'restored', detail: '' }
+      await time.pass(520)
+      source.failure = undefined
+      source.facts = backup
+      source.revision = restored(5)
+      await time.pass(200)
+    }
+
+    it('lists again and makes the other tasks list again', async () => {
+      start()
+      await time.pass(100)
+      const before = outage.compactions
+      await restore([named('a', restored(1))])
+      expect(source.calls.filter(call => call === 'list').length).to.be.at.least(2)
+      expect(outage.compactions).to.be.greaterThan(before)
+      expect(facts.revisionOf('version', 'm/a')).to.equal(restored(1))
+    })
+
+    it('keeps a server missing from the backup if it writes its entry again in time, and drops it otherwise', async () => {
+      source = new ScriptedSource('server')
+      source.facts = [entry('1', 8), entry('2', 9)]
+      source.revision = 9
+      start()
+      await time.pass(100)
+      await restore([])
+      await time.pass(1000)
+      expect(listed()).to.deep.equal(['1', '2'])
+      expect(facts.complete.server).to.equal(9)
+      source.events = [entry('1', restored(6))]
+      await time.pass(3000)
+      expect(listed()).to.deep.equal(['1'])
+      expect(facts.complete.server).to.equal(restored(5))
+    })
+
+    it('keeps a named version missing from the backup for longer, as operators repeat writes later than servers', async () => {
+      source.facts = [named('a', 8)]
+      source.revision = 9
+      start()
+      await time.pass(100)
+      await restore([])
+      await time.pass(9000)
+      expect(facts.version('m/a')?.version).to.equal(8)
+      await time.pass(2000)
+      expect(facts.version('m/a')).to.equal(undefined)
+    })
+
+    it('rejects late answers from before the restore', async () => {
+      source.facts = [named('a', 1)]
+      start()
+      await time.pass(100)
+      facts.offer(named('b', restored(2)), 'peer')
+      source.facts = []
+      await time.pass(5000)
+      expect(facts.version('m/b')?.version).to.equal(restored(2))
+      expect(source.calls.length).to.be.lessThan(120)
+    })
+  })
+
   it('rests longer where many entries share the work, within the bound of a leaving server', () => {
     expect(gatherMs('server', 3, 2000)).to.equal(700)
     expect(gatherMs('server', 28, 3000)).to.equal(1800)
--- a/packages/fleet/test/restored-store.test.ts
+++ b/packages/fleet/test/restored-store.test.ts
@@ -1,4 +1,4 @@
-/* Changes were ignored after the store had been restored from a copy, because their revisions were lower than those known. */
+/* Guards against ignoring changes after the store is restored from a backup, when their revisions are lower than those known. */
 import { pause } from '@finchpitch/core'
 import { FleetLoad, FleetSystem, RouteChanges, type BackendStandIn, type LateChange } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
@@ -6,14 +6,14 @@
 const applyMs = 2000
 const drainMs = 2000
 const slackMs = 250
-/** Nothing is owed for so long after the store was away. */
+/** Recovery time after a store outage, in which late changes don't count. */
 const contactMs = 3000
 const awayMs = 1500
 const rewriteAfterMs = 500
-/** Writes that the restore undoes, so that the revisions after it stay below those known before. */
+/** Writes undone by the restore, enough to keep later revisions below those known before it. */
 const lostChanges = 80
 const changeEveryMs = 700
-const lateChanges = 6
+const changesAfterRestore = 6
 const askEveryMs = 40
 const failureShows = 5
 
@@ -39,20 +39,20 @@
     await fleet.stop()
   })
 
-  /** The store loses what is written from the start on, is away, and comes back from a copy; the operator and the servers write again. */
+  /** Makes writes after a backup, takes the store down, restores the backup, then repeats the lost writes. */
   const restore = async (): Promise<void> => {
     const { store } = fleet
-    const copy = store.copy()
-    for (let each = 0; each < lostChanges; each++) store.put('config', 'main', fleet.table(store.revision + 100))
+    const backup = store.backup()
+    for (let each = 0; each < lostChanges; each++) store.put('config', 'main', fleet.table(store.writeCount + 100))
     for (const server of fleet.plain) fleet.list(server)
     changes.add()
     await pause(contactMs)
     store.fault = 'reset'
     await pause(awayMs)
-    const lost = store.restore(copy)
+    const lost = store.restore(backup)
     store.fault = 'none'
     await pause(rewriteAfterMs)
-    store.writeAgain(lost)
+    store.repeatWrites(lost)
   }
 
   it('changes of routes are in force everywhere in time', async () => {
@@ -61,7 +61,7 @@
     await restore()
     await pause(contactMs)
     const from = performance.now()
-    for (let each = 0; each < lateChanges; each++) {
+    for (let each = 0; each < changesAfterRestore; each++) {
       changes.add()
       if (each % 2 === 1) changes.drop()
       await pause(changeEveryMs)
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -96,12 +96,12 @@
     })
   },
   { name: 'the store forgets its history', deal: async ({ fleet, disturbances }) => await disturbances.during(storeAway, async () => fleet.store.compact()) },
-  { name: 'the configuration changes', deal: async ({ fleet }) => fleet.store.put('config', 'main', fleet.table(fleet.store.revision + 100)) },
+  { name: 'the configuration changes', deal: async ({ fleet }) => fleet.store.put('config', 'main', fleet.table(fleet.store.writeCount + 100)) },
   {
     name: 'a version is named',
     deal: async ({ fleet, dice }) => {
       const adapter = `a${dice.between(1, 10)}`
-      fleet.store.put('versions', `base.${adapter}`, { model: 'base', adapter, version: fleet.store.revision })
+      fleet.store.put('versions', `base.${adapter}`, { model: 'base', adapter, version: fleet.store.writeCount })
     }
   },
   {
--- a/packages/stand-ins/src/fleet/object-server.ts
+++ b/packages/stand-ins/src/fleet/object-server.ts
@@ -1,6 +1,6 @@
 /**
  * A stand-in for the users' platform's store: objects by kind and name, one revision counter, lists and long-polled
- * watches. It can be down, turn callers away, cut its watches, forget its history and be restored from a copy.
+ * watches. It can be down, turn callers away, cut its watches, forget its history and be restored from a backup.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { pause } from '@finchpitch/core'
@@ -19,18 +19,20 @@
   object: FleetObject
 }
 
-/** What the store held at one moment. */
-export interface StoreCopy {
+/** The contents of the store at a point in time. */
+export interface StoreBackup {
   revision: number
   objects: Map<string, Map<string, FleetObject>>
   changes: Change[]
 }
 
-/** The last write to an object that a restore has undone; `spec` is absent where the object was removed. */
+/** The last write to an object that was undone by a restore; `spec` is absent for a removal. */
 export interface LostWrite {
   kind: string
   name: string
   spec?: unknown
+  /** The object's revision in the backup; 0 if it is not in there. */
+  backupRevision: number
 }
 
 const pageSize = 500
@@ -42,6 +44,8 @@
   /** How long a list takes. */
   listMs = 0
   calls = 0
+  /** The number of writes; a restore does not reset it. */
+  writeCount = 0
   #era = 1
   #revision = 0
   #oldest = 0
@@ -58,6 +62,7 @@
     this.#objects.set(kind, objects)
     const before = objects.get(name)
     this.#revision += 1
+    this.writeCount += 1
     const createRev = before?.metadata.createRev ?? this.#revision
     const object = { metadata: { name, revision: this.#revision, createRev, finalizers: [], deleting: false }, spec, status: null }
     objects.set(name, object)
@@ -69,6 +74,7 @@
     if (object === undefined) return
     this.#objects.get(kind)?.delete(name)
     this.#revision += 1
+    this.writeCount += 1
     this.#changed({ kind, revision: this.#revision, deleted: true, object })
   }
 
@@ -79,13 +85,13 @@
     this.#wakeAll()
   }
 
-  copy (): StoreCopy {
+  backup (): StoreBackup {
     const objects = new Map([...this.#objects].map(([kind, named]) => [kind, new Map(named)]))
     return { revision: this.#revision, objects, changes: [...this.#changes] }
   }
 
-  /** Goes back to the copy: what was written since is lost, and its revisions are given out again. Returns the lost writes. */
-  restore ({ revision, objects, changes }: StoreCopy): LostWrite[] {
+  /** Restores a backup: later writes are lost and their revisions are reused. Returns the lost writes. */
+  restore ({ revision, objects, changes }: StoreBackup): LostWrite[] {
     const lost = lostWrites(objects, this.#objects)
     this.#era += 1
     this.#revision = revision
@@ -95,9 +101,10 @@
     return lost
   }
 
-  /** Writes what a restore has undone, as the operator and the servers do. */
-  writeAgain (lost: readonly LostWrite[]): void {
-    for (const { kind, name, spec } of lost) {
+  /** Repeats lost writes, as the operator and the servers do, except to objects that have changed since the restore. */
+  repeatWrites (lost: readonly LostWrite[]): void {
+    for (const { kind, name, spec, backupRevision } of lost) {
+      if ((this.#objects.get(kind)?.get(name)?.metadata.revision ?? 0) !== backupRevision) continue
       if (spec === undefined) this.remove(kind, name)
       else this.put(kind, name, spec)
     }
@@ -158,14 +165,17 @@
   }
 }
 
-/** Writes of `now` that `before` lacks or holds an older revision of. */
-const lostWrites = (before: StoreCopy['objects'], now: StoreCopy['objects']): LostWrite[] => {
+/** Writes and removals in `now` that are missing from `before`. */
+const lostWrites = (before: StoreBackup['objects'], now: StoreBackup['objects']): LostWrite[] => {
   const lost: LostWrite[] = []
   for (const [kind, named] of now) {
     for (const [name, { spec, metadata }] of named) {
-      if (before.get(kind)?.get(name)?.metadata.revision !== metadata.revision) lost.push({ kind, name, spec })
+      const backupRevision = before.get(kind)?.get(name)?.metadata.revision ?? 0
+      if (backupRevision !== metadata.revision) lost.push({ kind, name, spec, backupRevision })
     }
   }
-  for (const [kind, named] of before) for (const name of named.keys()) if (now.get(kind)?.has(name) !== true) lost.push({ kind, name })
+  for (const [kind, named] of before) {
+    for (const [name, { metadata }] of named) if (now.get(kind)?.has(name) !== true) lost.push({ kind, name, backupRevision: metadata.revision })
+  }
   return lost
 }
--- a/packages/stand-ins/src/fleet/route-changes.ts
+++ b/packages/stand-ins/src/fleet/route-changes.ts
@@ -116,7 +116,7 @@
     const { fleet } = this
     const plain = { host: 'fleet.example', kind: 'idempotent', timeoutMs: 1000, targetLatencyMs: 150, priority: 2, maxAttempts: 2, service: plainService, sticky: false, resumable: false }
     fleet.moreRoutes = this.#routes.filter(route => route.droppedAt === Infinity).map(({ path }) => ({ name: `r${path}`, pathPrefix: path, ...plain }))
-    fleet.store.put('config', 'main', fleet.table(fleet.store.revision + 100))
+    fleet.store.put('config', 'main', fleet.table(fleet.store.writeCount + 100))
     return performance.now()
   }
 
