Restore the store from a backup during the soak, alongside the other faults

In half of the runs the store is unavailable once for 0.1 to 1.5 s and comes back with a state that is 0.4 to 3.5 s old. The operator and the servers repeat the lost writes within 1 s.

Restores use a random generator of their own, so a seed produces all other faults as before.

The soak's checks are unchanged: route changes take effect in time, servers that are leaving, ask callers to back off or announce rate limits are respected, and all requests are served at the end. A restore counts as a store outage, so the existing allowance for late route changes after an outage also applies to it; that is why half of the runs have none.

--- /dev/null
+++ b/packages/soak/src/restores.ts
@@ -0,0 +1,39 @@
+/**
+ * Restores the store from a backup that is a few seconds old, concurrently with the other faults, and then repeats
+ * the lost writes as the operator and the servers would. Guards against processes that do not recover when the store loses
+ * writes and reuses their revisions.
+ */
+import { pause } from '@finchpitch/core'
+import type { FleetSystem } from '@finchpitch/stand-ins'
+import { storeAway, type Disturbances } from './disturbances.js'
+import type { Dice } from './random.js'
+
+export interface RestoresOptions {
+  fleet: FleetSystem
+  dice: Dice
+  disturbances: Disturbances
+  log: (line: string) => void
+}
+
+export class Restores {
+  constructor (private readonly options: RestoresOptions) {}
+
+  /** At some time in the first half of `ms`; resolves after the lost writes have been repeated. */
+  async deal (ms: number): Promise<void> {
+    const { fleet: { store }, dice, disturbances, log } = this.options
+    // Late changes are excused during an outage of the store, so half of the runs have none from a restore.
+    if (!dice.chance(50)) return
+    await pause(dice.between(0, Math.floor(ms / 2)))
+    const backup = store.backup()
+    await pause(dice.between(300, 2000))
+    await disturbances.during(storeAway, async () => {
+      store.fault = dice.pick(['busy', 'reset', 'silent'] as const)
+      await pause(dice.between(100, 1500))
+      const lost = store.restore(backup)
+      log(`store restored from backup, ${lost.length} writes lost`)
+      store.fault = 'none'
+      await pause(dice.between(0, 1000))
+      store.repeatWrites(lost)
+    })
+  }
+}
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -12,6 +12,7 @@
 import { events, judge, type SoakReport } from './judge.js'
 import { Limits } from './limits.js'
 import { Dice } from './random.js'
+import { Restores } from './restores.js'
 import { Words, firstStart } from './words.js'
 
 /** A number that tells the fleets of one machine apart in their addresses. */
@@ -71,8 +72,9 @@
     endAll: async () => await endAll({ fleet, dice: troubles, proxies, disturbances }),
     log
   })
+  const restores = new Restores({ fleet, dice: new Dice(seed + 5 * changeSeeds), disturbances, log })
   const until = Date.now() + faultMs
-  const spoken = Promise.all([words.deal(faultMs), limits.deal(faultMs), changes.deal(faultMs)])
+  const spoken = Promise.all([words.deal(faultMs), limits.deal(faultMs), changes.deal(faultMs), restores.deal(faultMs)])
   const faults: Array<Promise<void>> = []
   while (Date.now() < until) {
     const fault = dice.pick(faultTable)
