Keep a removed server removed if a restored store lists it and a later list lacks it

When a restored store lists a server that is known to be removed, the server is held back and accepted after 5 s unless its entry lapses. If the store's history is gone in the meantime, the lapse is visible only as an entry missing from a list, and lists were compared only with the current facts. Requests were then sent to the server although neither its entry nor the server existed.

Lists are now compared with the held entries as well. Before: the new test fails (the server is listed again). After: it passes.

--- a/packages/fleet/src/facts.ts
+++ b/packages/fleet/src/facts.ts
@@ -210,6 +210,11 @@
     return [...this.#current.values()]
   }
 
+  /** Removed servers that a restored store lists and that are still held back. */
+  get returnedServers (): Fact[] {
+    return this.#returned.all
+  }
+
   /** Takes a fact over if it is newer than what is believed; says whether it was. */
   offer (fact: Fact, from: string): boolean {
     const known = this.current(fact.kind, fact.key)
--- a/packages/fleet/src/follow.ts
+++ b/packages/fleet/src/follow.ts
@@ -240,7 +240,8 @@
 const missingFrom = (facts: Facts, kind: Fact['kind'], listed: Fact[]): Fact[] => {
   if (kind === 'table') return []
   const present = new Set(listed.map(fact => fact.key))
-  return facts.all()
+  // Held servers are not among the current facts; without them, an entry that lapsed while the history was gone would be accepted.
+  return [...facts.all(), ...facts.returnedServers]
     .filter(fact => fact.kind === kind && fact.value !== undefined && !present.has(fact.key))
     .map(fact => ({ kind, key: fact.key, revision: fact.revision + removalStep, value: undefined }))
 }
--- a/packages/fleet/src/returned-servers.ts
+++ b/packages/fleet/src/returned-servers.ts
@@ -22,6 +22,10 @@
     return this.#held.size
   }
 
+  get all (): Fact[] {
+    return [...this.#held.values()].map(({ fact }) => fact)
+  }
+
   /** Returns whether the server is held back; a later revision than the held one ends the hold. */
   hold (fact: Fact, from: string): boolean {
     const held = this.#held.get(fact.key)
--- a/packages/fleet/test/follow.test.ts
+++ b/packages/fleet/test/follow.test.ts
@@ -266,6 +266,23 @@
       expect(facts.complete.server).to.equal(restored(5))
     })
 
+    it('does not list a removed server again if the backup lists it and a later list lacks it', async () => {
+      source = new ScriptedSource('server')
+      source.facts = [entry('1', 8), entry('2', 9)]
+      source.revision = 9
+      start()
+      await time.pass(100)
+      source.events = [{ kind: 'server', key: '1', revision: 8 + removalStep, value: undefined, final: true }]
+      await time.pass(2000)
+      await restore([entry('1', restored(1)), entry('2', restored(2))])
+      expect(listed()).to.deep.equal(['2'])
+      source.facts = [entry('2', restored(2))]
+      outage.compacted()
+      await time.pass(10_000)
+      facts.expire()
+      expect(listed()).to.deep.equal(['2'])
+    })
+
     it('keeps a named version missing from the backup for longer, as operators repeat writes later than servers', async () => {
       source.facts = [named('a', 8)]
       source.revision = 9
