Move the list of backend servers to its own module

ServerList now contains everything that concerns servers, and Facts delegates to it. No behaviour changes; the tests of Facts are unchanged.

--- a/packages/fleet/src/facts.ts
+++ b/packages/fleet/src/facts.ts
@@ -12,9 +12,10 @@
 import { nowMs } from './clock.js'
 import { isReturned, supersedes, type Fact } from './fact.js'
 import { Freshness } from './freshness.js'
-import { Leavers, type ServerLife } from './leavers.js'
+import type { ServerLife } from './leavers.js'
 import { isFormer, type BackendServer, type NamedVersion } from './server.js'
 import { ReturnedServers } from './returned-servers.js'
+import { ServerList } from './server-list.js'
 import { eraOf, revisionFields } from './store-revision.js'
 import { RouteIndex, type RoutingTable } from './table.js'
 
@@ -36,13 +37,7 @@
 
 export class Facts {
   readonly freshness = new Freshness()
-  readonly servers = new Map<string, BackendServer>()
-  /** Servers whose entry is gone, and until when they may still be sent work. */
-  readonly #lapsed = new Map<string, number>()
-  readonly #byService = new Map<string, BackendServer[]>()
-  /** By service, what `openTo` gave since the servers last changed. */
-  readonly #open = new Map<string, readonly BackendServer[]>()
-  readonly #leavers = new Leavers()
+  readonly #serverList: ServerList
   readonly #returned = new ReturnedServers()
   readonly #versions = new Map<string, VersionBelief>()
   readonly #current = new Map<string, Fact>()
@@ -56,7 +51,14 @@
   #confirmedAt = -Infinity
 
   /** `lapseMs`: how long a server whose entry vanished without notice is kept in reserve. */
-  constructor (private readonly log: Log, private readonly lapseMs: () => number) {}
+  constructor (private readonly log: Log, lapseMs: () => number) {
+    this.#serverList = new ServerList({
+      log,
+      lapseMs,
+      revisionOf: id => this.revisionOf('server', id),
+      serves: service => this.#routes === undefined || this.#routes.service(service) !== undefined
+    })
+  }
 
   get routes (): RouteIndex | undefined {
     return this.#routes
@@ -128,52 +130,34 @@
     for (const kind of kinds) this.completed(kind, complete[kind])
   }
 
+  get servers (): ReadonlyMap<string, BackendServer> {
+    return this.#serverList.servers
+  }
+
   serversOf (service: string): readonly BackendServer[] {
-    return this.#byService.get(service) ?? []
+    return this.#serverList.serversOf(service)
   }
 
-  /** Servers that may be sent new work: those that are listed, or where there are none, what is left in reserve. */
+  /** Servers that may be sent new work. */
   openTo (service: string): readonly BackendServer[] {
-    const known = this.#open.get(service)
-    if (known !== undefined) return known
-    const staying = this.serversOf(service).filter(server => !server.leaving)
-    const listed = staying.filter(server => !this.lapsed(server.id))
-    const open = listed.length > 0 ? listed : staying
-    this.#open.set(service, open)
-    return open
+    return this.#serverList.openTo(service)
   }
 
-  /** Its entry is there, or vanished so lately that it may come back. */
+  /** Whether the server's entry vanished and the server is kept in reserve. */
   lapsed (id: string): boolean {
-    return this.#lapsed.has(id)
+    return this.#serverList.lapsed(id)
   }
 
-  /**
-   * A server said itself that it leaves. While the store is away nothing else tells it: an engine got 60 requests in the 6 s
-   * after its word, until it ended.
-   */
+  /** Records that a server announced that it is leaving. */
   noteLeaving (life: ServerLife, from: string): void {
-    const server = this.servers.get(life.id)
-    if (server !== undefined && isFormer(life.bornAt, server.bornAt)) return
-    if (!this.#leavers.note(life)) return
-    this.log.info('server.leaves', { server: life.id, bornAt: life.bornAt, from, address: server?.address, listed: listedAs(server), ...revisionFields(this.revisionOf('server', life.id)) })
-    if (server === undefined || server.leaving) return
-    this.#replace({ ...server, leaving: true })
     const fact = this.current('server', life.id)
-    if (fact !== undefined) this.#tell(fact)
+    if (this.#serverList.noteLeaving(life, from) && fact !== undefined) this.#tell(fact)
   }
 
-  /** Drops servers whose entries have not come back. */
+  /** Drops servers whose entries have not come back, and accepts returned servers whose entries have not lapsed. */
   expire (): void {
-    this.#leavers.expire(this.servers)
     for (const { fact, from } of this.#returned.due()) this.#replaceFact(fact, from)
-    const now = nowMs()
-    for (const [id, until] of this.#lapsed) {
-      if (now < until) continue
-      this.#lapsed.delete(id)
-      this.#drop(id)
-      this.log.info('server.gone', { server: id, reason: 'its entry did not come back' })
-    }
+    this.#serverList.expire()
   }
 
   /** The newest version named for an adapter; `undefined` where none was. */
@@ -250,9 +234,8 @@
 
   /** Takes over that something is gone for good, so that nothing of it stays in reserve. */
   remove (fact: Fact, from: string): void {
-    if (!this.offer({ ...fact, final: true } as Fact, from) || !this.#lapsed.delete(fact.key)) return
-    this.#drop(fact.key)
-    this.log.info('server.gone', { server: fact.key, reason: 'its entry did not come back with the store' })
+    if (!this.offer({ ...fact, final: true } as Fact, from)) return
+    if (!this.#serverList.dropLapsed(fact.key, 'its entry did not come back with the store')) return
     this.#tell(fact)
   }
 
@@ -272,32 +255,7 @@
   }
 
   setServer (id: string, server: BackendServer | undefined): void {
-    const before = this.servers.get(id)
-    this.#open.clear()
-    if (server === undefined) {
-      if (before === undefined) return
-      if (before.leaving) return this.#drop(id)
-      this.#lapsed.set(id, nowMs() + this.lapseMs())
-      return
-    }
-    this.#lapsed.delete(id)
-    this.#drop(id)
-    if (this.#succeeded(server)) return
-    if (server.leaving) this.#leavers.note(server)
-    this.#list(this.#leavers.has(server) ? { ...server, leaving: true } : server)
-  }
-
-  #list (server: BackendServer): void {
-    this.servers.set(server.id, server)
-    const list = this.#byService.get(server.service) ?? []
-    list.push(server)
-    this.#byService.set(server.service, list)
-  }
-
-  /** What is believed of a server that stays listed. */
-  #replace (server: BackendServer): void {
-    this.#drop(server.id)
-    this.#list(server)
+    this.#serverList.set(id, server)
   }
 
   setVersion (key: string, named: NamedVersion | undefined): void {
@@ -305,41 +263,6 @@
     else this.#versions.set(key, { version: named.version, learnedAt: nowMs() })
   }
 
-  /** Entries that name a service which nobody knows come from other writers, and put out nobody. */
-  #serves (service: string): boolean {
-    return this.#routes === undefined || this.#routes.service(service) !== undefined
-  }
-
-  /** Whether a later server has its address. Those before it at that address are gone, though their entries may stay for a while. */
-  #succeeded (server: BackendServer): boolean {
-    const { id, address, service } = server
-    for (const other of [...this.servers.values()]) {
-      if (other.address !== address || !this.#serves(service) || !this.#serves(other.service)) continue
-      if (this.#isLater(other, server)) return true
-      this.#lapsed.delete(other.id)
-      this.#drop(other.id)
-      this.log.info('server.gone', { server: other.id, reason: `${id} has its address` })
-    }
-    return false
-  }
-
-  /** Whether `server` started after `other`; compares start times across a restore, where revisions are not comparable. */
-  #isLater (server: BackendServer, other: BackendServer): boolean {
-    const revision = this.revisionOf('server', server.id)
-    const otherRevision = this.revisionOf('server', other.id)
-    const comparable = eraOf(revision) === eraOf(otherRevision) || server.bornAt === undefined || other.bornAt === undefined
-    return comparable ? revision > otherRevision : isFormer(other.bornAt, server.bornAt)
-  }
-
-  #drop (id: string): void {
-    const server = this.servers.get(id)
-    if (server === undefined) return
-    this.#open.clear()
-    this.servers.delete(id)
-    const list = this.#byService.get(server.service) ?? []
-    this.#byService.set(server.service, list.filter(each => each.id !== id))
-  }
-
   #keepTombstone (id: string, fact: Fact): void {
     const now = nowMs()
     if (fact.value === undefined) this.#tombstones.set(id, now)
@@ -352,12 +275,6 @@
   }
 }
 
-/** What the store says of a server, as it is believed here. */
-const listedAs = (server: BackendServer | undefined): 'no' | 'leaving' | 'ready' => {
-  if (server === undefined) return 'no'
-  return server.leaving ? 'leaving' : 'ready'
-}
-
 const handlers = {
   table: (facts: Facts, fact: Extract<Fact, { kind: 'table' }>) => facts.setTable(fact.value),
   server: (facts: Facts, fact: Extract<Fact, { kind: 'server' }>) => facts.setServer(fact.key, fact.value),
