Reject table proofs after startup on a restored store

A process that has just started can't tell how long ago the store was restored.

Proofs are now also rejected for 2 s when a process first sees an era above 0; meanwhile, requests for unknown routes are refused as not run. A peer's proof of a table from the same era is accepted immediately, because the peer rejects its own proofs for that time; a peer's proof from another era is rejected, as its table may be newer than the backup's. The store stand-in now starts at era 0.

Before: the test of proofs after startup on a restored store fails. Without a restore, nothing changes.

--- a/packages/fleet/src/facts.ts
+++ b/packages/fleet/src/facts.ts
@@ -74,11 +74,12 @@
     if (revision <= this.#highest) return
     const before = this.#highest
     this.#highest = revision
-    if (before > 0 && eraOf(revision) > eraOf(before)) this.#noteRestore(before)
+    if (eraOf(revision) > eraOf(before)) this.#handleNewEra(before)
   }
 
-  #noteRestore (before: number): void {
-    this.log.warn('store.restored', { ...revisionFields(this.#highest), before: revisionFields(before) })
+  /** Also called at startup for any era above 0, since a new process can't tell how long ago the store was restored. */
+  #handleNewEra (before: number): void {
+    if (before > 0) this.log.warn('store.restored', { ...revisionFields(this.#highest), before: revisionFields(before) })
     this.freshness.rejectProofsFor(rewriteGraceMs)
   }
 
--- a/packages/fleet/src/freshness.ts
+++ b/packages/fleet/src/freshness.ts
@@ -12,6 +12,7 @@
  */
 import type { FrameOf } from '@finchpitch/wire'
 import { elapsedMs } from './clock.js'
+import { eraOf } from './store-revision.js'
 
 export class Freshness {
   #provenAt = -Infinity
@@ -31,12 +32,16 @@
 
   /** The table held here was the newest at that moment. */
   prove (at: number): void {
-    if (at <= this.#provenAt || at < this.#validFrom) return
+    if (at >= this.#validFrom) this.#advanceProvenAt(at)
+  }
+
+  #advanceProvenAt (at: number): void {
+    if (at <= this.#provenAt) return
     this.#provenAt = at
     for (const listener of this.#listeners) listener()
   }
 
-  /** Rejects proofs dated earlier than `ms` from now: a restored store may lack changes until they are written again. */
+  /** Makes `prove` reject proofs dated earlier than `ms` from now: a restored store may lack changes until they are written again. */
   rejectProofsFor (ms: number): void {
     this.#validFrom = this.now() + ms
   }
@@ -50,7 +55,10 @@
   /** Takes over a peer's proof, of a table no newer than the one held here, which has `revision`; says whether it could. */
   accept (proof: FrameOf<'fresh'>, revision: number): boolean {
     if (proof.ageMs === undefined || proof.revision > revision || proof.stamp > this.now()) return false
-    this.prove(proof.stamp - proof.ageMs)
+    // The table of a peer that has not seen a restore may be newer than the backup's, though its revision is lower.
+    if (eraOf(proof.revision) !== eraOf(revision)) return false
+    // `#validFrom` is not checked: a peer rejects its own proofs for the same time after a restore.
+    this.#advanceProvenAt(proof.stamp - proof.ageMs)
     return true
   }
 
--- a/packages/fleet/test/facts.test.ts
+++ b/packages/fleet/test/facts.test.ts
@@ -156,6 +156,29 @@
     })
   })
 
+  // A process that has read only the backup must not refuse routes whose writes were lost.
+  describe('of a store that was restored before this process started', () => {
+    beforeEach(() => { facts.offer({ kind: 'table', key: 'table', revision: storeRevision(1, 80), value: table(18) }, 'store') })
+
+    it('proves no table before lost writes can have been repeated', async () => {
+      facts.proveTable(performance.now(), storeRevision(1, 85))
+      expect(facts.freshness.provenAt).to.equal(-Infinity)
+      await time.pass(2100)
+      facts.proveTable(performance.now(), storeRevision(1, 85))
+      expect(facts.freshness.provenAt).to.equal(performance.now())
+    })
+
+    it('rejects the proof of a peer that has not seen the restore', () => {
+      facts.freshness.accept({ type: 'fresh', stamp: performance.now(), ageMs: 0, revision: 94 }, storeRevision(1, 80))
+      expect(facts.freshness.provenAt).to.equal(-Infinity)
+    })
+
+    it('accepts a peer\'s proof immediately', () => {
+      facts.freshness.accept({ type: 'fresh', stamp: performance.now(), ageMs: 0, revision: storeRevision(1, 80) }, storeRevision(1, 80))
+      expect(facts.freshness.provenAt).to.equal(performance.now())
+    })
+  })
+
   describe('of a server whose entry vanished', () => {
     it('keeps it in reserve, and lets it come back', async () => {
       facts.offer(serverFact('s', 1, server('s')), 'store')
--- a/packages/stand-ins/src/fleet/object-server.ts
+++ b/packages/stand-ins/src/fleet/object-server.ts
@@ -46,7 +46,7 @@
   calls = 0
   /** The number of writes; a restore does not reset it. */
   writeCount = 0
-  #era = 1
+  #era = 0
   #revision = 0
   #oldest = 0
   #objects = new Map<string, Map<string, FleetObject>>()
