--- a/packages/fleet/src/follow.ts
+++ b/packages/fleet/src/follow.ts
@@ -17,14 +17,13 @@
 /**
  * How long a watch waits where nothing changes. Its source gives up 1 s later, so a connection that died is noticed within
  * 2.5 s: before a process whose connections were lost counts as in touch again (3 s), and in time for a named version, which
- * has to be learned within 3 s. With waits of 3 and 5 s, 9 and 16 of 25 such changes were late.
+ * has to be learned within 3 s.
  */
 const watchMs = 1500
 
 /**
  * How long a call waits while it is in doubt whether the store answers; the least that it takes for a wait. A call that was
- * begun before the store's return is never answered, so it must not be long: with calls of the full length 46 of 61 returns were
- * noticed later than 2 s, with short ones none, on the paused clock.
+ * begun before the store's return is never answered, so it must not be long.
  */
 const doubtMs = 1
 
--- a/packages/fleet/src/server-list.ts
+++ b/packages/fleet/src/server-list.ts
@@ -68,8 +68,7 @@
   }
 
   /**
-   * A server said itself that it leaves. While the store is away nothing else tells it: an engine got 60 requests in the 6 s
-   * after its word, until it ended. Returns whether a listed server was newly marked as leaving.
+   * A server said itself that it leaves. While the store is away nothing else tells it. Returns whether a listed server was newly marked as leaving.
    */
   noteLeaving (life: ServerLife, from: string): boolean {
     const server = this.servers.get(life.id)
