Uplink: close a connection that was opened while the process stopped

Operators saw a restart that lasted until the platform killed the process: after SIGTERM a side process drained, closed its listeners and then never exited.

Cause: an uplink listens to the shutdown signal only after it has read the instance list and dialled its watcher. A signal that aborts during these two steps never calls a listener that is added after them, so the channel stayed open for as long as the watcher lived, and the process waited for it. Entries keep an uplink in the same way.

`onAbort` calls its handler at once if the signal has already aborted, so the order of abort and listener no longer matters. An uplink that finds the signal aborted after reading the list dials nothing. The stand-in for an engine uses it too: a request whose caller had gone before it started ran to its end.

A failed test of the processes names the step that it waited for.

--- a/packages/core/src/abort.ts
+++ b/packages/core/src/abort.ts
@@ -1,7 +1,20 @@
 /**
- * Delays and time-outs. They use the runtime's timers, so tests can replace the clock.
+ * Abort handlers, delays and time-outs. Delays and time-outs use the runtime's timers, so tests can replace the clock.
  */
 
+/**
+ * Calls `act` once when `signal` aborts, or at once if it already has: the runtime never calls a listener that is added after the
+ * abort. Returns a function that removes the handler.
+ */
+export const onAbort = (signal: AbortSignal, act: () => void): (() => void) => {
+  if (signal.aborted) {
+    act()
+    return () => {}
+  }
+  signal.addEventListener('abort', act, { once: true })
+  return () => signal.removeEventListener('abort', act)
+}
+
 /** Resolves after `ms`, or at once when `signal` aborts. */
 export const pause = (ms: number, signal?: AbortSignal): Promise<void> => new Promise(resolve => {
   if (signal?.aborted === true) return resolve()
--- a/packages/daemon/src/uplink.ts
+++ b/packages/daemon/src/uplink.ts
@@ -5,7 +5,7 @@
  * to one of them, which announces a new revision by a heartbeat as soon as it has it. Processes may see different instance lists
  * for a moment: then a few more entries watch, or a process learns of a change one hop later.
  */
-import { backoff, pause, type Address, type FailureDomain, type Log, type ProcessId, type Random } from '@finchpitch/core'
+import { backoff, onAbort, pause, type Address, type FailureDomain, type Log, type ProcessId, type Random } from '@finchpitch/core'
 import { rankCandidates } from '@finchpitch/decisions'
 import { type Catalog, type Instance } from '@finchpitch/store'
 import { Channel, type ChannelOptions, type Dial } from '@finchpitch/wire'
@@ -50,6 +50,7 @@
   let failures = 0
   while (!signal.aborted) {
     const address = await pickWatcher(options, failures)
+    if (signal.aborted) return
     const connected = address === undefined ? false : await runUplink(address, options)
     failures = connected ? 0 : failures + 1
     await pause(backoff(failures, random), signal)
@@ -60,10 +61,10 @@
 const runUplink = async (address: Address, { dial, channel: channelOptions, catalog, log, signal }: UplinkOptions): Promise<boolean> => {
   try {
     const channel = new Channel(await dial(address), channelOptions)
-    const close = (): void => channel.close()
-    signal.addEventListener('abort', close)
+    // The signal may have aborted during the dial.
+    const removeHandler = onAbort(signal, () => channel.close())
     await exchangeConfiguration(channel, catalog)
-    signal.removeEventListener('abort', close)
+    removeHandler()
     return await channel.helloReceived
   } catch (error) {
     log.debug('uplink.unreachable', { address, detail: (error as Error).message })
--- a/packages/daemon/test/processes.test.ts
+++ b/packages/daemon/test/processes.test.ts
@@ -16,8 +16,14 @@
 describe('processes', function () {
   this.timeout(60_000)
   let system: TestSystem
+  /** What a test of several steps waits for, so that a time-out names it. */
+  let step: string
 
-  afterEach(async () => {
+  beforeEach(() => { step = '' })
+
+  afterEach(async function () {
+    const error = this.currentTest?.err
+    if (error !== undefined && step !== '') error.stack = `${error.stack ?? error.message}\n      waiting until ${step}`
     await system.stop()
   })
 
@@ -102,14 +108,37 @@
       service.held = new Promise<void>(resolve => { release = resolve })
       const begun = once(service.events, 'change')
       const early = system.ask('fjordtavle', '/services/booking-ledger/x', 'early')
+      step = 'the first request has reached the service'
       await begun
       const exit = system.daemon('ledger-0').stop('SIGTERM')
       const refused = []
       // The signal may take a moment to arrive; requests after it are refused as not run.
-      do refused.push(await errorOf(await system.ask('fjordtavle', '/services/booking-ledger/x', 'late', { headers: { 'finchpitch-patience-ms': '200' } })))
-      while (refused.at(-1)?.includes('no_backend') === false && refused.at(-1)?.includes('leaving') === false)
+      do {
+        step = `a request is refused, after ${refused.join(', ')}`
+        refused.push(await errorOf(await system.ask('fjordtavle', '/services/booking-ledger/x', 'late', { headers: { 'finchpitch-patience-ms': '200' } })))
+      } while (refused.at(-1)?.includes('no_backend') === false && refused.at(-1)?.includes('leaving') === false)
       release()
+      step = 'the first request is answered'
       expect((await early).statusCode).to.equal(200)
+      step = 'the side process has exited'
+      expect(await exit).to.equal(0)
+    })
+
+    // Guards against a process that never exits: it opened its uplink after SIGTERM and waited for it.
+    it('of a side process exits, though it was about to open its uplink', async () => {
+      system = await TestSystem.start()
+      const { platform } = system
+      let release = (): void => {}
+      platform.listHeld = new Promise<void>(resolve => { release = resolve })
+      const listed = once(platform.events, 'list')
+      const side = await system.startLedger('ledger-1')
+      step = 'the instance list is read'
+      await listed
+      const exit = side.stop('SIGTERM')
+      step = 'the side process has drained'
+      await side.log.find('side.stopped')
+      release()
+      step = 'the side process has exited'
       expect(await exit).to.equal(0)
     })
   })
--- a/packages/stand-ins/src/daemon.ts
+++ b/packages/stand-ins/src/daemon.ts
@@ -2,9 +2,10 @@
  * Starts real entry and side processes, for the demo, the process tests and the benchmarks.
  */
 import { spawn, type ChildProcess } from 'node:child_process'
-import { once } from 'node:events'
+import { EventEmitter, once } from 'node:events'
 import { createRequire } from 'node:module'
 import { createInterface } from 'node:readline'
+import type { Readable } from 'node:stream'
 import { Address, FailureDomain, ProcessId, type Serving } from '@finchpitch/core'
 import { hashToken, type Instance } from '@finchpitch/store'
 
@@ -20,8 +21,30 @@
   flags?: Record<string, string | number>
 }
 
+/** The log lines that a process has written so far. */
+export class LogLines {
+  readonly all: Array<Record<string, unknown>> = []
+  readonly #added = new EventEmitter()
+
+  constructor (input: Readable) {
+    createInterface({ input }).on('line', line => {
+      this.all.push(JSON.parse(line) as Record<string, unknown>)
+      this.#added.emit('line')
+    })
+  }
+
+  /** Resolves to the first line with this event, which may still have to be written. */
+  async find (event: string): Promise<Record<string, unknown>> {
+    for (;;) {
+      const line = this.all.find(each => each.event === event)
+      if (line !== undefined) return line
+      await once(this.#added, 'line')
+    }
+  }
+}
+
 export class Daemon {
-  private constructor (readonly options: DaemonOptions, readonly child: ChildProcess, readonly listening: Record<string, string>) {
+  private constructor (readonly options: DaemonOptions, readonly child: ChildProcess, readonly listening: Record<string, string>, readonly log: LogLines) {
   }
 
   /** Starts a process and resolves once it listens; rejects if it exits before, with what it wrote to stderr. */
@@ -43,17 +66,11 @@
     const collect = (text: Buffer): number => startupErrors.push(text.toString())
     child.stderr.on('data', collect)
     const exited = once(child, 'exit').then(([code]) => { throw new Error(`${options.process} ended with ${String(code)}: ${startupErrors.join('')}`) })
-    const lines = createInterface({ input: child.stdout })
-    const listening = new Promise<Record<string, string>>(resolve => {
-      lines.on('line', line => {
-        const message = JSON.parse(line) as Record<string, string>
-        if (message.event === 'listening') resolve(message)
-      })
-    })
-    const addresses = await Promise.race([listening, exited])
+    const log = new LogLines(child.stdout)
+    const addresses = await Promise.race([log.find('listening'), exited])
     exited.catch(() => {})
     child.stderr.off('data', collect)
-    return new Daemon(options, child, addresses)
+    return new Daemon(options, child, addresses as Record<string, string>, log)
   }
 
   url (listener: 'callers' | 'operators'): string {
--- a/packages/stand-ins/src/http-stand-in.ts
+++ b/packages/stand-ins/src/http-stand-in.ts
@@ -3,7 +3,6 @@
  */
 import { once } from 'node:events'
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
 
 /** An HTTP server whose subclass handles the requests. A handler that rejects destroys the response. */
 export abstract class HttpStandIn {
@@ -17,7 +16,14 @@
     this.#server = server
     server.listen(port, host)
     await once(server, 'listening')
-    return `http://${host}:${(server.address() as AddressInfo).port}`
+    return this.origin
+  }
+
+  /** Available while the server listens. */
+  get origin (): string {
+    const address = this.#server?.address()
+    if (address === null || address === undefined || typeof address === 'string') throw new Error('the server does not listen')
+    return `http://${address.address}:${address.port}`
   }
 
   async stop (): Promise<void> {
--- a/packages/stand-ins/src/memory-engine.ts
+++ b/packages/stand-ins/src/memory-engine.ts
@@ -6,7 +6,7 @@
  */
 import { createHash } from 'node:crypto'
 import { EventEmitter, on } from 'node:events'
-import { ResponseError, pause, randomToken, outcomeUnknown } from '@finchpitch/core'
+import { ResponseError, onAbort, pause, randomToken, outcomeUnknown } from '@finchpitch/core'
 import { backendError, type BackendError, type CacheEvent, type Engine, type EngineOrder, type EngineReport, type EngineResponse, type GenerationRequest } from '@finchpitch/backend'
 import { err, ok, type Result } from 'neverthrow'
 import type { WeightStore } from './weight-store.js'
@@ -190,7 +190,7 @@
     const active = { id, controller, ended, end }
     this.#active.set(id, active)
     controller.signal.addEventListener('abort', end)
-    signal.addEventListener('abort', () => controller.abort())
+    onAbort(signal, () => controller.abort())
     return active
   }
 
--- a/packages/stand-ins/src/platform-server.ts
+++ b/packages/stand-ins/src/platform-server.ts
@@ -2,6 +2,7 @@
  * HTTP server for the platform's object API with watches, backed by a `MemoryStore`, and for the instance list.
  */
 import { createHash } from 'node:crypto'
+import { EventEmitter } from 'node:events'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Instance, StoredObject, WatchEvent } from '@finchpitch/store'
 import type { Result } from 'neverthrow'
@@ -34,10 +35,14 @@
   listRequests = 0
   /** Requests for the instance list get status 503. */
   listUnavailable = false
+  /** Requests for the instance list are answered once this resolves. */
+  listHeld: Promise<void> | undefined
+  /** Emits `list` with each request for the instance list. */
+  readonly events = new EventEmitter()
 
   protected override async handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const url = new URL(request.url ?? '/', 'http://platform')
-    if (url.pathname === '/instances') return this.#listInstances(request, response)
+    if (url.pathname === '/instances') return await this.#listInstances(request, response)
     const name = decodeURIComponent(url.pathname.slice(objectsPath.length + 1))
     if (request.method === 'PUT') return await this.#put(name, request, response)
     if (request.method === 'DELETE') return sendResult(response, await this.store.remove(name, url.searchParams.get('resourceVersion') ?? ''))
@@ -47,8 +52,10 @@
     sendJson(response, names.isOk() ? 200 : 503, { items: names.unwrapOr([]) })
   }
 
-  #listInstances (request: IncomingMessage, response: ServerResponse): void {
+  async #listInstances (request: IncomingMessage, response: ServerResponse): Promise<void> {
     this.listRequests += 1
+    this.events.emit('list')
+    await this.listHeld
     if (this.listUnavailable) return sendJson(response, 503, {})
     const body = { items: this.instances }
     const tag = `"${createHash('sha256').update(JSON.stringify(body)).digest('base64url')}"`
--- a/packages/stand-ins/src/test-system.ts
+++ b/packages/stand-ins/src/test-system.ts
@@ -57,17 +57,16 @@
     const system = new TestSystem()
     const { weights } = system
     const platform = await system.platform.start()
-    const ledger = await system.ledger.start()
+    await system.ledger.start()
     const model = { kind: 'model', model: ModelName.parse('base-7b') } as const
-    const service = { kind: 'service', service: ServiceName.parse('booking-ledger') } as const
-    const starting: Array<Promise<void>> = []
+    const starting: Array<Promise<Daemon>> = []
     for (let index = 0; index < engines; index++) {
       const engine = new EngineServer(new MemoryEngine({ slots: 4, capacity: 16, tokenMs: 5, weights, checksFences: true }))
       system.engines.push(engine)
       const backend = await engine.start()
       starting.push(system.#add({ role: 'side', process: `engine-${index}`, domain: `oslo-${index}`, platform, flags: { backend, model: 'base-7b' } }, model))
     }
-    starting.push(system.#add({ role: 'side', process: 'ledger-0', domain: 'oslo-0', platform, flags: { backend: ledger, service: 'booking-ledger' } }, service))
+    starting.push(system.startLedger('ledger-0'))
     await Promise.all(starting)
     // Entries read the instance list when they start, so the side processes must have been added to it before.
     await Promise.all(Array.from({ length: entries }, (_, index) =>
@@ -110,10 +109,17 @@
     return codes
   }
 
-  async #add (options: DaemonOptions, serving?: Serving): Promise<void> {
+  /** Starts a side process of the ledger. */
+  async startLedger (process: string): Promise<Daemon> {
+    const flags = { backend: this.ledger.origin, service: 'booking-ledger' }
+    return await this.#add({ role: 'side', process, domain: 'oslo-0', platform: this.platform.origin, flags }, { kind: 'service', service: ServiceName.parse('booking-ledger') })
+  }
+
+  async #add (options: DaemonOptions, serving?: Serving): Promise<Daemon> {
     const daemon = await Daemon.start(options)
     this.daemons.set(options.process, daemon)
     this.platform.instances.push(daemon.instance(serving))
+    return daemon
   }
 }
 
