Adapter slots: refuse a request that was cancelled before it asked for its adapter

A request can be cancelled while a side process brings its configuration up to date. The slots then added their abort listener too late: they loaded an adapter for a caller who had left, and kept the request in their queue until its deadline. The new test timed out before; the request is now refused at once and nothing is loaded.

--- a/packages/daemon/src/side/adapter-slots.ts
+++ b/packages/daemon/src/side/adapter-slots.ts
@@ -80,6 +80,7 @@
 
   /** Waits until the adapter version is loaded, and protects it from eviction until the pin is released. */
   pin (request: PinRequest, signal: AbortSignal): Promise<Result<Pin, Failure>> {
+    if (signal.aborted) return Promise.resolve(err(notRun('cancelled')))
     this.#recordUse(request.label)
     const slot = this.#slots.get(request.label)
     if (slot !== undefined) return Promise.resolve(ok(this.#createPin(request.label, slot)))
--- a/packages/daemon/test/adapter-slots.test.ts
+++ b/packages/daemon/test/adapter-slots.test.ts
@@ -68,6 +68,14 @@
     expect(order).to.deep.equal(['desk', 'batch'])
   })
 
+  // Guards against loading an adapter, and holding a place in the queue until the deadline, for a caller that left while the request was checked.
+  it('refuse a request that was cancelled before it asked for its adapter', async () => {
+    const cancelled = await slots.pin({ label: 'a', source: 'a', class: 'caller', deadline: Date.now() + 10_000 }, AbortSignal.abort())
+    expect(cancelled._unsafeUnwrapErr().code).to.equal('cancelled')
+    await time.advance(1000)
+    expect(engine.loaded).to.deep.equal([])
+  })
+
   describe('a load that fails', () => {
     it('is reported at once with a retry hint, and does not delay other loads', async () => {
       weights.broken.add('bad')
