Side process: stop without waiting for the next poll of the engine

A stop that arrived while a side process polled its engine found the following pause without a listener, and waited for up to 200 ms more.

--- a/packages/fleet/src/side/side-process.ts
+++ b/packages/fleet/src/side/side-process.ts
@@ -7,7 +7,7 @@
  */
 import type { Duplex } from 'node:stream'
 import { isDeepStrictEqual } from 'node:util'
-import { hostOf, pause } from '@finchpitch/core'
+import { hostOf, onAbort, pause } from '@finchpitch/core'
 import { tokenLifetimeMs } from '@finchpitch/decisions'
 import { Channel, type Frame } from '@finchpitch/wire'
 import { quotaBoundOf, type EngineStatus, type EngineOrder, type EngineControl, type Limits } from '../ports.js'
@@ -295,10 +295,10 @@
   async #sleep (ms: number, signal: AbortSignal): Promise<void> {
     const woken = new AbortController()
     this.#wake = () => woken.abort()
-    const stop = (): void => woken.abort()
-    signal.addEventListener('abort', stop)
+    // The signal may have aborted while the engine was polled.
+    const removeHandler = onAbort(signal, () => woken.abort())
     await pause(ms, woken.signal)
-    signal.removeEventListener('abort', stop)
+    removeHandler()
   }
 
   close (): void {
