Shutdown: a process that waits for a peer exits after SIGTERM

Two more ways in which a process of the product's own interface outlived SIGTERM, found by reading what a stop awaits without a limit:

- A side process that still waited for its fencing token or its engine's first report had replaced the default action of SIGTERM, and looked at the signal only once it had started: it ignored it for as long as the store or the engine was away.
- A side process whose engine did not answer an order (the fence before it unloads its predecessor's adapters, or an unload) waited for that answer.

The waits of a start now end with the signal. A stop waits for its parts for 2 s, names those that are still open in `shutdown.incomplete`, and exits: requests have ended by then, or their time to drain is up.

Tests over real processes and of the end of a shutdown.

--- a/packages/daemon/src/commands/daemon-command.ts
+++ b/packages/daemon/src/commands/daemon-command.ts
@@ -2,7 +2,7 @@
  * Base class of both `finchpitchd` commands: validates settings, sets up the log and shuts down gracefully on SIGTERM and SIGINT.
  */
 import { Command } from '@oclif/core'
-import { BufferedLineSink, Log, printFindings, type Finding, type LogLevel, type ProcessId } from '@finchpitch/core'
+import { BufferedLineSink, Log, onAbort, printFindings, type Finding, type LogLevel, type ProcessId } from '@finchpitch/core'
 import type { Result } from 'neverthrow'
 import { invalidSettingsExitCode } from '../settings.js'
 
@@ -29,15 +29,18 @@
     return new Log(role, { role, process: name }, level, this.#logLines)
   }
 
-  protected async runUntilStopped (start: () => Promise<RunningProcess>): Promise<void> {
-    const stopRequested = new Promise<void>(resolve => {
-      process.once('SIGTERM', resolve)
-      process.once('SIGINT', resolve)
-    })
-    const running = await start()
-    process.stdout.write(`${JSON.stringify({ event: 'listening', ...running.listening })}\n`)
-    await stopRequested
-    await running.stop()
+  /** `start` resolves to `undefined` if its signal, which aborts when the process is asked to stop, aborted before the process could start. */
+  protected async runUntilStopped (start: (stopRequested: AbortSignal) => Promise<RunningProcess | undefined>): Promise<void> {
+    const stop = new AbortController()
+    const stopRequested = new Promise<void>(resolve => { onAbort(stop.signal, resolve) })
+    process.once('SIGTERM', () => stop.abort())
+    process.once('SIGINT', () => stop.abort())
+    const running = await start(stop.signal)
+    if (running !== undefined) {
+      process.stdout.write(`${JSON.stringify({ event: 'listening', ...running.listening })}\n`)
+      await stopRequested
+      await running.stop()
+    }
     await this.#logLines.end()
     this.exit(0)
   }
--- a/packages/daemon/src/commands/side.ts
+++ b/packages/daemon/src/commands/side.ts
@@ -21,6 +21,6 @@
     const { flags } = await this.parse(SideCommand)
     const settings = this.settingsOrExit(readSettings(SideSettings, flags))
     const log = this.logFor('side', settings.process, settings['log-level'])
-    await this.runUntilStopped(() => startSide(settings, log))
+    await this.runUntilStopped(stopRequested => startSide(settings, log, stopRequested))
   }
 }
--- a/packages/daemon/src/start-entry.ts
+++ b/packages/daemon/src/start-entry.ts
@@ -13,6 +13,7 @@
 import { Metrics } from './metrics.js'
 import { EntryOperations } from './operations.js'
 import type { EntrySettings } from './settings.js'
+import { awaitClosed } from './shutdown.js'
 
 const random = Math.random
 
@@ -79,7 +80,7 @@
     const drained = await withTimeout(settings['drain-ms'], callers.drain().then(() => true), false)
     log.info('entry.stopped', { whole: drained, running: entry.running })
     entry.close()
-    await Promise.all([callers.stop(), operators.stop(), peers.close(), tasks])
+    await awaitClosed({ callers: callers.stop(), operators: operators.stop(), peers: peers.close(), tasks }, log)
     await store.close()
   }
   return { listening: { callers: `${host}:${callers.port}`, operators: `${host}:${operators.port}`, peers: address }, stop }
--- a/packages/daemon/src/start-side.ts
+++ b/packages/daemon/src/start-side.ts
@@ -10,6 +10,7 @@
 import type { RunningProcess } from './commands/daemon-command.js'
 import { Metrics } from './metrics.js'
 import { servingFrom, type SideSettings } from './settings.js'
+import { awaitClosed } from './shutdown.js'
 import { EngineRunner, ServiceRunner, type Runner } from './side/runner.js'
 import { SideProcess } from './side/side-process.js'
 import { advertisedAddress } from './start-entry.js'
@@ -19,42 +20,50 @@
 
 /**
  * Waits for the store to issue a fencing token. The backend server uses it to reject orders of an earlier incarnation, so a side
- * process can't start without one.
+ * process can't start without one. `undefined` once `signal` aborts.
  */
-const acquireFence = async (store: ObjectStore, name: string, log: Log): Promise<number> => {
-  for (let failures = 1; ; failures++) {
-    const fence = await acquireFencingToken(store, name, random)
+const acquireFence = async (store: ObjectStore, name: string, log: Log, signal: AbortSignal): Promise<number | undefined> => {
+  for (let failures = 1; !signal.aborted; failures++) {
+    const fence = await acquireFencingToken(store, name, random, signal)
     if (fence.isOk()) return fence.value
     log.warn('side.unfenced', { fault: fence.error.code, detail: fence.error.detail })
-    await pause(backoff(failures, random))
+    await pause(backoff(failures, random), signal)
   }
+  return undefined
 }
 
-const awaitEngineReport = async (engine: Engine, log: Log): Promise<EngineReport> => {
-  for (let failures = 1; ; failures++) {
+/** Waits for the engine's first report; `undefined` once `signal` aborts. */
+const awaitEngineReport = async (engine: Engine, log: Log, signal: AbortSignal): Promise<EngineReport | undefined> => {
+  for (let failures = 1; !signal.aborted; failures++) {
     const report = await engine.report()
     if (report.isOk()) return report.value
     log.warn('side.engine_unreachable', { detail: report.error.detail })
-    await pause(backoff(failures, random))
+    await pause(backoff(failures, random), signal)
   }
+  return undefined
 }
 
-const makeRunner = async (settings: SideSettings, fence: number, catalog: Catalog, log: Log): Promise<Runner> => {
+const makeRunner = async (settings: SideSettings, fence: number, catalog: Catalog, log: Log, signal: AbortSignal): Promise<Runner | undefined> => {
   if (settings.model === undefined) {
     return new ServiceRunner({ service: new HttpService(settings.backend), fence, capacity: settings.capacity, catalog })
   }
   const engine = new HttpEngine(settings.backend)
-  return new EngineRunner({ model: settings.model, engine, fence, report: await awaitEngineReport(engine, log), catalog, log, random })
+  const report = await awaitEngineReport(engine, log, signal)
+  if (report === undefined) return undefined
+  return new EngineRunner({ model: settings.model, engine, fence, report, catalog, log, random })
 }
 
-export const startSide = async (settings: SideSettings, log: Log): Promise<RunningProcess> => {
+/** Resolves to `undefined`, with nothing started, if `stopRequested` aborts while it waits for the store or the engine. */
+export const startSide = async (settings: SideSettings, log: Log, stopRequested: AbortSignal): Promise<RunningProcess | undefined> => {
   const { process, domain, host } = settings
   const store = new HttpStore(settings.platform, settings['platform-token'])
   const catalog = new Catalog('common')
   const metrics = new Metrics()
   const incarnation = newIncarnation()
-  const fence = await acquireFence(store, process, log)
-  const runner = await makeRunner(settings, fence, catalog, log)
+  const fence = await acquireFence(store, process, log, stopRequested)
+  if (fence === undefined) return undefined
+  const runner = await makeRunner(settings, fence, catalog, log, stopRequested)
+  if (runner === undefined) return undefined
   let address = Address.parse(`${host}:0`)
   const side = new SideProcess({ process, incarnation, domain, address: () => address, serving: servingFrom(settings), runner, catalog, log, epochMs: settings['epoch-ms'] })
   metrics.gauge('finchpitch_requests_running', 'Requests in progress.', () => side.running)
@@ -91,10 +100,8 @@
     heartbeat: () => ({ type: 'heartbeat' as const, revision: catalog.revision })
   }
   const { signal } = shutdown
-  const tasks = Promise.all([
-    side.run(),
-    keepUplink({ process, domain, instances, catalog, channel, dial, log, random, signal })
-  ])
+  const tasks = side.run()
+  const uplink = keepUplink({ process, domain, instances, catalog, channel, dial, log, random, signal })
 
   const stop = async (): Promise<void> => {
     stopping = true
@@ -104,7 +111,7 @@
     log.info('side.stopped', { whole: drained, running: side.running })
     shutdown.abort()
     side.close()
-    await Promise.all([operators.stop(), peers.close(), tasks])
+    await awaitClosed({ operators: operators.stop(), peers: peers.close(), tasks, uplink }, log)
     await store.close()
   }
   return { listening: { operators: `${host}:${operators.port}`, peers: address, incarnation }, stop }
--- a/packages/daemon/test/processes.test.ts
+++ b/packages/daemon/test/processes.test.ts
@@ -1,6 +1,6 @@
 import { once } from 'node:events'
 import { connect } from 'node:net'
-import { Daemon, TestSystem, testConfiguration } from '@finchpitch/stand-ins'
+import { Daemon, TestSystem, eventually, spawnDaemon, testConfiguration } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
 import { request } from 'undici'
 
@@ -13,6 +13,9 @@
   return `${reply.statusCode} ${error.code} ${error.outcome}`
 }
 
+/** Far above the time that a process takes to start on a busy host. */
+const startMs = 20_000
+
 describe('processes', function () {
   this.timeout(60_000)
   let system: TestSystem
@@ -143,6 +146,48 @@
     })
   })
 
+  describe('a process that is stopped', () => {
+    // Guards against side processes that ignore SIGTERM for as long as the store is away.
+    it('while it waits for a fencing token exits', async () => {
+      system = await TestSystem.start()
+      const { store, origin } = system.platform
+      store.down = true
+      const { child } = spawnDaemon({ role: 'side', process: 'ledger-1', domain: 'oslo-0', platform: origin, flags: { backend: system.ledger.origin, service: 'booking-ledger' } })
+      await eventually('the side process asks for its fencing token', () => store.namesRead.has('fences/ledger-1'), startMs)
+      const exited = once(child, 'exit')
+      child.kill('SIGTERM')
+      expect(await exited).to.deep.equal([0, null])
+    })
+
+    // Guards against side processes that ignore SIGTERM for as long as their engine is away.
+    it('while it waits for its engine exits', async () => {
+      system = await TestSystem.start()
+      const { child, log } = spawnDaemon({ role: 'side', process: 'engine-1', domain: 'oslo-0', platform: system.platform.origin, flags: { backend: 'http://127.0.0.1:1', model: 'base-7b' } })
+      await log.find('side.engine_unreachable')
+      const exited = once(child, 'exit')
+      child.kill('SIGTERM')
+      expect(await exited).to.deep.equal([0, null])
+    })
+
+    // Guards against a side process that never exits because its engine does not answer an order.
+    it('while its engine holds an order exits, and names the part that did not close', async () => {
+      system = await TestSystem.start()
+      const [engine] = system.engines
+      if (engine === undefined) throw new Error('there is an engine')
+      await (await system.ask('quetzal', '/v1/completions', { model: 'quetzal/statement', prompt: 'x' })).body.dump()
+      await system.daemon('engine-0').stop('SIGKILL')
+      engine.ordersHeld = new Promise<void>(() => {})
+      const ordered = once(engine.events, 'order')
+      // It has to fence off its predecessor before it unloads the adapters that it left.
+      const side = await system.startEngineSide('engine-1', 0)
+      step = 'the engine has received an order'
+      await ordered
+      step = 'the side process has exited'
+      expect(await side.stop('SIGTERM')).to.equal(0)
+      expect((await side.log.find('shutdown.incomplete')).open).to.deep.equal(['tasks'])
+    })
+  })
+
   describe('a caller that disconnects', () => {
     it('cancels its request at the engine', async () => {
       system = await TestSystem.start()
--- a/packages/stand-ins/src/daemon.ts
+++ b/packages/stand-ins/src/daemon.ts
@@ -43,34 +43,44 @@
   }
 }
 
+/** A process that has been spawned and may not listen yet. */
+export interface SpawnedDaemon {
+  child: ChildProcess
+  log: LogLines
+}
+
+export const spawnDaemon = (options: DaemonOptions): SpawnedDaemon => {
+  const flags = {
+    process: options.process,
+    domain: options.domain,
+    platform: options.platform,
+    host: '127.0.0.1',
+    'peer-port': 0,
+    'operator-port': 0,
+    'operator-token-hash': hashToken(operatorToken),
+    ...(options.role === 'entry' ? { 'caller-port': 0, 'notice-ms': 0 } : {}),
+    ...options.flags
+  }
+  const args = Object.entries(flags).flatMap(([name, value]) => [`--${name}`, String(value)])
+  const child = spawn(process.execPath, [binary, options.role, ...args], { stdio: ['ignore', 'pipe', 'pipe'] })
+  return { child, log: new LogLines(child.stdout) }
+}
+
 export class Daemon {
-  private constructor (readonly options: DaemonOptions, readonly child: ChildProcess, readonly listening: Record<string, string>, readonly log: LogLines) {
+  private constructor (readonly options: DaemonOptions, readonly child: ChildProcess, readonly log: LogLines, readonly listening: Record<string, string>) {
   }
 
   /** Starts a process and resolves once it listens; rejects if it exits before, with what it wrote to stderr. */
   static async start (options: DaemonOptions): Promise<Daemon> {
-    const flags = {
-      process: options.process,
-      domain: options.domain,
-      platform: options.platform,
-      host: '127.0.0.1',
-      'peer-port': 0,
-      'operator-port': 0,
-      'operator-token-hash': hashToken(operatorToken),
-      ...(options.role === 'entry' ? { 'caller-port': 0, 'notice-ms': 0 } : {}),
-      ...options.flags
-    }
-    const args = Object.entries(flags).flatMap(([name, value]) => [`--${name}`, String(value)])
-    const child = spawn(process.execPath, [binary, options.role, ...args], { stdio: ['ignore', 'pipe', 'pipe'] })
+    const { child, log } = spawnDaemon(options)
     const startupErrors: string[] = []
     const collect = (text: Buffer): number => startupErrors.push(text.toString())
-    child.stderr.on('data', collect)
+    child.stderr?.on('data', collect)
     const exited = once(child, 'exit').then(([code]) => { throw new Error(`${options.process} ended with ${String(code)}: ${startupErrors.join('')}`) })
-    const log = new LogLines(child.stdout)
     const addresses = await Promise.race([log.find('listening'), exited])
     exited.catch(() => {})
-    child.stderr.off('data', collect)
-    return new Daemon(options, child, addresses as Record<string, string>, log)
+    child.stderr?.off('data', collect)
+    return new Daemon(options, child, log, addresses as Record<string, string>)
   }
 
   url (listener: 'callers' | 'operators'): string {
--- a/packages/stand-ins/src/engine-server.ts
+++ b/packages/stand-ins/src/engine-server.ts
@@ -2,6 +2,7 @@
  * HTTP server for a `MemoryEngine`: an OpenAI-style API with orders to load and unload adapters, a stream of cache events, and
  * response streams with numbered events that can be resumed with `Last-Event-ID`.
  */
+import { EventEmitter } from 'node:events'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { BackendError, EngineResponse } from '@finchpitch/backend'
 import { HttpStandIn, readBytes, readJson, sendJson } from './http-stand-in.js'
@@ -9,6 +10,8 @@
 
 const statusByErrorCode: Record<BackendError['code'], number> = { unreachable: 503, lost: 502, not_loaded: 404, fenced: 412, busy: 429, refused: 400 }
 
+const orderPaths: ReadonlySet<string> = new Set(['/v1/load_lora_adapter', '/v1/unload_lora_adapter', '/v1/cancel'])
+
 /** Number of response streams kept for resumption, including complete ones. */
 const maxRetainedStreams = 1000
 
@@ -23,6 +26,10 @@
   streamsToCut = 0
   /** Number of events that a stream sends before it is cut off. */
   cutAfterEvents = 3
+  /** Orders are carried out and answered once this resolves. */
+  ordersHeld: Promise<void> | undefined
+  /** Emits `order` with the path of each order that arrives. */
+  readonly events = new EventEmitter()
   readonly #streams = new Map<string, RecordedStream>()
 
   constructor (readonly engine: MemoryEngine) {
@@ -35,6 +42,10 @@
       const report = await this.engine.report()
       return sendJson(response, report.isOk() ? 200 : 503, report.unwrapOr(undefined as never))
     }
+    if (orderPaths.has(request.url ?? '')) {
+      this.events.emit('order', request.url)
+      await this.ordersHeld
+    }
     if (request.url === '/v1/load_lora_adapter') return await this.#load(request, response)
     if (request.url === '/v1/unload_lora_adapter') return await this.#unload(request, response)
     if (request.url === '/v1/cancel') return await this.#cancel(request, response)
--- a/packages/stand-ins/src/memory-store.ts
+++ b/packages/stand-ins/src/memory-store.ts
@@ -25,6 +25,8 @@
   /** Each event is delivered twice. */
   duplicateEvents = false
   calls = { reads: 0, writes: 0, watches: 0 }
+  /** Names of the objects that were asked for. */
+  readonly namesRead = new Set<string>()
   readonly writes: StoredObject[] = []
   readonly #objects = new Map<string, StoredObject>()
   readonly #events: WatchEvent[] = []
@@ -33,6 +35,7 @@
 
   async get (name: string): Promise<Result<StoredObject | undefined, StoreError>> {
     this.calls.reads += 1
+    this.namesRead.add(name)
     const error = await this.#delayOrFail()
     return error === undefined ? ok(structuredClone(this.#objects.get(name))) : err(error)
   }
--- a/packages/stand-ins/src/test-system.ts
+++ b/packages/stand-ins/src/test-system.ts
@@ -58,13 +58,12 @@
     const { weights } = system
     const platform = await system.platform.start()
     await system.ledger.start()
-    const model = { kind: 'model', model: ModelName.parse('base-7b') } as const
     const starting: Array<Promise<Daemon>> = []
     for (let index = 0; index < engines; index++) {
       const engine = new EngineServer(new MemoryEngine({ slots: 4, capacity: 16, tokenMs: 5, weights, checksFences: true }))
       system.engines.push(engine)
-      const backend = await engine.start()
-      starting.push(system.#add({ role: 'side', process: `engine-${index}`, domain: `oslo-${index}`, platform, flags: { backend, model: 'base-7b' } }, model))
+      await engine.start()
+      starting.push(system.startEngineSide(`engine-${index}`, index))
     }
     starting.push(system.startLedger('ledger-0'))
     await Promise.all(starting)
@@ -109,6 +108,12 @@
     return codes
   }
 
+  /** Starts a side process of an engine, given by its index. */
+  async startEngineSide (process: string, engine: number): Promise<Daemon> {
+    const backend = this.engines[engine]?.origin ?? ''
+    return await this.#add({ role: 'side', process, domain: `oslo-${engine}`, platform: this.platform.origin, flags: { backend, model: 'base-7b' } }, { kind: 'model', model: ModelName.parse('base-7b') })
+  }
+
   /** Starts a side process of the ledger. */
   async startLedger (process: string): Promise<Daemon> {
     const flags = { backend: this.ledger.origin, service: 'booking-ledger' }
--- a/packages/store/src/fencing-token.ts
+++ b/packages/store/src/fencing-token.ts
@@ -13,13 +13,14 @@
 
 /**
  * Takes the next fencing token for a backend server. A number is used only once its write is confirmed, so a lost
- * response merely skips a number.
+ * response merely skips a number. After `signal` aborts, no further attempt is made.
  */
-export const acquireFencingToken = async (store: ObjectStore, backend: string, random: Random): Promise<Result<number, StoreError>> => {
+export const acquireFencingToken = async (store: ObjectStore, backend: string, random: Random, signal?: AbortSignal): Promise<Result<number, StoreError>> => {
   const name = `fences/${backend}`
   let lastError = storeError('unavailable')
   for (let failures = 0; failures < maxWriteAttempts; failures++) {
-    if (failures > 0) await pause(backoff(failures, random))
+    if (failures > 0) await pause(backoff(failures, random), signal)
+    if (signal?.aborted === true) break
     const found = await store.get(name)
     if (found.isErr()) {
       lastError = found.error
