--- a/packages/stand-ins/src/fleet/fleet-system.ts
+++ b/packages/stand-ins/src/fleet/fleet-system.ts
@@ -16,7 +16,9 @@
 import type { HttpStandIn } from '../http-stand-in.js'
 
 const program = fileURLToPath(new URL('../../../../platform/dist/start.js', import.meta.url))
-const ports = { caller: 8149, ready: 8141, peer: 7380, control: 8144, app: 8145, store: 8142 }
+/** The port on which side processes listen for their peers. */
+export const peerPort = 7380
+const ports = { caller: 8149, ready: 8141, peer: peerPort, control: 8144, app: 8145, store: 8142 }
 
 /** A host that needs longer to start the fleet is too slow to run the tests. */
 const maxStartMs = 20_000
