Fault proxy: keep the order of a connection's data, and reset what has lost some

The proxy between entries and engines delayed each part of a connection by a timer of its own, so that what came after a delay had ended or become shorter overtook what was held back, the end of the connection included. After silence or cut responses it forwarded what followed on a connection that had lost data. TCP does neither, and chunked encoding hides both where whole chunks change places.

Each direction is a queue now: a part waits for its own delay and for the parts before it. A connection that has lost data is reset before more is forwarded in that direction.

--- a/packages/stand-ins/src/fleet/fault-proxy.ts
+++ b/packages/stand-ins/src/fleet/fault-proxy.ts
@@ -1,5 +1,8 @@
 /**
  * A TCP proxy on loopback that injects connection faults: delays, resets, silence in both directions, or lost responses.
+ *
+ * As with TCP itself, each direction of a connection delivers a prefix of what was sent, in order: data that follows delayed data waits
+ * for it, and a connection that has lost data is reset before it would forward any more.
  */
 import { connect, createServer, type Server, type Socket } from 'node:net'
 import { once } from 'node:events'
@@ -22,6 +25,41 @@
   else socket.resetAndDestroy()
 }
 
+interface DelayedSend {
+  send: () => void
+  /** On the monotonic clock. */
+  dueAt: number
+}
+
+/** Runs sends in the order in which they were added, each no sooner than its delay. */
+class OrderedSends {
+  readonly #queue: DelayedSend[] = []
+  #timer: NodeJS.Timeout | undefined
+
+  add (send: () => void, delayMs: number): void {
+    this.#queue.push({ send, dueAt: performance.now() + delayMs })
+    if (this.#queue.length === 1) this.#sendDue()
+  }
+
+  /** Drops the sends that are not due yet. */
+  clear (): void {
+    clearTimeout(this.#timer)
+    this.#queue.length = 0
+  }
+
+  #sendDue (): void {
+    for (let next = this.#queue[0]; next !== undefined; next = this.#queue[0]) {
+      const waitMs = next.dueAt - performance.now()
+      if (waitMs > 0) {
+        this.#timer = setTimeout(() => this.#sendDue(), waitMs)
+        return
+      }
+      this.#queue.shift()
+      next.send()
+    }
+  }
+}
+
 export class FaultProxy {
   fault: ConnectionFault = { type: 'none' }
   readonly #pairs = new Set<[Socket, Socket]>()
@@ -57,26 +95,33 @@
     }
     const pair: [Socket, Socket] = [client, upstream]
     this.#pairs.add(pair)
-    this.#forward(client, upstream, false)
-    this.#forward(upstream, client, true)
+    const directions = [this.#forward(client, upstream, false), this.#forward(upstream, client, true)]
     for (const [socket, other] of [[client, upstream], [upstream, client]] as const) {
       socket.on('error', () => resetSocket(other))
       socket.on('close', () => {
         this.#pairs.delete(pair)
+        for (const sends of directions) sends.clear()
         other.destroy()
       })
     }
   }
 
-  #forward (from: Socket, to: Socket, isResponse: boolean): void {
-    from.on('data', (chunk: Buffer) => this.#sendWithFault(() => to.write(chunk), isResponse))
-    from.on('end', () => this.#sendWithFault(() => to.end(), isResponse))
-  }
-
-  #sendWithFault (send: () => void, isResponse: boolean): void {
-    const { fault } = this
-    if (fault.type === 'silence' || (fault.type === 'one_way' && isResponse)) return
-    if (fault.type === 'delay') setTimeout(send, fault.ms)
-    else send()
+  /** Forwards one direction of a connection. Returns its pending sends. */
+  #forward (from: Socket, to: Socket, isResponse: boolean): OrderedSends {
+    const sends = new OrderedSends()
+    let hasLost = false
+    const forward = (send: () => void): void => {
+      const { fault } = this
+      if (fault.type === 'silence' || (fault.type === 'one_way' && isResponse)) {
+        hasLost = true
+      } else if (hasLost) {
+        for (const socket of [from, to]) resetSocket(socket)
+      } else {
+        sends.add(send, fault.type === 'delay' ? fault.ms : 0)
+      }
+    }
+    from.on('data', (chunk: Buffer) => forward(() => to.write(chunk)))
+    from.on('end', () => forward(() => to.end()))
+    return sends
   }
 }
