Fleet stand-in: start processes again that end by themselves, and tell it

Suspected cause: SIGHUP, drawn at that moment, ends a process whose runtime has not run the first line of the program, and nothing can handle the signal before. The platform starts a process again that has ended; the stand-in for its machines did not, and the soak went on with a machine that was empty.

The stand-in now starts such a process again after 0.3 s and keeps a record of its end, with its signal, its age and whether it had logged anything. A fleet that stops with such a record fails its test. In the soak each is a violation, but for SIGHUP before the first line of the program, which is logged.

--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -100,6 +100,7 @@
   }
   if (unserved.length > 0) report.broken.push(...fleet.sides.flatMap(side => side.output.slice(-reportedLines)))
   report.broken.push(...await sendCrashingRequest(fleet, random, agents, seed))
+  report.broken.push(...unexpectedExits(fleet, log))
   if (report.broken.length > 0) report.broken.push(`logs written to ${await fleet.saveLogLines(`soak-${seed}`)}`)
   for (const agent of agents) agent.destroy()
   await fleet.stop()
@@ -107,6 +108,16 @@
   return report
 }
 
+/**
+ * Returns a violation for each process that ended although the soak did not end it. SIGHUP ends a process whose runtime has not run the
+ * first line of the program yet: nothing handles the signal until then, and the platform starts the process again.
+ */
+const unexpectedExits = (fleet: FleetSystem, log: (line: string) => void): string[] => fleet.unexpectedExits.splice(0).flatMap(exit => {
+  const line = `a process ended by itself: ${JSON.stringify(exit)}`
+  log(line)
+  return exit.signal === 'SIGHUP' && !exit.started ? [] : [line]
+})
+
 /**
  * Without other faults, sends a request that crashes every engine that runs it, repeatedly and to any entry. Returns a violation if it
  * crashed more engines than allowed.
--- a/packages/stand-ins/src/fleet/fleet-system.ts
+++ b/packages/stand-ins/src/fleet/fleet-system.ts
@@ -26,6 +26,9 @@
 /** Time after which a crashed backend server restarts. */
 const restartDelayMs = 500
 
+/** Time after which the platform starts a process again that has ended by itself. */
+const supervisorDelayMs = 300
+
 /** Offset of the port of a server that has a proxy at its own address. */
 const proxiedPortOffset = 10_000
 
@@ -60,6 +63,19 @@
   output: string[]
 }
 
+/** The end of a process that the test did not end. */
+export interface ProcessExit {
+  machine: string
+  /** How long the process ran, in ms. */
+  ranMs: number
+  /** Whether the process had written to its log. */
+  started: boolean
+  code: number | null
+  signal: NodeJS.Signals | null
+}
+
+const roleOf = (machine: Machine): 'entry' | 'side' => machine.name.startsWith('side') ? 'side' : 'entry'
+
 const model = 'base'
 export const engineService = 'engines'
 export const plainService = 'ledger'
@@ -72,9 +88,15 @@
   readonly sides: Machine[] = []
   /** The proxies between the entries and the store, by index of the entry; empty unless enabled by the option of this name. */
   readonly storeProxies: FaultProxy[] = []
+  /** Processes that ended although the test did not end them. As on the platform, each is started again after a short delay. */
+  readonly unexpectedExits: ProcessExit[] = []
   /** Routes that every routing table contains in addition to the fixed ones. */
   extraRoutes: unknown[] = []
   readonly #locations = new Map<BackendStandIn, { ip: string, domain: string }>()
+  /** Processes that the test has ended. */
+  readonly #killed = new WeakSet<ChildProcess>()
+  /** Timers of restarts by the platform. */
+  readonly #supervisorTimers = new Map<Machine, NodeJS.Timeout>()
   /** Backend servers that have crashed and not restarted yet. */
   readonly #pendingRestarts = new Map<BackendStandIn, Promise<void>>()
   #folder = ''
@@ -126,16 +148,38 @@
   }
 
   async startProcess (machine: Machine): Promise<void> {
-    const role = machine.name.startsWith('side') ? 'side' : 'entry'
-    const path = join(this.#folder, `${machine.name}.toml`)
-    await writeFile(path, this.#settings(machine, role))
-    const child = spawn(process.execPath, [...this.options.nodeOptions ?? [], this.options.program ?? program, role], {
-      env: { ...process.env, FINCHPITCH_CONFIG: path }, stdio: ['ignore', 'pipe', 'inherit']
+    this.#cancelSupervisor(machine)
+    await writeFile(this.#settingsPath(machine), this.#settings(machine, roleOf(machine)))
+    this.#spawn(machine)
+  }
+
+  #spawn (machine: Machine): void {
+    const child = spawn(process.execPath, [...this.options.nodeOptions ?? [], this.options.program ?? program, roleOf(machine)], {
+      env: { ...process.env, FINCHPITCH_CONFIG: this.#settingsPath(machine) }, stdio: ['ignore', 'pipe', 'inherit']
+    })
+    const startedAt = performance.now()
+    let started = false
+    child.stdout.setEncoding('utf8').on('data', (text: string) => {
+      started = true
+      machine.output.push(...text.split('\n').filter(line => line !== ''))
+    })
+    child.on('close', (code, signal) => {
+      if (this.#killed.has(child)) return
+      this.unexpectedExits.push({ machine: machine.name, ranMs: Math.round(performance.now() - startedAt), started, code, signal })
+      this.#supervisorTimers.set(machine, setTimeout(() => this.#spawn(machine), supervisorDelayMs))
     })
-    child.stdout.setEncoding('utf8').on('data', (text: string) => machine.output.push(...text.split('\n').filter(line => line !== '')))
     machine.process = child
   }
 
+  #cancelSupervisor (machine: Machine): void {
+    clearTimeout(this.#supervisorTimers.get(machine))
+    this.#supervisorTimers.delete(machine)
+  }
+
+  #settingsPath (machine: Machine): string {
+    return join(this.#folder, `${machine.name}.toml`)
+  }
+
   /** The parsed log lines of all processes that ran on a machine. */
   lines (machine: Machine): Array<Record<string, unknown>> {
     return machine.output.map(line => JSON.parse(line) as Record<string, unknown>)
@@ -181,17 +225,21 @@
     })
   }
 
+  /** Rejects if a process has ended although the test did not end it, unless the test has taken it out of `unexpectedExits`. */
   async stop (): Promise<void> {
     this.#stopped = true
     await Promise.all([...this.entries, ...this.sides].map(machine => this.kill(machine)))
     await Promise.all(this.#pendingRestarts.values())
     await Promise.all([this.store, ...this.storeProxies, ...this.engines, ...this.plainServers].map(each => each.stop()))
     await rm(this.#folder, { recursive: true, force: true })
+    if (this.unexpectedExits.length > 0) throw new Error(`processes ended by themselves: ${JSON.stringify(this.unexpectedExits)}`)
   }
 
   async kill (machine: Machine, signal: NodeJS.Signals = 'SIGKILL'): Promise<void> {
+    this.#cancelSupervisor(machine)
     const child = machine.process
     if (child === undefined || child.exitCode !== null || child.signalCode !== null) return
+    this.#killed.add(child)
     const exited = once(child, 'exit')
     child.kill(signal)
     await exited
