Test system: wait until its entries can serve, and clean up a failed start

The listed test of a graceful shutdown waits for its first request to reach the service. On a busy host that request was refused (503, `no_backend` or `not_ready`, with 1 s to wait), as the entry's first connection to the side process or its first read of the store took longer than 1 s; the test then waited until its time-out.

A test system now resolves its start once every entry has issued a ticket for the ledger, which takes a configuration and a connected side process, and runs nothing. The test fails at once, with the reply, if its first request is answered before it has reached the service. A start that fails stops what it had started: its processes kept the test command from coming back.

--- a/packages/daemon/test/processes.test.ts
+++ b/packages/daemon/test/processes.test.ts
@@ -1,6 +1,6 @@
 import { once } from 'node:events'
 import { connect } from 'node:net'
-import { Daemon, TestSystem, eventually, spawnDaemon, testConfiguration } from '@finchpitch/stand-ins'
+import { Daemon, TestSystem, eventually, spawnDaemon, testConfiguration, type DaemonOptions, type SpawnedDaemon } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
 import { request } from 'undici'
 
@@ -19,17 +19,30 @@
 describe('processes', function () {
   this.timeout(60_000)
   let system: TestSystem
+  /** Processes that a test has spawned itself. */
+  let spawned: SpawnedDaemon[]
   /** What a test of several steps waits for, so that a time-out names it. */
   let step: string
 
-  beforeEach(() => { step = '' })
+  beforeEach(() => {
+    step = ''
+    spawned = []
+  })
 
   afterEach(async function () {
     const error = this.currentTest?.err
     if (error !== undefined && step !== '') error.stack = `${error.stack ?? error.message}\n      waiting until ${step}`
-    await system.stop()
+    for (const { child } of spawned) child.kill('SIGKILL')
+    // Undefined if the first start failed.
+    await (system as TestSystem | undefined)?.stop()
   })
 
+  const spawnSide = (options: Omit<DaemonOptions, 'role' | 'domain' | 'platform'>): SpawnedDaemon => {
+    const daemon = spawnDaemon({ role: 'side', domain: 'oslo-0', platform: system.platform.origin, ...options })
+    spawned.push(daemon)
+    return daemon
+  }
+
   describe('invalid requests', () => {
     it('each get a specific error, and the process keeps running', async () => {
       system = await TestSystem.start()
@@ -112,7 +125,9 @@
       const begun = once(service.events, 'change')
       const early = system.ask('fjordtavle', '/services/booking-ledger/x', 'early')
       step = 'the first request has reached the service'
-      await begun
+      const answered = early.then(async reply => { throw new Error(`the first request did not reach the service: ${await errorOf(reply)}`) })
+      await Promise.race([begun, answered])
+      answered.catch(() => {})
       const exit = system.daemon('ledger-0').stop('SIGTERM')
       const refused = []
       // The signal may take a moment to arrive; requests after it are refused as not run.
@@ -150,9 +165,9 @@
     // Guards against side processes that ignore SIGTERM for as long as the store is away.
     it('while it waits for a fencing token exits', async () => {
       system = await TestSystem.start()
-      const { store, origin } = system.platform
+      const { store } = system.platform
       store.down = true
-      const { child } = spawnDaemon({ role: 'side', process: 'ledger-1', domain: 'oslo-0', platform: origin, flags: { backend: system.ledger.origin, service: 'booking-ledger' } })
+      const { child } = spawnSide({ process: 'ledger-1', flags: { backend: system.ledger.origin, service: 'booking-ledger' } })
       await eventually('the side process asks for its fencing token', () => store.namesRead.has('fences/ledger-1'), startMs)
       const exited = once(child, 'exit')
       child.kill('SIGTERM')
@@ -162,7 +177,7 @@
     // Guards against side processes that ignore SIGTERM for as long as their engine is away.
     it('while it waits for its engine exits', async () => {
       system = await TestSystem.start()
-      const { child, log } = spawnDaemon({ role: 'side', process: 'engine-1', domain: 'oslo-0', platform: system.platform.origin, flags: { backend: 'http://127.0.0.1:1', model: 'base-7b' } })
+      const { child, log } = spawnSide({ process: 'engine-1', flags: { backend: 'http://127.0.0.1:1', model: 'base-7b' } })
       await log.find('side.engine_unreachable')
       const exited = once(child, 'exit')
       child.kill('SIGTERM')
--- a/packages/stand-ins/src/test-system.ts
+++ b/packages/stand-ins/src/test-system.ts
@@ -11,11 +11,16 @@
 import { MemoryService } from './memory-service.js'
 import { PlatformServer } from './platform-server.js'
 import { Daemon, operatorToken, type DaemonOptions } from './daemon.js'
+import { eventually } from './fleet/eventually.js'
 import { ServiceServer } from './service-server.js'
 import { WeightStore } from './weight-store.js'
 
 export const callerTokens = { fjordtavle: 'fjord-token', quetzal: 'quetzal-token' }
 
+const createdStatus = 201
+/** A host that needs longer to start the system is too slow to run the tests. */
+const maxStartMs = 20_000
+
 /** Two teams with one adapter each, one base model, and one plain service that only one of the teams may use. */
 export const testConfiguration = {
   teams: [
@@ -52,26 +57,55 @@
 
   private constructor () {}
 
-  /** Starts the stand-ins and the processes, and applies the configuration. */
-  static async start ({ entries = 1, engines = 1, entryFlags = {} }: TestSystemOptions = {}): Promise<TestSystem> {
+  /** Starts the stand-ins and the processes, and applies the configuration. Stops them again if that fails. */
+  static async start (options: TestSystemOptions = {}): Promise<TestSystem> {
     const system = new TestSystem()
-    const { weights } = system
-    const platform = await system.platform.start()
-    await system.ledger.start()
+    try {
+      await system.#start(options)
+      return system
+    } catch (error) {
+      await system.stop()
+      throw error
+    }
+  }
+
+  async #start ({ entries = 1, engines = 1, entryFlags = {} }: TestSystemOptions): Promise<void> {
+    const { weights } = this
+    const platform = await this.platform.start()
+    await this.ledger.start()
     const starting: Array<Promise<Daemon>> = []
     for (let index = 0; index < engines; index++) {
       const engine = new EngineServer(new MemoryEngine({ slots: 4, capacity: 16, tokenMs: 5, weights, checksFences: true }))
-      system.engines.push(engine)
+      this.engines.push(engine)
       await engine.start()
-      starting.push(system.startEngineSide(`engine-${index}`, index))
+      starting.push(this.startEngineSide(`engine-${index}`, index))
     }
-    starting.push(system.startLedger('ledger-0'))
+    starting.push(this.startLedger('ledger-0'))
     await Promise.all(starting)
     // Entries read the instance list when they start, so the side processes must have been added to it before.
     await Promise.all(Array.from({ length: entries }, (_, index) =>
-      system.#add({ role: 'entry', process: `entry-${index}`, domain: `oslo-${index}`, platform, flags: entryFlags })))
-    await system.apply(testConfiguration, 0)
-    return system
+      this.#add({ role: 'entry', process: `entry-${index}`, domain: `oslo-${index}`, platform, flags: entryFlags })))
+    await this.#waitUntilServing()
+  }
+
+  /**
+   * Applies the configuration and resolves once every entry can reach the ledger. On a busy host, an entry refuses the first requests
+   * (503) because a connection takes longer than it waits for one.
+   */
+  async #waitUntilServing (): Promise<void> {
+    await eventually('the configuration is applied', async () => {
+      const reply = await this.#apply(testConfiguration, 0)
+      return reply.isOk() && (reply.value.kind === 'applied' || reply.value.kind === 'unchanged')
+    }, maxStartMs)
+    for (const [entry, { options }] of this.daemons) {
+      if (options.role !== 'entry') continue
+      // A ticket is issued by a connected side process, and runs nothing.
+      await eventually(`${entry} reaches the ledger`, async () => {
+        const reply = await this.ask('fjordtavle', '/tickets/services/booking-ledger/x', {}, { entry })
+        await reply.body.dump()
+        return reply.statusCode === createdStatus
+      }, maxStartMs)
+    }
   }
 
   daemon (name: string): Daemon {
@@ -85,11 +119,15 @@
   }
 
   async apply (configuration: unknown, base: number): Promise<number> {
-    const reply = (await this.operator().apply({ configuration, base: Revision.parse(base), actor: 'ana', note: 'small' }))._unsafeUnwrap()
+    const reply = (await this.#apply(configuration, base))._unsafeUnwrap()
     if (reply.kind !== 'applied') throw new Error(`not applied: ${JSON.stringify(reply)}`)
     return reply.revision
   }
 
+  #apply (configuration: unknown, base: number): ReturnType<OperatorClient['apply']> {
+    return this.operator().apply({ configuration, base: Revision.parse(base), actor: 'ana', note: 'small' })
+  }
+
   /** Sends a request of a team to an entry. */
   async ask (team: keyof typeof callerTokens, path: string, body: unknown, { entry = 'entry-0', headers = {}, signal }: RequestOptions = {}): Promise<Dispatcher.ResponseData> {
     return await request(`${this.daemon(entry).url('callers')}${path}`, {
