Caller connections: count an entry that joins while the number of entries is not known

An entry takes its number of entries from side processes. While none reported, the number was set to 0, and a number after 0 counts as the first one known: an entry that had come back meanwhile was not seen as one that joined, and callers stayed with the others.

The last number now stays in use until another is known; the new test does not compile on the code before, which passed 0 for an unknown number.

--- a/packages/fleet/src/entry/caller-connections.ts
+++ b/packages/fleet/src/entry/caller-connections.ts
@@ -26,7 +26,7 @@
 
 export class CallerConnections {
   readonly #open = new WeakMap<Socket, OpenConnection>()
-  /** The last known number of entries; 0 while unknown. */
+  /** The last known number of entries; 0 until one is known. */
   #entries = 0
   /** Connections opened before this are closed. */
   #rebalanceAt = -Infinity
@@ -41,7 +41,9 @@
     return this.#entries
   }
 
-  setEntryCount (entries: number): void {
+  /** `undefined` while no side process reports a count; the last one stays in use. */
+  setEntryCount (entries: number | undefined): void {
+    if (entries === undefined) return
     if (this.#entries > 0 && entries > this.#entries) this.#rebalanceAt = nowMs() + readinessDelayMs
     this.#entries = entries
   }
--- a/packages/fleet/src/entry/entry-process.ts
+++ b/packages/fleet/src/entry/entry-process.ts
@@ -314,13 +314,13 @@
       this.#seedDuty.setActive(this.#needsSeeds)
       const { entries } = this.#sideLinks
       this.#maxEntries = this.#entryCountBound.update(entries, this.options.facts.servers.size)
-      this.#updateEntryCount(entries ?? 0)
+      this.#updateEntryCount(entries)
     }
   }
 
-  #updateEntryCount (entries: number): void {
+  #updateEntryCount (entries: number | undefined): void {
     const before = this.#callerConnections.entries
-    if (entries === before) return
+    if (entries === undefined || entries === before) return
     this.#callerConnections.setEntryCount(entries)
     this.options.log.info('entries.counted', { entries, before })
   }
--- a/packages/fleet/test/caller-connections.test.ts
+++ b/packages/fleet/test/caller-connections.test.ts
@@ -41,6 +41,23 @@
     expect(connections.shouldClose(socket)).to.equal(false)
   })
 
+  // Guards against callers that stay with one entry because it heard from no side process while another entry came back.
+  it('are closed after an entry joins while the number of entries is not known', async () => {
+    const socket = open()
+    connections.setEntryCount(undefined)
+    connections.setEntryCount(3)
+    await time.advance(60_000)
+    expect(connections.shouldClose(socket)).to.equal(true)
+  })
+
+  it('are kept when the number of entries is known again and the same', async () => {
+    const socket = open()
+    connections.setEntryCount(undefined)
+    connections.setEntryCount(2)
+    await time.advance(60_000)
+    expect(connections.shouldClose(socket)).to.equal(false)
+  })
+
   it('are closed one by one after an entry joins, except those opened later', async () => {
     const before = Array.from({ length: 100 }, open)
     connections.setEntryCount(3)
