--- a/packages/soak/src/check-results.ts
+++ b/packages/soak/src/check-results.ts
@@ -17,6 +17,8 @@
   cut: number
   /** Violations of the guarantees, each with the request or server that shows it. */
   broken: string[]
+  /** Log lines that help to explain the violations. */
+  details: string[]
 }
 
 /** Number of events in a complete stream. */
@@ -55,6 +57,7 @@
     refused: count(result => result.status === 503),
     unknown: count(result => result.status === 502 || result.status === 504),
     cut: count(result => !result.whole),
-    broken
+    broken,
+    details: []
   }
 }
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -98,10 +98,10 @@
     const lines = fleet.entries.flatMap(entry => entry.output).filter(line => line.includes(`"${id}"`))
     report.broken.push([`not served after recovery: ${id} ${path}, status ${status}`, ...lines].join('\n    '))
   }
-  if (unserved.length > 0) report.broken.push(...fleet.sides.flatMap(side => side.output.slice(-reportedLines)))
+  if (unserved.length > 0) report.details.push(...fleet.sides.flatMap(side => side.output.slice(-reportedLines)))
   report.broken.push(...await sendCrashingRequest(fleet, random, agents, seed))
   report.broken.push(...unexpectedExits(fleet, log))
-  if (report.broken.length > 0) report.broken.push(`logs written to ${await fleet.saveLogLines(`soak-${seed}`)}`)
+  if (report.broken.length > 0) report.details.push(`logs written to ${await fleet.saveLogLines(`soak-${seed}`)}`)
   for (const agent of agents) agent.destroy()
   await fleet.stop()
   await Promise.all(proxies.map(proxy => proxy.stop()))
