Fault matrix: keep the order of frames when a delay ends

The simulated network delayed each frame by a timer of its own, so that at the end of the fault `frames late` new frames overtook those that were held back, within one connection. The same fault as in the fault proxy; both use one queue for each direction now.

--- a/packages/proofs/src/matrix/network.ts
+++ b/packages/proofs/src/matrix/network.ts
@@ -6,6 +6,7 @@
  */
 import { Duplex } from 'node:stream'
 import type { Address } from '@finchpitch/core'
+import { OrderedSends } from '@finchpitch/stand-ins'
 import { FrameDecoder, type Dial, type FrameType } from '@finchpitch/wire'
 
 type Accept = (stream: Duplex) => Promise<void>
@@ -82,6 +83,8 @@
   readonly client: Endpoint
   readonly server: Endpoint
   readonly #pausedFrames: Array<{ to: Endpoint, bytes: Buffer }> = []
+  readonly #toClient = new OrderedSends()
+  readonly #toServer = new OrderedSends()
 
   constructor (private readonly network: Network, private readonly from: string, private readonly to: string) {
     this.client = new Endpoint((endpoint, bytes) => this.#transmit(endpoint, bytes), () => this.cut())
@@ -94,6 +97,8 @@
 
   cut (): void {
     this.network.removeLink(this)
+    this.#toClient.clear()
+    this.#toServer.clear()
     for (const endpoint of [this.client, this.server]) {
       if (!endpoint.destroyed) endpoint.destroy()
     }
@@ -121,8 +126,8 @@
   }
 
   #schedule (to: Endpoint, bytes: Buffer): void {
-    if (this.network.delayMs > 0) setTimeout(() => this.#deliver(to, bytes), this.network.delayMs)
-    else this.#deliver(to, bytes)
+    const sends = to === this.client ? this.#toClient : this.#toServer
+    sends.add(() => this.#deliver(to, bytes), this.network.delayMs)
   }
 
   #deliver (to: Endpoint, bytes: Buffer): void {
--- a/packages/stand-ins/src/fleet/fault-proxy.ts
+++ b/packages/stand-ins/src/fleet/fault-proxy.ts
@@ -6,6 +6,7 @@
  */
 import { connect, createServer, type Server, type Socket } from 'node:net'
 import { once } from 'node:events'
+import { OrderedSends } from '../ordered-sends.js'
 
 export type ConnectionFault =
   | { type: 'none' }
@@ -25,41 +26,6 @@
   else socket.resetAndDestroy()
 }
 
-interface DelayedSend {
-  send: () => void
-  /** On the monotonic clock. */
-  dueAt: number
-}
-
-/** Runs sends in the order in which they were added, each no sooner than its delay. */
-class OrderedSends {
-  readonly #queue: DelayedSend[] = []
-  #timer: NodeJS.Timeout | undefined
-
-  add (send: () => void, delayMs: number): void {
-    this.#queue.push({ send, dueAt: performance.now() + delayMs })
-    if (this.#queue.length === 1) this.#sendDue()
-  }
-
-  /** Drops the sends that are not due yet. */
-  clear (): void {
-    clearTimeout(this.#timer)
-    this.#queue.length = 0
-  }
-
-  #sendDue (): void {
-    for (let next = this.#queue[0]; next !== undefined; next = this.#queue[0]) {
-      const waitMs = next.dueAt - performance.now()
-      if (waitMs > 0) {
-        this.#timer = setTimeout(() => this.#sendDue(), waitMs)
-        return
-      }
-      this.#queue.shift()
-      next.send()
-    }
-  }
-}
-
 export class FaultProxy {
   fault: ConnectionFault = { type: 'none' }
   readonly #pairs = new Set<[Socket, Socket]>()
