Key revocation test: wait until the restarted entry has started

Played alone at a load average of 25 it failed in 4 of 7 runs; the three whose error was kept had `ECONNREFUSED` at the entry's address: the process took longer than the 1.2 s to start that the test waited from its spawn.

The 1.2 s are counted from the line in which the process says that it has started. What is asked and checked is the same. 5 of 5 runs pass beside the same load.

--- a/packages/fleet/test/freshness.test.ts
+++ b/packages/fleet/test/freshness.test.ts
@@ -299,7 +299,11 @@
     await fleet.kill(restarted)
     fleet.store.fault = 'silent'
     await pause(revokeMs)
+    const starts = (): number => fleet.lines(restarted).filter(line => line.event === 'process.started').length
+    const before = starts()
     await fleet.startProcess(restarted)
+    // On a busy host the process alone takes over a second to start, and refuses connections until then.
+    await eventually('the entry has started', () => starts() > before)
     await pause(1200)
     const id = 'revoked-at-start'
     const reply = await ask('one', 2, id)
