Entry: folders for serving, servers, waiting, quotas and peers

Files are moved by what they are about: serving a request, choosing and watching servers, waiting, quotas, and contact with other processes. Imports follow; no other line changes.

--- a/packages/fleet/src/entry/attempt-reporter.ts
+++ b/packages/fleet/src/entry/peers/attempt-reporter.ts
@@ -8,9 +8,9 @@
  */
 import type { Log } from '@finchpitch/core'
 import type { Channel } from '@finchpitch/wire'
-import { nowMs } from '../clock.js'
-import { reportFrames, batchDelayMs, hasNoReports, mergeReports, noReports, type AttemptReports } from '../attempt-reports.js'
-import { CoalescingTimer } from '../coalescing-timer.js'
+import { nowMs } from '../../clock.js'
+import { reportFrames, batchDelayMs, hasNoReports, mergeReports, noReports, type AttemptReports } from '../../attempt-reports.js'
+import { CoalescingTimer } from '../../coalescing-timer.js'
 import { RendezvousSelector } from './rendezvous-selector.js'
 
 /** A crash fails all requests on the server, up to a whole batch; these are reported together. */
--- a/packages/fleet/src/entry/entry-count-bound.ts
+++ b/packages/fleet/src/entry/peers/entry-count-bound.ts
@@ -6,7 +6,7 @@
  * higher than the count in any deployment seen: those have 26 to 68 entries with 33 to 54 engines, at most 1.3 entries per
  * engine.
  */
-import { nowMs } from '../clock.js'
+import { nowMs } from '../../clock.js'
 
 /** Side processes that restarted or lost connections to entries report too low a count for up to this long. */
 const windowMs = 15_000
--- a/packages/fleet/src/entry/entry-count.ts
+++ b/packages/fleet/src/entry/peers/entry-count.ts
@@ -5,7 +5,7 @@
  * processes of the entry's own domain have reported: if the other four of five domains counted as empty, each entry would take
  * five times its share.
  */
-import { watcherCount } from '../side/watchers.js'
+import { watcherCount } from '../../side/watchers.js'
 
 export interface DomainEntries {
   domain: string
--- a/packages/fleet/src/entry/key-lease.ts
+++ b/packages/fleet/src/entry/peers/key-lease.ts
@@ -7,8 +7,8 @@
  * the store asks the store, and the others ask a side process in their failure domain; from 0.4 on, one in another failure
  * domain; from 0.5 on, they watch the store themselves.
  */
-import type { Facts } from '../facts.js'
-import type { Limits } from '../ports.js'
+import type { Facts } from '../../facts.js'
+import type { Limits } from '../../ports.js'
 
 const shares = {
   /** Authenticated requests are sent while the proof is no older. */
--- a/packages/fleet/src/entry/lease-keeper.ts
+++ b/packages/fleet/src/entry/peers/lease-keeper.ts
@@ -3,10 +3,10 @@
  * lease expires or is regained.
  */
 import type { Log } from '@finchpitch/core'
-import { nowMs } from '../clock.js'
-import type { Facts } from '../facts.js'
+import { nowMs } from '../../clock.js'
+import type { Facts } from '../../facts.js'
 import type { KeyLease } from './key-lease.js'
-import { outageRetryAfterMs } from './local-replies.js'
+import { outageRetryAfterMs } from '../serving/local-replies.js'
 import type { SideLinks } from './side-links.js'
 import type { StoreWatch } from './store-watch.js'
 
--- a/packages/fleet/src/entry/probe-requester.ts
+++ b/packages/fleet/src/entry/peers/probe-requester.ts
@@ -6,7 +6,7 @@
  */
 import { pause, type Log, type RequestFingerprint } from '@finchpitch/core'
 import type { Channel } from '@finchpitch/wire'
-import { nowMs, afterSocketReads } from '../clock.js'
+import { nowMs, afterSocketReads } from '../../clock.js'
 import { RendezvousSelector } from './rendezvous-selector.js'
 
 /** Side processes answer within a few ms, also across domains. */
--- a/packages/fleet/src/entry/rendezvous-selector.ts
+++ b/packages/fleet/src/entry/peers/rendezvous-selector.ts
@@ -6,7 +6,7 @@
  * must not depend on there being only one.
  */
 import { rendezvousScore, hashOf } from '@finchpitch/decisions'
-import { minBy } from '../min-by.js'
+import { minBy } from '../../min-by.js'
 
 export interface RendezvousSelectorOptions {
   /** Seed of the hash, so that different purposes are spread over different hosts. */
--- a/packages/fleet/src/entry/side-link.ts
+++ b/packages/fleet/src/entry/peers/side-link.ts
@@ -6,13 +6,13 @@
  */
 import type { Duplex } from 'node:stream'
 import { Channel, type Appointment, type Frame, type FrameOf } from '@finchpitch/wire'
-import { boottimeMs, nowMs } from '../clock.js'
-import { FactLink, forwardDelayMs } from '../fact-exchange.js'
-import { acceptProof, answerProofRequest, requestProof, type ProofRequest } from '../freshness-exchange.js'
-import { keepConnected, type SideConnectionOptions } from '../keep-connected.js'
-import { idleChannelPace } from '../side/subscriber.js'
-import { isUnreadChangeSignificant } from '../unread.js'
-import type { ServerState } from './server-state.js'
+import { boottimeMs, nowMs } from '../../clock.js'
+import { FactLink, forwardDelayMs } from '../../fact-exchange.js'
+import { acceptProof, answerProofRequest, requestProof, type ProofRequest } from '../../freshness-exchange.js'
+import { keepConnected, type SideConnectionOptions } from '../../keep-connected.js'
+import { idleChannelPace } from '../../side/subscriber.js'
+import { isUnreadChangeSignificant } from '../../unread.js'
+import type { ServerState } from '../servers/server-state.js'
 
 /** A load request is repeated at this interval while requests wait for the adapter, in case it was lost or declined. */
 const loadRequestRepeatMs = 600
--- a/packages/fleet/src/entry/side-links.ts
+++ b/packages/fleet/src/entry/peers/side-links.ts
@@ -7,14 +7,14 @@
  */
 import { hostOf, pause } from '@finchpitch/core'
 import type { Appointment, Channel, Frame, FrameOf, EngineUpdateFrame } from '@finchpitch/wire'
-import { nowMs } from '../clock.js'
-import { EngineMirror } from '../engine-mirror.js'
-import type { SideConnectionOptions } from '../keep-connected.js'
-import type { BackendServer } from '../server.js'
+import { nowMs } from '../../clock.js'
+import { EngineMirror } from '../../engine-mirror.js'
+import type { SideConnectionOptions } from '../../keep-connected.js'
+import type { BackendServer } from '../../server.js'
 import type { ReportTarget } from './attempt-reporter.js'
 import { countEntries, countWatchers, type DomainEntries } from './entry-count.js'
 import { UpdateSources, rendezvousHost, type SourceHosts } from './update-sources.js'
-import type { ServerStates } from './server-states.js'
+import type { ServerStates } from '../servers/server-states.js'
 import { SideLink } from './side-link.js'
 
 /**
--- a/packages/fleet/src/entry/table-confirmation.ts
+++ b/packages/fleet/src/entry/peers/table-confirmation.ts
@@ -6,9 +6,9 @@
  * request.
  */
 import { pause } from '@finchpitch/core'
-import { nowMs } from '../clock.js'
-import type { Facts } from '../facts.js'
-import type { Limits } from '../ports.js'
+import { nowMs } from '../../clock.js'
+import type { Facts } from '../../facts.js'
+import type { Limits } from '../../ports.js'
 import type { SideLinks } from './side-links.js'
 import type { StoreWatch } from './store-watch.js'
 
--- a/packages/fleet/src/entry/table-prover.ts
+++ b/packages/fleet/src/entry/peers/table-prover.ts
@@ -5,9 +5,9 @@
  * would therefore take one call each 0.7 s from every entry that watches the store. Instead, a short call is made only when a
  * proof is requested and the last one is older than `recentMs`.
  */
-import { boottimeMs } from '../clock.js'
-import type { Facts } from '../facts.js'
-import type { FactSource } from '../ports.js'
+import { boottimeMs } from '../../clock.js'
+import type { Facts } from '../../facts.js'
+import type { FactSource } from '../../ports.js'
 
 /** A proof no older than this is recent enough: half the age at which entries request a new one if keys must stop working within 5 s. */
 const recentMs = 750
--- a/packages/fleet/src/entry/update-sources.ts
+++ b/packages/fleet/src/entry/peers/update-sources.ts
@@ -9,8 +9,8 @@
  */
 import { rendezvousScore, hashOf } from '@finchpitch/decisions'
 import type { Log } from '@finchpitch/core'
-import { nowMs } from '../clock.js'
-import { minBy } from '../min-by.js'
+import { nowMs } from '../../clock.js'
+import { minBy } from '../../min-by.js'
 
 export interface SourceHosts {
   /** Hosts of engines in the entry's own failure domain whose side processes are responsive. */
--- a/packages/fleet/src/entry/earned-tokens.ts
+++ b/packages/fleet/src/entry/quotas/earned-tokens.ts
@@ -7,7 +7,7 @@
  * loses tokens, and an entry without contact to the others still has its share.
  */
 import { ExpiringTokens, earnedPerSecond, tokenLifetimeMs, type QuotaBound, type QuotaRate, type TokenSlice } from '@finchpitch/decisions'
-import { boottimeMs, suspendedMs } from '../clock.js'
+import { boottimeMs, suspendedMs } from '../../clock.js'
 
 /** Tokens are earned in steps of this length, and dated at the start of the step. */
 const earnStepMs = 100
--- a/packages/fleet/src/entry/quota-exchange.ts
+++ b/packages/fleet/src/entry/quotas/quota-exchange.ts
@@ -9,10 +9,10 @@
 import { sliceAgeMs, totalTokens, type TokenSlice } from '@finchpitch/decisions'
 import { pause, type Log } from '@finchpitch/core'
 import type { Channel, FrameOf, AgedTokens } from '@finchpitch/wire'
-import { boottimeMs, afterSocketReads } from '../clock.js'
-import { RendezvousSelector } from './rendezvous-selector.js'
+import { boottimeMs, afterSocketReads } from '../../clock.js'
+import { RendezvousSelector } from '../peers/rendezvous-selector.js'
 import type { Quotas, TeamAccount } from './quotas.js'
-import type { LimitsView } from './server-limits.js'
+import type { LimitsView } from '../servers/server-limits.js'
 
 const exchangeMs = 250
 /** A side process answers within a few ms. */
--- a/packages/fleet/src/entry/quotas.ts
+++ b/packages/fleet/src/entry/quotas/quotas.ts
@@ -7,9 +7,9 @@
  * a side process that passes them to entries that do (`quota-exchange.ts`).
  */
 import { DecayingSum, totalTokens, type TokenSlice } from '@finchpitch/decisions'
-import { boottimeMs } from '../clock.js'
-import { quotaBoundOf, type Limits } from '../ports.js'
-import type { FleetTeam, Quota } from '../team.js'
+import { boottimeMs } from '../../clock.js'
+import { quotaBoundOf, type Limits } from '../../ports.js'
+import type { FleetTeam, Quota } from '../../team.js'
 import { EarnedTokens } from './earned-tokens.js'
 
 /** Half-life of the average of the demand: it follows a surge within half a second, and single requests hardly count. */
--- a/packages/fleet/src/entry/balancer.ts
+++ b/packages/fleet/src/entry/servers/balancer.ts
@@ -3,17 +3,17 @@
  * per-server state that they are built from. The selection itself is done by the pure functions of `choice.ts`.
  */
 import type { Log } from '@finchpitch/core'
-import { nowMs } from '../clock.js'
-import type { Facts } from '../facts.js'
-import type { Limits } from '../ports.js'
-import type { BackendServer } from '../server.js'
-import type { FleetService } from '../table.js'
+import { nowMs } from '../../clock.js'
+import type { Facts } from '../../facts.js'
+import type { Limits } from '../../ports.js'
+import type { BackendServer } from '../../server.js'
+import type { FleetService } from '../../table.js'
 import { chooseEngine, choosePlain, type Choice, type EngineSelection, type EngineCandidate, type ServerCandidate } from './choice.js'
 import { PrefillRate } from './prefill-rate.js'
 import type { PendingRequest, ServerState } from './server-state.js'
 import { ServerStates } from './server-states.js'
 import { noLimits, type LimitsView } from './server-limits.js'
-import type { SideLinks } from './side-links.js'
+import type { SideLinks } from '../peers/side-links.js'
 
 /** The operations on side process connections that the balancer uses. */
 export type AdapterPlacement = Pick<SideLinks, 'canRequestLoad' | 'warm' | 'isLoadRequested' | 'requestLoad' | 'scheduleUsesReport'>
--- a/packages/fleet/src/entry/choice.ts
+++ b/packages/fleet/src/entry/servers/choice.ts
@@ -6,7 +6,7 @@
  * domains, so a rarely used adapter is used where it is, and loaded in the entry's domain only once it is requested repeatedly.
  */
 import { rendezvousScore, hashOf } from '@finchpitch/decisions'
-import { minBy } from '../min-by.js'
+import { minBy } from '../../min-by.js'
 
 export interface ServerCandidate {
   id: string
--- a/packages/fleet/src/entry/limit-account.ts
+++ b/packages/fleet/src/entry/servers/limit-account.ts
@@ -8,8 +8,8 @@
  * other entries' tokens are granted to it as whole requests.
  */
 import { DecayingSum, type QuotaBound, type TokenSlice } from '@finchpitch/decisions'
-import { boottimeMs } from '../clock.js'
-import { EarnedTokens } from './earned-tokens.js'
+import { boottimeMs } from '../../clock.js'
+import { EarnedTokens } from '../quotas/earned-tokens.js'
 
 /** In any window of this length, a server may get one and a half times the requests that its limit allows, plus 5. */
 const limitBound: QuotaBound = { windowMs: 4000, overage: 0.5, slack: 5 }
--- a/packages/fleet/src/entry/server-faults.ts
+++ b/packages/fleet/src/entry/servers/server-faults.ts
@@ -3,11 +3,11 @@
  * selections use.
  */
 import type { Log } from '@finchpitch/core'
-import { nowMs } from '../clock.js'
-import type { BackendServer } from '../server.js'
-import type { RefusalCause } from './attempt.js'
+import { nowMs } from '../../clock.js'
+import type { BackendServer } from '../../server.js'
+import type { RefusalCause } from '../serving/attempt.js'
 import type { Balancer } from './balancer.js'
-import type { EntryCounters } from './counters.js'
+import type { EntryCounters } from '../counters.js'
 
 export interface Refusal {
   request: string
--- a/packages/fleet/src/entry/server-feedback-handler.ts
+++ b/packages/fleet/src/entry/servers/server-feedback-handler.ts
@@ -4,14 +4,14 @@
  * It is about the server and not about the request that it came with, so it affects every selection and every send from then on:
  * the advertised limits, the list of draining servers, the backoff of the server and the queued requests.
  */
-import { nowMs } from '../clock.js'
-import type { Facts } from '../facts.js'
-import type { BackendServer } from '../server.js'
+import { nowMs } from '../../clock.js'
+import type { Facts } from '../../facts.js'
+import type { BackendServer } from '../../server.js'
 import type { Balancer } from './balancer.js'
 import type { ServerLimits } from './server-limits.js'
 import type { ServerState } from './server-state.js'
 import type { ServerFeedback } from './server-feedback.js'
-import type { RequestQueue } from './request-queue.js'
+import type { RequestQueue } from '../waiting/request-queue.js'
 
 export interface ServerFeedbackHandlerOptions {
   facts: Facts
--- a/packages/fleet/src/entry/server-feedback.ts
+++ b/packages/fleet/src/entry/servers/server-feedback.ts
@@ -6,8 +6,8 @@
  */
 import type { IncomingMessage } from 'node:http'
 import { maxBackoffMs } from '@finchpitch/decisions'
-import type { HeaderNames } from '../ports.js'
-import { headerOf } from './header.js'
+import type { HeaderNames } from '../../ports.js'
+import { headerOf } from '../serving/header.js'
 
 export interface ServerFeedback {
   /** The server is draining and wants no new requests. */
--- a/packages/fleet/src/entry/server-limits.ts
+++ b/packages/fleet/src/entry/servers/server-limits.ts
@@ -8,12 +8,12 @@
 import type { Log } from '@finchpitch/core'
 import { AdvertisedLimits, sliceAgeMs, type AdvertisedLimit, type TokenSlice } from '@finchpitch/decisions'
 import { maxLimitsPerFrame, type Channel, type FrameOf, type AgedRequests, type RequestShortfall } from '@finchpitch/wire'
-import { boottimeMs, nowMs } from '../clock.js'
-import { sendKnownLimits, limitsFromFrame } from '../attempt-reports.js'
-import { incarnationOf, limitKeyOf } from '../incarnation.js'
-import type { BackendServer } from '../server.js'
-import type { EntryCounters } from './counters.js'
-import type { AttemptReporter } from './attempt-reporter.js'
+import { boottimeMs, nowMs } from '../../clock.js'
+import { sendKnownLimits, limitsFromFrame } from '../../attempt-reports.js'
+import { incarnationOf, limitKeyOf } from '../../incarnation.js'
+import type { BackendServer } from '../../server.js'
+import type { EntryCounters } from '../counters.js'
+import type { AttemptReporter } from '../peers/attempt-reporter.js'
 import { LimitAccount } from './limit-account.js'
 
 /**
--- a/packages/fleet/src/entry/server-liveness.ts
+++ b/packages/fleet/src/entry/servers/server-liveness.ts
@@ -6,7 +6,7 @@
  */
 import { connect } from 'node:net'
 import { splitAddress } from '@finchpitch/core'
-import type { BackendServer } from '../server.js'
+import type { BackendServer } from '../../server.js'
 
 /** A reachable server accepts or refuses within some ms; without either it may be partitioned, which does not show a crash. */
 const probeTimeoutMs = 1000
--- a/packages/fleet/src/entry/server-selector.ts
+++ b/packages/fleet/src/entry/servers/server-selector.ts
@@ -5,19 +5,19 @@
  * A request waits only while that can still help its caller. If it is known that nothing becomes available in time, the caller is
  * answered at once, with the time after which to retry.
  */
-import { nowMs } from '../clock.js'
-import type { Facts } from '../facts.js'
-import type { FleetService, Route } from '../table.js'
+import { nowMs } from '../../clock.js'
+import type { Facts } from '../../facts.js'
+import type { FleetService, Route } from '../../table.js'
 import type { SelectionRequest, Balancer } from './balancer.js'
-import type { Cancellation } from './cancellation.js'
+import type { Cancellation } from '../serving/cancellation.js'
 import type { Choice } from './choice.js'
-import type { EntryCounters } from './counters.js'
-import type { Admission } from './admission.js'
-import { outageRetryAfterMs } from './local-replies.js'
-import type { RequestCrashes } from './request-crashes.js'
-import type { RequestRecord } from './request-record.js'
-import type { RequestTimes } from './request-times.js'
-import { queuedBehind, type RequestQueue } from './request-queue.js'
+import type { EntryCounters } from '../counters.js'
+import type { Admission } from '../serving/admission.js'
+import { outageRetryAfterMs } from '../serving/local-replies.js'
+import type { RequestCrashes } from '../serving/request-crashes.js'
+import type { RequestRecord } from '../serving/request-record.js'
+import type { RequestTimes } from '../serving/request-times.js'
+import { queuedBehind, type RequestQueue } from '../waiting/request-queue.js'
 
 export type SendChoice = Extract<Choice, { type: 'send' }>
 
--- a/packages/fleet/src/entry/server-state.ts
+++ b/packages/fleet/src/entry/servers/server-state.ts
@@ -3,7 +3,7 @@
  */
 import type { Agent } from 'node:http'
 import { OutlierDetector, ServerBackoff, hashOf, type OutlierLimits } from '@finchpitch/decisions'
-import { nowMs } from '../clock.js'
+import { nowMs } from '../../clock.js'
 import { createServerAgent } from './server-agent.js'
 import { PrefillRate } from './prefill-rate.js'
 
--- a/packages/fleet/src/entry/server-states.ts
+++ b/packages/fleet/src/entry/servers/server-states.ts
@@ -1,8 +1,8 @@
 /**
  * The states of all servers known to this entry: renewed when a server restarts, removed once it is gone.
  */
-import { nowMs } from '../clock.js'
-import { isEarlierIncarnation, type BackendServer } from '../server.js'
+import { nowMs } from '../../clock.js'
+import { isEarlierIncarnation, type BackendServer } from '../../server.js'
 import { Holders } from './holders.js'
 import { ServerState, type EngineReport } from './server-state.js'
 
--- a/packages/fleet/src/entry/admission.ts
+++ b/packages/fleet/src/entry/serving/admission.ts
@@ -4,8 +4,8 @@
  * It is checked when a request arrives, before its body is read, and again before each attempt, since a request may wait for
  * seconds and its route or key may be removed meanwhile.
  */
-import type { Route, RouteIndex } from '../table.js'
-import type { FleetTeam } from '../team.js'
+import type { Route, RouteIndex } from '../../table.js'
+import type { FleetTeam } from '../../team.js'
 import type { Credential } from './credential.js'
 
 export interface Admission {
--- a/packages/fleet/src/entry/attempt.ts
+++ b/packages/fleet/src/entry/serving/attempt.ts
@@ -7,13 +7,13 @@
  */
 import { request as openRequest, type Agent, type ClientRequest, type IncomingMessage } from 'node:http'
 import { splitAddress } from '@finchpitch/core'
-import { nowMs } from '../clock.js'
-import type { HeaderNames } from '../ports.js'
+import { nowMs } from '../../clock.js'
+import type { HeaderNames } from '../../ports.js'
 import type { Cancellation } from './cancellation.js'
 import type { CallerResponse, RawHeaders } from './caller-response.js'
 import type { EventFramer } from './event-stream.js'
 import { headerOf } from './header.js'
-import { readServerFeedback, type ServerFeedback } from './server-feedback.js'
+import { readServerFeedback, type ServerFeedback } from '../servers/server-feedback.js'
 
 export interface OutgoingRequest {
   method: string
--- a/packages/fleet/src/entry/caller-connections.ts
+++ b/packages/fleet/src/entry/serving/caller-connections.ts
@@ -11,7 +11,7 @@
  */
 import type { Server } from 'node:http'
 import type { Socket } from 'node:net'
-import { nowMs } from '../clock.js'
+import { nowMs } from '../../clock.js'
 
 /** The load balancer checks readiness every second, so it knows a joined entry to be ready by then. */
 const readinessDelayMs = 1500
--- a/packages/fleet/src/entry/credential.ts
+++ b/packages/fleet/src/entry/serving/credential.ts
@@ -5,8 +5,8 @@
  * could pick either of them.
  */
 import type { IncomingMessage } from 'node:http'
-import type { HeaderNames } from '../ports.js'
-import { hashKey, type KeyHash } from '../team.js'
+import type { HeaderNames } from '../../ports.js'
+import { hashKey, type KeyHash } from '../../team.js'
 import { headerPairs } from './caller-response.js'
 
 /** `invalid`: the header is there, but is malformed or ambiguous. */
--- a/packages/fleet/src/entry/incoming-request.ts
+++ b/packages/fleet/src/entry/serving/incoming-request.ts
@@ -4,7 +4,7 @@
 import type { IncomingMessage } from 'node:http'
 import { maxAdapterKeyLength } from '@finchpitch/wire'
 import { err, ok, type Result } from 'neverthrow'
-import type { HeaderNames } from '../ports.js'
+import type { HeaderNames } from '../../ports.js'
 import { headerOf } from './header.js'
 
 /** Used where a caller states no remaining time. */
--- a/packages/fleet/src/entry/local-replies.ts
+++ b/packages/fleet/src/entry/serving/local-replies.ts
@@ -5,7 +5,7 @@
  * 404 and 413: retrying is useless.
  */
 import type { Quarantine } from '@finchpitch/decisions'
-import type { HeaderNames } from '../ports.js'
+import type { HeaderNames } from '../../ports.js'
 import type { CallerResponse } from './caller-response.js'
 import { isFinalDenial, type Denial } from './admission.js'
 import type { IncomingRequest } from './incoming-request.js'
--- a/packages/fleet/src/entry/outgoing-request.ts
+++ b/packages/fleet/src/entry/serving/outgoing-request.ts
@@ -3,7 +3,7 @@
  * headers that the system sets.
  */
 import type { IncomingMessage } from 'node:http'
-import type { HeaderNames } from '../ports.js'
+import type { HeaderNames } from '../../ports.js'
 import type { OutgoingRequest } from './attempt.js'
 import { forwardedHeaders } from './caller-response.js'
 
--- a/packages/fleet/src/entry/request-admission.ts
+++ b/packages/fleet/src/entry/serving/request-admission.ts
@@ -1,16 +1,16 @@
 /**
  * Admission of one request: its team, whether it may be sent now, and the quota that it costs.
  */
-import { boottimeMs, nowMs } from '../clock.js'
-import type { Facts } from '../facts.js'
-import type { HeaderNames } from '../ports.js'
-import type { RouteIndex } from '../table.js'
+import { boottimeMs, nowMs } from '../../clock.js'
+import type { Facts } from '../../facts.js'
+import type { HeaderNames } from '../../ports.js'
+import type { RouteIndex } from '../../table.js'
 import { admit, isFinalDenial, type Admission, type Denial } from './admission.js'
 import { credentialOf, type Credential } from './credential.js'
 import type { IncomingRequest } from './incoming-request.js'
-import type { KeyLease } from './key-lease.js'
-import type { Quotas, Reservation } from './quotas.js'
-import type { TableConfirmation } from './table-confirmation.js'
+import type { KeyLease } from '../peers/key-lease.js'
+import type { Quotas, Reservation } from '../quotas/quotas.js'
+import type { TableConfirmation } from '../peers/table-confirmation.js'
 
 const noCredential: Credential = { type: 'none' }
 
--- a/packages/fleet/src/entry/request-crashes.ts
+++ b/packages/fleet/src/entry/serving/request-crashes.ts
@@ -3,9 +3,9 @@
  */
 import type { RequestFingerprint } from '@finchpitch/core'
 import type { Quarantine } from '@finchpitch/decisions'
-import type { BackendServer } from '../server.js'
-import type { FleetTeam } from '../team.js'
-import type { CrashTracker } from './crash-tracker.js'
+import type { BackendServer } from '../../server.js'
+import type { FleetTeam } from '../../team.js'
+import type { CrashTracker } from '../servers/crash-tracker.js'
 import { fingerprintOf } from './fingerprint.js'
 import type { IncomingRequest } from './incoming-request.js'
 
--- a/packages/fleet/src/entry/request-record.ts
+++ b/packages/fleet/src/entry/serving/request-record.ts
@@ -2,13 +2,13 @@
  * The access log line and the metrics of one request, written when it ends.
  */
 import type { Log } from '@finchpitch/core'
-import { nowMs } from '../clock.js'
-import type { BackendServer } from '../server.js'
-import type { Route } from '../table.js'
-import type { EntryCounters } from './counters.js'
+import { nowMs } from '../../clock.js'
+import type { BackendServer } from '../../server.js'
+import type { Route } from '../../table.js'
+import type { EntryCounters } from '../counters.js'
 import type { IncomingRequest } from './incoming-request.js'
 import type { RequestTimes } from './request-times.js'
-import type { EngineReport } from './server-state.js'
+import type { EngineReport } from '../servers/server-state.js'
 
 /** Longer paths are truncated in the log. */
 const maxLoggedPathLength = 200
--- a/packages/fleet/src/entry/request-times.ts
+++ b/packages/fleet/src/entry/serving/request-times.ts
@@ -1,9 +1,9 @@
 /**
  * The timing of one request: the time since it arrived and since its caller's first attempt, and the time left.
  */
-import { nowMs } from '../clock.js'
-import type { Route } from '../table.js'
-import { rankOf, type RankInput } from '../request-rank.js'
+import { nowMs } from '../../clock.js'
+import type { Route } from '../../table.js'
+import { rankOf, type RankInput } from '../../request-rank.js'
 
 /** The fraction of the time left that a request may wait; the remainder is for serving it, or for a retry by its caller. */
 export const maxWaitShare = 0.45
--- a/packages/fleet/src/entry/request-queue.ts
+++ b/packages/fleet/src/entry/waiting/request-queue.ts
@@ -5,9 +5,9 @@
  * quarantined. The queue is scanned shortly after a change that may let requests go on, and at intervals in case a change went
  * unnoticed.
  */
-import { nowMs } from '../clock.js'
-import type { Cancellation } from './cancellation.js'
-import type { Choice } from './choice.js'
+import { nowMs } from '../../clock.js'
+import type { Cancellation } from '../serving/cancellation.js'
+import type { Choice } from '../servers/choice.js'
 
 export interface QueuedRequest {
   /** Requests with the same key get the same choice. */
--- a/packages/fleet/src/entry/retry-budget.ts
+++ b/packages/fleet/src/entry/waiting/retry-budget.ts
@@ -5,8 +5,8 @@
  * The slack is divided by the number of entries, which side processes report; until one has, a high number is assumed.
  */
 import { RetryWindow } from '@finchpitch/decisions'
-import { nowMs } from '../clock.js'
-import type { Limits } from '../ports.js'
+import { nowMs } from '../../clock.js'
+import type { Limits } from '../../ports.js'
 
 /** Safety margin, as requests are counted slightly differently at the receiving end. */
 const safetyFactor = 0.8
