Side process: stop listening before the channels close

Entries saw their channel to a stopped side process end, reconnected at once and were accepted, so that they asked it for adapters that nobody would load. The channels were closed first and the listener after them, and on a busy machine a connection arrived between the two.

--- a/packages/daemon/src/start-side.ts
+++ b/packages/daemon/src/start-side.ts
@@ -110,6 +110,8 @@
     const drained = await withTimeout(settings['drain-ms'], side.whenDrained().then(() => true), false)
     log.info('side.stopped', { whole: drained, running: side.running })
     shutdown.abort()
+    // Before its channels close: an entry that reconnects at once would send it work that nobody carries out.
+    peers.stopAccepting()
     side.close()
     await awaitClosed({ operators: operators.stop(), peers: peers.close(), tasks, uplink }, log)
     await store.close()
--- a/packages/wire/src/listener.ts
+++ b/packages/wire/src/listener.ts
@@ -10,6 +10,8 @@
 
 export interface Listener {
   address: Address
+  /** Refuses new connections; those that are open stay open. */
+  stopAccepting: () => void
   close: () => Promise<void>
 }
 
@@ -25,12 +27,16 @@
   await once(server, 'listening')
   const bound = server.address()
   if (bound === null || typeof bound === 'string') throw new Error('expected a TCP listener to have an address')
+  let closed: Promise<void> | undefined
+  const stopAccepting = (): void => {
+    closed ??= new Promise(resolve => server.close(() => resolve()))
+  }
   const close = async (): Promise<void> => {
-    const closed = new Promise<void>(resolve => server.close(() => resolve()))
+    stopAccepting()
     for (const socket of open) socket.destroy()
     await closed
   }
-  return { address: Address.parse(`${host}:${bound.port}`), close }
+  return { address: Address.parse(`${host}:${bound.port}`), stopAccepting, close }
 }
 
 /** Opens a connection. Rejects if it is not established within a second. */
