Benchmark of processor time: bench processor

The processor time of an entry and a side process was known only from whole deployments under load, so changes to it could not be compared.

`npm run bench -- processor [FOLDER...]` runs real processes of the program from its bundle, with the flags of deploy/system.toml, on loopback: 3 entries and 8 side processes at 8 generations/s and 9 plain requests/s per entry. It reports the time of a start, the first 10 s, the next 30 s, at rest, per plain request and per generation, and the ratio to a bare node:http relay in the same run. Several checkouts run side by side under the same load. FleetSystem takes node options by role.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -6,6 +6,7 @@
 import { measureClaims } from './claims.js'
 import { readLosses } from './losses.js'
 import { measurePath } from './path.js'
+import { measureProcessor } from './processor.js'
 import { formatTable } from './report.js'
 
 const losses = async (): Promise<void> => {
@@ -16,7 +17,7 @@
   process.stdout.write(`${formatTable(byRoute)}\n\n${formatTable(byInterval)}\n`)
 }
 
-const measurements: Record<string, () => Promise<void>> = { capacity: measureCapacity, claims: measureClaims, losses, path: measurePath }
+const measurements: Record<string, () => Promise<void>> = { capacity: measureCapacity, claims: measureClaims, losses, path: measurePath, processor: measureProcessor }
 
 const name = process.argv[2] ?? ''
 const measure = measurements[name]
--- a/packages/stand-ins/src/fleet/fleet-system.ts
+++ b/packages/stand-ins/src/fleet/fleet-system.ts
@@ -32,6 +32,8 @@
 /** Offset of the port of a server that has a proxy at its own address. */
 const proxiedPortOffset = 10_000
 
+export type Role = 'entry' | 'side'
+
 export interface FleetOptions {
   /** The second octet of all addresses, so that fleets on one host do not share addresses. */
   network: number
@@ -47,7 +49,7 @@
   /** The start time that all backend servers report; without it, they report none. */
   bornAt?: number
   bounds?: Record<string, number>
-  nodeOptions?: string[]
+  nodeOptions?: readonly string[] | Record<Role, readonly string[]>
   /** Whether each entry connects to the store through its own proxy. */
   storeProxies?: boolean
   /** Called for each stand-in to start a proxy in front of it, which listens at `ip:port` and forwards to `ip:target`. */
@@ -74,7 +76,7 @@
   signal: NodeJS.Signals | null
 }
 
-const roleOf = (machine: Machine): 'entry' | 'side' => machine.name.startsWith('side') ? 'side' : 'entry'
+const roleOf = (machine: Machine): Role => machine.name.startsWith('side') ? 'side' : 'entry'
 
 const model = 'base'
 export const engineService = 'engines'
@@ -154,7 +156,10 @@
   }
 
   #spawn (machine: Machine): void {
-    const child = spawn(process.execPath, [...this.options.nodeOptions ?? [], this.options.program ?? program, roleOf(machine)], {
+    const role = roleOf(machine)
+    const { nodeOptions = [] } = this.options
+    const flags = 'entry' in nodeOptions ? nodeOptions[role] : nodeOptions
+    const child = spawn(process.execPath, [...flags, this.options.program ?? program, role], {
       env: { ...process.env, FINCHPITCH_CONFIG: this.#settingsPath(machine) }, stdio: ['ignore', 'pipe', 'inherit']
     })
     const startedAt = performance.now()
@@ -317,7 +322,7 @@
     return `127.${this.options.network}.${domain}.${machine}`
   }
 
-  #settings (machine: Machine, role: 'entry' | 'side'): string {
+  #settings (machine: Machine, role: Role): string {
     const [, domain = 'd0'] = machine.name.split('-')
     const bounds = { drainMs: 2000, graceS: 8, version_ms: 5000, retryBudgetRatio: 0.2, budgetWindowS: 10, retrySlack: 52, ceilingWindowS: 5, originOverage: 1.1, ...this.options.bounds }
     return [
