Quotas: a line for tokens, bookings for rejected callers, tokens at a start

A team that sends several times its quota was served by chance: whoever found enough tokens took them, so small requests got through and large ones did not. A rejected caller was told 0.1 s, in which others took the tokens. After a start of all entries nobody had tokens, so most requests within their quotas were rejected.

- Requests wait in a line in order of arrival.
The tokens ahead decide whether a request may wait, not its own size.
Returning callers that can still be in time come first, late ones last.
- A rejected request books its tokens, and its caller is told when they are ready.
The bank holds tokens set aside for returning callers, and serves waiting requests in the order in which entries ran short.
While the demand at all entries exceeds the quota, entries give it all they earn.
- Callers are recognized as returning before the quota is reserved, and count as demand once.
- An entry starts with what it would have earned since its process started, and a small credit within the bound.

--- a/packages/decisions/src/expiring-tokens.ts
+++ b/packages/decisions/src/expiring-tokens.ts
@@ -95,6 +95,12 @@
  * than are known.
  */
 const lifetimeShare = 0.6
+/**
+ * Share of what the bound leaves that all entries together may spend at once after a start. A process can't know what its
+ * previous incarnation spent, so this comes out of the margin. With a tenth, restarts of all entries in a row could exceed the
+ * bound.
+ */
+const initialCreditShare = 0.07
 /** A quota with much slack would let old tokens pile up, and a team gains nothing from a burst saved up for longer. */
 const maxLifetimeMs = 4000
 
@@ -104,12 +110,17 @@
 const maxInWindow = ({ perSecond, burst }: QuotaRate, { windowMs, overage, slack }: QuotaBound): number =>
   (perSecond * windowMs / 1000 + burst) * (1 + overage) + slack
 
+/** What the bound leaves beyond the rate, as time in which it is earned. */
+const spareMs = (rate: QuotaRate, bound: QuotaBound): number => maxInWindow(rate, bound) / rate.perSecond * 1000 - bound.windowMs
+
 /** How long a token may be spent after it was earned, so that no window exceeds the bound. */
-export const tokenLifetimeMs = (rate: QuotaRate, bound: QuotaBound): number => {
-  const spareMs = maxInWindow(rate, bound) / rate.perSecond * 1000 - bound.windowMs
-  return Math.max(minLifetimeMs, Math.min(maxLifetimeMs, spareMs * lifetimeShare))
-}
+export const tokenLifetimeMs = (rate: QuotaRate, bound: QuotaBound): number =>
+  Math.max(minLifetimeMs, Math.min(maxLifetimeMs, spareMs(rate, bound) * lifetimeShare))
 
 /** Tokens earned per second: the rate of the quota, or less where the bound doesn't leave even the shortest lifetime. */
 export const earnedPerSecond = (rate: QuotaRate, bound: QuotaBound): number =>
   Math.min(rate.perSecond, maxInWindow(rate, bound) / (bound.windowMs + tokenLifetimeMs(rate, bound)) * 1000)
+
+/** Tokens that all entries together may spend after a start, in addition to those that they earn. */
+export const initialCredit = (rate: QuotaRate, bound: QuotaBound): number =>
+  rate.perSecond / 1000 * Math.max(0, spareMs(rate, bound)) * initialCreditShare
--- a/packages/fleet/src/entry/counters.ts
+++ b/packages/fleet/src/entry/counters.ts
@@ -68,4 +68,17 @@
     help: 'Times that a request was not sent to a backend server because of the limit that the server advertises.',
     registers: [this.registry]
   })
+
+  readonly quotaTokensBooked = new Counter({
+    name: 'finchpitch_quota_tokens_booked_total',
+    help: 'Quota tokens booked for rejected requests whose callers were told when to return.',
+    registers: [this.registry]
+  })
+
+  readonly quotaReturning = new Counter({
+    name: 'finchpitch_quota_returning_requests_total',
+    help: 'Requests of callers that had been rejected before, in teams with a quota, by whether they got their tokens.',
+    labelNames: ['result'],
+    registers: [this.registry]
+  })
 }
--- a/packages/fleet/src/entry/entry-process.ts
+++ b/packages/fleet/src/entry/entry-process.ts
@@ -9,7 +9,7 @@
 import type { Duplex } from 'node:stream'
 import { backoff, pause, type Log } from '@finchpitch/core'
 import { Channel, type ChannelOptions } from '@finchpitch/wire'
-import { nowMs } from '../clock.js'
+import { nowMs, suspendedMs } from '../clock.js'
 import { FactLink, forwardDelayMs } from '../fact-exchange.js'
 import type { Fact } from '../fact.js'
 import type { Facts } from '../facts.js'
@@ -162,7 +162,7 @@
       appointments: () => this.#sideLinks.appointments,
       onDutyChange: () => this.#sideLinks.updateFactDelay()
     })
-    this.#quotas = new Quotas({ limits, entries: () => this.#maxEntries, requestTokens: (team, tokens) => this.#quotaExchange.requestTokens(team, tokens) })
+    this.#quotas = new Quotas({ limits, entries: () => this.#maxEntries, startedAt: suspendedMs(), exchangeNow: async () => await this.#quotaExchange.exchangeNow(), counters: this.counters, log })
     this.#quotaExchange = new QuotaExchange({ quotas: this.#quotas, serverLimits: this.#serverLimits, hosts: () => this.#sideLinks.hosts, channelTo: host => this.#sideLinks.channelTo(host), log })
     this.#leaseKeeper = new LeaseKeeper({ lease: this.#keyLease, facts, links: this.#sideLinks, watch: this.#storeWatch, log })
     this.#tableConfirmation = new TableConfirmation({ facts, limits, links: this.#sideLinks, watch: this.#storeWatch })
--- a/packages/fleet/src/entry/quotas/quota-exchange.ts
+++ b/packages/fleet/src/entry/quotas/quota-exchange.ts
@@ -8,23 +8,23 @@
 import { setMaxListeners } from 'node:events'
 import { sliceAgeMs, totalTokens, type TokenSlice } from '@finchpitch/decisions'
 import { pause, type Log } from '@finchpitch/core'
-import type { Channel, FrameOf, AgedTokens } from '@finchpitch/wire'
+import type { Channel, FrameOf, AgedTokens, TokenDemand, TokenShortfall } from '@finchpitch/wire'
 import { boottimeMs, afterSocketReads } from '../../clock.js'
 import { RendezvousSelector } from '../peers/rendezvous-selector.js'
-import type { Quotas, TeamAccount } from './quotas.js'
+import type { Quotas } from './quotas.js'
+import type { TeamAccount } from './team-account.js'
 import type { LimitsView } from '../servers/server-limits.js'
 
 const exchangeMs = 250
+/** The first exchanges after a start follow sooner: entries without demand can give their tokens only from the second one on. */
+const startExchangeMs = 60
+const startExchanges = 3
 /** A side process answers within a few ms. */
 const answerTimeoutMs = 400
 /** A side process that didn't answer is skipped for this long. */
 const skipMs = 2000
-/** The longest time that a request waits for tokens: a quarter of the shortest objective of streams. Most answers take 2 to 20 ms. */
+/** The longest time that requests wait for an answer: a quarter of the shortest objective of streams. Most answers take 2 to 20 ms. */
 const maxWaitMs = 150
-/** After an exchange that brought a team too few tokens, its requests trigger no further exchange for this long. */
-const shortageMs = 60
-/** A team that got at least this share of what it asked for isn't short: the rest may be a rounding error. */
-const satisfiedShare = 0.99
 /**
  * Maximum number of teams whose tokens are given in one frame; teams whose tokens other entries need come first. A slice takes
  * 20 bytes: one of each team, in four frames per second, takes 2.5 KB/s.
@@ -58,18 +58,16 @@
   readonly #rendezvous = new RendezvousSelector({ purpose: 'quota', skipMs, now: boottimeMs })
   /** By channel, since a restarted side process has another clock. */
   readonly #echoes = new WeakMap<Channel, Echo>()
-  /** By team, when an exchange last brought it too few tokens. */
-  readonly #shortageAt = new Map<string, number>()
-  /** Tokens by team that waiting requests are short of; the next frame asks for them. */
-  readonly #urgent = new Map<string, number>()
-  /** Tokens by team that the last frame asked for on behalf of waiting requests. */
-  readonly #urgentSent = new Map<string, number>()
   /** Whether a request waits for the answer to the next frame. */
   #sendRequested = false
   /** Teams whose tokens other entries need, as the bank last reported. */
   #teamsInNeed: ReadonlySet<string> = new Set()
-  /** Stamp of the frame that has not been answered yet. */
+  /** Stamp of the first frame since the last answer. */
   #sentAt: number | undefined
+  #lastSentAt = -Infinity
+  #sentCount = 0
+  /** Tokens that the last frame asked for, by team. */
+  readonly #askedByTeam = new Map<string, number>()
   /** Requests that the last frame asked for, by limit. */
   #askedByLimit: ReadonlyMap<string, number> = new Map()
   /** Aborted when the last frame, or the next one, is answered. */
@@ -80,23 +78,17 @@
 
   async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      await pause(exchangeMs, signal)
+      const isStarting = this.options.quotas.accounts.size > 0 && this.#sentCount < startExchanges
+      await pause(isStarting ? startExchangeMs : exchangeMs, signal)
       await this.#tick()
     }
   }
 
-  /** Requests tokens at once. Resolves when that is answered or times out. Returns whether it may be repeated. */
-  async requestTokens (team: string, tokens: number): Promise<boolean> {
-    if (this.#hasShortage(team)) return false
-    this.#urgent.set(team, tokens + (this.#urgent.get(team) ?? 0))
-    return await this.exchangeNow() && !this.#hasShortage(team)
-  }
-
   /** Requests at once whatever this entry is short of. Resolves when that is answered or times out. Returns whether it was answered. */
   async exchangeNow (): Promise<boolean> {
     const { signal } = this.#nextAnswered
     this.#sendRequested = true
-    if (this.#sentAt === undefined) this.#send()
+    if (this.#sentAt === undefined || boottimeMs() - this.#lastSentAt >= maxWaitMs) this.#send()
     if (this.#sentAt === undefined) return false
     await pause(maxWaitMs, signal)
     if (!signal.aborted) await afterSocketReads()
@@ -115,18 +107,21 @@
     this.#askedByLimit = new Map()
     this.#teamsInNeed = new Set(frame.needed)
     this.#sentAt = undefined
-    for (const [team, wanted] of this.#urgentSent) if (totalTokens(granted.get(team) ?? []) < wanted * satisfiedShare) this.#shortageAt.set(team, now)
-    this.#urgentSent.clear()
+    for (const [team, perSecond] of frame.demand ?? []) this.options.quotas.accounts.get(team)?.noteTotalDemand(perSecond)
+    this.#reportAnswers(granted)
     this.#answered.abort()
     if (this.#sendRequested) this.#send()
   }
 
-  #hasShortage (team: string): boolean {
-    return boottimeMs() - (this.#shortageAt.get(team) ?? -Infinity) < shortageMs
+  /** Tells the accounts how much they were granted of what they asked for. */
+  #reportAnswers (granted: ReadonlyMap<string, TokenSlice[]>): void {
+    for (const [team, asked] of this.#askedByTeam) this.options.quotas.accounts.get(team)?.answered(asked, totalTokens(granted.get(team) ?? []))
+    this.#askedByTeam.clear()
   }
 
   async #tick (): Promise<void> {
     if (this.options.quotas.accounts.size === 0 && this.options.serverLimits.isEmpty) return
+    this.options.quotas.logEndedShortages()
     // After a stall of this process, the answer may be waiting in the socket.
     if (this.#overdue) await afterSocketReads()
     if (this.#overdue) this.#skipBank()
@@ -156,7 +151,9 @@
     const frame = this.#buildFrame(channel)
     this.#sendRequested = false
     channel.send(frame)
-    this.#sentAt = frame.stamp
+    this.#sentAt ??= frame.stamp
+    this.#lastSentAt = frame.stamp
+    this.#sentCount += 1
     this.#answered = this.#nextAnswered
     this.#nextAnswered = createAnswerSignal()
   }
@@ -164,24 +161,36 @@
   #buildFrame (channel: Channel): FrameOf<'quota'> {
     const now = boottimeMs()
     const echo = this.#echoes.get(channel)
-    const gives: AgedTokens[] = []
-    const wants: Array<[string, number]> = []
+    const wants: TokenShortfall[] = []
+    const demand: TokenDemand[] = []
     const surplus: Array<[team: string, account: TeamAccount]> = []
+    this.#askedByTeam.clear()
     for (const [team, account] of this.options.quotas.accounts) {
-      const urgent = this.#urgent.get(team)
-      const wanted = account.wants(urgent)
-      if (urgent !== undefined && wanted > 0) this.#urgentSent.set(team, wanted)
-      if (wanted === 0) surplus.push([team, account])
-      else if (wants.length < maxTeamsWanted) wants.push([team, wanted])
-    }
-    this.#urgent.clear()
-    if (echo !== undefined) {
-      surplus.sort(([a], [b]) => Number(this.#teamsInNeed.has(b)) - Number(this.#teamsInNeed.has(a)))
-      for (const [team, account] of surplus.slice(0, maxTeamsGiven)) {
-        for (const slice of account.takeSurplus()) gives.push([team, slice.tokens, sliceAgeMs(slice, now)])
+      const pooling = echo !== undefined && account.isPooling
+      const { tokens, returning, waiting } = account.shortfall(pooling)
+      if (tokens === 0 || pooling) surplus.push([team, account])
+      if (tokens > 0 && wants.length < maxTeamsWanted) {
+        wants.push(returning + waiting > 0 ? [team, tokens, returning, waiting] : [team, tokens])
+        demand.push([team, account.demand])
+        this.#askedByTeam.set(team, tokens)
       }
     }
-    return { type: 'quota', stamp: now, ...(echo === undefined ? {} : { echo: { stamp: echo.stamp, heldMs: now - echo.receivedAt } }), gives, wants, ...this.#limitsPart(echo !== undefined) }
+    const echoed = echo === undefined ? {} : { echo: { stamp: echo.stamp, heldMs: now - echo.receivedAt } }
+    const given = echo === undefined ? { gives: [] } : { ...this.#bookedPart(now), gives: this.#surplusOf(surplus, now) }
+    return { type: 'quota', stamp: now, ...echoed, ...given, wants, ...(demand.length === 0 ? {} : { demand }), ...this.#limitsPart(echo !== undefined) }
+  }
+
+  /** Takes what these teams don't need here, first of teams whose tokens other entries need. */
+  #surplusOf (accounts: Array<[team: string, account: TeamAccount]>, now: number): AgedTokens[] {
+    accounts.sort(([a], [b]) => Number(this.#teamsInNeed.has(b)) - Number(this.#teamsInNeed.has(a)))
+    return accounts.slice(0, maxTeamsGiven).flatMap(([team, account]) => account.takeSurplus().map(toAge(team, now)))
+  }
+
+  /** Tokens set aside for returning callers. */
+  #bookedPart (now: number): Pick<FrameOf<'quota'>, 'booked'> {
+    const booked: AgedTokens[] = []
+    for (const [team, account] of this.options.quotas.accounts) booked.push(...account.takeBooked().map(toAge(team, now)))
+    return booked.length === 0 ? {} : { booked }
   }
 
   /** The part of a frame about servers' limits. Without an echo nothing is given, as the bank can't bound the transit time. */
@@ -194,6 +203,8 @@
   }
 }
 
+const toAge = (team: string, now: number) => (slice: TokenSlice): AgedTokens => [team, slice.tokens, sliceAgeMs(slice, now)]
+
 /** Granted tokens by team or limit, on this process's clock. Their ages hold for the time of the answer, which is later than the stamp. */
 const slicesOf = (grants: readonly AgedTokens[], stamp: number, now: number): Map<string, TokenSlice[]> => {
   const byName = new Map<string, TokenSlice[]>()
--- /dev/null
+++ b/packages/fleet/src/entry/quotas/team-account.ts
@@ -0,0 +1,350 @@
+/**
+ * The tokens of one team's quota at this entry, the line of requests that wait for them, and the bookings of rejected requests.
+ *
+ * Load: a team sends several times its quota, from callers on few entries. The reserve follows the demand here, but never exceeds
+ * this entry's part of the quota, so that the entries don't compete by growing reserves.
+ */
+import { BookingSchedule, DecayingSum, TokenLine, claimRanks, demandReserve, waitMs, type Booking, type ClaimRank, type TokenClaim, type TokenSlice } from '@finchpitch/decisions'
+import { boottimeMs } from '../../clock.js'
+import { quotaBoundOf, type Limits } from '../../ports.js'
+import type { Quota } from '../../team.js'
+import { EarnedTokens } from './earned-tokens.js'
+
+/** Half-life of the average of the demand: it follows a surge within half a second, and single requests hardly count. */
+const demandHalfLifeMs = 500
+/** The reserve covers at least the entry's own share of the quota for this time: two exchanges. */
+const reserveMs = 500
+/** It requests tokens when it has less than this share of the reserve. As a result, most exchanges request none. */
+const lowWatermark = 0.5
+/** The reserve covers this many requests of average size. Otherwise most requests of a team with a small share would wait for an exchange. */
+const reserveRequests = 2
+/** Of the tokens earned within their lifetime, at most this share is kept for these requests: the other entries need the remainder, which expires if kept. */
+const maxReserveShare = 0.6
+/** Weight of a request in the moving average of request sizes. */
+const sizeWeight = 0.1
+/** A smaller surplus isn't worth giving away: an average request costs about 700 tokens. */
+const minGiven = 200
+/** After an exchange that brought too few tokens, the line triggers no further exchange for this long. */
+const shortageMs = 60
+/** Late callers get no tokens for this long after a shortage, in which others may need them who can still be in time. */
+const lateShortageMs = 1000
+/** A team that got at least this share of what it asked for isn't short: the rest may be a rounding error. */
+const satisfiedShare = 0.99
+/**
+ * The longest wait for the turn in the line: a quarter of the objective, and at most that of the shortest objective of streams. At
+ * its turn, a request may wait as long again for its own tokens: with one limit on both, large requests would be rejected more
+ * often than small ones. Most answers of the bank take 2 to 20 ms.
+ */
+const maxTurnMs = 150
+const maxTurnShare = 0.25
+/** Callers that are told a longer time than this share of their objective would be late, as they may have to wait again. */
+const bookedShare = 0.25
+/** Callers wait at most this share of their remaining time before they return. */
+const maxReturnShare = 1 / 3
+/** Tokens of due bookings are set aside for at most the entry's earnings of this time, in which those callers return. */
+const setAsideMs = 300
+/** The bank's figure of the demand at all entries counts for this long: four exchanges. */
+const totalDemandTtlMs = 1000
+
+/** What is known of the caller of a request. */
+export interface QuotaCaller {
+  /** It was rejected before. */
+  returning: boolean
+  /** It was rejected before, so long ago that it would be late. */
+  late: boolean
+  /** Milliseconds until it times out. */
+  remainingMs: number
+  /** Objective of its route. */
+  objectiveMs: number
+}
+
+const rankOf = ({ returning, late }: QuotaCaller): ClaimRank => {
+  if (!returning) return claimRanks.first
+  return late ? claimRanks.late : claimRanks.returning
+}
+
+/** Tokens that an entry lacks, and how many of them are for waiting requests of returning callers and of others. */
+export interface Shortfall { tokens: number, returning: number, waiting: number }
+
+/** A request in the line. `settle` is called with its tokens, or with `undefined` if it gets none in time. */
+export interface WaitingRequest extends TokenClaim {
+  settle: (slices: TokenSlice[] | undefined) => void
+}
+
+/** A caller of whom nothing is known. */
+export const unknownCaller: QuotaCaller = { returning: false, late: false, remainingMs: Infinity, objectiveMs: Infinity }
+
+export class TeamAccount {
+  readonly #tokens: EarnedTokens
+  readonly #line = new TokenLine<WaitingRequest>()
+  readonly #bookings = new BookingSchedule()
+  readonly #demand = new DecayingSum(demandHalfLifeMs)
+  readonly #granted = new DecayingSum(demandHalfLifeMs)
+  /** Moving average of the request sizes at this entry. */
+  #averageSize = 0
+  /** Demand at all entries as the bank last reported it. */
+  #totalDemand: { perSecond: number, at: number } | undefined
+  #bankAnswers = true
+  /** When an exchange last brought too few tokens. */
+  #shortageAt = -Infinity
+  /** Tokens of due bookings, which only returning callers get. */
+  #setAside = 0
+  #setAsideAt = -Infinity
+  #bookedGivenAt = -Infinity
+
+  /** `startedAt`: see `EarnedTokens`. */
+  constructor (private quota: Quota, limits: () => Limits, entries: () => number, startedAt?: number) {
+    this.#tokens = new EarnedTokens(quota, () => quotaBoundOf(limits()), entries, startedAt)
+  }
+
+  /** Called when the table changes. */
+  setQuota (quota: Quota): void {
+    this.quota = quota
+    this.#tokens.setRate(quota)
+  }
+
+  /** Counts the tokens that a request costs as demand. A returning caller's request has been counted before. */
+  recordDemand (tokens: number, returning = false): void {
+    this.#averageSize += (tokens - this.#averageSize) * sizeWeight
+    if (!returning) this.#demand.add(tokens, boottimeMs())
+  }
+
+  /** Takes exactly `tokens` if there are enough and no request is ahead in the line. */
+  take (tokens: number, caller = unknownCaller): TokenSlice[] | undefined {
+    const rank = rankOf(caller)
+    // A late caller gets none while tokens are short: a small request would find some left where a large one doesn't.
+    if (this.#line.tokensAhead(rank) > 0 || this.isPooling || (rank === claimRanks.late && this.#isShortForLate)) return undefined
+    return this.#takeInTurn(tokens, rank)
+  }
+
+  /** Takes exactly `tokens` for a request that has had its turn before. */
+  takeAgain (tokens: number): TokenSlice[] | undefined {
+    return this.#tokens.take(tokens)
+  }
+
+  /**
+   * Lets a request wait in the line for tokens. Returns whether it may: only if they are expected in time, or if that isn't known
+   * because the other entries may have some.
+   */
+  join (tokens: number, caller: QuotaCaller, settle: WaitingRequest['settle']): boolean {
+    const now = boottimeMs()
+    const rank = rankOf(caller)
+    const maxMs = Math.min(maxTurnMs, caller.objectiveMs * maxTurnShare)
+    const claim = { tokens, rank, turnBy: now + maxMs, servedBy: now + 2 * maxMs, settle }
+    if (rank === claimRanks.late && this.#isShortForLate) return false
+    if (this.isShort) {
+      const ahead = this.#line.tokensAhead(rank) - this.#availableFor(rank)
+      if (waitMs(ahead, this.#perSecond) > maxMs || waitMs(ahead + tokens, this.#ownPerSecond) > claim.servedBy - now) return false
+    }
+    this.#line.add(claim)
+    return true
+  }
+
+  get hasWaiting (): boolean {
+    return !this.#line.isEmpty
+  }
+
+  /** Tokens of the requests in the line. */
+  get tokensWaiting (): number {
+    return this.#line.tokens
+  }
+
+  get tokensBooked (): number {
+    return this.#bookings.tokens
+  }
+
+  /** Serves the line in order, and rejects requests that can't be served in time. */
+  updateLine (): void {
+    if (this.#line.isEmpty) return
+    if (!this.isPooling) this.#serveLine()
+    const available = this.#availableFor(claimRanks.first)
+    for (const claim of this.#line.removeLate(boottimeMs(), available, this.isShort ? { turn: this.#perSecond, own: this.#ownPerSecond } : unknownRates)) claim.settle(undefined)
+    if (!this.isPooling) this.#serveLine()
+  }
+
+  /** Time until the next exchange makes sense, or a request in the line is late. */
+  get nextUpdateMs (): number {
+    const now = boottimeMs()
+    return Math.max(1, Math.min(this.#shortageAt + shortageMs, this.#line.nextLateAt) - now)
+  }
+
+  /** Whether the other entries had too few tokens lately. */
+  get isShort (): boolean {
+    return boottimeMs() - this.#shortageAt < shortageMs
+  }
+
+  get #isShortForLate (): boolean {
+    return boottimeMs() - this.#shortageAt < lateShortageMs
+  }
+
+  /** The bank had too few tokens, or, if it has not `answered`, may have some but can't be asked. */
+  noteShortage (answered: boolean): void {
+    this.#shortageAt = boottimeMs()
+    this.#bankAnswers = answered
+  }
+
+  /** Books the tokens of a rejected request, if its caller returns when they are ready. */
+  book (tokens: number, { returning, remainingMs, objectiveMs }: QuotaCaller): Booking {
+    const now = boottimeMs()
+    this.#collectDue(now)
+    const lineTokens = this.#line.tokens - this.#availableFor(claimRanks.first)
+    // A caller that was rejected again does not return.
+    const maxMs = returning ? 0 : Math.min(remainingMs * maxReturnShare, objectiveMs * bookedShare)
+    return this.#bookings.book({ tokens, lineTokens, perSecond: this.#perSecond, maxMs }, now)
+  }
+
+  /** Adds tokens that belong to a request that was not sent. */
+  deposit (slices: readonly TokenSlice[]): void {
+    this.#tokens.addAll(slices)
+    if (!this.#line.isEmpty && !this.isPooling) this.#serveLine()
+  }
+
+  /** Adds tokens that other entries gave, and counts them for the estimate of when more are available. */
+  granted (slices: readonly TokenSlice[]): void {
+    for (const { tokens } of slices) this.#granted.add(tokens, boottimeMs())
+    this.#tokens.addAll(slices)
+    if (!this.#line.isEmpty) this.#serveLine()
+  }
+
+  /** Handles the bank's answer to a request for `asked` tokens. */
+  answered (asked: number, granted: number): void {
+    this.#bankAnswers = true
+    if (granted < asked * satisfiedShare) this.noteShortage(true)
+  }
+
+  /** The bank reports the demand at all entries while requests wait for tokens. */
+  noteTotalDemand (perSecond: number): void {
+    this.#totalDemand = { perSecond, at: boottimeMs() }
+  }
+
+  /** Whether reserved tokens have not expired. */
+  isValid (slices: readonly TokenSlice[]): boolean {
+    return slices.every(slice => slice.earnedAt >= this.#tokens.expiryCutoff)
+  }
+
+  /**
+   * Whether this entry gives all its tokens to the bank and asks for all that its line needs. While the demand exceeds the quota,
+   * waiting requests are thus served in order over all entries. If each entry used what it earns, small requests would find enough
+   * and larger ones would not.
+   */
+  get isPooling (): boolean {
+    return this.#isOverQuota && this.#bankAnswers
+  }
+
+  /** What this entry is short of, beside the tokens that it has unless it gives those away. */
+  shortfall (pooling: boolean): Shortfall {
+    this.#tokens.earn()
+    const available = pooling ? 0 : this.#tokens.total
+    const needed = this.#line.tokens
+    const missing = Math.max(0, needed - available)
+    const returning = Math.max(0, this.#line.tokensAhead(claimRanks.returning) - available)
+    const waiting = Math.max(0, this.#line.tokensAhead(claimRanks.first) - available) - returning
+    if (missing > 0 && this.isShort) return { tokens: missing, returning, waiting }
+    const reserve = this.#reserve
+    const tokens = available < Math.max(needed, reserve * lowWatermark) ? needed + reserve - available : 0
+    return { tokens, returning, waiting }
+  }
+
+  /** Tokens per second that callers ask for at this entry. */
+  get demand (): number {
+    return rateOf(this.#demand)
+  }
+
+  /**
+   * Takes the tokens above the reserve, the oldest first. The reserve thus stays young, and no tokens expire at an entry
+   * without demand.
+   */
+  takeSurplus (): TokenSlice[] {
+    this.#tokens.earn()
+    const surplus = this.#tokens.total - this.#reserve
+    return surplus < minGiven ? [] : this.#tokens.takeUpTo(surplus)
+  }
+
+  /**
+   * Takes the tokens set aside for callers that were told to return by now, as far as they were earned here: they return at other
+   * entries. Granted tokens stay, since the bank has served all returning callers first.
+   */
+  takeBooked (): TokenSlice[] {
+    const now = boottimeMs()
+    this.#collectDue(now)
+    if (this.#setAside === 0) return []
+    this.#tokens.earn()
+    const spare = this.#tokens.total - this.#line.tokensAhead(claimRanks.returning)
+    const tokens = Math.min(this.#setAside, spare, this.#earnedIn(now - this.#bookedGivenAt))
+    if (tokens <= 0) return []
+    this.#bookedGivenAt = now
+    this.#setAside = 0
+    return this.#tokens.takeUpTo(tokens)
+  }
+
+  #takeInTurn (tokens: number, rank: ClaimRank): TokenSlice[] | undefined {
+    this.#tokens.earn()
+    this.#collectDue(boottimeMs())
+    if (this.#availableFor(rank) < tokens) return undefined
+    if (rank === claimRanks.returning) this.#setAside = Math.max(0, this.#setAside - tokens)
+    return this.#tokens.take(tokens)
+  }
+
+  #serveLine (): void {
+    this.#line.serve(({ tokens, rank, settle }) => {
+      const slices = this.#takeInTurn(tokens, rank)
+      if (slices !== undefined) settle(slices)
+      return slices !== undefined
+    })
+  }
+
+  /** Tokens at hand for a request of this rank. */
+  #availableFor (rank: ClaimRank): number {
+    return rank === claimRanks.returning ? this.#tokens.total : Math.max(0, this.#tokens.total - this.#setAside)
+  }
+
+  /** Sets tokens of bookings aside whose time has come, and releases them when their callers have not returned. */
+  #collectDue (now: number): void {
+    const due = this.#bookings.takeDue(now)
+    if (due > 0) {
+      this.#setAside = Math.min(this.#setAside + due, this.#earnedIn(setAsideMs))
+      this.#setAsideAt = now
+    } else if (now - this.#setAsideAt > setAsideMs) this.#setAside = 0
+  }
+
+  #earnedIn (ms: number): number {
+    return this.#tokens.ownRate * Math.min(ms, setAsideMs) / 1000
+  }
+
+  /** Tokens per second that come in here. */
+  get #perSecond (): number {
+    const granted = rateOf(this.#granted)
+    return this.isPooling ? Math.max(this.#tokens.ownRate, granted) : this.#tokens.ownRate + granted
+  }
+
+  /** The rate at which the tokens of one request come in once its turn has come: the bank grants them at once. */
+  get #ownPerSecond (): number {
+    return this.#bankAnswers ? Infinity : this.#perSecond
+  }
+
+  /**
+   * Tokens to keep for this entry. Without demand, this is a part of its own share: if it were nothing, the first request of
+   * each team at each entry would have to wait for an exchange, and one side process would get 700 of those per second. While
+   * the demand exceeds the quota, nothing is kept: only small requests would find enough in a reserve, while larger ones wait.
+   */
+  get #reserve (): number {
+    const { ownRate, lifetimeMs } = this.#tokens
+    if (this.#isOverQuota) return 0
+    const requests = Math.min(reserveRequests * this.#averageSize, ownRate * lifetimeMs / 1000 * maxReserveShare)
+    return Math.max(demandReserve(this.quota.perSecond, { here: this.demand, total: this.#knownTotalDemand }), ownRate * reserveMs / 1000, requests)
+  }
+
+  /** Whether callers ask for more than the quota, over all entries. */
+  get #isOverQuota (): boolean {
+    return (this.#knownTotalDemand ?? 0) > this.quota.perSecond
+  }
+
+  get #knownTotalDemand (): number | undefined {
+    return this.#totalDemand !== undefined && boottimeMs() - this.#totalDemand.at < totalDemandTtlMs ? this.#totalDemand.perSecond : undefined
+  }
+}
+
+const unknownRates = { turn: Infinity, own: Infinity }
+
+/** Tokens per second. */
+const rateOf = (sum: DecayingSum): number => sum.at(boottimeMs()) * Math.LN2 / demandHalfLifeMs * 1000
--- a/packages/fleet/src/entry/serving/request-admission.ts
+++ b/packages/fleet/src/entry/serving/request-admission.ts
@@ -19,6 +19,9 @@
 /** The longest wait for a proof, as a fraction of the time that the caller has left. */
 const maxProofWaitShare = 0.2
 
+/** A returning caller that comes later than this share of its objective is served after those that can still be in time. */
+const lateShare = 0.75
+
 export interface RequestAdmissionOptions {
   facts: Facts
   names: HeaderNames
@@ -51,14 +54,17 @@
     }
   }
 
-  /** Reserves the quota that the request costs, once. If it isn't available, returns the estimated milliseconds until it is. */
-  async reserve ({ team }: Admission): Promise<number | undefined> {
+  /**
+   * Reserves the quota that the request costs, once. If it isn't available, returns the milliseconds after which the caller should
+   * retry. `firstTriedMs`: time since the caller's first attempt, 0 if this is the first.
+   */
+  async reserve ({ team, route }: Admission, firstTriedMs: number): Promise<number | undefined> {
     const { quotas } = this.options
     const known = this.#reservation
     if (team?.quota === undefined || known?.spent === true) return undefined
     if (known !== undefined && quotas.isValid(known, team)) return undefined
     this.release()
-    const reserved = await quotas.reserve(team, this.incoming.tokens)
+    const reserved = await quotas.reserve(team, this.incoming.tokens, { returning: firstTriedMs > 0, late: firstTriedMs > route.objectiveMs * lateShare, remainingMs: this.incoming.remainingMs, objectiveMs: route.objectiveMs })
     if (typeof reserved === 'number') return reserved
     this.#reservation = reserved
     return undefined
--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -153,10 +153,10 @@
     if (admission.type === 'denied') return this.#localReplies.deny(admission)
     const { route } = admission
     if (this.#incoming.hasInvalidModel) return this.#localReplies.end('bad_model')
-    const readyInMs = await this.#admission.reserve(admission)
+    this.#times.firstTriedMs = firstAttempts.agoMs(route.name, remainingMs)
+    const readyInMs = await this.#admission.reserve(admission, this.#times.firstTriedMs)
     if (readyInMs !== undefined) return this.#localReplies.overQuota(readyInMs)
     this.#times.deadline = this.#times.arrivedAt + Math.min(remainingMs, route.timeoutMs)
-    this.#times.firstTriedMs = firstAttempts.agoMs(route.name, remainingMs)
     const body = await this.#incoming.body(routes.table.limits.bodyBytes)
     if (body.isErr()) return body.error === 'too_large' ? this.#localReplies.end(body.error) : body.error
     this.#framer = route.kind === 'stream' && route.resumable ? new EventFramer() : undefined
@@ -175,7 +175,7 @@
       if (routes === undefined) return this.#giveUp('no_table')
       const admission = await this.#admit()
       if (admission.type === 'denied') return this.#mayHaveRun ? this.#localReplies.fail(502, admission.reason) : this.#localReplies.deny(admission)
-      const readyInMs = await this.#admission.reserve(admission)
+      const readyInMs = await this.#admission.reserve(admission, this.#times.firstTriedMs)
       if (readyInMs !== undefined) return this.#mayHaveRun ? this.#localReplies.fail(502, 'over_quota') : this.#localReplies.overQuota(readyInMs)
       // Such a request would crash any server, with all requests that run there. Of ten sent to four entries, all ten reached an
       // engine without this check, and two or three with it.
--- a/packages/fleet/src/side/quota-bank.ts
+++ b/packages/fleet/src/side/quota-bank.ts
@@ -2,14 +2,21 @@
  * Pools spare rate-limit tokens of some entries for entries that are short of them: tokens of teams' quotas, and requests under
  * limits that servers advertise.
  *
+ * Tokens for returning callers, which were rejected before, are granted first, over all entries. Tokens that entries set aside for
+ * such callers are held for them for a short time.
+ *
  * Entries choose the bank of a quota by rendezvous hashing, without coordination. If they disagree for a moment, tokens only
  * take longer to get where they are needed. Tokens carry their age and expire. Tokens whose transfer time can't be bounded are
  * taken as expired, and a bank starts empty after a restart.
  */
-import { ExpiringTokens, sliceAgeMs, type TokenSlice } from '@finchpitch/decisions'
-import type { FrameOf, AgedRequests, AgedTokens } from '@finchpitch/wire'
+import { ExpiringTokens, sliceAgeMs, totalTokens, type TokenSlice } from '@finchpitch/decisions'
+import type { FrameOf, AgedRequests, AgedTokens, TokenDemand } from '@finchpitch/wire'
 import { boottimeMs } from '../clock.js'
 
+/** Tokens set aside for returning callers are held for one to two times as long, in which callers return that were told the same time. */
+const holdMs = 200
+/** An entry's demand counts for this long. Entries report it four times per second while they lack tokens. */
+const demandTtlMs = 1000
 /** Lifetime of an unmet request for tokens. Entries repeat theirs every 250 ms while they need more. */
 const unmetTtlMs = 600
 /** Entries keep giving tokens of a team for this long after an entry last requested some. */
@@ -19,66 +26,157 @@
 /** Tolerance for rounding errors when fractions add up to a whole request. */
 const roundingTolerance = 1e-6
 
+/** Tokens that an entry lacks: for waiting requests of returning callers, for those of others, and for its reserve. */
+interface Shortfall { returning: number, waiting: number, reserve: number }
+
+const noShortfall: Shortfall = { returning: 0, waiting: 0, reserve: 0 }
+
 /** Tokens of one quota or one limit. */
 class Pool {
   readonly tokens = new ExpiringTokens()
-  /** For each entry, the tokens of its last request that were not granted, and the time of that request. */
-  readonly #unmet = new Map<string, { tokens: number, at: number }>()
+  /** Tokens set aside for returning callers: those of this period and of the one before. */
+  #held = new ExpiringTokens()
+  #heldBefore = new ExpiringTokens()
+  #heldSince = -Infinity
+  /** For each entry, what was not granted of its last request, and the time of that request. */
+  readonly #unmet = new Map<string, Shortfall & { at: number }>()
+  /** For each entry, its demand in tokens per second, and when it reported that. */
+  readonly #demand = new Map<string, { perSecond: number, at: number }>()
   askedAt = -Infinity
   usedAt = boottimeMs()
 
+  /** Holds tokens for returning callers. */
+  hold (tokens: number, earnedAt: number): void {
+    this.#releaseHeld(-Infinity)
+    this.#held.add(tokens, earnedAt)
+  }
+
+  /** Takes up to `tokens` of those held for returning callers, earned after `since`. */
+  takeHeld (tokens: number, since: number): TokenSlice[] {
+    this.#releaseHeld(since)
+    const taken = this.#heldBefore.takeUpTo(tokens, since)
+    return [...taken, ...this.#held.takeUpTo(tokens - totalTokens(taken), since)]
+  }
+
   /**
-   * How many of the `tokens` that an entry requests it may get from those earned after `since`. The stock is divided in
-   * proportion to the unmet requests of all entries.
+   * How many of the tokens that an entry requests it may get from those earned after `since`. Waiting requests are served in the
+   * order in which their entries ran short, first those of returning callers: if each entry got a part, large requests would
+   * wait for theirs at all entries at once. For reserves, the rest is divided in proportion to the unmet requests.
    */
-  share (entry: string, tokens: number, since: number): number {
+  share (entry: string, wanted: Shortfall, since: number): number {
     const now = boottimeMs()
     this.askedAt = now
-    return Math.min(tokens, this.tokens.total(since) * tokens / (tokens + this.#unmetOfOthers(entry, now)))
+    const { ahead, all } = this.#unmetOfOthers(entry, now)
+    const stock = this.tokens.total(since)
+    const returning = between(0, wanted.returning, stock - ahead.returning)
+    const waiting = between(0, wanted.waiting, stock - returning - all.returning - ahead.waiting)
+    const spare = Math.max(0, stock - returning - waiting - all.returning - all.waiting)
+    const reserve = wanted.reserve === 0 ? 0 : Math.min(wanted.reserve, spare * wanted.reserve / (wanted.reserve + all.reserve))
+    return returning + waiting + reserve
+  }
+
+  /** An entry whose waiting requests are all served loses its place in the order. */
+  noteUnmet (entry: string, wanted: Shortfall, granted: number): void {
+    const returning = Math.max(0, wanted.returning - granted)
+    const waiting = Math.max(0, wanted.waiting - Math.max(0, granted - wanted.returning))
+    const reserve = Math.max(0, wanted.returning + wanted.waiting + wanted.reserve - granted - returning - waiting)
+    if (returning + waiting === 0 || !isWaiting(this.#unmet.get(entry))) this.#unmet.delete(entry)
+    this.#unmet.set(entry, { returning, waiting, reserve, at: boottimeMs() })
   }
 
-  noteUnmet (entry: string, tokens: number): void {
-    this.#unmet.set(entry, { tokens, at: boottimeMs() })
+  /** The entry has requested nothing more. */
+  clearUnmet (entry: string): void {
+    this.#unmet.delete(entry)
   }
 
-  #unmetOfOthers (entry: string, now: number): number {
+  noteDemand (entry: string, perSecond: number): void {
+    this.#demand.set(entry, { perSecond, at: boottimeMs() })
+  }
+
+  /** The demand at all entries that lately lacked tokens, in tokens per second. */
+  get demand (): number {
+    const now = boottimeMs()
     let sum = 0
-    for (const [each, { tokens, at }] of this.#unmet) {
-      if (now - at > unmetTtlMs) this.#unmet.delete(each)
-      else if (each !== entry) sum += tokens
+    for (const [entry, { perSecond, at }] of this.#demand) {
+      if (now - at > demandTtlMs) this.#demand.delete(entry)
+      else sum += perSecond
     }
     return sum
   }
+
+  /** Callers that have not returned by now don't return, so the tokens held for them are for anybody. */
+  #releaseHeld (since: number): void {
+    const now = boottimeMs()
+    if (now - this.#heldSince < holdMs) return
+    this.tokens.addAll(this.#heldBefore.takeUpTo(Infinity, since))
+    if (now - this.#heldSince >= 2 * holdMs) this.tokens.addAll(this.#held.takeUpTo(Infinity, since))
+    ;[this.#held, this.#heldBefore] = [this.#heldBefore, this.#held]
+    this.#heldSince = now
+  }
+
+  /** Whether some entry has waiting requests whose tokens were not granted. */
+  isShort (now: number): boolean {
+    for (const unmet of this.#unmet.values()) if (isWaiting(unmet) && now - unmet.at < unmetTtlMs) return true
+    return false
+  }
+
+  /** What other entries lack: those that ran short before this one, and all of them. */
+  #unmetOfOthers (entry: string, now: number): { ahead: Shortfall, all: Shortfall } {
+    const all = { ...noShortfall }
+    let ahead: Shortfall | undefined
+    for (const [each, unmet] of this.#unmet) {
+      if (each === entry) ahead = isWaiting(unmet) ? { ...all } : undefined
+      else if (now - unmet.at > unmetTtlMs) this.#unmet.delete(each)
+      else {
+        all.returning += unmet.returning
+        all.waiting += unmet.waiting
+        all.reserve += unmet.reserve
+      }
+    }
+    return { ahead: ahead ?? all, all }
+  }
 }
 
+const isWaiting = (unmet: Shortfall | undefined): boolean => unmet !== undefined && unmet.returning + unmet.waiting > 0
+
+const between = (min: number, max: number, value: number): number => Math.max(min, Math.min(max, value))
+
 export class QuotaBank {
   readonly #teamPools = new Map<string, Pool>()
   readonly #limitPools = new Map<string, Pool>()
 
   /** Adds the tokens that an entry gives, and answers its requests with grants. */
-  exchange (entry: string, { stamp, echo, gives, wants, servers }: FrameOf<'quota'>, lifetimeOf: (team: string) => number | undefined): FrameOf<'quota_grant'> {
+  exchange (entry: string, { stamp, echo, gives, booked, wants, demand, servers }: FrameOf<'quota'>, lifetimeOf: (team: string) => number | undefined): FrameOf<'quota_grant'> {
     const now = boottimeMs()
     if (echo !== undefined) {
       // The frame was sent after the echoed answer had arrived, so this bounds the time that it was in transit.
       const maxTransitMs = Math.max(0, now - (echo.stamp + echo.heldMs))
       for (const [team, tokens, ageMs] of gives) poolOf(this.#teamPools, team).tokens.add(tokens, now - ageMs - maxTransitMs)
+      for (const [team, tokens, ageMs] of booked ?? []) poolOf(this.#teamPools, team).hold(tokens, now - ageMs - maxTransitMs)
       for (const [limit, requests, ageMs] of servers?.gives ?? []) poolOf(this.#limitPools, limit).tokens.add(requests, now - ageMs - maxTransitMs)
     }
+    for (const [team, perSecond] of demand ?? []) poolOf(this.#teamPools, team).noteDemand(entry, perSecond)
+    const teams = new Set(wants.map(([team]) => team))
+    for (const [team, pool] of this.#teamPools) if (!teams.has(team)) pool.clearUnmet(entry)
     const grants: AgedTokens[] = []
-    for (const [team, tokens] of wants) {
+    for (const [team, tokens, returning = 0, waiting = 0] of wants) {
       const lifetimeMs = lifetimeOf(team)
-      if (lifetimeMs !== undefined) grants.push(...this.#grantTokens(entry, team, tokens, now - lifetimeMs))
+      if (lifetimeMs === undefined) continue
+      grants.push(...this.#grantTokens(entry, team, { returning, waiting, reserve: Math.max(0, tokens - returning - waiting) }, now - lifetimeMs))
     }
     const requests = servers?.wants.flatMap(([limit, count, lifetimeMs]) => this.#grantRequests(entry, limit, count, now - lifetimeMs))
     this.#removeIdleLimits(now)
-    return { type: 'quota_grant', stamp, bankStamp: now, grants, needed: this.#teamsInNeed(now), ...(requests === undefined ? {} : { servers: requests }) }
+    const totals = this.#demandOfShortTeams(now)
+    return { type: 'quota_grant', stamp, bankStamp: now, grants, needed: this.#teamsInNeed(now), ...(totals.length === 0 ? {} : { demand: totals }), ...(requests === undefined ? {} : { servers: requests }) }
   }
 
-  #grantTokens (entry: string, team: string, tokens: number, since: number): AgedTokens[] {
+  #grantTokens (entry: string, team: string, wanted: Shortfall, since: number): AgedTokens[] {
     const pool = poolOf(this.#teamPools, team)
-    const part = pool.share(entry, tokens, since)
-    pool.noteUnmet(entry, tokens - part)
-    return pool.tokens.takeUpTo(part, since).map(toAge(team))
+    const held = pool.takeHeld(wanted.returning, since)
+    const rest = { ...wanted, returning: wanted.returning - totalTokens(held) }
+    const part = pool.share(entry, rest, since)
+    pool.noteUnmet(entry, rest, part)
+    return [...held, ...pool.tokens.takeUpTo(part, since)].map(toAge(team))
   }
 
   /**
@@ -87,9 +185,10 @@
    */
   #grantRequests (entry: string, limit: string, count: number, since: number): AgedRequests[] {
     const pool = poolOf(this.#limitPools, limit)
-    const share = Math.max(1, Math.floor(pool.share(entry, count, since)))
+    const wanted = { ...noShortfall, reserve: count }
+    const share = Math.max(1, Math.floor(pool.share(entry, wanted, since)))
     const whole = Math.min(count, share, Math.floor(pool.tokens.total(since) + roundingTolerance))
-    pool.noteUnmet(entry, count - whole)
+    pool.noteUnmet(entry, wanted, whole)
     return pool.tokens.takeUpTo(whole, since).map(toAge(limit))
   }
 
@@ -99,6 +198,13 @@
     return needed
   }
 
+  /** The total demand of each team with requests that wait for tokens. */
+  #demandOfShortTeams (now: number): TokenDemand[] {
+    const totals: TokenDemand[] = []
+    for (const [team, pool] of this.#teamPools) if (pool.isShort(now)) totals.push([team, pool.demand])
+    return totals
+  }
+
   #removeIdleLimits (now: number): void {
     for (const [limit, { usedAt }] of this.#limitPools) if (now - usedAt > limitTtlMs) this.#limitPools.delete(limit)
   }
--- a/packages/wire/src/fast-validation.ts
+++ b/packages/wire/src/fast-validation.ts
@@ -35,7 +35,9 @@
 const completeFields = Object.keys(complete)
 
 const isTeam: Check = value => typeof value === 'string' && value.length <= maxTeamNameLength
-const isTokenWant: Check = value => Array.isArray(value) && value.length === 2 && isTeam(value[0]) && isNonNegative(value[1])
+const isTokenWant: Check = value => Array.isArray(value) && (value.length === 2 || (value.length === 4 && isNonNegative(value[2]) && isNonNegative(value[3]))) && isTeam(value[0]) && isNonNegative(value[1])
+const isTokenDemand: Check = value => Array.isArray(value) && value.length === 2 && isTeam(value[0]) && isNonNegative(value[1])
+const isTokenDemandArray: Check = value => Array.isArray(value) && value.every(isTokenDemand)
 const isAgedTokens: Check = value => Array.isArray(value) && value.length === 3 && isTeam(value[0]) && isNonNegative(value[1]) && isNonNegative(value[2])
 const isAgedTokensArray: Check = value => Array.isArray(value) && value.every(isAgedTokens)
 const echo: Record<string, Check> = { stamp: Number.isFinite, heldMs: isNonNegative }
@@ -115,14 +117,17 @@
     stamp: Number.isFinite,
     echo: value => isPlainObject(value) && fits(value, echo, echoFields),
     gives: isAgedTokensArray,
-    wants: value => Array.isArray(value) && value.every(isTokenWant)
+    wants: value => Array.isArray(value) && value.every(isTokenWant),
+    booked: isAgedTokensArray,
+    demand: isTokenDemandArray
   },
   quota_grant: {
     type: value => value === 'quota_grant',
     stamp: Number.isFinite,
     bankStamp: Number.isFinite,
     grants: isAgedTokensArray,
-    needed: value => Array.isArray(value) && value.every(isTeam)
+    needed: value => Array.isArray(value) && value.every(isTeam),
+    demand: isTokenDemandArray
   }
 } satisfies { [Type in Frame['type']]?: Shape<Type> }
 
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -128,6 +128,14 @@
 export const AgedTokens = z.tuple([z.string().max(maxTeamNameLength), z.number().nonnegative(), z.number().nonnegative()])
 export type AgedTokens = z.infer<typeof AgedTokens>
 
+/** Quota tokens that an entry lacks: the team, the number of tokens, and how many of them are for waiting requests of returning callers and of others. */
+export const TokenShortfall = z.tuple([z.string().max(maxTeamNameLength), z.number().nonnegative(), z.number().nonnegative().optional(), z.number().nonnegative().optional()])
+export type TokenShortfall = z.infer<typeof TokenShortfall>
+
+/** Tokens per second of a team's quota that callers ask for. */
+export const TokenDemand = z.tuple([z.string().max(maxTeamNameLength), z.number().nonnegative()])
+export type TokenDemand = z.infer<typeof TokenDemand>
+
 /** Maximum length of the id of a server incarnation together with the limit that it states. */
 export const maxServerLimitLength = maxIncarnationLength + 30
 const ServerLimit = z.string().max(maxServerLimitLength)
@@ -196,7 +204,11 @@
     stamp: z.number(),
     echo: z.object({ stamp: z.number(), heldMs: z.number().nonnegative() }).optional(),
     gives: z.array(AgedTokens),
-    wants: z.array(z.tuple([z.string().max(maxTeamNameLength), z.number().nonnegative()])),
+    wants: z.array(TokenShortfall),
+    /** Tokens set aside for callers that were told to return by now, at whichever entry they arrive. */
+    booked: z.array(AgedTokens).optional(),
+    /** The demand at the sender, for teams in `wants`. */
+    demand: z.array(TokenDemand).optional(),
     /** The same for requests to servers that state a limit. */
     servers: z.object({ gives: z.array(AgedRequests), wants: z.array(RequestShortfall).max(maxLimitsPerFrame) }).optional()
   }),
@@ -207,6 +219,8 @@
     bankStamp: z.number(),
     grants: z.array(AgedTokens),
     needed: z.array(z.string().max(maxTeamNameLength)),
+    /** The demand at all entries that lately lacked tokens, for teams with requests that wait for some. */
+    demand: z.array(TokenDemand).optional(),
     servers: z.array(AgedRequests).optional()
   }),
   /**
