--- a/packages/fleet/src/engine-mirror.ts
+++ b/packages/fleet/src/engine-mirror.ts
@@ -15,7 +15,7 @@
 const noticeTimeoutMs = 1000
 
 /** The state before the first update. */
-const initialFields = { server: undefined, bornAt: undefined, leaving: false, reachable: false, lost: false, waiting: 0, running: 0, unread: 0, entries: 0, strangers: 0 }
+const initialFields = { server: undefined, bornAt: undefined, leaving: false, reachable: false, lost: false, waiting: 0, running: 0, unread: 0, room: undefined, slotMs: 0, entries: 0, strangers: 0 }
 
 /** The loaded models and adapters by key, each with its version. */
 export type LoadedVersions = ReadonlyMap<string, number>
@@ -47,6 +47,10 @@
   running = 0
   /** Prompt tokens sent by all entries that the engine has not prefilled yet. */
   unread = 0
+  /** Adapters that the engine could load now; `undefined` until its side process has reported it. */
+  room: number | undefined
+  /** Expected time in ms until one more demand gets a slot, while there is no room. */
+  slotMs = 0
   /** Entries in the engine's failure domain that are connected to its side process. */
   entries = 0
   /** Entries in other failure domains that subscribe to its updates directly, without a relay. */
@@ -80,6 +84,8 @@
     this.waiting = frame.waiting ?? before.waiting
     this.running = frame.running ?? before.running
     this.unread = frame.unread ?? before.unread
+    this.room = frame.room ?? before.room
+    this.slotMs = frame.slotMs ?? before.slotMs
     this.entries = frame.entries ?? before.entries
     this.strangers = frame.strangers ?? before.strangers
     this.fence = Math.max(this.fence, frame.fence ?? 0)
--- a/packages/fleet/src/entry/entry-process.ts
+++ b/packages/fleet/src/entry/entry-process.ts
@@ -177,6 +177,7 @@
     this.counters.gauge('finchpitch_requests_running', 'Requests in progress.', () => this.#running)
     this.counters.gauge('finchpitch_requests_waiting', 'Requests waiting at the entry.', () => this.#queue.size)
     this.counters.gauge('finchpitch_servers_resting', 'Backend servers that asked this entry to back off.', () => this.#balancer.serversInBackoff)
+    this.counters.gauge('finchpitch_engines_without_room', 'Engines that could load no further adapter.', () => this.#balancer.enginesWithoutRoom)
     this.counters.gauge('finchpitch_servers_limited', 'Backend servers that advertise a rate limit.', () => this.#serverLimits.size)
     this.counters.gauge('finchpitch_side_processes_connected', 'Side processes connected.', () => this.#sideLinks.connectedCount)
     this.counters.gauge('finchpitch_store_watched', 'Whether this entry watches the platform\'s store.', () => Number(this.#storeWatch.watching))
--- a/packages/fleet/src/entry/peers/side-link.ts
+++ b/packages/fleet/src/entry/peers/side-link.ts
@@ -46,7 +46,19 @@
   onFrame: (frame: Frame, channel: Channel) => void
 }
 
-type LoadRequest = Omit<FrameOf<'want'>, 'type'>
+/**
+ * The last report of an engine may have been made before a load request arrived that was sent this long before it: reports of
+ * remote engines are batched on their way.
+ */
+const reportLagMs = { local: 5, remote: 250 }
+
+type LoadRequest = Omit<FrameOf<'want'>, 'type' | 'keep'> & { keep: boolean }
+
+type SentRequest = LoadRequest & { at: number }
+
+/** Whether a demand that waits for a slot has become so much more urgent that its place in the queue changes. */
+const ranksHigher = (request: LoadRequest, before: LoadRequest): boolean =>
+  request.keep && (request.priority < before.priority || request.waiting >= 2 * before.waiting)
 
 export class SideLink {
   #channel: Channel | undefined
@@ -57,8 +69,8 @@
   #unansweredSince = Infinity
   /** Prompt tokens that the engine has not prefilled yet, as last reported. */
   #reportedUnread = 0
-  /** When each adapter was last requested, by key. */
-  readonly #requested = new Map<string, number>()
+  /** The last request for each adapter, by key. */
+  readonly #requested = new Map<string, SentRequest>()
   /** When each adapter was last declined, by key. */
   readonly #declined = new Map<string, number>()
   /** Load requests made before the channel was open. */
@@ -143,14 +155,42 @@
 
   /** Whether the adapter was requested recently, so that the engine will probably load it. */
   isLoadRequested (key: string): boolean {
-    return nowMs() - (this.#requested.get(key) ?? -Infinity) < loadRequestRepeatMs
+    return this.#recentRequest(key)?.keep === false
+  }
+
+  /** Whether the adapter was requested recently although the engine has no room, so that the request waits for a slot there. */
+  isLoadQueued (key: string): boolean {
+    return this.#recentRequest(key)?.keep === true
+  }
+
+  #recentRequest (key: string): SentRequest | undefined {
+    const request = this.#requested.get(key)
+    return request !== undefined && nowMs() - request.at < loadRequestRepeatMs ? request : undefined
+  }
+
+  /** Number of loads that were requested and that a report which arrived at `reportedAt` may not include. */
+  loadsRequestedSince (reportedAt: number): number {
+    const since = reportedAt - (this.isLocal ? reportLagMs.local : reportLagMs.remote)
+    let count = 0
+    for (const { at, keep } of this.#requested.values()) if (!keep && at > since) count += 1
+    return count
+  }
+
+  /** Withdraws a request that waits for a slot. */
+  withdraw (key: string): void {
+    const request = this.#requested.get(key)
+    if (request?.keep !== true) return
+    this.#requested.delete(key)
+    this.#queuedRequests.delete(key)
+    this.#channel?.send({ type: 'want', key, waiting: 0, priority: request.priority })
   }
 
   /** Asks the side process to load an adapter, unless it was asked recently. Returns whether it was asked now. */
   requestLoad (request: LoadRequest): boolean {
     const now = nowMs()
-    if (this.isLoadRequested(request.key)) return false
-    this.#requested.set(request.key, now)
+    const recent = this.#recentRequest(request.key)
+    if (recent !== undefined && recent.keep === request.keep && !ranksHigher(request, recent)) return false
+    this.#requested.set(request.key, { ...request, at: now })
     this.#unansweredSince = Math.min(this.#unansweredSince, now)
     this.#lastUsedAt = now
     this.#connect()
@@ -189,7 +229,7 @@
   /** Closes the channel if it is dead or no longer needed, and drops expired entries. */
   check (): void {
     const now = nowMs()
-    for (const [key, at] of this.#requested) if (now - at > deadChannelMs) this.#requested.delete(key)
+    for (const [key, { at }] of this.#requested) if (now - at > deadChannelMs) this.#requested.delete(key)
     for (const [key, at] of this.#declined) if (now - at > declineBackoffMs) this.#declined.delete(key)
     if (now - this.#unansweredSince > deadChannelMs) {
       this.#unansweredSince = Infinity
--- a/packages/fleet/src/entry/peers/side-links.ts
+++ b/packages/fleet/src/entry/peers/side-links.ts
@@ -54,6 +54,16 @@
   onAppointmentsChange: () => void
 }
 
+/** A demand for an adapter, for which `waiting` requests wait; `priority` is the rank of the most urgent one. */
+export interface LoadDemand {
+  key: string
+  waiting: number
+  priority: number
+  version: number | undefined
+  /** The engine has no room, so the demand waits for a slot. */
+  keep: boolean
+}
+
 /** An engine, with the link to its side process and a copy of its state. */
 interface LinkedEngine {
   domain: string
@@ -70,6 +80,8 @@
   #usesTimer: NodeJS.Timeout | undefined
   /** Servers whose adapter use has changed since the last report. */
   readonly #changedUses = new Set<string>()
+  /** Hosts of the engines at which this entry's demands wait for a slot, by key. */
+  readonly #queuedAt = new Map<string, string>()
 
   constructor (private readonly options: SideLinksOptions) {
     this.#sources = new UpdateSources(options.log)
@@ -164,20 +176,49 @@
     return this.#linkedEngine(engine)?.link.isLoadRequested(key) === true
   }
 
+  /** Whether a demand for the adapter waits for a slot of the engine. */
+  isLoadQueued (engine: BackendServer, key: string): boolean {
+    return this.#linkedEngine(engine)?.link.isLoadQueued(key) === true
+  }
+
+  /** Number of loads requested from the engine that a report which arrived at `reportedAt` may not include. */
+  loadsRequestedSince (engine: BackendServer, reportedAt: number): number {
+    return this.#linkedEngine(engine)?.link.loadsRequestedSince(reportedAt) ?? 0
+  }
+
+  /** Withdraws the demand for the adapter that waits for a slot, unless it waits at `exceptHost`. */
+  withdraw (key: string, exceptHost?: string): void {
+    const host = this.#queuedAt.get(key)
+    if (host === undefined || host === exceptHost) return
+    this.#queuedAt.delete(key)
+    this.#engines.get(host)?.link.withdraw(key)
+  }
+
   /** Whether the engine probably still caches the adapter after unloading it. */
   warm (engine: BackendServer, key: string): boolean {
     return this.#linkedEngine(engine)?.mirror.warm.version(key) !== undefined
   }
 
-  /** Asks the engine's side process to load the adapter, unless it was asked recently. `waiting`: how many requests wait for it. */
-  requestLoad (engine: BackendServer, key: string, waiting: number, priority: number, version: number | undefined): void {
-    const request = { key, waiting, priority, ...(version === undefined ? {} : { version }) }
-    if (this.#linkedEngine(engine)?.link.requestLoad(request) !== true) return
-    this.options.log.info('adapter.wanted', { key, server: engine.id, waiting, priority })
+  /**
+   * Asks the engine's side process to load the adapter, unless it was asked recently. `waiting`: how many requests wait for it.
+   * `keep`: the engine has no room, so the demand waits for a slot. A demand that waits at another engine is withdrawn.
+   */
+  requestLoad (engine: BackendServer, { key, waiting, priority, version, keep }: LoadDemand): void {
+    const host = hostOf(engine.address)
+    const request = { key, waiting, priority, keep, ...(version === undefined ? {} : { version }) }
+    if (this.#engines.get(host)?.link.requestLoad(request) !== true) return
+    this.withdraw(key, host)
+    if (keep) this.#queuedAt.set(key, host)
+    else this.#queuedAt.delete(key)
+    this.options.log.info('adapter.wanted', { key, server: engine.id, waiting, priority, keep })
   }
 
-  /** Schedules a report to the side process of a server at which requests were started, got their first byte or ended. */
-  scheduleUsesReport (id: string): void {
+  /**
+   * Schedules a report to the side process of a server at which requests were started, got their first byte or ended. `urgent`: a
+   * demand may wait there for the slot of an adapter whose last use has ended, so the report is sent at once.
+   */
+  scheduleUsesReport (id: string, urgent = false): void {
+    if (urgent) return this.#sendUsesAtOnce(id)
     this.#changedUses.add(id)
     this.#usesTimer ??= setTimeout(() => this.#sendChangedUses(), usesDelayMs)
   }
@@ -190,6 +231,7 @@
       if (full) {
         this.#sendAllUses()
         for (const { link } of this.#engines.values()) link.check()
+        this.#dropExpiredDemands()
       }
       const hosts = this.#sourceHosts()
       this.#selectSources(hosts)
@@ -197,6 +239,11 @@
     }
   }
 
+  /** Forgets demands that are no longer repeated: their requests have ended or wait elsewhere. */
+  #dropExpiredDemands (): void {
+    for (const [key, host] of this.#queuedAt) if (this.#engines.get(host)?.link.isLoadQueued(key) !== true) this.#queuedAt.delete(key)
+  }
+
   close (): void {
     clearTimeout(this.#usesTimer)
     for (const { link } of this.#engines.values()) link.close()
@@ -216,6 +263,12 @@
     this.#changedUses.clear()
   }
 
+  #sendUsesAtOnce (id: string): void {
+    this.#changedUses.delete(id)
+    const server = this.options.facts.servers.get(id)
+    if (server !== undefined) this.#sendUses(server, false)
+  }
+
   #sendAllUses (): void {
     clearTimeout(this.#usesTimer)
     this.#usesTimer = undefined
@@ -295,7 +348,7 @@
     const engine = this.#engines.get(frame.host)
     if (engine === undefined || this.#sources.sourceOf(frame.host) !== source) return
     engine.mirror.apply(frame)
-    engine.link.held(Object.keys(frame.came ?? {}))
+    this.#handleHeld(frame.host, engine.link, Object.keys(frame.came ?? {}))
     this.#applyReport(frame.host, engine)
     if (frame.came !== undefined) this.options.onEngineChange(Object.keys(frame.came))
   }
@@ -305,21 +358,30 @@
     const engine = this.#engines.get(host)
     if (engine === undefined) return
     engine.mirror.recordLoaded(key, version)
-    engine.link.held([key])
+    this.#handleHeld(host, engine.link, [key])
     const server = this.#serverAt(host, engine.mirror.server)
     if (server !== undefined) this.options.states.updateHeld(server.id, engine.mirror.held)
     this.options.onEngineChange([key])
   }
 
+  /** Demands for these keys that wait at other engines are withdrawn. */
+  #handleHeld (host: string, link: SideLink, keys: readonly string[]): void {
+    link.held(keys)
+    for (const key of keys) {
+      this.withdraw(key, host)
+      this.#queuedAt.delete(key)
+    }
+  }
+
   /** Applies the engine's copied state to the state that servers are selected by. */
   #applyReport (host: string, { link, mirror }: LinkedEngine): void {
     const server = this.#serverAt(host, mirror.server)
     if (server === undefined) return
-    const { reachable, held, coming, waiting, running, unread, bornAt, leaving } = mirror
+    const { reachable, held, coming, waiting, running, unread, room, slotMs, bornAt, leaving } = mirror
     if (leaving && mirror.server === server.id) this.options.facts.markDraining({ id: server.id, bornAt }, `the side process at ${host}`)
     // The report includes this entry's own requests, whose unprefilled tokens the entry itself counts, and more precisely.
     const othersUnread = Math.max(0, unread - link.reportedUnread)
-    this.options.states.applyReport(server.id, { at: nowMs(), reachable, held, coming: new Set(coming), waiting, running, unread: othersUnread }, bornAt)
+    this.options.states.applyReport(server.id, { at: nowMs(), reachable, held, coming: new Set(coming), waiting, running, unread: othersUnread, room, slotMs }, bornAt)
   }
 
   /** The engine that an update is about: the one with the id that it gives, or else the last one listed at its host. */
--- a/packages/fleet/src/entry/servers/balancer.ts
+++ b/packages/fleet/src/entry/servers/balancer.ts
@@ -16,7 +16,7 @@
 import type { SideLinks } from '../peers/side-links.js'
 
 /** The operations on side process connections that the balancer uses. */
-export type AdapterPlacement = Pick<SideLinks, 'canRequestLoad' | 'warm' | 'isLoadRequested' | 'requestLoad' | 'scheduleUsesReport'>
+export type AdapterPlacement = Pick<SideLinks, 'canRequestLoad' | 'warm' | 'isLoadRequested' | 'isLoadQueued' | 'loadsRequestedSince' | 'requestLoad' | 'withdraw' | 'scheduleUsesReport'>
 
 /**
  * A prompt is taken as uncontended, so that its prefill time is its own, if the tokens still to be prefilled ahead of it are fewer
@@ -57,7 +57,7 @@
 }
 
 export class Balancer {
-  readonly states = new ServerStates(id => this.links().scheduleUsesReport(id))
+  readonly states = new ServerStates((id, urgent) => this.links().scheduleUsesReport(id, urgent))
   /** Prefill rate over all engines, from prompts with few tokens to prefill ahead of them. */
   readonly prefillRate = new PrefillRate()
   /** Servers in backoff, or whose concurrency still ramps up after one. */
@@ -210,10 +210,30 @@
     return tokens * this.prefillRate.msPerToken(nowMs())
   }
 
-  /** Asks the side process of engine `ask` to load the key. `waiting`: how many requests wait for it. */
+  /**
+   * Asks the side process of engine `ask` to load the key. `waiting`: how many requests wait for it. An engine without room keeps the
+   * demand until a slot is free, as this entry withdraws it once another engine can load the key sooner.
+   */
   requestLoad (ask: string, key: string, waiting: number, priority: number): void {
     const engine = this.facts.servers.get(ask)
-    if (engine !== undefined) this.links().requestLoad(engine, key, waiting, priority, this.facts.version(key)?.version)
+    if (engine === undefined) return
+    this.links().requestLoad(engine, { key, waiting, priority, version: this.facts.version(key)?.version, keep: this.#room(engine) === 0 })
+  }
+
+  /** Withdraws a demand for the key that waits for a slot, when no request waits for it any more. */
+  withdrawDemand (key: string): void {
+    this.links().withdraw(key)
+  }
+
+  /** Number of engines that could load no further adapter. */
+  get enginesWithoutRoom (): number {
+    return [...this.facts.servers.values()].filter(server => this.#room(server) === 0).length
+  }
+
+  /** Adapters that the engine could load, less those requested from it since it reported; `undefined` if it has not. */
+  #room (engine: BackendServer): number | undefined {
+    const report = this.states.get(engine.id)?.engineReport
+    return report?.room === undefined ? undefined : Math.max(0, report.room - this.links().loadsRequestedSince(engine, report.at))
   }
 
   /** The version of the key that an engine holds; `undefined` if it holds none that may still be used. */
@@ -237,7 +257,7 @@
     const oldestVersion = this.#oldestUsableVersion(key, now)
     const avoidLimited = !this.serverLimits.isEmpty && servers.some(server => this.serverLimits.state(server) === undefined)
     const candidates = servers.map(server => this.#engineCandidate(server, key, selection, { now, oldestVersion, avoidLimited }))
-    return { candidates, domain: this.domain, key, timeToObjectiveMs: selection.timeToObjectiveMs }
+    return { candidates, domain: this.domain, key, timeToObjectiveMs: selection.timeToObjectiveMs, adapterSlots: selection.service.engine?.adapterSlots }
   }
 
   /** The oldest version of the key that may be used. */
@@ -269,6 +289,7 @@
     const { engineReport } = state
     const links = this.links()
     const limits = this.serverLimits
+    const room = (): number | undefined => this.#room(server)
     return {
       id: server.id,
       hash: state.hash,
@@ -280,6 +301,9 @@
       holds: (engineReport?.held.get(key) ?? -1) >= oldestVersion,
       expectedMs: state.expectedMs(promptTokens, priority, now),
       get coming () { return engineReport?.coming.has(key) === true || links.isLoadRequested(server, key) },
+      get queued () { return links.isLoadQueued(server, key) },
+      get room () { return room() },
+      slotMs: engineReport?.slotMs ?? 0,
       get warm () { return links.warm(server, key) },
       get canRequestLoad () { return !(avoidLimited && limits.state(server) !== undefined) && links.canRequestLoad(server, key) }
     }
--- a/packages/fleet/src/entry/servers/choice.ts
+++ b/packages/fleet/src/entry/servers/choice.ts
@@ -34,6 +34,12 @@
   warm: boolean
   /** Its side process can be asked to load the key. */
   canRequestLoad: boolean
+  /** Adapters that it could load now; `undefined` if that is not known, which counts as room. */
+  room?: number | undefined
+  /** Expected time until one more demand gets a slot, while there is no room. */
+  slotMs?: number
+  /** A demand of this entry for the key waits there for a slot. */
+  queued?: boolean
 }
 
 export type Choice =
@@ -94,6 +100,8 @@
   key: string
   /** Time left until the first token misses its objective. */
   timeToObjectiveMs: number
+  /** Adapters that each engine of the service can hold. */
+  adapterSlots?: number | undefined
 }
 
 /** Time until a request can use an adapter that is loaded from the weight store, or from the engine's own memory. */
@@ -133,13 +141,18 @@
   if (best !== undefined) return sendOrReplicate(best, notBusy === undefined, choice)
   const held = holders.length > 0
   if (candidates.some(candidate => candidate.coming && !candidate.unhealthy)) return { type: 'bring', ask: undefined, held, reason: 'on its way' }
-  const ask = loadTarget(choice)?.id
-  if (ask !== undefined) return { type: 'bring', ask, held, reason: held ? 'its holders are full' : 'held nowhere' }
+  const ask = held && !hasSpareRoom(choice) ? undefined : loadTarget(choice)?.id
+  if (ask !== undefined) return { type: 'bring', ask, held, reason: bringReason(candidates, held) }
   if (held) return { type: 'full', reason: 'its holders are full' }
   // Restarted engines are listed about a second before their side processes can be asked to load adapters.
   return { type: 'bring', ask: undefined, held, reason: 'no engine can bring it in' }
 }
 
+const bringReason = (candidates: readonly EngineCandidate[], held: boolean): string => {
+  if (!candidates.some(hasRoom)) return 'no engine has room'
+  return held ? 'its holders are full' : 'held nowhere'
+}
+
 /**
  * A request that would miss its objective at the best holder waits for a new replica if it would meet the objective there.
  * Otherwise an adapter with more prompts than one engine can prefill would stay on one engine until its batch is full.
@@ -150,7 +163,7 @@
   const reason = busy ? 'held, busy' : best.domain === domain ? 'held near' : 'held across'
   const send: Choice = { type: 'send', id, reason, expectedMs }
   if (expectedMs < timeToObjectiveMs || candidates.some(candidate => candidate.coming && !candidate.unhealthy)) return send
-  const other = loadTarget(choice)
+  const other = hasSpareRoom(choice) ? loadTarget(choice) : undefined
   const otherMs = other === undefined ? Infinity : firstTokenAfterLoadMs(other)
   if (otherMs > timeToObjectiveMs || otherMs + coldLoadPenaltyMs > expectedMs) return send
   return { type: 'bring', ask: other?.id, held: true, reason: 'its holders are slow' }
@@ -163,6 +176,10 @@
  * The engine that should load the key: one that can start soon, preferably with a copy in memory, and among equals the one with
  * the highest rendezvous affinity. All entries pick the same one, whatever their domain, so that simultaneous requests don't
  * create replicas: with a preferred engine per domain, 71.4% of 8,290 generations on 8 engines met the objective instead of 72.7%.
+ *
+ * An engine without room starts later by the time until a slot is free there. So it is asked only if its slot is expected sooner
+ * than an engine with room could load the key, or if no engine has room. A demand that already waits for a slot moves only to an
+ * engine with room, since the time until a slot is free is uncertain.
  */
 const loadTarget = ({ candidates, key }: EngineSelection): EngineCandidate | undefined => {
   const eligible = candidates.filter(candidate =>
@@ -171,5 +188,22 @@
   const cost = (candidate: EngineCandidate): number =>
     Math.floor(firstTokenAfterLoadMs(candidate) / startStepMs) * startStepMs + (candidate.warm ? 0 : coldLoadPenaltyMs) +
     rendezvousScore(keyHash, candidate.hash) * affinityPenaltyMs
-  return minBy(eligible, cost)
+  const best = minBy(eligible, candidate => cost(candidate) + slotWaitMs(candidate))
+  return best === undefined || hasRoom(best) ? best : eligible.find(({ queued }) => queued) ?? best
+}
+
+const slotWaitMs = (candidate: EngineCandidate): number => hasRoom(candidate) ? 0 : candidate.slotMs ?? 0
+
+const hasRoom = ({ room }: EngineCandidate): boolean => room === undefined || room > 0
+
+/**
+ * Whether enough slots are free for second copies of adapters. Below this share of all slots, a second copy would take the slot
+ * that a request for an adapter without any copy waits for.
+ */
+const spareRoomShare = 0.1
+
+const hasSpareRoom = ({ candidates, adapterSlots }: EngineSelection): boolean => {
+  if (adapterSlots === undefined) return true
+  const room = candidates.reduce((sum, candidate) => sum + (candidate.room ?? adapterSlots), 0)
+  return room >= spareRoomShare * adapterSlots * candidates.length
 }
--- a/packages/fleet/src/entry/servers/server-selector.ts
+++ b/packages/fleet/src/entry/servers/server-selector.ts
@@ -100,6 +100,7 @@
       requestLoad: (ask, waiting) => balancer.requestLoad(ask, selection.key ?? '', waiting, rank())
     }, first, cancellation)
     this.#recordWait(first, nowMs() - started)
+    if (outcome.type !== 'chosen' && selection.key !== undefined && queue.waiting(selection.key) === 0) balancer.withdrawDemand(selection.key)
     if (outcome.type === 'quarantined') return { type: 'readmit' }
     return outcome.type === 'expired' ? noServerFrom(outcome.last) : outcome
   }
--- a/packages/fleet/src/entry/servers/server-state.ts
+++ b/packages/fleet/src/entry/servers/server-state.ts
@@ -28,6 +28,10 @@
   running: number
   /** Prompt tokens of requests from other entries that the engine has not prefilled yet. */
   unread: number
+  /** Adapters that the engine could load; `undefined` if its side process has not reported it. */
+  room?: number | undefined
+  /** Expected time until one more demand gets a slot, while there is no room. */
+  slotMs?: number
 }
 
 /** A request that is about to be sent. */
@@ -51,6 +55,9 @@
   patienceMs: number
 }
 
+/** `urgent`: the last use of an adapter has ended at an engine without room, where demands may wait for its slot. */
+export type UsesListener = (id: string, urgent?: boolean) => void
+
 export class ServerState {
   readonly agent: Agent
   readonly outlier = new OutlierDetector(outlierLimits)
@@ -72,7 +79,7 @@
   #refusedUntil = -Infinity
 
   /** `onUsesChange`: called when its adapter use changes, which has to be reported to its side process. */
-  constructor (readonly id: string, maxConnections: number, private readonly onUsesChange: (id: string) => void = () => {}, readonly bornAt?: number) {
+  constructor (readonly id: string, maxConnections: number, private readonly onUsesChange: UsesListener = () => {}, readonly bornAt?: number) {
     this.hash = hashOf(id)
     this.agent = createServerAgent(maxConnections)
   }
@@ -166,7 +173,7 @@
     if (key === undefined) return
     const uses = this.uses.get(key)
     if (uses !== undefined) uses.running -= 1
-    this.onUsesChange(this.id)
+    this.onUsesChange(this.id, uses?.running === 0 && this.engineReport?.room === 0)
   }
 
   /** Whether a request has waited for its first byte for longer than its `patienceMs`. */
--- a/packages/fleet/src/entry/servers/server-states.ts
+++ b/packages/fleet/src/entry/servers/server-states.ts
@@ -4,7 +4,7 @@
 import { nowMs } from '../../clock.js'
 import { isEarlierIncarnation, type BackendServer } from '../../server.js'
 import { Holders } from './holders.js'
-import { ServerState, type EngineReport } from './server-state.js'
+import { ServerState, type EngineReport, type UsesListener } from './server-state.js'
 
 /** Connection limit of a server whose service is not in the routing table yet; nothing is sent to it until then. */
 const unroutedMaxConnections = 1
@@ -14,7 +14,7 @@
   readonly #states = new Map<string, ServerState>()
 
   /** `onUsesChange`: called with a server's id when its adapter use changes, which has to be reported to its side process. */
-  constructor (private readonly onUsesChange: (id: string) => void = () => {}) {}
+  constructor (private readonly onUsesChange: UsesListener = () => {}) {}
 
   /**
    * The state of a server, created or renewed if need be. `maxConnections` is `undefined` while its service is not in the routing
--- a/packages/fleet/src/side/demands.ts
+++ b/packages/fleet/src/side/demands.ts
@@ -2,7 +2,7 @@
  * Adapters and models that entries ask one engine to load (demands), and the requests that they run on it (uses), as the
  * entries report them.
  */
-import { Popularity } from '@finchpitch/decisions'
+import { Popularity, SlotWait } from '@finchpitch/decisions'
 import { nowMs } from '../clock.js'
 import type { Demand } from './placement.js'
 
@@ -18,10 +18,31 @@
 /** Entries report uses several times a second. The last report of an entry that falls silent expires after this time. */
 const usesTtlMs = 3000
 
-interface PendingDemand extends Omit<Demand, 'waitedMs'> {
+/** What one entry demands: `waiting` of its requests wait for the key; with 0 it withdraws its demand. */
+export interface EntryDemand {
+  key: string
+  version?: number | undefined
+  waiting: number
+  /** Rank of the most urgent of these requests. */
+  priority: number
+  /** The entry knows that the engine has no room, so the demand waits for a slot instead of being declined. */
+  keep?: boolean | undefined
+}
+
+interface PendingDemand {
+  key: string
+  version: number | undefined
   since: number
-  /** Time of the latest request for it. */
-  at: number
+  /** What each entry demanded last, and when. */
+  byEntry: Map<string, EntryDemand & { at: number }>
+}
+
+/** What the uses reported by an entry changed. */
+export interface UsesChange {
+  /** A key became idle at this entry. */
+  idle: boolean
+  /** A key came into use at this entry. */
+  used: boolean
 }
 
 interface EntryUses {
@@ -36,12 +57,17 @@
   readonly #popularity = new Map<string, Popularity>()
   readonly #uses = new Map<string, EntryUses>()
   readonly #loadedAt = new Map<string, number>()
+  readonly #slotWait = new SlotWait(nowMs())
 
-  ask (demand: Omit<Demand, 'waitedMs'>): void {
+  ask (entry: string, demand: EntryDemand): void {
+    const { key, version, waiting } = demand
     const now = nowMs()
-    const before = this.#pending.get(demand.key)
-    const priority = Math.min(demand.priority, before?.priority ?? Infinity)
-    this.#pending.set(demand.key, { ...demand, priority, since: before?.since ?? now, at: now })
+    const pending = this.#pending.get(key) ?? { key, version, since: now, byEntry: new Map<string, EntryDemand & { at: number }>() }
+    if (waiting > 0) pending.byEntry.set(entry, { ...demand, at: now })
+    else pending.byEntry.delete(entry)
+    pending.version = version ?? pending.version
+    if (pending.byEntry.size > 0) this.#pending.set(key, pending)
+    else this.#pending.delete(key)
   }
 
   /** Whether any demand is neither met nor declined. */
@@ -65,36 +91,51 @@
   }
 
   /**
-   * Demands in the order in which to meet them: those with waiting requests first, then by priority, number of waiting requests
-   * and age. Drops demands that were not repeated in time.
+   * Demands in the order in which to meet them: by the rank of the most urgent waiting request, then by the number of waiting
+   * requests at all entries, then by age. Drops demands that were not repeated in time.
    */
   prioritized (): Demand[] {
     const now = nowMs()
-    for (const [key, pending] of this.#pending) {
-      if (now - pending.at > demandTtlMs) this.#pending.delete(key)
-    }
+    this.#dropExpired(now)
     return [...this.#pending.values()]
-      .sort((a, b) => Number(b.waiting > 0) - Number(a.waiting > 0) || a.priority - b.priority || b.waiting - a.waiting || a.since - b.since)
-      .map(pending => ({ ...pending, waitedMs: now - pending.since }))
+      .map(pending => combine(pending, now))
+      .sort((a, b) => a.priority - b.priority || b.waiting - a.waiting || b.waitedMs - a.waitedMs)
+  }
+
+  #dropExpired (now: number): void {
+    for (const [key, { byEntry }] of this.#pending) {
+      for (const [entry, { at }] of byEntry) if (now - at > demandTtlMs) byEntry.delete(entry)
+      if (byEntry.size === 0) this.#pending.delete(key)
+    }
+  }
+
+  /** Expected time until one more demand gets a slot, with `queued` ahead of it. */
+  slotMs (queued: number): number {
+    return this.#slotWait.expectedMs(queued, nowMs())
   }
 
-  /** Records the uses that an entry reports. Returns whether one of the keys became idle at that entry. */
-  recordUses (entry: string, uses: ReadonlyArray<readonly [key: string, started: number, running: number]>, unread = 0): boolean {
+  /** Records the uses that an entry reports. */
+  recordUses (entry: string, uses: ReadonlyArray<readonly [key: string, started: number, running: number]>, unread = 0): UsesChange {
     const now = nowMs()
     const entryUses = this.#uses.get(entry) ?? { at: now, unread, running: new Map<string, number>() }
     entryUses.at = now
     entryUses.unread = unread
-    let idle = false
+    this.#uses.set(entry, entryUses)
+    const change = { idle: false, used: false }
     for (const [key, started, running] of uses) {
-      if (running === 0) idle = entryUses.running.delete(key) || idle
-      else entryUses.running.set(key, running)
+      if (running > 0) {
+        change.used ||= !entryUses.running.has(key)
+        entryUses.running.set(key, running)
+      } else if (entryUses.running.delete(key)) {
+        change.idle = true
+        if (this.uses(key) === 0) this.#slotWait.recordRelease(now)
+      }
       const popularity = this.#popularity.get(key) ?? new Popularity(demandHalfLifeMs)
       for (let each = 0; each < started; each++) popularity.add(now)
       this.#popularity.set(key, popularity)
       this.#loadedAt.delete(key)
     }
-    this.#uses.set(entry, entryUses)
-    return idle
+    return change
   }
 
   forgetEntry (entry: string): void {
@@ -124,3 +165,16 @@
     return sum
   }
 }
+
+/** The demands of all entries for one key, taken together. */
+const combine = ({ key, version, since, byEntry }: PendingDemand, now: number): Demand => {
+  const demands = [...byEntry.values()]
+  return {
+    key,
+    ...(version === undefined ? {} : { version }),
+    waiting: demands.reduce((sum, { waiting }) => sum + waiting, 0),
+    priority: Math.min(...demands.map(({ priority }) => priority)),
+    keep: demands.some(({ keep }) => keep === true),
+    waitedMs: now - since
+  }
+}
--- a/packages/fleet/src/side/engine-update.ts
+++ b/packages/fleet/src/side/engine-update.ts
@@ -33,6 +33,10 @@
   running: number
   /** Prompt tokens of all entries' requests that the engine has not prefilled yet. */
   unread: number
+  /** Adapters that the engine could load now; `undefined` where the side process has not reported it. */
+  room?: number | undefined
+  /** Expected time in ms until one more demand gets a slot, while there is no room. */
+  slotMs?: number | undefined
   /** Entries of the engine's own failure domain that are connected to its side process. */
   entries: number
   /** Entries of other failure domains that subscribe to the engine directly. */
@@ -77,7 +81,7 @@
 }
 
 /** Fields that are sent as they are. Loaded keys and loads in progress are sent as `came`, `went` and `coming`. */
-const scalarFields = ['reachable', 'server', 'bornAt', 'leaving', 'lost', 'waiting', 'running', 'unread', 'entries', 'strangers', 'fence'] as const
+const scalarFields = ['reachable', 'server', 'bornAt', 'leaving', 'lost', 'waiting', 'running', 'unread', 'room', 'slotMs', 'entries', 'strangers', 'fence'] as const
 
 /** Values that mark a field as no longer set. */
 const unsetValues: Partial<Record<typeof scalarFields[number], null | false>> = { server: null, bornAt: null, leaving: false, lost: false }
@@ -132,7 +136,7 @@
   isDue ({ snapshot }: EngineUpdate): boolean {
     const previous = this.#lastSent?.snapshot
     const age = nowMs() - this.#lastSentAt
-    if (previous === undefined || age > this.policy.keepAliveMs) return true
+    if (previous === undefined || age > this.policy.keepAliveMs || hasRoom(previous) !== hasRoom(snapshot)) return true
     if (hasStateChange(previous, snapshot) && age >= this.policy.changeIntervalMs) return true
     return age >= this.policy.loadMs && this.#loadDiffers(previous, snapshot)
   }
@@ -141,7 +145,8 @@
   canPiggyback ({ snapshot }: EngineUpdate): boolean {
     const previous = this.#lastSent?.snapshot
     if (previous === undefined) return true
-    const differs = hasStateChange(previous, snapshot) || loadOf(previous) !== loadOf(snapshot) || previous.unread !== snapshot.unread
+    const differs = hasStateChange(previous, snapshot) || loadOf(previous) !== loadOf(snapshot) ||
+      loadFields.some(field => previous[field] !== snapshot[field])
     return differs && nowMs() - this.#lastSentAt >= this.policy.piggybackIntervalMs
   }
 
@@ -155,10 +160,22 @@
 
   #loadDiffers (previous: EngineSnapshot, current: EngineSnapshot): boolean {
     const step = Math.max(this.policy.minLoadChange, (current.batchSize ?? 0) * this.policy.minBatchFraction)
-    return Math.abs(loadOf(previous) - loadOf(current)) >= step || isUnreadChangeSignificant(previous.unread, current.unread)
+    return Math.abs(loadOf(previous) - loadOf(current)) >= step || isUnreadChangeSignificant(previous.unread, current.unread) ||
+      Math.abs((previous.room ?? 0) - (current.room ?? 0)) >= minRoomChange || Math.abs((previous.slotMs ?? 0) - (current.slotMs ?? 0)) >= minSlotChangeMs
   }
 }
 
+/** Fields that are sent like the load. */
+const loadFields = ['unread', 'room', 'slotMs'] as const
+
+/** An entry counts the loads that it requested itself since the last update, so one less or more is no reason to send one. */
+const minRoomChange = 2
+/** Smaller differences of the time until a slot is free don't change which engine is asked. */
+const minSlotChangeMs = 100
+
+/** Entries send demands to other engines as soon as there is no room, and report the end of uses without delay from then on. */
+const hasRoom = ({ room }: EngineSnapshot): boolean => room === undefined || room > 0
+
 const loadOf = ({ waiting, running }: EngineSnapshot): number => waiting + running
 
 /**
--- a/packages/fleet/src/side/placement.ts
+++ b/packages/fleet/src/side/placement.ts
@@ -15,7 +15,7 @@
 export const maxConcurrentLoads = 4
 
 /**
- * How long a demand waits for a free slot before it is declined. Requests run for some 300 to 500 ms, so with 16 slots in use
+ * How long a demand waits for a free slot before it is declined, unless it is to be kept. Requests run for some 300 to 500 ms, so with 16 slots in use
  * one becomes free every 30 ms, and waiting for it often saves a load from the weight store by another engine.
  */
 const slotWaitMs = 120
@@ -28,22 +28,29 @@
   version?: number
   /** Number of requests that wait for it. */
   waiting: number
+  /** Rank of the most urgent of them. */
   priority: number
+  /** It is not declined while it waits for a slot: an entry knows that there is none, and withdraws it once another engine is quicker. */
+  keep?: boolean
   /** Time since it was first requested. */
   waitedMs: number
 }
 
-export interface PlacementInput {
+/** What an engine has loaded, and what of it is in use. */
+export interface EngineOccupancy {
   spec: EngineSpec
   status: EngineStatus
+  /** Requests in progress on an adapter, plus one while it has just been loaded. */
+  uses: (key: string) => number
+}
+
+export interface PlacementInput extends EngineOccupancy {
   /** Pending demands, the most urgent first. */
   demands: readonly Demand[]
   /** The newest version that the store names for an adapter. */
   newestVersion: (key: string) => number | undefined
   /** Number of recent uses, decayed with time. */
   popularity: (key: string) => number
-  /** Requests in progress on an adapter, plus one while it has just been loaded. */
-  uses: (key: string) => number
   /** Whether the rate limit of the weight store lets a load of the key start now. */
   canLoad: (key: string) => boolean
 }
@@ -93,7 +100,7 @@
   return adapters.reduce((sum, held) => sum + input.uses(held.key), input.uses(name))
 }
 
-const usedMemoryMb = ({ spec, status }: PlacementInput): number => {
+const usedMemoryMb = ({ spec, status }: EngineOccupancy): number => {
   const sizes = new Map(spec.models.map(model => [model.name, model]))
   const held = status.models.reduce((sum, model) => sum + (sizes.get(model.name)?.memoryMb ?? 0), 0)
   const adapters = [...loadedAdapters(status), ...status.coming]
@@ -118,7 +125,7 @@
 
 const isLoading = (status: EngineStatus, key: string): boolean => status.coming.some(coming => coming.key === key)
 
-const freeSlots = (input: PlacementInput): number => {
+const freeSlots = (input: EngineOccupancy): number => {
   const { spec, status } = input
   const taken = loadedAdapters(status).length + status.coming.length
   const perAdapter = Math.max(1, ...spec.models.map(model => model.adapterMemoryMb))
@@ -126,6 +133,22 @@
   return Math.min(spec.adapterSlots - taken, byMemory)
 }
 
+/** How many further adapters the engine could load now, and how many demands wait for a slot. */
+export interface EngineRoom {
+  room: number
+  queued: number
+}
+
+/** `demandedKeys`: pending demands. Each takes a free slot or that of an idle adapter once it is met. */
+export const roomIn = (occupancy: EngineOccupancy, demandedKeys: Iterable<string>): EngineRoom => {
+  const { status, uses } = occupancy
+  const loaded = loadedAdapters(status)
+  const loadedKeys = new Set(loaded.map(({ key }) => key))
+  const idle = loaded.filter(({ key }) => uses(key) === 0).length
+  const queued = [...demandedKeys].filter(key => parseRef(key).adapter !== undefined && !loadedKeys.has(key) && !isLoading(status, key)).length
+  return { room: Math.max(0, freeSlots(occupancy) + idle - queued), queued }
+}
+
 /** Load time assumed for every adapter. It is the same for all, so popularity alone decides which one is evicted. */
 const assumedLoadMs = 250
 
@@ -142,7 +165,7 @@
 const placeAdapter = (input: PlacementInput): Placement | undefined => {
   const { status, demands } = input
   const held = new Map(loadedAdapters(status).map(each => [each.key, each.version]))
-  for (const { key, version, waitedMs } of demands) {
+  for (const { key, version, keep, waitedMs } of demands) {
     const ref = parseRef(key)
     if (ref.adapter === undefined || held.has(key) || isLoading(status, key)) continue
     if (!status.models.some(model => model.name === ref.model)) return { type: 'declined', key, reason: 'unknown_model' }
@@ -151,7 +174,7 @@
     if (freeSlots(input) > 0) return orderTo(input, 'load', key, 'asked for', input.newestVersion(key) ?? version)
     const victim = chooseVictim(input)
     if (victim !== undefined) return orderTo(input, 'unload', victim, `makes room for ${key}`)
-    if (waitedMs >= slotWaitMs) return { type: 'declined', key, reason: 'no_place' }
+    if (waitedMs >= slotWaitMs && keep !== true) return { type: 'declined', key, reason: 'no_place' }
   }
   return undefined
 }
--- a/packages/fleet/src/side/side-process.ts
+++ b/packages/fleet/src/side/side-process.ts
@@ -9,7 +9,7 @@
 import { isDeepStrictEqual } from 'node:util'
 import { hostOf, onAbort, pause } from '@finchpitch/core'
 import { tokenLifetimeMs } from '@finchpitch/decisions'
-import { Channel, type Frame } from '@finchpitch/wire'
+import { Channel, type Frame, type FrameOf } from '@finchpitch/wire'
 import { quotaBoundOf, type EngineStatus, type EngineOrder, type EngineControl, type Limits } from '../ports.js'
 import type { SideConnectionOptions } from '../keep-connected.js'
 import { parseRef, refKey } from '../server.js'
@@ -26,10 +26,16 @@
 import { OrderSender } from './order-sender.js'
 import type { SideCounters } from './counters.js'
 import { EngineUpdate, diffKeys } from './engine-update.js'
-import { decidePlacement } from './placement.js'
+import { decidePlacement, roomIn, type EngineRoom } from './placement.js'
 import { QuotaBank } from './quota-bank.js'
 import { Subscribers } from './subscribers.js'
 
+/** The time until a slot is free is published in steps of this size, since each change is sent. */
+const slotStepMs = 50
+
+/** The room of an engine that can't be sent orders. */
+const noRoom: EngineRoom = { room: 0, queued: 0 }
+
 /** Loads that a new process assumes its previous incarnation to have started just before, to keep within the rate limit. */
 const assumedLoads = 1
 
@@ -50,7 +56,9 @@
   #isPredicted = false
   #failedPolls = 0
   readonly #orderSender: OrderSender
-  #wake = (): void => {}
+  #endSleep = (): void => {}
+  /** Something to act on arrived since the current round began. */
+  #isWoken = false
   readonly #loadTimes = new LoadTimeEstimator()
   readonly #subscribers: Subscribers
   readonly #host: string
@@ -58,6 +66,8 @@
   #coming: string[] = []
   readonly #warm = new WarmCopies()
   readonly #quotaBank = new QuotaBank()
+  /** The room that was published last. */
+  #room = noRoom
   /** Number of changes to the loaded keys or the loads in progress. */
   #changes = 0
 
@@ -71,6 +81,8 @@
     counters.gauge('finchpitch_engine_requests_waiting', 'Requests waiting at the engine, as it reports them.', () => this.#status?.waiting ?? 0)
     counters.gauge('finchpitch_engine_cache_tokens_used', 'Cache tokens in use that can not be evicted, as the engine reports them.', () => this.#status?.cacheUsed ?? 0)
     counters.gauge('finchpitch_engine_cache_tokens', 'Cache capacity of the engine in tokens, as it reports it.', () => this.#status?.cacheTotal ?? 0)
+    counters.gauge('finchpitch_engine_room', 'Adapters that the engine could load now: free slots and idle adapters, less the demands that wait for one.', () => this.#room.room)
+    counters.gauge('finchpitch_demands_queued', 'Adapters that entries demand and that wait for a slot.', () => this.#room.queued)
     counters.gauge('finchpitch_peers_connected', 'Connected entries and side processes.', () => this.#subscribers.size)
     counters.gauge('finchpitch_engines_relayed', 'Engines in other failure domains whose updates are relayed.', () => this.#subscribers.relayedCount)
   }
@@ -95,9 +107,10 @@
   /** Polls the engine and sends it orders until `signal` aborts. */
   async run (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
+      this.#isWoken = false
       const waitMs = await this.#runOnce(signal)
       this.#publish()
-      if (waitMs > 0) await this.#sleep(waitMs, signal)
+      if (waitMs > 0 && !this.#isWoken) await this.#sleep(waitMs, signal)
     }
   }
 
@@ -235,7 +248,7 @@
   #handleFrame (frame: Frame, subscriber: Subscriber): void {
     const entry = subscriber.channel.peer.process
     this.#subscribers.handleFrame(frame, subscriber)
-    if (frame.type === 'uses' && this.demands.recordUses(entry, frame.uses, frame.unread) && this.demands.hasPending) this.#wake()
+    if (frame.type === 'uses') this.#handleUses(entry, frame)
     if (frame.type === 'fences') {
       this.options.facts.observeRevision(frame.highest)
       const { fence } = this.#orderSender
@@ -243,13 +256,27 @@
     }
     if (frame.type === 'quota') subscriber.channel.send(this.#quotaBank.exchange(entry, frame, team => this.#tokenLifetimeMs(team)))
     if (frame.type === 'want') {
-      this.demands.ask(frame)
-      subscriber.recordDemand(frame.key)
-      this.options.log.info('demand.asked', { key: frame.key, entry, waiting: frame.waiting, priority: frame.priority })
+      this.demands.ask(entry, frame)
+      if (frame.waiting > 0) subscriber.recordDemand(frame.key)
+      this.options.log.info('demand.asked', { key: frame.key, entry, waiting: frame.waiting, priority: frame.priority, keep: frame.keep })
       this.#wake()
     }
   }
 
+  /** The end of an adapter's last use may let a demand be met. Room gained or lost is published at once, as entries demand by it. */
+  #handleUses (entry: string, { uses, unread }: FrameOf<'uses'>): void {
+    const { idle, used } = this.demands.recordUses(entry, uses, unread)
+    if (idle && this.demands.hasPending) return this.#wake()
+    if ((idle || used) && (this.#currentRoom().room > 0) !== (this.#room.room > 0)) this.#publish()
+  }
+
+  #currentRoom (): EngineRoom {
+    const status = this.#status
+    const spec = this.#spec()
+    if (status === undefined || spec === undefined) return noRoom
+    return roomIn({ spec, status, uses: key => this.demands.uses(key) }, this.demands.keys())
+  }
+
   #tokenLifetimeMs (name: string): number | undefined {
     const { facts, limits } = this.options
     const quota = facts.routes?.team(name)?.quota
@@ -272,6 +299,7 @@
   #engineUpdate (): EngineUpdate {
     const status = this.#status
     const { near, strangers } = this.#subscribers.entries
+    const { room, queued } = this.#room = this.#currentRoom()
     return new EngineUpdate({
       host: this.#host,
       changes: this.#changes,
@@ -285,6 +313,8 @@
       waiting: status?.waiting ?? 0,
       running: status?.running ?? 0,
       unread: this.demands.unread,
+      room,
+      slotMs: room > 0 ? 0 : Math.ceil(this.demands.slotMs(queued) / slotStepMs) * slotStepMs,
       entries: near,
       strangers,
       fence: this.#orderSender.fence,
@@ -292,9 +322,14 @@
     })
   }
 
+  #wake (): void {
+    this.#isWoken = true
+    this.#endSleep()
+  }
+
   async #sleep (ms: number, signal: AbortSignal): Promise<void> {
     const woken = new AbortController()
-    this.#wake = () => woken.abort()
+    this.#endSleep = () => woken.abort()
     // The signal may have aborted while the engine was polled.
     const removeHandler = onAbort(signal, () => woken.abort())
     await pause(ms, woken.signal)
--- a/packages/fleet/test/balancer.test.ts
+++ b/packages/fleet/test/balancer.test.ts
@@ -12,7 +12,7 @@
 const limits: Limits = { graceMs: 8000, drainMs: 2000, versionMs: 5000, retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 50, loadWindowMs: 5000, loadOverage: 1.1, quotaWindowMs: 8000, quotaOverage: 0, quotaSlack: 0 }
 const server = (id: string): BackendServer => ({ id, service: 'llm', address: `10.0.0.${id}:80`, domain: 'a', slots: 8, leaving: false, models: [] })
 const selection = { service: engines, key: 'm/x', promptTokens: 10, timeToObjectiveMs: 600, priority: 1, excluded: new Set<string>() }
-const links = { canRequestLoad: () => true, warm: () => false, isLoadRequested: () => false, requestLoad: () => {}, scheduleUsesReport: () => {} }
+const links = { canRequestLoad: () => true, warm: () => false, isLoadRequested: () => false, isLoadQueued: () => false, loadsRequestedSince: () => 0, requestLoad: () => {}, withdraw: () => {}, scheduleUsesReport: () => {} }
 
 describe('balancer', () => {
   const create = (placement = links, serverLimits: LimitsView = noLimits): { facts: Facts, balancer: Balancer } => {
--- a/packages/fleet/test/choice.test.ts
+++ b/packages/fleet/test/choice.test.ts
@@ -92,6 +92,48 @@
       expect(engine([candidate('p', 'a', { coming: true }), candidate('q', 'a')])).to.deep.include({ type: 'bring', ask: undefined })
     })
 
+    describe('whose slots are short', () => {
+      const full = (id: string, slotMs: number, more: Partial<EngineCandidate> = {}): EngineCandidate => candidate(id, 'a', { room: 0, slotMs, ...more })
+      const asked = (candidates: EngineCandidate[]): unknown => Object.entries(engine(candidates)).find(([name]) => name === 'ask')?.[1]
+
+      // Guards against demands at engines without a slot, which are declined after a while, next to engines with room.
+      it('requests a load from an engine with room rather than wait long for a slot', () => {
+        for (const id of ['q', 'r', 's', 't']) expect(asked([full('p', 1200), candidate(id, 'a', { room: 1 })])).to.equal(id)
+      })
+
+      it('waits for a slot that is expected soon where the engine has a copy in memory', () => {
+        expect(asked([full('p', 50, { warm: true, hash: hashOf('m/x') }), candidate('q', 'a', { room: 1, expectedMs: 700 })])).to.equal('p')
+      })
+
+      it('waits where a slot is expected first if no engine has room, and stays there', () => {
+        const choice = engine([full('p', 1200), full('q', 100)])
+        expect(choice).to.deep.include({ type: 'bring', ask: 'q', reason: 'no engine has room' })
+        expect(asked([full('p', 300, { queued: true }), full('q', 100)])).to.equal('p')
+        expect(asked([full('p', 1200, { queued: true }), candidate('q', 'a', { room: 2 })])).to.equal('q')
+      })
+
+      // Guards against second copies that take the slots which adapters without any copy wait for.
+      it('loads second copies only while a tenth of all slots has room', () => {
+        const choose = (room: number): unknown => chooseEngine({
+          candidates: [candidate('p', 'a', { holds: true, load: 12, room: 0 }), candidate('q', 'a', { room })], domain: 'a', key: 'm/x', timeToObjectiveMs: 600, adapterSlots: 10
+        })
+        expect(choose(1)).to.include({ type: 'full' })
+        expect(choose(2)).to.deep.include({ type: 'bring', ask: 'q' })
+      })
+
+      it('changes no choice where every engine has ample room', () => {
+        for (let each = 0; each < 300; each++) {
+          const random = (values: number): number => Math.floor(Math.random() * values)
+          const engines = ['p', 'q', 'r', 's'].map(id => candidate(id, 'ab'.charAt(random(2)), {
+            holds: random(4) === 0, coming: random(8) === 0, warm: random(3) === 0, load: random(13), expectedMs: random(900), unhealthy: random(6) === 0
+          }))
+          const withRoom = engines.map(candidate => ({ ...candidate, room: 5, slotMs: 0, queued: false }))
+          const selection = { domain: 'a', key: `m/${each}`, timeToObjectiveMs: 600 }
+          expect(chooseEngine({ ...selection, candidates: withRoom, adapterSlots: 10 })).to.deep.equal(chooseEngine({ ...selection, candidates: engines }))
+        }
+      })
+    })
+
     it('requests another replica when the holders are at capacity', () => {
       expect(engine([candidate('p', 'a', { holds: true, load: 12 }), candidate('q', 'a')])).to.deep.include({ type: 'bring', ask: 'q' })
     })
--- /dev/null
+++ b/packages/fleet/test/engine-room.test.ts
@@ -0,0 +1,145 @@
+import { silentLog } from '@finchpitch/core'
+import { EngineMirror, Facts, SideCounters, SideProcess, type EngineControl, type EngineOrder, type EngineStatus } from '@finchpitch/fleet'
+import { FakeTime, channelOptions, duplexPair } from '@finchpitch/stand-ins'
+import { Channel, type Frame } from '@finchpitch/wire'
+import { err, ok } from 'neverthrow'
+import { expect } from 'chai'
+
+const host = '10.0.0.1'
+const engineSpec = { batchSize: 8, adapterSlots: 2, weightMemoryMb: 2000, loadsPerSecond: 9, models: [{ name: 'm', memoryMb: 1000, adapterMemoryMb: 12 }] }
+const table = { version: 1, routes: [], services: [{ name: 'llm', maxConnections: 100, engine: engineSpec }], limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } }
+const limits = { graceMs: 8000, drainMs: 2000, versionMs: 5000, retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 50, loadWindowMs: 5000, loadOverage: 1.1, quotaWindowMs: 8000, quotaOverage: 0, quotaSlack: 0 }
+
+/** An engine that carries out orders at once; loads complete when the test says so. */
+class FakeEngine implements EngineControl {
+  readonly calls: string[] = []
+  silent = false
+  /** Called while the side process waits for a status. */
+  onStatus = (): void => {}
+  state: EngineStatus = { server: 'e', bornAt: 1, models: [{ name: 'm', version: 1, adapters: { a: 1, b: 1 } }], coming: [], busy: false, orders: 0, waiting: 0, running: 0, cacheUsed: 0, cacheTotal: 1 }
+
+  async status (): ReturnType<EngineControl['status']> {
+    this.calls.push('status')
+    this.onStatus()
+    return this.silent ? err('no answer') : ok(structuredClone(this.state))
+  }
+
+  async order ({ operation, adapter = '', model }: EngineOrder): ReturnType<EngineControl['order']> {
+    this.calls.push(`${operation} ${adapter}`)
+    this.state.orders += 1
+    if (operation === 'load') this.state.coming.push({ key: `${model}/${adapter}`, version: 1 })
+    else delete this.state.models[0]?.adapters[adapter]
+    return { outcome: operation === 'load' ? 'accepted' : 'done', detail: '' }
+  }
+}
+
+describe('room of an engine', () => {
+  let time: FakeTime
+  let engine: FakeEngine
+  let entry: Channel
+  let mirror: EngineMirror
+  let received: Frame[]
+  let stop: AbortController
+
+  beforeEach(async () => {
+    time = new FakeTime()
+    engine = new FakeEngine()
+    mirror = new EngineMirror()
+    received = []
+    stop = new AbortController()
+    const facts = new Facts(silentLog, () => 1000)
+    facts.offer({ kind: 'table', key: 'table', revision: 1, value: table }, 'store')
+    facts.offer({ kind: 'server', key: 'e', revision: 2, value: { id: 'e', service: 'llm', address: `${host}:80`, domain: 'a', slots: 8, leaving: false, models: [] } }, 'store')
+    const side = new SideProcess({
+      process: 'side-0',
+      domain: 'a',
+      engineAddress: `${host}:80`,
+      sidePort: 7380,
+      dial: async () => { throw new Error('nothing listens') },
+      engine,
+      facts,
+      limits: () => limits,
+      channel: channelOptions('side-0'),
+      counters: new SideCounters(),
+      log: silentLog
+    })
+    const [entryEnd, sideEnd] = duplexPair()
+    entry = new Channel(entryEnd, channelOptions('entry-1'))
+    void side.accept(sideEnd)
+    void side.run(stop.signal)
+    void (async () => {
+      for await (const frame of entry.frames()) {
+        received.push(frame)
+        if (frame.type === 'holding') mirror.apply(frame)
+      }
+    })()
+    await entry.helloReceived
+    entry.send({ type: 'follow', hosts: [host], relay: false })
+    await time.advance(300)
+  })
+
+  afterEach(async () => {
+    stop.abort()
+    entry.close()
+    await time.advance(10)
+    time.restore()
+  })
+
+  const use = async (...uses: Array<[string, number, number]>): Promise<void> => {
+    entry.send({ type: 'uses', uses })
+    await time.settle(10)
+  }
+
+  const ask = async (key: string, keep: boolean): Promise<void> => {
+    entry.send({ type: 'want', key, waiting: 1, priority: 1, keep })
+    await time.settle(10)
+  }
+
+  it('is published as soon as the last idle adapter comes into use, and as soon as one is idle again', async () => {
+    expect(mirror.room).to.equal(2)
+    await use(['m/a', 1, 1], ['m/b', 1, 1])
+    expect(mirror.room).to.equal(0)
+    expect(mirror.slotMs).to.be.greaterThan(0)
+    await use(['m/a', 0, 0])
+    expect(mirror.room).to.equal(1)
+  })
+
+  // Guards against dead time of a slot: a poll of the engine between the unload and the load that follows.
+  it('goes to a demand that was kept as soon as the last use of an adapter has ended', async () => {
+    await use(['m/a', 1, 1], ['m/b', 1, 1])
+    await ask('m/c', true)
+    await time.advance(700)
+    expect(received.filter(({ type }) => type === 'declined')).to.have.length(0)
+    engine.calls.length = 0
+    await use(['m/b', 0, 0])
+    expect(engine.calls).to.include.members(['unload b', 'load c'])
+    expect(engine.calls.indexOf('load c')).to.equal(engine.calls.indexOf('unload b') + 1)
+  })
+
+  // Guards against an end of use that is reported during a poll and noticed only by the next one.
+  it('goes to a waiting demand also if the end of the use is reported during a poll', async () => {
+    await use(['m/a', 1, 1], ['m/b', 1, 1])
+    await ask('m/c', true)
+    engine.calls.length = 0
+    engine.onStatus = () => {
+      engine.onStatus = () => {}
+      entry.send({ type: 'uses', uses: [['m/b', 0, 0]] })
+    }
+    await time.advance(60)
+    expect(engine.calls).to.include('load c')
+  })
+
+  // Guards against a request that waits in vain for an engine which has less room than its entry believes.
+  it('that an entry overestimates leads to a refusal, after which another engine is asked', async () => {
+    await use(['m/a', 1, 1], ['m/b', 1, 1])
+    await ask('m/c', false)
+    await time.advance(300)
+    expect(received.find(({ type }) => type === 'declined')).to.deep.include({ key: 'm/c', reason: 'no_place' })
+  })
+
+  it('is none while the engine does not answer', async () => {
+    engine.silent = true
+    await time.advance(300)
+    expect(mirror).to.include({ reachable: false, room: 0 })
+  })
+})
--- a/packages/fleet/test/placement.test.ts
+++ b/packages/fleet/test/placement.test.ts
@@ -1,4 +1,4 @@
-import { decidePlacement, type Demand, type EngineStatus, type EngineSpec, type PlacementInput } from '@finchpitch/fleet'
+import { decidePlacement, roomIn, type Demand, type EngineStatus, type EngineSpec, type PlacementInput } from '@finchpitch/fleet'
 import { expect } from 'chai'
 
 const spec: EngineSpec = {
@@ -70,6 +70,18 @@
       expect(decidePlacement(inputWith({ ...full, demands: [{ ...demand('m/x'), waitedMs: 0 }, demand('m/y')] }))).to.include({ type: 'declined', key: 'm/y' })
     })
 
+    it('keeps a demand of an entry that knows of no free slot', () => {
+      const placement = decidePlacement(inputWith({ status: stateWith({ x: 1, y: 1, z: 1 }), demands: [{ ...demand('m/a'), keep: true }], uses: () => 1 }))
+      expect(placement.type).to.equal('nothing')
+    })
+
+    it('has room for free slots and idle adapters, less the demands that take them', () => {
+      const input = inputWith({ status: stateWith({ x: 1, y: 1 }), uses: key => key === 'm/x' ? 1 : 0 })
+      expect(roomIn(input, [])).to.deep.equal({ room: 2, queued: 0 })
+      expect(roomIn(input, ['m/a', 'm/x'])).to.deep.equal({ room: 1, queued: 1 })
+      expect(roomIn(input, ['m/a', 'm/b', 'm/c'])).to.deep.equal({ room: 0, queued: 3 })
+    })
+
     it('respects the memory limit in addition to the slots', () => {
       const tight = { ...spec, weightMemoryMb: 1020 }
       const placement = decidePlacement(inputWith({ spec: tight, status: stateWith({ x: 1 }), demands: [demand('m/a')] }))
--- a/packages/fleet/test/replay/load-simulation.test.ts
+++ b/packages/fleet/test/replay/load-simulation.test.ts
@@ -43,6 +43,10 @@
       expect(production).to.be.greaterThan(meanShareInTime(burst, arrivalOrder))
     })
 
+    it('meets the objective more often if entries know which engines have room', () => {
+      expect(production).to.be.greaterThan(meanShareInTime(burst, { ...productionPolicy, seesRoom: false }))
+    })
+
     it('meets the objective more often if late requests yield to others', () => {
       expect(production).to.be.greaterThan(meanShareInTime(burst, lateKeepRank))
     })
--- a/packages/fleet/test/replay/load-simulation.ts
+++ b/packages/fleet/test/replay/load-simulation.ts
@@ -34,8 +34,8 @@
   kinds: readonly RequestKind[]
   /** Factor on the request rate in the middle third of the run. */
   burst: number
-  /** The first `engines` engines prefill prompts at `share` of the normal rate. */
-  slow?: { engines: number, share: number }
+  /** The first `engines` engines prefill prompts at `share` of the normal rate and, with `runs`, generate tokens at that share too. */
+  slow?: { engines: number, share: number, runs?: boolean }
 }
 
 /** Baseline policy: the holder with the fewest requests or, if there is none, the engine with the fewest. */
@@ -52,6 +52,8 @@
 export interface Policy {
   choose: (choice: EngineSelection) => Choice
   rank: (input: RankInput) => number
+  /** Whether entries know which engines have room. If they don't, engines decline demands that get no slot. */
+  seesRoom?: boolean
 }
 
 /** The policy that entries use. */
@@ -76,8 +78,15 @@
 const warmCopies = 96
 /** An adapter that was loaded or used more recently than this is not evicted, as requests for it are on their way. */
 const evictionGraceMs = 100
+/** A demand that waits longer than this for a slot is declined, unless it is to be kept, and not repeated there for a while. */
+const slotWaitMs = 120
+const declineBackoffMs = 500
+/** Mean time until a slot of a full engine is free. */
+const slotIntervalMs = 50
 /** Delay with which an entry sees an engine's state. */
 const reportDelayMs = 250
+/** Delay with which it sees whether the engine has room, which is sent at once and relayed in batches. */
+const roomDelayMs = 60
 /** The larger, the fewer adapters get most of the requests, and the fewer prompts are nearly as long as the longest. */
 const popularitySkew = 5
 const lengthSkew = 3
@@ -107,14 +116,27 @@
   held: Map<string, number>
   coming: Map<string, number>
   warm: Set<string>
-  /** Adapters that entries asked it to load, in order. */
-  loadQueue: string[]
+  /** How many times as long as usual requests run. */
+  runFactor: number
+  /** Adapters that entries asked it to load. */
+  loadQueue: Demand[]
+  /** When demands were declined, by key. */
+  declined: Map<string, number>
+}
+
+interface Demand {
+  key: string
+  at: number
+  /** It is not declined. */
+  keep: boolean
 }
 
 /** An engine's load as reported to entries. */
 interface LoadReport {
   load: number
   unread: number
+  room: number
+  queued: number
 }
 
 /** A request that is not part of the reports to its entry yet. */
@@ -125,6 +147,13 @@
   tokens: number
 }
 
+/** A load that an entry requested and that is not part of the reports to it yet. */
+interface UnreportedDemand {
+  at: number
+  entry: number
+  engine: number
+}
+
 const noOutcomes = (): Outcome => ({ requests: 0, inTime: 0, late: 0, refused: 0 })
 
 const range = (count: number): number[] => Array.from({ length: count }, (_, index) => index)
@@ -137,6 +166,9 @@
   readonly #reports: LoadReport[][] = []
   readonly #waiting = new Set<SimulatedRequest>()
   readonly #unreported: UnreportedRequest[] = []
+  readonly #unreportedDemands: UnreportedDemand[] = []
+  /** The lowest rank of the requests that wait for a key. */
+  #rankByKey = new Map<string, number>()
   #now = 0
 
   constructor (private readonly pattern: LoadPattern, private readonly policy: Policy) {
@@ -144,7 +176,17 @@
     const { engines, slow } = pattern
     const rateOf = (index: number): number => slow !== undefined && index < slow.engines ? tokensPerMs * slow.share : tokensPerMs
     this.#engines = range(engines).map(index => ({
-      id: `engine-${index}`, hash: hashOf(`engine-${index}`), prefillRate: rateOf(index), prefilling: [], running: [], held: new Map(), coming: new Map(), warm: new Set(), loadQueue: []
+      id: `engine-${index}`,
+      hash: hashOf(`engine-${index}`),
+      prefillRate: rateOf(index),
+      runFactor: slow?.runs === true ? tokensPerMs / rateOf(index) : 1,
+      prefilling: [],
+      running: [],
+      held: new Map(),
+      coming: new Map(),
+      warm: new Set(),
+      loadQueue: [],
+      declined: new Map()
     }))
     for (const { name } of pattern.kinds) this.outcomes.set(name, noOutcomes())
   }
@@ -200,27 +242,45 @@
       tokens -= prefilled
       if (request.unread > 0) break
       engine.prefilling.shift()
-      engine.running.push({ request, endsAt: this.#now + request.kind.runMs })
+      engine.running.push({ request, endsAt: this.#now + request.kind.runMs * engine.runFactor })
       this.#outcome(request.kind)[this.#now - request.arrived <= request.kind.objectiveMs ? 'inTime' : 'late'] += 1
     }
     this.#startLoads(engine)
   }
 
-  /** Starts the requested loads in order, evicting the least recently used adapter that no request uses. */
+  /** Starts the requested loads in the order of their ranks, evicting the least recently used adapter that no request uses. */
   #startLoads (engine: Engine): void {
+    engine.loadQueue.sort((a, b) => (this.#rankByKey.get(a.key) ?? Infinity) - (this.#rankByKey.get(b.key) ?? Infinity) || a.at - b.at)
     while (engine.loadQueue.length > 0 && engine.coming.size < maxConcurrentLoads) {
-      const key = engine.loadQueue[0] ?? ''
+      const { key } = engine.loadQueue[0] ?? { key: '' }
       if (!engine.held.has(key) && !engine.coming.has(key)) {
-        if (engine.held.size + engine.coming.size >= this.pattern.adapterSlots && !this.#evict(engine)) return
+        if (engine.held.size + engine.coming.size >= this.pattern.adapterSlots && !this.#evict(engine)) return this.#decline(engine)
         engine.coming.set(key, this.#now + (engine.warm.has(key) ? warmLoadMs : coldLoadMs))
       }
       engine.loadQueue.shift()
     }
   }
 
-  #evict (engine: Engine): boolean {
+  #decline (engine: Engine): void {
+    engine.loadQueue = engine.loadQueue.filter(({ key, at, keep }) => {
+      const kept = keep || this.#now - at < slotWaitMs
+      if (!kept) engine.declined.set(key, this.#now)
+      return kept
+    })
+  }
+
+  /** Loaded adapters that can be evicted. */
+  #idle (engine: Engine): Array<[key: string, usedAt: number]> {
     const used = new Set([...engine.running.map(({ request }) => request.key), ...engine.prefilling.map(request => request.key)])
-    const [victim] = [...engine.held].filter(([key, at]) => !used.has(key) && this.#now - at > evictionGraceMs).sort(([, a], [, b]) => a - b)
+    return [...engine.held].filter(([key, at]) => !used.has(key) && this.#now - at > evictionGraceMs)
+  }
+
+  #room (engine: Engine): number {
+    return Math.max(0, this.pattern.adapterSlots - engine.held.size - engine.coming.size + this.#idle(engine).length - engine.loadQueue.length)
+  }
+
+  #evict (engine: Engine): boolean {
+    const [victim] = this.#idle(engine).sort(([, a], [, b]) => a - b)
     if (victim === undefined) return false
     engine.held.delete(victim[0])
     engine.warm.delete(victim[0])
@@ -231,11 +291,15 @@
   }
 
   #report (): void {
-    this.#reports.push(this.#engines.map(({ prefilling, running }) => ({
-      load: prefilling.length + running.length, unread: prefilling.reduce((sum, request) => sum + request.unread, 0)
+    this.#reports.push(this.#engines.map(engine => ({
+      load: engine.prefilling.length + engine.running.length,
+      unread: engine.prefilling.reduce((sum, request) => sum + request.unread, 0),
+      room: this.#room(engine),
+      queued: engine.loadQueue.length
     })))
     if (this.#reports.length > reportDelayMs / tickMs) this.#reports.shift()
     while (this.#unreported[0] !== undefined && this.#now - this.#unreported[0].at > reportDelayMs) this.#unreported.shift()
+    while (this.#unreportedDemands[0] !== undefined && this.#now - this.#unreportedDemands[0].at > reportDelayMs) this.#unreportedDemands.shift()
   }
 
   #rank ({ kind, arrived, tokens }: SimulatedRequest): number {
@@ -245,6 +309,7 @@
   #route (): void {
     const ranked = [...this.#waiting].map(request => ({ request, rank: this.#rank(request) }))
     ranked.sort((a, b) => a.rank - b.rank || a.request.arrived - b.request.arrived)
+    this.#rankByKey = new Map(ranked.toReversed().map(({ request, rank }) => [request.key, rank]))
     for (const { request } of ranked) {
       const choice = this.policy.choose(this.#selectionOf(request))
       if (choice.type === 'send') this.#send(request, Number(choice.id.split('-')[1]))
@@ -264,25 +329,36 @@
     this.#unreported.push({ at: this.#now, entry: request.entry, engine: index, tokens: request.tokens })
   }
 
-  #requestLoad ({ key }: SimulatedRequest, index: number): void {
+  /** Requests a load from an engine, which keeps the demand if the entry sees no room there. Demands kept elsewhere are withdrawn. */
+  #requestLoad (request: SimulatedRequest, index: number): void {
+    const { key, entry } = request
     const engine = this.#engines[index]
-    if (engine !== undefined && !engine.loadQueue.includes(key) && !engine.coming.has(key)) engine.loadQueue.push(key)
+    if (engine === undefined || engine.coming.has(key) || isDemanded(engine, key)) return
+    for (const each of this.#engines) each.loadQueue = each.loadQueue.filter(demand => demand.key !== key || !demand.keep)
+    engine.loadQueue.push({ key, at: this.#now, keep: this.#candidateOf(engine, index, request).room === 0 })
+    this.#unreportedDemands.push({ at: this.#now, entry, engine: index })
   }
 
+  /** A demand is withdrawn when no request waits for it any more. */
   #refuse (request: SimulatedRequest): void {
     this.#waiting.delete(request)
+    const awaited = [...this.#waiting].some(({ key }) => key === request.key)
+    if (!awaited) for (const engine of this.#engines) engine.loadQueue = engine.loadQueue.filter(({ key, keep }) => key !== request.key || !keep)
     this.#outcome(request.kind).refused += 1
   }
 
   #selectionOf (request: SimulatedRequest): EngineSelection {
     const { kind, key, arrived } = request
     const left = kind.objectiveMs - (this.#now - arrived)
-    return { candidates: this.#engines.map((engine, index) => this.#candidateOf(engine, index, request)), domain: 'd', key, timeToObjectiveMs: left > 0 ? left : Infinity }
+    const { adapterSlots } = this.pattern
+    return { candidates: this.#engines.map((engine, index) => this.#candidateOf(engine, index, request)), domain: 'd', key, timeToObjectiveMs: left > 0 ? left : Infinity, adapterSlots }
   }
 
   #candidateOf (engine: Engine, index: number, { key, tokens, entry }: SimulatedRequest): EngineCandidate {
     const report = this.#reports[0]?.[index]
+    const recent = this.#reports.at(-roomDelayMs / tickMs)?.[index]
     const unreported = this.#unreported.filter(sent => sent.engine === index && sent.entry === entry)
+    const demands = this.#unreportedDemands.filter(sent => sent.engine === index && sent.entry === entry && this.#now - sent.at < roomDelayMs).length
     const unread = Math.max(0, (report?.unread ?? 0) - reportDelayMs * engine.prefillRate) + unreported.reduce((sum, sent) => sum + sent.tokens, 0)
     return {
       id: engine.id,
@@ -294,14 +370,20 @@
       fallback: false,
       // Entries learn of loads without delay.
       holds: engine.held.has(key),
-      coming: engine.coming.has(key) || engine.loadQueue.includes(key),
+      coming: engine.coming.has(key) || isDemanded(engine, key, false),
+      queued: isDemanded(engine, key, true),
       expectedMs: (unread + tokens) / engine.prefillRate,
       warm: engine.warm.has(key),
-      canRequestLoad: true
+      canRequestLoad: this.#now - (engine.declined.get(key) ?? -Infinity) > declineBackoffMs,
+      room: this.policy.seesRoom === false ? undefined : Math.max(0, (recent?.room ?? this.pattern.adapterSlots) - demands),
+      slotMs: ((recent?.queued ?? 0) + 1) * slotIntervalMs
     }
   }
 }
 
+/** Whether a demand for the key waits at the engine; `keep`: one that is kept, or one that is not. */
+const isDemanded = ({ loadQueue }: Engine, key: string, keep?: boolean): boolean => loadQueue.some(demand => demand.key === key && (keep === undefined || demand.keep === keep))
+
 /** Share of the requests that met their objective, over all kinds or one. */
 export const shareInTime = (outcomes: ReadonlyMap<string, Outcome>, name?: string): number => {
   const chosen = [...outcomes].filter(([kind]) => name === undefined || kind === name).map(([, outcome]) => outcome)
--- a/packages/fleet/test/side-links.test.ts
+++ b/packages/fleet/test/side-links.test.ts
@@ -1,7 +1,7 @@
 import { silentLog } from '@finchpitch/core'
-import { BackendServer, Facts, ServerStates, SideLinks } from '@finchpitch/fleet'
+import { BackendServer, Facts, nowMs, ServerStates, SideLinks } from '@finchpitch/fleet'
 import { FakeTime, channelOptions, duplexPair } from '@finchpitch/stand-ins'
-import { Channel } from '@finchpitch/wire'
+import { Channel, type Frame } from '@finchpitch/wire'
 import { expect } from 'chai'
 
 const engineAt = (host: string): BackendServer => BackendServer.parse({ id: `engine-${host}`, service: 'engines', address: `${host}:80`, domain: 'a', slots: 4, leaving: false, models: [] })
@@ -11,6 +11,8 @@
   let links: SideLinks
   let sides: Map<string, Channel>
   let appointmentChanges: number
+  let states: ServerStates
+  let received: Array<[host: string, frame: Frame]>
 
   const sideAt = (host: string): Channel => sides.get(host) ?? expect.fail(`no channel to ${host}`)
 
@@ -18,18 +20,22 @@
     time = new FakeTime()
     sides = new Map()
     appointmentChanges = 0
+    received = []
+    states = new ServerStates((id, urgent) => links.scheduleUsesReport(id, urgent))
+    const facts = new Facts(silentLog, () => 1000)
+    for (const host of ['10.0.0.1', '10.0.0.2']) facts.offer({ kind: 'server', key: `engine-${host}`, revision: 1, value: engineAt(host) }, 'store')
     links = new SideLinks({
       process: 'entry',
       domain: 'a',
-      facts: new Facts(silentLog, () => 1000),
-      states: new ServerStates(),
+      facts,
+      states,
       sidePort: 7,
       channel: channelOptions('entry'),
       dial: async address => {
         const [entryEnd, sideEnd] = duplexPair()
         const side = new Channel(sideEnd, channelOptions(`side-${address.split(':')[0]}`))
         sides.set(address.split(':')[0] ?? '', side)
-        void (async () => { for await (const frame of side.frames()) void frame })()
+        void (async () => { for await (const frame of side.frames()) received.push([address.split(':')[0] ?? '', frame]) })()
         return entryEnd
       },
       log: silentLog,
@@ -69,4 +75,41 @@
     expect(appointmentChanges).to.equal(1)
     expect(links.appointments.filter(({ watch }) => watch)).to.have.length(1)
   })
+
+  describe('to engines whose slots are short', () => {
+    const of = (type: Frame['type']): unknown[] => received.filter(([, frame]) => frame.type === type).map(([host, frame]) => ({ host, ...frame }))
+
+    it('withdraw a demand that waits for a slot once another engine has loaded the adapter', async () => {
+      links.requestLoad(engineAt('10.0.0.1'), { key: 'm/a', waiting: 1, priority: 2, version: undefined, keep: true })
+      sideAt('10.0.0.2').send({ type: 'holding', host: '10.0.0.2', whole: true, came: { 'm/a': 1 } })
+      await time.settle(10)
+      expect(of('want')).to.deep.include({ host: '10.0.0.1', type: 'want', key: 'm/a', waiting: 0, priority: 2 })
+      expect(links.isLoadQueued(engineAt('10.0.0.1'), 'm/a')).to.equal(false)
+    })
+
+    it('repeat such a demand at once when it has become more urgent, and others only later', async () => {
+      for (const [keep, priority] of [[true, 4], [true, 4], [true, 1]] as const) links.requestLoad(engineAt('10.0.0.1'), { key: 'm/a', waiting: 1, priority, version: undefined, keep })
+      for (const priority of [4, 1]) links.requestLoad(engineAt('10.0.0.2'), { key: 'm/b', waiting: 1, priority, version: undefined, keep: false })
+      await time.settle(10)
+      expect(of('want')).to.have.length(3)
+    })
+
+    // Guards against a slot that stays unused for as long as reports of uses are held back.
+    it('report the end of an adapter\'s last use without delay', async () => {
+      const state = states.getOrCreate(engineAt('10.0.0.1'), 4)
+      const report = { at: nowMs(), reachable: true, held: new Map([['m/a', 1]]), coming: new Set<string>(), waiting: 0, running: 0, unread: 0 }
+      const run = async (room: number): Promise<unknown[]> => {
+        state.applyReport({ ...report, room })
+        const pending = state.begin({ key: 'm/a', patienceMs: 500, tokens: 0, priority: 1 })
+        await time.advance(100)
+        received = []
+        state.end('m/a', pending)
+        await time.settle(10)
+        return of('uses')
+      }
+      expect(await run(1)).to.deep.equal([])
+      await time.advance(100)
+      expect(await run(0)).to.deep.equal([{ host: '10.0.0.1', type: 'uses', uses: [['m/a', 0, 0]], unread: 0 }])
+    })
+  })
 })
--- a/packages/fleet/test/subscriber.test.ts
+++ b/packages/fleet/test/subscriber.test.ts
@@ -66,6 +66,12 @@
       expect(sent).to.have.length(2)
     })
 
+    // Guards against entries that demand adapters of an engine without room for as long as updates of the load are held back.
+    it('are sent at once when the engine has room no longer, or again', () => {
+      for (const room of [1, 0, 0, 2]) subscriber.publish(update({ room }), relayed)
+      expect(sent.map(frame => (frame as { room?: number }).room)).to.deep.equal([undefined, 0, 2])
+    })
+
     it('include the prompt tokens not prefilled yet once they differ by enough to matter', async () => {
       await time.advance(300)
       subscriber.publish(update({ unread: 1500 }), relayed)
--- a/packages/wire/src/fast-validation.ts
+++ b/packages/wire/src/fast-validation.ts
@@ -65,6 +65,8 @@
     waiting: isCount,
     running: isCount,
     unread: isCount,
+    room: isCount,
+    slotMs: isCount,
     entries: isCount,
     strangers: isCount,
     fence: isCount
@@ -85,7 +87,8 @@
     key: isKey,
     version: Number.isFinite,
     waiting: isCount,
-    priority: isCount
+    priority: isCount,
+    keep: isFlag
   },
   declined: {
     type: value => value === 'declined',
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -115,6 +115,10 @@
   running: Count.optional(),
   /** Prompt tokens of all entries' requests that the engine has not processed yet, as far as the entries have reported them. */
   unread: Count.optional(),
+  /** Adapters that the engine could load now: free slots and idle adapters, less the demands that wait for one. */
+  room: Count.optional(),
+  /** While `room` is 0: the expected time in ms until one more demand gets a slot. */
+  slotMs: Count.optional(),
   /** Entries of the engine's own failure domain that are connected to its side process. */
   entries: Count.optional(),
   /** Entries of other failure domains that subscribe directly, because their own domain has no side process. */
@@ -179,8 +183,12 @@
   Hello,
   FactFrame,
   EngineUpdateFrame,
-  /** Asks a side process to load an adapter, for which `waiting` requests are queued. */
-  z.object({ type: z.literal('want'), key: AdapterKey, version: z.number().optional(), waiting: Count, priority: Count }),
+  /**
+   * Asks a side process to load an adapter, for which `waiting` requests are queued; 0 withdraws the demand. `priority`: the rank
+   * of the most urgent of them. `keep`: the engine is known to have no room, so the demand waits for a slot instead of being
+   * declined.
+   */
+  z.object({ type: z.literal('want'), key: AdapterKey, version: z.number().optional(), waiting: Count, priority: Count, keep: z.boolean().optional() }),
   /** Subscribes to the updates of the engines on these hosts, and of no others. `relay`: the sender relays them to entries. */
   z.object({ type: z.literal('follow'), hosts: z.array(Host).max(5000), relay: z.boolean() }),
   /** Asks for the facts that the sender lacks: each immediately from now on (`true`), or only those that it still lacks after a delay. */
