--- a/packages/bench/src/processor.ts
+++ b/packages/bench/src/processor.ts
@@ -15,7 +15,7 @@
 import { pause } from '@finchpitch/core'
 import { BackendStandIn, FleetSystem, type Role } from '@finchpitch/stand-ins'
 import { readProcessUsage } from './measure.js'
-import { publishReport, roundSignificant, type Row } from './report.js'
+import { publishReport, roundSignificant, type Report, type Row } from './report.js'
 
 /** The second octet of the loopback addresses of the first fleet. */
 const firstNetwork = 180
@@ -105,11 +105,11 @@
 interface Group { name: string, pids: Array<number | undefined>, cpu: Map<string, number> }
 
 const flagsOf = (systemFile: string, role: Role): string[] =>
-  new RegExp(`^run = "node (.*) target/launch.cjs ${role}"`, 'm').exec(systemFile)?.[1]?.split(' ') ?? []
+  new RegExp(`^run = "node (.*) target/launch.cjs ${role}"`, 'm').exec(systemFile)?.[1]?.split(/ +/) ?? []
 
-const startFleet = async (folder: string, network: number): Promise<FleetSystem> => {
+const createFleet = async (folder: string, network: number): Promise<FleetSystem> => {
   const systemFile = await readFile(resolve(folder, 'deploy/system.toml'), 'utf8')
-  const fleet = new FleetSystem({
+  return new FleetSystem({
     network,
     domains: 1,
     entriesPerDomain: entries,
@@ -121,14 +121,18 @@
     program: resolve(folder, 'target/launch.cjs'),
     nodeOptions: { entry: flagsOf(systemFile, 'entry'), side: flagsOf(systemFile, 'side') }
   })
+}
+
+const startFleet = async (fleet: FleetSystem): Promise<void> => {
   await fleet.start()
   const tenants = Array.from({ length: teams }, (_, index) => ({ name: `team-${index}`, apiKeys: [`k${index}`], unit: 'tokens', plainTokens: 200, ratePerS: 100_000, burst: 100_000 }))
   fleet.store.put('config', 'main', fleet.table(2, { tenants }))
-  return fleet
 }
 
+interface Relay { target: Target, process: ChildProcess, stop: () => Promise<void> }
+
 /** Starts the relay with a plain server and an engine of its own. */
-const startRelay = async (network: number): Promise<{ target: Target, process: ChildProcess, stop: () => Promise<void> }> => {
+const startRelay = async (network: number): Promise<Relay> => {
   const [engine, plain] = [`127.${network}.3.1`, `127.${network}.3.2`]
   const servers = [new BackendStandIn({ id: 'engine', engine: { model: 'base', places: 1, loadMs: 0 }, ...work }), new BackendStandIn({ id: 'plain', ...work })]
   await servers[0]?.start(engine, 8145)
@@ -170,7 +174,17 @@
   const [, , , ...args] = process.argv
   const folders = args.length > 0 ? args : [fileURLToPath(new URL('../../..', import.meta.url))]
   const relay = await startRelay(firstNetwork - 1)
-  const fleets = await Promise.all(folders.map((folder, index) => startFleet(folder, firstNetwork + index)))
+  const fleets = await Promise.all(folders.map((folder, index) => createFleet(folder, firstNetwork + index)))
+  try {
+    await Promise.all(fleets.map(startFleet))
+    await publishReport(await measureFleets(folders, fleets, relay))
+  } finally {
+    keptConnections.destroy()
+    await Promise.all([relay.stop(), ...fleets.map(fleet => fleet.stop())])
+  }
+}
+
+const measureFleets = async (folders: string[], fleets: FleetSystem[], relay: Relay): Promise<Report> => {
   await pause(settleMs)
   const targets = [relay.target, ...fleets.flatMap(fleet => fleet.entries.map((_, index) => ({ ...fleet.callerAddress(index), path: (generation: boolean) => generation ? '/stream/x' : '/again/x' })))]
   const groups: Group[] = [{ name: 'relay', pids: [relay.process.pid], cpu: new Map() }]
@@ -191,9 +205,7 @@
     for (const [index, group] of groups.entries()) group.cpu.set(phase, (after[index] ?? NaN) - (before[index] ?? NaN))
     before = after
   }
-  keptConnections.destroy()
-  await Promise.all([relay.stop(), ...fleets.map(fleet => fleet.stop())])
   process.stdout.write(`responses: ${JSON.stringify(Object.fromEntries(counts))}\n`)
   const about = `${generationsPerSecond} generations/s and ${plainPerSecond} plain requests/s for each entry; ${entries} entries and ${engines} side processes; ms for one process, user and system; life: the start and 40 s`
-  await publishReport({ name: 'processor', about, rows: groups.flatMap(group => rowsOf(group, groups[0] as Group)) })
+  return { name: 'processor', about, rows: groups.flatMap(group => rowsOf(group, groups[0] as Group)) }
 }
--- a/packages/fleet/src/entry/counters.ts
+++ b/packages/fleet/src/entry/counters.ts
@@ -1,7 +1,7 @@
 /**
  * Metrics of an entry process. Label values are fixed sets of low cardinality: never an adapter, a team or a request.
  */
-import { Counter, Histogram } from 'prom-client'
+import { Counter, Histogram } from '../prometheus.js'
 import { MetricsRegistry } from '../metrics-registry.js'
 
 const latencyBuckets = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1, 2, 5, 10]
--- a/packages/fleet/src/metrics-registry.ts
+++ b/packages/fleet/src/metrics-registry.ts
@@ -1,7 +1,7 @@
 /**
  * The base of the metrics of entries and side processes: a Prometheus registry per process, with gauges that are read at scrape time.
  */
-import { Gauge, Registry } from 'prom-client'
+import { Gauge, Registry } from './prometheus.js'
 
 export class MetricsRegistry {
   readonly registry = new Registry()
--- a/packages/fleet/src/side/counters.ts
+++ b/packages/fleet/src/side/counters.ts
@@ -2,7 +2,7 @@
  * Metrics of a side process. Label values are closed sets: no label holds an adapter, a team or a request, so the number of
  * time series stays bounded.
  */
-import { Counter, Histogram } from 'prom-client'
+import { Counter, Histogram } from '../prometheus.js'
 import { MetricsRegistry } from '../metrics-registry.js'
 
 export class SideCounters extends MetricsRegistry {
