Quotas: entries without demand keep fewer tokens that expire soon

A team whose callers are all at one of four entries got too little of its quota where messages between processes are late.

Cause: an entry without demand for a team keeps the tokens that it earns in 500 ms and gives the oldest away, up to an exchange interval of 250 ms later. Where tokens live for 930 ms they are 500 to 750 ms old by then, and a message that is late by 100 ms leaves most of them no time to be granted and spent.

The reserve without demand is now at most the tokens earned in a quarter of their lifetime. Nothing changes where tokens live for 2 s and longer.

--- a/packages/fleet/src/entry/quotas/team-account.ts
+++ b/packages/fleet/src/entry/quotas/team-account.ts
@@ -12,8 +12,14 @@
 
 /** Half-life of the average of the demand: it follows a surge within half a second, and single requests hardly count. */
 const demandHalfLifeMs = 500
-/** The reserve covers at least the entry's own share of the quota for this time: two exchanges. */
+/** The reserve covers the entry's own share of the quota for this time if tokens live long enough: two exchanges. */
 const reserveMs = 500
+/**
+ * Of the lifetime of its tokens, an entry keeps at most the tokens of this share without demand. What it gives away is older than
+ * that by up to an exchange interval, and has to be given, granted and spent within the lifetime. With 500 ms of 930 ms, a team at one
+ * of four entries got half of its quota where messages took up to 100 ms.
+ */
+const maxIdleReserveShare = 0.25
 /** It requests tokens when it has less than this share of the reserve. As a result, most exchanges request none. */
 const lowWatermark = 0.5
 /** The reserve covers this many requests of average size. Otherwise most requests of a team with a small share would wait for an exchange. */
@@ -331,7 +337,8 @@
     const { ownRate, lifetimeMs } = this.#tokens
     if (this.#isOverQuota) return 0
     const requests = Math.min(reserveRequests * this.#averageSize, ownRate * lifetimeMs / 1000 * maxReserveShare)
-    return Math.max(demandReserve(this.quota.perSecond, { here: this.demand, total: this.#knownTotalDemand }), ownRate * reserveMs / 1000, requests)
+    const idleMs = Math.min(reserveMs, lifetimeMs * maxIdleReserveShare)
+    return Math.max(demandReserve(this.quota.perSecond, { here: this.demand, total: this.#knownTotalDemand }), ownRate * idleMs / 1000, requests)
   }
 
   /** Whether callers ask for more than the quota, over all entries. */
--- a/packages/fleet/test/quotas.test.ts
+++ b/packages/fleet/test/quotas.test.ts
@@ -440,6 +440,11 @@
     it('are nearly all used', async () => {
       expect(await servedShare(2)).to.be.within(0.9, 1.3)
     })
+
+    // Entries without demand kept tokens for more than half of their lifetime: 0.5 of the quota was used.
+    it('are mostly used if frames take up to 100 ms', async () => {
+      expect(await servedShare(100)).to.be.within(0.75, 1.3)
+    })
   })
 
   describe('exchanged with a bank whose answers wait in the socket while this process stalls', () => {
