--- a/packages/fleet/src/entry/peers/entry-count-bound.ts
+++ b/packages/fleet/src/entry/peers/entry-count-bound.ts
@@ -12,13 +12,20 @@
 const windowMs = 15_000
 /** After a start, all entries of a domain have connected to its side processes by then; if all start at once, it takes about 0.5 s. */
 const warmupMs = 1500
+/**
+ * A count is held for the windows above if it, or a higher one, lasted this long. Side processes count an entry twice for a moment
+ * when it moves from a remote side process to a local one; held, that left a team two thirds of its quota for up to 30 s.
+ */
+const minHeldMs = 1000
 const assumedEntriesPerServer = 1.5
 /** Minimum of the bound until the warm-up is over and a count is known. */
 const minAssumedEntries = 12
 
 export class EntryCountBound {
   readonly #startedAt = nowMs()
-  /** Highest counts of the current and the previous window. */
+  /** The latest counts and their times: those of the last `minHeldMs`, and the one before. */
+  #recent: Array<{ count: number, at: number }> = []
+  /** Highest lasting counts of the current and the previous window. */
   #max = 0
   #previousMax = 0
   #windowStart = nowMs()
@@ -31,10 +38,19 @@
       this.#max = 0
       this.#windowStart = now
     }
-    this.#max = Math.max(this.#max, counted ?? 0)
+    this.#max = Math.max(this.#max, this.#lastingCount(now))
+    this.#recent.push({ count: counted ?? 0, at: now })
     const warmedUp = now - this.#startedAt > warmupMs
-    const known = Math.max(this.#max, this.#previousMax)
+    const known = Math.max(counted ?? 0, this.#max, this.#previousMax)
     const floor = warmedUp && known > 0 ? 1 : Math.max(minAssumedEntries, servers * assumedEntriesPerServer)
     return Math.max(known, floor)
   }
+
+  /** The lowest count since `minHeldMs` ago; 0 if counts don't go back as far. */
+  #lastingCount (now: number): number {
+    const from = now - minHeldMs
+    while ((this.#recent[1]?.at ?? Infinity) <= from) this.#recent.shift()
+    const [oldest] = this.#recent
+    return oldest === undefined || oldest.at > from ? 0 : Math.min(...this.#recent.map(({ count }) => count))
+  }
 }
--- a/packages/fleet/test/entry-count.test.ts
+++ b/packages/fleet/test/entry-count.test.ts
@@ -26,6 +26,12 @@
     expect(countEntries([report('a', 3, 2), report('b', 4, 2)])).to.equal(9)
   })
 
+  it('counts entries of a domain without a report once, also if they are known as strangers', () => {
+    expect(countEntries([report('a', 2, 2), report('b', undefined)])).to.equal(4)
+    expect(countEntries([report('a', 2, 1), report('b', undefined)])).to.equal(4)
+    expect(countEntries([report('a', 2, 5), report('b', undefined)])).to.equal(7)
+  })
+
   it('counts three watchers per domain, and every entry of a smaller domain', () => {
     expect(countWatchers([report('a', 13), report('b', 2)])).to.equal(5)
   })
--- a/packages/fleet/test/quotas.test.ts
+++ b/packages/fleet/test/quotas.test.ts
@@ -487,6 +487,18 @@
       time.advanceSync(16_000)
       expect(entryBound.update(20, 33)).to.equal(20)
     })
+
+    // While processes started, four entries were counted as five and six for 0.7 s; held for 30 s, that left each a third less.
+    it('adopt a higher count at once, but hold it only if it lasts', () => {
+      const entryBound = new EntryCountBound()
+      const updates = (counts: readonly number[]): number[] => counts.map(count => {
+        time.advanceSync(200)
+        return entryBound.update(count, 4)
+      })
+      updates([4, 4, 4, 4, 4, 4, 4, 4])
+      expect(updates([5, 6, 5, 4])).to.deep.equal([5, 6, 5, 4])
+      expect(updates([5, 6, 5, 6, 5, 6, 4])).to.deep.equal([5, 6, 5, 6, 5, 6, 5])
+    })
   })
 })
 
