Request queue: scan what has changed before a wait ends

On an overloaded machine requests were refused with 503 `no server of the service` by an entry that knew servers of the service.

Cause: a wait ends by its own timer, and a change is scanned by another one, 12 ms later. After a stall of the process the timer of the wait fires first, and the request gets the answer of the last scan. Evidence: in a run of the test of route changes where all watching entries of a domain are killed (load average 23), an entry learned of both servers of the service at 36.217 s and refused two requests for it at 36.309 s. They had waited for 202 ms of 30 ms allowed, since the process did not run meanwhile.

The end of a wait now scans first if a scan is pending. The scan goes by rank as always, so that no request overtakes another one. The added test is refused without the change and served with it.

--- a/packages/fleet/src/entry/waiting/request-queue.ts
+++ b/packages/fleet/src/entry/waiting/request-queue.ts
@@ -75,7 +75,7 @@
 
   wait (request: QueuedRequest, first: Choice, cancellation: Cancellation): Promise<WaitOutcome> {
     return new Promise(resolve => {
-      const timer = setTimeout(() => entry.end({ type: 'expired', last: entry.last }), Math.max(0, request.expiresAt - nowMs()))
+      const timer = setTimeout(() => this.#expire(entry), Math.max(0, request.expiresAt - nowMs()))
       const cancel = (): void => entry.end({ type: 'cancelled' })
       const entry: QueueEntry = {
         ...request,
@@ -112,6 +112,15 @@
     if (keys.size > 0) this.scheduleScan([...keys])
   }
 
+  /**
+   * Ends a wait, after the scan that is pending, if any. After a stall of this process, the timer of the wait fires before that of the
+   * scan: requests were refused for want of a server 0.1 s after their entry had learned of one.
+   */
+  #expire (entry: QueueEntry): void {
+    if (this.#scanTimer !== undefined) this.#runScan()
+    entry.end({ type: 'expired', last: entry.last })
+  }
+
   #runSweep (): void {
     this.#sweepCount += 1
     if (this.#sweepCount % fullSweepEvery === 0) this.scheduleScan()
@@ -124,6 +133,7 @@
   }
 
   #runScan (): void {
+    clearTimeout(this.#scanTimer)
     this.#scanTimer = undefined
     const dirty = this.#dirtyKeys
     this.#dirtyKeys = new Set()
--- a/packages/fleet/test/request-queue.test.ts
+++ b/packages/fleet/test/request-queue.test.ts
@@ -58,6 +58,17 @@
     expect(order).to.deep.equal(['capacity chosen', 'either chosen'])
   })
 
+  // The timer of the wait fired first, and the request was refused though its entry had learned of a server.
+  it('serves a request whose time is up if a change has not been scanned yet, as after a stall', async () => {
+    wait('first', queuedRequest('a', 1, 30))
+    wait('second', queuedRequest('b', 2, 30))
+    await time.advance(25)
+    freeSlots = 1
+    queue.scheduleScan()
+    await time.advance(5)
+    expect(order).to.deep.equal(['first chosen', 'second expired'])
+  })
+
   it('requests the load of an adapter with the number of requests that wait for it', async () => {
     const bring: Choice = { type: 'bring', ask: 'e', held: false, reason: 'held nowhere' }
     wait('one', queuedRequest('a'), bring)
