Server selection: wait for servers that have not been read since the start

An entry that had just started on an overloaded machine refused requests with 503 `no server of the service`, since it had read the routing table and not the list of servers yet.

Cause: table and servers are read by two calls. A request waits for the table, but then only a fifth of its route's objective for servers, 30 ms for plain requests: the wait for a service that has none. In a run of the test of route changes where all watching entries of a domain are killed (load average 23), a restarted entry had the table at 36.044 s and its first server at 36.206 s.

--- a/packages/fleet/src/entry/servers/server-selector.ts
+++ b/packages/fleet/src/entry/servers/server-selector.ts
@@ -93,7 +93,7 @@
       key: selection.key ?? selection.service.name,
       service: selection.service.name,
       rank,
-      expiresAt: first.type === 'none' ? times.waitForServersUntil(route) : times.waitUntil(route),
+      expiresAt: first.type === 'none' && this.#serversRead ? times.waitForServersUntil(route) : times.waitUntil(route),
       mayWaitFor: choice => this.#mayWaitFor(choice, route),
       choose: () => balancer.choose({ ...selection, timeToObjectiveMs: times.timeToObjectiveMs(route) }),
       isQuarantined: () => crashes.quarantine(admitted.team) !== undefined,
@@ -105,6 +105,14 @@
     return outcome.type === 'expired' ? noServerFrom(outcome.last) : outcome
   }
 
+  /**
+   * Whether the list of servers has been read since this process started. The routing table is read by another call, 0.1 s and more
+   * before it where the machine is overloaded, and requests that waited only as long as for a service without servers were refused.
+   */
+  get #serversRead (): boolean {
+    return this.options.facts.complete.server > 0
+  }
+
   #recordWait (first: Choice, waitedMs: number): void {
     this.options.record.waitedMs += waitedMs
     this.options.counters.waited.observe({ for: first.type }, waitedMs / 1000)
