Admission: read the sockets before a request is refused for want of a proof

A request for a route that its entry does not know waits up to 0.3 s for the route or for a proof that the table is current. After a stall of the process, the timer of that wait fires before sockets are read, so that the request is refused with 503 `table_not_confirmed` although the answer has arrived. This is the fault of the queue's waits in another place, found by reading the code; the exchange of quotas and the requests for probes have had a guard against it.

The request now lets one turn of the event loop pass and checks again before it is refused.

--- a/packages/fleet/src/entry/serving/request-admission.ts
+++ b/packages/fleet/src/entry/serving/request-admission.ts
@@ -1,7 +1,7 @@
 /**
  * Admission of one request: its team, whether it may be sent now, and the quota that it costs.
  */
-import { boottimeMs, nowMs } from '../../clock.js'
+import { afterSocketReads, boottimeMs, nowMs } from '../../clock.js'
 import type { Facts } from '../../facts.js'
 import type { HeaderNames } from '../../ports.js'
 import type { RouteIndex } from '../../table.js'
@@ -45,12 +45,18 @@
   async admit (): Promise<Admission | Denial> {
     const { facts, confirmation } = this.options
     const waitUntil = nowMs() + Math.min(maxProofWaitMs, this.incoming.remainingMs * maxProofWaitShare)
+    let readSockets = false
     for (;;) {
       const admission = this.#check(facts.routes)
       if (admission.type === 'admitted' || !isFinalDenial(admission.reason) || confirmation.isCurrent(this.#arrivedAt)) return admission
       const leftMs = waitUntil - nowMs()
-      if (leftMs <= 0) return { ...admission, reason: 'table_not_confirmed' }
-      await confirmation.awaitProof(leftMs)
+      if (leftMs > 0) await confirmation.awaitProof(leftMs)
+      else if (readSockets) return { ...admission, reason: 'table_not_confirmed' }
+      else {
+        // After a stall of this process, the proof or the new table may be waiting in a socket.
+        await afterSocketReads()
+        readSockets = true
+      }
     }
   }
 
