Entries: repeat a failed generation where its adapter is

A generation that may be repeated was failed after an engine's 500 or a lost response unless another engine held its adapter, which mostly none does, although the same engine would have served the next attempt.

Where no other holder can take it, it goes to the same engine again, or waits for a load elsewhere while that can still help its caller. maxAttempts, the retry budget and the quarantine apply as before. The engine's error is delivered if no later attempt gets a response.

Against stand-ins whose only holder fails the first attempt, the caller got the 500 or a 502; now it gets the stream of the second one.

--- a/packages/fleet/src/entry/servers/choice.ts
+++ b/packages/fleet/src/entry/servers/choice.ts
@@ -117,6 +117,15 @@
  */
 const affinityPenaltyMs = 500
 
+/**
+ * Whether a request whose attempt failed may go on with this choice: it is sent at once, or what it waits for can come within the
+ * `maxWaitMs` in which waiting helps its caller.
+ */
+export const helpsRepeat = (choice: Choice, maxWaitMs: number): boolean => {
+  if (choice.type === 'send') return true
+  return choice.type !== 'none' && maxWaitMs >= (choice.type === 'bring' ? coldLoadMs : 0)
+}
+
 const hasCapacity = (candidate: ServerCandidate): boolean => candidate.load < candidate.slots + engineQueueDepth
 
 /**
--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -4,7 +4,8 @@
  * Before each attempt the request is matched against the current routing table. It waits for a free slot or an adapter
  * while that can still help its caller, and is then sent. Whether a failed attempt may be retried depends on whether the
  * request may have run: a request that was refused or never sent may go to another server; otherwise only a repeatable
- * one may, within the retry budget. When the entry gives up, it responds at once: 503 with `Retry-After` if the request
+ * one may, within the retry budget. A repeatable request whose adapter no other engine can serve goes to the same engine again
+ * while that accepts connections, or waits until another engine has loaded the adapter. When the entry gives up, it responds at once: 503 with `Retry-After` if the request
  * has certainly not run, else 502 or 504.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
@@ -25,6 +26,7 @@
 import type { Admission, Denial } from './admission.js'
 import { IncomingRequest } from './incoming-request.js'
 import { buildOutgoingRequest, type OutgoingContext } from './outgoing-request.js'
+import { helpsRepeat } from '../servers/choice.js'
 import { ServerSelector, hasReadyTime, noServerFrom, type NoServer, type SendChoice } from '../servers/server-selector.js'
 import { LocalReplies } from './local-replies.js'
 import { RequestCrashes } from './request-crashes.js'
@@ -117,6 +119,8 @@
   /** Attempts that ran or may have run. */
   #possibleRuns = 0
   #mayHaveRun = false
+  /** The failure that an engine answered. It is delivered if no later attempt gets a response. */
+  #failure: Extract<AttemptResult, { type: 'answer' }> | undefined
   #framer: EventFramer | undefined
   #deadlinePassed = false
 
@@ -174,13 +178,13 @@
       const { routes, servers } = this.options.facts
       if (routes === undefined) return this.#giveUp('no_table')
       const admission = await this.#admit()
-      if (admission.type === 'denied') return this.#mayHaveRun ? this.#localReplies.fail(502, admission.reason) : this.#localReplies.deny(admission)
+      if (admission.type === 'denied') return this.#mayHaveRun ? this.#fail(502, admission.reason) : this.#localReplies.deny(admission)
       const readyInMs = await this.#admission.reserve(admission, this.#times.firstTriedMs)
-      if (readyInMs !== undefined) return this.#mayHaveRun ? this.#localReplies.fail(502, 'over_quota') : this.#localReplies.overQuota(readyInMs)
+      if (readyInMs !== undefined) return this.#mayHaveRun ? this.#fail(502, 'over_quota') : this.#localReplies.overQuota(readyInMs)
       // Such a request would crash any server, with all requests that run there. Of ten sent to four entries, all ten reached an
       // engine without this check, and two or three with it.
       const quarantine = this.#crashes.quarantine(admission.team)
-      if (quarantine !== undefined) return this.#mayHaveRun ? this.#localReplies.fail(502, 'quarantined') : this.#localReplies.quarantined(quarantine)
+      if (quarantine !== undefined) return this.#mayHaveRun ? this.#fail(502, 'quarantined') : this.#localReplies.quarantined(quarantine)
       const service = this.#serviceOf(admission.route)
       if (service === undefined) return this.#giveUp('no_service')
       const selection = this.#selectionFor(service, admission)
@@ -191,7 +195,7 @@
       // The table may have changed during the wait, so the request has to be admitted again.
       if (next.type === 'readmit' || server === undefined || this.options.facts.routes !== routes) continue
       // Without a probe grant, all entries would send the request the moment its quarantine expires.
-      if (!await this.#crashes.mayRun(admission.team)) return this.#mayHaveRun ? this.#localReplies.fail(502, 'quarantined') : this.#localReplies.awaitProbe()
+      if (!await this.#crashes.mayRun(admission.team)) return this.#mayHaveRun ? this.#fail(502, 'quarantined') : this.#localReplies.awaitProbe()
       const verdict = await this.#attempt(server, selection, admission, next.choice)
       if (verdict.type === 'done') return verdict.outcome
     }
@@ -228,7 +232,7 @@
     const table = facts.routes
     const { route } = admitted
     const remainingMs = Math.floor(this.#times.leftMs)
-    if (remainingMs < minRemainingMs) return done(this.#mayHaveRun ? this.#localReplies.fail(504, 'timed_out') : this.#localReplies.refuse('too_late'))
+    if (remainingMs < minRemainingMs) return done(this.#mayHaveRun ? this.#fail(504, 'timed_out') : this.#localReplies.refuse('too_late'))
     if (this.#record.tries === 0) budget.deposit(selection.service.name)
     if (this.#sentAttempts > 0 && !budget.tryWithdraw(selection.service.name)) return done(this.#giveUp('no_retry_left'))
     const state = balancer.state(server)
@@ -309,7 +313,8 @@
       self.#callerResponse.finish()
       return done('streamed')
     },
-    answer: (self, { status, headers, body }, finished) => {
+    answer: (self, answer, finished) => {
+      const { status } = answer
       const failed = status >= firstServerErrorStatus
       if (failed) self.options.faults.recordFailure(finished.server, self.#incoming.id, `status ${status}`)
       else self.options.balancer.state(finished.server).outlier.recordSuccess()
@@ -317,10 +322,10 @@
       self.#crashes.recordCompletion(finished.admitted.team)
       if (failed && self.#mayRunAgain(finished)) {
         self.#mayHaveRun = true
+        self.#failure = finished.selection.key === undefined ? undefined : answer
         return retry
       }
-      self.#callerResponse.whole(status, headers, body, self.#incoming.message.method === 'HEAD' || bodylessStatuses.has(status))
-      return done(`answered ${status}`)
+      return done(self.#deliver(answer))
     },
     not_sent: (self, { detail }, { server, selection }) => {
       self.options.faults.recordUnreachable(server, self.#incoming.id, detail)
@@ -338,7 +343,7 @@
     cancelled: (self, { sent }) => done(self.#endCancelled(sent)),
     broken: (self, { detail }, finished) => {
       self.#recordBroken(finished, detail)
-      return self.#mayRunAgain(finished) ? retry : done(self.#localReplies.fail(502, 'broken'))
+      return self.#mayRunAgain(finished) ? retry : done(self.#fail(502, 'broken'))
     },
     interrupted: (self, { detail }, finished) => {
       self.#recordBroken(finished, detail)
@@ -367,10 +372,12 @@
     return this.#sentAttempts < maxSentAttempts && this.#record.tries < maxTotalAttempts
   }
 
-  /** Whether the request may run again although it has run or may have run, and another server could take it. */
-  #mayRunAgain ({ server, selection, admitted: { route } }: FinishedAttempt): boolean {
+  /** Whether the request may run again although it has run or may have run, and some server could take it. */
+  #mayRunAgain (finished: FinishedAttempt): boolean {
+    const { server, selection, admitted: { route } } = finished
     const repeatable = route.kind === 'repeatable' || (route.kind === 'stream' && route.resumable)
-    return repeatable && this.#attemptsLeft && this.#possibleRuns < route.maxAttempts && this.#anotherCanTake(server, selection)
+    if (!repeatable || !this.#attemptsLeft || this.#possibleRuns >= route.maxAttempts) return false
+    return this.#anotherCanTake(server, selection) || this.#sameEngineOrLoadHelps(finished)
   }
 
   /** Excludes the server from further attempts. Returns whether another one could take the request. */
@@ -379,6 +386,18 @@
     return this.options.balancer.choose(selection).type === 'send'
   }
 
+  /**
+   * Whether the engine that failed could take the request again, or another one once it has loaded the adapter. No other engine can
+   * take it now, so the failed one is no longer excluded: most failures hit single requests. If it has ended, it refuses the
+   * connection and is excluded then, and the request waits for a load elsewhere.
+   */
+  #sameEngineOrLoadHelps ({ server, selection, admitted: { route } }: FinishedAttempt): boolean {
+    const { balancer } = this.options
+    if (selection.key === undefined) return false
+    if (balancer.isAvailable(server)) this.#excluded.delete(server.id)
+    return helpsRepeat(balancer.choose(selection), this.#times.waitUntil(route) - nowMs())
+  }
+
   /** The caller disconnected, or the deadline passed. */
   #endCancelled (sent: boolean): string {
     if (!this.#deadlinePassed) return 'caller_left'
@@ -386,7 +405,7 @@
       this.#callerResponse.abort()
       return 'timed_out'
     }
-    return sent || this.#mayHaveRun ? this.#localReplies.fail(504, 'timed_out') : this.#localReplies.refuse('timed_out')
+    return sent || this.#mayHaveRun ? this.#fail(504, 'timed_out') : this.#localReplies.refuse('timed_out')
   }
 
   /** No server or adapter became available, or none can in time. */
@@ -395,8 +414,25 @@
     return this.#giveUp(reason)
   }
 
+  /** The request may have run. */
+  #fail (status: 502 | 504, reason: string): string {
+    if (this.#failure === undefined || this.#callerResponse.started) return this.#localReplies.fail(status, reason)
+    this.#record.reason = reason
+    return this.#deliver(this.#failure)
+  }
+
+  /** Delivers a buffered response. To a stream that is under way, it is the answer to an attempt to resume it. */
+  #deliver ({ status, headers, body }: Extract<AttemptResult, { type: 'answer' }>): string {
+    if (this.#callerResponse.started) {
+      this.#callerResponse.abort()
+      return 'interrupted'
+    }
+    this.#callerResponse.whole(status, headers, body, this.#incoming.message.method === 'HEAD' || bodylessStatuses.has(status))
+    return `answered ${status}`
+  }
+
   /** There is no server left to send it to. */
   #giveUp (reason: string): string {
-    return this.#mayHaveRun ? this.#localReplies.fail(502, reason) : this.#localReplies.refuse(reason)
+    return this.#mayHaveRun ? this.#fail(502, reason) : this.#localReplies.refuse(reason)
   }
 }
--- a/packages/fleet/test/choice.test.ts
+++ b/packages/fleet/test/choice.test.ts
@@ -1,5 +1,5 @@
 import { hashOf } from '@finchpitch/decisions'
-import { chooseEngine, choosePlain, type EngineCandidate, type ServerCandidate } from '@finchpitch/fleet'
+import { chooseEngine, choosePlain, helpsRepeat, type EngineCandidate, type ServerCandidate } from '@finchpitch/fleet'
 import { expect } from 'chai'
 
 const candidate = (id: string, domain: string, more: Partial<EngineCandidate> = {}): EngineCandidate => ({
@@ -88,6 +88,12 @@
       expect(engine([{ ...holder, expectedMs: 500 }, candidate('q', 'b')])).to.include({ type: 'send', id: 'p' })
     })
 
+    it('lets a failed request wait for a load only while that can help its caller', () => {
+      const load = engine([candidate('p', 'a')])
+      expect([helpsRepeat(load, 500), helpsRepeat(load, 100), helpsRepeat(engine([]), 500)]).to.deep.equal([true, false, false])
+      expect(helpsRepeat(engine([candidate('p', 'a', { holds: true, unhealthy: true })]), 0)).to.equal(true)
+    })
+
     it('waits for an adapter that is being loaded', () => {
       expect(engine([candidate('p', 'a', { coming: true }), candidate('q', 'a')])).to.deep.include({ type: 'bring', ask: undefined })
     })
--- a/packages/fleet/test/fleet.test.ts
+++ b/packages/fleet/test/fleet.test.ts
@@ -143,6 +143,41 @@
     })
   })
 
+  describe('a request that may be repeated and whose adapter only one engine holds', () => {
+    let id: string
+    let reply: Promise<FleetResponse>
+
+    beforeEach(async () => {
+      id = nextId()
+      await send({ path: '/resume/x', id: nextId(), model: `base/${id}` })
+      for (const engine of fleet.engines) engine.options.workMs = 300
+    })
+
+    afterEach(() => { for (const engine of fleet.engines) engine.options.workMs = 5 })
+
+    const failFirst = async (fault: BackendStandIn['fault']): Promise<void> => {
+      setFault(fleet.engines, fault)
+      reply = send({ path: '/resume/x', id, model: `base/${id}` })
+      await eventually('it runs again', () => runsOf(id) === 2, 1000)
+    }
+
+    // Guards against failing a request because no other engine holds its adapter, though the same one would serve it.
+    for (const fault of ['failing', 'unsealed'] as const) {
+      it(`is served by the same engine after a response that is ${fault}`, async () => {
+        await failFirst(fault)
+        setFault(fleet.engines, 'none')
+        expect(await reply).to.include({ status: 200, whole: true })
+        expect(runsOf(id)).to.equal(2)
+      })
+    }
+
+    it('gets the error of the engine after as many attempts as may run', async () => {
+      await failFirst('failing')
+      expect(await reply).to.include({ status: 500 })
+      expect(runsOf(id)).to.equal(2)
+    })
+  })
+
   describe('a truncated stream', () => {
     it('never looks complete', async () => {
       await send({ path: '/stream/x', id: nextId(), model: 'base/a1' })
