Waiting requests: order by team, expected start, early rejection and Retry-After

Cause: requests that wait for a server were ordered by rank and arrival, so one team that sent several times its usual load delayed all others. A scan sent all waiting requests to the first free slot, as choices count a request only when it is sent.

Change: the queue measures the rate of starts and the times of loads, and rejects a request that is not expected to start in time, with a Retry-After that follows a schedule. Within a rank, requests are ordered by the work of their teams; a team beyond its share gains no urgency by waiting. Of ten starts one goes to the oldest request, and two to callers that returned as told. A request that finds capacity for which others of its key wait joins the queue. A scan sends one request at a time to each server.

Requests that find free capacity are unaffected.

The queue's test took a slot with each choice; an entry takes it when the request is sent. The test now does the same, and so also fails if one slot is given to two requests.

--- a/packages/fleet/src/entry/counters.ts
+++ b/packages/fleet/src/entry/counters.ts
@@ -5,6 +5,8 @@
 import { MetricsRegistry } from '../metrics-registry.js'
 
 const latencyBuckets = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1, 2, 5, 10]
+/** Estimates may be too low or too high. */
+const errorBuckets = [-2, -1, -0.5, -0.2, -0.1, -0.05, -0.02, 0, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2]
 
 export class EntryCounters extends MetricsRegistry {
   readonly ended = new Counter({
@@ -38,6 +40,21 @@
     registers: [this.registry]
   })
 
+  readonly waitEstimateError = new Histogram({
+    name: 'finchpitch_wait_estimate_error_seconds',
+    help: 'Expected wait, as estimated when a request was queued, minus its actual wait, by what it waited for.',
+    labelNames: ['for'],
+    buckets: errorBuckets,
+    registers: [this.registry]
+  })
+
+  readonly rejected = new Counter({
+    name: 'finchpitch_requests_rejected_early_total',
+    help: 'Requests rejected before their time was up, as they were not expected to start in time, by what they would have waited for.',
+    labelNames: ['for'],
+    registers: [this.registry]
+  })
+
   readonly attempts = new Counter({
     name: 'finchpitch_attempts_total',
     help: 'Attempts at backend servers, by how they ended.',
--- a/packages/fleet/src/entry/servers/choice.ts
+++ b/packages/fleet/src/entry/servers/choice.ts
@@ -46,9 +46,9 @@
   | { type: 'send', id: string, reason: string, expectedMs: number }
   /**
    * Wait for an adapter to load; `ask`: the engine to load it, if one is to be asked. `held`: engines have it loaded, so free
-   * capacity there would also do.
+   * capacity there would also do. `readyInMs`: when it is expected to be loaded, if known.
    */
-  | { type: 'bring', ask: string | undefined, held: boolean, reason: string }
+  | { type: 'bring', ask: string | undefined, held: boolean, reason: string, readyInMs?: number }
   /** Every candidate is in backoff, which it asked for; the first accepts requests again in `readyInMs`. */
   | { type: 'resting', readyInMs: number, reason: string }
   /**
@@ -56,8 +56,8 @@
    * `readyInMs`, and then one more every `everyMs`.
    */
   | { type: 'limited', readyInMs: number, everyMs: number, reason: string }
-  /** Wait: every candidate is at capacity. */
-  | { type: 'full', reason: string }
+  /** Wait: every candidate is at capacity. `readyInMs`: when the first has capacity, if known. */
+  | { type: 'full', reason: string, readyInMs?: number }
   /** There is no server to wait for. */
   | { type: 'none', reason: string }
 
--- a/packages/fleet/src/entry/servers/server-selector.ts
+++ b/packages/fleet/src/entry/servers/server-selector.ts
@@ -2,8 +2,9 @@
  * Selects the server that one request is sent to next, and has the request wait for a server, an adapter, the end of a backoff
  * or the limit that a server advertises.
  *
- * A request waits only while that can still help its caller. If it is known that nothing becomes available in time, the caller is
- * answered at once, with the time after which to retry.
+ * A request waits only while that can still help its caller. If nothing is expected to become available in time, the caller is
+ * answered at once, with the time after which to retry. A request that finds free capacity for which no other waits does not
+ * enter the queue.
  */
 import { nowMs } from '../../clock.js'
 import type { Facts } from '../../facts.js'
@@ -17,7 +18,10 @@
 import type { RequestCrashes } from '../serving/request-crashes.js'
 import type { RequestRecord } from '../serving/request-record.js'
 import type { RequestTimes } from '../serving/request-times.js'
-import { queuedBehind, type RequestQueue } from '../waiting/request-queue.js'
+import type { QueuedRequest, WaitOutcome } from '../waiting/queue-entry.js'
+import type { RequestQueue } from '../waiting/request-queue.js'
+import { queuedBehind } from '../waiting/service-scan.js'
+import type { IncomingRequest } from '../serving/incoming-request.js'
 
 export type SendChoice = Extract<Choice, { type: 'send' }>
 
@@ -26,6 +30,8 @@
   type: 'no_server'
   reason: string
   notBeforeMs: number
+  /** `notBeforeMs` is when capacity is expected for this request, and not a lower bound. */
+  expected?: boolean
 }
 
 export type ServerSelection =
@@ -42,7 +48,14 @@
 /** Whether the choice says when a server becomes available. */
 export const hasReadyTime = (choice: Choice): choice is Extract<Choice, { type: 'resting' | 'limited' }> => choice.type === 'resting' || choice.type === 'limited'
 
+/** Requests with the same key get the same choice. */
+const keyOf = ({ key, service }: SelectionRequest): string => key ?? service.name
+
+/** Callers that are told to return wait for at most this part of their remaining time. */
+const maxReturnShare = 1 / 3
+
 export interface ServerSelectorOptions {
+  incoming: IncomingRequest
   facts: Facts
   balancer: Balancer
   queue: RequestQueue
@@ -58,24 +71,35 @@
   constructor (private readonly options: ServerSelectorOptions) {}
 
   async choose (selection: SelectionRequest, admitted: Admission): Promise<ServerSelection> {
-    const { balancer, cancellation, record } = this.options
+    const { balancer, cancellation, queue, record } = this.options
     // Other entries pass on their unused part of the limit within some ms; another engine may have to load the adapter first.
     if (!cancellation.cancelled) record.limitedBy = await balancer.awaitRateLimit(selection) ?? record.limitedBy
     if (cancellation.cancelled) return { type: 'cancelled' }
-    const first = this.#delayBehindQueued(balancer.choose(selection), selection, admitted)
-    if (first.type === 'send') return { type: 'chosen', choice: first }
-    if (first.type === 'none' && this.#noServerExpected(selection.service)) return { type: 'no_server', reason: 'nobody_left', notBeforeMs: outageRetryAfterMs }
-    if (!this.#mayWaitFor(first, admitted.route)) return noServerFrom(first)
-    return await this.#wait(first, selection, admitted)
+    const choice = balancer.choose(selection)
+    if (choice.type === 'send' && !queue.hasWaiting(selection.service.name, keyOf(selection))) return this.#chosen(choice, selection, admitted)
+    if (choice.type === 'none' && this.#noServerExpected(selection.service)) return { type: 'no_server', reason: 'nobody_left', notBeforeMs: outageRetryAfterMs }
+    const request = this.#queuedRequest(choice, selection, admitted)
+    const first = this.#placeBehindQueued(choice, request)
+    return first === undefined ? this.#chosen(choice as SendChoice, selection, admitted) : await this.#wait(first, request, selection, admitted)
+  }
+
+  #chosen (choice: SendChoice, selection: SelectionRequest, admitted: Admission): ServerSelection {
+    this.options.queue.recordWork(selection.service.name, admitted.team?.name, this.#workOf(selection, admitted))
+    return { type: 'chosen', choice }
   }
 
-  /** Puts the request behind those that already wait for rate-limited servers and rank before it. */
-  #delayBehindQueued (choice: Choice, { service, promptTokens }: SelectionRequest, admitted: Admission): Choice {
+  /**
+   * Puts the request behind those that go before it and wait for rate-limited servers, or for the same capacity. Returns what it
+   * waits for; `undefined` if it may be sent now.
+   */
+  #placeBehindQueued (choice: Choice, request: QueuedRequest): Choice | undefined {
     const { balancer, queue } = this.options
-    if (choice.type === 'send' ? !balancer.isLimited(choice.id) : choice.type !== 'limited') return choice
-    const ahead = queue.limitedAhead(service.name, this.rank(admitted, promptTokens))
-    const limited = ahead === 0 ? undefined : balancer.limitedChoice(service.name)
-    return limited === undefined ? choice : queuedBehind(limited, ahead)
+    if (choice.type !== 'send' && choice.type !== 'limited') return choice
+    const ahead = queue.hasWaiting(request.service, request.key) ? queue.aheadOf(request) : { limited: 0, sameKey: 0 }
+    if (choice.type === 'limited') return queuedBehind(choice, ahead.limited)
+    const limited = ahead.limited > 0 && balancer.isLimited(choice.id) ? balancer.limitedChoice(request.service) : undefined
+    if (limited !== undefined) return queuedBehind(limited, ahead.limited)
+    return ahead.sameKey > 0 ? choice : undefined
   }
 
   /** Its rank in the queues of this entry and of its engine; the lowest goes first. */
@@ -84,25 +108,45 @@
     return times.rank({ priority, objectiveMs: route.objectiveMs }, balancer.prefillMs(promptTokens))
   }
 
-  async #wait (first: Exclude<Choice, SendChoice>, selection: SelectionRequest, admitted: Admission): Promise<ServerSelection> {
-    const { balancer, queue, times, crashes, cancellation } = this.options
-    const { route } = admitted
+  #queuedRequest (first: Choice, selection: SelectionRequest, admitted: Admission): QueuedRequest {
+    const { balancer, times, crashes } = this.options
+    const { route, team } = admitted
     const rank = (): number => this.rank(admitted, selection.promptTokens)
-    const started = nowMs()
-    const outcome = await queue.wait({
-      key: selection.key ?? selection.service.name,
+    return {
+      key: keyOf(selection),
       service: selection.service.name,
+      team: team?.name,
+      work: this.#workOf(selection, admitted),
+      returning: times.firstTriedMs > 0,
+      firstTriedMs: times.firstTriedMs,
+      maxReturnMs: () => times.leftMs * maxReturnShare,
+      hasOwnChoice: selection.excluded.size > 0,
       rank,
+      lateAt: times.lateAt(route, balancer.prefillMs(selection.promptTokens)),
       expiresAt: first.type === 'none' && this.#serversRead ? times.waitForServersUntil(route) : times.waitUntil(route),
       mayWaitFor: choice => this.#mayWaitFor(choice, route),
       choose: () => balancer.choose({ ...selection, timeToObjectiveMs: times.timeToObjectiveMs(route) }),
-      isQuarantined: () => crashes.quarantine(admitted.team) !== undefined,
+      isQuarantined: () => crashes.quarantine(team) !== undefined,
       requestLoad: (ask, waiting) => balancer.requestLoad(ask, selection.key ?? '', waiting, rank())
-    }, first, cancellation)
-    this.#recordWait(first, nowMs() - started)
-    if (outcome.type !== 'chosen' && selection.key !== undefined && queue.waiting(selection.key) === 0) balancer.withdrawDemand(selection.key)
+    }
+  }
+
+  /** The work that the request causes: tokens of a generation, milliseconds in a slot of a plain service. */
+  #workOf ({ service }: SelectionRequest, { route }: Admission): number {
+    const { incoming, queue } = this.options
+    return service.engine === undefined ? queue.slotTimes.of(route.name) : incoming.workTokens
+  }
+
+  async #wait (first: Choice, request: QueuedRequest, selection: SelectionRequest, admitted: Admission): Promise<ServerSelection> {
+    const started = nowMs()
+    const outcome = await this.options.queue.wait(request, first, this.options.cancellation)
+    this.#recordWait(first, outcome, nowMs() - started)
+    if (outcome.type !== 'chosen' && selection.key !== undefined && this.options.queue.waiting(selection.key) === 0) this.options.balancer.withdrawDemand(selection.key)
     if (outcome.type === 'quarantined') return { type: 'readmit' }
-    return outcome.type === 'expired' ? noServerFrom(outcome.last) : outcome
+    if (outcome.type === 'chosen') return this.#chosen(outcome.choice, selection, admitted)
+    if (outcome.type === 'cancelled') return { type: 'cancelled' }
+    const { last, returnTime } = outcome
+    return { type: 'no_server', reason: last.reason, notBeforeMs: returnTime.ms, expected: returnTime.measured }
   }
 
   /**
@@ -113,9 +157,18 @@
     return this.options.facts.complete.server > 0
   }
 
-  #recordWait (first: Choice, waitedMs: number): void {
-    this.options.record.waitedMs += waitedMs
-    this.options.counters.waited.observe({ for: first.type }, waitedMs / 1000)
+  #recordWait ({ type }: Choice, outcome: WaitOutcome, waitedMs: number): void {
+    const { record, counters } = this.options
+    const waitedFor = type === 'send' ? 'full' : type
+    record.expectedWaitMs ??= outcome.expectedMs
+    if (outcome.type === 'expired' && outcome.rejection !== undefined) {
+      record.rejection = outcome.rejection
+      counters.rejected.inc({ for: outcome.last.type })
+      if (outcome.onArrival) return
+    }
+    record.waitedMs += waitedMs
+    counters.waited.observe({ for: waitedFor }, waitedMs / 1000)
+    if (outcome.type === 'chosen' && outcome.expectedMs !== undefined) counters.waitEstimateError.observe({ for: waitedFor }, (outcome.expectedMs - waitedMs) / 1000)
   }
 
   #mayWaitFor (choice: Choice, route: Route): boolean {
--- a/packages/fleet/src/entry/serving/incoming-request.ts
+++ b/packages/fleet/src/entry/serving/incoming-request.ts
@@ -10,6 +10,8 @@
 /** Used where a caller states no remaining time. */
 const defaultRemainingMs = 10_000
 const emptyBuffer = Buffer.alloc(0)
+/** Tokens of a typical generation, assumed where a caller states none. */
+const defaultWorkTokens = 700
 /** No prompt is longer. The stated number is sent in frames between processes, whose fields are bounded. */
 const maxPromptTokens = 10_000_000
 
@@ -44,6 +46,12 @@
     return this.model !== undefined && this.model.length > maxAdapterKeyLength
   }
 
+  /** Prompt and maximum output tokens: the work that the request may cause. */
+  get workTokens (): number {
+    const output = Number.parseInt(this.tokens?.split(',')[1] ?? '0', 10) || 0
+    return this.promptTokens + Math.min(maxPromptTokens, Math.max(0, output)) || defaultWorkTokens
+  }
+
   /** Reads the body, of at most `limit` bytes. */
   body (limit: number): Promise<Result<Buffer, BodyError>> {
     const { message } = this
--- a/packages/fleet/src/entry/serving/local-replies.ts
+++ b/packages/fleet/src/entry/serving/local-replies.ts
@@ -11,8 +11,11 @@
 import type { IncomingRequest } from './incoming-request.js'
 import type { RequestRecord } from './request-record.js'
 
-/** The shortest `Retry-After`; a server may state a longer one. By then an adapter may be loaded or a running request finished. */
-const minRetryAfterMs = 250
+/**
+ * `Retry-After` where nothing else is known, and the shortest unless capacity is expected sooner. By then an adapter may be loaded or
+ * a running request finished.
+ */
+const defaultRetryAfterMs = 250
 
 /** An outage of the platform's store lasts seconds; a caller that retries sooner is refused again. */
 export const outageRetryAfterMs = 2000
@@ -40,18 +43,23 @@
 }
 
 export class LocalReplies {
-  #retryAfterMs = minRetryAfterMs
+  #retryAfterMs: number | undefined
 
   constructor (private readonly options: LocalRepliesOptions) {}
 
   /** Raises `Retry-After` to at least `ms`. */
   raiseRetryAfter (ms: number): void {
-    this.#retryAfterMs = Math.max(this.#retryAfterMs, ms)
+    if (ms > 0) this.#retryAfterMs = Math.max(this.#retryAfterMs ?? defaultRetryAfterMs, ms)
+  }
+
+  /** Sets `Retry-After` to when capacity is expected, unless it was raised to a later time. */
+  expectCapacityIn (ms: number): void {
+    this.#retryAfterMs = Math.max(this.#retryAfterMs ?? 0, ms)
   }
 
   /** The request has certainly not run and may be retried. Returns the outcome, as all methods below do. */
   refuse (reason: string): string {
-    this.#rejectNotRun(503, reason, `not run: ${reason}`, this.#retryAfterMs)
+    this.#rejectNotRun(503, reason, `not run: ${reason}`, this.#retryAfterMs ?? defaultRetryAfterMs)
     return 'refused'
   }
 
--- a/packages/fleet/src/entry/serving/request-record.ts
+++ b/packages/fleet/src/entry/serving/request-record.ts
@@ -7,6 +7,7 @@
 import type { Route } from '../../table.js'
 import type { EntryCounters } from '../counters.js'
 import type { IncomingRequest } from './incoming-request.js'
+import type { Rejection } from '../waiting/service-queue.js'
 import type { RequestTimes } from './request-times.js'
 import type { EngineReport } from '../servers/server-state.js'
 
@@ -16,6 +17,10 @@
 /** Rounds a duration for the log; `undefined` where nothing was measured. */
 const rounded = (ms: number | undefined): number | undefined => ms === undefined || !Number.isFinite(ms) ? undefined : Math.round(ms)
 
+const rejectionFields = ({ expectedMs, mayWaitMs, ahead, perSecond }: Rejection): object => ({
+  rejectedFor: { expectedMs: rounded(expectedMs), mayWaitMs: rounded(mayWaitMs), ahead, perSecond: perSecond === undefined ? undefined : Number(perSecond.toFixed(1)) }
+})
+
 /** State of the entry when the request ended. */
 export interface RecordContext {
   /** Version of the routing table in force. */
@@ -39,6 +44,10 @@
   tries = 0
   /** Time spent in the queue of this entry, for a server or an adapter. */
   waitedMs = 0
+  /** The wait as expected when it was queued for the first time; `undefined` where it did not wait or nothing was known. */
+  expectedWaitMs: number | undefined
+  /** Why it was rejected before its time was up. */
+  rejection: Rejection | undefined
   /** From arrival to the start of the last attempt. */
   sentAtMs: number | undefined
   /** Time to the first token as estimated for the last attempt. */
@@ -71,6 +80,8 @@
       tries: this.tries,
       firstTriedMs: times.firstTriedMs === 0 ? undefined : rounded(times.firstTriedMs),
       waitedMs: rounded(this.waitedMs),
+      expectedWaitMs: rounded(this.expectedWaitMs),
+      ...(this.rejection === undefined ? {} : rejectionFields(this.rejection)),
       sentAtMs: rounded(this.sentAtMs),
       expectedMs: rounded(this.expectedMs),
       firstByteMs: rounded(this.firstByteMs),
--- a/packages/fleet/src/entry/serving/request-times.ts
+++ b/packages/fleet/src/entry/serving/request-times.ts
@@ -41,6 +41,11 @@
     return rankOf({ priority, objectiveMs, elapsedMs: this.#elapsedMs, prefillMs })
   }
 
+  /** When it can't meet its objective any more and ranks behind those that can, on the monotonic clock. */
+  lateAt ({ objectiveMs }: Route, prefillMs: number): number {
+    return this.arrivedAt - this.firstTriedMs + objectiveMs - prefillMs
+  }
+
   /** Until when it may wait for a server or an adapter, which leaves time for the first token before the caller gives up. */
   waitUntil ({ objectiveMs, patienceMs = Infinity }: Route): number {
     const callerLeavesAt = this.arrivedAt + patienceMs - objectiveMs * servingShare
--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -130,7 +130,7 @@
     this.#callerResponse = new CallerResponse(response, options.closeAfterResponse)
     this.#admission = new RequestAdmission(options, this.#incoming)
     this.#crashes = new RequestCrashes(options.crashes, this.#incoming)
-    this.#selector = new ServerSelector({ ...options, times: this.#times, record: this.#record, crashes: this.#crashes, cancellation: this.#cancellation })
+    this.#selector = new ServerSelector({ ...options, incoming: this.#incoming, times: this.#times, record: this.#record, crashes: this.#crashes, cancellation: this.#cancellation })
     this.#localReplies = new LocalReplies({ names: options.names, staleTableRetryMs: options.staleTableRetryMs, incoming: this.#incoming, callerResponse: this.#callerResponse, record: this.#record })
     response.on('close', () => { if (!response.writableFinished) this.#cancellation.cancel() })
   }
@@ -266,6 +266,7 @@
       onServerFeedback: feedback => this.options.feedbackHandler.handle(feedback, { server, state, request: this.#incoming.id, sentAt })
     })
     state.end(key, pending)
+    if (key === undefined && result.type === 'answer') this.options.queue.slotTimes.record(route.name, nowMs() - sentAt)
     if (result.type !== 'not_sent' && result.type !== 'withheld') this.#sentAttempts += 1
     counters.attempts.inc({ end: result.type })
     this.options.queue.scheduleCapacityScan()
@@ -409,8 +410,9 @@
   }
 
   /** No server or adapter became available, or none can in time. */
-  #giveUpWaiting ({ reason, notBeforeMs }: NoServer): string {
-    this.#localReplies.raiseRetryAfter(notBeforeMs)
+  #giveUpWaiting ({ reason, notBeforeMs, expected }: NoServer): string {
+    if (expected === true) this.#localReplies.expectCapacityIn(notBeforeMs)
+    else this.#localReplies.raiseRetryAfter(notBeforeMs)
     return this.#giveUp(reason)
   }
 
--- a/packages/fleet/src/entry/waiting/request-queue.ts
+++ b/packages/fleet/src/entry/waiting/request-queue.ts
@@ -1,5 +1,5 @@
 /**
- * Queue of requests that wait in the entry for a free server or for an adapter to load, by rank and then in order of arrival.
+ * Queue of requests that wait in the entry for a free server or for an adapter to load, by rank, team and arrival.
  *
  * A request leaves the queue when a server is selected for it, when waiting can no longer help it, or when it is cancelled or
  * quarantined. The queue is scanned shortly after a change that may let requests go on, and at intervals in case a change went
@@ -8,32 +8,11 @@
 import { nowMs } from '../../clock.js'
 import type { Cancellation } from '../serving/cancellation.js'
 import type { Choice } from '../servers/choice.js'
-
-export interface QueuedRequest {
-  /** Requests with the same key get the same choice. */
-  key: string
-  /** The service that it is routed to. */
-  service: string
-  /** Current rank; the lowest goes first. */
-  rank: () => number
-  /** When it stops waiting, on the monotonic clock. */
-  expiresAt: number
-  choose: () => Choice
-  /** Whether waiting for this can still help; if not, the wait ends at once. */
-  mayWaitFor: (choice: Choice) => boolean
-  /** Whether it has been quarantined since it was queued: it may not be sent to any server. */
-  isQuarantined: () => boolean
-  /** Asks an engine to load the key; `waiting`: how many requests wait for it. */
-  requestLoad: (ask: string, waiting: number) => void
-}
-
-export type WaitOutcome = { type: 'chosen', choice: Extract<Choice, { type: 'send' }> } | { type: 'expired', last: Choice } | { type: 'cancelled' } | { type: 'quarantined' }
-
-interface QueueEntry extends QueuedRequest {
-  queuedAt: number
-  last: Choice
-  end: (outcome: WaitOutcome) => void
-}
+import { QueueEntry, type QueuedRequest, type WaitOutcome } from './queue-entry.js'
+import { ServiceQueue, waitsForCapacity } from './service-queue.js'
+import { Places, ServiceScan } from './service-scan.js'
+import type { Place } from './wait-statistics.js'
+import { SlotTimes } from './slot-times.js'
 
 /** Delay of a scan after a change: changes come in bursts, and one scan covers them all. */
 const scanDelayMs = 12
@@ -42,13 +21,19 @@
 /** One in this many sweeps scans all requests. Other changes come with an event, so this only helps if one was lost. */
 const fullSweepEvery = 4
 
-/** The choice for a request that is queued behind `ahead` others. */
-export const queuedBehind = (choice: Choice, ahead: number): Choice =>
-  choice.type === 'limited' && ahead > 0 ? { ...choice, readyInMs: choice.readyInMs + ahead * choice.everyMs } : choice
+/** What a request waits for that found capacity for which others already wait. */
+const behindOthers: Choice = { type: 'full', reason: 'others wait for it' }
+
+/** Whether the request waits for any capacity for the key, whatever its own properties. */
+const waitsForSame = ({ key, last, request }: QueueEntry, newKey: string): boolean =>
+  key === newKey && (last.type === 'full' || last.type === 'limited') && !request.hasOwnChoice
 
 export class RequestQueue {
-  readonly #entries = new Set<QueueEntry>()
+  readonly slotTimes = new SlotTimes()
+  readonly #services = new Map<string, ServiceQueue>()
+  #size = 0
   #scanTimer: NodeJS.Timeout | undefined
+  #scanSoon = false
   /** Runs while the queue is not empty. */
   #sweepTimer: NodeJS.Timeout | undefined
   #sweepCount = 0
@@ -56,69 +41,113 @@
   #dirtyKeys: Set<string> | undefined = new Set()
 
   get size (): number {
-    return this.#entries.size
+    return this.#size
   }
 
   /** Number of requests queued for the key. */
   waiting (key: string): number {
     let count = 0
-    for (const entry of this.#entries) if (entry.key === key) count += 1
+    for (const { entries } of this.#services.values()) for (const entry of entries) if (entry.key === key) count += 1
     return count
   }
 
+  /** Whether requests wait that may go before a new one for the key, if that finds capacity. */
+  hasWaiting (service: string, key: string): boolean {
+    if (this.#size === 0) return false
+    for (const entry of this.#services.get(service)?.entries ?? []) if (entry.last.type === 'limited' || waitsForSame(entry, key)) return true
+    return false
+  }
+
   /** Number of requests with at most this rank that wait for rate-limited servers of the service. */
   limitedAhead (service: string, rank: number): number {
+    const queue = this.#services.get(service)
+    if (queue === undefined) return 0
+    if (rank === Infinity) return queue.waiting('limited')
     let count = 0
-    for (const entry of this.#entries) if (entry.last.type === 'limited' && entry.service === service && entry.rank() <= rank) count += 1
+    for (const entry of queue.entries) if (entry.last.type === 'limited' && entry.request.rank() <= rank) count += 1
     return count
   }
 
+  /** Number of waiting requests that go before the request: those that wait for rate-limited servers, and those with its key that wait for capacity. */
+  aheadOf (request: QueuedRequest): { limited: number, sameKey: number } {
+    const ahead = { limited: 0, sameKey: 0 }
+    const arriving = new QueueEntry(request, behindOthers, nowMs(), () => {})
+    for (const entry of this.#serviceOf(request.service).ordered(nowMs(), arriving)) {
+      if (entry === arriving) break
+      if (entry.last.type === 'limited') ahead.limited += 1
+      if (waitsForSame(entry, request.key)) ahead.sameKey += 1
+    }
+    return ahead
+  }
+
+  /** Counts the work of a request that a server was selected for. */
+  recordWork (service: string, team: string | undefined, work: number): void {
+    this.#serviceOf(service).work.add(team ?? '', work, nowMs())
+  }
+
+  /** Waits for a server. `first`: the choice so far; with `send`, the request waits behind others for the same capacity. */
   wait (request: QueuedRequest, first: Choice, cancellation: Cancellation): Promise<WaitOutcome> {
+    const last = first.type === 'send' ? behindOthers : first
+    const service = this.#serviceOf(request.service)
+    const now = nowMs()
     return new Promise(resolve => {
-      const timer = setTimeout(() => this.#expire(entry), Math.max(0, request.expiresAt - nowMs()))
-      const cancel = (): void => entry.end({ type: 'cancelled' })
-      const entry: QueueEntry = {
-        ...request,
-        queuedAt: nowMs(),
-        last: first,
-        end: outcome => {
-          if (!this.#entries.delete(entry)) return
-          clearTimeout(timer)
-          if (this.#entries.size === 0) this.#stopSweep()
-          unsubscribe()
-          resolve(outcome)
-        }
-      }
+      const entry: QueueEntry = new QueueEntry(request, last, now, (_entry, outcome) => {
+        if (!service.remove(entry, nowMs())) return
+        this.#size -= 1
+        clearTimeout(timer)
+        if (this.#size === 0) this.#stopSweep()
+        unsubscribe()
+        resolve(outcome)
+      })
+      service.recognize(entry, now)
+      const place = this.#placeOf(entry, service, now)
+      const rejection = service.rejection(entry, place, now)
+      if (rejection !== undefined) return resolve({ type: 'expired', last, returnTime: service.returnTime(entry, place, now), rejection, onArrival: true, expectedMs: rejection.expectedMs })
+      entry.expectedMs = service.expected(entry, place, now)?.ms
+      const timer = setTimeout(() => this.#expire(entry, service), Math.max(0, request.expiresAt - now))
+      const cancel = (): void => entry.end(entry, { type: 'cancelled', expectedMs: entry.expectedMs })
       const unsubscribe = cancellation.onCancel(cancel)
-      this.#entries.add(entry)
+      service.add(entry, now)
+      this.#size += 1
       this.#sweepTimer ??= setInterval(() => this.#runSweep(), sweepIntervalMs)
       if (cancellation.cancelled) return cancel()
+      if (first.type === 'send') this.#scanAtOnce([request.key])
       this.#requestLoad(first, entry)
     })
   }
 
   /** Schedules a scan after a change that may let queued requests go on: those for `keys`, or all. */
   scheduleScan (keys?: readonly string[]): void {
-    if (this.#entries.size === 0) return
-    if (keys === undefined) this.#dirtyKeys = undefined
-    for (const key of keys ?? []) this.#dirtyKeys?.add(key)
-    this.#scanTimer ??= setTimeout(() => this.#runScan(), scanDelayMs)
+    if (this.#size === 0) return
+    this.#markDirty(keys)
+    this.#scanTimer ??= setTimeout(() => {
+      this.#scanTimer = undefined
+      this.#runScan()
+    }, scanDelayMs)
   }
 
   /** Capacity became free: schedules a scan of the requests that wait for it. */
   scheduleCapacityScan (): void {
+    if (this.#size === 0) return
     const keys = new Set<string>()
-    for (const { last, key } of this.#entries) if (last.type === 'full' || last.type === 'resting' || last.type === 'limited' || (last.type === 'bring' && last.held)) keys.add(key)
+    for (const { entries } of this.#services.values()) for (const { last, key } of entries) if (waitsForCapacity(last)) keys.add(key)
     if (keys.size > 0) this.scheduleScan([...keys])
   }
 
-  /**
-   * Ends a wait, after the scan that is pending, if any. After a stall of this process, the timer of the wait fires before that of the
-   * scan: requests were refused for want of a server 0.1 s after their entry had learned of one.
-   */
-  #expire (entry: QueueEntry): void {
-    if (this.#scanTimer !== undefined) this.#runScan()
-    entry.end({ type: 'expired', last: entry.last })
+  #markDirty (keys?: readonly string[]): void {
+    if (keys === undefined) this.#dirtyKeys = undefined
+    for (const key of keys ?? []) this.#dirtyKeys?.add(key)
+  }
+
+  /** Scans as soon as the requests that were just sent have been counted. */
+  #scanAtOnce (keys: Iterable<string>): void {
+    this.#markDirty([...keys])
+    if (this.#scanSoon) return
+    this.#scanSoon = true
+    setImmediate(() => {
+      this.#scanSoon = false
+      this.#runScan()
+    })
   }
 
   #runSweep (): void {
@@ -133,42 +162,47 @@
   }
 
   #runScan (): void {
-    clearTimeout(this.#scanTimer)
-    this.#scanTimer = undefined
-    const dirty = this.#dirtyKeys
+    const keys = this.#dirtyKeys
     this.#dirtyKeys = new Set()
-    const waiting = [...this.#entries].filter(entry => dirty === undefined || dirty.has(entry.key))
-    const ranked = waiting.map(entry => ({ entry, rank: entry.rank() }))
-    const ordered = ranked.sort((a, b) => a.rank - b.rank || a.entry.queuedAt - b.entry.queuedAt)
-    const blocked = new Map<string, Choice>()
-    /** Requests scanned so far that wait for rate-limited servers, by service. */
-    const limitedByService = new Map<string, number>()
-    for (const { entry } of ordered) {
-      if (entry.isQuarantined()) {
-        entry.end({ type: 'quarantined' })
-        continue
-      }
-      const known = blocked.get(entry.key)
-      const ahead = limitedByService.get(entry.service) ?? 0
-      const unqueued = known ?? entry.choose()
-      const choice = queuedBehind(unqueued, ahead)
-      entry.last = choice
-      if (!entry.mayWaitFor(choice)) {
-        entry.end({ type: 'expired', last: choice })
-        continue
-      }
-      if (choice.type === 'send') {
-        entry.end({ type: 'chosen', choice })
-        continue
-      }
-      if (choice.type === 'limited') limitedByService.set(entry.service, ahead + 1)
-      if (known !== undefined) continue
-      blocked.set(entry.key, unqueued)
-      this.#requestLoad(choice, entry)
+    if (keys?.size === 0) return
+    for (const queue of this.#services.values()) if (queue.entries.size > 0) this.#scanService(queue, keys)
+  }
+
+  #scanService (queue: ServiceQueue, keys: ReadonlySet<string> | undefined): void {
+    const scan = new ServiceScan({ queue, keys, now: nowMs(), requestLoad: (choice, entry) => this.#requestLoad(choice, entry) })
+    scan.run()
+    if (scan.deferred.size > 0) this.#scanAtOnce(scan.deferred)
+  }
+
+  /**
+   * Ends a wait, after the scan that is pending, if any. After a stall of this process, the timer of the wait fires before that of the
+   * scan: requests were refused for want of a server 0.1 s after their entry had learned of one.
+   */
+  #expire (entry: QueueEntry, service: ServiceQueue): void {
+    if (this.#scanTimer !== undefined) this.#runScan()
+    if (!service.entries.has(entry)) return
+    const now = nowMs()
+    const returnTime = service.returnTime(entry, this.#placeOf(entry, service, now), now)
+    entry.end(entry, { type: 'expired', last: entry.last, returnTime, rejection: undefined, onArrival: false, expectedMs: entry.expectedMs })
+  }
+
+  /** Its place among the requests that wait for the same, whether it is queued already or about to be. */
+  #placeOf (entry: QueueEntry, service: ServiceQueue, now: number): Place {
+    const places = new Places()
+    for (const each of service.ordered(now, service.entries.has(entry) ? undefined : entry)) {
+      if (each === entry) break
+      places.pass(each)
     }
+    return places.next(entry.last.type, entry.team)
+  }
+
+  #serviceOf (name: string): ServiceQueue {
+    let service = this.#services.get(name)
+    if (service === undefined) this.#services.set(name, service = new ServiceQueue())
+    return service
   }
 
   #requestLoad (choice: Choice, entry: QueueEntry): void {
-    if (choice.type === 'bring' && choice.ask !== undefined) entry.requestLoad(choice.ask, this.waiting(entry.key))
+    if (choice.type === 'bring' && choice.ask !== undefined) entry.request.requestLoad(choice.ask, this.waiting(entry.key))
   }
 }
--- a/packages/fleet/src/request-rank.ts
+++ b/packages/fleet/src/request-rank.ts
@@ -39,3 +39,6 @@
   const first = slackMs < objectiveMs * littleSlackShare ? 0 : firstAmpleRank
   return first + Math.min(lastPriority, priority)
 }
+
+/** The rank that the request would have with ample slack: without the urgency that it has gained by waiting. */
+export const patientRankOf = (rank: number): number => rank < firstAmpleRank ? rank + firstAmpleRank : rank
--- a/packages/fleet/test/request-queue.test.ts
+++ b/packages/fleet/test/request-queue.test.ts
@@ -26,15 +26,26 @@
     key,
     rank: () => rank,
     expiresAt: nowMs() + waitMs,
-    choose: () => freeSlots-- > 0 ? send : full,
+    choose: () => freeSlots > 0 ? send : full,
     isQuarantined: () => false,
     service: 'engines',
+    team: undefined,
+    work: 1,
+    returning: false,
+    firstTriedMs: 0,
+    maxReturnMs: () => 1000,
+    hasOwnChoice: false,
+    lateAt: Infinity,
     mayWaitFor: () => true,
     requestLoad: (ask, waiting) => { loadRequests.push([ask, waiting]) }
   })
 
   const wait = (name: string, each: QueuedRequest, first: Choice = full, cancellation = new Cancellation()): void => {
-    void queue.wait(each, first, cancellation).then(outcome => order.push(`${name} ${outcome.type}`))
+    void queue.wait(each, first, cancellation).then(outcome => {
+      // As in an entry, a slot is taken when the request is sent, which is after the choice.
+      if (outcome.type === 'chosen') freeSlots -= 1
+      order.push(`${name} ${outcome.type}`)
+    })
   }
 
   it('serves by rank, then in order of arrival', async () => {
@@ -102,7 +113,7 @@
     const limited: Choice = { type: 'limited', readyInMs: 100, everyMs: 200, reason: 'all servers name limits' }
     const limitedRequest = (rank: number, maxWaitMs = Infinity): QueuedRequest => ({
       ...queuedRequest(`key ${rank}`, rank),
-      choose: () => freeSlots-- > 0 ? send : limited,
+      choose: () => freeSlots > 0 ? send : limited,
       mayWaitFor: choice => choice.type !== 'limited' || choice.readyInMs <= maxWaitMs
     })
 
