Quotas: the same limit in the line for all routes; who counts as returning

The longest wait in the line was a quarter of the route's objective. Plain requests, whose objective is shorter, always found the line full of longer ones of their team. Callers whose bookings came due within 0.15 s returned too soon to be recognized. Callers that had been told a longer time than they could wait came back in time for the first rank, though nothing was booked for them. Quotas in requests gave away nothing below 200 units.

The limit is now 120 ms, or 0.6 of a shorter objective. Rejected callers are told at least 160 ms. One that returns after nearly a third of its time is late. The smallest surplus is one unit for quotas in requests, and any in a pool.

--- a/packages/decisions/src/token-line.ts
+++ b/packages/decisions/src/token-line.ts
@@ -14,6 +14,32 @@
 export const claimRanks = { returning: 0, first: 1, late: 2 } as const
 export type ClaimRank = typeof claimRanks[keyof typeof claimRanks]
 
+/** What is known of the caller of a request. */
+export interface QuotaCaller {
+  /** Time since its first attempt; 0 if this is the first. */
+  firstTriedMs: number
+  /** Time until it times out. */
+  remainingMs: number
+  /** Objective of its route. */
+  objectiveMs: number
+}
+
+/** Callers wait at most this share of their remaining time before they return. */
+const maxReturnShare = 1 / 3
+/** One that returns after this share of its time was told a longer time than it could wait, so nothing was booked for it. */
+const returnLimitShare = 0.3
+/** Later than this share of its objective, a request would be late even if it got its tokens at once. */
+const lateShare = 0.75
+
+export const claimRankOf = ({ firstTriedMs, remainingMs, objectiveMs }: QuotaCaller): ClaimRank => {
+  if (firstTriedMs === 0) return claimRanks.first
+  const isLate = firstTriedMs > objectiveMs * lateShare || firstTriedMs > (firstTriedMs + remainingMs) * returnLimitShare
+  return isLate ? claimRanks.late : claimRanks.returning
+}
+
+/** The longest time that a caller waits before it returns. */
+export const maxReturnMs = ({ remainingMs }: QuotaCaller): number => remainingMs * maxReturnShare
+
 export interface TokenClaim {
   tokens: number
   rank: ClaimRank
--- a/packages/decisions/test/token-line.test.ts
+++ b/packages/decisions/test/token-line.test.ts
@@ -1,4 +1,4 @@
-import { BookingSchedule, TokenLine, claimRanks, demandReserve, type Booking, type ClaimRank, type TokenClaim } from '@finchpitch/decisions'
+import { BookingSchedule, TokenLine, claimRankOf, claimRanks, demandReserve, type Booking, type ClaimRank, type TokenClaim } from '@finchpitch/decisions'
 import { expect } from 'chai'
 
 const claim = (tokens: number, rank: ClaimRank = claimRanks.first): TokenClaim => ({ tokens, rank, turnBy: 100, servedBy: 200 })
@@ -34,6 +34,13 @@
   })
 })
 
+describe('the rank of a caller', () => {
+  it('is first for returning callers that can still be in time, and last for those that were told a longer time than they could wait', () => {
+    const rankAt = (firstTriedMs: number): ClaimRank => claimRankOf({ firstTriedMs, remainingMs: 1000 - firstTriedMs, objectiveMs: 500 })
+    expect([0, 200, 330, 400].map(rankAt)).to.deep.equal([claimRanks.first, claimRanks.returning, claimRanks.late, claimRanks.late])
+  })
+})
+
 describe('bookings of rejected requests', () => {
   let schedule: BookingSchedule
   const book = (tokens: number, lineTokens = 0): Booking => schedule.book({ tokens, lineTokens, perSecond: 1000, maxMs: 300 }, 0)
--- a/packages/fleet/src/entry/quotas/quotas.ts
+++ b/packages/fleet/src/entry/quotas/quotas.ts
@@ -10,15 +10,15 @@
  * rejected with the time at which tokens are expected for them (`team-account.ts`).
  */
 import { pause, type Log } from '@finchpitch/core'
-import { totalTokens, type TokenSlice } from '@finchpitch/decisions'
+import { totalTokens, type QuotaCaller, type TokenSlice } from '@finchpitch/decisions'
 import { boottimeMs } from '../../clock.js'
 import type { Limits } from '../../ports.js'
 import type { FleetTeam, Quota } from '../../team.js'
 import type { EntryCounters } from '../counters.js'
-import { TeamAccount, unknownCaller, type QuotaCaller } from './team-account.js'
+import { TeamAccount, unknownCaller } from './team-account.js'
 
-/** Bounds of the time after which a rejected caller is told to retry. */
-const retryRange = { minMs: 100, maxMs: 5000 }
+/** Bounds of the time after which a rejected caller is told to retry. One that comes sooner is not recognized as returning (`FirstAttemptEstimator`). */
+const retryRange = { minMs: 160, maxMs: 5000 }
 /** Largest random addition to that time, as a share of it, so that callers don't return together. */
 const retrySpread = 0.1
 /** A team is no longer short when no request has been rejected for this long. */
@@ -87,9 +87,10 @@
     const account = this.#accounts.get(team.name)
     if (account === undefined || team.quota === undefined) return { team: team.name, slices: [], spent: false }
     const tokens = costOf(team.quota, stated)
-    account.recordDemand(tokens, caller.returning)
+    const returning = caller.firstTriedMs > 0
+    account.recordDemand(tokens, returning)
     const slices = account.take(tokens, caller) ?? await this.#wait(account, team.name, tokens, caller)
-    if (caller.returning) this.options.counters.quotaReturning.inc({ result: slices === undefined ? 'rejected' : 'served' })
+    if (returning) this.options.counters.quotaReturning.inc({ result: slices === undefined ? 'rejected' : 'served' })
     return slices === undefined ? this.#reject(account, team.name, tokens, caller) : { team: team.name, slices, spent: false }
   }
 
--- a/packages/fleet/src/entry/quotas/team-account.ts
+++ b/packages/fleet/src/entry/quotas/team-account.ts
@@ -4,7 +4,7 @@
  * Load: a team sends several times its quota, from callers on few entries. The reserve follows the demand here, but never exceeds
  * this entry's part of the quota, so that the entries don't compete by growing reserves.
  */
-import { BookingSchedule, DecayingSum, TokenLine, claimRanks, demandReserve, waitMs, type Booking, type ClaimRank, type TokenClaim, type TokenSlice } from '@finchpitch/decisions'
+import { BookingSchedule, DecayingSum, TokenLine, claimRankOf, claimRanks, demandReserve, maxReturnMs, waitMs, type Booking, type ClaimRank, type QuotaCaller, type TokenClaim, type TokenSlice } from '@finchpitch/decisions'
 import { boottimeMs } from '../../clock.js'
 import { quotaBoundOf, type Limits } from '../../ports.js'
 import type { Quota } from '../../team.js'
@@ -29,7 +29,7 @@
 /** Weight of a request in the moving average of request sizes. */
 const sizeWeight = 0.1
 /** A smaller surplus isn't worth giving away: an average request costs about 700 tokens. */
-const minGiven = 200
+const minGiven: Record<Quota['unit'], number> = { tokens: 200, requests: 1 }
 /** After an exchange that brought too few tokens, the line triggers no further exchange for this long. */
 const shortageMs = 60
 /** Late callers get no tokens for this long after a shortage, in which others may need them who can still be in time. */
@@ -37,37 +37,23 @@
 /** A team that got at least this share of what it asked for isn't short: the rest may be a rounding error. */
 const satisfiedShare = 0.99
 /**
- * The longest wait for the turn in the line: a quarter of the objective, and at most that of the shortest objective of streams. At
- * its turn, a request may wait as long again for its own tokens: with one limit on both, large requests would be rejected more
- * often than small ones. Most answers of the bank take 2 to 20 ms.
+ * The longest wait for the turn in the line: a quarter of the shortest objective of streams, and most of that of plain requests. It
+ * is the same for both, as requests with a shorter limit would always find the line full of others. Most answers of the bank take
+ * 2 to 20 ms.
  */
-const maxTurnMs = 150
-const maxTurnShare = 0.25
-/** Callers that are told a longer time than this share of their objective would be late, as they may have to wait again. */
-const bookedShare = 0.25
-/** Callers wait at most this share of their remaining time before they return. */
-const maxReturnShare = 1 / 3
+const maxTurnMs = 120
+const maxTurnShare = 0.6
+/**
+ * At its turn, a request may wait for its own tokens until this multiple of the time. With one limit on both, large requests would
+ * be rejected more often than small ones.
+ */
+const servedFactor = 2
 /** Tokens of due bookings are set aside for at most the entry's earnings of this time, in which those callers return. */
 const setAsideMs = 300
 /** The bank's figure of the demand at all entries counts for this long: four exchanges. */
 const totalDemandTtlMs = 1000
 
-/** What is known of the caller of a request. */
-export interface QuotaCaller {
-  /** It was rejected before. */
-  returning: boolean
-  /** It was rejected before, so long ago that it would be late. */
-  late: boolean
-  /** Milliseconds until it times out. */
-  remainingMs: number
-  /** Objective of its route. */
-  objectiveMs: number
-}
-
-const rankOf = ({ returning, late }: QuotaCaller): ClaimRank => {
-  if (!returning) return claimRanks.first
-  return late ? claimRanks.late : claimRanks.returning
-}
+const maxTurnMsOf = ({ objectiveMs }: QuotaCaller): number => Math.min(maxTurnMs, objectiveMs * maxTurnShare)
 
 /** Tokens that an entry lacks, and how many of them are for waiting requests of returning callers and of others. */
 export interface Shortfall { tokens: number, returning: number, waiting: number }
@@ -78,7 +64,7 @@
 }
 
 /** A caller of whom nothing is known. */
-export const unknownCaller: QuotaCaller = { returning: false, late: false, remainingMs: Infinity, objectiveMs: Infinity }
+export const unknownCaller: QuotaCaller = { firstTriedMs: 0, remainingMs: Infinity, objectiveMs: Infinity }
 
 export class TeamAccount {
   readonly #tokens: EarnedTokens
@@ -117,7 +103,7 @@
 
   /** Takes exactly `tokens` if there are enough and no request is ahead in the line. */
   take (tokens: number, caller = unknownCaller): TokenSlice[] | undefined {
-    const rank = rankOf(caller)
+    const rank = claimRankOf(caller)
     // A late caller gets none while tokens are short: a small request would find some left where a large one doesn't.
     if (this.#line.tokensAhead(rank) > 0 || this.isPooling || (rank === claimRanks.late && this.#isShortForLate)) return undefined
     return this.#takeInTurn(tokens, rank)
@@ -134,9 +120,9 @@
    */
   join (tokens: number, caller: QuotaCaller, settle: WaitingRequest['settle']): boolean {
     const now = boottimeMs()
-    const rank = rankOf(caller)
-    const maxMs = Math.min(maxTurnMs, caller.objectiveMs * maxTurnShare)
-    const claim = { tokens, rank, turnBy: now + maxMs, servedBy: now + 2 * maxMs, settle }
+    const rank = claimRankOf(caller)
+    const maxMs = maxTurnMsOf(caller)
+    const claim = { tokens, rank, turnBy: now + maxMs, servedBy: now + maxMs * servedFactor, settle }
     if (rank === claimRanks.late && this.#isShortForLate) return false
     if (this.isShort) {
       const ahead = this.#line.tokensAhead(rank) - this.#availableFor(rank)
@@ -190,12 +176,12 @@
   }
 
   /** Books the tokens of a rejected request, if its caller returns when they are ready. */
-  book (tokens: number, { returning, remainingMs, objectiveMs }: QuotaCaller): Booking {
+  book (tokens: number, caller: QuotaCaller): Booking {
     const now = boottimeMs()
     this.#collectDue(now)
     const lineTokens = this.#line.tokens - this.#availableFor(claimRanks.first)
-    // A caller that was rejected again does not return.
-    const maxMs = returning ? 0 : Math.min(remainingMs * maxReturnShare, objectiveMs * bookedShare)
+    // A caller that was rejected again does not return. Others may have to wait again then, so a longer time would make them late.
+    const maxMs = caller.firstTriedMs > 0 ? 0 : Math.min(maxReturnMs(caller), maxTurnMsOf(caller))
     return this.#bookings.book({ tokens, lineTokens, perSecond: this.#perSecond, maxMs }, now)
   }
 
@@ -258,12 +244,12 @@
 
   /**
    * Takes the tokens above the reserve, the oldest first. The reserve thus stays young, and no tokens expire at an entry
-   * without demand.
+   * without demand. In a pool, even the smallest surplus is given, since it serves nobody here.
    */
   takeSurplus (): TokenSlice[] {
     this.#tokens.earn()
     const surplus = this.#tokens.total - this.#reserve
-    return surplus < minGiven ? [] : this.#tokens.takeUpTo(surplus)
+    return surplus < (this.isPooling ? 0 : minGiven[this.quota.unit]) ? [] : this.#tokens.takeUpTo(surplus)
   }
 
   /**
--- a/packages/fleet/src/entry/serving/request-admission.ts
+++ b/packages/fleet/src/entry/serving/request-admission.ts
@@ -19,9 +19,6 @@
 /** The longest wait for a proof, as a fraction of the time that the caller has left. */
 const maxProofWaitShare = 0.2
 
-/** A returning caller that comes later than this share of its objective is served after those that can still be in time. */
-const lateShare = 0.75
-
 export interface RequestAdmissionOptions {
   facts: Facts
   names: HeaderNames
@@ -70,7 +67,7 @@
     if (team?.quota === undefined || known?.spent === true) return undefined
     if (known !== undefined && quotas.isValid(known, team)) return undefined
     this.release()
-    const reserved = await quotas.reserve(team, this.incoming.tokens, { returning: firstTriedMs > 0, late: firstTriedMs > route.objectiveMs * lateShare, remainingMs: this.incoming.remainingMs, objectiveMs: route.objectiveMs })
+    const reserved = await quotas.reserve(team, this.incoming.tokens, { firstTriedMs, remainingMs: this.incoming.remainingMs, objectiveMs: route.objectiveMs })
     if (typeof reserved === 'number') return reserved
     this.#reservation = reserved
     return undefined
--- a/packages/fleet/test/quotas.test.ts
+++ b/packages/fleet/test/quotas.test.ts
@@ -47,7 +47,7 @@
   spend (entry: number, tokens: number, caller = unknownCaller): boolean {
     const account = this.at(entry)
     account.updateLine()
-    account.recordDemand(tokens, caller.returning)
+    account.recordDemand(tokens, caller.firstTriedMs > 0)
     const record = (): void => { this.spent.push({ tokens, at: nowMs() }) }
     if (account.take(tokens, caller) === undefined) {
       if (!account.join(tokens, caller, slices => { if (slices !== undefined) record() })) account.book(tokens, caller)
@@ -119,7 +119,7 @@
 const bank = fc.integer({ min: 0, max: 1 })
 const step = fc.oneof(
   { weight: 6, arbitrary: fc.record({ type: fc.constant('pass' as const), ms: fc.oneof({ weight: 8, arbitrary: fc.integer({ min: 1, max: 400 }) }, { weight: 1, arbitrary: fc.integer({ min: 1, max: 6000 }) }) }) },
-  { weight: 8, arbitrary: fc.record({ type: fc.constant('flood' as const), entry, tokens: fc.integer({ min: 50, max: 9000 }), returning: fc.boolean(), late: fc.boolean(), remainingMs: fc.integer({ min: 100, max: 5000 }), objectiveMs: fc.constantFrom(199, 506, 2015) }) },
+  { weight: 8, arbitrary: fc.record({ type: fc.constant('flood' as const), entry, tokens: fc.integer({ min: 50, max: 9000 }), firstTriedMs: fc.constantFrom(0, 200, 1700), remainingMs: fc.integer({ min: 100, max: 5000 }), objectiveMs: fc.constantFrom(199, 506, 2015) }) },
   { weight: 8, arbitrary: fc.record({ type: fc.constant('exchange' as const), entry, bank, requestMs: delay, answerMs: delay }) },
   { weight: 1, arbitrary: fc.record({ type: fc.constant('restart' as const), entry }) },
   { weight: 1, arbitrary: fc.record({ type: fc.constant('restartAll' as const) }) },
@@ -278,6 +278,12 @@
       expect(requested).to.deep.equal([2900])
     })
 
+    it('are given to other entries in quotas of requests, whose units are few', () => {
+      const account = new TeamAccount({ unit: 'requests', perSecond: 20, burst: 20, plainTokens: 1 }, () => limits, () => 2)
+      time.advanceSync(1500)
+      expect(account.takeSurplus()).not.to.deep.equal([])
+    })
+
     it('are returned if the request is not sent', async () => {
       const quotas = createQuotas()
       time.advanceSync(1000)
--- a/packages/fleet/test/replay/quota-replay.ts
+++ b/packages/fleet/test/replay/quota-replay.ts
@@ -29,7 +29,8 @@
 const entriesPerDomain = 7
 const patienceMs = 5000
 const objectiveMs = 506
-const lateMs = objectiveMs * 0.75
+/** A caller that returns sooner is not recognized. */
+const recognizedMs = 150
 const stepMs = 10
 const bankHosts = ['10.0.0.1', '10.0.0.2']
 /** As in production, more entries are assumed until they have been counted. */
@@ -110,7 +111,7 @@
   /** Returns the time after which the caller should retry, if it was rejected. */
   async #attempt (entry: number, caller: Caller): Promise<number | undefined> {
     const agoMs = nowMs() - caller.startedAt
-    const reserved = await this.#entries[entry]?.reserve(this.#team, `${caller.size},0`, { returning: caller.rejections > 0, late: agoMs > lateMs, remainingMs: patienceMs - agoMs, objectiveMs })
+    const reserved = await this.#entries[entry]?.reserve(this.#team, `${caller.size},0`, { firstTriedMs: agoMs < recognizedMs ? 0 : agoMs, remainingMs: patienceMs - agoMs, objectiveMs })
     if (typeof reserved === 'number') {
       caller.rejections += 1
       return reserved
