Engines: choose by measured pace, and limit loads that slow each other down

Slow and quick engines counted alike: an entry sees too few requests at each engine to tell them apart, and loads put as many adapters on slow engines. After a start, the loads of all engines slowed each other down, the urgent ones as much as the others.

Entries report what they observe of each engine's prefill and run times to its side process, which publishes the engine's pace. Where the engines of a service differ by more than 15%, holders are compared by expected finish, and adapters are spread in proportion to pace while slots are not short. A side process lowers its loads in progress from four to two while they take over 1.3 times the least time, and raises them again.

--- a/packages/decisions/src/rendezvous.ts
+++ b/packages/decisions/src/rendezvous.ts
@@ -34,6 +34,15 @@
 /** The rendezvous score of a candidate for a key, at least 0 and below 1, from the hashes of both. */
 export const rendezvousScore = (keyHash: number, candidateHash: number): number => mix(keyHash ^ candidateHash) / 2 ** 32
 
+/**
+ * The rendezvous score of a candidate with a weight, where the candidate with the lowest score is selected: it is selected for a
+ * share of the keys in proportion to its weight. With a weight of 1 it is the score without one.
+ */
+export const weightedRendezvousScore = (keyHash: number, candidateHash: number, weight: number): number => {
+  const score = rendezvousScore(keyHash, candidateHash)
+  return weight === 1 ? score : 1 - (1 - score) ** (1 / weight)
+}
+
 export const hashOf = (name: string): number => murmurhash.v3(name)
 
 /** The candidate with the highest score, of those that aren't chosen and whose domain isn't used; a tie goes by name. */
--- a/packages/fleet/src/engine-mirror.ts
+++ b/packages/fleet/src/engine-mirror.ts
@@ -15,7 +15,7 @@
 const noticeTimeoutMs = 1000
 
 /** The state before the first update. */
-const initialFields = { server: undefined, bornAt: undefined, leaving: false, reachable: false, lost: false, waiting: 0, running: 0, unread: 0, room: undefined, slotMs: 0, entries: 0, strangers: 0 }
+const initialFields = { server: undefined, bornAt: undefined, leaving: false, reachable: false, lost: false, waiting: 0, running: 0, unread: 0, room: undefined, slotMs: 0, prefillMs: undefined, tokenMs: undefined, entries: 0, strangers: 0 }
 
 /** The loaded models and adapters by key, each with its version. */
 export type LoadedVersions = ReadonlyMap<string, number>
@@ -51,6 +51,9 @@
   room: number | undefined
   /** Expected time in ms until one more demand gets a slot, while there is no room. */
   slotMs = 0
+  /** Its pace as measured by all entries: ms per 1000 prompt tokens and per output token; `undefined` if unknown. */
+  prefillMs: number | undefined
+  tokenMs: number | undefined
   /** Entries in the engine's failure domain that are connected to its side process. */
   entries = 0
   /** Entries in other failure domains that subscribe to its updates directly, without a relay. */
@@ -86,6 +89,8 @@
     this.unread = frame.unread ?? before.unread
     this.room = frame.room ?? before.room
     this.slotMs = frame.slotMs ?? before.slotMs
+    this.prefillMs = frame.prefillMs === undefined ? before.prefillMs : frame.prefillMs ?? undefined
+    this.tokenMs = frame.tokenMs === undefined ? before.tokenMs : frame.tokenMs ?? undefined
     this.entries = frame.entries ?? before.entries
     this.strangers = frame.strangers ?? before.strangers
     this.fence = Math.max(this.fence, frame.fence ?? 0)
--- a/packages/fleet/src/entry/peers/side-link.ts
+++ b/packages/fleet/src/entry/peers/side-link.ts
@@ -223,7 +223,8 @@
     if (uses.length === 0 && !unreadChanged) return
     this.#lastUsedAt = nowMs()
     this.#reportedUnread = unread
-    this.#channel.send({ type: 'uses', uses, unread })
+    const pace = state.takePace()
+    this.#channel.send({ type: 'uses', uses, unread, ...(pace === undefined ? {} : { pace: [...pace] }) })
   }
 
   /** Closes the channel if it is dead or no longer needed, and drops expired entries. */
--- a/packages/fleet/src/entry/peers/side-links.ts
+++ b/packages/fleet/src/entry/peers/side-links.ts
@@ -377,11 +377,12 @@
   #applyReport (host: string, { link, mirror }: LinkedEngine): void {
     const server = this.#serverAt(host, mirror.server)
     if (server === undefined) return
-    const { reachable, held, coming, waiting, running, unread, room, slotMs, bornAt, leaving } = mirror
+    const { reachable, held, coming, waiting, running, unread, room, slotMs, prefillMs, tokenMs, bornAt, leaving } = mirror
     if (leaving && mirror.server === server.id) this.options.facts.markDraining({ id: server.id, bornAt }, `the side process at ${host}`)
     // The report includes this entry's own requests, whose unprefilled tokens the entry itself counts, and more precisely.
     const othersUnread = Math.max(0, unread - link.reportedUnread)
-    this.options.states.applyReport(server.id, { at: nowMs(), reachable, held, coming: new Set(coming), waiting, running, unread: othersUnread, room, slotMs }, bornAt)
+    const pace = prefillMs === undefined || tokenMs === undefined ? undefined : { prefillMs, tokenMs }
+    this.options.states.applyReport(server.id, { at: nowMs(), reachable, held, coming: new Set(coming), waiting, running, unread: othersUnread, room, slotMs, pace }, bornAt)
   }
 
   /** The engine that an update is about: the one with the id that it gives, or else the last one listed at its host. */
--- a/packages/fleet/src/entry/servers/balancer.ts
+++ b/packages/fleet/src/entry/servers/balancer.ts
@@ -3,6 +3,7 @@
  * per-server state that they are built from. The selection itself is done by the pure functions of `choice.ts`.
  */
 import type { Log } from '@finchpitch/core'
+import { comparePaces, type PaceComparison } from '@finchpitch/decisions'
 import { nowMs } from '../../clock.js'
 import type { Facts } from '../../facts.js'
 import type { Limits } from '../../ports.js'
@@ -10,7 +11,7 @@
 import type { FleetService } from '../../table.js'
 import { chooseEngine, choosePlain, type Choice, type EngineSelection, type EngineCandidate, type ServerCandidate } from './choice.js'
 import { PrefillRate } from './prefill-rate.js'
-import type { PendingRequest, ServerState } from './server-state.js'
+import type { EngineReport, PendingRequest, ServerState } from './server-state.js'
 import { ServerStates } from './server-states.js'
 import { noLimits, type LimitsView } from './server-limits.js'
 import type { SideLinks } from '../peers/side-links.js'
@@ -33,6 +34,9 @@
 /** Share of the time allowed for a version update (`versionMs`) in which the previous version may still be used. */
 const previousVersionShare = 0.4
 
+/** Interval at which the paces of a service's engines are compared. They are published at most a few times per second. */
+const paceComparisonMs = 500
+
 /** What all candidates of one selection have in common. */
 interface SelectionContext {
   now: number
@@ -40,6 +44,8 @@
   oldestVersion: number
   /** Don't load adapters into engines that advertise a limit, as there are others. */
   avoidLimited: boolean
+  /** `undefined` while the engines are about equally quick. */
+  paces: PaceComparison | undefined
 }
 
 /** The properties of a request that a server is selected by. */
@@ -49,6 +55,8 @@
   key: string | undefined
   /** Prompt length in tokens. */
   promptTokens: number
+  /** Maximum of output tokens; 0 if not stated. */
+  outputTokens?: number
   /** Time left until the first token misses its objective. */
   timeToObjectiveMs: number
   priority: number
@@ -60,6 +68,8 @@
   readonly states = new ServerStates((id, urgent) => this.links().scheduleUsesReport(id, urgent))
   /** Prefill rate over all engines, from prompts with few tokens to prefill ahead of them. */
   readonly prefillRate = new PrefillRate()
+  /** The last comparison of the paces of engines, by service. */
+  readonly #paces = new Map<string, { comparison: PaceComparison | undefined, at: number }>()
   /** Servers in backoff, or whose concurrency still ramps up after one. */
   readonly #restricted = new Set<string>()
 
@@ -230,10 +240,8 @@
     return [...this.facts.servers.values()].filter(server => this.#room(server) === 0).length
   }
 
-  /** Adapters that the engine could load, less those requested from it since it reported; `undefined` if it has not. */
   #room (engine: BackendServer): number | undefined {
-    const report = this.states.get(engine.id)?.engineReport
-    return report?.room === undefined ? undefined : Math.max(0, report.room - this.links().loadsRequestedSince(engine, report.at))
+    return roomOf(engine, this.states.get(engine.id)?.engineReport, this.links())
   }
 
   /** The version of the key that an engine holds; `undefined` if it holds none that may still be used. */
@@ -256,10 +264,20 @@
     const now = nowMs()
     const oldestVersion = this.#oldestUsableVersion(key, now)
     const avoidLimited = !this.serverLimits.isEmpty && servers.some(server => this.serverLimits.state(server) === undefined)
-    const candidates = servers.map(server => this.#engineCandidate(server, key, selection, { now, oldestVersion, avoidLimited }))
+    const paces = this.#comparePaces(selection.service.name, now)
+    const candidates = servers.map(server => this.#engineCandidate(server, key, selection, { now, oldestVersion, avoidLimited, paces }))
     return { candidates, domain: this.domain, key, timeToObjectiveMs: selection.timeToObjectiveMs, adapterSlots: selection.service.engine?.adapterSlots }
   }
 
+  #comparePaces (service: string, now: number): PaceComparison | undefined {
+    const known = this.#paces.get(service)
+    if (known !== undefined && now - known.at < paceComparisonMs) return known.comparison
+    const paces = this.facts.eligibleServers(service).map(server => this.states.get(server.id)?.engineReport?.pace).filter(pace => pace !== undefined)
+    const comparison = comparePaces(paces)
+    this.#paces.set(service, { comparison, at: now })
+    return comparison
+  }
+
   /** The oldest version of the key that may be used. */
   #oldestUsableVersion (key: string, now: number): number {
     const newest = this.facts.version(key)
@@ -284,12 +302,12 @@
    * Runs for every engine of every selection, so it copies nothing, and properties that few selections read are computed on
    * access.
    */
-  #engineCandidate (server: BackendServer, key: string, { promptTokens, priority }: SelectionRequest, { now, oldestVersion, avoidLimited }: SelectionContext): EngineCandidate {
+  #engineCandidate (server: BackendServer, key: string, { promptTokens, outputTokens = 0, priority }: SelectionRequest, { now, oldestVersion, avoidLimited, paces }: SelectionContext): EngineCandidate {
     const state = this.state(server)
     const { engineReport } = state
+    state.assumedPace = paces === undefined ? undefined : engineReport?.pace ?? paces.mean
     const links = this.links()
     const limits = this.serverLimits
-    const room = (): number | undefined => this.#room(server)
     return {
       id: server.id,
       hash: state.hash,
@@ -300,12 +318,18 @@
       fallback: this.facts.isFallback(server.id),
       holds: (engineReport?.held.get(key) ?? -1) >= oldestVersion,
       expectedMs: state.expectedMs(promptTokens, priority, now),
+      runMs: state.runMs(outputTokens),
+      weight: paces === undefined || state.assumedPace === undefined ? 1 : paces.weightOf(state.assumedPace),
       get coming () { return engineReport?.coming.has(key) === true || links.isLoadRequested(server, key) },
       get queued () { return links.isLoadQueued(server, key) },
-      get room () { return room() },
+      get room () { return roomOf(server, engineReport, links) },
       slotMs: engineReport?.slotMs ?? 0,
       get warm () { return links.warm(server, key) },
       get canRequestLoad () { return !(avoidLimited && limits.state(server) !== undefined) && links.canRequestLoad(server, key) }
     }
   }
 }
+
+/** Adapters that the engine could load, less those requested from it since it reported; `undefined` if it has not. */
+const roomOf = (engine: BackendServer, report: EngineReport | undefined, links: AdapterPlacement): number | undefined =>
+  report?.room === undefined ? undefined : Math.max(0, report.room - links.loadsRequestedSince(engine, report.at))
--- a/packages/fleet/src/entry/servers/choice.ts
+++ b/packages/fleet/src/entry/servers/choice.ts
@@ -5,7 +5,7 @@
  * since traffic between domains is charged. Loading an adapter from the weight store costs more than some eight requests across
  * domains, so a rarely used adapter is used where it is, and loaded in the entry's domain only once it is requested repeatedly.
  */
-import { rendezvousScore, hashOf } from '@finchpitch/decisions'
+import { rendezvousScore, weightedRendezvousScore, hashOf } from '@finchpitch/decisions'
 import { minBy } from '../../min-by.js'
 
 export interface ServerCandidate {
@@ -38,6 +38,10 @@
   room?: number | undefined
   /** Expected time until one more demand gets a slot, while there is no room. */
   slotMs?: number
+  /** Expected time from the first to the last token; 0 while engines are about equally quick. */
+  runMs?: number
+  /** Its pace relative to the mean of the engines of its service, by which it gets adapters. */
+  weight?: number
   /** A demand of this entry for the key waits there for a slot. */
   queued?: boolean
 }
@@ -129,14 +133,14 @@
 const hasCapacity = (candidate: ServerCandidate): boolean => candidate.load < candidate.slots + engineQueueDepth
 
 /**
- * The engine expected to answer first; ties are broken by rendezvous hashing, so that the order changes only when engines join
+ * The engine expected to finish first; ties are broken by rendezvous hashing, so that the order changes only when engines join
  * or leave.
  */
 const soonest = (candidates: readonly EngineCandidate[], { key, domain }: EngineSelection): EngineCandidate | undefined => {
   if (candidates.length < 2) return candidates[0]
   const keyHash = hashOf(key)
   const cost = (candidate: EngineCandidate): number =>
-    Math.floor((candidate.expectedMs + (candidate.domain === domain ? 0 : crossDomainPenaltyMs)) / expectedStepMs) + rendezvousScore(keyHash, candidate.hash)
+    Math.floor((candidate.expectedMs + (candidate.runMs ?? 0) + (candidate.domain === domain ? 0 : crossDomainPenaltyMs)) / expectedStepMs) + rendezvousScore(keyHash, candidate.hash)
   return minBy(candidates, cost)
 }
 
@@ -186,17 +190,22 @@
  * the highest rendezvous affinity. All entries pick the same one, whatever their domain, so that simultaneous requests don't
  * create replicas: with a preferred engine per domain, 71.4% of 8,290 generations on 8 engines met the objective instead of 72.7%.
  *
+ * The weight of an engine is its pace, so that one at half the pace is preferred for half as many adapters. That holds only while
+ * the service has room to spare: when slots are short, a free slot of a slow engine is worth as much as any other.
+ *
  * An engine without room starts later by the time until a slot is free there. So it is asked only if its slot is expected sooner
  * than an engine with room could load the key, or if no engine has room. A demand that already waits for a slot moves only to an
  * engine with room, since the time until a slot is free is uncertain.
  */
-const loadTarget = ({ candidates, key }: EngineSelection): EngineCandidate | undefined => {
+const loadTarget = (choice: EngineSelection): EngineCandidate | undefined => {
+  const { candidates, key } = choice
+  const weighted = hasSpareRoom(choice)
   const eligible = candidates.filter(candidate =>
     !candidate.holds && !candidate.coming && !candidate.unhealthy && !candidate.fallback && hasCapacity(candidate) && candidate.canRequestLoad)
   const keyHash = hashOf(key)
   const cost = (candidate: EngineCandidate): number =>
     Math.floor(firstTokenAfterLoadMs(candidate) / startStepMs) * startStepMs + (candidate.warm ? 0 : coldLoadPenaltyMs) +
-    rendezvousScore(keyHash, candidate.hash) * affinityPenaltyMs
+    weightedRendezvousScore(keyHash, candidate.hash, weighted ? candidate.weight ?? 1 : 1) * affinityPenaltyMs
   const best = minBy(eligible, candidate => cost(candidate) + slotWaitMs(candidate))
   return best === undefined || hasRoom(best) ? best : eligible.find(({ queued }) => queued) ?? best
 }
--- a/packages/fleet/src/entry/servers/prefill-rate.ts
+++ b/packages/fleet/src/entry/servers/prefill-rate.ts
@@ -27,7 +27,8 @@
     this.#tokens.add(tokens, now)
   }
 
-  msPerToken (now: number): number {
-    return (this.#ms.at(now) + initialMsPerToken * initialWeightTokens) / (this.#tokens.at(now) + initialWeightTokens)
+  /** `assumed`: the initial value, by what other entries have measured if that is known. */
+  msPerToken (now: number, assumed = initialMsPerToken): number {
+    return (this.#ms.at(now) + assumed * initialWeightTokens) / (this.#tokens.at(now) + initialWeightTokens)
   }
 }
--- a/packages/fleet/src/entry/servers/server-state.ts
+++ b/packages/fleet/src/entry/servers/server-state.ts
@@ -2,7 +2,7 @@
  * What an entry knows of one backend server from its own requests, and of an engine also from the reports of its side process.
  */
 import type { Agent } from 'node:http'
-import { OutlierDetector, ServerBackoff, hashOf, type OutlierLimits } from '@finchpitch/decisions'
+import { OutlierDetector, ServerBackoff, hashOf, type OutlierLimits, type Pace, type PaceSums } from '@finchpitch/decisions'
 import { nowMs } from '../../clock.js'
 import { createServerAgent } from './server-agent.js'
 import { PrefillRate } from './prefill-rate.js'
@@ -32,6 +32,8 @@
   room?: number | undefined
   /** Expected time until one more demand gets a slot, while there is no room. */
   slotMs?: number
+  /** Its pace as measured by all entries; `undefined` if unknown. */
+  pace?: Pace | undefined
 }
 
 /** A request that is about to be sent. */
@@ -53,6 +55,7 @@
   priority: number
   /** How long the server may take to send its first byte before it counts as unresponsive. */
   patienceMs: number
+  firstByteAt?: number
 }
 
 /** `urgent`: the last use of an adapter has ended at an engine without room, where demands may wait for its slot. */
@@ -72,6 +75,10 @@
   #sentSinceReport = 0
   /** Prompt tokens of own requests that the server has not prefilled yet. */
   #ownUnread = 0
+  /** What was observed of its pace since the last report to its side process. */
+  #observed: [promptTokens: number, prefillMs: number, outputTokens: number, runMs: number] = [0, 0, 0, 0]
+  /** Its pace as published, or the mean of its service's engines; `undefined` while these are about equally quick. */
+  assumedPace: Pace | undefined
   readonly #prefillRate = new PrefillRate()
   /** Engines prefill the prompts of urgent requests first, so each priority has a prefill rate of its own. */
   readonly #ratesByPriority = new Map<number, PrefillRate>()
@@ -116,7 +123,16 @@
 
   /** Estimated time to the first token of a request with so many prompt tokens, if it were sent now. */
   expectedMs (tokens: number, priority: number, now: number): number {
-    return (this.#unreadTokensAt(now) + tokens) * this.#rateOf(priority).msPerToken(now)
+    return (this.#unreadTokensAt(now) + tokens) * this.#msPerToken(this.#rateOf(priority), now)
+  }
+
+  #msPerToken (rate: PrefillRate, now: number): number {
+    return this.assumedPace === undefined ? rate.msPerToken(now) : rate.msPerToken(now, this.assumedPace.prefillMs / 1000)
+  }
+
+  /** Expected time from the first to the last of so many output tokens; 0 while the engines of its service are about equally quick. */
+  runMs (outputTokens: number): number {
+    return outputTokens * (this.assumedPace?.tokenMs ?? 0)
   }
 
   #rateOf (priority: number): PrefillRate {
@@ -133,7 +149,7 @@
    */
   #unreadTokensAt (now: number): number {
     if (this.engineReport === undefined) return this.#ownUnread
-    const prefilledSince = (now - this.engineReport.at) / this.#prefillRate.msPerToken(now)
+    const prefilledSince = (now - this.engineReport.at) / this.#msPerToken(this.#prefillRate, now)
     return this.#ownUnread + Math.max(0, this.engineReport.unread - prefilledSince)
   }
 
@@ -159,13 +175,31 @@
     if (!this.#awaitingFirstByte.delete(pending)) return
     this.#ownUnread -= pending.tokens
     const now = nowMs()
+    pending.firstByteAt = now
     if (pending.tokens === 0) return
     this.onUsesChange(this.id)
     const tokens = pending.tokensAhead + pending.tokens
+    this.#observed[0] += tokens
+    this.#observed[1] += now - pending.sentAt
     this.#prefillRate.add(now - pending.sentAt, tokens, now)
     this.#rateOf(pending.priority).add(now - pending.sentAt, tokens, now)
   }
 
+  /** Records that a stream with at most so many output tokens was received to its end. */
+  recordRun ({ firstByteAt }: PendingRequest, outputTokens: number): void {
+    if (firstByteAt === undefined || outputTokens === 0) return
+    this.#observed[2] += outputTokens
+    this.#observed[3] += nowMs() - firstByteAt
+  }
+
+  /** Returns what was observed of its pace since the last call; `undefined` if nothing was. */
+  takePace (): PaceSums | undefined {
+    const observed = this.#observed
+    if (observed[0] === 0 && observed[2] === 0) return undefined
+    this.#observed = [0, 0, 0, 0]
+    return observed
+  }
+
   end (key: string | undefined, pending: PendingRequest): void {
     this.#pending.delete(pending)
     if (this.#awaitingFirstByte.delete(pending)) this.#ownUnread -= pending.tokens
--- a/packages/fleet/src/entry/serving/incoming-request.ts
+++ b/packages/fleet/src/entry/serving/incoming-request.ts
@@ -27,6 +27,8 @@
   /** Prompt tokens and maximum of output tokens, as stated (`in,out`). */
   readonly tokens: string | undefined
   readonly promptTokens: number
+  /** Maximum of output tokens; 0 if not stated. */
+  readonly outputTokens: number
   /** Milliseconds until the caller times out. */
   readonly remainingMs: number
 
@@ -37,6 +39,7 @@
     this.model = headerOf(message, names.model)
     this.tokens = headerOf(message, names.tokens)
     this.promptTokens = Math.min(maxPromptTokens, Math.max(0, Number.parseInt(this.tokens ?? '0', 10) || 0))
+    this.outputTokens = Math.max(0, Number.parseInt(this.tokens?.split(',')[1] ?? '0', 10) || 0)
     const stated = Number(headerOf(message, names.remainingMs) ?? NaN)
     this.remainingMs = Number.isFinite(stated) && stated >= 0 ? stated : defaultRemainingMs
   }
--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -216,9 +216,9 @@
   }
 
   #selectionFor (service: FleetService, { route, priority }: Admission): SelectionRequest {
-    const { model, promptTokens } = this.#incoming
+    const { model, promptTokens, outputTokens } = this.#incoming
     const key = service.engine === undefined ? undefined : model
-    return { service, key, promptTokens, timeToObjectiveMs: this.#times.timeToObjectiveMs(route), priority, excluded: this.#excluded }
+    return { service, key, promptTokens, outputTokens, timeToObjectiveMs: this.#times.timeToObjectiveMs(route), priority, excluded: this.#excluded }
   }
 
   #onDeadline (): void {
@@ -265,6 +265,7 @@
       },
       onServerFeedback: feedback => this.options.feedbackHandler.handle(feedback, { server, state, request: this.#incoming.id, sentAt })
     })
+    if (result.type === 'streamed' && this.#sentAttempts === 0) state.recordRun(pending, this.#incoming.outputTokens)
     state.end(key, pending)
     if (key === undefined && result.type === 'answer') this.options.queue.slotTimes.record(route.name, nowMs() - sentAt)
     if (result.type !== 'not_sent' && result.type !== 'withheld') this.#sentAttempts += 1
--- a/packages/fleet/src/side/demands.ts
+++ b/packages/fleet/src/side/demands.ts
@@ -39,7 +39,7 @@
 
 /** What the uses reported by an entry changed. */
 export interface UsesChange {
-  /** A key became idle at this entry. */
+  /** The last request on a key has ended, over all entries. */
   idle: boolean
   /** A key came into use at this entry. */
   used: boolean
@@ -123,17 +123,17 @@
     this.#uses.set(entry, entryUses)
     const change = { idle: false, used: false }
     for (const [key, started, running] of uses) {
+      this.#loadedAt.delete(key)
       if (running > 0) {
         change.used ||= !entryUses.running.has(key)
         entryUses.running.set(key, running)
-      } else if (entryUses.running.delete(key)) {
+      } else if (entryUses.running.delete(key) && this.uses(key) === 0) {
         change.idle = true
-        if (this.uses(key) === 0) this.#slotWait.recordRelease(now)
+        this.#slotWait.recordRelease(now)
       }
       const popularity = this.#popularity.get(key) ?? new Popularity(demandHalfLifeMs)
       for (let each = 0; each < started; each++) popularity.add(now)
       this.#popularity.set(key, popularity)
-      this.#loadedAt.delete(key)
     }
     return change
   }
--- a/packages/fleet/src/side/engine-update.ts
+++ b/packages/fleet/src/side/engine-update.ts
@@ -37,6 +37,9 @@
   room?: number | undefined
   /** Expected time in ms until one more demand gets a slot, while there is no room. */
   slotMs?: number | undefined
+  /** The engine's pace: ms per 1000 prompt tokens and per output token. Changes that are not significant are left out. */
+  prefillMs?: number | undefined
+  tokenMs?: number | undefined
   /** Entries of the engine's own failure domain that are connected to its side process. */
   entries: number
   /** Entries of other failure domains that subscribe to the engine directly. */
@@ -81,10 +84,10 @@
 }
 
 /** Fields that are sent as they are. Loaded keys and loads in progress are sent as `came`, `went` and `coming`. */
-const scalarFields = ['reachable', 'server', 'bornAt', 'leaving', 'lost', 'waiting', 'running', 'unread', 'room', 'slotMs', 'entries', 'strangers', 'fence'] as const
+const scalarFields = ['reachable', 'server', 'bornAt', 'leaving', 'lost', 'waiting', 'running', 'unread', 'room', 'slotMs', 'prefillMs', 'tokenMs', 'entries', 'strangers', 'fence'] as const
 
 /** Values that mark a field as no longer set. */
-const unsetValues: Partial<Record<typeof scalarFields[number], null | false>> = { server: null, bornAt: null, leaving: false, lost: false }
+const unsetValues: Partial<Record<typeof scalarFields[number], null | false>> = { server: null, bornAt: null, leaving: false, lost: false, prefillMs: null, tokenMs: null }
 
 /**
  * Fields that differ from what the subscriber received before, or all fields if it received nothing. Most updates change one or
@@ -161,12 +164,13 @@
   #loadDiffers (previous: EngineSnapshot, current: EngineSnapshot): boolean {
     const step = Math.max(this.policy.minLoadChange, (current.batchSize ?? 0) * this.policy.minBatchFraction)
     return Math.abs(loadOf(previous) - loadOf(current)) >= step || isUnreadChangeSignificant(previous.unread, current.unread) ||
-      Math.abs((previous.room ?? 0) - (current.room ?? 0)) >= minRoomChange || Math.abs((previous.slotMs ?? 0) - (current.slotMs ?? 0)) >= minSlotChangeMs
+      Math.abs((previous.room ?? 0) - (current.room ?? 0)) >= minRoomChange || Math.abs((previous.slotMs ?? 0) - (current.slotMs ?? 0)) >= minSlotChangeMs ||
+      previous.prefillMs !== current.prefillMs || previous.tokenMs !== current.tokenMs
   }
 }
 
 /** Fields that are sent like the load. */
-const loadFields = ['unread', 'room', 'slotMs'] as const
+const loadFields = ['unread', 'room', 'slotMs', 'prefillMs', 'tokenMs'] as const
 
 /** An entry counts the loads that it requested itself since the last update, so one less or more is no reason to send one. */
 const minRoomChange = 2
--- a/packages/fleet/src/side/placement.ts
+++ b/packages/fleet/src/side/placement.ts
@@ -13,6 +13,8 @@
 
 /** Maximum number of concurrent loads of an engine. */
 export const maxConcurrentLoads = 4
+/** With this many, the loads of all engines together no longer slow each other down, and each engine still loads without a pause. */
+export const minConcurrentLoads = 2
 
 /**
  * How long a demand waits for a free slot before it is declined, unless it is to be kept. Requests run for some 300 to 500 ms, so with 16 slots in use
@@ -51,6 +53,8 @@
   newestVersion: (key: string) => number | undefined
   /** Number of recent uses, decayed with time. */
   popularity: (key: string) => number
+  /** How many loads may be in progress. */
+  maxLoads?: number
   /** Whether the rate limit of the weight store lets a load of the key start now. */
   canLoad: (key: string) => boolean
 }
@@ -109,13 +113,13 @@
 
 /** Replaces an adapter for which a newer version is named if it is in use or popular, otherwise unloads it. */
 const replaceOutdated = (input: PlacementInput): Placement | undefined => {
-  const { status } = input
+  const { status, maxLoads = maxConcurrentLoads } = input
   for (const held of loadedAdapters(status)) {
     const newest = input.newestVersion(held.key)
     if (newest === undefined || newest <= held.version || isLoading(status, held.key)) continue
     const idle = input.uses(held.key) === 0
     if (idle && input.popularity(held.key) < minReplaceUses) return orderTo(input, 'unload', held.key, `version ${newest} is named`)
-    if (!input.canLoad(held.key) || status.coming.length >= maxConcurrentLoads) continue
+    if (!input.canLoad(held.key) || status.coming.length >= maxLoads) continue
     if (freeSlots(input) > 0) return orderTo(input, 'load', held.key, `replaces version ${held.version}`, newest)
     const victim = idle ? held.key : chooseVictim(input)
     if (victim !== undefined) return orderTo(input, 'unload', victim, `makes room for version ${newest} of ${held.key}`)
@@ -163,13 +167,13 @@
 }
 
 const placeAdapter = (input: PlacementInput): Placement | undefined => {
-  const { status, demands } = input
+  const { status, demands, maxLoads = maxConcurrentLoads } = input
   const held = new Map(loadedAdapters(status).map(each => [each.key, each.version]))
   for (const { key, version, keep, waitedMs } of demands) {
     const ref = parseRef(key)
     if (ref.adapter === undefined || held.has(key) || isLoading(status, key)) continue
     if (!status.models.some(model => model.name === ref.model)) return { type: 'declined', key, reason: 'unknown_model' }
-    if (status.coming.length >= maxConcurrentLoads) return undefined
+    if (status.coming.length >= maxLoads) return undefined
     if (!input.canLoad(key)) return { type: 'declined', key, reason: 'load_rate' }
     if (freeSlots(input) > 0) return orderTo(input, 'load', key, 'asked for', input.newestVersion(key) ?? version)
     const victim = chooseVictim(input)
--- a/packages/fleet/src/side/side-process.ts
+++ b/packages/fleet/src/side/side-process.ts
@@ -8,8 +8,9 @@
 import type { Duplex } from 'node:stream'
 import { isDeepStrictEqual } from 'node:util'
 import { hostOf, onAbort, pause } from '@finchpitch/core'
-import { tokenLifetimeMs } from '@finchpitch/decisions'
+import { LoadConcurrency, PaceEstimate, isPaceChangeSignificant, tokenLifetimeMs, type Pace } from '@finchpitch/decisions'
 import { Channel, type Frame, type FrameOf } from '@finchpitch/wire'
+import { nowMs } from '../clock.js'
 import { quotaBoundOf, type EngineStatus, type EngineOrder, type EngineControl, type Limits } from '../ports.js'
 import type { SideConnectionOptions } from '../keep-connected.js'
 import { parseRef, refKey } from '../server.js'
@@ -26,13 +27,16 @@
 import { OrderSender } from './order-sender.js'
 import type { SideCounters } from './counters.js'
 import { EngineUpdate, diffKeys } from './engine-update.js'
-import { decidePlacement, roomIn, type EngineRoom } from './placement.js'
+import { decidePlacement, maxConcurrentLoads, minConcurrentLoads, roomIn, type EngineRoom } from './placement.js'
 import { QuotaBank } from './quota-bank.js'
 import { Subscribers } from './subscribers.js'
 
 /** The time until a slot is free is published in steps of this size, since each change is sent. */
 const slotStepMs = 50
 
+/** An engine that was slow and got few requests for this long is assumed to have the usual pace, so that it is tried again. */
+const paceTtlMs = 10_000
+
 /** The room of an engine that can't be sent orders. */
 const noRoom: EngineRoom = { room: 0, queued: 0 }
 
@@ -68,6 +72,11 @@
   readonly #quotaBank = new QuotaBank()
   /** The room that was published last. */
   #room = noRoom
+  readonly #loadConcurrency = new LoadConcurrency({ least: minConcurrentLoads, most: maxConcurrentLoads })
+  #paceEstimate = new PaceEstimate()
+  /** The pace that was published last. */
+  #pace: Pace | undefined
+  #paceMeasuredAt = -Infinity
   /** Number of changes to the loaded keys or the loads in progress. */
   #changes = 0
 
@@ -83,6 +92,9 @@
     counters.gauge('finchpitch_engine_cache_tokens', 'Cache capacity of the engine in tokens, as it reports it.', () => this.#status?.cacheTotal ?? 0)
     counters.gauge('finchpitch_engine_room', 'Adapters that the engine could load now: free slots and idle adapters, less the demands that wait for one.', () => this.#room.room)
     counters.gauge('finchpitch_demands_queued', 'Adapters that entries demand and that wait for a slot.', () => this.#room.queued)
+    counters.gauge('finchpitch_engine_loads_allowed', 'Loads of adapters that may be in progress at the engine.', () => this.#loadConcurrency.limit)
+    counters.gauge('finchpitch_engine_prefill_ms', 'Prefill time in ms per 1000 prompt tokens, as entries measure it; 0 if unknown.', () => this.#pace?.prefillMs ?? 0)
+    counters.gauge('finchpitch_engine_token_ms', 'Run time in ms per stated output token, as entries measure it; 0 if unknown.', () => this.#pace?.tokenMs ?? 0)
     counters.gauge('finchpitch_peers_connected', 'Connected entries and side processes.', () => this.#subscribers.size)
     counters.gauge('finchpitch_engines_relayed', 'Engines in other failure domains whose updates are relayed.', () => this.#subscribers.relayedCount)
   }
@@ -129,6 +141,7 @@
       newestVersion: key => this.options.facts.version(key)?.version,
       popularity: key => this.demands.popularity(key),
       uses: key => this.demands.uses(key),
+      maxLoads: this.#loadConcurrency.limit,
       canLoad: key => isAdapterKey(key) || this.#canLoad(spec)
     })
     if (placement.type === 'declined') {
@@ -163,10 +176,12 @@
     if (this.#status?.leaving === true && server !== undefined) this.options.facts.markDraining({ id: server, bornAt }, 'its account')
   }
 
-  /** Called when the engine was replaced or restarted: its cached adapters and loads in progress are lost. */
+  /** Called when the engine was replaced or restarted: its cached adapters and loads in progress are lost, and it may have another pace. */
   #handleEngineReplaced (): void {
     this.#warm.clear()
     this.#loadTimes.clear()
+    this.#paceEstimate = new PaceEstimate()
+    this.#pace = undefined
   }
 
   #serviceName (): string | undefined {
@@ -204,6 +219,16 @@
     if (load === undefined) return
     this.options.counters.loads.observe(load.ms / 1000)
     this.options.log.info('adapter.held', { key, version, ms: Math.round(load.ms), from: load.from, orders: this.#status?.orders })
+    if (load.from === 'cold') this.#limitLoads(load.ms)
+  }
+
+  /** Loads from the weight store that take long are slowed down by those of other engines. */
+  #limitLoads (ms: number): void {
+    const now = nowMs()
+    const { limit: before } = this.#loadConcurrency
+    if (!this.#loadConcurrency.record({ startedAt: now - ms, ms }, now)) return
+    const { limit, leastMs } = this.#loadConcurrency
+    this.options.log.info('engine.loads_limited', { limit, before, ms: Math.round(ms), leastMs: Math.round(leastMs) })
   }
 
   #decline (key: string, reason: string): void {
@@ -264,12 +289,25 @@
   }
 
   /** The end of an adapter's last use may let a demand be met. Room gained or lost is published at once, as entries demand by it. */
-  #handleUses (entry: string, { uses, unread }: FrameOf<'uses'>): void {
+  #handleUses (entry: string, { uses, unread, pace }: FrameOf<'uses'>): void {
+    if (pace !== undefined) this.#recordPace(pace)
     const { idle, used } = this.demands.recordUses(entry, uses, unread)
     if (idle && this.demands.hasPending) return this.#wake()
     if ((idle || used) && (this.#currentRoom().room > 0) !== (this.#room.room > 0)) this.#publish()
   }
 
+  /** A significant change is published with the next update. */
+  #recordPace (sums: NonNullable<FrameOf<'uses'>['pace']>): void {
+    const now = nowMs()
+    this.#paceEstimate.add(sums, now)
+    const pace = this.#paceEstimate.at(now)
+    if (pace !== undefined) this.#paceMeasuredAt = now
+    if (pace === undefined || !isPaceChangeSignificant(this.#pace, pace)) return
+    const { server } = this.#orderSender
+    this.options.log.info('engine.pace', { server, ...rounded(pace), before: this.#pace === undefined ? undefined : rounded(this.#pace) })
+    this.#pace = pace
+  }
+
   #currentRoom (): EngineRoom {
     const status = this.#status
     const spec = this.#spec()
@@ -299,6 +337,7 @@
   #engineUpdate (): EngineUpdate {
     const status = this.#status
     const { near, strangers } = this.#subscribers.entries
+    if (nowMs() - this.#paceMeasuredAt > paceTtlMs) this.#pace = undefined
     const { room, queued } = this.#room = this.#currentRoom()
     return new EngineUpdate({
       host: this.#host,
@@ -315,6 +354,8 @@
       unread: this.demands.unread,
       room,
       slotMs: room > 0 ? 0 : Math.ceil(this.demands.slotMs(queued) / slotStepMs) * slotStepMs,
+      prefillMs: this.#pace?.prefillMs,
+      tokenMs: this.#pace?.tokenMs,
       entries: near,
       strangers,
       fence: this.#orderSender.fence,
@@ -341,6 +382,8 @@
   }
 }
 
+const rounded = ({ prefillMs, tokenMs }: Pace): Pace => ({ prefillMs: Math.round(prefillMs * 10) / 10, tokenMs: Math.round(tokenMs * 100) / 100 })
+
 const loadedKeys = (status: EngineStatus): LoadedVersions => {
   const held = new Map<string, number>()
   for (const model of status.models) {
--- a/packages/fleet/test/balancer.test.ts
+++ b/packages/fleet/test/balancer.test.ts
@@ -43,6 +43,24 @@
     expect(create().balancer.choose({ ...selection, key: 'm/y' })).to.have.property('ask').that.is.oneOf(['1', '2'])
   })
 
+  // Guards against a pace that affects choices among engines which are alike.
+  it('compares engines by their published pace only if they differ', () => {
+    const chosen = (tokenMs: number): string => {
+      const { balancer } = create()
+      const report = { at: nowMs(), reachable: true, held: new Map([['m/x', 1]]), coming: new Set<string>(), waiting: 0, running: 0, unread: 0 }
+      const ids = ['1', '2', '1', '2'].map((id, each) => {
+        balancer.states.applyReport(id, { ...report, pace: { prefillMs: 30, tokenMs: id === '1' ? tokenMs : 5 } })
+        return each
+      })
+      const choice = ids.map(() => balancer.choose({ ...selection, outputTokens: 200 })).at(-1)
+      return choice?.type === 'send' ? choice.id : ''
+    }
+    const alike = chosen(5)
+    expect(chosen(5.5)).to.equal(alike)
+    expect(chosen(12)).to.equal('2')
+    expect(chosen(2)).to.equal('1')
+  })
+
   describe('with rate-limited servers', () => {
     const exhausted: LimitState = { ready: false, readyInMs: 300, perSecond: 2 }
     const available: LimitState = { ready: true, readyInMs: 0, perSecond: 2 }
--- a/packages/fleet/test/choice.test.ts
+++ b/packages/fleet/test/choice.test.ts
@@ -98,6 +98,22 @@
       expect(engine([candidate('p', 'a', { coming: true }), candidate('q', 'a')])).to.deep.include({ type: 'bring', ask: undefined })
     })
 
+    describe('that differ in pace', () => {
+      it('selects the holder that is expected to finish first', () => {
+        const holders = [candidate('p', 'a', { holds: true, runMs: 700 }), candidate('q', 'a', { holds: true, expectedMs: 150, runMs: 300 })]
+        expect(engine(holders)).to.include({ type: 'send', id: 'q' })
+      })
+
+      // Guards against slow engines that get as many adapters as quick ones, and against idle ones when slots are short.
+      it('loads fewer adapters into slow ones, but not while slots are short', () => {
+        const loadsAt = (id: string, room: number): number => Array.from({ length: 2000 }, (_, each) => chooseEngine({
+          candidates: [candidate('slow', 'a', { weight: 0.5, room }), candidate('quick', 'a', { weight: 1, room })], domain: 'a', key: `m/${each}`, timeToObjectiveMs: 600, adapterSlots: 20
+        })).filter(choice => choice.type === 'bring' && choice.ask === id).length
+        expect(loadsAt('slow', 10) / 2000).to.be.closeTo(1 / 3, 0.05)
+        expect(loadsAt('slow', 1) / 2000).to.be.closeTo(1 / 2, 0.05)
+      })
+    })
+
     describe('whose slots are short', () => {
       const full = (id: string, slotMs: number, more: Partial<EngineCandidate> = {}): EngineCandidate => candidate(id, 'a', { room: 0, slotMs, ...more })
       const asked = (candidates: EngineCandidate[]): unknown => Object.entries(engine(candidates)).find(([name]) => name === 'ask')?.[1]
--- a/packages/fleet/test/engine-room.test.ts
+++ b/packages/fleet/test/engine-room.test.ts
@@ -33,13 +33,14 @@
   }
 }
 
-describe('room of an engine', () => {
+describe('room and pace of an engine', () => {
   let time: FakeTime
   let engine: FakeEngine
   let entry: Channel
   let mirror: EngineMirror
   let received: Frame[]
   let stop: AbortController
+  let counters: SideCounters
 
   beforeEach(async () => {
     time = new FakeTime()
@@ -47,6 +48,7 @@
     mirror = new EngineMirror()
     received = []
     stop = new AbortController()
+    counters = new SideCounters()
     const facts = new Facts(silentLog, () => 1000)
     facts.offer({ kind: 'table', key: 'table', revision: 1, value: table }, 'store')
     facts.offer({ kind: 'server', key: 'e', revision: 2, value: { id: 'e', service: 'llm', address: `${host}:80`, domain: 'a', slots: 8, leaving: false, models: [] } }, 'store')
@@ -60,7 +62,7 @@
       facts,
       limits: () => limits,
       channel: channelOptions('side-0'),
-      counters: new SideCounters(),
+      counters,
       log: silentLog
     })
     const [entryEnd, sideEnd] = duplexPair()
@@ -142,4 +144,44 @@
     await time.advance(300)
     expect(mirror).to.include({ reachable: false, room: 0 })
   })
+
+  it('is filled by fewer loads at a time once loads take longer than before', async () => {
+    const allowed = async (): Promise<string | undefined> => /^finchpitch_engine_loads_allowed (\d)/m.exec(await counters.registry.metrics())?.[1]
+    for (const [adapter, ms] of [['c', 250], ['d', 500]] as const) {
+      await ask(`m/${adapter}`, false)
+      await time.advance(ms)
+      engine.state.coming = []
+      engine.state.models = [{ name: 'm', version: 1, adapters: { ...engine.state.models[0]?.adapters, [adapter]: 1 } }]
+      await time.advance(100)
+    }
+    expect(await allowed()).to.equal('3')
+  })
+
+  describe('whose pace entries measure', () => {
+    const measure = async (tokenMs: number): Promise<void> => {
+      entry.send({ type: 'uses', uses: [], pace: [4000, 100, 400, 400 * tokenMs] })
+      await time.advance(500)
+    }
+
+    it('publishes it, and again once it has changed', async () => {
+      await measure(5)
+      expect(mirror).to.include({ prefillMs: 25, tokenMs: 5 })
+      await measure(5.3)
+      expect(mirror.tokenMs).to.equal(5)
+      for (let each = 0; each < 6; each++) await measure(10)
+      expect(mirror.tokenMs).to.be.greaterThan(8)
+    })
+
+    // Guards against choices by the pace of an engine that is no longer there, or that is slow no more and gets no requests.
+    it('publishes none after the engine has restarted, or after it was not measured for long', async () => {
+      await measure(5)
+      engine.state.bornAt = 2
+      await time.advance(500)
+      expect(mirror).to.include({ prefillMs: undefined, tokenMs: undefined })
+      await measure(9)
+      expect(mirror.tokenMs).to.equal(9)
+      await time.advance(11_000)
+      expect(mirror.tokenMs).to.equal(undefined)
+    })
+  })
 })
--- a/packages/fleet/test/placement.test.ts
+++ b/packages/fleet/test/placement.test.ts
@@ -49,6 +49,12 @@
       expect(placement).to.have.nested.property('order.adapter', 'z')
     })
 
+    it('starts no load beyond those allowed', () => {
+      const status = stateWith({}, { coming: [{ key: 'm/x', version: 1 }, { key: 'm/y', version: 1 }] })
+      expect(decidePlacement(inputWith({ status, demands: [demand('m/a')], maxLoads: 2 })).type).to.equal('nothing')
+      expect(decidePlacement(inputWith({ status, demands: [demand('m/a')], maxLoads: 3 })).type).to.equal('order')
+    })
+
     it('evicts the least popular adapter that is not in use', () => {
       const placement = decidePlacement(inputWith({
         status: stateWith({ x: 1, y: 1, z: 1 }),
--- a/packages/fleet/test/replay/load-simulation.test.ts
+++ b/packages/fleet/test/replay/load-simulation.test.ts
@@ -56,6 +56,13 @@
     })
   })
 
+  describe('with engines that differ in pace', () => {
+    it('meets the objective more often if entries know their paces', () => {
+      const uneven = { ...burst, burst: 1.6, slow: { engines: 2, share: 0.46, runs: true } }
+      expect(meanShareInTime(uneven, productionPolicy)).to.be.greaterThan(meanShareInTime(uneven, { ...productionPolicy, seesPace: false }))
+    })
+  })
+
   describe('with many long prompts', () => {
     // Order by rank gains nothing here beyond the variation between seeds: a share of 0.919 meets the objective with these
     // four seeds and 0.913 with six, against 0.929 and 0.909 in order of arrival.
--- a/packages/fleet/test/replay/load-simulation.ts
+++ b/packages/fleet/test/replay/load-simulation.ts
@@ -6,7 +6,7 @@
  * one policy with another under the same load; it has no failures, no domains and no network.
  */
 import { chooseEngine, maxConcurrentLoads, rankOf, maxWaitShare, type Choice, type EngineSelection, type EngineCandidate, type RankInput } from '@finchpitch/fleet'
-import { hashOf } from '@finchpitch/decisions'
+import { comparePaces, hashOf, type Pace, type PaceComparison } from '@finchpitch/decisions'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator'
@@ -54,6 +54,8 @@
   rank: (input: RankInput) => number
   /** Whether entries know which engines have room. If they don't, engines decline demands that get no slot. */
   seesRoom?: boolean
+  /** Whether entries know the engines' paces. */
+  seesPace?: boolean
 }
 
 /** The policy that entries use. */
@@ -170,6 +172,7 @@
   /** The lowest rank of the requests that wait for a key. */
   #rankByKey = new Map<string, number>()
   #now = 0
+  readonly #paces: PaceComparison | undefined
 
   constructor (private readonly pattern: LoadPattern, private readonly policy: Policy) {
     this.#random = xoroshiro128plus(pattern.seed)
@@ -188,6 +191,7 @@
       loadQueue: [],
       declined: new Map()
     }))
+    this.#paces = policy.seesPace === false ? undefined : comparePaces(this.#engines.map(paceOf))
     for (const { name } of pattern.kinds) this.outcomes.set(name, noOutcomes())
   }
 
@@ -354,7 +358,7 @@
     return { candidates: this.#engines.map((engine, index) => this.#candidateOf(engine, index, request)), domain: 'd', key, timeToObjectiveMs: left > 0 ? left : Infinity, adapterSlots }
   }
 
-  #candidateOf (engine: Engine, index: number, { key, tokens, entry }: SimulatedRequest): EngineCandidate {
+  #candidateOf (engine: Engine, index: number, { key, tokens, entry, kind }: SimulatedRequest): EngineCandidate {
     const report = this.#reports[0]?.[index]
     const recent = this.#reports.at(-roomDelayMs / tickMs)?.[index]
     const unreported = this.#unreported.filter(sent => sent.engine === index && sent.entry === entry)
@@ -373,6 +377,8 @@
       coming: engine.coming.has(key) || isDemanded(engine, key, false),
       queued: isDemanded(engine, key, true),
       expectedMs: (unread + tokens) / engine.prefillRate,
+      runMs: this.#paces === undefined ? 0 : kind.runMs * engine.runFactor,
+      weight: this.#paces?.weightOf(paceOf(engine)) ?? 1,
       warm: engine.warm.has(key),
       canRequestLoad: this.#now - (engine.declined.get(key) ?? -Infinity) > declineBackoffMs,
       room: this.policy.seesRoom === false ? undefined : Math.max(0, (recent?.room ?? this.pattern.adapterSlots) - demands),
@@ -381,6 +387,8 @@
   }
 }
 
+const paceOf = ({ prefillRate, runFactor }: Engine): Pace => ({ prefillMs: 1000 / prefillRate, tokenMs: runFactor })
+
 /** Whether a demand for the key waits at the engine; `keep`: one that is kept, or one that is not. */
 const isDemanded = ({ loadQueue }: Engine, key: string, keep?: boolean): boolean => loadQueue.some(demand => demand.key === key && (keep === undefined || demand.keep === keep))
 
--- a/packages/fleet/test/server-state.test.ts
+++ b/packages/fleet/test/server-state.test.ts
@@ -25,6 +25,16 @@
     expect(state.load).to.equal(5)
   })
 
+  it('observes the pace of completed requests once', async () => {
+    const pending = state.begin({ key: 'm/a', patienceMs: 1000, tokens: 600, priority: 1 })
+    await time.advance(20)
+    state.recordFirstByte(pending)
+    await time.advance(300)
+    state.recordRun(pending, 72)
+    expect(state.takePace()).to.deep.equal([600, 20, 72, 300])
+    expect(state.takePace()).to.equal(undefined)
+  })
+
   it('counts refusals as load for a limited time', async () => {
     for (let each = 0; each < 10; each++) {
       const pending = state.begin({ key: undefined, patienceMs: 1000, tokens: 0, priority: 1 })
--- a/packages/fleet/test/side-links.test.ts
+++ b/packages/fleet/test/side-links.test.ts
@@ -94,6 +94,16 @@
       expect(of('want')).to.have.length(3)
     })
 
+    // Guards against requests that wait for a slot at an engine whose side process has frozen.
+    it('ask no side process that fell silent, and give up a demand that waits there', async () => {
+      const engine = engineAt('10.0.0.1')
+      sideAt('10.0.0.1').setPace({ heartbeatMs: 60_000, silenceTimeoutMs: 60_000 })
+      links.requestLoad(engine, { key: 'm/a', waiting: 1, priority: 2, version: undefined, keep: true })
+      expect([links.isLoadQueued(engine, 'm/a'), links.canRequestLoad(engine, 'm/a')]).to.deep.equal([true, true])
+      await time.advance(700)
+      expect([links.isLoadQueued(engine, 'm/a'), links.canRequestLoad(engine, 'm/a')]).to.deep.equal([false, false])
+    })
+
     // Guards against a slot that stays unused for as long as reports of uses are held back.
     it('report the end of an adapter\'s last use without delay', async () => {
       const state = states.getOrCreate(engineAt('10.0.0.1'), 4)
--- a/packages/wire/src/fast-validation.ts
+++ b/packages/wire/src/fast-validation.ts
@@ -67,6 +67,8 @@
     unread: isCount,
     room: isCount,
     slotMs: isCount,
+    prefillMs: value => value === null || isNonNegative(value),
+    tokenMs: value => value === null || isNonNegative(value),
     entries: isCount,
     strangers: isCount,
     fence: isCount
@@ -74,7 +76,8 @@
   uses: {
     type: value => value === 'uses',
     uses: value => Array.isArray(value) && value.length <= maxUsesPerFrame && value.every(isUse),
-    unread: isCount
+    unread: isCount,
+    pace: value => Array.isArray(value) && value.length === 4 && value.every(isNonNegative)
   },
   heartbeat: {
     type: value => value === 'heartbeat',
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -119,6 +119,10 @@
   room: Count.optional(),
   /** While `room` is 0: the expected time in ms until one more demand gets a slot. */
   slotMs: Count.optional(),
+  /** The engine's pace as measured by all entries: prefill time in ms per 1000 prompt tokens; `null` if unknown. */
+  prefillMs: z.number().nonnegative().nullable().optional(),
+  /** Run time in ms per output token that requests state as their maximum; `null` if unknown. */
+  tokenMs: z.number().nonnegative().nullable().optional(),
   /** Entries of the engine's own failure domain that are connected to its side process. */
   entries: Count.optional(),
   /** Entries of other failure domains that subscribe directly, because their own domain has no side process. */
@@ -246,9 +250,15 @@
   z.object({ type: z.literal('declined'), key: AdapterKey, reason: z.string().max(maxReasonLength) }),
   /**
    * For each adapter that was used: its key, its uses since the previous such frame, and its requests in progress. `unread`: prompt
-   * tokens of the sender's requests that the engine has not processed yet.
+   * tokens of the sender's requests that the engine has not processed yet. `pace`: what the sender observed since the previous such
+   * frame: prefilled prompt tokens, the ms for that, stated output tokens of completed streams, and the ms that these ran.
    */
-  z.object({ type: z.literal('uses'), uses: z.array(z.tuple([AdapterKey, Count, Count])).max(maxUsesPerFrame), unread: Count.optional() }),
+  z.object({
+    type: z.literal('uses'),
+    uses: z.array(z.tuple([AdapterKey, Count, Count])).max(maxUsesPerFrame),
+    unread: Count.optional(),
+    pace: z.tuple([z.number().nonnegative(), z.number().nonnegative(), z.number().nonnegative(), z.number().nonnegative()]).optional()
+  }),
   /** The highest fencing token that the receiver is known to have used, or the newest known revision; it must not use a lower one. */
   z.object({ type: z.literal('fences'), highest: Count }),
   z.object({ type: z.literal('heartbeat'), revision: Revision, load: LoadReport.optional(), complete: CompleteRevisions.optional(), sight: StoreSight.optional() }),
--- a/packages/wire/test/fast-validation.test.ts
+++ b/packages/wire/test/fast-validation.test.ts
@@ -25,6 +25,8 @@
   unread: count,
   room: count,
   slotMs: count,
+  prefillMs: count,
+  tokenMs: count,
   entries: count,
   strangers: count,
   fence: count,
@@ -34,7 +36,8 @@
 const uses = fc.record({
   type: fc.constantFrom('uses', 'uses', 'holding'),
   uses: fc.oneof(fc.array(fc.tuple(key, count, count), { maxLength: 3 }), fc.constantFrom([['m/a', 1]], [['m/a', 1, 1, 1]], [[1, 1, 1]], null, Array.from({ length: maxUsesPerFrame + 1 }, () => ['m/a', 1, 1]))),
-  unread: count
+  unread: count,
+  pace: fc.oneof(fc.tuple(count, count, count, count), fc.constantFrom([1, 1], null))
 }, { requiredKeys: [] })
 
 const heartbeats = fc.record({
