Plain services with few slots: capacity is estimated and shared

A flood by one team filled the queues of all servers of a plain service: each entry saw a few requests per second, counted only its own and learned nothing from response times. The median response time of every team rose from 45 to 210 ms, and one arrival in five was refused by a server.

Each entry now estimates the capacity of a plain service that has fewer slots than there are entries, from its response times and refusals. While the service is busy, it sends what its share of the estimate and spare shares of others allow; other requests wait for a token, or are rejected at once if they can't start within half of their objective. The bank divides spare tokens by teams first. Of busy servers, the quicker one of two drawn at random is chosen, and a server that has become slow is avoided. Frames get optional fields for tokens of services, and for the word that a service is busy.

--- a/packages/decisions/src/expiring-tokens.ts
+++ b/packages/decisions/src/expiring-tokens.ts
@@ -25,21 +25,22 @@
  * start of the interval instead lost up to this much of its lifetime in each process that it passed through: three times 100 ms of
  * 930 ms, where tokens are given away at an age of 500 ms and more.
  */
-const sliceMs = 100
-
-const intervalOf = (earnedAt: number): number => Math.floor(earnedAt / sliceMs)
+export const defaultSliceMs = 100
 
 export class ExpiringTokens {
   /** The oldest first. */
   #slices: TokenSlice[] = []
 
+  /** `sliceMs`: shorter than the default for tokens of a short lifetime. */
+  constructor (private readonly sliceMs = defaultSliceMs) {}
+
   add (tokens: number, earnedAt: number): void {
     if (tokens <= 0) return
-    const interval = intervalOf(earnedAt)
+    const interval = this.#intervalOf(earnedAt)
     let index = this.#slices.length
-    while (index > 0 && intervalOf(this.#slices[index - 1]?.earnedAt ?? -Infinity) > interval) index -= 1
+    while (index > 0 && this.#intervalOf(this.#slices[index - 1]?.earnedAt ?? -Infinity) > interval) index -= 1
     const previous = this.#slices[index - 1]
-    if (previous === undefined || intervalOf(previous.earnedAt) < interval) {
+    if (previous === undefined || this.#intervalOf(previous.earnedAt) < interval) {
       this.#slices.splice(index, 0, { tokens, earnedAt })
       return
     }
@@ -77,6 +78,10 @@
     return taken
   }
 
+  #intervalOf (earnedAt: number): number {
+    return Math.floor(earnedAt / this.sliceMs)
+  }
+
   #dropExpired (since: number): void {
     while ((this.#slices[0]?.earnedAt ?? Infinity) < since) this.#slices.shift()
   }
--- a/packages/fleet/src/attempt-reports.ts
+++ b/packages/fleet/src/attempt-reports.ts
@@ -1,12 +1,12 @@
 /**
  * Attempt reports, by which processes share what their attempts observed: crashes of servers, runs that completed, limits that
- * servers advertise, and probes of requests whose quarantine has expired.
+ * servers advertise, probes of requests whose quarantine has expired, and plain services that have become busy.
  *
  * Times are sent as ages, so no clocks are compared. A message that is delayed makes its events seem later than they were. This can
  * only make two crashes appear to overlap that did not, so that they count as one.
  */
 import type { Crash, CrashHistory, AdvertisedLimits, AdvertisedLimit, Probe, CompletedRun } from '@finchpitch/decisions'
-import { maxCrashesPerFrame, maxLimitsPerFrame, type Channel, type FrameOf } from '@finchpitch/wire'
+import { maxCrashesPerFrame, maxLimitsPerFrame, maxServicesPerFrame, type Channel, type FrameOf } from '@finchpitch/wire'
 import { nowMs } from './clock.js'
 
 /** A batch of reports: the recent ones, or everything that a process knows. */
@@ -16,6 +16,8 @@
   sound: readonly CompletedRun[]
   limits: readonly AdvertisedLimit[]
   probes: readonly Probe[]
+  /** Plain services that have become busy. */
+  busy?: readonly string[]
 }
 
 /**
@@ -23,29 +25,30 @@
  * limits, since the server is overloaded. A completed run of a request only matters for its next crash. Completed runs come in bursts:
  * after all engines of a failure domain crash, some hundred retries produce one each.
  */
-export const batchDelayMs = ({ crashes, limits, probes }: AttemptReports, crashesMs: number): number => crashes.length + limits.length + probes.length > 0 ? crashesMs : completedRunsMs
+export const batchDelayMs = ({ crashes, limits, probes, busy = [] }: AttemptReports, crashesMs: number): number => crashes.length + limits.length + probes.length + busy.length > 0 ? crashesMs : completedRunsMs
 const completedRunsMs = 400
 
 export const noReports: AttemptReports = { crashes: [], sound: [], limits: [], probes: [] }
 
 /** Merges several batches into one. */
 export const mergeReports = (all: readonly AttemptReports[]): AttemptReports =>
-  ({ crashes: all.flatMap(({ crashes }) => crashes), sound: all.flatMap(({ sound }) => sound), limits: all.flatMap(({ limits }) => limits), probes: all.flatMap(({ probes }) => probes) })
+  ({ crashes: all.flatMap(({ crashes }) => crashes), sound: all.flatMap(({ sound }) => sound), limits: all.flatMap(({ limits }) => limits), probes: all.flatMap(({ probes }) => probes), busy: [...new Set(all.flatMap(({ busy = [] }) => busy))] })
 
-export const hasNoReports = ({ crashes, sound, limits, probes }: AttemptReports): boolean => [crashes, sound, limits, probes].every(each => each.length === 0)
+export const hasNoReports = ({ crashes, sound, limits, probes, busy = [] }: AttemptReports): boolean => [crashes, sound, limits, probes, busy].every(each => each.length === 0)
 
 /** Converts reports to frames: as many as the size limits of a frame require. */
-export const reportFrames = ({ crashes, sound, limits, probes }: AttemptReports): Array<FrameOf<'crashes'>> => {
+export const reportFrames = ({ crashes, sound, limits, probes, busy = [] }: AttemptReports): Array<FrameOf<'crashes'>> => {
   const now = nowMs()
   const agoMs = (at: number): number => Math.max(0, now - at)
-  const parts = Math.ceil(Math.max(crashes.length / maxCrashesPerFrame, sound.length / maxCrashesPerFrame, probes.length / maxCrashesPerFrame, limits.length / maxLimitsPerFrame))
+  const parts = Math.ceil(Math.max(crashes.length / maxCrashesPerFrame, sound.length / maxCrashesPerFrame, probes.length / maxCrashesPerFrame, limits.length / maxLimitsPerFrame, busy.length / maxServicesPerFrame))
   return Array.from({ length: parts }, (_, part) => ({
     type: 'crashes',
     stamp: now + part,
     crashes: sliceOf(crashes, part, maxCrashesPerFrame).map(({ fingerprint, server, sentAt, endedAt }) => [fingerprint, server, agoMs(sentAt), agoMs(endedAt)]),
     sound: sliceOf(sound, part, maxCrashesPerFrame).map(({ fingerprint, endedAt }) => [fingerprint, agoMs(endedAt)]),
     ...(limits.length === 0 ? {} : { limits: sliceOf(limits, part, maxLimitsPerFrame).map(({ server, perSecond, sentAt, heardAt }) => [server, perSecond === Infinity ? null : perSecond, agoMs(sentAt), agoMs(heardAt)]) }),
-    ...(probes.length === 0 ? {} : { probes: sliceOf(probes, part, maxCrashesPerFrame).map(({ fingerprint, at }) => [fingerprint, agoMs(at)]) })
+    ...(probes.length === 0 ? {} : { probes: sliceOf(probes, part, maxCrashesPerFrame).map(({ fingerprint, at }) => [fingerprint, agoMs(at)]) }),
+    ...(busy.length === 0 ? {} : { busy: [...sliceOf(busy, part, maxServicesPerFrame)] })
   }))
 }
 
@@ -62,7 +65,7 @@
 }
 
 /** Records crashes, completed runs and probes from a peer's frame. Returns those that were new. */
-export const recordCrashes = (history: CrashHistory, frame: FrameOf<'crashes'>): Omit<AttemptReports, 'limits'> => {
+export const recordCrashes = (history: CrashHistory, frame: FrameOf<'crashes'>): Pick<AttemptReports, 'crashes' | 'sound' | 'probes'> => {
   const now = nowMs()
   const crashes = frame.crashes.map(([fingerprint, server, sentAgoMs, endedAgoMs]) => ({ fingerprint, server, sentAt: now - sentAgoMs, endedAt: now - endedAgoMs }))
   const completedRuns = frame.sound.map(([fingerprint, agoMs]) => ({ fingerprint, endedAt: now - agoMs }))
--- a/packages/fleet/src/entry/entry-process.ts
+++ b/packages/fleet/src/entry/entry-process.ts
@@ -27,6 +27,7 @@
 import { EntryCountBound } from './peers/entry-count-bound.js'
 import { LeaseKeeper } from './peers/lease-keeper.js'
 import { outageRetryAfterMs } from './serving/local-replies.js'
+import { PlainServices } from './servers/plain-services.js'
 import { ProbeRequester } from './peers/probe-requester.js'
 import { QuotaExchange } from './quotas/quota-exchange.js'
 import { Quotas } from './quotas/quotas.js'
@@ -100,6 +101,7 @@
   readonly #seedDuty = new DutySwitch()
   readonly #serverFaults: ServerFaults
   readonly #serverLimits: ServerLimits
+  readonly #plainServices: PlainServices
   readonly #feedbackHandler: ServerFeedbackHandler
   readonly #crashTracker: CrashTracker
   readonly #attemptReporter: AttemptReporter
@@ -125,7 +127,16 @@
       counters: this.counters,
       log
     })
-    this.#balancer = new Balancer(facts, domain, limits, () => this.#sideLinks, log, () => this.#sideLinks.entries ?? 1, this.#serverLimits)
+    this.#plainServices = new PlainServices({
+      facts,
+      entries: () => this.#maxEntries,
+      reporter: this.#attemptReporter,
+      exchangeNow: async () => await this.#quotaExchange.exchangeNow(),
+      onChange: () => this.#queue.scheduleScan(),
+      counters: this.counters,
+      log
+    })
+    this.#balancer = new Balancer(facts, domain, limits, () => this.#sideLinks, log, () => this.#sideLinks.entries ?? 1, this.#serverLimits, this.#plainServices)
     this.#sideLinks = new SideLinks({
       process,
       domain,
@@ -142,6 +153,7 @@
       crashes: (frame, from) => {
         this.#crashTracker.handleReport(frame, from)
         this.#serverLimits.handleReport(frame, from)
+        this.#plainServices.handleReport(frame, from)
       },
       onReportAcknowledged: (host, stamp, granted) => {
         this.#attemptReporter.handleAck(host, stamp)
@@ -163,7 +175,7 @@
       onDutyChange: () => this.#sideLinks.updateFactDelay()
     })
     this.#quotas = new Quotas({ limits, entries: () => this.#maxEntries, startedAt: suspendedMs(), exchangeNow: async () => await this.#quotaExchange.exchangeNow(), counters: this.counters, log })
-    this.#quotaExchange = new QuotaExchange({ quotas: this.#quotas, serverLimits: this.#serverLimits, hosts: () => this.#sideLinks.hosts, channelTo: host => this.#sideLinks.channelTo(host), log })
+    this.#quotaExchange = new QuotaExchange({ quotas: this.#quotas, serverLimits: this.#serverLimits, plainServices: this.#plainServices, hosts: () => this.#sideLinks.hosts, channelTo: host => this.#sideLinks.channelTo(host), log })
     this.#leaseKeeper = new LeaseKeeper({ lease: this.#keyLease, facts, links: this.#sideLinks, watch: this.#storeWatch, log })
     this.#tableConfirmation = new TableConfirmation({ facts, limits, links: this.#sideLinks, watch: this.#storeWatch })
     this.#feedbackHandler = new ServerFeedbackHandler({ facts, balancer: this.#balancer, queue: this.#queue, serverLimits: this.#serverLimits })
@@ -240,6 +252,7 @@
     clearInterval(idleSweep)
     this.#stop.abort()
     this.#attemptReporter.close()
+    this.#plainServices.close()
     this.#sideLinks.close()
   }
 
@@ -248,7 +261,7 @@
     this.#running += 1
     try {
       const serviceRequest = new ServiceRequest({
-        facts, balancer: this.#balancer, queue: this.#queue, budget: this.#retryBudget, faults: this.#serverFaults, serverLimits: this.#serverLimits, feedbackHandler: this.#feedbackHandler, crashes: this.#crashTracker, connectTimeout: this.#connectTimeout, lease: this.#keyLease, quotas: this.#quotas, confirmation: this.#tableConfirmation, staleTableRetryMs: () => this.#leaseKeeper.retryMs, firstAttempts: this.#firstAttempts, names: headerNames, counters: this.counters, log, stopping: this.#stoppedListening, tableLoaded: () => this.#awaitTable(), noTableRetryMs: () => this.#noTableRetryMs, closeAfterResponse: () => this.#stopping || !this.#keyLease.held || this.#callerConnections.shouldClose(request.socket)
+        facts, balancer: this.#balancer, queue: this.#queue, budget: this.#retryBudget, faults: this.#serverFaults, serverLimits: this.#serverLimits, plainServices: this.#plainServices, feedbackHandler: this.#feedbackHandler, crashes: this.#crashTracker, connectTimeout: this.#connectTimeout, lease: this.#keyLease, quotas: this.#quotas, confirmation: this.#tableConfirmation, staleTableRetryMs: () => this.#leaseKeeper.retryMs, firstAttempts: this.#firstAttempts, names: headerNames, counters: this.counters, log, stopping: this.#stoppedListening, tableLoaded: () => this.#awaitTable(), noTableRetryMs: () => this.#noTableRetryMs, closeAfterResponse: () => this.#stopping || !this.#keyLease.held || this.#callerConnections.shouldClose(request.socket)
       }, request, response)
       await serviceRequest.serve()
     } catch (error) {
@@ -309,6 +322,7 @@
       this.options.facts.expire()
       this.#crashTracker.expire()
       this.#serverLimits.expire(this.options.facts.servers.values())
+      this.#plainServices.expire()
       this.#balancer.expire()
       this.#leaseKeeper.check()
       this.#storeWatch.check()
--- a/packages/fleet/src/entry/quotas/earned-tokens.ts
+++ b/packages/fleet/src/entry/quotas/earned-tokens.ts
@@ -6,31 +6,41 @@
  * Entries need no agreement, since each token is earned once, is transferred with its age, and expires. A lost message only
  * loses tokens, and an entry without contact to the others still has its share.
  */
-import { ExpiringTokens, earnedPerSecond, initialCredit, tokenLifetimeMs, type QuotaBound, type QuotaRate, type TokenSlice } from '@finchpitch/decisions'
+import { ExpiringTokens, defaultSliceMs, earnedPerSecond, initialCredit, tokenLifetimeMs, type QuotaBound, type QuotaRate, type TokenSlice } from '@finchpitch/decisions'
 import { boottimeMs, suspendedMs } from '../../clock.js'
 
-/** Tokens are earned in steps of this length, and dated at the start of the step. */
-const earnStepMs = 100
 /**
  * The initial credit is earned evenly over this time after a start. An entry that restarts more often gets less of it at each
  * start, so that restarts in a row don't add up to several credits at once.
  */
 const creditMs = 500
 
+/** How tokens are earned, where that differs from the default. */
+export interface EarnOptions {
+  /**
+   * When this process started, if the limit may have been in force since then; the entry then has the tokens earned since that
+   * time, and the initial credit. Its previous incarnation had ended by then, so no token is earned twice.
+   */
+  startedAt?: number | undefined
+  /** Tokens are earned in steps of this length, and dated at the start of the step. */
+  sliceMs?: number
+}
+
 export class EarnedTokens {
-  readonly #stock = new ExpiringTokens()
+  readonly #stock: ExpiringTokens
+  readonly #sliceMs: number
+  readonly #startedAt: number | undefined
   #rate: QuotaRate
   #earnedAt: number
   /** Total time that the machine was suspended, as last read. */
   #lastSuspendedMs = suspendedMs()
 
-  /**
-   * `entries`: an upper bound of the number of entries. `startedAt`: when this process started, if the limit may have been in
-   * force since then; the entry then has the tokens earned since that time, and the initial credit. Its previous incarnation had
-   * ended by then, so no token is earned twice.
-   */
-  constructor (rate: QuotaRate, private readonly bound: () => QuotaBound, private readonly entries: () => number, private readonly startedAt?: number) {
+  /** `entries`: an upper bound of the number of entries. */
+  constructor (rate: QuotaRate, private readonly bound: () => QuotaBound, private readonly entries: () => number, { startedAt, sliceMs = defaultSliceMs }: EarnOptions = {}) {
     this.#rate = rate
+    this.#sliceMs = sliceMs
+    this.#stock = new ExpiringTokens(sliceMs)
+    this.#startedAt = startedAt
     this.#earnedAt = startedAt ?? boottimeMs()
   }
 
@@ -83,7 +93,7 @@
     const perMs = this.ownRate / 1000
     let from = Math.max(this.#earnedAt, this.expiryCutoff)
     while (from < now) {
-      const until = Math.min(now, from + earnStepMs)
+      const until = Math.min(now, from + this.#sliceMs)
       this.#stock.add((until - from) * perMs + this.#creditBetween(from, until), from)
       from = until
     }
@@ -91,8 +101,8 @@
   }
 
   #creditBetween (from: number, until: number): number {
-    if (this.startedAt === undefined) return 0
-    const ms = Math.min(until, this.startedAt + creditMs) - from
+    if (this.#startedAt === undefined) return 0
+    const ms = Math.min(until, this.#startedAt + creditMs) - from
     return ms <= 0 ? 0 : initialCredit(this.#rate, this.bound()) / this.entries() * ms / creditMs
   }
 
--- a/packages/fleet/src/entry/quotas/quota-exchange.ts
+++ b/packages/fleet/src/entry/quotas/quota-exchange.ts
@@ -1,8 +1,9 @@
 /**
- * Exchanges rate-limit tokens with other entries: tokens of teams' quotas, and requests under limits that servers advertise.
+ * Exchanges rate-limit tokens with other entries: tokens of teams' quotas, requests under limits that servers advertise, and
+ * requests to busy plain services.
  *
  * Tokens are pooled in a bank, a side process that all entries choose by rendezvous hashing (`quota-bank.ts`). Entries exchange
- * several times per second while there is a quota or a limit, and at once when a request is short of tokens. If the bank
+ * several times per second while there is a quota, a limit or a busy service, and at once when a request is short of tokens. If the bank
  * doesn't answer, the next side process becomes the bank, and until then each entry spends its own share.
  */
 import { setMaxListeners } from 'node:events'
@@ -14,6 +15,7 @@
 import type { Quotas } from './quotas.js'
 import type { TeamAccount } from './team-account.js'
 import type { LimitsView } from '../servers/server-limits.js'
+import type { PlainServices } from '../servers/plain-services.js'
 
 const exchangeMs = 250
 /** The first exchanges after a start follow sooner: entries without demand can give their tokens only from the second one on. */
@@ -36,6 +38,7 @@
 export interface QuotaExchangeOptions {
   quotas: Quotas
   serverLimits: LimitsView
+  plainServices?: Pick<PlainServices, 'isIdle' | 'prepareExchange' | 'granted'>
   /** Hosts of all side processes. */
   hosts: () => readonly string[]
   /** The channel to a side process; starts to open one if there is none. */
@@ -104,6 +107,7 @@
     for (const [team, slices] of granted) this.options.quotas.accounts.get(team)?.granted(slices)
     if (host !== this.#bank) return
     this.options.serverLimits.granted(requests, this.#askedByLimit)
+    this.#grantServices(host, frame, now)
     this.#askedByLimit = new Map()
     this.#teamsInNeed = new Set(frame.needed)
     this.#sentAt = undefined
@@ -120,7 +124,7 @@
   }
 
   async #tick (): Promise<void> {
-    if (this.options.quotas.accounts.size === 0 && this.options.serverLimits.isEmpty) return
+    if (this.options.quotas.accounts.size === 0 && this.options.serverLimits.isEmpty && this.options.plainServices?.isIdle !== false) return
     this.options.quotas.logEndedShortages()
     // After a stall of this process, the answer may be waiting in the socket.
     if (this.#overdue) await afterSocketReads()
@@ -177,7 +181,7 @@
     }
     const echoed = echo === undefined ? {} : { echo: { stamp: echo.stamp, heldMs: now - echo.receivedAt } }
     const given = echo === undefined ? { gives: [] } : { ...this.#bookedPart(now), gives: this.#surplusOf(surplus, now) }
-    return { type: 'quota', stamp: now, ...echoed, ...given, wants, ...(demand.length === 0 ? {} : { demand }), ...this.#limitsPart(echo !== undefined) }
+    return { type: 'quota', stamp: now, ...echoed, ...given, wants, ...(demand.length === 0 ? {} : { demand }), ...this.#limitsPart(echo !== undefined), ...this.#servicesPart(echo !== undefined) }
   }
 
   /** Takes what these teams don't need here, first of teams whose tokens other entries need. */
@@ -193,6 +197,16 @@
     return booked.length === 0 ? {} : { booked }
   }
 
+  /** The part of a frame about busy plain services. */
+  #servicesPart (giving: boolean): Pick<FrameOf<'quota'>, 'services'> {
+    const { plainServices } = this.options
+    return plainServices === undefined || plainServices.isIdle ? {} : { services: plainServices.prepareExchange(giving) }
+  }
+
+  #grantServices (host: string, { services, stamp }: FrameOf<'quota_grant'>, now: number): void {
+    if (services !== undefined) this.options.plainServices?.granted(slicesOf(services.grants, stamp, now), services, host)
+  }
+
   /** The part of a frame about servers' limits. Without an echo nothing is given, as the bank can't bound the transit time. */
   #limitsPart (giving: boolean): Pick<FrameOf<'quota'>, 'servers'> {
     const { serverLimits } = this.options
--- a/packages/fleet/src/entry/quotas/team-account.ts
+++ b/packages/fleet/src/entry/quotas/team-account.ts
@@ -86,7 +86,7 @@
 
   /** `startedAt`: see `EarnedTokens`. */
   constructor (private quota: Quota, limits: () => Limits, entries: () => number, startedAt?: number) {
-    this.#tokens = new EarnedTokens(quota, () => quotaBoundOf(limits()), entries, startedAt)
+    this.#tokens = new EarnedTokens(quota, () => quotaBoundOf(limits()), entries, { startedAt })
   }
 
   /** Called when the table changes. */
--- a/packages/fleet/src/entry/servers/balancer.ts
+++ b/packages/fleet/src/entry/servers/balancer.ts
@@ -14,6 +14,7 @@
 import type { EngineReport, PendingRequest, ServerState } from './server-state.js'
 import { ServerStates } from './server-states.js'
 import { noLimits, type LimitsView } from './server-limits.js'
+import { noBusyServices, type PlainServicesView } from './plain-services.js'
 import type { SideLinks } from '../peers/side-links.js'
 
 /** The operations on side process connections that the balancer uses. */
@@ -62,6 +63,8 @@
   priority: number
   /** Servers that have already refused this request. */
   excluded: ReadonlySet<string>
+  /** Name of the team that sent it. */
+  team?: string | undefined
 }
 
 export class Balancer {
@@ -82,7 +85,9 @@
     /** Number of entries, as far as known. */
     private readonly entries: () => number = () => 1,
     /** Servers that advertise a limit, in short rate-limited servers. */
-    private readonly serverLimits: LimitsView = noLimits
+    private readonly serverLimits: LimitsView = noLimits,
+    /** Plain services that are busy. */
+    private readonly plainServices: PlainServicesView = noBusyServices
   ) {}
 
   state (server: BackendServer): ServerState {
@@ -95,6 +100,12 @@
    * the other servers of its service.
    */
   choose (selection: SelectionRequest): Choice {
+    const choice = this.#chooseWithinLimits(selection)
+    if (choice.type !== 'send' || selection.key !== undefined || this.plainServices.isReady(selection.service.name, selection.team)) return choice
+    return this.plainServices.limitedChoice(selection.service.name, selection.team) ?? choice
+  }
+
+  #chooseWithinLimits (selection: SelectionRequest): Choice {
     if (this.serverLimits.isEmpty) return this.#select(selection)
     const choice = this.#select(selection)
     const server = choice.type === 'send' ? this.facts.servers.get(choice.id) : undefined
@@ -114,8 +125,13 @@
     return server === undefined || await this.serverLimits.awaitCapacity(server) ? undefined : server.id
   }
 
-  /** When the first of the service's rate-limited servers may be sent a request; `undefined` if none of its servers is rate-limited. */
-  limitedChoice (service: string): Extract<Choice, { type: 'limited' }> | undefined {
+  /**
+   * When the service may be sent a request, if it is busy, or the first of its rate-limited servers; `undefined` if nothing limits
+   * it.
+   */
+  limitedChoice (service: string, team?: string): Extract<Choice, { type: 'limited' }> | undefined {
+    const busy = this.plainServices.limitedChoice(service, team)
+    if (busy !== undefined) return busy
     const states = this.facts.eligibleServers(service).map(server => this.serverLimits.state(server)).filter(state => state !== undefined)
     if (states.length === 0) return undefined
     const readyInMs = Math.min(...states.map(state => state.readyInMs))
@@ -123,10 +139,10 @@
     return { type: 'limited', readyInMs, everyMs: Math.min(maxLimitedIntervalMs, 1000 / perSecond), reason: 'all servers name limits' }
   }
 
-  /** Whether the server advertises a limit. */
+  /** Whether the server advertises a limit, or belongs to a busy service. */
   isLimited (id: string): boolean {
     const server = this.facts.servers.get(id)
-    return server !== undefined && this.serverLimits.state(server) !== undefined
+    return server !== undefined && (this.serverLimits.state(server) !== undefined || this.plainServices.isEnforced(server.service))
   }
 
   #select (selection: SelectionRequest, mayUse?: (server: BackendServer) => boolean): Choice {
@@ -138,7 +154,7 @@
       const backoff = this.#backoffChoice(remaining.length > 0 ? remaining : open)
       if (backoff !== undefined) return backoff
     }
-    if (selection.key === undefined) return choosePlain(servers.map(server => this.#candidate(server, nowMs())), this.domain)
+    if (selection.key === undefined) return choosePlain(servers.map(server => this.#candidate(server, nowMs())), this.domain, this.plainServices.isEnforced(selection.service.name))
     return this.#chooseEngine(servers, selection.key, selection)
   }
 
@@ -294,7 +310,8 @@
       load: state.load,
       slots: server.slots,
       unhealthy: state.outlier.ejected(now) || state.isUnresponsive(now),
-      fallback: this.facts.isFallback(server.id)
+      fallback: this.facts.isFallback(server.id),
+      responseMs: state.responseMs(now)
     }
   }
 
--- a/packages/fleet/src/entry/servers/choice.ts
+++ b/packages/fleet/src/entry/servers/choice.ts
@@ -1,11 +1,11 @@
 /**
  * Server selection: pure functions that pick the backend server for a request from a list of candidates.
  *
- * Plain servers are chosen by least load. An engine must hold the adapter; one in the entry's own failure domain is preferred,
+ * Plain servers are chosen by least load, or by their response times while the service is busy. An engine must hold the adapter; one in the entry's own failure domain is preferred,
  * since traffic between domains is charged. Loading an adapter from the weight store costs more than some eight requests across
  * domains, so a rarely used adapter is used where it is, and loaded in the entry's domain only once it is requested repeatedly.
  */
-import { rendezvousScore, weightedRendezvousScore, hashOf } from '@finchpitch/decisions'
+import { rendezvousScore, weightedRendezvousScore, hashOf, quickServers, quickerOfTwo } from '@finchpitch/decisions'
 import { minBy } from '../../min-by.js'
 
 export interface ServerCandidate {
@@ -21,6 +21,8 @@
   unhealthy: boolean
   /** Its entry in the store vanished without notice: selected only if no listed server is left. */
   fallback: boolean
+  /** Recent response time of a plain server; absent if unknown. */
+  responseMs?: number | undefined
 }
 
 export interface EngineCandidate extends ServerCandidate {
@@ -71,6 +73,11 @@
 const plainQueueDepth = 4
 /** How many more requests a server in the same domain may have before one in another domain is preferred. */
 const crossDomainLoadPenalty = 3
+/**
+ * How much sooner a plain server in another domain must be expected to answer while the service is busy. It covers the way there;
+ * a preference would leave servers idle whose domain has few callers.
+ */
+const busyCrossDomainMs = 10
 /** Above this share of its batch an engine generates tokens noticeably slower, so a less loaded one is preferred. */
 const busyThreshold = 0.75
 /**
@@ -89,12 +96,16 @@
   return listed.length > 0 ? listed : [...candidates]
 }
 
-export const choosePlain = (candidates: readonly ServerCandidate[], domain: string): Choice => {
+/** `busy`: the service has more requests than it serves at once, so response times say more of a server than own requests. */
+export const choosePlain = (candidates: readonly ServerCandidate[], domain: string, busy = false, random: () => number = Math.random): Choice => {
   if (candidates.length === 0) return { type: 'none', reason: 'no server of the service' }
-  const open = usable(candidates).filter(candidate => candidate.load < candidate.slots + plainQueueDepth)
-  const best = minBy(open, candidate => candidate.load + (candidate.domain === domain ? 0 : crossDomainLoadPenalty) + Math.random())
+  const open = quickServers(usable(candidates).filter(candidate => candidate.load < candidate.slots + plainQueueDepth))
+  const best = busy
+    ? quickerOfTwo(open, candidate => candidate.domain === domain ? 0 : busyCrossDomainMs, random)
+    : minBy(open, candidate => candidate.load + (candidate.domain === domain ? 0 : crossDomainLoadPenalty) + random())
   if (best === undefined) return { type: 'full', reason: 'all servers are full' }
-  return { type: 'send', id: best.id, reason: best.domain === domain ? 'least loaded near' : 'least loaded', expectedMs: 0 }
+  const reason = busy ? 'quickest' : 'least loaded'
+  return { type: 'send', id: best.id, reason: best.domain === domain ? `${reason} near` : reason, expectedMs: 0 }
 }
 
 export interface EngineSelection {
--- a/packages/fleet/src/entry/servers/server-selector.ts
+++ b/packages/fleet/src/entry/servers/server-selector.ts
@@ -1,6 +1,6 @@
 /**
- * Selects the server that one request is sent to next, and has the request wait for a server, an adapter, the end of a backoff
- * or the limit that a server advertises.
+ * Selects the server that one request is sent to next, and has the request wait for a server, an adapter, the end of a backoff,
+ * the limit that a server advertises or the capacity of a busy plain service.
  *
  * A request waits only while that can still help its caller. If nothing is expected to become available in time, the caller is
  * answered at once, with the time after which to retry. A request that finds free capacity for which no other waits does not
@@ -22,6 +22,8 @@
 import type { RequestQueue } from '../waiting/request-queue.js'
 import { queuedBehind } from '../waiting/service-scan.js'
 import type { IncomingRequest } from '../serving/incoming-request.js'
+import type { PlainServices } from './plain-services.js'
+import { ServicePermit } from './service-permit.js'
 
 export type SendChoice = Extract<Choice, { type: 'send' }>
 
@@ -48,8 +50,8 @@
 /** Whether the choice says when a server becomes available. */
 export const hasReadyTime = (choice: Choice): choice is Extract<Choice, { type: 'resting' | 'limited' }> => choice.type === 'resting' || choice.type === 'limited'
 
-/** Requests with the same key get the same choice. */
-const keyOf = ({ key, service }: SelectionRequest): string => key ?? service.name
+/** Requests with the same key get the same choice. A busy plain service may have capacity for one team and none for another. */
+const keyOf = ({ key, service, team }: SelectionRequest): string => key ?? `${service.name} ${team ?? ''}`
 
 /** Callers that are told to return wait for at most this part of their remaining time. */
 const maxReturnShare = 1 / 3
@@ -59,6 +61,7 @@
   facts: Facts
   balancer: Balancer
   queue: RequestQueue
+  plainServices: PlainServices
   counters: EntryCounters
   times: RequestTimes
   record: RequestRecord
@@ -68,21 +71,36 @@
 }
 
 export class ServerSelector {
-  constructor (private readonly options: ServerSelectorOptions) {}
+  /** Held from the choice of a server of a busy plain service until the request is written. */
+  readonly permit: ServicePermit
+
+  constructor (private readonly options: ServerSelectorOptions) {
+    this.permit = new ServicePermit(options.plainServices)
+  }
 
   async choose (selection: SelectionRequest, admitted: Admission): Promise<ServerSelection> {
-    const { balancer, cancellation, queue, record } = this.options
+    const { balancer, cancellation, queue, record, plainServices } = this.options
+    this.permit.release()
+    if (selection.key === undefined) plainServices.recordDemand(selection.service.name, selection.team)
     // Other entries pass on their unused part of the limit within some ms; another engine may have to load the adapter first.
     if (!cancellation.cancelled) record.limitedBy = await balancer.awaitRateLimit(selection) ?? record.limitedBy
     if (cancellation.cancelled) return { type: 'cancelled' }
-    const choice = balancer.choose(selection)
+    const choice = this.#takePermit(balancer.choose(selection), selection)
     if (choice.type === 'send' && !queue.hasWaiting(selection.service.name, keyOf(selection))) return this.#chosen(choice, selection, admitted)
     if (choice.type === 'none' && this.#noServerExpected(selection.service)) return { type: 'no_server', reason: 'nobody_left', notBeforeMs: outageRetryAfterMs }
     const request = this.#queuedRequest(choice, selection, admitted)
-    const first = this.#placeBehindQueued(choice, request)
+    const first = this.#placeBehindQueued(choice, request, selection)
     return first === undefined ? this.#chosen(choice as SendChoice, selection, admitted) : await this.#wait(first, request, selection, admitted)
   }
 
+  /** Takes the token of a busy plain service, so that no other request is told to use it. */
+  #takePermit (choice: Choice, { service, key, team }: SelectionRequest): Choice {
+    if (key !== undefined) return choice
+    const { balancer, plainServices } = this.options
+    if (choice.type === 'limited') plainServices.recordShortage(service.name, team)
+    return choice.type !== 'send' || this.permit.take(service.name, team) ? choice : balancer.limitedChoice(service.name, team) ?? choice
+  }
+
   #chosen (choice: SendChoice, selection: SelectionRequest, admitted: Admission): ServerSelection {
     this.options.queue.recordWork(selection.service.name, admitted.team?.name, this.#workOf(selection, admitted))
     return { type: 'chosen', choice }
@@ -92,12 +110,12 @@
    * Puts the request behind those that go before it and wait for rate-limited servers, or for the same capacity. Returns what it
    * waits for; `undefined` if it may be sent now.
    */
-  #placeBehindQueued (choice: Choice, request: QueuedRequest): Choice | undefined {
+  #placeBehindQueued (choice: Choice, request: QueuedRequest, { team }: SelectionRequest): Choice | undefined {
     const { balancer, queue } = this.options
     if (choice.type !== 'send' && choice.type !== 'limited') return choice
     const ahead = queue.hasWaiting(request.service, request.key) ? queue.aheadOf(request) : { limited: 0, sameKey: 0 }
     if (choice.type === 'limited') return queuedBehind(choice, ahead.limited)
-    const limited = ahead.limited > 0 && balancer.isLimited(choice.id) ? balancer.limitedChoice(request.service) : undefined
+    const limited = ahead.limited > 0 && balancer.isLimited(choice.id) ? balancer.limitedChoice(request.service, team) : undefined
     if (limited !== undefined) return queuedBehind(limited, ahead.limited)
     return ahead.sameKey > 0 ? choice : undefined
   }
@@ -123,9 +141,9 @@
       hasOwnChoice: selection.excluded.size > 0,
       rank,
       lateAt: times.lateAt(route, balancer.prefillMs(selection.promptTokens)),
-      expiresAt: first.type === 'none' && this.#serversRead ? times.waitForServersUntil(route) : times.waitUntil(route),
-      mayWaitFor: choice => this.#mayWaitFor(choice, route),
-      choose: () => balancer.choose({ ...selection, timeToObjectiveMs: times.timeToObjectiveMs(route) }),
+      expiresAt: this.#expiryOf(first, selection.service, route),
+      mayWaitFor: choice => this.#mayWaitFor(choice, selection.service, route),
+      choose: () => this.#takePermit(balancer.choose({ ...selection, timeToObjectiveMs: times.timeToObjectiveMs(route) }), selection),
       isQuarantined: () => crashes.quarantine(team) !== undefined,
       requestLoad: (ask, waiting) => balancer.requestLoad(ask, selection.key ?? '', waiting, rank())
     }
@@ -138,10 +156,13 @@
   }
 
   async #wait (first: Choice, request: QueuedRequest, selection: SelectionRequest, admitted: Admission): Promise<ServerSelection> {
+    const { queue, plainServices, cancellation } = this.options
+    const leaveQueue = selection.key === undefined ? plainServices.enterQueue(selection.service.name, selection.team) : undefined
     const started = nowMs()
-    const outcome = await this.options.queue.wait(request, first, this.options.cancellation)
+    const outcome = await queue.wait(request, first, cancellation)
+    leaveQueue?.()
     this.#recordWait(first, outcome, nowMs() - started)
-    if (outcome.type !== 'chosen' && selection.key !== undefined && this.options.queue.waiting(selection.key) === 0) this.options.balancer.withdrawDemand(selection.key)
+    if (outcome.type !== 'chosen' && selection.key !== undefined && queue.waiting(selection.key) === 0) this.options.balancer.withdrawDemand(selection.key)
     if (outcome.type === 'quarantined') return { type: 'readmit' }
     if (outcome.type === 'chosen') return this.#chosen(outcome.choice, selection, admitted)
     if (outcome.type === 'cancelled') return { type: 'cancelled' }
@@ -171,8 +192,19 @@
     if (outcome.type === 'chosen' && outcome.expectedMs !== undefined) counters.waitEstimateError.observe({ for: waitedFor }, (outcome.expectedMs - waitedMs) / 1000)
   }
 
-  #mayWaitFor (choice: Choice, route: Route): boolean {
-    return !hasReadyTime(choice) || nowMs() + choice.readyInMs <= this.options.times.waitForBackoffUntil(route)
+  /** When it stops waiting. */
+  #expiryOf ({ type }: Choice, service: FleetService, route: Route): number {
+    const { times, plainServices } = this.options
+    if (type === 'none' && this.#serversRead) return times.waitForServersUntil(route)
+    const waitsForBusyService = (type === 'limited' || type === 'send') && plainServices.isEnforced(service.name)
+    return waitsForBusyService ? times.startUntil(route) : times.waitUntil(route)
+  }
+
+  #mayWaitFor (choice: Choice, service: FleetService, route: Route): boolean {
+    if (!hasReadyTime(choice)) return true
+    const { times, plainServices } = this.options
+    const busy = choice.type === 'limited' && plainServices.isEnforced(service.name)
+    return nowMs() + choice.readyInMs <= (busy ? times.startUntil(route) : times.waitForBackoffUntil(route))
   }
 
   /** No server of the service accepts new requests, and the store, from which this entry would learn of others, does not answer. */
--- a/packages/fleet/src/entry/servers/server-state.ts
+++ b/packages/fleet/src/entry/servers/server-state.ts
@@ -2,7 +2,7 @@
  * What an entry knows of one backend server from its own requests, and of an engine also from the reports of its side process.
  */
 import type { Agent } from 'node:http'
-import { OutlierDetector, ServerBackoff, hashOf, type OutlierLimits, type Pace, type PaceSums } from '@finchpitch/decisions'
+import { OutlierDetector, ResponsePace, ServerBackoff, hashOf, type OutlierLimits, type Pace, type PaceSums } from '@finchpitch/decisions'
 import { nowMs } from '../../clock.js'
 import { createServerAgent } from './server-agent.js'
 import { PrefillRate } from './prefill-rate.js'
@@ -65,6 +65,8 @@
   readonly agent: Agent
   readonly outlier = new OutlierDetector(outlierLimits)
   readonly backoff = new ServerBackoff()
+  /** Response times of a plain server. */
+  readonly pace = new ResponsePace()
   readonly #pending = new Set<PendingRequest>()
   readonly #awaitingFirstByte = new Set<PendingRequest>()
   readonly hash: number
@@ -114,6 +116,7 @@
     if (now >= this.#refusedUntil) this.#refusedLoad = 0
     this.#refusedLoad += refusalLoad
     this.#refusedUntil = now + refusalMs
+    this.pace.recordRefusal(now)
   }
 
   /** Prompt tokens of own requests that the server has not prefilled yet. */
@@ -210,6 +213,13 @@
     this.onUsesChange(this.id, uses?.running === 0 && this.engineReport?.room === 0)
   }
 
+  /** Response time to expect of a plain server: the recent one, or the age of a request that it has not answered yet, if that is longer. */
+  responseMs (now: number): number | undefined {
+    const recent = this.pace.at(now)
+    const [oldest] = this.#awaitingFirstByte
+    return recent === undefined || oldest === undefined ? recent : Math.max(recent, now - oldest.sentAt)
+  }
+
   /** Whether a request has waited for its first byte for longer than its `patienceMs`. */
   isUnresponsive (now: number): boolean {
     for (const pending of this.#awaitingFirstByte) {
--- a/packages/fleet/src/entry/serving/request-times.ts
+++ b/packages/fleet/src/entry/serving/request-times.ts
@@ -11,6 +11,8 @@
 const servingShare = 0.5
 /** The fraction of the objective that a request waits for servers that asked for backoff; if they ask for longer, it is refused at once. */
 const backoffWaitShare = 0.5
+/** The fraction of the objective within which a request to a busy plain service has to start: the rest is for serving it. */
+const startShare = 0.5
 /** The fraction of the objective after which a request is refused if its service has no servers. */
 const emptyServiceWaitShare = 0.2
 
@@ -57,6 +59,11 @@
     return Math.min(this.waitUntil(route), nowMs() + route.objectiveMs * backoffWaitShare)
   }
 
+  /** Until when it has to start at a busy plain service. */
+  startUntil (route: Route): number {
+    return Math.min(this.waitUntil(route), this.arrivedAt + route.objectiveMs * startShare)
+  }
+
   /** Until when it may wait for a service that has no servers. */
   waitForServersUntil ({ objectiveMs }: Route): number {
     return nowMs() + objectiveMs * emptyServiceWaitShare
--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -38,6 +38,7 @@
 import type { RetryBudget } from '../waiting/retry-budget.js'
 import type { ServerFaults } from '../servers/server-faults.js'
 import type { ServerLimits } from '../servers/server-limits.js'
+import type { PlainServices } from '../servers/plain-services.js'
 import type { RequestQueue } from '../waiting/request-queue.js'
 
 /** Maximum number of attempts that reach a server, whatever their result. */
@@ -59,6 +60,7 @@
   firstAttempts: FirstAttemptEstimator
   faults: ServerFaults
   serverLimits: ServerLimits
+  plainServices: PlainServices
   feedbackHandler: ServerFeedbackHandler
   crashes: CrashTracker
   connectTimeout: ConnectTimeout
@@ -89,6 +91,8 @@
   admitted: Admission
   /** When the request was written to its server, on the monotonic clock. */
   sentAt: number
+  /** Time from then to the head of the response; `undefined` if there was none. */
+  responseMs: number | undefined
 }
 
 const firstServerErrorStatus = 500
@@ -138,6 +142,7 @@
   async serve (): Promise<void> {
     const outcome = await this.#handle()
     const { facts, balancer, log, counters } = this.options
+    this.#selector.permit.release()
     this.#admission.release()
     const engineReport = balancer.states.get(this.#record.server?.id ?? '')?.engineReport
     this.#record.write(outcome, log, counters, { table: facts.routes?.table.version, tableAgeMs: facts.freshness.ageMs, engineReport })
@@ -215,10 +220,10 @@
     return target === undefined ? undefined : this.options.facts.routes?.service(target.service)
   }
 
-  #selectionFor (service: FleetService, { route, priority }: Admission): SelectionRequest {
+  #selectionFor (service: FleetService, { route, priority, team }: Admission): SelectionRequest {
     const { model, promptTokens, outputTokens } = this.#incoming
     const key = service.engine === undefined ? undefined : model
-    return { service, key, promptTokens, outputTokens, timeToObjectiveMs: this.#times.timeToObjectiveMs(route), priority, excluded: this.#excluded }
+    return { service, key, promptTokens, outputTokens, timeToObjectiveMs: this.#times.timeToObjectiveMs(route), priority, excluded: this.#excluded, team: team?.name }
   }
 
   #onDeadline (): void {
@@ -240,6 +245,7 @@
     const { key, promptTokens: tokens, priority } = selection
     const pending = state.begin({ key, tokens, priority, patienceMs: route.objectiveMs * unresponsiveObjectives })
     let sentAt = pending.sentAt
+    let responseMs: number | undefined
     const result = await attempt({
       agent: state.agent,
       address: server.address,
@@ -259,6 +265,7 @@
       callerResponse: this.#callerResponse,
       cancellation: this.#cancellation,
       onResponse: () => {
+        responseMs = nowMs() - sentAt
         state.recordFirstByte(pending)
         balancer.recordFirstByte(pending)
         this.#record.firstByteMs ??= this.#times.ms
@@ -271,7 +278,7 @@
     if (result.type !== 'not_sent' && result.type !== 'withheld') this.#sentAttempts += 1
     counters.attempts.inc({ end: result.type })
     this.options.queue.scheduleCapacityScan()
-    return this.#handleResult(result, { server, selection, admitted, sentAt })
+    return this.#handleResult(result, { server, selection, admitted, sentAt, responseMs })
   }
 
   /** Spends quota, advertised limit and probe grant just before the request is written. Returns whether it may be sent. */
@@ -280,11 +287,21 @@
     const permit = serverLimits.acquire(server)
     if (permit === undefined) return false
     // Quarantine is rechecked here: attempts that were still connecting when a second server crashed would each crash one more.
-    if (this.#crashes.spend(admitted.team) && this.#admission.spend(admitted)) return true
+    if (this.#crashes.spend(admitted.team) && this.#admission.spend(admitted)) {
+      this.#selector.permit.spend()
+      return true
+    }
     serverLimits.release(permit)
     return false
   }
 
+  /** Records how long a plain server took to respond; engines report their load themselves. */
+  #recordResponseTime ({ server, selection, responseMs }: FinishedAttempt): void {
+    if (selection.key !== undefined || responseMs === undefined) return
+    this.options.balancer.state(server).pace.record(responseMs, nowMs())
+    this.options.plainServices.recordResponse(server, responseMs)
+  }
+
   #recordAttempt (server: BackendServer, { key }: SelectionRequest, { reason, expectedMs }: SendChoice): void {
     const record = this.#record
     record.tries += 1
@@ -309,7 +326,9 @@
 
   /** Handlers by the result of the attempt. */
   static readonly #resultHandlers: { [Type in AttemptResult['type']]: (self: ServiceRequest, result: Extract<AttemptResult, { type: Type }>, finished: FinishedAttempt) => Verdict } = {
-    streamed: (self, _result, { server, admitted }) => {
+    streamed: (self, _result, finished) => {
+      const { server, admitted } = finished
+      self.#recordResponseTime(finished)
       self.options.balancer.state(server).outlier.recordSuccess()
       self.#crashes.recordCompletion(admitted.team)
       self.#callerResponse.finish()
@@ -319,7 +338,10 @@
       const { status } = answer
       const failed = status >= firstServerErrorStatus
       if (failed) self.options.faults.recordFailure(finished.server, self.#incoming.id, `status ${status}`)
-      else self.options.balancer.state(finished.server).outlier.recordSuccess()
+      else {
+        self.options.balancer.state(finished.server).outlier.recordSuccess()
+        self.#recordResponseTime(finished)
+      }
       self.#possibleRuns += 1
       self.#crashes.recordCompletion(finished.admitted.team)
       if (failed && self.#mayRunAgain(finished)) {
@@ -337,6 +359,7 @@
     withheld: (self, _result, { selection }) => self.#retryElsewhere('withheld', selection),
     not_run: (self, { status, cause, retryAfter }, { server, selection }) => {
       const { key } = selection
+      if (key === undefined && cause === 'full') self.options.plainServices.recordRefusal(server)
       if (self.options.faults.recordRefusal({ request: self.#incoming.id, server, status, cause, key, tries: self.#record.tries, retryAfter })) self.#excluded.add(server.id)
       // A backoff that a server asked for is passed on to callers only if all servers ask for one.
       if (status !== overloadedStatus) self.#localReplies.raiseRetryAfter(secondsOf(retryAfter) * 1000)
--- a/packages/fleet/src/metrics-registry.ts
+++ b/packages/fleet/src/metrics-registry.ts
@@ -10,4 +10,18 @@
   gauge (name: string, help: string, read: () => number): void {
     const gauge: Gauge = new Gauge({ name, help, registers: [this.registry], collect: () => gauge.set(read()) })
   }
+
+  /** Registers a gauge with a value for each service, which are read at each scrape. */
+  serviceGauge (name: string, help: string, read: () => Iterable<[service: string, value: number]>): void {
+    const gauge: Gauge<'service'> = new Gauge({
+      name,
+      help,
+      labelNames: ['service'],
+      registers: [this.registry],
+      collect: () => {
+        gauge.reset()
+        for (const [service, value] of read()) gauge.set({ service }, value)
+      }
+    })
+  }
 }
--- a/packages/fleet/src/prometheus.ts
+++ b/packages/fleet/src/prometheus.ts
@@ -14,6 +14,6 @@
 
 export const Counter = counter as typeof promClient.Counter
 export const Gauge = gauge as typeof promClient.Gauge
-export type Gauge = promClient.Gauge
+export type Gauge<Label extends string = string> = promClient.Gauge<Label>
 export const Histogram = histogram as typeof promClient.Histogram
 export const Registry = registry as typeof promClient.Registry
--- a/packages/fleet/src/side/quota-bank.ts
+++ b/packages/fleet/src/side/quota-bank.ts
@@ -12,6 +12,7 @@
 import { ExpiringTokens, sliceAgeMs, totalTokens, type TokenSlice } from '@finchpitch/decisions'
 import type { FrameOf, AgedRequests, AgedTokens, TokenDemand } from '@finchpitch/wire'
 import { boottimeMs } from '../clock.js'
+import { ServiceBank } from './service-bank.js'
 
 /** Tokens set aside for returning callers are held for one to two times as long, in which callers return that were told the same time. */
 const holdMs = 200
@@ -144,13 +145,14 @@
 export class QuotaBank {
   readonly #teamPools = new Map<string, Pool>()
   readonly #limitPools = new Map<string, Pool>()
+  readonly #services = new ServiceBank()
 
   /** Adds the tokens that an entry gives, and answers its requests with grants. */
-  exchange (entry: string, { stamp, echo, gives, booked, wants, demand, servers }: FrameOf<'quota'>, lifetimeOf: (team: string) => number | undefined): FrameOf<'quota_grant'> {
+  exchange (entry: string, { stamp, echo, gives, booked, wants, demand, servers, services }: FrameOf<'quota'>, lifetimeOf: (team: string) => number | undefined): FrameOf<'quota_grant'> {
     const now = boottimeMs()
-    if (echo !== undefined) {
-      // The frame was sent after the echoed answer had arrived, so this bounds the time that it was in transit.
-      const maxTransitMs = Math.max(0, now - (echo.stamp + echo.heldMs))
+    // The frame was sent after the echoed answer had arrived, so this bounds the time that it was in transit.
+    const maxTransitMs = echo === undefined ? undefined : Math.max(0, now - (echo.stamp + echo.heldMs))
+    if (maxTransitMs !== undefined) {
       for (const [team, tokens, ageMs] of gives) poolOf(this.#teamPools, team).tokens.add(tokens, now - ageMs - maxTransitMs)
       for (const [team, tokens, ageMs] of booked ?? []) poolOf(this.#teamPools, team).hold(tokens, now - ageMs - maxTransitMs)
       for (const [limit, requests, ageMs] of servers?.gives ?? []) poolOf(this.#limitPools, limit).tokens.add(requests, now - ageMs - maxTransitMs)
@@ -167,7 +169,14 @@
     const requests = servers?.wants.flatMap(([limit, count, lifetimeMs]) => this.#grantRequests(entry, limit, count, now - lifetimeMs))
     this.#removeIdleLimits(now)
     const totals = this.#demandOfShortTeams(now)
-    return { type: 'quota_grant', stamp, bankStamp: now, grants, needed: this.#teamsInNeed(now), ...(totals.length === 0 ? {} : { demand: totals }), ...(requests === undefined ? {} : { servers: requests }) }
+    return { type: 'quota_grant', stamp, bankStamp: now, grants, needed: this.#teamsInNeed(now), ...(totals.length === 0 ? {} : { demand: totals }), ...(requests === undefined ? {} : { servers: requests }), ...this.#servicesPart(entry, services, maxTransitMs) }
+  }
+
+  /** The part of an answer about busy plain services: entries that exchange nothing for them yet learn which are busy. */
+  #servicesPart (entry: string, services: FrameOf<'quota'>['services'], maxTransitMs: number | undefined): Pick<FrameOf<'quota_grant'>, 'services'> {
+    if (services === undefined && this.#services.isEmpty) return {}
+    const part = this.#services.exchange(entry, services ?? { gives: [], wants: [], busy: [] }, maxTransitMs)
+    return services === undefined && part.busy.length === 0 ? {} : { services: part }
   }
 
   #grantTokens (entry: string, team: string, wanted: Shortfall, since: number): AgedTokens[] {
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -74,6 +74,8 @@
 export const maxReasonLength = 100
 /** Maximum length of a team's name. */
 export const maxTeamNameLength = 200
+/** Maximum number of teams for which an entry requests allowances of one service. */
+export const maxTeamsPerShortfall = 100
 /** Maximum length of the id of a server incarnation. */
 export const maxIncarnationLength = 200
 /** Maximum number of crashes in one frame; also that of completed runs and of probes. */
@@ -156,6 +158,20 @@
 export const RequestShortfall = z.tuple([ServerLimit, Count, z.number().nonnegative()])
 export type RequestShortfall = z.infer<typeof RequestShortfall>
 
+/** Maximum length of a service's name. */
+export const maxServiceNameLength = 200
+/** Maximum number of services in one frame. */
+export const maxServicesPerFrame = 100
+const ServiceName = z.string().max(maxServiceNameLength)
+
+/** Requests that may be sent to a service: its name, the number of requests, and the age of the oldest allowance in ms when the frame was created. */
+export const AgedServiceRequests = z.tuple([ServiceName, z.number().nonnegative(), z.number().nonnegative()])
+export type AgedServiceRequests = z.infer<typeof AgedServiceRequests>
+
+/** Requests to a service that an entry lacks allowances for, by team. Requests without a team count under an empty name. */
+export const ServiceShortfall = z.tuple([ServiceName, z.array(z.tuple([z.string().max(maxTeamNameLength), z.number().nonnegative()])).max(maxTeamsPerShortfall)])
+export type ServiceShortfall = z.infer<typeof ServiceShortfall>
+
 /** Maximum number of server limits in one frame. */
 export const maxLimitsPerFrame = 500
 
@@ -222,7 +238,13 @@
     /** The demand at the sender, for teams in `wants`. */
     demand: z.array(TokenDemand).optional(),
     /** The same for requests to servers that state a limit. */
-    servers: z.object({ gives: z.array(AgedRequests), wants: z.array(RequestShortfall).max(maxLimitsPerFrame) }).optional()
+    servers: z.object({ gives: z.array(AgedRequests), wants: z.array(RequestShortfall).max(maxLimitsPerFrame) }).optional(),
+    /** The same for requests to busy plain services. `busy`: services that the sender itself finds busy while it lacks allowances. */
+    services: z.object({
+      gives: z.array(AgedServiceRequests),
+      wants: z.array(ServiceShortfall).max(maxServicesPerFrame),
+      busy: z.array(ServiceName).max(maxServicesPerFrame)
+    }).optional()
   }),
   /** The answer to the `quota` frame with that stamp. `needed`: teams that recently lacked tokens, whose tokens entries should return first. */
   z.object({
@@ -233,14 +255,20 @@
     needed: z.array(z.string().max(maxTeamNameLength)),
     /** The demand at all entries that lately lacked tokens, for teams with requests that wait for some. */
     demand: z.array(TokenDemand).optional(),
-    servers: z.array(AgedRequests).optional()
+    servers: z.array(AgedRequests).optional(),
+    /** `short`: the teams of each service that got less than was wanted. `busy`: services that entries have lately reported as busy. */
+    services: z.object({
+      grants: z.array(AgedServiceRequests),
+      short: z.array(z.tuple([ServiceName, z.array(z.string().max(maxTeamNameLength)).max(maxTeamsPerShortfall)])).max(maxServicesPerFrame),
+      busy: z.array(ServiceName).max(maxServicesPerFrame)
+    }).optional()
   }),
   /**
    * Attempt reports: server crashes during requests, requests that completed, limits stated by servers, and probes, which are
-   * runs of requests whose quarantine has expired. A frame from an entry is acknowledged with its `stamp`. `ask`: a request whose
+   * runs of requests whose quarantine has expired, and plain services that have become busy. A frame from an entry is acknowledged with its `stamp`. `ask`: a request whose
    * quarantine has expired and which the sender asks to run as a probe.
    */
-  z.object({ type: z.literal('crashes'), stamp: z.number(), crashes: z.array(CrashReport).max(maxCrashesPerFrame), sound: z.array(CompletedRunReport).max(maxCrashesPerFrame), limits: z.array(LimitReport).max(maxLimitsPerFrame).optional(), probes: z.array(CompletedRunReport).max(maxCrashesPerFrame).optional(), ask: RequestFingerprint.optional() }),
+  z.object({ type: z.literal('crashes'), stamp: z.number(), crashes: z.array(CrashReport).max(maxCrashesPerFrame), sound: z.array(CompletedRunReport).max(maxCrashesPerFrame), limits: z.array(LimitReport).max(maxLimitsPerFrame).optional(), probes: z.array(CompletedRunReport).max(maxCrashesPerFrame).optional(), busy: z.array(ServiceName).max(maxServicesPerFrame).optional(), ask: RequestFingerprint.optional() }),
   /** Acknowledges the `crashes` frame with that stamp, which is also relayed to the subscribed entries. `granted`: whether the probe may be run. */
   z.object({ type: z.literal('crashes_noted'), stamp: z.number(), granted: z.boolean().optional() }),
   Appointment,
