Frames: protocol version 6

Processes of the version before close a channel on frames with the new fields of quotas, engine updates and plain services, so they would reconnect and fail again and again. With another version in the hello, they disconnect at once.

--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -8,7 +8,7 @@
 import * as z from 'zod'
 
 /** Incremented with each incompatible change of the protocol. The hello carries it, so that incompatible processes disconnect. */
-export const protocolVersion = 5
+export const protocolVersion = 6
 
 const ExchangeId = z.number().int().nonnegative()
 
