Slow readers: cut stalled peers, limit and count the bytes kept

Callers and servers that stopped reading had their responses and request bodies kept for as long as the connection stayed open, and new bodies were read however much was kept. Nothing counted these bytes. A paused stream also read two chunks ahead.

A response that its caller has not read for 5 s is aborted (caller.stalled), and an attempt at a server that does not read the request ends as possibly run. One periodic check covers the messages whose sockets were full, and runs only while there are any. At a quarter of limits.memoryMb, requests with a body wait unread for a tenth of their time and are then refused with 503. finchpitch_bytes_kept has the bytes by kind. Connections to servers are paused at once and read nothing ahead.

--- a/packages/fleet/src/entry/counters.ts
+++ b/packages/fleet/src/entry/counters.ts
@@ -1,8 +1,11 @@
 /**
  * Metrics of an entry process. Label values are fixed sets of low cardinality: never an adapter, a team or a request.
  */
-import { Counter, Histogram } from '../prometheus.js'
+import { Counter, Gauge, Histogram } from '../prometheus.js'
 import { MetricsRegistry } from '../metrics-registry.js'
+import type { KeptKind } from './serving/kept-bytes.js'
+
+const keptKinds: readonly KeptKind[] = ['request_bodies', 'responses', 'unread']
 
 const latencyBuckets = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1, 2, 5, 10]
 /** Estimates may be too low or too high. */
@@ -98,4 +101,15 @@
     labelNames: ['result'],
     registers: [this.registry]
   })
+
+  /** Registers the gauge of bytes kept, whose values are read at each scrape. */
+  keptBytes (read: (kind: KeptKind) => number): void {
+    const gauge: Gauge = new Gauge({
+      name: 'finchpitch_bytes_kept',
+      help: 'Bytes that the process keeps for callers and servers, by kind: request bodies, buffered responses, and responses that callers have not read yet.',
+      labelNames: ['kind'],
+      registers: [this.registry],
+      collect: () => { for (const kind of keptKinds) gauge.set({ kind }, read(kind)) }
+    })
+  }
 }
--- a/packages/fleet/src/entry/entry-process.ts
+++ b/packages/fleet/src/entry/entry-process.ts
@@ -23,6 +23,7 @@
 import { CrashTracker } from './servers/crash-tracker.js'
 import { EntryCounters } from './counters.js'
 import { FirstAttemptEstimator } from './serving/first-attempt-estimator.js'
+import { KeptBytes } from './serving/kept-bytes.js'
 import { KeyLease } from './peers/key-lease.js'
 import { EntryCountBound } from './peers/entry-count-bound.js'
 import { LeaseKeeper } from './peers/lease-keeper.js'
@@ -85,6 +86,7 @@
   readonly #sideLinks: SideLinks
   readonly #storeWatch: StoreWatch
   readonly #queue = new RequestQueue()
+  readonly #keptBytes = new KeptBytes(() => this.options.limits().memoryMb)
   readonly #callerConnections: CallerConnections
   readonly #retryBudget: RetryBudget
   readonly #connectTimeout = new ConnectTimeout()
@@ -196,6 +198,7 @@
     this.counters.gauge('finchpitch_routing_table_version', 'Version of the current routing table.', () => facts.routes?.table.version ?? 0)
     this.counters.gauge('finchpitch_table_proof_age_seconds', 'Age in seconds of the last proof that the routing table is current; 0 if there is none.', () => Number.isFinite(facts.freshness.ageMs) ? facts.freshness.ageMs / 1000 : 0)
     this.counters.gauge('finchpitch_entries_assumed', 'Upper bound of the number of entries, by which quotas are divided.', () => this.#maxEntries)
+    this.counters.keptBytes(kind => this.#keptBytes.of(kind))
     facts.onChange(fact => {
       if (fact.kind === 'server') this.#reconcile()
       if (fact.kind === 'table') this.#applyTable()
@@ -261,7 +264,7 @@
     this.#running += 1
     try {
       const serviceRequest = new ServiceRequest({
-        facts, balancer: this.#balancer, queue: this.#queue, budget: this.#retryBudget, faults: this.#serverFaults, serverLimits: this.#serverLimits, plainServices: this.#plainServices, feedbackHandler: this.#feedbackHandler, crashes: this.#crashTracker, connectTimeout: this.#connectTimeout, lease: this.#keyLease, quotas: this.#quotas, confirmation: this.#tableConfirmation, staleTableRetryMs: () => this.#leaseKeeper.retryMs, firstAttempts: this.#firstAttempts, names: headerNames, counters: this.counters, log, stopping: this.#stoppedListening, tableLoaded: () => this.#awaitTable(), noTableRetryMs: () => this.#noTableRetryMs, closeAfterResponse: () => this.#stopping || !this.#keyLease.held || this.#callerConnections.shouldClose(request.socket)
+        facts, balancer: this.#balancer, queue: this.#queue, budget: this.#retryBudget, faults: this.#serverFaults, serverLimits: this.#serverLimits, plainServices: this.#plainServices, feedbackHandler: this.#feedbackHandler, crashes: this.#crashTracker, connectTimeout: this.#connectTimeout, lease: this.#keyLease, quotas: this.#quotas, confirmation: this.#tableConfirmation, staleTableRetryMs: () => this.#leaseKeeper.retryMs, firstAttempts: this.#firstAttempts, names: headerNames, counters: this.counters, log, stopping: this.#stoppedListening, tableLoaded: () => this.#awaitTable(), noTableRetryMs: () => this.#noTableRetryMs, keptBytes: this.#keptBytes, closeAfterResponse: () => this.#stopping || !this.#keyLease.held || this.#callerConnections.shouldClose(request.socket)
       }, request, response)
       await serviceRequest.serve()
     } catch (error) {
--- a/packages/fleet/src/entry/servers/server-agent.ts
+++ b/packages/fleet/src/entry/servers/server-agent.ts
@@ -21,6 +21,12 @@
   return stated === undefined ? maxIdleMs : Math.min(maxIdleMs, Number(stated) * 1000 * keepAliveShare)
 }
 
+/**
+ * Options of `Socket`, which the agent passes on. By default a paused connection reads ahead until its buffer is full, so that a
+ * response which its caller does not read keeps a further chunk of 64 kB.
+ */
+const unbuffered: object = { readableHighWaterMark: 0 }
+
 interface PooledSocket extends Socket {
   _httpMessage?: ClientRequest & { res?: IncomingMessage }
 }
@@ -29,7 +35,7 @@
 
 class KeepAliveAgent extends Agent {
   constructor (options: AgentOptions) {
-    super({ keepAlive: true, scheduling: 'lifo', timeout: socketTimeoutMs, ...options })
+    super({ keepAlive: true, scheduling: 'lifo', timeout: socketTimeoutMs, ...unbuffered, ...options })
   }
 
   override keepSocketAlive (socket: PooledSocket): boolean {
--- a/packages/fleet/src/entry/serving/attempt.ts
+++ b/packages/fleet/src/entry/serving/attempt.ts
@@ -13,6 +13,9 @@
 import type { CallerResponse, RawHeaders } from './caller-response.js'
 import type { EventFramer } from './event-stream.js'
 import { headerOf } from './header.js'
+import type { KeptBytes } from './kept-bytes.js'
+import { bytesTaken, pauseNow } from './socket-handle.js'
+import { isFull, type Stall } from './stall-monitor.js'
 import { readServerFeedback, type ServerFeedback } from '../servers/server-feedback.js'
 
 export interface OutgoingRequest {
@@ -46,6 +49,7 @@
   eventFramer: EventFramer | undefined
   callerResponse: CallerResponse
   cancellation: Cancellation
+  keptBytes: KeptBytes
   /** The head of the response arrived. */
   onResponse: () => void
   /** What the server reports about itself in the response headers; called before the response is validated. */
@@ -71,7 +75,7 @@
 const notRunStatuses = new Set([408, 421, 429, 503])
 
 export const attempt = (options: AttemptOptions): Promise<AttemptResult> => new Promise(resolve => {
-  const { agent, outgoing, cancellation, connectMs } = options
+  const { agent, outgoing, cancellation, connectMs, keptBytes } = options
   let request: ClientRequest
   try {
     const { method, path, headers } = outgoing
@@ -108,7 +112,15 @@
       return
     }
     sent = true
+    const takenBefore = bytesTaken(request.socket)
     request.end(outgoing.body.length === 0 ? undefined : outgoing.body)
+    if (request.socket !== null && isFull(request)) keptBytes.monitor.watch(request, request.socket, 'server', stall => abortUnread(stall, takenBefore))
+  }
+  /** The server does not read the request. The request may have run unless nothing of it was written. */
+  const abortUnread = ({ bytes, ms }: Stall, takenBefore: number | undefined): void => {
+    const detail = `request body not read for ${ms} ms, ${bytes} bytes left`
+    if (bytesTaken(request.socket) === takenBefore) finish({ type: 'not_sent', detail })
+    request.destroy(new Error(detail))
   }
   request.on('socket', socket => {
     if (!socket.connecting) return send()
@@ -124,12 +136,17 @@
     finish({ type: options.callerResponse.started ? 'interrupted' : 'broken', detail: error.message })
   })
   request.on('response', response => {
+    // A response that a server has produced is delivered, also if it did not read the whole request.
+    keptBytes.monitor.unwatch(request)
     const feedback = readServerFeedback(response, options.names, options.serverId)
     if (feedback !== undefined) options.onServerFeedback(feedback)
     options.onResponse()
     // The unsent rest of a request that was answered early must not be written ahead of the next one on this connection.
     if (!request.writableFinished) response.once('end', () => request.destroy())
-    void readResponse(response, request, options).then(finish)
+    void readResponse(response, request, options).then(result => {
+      if (finished && result.type === 'answer') keptBytes.release('responses', result.body.length)
+      finish(result)
+    })
   })
   if (cancellation.cancelled) cancel()
 })
@@ -149,7 +166,7 @@
   if (succeeded && (echoed === undefined || headerOf(response, names.seal) === undefined)) return reject(`status ${status} without seal or id`)
   if (response.headers['content-encoding'] !== undefined) return reject('an encoded body')
   if (notRunStatuses.has(status)) return reject(`status ${status} without saying that it has not run`)
-  return succeeded && stream ? await forwardStream(response, status, options) : await bufferResponse(response, status)
+  return succeeded && stream ? await forwardStream(response, status, options) : await bufferResponse(response, status, options.keptBytes)
 }
 
 const readRefusal = (response: IncomingMessage, { names, serverId }: AttemptOptions): AttemptResult => {
@@ -164,15 +181,27 @@
   return { type: 'not_run', status, retryAfter, cause: otherServer ? 'another_server' : 'not_held' }
 }
 
-const bufferResponse = (response: IncomingMessage, status: number): Promise<AttemptResult> => new Promise(resolve => {
+/** The bytes of a complete response stay counted as kept, until whoever takes it releases them. */
+const bufferResponse = (response: IncomingMessage, status: number, keptBytes: KeptBytes): Promise<AttemptResult> => new Promise(resolve => {
   const chunks: Buffer[] = []
-  response.on('data', (chunk: Buffer) => chunks.push(chunk))
-  response.on('error', error => resolve({ type: 'broken', detail: `response body incomplete: ${error.message}` }))
+  let bytes = 0
+  const broken = (detail: string): void => {
+    keptBytes.release('responses', bytes)
+    bytes = 0
+    resolve({ type: 'broken', detail })
+  }
+  response.on('data', (chunk: Buffer) => {
+    chunks.push(chunk)
+    bytes += chunk.length
+    keptBytes.add('responses', chunk.length)
+  })
+  response.on('error', error => broken(`response body incomplete: ${error.message}`))
   response.on('end', () => {
-    if (!response.complete) return resolve({ type: 'broken', detail: 'response body incomplete' })
+    if (!response.complete) return broken('response body incomplete')
+    bytes = 0
     resolve({ type: 'answer', status, headers: response.rawHeaders, body: Buffer.concat(chunks) })
   })
-  response.on('close', () => resolve({ type: 'broken', detail: 'connection closed before the end of the response' }))
+  response.on('close', () => broken('connection closed before the end of the response'))
 })
 
 const forwardStream = (response: IncomingMessage, status: number, { callerResponse, eventFramer }: AttemptOptions): Promise<AttemptResult> => new Promise(resolve => {
@@ -186,7 +215,10 @@
   response.on('data', (chunk: Buffer) => {
     bytes += chunk.length
     const ready = callerResponse.write(eventFramer === undefined ? chunk : eventFramer.push(chunk), resume)
-    if (!ready) response.pause()
+    if (ready) return
+    response.pause()
+    // Resuming the response resumes its connection too.
+    pauseNow(response.socket)
   })
   response.on('error', error => interrupted(error.message))
   response.on('end', () => {
--- a/packages/fleet/src/entry/serving/caller-response.ts
+++ b/packages/fleet/src/entry/serving/caller-response.ts
@@ -3,6 +3,7 @@
  * can never be taken for a complete one.
  */
 import type { ServerResponse } from 'node:http'
+import { isFull } from './stall-monitor.js'
 
 /** Hop-by-hop headers, which are never forwarded. */
 const hopByHopHeaders = new Set([
@@ -46,7 +47,8 @@
 export class CallerResponse {
   #started = false
 
-  constructor (private readonly response: ServerResponse, private readonly closeAfterResponse: () => boolean) {}
+  /** `onFull`: called when the caller's socket has taken less than was written. */
+  constructor (private readonly response: ServerResponse, private readonly closeAfterResponse: () => boolean, private readonly onFull: () => void) {}
 
   /** Status and headers have been sent. */
   get started (): boolean {
@@ -59,6 +61,7 @@
     if (!bodyless && isFramed(raw)) headers.push('Content-Length', String(body.length))
     this.#writeHead(status, headers, bodyless || isFramed(raw))
     this.response.end(bodyless ? undefined : body)
+    if (isFull(this.response)) this.onFull()
   }
 
   /** Sends a response that the entry generates itself. Aborts the response if one is already under way. */
@@ -80,6 +83,7 @@
   write (chunk: Buffer, onDrain: () => void): boolean {
     if (chunk.length === 0 || this.response.write(chunk)) return true
     this.response.once('drain', onDrain)
+    this.onFull()
     return false
   }
 
--- a/packages/fleet/src/entry/serving/incoming-request.ts
+++ b/packages/fleet/src/entry/serving/incoming-request.ts
@@ -6,6 +6,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { HeaderNames } from '../../ports.js'
 import { headerOf } from './header.js'
+import type { KeptBytes } from './kept-bytes.js'
 
 /** Used where a caller states no remaining time. */
 const defaultRemainingMs = 10_000
@@ -31,6 +32,8 @@
   readonly outputTokens: number
   /** Milliseconds until the caller times out. */
   readonly remainingMs: number
+  /** Bytes of the body that are counted as kept. */
+  #keptBytes = 0
 
   constructor (readonly message: IncomingMessage, names: HeaderNames) {
     this.id = headerOf(message, names.requestId) ?? ''
@@ -55,8 +58,24 @@
     return this.promptTokens + Math.min(maxPromptTokens, Math.max(0, output)) || defaultWorkTokens
   }
 
+  /** Stated size of the body; 0 if none is stated. */
+  get statedBodyBytes (): number {
+    const stated = Number(this.message.headers['content-length'] ?? 0)
+    return Number.isFinite(stated) ? stated : 0
+  }
+
+  get hasBody (): boolean {
+    return this.statedBodyBytes > 0 || this.message.headers['transfer-encoding'] !== undefined
+  }
+
+  /** Releases the bytes of the body that `body` counted as kept. */
+  releaseBody (keptBytes: KeptBytes): void {
+    keptBytes.release('request_bodies', this.#keptBytes)
+    this.#keptBytes = 0
+  }
+
   /** Reads the body, of at most `limit` bytes. */
-  body (limit: number): Promise<Result<Buffer, BodyError>> {
+  body (limit: number, keptBytes: KeptBytes): Promise<Result<Buffer, BodyError>> {
     const { message } = this
     const chunks: Buffer[] = []
     let size = 0
@@ -65,8 +84,10 @@
       if (message.destroyed && !message.readableEnded) resolve(err('caller_left'))
       message.on('data', (chunk: Buffer) => {
         size += chunk.length
-        if (size <= limit) chunks.push(chunk)
-        else resolve(err('too_large'))
+        if (size > limit) return resolve(err('too_large'))
+        chunks.push(chunk)
+        this.#keptBytes += chunk.length
+        keptBytes.add('request_bodies', chunk.length)
       })
       message.on('end', () => resolve(ok(chunks.length === 1 ? chunks[0] ?? emptyBuffer : Buffer.concat(chunks))))
       message.on('error', () => resolve(err('caller_left')))
--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -10,6 +10,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Log } from '@finchpitch/core'
+import { bodyWaitMs } from '@finchpitch/decisions'
 import { nowMs } from '../../clock.js'
 import type { Facts } from '../../facts.js'
 import type { BackendServer } from '../../server.js'
@@ -26,6 +27,7 @@
 import type { Admission, Denial } from './admission.js'
 import { IncomingRequest } from './incoming-request.js'
 import { buildOutgoingRequest, type OutgoingContext } from './outgoing-request.js'
+import type { KeptBytes } from './kept-bytes.js'
 import { helpsRepeat } from '../servers/choice.js'
 import { ServerSelector, hasReadyTime, noServerFrom, type NoServer, type SendChoice } from '../servers/server-selector.js'
 import { LocalReplies } from './local-replies.js'
@@ -65,6 +67,7 @@
   crashes: CrashTracker
   connectTimeout: ConnectTimeout
   counters: EntryCounters
+  keptBytes: KeptBytes
   log: Log
   /** Resolves once this entry has a routing table, or has had the time that loading it takes after a start. */
   tableLoaded: () => Promise<void>
@@ -125,13 +128,15 @@
   #mayHaveRun = false
   /** The failure that an engine answered. It is delivered if no later attempt gets a response. */
   #failure: Extract<AttemptResult, { type: 'answer' }> | undefined
+  /** Bytes of buffered responses that are counted as kept. */
+  #bufferedBytes = 0
   #framer: EventFramer | undefined
   #deadlinePassed = false
 
   constructor (private readonly options: ServiceRequestOptions, request: IncomingMessage, response: ServerResponse) {
     this.#incoming = new IncomingRequest(request, options.names)
     this.#record = new RequestRecord(this.#incoming, this.#times)
-    this.#callerResponse = new CallerResponse(response, options.closeAfterResponse)
+    this.#callerResponse = new CallerResponse(response, options.closeAfterResponse, () => this.#watchCaller(response))
     this.#admission = new RequestAdmission(options, this.#incoming)
     this.#crashes = new RequestCrashes(options.crashes, this.#incoming)
     this.#selector = new ServerSelector({ ...options, incoming: this.#incoming, times: this.#times, record: this.#record, crashes: this.#crashes, cancellation: this.#cancellation })
@@ -140,8 +145,13 @@
   }
 
   async serve (): Promise<void> {
-    const outcome = await this.#handle()
     const { facts, balancer, log, counters } = this.options
+    let outcome: string
+    try {
+      outcome = await this.#handle()
+    } finally {
+      this.#releaseKept()
+    }
     this.#selector.permit.release()
     this.#admission.release()
     const engineReport = balancer.states.get(this.#record.server?.id ?? '')?.engineReport
@@ -166,7 +176,8 @@
     const readyInMs = await this.#admission.reserve(admission, this.#times.firstTriedMs)
     if (readyInMs !== undefined) return this.#localReplies.overQuota(readyInMs)
     this.#times.deadline = this.#times.arrivedAt + Math.min(remainingMs, route.timeoutMs)
-    const body = await this.#incoming.body(routes.table.limits.bodyBytes)
+    if (!await this.#mayReadBody()) return this.#localReplies.refuse('too_many_bytes_kept')
+    const body = await this.#incoming.body(routes.table.limits.bodyBytes, this.options.keptBytes)
     if (body.isErr()) return body.error === 'too_large' ? this.#localReplies.end(body.error) : body.error
     this.#framer = route.kind === 'stream' && route.resumable ? new EventFramer() : undefined
     const timer = setTimeout(() => this.#onDeadline(), Math.max(0, this.#times.leftMs))
@@ -178,6 +189,30 @@
     }
   }
 
+  /** Waits for room for the body if the process keeps too many bytes. Until then nothing is read from the caller. */
+  async #mayReadBody (): Promise<boolean> {
+    const { keptBytes } = this.options
+    if (!this.#incoming.hasBody || keptBytes.hasRoom) return true
+    return await keptBytes.waitForRoom(this.#incoming.statedBodyBytes, bodyWaitMs(this.#times.leftMs))
+  }
+
+  /** Bytes that a caller has not read yet are counted where its response is watched. */
+  #releaseKept (): void {
+    const { keptBytes } = this.options
+    this.#incoming.releaseBody(keptBytes)
+    keptBytes.release('responses', this.#bufferedBytes)
+  }
+
+  /** Aborts the response if the caller stops reading. A reset also frees what the operating system keeps of it. */
+  #watchCaller (response: ServerResponse): void {
+    const { keptBytes, log } = this.options
+    const { id, message: { socket } } = this.#incoming
+    keptBytes.monitor.watch(response, socket, 'caller', ({ bytes, ms }) => {
+      log.warn('caller.stalled', { request: id, bytes, ms })
+      socket.resetAndDestroy()
+    })
+  }
+
   async #attemptUntilDone (): Promise<string> {
     for (;;) {
       const { routes, servers } = this.options.facts
@@ -264,6 +299,7 @@
       eventFramer: this.#framer,
       callerResponse: this.#callerResponse,
       cancellation: this.#cancellation,
+      keptBytes: this.options.keptBytes,
       onResponse: () => {
         responseMs = nowMs() - sentAt
         state.recordFirstByte(pending)
@@ -274,6 +310,7 @@
     })
     if (result.type === 'streamed' && this.#sentAttempts === 0) state.recordRun(pending, this.#incoming.outputTokens)
     state.end(key, pending)
+    if (result.type === 'answer') this.#bufferedBytes += result.body.length
     if (key === undefined && result.type === 'answer') this.options.queue.slotTimes.record(route.name, nowMs() - sentAt)
     if (result.type !== 'not_sent' && result.type !== 'withheld') this.#sentAttempts += 1
     counters.attempts.inc({ end: result.type })
--- a/packages/fleet/src/ports.ts
+++ b/packages/fleet/src/ports.ts
@@ -138,4 +138,6 @@
   quotaOverage: number
   /** In tokens. */
   quotaSlack: number
+  /** Memory limit of the process; absent if not known. */
+  memoryMb?: number
 }
--- a/packages/fleet/test/attempt.test.ts
+++ b/packages/fleet/test/attempt.test.ts
@@ -1,7 +1,7 @@
 import { Agent, createServer, type Server, type ServerResponse } from 'node:http'
 import { once } from 'node:events'
 import type { AddressInfo } from 'node:net'
-import { Cancellation, attempt, nowMs, type AttemptResult, type CallerResponse, type HeaderNames, type ServerFeedback } from '@finchpitch/fleet'
+import { Cancellation, KeptBytes, attempt, nowMs, type AttemptResult, type CallerResponse, type HeaderNames, type ServerFeedback } from '@finchpitch/fleet'
 import { expect } from 'chai'
 
 const names: HeaderNames = {
@@ -62,6 +62,7 @@
     eventFramer: undefined,
     callerResponse: { started: false } as unknown as CallerResponse,
     cancellation: new Cancellation(),
+    keptBytes: new KeptBytes(() => undefined),
     onResponse: () => {},
     onServerFeedback: feedback => serverFeedback.push(feedback)
   })
