Entry and channels: fewer objects per request, heartbeat and exchange

Per request, an entry built an options object with three closures and copied it for the selection of a server, walked headers with a generator several times, and hashed the key through a stream object. Each log line was copied twice. Channels, the quota exchange and the side process's loop waited on abort signals, whose listeners and exceptions with stack traces cost more than the timers themselves.

The options are built once, headers are walked by index, the key is hashed in one call, a log line is built once, and the waits use plain timers. A heartbeat after a change of pace still follows the frames of the same turn.

--- a/packages/core/src/log.ts
+++ b/packages/core/src/log.ts
@@ -22,19 +22,20 @@
 
 export class Log {
   readonly #logger: loglevel.Logger
+  readonly #fixed: LogFields
 
-  constructor (readonly name: string, private readonly fixed: LogFields = {}, level: LogLevel = 'info', private readonly sink: LineSink = standardError) {
+  constructor (readonly name: string, fixed: LogFields = {}, level: LogLevel = 'info', private readonly sink: LineSink = standardError) {
+    this.#fixed = redact(fixed)
     this.#logger = loglevel.getLogger(name)
-    this.#logger.methodFactory = methodName => (event: string, fields: LogFields = {}) => {
-      const line = { at: new Date().toISOString(), level: methodName, event, ...fields }
-      this.sink.write(JSON.stringify(line))
+    this.#logger.methodFactory = methodName => (event: string, fields: LogFields) => {
+      this.sink.write(JSON.stringify({ at: new Date().toISOString(), level: methodName, event, ...this.#fixed, ...redact(fields) }))
     }
     this.#logger.setLevel(level, false)
   }
 
   /** A logger that adds these fields to each line. */
   child (fields: LogFields): Log {
-    return new Log(this.name, { ...this.fixed, ...fields }, this.level, this.sink)
+    return new Log(this.name, { ...this.#fixed, ...fields }, this.level, this.sink)
   }
 
   get level (): LogLevel {
@@ -47,19 +48,19 @@
   }
 
   debug (event: string, fields: LogFields = {}): void {
-    this.#logger.debug(event, redact({ ...this.fixed, ...fields }))
+    this.#logger.debug(event, fields)
   }
 
   info (event: string, fields: LogFields = {}): void {
-    this.#logger.info(event, redact({ ...this.fixed, ...fields }))
+    this.#logger.info(event, fields)
   }
 
   warn (event: string, fields: LogFields = {}): void {
-    this.#logger.warn(event, redact({ ...this.fixed, ...fields }))
+    this.#logger.warn(event, fields)
   }
 
   error (event: string, fields: LogFields = {}): void {
-    this.#logger.error(event, redact({ ...this.fixed, ...fields }))
+    this.#logger.error(event, fields)
   }
 }
 
--- a/packages/fleet/src/entry/entry-process.ts
+++ b/packages/fleet/src/entry/entry-process.ts
@@ -37,7 +37,7 @@
 import { ServerFaults } from './servers/server-faults.js'
 import { ServerLimits } from './servers/server-limits.js'
 import { ServerFeedbackHandler } from './servers/server-feedback-handler.js'
-import { ServiceRequest } from './serving/service-request.js'
+import { ServiceRequest, type ServiceRequestOptions } from './serving/service-request.js'
 import { SideLinks } from './peers/side-links.js'
 import { StoreWatch } from './peers/store-watch.js'
 import { TableConfirmation } from './peers/table-confirmation.js'
@@ -88,6 +88,8 @@
   readonly #queue = new RequestQueue()
   readonly #keptBytes = new KeptBytes(() => this.options.limits().memoryMb)
   readonly #callerConnections: CallerConnections
+  /** Shared by all requests. */
+  readonly #requestOptions: ServiceRequestOptions
   readonly #retryBudget: RetryBudget
   readonly #connectTimeout = new ConnectTimeout()
   readonly #firstAttempts = new FirstAttemptEstimator()
@@ -187,6 +189,31 @@
     this.#retryBudget = new RetryBudget(limits, () => this.#sideLinks.entries)
     this.server = createServer({ maxHeaderSize: maxHeaderBytes, connectionsCheckingInterval: 1000, requestTimeout: 0 })
     this.#callerConnections = new CallerConnections(this.server)
+    this.#requestOptions = {
+      facts,
+      balancer: this.#balancer,
+      queue: this.#queue,
+      budget: this.#retryBudget,
+      faults: this.#serverFaults,
+      serverLimits: this.#serverLimits,
+      plainServices: this.#plainServices,
+      keptBytes: this.#keptBytes,
+      feedbackHandler: this.#feedbackHandler,
+      crashes: this.#crashTracker,
+      connectTimeout: this.#connectTimeout,
+      lease: this.#keyLease,
+      quotas: this.#quotas,
+      confirmation: this.#tableConfirmation,
+      staleTableRetryMs: () => this.#leaseKeeper.retryMs,
+      firstAttempts: this.#firstAttempts,
+      names: options.headerNames,
+      counters: this.counters,
+      log,
+      stopping: () => this.#stoppedListening,
+      tableLoaded: () => this.#awaitTable(),
+      noTableRetryMs: () => this.#noTableRetryMs,
+      closeAfterResponse: socket => this.#stopping || !this.#keyLease.held || this.#callerConnections.shouldClose(socket)
+    }
     this.server.on('request', (request, response) => { void this.#serve(request, response) })
     this.counters.gauge('finchpitch_requests_running', 'Requests in progress.', () => this.#running)
     this.counters.gauge('finchpitch_requests_waiting', 'Requests waiting at the entry.', () => this.#queue.size)
@@ -260,15 +287,12 @@
   }
 
   async #serve (request: import('node:http').IncomingMessage, response: import('node:http').ServerResponse): Promise<void> {
-    const { facts, headerNames, log } = this.options
     this.#running += 1
     try {
-      const serviceRequest = new ServiceRequest({
-        facts, balancer: this.#balancer, queue: this.#queue, budget: this.#retryBudget, faults: this.#serverFaults, serverLimits: this.#serverLimits, plainServices: this.#plainServices, feedbackHandler: this.#feedbackHandler, crashes: this.#crashTracker, connectTimeout: this.#connectTimeout, lease: this.#keyLease, quotas: this.#quotas, confirmation: this.#tableConfirmation, staleTableRetryMs: () => this.#leaseKeeper.retryMs, firstAttempts: this.#firstAttempts, names: headerNames, counters: this.counters, log, stopping: this.#stoppedListening, tableLoaded: () => this.#awaitTable(), noTableRetryMs: () => this.#noTableRetryMs, keptBytes: this.#keptBytes, closeAfterResponse: () => this.#stopping || !this.#keyLease.held || this.#callerConnections.shouldClose(request.socket)
-      }, request, response)
+      const serviceRequest = new ServiceRequest(this.#requestOptions, request, response)
       await serviceRequest.serve()
     } catch (error) {
-      log.error('request.crashed', { detail: (error as Error).stack })
+      this.options.log.error('request.crashed', { detail: (error as Error).stack })
       response.destroy()
     } finally {
       this.#running -= 1
--- a/packages/fleet/src/entry/quotas/quota-exchange.ts
+++ b/packages/fleet/src/entry/quotas/quota-exchange.ts
@@ -6,12 +6,12 @@
  * several times per second while there is a quota, a limit or a busy service, and at once when a request is short of tokens. If the bank
  * doesn't answer, the next side process becomes the bank, and until then each entry spends its own share.
  */
-import { setMaxListeners } from 'node:events'
 import { sliceAgeMs, totalTokens, type TokenSlice } from '@finchpitch/decisions'
 import { pause, type Log } from '@finchpitch/core'
 import type { Channel, FrameOf, AgedTokens, TokenDemand, TokenShortfall } from '@finchpitch/wire'
 import { boottimeMs, afterSocketReads } from '../../clock.js'
 import { RendezvousSelector } from '../peers/rendezvous-selector.js'
+import { Cancellation, cancelledWithin } from '../serving/cancellation.js'
 import type { Quotas } from './quotas.js'
 import type { TeamAccount } from './team-account.js'
 import type { LimitsView } from '../servers/server-limits.js'
@@ -46,13 +46,6 @@
   log: Log
 }
 
-/** Every request that is short of tokens listens to the signal, so Node's warning of a listener leak is disabled. */
-const createAnswerSignal = (): AbortController => {
-  const answered = new AbortController()
-  setMaxListeners(0, answered.signal)
-  return answered
-}
-
 /** The bank's last stamp, which the next frame returns, so that the bank can bound the time that the frame was in transit. */
 interface Echo { stamp: number, receivedAt: number }
 
@@ -73,9 +66,9 @@
   readonly #askedByTeam = new Map<string, number>()
   /** Requests that the last frame asked for, by limit. */
   #askedByLimit: ReadonlyMap<string, number> = new Map()
-  /** Aborted when the last frame, or the next one, is answered. */
-  #answered = createAnswerSignal()
-  #nextAnswered = createAnswerSignal()
+  /** Cancelled when the last frame, or the next one, is answered: the requests that wait for the answer then go on. */
+  #answered = new Cancellation()
+  #nextAnswered = new Cancellation()
 
   constructor (private readonly options: QuotaExchangeOptions) {}
 
@@ -89,13 +82,13 @@
 
   /** Requests at once whatever this entry is short of. Resolves when that is answered or times out. Returns whether it was answered. */
   async exchangeNow (): Promise<boolean> {
-    const { signal } = this.#nextAnswered
+    const answered = this.#nextAnswered
     this.#sendRequested = true
     if (this.#sentAt === undefined || boottimeMs() - this.#lastSentAt >= maxWaitMs) this.#send()
     if (this.#sentAt === undefined) return false
-    await pause(maxWaitMs, signal)
-    if (!signal.aborted) await afterSocketReads()
-    return signal.aborted
+    await cancelledWithin(maxWaitMs, answered)
+    if (!answered.cancelled) await afterSocketReads()
+    return answered.cancelled
   }
 
   /** Handles an answer of the side process at `host`. Grants count even if it is no longer the bank. */
@@ -113,7 +106,7 @@
     this.#sentAt = undefined
     for (const [team, perSecond] of frame.demand ?? []) this.options.quotas.accounts.get(team)?.noteTotalDemand(perSecond)
     this.#reportAnswers(granted)
-    this.#answered.abort()
+    this.#answered.cancel()
     if (this.#sendRequested) this.#send()
   }
 
@@ -159,7 +152,7 @@
     this.#lastSentAt = frame.stamp
     this.#sentCount += 1
     this.#answered = this.#nextAnswered
-    this.#nextAnswered = createAnswerSignal()
+    this.#nextAnswered = new Cancellation()
   }
 
   #buildFrame (channel: Channel): FrameOf<'quota'> {
--- a/packages/fleet/src/entry/servers/server-selector.ts
+++ b/packages/fleet/src/entry/servers/server-selector.ts
@@ -57,12 +57,16 @@
 const maxReturnShare = 1 / 3
 
 export interface ServerSelectorOptions {
-  incoming: IncomingRequest
   facts: Facts
   balancer: Balancer
   queue: RequestQueue
   plainServices: PlainServices
   counters: EntryCounters
+}
+
+/** The state of the request that a server is selected for. */
+export interface SelectedRequest {
+  incoming: IncomingRequest
   times: RequestTimes
   record: RequestRecord
   crashes: RequestCrashes
@@ -74,12 +78,13 @@
   /** Held from the choice of a server of a busy plain service until the request is written. */
   readonly permit: ServicePermit
 
-  constructor (private readonly options: ServerSelectorOptions) {
+  constructor (private readonly options: ServerSelectorOptions, private readonly request: SelectedRequest) {
     this.permit = new ServicePermit(options.plainServices)
   }
 
   async choose (selection: SelectionRequest, admitted: Admission): Promise<ServerSelection> {
-    const { balancer, cancellation, queue, record, plainServices } = this.options
+    const { balancer, queue, plainServices } = this.options
+    const { cancellation, record } = this.request
     this.permit.release()
     if (selection.key === undefined) plainServices.recordDemand(selection.service.name, selection.team)
     // Other entries pass on their unused part of the limit within some ms; another engine may have to load the adapter first.
@@ -122,12 +127,12 @@
 
   /** Its rank in the queues of this entry and of its engine; the lowest goes first. */
   rank ({ route, priority }: Admission, promptTokens: number): number {
-    const { times, balancer } = this.options
-    return times.rank({ priority, objectiveMs: route.objectiveMs }, balancer.prefillMs(promptTokens))
+    return this.request.times.rank({ priority, objectiveMs: route.objectiveMs }, this.options.balancer.prefillMs(promptTokens))
   }
 
   #queuedRequest (first: Choice, selection: SelectionRequest, admitted: Admission): QueuedRequest {
-    const { balancer, times, crashes } = this.options
+    const { balancer } = this.options
+    const { times, crashes } = this.request
     const { route, team } = admitted
     const rank = (): number => this.rank(admitted, selection.promptTokens)
     return {
@@ -151,15 +156,14 @@
 
   /** The work that the request causes: tokens of a generation, milliseconds in a slot of a plain service. */
   #workOf ({ service }: SelectionRequest, { route }: Admission): number {
-    const { incoming, queue } = this.options
-    return service.engine === undefined ? queue.slotTimes.of(route.name) : incoming.workTokens
+    return service.engine === undefined ? this.options.queue.slotTimes.of(route.name) : this.request.incoming.workTokens
   }
 
   async #wait (first: Choice, request: QueuedRequest, selection: SelectionRequest, admitted: Admission): Promise<ServerSelection> {
-    const { queue, plainServices, cancellation } = this.options
+    const { queue, plainServices } = this.options
     const leaveQueue = selection.key === undefined ? plainServices.enterQueue(selection.service.name, selection.team) : undefined
     const started = nowMs()
-    const outcome = await queue.wait(request, first, cancellation)
+    const outcome = await queue.wait(request, first, this.request.cancellation)
     leaveQueue?.()
     this.#recordWait(first, outcome, nowMs() - started)
     if (outcome.type !== 'chosen' && selection.key !== undefined && queue.waiting(selection.key) === 0) this.options.balancer.withdrawDemand(selection.key)
@@ -179,7 +183,8 @@
   }
 
   #recordWait ({ type }: Choice, outcome: WaitOutcome, waitedMs: number): void {
-    const { record, counters } = this.options
+    const { counters } = this.options
+    const { record } = this.request
     const waitedFor = type === 'send' ? 'full' : type
     record.expectedWaitMs ??= outcome.expectedMs
     if (outcome.type === 'expired' && outcome.rejection !== undefined) {
@@ -194,7 +199,8 @@
 
   /** When it stops waiting. */
   #expiryOf ({ type }: Choice, service: FleetService, route: Route): number {
-    const { times, plainServices } = this.options
+    const { plainServices } = this.options
+    const { times } = this.request
     if (type === 'none' && this.#serversRead) return times.waitForServersUntil(route)
     const waitsForBusyService = (type === 'limited' || type === 'send') && plainServices.isEnforced(service.name)
     return waitsForBusyService ? times.startUntil(route) : times.waitUntil(route)
@@ -202,7 +208,8 @@
 
   #mayWaitFor (choice: Choice, service: FleetService, route: Route): boolean {
     if (!hasReadyTime(choice)) return true
-    const { times, plainServices } = this.options
+    const { plainServices } = this.options
+    const { times } = this.request
     const busy = choice.type === 'limited' && plainServices.isEnforced(service.name)
     return nowMs() + choice.readyInMs <= (busy ? times.startUntil(route) : times.waitForBackoffUntil(route))
   }
--- a/packages/fleet/src/entry/serving/caller-response.ts
+++ b/packages/fleet/src/entry/serving/caller-response.ts
@@ -13,30 +13,35 @@
 /** Alternating names and values, as in `IncomingMessage.rawHeaders`. */
 export type RawHeaders = readonly string[]
 
-export const headerPairs = function * (raw: RawHeaders): Generator<[name: string, value: string]> {
-  for (let index = 0; index + 1 < raw.length; index += 2) yield [raw[index] ?? '', raw[index + 1] ?? '']
+const noOptions: ReadonlySet<string> = new Set()
+
+/** The hop-by-hop headers that `Connection` headers name. */
+const connectionOptionsOf = (raw: RawHeaders): ReadonlySet<string> => {
+  let options: Set<string> | undefined
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    if (raw[index]?.toLowerCase() !== 'connection') continue
+    for (const token of (raw[index + 1] ?? '').split(',')) (options ??= new Set()).add(token.trim().toLowerCase())
+  }
+  return options ?? noOptions
 }
 
 /** The headers to forward: all but hop-by-hop headers, those that `Connection` names and those in `without`. */
 export const forwardedHeaders = (raw: RawHeaders, without: ReadonlySet<string>): string[] => {
-  const connectionOptions = new Set<string>()
-  for (const [name, value] of headerPairs(raw)) {
-    if (name.toLowerCase() !== 'connection') continue
-    for (const token of value.split(',')) connectionOptions.add(token.trim().toLowerCase())
-  }
+  const connectionOptions = connectionOptionsOf(raw)
   const forwarded: string[] = []
-  for (const [name, value] of headerPairs(raw)) {
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    const name = raw[index] ?? ''
     const lower = name.toLowerCase()
     if (hopByHopHeaders.has(lower) || connectionOptions.has(lower) || without.has(lower)) continue
-    forwarded.push(name, value)
+    forwarded.push(name, raw[index + 1] ?? '')
   }
   return forwarded
 }
 
 /** Whether the headers delimit the body; otherwise it ends with the connection. */
 const isFramed = (raw: RawHeaders): boolean => {
-  for (const [name] of headerPairs(raw)) {
-    const lower = name.toLowerCase()
+  for (let index = 0; index < raw.length; index += 2) {
+    const lower = raw[index]?.toLowerCase()
     if (lower === 'content-length' || lower === 'transfer-encoding') return true
   }
   return false
@@ -57,9 +62,10 @@
 
   /** Sends a buffered response of a server. `bodyless`: it answers a HEAD request, or its status allows no body. */
   whole (status: number, raw: RawHeaders, body: Buffer, bodyless: boolean): void {
-    const headers = forwardedHeaders(raw, bodyless ? new Set() : contentLengthOnly)
-    if (!bodyless && isFramed(raw)) headers.push('Content-Length', String(body.length))
-    this.#writeHead(status, headers, bodyless || isFramed(raw))
+    const headers = forwardedHeaders(raw, bodyless ? noOptions : contentLengthOnly)
+    const framed = bodyless || isFramed(raw)
+    if (!bodyless && framed) headers.push('Content-Length', String(body.length))
+    this.#writeHead(status, headers, framed)
     this.response.end(bodyless ? undefined : body)
     if (isFull(this.response)) this.onFull()
   }
--- a/packages/fleet/src/entry/serving/cancellation.ts
+++ b/packages/fleet/src/entry/serving/cancellation.ts
@@ -1,8 +1,8 @@
 /**
- * Cancels a request when its caller disconnects or its deadline passes.
+ * Cancels a request when its caller disconnects or its deadline passes, and other work that many wait for.
  *
  * A minimal replacement for `AbortController`: an entry process creates one per request, and `AbortController` was
- * among the most expensive operations on the request path.
+ * among the most expensive operations on the request path. An abort also creates an exception with a stack trace.
  */
 export class Cancellation {
   #cancelled = false
@@ -25,3 +25,16 @@
     return () => { this.#listeners.delete(listener) }
   }
 }
+
+/** Resolves on cancellation, or after `ms`. */
+export const cancelledWithin = (ms: number, cancellation: Cancellation): Promise<void> => new Promise(resolve => {
+  if (cancellation.cancelled) return resolve()
+  const timer = setTimeout(() => {
+    unsubscribe()
+    resolve()
+  }, ms)
+  const unsubscribe = cancellation.onCancel(() => {
+    clearTimeout(timer)
+    resolve()
+  })
+})
--- a/packages/fleet/src/entry/serving/credential.ts
+++ b/packages/fleet/src/entry/serving/credential.ts
@@ -7,7 +7,6 @@
 import type { IncomingMessage } from 'node:http'
 import type { HeaderNames } from '../../ports.js'
 import { hashKey, type KeyHash } from '../../team.js'
-import { headerPairs } from './caller-response.js'
 
 /** `invalid`: the header is there, but is malformed or ambiguous. */
 export type Credential = { type: 'none' } | { type: 'invalid' } | { type: 'key', hash: KeyHash }
@@ -15,18 +14,16 @@
 /** `SCHEME KEY`; the scheme is case-insensitive. */
 const schemeAndKey = /^\s*(\S+)\s+(\S+)\s*$/
 
-export const credentialOf = (message: IncomingMessage, names: HeaderNames): Credential => {
-  const values = distinctValues(message, names.key)
-  const [first] = values
-  if (first === undefined) return { type: 'none' }
-  const [, scheme, key] = schemeAndKey.exec(first) ?? []
-  if (values.size > 1 || key === undefined || scheme?.toLowerCase() !== names.keyScheme) return { type: 'invalid' }
+export const credentialOf = ({ rawHeaders }: IncomingMessage, names: HeaderNames): Credential => {
+  // Not from `headers`, in which Node keeps only the first value.
+  let value: string | undefined
+  for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+    if (rawHeaders[index]?.toLowerCase() !== names.key) continue
+    if (value !== undefined && value !== rawHeaders[index + 1]) return { type: 'invalid' }
+    value = rawHeaders[index + 1]
+  }
+  if (value === undefined) return { type: 'none' }
+  const [, scheme, key] = schemeAndKey.exec(value) ?? []
+  if (key === undefined || scheme?.toLowerCase() !== names.keyScheme) return { type: 'invalid' }
   return { type: 'key', hash: hashKey(key) }
 }
-
-/** All distinct values of a header of which Node keeps only the first in `headers`. `name` must be in lower case. */
-const distinctValues = (message: IncomingMessage, name: string): Set<string> => {
-  const values = new Set<string>()
-  for (const [headerName, value] of headerPairs(message.rawHeaders)) if (headerName.toLowerCase() === name) values.add(value)
-  return values
-}
--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -9,6 +9,7 @@
  * has certainly not run, else 502 or 504.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import type { Log } from '@finchpitch/core'
 import { bodyWaitMs } from '@finchpitch/decisions'
 import { nowMs } from '../../clock.js'
@@ -76,9 +77,9 @@
   /** `Retry-After` while the routing table can't be proven fresh. */
   staleTableRetryMs: () => number
   /** The process is about to exit: new requests might not finish in time and are refused at once. */
-  stopping: boolean
-  /** Whether to close the connection after this response. */
-  closeAfterResponse: () => boolean
+  stopping: () => boolean
+  /** Whether to close the caller's connection after its current response. */
+  closeAfterResponse: (socket: Socket) => boolean
 }
 
 /** What follows an attempt. */
@@ -136,10 +137,10 @@
   constructor (private readonly options: ServiceRequestOptions, request: IncomingMessage, response: ServerResponse) {
     this.#incoming = new IncomingRequest(request, options.names)
     this.#record = new RequestRecord(this.#incoming, this.#times)
-    this.#callerResponse = new CallerResponse(response, options.closeAfterResponse, () => this.#watchCaller(response))
+    this.#callerResponse = new CallerResponse(response, () => options.closeAfterResponse(request.socket), () => this.#watchCaller(response))
     this.#admission = new RequestAdmission(options, this.#incoming)
     this.#crashes = new RequestCrashes(options.crashes, this.#incoming)
-    this.#selector = new ServerSelector({ ...options, incoming: this.#incoming, times: this.#times, record: this.#record, crashes: this.#crashes, cancellation: this.#cancellation })
+    this.#selector = new ServerSelector(options, { incoming: this.#incoming, times: this.#times, record: this.#record, crashes: this.#crashes, cancellation: this.#cancellation })
     this.#localReplies = new LocalReplies({ names: options.names, staleTableRetryMs: options.staleTableRetryMs, incoming: this.#incoming, callerResponse: this.#callerResponse, record: this.#record })
     response.on('close', () => { if (!response.writableFinished) this.#cancellation.cancel() })
   }
@@ -161,7 +162,7 @@
   async #handle (): Promise<string> {
     const { facts, stopping, firstAttempts, noTableRetryMs } = this.options
     const { remainingMs } = this.#incoming
-    if (stopping) return this.#localReplies.refuse('stopping')
+    if (stopping()) return this.#localReplies.refuse('stopping')
     await this.options.tableLoaded()
     const routes = facts.routes
     if (routes === undefined) {
--- a/packages/fleet/src/side/side-process.ts
+++ b/packages/fleet/src/side/side-process.ts
@@ -7,7 +7,7 @@
  */
 import type { Duplex } from 'node:stream'
 import { isDeepStrictEqual } from 'node:util'
-import { hostOf, onAbort, pause } from '@finchpitch/core'
+import { hostOf } from '@finchpitch/core'
 import { LoadConcurrency, PaceEstimate, isPaceChangeSignificant, tokenLifetimeMs, type Pace } from '@finchpitch/decisions'
 import { Channel, type Frame, type FrameOf } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
@@ -118,6 +118,7 @@
 
   /** Polls the engine and sends it orders until `signal` aborts. */
   async run (signal: AbortSignal): Promise<void> {
+    signal.addEventListener('abort', () => this.#wake(), { once: true })
     while (!signal.aborted) {
       this.#isWoken = false
       const waitMs = await this.#runOnce(signal)
@@ -368,13 +369,17 @@
     this.#endSleep()
   }
 
-  async #sleep (ms: number, signal: AbortSignal): Promise<void> {
-    const woken = new AbortController()
-    this.#endSleep = () => woken.abort()
-    // The signal may have aborted while the engine was polled.
-    const removeHandler = onAbort(signal, () => woken.abort())
-    await pause(ms, woken.signal)
-    removeHandler()
+  /** Resolves after `ms`, or earlier on `#wake` or when `signal` aborts. */
+  #sleep (ms: number, signal: AbortSignal): Promise<void> {
+    return new Promise(resolve => {
+      // The signal may have aborted while the engine was polled.
+      if (signal.aborted) return resolve()
+      const timer = setTimeout(resolve, ms)
+      this.#endSleep = () => {
+        clearTimeout(timer)
+        resolve()
+      }
+    })
   }
 
   close (): void {
--- a/packages/fleet/src/team.ts
+++ b/packages/fleet/src/team.ts
@@ -5,14 +5,14 @@
  * compared and passed between processes. The platform generates keys at random, so an unsalted SHA-256 can't be reversed by a
  * search.
  */
-import { createHash } from 'node:crypto'
+import { hash } from 'node:crypto'
 import * as z from 'zod'
 
 /** SHA-256 of a key, in hex. */
 export const KeyHash = z.string().regex(/^[0-9a-f]{64}$/).brand<'KeyHash'>()
 export type KeyHash = z.infer<typeof KeyHash>
 
-export const hashKey = (key: string): KeyHash => createHash('sha256').update(key).digest('hex') as KeyHash
+export const hashKey = (key: string): KeyHash => hash('sha256', key, 'hex') as KeyHash
 
 /** The rate limit of a team, over all entries together. */
 export const Quota = z.object({
--- a/packages/fleet/test/replay/plain-service-simulation.ts
+++ b/packages/fleet/test/replay/plain-service-simulation.ts
@@ -149,7 +149,10 @@
     times.deadline = times.arrivedAt + route.timeoutMs
     const excluded = new Set<string>()
     const selection: SelectionRequest = { service, key: undefined, promptTokens: 0, timeToObjectiveMs: objectiveMs, priority: 1, excluded, team }
-    const selector = new ServerSelector({ incoming: { workTokens: 0 } as never, facts: this.#facts, balancer: entry.balancer, queue: entry.queue, plainServices: entry.plain, counters: entry.counters, times, record: { waitedMs: 0 } as never, crashes: { quarantine: () => undefined } as never, cancellation: new Cancellation() })
+    const selector = new ServerSelector(
+      { facts: this.#facts, balancer: entry.balancer, queue: entry.queue, plainServices: entry.plain, counters: entry.counters },
+      { incoming: { workTokens: 0 } as never, times, record: { waitedMs: 0 } as never, crashes: { quarantine: () => undefined } as never, cancellation: new Cancellation() }
+    )
     const end = (served: boolean, notBeforeMs = 0): void => {
       selector.permit.release()
       this.ended.push({ team, entry: index, at: times.arrivedAt, endedAt: nowMs(), served, refusals: excluded.size, notBeforeMs })
--- a/packages/fleet/test/replay/waiting-simulation.ts
+++ b/packages/fleet/test/replay/waiting-simulation.ts
@@ -4,7 +4,7 @@
  *
  * Callers behave as those of the deployments: they retry a refused request once, as told but within a third of their remaining time.
  */
-import { Cancellation, RequestQueue, RequestTimes, ServerSelector, nowMs, type Choice, type NoServer, type Route, type ServerSelectorOptions } from '@finchpitch/fleet'
+import { Cancellation, RequestQueue, RequestTimes, ServerSelector, nowMs, type Choice, type NoServer, type Route, type SelectedRequest, type ServerSelectorOptions } from '@finchpitch/fleet'
 import { FakeTime } from '@finchpitch/stand-ins'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
@@ -133,6 +133,7 @@
     const { slots, busy = { type: 'full', reason: 'all servers are full' } } = this.pattern
     const options = {
       queue: this.#queue,
+      plainServices: { recordDemand: noop, recordShortage: noop, enterQueue: () => noop, isEnforced: () => false, take: () => undefined },
       times,
       record,
       cancellation: new Cancellation(),
@@ -146,6 +147,6 @@
         choose: (): Choice => this.#running < slots(this.#elapsedMs) ? { type: 'send', id: 'server', reason: 'free', expectedMs: 0 } : busy
       }
     }
-    return new ServerSelector(options as unknown as ServerSelectorOptions)
+    return new ServerSelector(options as unknown as ServerSelectorOptions, options as unknown as SelectedRequest)
   }
 }
--- a/packages/fleet/test/server-selector.test.ts
+++ b/packages/fleet/test/server-selector.test.ts
@@ -1,4 +1,4 @@
-import { Cancellation, EntryCounters, RequestQueue, RequestTimes, ServerSelector, nowMs, type Choice, type ServerSelection, type ServerSelectorOptions } from '@finchpitch/fleet'
+import { Cancellation, EntryCounters, RequestQueue, RequestTimes, ServerSelector, nowMs, type Choice, type ServerSelection, type SelectedRequest, type ServerSelectorOptions } from '@finchpitch/fleet'
 import { FakeTime } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
 
@@ -30,15 +30,18 @@
       facts: { get complete () { return { table: 1, server: serversRead ? 1 : 0, version: 0 } }, sight: 'reading', eligibleServers: () => [] },
       balancer: { awaitRateLimit: async () => undefined, choose: () => choice, prefillMs: () => 0 },
       queue,
-      counters: new EntryCounters(),
+      plainServices: { recordDemand: () => {}, enterQueue: () => () => {}, isEnforced: () => false },
+      counters: new EntryCounters()
+    } as unknown as ServerSelectorOptions
+    const selected = {
       times,
       record: { waitedMs: 0 },
       crashes: { quarantine: () => undefined },
       cancellation: new Cancellation()
-    } as unknown as ServerSelectorOptions
+    } as unknown as SelectedRequest
     const request = { service: { name: 'ledger' }, promptTokens: 0, excluded: new Set() } as unknown as Parameters<Choose>[0]
     const admitted = { type: 'admitted', route: { objectiveMs }, priority: 2 } as unknown as Parameters<Choose>[1]
-    const selection = await time.runUntilSettled(new ServerSelector(options).choose(request, admitted))
+    const selection = await time.runUntilSettled(new ServerSelector(options, selected).choose(request, admitted))
     return { selection, ms: nowMs() - from }
   }
 
--- a/packages/wire/src/channel.ts
+++ b/packages/wire/src/channel.ts
@@ -6,7 +6,6 @@
  * not reopened; whoever needs the peer again opens a new one.
  */
 import type { Duplex } from 'node:stream'
-import { pause } from '@finchpitch/core'
 import { FrameDecoder, encodeFrame, type FrameError } from './codec.js'
 import { protocolVersion, type Frame, type FrameOf, type Hello } from './frame.js'
 
@@ -47,8 +46,8 @@
   #resolveHello!: (received: boolean) => void
   #resolveEnded!: (end: ChannelEnd) => void
   #pace: ChannelPace
-  /** Aborts the pause before the next heartbeat. */
-  #wake = new AbortController()
+  /** Runs until the next heartbeat. */
+  #heartbeatTimer: NodeJS.Timeout | undefined
   #lastSent = 0
   #lastReceived = performance.now()
   #peer: Hello | undefined
@@ -61,7 +60,7 @@
     stream.on('error', error => this.close({ reason: 'broken', detail: error.message }))
     stream.on('close', () => this.close({ reason: 'closed' }))
     this.send(options.hello())
-    void this.#runHeartbeats()
+    this.#scheduleHeartbeat()
   }
 
   /** The peer's hello; available once `frames` has yielded a frame. */
@@ -108,7 +107,7 @@
   close (end: ChannelEnd = { reason: 'closed' }): void {
     if (!this.open) return
     this.#end = end
-    this.#wake.abort()
+    clearTimeout(this.#heartbeatTimer)
     this.stream.destroy()
     this.#resolveHello(false)
     this.#resolveEnded(end)
@@ -161,17 +160,24 @@
     if (!this.open) return
     this.#pace = pace
     this.#lastReceived = performance.now()
-    this.#wake.abort()
-    this.#wake = new AbortController()
+    clearTimeout(this.#heartbeatTimer)
+    // Not at once: frames that the caller sends in this turn of the event loop precede the heartbeat, which reports on them.
+    queueMicrotask(() => this.#checkPeer())
   }
 
-  async #runHeartbeats (): Promise<void> {
-    while (this.open) {
-      const { heartbeatMs = defaultHeartbeatMs, silenceTimeoutMs = defaultSilenceTimeoutMs, alwaysHeartbeat } = this.#pace
-      await pause(delayToNextTick(heartbeatMs), this.#wake.signal)
-      const now = performance.now()
-      if (now - this.#lastReceived > silenceTimeoutMs) this.close({ reason: 'silent' })
-      if (alwaysHeartbeat === true || now - this.#lastSent >= heartbeatMs) this.beat()
-    }
+  #scheduleHeartbeat (): void {
+    const { heartbeatMs = defaultHeartbeatMs } = this.#pace
+    clearTimeout(this.#heartbeatTimer)
+    this.#heartbeatTimer = setTimeout(() => this.#checkPeer(), delayToNextTick(heartbeatMs))
+  }
+
+  /** Closes the channel if the peer is silent; otherwise sends a heartbeat if one is due. */
+  #checkPeer (): void {
+    if (!this.open) return
+    const { heartbeatMs = defaultHeartbeatMs, silenceTimeoutMs = defaultSilenceTimeoutMs, alwaysHeartbeat } = this.#pace
+    const now = performance.now()
+    if (now - this.#lastReceived > silenceTimeoutMs) return this.close({ reason: 'silent' })
+    if (alwaysHeartbeat === true || now - this.#lastSent >= heartbeatMs) this.beat()
+    this.#scheduleHeartbeat()
   }
 }
