Streams: write the head together with the first events

The head of a streamed response was written by itself, although the server usually sends the first event along with its head, so that each stream took a write and a packet more than needed.

The head waits for the end of the turn of the event loop in which it arrived, and goes out with the events that arrived with it.

--- a/packages/fleet/src/entry/serving/caller-response.ts
+++ b/packages/fleet/src/entry/serving/caller-response.ts
@@ -51,6 +51,8 @@
 
 export class CallerResponse {
   #started = false
+  /** The head of a stream has been written with a part of the body or its end. */
+  #headWritten = false
 
   /** `onFull`: called when the caller's socket has taken less than was written. */
   constructor (private readonly response: ServerResponse, private readonly closeAfterResponse: () => boolean, private readonly onFull: () => void) {}
@@ -79,21 +81,29 @@
     this.response.end(body)
   }
 
-  /** Sends the head of a streamed response. */
+  /**
+   * Sends the head of a streamed response, in one write with what the server sent of the body along with it. Without such a part, it
+   * is sent at the end of this turn of the event loop.
+   */
   startStream (status: number, raw: RawHeaders): void {
     this.#writeHead(status, forwardedHeaders(raw, contentLengthOnly), isFramed(raw))
-    this.response.flushHeaders()
+    setImmediate(() => {
+      if (!this.#headWritten && !this.response.destroyed) this.response.flushHeaders()
+    })
   }
 
   /** Returns false under backpressure; `onDrain` is called once more may be written. */
   write (chunk: Buffer, onDrain: () => void): boolean {
-    if (chunk.length === 0 || this.response.write(chunk)) return true
+    if (chunk.length === 0) return true
+    this.#headWritten = true
+    if (this.response.write(chunk)) return true
     this.response.once('drain', onDrain)
     this.onFull()
     return false
   }
 
   finish (): void {
+    this.#headWritten = true
     this.response.end()
   }
 
