Quotas: admit a share of a team's requests to each service, whatever their size

Cause: while a team is over its quota, a long prompt at the head of an entry's line takes the tokens of half a second, and everything behind it is rejected meanwhile. Plain requests, which ask for a few percent of the tokens, are rejected as often as generations.

Change: tokens are divided between services (max-min) by the demand at all entries, which the bank reports by service. Each request is admitted or rejected on arrival, by adding up the share of its service. The rate follows the tokens that are left at the bank. Admitted requests don't wait behind larger ones at their entry, and callers that return take the place of new requests. If the bank stops answering, an entry uses its own share and its own demand in the same way until another bank reports.

--- a/packages/decisions/src/token-line.ts
+++ b/packages/decisions/src/token-line.ts
@@ -64,6 +64,11 @@
     this.tokens = this.claims.length === 0 ? 0 : this.tokens - (first?.tokens ?? 0)
   }
 
+  remove (claim: Claim): void {
+    this.claims.splice(this.claims.indexOf(claim), 1)
+    this.tokens = this.claims.length === 0 ? 0 : this.tokens - claim.tokens
+  }
+
   retain (isRetained: (claim: Claim) => boolean): void {
     const before = this.claims.length
     this.claims = this.claims.filter(isRetained)
@@ -99,6 +104,19 @@
     for (let first = this.#first; first !== undefined && serve(first); first = this.#first) this.#lines[first.rank].removeFirst()
   }
 
+  /**
+   * Serves the smallest claim of the first rank while `serve` returns true. For claims that were admitted whatever their size: those
+   * that lack most tokens wait for them without keeping others from theirs.
+   */
+  serveSmallest (serve: (claim: Claim) => boolean): void {
+    for (const line of this.#lines) {
+      for (const claim of [...line.claims].sort((a, b) => a.tokens - b.tokens)) {
+        if (!serve(claim)) return
+        line.remove(claim)
+      }
+    }
+  }
+
   /**
    * Removes and returns the claims that can't be served in time. `perSecond`: the rate at which tokens come in, and at which those
    * of one request do once its turn has come; `Infinity` where it is not known.
--- a/packages/fleet/src/entry/quotas/quota-exchange.ts
+++ b/packages/fleet/src/entry/quotas/quota-exchange.ts
@@ -8,7 +8,7 @@
  */
 import { sliceAgeMs, totalTokens, type TokenSlice } from '@finchpitch/decisions'
 import { pause, type Log } from '@finchpitch/core'
-import type { Channel, FrameOf, AgedTokens, TokenDemand, TokenShortfall } from '@finchpitch/wire'
+import type { Channel, FrameOf, AgedTokens, ServiceTokenDemand, TokenDemand, TokenShortfall } from '@finchpitch/wire'
 import { boottimeMs, afterSocketReads } from '../../clock.js'
 import { RendezvousSelector } from '../peers/rendezvous-selector.js'
 import { Cancellation, cancelledWithin } from '../serving/cancellation.js'
@@ -104,12 +104,21 @@
     this.#askedByLimit = new Map()
     this.#teamsInNeed = new Set(frame.needed)
     this.#sentAt = undefined
-    for (const [team, perSecond] of frame.demand ?? []) this.options.quotas.accounts.get(team)?.noteTotalDemand(perSecond)
+    this.#reportDemand(frame)
     this.#reportAnswers(granted)
     this.#answered.cancel()
     if (this.#sendRequested) this.#send()
   }
 
+  /** Tells the accounts the demand at all entries. */
+  #reportDemand ({ demand = [], serviceDemand = [], left = [] }: FrameOf<'quota_grant'>): void {
+    for (const [team, perSecond] of demand) {
+      const byService = new Map<string, number>()
+      for (const [name, service, asked] of serviceDemand) if (name === team) byService.set(service, asked)
+      this.options.quotas.accounts.get(team)?.noteTotalDemand({ perSecond, byService, left: left.find(([name]) => name === team)?.[1] })
+    }
+  }
+
   /** Tells the accounts how much they were granted of what they asked for. */
   #reportAnswers (granted: ReadonlyMap<string, TokenSlice[]>): void {
     for (const [team, asked] of this.#askedByTeam) this.options.quotas.accounts.get(team)?.answered(asked, totalTokens(granted.get(team) ?? []))
@@ -160,6 +169,7 @@
     const echo = this.#echoes.get(channel)
     const wants: TokenShortfall[] = []
     const demand: TokenDemand[] = []
+    const serviceDemand: ServiceTokenDemand[] = []
     const surplus: Array<[team: string, account: TeamAccount]> = []
     this.#askedByTeam.clear()
     for (const [team, account] of this.options.quotas.accounts) {
@@ -168,13 +178,14 @@
       if (tokens === 0 || pooling) surplus.push([team, account])
       if (tokens > 0 && wants.length < maxTeamsWanted) {
         wants.push(returning + waiting > 0 ? [team, tokens, returning, waiting] : [team, tokens])
-        demand.push([team, account.demand])
         this.#askedByTeam.set(team, tokens)
       }
+      if (tokens > 0 || account.isOverQuota) demand.push([team, account.demand])
+      for (const [service, perSecond] of account.serviceDemand) serviceDemand.push([team, service, perSecond])
     }
     const echoed = echo === undefined ? {} : { echo: { stamp: echo.stamp, heldMs: now - echo.receivedAt } }
     const given = echo === undefined ? { gives: [] } : { ...this.#bookedPart(now), gives: this.#surplusOf(surplus, now) }
-    return { type: 'quota', stamp: now, ...echoed, ...given, wants, ...(demand.length === 0 ? {} : { demand }), ...this.#limitsPart(echo !== undefined), ...this.#servicesPart(echo !== undefined) }
+    return { type: 'quota', stamp: now, ...echoed, ...given, wants, ...(demand.length === 0 ? {} : { demand }), ...(serviceDemand.length === 0 ? {} : { serviceDemand }), ...this.#limitsPart(echo !== undefined), ...this.#servicesPart(echo !== undefined) }
   }
 
   /** Takes what these teams don't need here, first of teams whose tokens other entries need. */
--- a/packages/fleet/src/entry/quotas/quotas.ts
+++ b/packages/fleet/src/entry/quotas/quotas.ts
@@ -6,11 +6,13 @@
  * equal share of every quota, divided by an upper bound of the number of entries, and gives the tokens that it doesn't need to
  * a side process that passes them to entries that do (`quota-exchange.ts`).
  *
- * Requests that lack tokens wait in a line in order of arrival, whatever their size, if their tokens are expected soon. Others are
- * rejected with the time at which tokens are expected for them (`team-account.ts`).
+ * Requests that lack tokens wait in a line in order of arrival, whatever their size, if their tokens are expected soon. While the team
+ * is over its quota, a share of its requests is admitted on arrival instead. Others are rejected with the time at which tokens are
+ * expected for them (`team-account.ts`).
  */
 import { pause, type Log } from '@finchpitch/core'
 import { totalTokens, type QuotaCaller, type TokenSlice } from '@finchpitch/decisions'
+import { maxServiceNameLength } from '@finchpitch/wire'
 import { boottimeMs } from '../../clock.js'
 import type { Limits } from '../../ports.js'
 import type { FleetTeam, Quota } from '../../team.js'
@@ -82,14 +84,17 @@
     this.#hasTeams = true
   }
 
-  /** Reserves what the request costs, or returns the milliseconds after which its caller should retry. */
-  async reserve (team: FleetTeam, stated: string | undefined, caller = unknownCaller): Promise<Reservation | number> {
+  /** Reserves what the request to `service` costs, or returns the milliseconds after which its caller should retry. */
+  async reserve (team: FleetTeam, stated: string | undefined, caller = unknownCaller, service = ''): Promise<Reservation | number> {
     const account = this.#accounts.get(team.name)
     if (account === undefined || team.quota === undefined) return { team: team.name, slices: [], spent: false }
     const tokens = costOf(team.quota, stated)
     const returning = caller.firstTriedMs > 0
-    account.recordDemand(tokens, returning)
-    const slices = account.take(tokens, caller) ?? await this.#wait(account, team.name, tokens, caller)
+    const ofService = service.slice(0, maxServiceNameLength)
+    account.recordDemand(tokens, returning, ofService)
+    const slices = account.admitsByShare
+      ? await this.#admit(account, team.name, tokens, caller, ofService)
+      : account.take(tokens, caller) ?? await this.#wait(account, team.name, tokens, caller)
     if (returning) this.options.counters.quotaReturning.inc({ result: slices === undefined ? 'rejected' : 'served' })
     return slices === undefined ? this.#reject(account, team.name, tokens, caller) : { team: team.name, slices, spent: false }
   }
@@ -134,10 +139,23 @@
   async #wait (account: TeamAccount, team: string, tokens: number, caller: QuotaCaller): Promise<TokenSlice[] | undefined> {
     return await new Promise(resolve => {
       if (!account.join(tokens, caller, resolve)) resolve(undefined)
-      else if (!this.#serving.has(account)) void this.#serveLine(account, team)
+      else this.#startServing(account, team)
     })
   }
 
+  /** Decides at once whether the request gets tokens, and waits for those that are not at hand. */
+  async #admit (account: TeamAccount, team: string, tokens: number, caller: QuotaCaller, service: string): Promise<TokenSlice[] | undefined> {
+    if (!account.admits(service, caller)) return undefined
+    return account.takeAdmitted(tokens, caller) ?? await new Promise(resolve => {
+      account.joinAdmitted(tokens, caller, resolve)
+      this.#startServing(account, team)
+    })
+  }
+
+  #startServing (account: TeamAccount, team: string): void {
+    if (!this.#serving.has(account)) void this.#serveLine(account, team)
+  }
+
   /** Requests tokens until the line of the team is empty. */
   async #serveLine (account: TeamAccount, team: string): Promise<void> {
     this.#serving.add(account)
--- a/packages/fleet/src/entry/quotas/team-account.ts
+++ b/packages/fleet/src/entry/quotas/team-account.ts
@@ -2,9 +2,10 @@
  * The tokens of one team's quota at this entry, the line of requests that wait for them, and the bookings of rejected requests.
  *
  * Load: a team sends several times its quota, from callers on few entries. The reserve follows the demand here, but never exceeds
- * this entry's part of the quota, so that the entries don't compete by growing reserves.
+ * this entry's part of the quota, so that the entries don't compete by growing reserves. While the team is over its quota, a share of
+ * its requests to each service is admitted, whatever their size (`share-admission.ts`).
  */
-import { BookingSchedule, DecayingSum, TokenLine, claimRankOf, claimRanks, demandReserve, maxReturnMs, waitMs, type Booking, type ClaimRank, type QuotaCaller, type TokenClaim, type TokenSlice } from '@finchpitch/decisions'
+import { BookingSchedule, DecayingSum, ShareAdmission, TokenLine, admissionRate, claimRankOf, claimRanks, demandReserve, maxReturnMs, serviceShares, waitMs, type Booking, type ClaimRank, type QuotaCaller, type ServiceDemand, type TokenClaim, type TokenSlice } from '@finchpitch/decisions'
 import { boottimeMs } from '../../clock.js'
 import { quotaBoundOf, type Limits } from '../../ports.js'
 import type { Quota } from '../../team.js'
@@ -50,6 +51,18 @@
 const servedFactor = 2
 /** Tokens of due bookings are set aside for at most the entry's earnings of this time, in which those callers return. */
 const setAsideMs = 300
+/**
+ * While requests are admitted by share, this part of the tokens is booked for callers that return. A booked token serves a later
+ * request instead of a new one, which would be served sooner.
+ */
+const bookedShare = 0.25
+/** The demand for a service is forgotten below this many tokens per second. */
+const minServiceDemand = 1
+/** Without an answer of a bank, a team counts as over its quota for this long after the last report. Another bank is chosen sooner. */
+const ownShareMs = 3000
+/** Shares by the demand here are computed again after this time. */
+const ownSharesMs = 50
+const noShares: ReadonlyMap<string, number> = new Map()
 /** The bank's figure of the demand at all entries counts for this long: four exchanges. */
 const totalDemandTtlMs = 1000
 
@@ -63,6 +76,15 @@
   settle: (slices: TokenSlice[] | undefined) => void
 }
 
+/** What the bank reports of a team that is short of tokens. */
+export interface TeamReport {
+  /** Demand at all entries, in tokens per second. */
+  perSecond: number
+  byService?: ServiceDemand
+  /** Tokens that are left at the bank; negative if some are lacking. */
+  left?: number | undefined
+}
+
 /** A caller of whom nothing is known. */
 export const unknownCaller: QuotaCaller = { firstTriedMs: 0, remainingMs: Infinity, objectiveMs: Infinity }
 
@@ -74,8 +96,12 @@
   readonly #granted = new DecayingSum(demandHalfLifeMs)
   /** Moving average of the request sizes at this entry. */
   #averageSize = 0
-  /** Demand at all entries as the bank last reported it. */
-  #totalDemand: { perSecond: number, at: number } | undefined
+  /** Demand at all entries as the bank last reported it, and the share of it that is admitted, by service. */
+  #totalDemand: { perSecond: number, at: number, shares: ReadonlyMap<string, number> } | undefined
+  readonly #serviceDemand = new Map<string, DecayingSum>()
+  readonly #admission = new ShareAdmission()
+  /** Shares by the demand here, for when the bank doesn't answer. */
+  #ownShares: { at: number, shares: ReadonlyMap<string, number> } = { at: -Infinity, shares: noShares }
   #bankAnswers = true
   /** When an exchange last brought too few tokens. */
   #shortageAt = -Infinity
@@ -96,9 +122,59 @@
   }
 
   /** Counts the tokens that a request costs as demand. A returning caller's request has been counted before. */
-  recordDemand (tokens: number, returning = false): void {
+  recordDemand (tokens: number, returning = false, service = ''): void {
     this.#averageSize += (tokens - this.#averageSize) * sizeWeight
-    if (!returning) this.#demand.add(tokens, boottimeMs())
+    if (returning) return
+    const now = boottimeMs()
+    this.#demand.add(tokens, now)
+    const ofService = this.#serviceDemand.get(service) ?? new DecayingSum(demandHalfLifeMs)
+    ofService.add(tokens, now)
+    this.#serviceDemand.set(service, ofService)
+  }
+
+  /**
+   * Whether requests are admitted by share: while callers ask for more than the quota, over all entries. If the bank stops
+   * answering then, the demand here and the own share of the quota decide, until another bank reports.
+   */
+  get admitsByShare (): boolean {
+    if (this.#totalDemand === undefined) return false
+    return this.#bankAnswers ? this.isOverQuota && this.#totalDemand.shares.size > 0 : this.#admitsByOwnShare(this.#totalDemand)
+  }
+
+  #admitsByOwnShare ({ perSecond, at }: TeamReport & { at: number }): boolean {
+    return perSecond > this.quota.perSecond && boottimeMs() - at < ownShareMs && this.demand > this.#tokens.ownRate
+  }
+
+  /** The share of the requests to each service that is admitted. */
+  get #shares (): ReadonlyMap<string, number> {
+    if (this.#bankAnswers) return this.#totalDemand?.shares ?? noShares
+    const now = boottimeMs()
+    if (now - this.#ownShares.at >= ownSharesMs) {
+      this.#tokens.earn()
+      const rate = admissionRate(this.#tokens.ownRate, this.#tokens.total - this.#line.tokens)
+      this.#ownShares = { at: now, shares: serviceShares(new Map(this.serviceDemand), rate) }
+    }
+    return this.#ownShares.shares
+  }
+
+  /** Whether a request gets tokens, decided by its service and its caller and not by its size. */
+  admits (service: string, caller: QuotaCaller): boolean {
+    const share = this.#shares.get(service) ?? 1
+    const rank = claimRankOf(caller)
+    if (rank === claimRanks.first || share >= 1) return this.#admission.admits(service, share)
+    if (rank === claimRanks.returning) this.#admission.admitReturning(service)
+    return rank === claimRanks.returning
+  }
+
+  /** Takes exactly `tokens` for an admitted request, if there are enough. */
+  takeAdmitted (tokens: number, caller: QuotaCaller): TokenSlice[] | undefined {
+    return this.#takeInTurn(tokens, claimRankOf(caller))
+  }
+
+  /** Lets an admitted request wait for its tokens. */
+  joinAdmitted (tokens: number, caller: QuotaCaller, settle: WaitingRequest['settle']): void {
+    const servedBy = boottimeMs() + maxTurnMsOf(caller) * servedFactor
+    this.#line.add({ tokens, rank: claimRankOf(caller), turnBy: servedBy, servedBy, settle })
   }
 
   /** Takes exactly `tokens` if there are enough and no request is ahead in the line. */
@@ -148,10 +224,11 @@
   /** Serves the line in order, and rejects requests that can't be served in time. */
   updateLine (): void {
     if (this.#line.isEmpty) return
-    if (!this.isPooling) this.#serveLine()
+    const served = !this.isPooling || this.admitsByShare
+    if (served) this.#serveLine()
     const available = this.#availableFor(claimRanks.first)
-    for (const claim of this.#line.removeLate(boottimeMs(), available, this.isShort ? { turn: this.#perSecond, own: this.#ownPerSecond } : unknownRates)) claim.settle(undefined)
-    if (!this.isPooling) this.#serveLine()
+    for (const claim of this.#line.removeLate(boottimeMs(), available, this.isShort && !this.admitsByShare ? { turn: this.#perSecond, own: this.#ownPerSecond } : unknownRates)) claim.settle(undefined)
+    if (served) this.#serveLine()
   }
 
   /** Time until the next exchange makes sense, or a request in the line is late. */
@@ -182,13 +259,14 @@
     const lineTokens = this.#line.tokens - this.#availableFor(claimRanks.first)
     // A caller that was rejected again does not return. Others may have to wait again then, so a longer time would make them late.
     const maxMs = caller.firstTriedMs > 0 ? 0 : Math.min(maxReturnMs(caller), maxTurnMsOf(caller))
-    return this.#bookings.book({ tokens, lineTokens, perSecond: this.#perSecond, maxMs }, now)
+    const perSecond = this.#perSecond * (this.admitsByShare ? bookedShare : 1)
+    return this.#bookings.book({ tokens, lineTokens, perSecond, maxMs }, now)
   }
 
   /** Adds tokens that belong to a request that was not sent. */
   deposit (slices: readonly TokenSlice[]): void {
     this.#tokens.addAll(slices)
-    if (!this.#line.isEmpty && !this.isPooling) this.#serveLine()
+    if (!this.#line.isEmpty && (!this.isPooling || this.admitsByShare)) this.#serveLine()
   }
 
   /** Adds tokens that other entries gave, and counts them for the estimate of when more are available. */
@@ -204,9 +282,22 @@
     if (granted < asked * satisfiedShare) this.noteShortage(true)
   }
 
-  /** The bank reports the demand at all entries while requests wait for tokens. */
-  noteTotalDemand (perSecond: number): void {
-    this.#totalDemand = { perSecond, at: boottimeMs() }
+  /** The bank reports the demand at all entries while requests wait for tokens or the team is over its quota. */
+  noteTotalDemand ({ perSecond, byService = new Map(), left = 0 }: TeamReport): void {
+    this.#totalDemand = { perSecond, at: boottimeMs(), shares: serviceShares(byService, admissionRate(this.quota.perSecond, left)) }
+    if (!this.isOverQuota) this.#admission.reset()
+  }
+
+  /** Tokens per second that callers ask for at this entry, by service, while the team is short of tokens. */
+  get serviceDemand (): Array<[service: string, perSecond: number]> {
+    if (!this.isShort && !this.isOverQuota && this.#bankAnswers) return []
+    const demand: Array<[string, number]> = []
+    for (const [service, sum] of this.#serviceDemand) {
+      const perSecond = rateOf(sum)
+      if (perSecond < minServiceDemand) this.#serviceDemand.delete(service)
+      else demand.push([service, perSecond])
+    }
+    return demand
   }
 
   /** Whether reserved tokens have not expired. */
@@ -220,7 +311,7 @@
    * and larger ones would not.
    */
   get isPooling (): boolean {
-    return this.#isOverQuota && this.#bankAnswers
+    return this.isOverQuota && this.#bankAnswers
   }
 
   /** What this entry is short of, beside the tokens that it has unless it gives those away. */
@@ -278,11 +369,13 @@
   }
 
   #serveLine (): void {
-    this.#line.serve(({ tokens, rank, settle }) => {
+    const serve = ({ tokens, rank, settle }: WaitingRequest): boolean => {
       const slices = this.#takeInTurn(tokens, rank)
       if (slices !== undefined) settle(slices)
       return slices !== undefined
-    })
+    }
+    if (this.admitsByShare) this.#line.serveSmallest(serve)
+    else this.#line.serve(serve)
   }
 
   /** Tokens at hand for a request of this rank. */
@@ -321,14 +414,14 @@
    */
   get #reserve (): number {
     const { ownRate, lifetimeMs } = this.#tokens
-    if (this.#isOverQuota) return 0
+    if (this.isOverQuota) return 0
     const requests = Math.min(reserveRequests * this.#averageSize, ownRate * lifetimeMs / 1000 * maxReserveShare)
     const idleMs = Math.min(reserveMs, lifetimeMs * maxIdleReserveShare)
     return Math.max(demandReserve(this.quota.perSecond, { here: this.demand, total: this.#knownTotalDemand }), ownRate * idleMs / 1000, requests)
   }
 
   /** Whether callers ask for more than the quota, over all entries. */
-  get #isOverQuota (): boolean {
+  get isOverQuota (): boolean {
     return (this.#knownTotalDemand ?? 0) > this.quota.perSecond
   }
 
--- a/packages/fleet/src/entry/serving/request-admission.ts
+++ b/packages/fleet/src/entry/serving/request-admission.ts
@@ -59,15 +59,15 @@
 
   /**
    * Reserves the quota that the request costs, once. If it isn't available, returns the milliseconds after which the caller should
-   * retry. `firstTriedMs`: time since the caller's first attempt, 0 if this is the first.
+   * retry. `firstTriedMs`: time since the caller's first attempt, 0 if this is the first. `service`: the target of the route.
    */
-  async reserve ({ team, route }: Admission, firstTriedMs: number): Promise<number | undefined> {
+  async reserve ({ team, route }: Admission, firstTriedMs: number, service: string | undefined): Promise<number | undefined> {
     const { quotas } = this.options
     const known = this.#reservation
     if (team?.quota === undefined || known?.spent === true) return undefined
     if (known !== undefined && quotas.isValid(known, team)) return undefined
     this.release()
-    const reserved = await quotas.reserve(team, this.incoming.tokens, { firstTriedMs, remainingMs: this.incoming.remainingMs, objectiveMs: route.objectiveMs })
+    const reserved = await quotas.reserve(team, this.incoming.tokens, { firstTriedMs, remainingMs: this.incoming.remainingMs, objectiveMs: route.objectiveMs }, service)
     if (typeof reserved === 'number') return reserved
     this.#reservation = reserved
     return undefined
--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -174,7 +174,7 @@
     const { route } = admission
     if (this.#incoming.hasInvalidModel) return this.#localReplies.end('bad_model')
     this.#times.firstTriedMs = firstAttempts.agoMs(route.name, remainingMs)
-    const readyInMs = await this.#admission.reserve(admission, this.#times.firstTriedMs)
+    const readyInMs = await this.#admission.reserve(admission, this.#times.firstTriedMs, this.#serviceOf(admission.route)?.name)
     if (readyInMs !== undefined) return this.#localReplies.overQuota(readyInMs)
     this.#times.deadline = this.#times.arrivedAt + Math.min(remainingMs, route.timeoutMs)
     if (!await this.#mayReadBody()) return this.#localReplies.refuse('too_many_bytes_kept')
@@ -220,7 +220,7 @@
       if (routes === undefined) return this.#giveUp('no_table')
       const admission = await this.#admit()
       if (admission.type === 'denied') return this.#mayHaveRun ? this.#fail(502, admission.reason) : this.#localReplies.deny(admission)
-      const readyInMs = await this.#admission.reserve(admission, this.#times.firstTriedMs)
+      const readyInMs = await this.#admission.reserve(admission, this.#times.firstTriedMs, this.#serviceOf(admission.route)?.name)
       if (readyInMs !== undefined) return this.#mayHaveRun ? this.#fail(502, 'over_quota') : this.#localReplies.overQuota(readyInMs)
       // Such a request would crash any server, with all requests that run there. Of ten sent to four entries, all ten reached an
       // engine without this check, and two or three with it.
--- a/packages/fleet/src/side/quota-bank.ts
+++ b/packages/fleet/src/side/quota-bank.ts
@@ -10,7 +10,7 @@
  * taken as expired, and a bank starts empty after a restart.
  */
 import { ExpiringTokens, sliceAgeMs, totalTokens, type TokenSlice } from '@finchpitch/decisions'
-import type { FrameOf, AgedRequests, AgedTokens, TokenDemand } from '@finchpitch/wire'
+import type { FrameOf, AgedRequests, AgedTokens, ServiceTokenDemand, TokenDemand, TokensLeft } from '@finchpitch/wire'
 import { boottimeMs } from '../clock.js'
 import { ServiceBank } from './service-bank.js'
 
@@ -43,6 +43,8 @@
   readonly #unmet = new Map<string, Shortfall & { at: number }>()
   /** For each entry, its demand in tokens per second, and when it reported that. */
   readonly #demand = new Map<string, { perSecond: number, at: number }>()
+  /** For each entry, the same by service. */
+  readonly #serviceDemand = new Map<string, { perSecond: Map<string, number>, at: number }>()
   askedAt = -Infinity
   usedAt = boottimeMs()
 
@@ -105,6 +107,31 @@
     return sum
   }
 
+  /** Adds to what the entry reports in the same frame. */
+  noteServiceDemand (entry: string, service: string, perSecond: number): void {
+    const at = boottimeMs()
+    const known = this.#serviceDemand.get(entry)
+    if (known?.at === at) known.perSecond.set(service, perSecond)
+    else this.#serviceDemand.set(entry, { perSecond: new Map([[service, perSecond]]), at })
+  }
+
+  /** The demand at all entries by service; empty if no entry was short of tokens lately. */
+  get serviceDemand (): Map<string, number> {
+    const now = boottimeMs()
+    const sums = new Map<string, number>()
+    for (const [entry, { perSecond, at }] of this.#serviceDemand) {
+      if (now - at > demandTtlMs) this.#serviceDemand.delete(entry)
+      else for (const [service, each] of perSecond) sums.set(service, (sums.get(service) ?? 0) + each)
+    }
+    return sums
+  }
+
+  /** Tokens that are left, without those that waiting requests lack. */
+  left (since: number): number {
+    const { all } = this.#unmetOfOthers(undefined, boottimeMs())
+    return this.tokens.total(since) - all.returning - all.waiting
+  }
+
   /** Callers that have not returned by now don't return, so the tokens held for them are for anybody. */
   #releaseHeld (since: number): void {
     const now = boottimeMs()
@@ -122,7 +149,7 @@
   }
 
   /** What other entries lack: those that ran short before this one, and all of them. */
-  #unmetOfOthers (entry: string, now: number): { ahead: Shortfall, all: Shortfall } {
+  #unmetOfOthers (entry: string | undefined, now: number): { ahead: Shortfall, all: Shortfall } {
     const all = { ...noShortfall }
     let ahead: Shortfall | undefined
     for (const [each, unmet] of this.#unmet) {
@@ -148,7 +175,7 @@
   readonly #services = new ServiceBank()
 
   /** Adds the tokens that an entry gives, and answers its requests with grants. */
-  exchange (entry: string, { stamp, echo, gives, booked, wants, demand, servers, services }: FrameOf<'quota'>, lifetimeOf: (team: string) => number | undefined): FrameOf<'quota_grant'> {
+  exchange (entry: string, { stamp, echo, gives, booked, wants, demand, serviceDemand, servers, services }: FrameOf<'quota'>, lifetimeOf: (team: string) => number | undefined): FrameOf<'quota_grant'> {
     const now = boottimeMs()
     // The frame was sent after the echoed answer had arrived, so this bounds the time that it was in transit.
     const maxTransitMs = echo === undefined ? undefined : Math.max(0, now - (echo.stamp + echo.heldMs))
@@ -158,6 +185,7 @@
       for (const [limit, requests, ageMs] of servers?.gives ?? []) poolOf(this.#limitPools, limit).tokens.add(requests, now - ageMs - maxTransitMs)
     }
     for (const [team, perSecond] of demand ?? []) poolOf(this.#teamPools, team).noteDemand(entry, perSecond)
+    for (const [team, service, perSecond] of serviceDemand ?? []) poolOf(this.#teamPools, team).noteServiceDemand(entry, service, perSecond)
     const teams = new Set(wants.map(([team]) => team))
     for (const [team, pool] of this.#teamPools) if (!teams.has(team)) pool.clearUnmet(entry)
     const grants: AgedTokens[] = []
@@ -168,8 +196,7 @@
     }
     const requests = servers?.wants.flatMap(([limit, count, lifetimeMs]) => this.#grantRequests(entry, limit, count, now - lifetimeMs))
     this.#removeIdleLimits(now)
-    const totals = this.#demandOfShortTeams(now)
-    return { type: 'quota_grant', stamp, bankStamp: now, grants, needed: this.#teamsInNeed(now), ...(totals.length === 0 ? {} : { demand: totals }), ...(requests === undefined ? {} : { servers: requests }), ...this.#servicesPart(entry, services, maxTransitMs) }
+    return { type: 'quota_grant', stamp, bankStamp: now, grants, needed: this.#teamsInNeed(now), ...this.#shortTeams(now, lifetimeOf), ...(requests === undefined ? {} : { servers: requests }), ...this.#servicesPart(entry, services, maxTransitMs) }
   }
 
   /** The part of an answer about busy plain services: entries that exchange nothing for them yet learn which are busy. */
@@ -207,11 +234,20 @@
     return needed
   }
 
-  /** The total demand of each team with requests that wait for tokens. */
-  #demandOfShortTeams (now: number): TokenDemand[] {
-    const totals: TokenDemand[] = []
-    for (const [team, pool] of this.#teamPools) if (pool.isShort(now)) totals.push([team, pool.demand])
-    return totals
+  /** Total demand of each team with requests that wait for tokens or that is over its quota, and what is left of its tokens. */
+  #shortTeams (now: number, lifetimeOf: (team: string) => number | undefined): Pick<FrameOf<'quota_grant'>, 'demand' | 'serviceDemand' | 'left'> {
+    const demand: TokenDemand[] = []
+    const serviceDemand: ServiceTokenDemand[] = []
+    const left: TokensLeft[] = []
+    for (const [team, pool] of this.#teamPools) {
+      const byService = pool.serviceDemand
+      if (byService.size === 0 && !pool.isShort(now)) continue
+      demand.push([team, pool.demand])
+      for (const [service, perSecond] of byService) serviceDemand.push([team, service, perSecond])
+      left.push([team, pool.left(now - (lifetimeOf(team) ?? 0))])
+    }
+    if (demand.length === 0) return {}
+    return serviceDemand.length === 0 ? { demand } : { demand, serviceDemand, left }
   }
 
   #removeIdleLimits (now: number): void {
--- a/packages/fleet/test/quotas.test.ts
+++ b/packages/fleet/test/quotas.test.ts
@@ -77,7 +77,7 @@
         // A restarted entry doesn't receive the answers to its previous incarnation.
         if (this.at(entry) !== account) return
         this.#echoes.set(id, { stamp: answer.bankStamp, receivedAt: boottimeMs() })
-        for (const [, total] of answer.demand ?? []) account.noteTotalDemand(total)
+        for (const [, total] of answer.demand ?? []) account.noteTotalDemand({ perSecond: total })
         account.granted(answer.grants.map(([, granted, ageMs]) => ({ tokens: granted, earnedAt: answer.stamp - ageMs })))
         account.answered(tokens, answer.grants.reduce((sum, [, granted]) => sum + granted, 0))
       })
@@ -245,6 +245,36 @@
     })
   })
 
+  describe('of a team that sends plain requests, generations and long prompts, 2.9 times its quota together', function () {
+    this.timeout(30_000)
+    const flooded: Quota = { ...quota, perSecond: 455_000, burst: 455_000 }
+    const floodLimits: Limits = { ...limits, quotaSlack: 110_000 }
+    const generations = [{ tokens: 300, part: 0.2 }, { tokens: 1200, part: 0.24 }, { tokens: 2500, part: 0.14 }, { tokens: 9000, part: 0.012 }, { tokens: 20_000, part: 0.008 }]
+    // Long enough for some 300 callers of the rarest size.
+    const halfMs = 20_000
+
+    for (const [description, calledEntries, killsBank] of [['all entries', 28, false], ['two of 28 entries', 2, false], ['all entries, whose bank is killed,', 28, true]] as const) {
+      // Guards against a line in which a long prompt keeps all requests behind it from their tokens until they are rejected.
+      it(`from ${description} serve nearly all plain requests, and generations of all sizes alike`, async () => {
+        const replay = new QuotaReplay(time, { seed: 11, quota: flooded, limits: floodLimits, load: 2.86, startMs: 5000, calledEntries, mix: [{ tokens: 200, part: 0.4, plain: true }, ...generations] })
+        await replay.run(1000)
+        const from = nowMs()
+        await replay.run(halfMs)
+        if (killsBank) replay.killBankInUse()
+        await replay.run(halfMs)
+        replay.stop()
+        const used = replay.spent.reduce((sum, { at, tokens }) => at < from ? sum : sum + tokens, 0)
+        expect(used / (flooded.perSecond * 2 * halfMs / 1000)).to.be.at.least(0.9)
+        expect(replay.servedShare(from, [200])).to.be.at.least(0.9)
+        const shares = generations.map(({ tokens }) => replay.servedShare(from, [tokens]))
+        expect(Math.min(...shares) / Math.max(...shares), shares.join(' ')).to.be.at.least(2 / 3)
+        const rejectedMs = replay.callers.flatMap(({ startedAt, rejections, firstDecidedMs }) => startedAt < from || rejections === 0 || firstDecidedMs === undefined ? [] : [firstDecidedMs])
+        expect(rejectedMs.filter(ms => ms <= 1).length / rejectedMs.length).to.be.at.least(0.99)
+        expect(maxSpentIn(floodLimits.quotaWindowMs, replay.spent)).to.be.at.most(boundOf(flooded, floodLimits.quotaSlack))
+      })
+    }
+  })
+
   describe('for one request', () => {
     const red = { name: team, keys: [], quota }
     const requested: number[] = []
--- a/packages/fleet/test/replay/quota-replay.ts
+++ b/packages/fleet/test/replay/quota-replay.ts
@@ -1,5 +1,5 @@
 /**
- * Replays a team that sends several times its quota from few entries, which exchange tokens through two banks, on a fake clock.
+ * Replays a team that sends several times its quota from few or all entries, which exchange tokens through two banks, on a fake clock.
  *
  * The entries run the production code except for sockets. A rejected caller waits as told, but at most a third of its remaining
  * time, and returns once, at another entry of its domain.
@@ -21,14 +21,27 @@
   load: number
   /** Time from the start of a process until it serves requests. */
   startMs: number
+  /** Callers send their first requests to this many entries; 2 if not stated. */
+  calledEntries?: number
+  mix?: readonly RequestKind[]
 }
 
-/** Tokens of requests. */
-const sizes = [200, 200, 600, 1200, 1900]
+/** Requests of one size. */
+export interface RequestKind {
+  tokens: number
+  /** Part of all requests. */
+  part: number
+  /** Requests to a service of their own, with a short objective. */
+  plain?: boolean
+}
+
+const evenMix: readonly RequestKind[] = [200, 200, 600, 1200, 1900].map(tokens => ({ tokens, part: 0.2 }))
 const entryCount = 28
 const entriesPerDomain = 7
 const patienceMs = 5000
 const objectiveMs = 506
+const plainPatienceMs = 1000
+const plainObjectiveMs = 199
 /** A caller that returns sooner is not recognized. */
 const recognizedMs = 150
 const stepMs = 10
@@ -38,7 +51,7 @@
 const warmupFactor = 2
 
 /** One caller, from its first request until it is served or gives up. */
-interface Caller { size: number, startedAt: number, served: boolean, rejections: number }
+interface Caller { size: number, plain: boolean, startedAt: number, served: boolean, rejections: number, firstDecidedMs?: number }
 
 /** The most tokens spent in any window of this length. */
 export const maxSpentIn = (windowMs: number, spent: ReadonlyArray<{ at: number, tokens: number }>): number => {
@@ -58,6 +71,7 @@
   /** Share of frames that are lost. */
   lostShare = 0
   readonly #banks = new Map<string, QuotaBank>()
+  #bankInUse = ''
   readonly #draw: () => number
   readonly #team: FleetTeam
   readonly #stop = new AbortController()
@@ -74,14 +88,20 @@
   }
 
   async run (ms: number): Promise<void> {
-    const meanSize = sizes.reduce((sum, size) => sum + size, 0) / sizes.length
+    const { mix = evenMix, calledEntries = 2 } = this.pattern
+    const meanSize = mix.reduce((sum, { tokens, part }) => sum + tokens * part, 0)
     const perStep = this.pattern.load * this.pattern.quota.perSecond / meanSize * stepMs / 1000
     for (const until = nowMs() + ms; nowMs() < until;) {
-      for (let count = perStep; count > 0; count--) if (this.#draw() < count) void this.#call(this.#draw() < 0.5 ? 0 : 1, sizes[Math.floor(this.#draw() * sizes.length)] ?? 0)
+      for (let count = perStep; count > 0; count--) if (this.#draw() < count) void this.#call(Math.floor(this.#draw() * calledEntries), this.#drawKind(mix))
       await this.time.advance(stepMs)
     }
   }
 
+  /** The other bank stays. */
+  killBankInUse (): void {
+    this.#banks.delete(this.#bankInUse)
+  }
+
   killBanks (): void {
     this.#banks.clear()
   }
@@ -100,18 +120,26 @@
     return callers.filter(({ served }) => served).length / callers.length
   }
 
-  async #call (entry: number, size: number): Promise<void> {
-    const caller: Caller = { size, startedAt: nowMs(), served: false, rejections: 0 }
+  #drawKind (mix: readonly RequestKind[]): RequestKind {
+    let left = this.#draw()
+    return mix.find(({ part }) => (left -= part) < 0) ?? mix[0] as RequestKind
+  }
+
+  async #call (entry: number, { tokens, plain = false }: RequestKind): Promise<void> {
+    const caller: Caller = { size: tokens, plain, startedAt: nowMs(), served: false, rejections: 0 }
     this.callers.push(caller)
     const retryMs = await this.#attempt(entry, caller)
-    const next = (entry + 1 + Math.floor(this.#draw() * (entriesPerDomain - 1))) % entriesPerDomain
-    if (retryMs !== undefined) setTimeout(() => { void this.#attempt(next, caller) }, Math.min(retryMs, (patienceMs - (nowMs() - caller.startedAt)) / 3))
+    caller.firstDecidedMs = nowMs() - caller.startedAt
+    const domain = Math.floor(entry / entriesPerDomain) * entriesPerDomain
+    const next = domain + (entry + 1 + Math.floor(this.#draw() * (entriesPerDomain - 1))) % entriesPerDomain
+    const remainingMs = (plain ? plainPatienceMs : patienceMs) - caller.firstDecidedMs
+    if (retryMs !== undefined) setTimeout(() => { void this.#attempt(next, caller) }, Math.min(retryMs, remainingMs / 3))
   }
 
   /** Returns the time after which the caller should retry, if it was rejected. */
   async #attempt (entry: number, caller: Caller): Promise<number | undefined> {
     const agoMs = nowMs() - caller.startedAt
-    const reserved = await this.#entries[entry]?.reserve(this.#team, `${caller.size},0`, { firstTriedMs: agoMs < recognizedMs ? 0 : agoMs, remainingMs: patienceMs - agoMs, objectiveMs })
+    const reserved = await this.#entries[entry]?.reserve(this.#team, `${caller.size},0`, { firstTriedMs: agoMs < recognizedMs ? 0 : agoMs, remainingMs: (caller.plain ? plainPatienceMs : patienceMs) - agoMs, objectiveMs: caller.plain ? plainObjectiveMs : objectiveMs }, caller.plain ? 'plain' : 'generations')
     if (typeof reserved === 'number') {
       caller.rejections += 1
       return reserved
@@ -128,6 +156,7 @@
     const entries = (): number => boottimeMs() - startedAt < warmupMs ? entryCount * warmupFactor : entryCount
     const quotas: Quotas = new Quotas({ limits: () => limits, entries, startedAt, exchangeNow: async () => await exchange.exchangeNow(), counters: new EntryCounters(), log: silentLog })
     const send = (host: string, frame: FrameOf<'quota'>): void => this.#deliver(() => {
+      this.#bankInUse = host
       const grant = this.#banks.get(host)?.exchange(`entry-${entry}`, frame, () => lifetimeMs)
       if (grant !== undefined) this.#deliver(() => exchange.handleGrant(host, channels.get(host) as Channel, grant))
     })
--- a/packages/wire/src/fast-validation.ts
+++ b/packages/wire/src/fast-validation.ts
@@ -7,7 +7,7 @@
  * not been compiled yet. One of the first 400 frames takes 30 µs instead of 73 µs with the schema, and 3 µs instead of 6 µs once
  * the code has been compiled.
  */
-import { StoreSight, maxAdapterKeyLength, maxHostLength, maxReasonLength, maxTeamNameLength, maxUsesPerFrame, type Frame, type FrameOf } from './frame.js'
+import { StoreSight, maxAdapterKeyLength, maxHostLength, maxReasonLength, maxServiceNameLength, maxTeamNameLength, maxUsesPerFrame, type Frame, type FrameOf } from './frame.js'
 
 type Check = (value: unknown) => boolean
 
@@ -38,6 +38,10 @@
 const isTokenWant: Check = value => Array.isArray(value) && (value.length === 2 || (value.length === 4 && isNonNegative(value[2]) && isNonNegative(value[3]))) && isTeam(value[0]) && isNonNegative(value[1])
 const isTokenDemand: Check = value => Array.isArray(value) && value.length === 2 && isTeam(value[0]) && isNonNegative(value[1])
 const isTokenDemandArray: Check = value => Array.isArray(value) && value.every(isTokenDemand)
+const isServiceName: Check = value => typeof value === 'string' && value.length <= maxServiceNameLength
+const isServiceDemand: Check = value => Array.isArray(value) && value.length === 3 && isTeam(value[0]) && isServiceName(value[1]) && isNonNegative(value[2])
+const isServiceDemandArray: Check = value => Array.isArray(value) && value.every(isServiceDemand)
+const isTokensLeft: Check = value => Array.isArray(value) && value.length === 2 && isTeam(value[0]) && Number.isFinite(value[1])
 const isAgedTokens: Check = value => Array.isArray(value) && value.length === 3 && isTeam(value[0]) && isNonNegative(value[1]) && isNonNegative(value[2])
 const isAgedTokensArray: Check = value => Array.isArray(value) && value.every(isAgedTokens)
 const echo: Record<string, Check> = { stamp: Number.isFinite, heldMs: isNonNegative }
@@ -125,7 +129,8 @@
     gives: isAgedTokensArray,
     wants: value => Array.isArray(value) && value.every(isTokenWant),
     booked: isAgedTokensArray,
-    demand: isTokenDemandArray
+    demand: isTokenDemandArray,
+    serviceDemand: isServiceDemandArray
   },
   quota_grant: {
     type: value => value === 'quota_grant',
@@ -133,7 +138,9 @@
     bankStamp: Number.isFinite,
     grants: isAgedTokensArray,
     needed: value => Array.isArray(value) && value.every(isTeam),
-    demand: isTokenDemandArray
+    demand: isTokenDemandArray,
+    serviceDemand: isServiceDemandArray,
+    left: value => Array.isArray(value) && value.every(isTokensLeft)
   }
 } satisfies { [Type in Frame['type']]?: Shape<Type> }
 
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -146,6 +146,17 @@
 export const TokenDemand = z.tuple([z.string().max(maxTeamNameLength), z.number().nonnegative()])
 export type TokenDemand = z.infer<typeof TokenDemand>
 
+/** Maximum length of a service's name. */
+export const maxServiceNameLength = 200
+
+/** The part of a team's demand that goes to one service. */
+export const ServiceTokenDemand = z.tuple([z.string().max(maxTeamNameLength), z.string().max(maxServiceNameLength), z.number().nonnegative()])
+export type ServiceTokenDemand = z.infer<typeof ServiceTokenDemand>
+
+/** Tokens of a team that are left at the bank; negative if waiting requests lack some. */
+export const TokensLeft = z.tuple([z.string().max(maxTeamNameLength), z.number()])
+export type TokensLeft = z.infer<typeof TokensLeft>
+
 /** Maximum length of the id of a server incarnation together with the limit that it states. */
 export const maxServerLimitLength = maxIncarnationLength + 30
 const ServerLimit = z.string().max(maxServerLimitLength)
@@ -158,8 +169,6 @@
 export const RequestShortfall = z.tuple([ServerLimit, Count, z.number().nonnegative()])
 export type RequestShortfall = z.infer<typeof RequestShortfall>
 
-/** Maximum length of a service's name. */
-export const maxServiceNameLength = 200
 /** Maximum number of services in one frame. */
 export const maxServicesPerFrame = 100
 const ServiceName = z.string().max(maxServiceNameLength)
@@ -235,8 +244,10 @@
     wants: z.array(TokenShortfall),
     /** Tokens set aside for callers that were told to return by now, at whichever entry they arrive. */
     booked: z.array(AgedTokens).optional(),
-    /** The demand at the sender, for teams in `wants`. */
+    /** The demand at the sender, for teams in `wants` and those over their quota. */
     demand: z.array(TokenDemand).optional(),
+    /** The same by service, for teams that are short of tokens. */
+    serviceDemand: z.array(ServiceTokenDemand).optional(),
     /** The same for requests to servers that state a limit. */
     servers: z.object({ gives: z.array(AgedRequests), wants: z.array(RequestShortfall).max(maxLimitsPerFrame) }).optional(),
     /** The same for requests to busy plain services. `busy`: services that the sender itself finds busy while it lacks allowances. */
@@ -253,8 +264,12 @@
     bankStamp: z.number(),
     grants: z.array(AgedTokens),
     needed: z.array(z.string().max(maxTeamNameLength)),
-    /** The demand at all entries that lately lacked tokens, for teams with requests that wait for some. */
+    /** The demand at all entries that lately lacked tokens, for teams that are short of some. */
     demand: z.array(TokenDemand).optional(),
+    /** The same by service. */
+    serviceDemand: z.array(ServiceTokenDemand).optional(),
+    /** What is left of the tokens of these teams. */
+    left: z.array(TokensLeft).optional(),
     servers: z.array(AgedRequests).optional(),
     /** `short`: the teams of each service that got less than was wanted. `busy`: services that entries have lately reported as busy. */
     services: z.object({
--- a/packages/wire/test/fast-validation.test.ts
+++ b/packages/wire/test/fast-validation.test.ts
@@ -71,6 +71,8 @@
   wants: fc.oneof(fc.array(fc.oneof(fc.tuple(name, nonNegative), fc.tuple(name, nonNegative, nonNegative, nonNegative)), { maxLength: 3 }), fc.constantFrom([['red', 1, 1]], [['red', 1, 1, 1, 1]], null)),
   booked: agedTokens,
   demand: fc.oneof(fc.array(fc.tuple(name, nonNegative), { maxLength: 3 }), fc.constantFrom([['red', 1, 1]], null)),
+  serviceDemand: fc.oneof(fc.array(fc.tuple(name, name, nonNegative), { maxLength: 3 }), fc.constantFrom([['red', 1]], null)),
+  left: fc.oneof(fc.array(fc.tuple(name, fc.double({ noNaN: true })), { maxLength: 3 }), fc.constantFrom([['red']], null)),
   needed: fc.oneof(fc.array(name, { maxLength: 3 }), fc.constantFrom(null, 'red'))
 }, { requiredKeys: ['type'] })
 
@@ -82,8 +84,8 @@
   caught_up: ['complete'],
   ask_fresh: ['stamp', 'revision'],
   fresh: ['stamp', 'revision', 'ageMs'],
-  quota: ['stamp', 'echo', 'gives', 'wants', 'booked', 'demand'],
-  quota_grant: ['stamp', 'bankStamp', 'grants', 'needed', 'demand']
+  quota: ['stamp', 'echo', 'gives', 'wants', 'booked', 'demand', 'serviceDemand'],
+  quota_grant: ['stamp', 'bankStamp', 'grants', 'needed', 'demand', 'serviceDemand', 'left']
 }
 const singleTypeFrames = mixedFrames.map(frame => Object.fromEntries(Object.entries(frame).filter(([field]) => field === 'type' || fieldsOf[frame.type]?.includes(field))))
 
