Slow readers: leave a connection running once its response is read

The rest of a response that was read whole is written as its caller makes room, and each time the caller's socket was full the server's connection was paused again. Nothing resumed it, so the next request on it got no response.

A connection is paused only while its response is incomplete. The tests of steady readers now send a second request over the same connection: for a resumable stream it got no byte before, and gets its response after.

--- a/packages/fleet/src/entry/serving/attempt.ts
+++ b/packages/fleet/src/entry/serving/attempt.ts
@@ -217,8 +217,9 @@
     const ready = callerResponse.write(eventFramer === undefined ? chunk : eventFramer.push(chunk), resume)
     if (ready) return
     response.pause()
-    // Resuming the response resumes its connection too.
-    pauseNow(response.socket)
+    // Resuming the response resumes its connection too, unless all of it has been read: then the connection is left as it is for the
+    // next request.
+    if (!response.complete) pauseNow(response.socket)
   })
   response.on('error', error => interrupted(error.message))
   response.on('end', () => {
--- a/packages/fleet/test/slow-readers.test.ts
+++ b/packages/fleet/test/slow-readers.test.ts
@@ -234,12 +234,15 @@
       })
       const caller = send(`/${name}/x`)
       for (let count = 0; count < events * event.length;) {
-        count += await read(caller, Math.min(largeBytes / 4, events * event.length - count))
         await advanceBySteps(4000)
+        count += await read(caller, Math.min(largeBytes / 4, events * event.length - count))
       }
       await until(() => linesOf('request.ended').length > 0)
       expect(linesOf('request.ended')[0]).to.include({ outcome: 'streamed' })
       expect(linesOf('caller.stalled')).to.have.length(0)
+      // The connection that was paused is read again also where it serves another request.
+      expect(await read(send(`/${name}/x`), 1)).to.be.greaterThan(0)
+      expect(toBackend()).to.have.length(1)
     })
   }
 
