--- a/packages/bench/src/processor.ts
+++ b/packages/bench/src/processor.ts
@@ -13,7 +13,7 @@
 import { basename, resolve } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { pause } from '@finchpitch/core'
-import { BackendStandIn, FleetSystem, type Role } from '@finchpitch/stand-ins'
+import { BackendStandIn, FleetSystem, type FleetOptions, type Role } from '@finchpitch/stand-ins'
 import { readProcessUsage } from './measure.js'
 import { publishReport, roundSignificant, type Report, type Row } from './report.js'
 
@@ -107,7 +107,8 @@
 const flagsOf = (systemFile: string, role: Role): string[] =>
   new RegExp(`^run = "node (.*) target/launch.cjs ${role}"`, 'm').exec(systemFile)?.[1]?.split(/ +/) ?? []
 
-const createFleet = async (folder: string, network: number): Promise<FleetSystem> => {
+/** A fleet that runs the program built in `folder`; `layout` replaces the number of machines. */
+export const createFleet = async (folder: string, network: number, layout: Partial<FleetOptions> = {}): Promise<FleetSystem> => {
   const systemFile = await readFile(resolve(folder, 'deploy/system.toml'), 'utf8')
   return new FleetSystem({
     network,
@@ -118,6 +119,7 @@
     adapterSlots: 13,
     loadMs: 288,
     ...work,
+    ...layout,
     program: resolve(folder, 'target/launch.cjs'),
     nodeOptions: { entry: flagsOf(systemFile, 'entry'), side: flagsOf(systemFile, 'side') }
   })
