Facts: apply and send a listing as a whole

After a start, an entry applied each server of the first listing by itself: for each of them it looked at all servers again to reconcile its connections, and sent one frame in one write to each side process. Each link also started a timer for each fact that it held back, and each copy of a fact from a further peer was parsed before it was found to be known.

A listing is now a batch: reconciling follows once at its end, still before the listing counts as complete, and the facts of a batch leave in one write for each link. A fact is encoded once for all links. Facts that are held back for the same time share a timer; they may leave up to 10 ms early, never late. A known revision is not parsed again.

A test replaced a channel's `send` to collect facts; its double now also collects those of `sendEncoded`, decoded from their frames.

--- a/packages/fleet/src/entry/entry-process.ts
+++ b/packages/fleet/src/entry/entry-process.ts
@@ -226,9 +226,10 @@
     this.counters.gauge('finchpitch_table_proof_age_seconds', 'Age in seconds of the last proof that the routing table is current; 0 if there is none.', () => Number.isFinite(facts.freshness.ageMs) ? facts.freshness.ageMs / 1000 : 0)
     this.counters.gauge('finchpitch_entries_assumed', 'Upper bound of the number of entries, by which quotas are divided.', () => this.#maxEntries)
     this.counters.keptBytes(kind => this.#keptBytes.of(kind))
-    facts.onChange(fact => {
-      if (fact.kind === 'server') this.#reconcile()
-      if (fact.kind === 'table') this.#applyTable()
+    // Once for a batch: reconciling looks at all servers, so with each of a listing's servers the time would grow with their square.
+    facts.onSettled(kinds => {
+      if (kinds.has('table')) this.#applyTable()
+      else if (kinds.has('server')) this.#reconcile()
       this.#queue.scheduleScan()
     })
   }
--- a/packages/fleet/src/fact-exchange.ts
+++ b/packages/fleet/src/fact-exchange.ts
@@ -8,7 +8,8 @@
  * answer. All other links delay a fact and send it only if the peer still lacks it.
  */
 import type { Log } from '@finchpitch/core'
-import type { Channel, CompleteRevisions, FactFrame, Frame, StoreSight } from '@finchpitch/wire'
+import { encodeFrame, type Channel, type CompleteRevisions, type FactFrame, type Frame, type StoreSight } from '@finchpitch/wire'
+import { nowMs } from './clock.js'
 import { observedRevision, factOf, frameOf, isFinal, type Fact } from './fact.js'
 import type { Facts } from './facts.js'
 
@@ -32,6 +33,16 @@
  */
 export const forwardDelayBySight: Record<StoreSight, number> = { reading: forwardDelayMs.entry, resting: forwardDelayMs.entry, blind: forwardDelayMs.dependent }
 
+/** Facts that are scheduled with the same delay within this time share a timer, and are sent together. */
+const groupMs = 10
+
+/** Facts that wait for the same timer. */
+interface DelayedGroup {
+  delayMs: number
+  openUntil: number
+  facts: Fact[]
+}
+
 export class FactLink {
   /** By fact, the revision that the peer is known to have. */
   readonly #known = new Map<string, number>()
@@ -41,10 +52,18 @@
 
   #delayMs: number
   #started = false
+  /** The group to which facts were added last. */
+  #group: DelayedGroup | undefined
+  /** Facts of the current batch of changes that are sent at its end. */
+  #batched: Fact[] = []
 
   constructor (private readonly facts: Facts, private readonly channel: Channel, delayMs: number, private readonly log: Log) {
     this.#delayMs = delayMs
-    this.#stops = [facts.onChange(fact => this.#schedule(fact, this.#delayMs)), facts.onStatusChange(() => channel.beat())]
+    this.#stops = [
+      facts.onChange(fact => this.#handleChange(fact)),
+      facts.onSettled(() => this.#sendBatched()),
+      facts.onStatusChange(() => channel.beat())
+    ]
   }
 
   /** Schedules everything that the peer may lack, after `newcomerMs` for a peer that has not read the routing table yet. */
@@ -52,14 +71,14 @@
     this.#started = true
     this.updateComplete(this.channel.peer.complete)
     const delayMs = this.#complete.table === 0 ? newcomerMs : this.#delayMs
-    for (const fact of this.facts.all()) this.#schedule(fact, delayMs)
+    this.#schedule(this.facts.all(), delayMs)
   }
 
   /** Changes the delay. If it is shorter than before, the facts not sent yet are scheduled again with it. */
   setDelay (delayMs: number): void {
     const shorter = delayMs < this.#delayMs
     this.#delayMs = delayMs
-    if (shorter && this.#started) for (const fact of this.facts.all()) this.#schedule(fact, delayMs)
+    if (shorter && this.#started) this.#schedule(this.facts.all(), delayMs)
   }
 
   stop (): void {
@@ -78,6 +97,11 @@
   }
 
   handleFact (frame: FactFrame): void {
+    // After a start, several peers send the same facts; only the first copy is parsed.
+    if (this.facts.revisionOf(frame.kind, frame.key) >= frame.revision) {
+      this.#known.set(idOf(frame), frame.revision)
+      return
+    }
     const fact = factOf(frame)
     if (fact === undefined) {
       this.log.error('peer.fact_not_valid', { peer: this.channel.peer.process, kind: frame.kind, key: frame.key })
@@ -89,18 +113,61 @@
     else this.facts.offer(fact, from)
   }
 
-  #schedule (fact: Fact, delayMs: number): void {
-    if (delayMs > 0) setTimeout(() => this.#send(fact), delayMs)
-    else this.#send(fact)
+  #handleChange (fact: Fact): void {
+    if (this.#delayMs === 0 && this.facts.inBatch) this.#batched.push(fact)
+    else this.#schedule([fact], this.#delayMs)
+  }
+
+  #sendBatched (): void {
+    if (this.#batched.length === 0) return
+    const batched = this.#batched
+    this.#batched = []
+    this.#send(batched)
+  }
+
+  #schedule (facts: readonly Fact[], delayMs: number): void {
+    if (delayMs <= 0) return this.#send(facts)
+    const now = nowMs()
+    if (this.#group?.delayMs === delayMs && now < this.#group.openUntil) {
+      this.#group.facts.push(...facts)
+      return
+    }
+    const group = { delayMs, openUntil: now + Math.min(groupMs, delayMs), facts: [...facts] }
+    this.#group = group
+    setTimeout(() => {
+      if (this.#group === group) this.#group = undefined
+      this.#send(group.facts)
+    }, delayMs)
+  }
+
+  /** Sends the facts that the peer still lacks, in one write. */
+  #send (facts: readonly Fact[]): void {
+    if (!this.channel.open) return
+    const frames: Buffer[] = []
+    for (const fact of facts) {
+      if (!this.#isLacking(fact)) continue
+      this.#known.set(idOf(fact), fact.revision)
+      frames.push(encodedFact(fact))
+    }
+    if (frames.length > 0) this.channel.sendEncoded(frames)
   }
 
-  #send (fact: Fact): void {
+  #isLacking (fact: Fact): boolean {
     const known = this.#known.get(idOf(fact)) ?? 0
-    if (!this.channel.open || known >= fact.revision || this.#complete[fact.kind] >= observedRevision(fact)) return
-    if (this.facts.revisionOf(fact.kind, fact.key) > fact.revision) return
-    this.#known.set(idOf(fact), fact.revision)
-    this.channel.send(frameOf(fact))
+    if (known >= fact.revision || this.#complete[fact.kind] >= observedRevision(fact)) return false
+    return this.facts.revisionOf(fact.kind, fact.key) <= fact.revision
   }
 }
 
-const idOf = (fact: Fact): string => `${fact.kind} ${fact.key}`
+/** The encoded frame of each fact. A fact is sent over many links, in the same form. */
+const encodedFacts = new WeakMap<Fact, Buffer>()
+
+const encodedFact = (fact: Fact): Buffer => {
+  const known = encodedFacts.get(fact)
+  if (known !== undefined) return known
+  const encoded = encodeFrame(frameOf(fact))
+  encodedFacts.set(fact, encoded)
+  return encoded
+}
+
+const idOf = ({ kind, key }: Pick<Fact, 'kind' | 'key'>): string => `${kind} ${key}`
--- a/packages/fleet/src/fact-watch.ts
+++ b/packages/fleet/src/fact-watch.ts
@@ -156,7 +156,9 @@
     this.options.outage.note(kind, true)
     this.#deferAfterRestore(revision)
     const missing = this.#revision === undefined ? missingFrom(facts, kind, listed) : []
-    for (const fact of this.#removals.filter([...missing, ...listed])) this.#apply(withSeenAt(fact, revision))
+    facts.batch(() => {
+      for (const fact of this.#removals.filter([...missing, ...listed])) this.#apply(withSeenAt(fact, revision))
+    })
     this.#revision = revision
     // Deferred removals are not applied yet. If this process reported itself complete, peers would never send them to it.
     if (!this.#removals.active) facts.markComplete(kind, revision)
--- a/packages/fleet/src/facts.ts
+++ b/packages/fleet/src/facts.ts
@@ -43,7 +43,10 @@
   readonly #current = new Map<string, Fact>()
   readonly #tombstones = new Map<string, number>()
   readonly #listeners = new Set<Listener>()
+  readonly #settledListeners = new Set<(kinds: ReadonlySet<Fact['kind']>) => void>()
   readonly #statusListeners = new Set<() => void>()
+  /** Kinds of the facts that have changed in the current batch; `undefined` outside of a batch. */
+  #batchKinds: Set<Fact['kind']> | undefined
   readonly #complete: CompleteRevisions = { table: 0, server: 0, version: 0 }
   #routes: RouteIndex | undefined
   #highestRevision = 0
@@ -189,6 +192,30 @@
     return () => this.#listeners.delete(listener)
   }
 
+  /** Calls the listener after each change, or once after a batch of them, with the kinds that have changed. */
+  onSettled (listener: (kinds: ReadonlySet<Fact['kind']>) => void): () => void {
+    this.#settledListeners.add(listener)
+    return () => this.#settledListeners.delete(listener)
+  }
+
+  /** Whether a batch of changes is being applied, so that what follows from them can wait for its end. */
+  get inBatch (): boolean {
+    return this.#batchKinds !== undefined
+  }
+
+  /** Applies several changes, after which listeners of `onSettled` are called once. */
+  batch (apply: () => void): void {
+    if (this.#batchKinds !== undefined) return apply()
+    const changed = new Set<Fact['kind']>()
+    this.#batchKinds = changed
+    try {
+      apply()
+    } finally {
+      this.#batchKinds = undefined
+      if (changed.size > 0) this.#notifySettled(changed)
+    }
+  }
+
   /** Calls the listener once every kind has been received, and whenever the store status changes. */
   onStatusChange (listener: () => void): () => void {
     this.#statusListeners.add(listener)
@@ -256,6 +283,18 @@
         this.log.error('belief.listener_failed', { kind: fact.kind, key: fact.key, ...revisionFields(fact.revision), detail: (error as Error).stack })
       }
     }
+    if (this.#batchKinds === undefined) this.#notifySettled(new Set([fact.kind]))
+    else this.#batchKinds.add(fact.kind)
+  }
+
+  #notifySettled (kinds: ReadonlySet<Fact['kind']>): void {
+    for (const listener of this.#settledListeners) {
+      try {
+        listener(kinds)
+      } catch (error) {
+        this.log.error('belief.listener_failed', { kinds: [...kinds], ...revisionFields(this.#highestRevision), detail: (error as Error).stack })
+      }
+    }
   }
 
   setTable (table: RoutingTable): void {
--- a/packages/fleet/test/fact-exchange.test.ts
+++ b/packages/fleet/test/fact-exchange.test.ts
@@ -40,6 +40,46 @@
     expect(received).to.deep.equal([3])
   })
 
+  describe('when a listing brings several facts', () => {
+    const named = (adapter: string, revision: number): Fact => ({ kind: 'version', key: `m/${adapter}`, revision, value: { model: 'm', adapter, version: 1 } })
+    let writes: number
+    let offerListing: () => void
+
+    beforeEach(async () => {
+      await time.settle()
+      writes = 0
+      const sendEncoded = local.sendEncoded.bind(local)
+      local.sendEncoded = frames => {
+        writes += 1
+        return sendEncoded(frames)
+      }
+      offerListing = () => facts.batch(() => { for (const revision of [1, 2, 3]) facts.offer(named(`a${revision}`, revision), 'store') })
+    })
+
+    for (const delayMs of [0, 1500]) {
+      it(`sends them in one write with a delay of ${delayMs} ms, since each write is a system call at both ends`, async () => {
+        const link = new FactLink(facts, local, delayMs, silentLog)
+        link.start()
+        offerListing()
+        await time.advance(delayMs + 100)
+        expect(received).to.deep.equal([1, 2, 3])
+        expect(writes).to.equal(1)
+        link.stop()
+      })
+    }
+
+    it('sends them before a heartbeat that reports the listing as complete, which the peer relies on', () => {
+      const sent: number[] = []
+      local.sendEncoded = frames => sent.push(frames.length) > 0
+      const link = new FactLink(facts, local, 0, silentLog)
+      link.start()
+      offerListing()
+      local.beat()
+      expect(sent).to.deep.equal([3, 1])
+      link.stop()
+    })
+  })
+
   describe('to a peer that has not read the store yet', () => {
     it('sends everything after the short delay', async () => {
       facts.offer(fact(3), 'store')
--- a/packages/fleet/test/facts.test.ts
+++ b/packages/fleet/test/facts.test.ts
@@ -49,6 +49,31 @@
     expect(seen).to.deep.equal([1, 3])
   })
 
+  describe('when several facts are applied as a batch', () => {
+    it('calls listeners for each fact, and those of the whole batch once', () => {
+      // Reconciling after each server of a listing took time that grows with the square of their number.
+      const seen: string[] = []
+      facts.onChange(fact => seen.push(fact.key))
+      facts.onSettled(kinds => seen.push(`settled: ${[...kinds].join()}`))
+      facts.batch(() => {
+        facts.offer(serverFact('s', 1, server('s')), 'store')
+        facts.offer(serverFact('t', 2, server('t')), 'store')
+      })
+      expect(seen).to.deep.equal(['s', 't', 'settled: server'])
+    })
+
+    it('calls listeners of the batch after a failure within it, which would otherwise hide the facts before it', () => {
+      let settled = 0
+      facts.onSettled(() => { settled += 1 })
+      expect(() => facts.batch(() => {
+        facts.offer(serverFact('s', 1, server('s')), 'store')
+        throw new Error('no further facts')
+      })).to.throw('no further facts')
+      facts.offer(serverFact('t', 2, server('t')), 'store')
+      expect(settled).to.equal(2)
+    })
+  })
+
   describe('when the store was restored from a backup', () => {
     /** A revision after the restore. */
     const restored = (revision: number): number => storeRevision(1, revision)
--- a/packages/fleet/test/subscribers.test.ts
+++ b/packages/fleet/test/subscribers.test.ts
@@ -8,7 +8,7 @@
 import { ProcessId, FailureDomain, silentLog } from '@finchpitch/core'
 import { EngineUpdate, Facts, Subscribers, type Fact, type Subscriber } from '@finchpitch/fleet'
 import { FakeTime, channelOptions } from '@finchpitch/stand-ins'
-import type { Channel, Frame, StoreSight } from '@finchpitch/wire'
+import { FrameDecoder, type Channel, type Frame, type StoreSight } from '@finchpitch/wire'
 import { expect } from 'chai'
 
 const domain = 'a'
@@ -65,6 +65,11 @@
       send: (frame: Frame) => {
         if (frame.type === 'fact') received.push(frame.revision)
         return true
+      },
+      sendEncoded: (frames: readonly Buffer[]) => {
+        const decoder = new FrameDecoder()
+        for (const frame of frames) for (const decoded of decoder.read(frame)._unsafeUnwrap()) if (decoded.type === 'fact') received.push(decoded.revision)
+        return true
       }
     }) as unknown as Channel
     const reportSight = (subscriber: Subscriber, sight: StoreSight): void => subscribers.handleFrame({ type: 'heartbeat', revision: 1, sight } as Frame, subscriber)
