Bench: hold a starting entry to its share of a core

SHARE allowed each period its full quota whatever the process had used before, so that on a busy machine, where it was stopped late, an entry with a share of 0.184 got 0.35 of a core.

--- a/packages/bench/src/processor-start.ts
+++ b/packages/bench/src/processor-start.ts
@@ -31,17 +31,18 @@
   return times.reduce((sum, ns) => sum + ns / 1e6, 0)
 }
 
-/** Lets the process run for its share of each period. */
+/** Lets the process run for its share of each period. What it used beyond that, as it was stopped late, is taken from the next periods. */
 const holdToShare = async (machine: Machine, endsAt: number): Promise<void> => {
   const child = machine.process
   if (child?.pid === undefined) return
-  let used = 0
-  for (let period = performance.now(); period < endsAt; period += quotaPeriodMs) {
-    child.kill('SIGCONT')
-    const allowed = used + share * quotaPeriodMs
+  const startedAt = performance.now()
+  for (let period = startedAt; period < endsAt; period += quotaPeriodMs) {
+    const allowed = share * (period + quotaPeriodMs - startedAt)
+    let used = await processorMs(child.pid).catch(() => Infinity)
+    if (used < allowed) child.kill('SIGCONT')
     while (performance.now() < period + quotaPeriodMs && used < allowed) {
       await pause(1)
-      used = await processorMs(child.pid).catch(() => used)
+      used = await processorMs(child.pid).catch(() => Infinity)
     }
     child.kill('SIGSTOP')
     await pause(Math.max(0, period + quotaPeriodMs - performance.now()))
