Facts: one log line for the first listing

After a power loss, each entry logged a line for each server while callers waited for it. The first listing of servers or of named versions is now logged as one line, `belief.listed`, with kind, count, revision and source. The table and all later changes keep their line, as do facts that peers send one by one.

The lines of a start become fewer by the number of servers. The processor time was not measured by itself.

--- a/packages/fleet/src/fact-watch.ts
+++ b/packages/fleet/src/fact-watch.ts
@@ -156,9 +156,10 @@
     this.options.outage.note(kind, true)
     this.#deferAfterRestore(revision)
     const missing = this.#revision === undefined ? missingFrom(facts, kind, listed) : []
-    facts.batch(() => {
-      for (const fact of this.#removals.filter([...missing, ...listed])) this.#apply(withSeenAt(fact, revision))
-    })
+    const apply = (): void => { for (const fact of this.#removals.filter([...missing, ...listed])) this.#apply(withSeenAt(fact, revision)) }
+    // The table is a single fact, whose line names its version.
+    if (kind !== 'table' && facts.complete[kind] === 0) facts.applyFirstListing(kind, revision, 'store', apply)
+    else facts.batch(apply)
     this.#revision = revision
     // Deferred removals are not applied yet. If this process reported itself complete, peers would never send them to it.
     if (!this.#removals.active) facts.markComplete(kind, revision)
--- a/packages/fleet/src/facts.ts
+++ b/packages/fleet/src/facts.ts
@@ -47,6 +47,8 @@
   readonly #statusListeners = new Set<() => void>()
   /** Kinds of the facts that have changed in the current batch; `undefined` outside of a batch. */
   #batchKinds: Set<Fact['kind']> | undefined
+  /** Number of changes in the listing that is being applied; `undefined` if each change is logged by itself. */
+  #listedChanges: number | undefined
   readonly #complete: CompleteRevisions = { table: 0, server: 0, version: 0 }
   #routes: RouteIndex | undefined
   #highestRevision = 0
@@ -216,6 +218,21 @@
     }
   }
 
+  /**
+   * Applies the first listing of a kind as a batch. Its changes are logged as one line: after a power loss, all processes learn all
+   * servers at once, while callers wait for them.
+   */
+  applyFirstListing (kind: Fact['kind'], revision: number, from: string, apply: () => void): void {
+    this.#listedChanges = 0
+    try {
+      this.batch(apply)
+    } finally {
+      const count = this.#listedChanges
+      this.#listedChanges = undefined
+      if (count > 0) this.log.info('belief.listed', { kind, count, ...revisionFields(revision), from })
+    }
+  }
+
   /** Calls the listener once every kind has been received, and whenever the store status changes. */
   onStatusChange (listener: () => void): () => void {
     this.#statusListeners.add(listener)
@@ -259,7 +276,8 @@
     if (known !== undefined && isDeepStrictEqual(known.value, fact.value)) return false
     handlers[fact.kind](this, fact as never)
     this.#keepTombstone(id, fact)
-    this.log.info('belief.changed', { kind: fact.kind, key: fact.key, ...revisionFields(fact.revision), from, outcome: describe(fact) })
+    if (this.#listedChanges === undefined) this.log.info('belief.changed', { kind: fact.kind, key: fact.key, ...revisionFields(fact.revision), from, outcome: describe(fact) })
+    else this.#listedChanges += 1
     this.#notify(fact)
     return true
   }
--- a/packages/fleet/test/fact-watch.test.ts
+++ b/packages/fleet/test/fact-watch.test.ts
@@ -1,4 +1,4 @@
-import { silentLog } from '@finchpitch/core'
+import { Log, silentLog } from '@finchpitch/core'
 import { Facts, StoreHealth, DutySwitch, watchFacts, watchPauseMs, removalRevisionStep, storeRevision, type BackendServer, type Fact, type FactPage, type FactSource, type StoreFailure } from '@finchpitch/fleet'
 import { FakeTime } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
@@ -60,6 +60,24 @@
 
   const start = (): void => { void watchFacts({ source, facts, log: silentLog, signal: stop.signal, outage: storeHealth, duty, pauseMs: () => 500 }) }
 
+  it('logs the first listing as one line and later changes each, so that a start writes no line for each server', async () => {
+    const lines: Array<Record<string, unknown>> = []
+    const log = new Log('listing', {}, 'info', { write: line => lines.push(JSON.parse(line) as Record<string, unknown>) })
+    facts = new Facts(log, () => 1000)
+    source.facts = [named('a', 1), named('b', 2)]
+    source.revision = 2
+    start()
+    await time.advance(100)
+    source.events = [named('b', 3)]
+    source.revision = 3
+    await time.advance(1000)
+    const beliefs = lines.filter(({ event }) => String(event).startsWith('belief.')).map(({ event, kind, count, key, revision, from }) => ({ event, kind, count, key, revision, from }))
+    expect(beliefs).to.deep.equal([
+      { event: 'belief.listed', kind: 'version', count: 2, key: undefined, revision: 2, from: 'store' },
+      { event: 'belief.changed', kind: 'version', count: undefined, key: 'm/b', revision: 3, from: 'store' }
+    ])
+  })
+
   it('lists once, then watches for changes with pauses in between', async () => {
     source.facts = [named('a', 1)]
     start()
