--- a/packages/fleet/test/server-selector.test.ts
+++ b/packages/fleet/test/server-selector.test.ts
@@ -30,7 +30,7 @@
       facts: { get complete () { return { table: 1, server: serversRead ? 1 : 0, version: 0 } }, sight: 'reading', eligibleServers: () => [] },
       balancer: { awaitRateLimit: async () => undefined, choose: () => choice, prefillMs: () => 0 },
       queue,
-      plainServices: { recordDemand: () => {}, enterQueue: () => () => {}, isEnforced: () => false },
+      plainServices: { recordDemand: () => {}, enterQueue: () => () => {}, isEnforced: () => false, take: () => undefined },
       counters: new EntryCounters()
     } as unknown as ServerSelectorOptions
     const selected = {
