--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -5,8 +5,8 @@
  * while that can still help its caller, and is then sent. Whether a failed attempt may be retried depends on whether the
  * request may have run: a request that was refused or never sent may go to another server; otherwise only a repeatable
  * one may, within the retry budget. A repeatable request whose adapter no other engine can serve goes to the same engine again
- * while that accepts connections, or waits until another engine has loaded the adapter. When the entry gives up, it responds at once: 503 with `Retry-After` if the request
- * has certainly not run, else 502 or 504.
+ * while that accepts connections, or waits until another engine has loaded the adapter. When the entry gives up, it responds at
+ * once: 503 with `Retry-After` if the request has certainly not run, else 502 or 504.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
