Plain service replay: the same result for a seed

Server selection drew from Math.random, fake timers ran in an order that depended on the machine's load, and the boot-time clock kept suspensions of earlier tests. Now the balancer takes its random source from its options, the replay advances by 1 ms and runs promise callbacks and immediates in between, and aligns the boot-time clock.

--- a/packages/fleet/src/entry/servers/balancer.ts
+++ b/packages/fleet/src/entry/servers/balancer.ts
@@ -87,7 +87,8 @@
     /** Servers that advertise a limit, in short rate-limited servers. */
     private readonly serverLimits: LimitsView = noLimits,
     /** Plain services that are busy. */
-    private readonly plainServices: PlainServicesView = noBusyServices
+    private readonly plainServices: PlainServicesView = noBusyServices,
+    private readonly random: () => number = Math.random
   ) {}
 
   state (server: BackendServer): ServerState {
@@ -154,7 +155,7 @@
       const backoff = this.#backoffChoice(remaining.length > 0 ? remaining : open)
       if (backoff !== undefined) return backoff
     }
-    if (selection.key === undefined) return choosePlain(servers.map(server => this.#candidate(server, nowMs())), this.domain, this.plainServices.isEnforced(selection.service.name))
+    if (selection.key === undefined) return choosePlain(servers.map(server => this.#candidate(server, nowMs())), this.domain, this.plainServices.isEnforced(selection.service.name), this.random)
     return this.#chooseEngine(servers, selection.key, selection)
   }
 
@@ -167,7 +168,7 @@
     if (this.states.get(server.id) !== state) return
     const { backoff } = state
     const now = nowMs()
-    const started = backoff.ask(askedMs + Math.random() * this.#maxJitterMs(server), now)
+    const started = backoff.ask(askedMs + this.random() * this.#maxJitterMs(server), now)
     this.#restricted.add(server.id)
     if (started) this.log.info('server.rests', { server: server.id, request, askedMs, untilMs: Math.round(backoff.leftMs(now)) })
   }
--- a/packages/fleet/test/replay/plain-service-simulation.ts
+++ b/packages/fleet/test/replay/plain-service-simulation.ts
@@ -11,6 +11,7 @@
 import type { Channel, FrameOf } from '@finchpitch/wire'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { advanceBySteps, alignBootClock, withRandom } from './replay-clock.js'
 
 const service: FleetService = { name: 'plain', maxConnections: 100 }
 export const objectiveMs = 199
@@ -101,6 +102,7 @@
   constructor (private readonly time: FakeTime, seed: number, entries: number) {
     const random = xoroshiro128plus(seed)
     this.#draw = () => uniformFloat64(random)
+    alignBootClock(time)
     this.servers = Array.from({ length: serverCount }, (_, index) => new SimulatedServer({ id: `s${index}`, service: 'plain', address: `10.0.1.${index}:80`, domain: domainOf(index), slots, leaving: false, models: [] }, this.#draw))
     this.#facts.offer({ kind: 'table', key: 'table', revision: 1, value: { version: 1, routes: [route], services: [service], limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } } }, 'store')
     for (const { server } of this.servers) this.#facts.offer({ kind: 'server', key: server.id, revision: 2, value: server }, 'store')
@@ -109,10 +111,12 @@
 
   async run (ms: number): Promise<void> {
     const until = nowMs() + ms
-    while (nowMs() < until) {
-      for (const entry of this.entries.keys()) this.#arrive(entry)
-      await this.time.advance(stepMs)
-    }
+    await withRandom(this.#draw, async () => {
+      while (nowMs() < until) {
+        for (const entry of this.entries.keys()) this.#arrive(entry)
+        await advanceBySteps(this.time, stepMs)
+      }
+    })
   }
 
   /** Starts another entry, or one that was lost, without state. */
@@ -128,7 +132,7 @@
 
   /** Stops once all requests have ended. */
   async stop (): Promise<void> {
-    await this.time.advance(drainMs)
+    await withRandom(this.#draw, async () => await advanceBySteps(this.time, drainMs))
     for (const { stop, plain, balancer } of this.entries) {
       stop.abort()
       plain.close()
@@ -216,7 +220,7 @@
       channelTo: host => channels.get(host),
       log: silentLog
     })
-    const balancer = new Balancer(this.#facts, domainOf(index), noLimits, () => { throw new Error('no engine') }, silentLog, () => this.entries.length, undefined, plain)
+    const balancer = new Balancer(this.#facts, domainOf(index), noLimits, () => { throw new Error('no engine') }, silentLog, () => this.entries.length, undefined, plain, this.#draw)
     void exchange.run(stop.signal)
     const sweep = setInterval(() => plain.expire(), 200)
     stop.signal.addEventListener('abort', () => clearInterval(sweep))
