Side process: derive room, uses and roles when they change, not per published update

Cause: in a flood, over half of a side process's busy time is #publish. Each published update derived the loaded adapters and the room from the status, summed the uses of each adapter over all entries, listed the subscriptions of each subscriber, and compared maps and arrays with isDeepStrictEqual.

Change: what follows from a status alone (loaded keys, free slots) is kept with the status; uses and unread tokens are sums that change with each report; the roles of subscribers are derived after a change of the members; states are compared by fields. An update whose state has not changed is kept, so that its encoded frames are used again.

--- a/packages/fleet/src/side/demands.ts
+++ b/packages/fleet/src/side/demands.ts
@@ -46,6 +46,7 @@
 }
 
 interface EntryUses {
+  /** Time of the last report. */
   at: number
   /** Prompt tokens of the entry's requests that the engine has not prefilled yet. */
   unread: number
@@ -55,7 +56,13 @@
 export class Demands {
   readonly #pending = new Map<string, PendingDemand>()
   readonly #popularity = new Map<string, Popularity>()
+  /** Uses by entry, the earliest report first. */
   readonly #uses = new Map<string, EntryUses>()
+  /** Uses of entries whose last report has expired. They count again with the next report, which names only what has changed. */
+  readonly #expiredUses = new Map<string, EntryUses>()
+  /** Requests in progress by key, and unread prompt tokens, of all entries in `#uses`. */
+  readonly #running = new Map<string, number>()
+  #unread = 0
   readonly #loadedAt = new Map<string, number>()
   readonly #slotWait = new SlotWait(nowMs())
 
@@ -117,13 +124,16 @@
   /** Records the uses that an entry reports. */
   recordUses (entry: string, uses: ReadonlyArray<readonly [key: string, started: number, running: number]>, unread = 0): UsesChange {
     const now = nowMs()
-    const entryUses = this.#uses.get(entry) ?? { at: now, unread, running: new Map<string, number>() }
+    this.#expireUses(now)
+    const entryUses = this.#takeUses(entry) ?? { at: now, unread: 0, running: new Map<string, number>() }
+    this.#unread += unread - entryUses.unread
     entryUses.at = now
     entryUses.unread = unread
     this.#uses.set(entry, entryUses)
     const change = { idle: false, used: false }
     for (const [key, started, running] of uses) {
       this.#loadedAt.delete(key)
+      this.#addRunning(key, running - (entryUses.running.get(key) ?? 0))
       if (running > 0) {
         change.used ||= !entryUses.running.has(key)
         entryUses.running.set(key, running)
@@ -139,15 +149,16 @@
   }
 
   forgetEntry (entry: string): void {
+    const entryUses = this.#uses.get(entry)
+    if (entryUses !== undefined) this.#count(entryUses, -1)
     this.#uses.delete(entry)
+    this.#expiredUses.delete(entry)
   }
 
   /** Prompt tokens of all entries' requests that the engine has not prefilled yet. */
   get unread (): number {
-    const now = nowMs()
-    let sum = 0
-    for (const { at, unread } of this.#uses.values()) if (now - at < usesTtlMs) sum += unread
-    return sum
+    this.#expireUses(nowMs())
+    return this.#unread
   }
 
   popularity (key: string): number {
@@ -157,12 +168,44 @@
   /** Number of requests in progress, plus one for a key that was loaded a moment ago. */
   uses (key: string): number {
     const now = nowMs()
+    this.#expireUses(now)
     const justLoaded = now - (this.#loadedAt.get(key) ?? -Infinity) < justLoadedMs ? 1 : 0
-    let sum = justLoaded
-    for (const { at, running } of this.#uses.values()) {
-      if (now - at < usesTtlMs) sum += running.get(key) ?? 0
+    return justLoaded + (this.#running.get(key) ?? 0)
+  }
+
+  /** Removes the entry's uses from the map, so that they can be added again as those of the latest report; they count from then on. */
+  #takeUses (entry: string): EntryUses | undefined {
+    const current = this.#uses.get(entry)
+    if (current !== undefined) {
+      this.#uses.delete(entry)
+      return current
+    }
+    const expired = this.#expiredUses.get(entry)
+    if (expired === undefined) return undefined
+    this.#expiredUses.delete(entry)
+    this.#count(expired, 1)
+    return expired
+  }
+
+  #expireUses (now: number): void {
+    for (const [entry, entryUses] of this.#uses) {
+      if (now - entryUses.at < usesTtlMs) return
+      this.#count(entryUses, -1)
+      this.#uses.delete(entry)
+      this.#expiredUses.set(entry, entryUses)
     }
-    return sum
+  }
+
+  /** Adds the entry's uses to the sums (`sign` 1), or subtracts them (-1). */
+  #count ({ unread, running }: EntryUses, sign: 1 | -1): void {
+    this.#unread += sign * unread
+    for (const [key, count] of running) this.#addRunning(key, sign * count)
+  }
+
+  #addRunning (key: string, difference: number): void {
+    const count = (this.#running.get(key) ?? 0) + difference
+    if (count > 0) this.#running.set(key, count)
+    else this.#running.delete(key)
   }
 }
 
--- a/packages/fleet/src/side/engine-update.ts
+++ b/packages/fleet/src/side/engine-update.ts
@@ -5,11 +5,10 @@
  * bytes, encoded once: a side process sends to some ten entries of its failure domain, and in a large deployment each entry
  * receives updates of every engine.
  */
-import { isDeepStrictEqual } from 'node:util'
 import { encodeFrame, type EngineUpdateFrame } from '@finchpitch/wire'
-import { nowMs } from '../clock.js'
 import type { LoadedVersions } from '../engine-mirror.js'
 import { isUnreadChangeSignificant } from '../unread.js'
+import { isSameList } from './engine-contents.js'
 
 /** The state of an engine at one moment, as it is published. */
 export interface EngineSnapshot {
@@ -58,6 +57,11 @@
 
   constructor (readonly snapshot: EngineSnapshot) {}
 
+  /** Whether subscribers would receive the same from an update of this state. */
+  hasSameState (snapshot: EngineSnapshot): boolean {
+    return this.snapshot.changes === snapshot.changes && this.snapshot.batchSize === snapshot.batchSize && scalarFields.every(field => this.snapshot[field] === snapshot[field])
+  }
+
   /** Encoded frame for a subscriber that last received `previous`, or nothing yet. */
   encodeSince (previous: EngineUpdate | undefined): Buffer {
     const cached = previous === undefined ? this.#fullFrame : this.#frames.get(previous)
@@ -70,14 +74,14 @@
 
   #deltaFrom (previous: EngineSnapshot | undefined): EngineUpdateFrame {
     const { host, held, coming, warm } = this.snapshot
-    const { came, went } = diffKeys(previous?.held ?? new Map(), held)
+    const { came, went } = previous?.held === held ? noDifference : diffKeys(previous?.held ?? new Map(), held)
     return {
       type: 'holding',
       host,
       ...(previous === undefined ? { whole: true, warm: warm() } : {}),
       ...(came.size === 0 ? {} : { came: Object.fromEntries(came) }),
       ...(went.length === 0 ? {} : { went }),
-      ...(isDeepStrictEqual(previous?.coming ?? [], coming) ? {} : { coming: [...coming] }),
+      ...(isSameList(previous?.coming ?? [], coming) ? {} : { coming: [...coming] }),
       ...changedFields(previous, this.snapshot)
     }
   }
@@ -136,28 +140,28 @@
   constructor (private readonly policy: UpdatePolicy) {}
 
   /** Whether an update has to be sent now. */
-  isDue ({ snapshot }: EngineUpdate): boolean {
+  isDue ({ snapshot }: EngineUpdate, now: number): boolean {
     const previous = this.#lastSent?.snapshot
-    const age = nowMs() - this.#lastSentAt
+    const age = now - this.#lastSentAt
     if (previous === undefined || age > this.policy.keepAliveMs || hasRoom(previous) !== hasRoom(snapshot)) return true
-    if (hasStateChange(previous, snapshot) && age >= this.policy.changeIntervalMs) return true
+    if (previous === snapshot) return false
+    if (age >= this.policy.changeIntervalMs && hasStateChange(previous, snapshot)) return true
     return age >= this.policy.loadMs && this.#loadDiffers(previous, snapshot)
   }
 
   /** Whether an update is worth sending together with others that are due. */
-  canPiggyback ({ snapshot }: EngineUpdate): boolean {
+  canPiggyback ({ snapshot }: EngineUpdate, now: number): boolean {
     const previous = this.#lastSent?.snapshot
     if (previous === undefined) return true
-    const differs = hasStateChange(previous, snapshot) || loadOf(previous) !== loadOf(snapshot) ||
-      loadFields.some(field => previous[field] !== snapshot[field])
-    return differs && nowMs() - this.#lastSentAt >= this.policy.piggybackIntervalMs
+    if (previous === snapshot || now - this.#lastSentAt < this.policy.piggybackIntervalMs) return false
+    return hasStateChange(previous, snapshot) || loadOf(previous) !== loadOf(snapshot) || loadFields.some(field => previous[field] !== snapshot[field])
   }
 
   /** Returns the frame that brings the subscriber up to date, and records it as sent. */
-  takeFrame (update: EngineUpdate): Buffer {
+  takeFrame (update: EngineUpdate, now: number): Buffer {
     const frame = update.encodeSince(this.#lastSent)
     this.#lastSent = update
-    this.#lastSentAt = nowMs()
+    this.#lastSentAt = now
     return frame
   }
 
@@ -192,6 +196,8 @@
 /** Fields whose changes are sent as soon as changes of the loaded keys. */
 const promptFields = ['reachable', 'server', 'bornAt', 'leaving', 'lost', 'entries', 'strangers'] as const
 
+const noDifference: ReturnType<typeof diffKeys> = { came: new Map(), went: [] }
+
 /** Keys that were added or changed their version (`came`), and keys that were removed (`went`). */
 export const diffKeys = (before: LoadedVersions, after: LoadedVersions): { came: Map<string, number>, went: string[] } => {
   const came = new Map([...after].filter(([key, version]) => before.get(key) !== version))
--- a/packages/fleet/src/side/placement.ts
+++ b/packages/fleet/src/side/placement.ts
@@ -8,8 +8,9 @@
  */
 import { selectVictim, type EvictionCandidate } from '@finchpitch/decisions'
 import type { EngineStatus, EngineOrder } from '../ports.js'
-import { parseRef, refKey } from '../server.js'
+import { parseRef } from '../server.js'
 import type { EngineSpec } from '../table.js'
+import { contentsOf } from './engine-contents.js'
 
 /** Maximum number of concurrent loads of an engine. */
 export const maxConcurrentLoads = 4
@@ -64,14 +65,6 @@
   | { type: 'declined', key: string, reason: 'no_place' | 'load_rate' | 'unknown_model' }
   | { type: 'nothing' }
 
-interface LoadedAdapter {
-  key: string
-  version: number
-}
-
-const loadedAdapters = (status: EngineStatus): LoadedAdapter[] => status.models.flatMap(model =>
-  Object.entries(model.adapters).map(([adapter, version]) => ({ key: refKey({ model: model.name, adapter }), version })))
-
 const none: Placement = { type: 'nothing' }
 
 export const decidePlacement = (input: PlacementInput): Placement => {
@@ -100,21 +93,21 @@
 }
 
 const modelUses = (input: PlacementInput, name: string): number => {
-  const adapters = loadedAdapters(input.status).filter(held => parseRef(held.key).model === name)
+  const adapters = contentsOf(input.status).adapters.filter(held => parseRef(held.key).model === name)
   return adapters.reduce((sum, held) => sum + input.uses(held.key), input.uses(name))
 }
 
 const usedMemoryMb = ({ spec, status }: EngineOccupancy): number => {
   const sizes = new Map(spec.models.map(model => [model.name, model]))
   const held = status.models.reduce((sum, model) => sum + (sizes.get(model.name)?.memoryMb ?? 0), 0)
-  const adapters = [...loadedAdapters(status), ...status.coming]
+  const adapters = [...contentsOf(status).adapters, ...status.coming]
   return adapters.reduce((sum, { key }) => sum + (sizes.get(parseRef(key).model)?.adapterMemoryMb ?? 0), held)
 }
 
 /** Replaces an adapter for which a newer version is named if it is in use or popular, otherwise unloads it. */
 const replaceOutdated = (input: PlacementInput): Placement | undefined => {
   const { status, maxLoads = maxConcurrentLoads } = input
-  for (const held of loadedAdapters(status)) {
+  for (const held of contentsOf(status).adapters) {
     const newest = input.newestVersion(held.key)
     if (newest === undefined || newest <= held.version || isLoading(status, held.key)) continue
     const idle = input.uses(held.key) === 0
@@ -129,12 +122,19 @@
 
 const isLoading = (status: EngineStatus, key: string): boolean => status.coming.some(coming => coming.key === key)
 
+/** Kept with the status, for the specification with which they were computed. */
+const freeSlotsByStatus = new WeakMap<EngineStatus, { spec: EngineSpec, slots: number }>()
+
 const freeSlots = (input: EngineOccupancy): number => {
   const { spec, status } = input
-  const taken = loadedAdapters(status).length + status.coming.length
+  const known = freeSlotsByStatus.get(status)
+  if (known?.spec === spec) return known.slots
+  const taken = contentsOf(status).adapters.length + status.coming.length
   const perAdapter = Math.max(1, ...spec.models.map(model => model.adapterMemoryMb))
   const byMemory = Math.floor((spec.weightMemoryMb - usedMemoryMb(input)) / perAdapter)
-  return Math.min(spec.adapterSlots - taken, byMemory)
+  const slots = Math.min(spec.adapterSlots - taken, byMemory)
+  freeSlotsByStatus.set(status, { spec, slots })
+  return slots
 }
 
 /** How many further adapters the engine could load now, and how many demands wait for a slot. */
@@ -146,10 +146,11 @@
 /** `demandedKeys`: pending demands. Each takes a free slot or that of an idle adapter once it is met. */
 export const roomIn = (occupancy: EngineOccupancy, demandedKeys: Iterable<string>): EngineRoom => {
   const { status, uses } = occupancy
-  const loaded = loadedAdapters(status)
-  const loadedKeys = new Set(loaded.map(({ key }) => key))
-  const idle = loaded.filter(({ key }) => uses(key) === 0).length
-  const queued = [...demandedKeys].filter(key => parseRef(key).adapter !== undefined && !loadedKeys.has(key) && !isLoading(status, key)).length
+  const { adapters, held } = contentsOf(status)
+  let idle = 0
+  for (const { key } of adapters) if (uses(key) === 0) idle += 1
+  let queued = 0
+  for (const key of demandedKeys) if (parseRef(key).adapter !== undefined && !held.has(key) && !isLoading(status, key)) queued += 1
   return { room: Math.max(0, freeSlots(occupancy) + idle - queued), queued }
 }
 
@@ -157,7 +158,7 @@
 const assumedLoadMs = 250
 
 const chooseVictim = (input: PlacementInput): string | undefined => {
-  const candidates: EvictionCandidate[] = loadedAdapters(input.status).map(({ key }) => ({
+  const candidates: EvictionCandidate[] = contentsOf(input.status).adapters.map(({ key }) => ({
     label: key,
     pins: input.uses(key),
     popularity: input.popularity(key),
@@ -168,7 +169,8 @@
 
 const placeAdapter = (input: PlacementInput): Placement | undefined => {
   const { status, demands, maxLoads = maxConcurrentLoads } = input
-  const held = new Map(loadedAdapters(status).map(each => [each.key, each.version]))
+  if (demands.length === 0) return undefined
+  const { held } = contentsOf(status)
   for (const { key, version, keep, waitedMs } of demands) {
     const ref = parseRef(key)
     if (ref.adapter === undefined || held.has(key) || isLoading(status, key)) continue
--- a/packages/fleet/src/side/side-process.ts
+++ b/packages/fleet/src/side/side-process.ts
@@ -6,7 +6,6 @@
  * own. It persists nothing: after a restart, the engine reports what is loaded and the entries repeat their demands.
  */
 import type { Duplex } from 'node:stream'
-import { isDeepStrictEqual } from 'node:util'
 import { hostOf } from '@finchpitch/core'
 import { LoadConcurrency, PaceEstimate, isPaceChangeSignificant, tokenLifetimeMs, type Pace } from '@finchpitch/decisions'
 import { Channel, type Frame, type FrameOf } from '@finchpitch/wire'
@@ -26,7 +25,8 @@
 import { nextPollDelayMs, idlePollMs } from './poll-delay.js'
 import { OrderSender } from './order-sender.js'
 import type { SideCounters } from './counters.js'
-import { EngineUpdate, diffKeys } from './engine-update.js'
+import { contentsOf, isSameList, isSameVersions } from './engine-contents.js'
+import { EngineUpdate, diffKeys, type EngineSnapshot } from './engine-update.js'
 import { decidePlacement, maxConcurrentLoads, minConcurrentLoads, roomIn, type EngineRoom } from './placement.js'
 import { QuotaBank } from './quota-bank.js'
 import { Subscribers } from './subscribers.js'
@@ -67,9 +67,11 @@
   readonly #subscribers: Subscribers
   readonly #host: string
   #held: LoadedVersions = new Map()
-  #coming: string[] = []
+  #coming: readonly string[] = []
   readonly #warm = new WarmCopies()
   readonly #quotaBank = new QuotaBank()
+  /** The update that was published last. It is published again while nothing has changed, so that its encoded frames are kept. */
+  #update: EngineUpdate | undefined
   /** The room that was published last. */
   #room = noRoom
   readonly #loadConcurrency = new LoadConcurrency({ least: minConcurrentLoads, most: maxConcurrentLoads })
@@ -180,6 +182,7 @@
   /** Called when the engine was replaced or restarted: its cached adapters and loads in progress are lost, and it may have another pace. */
   #handleEngineReplaced (): void {
     this.#warm.clear()
+    this.#update = undefined
     this.#loadTimes.clear()
     this.#paceEstimate = new PaceEstimate()
     this.#pace = undefined
@@ -187,7 +190,8 @@
 
   #serviceName (): string | undefined {
     const { facts, engineAddress } = this.options
-    return [...facts.servers.values()].find(server => server.address === engineAddress)?.service
+    for (const { address, service } of facts.servers.values()) if (address === engineAddress) return service
+    return undefined
   }
 
   #spec (): EngineSpec | undefined {
@@ -209,7 +213,7 @@
   }
 
   #settleLoaded (status: EngineStatus): void {
-    for (const [key, version] of loadedKeys(status)) {
+    for (const [key, version] of contentsOf(status).held) {
       this.#recordLoaded(key, version)
       if (this.demands.has(key)) this.demands.resolve(key, true)
     }
@@ -294,7 +298,7 @@
     if (pace !== undefined) this.#recordPace(pace)
     const { idle, used } = this.demands.recordUses(entry, uses, unread)
     if (idle && this.demands.hasPending) return this.#wake()
-    if ((idle || used) && (this.#currentRoom().room > 0) !== (this.#room.room > 0)) this.#publish()
+    if ((idle || used) && (this.#currentRoom(this.#spec()).room > 0) !== (this.#room.room > 0)) this.#publish()
   }
 
   /** A significant change is published with the next update. */
@@ -309,9 +313,8 @@
     this.#pace = pace
   }
 
-  #currentRoom (): EngineRoom {
+  #currentRoom (spec: EngineSpec | undefined): EngineRoom {
     const status = this.#status
-    const spec = this.#spec()
     if (status === undefined || spec === undefined) return noRoom
     return roomIn({ spec, status, uses: key => this.demands.uses(key) }, this.demands.keys())
   }
@@ -323,24 +326,29 @@
   }
 
   #publish (): void {
-    const status = this.#status
-    const held = status === undefined ? this.#held : loadedKeys(status)
-    const coming = status?.coming.map(each => each.key) ?? []
-    if (!isDeepStrictEqual(held, this.#held) || !isDeepStrictEqual(coming, this.#coming)) {
+    const { held, coming } = this.#status === undefined ? { held: this.#held, coming: [] } : contentsOf(this.#status)
+    if (!isSameVersions(held, this.#held) || !isSameList(coming, this.#coming)) {
       this.#changes += 1
       for (const key of diffKeys(this.#held, held).went) this.#warm.add(key, this.#held.get(key) ?? 0)
+      this.#held = held
+      this.#coming = coming
     }
-    this.#held = held
-    this.#coming = coming
     this.#subscribers.publish()
   }
 
   #engineUpdate (): EngineUpdate {
+    const snapshot = this.#snapshot()
+    if (this.#update?.hasSameState(snapshot) !== true) this.#update = new EngineUpdate(snapshot)
+    return this.#update
+  }
+
+  #snapshot (): EngineSnapshot {
     const status = this.#status
+    const spec = this.#spec()
     const { near, strangers } = this.#subscribers.entries
     if (nowMs() - this.#paceMeasuredAt > paceTtlMs) this.#pace = undefined
-    const { room, queued } = this.#room = this.#currentRoom()
-    return new EngineUpdate({
+    const { room, queued } = this.#room = this.#currentRoom(spec)
+    return {
       host: this.#host,
       changes: this.#changes,
       held: this.#held,
@@ -360,8 +368,8 @@
       entries: near,
       strangers,
       fence: this.#orderSender.fence,
-      batchSize: this.#spec()?.batchSize
-    })
+      batchSize: spec?.batchSize
+    }
   }
 
   #wake (): void {
@@ -389,14 +397,5 @@
 
 const rounded = ({ prefillMs, tokenMs }: Pace): Pace => ({ prefillMs: Math.round(prefillMs * 10) / 10, tokenMs: Math.round(tokenMs * 100) / 100 })
 
-const loadedKeys = (status: EngineStatus): LoadedVersions => {
-  const held = new Map<string, number>()
-  for (const model of status.models) {
-    held.set(model.name, model.version)
-    for (const [adapter, version] of Object.entries(model.adapters)) held.set(refKey({ model: model.name, adapter }), version)
-  }
-  return held
-}
-
 /** Whether a key names an adapter rather than a model. */
 export const isAdapterKey = (key: string): boolean => parseRef(key).adapter !== undefined
--- a/packages/fleet/src/side/subscriber.ts
+++ b/packages/fleet/src/side/subscriber.ts
@@ -7,7 +7,6 @@
  * those are loaded. When all side processes sent updates to all entries, 68 entries and 58 side processes sent 0.197 GB across
  * domains in one minute; with subscriptions, it is 0.071 GB.
  */
-import { isDeepStrictEqual } from 'node:util'
 import { encodeFrame, type Appointment, type Channel, type ChannelPace, type CompleteRevisions, type StoreSight } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
 import { forwardDelayBySight, forwardDelayMs, type FactLink } from '../fact-exchange.js'
@@ -33,14 +32,6 @@
   engineHost: string
 }
 
-/** An engine that the peer subscribes to, with its current state. */
-interface Subscription {
-  throttle: UpdateThrottle
-  update: EngineUpdate
-  /** Whether an update has to be sent now. */
-  due: boolean
-}
-
 export class Subscriber {
   readonly channel: Channel
   readonly isLocal: boolean
@@ -128,7 +119,7 @@
   sendComplete (complete: CompleteRevisions, confirmedAt: number): void {
     if (!this.#dependent) return
     const needsRepeat = confirmedAt - this.#completeSentAt > confirmIntervalMs
-    if (!needsRepeat && isDeepStrictEqual(complete, this.#lastComplete)) return
+    if (!needsRepeat && isSameComplete(complete, this.#lastComplete)) return
     this.#lastComplete = complete
     this.#completeSentAt = confirmedAt
     this.channel.send({ type: 'caught_up', complete })
@@ -136,7 +127,8 @@
 
   /** Appoints an entry to watch the store, or releases it from that. */
   sendAppointment (appointment: Appointment): void {
-    if (isDeepStrictEqual(appointment, this.#appointment)) return
+    const { watch, outage } = appointment
+    if (watch === this.#appointment?.watch && outage === this.#appointment.outage) return
     this.#appointment = appointment
     this.channel.send(appointment)
   }
@@ -157,31 +149,37 @@
    * waking up for them. `own` is the update of this process's engine, `relayed` those of remote engines by host.
    */
   publish (own: EngineUpdate, relayed: ReadonlyMap<string, EngineUpdate>): void {
-    const subscriptions = this.#subscriptions(own, relayed)
+    const now = nowMs()
     const frames: Buffer[] = []
-    if (this.#awaitsReply || subscriptions.some(({ due }) => due)) {
-      for (const { throttle, update, due } of subscriptions) if (due || throttle.canPiggyback(update)) frames.push(throttle.takeFrame(update))
-    }
-    frames.push(...this.#arrivalFrames(own))
+    if (this.#awaitsReply || this.#hasDue(own, relayed, now)) this.#addUpdates(frames, own, relayed, now)
+    if (this.#demanded.size > 0) frames.push(...this.#arrivalFrames(own, now))
     if (this.#awaitsReply && frames.length === 0) this.channel.beat()
     this.#awaitsReply = false
     if (frames.length > 0) this.channel.sendEncoded(frames)
   }
 
-  #subscriptions (own: EngineUpdate, relayed: ReadonlyMap<string, EngineUpdate>): Subscription[] {
-    const subscriptions: Subscription[] = []
+  #hasDue (own: EngineUpdate, relayed: ReadonlyMap<string, EngineUpdate>, now: number): boolean {
     for (const [host, throttle] of this.#throttles) {
       const update = host === this.#engineHost ? own : relayed.get(host)
-      if (update !== undefined) subscriptions.push({ throttle, update, due: throttle.isDue(update) || (this.#awaitsReply && update === own) })
+      if (update !== undefined && throttle.isDue(update, now)) return true
+    }
+    return false
+  }
+
+  #addUpdates (frames: Buffer[], own: EngineUpdate, relayed: ReadonlyMap<string, EngineUpdate>, now: number): void {
+    for (const [host, throttle] of this.#throttles) {
+      const update = host === this.#engineHost ? own : relayed.get(host)
+      if (update === undefined) continue
+      const isReply = this.#awaitsReply && update === own
+      if (isReply || throttle.isDue(update, now) || throttle.canPiggyback(update, now)) frames.push(throttle.takeFrame(update, now))
     }
-    return subscriptions
   }
 
   /** Notifications for demanded keys that are now loaded. Peers that subscribe to the engine learn it from its updates. */
-  #arrivalFrames (own: EngineUpdate): Buffer[] {
+  #arrivalFrames (own: EngineUpdate, now: number): Buffer[] {
     const frames: Buffer[] = []
     for (const [key, at] of this.#demanded) {
-      if (nowMs() - at > demandTtlMs) this.#demanded.delete(key)
+      if (now - at > demandTtlMs) this.#demanded.delete(key)
       const version = own.snapshot.held.get(key)
       if (version === undefined) continue
       this.#demanded.delete(key)
@@ -195,3 +193,6 @@
     return this.isLocal ? updatePolicies.local : updatePolicies.remote
   }
 }
+
+const isSameComplete = (a: CompleteRevisions, b: CompleteRevisions | undefined): boolean =>
+  b !== undefined && a.table === b.table && a.server === b.server && a.version === b.version
--- a/packages/fleet/src/side/subscribers.ts
+++ b/packages/fleet/src/side/subscribers.ts
@@ -23,8 +23,18 @@
   engineUpdate: () => EngineUpdate
 }
 
+/** The subscribers by role. */
+interface Roles {
+  /** Local entries. */
+  localEntries: readonly Subscriber[]
+  /** Local entries, and remote entries that subscribe to the engine directly. */
+  subscribedEntries: readonly Subscriber[]
+}
+
 export class Subscribers {
   readonly #subscribers = new Set<Subscriber>()
+  /** Derived when needed after a subscriber has joined, has left or has changed its subscriptions. */
+  #roles: Roles | undefined
   readonly #relay: UpdateRelay
   readonly #freshness: FreshnessRelay
   readonly #attemptReports: AttemptReportRelay
@@ -32,7 +42,7 @@
   constructor (private readonly options: SubscribersOptions) {
     this.#relay = new UpdateRelay({ ...options, changed: () => this.publish() })
     this.#freshness = new FreshnessRelay(options.facts, () => this.#storeReaderChannels())
-    this.#attemptReports = new AttemptReportRelay(() => this.#subscribedEntries.map(subscriber => subscriber.channel))
+    this.#attemptReports = new AttemptReportRelay(() => this.#currentRoles.subscribedEntries.map(subscriber => subscriber.channel))
   }
 
   get size (): number {
@@ -46,14 +56,18 @@
 
   /** Number of local entries, and of remote entries that subscribe to the engine directly. */
   get entries (): { near: number, strangers: number } {
-    const entries = this.#subscribedEntries
-    const near = entries.filter(subscriber => subscriber.isLocal).length
-    return { near, strangers: entries.length - near }
+    const { localEntries, subscribedEntries } = this.#currentRoles
+    return { near: localEntries.length, strangers: subscribedEntries.length - localEntries.length }
   }
 
-  /** Local entries, and remote entries that subscribe to the engine directly. */
-  get #subscribedEntries (): Subscriber[] {
-    return [...this.#subscribers].filter(subscriber => !subscriber.relay && (subscriber.isLocal || subscriber.subscribesToOwnEngine))
+  get #currentRoles (): Roles {
+    if (this.#roles !== undefined) return this.#roles
+    const entries = [...this.#subscribers].filter(subscriber => !subscriber.relay)
+    this.#roles = {
+      localEntries: entries.filter(subscriber => subscriber.isLocal),
+      subscribedEntries: entries.filter(subscriber => subscriber.isLocal || subscriber.subscribesToOwnEngine)
+    }
+    return this.#roles
   }
 
   add (channel: Channel): Subscriber {
@@ -61,6 +75,7 @@
     const isLocal = channel.peer.domain === domain
     const subscriber = new Subscriber({ channel, isLocal, engineHost: host })
     this.#subscribers.add(subscriber)
+    this.#roles = undefined
     if (isLocal) this.#startFactExchange(subscriber)
     else channel.setPace(idleChannelPace)
     log.info('reader.joined', { reader: channel.peer.process, domain: channel.peer.domain })
@@ -69,6 +84,7 @@
 
   remove (subscriber: Subscriber): void {
     this.#subscribers.delete(subscriber)
+    this.#roles = undefined
     subscriber.factLink?.stop()
     this.#updateRelayed()
   }
@@ -110,7 +126,7 @@
 
   /** Channels to the local entries that read the store, sorted: if all side processes ask the same one first, its proof serves them all. */
   #storeReaderChannels (): Channel[] {
-    const reading = [...this.#subscribers].filter(subscriber => subscriber.isLocal && !subscriber.relay && subscriber.sight === 'reading')
+    const reading = this.#currentRoles.localEntries.filter(subscriber => subscriber.sight === 'reading')
     return reading.map(subscriber => subscriber.channel).sort((a, b) => a.peer.process < b.peer.process ? -1 : 1)
   }
 
@@ -123,7 +139,7 @@
 
   /** Combined store status of the local entries: `reading` if any of them reads it, else `blind` if any of them gets no answer. */
   #localStoreSight (): StoreSight {
-    const sights = new Set([...this.#subscribers].filter(subscriber => subscriber.isLocal && !subscriber.relay).map(subscriber => subscriber.sight))
+    const sights = new Set(this.#currentRoles.localEntries.map(subscriber => subscriber.sight))
     return (['reading', 'blind'] as const).find(sight => sights.has(sight)) ?? 'resting'
   }
 
@@ -139,6 +155,7 @@
   #handleFollow (subscriber: Subscriber, { hosts, relay }: FrameOf<'follow'>): void {
     subscriber.setSubscriptions(hosts)
     subscriber.relay = relay
+    this.#roles = undefined
     if (!subscriber.isLocal) subscriber.channel.setPace(subscriber.subscribesToOwnEngine ? this.options.channel : idleChannelPace)
     if (subscriber.subscribesToOwnEngine) this.#startFactExchange(subscriber)
     this.#updateRelayed()
@@ -148,8 +165,7 @@
   /** Relays the remote engines that any local entry subscribes to through this process. */
   #updateRelayed (): void {
     const hosts = new Set<string>()
-    for (const subscriber of this.#subscribers) {
-      if (!subscriber.isLocal || subscriber.relay) continue
+    for (const subscriber of this.#currentRoles.localEntries) {
       for (const host of subscriber.subscribedHosts) if (host !== this.options.host) hosts.add(host)
     }
     this.#relay.setHosts(hosts)
@@ -157,7 +173,7 @@
 
   #appointWatchers (): void {
     const now = nowMs()
-    const entries = [...this.#subscribers].filter(subscriber => subscriber.isLocal && !subscriber.relay)
+    const entries = this.#currentRoles.localEntries
     const { selected, outage } = selectWatchers(entries.map(({ channel, sight, lastHeardAt }) => ({ process: channel.peer.process, silentMs: now - lastHeardAt, sight })))
     for (const subscriber of entries) subscriber.sendAppointment({ type: 'appoint', watch: selected.has(subscriber.channel.peer.process), outage })
   }
