Returning callers: count how their requests end

Cause: of 2,056 requests of returning callers in a flood 688 were served; how many of these callers had waited as told was not known.

Change: finchpitch_returning_requests_total by service, told (kept, early) and outcome (served, rejected, failed). What an entry does for callers that return moves from ServiceRequest to CallerReturn.

--- a/packages/fleet/src/entry/counters.ts
+++ b/packages/fleet/src/entry/counters.ts
@@ -102,6 +102,13 @@
     registers: [this.registry]
   })
 
+  readonly returning = new Counter({
+    name: 'finchpitch_returning_requests_total',
+    help: 'Requests of callers that were rejected before, by service, by whether they waited as long as they were told, and by how they ended.',
+    labelNames: ['service', 'told', 'outcome'],
+    registers: [this.registry]
+  })
+
   /** Registers the gauge of bytes kept, whose values are read at each scrape. */
   keptBytes (read: (kind: KeptKind) => number): void {
     const gauge: Gauge = new Gauge({
--- a/packages/fleet/src/entry/serving/request-times.ts
+++ b/packages/fleet/src/entry/serving/request-times.ts
@@ -1,6 +1,7 @@
 /**
  * The timing of one request: the time since it arrived and since its caller's first attempt, and the time left.
  */
+import { hasWaitedAsTold } from '@finchpitch/decisions'
 import { nowMs } from '../../clock.js'
 import type { Route } from '../../table.js'
 import { rankOf, type RankInput } from '../../request-rank.js'
@@ -20,9 +21,16 @@
   readonly arrivedAt = nowMs()
   /** On the monotonic clock. */
   deadline = Infinity
+  /** The time that its caller had left when it arrived, as stated. */
+  statedMs = Infinity
   /** How long before this request its caller made its first attempt. */
   firstTriedMs = 0
 
+  /** Whether its caller was rejected before and returned no earlier than it was told. */
+  get waitedAsTold (): boolean {
+    return hasWaitedAsTold(this.firstTriedMs, this.statedMs)
+  }
+
   /** Time since arrival. */
   get ms (): number {
     return nowMs() - this.arrivedAt
--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -11,7 +11,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Log } from '@finchpitch/core'
-import { bodyWaitMs, maxReturnMs } from '@finchpitch/decisions'
+import { bodyWaitMs } from '@finchpitch/decisions'
 import { nowMs } from '../../clock.js'
 import type { Facts } from '../../facts.js'
 import type { BackendServer } from '../../server.js'
@@ -22,9 +22,9 @@
 import type { ConnectTimeout } from '../servers/connect-timeout.js'
 import type { CrashTracker } from '../servers/crash-tracker.js'
 import type { EntryCounters } from '../counters.js'
+import { CallerReturn, type CallerReturnOptions } from './caller-return.js'
 import { CallerResponse } from './caller-response.js'
 import { EventFramer } from './event-stream.js'
-import type { FirstAttemptEstimator } from './first-attempt-estimator.js'
 import type { Admission, Denial } from './admission.js'
 import { IncomingRequest } from './incoming-request.js'
 import { buildOutgoingRequest, type OutgoingContext } from './outgoing-request.js'
@@ -38,6 +38,7 @@
 import type { ServerFeedbackHandler } from '../servers/server-feedback-handler.js'
 import { RequestTimes } from './request-times.js'
 import { RequestAdmission, type RequestAdmissionOptions } from './request-admission.js'
+import type { Quotas } from '../quotas/quotas.js'
 import type { RetryBudget } from '../waiting/retry-budget.js'
 import type { ServerFaults } from '../servers/server-faults.js'
 import type { ServerLimits } from '../servers/server-limits.js'
@@ -55,15 +56,15 @@
 /** With less time left, an attempt can't finish before the deadline. */
 const minRemainingMs = 5
 
-export interface ServiceRequestOptions extends RequestAdmissionOptions {
+export interface ServiceRequestOptions extends RequestAdmissionOptions, CallerReturnOptions {
   facts: Facts
   balancer: Balancer
   queue: RequestQueue
   budget: RetryBudget
-  firstAttempts: FirstAttemptEstimator
   faults: ServerFaults
   serverLimits: ServerLimits
   plainServices: PlainServices
+  quotas: Quotas
   feedbackHandler: ServerFeedbackHandler
   crashes: CrashTracker
   connectTimeout: ConnectTimeout
@@ -100,8 +101,6 @@
 }
 
 const firstServerErrorStatus = 500
-/** Whether the caller of a request with this outcome may send it again, other than after a rejection. */
-const mayReturnAfter = (outcome: string): boolean => outcome === 'failed' || outcome === 'interrupted' || outcome.startsWith('answered 5')
 const bodylessStatuses: ReadonlySet<number> = new Set([204, 304])
 
 /** Parses a header in seconds; 0 where it is missing or invalid. */
@@ -116,6 +115,7 @@
   readonly #times = new RequestTimes()
   readonly #record: RequestRecord
   readonly #callerResponse: CallerResponse
+  readonly #callerReturn: CallerReturn
   readonly #localReplies: LocalReplies
   readonly #crashes: RequestCrashes
   readonly #selector: ServerSelector
@@ -138,7 +138,9 @@
 
   constructor (private readonly options: ServiceRequestOptions, request: IncomingMessage, response: ServerResponse) {
     this.#incoming = new IncomingRequest(request, options.names)
+    this.#times.statedMs = this.#incoming.remainingMs
     this.#record = new RequestRecord(this.#incoming, this.#times)
+    this.#callerReturn = new CallerReturn(options, this.#times)
     this.#callerResponse = new CallerResponse(response, () => options.closeAfterResponse(request.socket), () => this.#watchCaller(response))
     this.#admission = new RequestAdmission(options, this.#incoming)
     this.#crashes = new RequestCrashes(options.crashes, this.#incoming)
@@ -155,7 +157,7 @@
     } finally {
       this.#releaseKept()
     }
-    this.#recordRejection(outcome)
+    this.#callerReturn.end(outcome, this.#localReplies.toldMs)
     this.#selector.permit.release()
     this.#admission.release()
     const engineReport = balancer.states.get(this.#record.server?.id ?? '')?.engineReport
@@ -163,7 +165,7 @@
   }
 
   async #handle (): Promise<string> {
-    const { facts, stopping, firstAttempts, noTableRetryMs } = this.options
+    const { facts, stopping, noTableRetryMs } = this.options
     const { remainingMs } = this.#incoming
     if (stopping()) return this.#localReplies.refuse('stopping')
     await this.options.tableLoaded()
@@ -177,7 +179,7 @@
     const { route } = admission
     if (this.#incoming.hasInvalidModel) return this.#localReplies.end('bad_model')
     const service = this.#serviceOf(route)?.name
-    this.#times.firstTriedMs = firstAttempts.agoMs({ route: route.name, service, remainingMs, rejectedElsewhere: this.#isRejectedElsewhere(service, admission) })
+    this.#callerReturn.recognize(admission, service)
     const readyInMs = await this.#admission.reserve(admission, this.#times.firstTriedMs, service)
     if (readyInMs !== undefined) return this.#localReplies.overQuota(readyInMs)
     this.#times.deadline = this.#times.arrivedAt + Math.min(remainingMs, route.timeoutMs)
@@ -194,25 +196,6 @@
     }
   }
 
-  /** Whether other entries reject requests of the service or the team at present, as far as they have told. */
-  #isRejectedElsewhere (service: string | undefined, { team }: Admission): boolean {
-    const { plainServices, quotas } = this.options
-    if (service !== undefined && plainServices.isEnforced(service)) return true
-    return team !== undefined && quotas.accounts.get(team.name)?.isOverQuota === true
-  }
-
-  /** Records a rejection or a failure, after which the caller may return. */
-  #recordRejection (outcome: string): void {
-    const { toldMs } = this.#localReplies
-    if (toldMs === undefined && !mayReturnAfter(outcome)) return
-    const { route } = this.#record
-    const leftMs = this.#incoming.remainingMs - this.#times.ms
-    this.options.firstAttempts.recordRejection(route === undefined ? undefined : this.#serviceOf(route)?.name, {
-      spentMs: this.#times.firstTriedMs + this.#times.ms,
-      returnInMs: Math.min(toldMs ?? 0, maxReturnMs({ remainingMs: leftMs }))
-    })
-  }
-
   /** Waits for room for the body if the process keeps too many bytes. Until then nothing is read from the caller. */
   async #mayReadBody (): Promise<boolean> {
     const { keptBytes } = this.options
