--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -22,9 +22,9 @@
 import type { ConnectTimeout } from '../servers/connect-timeout.js'
 import type { CrashTracker } from '../servers/crash-tracker.js'
 import type { EntryCounters } from '../counters.js'
+import { CallerReturn, type CallerReturnOptions } from './caller-return.js'
 import { CallerResponse } from './caller-response.js'
 import { EventFramer } from './event-stream.js'
-import type { FirstAttemptEstimator } from './first-attempt-estimator.js'
 import type { Admission, Denial } from './admission.js'
 import { IncomingRequest } from './incoming-request.js'
 import { buildOutgoingRequest, type OutgoingContext } from './outgoing-request.js'
@@ -38,6 +38,7 @@
 import type { ServerFeedbackHandler } from '../servers/server-feedback-handler.js'
 import { RequestTimes } from './request-times.js'
 import { RequestAdmission, type RequestAdmissionOptions } from './request-admission.js'
+import type { Quotas } from '../quotas/quotas.js'
 import type { RetryBudget } from '../waiting/retry-budget.js'
 import type { ServerFaults } from '../servers/server-faults.js'
 import type { ServerLimits } from '../servers/server-limits.js'
@@ -55,15 +56,15 @@
 /** With less time left, an attempt can't finish before the deadline. */
 const minRemainingMs = 5
 
-export interface ServiceRequestOptions extends RequestAdmissionOptions {
+export interface ServiceRequestOptions extends RequestAdmissionOptions, CallerReturnOptions {
   facts: Facts
   balancer: Balancer
   queue: RequestQueue
   budget: RetryBudget
-  firstAttempts: FirstAttemptEstimator
   faults: ServerFaults
   serverLimits: ServerLimits
   plainServices: PlainServices
+  quotas: Quotas
   feedbackHandler: ServerFeedbackHandler
   crashes: CrashTracker
   connectTimeout: ConnectTimeout
@@ -114,6 +115,7 @@
   readonly #times = new RequestTimes()
   readonly #record: RequestRecord
   readonly #callerResponse: CallerResponse
+  readonly #callerReturn: CallerReturn
   readonly #localReplies: LocalReplies
   readonly #crashes: RequestCrashes
   readonly #selector: ServerSelector
@@ -136,7 +138,9 @@
 
   constructor (private readonly options: ServiceRequestOptions, request: IncomingMessage, response: ServerResponse) {
     this.#incoming = new IncomingRequest(request, options.names)
+    this.#times.statedMs = this.#incoming.remainingMs
     this.#record = new RequestRecord(this.#incoming, this.#times)
+    this.#callerReturn = new CallerReturn(options, this.#times)
     this.#callerResponse = new CallerResponse(response, () => options.closeAfterResponse(request.socket), () => this.#watchCaller(response))
     this.#admission = new RequestAdmission(options, this.#incoming)
     this.#crashes = new RequestCrashes(options.crashes, this.#incoming)
@@ -153,6 +157,7 @@
     } finally {
       this.#releaseKept()
     }
+    this.#callerReturn.end(outcome, this.#localReplies.toldMs)
     this.#selector.permit.release()
     this.#admission.release()
     const engineReport = balancer.states.get(this.#record.server?.id ?? '')?.engineReport
@@ -160,7 +165,7 @@
   }
 
   async #handle (): Promise<string> {
-    const { facts, stopping, firstAttempts, noTableRetryMs } = this.options
+    const { facts, stopping, noTableRetryMs } = this.options
     const { remainingMs } = this.#incoming
     if (stopping()) return this.#localReplies.refuse('stopping')
     await this.options.tableLoaded()
@@ -173,8 +178,9 @@
     if (admission.type === 'denied') return this.#localReplies.deny(admission)
     const { route } = admission
     if (this.#incoming.hasInvalidModel) return this.#localReplies.end('bad_model')
-    this.#times.firstTriedMs = firstAttempts.agoMs(route.name, remainingMs)
-    const readyInMs = await this.#admission.reserve(admission, this.#times.firstTriedMs, this.#serviceOf(admission.route)?.name)
+    const service = this.#serviceOf(route)?.name
+    this.#callerReturn.recognize(admission, service)
+    const readyInMs = await this.#admission.reserve(admission, this.#times.firstTriedMs, service)
     if (readyInMs !== undefined) return this.#localReplies.overQuota(readyInMs)
     this.#times.deadline = this.#times.arrivedAt + Math.min(remainingMs, route.timeoutMs)
     if (!await this.#mayReadBody()) return this.#localReplies.refuse('too_many_bytes_kept')
