Quota replay: the same result for a seed; bank tests state the boot-time clock

Cause: the replay drew from Math.random in Quotas and advanced with real timers between the fake ones. Two tests at the bank stamped frames with the monotonic clock, while the bank dates them by the boot-time clock: they failed with +0 granted once anything in the process had counted as a suspension of 2 s, as a change from fake to real time does.

Change: the replay steps and draws as that of plain services does; the tests use boottimeMs, with the same bounds.

--- a/packages/fleet/test/quotas.test.ts
+++ b/packages/fleet/test/quotas.test.ts
@@ -337,7 +337,7 @@
   describe('at the bank', () => {
     let bank: QuotaBank
     const exchange = (entry: string, gives: AgedTokens[], wants: Array<[string, number]>): FrameOf<'quota_grant'> =>
-      bank.exchange(entry, { type: 'quota', stamp: 5, echo: { stamp: nowMs(), heldMs: 0 }, gives, wants }, () => 2000)
+      bank.exchange(entry, { type: 'quota', stamp: 5, echo: { stamp: boottimeMs(), heldMs: 0 }, gives, wants }, () => 2000)
     const sumOf = ({ grants }: FrameOf<'quota_grant'>): number => grants.reduce((sum, [, tokens]) => sum + tokens, 0)
 
     beforeEach(() => { bank = new QuotaBank() })
--- a/packages/fleet/test/replay/quota-replay.ts
+++ b/packages/fleet/test/replay/quota-replay.ts
@@ -12,6 +12,7 @@
 import type { Channel, FrameOf } from '@finchpitch/wire'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { advanceBySteps, alignBootClock, withRandom } from './replay-clock.js'
 
 export interface QuotaPattern {
   seed: number
@@ -82,6 +83,7 @@
     setMaxListeners(0, this.#stop.signal)
     const random = xoroshiro128plus(pattern.seed)
     this.#draw = () => uniformFloat64(random)
+    alignBootClock(time)
     this.#team = { name: 'red', keys: [], quota: pattern.quota }
     this.#entries = Array.from({ length: entryCount }, (_, entry) => this.#startEntry(entry))
     this.startBanks()
@@ -91,10 +93,12 @@
     const { mix = evenMix, calledEntries = 2 } = this.pattern
     const meanSize = mix.reduce((sum, { tokens, part }) => sum + tokens * part, 0)
     const perStep = this.pattern.load * this.pattern.quota.perSecond / meanSize * stepMs / 1000
-    for (const until = nowMs() + ms; nowMs() < until;) {
-      for (let count = perStep; count > 0; count--) if (this.#draw() < count) void this.#call(Math.floor(this.#draw() * calledEntries), this.#drawKind(mix))
-      await this.time.advance(stepMs)
-    }
+    await withRandom(this.#draw, async () => {
+      for (const until = nowMs() + ms; nowMs() < until;) {
+        for (let count = perStep; count > 0; count--) if (this.#draw() < count) void this.#call(Math.floor(this.#draw() * calledEntries), this.#drawKind(mix))
+        await advanceBySteps(this.time, stepMs)
+      }
+    })
   }
 
   /** The other bank stays. */
