Side process: log engine.pace on a change by a quarter only

Cause: engine.pace was logged with each published change, that is by a tenth: 1,380 lines from 36 processes in 28 s of a flood. Under load, the measured pace of an unchanged engine varies by as much.

Change: the line is written when the pace has changed by a quarter since the last logged figures, which are its `before`. What is published, and when, is unchanged. A replaced engine is logged anew.

A test checks that changes of a fifth are published without a line.

--- a/packages/decisions/src/pace.ts
+++ b/packages/decisions/src/pace.ts
@@ -13,6 +13,8 @@
 const minOutputTokens = 200
 /** Smaller changes don't change which engine is chosen. */
 const significantChange = 0.1
+/** Smaller changes are left out of the log: under load, the measured pace of an unchanged engine varies by a tenth several times a second. */
+const loggedChange = 0.25
 /** Engines that differ less count as equal, since measures of equal engines differ by about as much. */
 const significantSpread = 1.15
 /** Bounds of an engine's weight, so that no measure leaves an engine without adapters. */
@@ -45,9 +47,14 @@
 
 const differs = (before: number, now: number, share: number): boolean => Math.abs(now - before) > share * before
 
+const hasChanged = (before: Pace | undefined, now: Pace, share: number): boolean => before === undefined ||
+  differs(before.prefillMs, now.prefillMs, share) || differs(before.tokenMs, now.tokenMs, share)
+
 /** Whether the pace has changed by so much that it is worth publishing. */
-export const isPaceChangeSignificant = (published: Pace | undefined, now: Pace): boolean => published === undefined ||
-  differs(published.prefillMs, now.prefillMs, significantChange) || differs(published.tokenMs, now.tokenMs, significantChange)
+export const isPaceChangeSignificant = (published: Pace | undefined, now: Pace): boolean => hasChanged(published, now, significantChange)
+
+/** Whether the pace has changed by so much that it is worth a log line. */
+export const isPaceChangeLogged = (logged: Pace | undefined, now: Pace): boolean => hasChanged(logged, now, loggedChange)
 
 const mean = (values: readonly number[]): number => values.reduce((sum, value) => sum + value, 0) / values.length
 
--- a/packages/decisions/test/pace.test.ts
+++ b/packages/decisions/test/pace.test.ts
@@ -1,4 +1,4 @@
-import { PaceEstimate, comparePaces, isPaceChangeSignificant, weightedRendezvousScore, rendezvousScore, hashOf } from '@finchpitch/decisions'
+import { PaceEstimate, comparePaces, isPaceChangeLogged, isPaceChangeSignificant, weightedRendezvousScore, rendezvousScore, hashOf } from '@finchpitch/decisions'
 import { expect } from 'chai'
 
 describe('the pace of an engine', () => {
@@ -21,6 +21,13 @@
     expect(isPaceChangeSignificant(pace, { prefillMs: 20, tokenMs: 5.6 })).to.equal(true)
   })
 
+  it('is logged when it has changed by a quarter', () => {
+    const pace = { prefillMs: 20, tokenMs: 5 }
+    expect(isPaceChangeLogged(undefined, pace)).to.equal(true)
+    expect(isPaceChangeLogged(pace, { prefillMs: 24, tokenMs: 4 })).to.equal(false)
+    expect(isPaceChangeLogged(pace, { prefillMs: 14, tokenMs: 5 })).to.equal(true)
+  })
+
   it('gives no engine a weight while all are about equally quick, and slow ones a low one otherwise', () => {
     const even = [{ prefillMs: 20, tokenMs: 5 }, { prefillMs: 22, tokenMs: 5.5 }]
     expect(comparePaces(even)).to.equal(undefined)
--- a/packages/fleet/src/side/side-process.ts
+++ b/packages/fleet/src/side/side-process.ts
@@ -7,7 +7,7 @@
  */
 import type { Duplex } from 'node:stream'
 import { hostOf } from '@finchpitch/core'
-import { LoadConcurrency, PaceEstimate, isPaceChangeSignificant, tokenLifetimeMs, type Pace } from '@finchpitch/decisions'
+import { LoadConcurrency, PaceEstimate, isPaceChangeLogged, isPaceChangeSignificant, tokenLifetimeMs, type Pace } from '@finchpitch/decisions'
 import { Channel, type Frame, type FrameOf } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
 import { quotaBoundOf, type EngineStatus, type EngineOrder, type EngineControl, type Limits } from '../ports.js'
@@ -78,6 +78,8 @@
   #paceEstimate = new PaceEstimate()
   /** The pace that was published last. */
   #pace: Pace | undefined
+  /** The pace that was logged last. */
+  #loggedPace: Pace | undefined
   #paceMeasuredAt = -Infinity
   /** Number of changes to the loaded keys or the loads in progress. */
   #changes = 0
@@ -186,6 +188,7 @@
     this.#loadTimes.clear()
     this.#paceEstimate = new PaceEstimate()
     this.#pace = undefined
+    this.#loggedPace = undefined
   }
 
   #serviceName (): string | undefined {
@@ -308,9 +311,14 @@
     const pace = this.#paceEstimate.at(now)
     if (pace !== undefined) this.#paceMeasuredAt = now
     if (pace === undefined || !isPaceChangeSignificant(this.#pace, pace)) return
-    const { server } = this.#orderSender
-    this.options.log.info('engine.pace', { server, ...rounded(pace), before: this.#pace === undefined ? undefined : rounded(this.#pace) })
     this.#pace = pace
+    if (isPaceChangeLogged(this.#loggedPace, pace)) this.#logPace(pace)
+  }
+
+  #logPace (pace: Pace): void {
+    const { server } = this.#orderSender
+    this.options.log.info('engine.pace', { server, ...rounded(pace), before: this.#loggedPace === undefined ? undefined : rounded(this.#loggedPace) })
+    this.#loggedPace = pace
   }
 
   #currentRoom (spec: EngineSpec | undefined): EngineRoom {
--- a/packages/fleet/test/engine-room.test.ts
+++ b/packages/fleet/test/engine-room.test.ts
@@ -1,4 +1,4 @@
-import { silentLog } from '@finchpitch/core'
+import { Log, silentLog } from '@finchpitch/core'
 import { EngineMirror, Facts, SideCounters, SideProcess, type EngineControl, type EngineOrder, type EngineStatus } from '@finchpitch/fleet'
 import { FakeTime, channelOptions, duplexPair } from '@finchpitch/stand-ins'
 import { Channel, type Frame } from '@finchpitch/wire'
@@ -41,6 +41,7 @@
   let received: Frame[]
   let stop: AbortController
   let counters: SideCounters
+  let logged: string[]
 
   beforeEach(async () => {
     time = new FakeTime()
@@ -49,6 +50,7 @@
     received = []
     stop = new AbortController()
     counters = new SideCounters()
+    logged = []
     const facts = new Facts(silentLog, () => 1000)
     facts.offer({ kind: 'table', key: 'table', revision: 1, value: table }, 'store')
     facts.offer({ kind: 'server', key: 'e', revision: 2, value: { id: 'e', service: 'llm', address: `${host}:80`, domain: 'a', slots: 8, leaving: false, models: [] } }, 'store')
@@ -63,7 +65,7 @@
       limits: () => limits,
       channel: channelOptions('side-0'),
       counters,
-      log: silentLog
+      log: new Log('engine-room', {}, 'info', { write: line => { logged.push((JSON.parse(line) as { event: string }).event) } })
     })
     const [entryEnd, sideEnd] = duplexPair()
     entry = new Channel(entryEnd, channelOptions('entry-1'))
@@ -172,6 +174,18 @@
       expect(mirror.tokenMs).to.be.greaterThan(8)
     })
 
+    // Guards against a log line for each published change: in a flood, 36 side processes wrote 1,380 lines in 28 s.
+    it('publishes a change by a tenth without a log line, and logs one by a quarter', async () => {
+      const lines = (): number => logged.filter(event => event === 'engine.pace').length
+      await measure(5)
+      expect(lines()).to.equal(1)
+      for (let each = 0; each < 6; each++) await measure(6)
+      expect(mirror.tokenMs).to.be.within(5.5, 6)
+      expect(lines()).to.equal(1)
+      for (let each = 0; each < 8; each++) await measure(8)
+      expect(lines()).to.be.within(2, 3)
+    })
+
     // Guards against choices by the pace of an engine that is no longer there, or that is slow no more and gets no requests.
     it('publishes none after the engine has restarted, or after it was not measured for long', async () => {
       await measure(5)
