Engine selection: compute only the properties that a choice reads

Cause: each choice built a candidate with all properties for each of 36 engines, and did so again for each waiting request at each scan of the queue.

Change: one object per engine (`EngineView`), kept while the list of engines and their states are the same, computes a property when it is read. The holders come from the index of holders. Figures that decay with time are kept until the engine's state changes; selections within 1 ms use the same time, so such a figure is at most 1 ms old. Loads that were requested are counted only for engines that report room, and the side links are asked last.

--- a/packages/fleet/src/entry/servers/balancer.ts
+++ b/packages/fleet/src/entry/servers/balancer.ts
@@ -8,10 +8,11 @@
 import type { Facts } from '../../facts.js'
 import type { Limits } from '../../ports.js'
 import type { BackendServer } from '../../server.js'
-import type { FleetService } from '../../table.js'
-import { chooseEngine, choosePlain, type Choice, type EngineSelection, type EngineCandidate, type ServerCandidate } from './choice.js'
+import type { FleetService, RouteIndex } from '../../table.js'
+import { chooseEngine, choosePlain, type Choice, type ServerCandidate } from './choice.js'
+import { EngineView, roomOf, type SelectionContext } from './engine-view.js'
 import { PrefillRate } from './prefill-rate.js'
-import type { EngineReport, PendingRequest, ServerState } from './server-state.js'
+import type { PendingRequest, ServerState } from './server-state.js'
 import { ServerStates } from './server-states.js'
 import { noLimits, type LimitsView } from './server-limits.js'
 import { noBusyServices, type PlainServicesView } from './plain-services.js'
@@ -38,15 +39,21 @@
 /** Interval at which the paces of a service's engines are compared. They are published at most a few times per second. */
 const paceComparisonMs = 500
 
-/** What all candidates of one selection have in common. */
-interface SelectionContext {
-  now: number
-  /** The oldest version of the key that may be used. */
-  oldestVersion: number
-  /** Don't load adapters into engines that advertise a limit, as there are others. */
-  avoidLimited: boolean
-  /** `undefined` while the engines are about equally quick. */
-  paces: PaceComparison | undefined
+/**
+ * Selections within this time use the same time: figures that only decay are then computed once for all of them. In a scan of the
+ * queue, a request is chosen for every few microseconds.
+ */
+const clockStepMs = 1
+
+/** The engines of a service that may be sent requests. */
+interface EngineList {
+  servers: readonly BackendServer[]
+  views: readonly EngineView[]
+  /** The position of each engine. */
+  positions: ReadonlyMap<string, number>
+  /** What the views were built from. */
+  generation: number
+  routes: RouteIndex | undefined
 }
 
 /** The properties of a request that a server is selected by. */
@@ -75,6 +82,9 @@
   readonly #paces = new Map<string, { comparison: PaceComparison | undefined, at: number }>()
   /** Servers in backoff, or whose concurrency still ramps up after one. */
   readonly #restricted = new Set<string>()
+  /** By service. */
+  readonly #engineLists = new Map<string, EngineList>()
+  #context: SelectionContext | undefined
 
   constructor (
     private readonly facts: Facts,
@@ -149,7 +159,7 @@
     const all = this.facts.eligibleServers(selection.service.name)
     const open = mayUse === undefined ? all : all.filter(mayUse)
     const remaining = selection.excluded.size === 0 ? open : open.filter(server => !selection.excluded.has(server.id))
-    const servers = this.#restricted.size === 0 ? remaining : remaining.filter(server => this.#hasCapacity(server))
+    const servers = this.#restricted.size === 0 || remaining.every(server => this.#hasCapacity(server)) ? remaining : remaining.filter(server => this.#hasCapacity(server))
     if (servers.length === 0 && this.#restricted.size > 0) {
       const backoff = this.#backoffChoice(remaining.length > 0 ? remaining : open)
       if (backoff !== undefined) return backoff
@@ -215,14 +225,55 @@
     return { type: 'resting', readyInMs, reason: 'all servers asked for rest' }
   }
 
-  /** Considers the engines that hold the key first, and all engines only if none of those answers within the objective. */
   #chooseEngine (servers: readonly BackendServer[], key: string, selection: SelectionRequest): Choice {
-    const ids = this.states.holders.of(key)
-    if (ids.size > 0 && ids.size < servers.length) {
-      const choice = chooseEngine(this.#engineSelection(servers.filter(server => ids.has(server.id)), key, selection))
-      if (choice.type === 'send' && choice.expectedMs < selection.timeToObjectiveMs) return choice
+    const list = this.#engineList(selection.service.name)
+    const context = this.#beginSelection(servers, key, selection)
+    const candidates = servers === list.servers ? list.views : servers.map(({ id }) => list.views[list.positions.get(id) ?? -1]).filter(view => view !== undefined)
+    const holders = this.#holders(list, key).filter(view => view.holds && (candidates === list.views || candidates.includes(view)))
+    return chooseEngine({ candidates, holders, domain: this.domain, key: context.key, timeToObjectiveMs: selection.timeToObjectiveMs, adapterSlots: selection.service.engine?.adapterSlots })
+  }
+
+  /** The engines that hold any version of the key, in the order of the list. */
+  #holders ({ views, positions }: EngineList, key: string): EngineView[] {
+    const found: number[] = []
+    for (const id of this.states.holders.of(key)) {
+      const position = positions.get(id)
+      if (position !== undefined) found.push(position)
     }
-    return chooseEngine(this.#engineSelection(servers, key, selection))
+    return found.sort((a, b) => a - b).map(position => views[position]).filter(view => view !== undefined)
+  }
+
+  #engineList (service: string): EngineList {
+    const servers = this.facts.eligibleServers(service)
+    const { routes } = this.facts
+    const known = this.#engineLists.get(service)
+    if (known?.servers === servers && known.generation === this.states.generation && known.routes === routes) return known
+    const options = { context: this.#selectionContext, limits: this.serverLimits, isFallback: (id: string) => this.facts.isFallback(id) }
+    const views = servers.map(server => new EngineView(server, this.state(server), options))
+    const list = { servers, views, positions: new Map(servers.map(({ id }, position) => [id, position])), generation: this.states.generation, routes }
+    this.#engineLists.set(service, list)
+    return list
+  }
+
+  get #selectionContext (): SelectionContext {
+    this.#context ??= { round: 0, now: -Infinity, key: '', promptTokens: 0, outputTokens: 0, priority: 0, oldestVersion: 0, avoidLimited: false, paces: undefined, links: this.links() }
+    return this.#context
+  }
+
+  #beginSelection (servers: readonly BackendServer[], key: string, { service, promptTokens, outputTokens = 0, priority }: SelectionRequest): SelectionContext {
+    const context = this.#selectionContext
+    const now = nowMs()
+    context.round += 1
+    if (now < context.now || now - context.now >= clockStepMs) context.now = now
+    context.key = key
+    context.promptTokens = promptTokens
+    context.outputTokens = outputTokens
+    context.priority = priority
+    context.oldestVersion = this.#oldestUsableVersion(key, now)
+    context.avoidLimited = !this.serverLimits.isEmpty && servers.some(server => this.serverLimits.state(server) === undefined)
+    context.paces = this.pacesOf(service.name, now)
+    context.links = this.links()
+    return context
   }
 
   /** Records that the first byte of a response arrived. */
@@ -257,7 +308,7 @@
   }
 
   #room (engine: BackendServer): number | undefined {
-    return roomOf(engine, this.states.get(engine.id)?.engineReport, this.links())
+    return roomOf(engine, this.states.get(engine.id), this.links())
   }
 
   /** The version of the key that an engine holds; `undefined` if it holds none that may still be used. */
@@ -276,16 +327,8 @@
     this.log.info('holding.corrected', { server: server.id, key, age: Math.round(nowMs() - engineReport.at) })
   }
 
-  #engineSelection (servers: readonly BackendServer[], key: string, selection: SelectionRequest): EngineSelection {
-    const now = nowMs()
-    const oldestVersion = this.#oldestUsableVersion(key, now)
-    const avoidLimited = !this.serverLimits.isEmpty && servers.some(server => this.serverLimits.state(server) === undefined)
-    const paces = this.#comparePaces(selection.service.name, now)
-    const candidates = servers.map(server => this.#engineCandidate(server, key, selection, { now, oldestVersion, avoidLimited, paces }))
-    return { candidates, domain: this.domain, key, timeToObjectiveMs: selection.timeToObjectiveMs, adapterSlots: selection.service.engine?.adapterSlots }
-  }
-
-  #comparePaces (service: string, now: number): PaceComparison | undefined {
+  /** How the paces of the service's engines compare; `undefined` while these are about equally quick. */
+  pacesOf (service: string, now = nowMs()): PaceComparison | undefined {
     const known = this.#paces.get(service)
     if (known !== undefined && now - known.at < paceComparisonMs) return known.comparison
     const paces = this.facts.eligibleServers(service).map(server => this.states.get(server.id)?.engineReport?.pace).filter(pace => pace !== undefined)
@@ -314,39 +357,4 @@
       responseMs: state.responseMs(now)
     }
   }
-
-  /**
-   * Runs for every engine of every selection, so it copies nothing, and properties that few selections read are computed on
-   * access.
-   */
-  #engineCandidate (server: BackendServer, key: string, { promptTokens, outputTokens = 0, priority }: SelectionRequest, { now, oldestVersion, avoidLimited, paces }: SelectionContext): EngineCandidate {
-    const state = this.state(server)
-    const { engineReport } = state
-    state.assumedPace = paces === undefined ? undefined : engineReport?.pace ?? paces.mean
-    const links = this.links()
-    const limits = this.serverLimits
-    return {
-      id: server.id,
-      hash: state.hash,
-      domain: server.domain,
-      load: state.load,
-      slots: server.slots,
-      unhealthy: state.outlier.ejected(now) || state.isUnresponsive(now) || engineReport?.reachable === false,
-      fallback: this.facts.isFallback(server.id),
-      holds: (engineReport?.held.get(key) ?? -1) >= oldestVersion,
-      expectedMs: state.expectedMs(promptTokens, priority, now),
-      runMs: state.runMs(outputTokens),
-      weight: paces === undefined || state.assumedPace === undefined ? 1 : paces.weightOf(state.assumedPace),
-      get coming () { return engineReport?.coming.has(key) === true || links.isLoadRequested(server, key) },
-      get queued () { return links.isLoadQueued(server, key) },
-      get room () { return roomOf(server, engineReport, links) },
-      slotMs: engineReport?.slotMs ?? 0,
-      get warm () { return links.warm(server, key) },
-      get canRequestLoad () { return !(avoidLimited && limits.state(server) !== undefined) && links.canRequestLoad(server, key) }
-    }
-  }
 }
-
-/** Adapters that the engine could load, less those requested from it since it reported; `undefined` if it has not. */
-const roomOf = (engine: BackendServer, report: EngineReport | undefined, links: AdapterPlacement): number | undefined =>
-  report?.room === undefined ? undefined : Math.max(0, report.room - links.loadsRequestedSince(engine, report.at))
--- a/packages/fleet/src/entry/servers/choice.ts
+++ b/packages/fleet/src/entry/servers/choice.ts
@@ -110,6 +110,8 @@
 
 export interface EngineSelection {
   candidates: readonly EngineCandidate[]
+  /** Those of the candidates that hold the key, in the same order, if that is known. */
+  holders?: readonly EngineCandidate[]
   domain: string
   /** Adapter or model key. */
   key: string
@@ -158,7 +160,7 @@
 export const chooseEngine = (choice: EngineSelection): Choice => {
   const { candidates } = choice
   if (candidates.length === 0) return { type: 'none', reason: 'no engine of the service' }
-  const holders = usable(candidates.filter(candidate => candidate.holds))
+  const holders = usable(choice.holders ?? candidates.filter(candidate => candidate.holds))
   const open = holders.filter(hasCapacity)
   const notBusy = soonest(open.filter(candidate => candidate.load < candidate.slots * busyThreshold), choice)
   const best = notBusy ?? soonest(open, choice)
@@ -188,13 +190,13 @@
   const send: Choice = { type: 'send', id, reason, expectedMs }
   if (expectedMs < timeToObjectiveMs || candidates.some(candidate => candidate.coming && !candidate.unhealthy)) return send
   const other = hasSpareRoom(choice) ? loadTarget(choice) : undefined
-  const otherMs = other === undefined ? Infinity : firstTokenAfterLoadMs(other)
+  const otherMs = other === undefined ? Infinity : firstTokenAfterLoadMs(other, other.warm)
   if (otherMs > timeToObjectiveMs || otherMs + coldLoadPenaltyMs > expectedMs) return send
   return { type: 'bring', ask: other?.id, held: true, reason: 'its holders are slow' }
 }
 
 /** Time to the first token at an engine that has to load the adapter first; it prefills the prompts ahead during the load. */
-const firstTokenAfterLoadMs = ({ warm, expectedMs }: EngineCandidate): number => Math.max(warm ? warmLoadMs : coldLoadMs, expectedMs)
+const firstTokenAfterLoadMs = ({ expectedMs }: EngineCandidate, warm: boolean): number => Math.max(warm ? warmLoadMs : coldLoadMs, expectedMs)
 
 /**
  * The engine that should load the key: one that can start soon, preferably with a copy in memory, and among equals the one with
@@ -211,16 +213,24 @@
 const loadTarget = (choice: EngineSelection): EngineCandidate | undefined => {
   const { candidates, key } = choice
   const weighted = hasSpareRoom(choice)
-  const eligible = candidates.filter(candidate =>
-    !candidate.holds && !candidate.coming && !candidate.unhealthy && !candidate.fallback && hasCapacity(candidate) && candidate.canRequestLoad)
   const keyHash = hashOf(key)
-  const cost = (candidate: EngineCandidate): number =>
-    Math.floor(firstTokenAfterLoadMs(candidate) / startStepMs) * startStepMs + (candidate.warm ? 0 : coldLoadPenaltyMs) +
-    weightedRendezvousScore(keyHash, candidate.hash, weighted ? candidate.weight ?? 1 : 1) * affinityPenaltyMs
-  const best = minBy(eligible, candidate => cost(candidate) + slotWaitMs(candidate))
-  return best === undefined || hasRoom(best) ? best : eligible.find(({ queued }) => queued) ?? best
+  let best: EngineCandidate | undefined
+  let lowestCost = Infinity
+  for (const candidate of candidates) {
+    if (!mayLoad(candidate)) continue
+    const { warm } = candidate
+    const cost = Math.floor(firstTokenAfterLoadMs(candidate, warm) / startStepMs) * startStepMs + (warm ? 0 : coldLoadPenaltyMs) +
+      weightedRendezvousScore(keyHash, candidate.hash, weighted ? candidate.weight ?? 1 : 1) * affinityPenaltyMs + slotWaitMs(candidate)
+    if ((best !== undefined && cost >= lowestCost) || !candidate.canRequestLoad) continue
+    best = candidate
+    lowestCost = cost
+  }
+  return best === undefined || hasRoom(best) ? best : candidates.find(candidate => candidate.queued && mayLoad(candidate) && candidate.canRequestLoad) ?? best
 }
 
+/** Whether the engine may load a key that no healthy engine is loading, if it can be asked to. */
+const mayLoad = (candidate: EngineCandidate): boolean => !candidate.fallback && !candidate.unhealthy && hasCapacity(candidate) && !candidate.holds
+
 const slotWaitMs = (candidate: EngineCandidate): number => hasRoom(candidate) ? 0 : candidate.slotMs ?? 0
 
 const hasRoom = ({ room }: EngineCandidate): boolean => room === undefined || room > 0
--- a/packages/fleet/src/entry/servers/server-state.ts
+++ b/packages/fleet/src/entry/servers/server-state.ts
@@ -79,8 +79,11 @@
   #ownUnread = 0
   /** What was observed of its pace since the last report to its side process. */
   #observed: [promptTokens: number, prefillMs: number, outputTokens: number, runMs: number] = [0, 0, 0, 0]
-  /** Its pace as published, or the mean of its service's engines; `undefined` while these are about equally quick. */
-  assumedPace: Pace | undefined
+  #assumedPace: Pace | undefined
+  /** Tokens not prefilled yet, as last computed; `at` is the time that they were computed for. */
+  readonly #unreadFigure = { at: -Infinity, value: 0 }
+  /** The same for the prefill time per token, by priority. */
+  readonly #prefillFigures = new Map<number, { at: number, value: number }>()
   readonly #prefillRate = new PrefillRate()
   /** Engines prefill the prompts of urgent requests first, so each priority has a prefill rate of its own. */
   readonly #ratesByPriority = new Map<number, PrefillRate>()
@@ -105,8 +108,12 @@
 
   /** Requests in progress or queued at the server, as reported and sent since; at least the own ones. */
   get load (): number {
+    return this.loadAt(nowMs())
+  }
+
+  loadAt (now: number): number {
     const reported = this.engineReport === undefined ? 0 : this.engineReport.running + this.engineReport.waiting
-    const refused = nowMs() < this.#refusedUntil ? this.#refusedLoad : 0
+    const refused = now < this.#refusedUntil ? this.#refusedLoad : 0
     return Math.max(this.#pending.size, reported + this.#sentSinceReport) + refused
   }
 
@@ -126,16 +133,42 @@
 
   /** Estimated time to the first token of a request with so many prompt tokens, if it were sent now. */
   expectedMs (tokens: number, priority: number, now: number): number {
-    return (this.#unreadTokensAt(now) + tokens) * this.#msPerToken(this.#rateOf(priority), now)
+    return (this.#unreadTokensAt(now) + tokens) * this.#msPerTokenOf(priority, now)
+  }
+
+  /** Its pace as published, or the mean of its service's engines; `undefined` while these are about equally quick. */
+  get assumedPace (): Pace | undefined {
+    return this.#assumedPace
+  }
+
+  assumePace (pace: Pace | undefined): void {
+    if (pace === this.#assumedPace) return
+    this.#assumedPace = pace
+    this.#forgetFigures()
+  }
+
+  /** Called when what the figures are computed from changes. */
+  #forgetFigures (): void {
+    this.#unreadFigure.at = -Infinity
+    for (const figure of this.#prefillFigures.values()) figure.at = -Infinity
+  }
+
+  #msPerTokenOf (priority: number, now: number): number {
+    let figure = this.#prefillFigures.get(priority)
+    if (figure === undefined) this.#prefillFigures.set(priority, figure = { at: -Infinity, value: 0 })
+    if (figure.at === now) return figure.value
+    figure.at = now
+    figure.value = this.#msPerToken(this.#rateOf(priority), now)
+    return figure.value
   }
 
   #msPerToken (rate: PrefillRate, now: number): number {
-    return this.assumedPace === undefined ? rate.msPerToken(now) : rate.msPerToken(now, this.assumedPace.prefillMs / 1000)
+    return this.#assumedPace === undefined ? rate.msPerToken(now) : rate.msPerToken(now, this.#assumedPace.prefillMs / 1000)
   }
 
   /** Expected time from the first to the last of so many output tokens; 0 while the engines of its service are about equally quick. */
   runMs (outputTokens: number): number {
-    return outputTokens * (this.assumedPace?.tokenMs ?? 0)
+    return outputTokens * (this.#assumedPace?.tokenMs ?? 0)
   }
 
   #rateOf (priority: number): PrefillRate {
@@ -151,15 +184,21 @@
    * report, at its usual rate.
    */
   #unreadTokensAt (now: number): number {
-    if (this.engineReport === undefined) return this.#ownUnread
-    const prefilledSince = (now - this.engineReport.at) / this.#msPerToken(this.#prefillRate, now)
-    return this.#ownUnread + Math.max(0, this.engineReport.unread - prefilledSince)
+    const { engineReport } = this
+    if (engineReport === undefined || engineReport.unread === 0) return this.#ownUnread
+    const figure = this.#unreadFigure
+    if (figure.at === now) return figure.value
+    const prefilledSince = Math.max(0, now - engineReport.at) / this.#msPerToken(this.#prefillRate, now)
+    figure.at = now
+    figure.value = this.#ownUnread + Math.max(0, engineReport.unread - prefilledSince)
+    return figure.value
   }
 
   begin ({ key, patienceMs, tokens, priority }: RequestStart): PendingRequest {
     const now = nowMs()
     const pending = { sentAt: now, patienceMs, tokens, tokensAhead: this.#unreadTokensAt(now), priority }
     this.#ownUnread += tokens
+    this.#forgetFigures()
     this.#pending.add(pending)
     this.#awaitingFirstByte.add(pending)
     this.#sentSinceReport += 1
@@ -177,6 +216,7 @@
   recordFirstByte (pending: PendingRequest): void {
     if (!this.#awaitingFirstByte.delete(pending)) return
     this.#ownUnread -= pending.tokens
+    this.#forgetFigures()
     const now = nowMs()
     pending.firstByteAt = now
     if (pending.tokens === 0) return
@@ -205,7 +245,10 @@
 
   end (key: string | undefined, pending: PendingRequest): void {
     this.#pending.delete(pending)
-    if (this.#awaitingFirstByte.delete(pending)) this.#ownUnread -= pending.tokens
+    if (this.#awaitingFirstByte.delete(pending)) {
+      this.#ownUnread -= pending.tokens
+      this.#forgetFigures()
+    }
     this.#sentSinceReport = Math.max(0, this.#sentSinceReport - 1)
     if (key === undefined) return
     const uses = this.uses.get(key)
@@ -222,6 +265,7 @@
 
   /** Whether a request has waited for its first byte for longer than its `patienceMs`. */
   isUnresponsive (now: number): boolean {
+    if (this.#awaitingFirstByte.size === 0) return false
     for (const pending of this.#awaitingFirstByte) {
       if (now - pending.sentAt > pending.patienceMs) return true
     }
@@ -231,6 +275,7 @@
   applyReport (report: EngineReport): void {
     this.engineReport = report
     this.#sentSinceReport = 0
+    this.#forgetFigures()
     this.#refusedUntil = -Infinity
   }
 
--- a/packages/fleet/src/entry/servers/server-states.ts
+++ b/packages/fleet/src/entry/servers/server-states.ts
@@ -12,6 +12,7 @@
 export class ServerStates {
   readonly holders = new Holders()
   readonly #states = new Map<string, ServerState>()
+  #generation = 0
 
   /** `onUsesChange`: called with a server's id when its adapter use changes, which has to be reported to its side process. */
   constructor (private readonly onUsesChange: UsesListener = () => {}) {}
@@ -27,12 +28,18 @@
     return known
   }
 
+  /** Changes whenever a state is created, replaced or removed. */
+  get generation (): number {
+    return this.#generation
+  }
+
   /** A new server or incarnation: what is known of the previous incarnation, and connections to it, are discarded. */
   #begin (id: string, maxConnections: number, bornAt: number | undefined): ServerState {
     this.#states.get(id)?.close()
     this.holders.update(id, undefined)
     const state = new ServerState(id, maxConnections, this.onUsesChange, bornAt)
     this.#states.set(id, state)
+    this.#generation += 1
     return state
   }
 
@@ -65,6 +72,7 @@
       state.close()
       this.holders.update(id, undefined)
       this.#states.delete(id)
+      this.#generation += 1
     }
   }
 }
