Waiting: promise capacity to returning callers by a rule that all entries share

Cause: callers that are rejected return at another entry of the domain, which does not know what they were told. Every caller was told a time, whether capacity was kept for it or not.

Any entry tells both apart by the stated time, with no message (decisions/return-promise.ts).

--- a/packages/decisions/src/return-promise.ts
+++ b/packages/decisions/src/return-promise.ts
@@ -16,3 +16,22 @@
 
 /** Whether a caller that first tried `agoMs` ago waited as long as it was told. */
 export const hasWaitedAsTold = (agoMs: number, remainingMs: number): boolean => agoMs > 0 && agoMs < (agoMs + remainingMs) * keptShare
+
+/** When a caller can return, from now on. */
+export interface ReturnWindow {
+  /** Between these it returns as promised; there is no such time if the first is later. */
+  earliestMs: number
+  latestMs: number
+  /** It waits no longer than this, whatever it is told. */
+  longestMs: number
+}
+
+/** Promises leave this share of the caller's time for network latency. */
+const latencyShare = 0.02
+
+/** The window of a caller that first tried `spentMs` ago and has `remainingMs` left. `returning`: it does not return a second time. */
+export const returnWindow = (spentMs: number, remainingMs: number, returning = false): ReturnWindow => ({
+  earliestMs: Math.max(0, earliestReturnMs - spentMs),
+  latestMs: returning ? -Infinity : (keptShare - latencyShare) * (spentMs + remainingMs) - spentMs,
+  longestMs: remainingMs * maxReturnShare
+})
