--- a/packages/decisions/src/return-promise.ts
+++ b/packages/decisions/src/return-promise.ts
@@ -17,6 +17,9 @@
 /** Whether a caller that first tried `agoMs` ago waited as long as it was told. */
 export const hasWaitedAsTold = (agoMs: number, remainingMs: number): boolean => agoMs > 0 && agoMs < (agoMs + remainingMs) * keptShare
 
+/** What is told to a caller that is promised nothing exceeds the longest time that it waits by this factor. */
+export const beyondFactor = 1.1
+
 /** When a caller can return, from now on. */
 export interface ReturnWindow {
   /** Between these it returns as promised; there is no such time if the first is later. */
--- a/packages/decisions/src/return-schedule.ts
+++ b/packages/decisions/src/return-schedule.ts
@@ -6,14 +6,12 @@
  * after all that were told one, and more than they can wait. Callers may return to another process, which knows by the same rule
  * whether one was promised capacity (`return-promise.ts`).
  */
-import type { ReturnWindow } from './return-promise.js'
+import { beyondFactor, type ReturnWindow } from './return-promise.js'
 
 /** The range of times told: a shorter one brings callers back before anything can change, a longer one is a guess. */
 export const returnRange = { minMs: 100, maxMs: 5000 }
 /** Random part of the time told, so that callers don't return together. */
 const spread = 0.1
-/** What is told to a caller that is promised nothing exceeds the longest time that it waits by this factor. */
-const beyondFactor = 1.1
 interface Booking {
   team: string
   dueAt: number
