Facts from a peer: apply those that arrive together as one batch

Cause: after a start, a process that gets its facts from a peer applied and logged each by itself: an entry looked at all servers again for each server, and each side process wrote 41 lines. Change: a link applies facts at the end of the turn of the event loop in which they arrived, or before the next frame of another type, and logs those of a kind that was never complete as one line `belief.listed`. Tests: fact-exchange, fact-watch, facts, entry-peers, side-links, store-watch, update-relay, update-sources, watch-duty, freshness, silent-store, entry-count, subscribers, side-process, restored-store pass.

--- a/packages/fleet/src/fact-exchange.ts
+++ b/packages/fleet/src/fact-exchange.ts
@@ -56,6 +56,8 @@
   #group: DelayedGroup | undefined
   /** Facts of the current batch of changes that are sent at its end. */
   #batched: Fact[] = []
+  /** Facts received in this turn of the event loop, not applied yet. */
+  #received: FactFrame[] = []
 
   constructor (private readonly facts: Facts, private readonly channel: Channel, delayMs: number, private readonly log: Log) {
     this.#delayMs = delayMs
@@ -82,6 +84,7 @@
   }
 
   stop (): void {
+    this.#applyReceived()
     for (const stop of this.#stops) stop()
   }
 
@@ -90,9 +93,17 @@
     if (complete !== undefined) this.#complete = complete
   }
 
-  /** Handles a frame from the peer; frames unrelated to facts are ignored. */
+  /**
+   * Handles a frame from the peer; frames unrelated to facts are ignored. Facts that arrive together are applied as a batch at the
+   * latest before the next frame of another type, which may say that they are complete.
+   */
   handleFrame (frame: Frame): void {
-    if (frame.type === 'fact') this.handleFact(frame)
+    if (frame.type === 'fact') {
+      if (this.#received.length === 0) setImmediate(() => this.#applyReceived())
+      this.#received.push(frame)
+      return
+    }
+    this.#applyReceived()
     if (frame.type === 'heartbeat') this.updateComplete(frame.complete)
   }
 
@@ -113,6 +124,21 @@
     else this.facts.offer(fact, from)
   }
 
+  #applyReceived (): void {
+    if (this.#received.length === 0) return
+    const received = this.#received
+    this.#received = []
+    this.facts.batch(() => { for (const frames of runsOfOneKind(received)) this.#applyRun(frames) })
+  }
+
+  /** Applies facts of one kind. Those of a kind of which this process has no complete list yet are logged as one line, as a listing is. */
+  #applyRun (frames: readonly [FactFrame, ...FactFrame[]]): void {
+    const [{ kind }] = frames
+    const apply = (): void => { for (const frame of frames) this.handleFact(frame) }
+    if (frames.length === 1 || this.facts.complete[kind] > 0) apply()
+    else this.facts.applyFirstListing(kind, Math.max(...frames.map(({ revision }) => revision)), this.channel.peer.process, apply)
+  }
+
   #handleChange (fact: Fact): void {
     if (this.#delayMs === 0 && this.facts.inBatch) this.#batched.push(fact)
     else this.#schedule([fact], this.#delayMs)
@@ -159,6 +185,16 @@
   }
 }
 
+const runsOfOneKind = (frames: readonly FactFrame[]): Array<[FactFrame, ...FactFrame[]]> => {
+  const runs: Array<[FactFrame, ...FactFrame[]]> = []
+  for (const frame of frames) {
+    const run = runs.at(-1)
+    if (run?.[0].kind === frame.kind) run.push(frame)
+    else runs.push([frame])
+  }
+  return runs
+}
+
 /** The encoded frame of each fact. A fact is sent over many links, in the same form. */
 const encodedFacts = new WeakMap<Fact, Buffer>()
 
--- a/packages/fleet/test/fact-exchange.test.ts
+++ b/packages/fleet/test/fact-exchange.test.ts
@@ -1,4 +1,4 @@
-import { Revision, silentLog } from '@finchpitch/core'
+import { Log, Revision, silentLog } from '@finchpitch/core'
 import { FactLink, Facts, frameOf, type Fact } from '@finchpitch/fleet'
 import { FakeTime, channelOptions, duplexPair } from '@finchpitch/stand-ins'
 import { Channel, type CompleteRevisions, type FrameOf } from '@finchpitch/wire'
@@ -68,6 +68,41 @@
       })
     }
 
+    describe('the peer', () => {
+      let peerFacts: Facts
+      let peerLink: FactLink
+      let lines: string[]
+      let settled: number
+
+      beforeEach(() => {
+        lines = []
+        settled = 0
+        peerFacts = new Facts(new Log('peer', {}, 'info', { write: line => { lines.push(line) } }), () => 1000)
+        peerFacts.onSettled(() => { settled += 1 })
+        peerLink = new FactLink(peerFacts, remote, 1500, silentLog)
+        for (const revision of [1, 2, 3]) peerLink.handleFrame(frameOf(named(`a${revision}`, revision)))
+      })
+
+      afterEach(() => peerLink.stop())
+
+      it('applies and logs them together, since what follows from each looks at all of them', async () => {
+        await time.settle()
+        expect(settled).to.equal(1)
+        expect(peerFacts.versions.size).to.equal(3)
+        expect(lines.filter(line => line.includes('belief.'))).to.have.length(1)
+      })
+
+      it('has applied them once it handles a heartbeat that reports them as complete', () => {
+        peerLink.handleFrame({ type: 'heartbeat', revision: Revision.parse(3), complete: complete(3) })
+        expect(peerFacts.versions.size).to.equal(3)
+      })
+
+      it('has applied them once the channel has ended', () => {
+        peerLink.stop()
+        expect(peerFacts.versions.size).to.equal(3)
+      })
+    })
+
     it('sends them before a heartbeat that reports the listing as complete, which the peer relies on', () => {
       const sent: number[] = []
       local.sendEncoded = frames => sent.push(frames.length) > 0
