Returning callers: take back the promise of capacity by a common rule

Cause: the rule was to let any entry recognize a promised return by its stated time.

Change: reverts. The recognition of returning callers and their metric stay; what both use is in return-time.ts.

Result: 162 tests of decisions, replays, queue and selection pass, and 29 of quotas.

--- a/packages/decisions/src/reserved-starts.ts
+++ b/packages/decisions/src/reserved-starts.ts
@@ -9,12 +9,7 @@
 /** One start in this many is given by age. A tenth of the capacity delays urgent requests little, and serves others at a tenth of it. */
 const startsPerAged = 10
 /** One start in this many is given to a caller that returned as told. The response is late, so most of the capacity is for others. */
-const startsPerReturned = 5
-/** One promise of capacity is made for this many starts: half of those that are reserved, as callers don't return evenly. */
-export const startsPerPromise = 10
-
-/** So many callers that return at the same time are served one after the other, if none has returned for a while. */
-const maxReturnedAtOnce = 3
+export const startsPerReturned = 5
 
 export type ReservedStart = 'aged' | 'returned'
 
@@ -25,29 +20,29 @@
 
 export class ReservedStarts {
   #sinceAged = 0
-  /** Starts that callers which return as told may have, of those up to now. */
-  #returned = 1
+  #sinceReturned = 0
 
   /** What the next start is reserved for. */
   get due (): ReservedStart | undefined {
     if (this.#sinceAged >= startsPerAged - 1) return 'aged'
-    return this.#returned >= 1 ? 'returned' : undefined
+    return this.#sinceReturned >= startsPerReturned - 1 ? 'returned' : undefined
   }
 
   /** Records a start, and what it was reserved for. */
   recordStart (reserved: ReservedStart | undefined): void {
     this.#sinceAged = reserved === 'aged' ? 0 : this.#sinceAged + 1
-    this.#returned = Math.min(maxReturnedAtOnce, this.#returned + 1 / startsPerReturned) - (reserved === 'returned' ? 1 : 0)
+    this.#sinceReturned = reserved === 'returned' ? 0 : this.#sinceReturned + 1
   }
 
-  /** No request waits that the start could be given to. Callers that return as told keep theirs, as they return at random times. */
+  /** No request waits that the start could be given to. */
   skip (reserved: ReservedStart): void {
     if (reserved === 'aged') this.#sinceAged = 0
+    else this.#sinceReturned = 0
   }
 
   /** Nobody waits. */
   reset (): void {
-    this.#sinceAged = 0
+    this.#sinceAged = this.#sinceReturned = 0
   }
 }
 
--- a/packages/decisions/src/token-line.ts
+++ b/packages/decisions/src/token-line.ts
@@ -6,7 +6,7 @@
  * the tokens at hand keeps them from those behind it. Returning callers, which were rejected before, are served first, as long as
  * they can still be in time.
  */
-import { beyondFactor, earliestReturnMs, maxReturnShare } from './return-promise.js'
+import { hasWaitedAsTold, maxReturnShare } from './return-time.js'
 
 /**
  * The order of claims by caller: those that return as they were told and can still be in time, those that come for the first time,
@@ -25,14 +25,13 @@
   objectiveMs: number
 }
 
-/** One that returns after this share of its time was told a longer time than it could wait, so nothing was booked for it. */
-const returnLimitShare = 0.3
 /** Later than this share of its objective, a request would be late even if it got its tokens at once. */
 const lateShare = 0.75
 
 export const claimRankOf = ({ firstTriedMs, remainingMs, objectiveMs }: QuotaCaller): ClaimRank => {
   if (firstTriedMs === 0) return claimRanks.first
-  const isLate = firstTriedMs > objectiveMs * lateShare || firstTriedMs > (firstTriedMs + remainingMs) * returnLimitShare
+  // One that did not wait as told was told a longer time than it could wait, so nothing was booked for it.
+  const isLate = firstTriedMs > objectiveMs * lateShare || !hasWaitedAsTold(firstTriedMs, remainingMs)
   return isLate ? claimRanks.late : claimRanks.returning
 }
 
@@ -147,13 +146,6 @@
 
 const sumOf = (claims: readonly TokenClaim[]): number => claims.reduce((sum, { tokens }) => sum + tokens, 0)
 
-/**
- * The latest time at which the turn of a caller's booking may come, which waits no longer than `maxTurnMs` in a line. Nothing is
- * booked for a caller that returned before, as it does not return again, nor for one that would be late on its return.
- */
-export const bookingLimitMs = ({ firstTriedMs, remainingMs, objectiveMs }: QuotaCaller, maxTurnMs: number): number =>
-  firstTriedMs > 0 || earliestReturnMs > objectiveMs * lateShare ? -1 : Math.min(maxReturnMs({ remainingMs }), maxTurnMs)
-
 /** Time until this many tokens have come in. */
 export const waitMs = (tokens: number, perSecond: number): number => tokens <= 0 ? 0 : tokens / perSecond * 1000
 
@@ -167,8 +159,6 @@
   perSecond: number
   /** A caller that is told a longer time returns before it, so its tokens are not booked. */
   maxMs: number
-  /** The caller waits no longer than this. If nothing is booked for it, it is told more, so that other entries know (`return-promise.ts`). */
-  longestMs: number
 }
 
 export interface Booking {
@@ -194,14 +184,14 @@
     return this.#tokens
   }
 
-  book ({ tokens, lineTokens, perSecond, maxMs, longestMs }: BookingRequest, now: number): Booking {
+  book ({ tokens, lineTokens, perSecond, maxMs }: BookingRequest, now: number): Booking {
     const lineUntil = now + waitMs(lineTokens, perSecond)
     const ownMs = waitMs(tokens, perSecond)
     const startsAt = Math.max(this.#bookedUntil, lineUntil)
     const at = startsAt + ownMs
     this.#toldUntil = Math.min(Math.max(this.#toldUntil, lineUntil) + ownMs, now + maxToldMs)
     // The start decides: if the end did, only small requests would fit into what is left of the time.
-    if (startsAt - now > maxMs) return { readyInMs: Math.max(Math.max(at, this.#toldUntil) - now, longestMs * beyondFactor), booked: false }
+    if (startsAt - now > maxMs) return { readyInMs: Math.max(at, this.#toldUntil) - now, booked: false }
     this.#bookings.push({ tokens, at })
     this.#bookedUntil = at
     this.#tokens += tokens
--- a/packages/fleet/src/entry/quotas/team-account.ts
+++ b/packages/fleet/src/entry/quotas/team-account.ts
@@ -5,7 +5,7 @@
  * this entry's part of the quota, so that the entries don't compete by growing reserves. While the team is over its quota, a share of
  * its requests to each service is admitted, whatever their size (`share-admission.ts`).
  */
-import { BookingSchedule, DecayingSum, ShareAdmission, TokenLine, admissionRate, bookingLimitMs, claimRankOf, claimRanks, demandReserve, maxReturnMs, serviceShares, waitMs, type Booking, type ClaimRank, type QuotaCaller, type ServiceDemand, type TokenClaim, type TokenSlice } from '@finchpitch/decisions'
+import { BookingSchedule, DecayingSum, ShareAdmission, TokenLine, admissionRate, claimRankOf, claimRanks, demandReserve, maxReturnMs, serviceShares, waitMs, type Booking, type ClaimRank, type QuotaCaller, type ServiceDemand, type TokenClaim, type TokenSlice } from '@finchpitch/decisions'
 import { boottimeMs } from '../../clock.js'
 import { quotaBoundOf, type Limits } from '../../ports.js'
 import type { Quota } from '../../team.js'
@@ -257,10 +257,10 @@
     const now = boottimeMs()
     this.#collectDue(now)
     const lineTokens = this.#line.tokens - this.#availableFor(claimRanks.first)
-    // Callers may have to wait again when they return, so a longer time than that of a turn would make them late.
-    const maxMs = bookingLimitMs(caller, maxTurnMsOf(caller))
+    // A caller that was rejected again does not return. Others may have to wait again then, so a longer time would make them late.
+    const maxMs = caller.firstTriedMs > 0 ? 0 : Math.min(maxReturnMs(caller), maxTurnMsOf(caller))
     const perSecond = this.#perSecond * (this.admitsByShare ? bookedShare : 1)
-    return this.#bookings.book({ tokens, lineTokens, perSecond, maxMs, longestMs: maxReturnMs(caller) }, now)
+    return this.#bookings.book({ tokens, lineTokens, perSecond, maxMs }, now)
   }
 
   /** Adds tokens that belong to a request that was not sent. */
--- a/packages/fleet/src/entry/servers/server-selector.ts
+++ b/packages/fleet/src/entry/servers/server-selector.ts
@@ -53,6 +53,9 @@
 /** Requests with the same key get the same choice. A busy plain service may have capacity for one team and none for another. */
 const keyOf = ({ key, service, team }: SelectionRequest): string => key ?? `${service.name} ${team ?? ''}`
 
+/** Callers that are told to return wait for at most this part of their remaining time. */
+const maxReturnShare = 1 / 3
+
 export interface ServerSelectorOptions {
   facts: Facts
   balancer: Balancer
@@ -138,8 +141,8 @@
       team: team?.name,
       work: this.#workOf(selection, admitted),
       returning: times.firstTriedMs > 0,
-      waitedAsTold: times.waitedAsTold,
-      returnWindow: () => times.returnWindow,
+      firstTriedMs: times.firstTriedMs,
+      maxReturnMs: () => times.leftMs * maxReturnShare,
       hasOwnChoice: selection.excluded.size > 0,
       rank,
       lateAt: times.lateAt(route, balancer.prefillMs(selection.promptTokens)),
--- a/packages/fleet/src/entry/serving/request-times.ts
+++ b/packages/fleet/src/entry/serving/request-times.ts
@@ -1,7 +1,7 @@
 /**
  * The timing of one request: the time since it arrived and since its caller's first attempt, and the time left.
  */
-import { hasWaitedAsTold, returnWindow, type ReturnWindow } from '@finchpitch/decisions'
+import { hasWaitedAsTold } from '@finchpitch/decisions'
 import { nowMs } from '../../clock.js'
 import type { Route } from '../../table.js'
 import { rankOf, type RankInput } from '../../request-rank.js'
@@ -31,11 +31,6 @@
     return hasWaitedAsTold(this.firstTriedMs, this.statedMs)
   }
 
-  /** When its caller can return if it is rejected now. */
-  get returnWindow (): ReturnWindow {
-    return returnWindow(this.firstTriedMs + this.ms, this.statedMs - this.ms, this.firstTriedMs > 0)
-  }
-
   /** Time since arrival. */
   get ms (): number {
     return nowMs() - this.arrivedAt
@@ -72,9 +67,8 @@
     return Math.min(this.waitUntil(route), nowMs() + route.objectiveMs * backoffWaitShare)
   }
 
-  /** Until when it has to start at a busy plain service. One that returns as told is mostly late already, and capacity is kept for it. */
+  /** Until when it has to start at a busy plain service. */
   startUntil (route: Route): number {
-    if (this.waitedAsTold) return this.waitUntil(route)
     return Math.min(this.waitUntil(route), this.arrivedAt + route.objectiveMs * startShare)
   }
 
--- a/packages/fleet/src/entry/waiting/queue-entry.ts
+++ b/packages/fleet/src/entry/waiting/queue-entry.ts
@@ -1,7 +1,7 @@
 /**
  * A request in the queue of an entry.
  */
-import type { ReturnWindow, WaitingRequest } from '@finchpitch/decisions'
+import type { WaitingRequest } from '@finchpitch/decisions'
 import type { Choice } from '../servers/choice.js'
 import { patientRankOf } from '../../request-rank.js'
 import type { Rejection, ReturnTime } from './service-queue.js'
@@ -17,10 +17,10 @@
   work: number
   /** Its caller has tried before. */
   returning: boolean
-  /** Its caller has waited as it was told, so capacity was promised to it. */
-  waitedAsTold: boolean
-  /** When its caller can return if it is rejected now. */
-  returnWindow: () => ReturnWindow
+  /** Time since its caller's first attempt, when it arrived. */
+  firstTriedMs: number
+  /** The longest time after which its caller would return, whatever it is told. */
+  maxReturnMs: () => number
   /** Some servers are excluded for it, so its choice holds for no other request. */
   hasOwnChoice: boolean
   /** Current rank; the lowest goes first. */
@@ -59,6 +59,8 @@
   orderRank = 0
   workBefore = 0
   expectedMs: number | undefined
+  /** Its caller returned no earlier than callers were told that were rejected for the same reason. */
+  waitedAsTold = false
   /** It is counted among the late requests. */
   isLate = false
 
@@ -75,10 +77,6 @@
     return this.request.work
   }
 
-  get waitedAsTold (): boolean {
-    return this.request.waitedAsTold
-  }
-
   get returning (): boolean {
     return this.waitedAsTold
   }
--- a/packages/fleet/src/entry/waiting/request-queue.ts
+++ b/packages/fleet/src/entry/waiting/request-queue.ts
@@ -99,6 +99,7 @@
         unsubscribe()
         resolve(outcome)
       })
+      service.recognize(entry, now)
       const place = this.#placeOf(entry, service, now)
       const rejection = service.rejection(entry, place, now)
       if (rejection !== undefined) return resolve({ type: 'expired', last, returnTime: service.returnTime(entry, place, now), rejection, onArrival: true, expectedMs: rejection.expectedMs })
--- a/packages/fleet/src/entry/waiting/service-queue.ts
+++ b/packages/fleet/src/entry/waiting/service-queue.ts
@@ -2,9 +2,9 @@
  * The requests that wait for one service: their order, and when each is expected to start.
  *
  * An estimate rejects a request only if it can't start while that still helps its caller. A caller that returned as it was told is
- * not rejected by an estimate again, and any caller that returns only by a limit.
+ * not rejected by an estimate again.
  */
-import { delayed, isTooLate, orderWaiting, rejectionMargin, ReservedStarts, startsPerPromise, TeamWork, type ReservedStart, type WaitEstimate } from '@finchpitch/decisions'
+import { delayed, isTooLate, orderWaiting, rejectionMargin, ReservedStarts, startsPerReturned, TeamWork, type ReservedStart, type WaitEstimate } from '@finchpitch/decisions'
 import type { Choice } from '../servers/choice.js'
 import type { QueueEntry } from './queue-entry.js'
 import { WaitStatistics, type Place } from './wait-statistics.js'
@@ -64,6 +64,7 @@
     if (before.type === choice.type) return
     this.#statisticsOf(before)?.leave(entry, now)
     this.#statisticsOf(choice)?.enter(entry, now)
+    this.recognize(entry, now)
   }
 
   recordStart (entry: QueueEntry, reserved: ReservedStart | undefined, now: number): void {
@@ -99,24 +100,22 @@
     return last.readyInMs === undefined ? measured : delayed(measured, last.readyInMs)
   }
 
+  /** Recognizes a caller that returned no earlier than callers were told that were rejected for the same reason. */
+  recognize (entry: QueueEntry, now: number): void {
+    const { last, request } = entry
+    entry.waitedAsTold = request.returning && this.#statisticsOf(last)?.returns.waitedAsTold(request.firstTriedMs, now) === true
+  }
+
   /** Why the request is rejected now; `undefined` if it goes on waiting. */
   rejection (entry: QueueEntry, place: Place, now: number): Rejection | undefined {
     const { last, request } = entry
-    if (this.#isExempt(entry) || this.#isNearEnd(entry, now)) return undefined
+    if (entry.waitedAsTold || this.#isNearEnd(entry, now)) return undefined
     const statistics = this.#statisticsOf(last)
     const expected = this.expected(entry, place, now)
     const rejects = last.type === 'limited' ? this.#isLimitTooLate(entry, last, expected) : !request.mayWaitFor(last) || (isMeasured(last) && expected !== undefined && isTooLate(expected, request.expiresAt - now))
     return rejects ? { expectedMs: expected?.ms ?? 0, mayWaitMs: request.expiresAt - now, ahead: place.ahead, perSecond: statistics?.perSecond(now) } : undefined
   }
 
-  /**
-   * Whether no estimate rejects the request. A caller that waited a third of its time does not return again, and the rate of starts
-   * may be that of a time with less capacity; the share of a busy service is known, though.
-   */
-  #isExempt ({ last, request, waitedAsTold }: QueueEntry): boolean {
-    return waitedAsTold || (request.returning && (last.type === 'full' || last.type === 'bring'))
-  }
-
   #isNearEnd ({ queuedAt, expiresAt }: QueueEntry, now: number): boolean {
     return now > queuedAt && expiresAt - now < minSavedMs
   }
@@ -127,15 +126,15 @@
     const statistics = this.#statisticsOf(last)
     const expected = statistics === undefined ? undefined : this.expected(entry, place, now)
     if (statistics === undefined || expected === undefined) return { ms: last.type === 'resting' ? Math.ceil(last.readyInMs) : 0, measured: false }
-    const { ms } = statistics.returns.tell({ team, expectedMs: expected.ms, everyMs: this.#promiseEveryMs(last, statistics, now), window: request.returnWindow(), draw: Math.random() }, now)
-    return { ms, measured: true }
+    // A caller that has returned once does not return again.
+    const keptMs = request.returning ? 0 : request.maxReturnMs()
+    return { ms: statistics.returns.tell(team, expected.ms + this.#bookedMs(statistics, team, now), now, { draw: Math.random(), keptMs }), measured: true }
   }
 
-  /** Time between promises that can be kept: only a part of the starts is reserved for callers that return. */
-  #promiseEveryMs (last: Choice, statistics: WaitStatistics, now: number): number {
+  /** How much longer than the estimate the callers take that were told to return: only a part of the starts is reserved for them. */
+  #bookedMs (statistics: WaitStatistics, team: string, now: number): number {
     const perSecond = statistics.perSecond(now)
-    const everyMs = perSecond === undefined ? last.type === 'limited' ? last.everyMs : 0 : 1000 / perSecond
-    return everyMs * startsPerPromise
+    return perSecond === undefined ? 0 : statistics.returns.pending(team, now) * (startsPerReturned - 1) / perSecond * 1000
   }
 
   /**
--- a/packages/fleet/src/entry/waiting/service-scan.ts
+++ b/packages/fleet/src/entry/waiting/service-scan.ts
@@ -49,6 +49,7 @@
   /** Servers that a request was sent to that waited for capacity. */
   readonly #sent = new Set<string>()
   readonly #places = new Places()
+  /** Requests that were evaluated before their turn, for their age. */
   /** Requests that were evaluated before their turn. */
   readonly #preferred = new Set<QueueEntry>()
   /** No reserved start is possible any more in this pass. */
@@ -69,13 +70,9 @@
   /** Gives a start that is reserved to the request that it is due to. */
   #serveReserved (due: ReservedStart, ordered: readonly QueueEntry[]): void {
     const { queue, now } = this.options
-    const isWaiting = (entry: QueueEntry): boolean => queue.entries.has(entry) && this.#isDirty(entry) && waitsForCapacity(entry.last)
-    const entry = due === 'aged' ? longestWaiting(ordered.filter(isWaiting), now) : ordered.find(each => each.waitedAsTold && isWaiting(each))
-    if (entry === undefined) {
-      queue.guard.skip(due)
-      this.#reservedDone = due === 'returned'
-      return
-    }
+    const waiting = ordered.filter(entry => queue.entries.has(entry) && this.#isDirty(entry) && waitsForCapacity(entry.last))
+    const entry = due === 'aged' ? longestWaiting(waiting, now) : waiting.find(each => each.waitedAsTold)
+    if (entry === undefined) return queue.guard.skip(due)
     this.#reservedDone = this.#preferred.has(entry)
     if (this.#reservedDone) return
     this.#preferred.add(entry)
