--- a/packages/fleet/test/suspension.test.ts
+++ b/packages/fleet/test/suspension.test.ts
@@ -5,7 +5,7 @@
  */
 import { silentLog } from '@finchpitch/core'
 import { tokenLifetimeMs, type QuotaRate } from '@finchpitch/decisions'
-import { EntryCounters, Facts, KeyLease, QuotaBank, QuotaExchange, Quotas, TableProver, acceptProof, answerProofRequest, requestProof, boottimeMs, hashKey, noLimits, nowMs, quotaBoundOf, type FactPage, type FactSource, type FleetTeam, type Limits, type RoutingTable, type StoreFailure } from '@finchpitch/fleet'
+import { EntryCounters, Facts, KeyLease, QuotaBank, QuotaExchange, Quotas, TableProver, acceptProof, answerProofRequest, requestProof, boottimeMs, hashKey, noLimits, nowMs, quotaBoundOf, suspendedMs as countedMs, type FactPage, type FactSource, type FleetTeam, type Limits, type RoutingTable, type StoreFailure } from '@finchpitch/fleet'
 import { FakeTime } from '@finchpitch/stand-ins'
 import type { Channel, Frame, FrameOf } from '@finchpitch/wire'
 import { expect } from 'chai'
@@ -60,6 +60,59 @@
       }
       expect(boottimeMs() - boottime).to.equal(100_000)
     })
+
+    // A busy machine may pause the process while it reads the two clocks. Each such pause was counted as a suspension for good.
+    describe('if the process is paused while it reads the clock', () => {
+      const pauseMs = 40
+
+      /** Lets `disrupt` happen right before or right after the next read of the wall clock. */
+      const disruptNextRead = (when: 'before' | 'after', disrupt: () => void): void => {
+        const read = Date.now
+        Date.now = () => {
+          Date.now = read
+          if (when === 'before') disrupt()
+          const wallClock = read()
+          if (when === 'after') disrupt()
+          return wallClock
+        }
+      }
+
+      beforeEach(() => { boottimeMs() })
+
+      for (const when of ['before', 'after'] as const) {
+        it(`does not run ahead of real time (pause ${when} the read of the wall clock)`, async () => {
+          const [boottime, monotonic, suspended] = [boottimeMs(), nowMs(), countedMs()]
+          for (let each = 0; each < 10; each++) {
+            disruptNextRead(when, () => time.advanceSync(pauseMs))
+            const startedMs = nowMs() - monotonic
+            expect(boottimeMs() - boottime).to.be.within(startedMs, startedMs + pauseMs)
+            disruptNextRead(when, () => time.advanceSync(pauseMs))
+            expect(countedMs()).to.equal(suspended)
+            await time.advance(100)
+            expect(boottimeMs() - boottime).to.equal(nowMs() - monotonic)
+          }
+        })
+
+        it(`includes a suspension from the next read on (both ${when} the read of the wall clock)`, () => {
+          const [boottime, monotonic] = [boottimeMs(), nowMs()]
+          disruptNextRead(when, () => {
+            time.advanceSync(pauseMs)
+            time.suspend(suspendedMs)
+          })
+          const first = boottimeMs() - boottime
+          expect(first).to.be.within(when === 'before' ? suspendedMs : 0, nowMs() - monotonic + suspendedMs)
+          expect(boottimeMs() - boottime).to.equal(pauseMs + suspendedMs)
+        })
+
+        it(`includes a suspension before the read (pause ${when} the read of the wall clock)`, () => {
+          const boottime = boottimeMs()
+          time.suspend(suspendedMs)
+          disruptNextRead(when, () => time.advanceSync(pauseMs))
+          expect(boottimeMs() - boottime).to.be.within(suspendedMs, suspendedMs + pauseMs)
+          expect(boottimeMs() - boottime).to.equal(suspendedMs + pauseMs)
+        })
+      }
+    })
   })
 
   describe('the key lease', () => {
