A starting entry holds requests for its routing table for as long as for a server

Cause: requests were held until 0.5 s after the start only, and refused with no_table after that. On an overloaded machine the first read of the store takes longer. The timer of the wait could also fire before a table that had arrived was read.

Change: TableWait (moved out of EntryProcess). While no table has been read and the store is not known to be silent, a request is held for 0.45 of its caller's time; pending socket events pass before it ends. Otherwise as before.

Real processes: not shown.

--- a/packages/fleet/src/entry/entry-process.ts
+++ b/packages/fleet/src/entry/entry-process.ts
@@ -9,7 +9,7 @@
 import type { Duplex } from 'node:stream'
 import { backoff, pause, type Log } from '@finchpitch/core'
 import { Channel, type ChannelOptions } from '@finchpitch/wire'
-import { nowMs, suspendedMs } from '../clock.js'
+import { suspendedMs } from '../clock.js'
 import { FactLink, forwardDelayMs } from '../fact-exchange.js'
 import type { Fact } from '../fact.js'
 import type { Facts } from '../facts.js'
@@ -27,7 +27,6 @@
 import { KeyLease } from './peers/key-lease.js'
 import { EntryCountBound } from './peers/entry-count-bound.js'
 import { LeaseKeeper } from './peers/lease-keeper.js'
-import { outageRetryAfterMs } from './serving/local-replies.js'
 import { PlainServices } from './servers/plain-services.js'
 import { ProbeRequester } from './peers/probe-requester.js'
 import { QuotaExchange } from './quotas/quota-exchange.js'
@@ -41,6 +40,7 @@
 import { SideLinks } from './peers/side-links.js'
 import { StoreWatch } from './peers/store-watch.js'
 import { TableConfirmation } from './peers/table-confirmation.js'
+import { TableWait } from './serving/table-wait.js'
 import { RequestQueue } from './waiting/request-queue.js'
 
 /** Interval of expiring state and updating the watch duty and the number of entries. */
@@ -51,8 +51,6 @@
 const maxHeaderBytes = 65_536
 /** Idle connections are kept open this much longer than callers may reuse them. */
 const keepAliveSlackMs = 2000
-/** How long loading the routing table may take after a start. It takes some 0.2 s if the store or a peer has a table. */
-const startupMs = 500
 const seedBackoff = { firstMs: 200, limitMs: 2000 }
 /** Interval of checking whether a connection to another entry is still needed. */
 const seedCheckIntervalMs = 1000
@@ -111,7 +109,6 @@
   readonly #attemptReporter: AttemptReporter
   readonly #probeRequester: ProbeRequester
   readonly #stop = new AbortController()
-  readonly #startedAt = nowMs()
   #stopping = false
   /** Whether the server no longer listens. Requests may still arrive on connections that are open. */
   #stoppedListening = false
@@ -210,8 +207,7 @@
       counters: this.counters,
       log,
       stopping: () => this.#stoppedListening,
-      tableLoaded: () => this.#awaitTable(),
-      noTableRetryMs: () => this.#noTableRetryMs,
+      tableWait: new TableWait({ facts, lease: this.#keyLease }),
       closeAfterResponse: socket => this.#stopping || !this.#keyLease.held || this.#callerConnections.shouldClose(socket)
     }
     this.server.on('request', (request, response) => { void this.#serve(request, response) })
@@ -304,28 +300,6 @@
     return watchPauseMs(kind, this.#sideLinks.watcherCount ?? 1, this.options.limits().drainMs)
   }
 
-  /**
-   * Waits until this entry can serve, but no longer than loading the routing table takes after a start. Callers reach a process
-   * some 0.1 s before it has read the store. Holding their requests for that time is better than refusing them with a
-   * `Retry-After` of 0.5 s.
-   */
-  async #awaitTable (): Promise<void> {
-    const { facts } = this.options
-    const remainingMs = startupMs - (nowMs() - this.#startedAt)
-    const isLoaded = (): boolean => facts.routes !== undefined && this.#keyLease.held
-    if (isLoaded() || remainingMs <= 0) return
-    const loaded = new AbortController()
-    const check = (): void => { if (isLoaded()) loaded.abort() }
-    const unsubscribe = [facts.onChange(check), facts.freshness.onProof(check)]
-    await pause(remainingMs, loaded.signal)
-    for (const each of unsubscribe) each()
-  }
-
-  /** `Retry-After` without a routing table: short during startup, longer if neither the store nor a peer provided one by then. */
-  get #noTableRetryMs (): number {
-    return nowMs() - this.#startedAt < startupMs ? startupMs : outageRetryAfterMs
-  }
-
   #reconcile (): void {
     const { facts } = this.options
     const engines = [...facts.servers.values()].filter(server => facts.routes?.service(server.service)?.engine !== undefined)
--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -38,6 +38,7 @@
 import type { ServerFeedbackHandler } from '../servers/server-feedback-handler.js'
 import { RequestTimes } from './request-times.js'
 import { RequestAdmission, type RequestAdmissionOptions } from './request-admission.js'
+import type { TableWait } from './table-wait.js'
 import type { Quotas } from '../quotas/quotas.js'
 import type { RetryBudget } from '../waiting/retry-budget.js'
 import type { ServerFaults } from '../servers/server-faults.js'
@@ -71,10 +72,7 @@
   counters: EntryCounters
   keptBytes: KeptBytes
   log: Log
-  /** Resolves once this entry has a routing table, or has had the time that loading it takes after a start. */
-  tableLoaded: () => Promise<void>
-  /** `Retry-After` while this entry has no routing table. */
-  noTableRetryMs: () => number
+  tableWait: TableWait
   /** `Retry-After` while the routing table can't be proven fresh. */
   staleTableRetryMs: () => number
   /** The process is about to exit: new requests might not finish in time and are refused at once. */
@@ -165,13 +163,13 @@
   }
 
   async #handle (): Promise<string> {
-    const { facts, stopping, noTableRetryMs } = this.options
+    const { facts, stopping, tableWait } = this.options
     const { remainingMs } = this.#incoming
     if (stopping()) return this.#localReplies.refuse('stopping')
-    await this.options.tableLoaded()
+    await tableWait.untilLoaded(remainingMs)
     const routes = facts.routes
     if (routes === undefined) {
-      this.#localReplies.raiseRetryAfter(noTableRetryMs())
+      this.#localReplies.raiseRetryAfter(tableWait.retryMs)
       return this.#localReplies.refuse('no_table')
     }
     const admission = await this.#admit()
