Facts from a peer: close the channel if a batch can't be applied; tests of kept engine views

Cause: an error while a batch of facts is applied was only logged as uncaught. The facts were lost, as the peer considers them sent. A busy plain service kept the time of an exchange that its bank never answered, so that the next flood began as if none was answered. The random histories of engine selection had no change of the list of engines, so they passed without the check of the list.

Change: the error is logged and the channel closed, so that a new one brings the facts; the time is cleared when the service is calm; engines leave and return in the histories.

--- a/packages/fleet/src/entry/servers/service-account.ts
+++ b/packages/fleet/src/entry/servers/service-account.ts
@@ -134,6 +134,7 @@
     if (this.isBusy || this.#busyUntil === -Infinity) return false
     this.#busyUntil = -Infinity
     this.#tokens = undefined
+    this.#askedAt = undefined
     this.#pooled = 0
     this.estimate.reset()
     for (const [team, { waiting, demand }] of this.#teams) if (waiting === 0 && rateOf(demand) < 1) this.#teams.delete(team)
--- a/packages/fleet/src/entry/waiting/service-scan.ts
+++ b/packages/fleet/src/entry/waiting/service-scan.ts
@@ -49,7 +49,6 @@
   /** Servers that a request was sent to that waited for capacity. */
   readonly #sent = new Set<string>()
   readonly #places = new Places()
-  /** Requests that were evaluated before their turn, for their age. */
   /** Requests that were evaluated before their turn. */
   readonly #preferred = new Set<QueueEntry>()
   /** No reserved start is possible any more in this pass. */
--- a/packages/fleet/src/fact-exchange.ts
+++ b/packages/fleet/src/fact-exchange.ts
@@ -84,8 +84,8 @@
   }
 
   stop (): void {
-    this.#applyReceived()
     for (const stop of this.#stops) stop()
+    this.#applyOrClose()
   }
 
   /** Records what the peer's hello or heartbeat says it has. */
@@ -99,7 +99,7 @@
    */
   handleFrame (frame: Frame): void {
     if (frame.type === 'fact') {
-      if (this.#received.length === 0) setImmediate(() => this.#applyReceived())
+      if (this.#received.length === 0) setImmediate(() => this.#applyOrClose())
       this.#received.push(frame)
       return
     }
@@ -124,6 +124,16 @@
     else this.facts.offer(fact, from)
   }
 
+  /** An error closes the channel, since the peer would not send the facts again on this one. */
+  #applyOrClose (): void {
+    try {
+      this.#applyReceived()
+    } catch (error) {
+      this.log.error('peer.facts_not_applied', { peer: this.channel.peer.process, detail: (error as Error).message })
+      this.channel.close()
+    }
+  }
+
   #applyReceived (): void {
     if (this.#received.length === 0) return
     const received = this.#received
--- a/packages/fleet/test/engine-selection.test.ts
+++ b/packages/fleet/test/engine-selection.test.ts
@@ -72,6 +72,8 @@
   readonly #requested = new Map<string, Set<string>>()
   readonly #queued = new Map<string, Set<string>>()
   readonly #refusing = new Set<string>()
+  readonly #leaving = new Set<number>()
+  #revision = 2
   readonly #pending: Array<{ state: ServerState, key: string, pending: PendingRequest }> = []
   readonly #links: AdapterPlacement = {
     canRequestLoad: ({ id }) => !this.#refusing.has(id),
@@ -119,7 +121,8 @@
     () => { this.#requested.set(this.#pick().id, new Set(this.#some(keys, 4))) },
     () => { this.#queued.set(this.#pick().id, new Set(this.#some(keys, 4))) },
     () => { if (!this.#refusing.delete(this.#pick().id)) this.#refusing.add(this.#pick().id) },
-    () => this.#renew()
+    () => this.#renew(),
+    () => this.#relist()
   ]
 
   change (): void {
@@ -151,6 +154,16 @@
     this.balancer.states.applyReport(this.#pick().id, { at: nowMs(), reachable: true, held: new Map(), coming: new Set(), waiting: 0, running: 0, unread: 0, room: 3 }, nowMs())
   }
 
+  /** The store lists an engine as leaving, or as not leaving any more. */
+  #relist (): void {
+    if (this.below(3) > 0) return
+    const index = this.below(engineCount)
+    const leaving = !this.#leaving.delete(index)
+    if (leaving) this.#leaving.add(index)
+    this.#revision += 1
+    this.#facts.offer({ kind: 'server', key: `e${index}`, revision: this.#revision, value: { ...server(index), leaving } }, 'store')
+  }
+
   selection (): SelectionRequest {
     const excluded = new Set(this.below(4) === 0 ? [`e${this.below(engineCount)}`] : [])
     return { service: engines, key: keys[this.below(keys.length)], promptTokens: this.below(12_000), outputTokens: this.below(200), timeToObjectiveMs: this.below(1200) - 100, priority: priorities[this.below(2)] ?? 1, excluded }
@@ -159,7 +172,7 @@
   /** The choice from properties that are all computed anew. */
   chooseFromAll ({ key = '', promptTokens, outputTokens = 0, timeToObjectiveMs, priority, excluded }: SelectionRequest): Choice {
     const now = nowMs()
-    const included = Array.from({ length: engineCount }, (_, index) => server(index)).filter(({ id }) => !excluded.has(id))
+    const included = this.#facts.eligibleServers('llm').filter(({ id }) => !excluded.has(id))
     const paces = this.balancer.pacesOf('llm')
     return chooseFromAll(included.map((each): EngineCandidate => {
       const state = this.balancer.state(each)
--- a/packages/fleet/test/fact-exchange.test.ts
+++ b/packages/fleet/test/fact-exchange.test.ts
@@ -101,6 +101,13 @@
         peerLink.stop()
         expect(peerFacts.versions.size).to.equal(3)
       })
+
+      // Guards against facts that are lost: the link considers them sent, so only a new channel brings them again.
+      it('closes the channel if they can\'t be applied', async () => {
+        peerFacts.batch = () => { throw new Error('no space left') }
+        await time.settle()
+        expect(remote.open).to.equal(false)
+      })
     })
 
     it('sends them before a heartbeat that reports the listing as complete, which the peer relies on', () => {
