Side links: keep the link by server and the count of recent loads

Cause: selection looks up the link of each engine several times per choice, and each look-up cut the host out of the server's address; the number of loads requested since a report was counted over all requested adapters each time. Change: the link is kept by server, until a link is closed; requests of a link are in a class of their own, which keeps the count until requests or the report change.

--- a/packages/fleet/src/entry/peers/side-link.ts
+++ b/packages/fleet/src/entry/peers/side-link.ts
@@ -5,7 +5,7 @@
  * demand and closed when idle, since updates of remote engines come through local side processes.
  */
 import type { Duplex } from 'node:stream'
-import { Channel, type Appointment, type Frame, type FrameOf } from '@finchpitch/wire'
+import { Channel, type Appointment, type Frame } from '@finchpitch/wire'
 import { boottimeMs, nowMs } from '../../clock.js'
 import { FactLink, forwardDelayMs } from '../../fact-exchange.js'
 import { acceptProof, answerProofRequest, requestProof, type ProofRequest } from '../../freshness-exchange.js'
@@ -13,6 +13,7 @@
 import { idleChannelPace } from '../../side/subscriber.js'
 import { isUnreadChangeSignificant } from '../../unread.js'
 import type { ServerState } from '../servers/server-state.js'
+import { SentRequests, type LoadRequest, type SentRequest } from './sent-requests.js'
 
 /** A load request is repeated at this interval while requests wait for the adapter, in case it was lost or declined. */
 const loadRequestRepeatMs = 600
@@ -52,10 +53,6 @@
  */
 const reportLagMs = { local: 5, remote: 250 }
 
-type LoadRequest = Omit<FrameOf<'want'>, 'type' | 'keep'> & { keep: boolean }
-
-type SentRequest = LoadRequest & { at: number }
-
 /** Whether a demand that waits for a slot has become so much more urgent that its place in the queue changes. */
 const ranksHigher = (request: LoadRequest, before: LoadRequest): boolean =>
   request.keep && (request.priority < before.priority || request.waiting >= 2 * before.waiting)
@@ -69,8 +66,7 @@
   #unansweredSince = Infinity
   /** Prompt tokens that the engine has not prefilled yet, as last reported. */
   #reportedUnread = 0
-  /** The last request for each adapter, by key. */
-  readonly #requested = new Map<string, SentRequest>()
+  readonly #requested = new SentRequests()
   /** When each adapter was last declined, by key. */
   readonly #declined = new Map<string, number>()
   /** Load requests made before the channel was open. */
@@ -170,10 +166,7 @@
 
   /** Number of loads that were requested and that a report which arrived at `reportedAt` may not include. */
   loadsRequestedSince (reportedAt: number): number {
-    const since = reportedAt - (this.isLocal ? reportLagMs.local : reportLagMs.remote)
-    let count = 0
-    for (const { at, keep } of this.#requested.values()) if (!keep && at > since) count += 1
-    return count
+    return this.#requested.loadsSince(reportedAt - (this.isLocal ? reportLagMs.local : reportLagMs.remote))
   }
 
   /** Withdraws a request that waits for a slot. */
@@ -190,7 +183,7 @@
     const now = nowMs()
     const recent = this.#recentRequest(request.key)
     if (recent !== undefined && recent.keep === request.keep && !ranksHigher(request, recent)) return false
-    this.#requested.set(request.key, { ...request, at: now })
+    this.#requested.set({ ...request, at: now })
     this.#unansweredSince = Math.min(this.#unansweredSince, now)
     this.#lastUsedAt = now
     this.#connect()
@@ -230,7 +223,7 @@
   /** Closes the channel if it is dead or no longer needed, and drops expired entries. */
   check (): void {
     const now = nowMs()
-    for (const [key, { at }] of this.#requested) if (now - at > deadChannelMs) this.#requested.delete(key)
+    this.#requested.deleteBefore(now - deadChannelMs)
     for (const [key, at] of this.#declined) if (now - at > declineBackoffMs) this.#declined.delete(key)
     if (now - this.#unansweredSince > deadChannelMs) {
       this.#unansweredSince = Infinity
--- a/packages/fleet/src/entry/peers/side-links.ts
+++ b/packages/fleet/src/entry/peers/side-links.ts
@@ -74,6 +74,8 @@
 export class SideLinks {
   /** By the host that an engine shares with its side process. */
   readonly #engines = new Map<string, LinkedEngine>()
+  /** By server, since selection looks up each engine several times per choice. Servers are replaced, not changed. */
+  #byServer = new WeakMap<BackendServer, LinkedEngine>()
   readonly #sources: UpdateSources
   /** Requests for proofs rotate through the side processes, from a random start so that entries begin with different ones. */
   #proofRounds = Math.floor(Math.random() * maxFirstRound)
@@ -94,6 +96,7 @@
       if (domains.has(host)) continue
       link.close()
       this.#engines.delete(host)
+      this.#byServer = new WeakMap()
     }
     for (const [host, domain] of domains) {
       if (!this.#engines.has(host)) this.#engines.set(host, this.#addEngine(host, domain))
@@ -250,7 +253,11 @@
   }
 
   #linkedEngine (server: BackendServer): LinkedEngine | undefined {
-    return this.#engines.get(hostOf(server.address))
+    const known = this.#byServer.get(server)
+    if (known !== undefined) return known
+    const linked = this.#engines.get(hostOf(server.address))
+    if (linked !== undefined) this.#byServer.set(server, linked)
+    return linked
   }
 
   /** Reports only the servers with changes: of 70 servers, two or three change within the delay. */
--- a/packages/fleet/test/side-links.test.ts
+++ b/packages/fleet/test/side-links.test.ts
@@ -76,6 +76,19 @@
     expect(links.appointments.filter(({ watch }) => watch)).to.have.length(1)
   })
 
+  // Guards against reads of a closed link, which is kept by server.
+  it('use the new link of an engine that was removed and listed again', async () => {
+    const [first, second] = [engineAt('10.0.0.1'), engineAt('10.0.0.2')]
+    links.requestLoad(first, { key: 'm/a', waiting: 1, priority: 2, version: undefined, keep: false })
+    expect(links.isLoadRequested(first, 'm/a')).to.equal(true)
+    links.reconcile([second])
+    expect(links.canRequestLoad(first, 'm/b')).to.equal(false)
+    links.reconcile([first, second])
+    await time.settle(10)
+    expect(links.isLoadRequested(first, 'm/a')).to.equal(false)
+    expect(links.canRequestLoad(first, 'm/b')).to.equal(true)
+  })
+
   describe('to engines whose slots are short', () => {
     const of = (type: Frame['type']): unknown[] => received.filter(([, frame]) => frame.type === type).map(([host, frame]) => ({ host, ...frame }))
 
