Expiring tokens: keep the sum of all slices but the last

Cause: each exchange and each rejected request added up all slices of a team's tokens, several times. Change: the sum of all slices but the last is kept until one of them changes; tokens that are earned go to the last one or behind it. The sum is added up in the same order as before, so it is rounded alike.

--- a/packages/decisions/src/expiring-tokens.ts
+++ b/packages/decisions/src/expiring-tokens.ts
@@ -30,6 +30,11 @@
 export class ExpiringTokens {
   /** The oldest first. */
   #slices: TokenSlice[] = []
+  /**
+   * Tokens of all slices but the last, added up from the oldest; `undefined` if one of these slices has changed. Tokens are mostly
+   * added to the last slice or behind it. The sum is rounded like one from scratch, as it adds in the same order.
+   */
+  #tokensBeforeLast: number | undefined = 0
 
   /** `sliceMs`: shorter than the default for tokens of a short lifetime. */
   constructor (private readonly sliceMs = defaultSliceMs) {}
@@ -41,11 +46,12 @@
     while (index > 0 && this.#intervalOf(this.#slices[index - 1]?.earnedAt ?? -Infinity) > interval) index -= 1
     const previous = this.#slices[index - 1]
     if (previous === undefined || this.#intervalOf(previous.earnedAt) < interval) {
-      this.#slices.splice(index, 0, { tokens, earnedAt })
+      this.#insert(index, { tokens, earnedAt })
       return
     }
     previous.tokens += tokens
     previous.earnedAt = Math.min(previous.earnedAt, earnedAt)
+    if (index < this.#slices.length) this.#tokensBeforeLast = undefined
   }
 
   addAll (slices: readonly TokenSlice[]): void {
@@ -55,7 +61,10 @@
   /** The number of tokens that were earned at `since` or later; older ones are dropped. */
   total (since: number): number {
     this.#dropExpired(since)
-    return totalTokens(this.#slices)
+    const last = this.#slices[this.#slices.length - 1]
+    if (last === undefined) return 0
+    this.#tokensBeforeLast ??= totalTokens(this.#slices.slice(0, -1))
+    return this.#tokensBeforeLast + last.tokens
   }
 
   /** Takes exactly `tokens`, the oldest first; takes none and returns `undefined` if there are fewer. */
@@ -75,15 +84,32 @@
       missing -= amount
       if (slice.tokens <= 0) this.#slices.shift()
     }
+    if (taken.length > 0) this.#handleRemoval()
     return taken
   }
 
+  #insert (index: number, slice: TokenSlice): void {
+    if (index < this.#slices.length) {
+      this.#slices.splice(index, 0, slice)
+      this.#tokensBeforeLast = undefined
+      return
+    }
+    if (this.#tokensBeforeLast !== undefined) this.#tokensBeforeLast += this.#slices[index - 1]?.tokens ?? 0
+    this.#slices.push(slice)
+  }
+
+  #handleRemoval (): void {
+    this.#tokensBeforeLast = this.#slices.length <= 1 ? 0 : undefined
+  }
+
   #intervalOf (earnedAt: number): number {
     return Math.floor(earnedAt / this.sliceMs)
   }
 
   #dropExpired (since: number): void {
+    if ((this.#slices[0]?.earnedAt ?? Infinity) >= since) return
     while ((this.#slices[0]?.earnedAt ?? Infinity) < since) this.#slices.shift()
+    this.#handleRemoval()
   }
 }
 
--- a/packages/decisions/test/expiring-tokens.test.ts
+++ b/packages/decisions/test/expiring-tokens.test.ts
@@ -1,5 +1,7 @@
-import { ExpiringTokens, earnedPerSecond, tokenLifetimeMs } from '@finchpitch/decisions'
+import { ExpiringTokens, earnedPerSecond, tokenLifetimeMs, totalTokens, type TokenSlice } from '@finchpitch/decisions'
 import { expect } from 'chai'
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 
 describe('quota tokens by age', () => {
   it('are taken oldest first', () => {
@@ -59,4 +61,66 @@
     expect(earnedPerSecond(rate, tight) * (8000 + tokenLifetimeMs(rate, tight)) / 1000).to.be.within(750, 800.001)
     expect(earnedPerSecond({ perSecond: 100, burst: 100 }, tight)).to.equal(100)
   })
+
+  describe('after any history of additions, withdrawals and expiry', () => {
+    /** The slices as computed without any kept sum. */
+    class PlainSlices {
+      slices: TokenSlice[] = []
+
+      add (tokens: number, earnedAt: number): void {
+        const intervalOf = (at: number): number => Math.floor(at / 100)
+        const same = this.slices.find(slice => intervalOf(slice.earnedAt) === intervalOf(earnedAt))
+        if (same === undefined) this.slices.push({ tokens, earnedAt })
+        else {
+          same.tokens += tokens
+          same.earnedAt = Math.min(same.earnedAt, earnedAt)
+        }
+        this.slices.sort((a, b) => a.earnedAt - b.earnedAt)
+      }
+
+      total (since: number): number {
+        this.slices = this.slices.filter(({ earnedAt }) => earnedAt >= since)
+        return totalTokens(this.slices)
+      }
+
+      takeUpTo (tokens: number, since: number): TokenSlice[] {
+        this.slices = this.slices.filter(({ earnedAt }) => earnedAt >= since)
+        const taken: TokenSlice[] = []
+        let missing = tokens
+        for (const slice of this.slices) {
+          const amount = Math.min(missing, slice.tokens)
+          if (amount <= 0) break
+          taken.push({ tokens: amount, earnedAt: slice.earnedAt })
+          slice.tokens -= amount
+          missing -= amount
+        }
+        this.slices = this.slices.filter(slice => slice.tokens > 0)
+        return taken
+      }
+    }
+
+    // Guards against a kept sum that misses a change. A sum that is rounded in another way would already change decisions.
+    it('have exactly the total of a sum from scratch', () => {
+      for (let seed = 1; seed <= 60; seed++) {
+        const generator = xoroshiro128plus(seed)
+        const random = (): number => uniformFloat64(generator)
+        const pool = new ExpiringTokens()
+        const plain = new PlainSlices()
+        for (let now = 1000, step = 0; step < 500; step++) {
+          now += random() * 40
+          const since = now - 900
+          const action = random()
+          const tokens = random() * 100
+          if (action < 0.7) {
+            const earnedAt = action < 0.5 ? now : now - random() * 1000
+            pool.add(tokens, earnedAt)
+            plain.add(tokens, earnedAt)
+          } else if (action < 0.85) expect(pool.takeUpTo(tokens * 4, since)).to.deep.equal(plain.takeUpTo(tokens * 4, since))
+          else if (action < 0.95) expect(pool.take(tokens * 6, since)).to.deep.equal(plain.total(since) < tokens * 6 ? undefined : plain.takeUpTo(tokens * 6, since))
+          else if (action < 0.97) expect(pool.takeUpTo(Infinity, since)).to.deep.equal(plain.takeUpTo(Infinity, since))
+          if (random() < 0.7) expect(pool.total(since), `seed ${seed}, step ${step}`).to.equal(plain.total(since))
+        }
+      }
+    })
+  })
 })
