Benchmark of processor time in a flood: processor-overload

Cause: the benchmarks of processor time send a steady load, under which the savings for hard load can't be seen. Plain stand-ins can be given slots and a bounded queue. The calls, the start of the fleet and the pace of sending are shared with `processor`.

--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -7,6 +7,7 @@
 import { readLosses } from './losses.js'
 import { measurePath } from './path.js'
 import { measureProcessor } from './processor.js'
+import { measureProcessorOverload } from './processor-overload.js'
 import { measureProcessorStart } from './processor-start.js'
 import { formatTable } from './report.js'
 
@@ -18,7 +19,7 @@
   process.stdout.write(`${formatTable(byRoute)}\n\n${formatTable(byInterval)}\n`)
 }
 
-const measurements: Record<string, () => Promise<void>> = { capacity: measureCapacity, claims: measureClaims, losses, path: measurePath, processor: measureProcessor, 'processor-start': measureProcessorStart }
+const measurements: Record<string, () => Promise<void>> = { capacity: measureCapacity, claims: measureClaims, losses, path: measurePath, processor: measureProcessor, 'processor-overload': measureProcessorOverload, 'processor-start': measureProcessorStart }
 
 const name = process.argv[2] ?? ''
 const measure = measurements[name]
--- a/packages/bench/src/processor.ts
+++ b/packages/bench/src/processor.ts
@@ -62,7 +62,22 @@
 const counts = new Map<string, number>()
 let sent = 0
 
-const send = ({ host, port, path }: Target, generation: boolean): Promise<void> => new Promise(resolve => {
+export interface Call { host: string, port: number, path: string, headers: Record<string, string>, agent: Agent | false }
+
+/** The end of a call: its status or how it failed, and the time that `Retry-After` states. */
+export interface CallEnd { outcome: string, retryAfterMs?: number }
+
+/** Sends one request and resolves, when the response is complete or has failed, with how it ended. */
+export const call = (options: Call): Promise<CallEnd> => new Promise(resolve => {
+  const outgoing = request({ ...options, method: 'POST' }, response => {
+    const retryAfter = response.headers['retry-after']
+    const end = { outcome: `status ${response.statusCode ?? 0}`, ...(retryAfter === undefined ? {} : { retryAfterMs: Number(retryAfter) * 1000 }) }
+    response.resume().on('end', () => resolve(end)).on('error', () => resolve({ outcome: 'interrupted' }))
+  })
+  outgoing.on('error', error => resolve({ outcome: error.message })).end('{"ask":1}')
+})
+
+const send = async ({ host, port, path }: Target, generation: boolean): Promise<void> => {
   sent += 1
   // Squared, so that some adapters are far more popular than others.
   const adapter = `base/a${Math.floor(Math.random() ** 2 * adapters)}`
@@ -76,27 +91,23 @@
     ...(generation ? { model: isRelay ? 'base' : adapter } : {})
   }
   const agent = Math.random() < newConnectionShare ? false : keptConnections
-  const finish = (outcome: string): void => {
-    counts.set(outcome, (counts.get(outcome) ?? 0) + 1)
-    resolve()
-  }
-  const outgoing = request({ host, port, path: path(generation), method: 'POST', headers, agent }, response => {
-    response.resume().on('end', () => finish(`status ${response.statusCode ?? 0}`)).on('error', () => finish('interrupted'))
-  })
-  outgoing.on('error', error => finish(error.message)).end('{"ask":1}')
-})
+  const { outcome } = await call({ host, port, path: path(generation), headers, agent })
+  counts.set(outcome, (counts.get(outcome) ?? 0) + 1)
+}
 
-const sendAt = async (rate: number, generation: boolean, target: Target, endsAt: number): Promise<void> => {
+/** Calls `sendOne` at random moments, `rate` times a second on average, and resolves once all that it sent has ended. */
+export const sendAtRate = async (rate: number, endsAt: number, sendOne: () => Promise<void>): Promise<void> => {
   if (rate === 0) return await pause(endsAt - performance.now())
   const running: Array<Promise<void>> = []
   for (let at = performance.now(); at < endsAt; at -= Math.log(1 - Math.random()) * 1000 / rate) {
     await pause(Math.max(0, at - performance.now()))
-    running.push(send(target, generation))
+    running.push(sendOne())
   }
   await Promise.all(running)
 }
 
-const cpuMs = async (pids: Array<number | undefined>): Promise<number> => {
+/** Processor time of the processes, in ms, on average. */
+export const cpuMs = async (pids: Array<number | undefined>): Promise<number> => {
   const usages = await Promise.all(pids.map(readProcessUsage))
   return usages.reduce((sum, { cpuSeconds }) => sum + cpuSeconds * 1000, 0) / pids.length
 }
@@ -107,8 +118,8 @@
 const flagsOf = (systemFile: string, role: Role): string[] =>
   new RegExp(`^run = "node (.*) target/launch.cjs ${role}"`, 'm').exec(systemFile)?.[1]?.split(/ +/) ?? []
 
-/** A fleet that runs the program built in `folder`; `layout` replaces the number of machines. */
-export const createFleet = async (folder: string, network: number, layout: Partial<FleetOptions> = {}): Promise<FleetSystem> => {
+/** A fleet that runs the program built in `folder`; `layout` replaces the layout, and `flags` are added to those of each role. */
+export const createFleet = async (folder: string, network: number, layout: Partial<FleetOptions> = {}, flags: string[] = []): Promise<FleetSystem> => {
   const systemFile = await readFile(resolve(folder, 'deploy/system.toml'), 'utf8')
   return new FleetSystem({
     network,
@@ -121,13 +132,14 @@
     ...work,
     ...layout,
     program: resolve(folder, 'target/launch.cjs'),
-    nodeOptions: { entry: flagsOf(systemFile, 'entry'), side: flagsOf(systemFile, 'side') }
+    nodeOptions: { entry: [...flagsOf(systemFile, 'entry'), ...flags], side: [...flagsOf(systemFile, 'side'), ...flags] }
   })
 }
 
-const startFleet = async (fleet: FleetSystem): Promise<void> => {
+/** Starts a fleet with `count` teams, each with its key and the same quota in tokens. */
+export const startFleet = async (fleet: FleetSystem, count = teams, ratePerS = 100_000): Promise<void> => {
   await fleet.start()
-  const tenants = Array.from({ length: teams }, (_, index) => ({ name: `team-${index}`, apiKeys: [`k${index}`], unit: 'tokens', plainTokens: 200, ratePerS: 100_000, burst: 100_000 }))
+  const tenants = Array.from({ length: count }, (_, index) => ({ name: `team-${index}`, apiKeys: [`k${index}`], unit: 'tokens', plainTokens: 200, ratePerS, burst: ratePerS }))
   fleet.store.put('config', 'main', fleet.table(2, { tenants }))
 }
 
@@ -172,13 +184,15 @@
 
 const lifePhases: Partial<Record<Phase, true>> = { 'first 10 s': true, 'steady 30 s': true }
 
+/** The checkouts to measure: those named as arguments, or this one. */
+export const foldersOf = (args: string[]): string[] => args.length > 0 ? args : [fileURLToPath(new URL('../../..', import.meta.url))]
+
 export const measureProcessor = async (): Promise<void> => {
-  const [, , , ...args] = process.argv
-  const folders = args.length > 0 ? args : [fileURLToPath(new URL('../../..', import.meta.url))]
+  const folders = foldersOf(process.argv.slice(3))
   const relay = await startRelay(firstNetwork - 1)
   const fleets = await Promise.all(folders.map((folder, index) => createFleet(folder, firstNetwork + index)))
   try {
-    await Promise.all(fleets.map(startFleet))
+    await Promise.all(fleets.map(fleet => startFleet(fleet)))
     await publishReport(await measureFleets(folders, fleets, relay))
   } finally {
     keptConnections.destroy()
@@ -201,7 +215,7 @@
   for (const phase of Object.keys(phaseMs) as Phase[]) {
     const endsAt = performance.now() + phaseMs[phase]
     const { generations, plain } = rates[phase]
-    await Promise.all(targets.flatMap(target => [sendAt(generations, true, target, endsAt), sendAt(plain, false, target, endsAt)]))
+    await Promise.all(targets.flatMap(target => [sendAtRate(generations, endsAt, () => send(target, true)), sendAtRate(plain, endsAt, () => send(target, false))]))
     await pause(settleMs)
     const after = await measured()
     for (const [index, group] of groups.entries()) group.cpu.set(phase, (after[index] ?? NaN) - (before[index] ?? NaN))
--- a/packages/stand-ins/src/fleet/backend-server.ts
+++ b/packages/stand-ins/src/fleet/backend-server.ts
@@ -12,6 +12,8 @@
   id: string
   /** Only for a model engine; absent for a plain service. */
   engine?: { model: string, places: number, loadMs: number }
+  /** Requests that it runs at a time; up to four more for each slot wait in arrival order, others are rejected. Without it, all run at once. */
+  slots?: number
   workMs: number
   events: number
   eventMs: number
@@ -27,6 +29,8 @@
   fence: number
 }
 
+const queuedPerSlot = 4
+
 /**
  * `mute`: requests count as run, but get no response. `reset`: requests count as run, and their connections are closed without a
  * response. `failing`: responses have status 500. `shedding`: requests are rejected with status 503. `torn`: responses are cut off.
@@ -74,10 +78,13 @@
   /** Called when the server crashes. */
   onCrash: () => void = () => {}
   running = 0
+  /** For each slot, when the requests that it runs and those that wait for it have run. */
+  readonly #slotsFreeAt: number[]
 
   constructor (readonly options: BackendServerOptions) {
     super()
     this.id = options.id
+    this.#slotsFreeAt = Array.from({ length: options.slots ?? 0 }, () => 0)
   }
 
   /** Resets its state to that of a newly started server, without models, under the given id. */
@@ -161,13 +168,26 @@
     if ((request.url ?? '') === this.crashPath) return await this.#crash()
     this.running += 1
     try {
-      await pause(this.options.workMs)
+      await pause(this.#reserveSlot() + this.options.workMs)
       await this.#respond(requestId, body, response, Number(request.headers['last-event-id'] ?? 0))
     } finally {
       this.running -= 1
     }
   }
 
+  get #slotWaitMs (): number {
+    return this.options.slots === undefined ? 0 : Math.max(0, Math.min(...this.#slotsFreeAt) - performance.now())
+  }
+
+  /** Occupies the slot that is free first and returns the time until then. */
+  #reserveSlot (): number {
+    if (this.options.slots === undefined) return 0
+    const waitMs = this.#slotWaitMs
+    const slot = this.#slotsFreeAt.indexOf(Math.min(...this.#slotsFreeAt))
+    this.#slotsFreeAt[slot] = performance.now() + waitMs + this.options.workMs
+    return waitMs
+  }
+
   /** Crashes the server, with all requests that it runs. */
   async #crash (): Promise<void> {
     await pause(this.crashDelayMs)
@@ -182,6 +202,7 @@
   #rejectionStatus (request: IncomingMessage): number | undefined {
     if (this.#isMisdirected(request)) return 421
     if (this.fault === 'shedding' || this.overloadedRetryAfterMs !== undefined) return 503
+    if (this.#slotWaitMs > queuedPerSlot * this.options.workMs) return 503
     if (this.options.engine === undefined) return undefined
     if (!this.hasModel) return 421
     const adapter = String(request.headers.model ?? '').split('/')[1]
--- a/packages/stand-ins/src/fleet/fleet-system.ts
+++ b/packages/stand-ins/src/fleet/fleet-system.ts
@@ -42,6 +42,8 @@
   enginesPerDomain: number
   plainServersPerDomain: number
   adapterSlots: number
+  /** Slots of each plain server, which then rejects requests while its queue is full; without it, servers state 6 and run all at once. */
+  plainSlots?: number
   loadMs: number
   workMs: number
   events: number
@@ -222,7 +224,7 @@
       address: `${ip}:${ports.app}`,
       zone: domain,
       version: 'v1',
-      slots: engine === undefined ? 6 : 32,
+      slots: engine === undefined ? server.options.slots ?? 6 : 32,
       state,
       coldRemainingMs: 0,
       models: engine === undefined ? [] : [{ name: model, version: 1, adapters: [] }],
@@ -251,7 +253,7 @@
   }
 
   async #startDomain (domain: number): Promise<void> {
-    const { entriesPerDomain, enginesPerDomain, plainServersPerDomain, adapterSlots, loadMs, workMs, events, eventMs } = this.options
+    const { entriesPerDomain, enginesPerDomain, plainServersPerDomain, adapterSlots, plainSlots, loadMs, workMs, events, eventMs } = this.options
     const name = `d${domain}`
     for (let each = 0; each < entriesPerDomain; each++) {
       this.entries.push({ name: `entry-${name}-${each}`, ip: this.#ip(domain, 10 + each), process: undefined, output: [] })
@@ -268,7 +270,7 @@
     }
     for (let each = 0; each < plainServersPerDomain; each++) {
       const ip = this.#ip(domain, 200 + each)
-      const server = new BackendStandIn({ id: `plain-${name}-${each}`, workMs, events, eventMs })
+      const server = new BackendStandIn({ id: `plain-${name}-${each}`, ...(plainSlots === undefined ? {} : { slots: plainSlots }), workMs, events, eventMs })
       await this.#listen(server, ip, ports.app)
       server.onCrash = () => this.#handleCrash(server, ip, name)
       server.bornAt = this.options.bornAt
