Soak: a team that floods within and beyond its quota

Callers retry a refused request once as told (at most a third of their remaining time), and one in ten retries three times at once. All windows of 8 s are checked against (rate x 8 s + burst) x 1.1 + slack, by the tokens of requests when they first reach a server. Statuses 408, 421 and 429 are checked like 503: a request that may run at most once must not have run. The report shows the 429 responses and the largest share of the bound.

--- a/packages/soak/src/check-results.ts
+++ b/packages/soak/src/check-results.ts
@@ -15,6 +15,10 @@
   unknown: number
   /** Requests without a complete response. */
   cut: number
+  /** Number of requests of the flooding team that were rejected with status 429. */
+  overQuota: number
+  /** The most that this team used in any window, as a share of what its quota allows. */
+  quotaShare: number
   /** Violations of the guarantees, each with the request or server that shows it. */
   broken: string[]
   /** Log lines that help to explain the violations. */
@@ -29,8 +33,11 @@
   return ids.length === eventsPerStream && ids.every((id, index) => id === index + 1)
 }
 
-/** Checks the guarantees that hold at any time, also during faults. */
-export const checkResults = (results: readonly RequestResult[], servers: readonly BackendStandIn[]): SoakReport => {
+/** Responses with these statuses promise that the request has not run. */
+const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503])
+
+/** Returns the violations of the guarantees on single requests that hold at any time, also during faults. */
+export const checkResponses = (results: readonly RequestResult[], servers: readonly BackendStandIn[]): string[] => {
   const runs = new Map<string, number>()
   for (const server of servers) for (const id of server.startedIds) runs.set(id, (runs.get(id) ?? 0) + 1)
   const broken: string[] = []
@@ -38,12 +45,18 @@
     const ran = runs.get(id) ?? 0
     const runsAtMostOnce = path === '/once/x' || path === '/stream/x'
     if (runsAtMostOnce && ran > 1) broken.push(`${id} ${path} ran ${ran} times`)
-    if (runsAtMostOnce && status === 503 && ran > 0) broken.push(`${id} ${path} was answered as not run, but ran`)
+    if (runsAtMostOnce && notRunStatuses.has(status) && ran > 0) broken.push(`${id} ${path} was answered with ${status}, as not run, but ran`)
     if (status === 200 && whole && (path === '/once/x' || path === '/again/x') && !body.includes(id)) broken.push(`${id} ${path} got the response to another request: ${body}`)
     if (status === 200 && whole && path.startsWith('/stream') && !isCompleteStream(body)) broken.push(`${id} ${path} was answered with a stream that ended normally, but is incomplete`)
     if (status === 200 && whole && path.startsWith('/resume') && !isCompleteStream(body)) broken.push(`${id} ${path} was answered with a resumed stream that lacks or repeats events`)
     if (status === 404) broken.push(`${id} ${path} was answered with 404, but its route exists`)
   }
+  return broken
+}
+
+/** Checks the guarantees that hold at any time, also during faults. */
+export const checkResults = (results: readonly RequestResult[], servers: readonly BackendStandIn[]): SoakReport => {
+  const broken = checkResponses(results, servers)
   for (const server of servers) {
     if (server.slotsExceeded) broken.push(`${server.id} was ordered to load more adapters than it has slots`)
     const fences = server.orders.map(order => order.fence)
@@ -57,6 +70,8 @@
     refused: count(result => result.status === 503),
     unknown: count(result => result.status === 502 || result.status === 504),
     cut: count(result => !result.whole),
+    overQuota: 0,
+    quotaShare: 0,
     broken,
     details: []
   }
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -9,10 +9,11 @@
 import { RouteChangeScenario } from './route-change-scenario.js'
 import { Disturbances } from './disturbances.js'
 import { killAndRestartAll, faultTable } from './faults.js'
-import { eventsPerStream, checkResults, type SoakReport } from './check-results.js'
+import { eventsPerStream, checkResponses, checkResults, type SoakReport } from './check-results.js'
 import { ServerLimitScenario } from './server-limit-scenario.js'
 import { SeededRandom } from './seeded-random.js'
 import { RestoreScenario } from './restore-scenario.js'
+import { TeamFloodScenario } from './team-flood-scenario.js'
 import { ServerFeedbackScenario, initialBornAt } from './server-feedback-scenario.js'
 
 export interface SoakOptions {
@@ -49,7 +50,8 @@
     await proxy.start(ip, port, target)
     proxies.push(proxy)
   }
-  const fleet = new FleetSystem({ network, domains: 2, entriesPerDomain: 1, enginesPerDomain: 1, plainServersPerDomain: 1, adapterSlots: 4, loadMs: 80, workMs: 8, events: eventsPerStream, eventMs: 6, bornAt: initialBornAt, insertProxy, storeProxies: true })
+  const teamFlood = new TeamFloodScenario(new SeededRandom(seed + 7 * halfSeedOffset), log)
+  const fleet = new FleetSystem({ network, domains: 2, entriesPerDomain: 1, enginesPerDomain: 1, plainServersPerDomain: 1, adapterSlots: 4, loadMs: 80, workMs: 8, events: eventsPerStream, eventMs: 6, bornAt: initialBornAt, insertProxy, storeProxies: true, bounds: teamFlood.bounds, tenants: [teamFlood.tenant] })
   await fleet.start()
   await pause(startMs)
   const results: Array<Promise<RequestResult>> = []
@@ -74,6 +76,8 @@
     log
   })
   const restores = new RestoreScenario({ fleet, random: new SeededRandom(seed + 5 * halfSeedOffset), disturbances, log })
+  const stopFlood = new AbortController()
+  const flood = teamFlood.run(fleet, stopFlood.signal)
   const endsAt = Date.now() + faultMs
   const scenarios = Promise.all([feedback.run(faultMs), serverLimits.run(faultMs), routeChanges.run(faultMs), restores.run(faultMs)])
   const faults: Array<Promise<void>> = []
@@ -85,13 +89,17 @@
   }
   await Promise.all([...faults, scenarios])
   await serverLimits.runUndisturbed()
+  stopFlood.abort()
+  const floodResults = await flood
   await pause(recoveryMs)
   stopCallers.abort()
   await callers
   const finalResults: RequestResult[] = []
   for (let each = 0; each < 12; each++) finalResults.push(await sendRequest(fleet, random, agents, `soak-${seed}-last-${each}`))
   const allResults = [...await Promise.all(results), ...finalResults]
-  const report = checkResults(allResults, [...fleet.engines, ...fleet.plainServers])
+  const servers = [...fleet.engines, ...fleet.plainServers]
+  const report = { ...checkResults(allResults, servers), overQuota: teamFlood.overQuota, quotaShare: teamFlood.quotaShare(servers) }
+  report.broken.push(...checkResponses(floodResults, servers), ...teamFlood.violations(servers))
   report.broken.push(...feedback.violations(allResults, disturbances), ...serverLimits.violations(allResults, disturbances), ...routeChanges.violations())
   const unserved = finalResults.filter(result => result.status !== 200)
   for (const { id, path, status } of unserved) {
--- a/packages/soak/test/soak.test.ts
+++ b/packages/soak/test/soak.test.ts
@@ -10,6 +10,8 @@
     it(`finds no violations with seed ${seed}`, async () => {
       const report = await soak({ seed, network: 43, faultMs: 4000, log: () => {} })
       expect(report.broken).to.deep.equal([])
+      // Without a rejection, the team's flood has not tested its quota.
+      expect(report.overQuota).to.be.greaterThan(0)
       expect(report.answered).to.be.greaterThan(report.asked / 3)
     })
   }
--- a/packages/stand-ins/src/fleet/fleet-system.ts
+++ b/packages/stand-ins/src/fleet/fleet-system.ts
@@ -49,6 +49,8 @@
   /** The start time that all backend servers report; without it, they report none. */
   bornAt?: number
   bounds?: Record<string, number>
+  /** Teams that every routing table contains. All routes are then public, so that requests without a key are served too. */
+  tenants?: readonly unknown[]
   nodeOptions?: readonly string[] | Record<Role, readonly string[]>
   /** Whether each entry connects to the store through its own proxy. */
   storeProxies?: boolean
@@ -128,7 +130,8 @@
 
   /** Returns a routing table as the operator writes it to the store; `overrides` replaces top-level fields. */
   table (version: number, overrides: Record<string, unknown> = {}): unknown {
-    const { adapterSlots } = this.options
+    const { adapterSlots, tenants } = this.options
+    const access = tenants === undefined ? {} : { public: true }
     const stream = { kind: 'stream', timeoutMs: 5000, targetLatencyMs: 600, priority: 1, service: engineService, sticky: true, gapAimMs: 400 }
     const plain = { timeoutMs: 1000, targetLatencyMs: 150, priority: 2, service: plainService, sticky: false, resumable: false }
     return {
@@ -138,8 +141,9 @@
         { name: 'r-resume', host: 'fleet.example', pathPrefix: '/resume/', maxAttempts: 2, resumable: true, ...stream },
         { name: 'r-once', host: 'fleet.example', pathPrefix: '/once/', kind: 'non_idempotent', maxAttempts: 1, ...plain },
         { name: 'r-again', host: 'fleet.example', pathPrefix: '/again/', kind: 'idempotent', maxAttempts: 2, ...plain },
-        ...this.extraRoutes
-      ],
+        ...this.extraRoutes as object[]
+      ].map(route => ({ ...access, ...route })),
+      ...(tenants === undefined ? {} : { tenants }),
       services: [
         { name: engineService, healthPath: '/health', maxConnections: 200, engine: { slots: 32, adapterSlots, weightsMb: 2000, loadsPerS: 50, models: [{ name: model, weightsMb: 1000, loadS: 0.5, adapters: 3000, adapterMb: 12 }] } },
         { name: plainService, healthPath: '/health', maxConnections: 90 }
