Rendezvous selector: keep the score of each host

Cause: the side process that coordinates the entries is chosen at each quota frame and for each failure domain of a batch of reports, and each choice hashed all hosts; a batch of reports also listed all side processes once for each domain.

Change: scores are kept by host, and a batch lists the side processes once.

Tests of the selector, crash reports, probes, subscribers and side links pass.

--- a/packages/fleet/src/entry/peers/attempt-reporter.ts
+++ b/packages/fleet/src/entry/peers/attempt-reporter.ts
@@ -81,14 +81,14 @@
   #sendBatch (): void {
     const reports = this.#batch
     this.#batch = noReports
-    const domains = new Set(this.options.sideProcesses().map(target => target.domain))
-    for (const domain of domains) this.#sendToDomain(reports, domain)
+    const targets = this.options.sideProcesses()
+    for (const domain of new Set(targets.map(target => target.domain))) this.#sendToDomain(reports, domain, targets)
   }
 
-  #sendToDomain (reports: AttemptReports, domain: string): void {
+  #sendToDomain (reports: AttemptReports, domain: string, targets: readonly ReportTarget[]): void {
     const pending: PendingReport = { reports, domain, host: undefined, stamp: undefined, triedAt: -Infinity, tries: 0 }
     this.#pending.add(pending)
-    this.#tryNext(pending)
+    this.#tryNext(pending, targets)
     this.#checkTimer ??= setInterval(() => this.#checkPending(), checkIntervalMs)
   }
 
@@ -97,7 +97,7 @@
       if (pending.stamp === undefined) this.#send(pending)
       if (nowMs() - pending.triedAt < ackTimeoutMs) continue
       if (pending.host !== undefined) this.#rendezvous.skip(pending.host)
-      this.#tryNext(pending)
+      this.#tryNext(pending, this.options.sideProcesses())
     }
     this.#stopIfDone()
   }
@@ -108,24 +108,20 @@
     this.#checkTimer = undefined
   }
 
-  #tryNext (pending: PendingReport): void {
+  #tryNext (pending: PendingReport, targets: readonly ReportTarget[]): void {
     if (pending.tries >= maxTries) {
       this.#pending.delete(pending)
       this.options.log.warn('crashes.not_passed_on', { domain: pending.domain, crashes: pending.reports.crashes.length, sound: pending.reports.sound.length, limits: pending.reports.limits.length, tries: pending.tries })
       return
     }
-    pending.host = this.#chooseHost(pending.domain)
+    const candidates = targets.filter(target => target.domain === pending.domain && target.responsive)
+    pending.host = this.#rendezvous.choose(candidates.map(({ host }) => host))
     pending.tries += 1
     pending.triedAt = nowMs()
     pending.stamp = undefined
     this.#send(pending)
   }
 
-  #chooseHost (domain: string): string | undefined {
-    const candidates = this.options.sideProcesses().filter(target => target.domain === domain && target.responsive)
-    return this.#rendezvous.choose(candidates.map(({ host }) => host))
-  }
-
   #send (pending: PendingReport): void {
     const channel = pending.host === undefined ? undefined : this.options.channelTo(pending.host)
     if (channel === undefined) return
--- a/packages/fleet/src/entry/peers/rendezvous-selector.ts
+++ b/packages/fleet/src/entry/peers/rendezvous-selector.ts
@@ -21,6 +21,8 @@
   readonly #hash: number
   /** Hosts that didn't answer, and until when they are skipped. */
   readonly #skippedUntil = new Map<string, number>()
+  /** By host, since a selector chooses several times per second among the same hosts. */
+  readonly #scores = new Map<string, number>()
 
   constructor (private readonly options: RendezvousSelectorOptions) {
     this.#hash = hashOf(options.purpose)
@@ -34,6 +36,15 @@
   choose (hosts: readonly string[]): string | undefined {
     const now = this.options.now()
     for (const [host, until] of this.#skippedUntil) if (now > until) this.#skippedUntil.delete(host)
-    return minBy(hosts.filter(host => !this.#skippedUntil.has(host)), host => rendezvousScore(this.#hash, hashOf(host)))
+    if (this.#scores.size > 2 * hosts.length) this.#scores.clear()
+    return minBy(hosts.filter(host => !this.#skippedUntil.has(host)), host => this.#scoreOf(host))
+  }
+
+  #scoreOf (host: string): number {
+    const known = this.#scores.get(host)
+    if (known !== undefined) return known
+    const score = rendezvousScore(this.#hash, hashOf(host))
+    this.#scores.set(host, score)
+    return score
   }
 }
