Waiting: tell callers without a promise when capacity is expected

Cause: each caller that was told a time put off the next one by the pace of promises, ten starts, although it is promised nothing, and so did callers that don't return again. Under a flood all were told 5 s within the first second, where capacity was expected within some 0.3 s. Change: each told caller that returns counts as one start. A caller whose capacity is expected within the third of its time that it waits is still told 1.1 times that third, as an earlier return would look like one that was promised capacity.

Tests: returning-callers, waiting, request-queue, server-selector, caller-return, first-attempt-estimator and waiting-simulation pass.

--- a/packages/decisions/src/return-schedule.ts
+++ b/packages/decisions/src/return-schedule.ts
@@ -2,8 +2,8 @@
  * The schedule of callers that were rejected and told when to return.
  *
  * Load: more requests than capacity, for seconds. Only as many callers are promised capacity as a part of the starts can serve, one
- * after the other; each counts as a request ahead of its team's later ones until its time has come. All others are told the time
- * after all that were told one, and more than they can wait. Callers may return to another process, which knows by the same rule
+ * after the other; each counts as a request ahead of its team's later ones until its time has come. All others are told when capacity
+ * is expected after those that were told a time and return, but more than they can wait. Callers may return to another process, which knows by the same rule
  * whether one was promised capacity (`return-promise.ts`).
  */
 import { beyondFactor, type ReturnWindow } from './return-promise.js'
@@ -23,6 +23,8 @@
   expectedMs: number
   /** Time between promises that can be kept. */
   everyMs: number
+  /** Expected time between starts; by default as long. */
+  startEveryMs?: number
   window: ReturnWindow
   /** Random number below 1. */
   draw: number
@@ -42,12 +44,14 @@
   #toldUntil = -Infinity
 
   /** The time after which a caller is told to return. */
-  tell ({ team, expectedMs, everyMs, window: { earliestMs, latestMs, longestMs }, draw }: ReturnRequest, now: number): ToldTime {
+  tell ({ team, expectedMs, everyMs, startEveryMs = everyMs, window: { earliestMs, latestMs, longestMs }, draw }: ReturnRequest, now: number): ToldTime {
     const spreadFactor = 1 + spread * draw
-    this.#toldUntil = Math.min(now + returnRange.maxMs, Math.max(this.#toldUntil, now + expectedMs) + everyMs)
+    const expectedAt = Math.max(this.#toldUntil, now + expectedMs) + startEveryMs
+    // A caller that does not return takes no start from those told later.
+    if (latestMs !== -Infinity) this.#toldUntil = Math.min(now + returnRange.maxMs, expectedAt)
     const soonestMs = Math.max(returnRange.minMs, earliestMs, expectedMs, this.#promisedUntil + everyMs - now)
     if (soonestMs > latestMs) {
-      const ms = Math.max(this.#toldUntil - now, longestMs * beyondFactor)
+      const ms = Math.max(expectedAt - now, longestMs * beyondFactor)
       return { ms: Math.ceil(Math.min(returnRange.maxMs, ms * spreadFactor)), promised: false }
     }
     const ms = Math.floor(Math.min(latestMs, soonestMs * spreadFactor))
--- a/packages/fleet/src/entry/waiting/service-queue.ts
+++ b/packages/fleet/src/entry/waiting/service-queue.ts
@@ -127,15 +127,16 @@
     const statistics = this.#statisticsOf(last)
     const expected = statistics === undefined ? undefined : this.expected(entry, place, now)
     if (statistics === undefined || expected === undefined) return { ms: last.type === 'resting' ? Math.ceil(last.readyInMs) : 0, measured: false }
-    const { ms } = statistics.returns.tell({ team, expectedMs: expected.ms, everyMs: this.#promiseEveryMs(last, statistics, now), window: request.returnWindow(), draw: Math.random() }, now)
+    const startEveryMs = this.#startEveryMs(last, statistics, now)
+    // Only a part of the starts is reserved for callers that return.
+    const { ms } = statistics.returns.tell({ team, expectedMs: expected.ms, everyMs: startEveryMs * startsPerPromise, startEveryMs, window: request.returnWindow(), draw: Math.random() }, now)
     return { ms, measured: true }
   }
 
-  /** Time between promises that can be kept: only a part of the starts is reserved for callers that return. */
-  #promiseEveryMs (last: Choice, statistics: WaitStatistics, now: number): number {
+  /** Expected time between starts. */
+  #startEveryMs (last: Choice, statistics: WaitStatistics, now: number): number {
     const perSecond = statistics.perSecond(now)
-    const everyMs = perSecond === undefined ? last.type === 'limited' ? last.everyMs : 0 : 1000 / perSecond
-    return everyMs * startsPerPromise
+    return perSecond === undefined ? last.type === 'limited' ? last.everyMs : 0 : 1000 / perSecond
   }
 
   /**
--- a/packages/fleet/test/returning-callers.test.ts
+++ b/packages/fleet/test/returning-callers.test.ts
@@ -4,6 +4,7 @@
  * return at another entry, which did not know what they had been told. When it knew, tokens of the busy service were still kept from
  * the flooding team's callers for teams with less demand, so that one promised caller in nine waited in vain (seeds 1 and 16).
  */
+import { ReturnSchedule, returnWindow, type ToldTime } from '@finchpitch/decisions'
 import { FakeTime } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
@@ -86,3 +87,25 @@
     })
   }
 })
+
+// Guards against a time told for a caller that is promised nothing that counts each told before it as ten starts.
+describe('the time that callers without a promise are told', () => {
+  const tell = (schedule: ReturnSchedule, expectedMs: number, returning = false): ToldTime =>
+    schedule.tell({ team: 'flood', expectedMs, everyMs: 700, startEveryMs: 70, window: returnWindow(0, 1000, returning), draw: 0 }, 0)
+
+  it('is when capacity is expected after those that were told a time', () => {
+    const schedule = new ReturnSchedule()
+    const told = [400, 400, 600].map(expectedMs => tell(schedule, expectedMs))
+    expect(told).to.deep.equal([470, 540, 670].map(ms => ({ ms, promised: false })))
+  })
+
+  it('exceeds what a caller waits, even if capacity is expected sooner', () => {
+    expect(tell(new ReturnSchedule(), 290)).to.deep.equal({ ms: 367, promised: false })
+  })
+
+  it('is not put off by callers that do not return again', () => {
+    const schedule = new ReturnSchedule()
+    for (let each = 0; each < 20; each++) tell(schedule, 400, true)
+    expect(tell(schedule, 400).ms).to.equal(470)
+  })
+})
