Quotas: read the clock and compute the earnings once per operation

Cause: an exchange and a rejection read the clock again for each figure of each team, and computed the lifetime and the rate of tokens from rate and bound each time. Change: one time is passed through an exchange and an account's methods; the earnings are kept until rate or bound change; tokens earned until the same time are not earned again.

--- a/packages/fleet/src/entry/quotas/earned-tokens.ts
+++ b/packages/fleet/src/entry/quotas/earned-tokens.ts
@@ -26,12 +26,28 @@
   sliceMs?: number
 }
 
+/** What follows from the rate and the bound, which rarely change. */
+interface Earnings {
+  rate: QuotaRate
+  bound: QuotaBound
+  perSecond: number
+  lifetimeMs: number
+  initialCredit: number
+}
+
+const isSameBound = (a: QuotaBound, b: QuotaBound): boolean =>
+  a === b || (a.windowMs === b.windowMs && a.overage === b.overage && a.slack === b.slack)
+
+const earningsOf = (rate: QuotaRate, bound: QuotaBound): Earnings =>
+  ({ rate, bound, perSecond: earnedPerSecond(rate, bound), lifetimeMs: tokenLifetimeMs(rate, bound), initialCredit: initialCredit(rate, bound) })
+
 export class EarnedTokens {
   readonly #stock: ExpiringTokens
   readonly #sliceMs: number
   readonly #startedAt: number | undefined
   #rate: QuotaRate
   #earnedAt: number
+  #knownEarnings: Earnings | undefined
   /** Total time that the machine was suspended, as last read. */
   #lastSuspendedMs = suspendedMs()
 
@@ -53,18 +69,23 @@
 
   /** Tokens that may be spent now, without those earned since the last call of `earn`. */
   get total (): number {
-    return this.#stock.total(this.expiryCutoff)
+    return this.totalAt(boottimeMs())
+  }
+
+  /** The same at `now`, a time that has just been read. */
+  totalAt (now: number): number {
+    return this.#stock.total(this.expiryCutoffAt(now))
   }
 
   /** Takes exactly `tokens`, or none if there are fewer. */
-  take (tokens: number): TokenSlice[] | undefined {
-    this.earn()
-    return this.#stock.take(tokens, this.expiryCutoff)
+  take (tokens: number, now = boottimeMs()): TokenSlice[] | undefined {
+    this.earn(now)
+    return this.#stock.take(tokens, this.expiryCutoffAt(now))
   }
 
   /** Takes `tokens`, or as many as there are, the oldest first. */
-  takeUpTo (tokens: number): TokenSlice[] {
-    return this.#stock.takeUpTo(tokens, this.expiryCutoff)
+  takeUpTo (tokens: number, now = boottimeMs()): TokenSlice[] {
+    return this.#stock.takeUpTo(tokens, this.expiryCutoffAt(now))
   }
 
   addAll (slices: readonly TokenSlice[]): void {
@@ -73,25 +94,29 @@
 
   /** Tokens per second that this entry earns. */
   get ownRate (): number {
-    return earnedPerSecond(this.#rate, this.bound()) / this.entries()
+    return this.#earnings.perSecond / this.entries()
   }
 
   /** How long a token may be spent after it was earned. */
   get lifetimeMs (): number {
-    return tokenLifetimeMs(this.#rate, this.bound())
+    return this.#earnings.lifetimeMs
   }
 
   /** Tokens earned before this time have expired. */
   get expiryCutoff (): number {
-    return boottimeMs() - this.lifetimeMs
+    return this.expiryCutoffAt(boottimeMs())
+  }
+
+  expiryCutoffAt (now: number): number {
+    return now - this.lifetimeMs
   }
 
   /** Adds the tokens earned since the last call. */
-  earn (): void {
-    const now = boottimeMs()
+  earn (now = boottimeMs()): void {
+    if (now <= this.#earnedAt) return
     this.#skipSuspension(now)
     const perMs = this.ownRate / 1000
-    let from = Math.max(this.#earnedAt, this.expiryCutoff)
+    let from = Math.max(this.#earnedAt, this.expiryCutoffAt(now))
     while (from < now) {
       const until = Math.min(now, from + this.#sliceMs)
       this.#stock.add((until - from) * perMs + this.#creditBetween(from, until), from)
@@ -103,7 +128,15 @@
   #creditBetween (from: number, until: number): number {
     if (this.#startedAt === undefined) return 0
     const ms = Math.min(until, this.#startedAt + creditMs) - from
-    return ms <= 0 ? 0 : initialCredit(this.#rate, this.bound()) / this.entries() * ms / creditMs
+    return ms <= 0 ? 0 : this.#earnings.initialCredit / this.entries() * ms / creditMs
+  }
+
+  get #earnings (): Earnings {
+    const bound = this.bound()
+    const known = this.#knownEarnings
+    if (known?.rate === this.#rate && isSameBound(known.bound, bound)) return known
+    this.#knownEarnings = earningsOf(this.#rate, bound)
+    return this.#knownEarnings
   }
 
   /**
--- a/packages/fleet/src/entry/quotas/quota-exchange.ts
+++ b/packages/fleet/src/entry/quotas/quota-exchange.ts
@@ -173,15 +173,15 @@
     const surplus: Array<[team: string, account: TeamAccount]> = []
     this.#askedByTeam.clear()
     for (const [team, account] of this.options.quotas.accounts) {
-      const pooling = echo !== undefined && account.isPooling
-      const { tokens, returning, waiting } = account.shortfall(pooling)
+      const pooling = echo !== undefined && account.isPoolingAt(now)
+      const { tokens, returning, waiting } = account.shortfall(pooling, now)
       if (tokens === 0 || pooling) surplus.push([team, account])
       if (tokens > 0 && wants.length < maxTeamsWanted) {
         wants.push(returning + waiting > 0 ? [team, tokens, returning, waiting] : [team, tokens])
         this.#askedByTeam.set(team, tokens)
       }
-      if (tokens > 0 || account.isOverQuota) demand.push([team, account.demand])
-      for (const [service, perSecond] of account.serviceDemand) serviceDemand.push([team, service, perSecond])
+      if (tokens > 0 || account.isOverQuotaAt(now)) demand.push([team, account.demandAt(now)])
+      for (const [service, perSecond] of account.serviceDemandAt(now)) serviceDemand.push([team, service, perSecond])
     }
     const echoed = echo === undefined ? {} : { echo: { stamp: echo.stamp, heldMs: now - echo.receivedAt } }
     const given = echo === undefined ? { gives: [] } : { ...this.#bookedPart(now), gives: this.#surplusOf(surplus, now) }
@@ -190,14 +190,14 @@
 
   /** Takes what these teams don't need here, first of teams whose tokens other entries need. */
   #surplusOf (accounts: Array<[team: string, account: TeamAccount]>, now: number): AgedTokens[] {
-    accounts.sort(([a], [b]) => Number(this.#teamsInNeed.has(b)) - Number(this.#teamsInNeed.has(a)))
-    return accounts.slice(0, maxTeamsGiven).flatMap(([team, account]) => account.takeSurplus().map(toAge(team, now)))
+    if (this.#teamsInNeed.size > 0) accounts.sort(([a], [b]) => Number(this.#teamsInNeed.has(b)) - Number(this.#teamsInNeed.has(a)))
+    return accounts.slice(0, maxTeamsGiven).flatMap(([team, account]) => account.takeSurplus(now).map(toAge(team, now)))
   }
 
   /** Tokens set aside for returning callers. */
   #bookedPart (now: number): Pick<FrameOf<'quota'>, 'booked'> {
     const booked: AgedTokens[] = []
-    for (const [team, account] of this.options.quotas.accounts) booked.push(...account.takeBooked().map(toAge(team, now)))
+    for (const [team, account] of this.options.quotas.accounts) for (const slice of account.takeBooked(now)) booked.push(toAge(team, now)(slice))
     return booked.length === 0 ? {} : { booked }
   }
 
--- a/packages/fleet/src/entry/quotas/team-account.ts
+++ b/packages/fleet/src/entry/quotas/team-account.ts
@@ -137,12 +137,16 @@
    * answering then, the demand here and the own share of the quota decide, until another bank reports.
    */
   get admitsByShare (): boolean {
+    return this.#totalDemand !== undefined && this.#admitsByShareAt(boottimeMs())
+  }
+
+  #admitsByShareAt (now: number): boolean {
     if (this.#totalDemand === undefined) return false
-    return this.#bankAnswers ? this.isOverQuota && this.#totalDemand.shares.size > 0 : this.#admitsByOwnShare(this.#totalDemand)
+    return this.#bankAnswers ? this.isOverQuotaAt(now) && this.#totalDemand.shares.size > 0 : this.#admitsByOwnShare(this.#totalDemand, now)
   }
 
-  #admitsByOwnShare ({ perSecond, at }: TeamReport & { at: number }): boolean {
-    return perSecond > this.quota.perSecond && boottimeMs() - at < ownShareMs && this.demand > this.#tokens.ownRate
+  #admitsByOwnShare ({ perSecond, at }: TeamReport & { at: number }, now: number): boolean {
+    return perSecond > this.quota.perSecond && now - at < ownShareMs && this.demandAt(now) > this.#tokens.ownRate
   }
 
   /** The share of the requests to each service that is admitted. */
@@ -150,9 +154,9 @@
     if (this.#bankAnswers) return this.#totalDemand?.shares ?? noShares
     const now = boottimeMs()
     if (now - this.#ownShares.at >= ownSharesMs) {
-      this.#tokens.earn()
-      const rate = admissionRate(this.#tokens.ownRate, this.#tokens.total - this.#line.tokens)
-      this.#ownShares = { at: now, shares: serviceShares(new Map(this.serviceDemand), rate) }
+      this.#tokens.earn(now)
+      const rate = admissionRate(this.#tokens.ownRate, this.#tokens.totalAt(now) - this.#line.tokens)
+      this.#ownShares = { at: now, shares: serviceShares(new Map(this.serviceDemandAt(now)), rate) }
     }
     return this.#ownShares.shares
   }
@@ -168,7 +172,7 @@
 
   /** Takes exactly `tokens` for an admitted request, if there are enough. */
   takeAdmitted (tokens: number, caller: QuotaCaller): TokenSlice[] | undefined {
-    return this.#takeInTurn(tokens, claimRankOf(caller))
+    return this.#takeInTurn(tokens, claimRankOf(caller), boottimeMs())
   }
 
   /** Lets an admitted request wait for its tokens. */
@@ -180,9 +184,10 @@
   /** Takes exactly `tokens` if there are enough and no request is ahead in the line. */
   take (tokens: number, caller = unknownCaller): TokenSlice[] | undefined {
     const rank = claimRankOf(caller)
+    const now = boottimeMs()
     // A late caller gets none while tokens are short: a small request would find some left where a large one doesn't.
-    if (this.#line.tokensAhead(rank) > 0 || this.isPooling || (rank === claimRanks.late && this.#isShortForLate)) return undefined
-    return this.#takeInTurn(tokens, rank)
+    if (this.#line.tokensAhead(rank) > 0 || this.isPoolingAt(now) || (rank === claimRanks.late && this.#isShortForLate(now))) return undefined
+    return this.#takeInTurn(tokens, rank, now)
   }
 
   /** Takes exactly `tokens` for a request that has had its turn before. */
@@ -199,10 +204,11 @@
     const rank = claimRankOf(caller)
     const maxMs = maxTurnMsOf(caller)
     const claim = { tokens, rank, turnBy: now + maxMs, servedBy: now + maxMs * servedFactor, settle }
-    if (rank === claimRanks.late && this.#isShortForLate) return false
-    if (this.isShort) {
-      const ahead = this.#line.tokensAhead(rank) - this.#availableFor(rank)
-      if (waitMs(ahead, this.#perSecond) > maxMs || waitMs(ahead + tokens, this.#ownPerSecond) > claim.servedBy - now) return false
+    if (rank === claimRanks.late && this.#isShortForLate(now)) return false
+    if (this.#isShortAt(now)) {
+      const ahead = this.#line.tokensAhead(rank) - this.#availableFor(rank, now)
+      const { turn, own } = this.#ratesAt(now)
+      if (waitMs(ahead, turn) > maxMs || waitMs(ahead + tokens, own) > claim.servedBy - now) return false
     }
     this.#line.add(claim)
     return true
@@ -224,11 +230,13 @@
   /** Serves the line in order, and rejects requests that can't be served in time. */
   updateLine (): void {
     if (this.#line.isEmpty) return
-    const served = !this.isPooling || this.admitsByShare
-    if (served) this.#serveLine()
-    const available = this.#availableFor(claimRanks.first)
-    for (const claim of this.#line.removeLate(boottimeMs(), available, this.isShort && !this.admitsByShare ? { turn: this.#perSecond, own: this.#ownPerSecond } : unknownRates)) claim.settle(undefined)
-    if (served) this.#serveLine()
+    const now = boottimeMs()
+    const byShare = this.#admitsByShareAt(now)
+    const served = byShare || !this.isPoolingAt(now)
+    if (served) this.#serveLine(now)
+    const rates = this.#isShortAt(now) && !byShare ? this.#ratesAt(now) : unknownRates
+    for (const claim of this.#line.removeLate(now, this.#availableFor(claimRanks.first, now), rates)) claim.settle(undefined)
+    if (served) this.#serveLine(now)
   }
 
   /** Time until the next exchange makes sense, or a request in the line is late. */
@@ -239,11 +247,15 @@
 
   /** Whether the other entries had too few tokens lately. */
   get isShort (): boolean {
-    return boottimeMs() - this.#shortageAt < shortageMs
+    return this.#isShortAt(boottimeMs())
   }
 
-  get #isShortForLate (): boolean {
-    return boottimeMs() - this.#shortageAt < lateShortageMs
+  #isShortAt (now: number): boolean {
+    return now - this.#shortageAt < shortageMs
+  }
+
+  #isShortForLate (now: number): boolean {
+    return now - this.#shortageAt < lateShortageMs
   }
 
   /** The bank had too few tokens, or, if it has not `answered`, may have some but can't be asked. */
@@ -256,24 +268,27 @@
   book (tokens: number, caller: QuotaCaller): Booking {
     const now = boottimeMs()
     this.#collectDue(now)
-    const lineTokens = this.#line.tokens - this.#availableFor(claimRanks.first)
+    const lineTokens = this.#line.tokens - this.#availableFor(claimRanks.first, now)
     // A caller that was rejected again does not return. Others may have to wait again then, so a longer time would make them late.
     const maxMs = caller.firstTriedMs > 0 ? 0 : Math.min(maxReturnMs(caller), maxTurnMsOf(caller))
-    const perSecond = this.#perSecond * (this.admitsByShare ? bookedShare : 1)
+    const perSecond = this.#perSecondAt(now) * (this.#admitsByShareAt(now) ? bookedShare : 1)
     return this.#bookings.book({ tokens, lineTokens, perSecond, maxMs }, now)
   }
 
   /** Adds tokens that belong to a request that was not sent. */
   deposit (slices: readonly TokenSlice[]): void {
     this.#tokens.addAll(slices)
-    if (!this.#line.isEmpty && (!this.isPooling || this.admitsByShare)) this.#serveLine()
+    if (this.#line.isEmpty) return
+    const now = boottimeMs()
+    if (!this.isPoolingAt(now) || this.#admitsByShareAt(now)) this.#serveLine(now)
   }
 
   /** Adds tokens that other entries gave, and counts them for the estimate of when more are available. */
   granted (slices: readonly TokenSlice[]): void {
-    for (const { tokens } of slices) this.#granted.add(tokens, boottimeMs())
+    const now = boottimeMs()
+    for (const { tokens } of slices) this.#granted.add(tokens, now)
     this.#tokens.addAll(slices)
-    if (!this.#line.isEmpty) this.#serveLine()
+    if (!this.#line.isEmpty) this.#serveLine(now)
   }
 
   /** Handles the bank's answer to a request for `asked` tokens. */
@@ -289,11 +304,11 @@
   }
 
   /** Tokens per second that callers ask for at this entry, by service, while the team is short of tokens. */
-  get serviceDemand (): Array<[service: string, perSecond: number]> {
-    if (!this.isShort && !this.isOverQuota && this.#bankAnswers) return []
+  serviceDemandAt (now: number): Array<[service: string, perSecond: number]> {
+    if (this.#bankAnswers && !this.#isShortAt(now) && !this.isOverQuotaAt(now)) return []
     const demand: Array<[string, number]> = []
     for (const [service, sum] of this.#serviceDemand) {
-      const perSecond = rateOf(sum)
+      const perSecond = rateOf(sum, now)
       if (perSecond < minServiceDemand) this.#serviceDemand.delete(service)
       else demand.push([service, perSecond])
     }
@@ -302,7 +317,8 @@
 
   /** Whether reserved tokens have not expired. */
   isValid (slices: readonly TokenSlice[]): boolean {
-    return slices.every(slice => slice.earnedAt >= this.#tokens.expiryCutoff)
+    const cutoff = this.#tokens.expiryCutoff
+    return slices.every(slice => slice.earnedAt >= cutoff)
   }
 
   /**
@@ -311,76 +327,85 @@
    * and larger ones would not.
    */
   get isPooling (): boolean {
-    return this.isOverQuota && this.#bankAnswers
+    return this.isPoolingAt(boottimeMs())
+  }
+
+  /** The same at `now`, a time that has just been read, as for all methods below that take it. */
+  isPoolingAt (now: number): boolean {
+    return this.#bankAnswers && this.isOverQuotaAt(now)
   }
 
   /** What this entry is short of, beside the tokens that it has unless it gives those away. */
-  shortfall (pooling: boolean): Shortfall {
-    this.#tokens.earn()
-    const available = pooling ? 0 : this.#tokens.total
+  shortfall (pooling: boolean, now = boottimeMs()): Shortfall {
+    this.#tokens.earn(now)
+    const available = pooling ? 0 : this.#tokens.totalAt(now)
     const needed = this.#line.tokens
     const missing = Math.max(0, needed - available)
     const returning = Math.max(0, this.#line.tokensAhead(claimRanks.returning) - available)
     const waiting = Math.max(0, this.#line.tokensAhead(claimRanks.first) - available) - returning
-    if (missing > 0 && this.isShort) return { tokens: missing, returning, waiting }
-    const reserve = this.#reserve
+    if (missing > 0 && this.#isShortAt(now)) return { tokens: missing, returning, waiting }
+    const reserve = this.#reserveAt(now)
     const tokens = available < Math.max(needed, reserve * lowWatermark) ? needed + reserve - available : 0
     return { tokens, returning, waiting }
   }
 
   /** Tokens per second that callers ask for at this entry. */
   get demand (): number {
-    return rateOf(this.#demand)
+    return this.demandAt(boottimeMs())
+  }
+
+  demandAt (now: number): number {
+    return rateOf(this.#demand, now)
   }
 
   /**
    * Takes the tokens above the reserve, the oldest first. The reserve thus stays young, and no tokens expire at an entry
    * without demand. In a pool, even the smallest surplus is given, since it serves nobody here.
    */
-  takeSurplus (): TokenSlice[] {
-    this.#tokens.earn()
-    const surplus = this.#tokens.total - this.#reserve
-    return surplus < (this.isPooling ? 0 : minGiven[this.quota.unit]) ? [] : this.#tokens.takeUpTo(surplus)
+  takeSurplus (now = boottimeMs()): TokenSlice[] {
+    this.#tokens.earn(now)
+    const surplus = this.#tokens.totalAt(now) - this.#reserveAt(now)
+    return surplus < (this.isPoolingAt(now) ? 0 : minGiven[this.quota.unit]) ? [] : this.#tokens.takeUpTo(surplus, now)
   }
 
   /**
    * Takes the tokens set aside for callers that were told to return by now, as far as they were earned here: they return at other
    * entries. Granted tokens stay, since the bank has served all returning callers first.
    */
-  takeBooked (): TokenSlice[] {
-    const now = boottimeMs()
+  takeBooked (now = boottimeMs()): TokenSlice[] {
     this.#collectDue(now)
     if (this.#setAside === 0) return []
-    this.#tokens.earn()
-    const spare = this.#tokens.total - this.#line.tokensAhead(claimRanks.returning)
+    this.#tokens.earn(now)
+    const spare = this.#tokens.totalAt(now) - this.#line.tokensAhead(claimRanks.returning)
     const tokens = Math.min(this.#setAside, spare, this.#earnedIn(now - this.#bookedGivenAt))
     if (tokens <= 0) return []
     this.#bookedGivenAt = now
     this.#setAside = 0
-    return this.#tokens.takeUpTo(tokens)
+    return this.#tokens.takeUpTo(tokens, now)
   }
 
-  #takeInTurn (tokens: number, rank: ClaimRank): TokenSlice[] | undefined {
-    this.#tokens.earn()
-    this.#collectDue(boottimeMs())
-    if (this.#availableFor(rank) < tokens) return undefined
+  #takeInTurn (tokens: number, rank: ClaimRank, now: number): TokenSlice[] | undefined {
+    this.#tokens.earn(now)
+    this.#collectDue(now)
+    if (this.#availableFor(rank, now) < tokens) return undefined
     if (rank === claimRanks.returning) this.#setAside = Math.max(0, this.#setAside - tokens)
-    return this.#tokens.take(tokens)
+    return this.#tokens.take(tokens, now)
   }
 
-  #serveLine (): void {
+  #serveLine (now: number): void {
     const serve = ({ tokens, rank, settle }: WaitingRequest): boolean => {
-      const slices = this.#takeInTurn(tokens, rank)
+      const slices = this.#takeInTurn(tokens, rank, now)
       if (slices !== undefined) settle(slices)
       return slices !== undefined
     }
-    if (this.admitsByShare) this.#line.serveSmallest(serve)
+    if (this.#admitsByShareAt(now)) this.#line.serveSmallest(serve)
     else this.#line.serve(serve)
   }
 
   /** Tokens at hand for a request of this rank. */
-  #availableFor (rank: ClaimRank): number {
-    return rank === claimRanks.returning ? this.#tokens.total : Math.max(0, this.#tokens.total - this.#setAside)
+  #availableFor (rank: ClaimRank, now: number): number {
+    const total = this.#tokens.totalAt(now)
+    return rank === claimRanks.returning ? total : Math.max(0, total - this.#setAside)
   }
 
   /** Sets tokens of bookings aside whose time has come, and releases them when their callers have not returned. */
@@ -397,14 +422,16 @@
   }
 
   /** Tokens per second that come in here. */
-  get #perSecond (): number {
-    const granted = rateOf(this.#granted)
-    return this.isPooling ? Math.max(this.#tokens.ownRate, granted) : this.#tokens.ownRate + granted
+  #perSecondAt (now: number): number {
+    const granted = rateOf(this.#granted, now)
+    const { ownRate } = this.#tokens
+    return this.isPoolingAt(now) ? Math.max(ownRate, granted) : ownRate + granted
   }
 
-  /** The rate at which the tokens of one request come in once its turn has come: the bank grants them at once. */
-  get #ownPerSecond (): number {
-    return this.#bankAnswers ? Infinity : this.#perSecond
+  /** The rates at which a turn comes and at which the tokens of one request come in then: the bank grants those at once. */
+  #ratesAt (now: number): { turn: number, own: number } {
+    const turn = this.#perSecondAt(now)
+    return { turn, own: this.#bankAnswers ? Infinity : turn }
   }
 
   /**
@@ -412,25 +439,29 @@
    * each team at each entry would have to wait for an exchange, and one side process would get 700 of those per second. While
    * the demand exceeds the quota, nothing is kept: only small requests would find enough in a reserve, while larger ones wait.
    */
-  get #reserve (): number {
+  #reserveAt (now: number): number {
+    if (this.isOverQuotaAt(now)) return 0
     const { ownRate, lifetimeMs } = this.#tokens
-    if (this.isOverQuota) return 0
     const requests = Math.min(reserveRequests * this.#averageSize, ownRate * lifetimeMs / 1000 * maxReserveShare)
     const idleMs = Math.min(reserveMs, lifetimeMs * maxIdleReserveShare)
-    return Math.max(demandReserve(this.quota.perSecond, { here: this.demand, total: this.#knownTotalDemand }), ownRate * idleMs / 1000, requests)
+    return Math.max(demandReserve(this.quota.perSecond, { here: this.demandAt(now), total: this.#knownTotalDemandAt(now) }), ownRate * idleMs / 1000, requests)
   }
 
   /** Whether callers ask for more than the quota, over all entries. */
   get isOverQuota (): boolean {
-    return (this.#knownTotalDemand ?? 0) > this.quota.perSecond
+    return this.isOverQuotaAt(boottimeMs())
+  }
+
+  isOverQuotaAt (now: number): boolean {
+    return (this.#knownTotalDemandAt(now) ?? 0) > this.quota.perSecond
   }
 
-  get #knownTotalDemand (): number | undefined {
-    return this.#totalDemand !== undefined && boottimeMs() - this.#totalDemand.at < totalDemandTtlMs ? this.#totalDemand.perSecond : undefined
+  #knownTotalDemandAt (now: number): number | undefined {
+    return this.#totalDemand !== undefined && now - this.#totalDemand.at < totalDemandTtlMs ? this.#totalDemand.perSecond : undefined
   }
 }
 
 const unknownRates = { turn: Infinity, own: Infinity }
 
 /** Tokens per second. */
-const rateOf = (sum: DecayingSum): number => sum.at(boottimeMs()) * Math.LN2 / demandHalfLifeMs * 1000
+const rateOf = (sum: DecayingSum, now: number): number => sum.at(now) * Math.LN2 / demandHalfLifeMs * 1000
