Soak: callers and servers that read slowly or not at all

Cause: the abort of peers that stop reading and the limit on kept bytes were only tested with one entry on a fake clock, not with real processes.

Change: after recovery, a seed draws an entry, one or two callers that read nothing of 16 MB, one that reads 2 MB at a time, and five or six bodies of 24 MB for servers that do not read. A peer that does not read must be cut off within 5 s plus 2.5 s, a slow caller must get all of its response, and a request that reached a server must not be answered as not run nor sent again. finchpitch_bytes_kept, read every 200 ms, must not exceed the limit of 64 MB by more than two bodies. Responses do not wait for room, so the bodies are sent once the responses are kept. The stand-ins' proxy stops reading while the other side is full; without that, a server that does not read was not noticed through it. The test's timeout is 90 s, since a run takes longer: no check depends on it.

--- a/packages/soak/src/check-results.ts
+++ b/packages/soak/src/check-results.ts
@@ -19,6 +19,8 @@
   overQuota: number
   /** The most that this team used in any window, as a share of what its quota allows. */
   quotaShare: number
+  /** Number of callers and servers that did not read and were cut off. */
+  stalledPeers: number
   /** Violations of the guarantees, each with the request or server that shows it. */
   broken: string[]
   /** Log lines that help to explain the violations. */
@@ -72,6 +74,7 @@
     cut: count(result => !result.whole),
     overQuota: 0,
     quotaShare: 0,
+    stalledPeers: 0,
     broken,
     details: []
   }
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -13,6 +13,7 @@
 import { ServerLimitScenario } from './server-limit-scenario.js'
 import { SeededRandom } from './seeded-random.js'
 import { RestoreScenario } from './restore-scenario.js'
+import { SlowReaderScenario } from './slow-reader-scenario.js'
 import { TeamFloodScenario } from './team-flood-scenario.js'
 import { ServerFeedbackScenario, initialBornAt } from './server-feedback-scenario.js'
 
@@ -51,7 +52,8 @@
     proxies.push(proxy)
   }
   const teamFlood = new TeamFloodScenario(new SeededRandom(seed + 7 * halfSeedOffset), log)
-  const fleet = new FleetSystem({ network, domains: 2, entriesPerDomain: 1, enginesPerDomain: 1, plainServersPerDomain: 1, adapterSlots: 4, loadMs: 80, workMs: 8, events: eventsPerStream, eventMs: 6, bornAt: initialBornAt, insertProxy, storeProxies: true, bounds: teamFlood.bounds, tenants: [teamFlood.tenant] })
+  const slowReaders = new SlowReaderScenario(new SeededRandom(seed + 9 * halfSeedOffset), log)
+  const fleet = new FleetSystem({ network, domains: 2, entriesPerDomain: 1, enginesPerDomain: 1, plainServersPerDomain: 1, adapterSlots: 4, loadMs: 80, workMs: 8, events: eventsPerStream, eventMs: 6, bornAt: initialBornAt, insertProxy, storeProxies: true, bounds: teamFlood.bounds, tenants: [teamFlood.tenant], ...SlowReaderScenario.fleetOptions })
   await fleet.start()
   await pause(startMs)
   const results: Array<Promise<RequestResult>> = []
@@ -107,6 +109,9 @@
     report.broken.push([`not served after recovery: ${id} ${path}, status ${status}`, ...lines].join('\n    '))
   }
   if (unserved.length > 0) report.details.push(...fleet.sides.flatMap(side => side.output.slice(-reportedLines)))
+  await slowReaders.runUndisturbed(fleet)
+  report.stalledPeers = slowReaders.stalled
+  report.broken.push(...slowReaders.violations())
   report.broken.push(...await sendCrashingRequest(fleet, random, agents, seed))
   report.broken.push(...unexpectedExits(fleet, log))
   if (report.broken.length > 0) report.details.push(`logs written to ${await fleet.saveLogLines(`soak-${seed}`)}`)
--- a/packages/soak/test/soak.test.ts
+++ b/packages/soak/test/soak.test.ts
@@ -5,13 +5,15 @@
 const seeds = [11, 12]
 
 describe('soak', function () {
-  this.timeout(60_000)
+  this.timeout(90_000)
   for (const seed of seeds) {
     it(`finds no violations with seed ${seed}`, async () => {
       const report = await soak({ seed, network: 43, faultMs: 4000, log: () => {} })
       expect(report.broken).to.deep.equal([])
       // Without a rejection, the team's flood has not tested its quota.
       expect(report.overQuota).to.be.greaterThan(0)
+      // Without peers that stop reading, nothing has tested the abort.
+      expect(report.stalledPeers).to.be.greaterThan(1)
       expect(report.answered).to.be.greaterThan(report.asked / 3)
     })
   }
--- a/packages/stand-ins/src/fleet/backend-server.ts
+++ b/packages/stand-ins/src/fleet/backend-server.ts
@@ -69,6 +69,11 @@
   sequence = 0
   /** A request to this path crashes the server. */
   crashPath: string | undefined
+  /** The response to a request to this path is `largeBytes` long. */
+  largePath: string | undefined
+  largeBytes = 0
+  /** The bodies of requests to this path are not read, and get no response. */
+  unreadPath: string | undefined
   /** Time between the start of such a request and the crash. */
   crashDelayMs = 30
   /** Called when the server crashes. */
@@ -145,8 +150,13 @@
   }
 
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const body = await readBytes(request)
     const requestId = String(request.headers['request-id'] ?? '')
+    if ((request.url ?? '') === this.unreadPath) {
+      this.arrivals.push({ id: requestId, at: performance.now(), refused: false })
+      this.startedIds.push(requestId)
+      return
+    }
+    const body = await readBytes(request)
     const rejectionStatus = this.#rejectionStatus(request)
     this.arrivals.push({ id: requestId, at: performance.now(), refused: rejectionStatus !== undefined })
     if (rejectionStatus !== undefined) return sendJson(response, rejectionStatus, {}, this.#rejectionHeaders(rejectionStatus))
@@ -162,7 +172,7 @@
     this.running += 1
     try {
       await pause(this.options.workMs)
-      await this.#respond(requestId, body, response, Number(request.headers['last-event-id'] ?? 0))
+      await this.#respond(request.url ?? '', requestId, body, response, Number(request.headers['last-event-id'] ?? 0))
     } finally {
       this.running -= 1
     }
@@ -197,10 +207,14 @@
     return { 'Not-Executed': '1', ...retryAfter, ...(status === 421 ? { 'Instance-Id': this.id } : {}) }
   }
 
-  async #respond (requestId: string, body: Buffer, response: ServerResponse, after: number): Promise<void> {
+  async #respond (path: string, requestId: string, body: Buffer, response: ServerResponse, after: number): Promise<void> {
     const echoedId = this.fault === 'foreign' ? 'another' : requestId
     const headers = { 'Request-Id': echoedId, ...(this.fault === 'unsealed' ? {} : { 'Response-Seal': `seal-${this.id}` }) }
     if (this.fault === 'failing') return sendJson(response, 500, {}, headers)
+    if (path === this.largePath) {
+      response.writeHead(200, { ...headers, 'content-length': this.largeBytes }).end(Buffer.alloc(this.largeBytes))
+      return
+    }
     if (this.options.engine === undefined) {
       const text = `done ${requestId} ${body.length}`
       response.writeHead(200, { ...headers, 'content-length': text.length })
--- a/packages/stand-ins/src/fleet/fault-proxy.ts
+++ b/packages/stand-ins/src/fleet/fault-proxy.ts
@@ -2,7 +2,8 @@
  * A TCP proxy on loopback that injects connection faults: delays, resets, silence in both directions, or lost responses.
  *
  * As with TCP itself, each direction of a connection delivers a prefix of what was sent, in order: data that follows delayed data waits
- * for it, and a connection that has lost data is reset before it would forward any more.
+ * for it, and a connection that has lost data is reset before it would forward any more. A peer that does not read is noticed through
+ * the proxy, which stops reading while the other side is full.
  */
 import { connect, createServer, type Server, type Socket } from 'node:net'
 import { once } from 'node:events'
@@ -86,7 +87,12 @@
         sends.add(send, fault.type === 'delay' ? fault.ms : 0)
       }
     }
-    from.on('data', (chunk: Buffer) => forward(() => to.write(chunk)))
+    const write = (chunk: Buffer): void => {
+      if (to.write(chunk)) return
+      from.pause()
+      to.once('drain', () => from.resume())
+    }
+    from.on('data', (chunk: Buffer) => forward(() => write(chunk)))
     from.on('end', () => forward(() => to.end()))
     return sends
   }
--- a/packages/stand-ins/src/fleet/fleet-system.ts
+++ b/packages/stand-ins/src/fleet/fleet-system.ts
@@ -18,7 +18,7 @@
 const program = fileURLToPath(new URL('../../../../platform/dist/start.js', import.meta.url))
 /** The port on which side processes listen for their peers. */
 export const peerPort = 7380
-const ports = { caller: 8149, ready: 8141, peer: peerPort, control: 8144, app: 8145, store: 8142 }
+const ports = { metrics: 9464, caller: 8149, ready: 8141, peer: peerPort, control: 8144, app: 8145, store: 8142 }
 
 /** A host that needs longer to start the fleet is too slow to run the tests. */
 const maxStartMs = 20_000
@@ -49,6 +49,9 @@
   /** The start time that all backend servers report; without it, they report none. */
   bornAt?: number
   bounds?: Record<string, number>
+  /** Routes that every routing table contains in addition to the fixed ones. */
+  routes?: readonly object[]
+  maxBodyBytes?: number
   /** Teams that every routing table contains. All routes are then public, so that requests without a key are served too. */
   tenants?: readonly unknown[]
   nodeOptions?: readonly string[] | Record<Role, readonly string[]>
@@ -94,7 +97,7 @@
   readonly storeProxies: FaultProxy[] = []
   /** Processes that ended although the test did not end them. As on the platform, each is started again after a short delay. */
   readonly unexpectedExits: ProcessExit[] = []
-  /** Routes that every routing table contains in addition to the fixed ones. */
+  /** Routes that tables written from now on contain in addition to the fixed ones. */
   extraRoutes: unknown[] = []
   readonly #locations = new Map<BackendStandIn, { ip: string, domain: string }>()
   /** Processes that the test has ended. */
@@ -130,7 +133,7 @@
 
   /** Returns a routing table as the operator writes it to the store; `overrides` replaces top-level fields. */
   table (version: number, overrides: Record<string, unknown> = {}): unknown {
-    const { adapterSlots, tenants } = this.options
+    const { adapterSlots, tenants, routes = [], maxBodyBytes = 4194304 } = this.options
     const access = tenants === undefined ? {} : { public: true }
     const stream = { kind: 'stream', timeoutMs: 5000, targetLatencyMs: 600, priority: 1, service: engineService, sticky: true, gapAimMs: 400 }
     const plain = { timeoutMs: 1000, targetLatencyMs: 150, priority: 2, service: plainService, sticky: false, resumable: false }
@@ -141,6 +144,7 @@
         { name: 'r-resume', host: 'fleet.example', pathPrefix: '/resume/', maxAttempts: 2, resumable: true, ...stream },
         { name: 'r-once', host: 'fleet.example', pathPrefix: '/once/', kind: 'non_idempotent', maxAttempts: 1, ...plain },
         { name: 'r-again', host: 'fleet.example', pathPrefix: '/again/', kind: 'idempotent', maxAttempts: 2, ...plain },
+        ...routes,
         ...this.extraRoutes as object[]
       ].map(route => ({ ...access, ...route })),
       ...(tenants === undefined ? {} : { tenants }),
@@ -148,7 +152,7 @@
         { name: engineService, healthPath: '/health', maxConnections: 200, engine: { slots: 32, adapterSlots, weightsMb: 2000, loadsPerS: 50, models: [{ name: model, weightsMb: 1000, loadS: 0.5, adapters: 3000, adapterMb: 12 }] } },
         { name: plainService, healthPath: '/health', maxConnections: 90 }
       ],
-      limits: { maxHeaderBytes: 16384, maxBodyBytes: 4194304, headerTimeoutMs: 3000, idleTimeoutMs: 15000 },
+      limits: { maxHeaderBytes: 16384, maxBodyBytes, headerTimeoutMs: 3000, idleTimeoutMs: 15000 },
       ...overrides
     }
   }
@@ -206,6 +210,10 @@
     return { host: this.entries[entry]?.ip ?? '', port: ports.caller }
   }
 
+  metricsUrl (entry = 0): string {
+    return `http://${this.entries[entry]?.ip ?? ''}:${ports.metrics}/metrics`
+  }
+
   readyUrl (entry = 0): string {
     return `http://${this.entries[entry]?.ip ?? ''}:${ports.ready}/v1/readiness`
   }
