Soak: engines and plain servers of unlike pace that change it

Cause: all servers of the soak ran at one constant pace, so no request ran beyond its deadline at a slow server while others were quick.

The existing checks apply to all responses, those of the flooding team included: at most one run, and none for a request that was answered as not run.

Partial: the test of the soak was not run on this commit, and no run on a product without one of the two rules was made, so that the scenario finds such a fault is not shown.

--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -15,6 +15,7 @@
 import { RestoreScenario } from './restore-scenario.js'
 import { SlowReaderScenario } from './slow-reader-scenario.js'
 import { TeamFloodScenario } from './team-flood-scenario.js'
+import { UnevenPaceScenario } from './uneven-pace-scenario.js'
 import { ServerFeedbackScenario, initialBornAt } from './server-feedback-scenario.js'
 
 export interface SoakOptions {
@@ -78,10 +79,11 @@
     log
   })
   const restores = new RestoreScenario({ fleet, random: new SeededRandom(seed + 5 * halfSeedOffset), disturbances, log })
+  const unevenPace = new UnevenPaceScenario(fleet, new SeededRandom(seed + 11 * halfSeedOffset), log)
   const stopFlood = new AbortController()
   const flood = teamFlood.run(fleet, stopFlood.signal)
   const endsAt = Date.now() + faultMs
-  const scenarios = Promise.all([feedback.run(faultMs), serverLimits.run(faultMs), routeChanges.run(faultMs), restores.run(faultMs)])
+  const scenarios = Promise.all([feedback.run(faultMs), serverLimits.run(faultMs), routeChanges.run(faultMs), restores.run(faultMs), unevenPace.run(faultMs)])
   const faults: Array<Promise<void>> = []
   while (Date.now() < endsAt) {
     const fault = random.pick(faultTable)
--- a/packages/stand-ins/src/fleet/backend-server.ts
+++ b/packages/stand-ins/src/fleet/backend-server.ts
@@ -69,6 +69,8 @@
   sequence = 0
   /** A request to this path crashes the server. */
   crashPath: string | undefined
+  /** Factor on the time that it takes for a request and between events. */
+  slowdown = 1
   /** The response to a request to this path is `largeBytes` long. */
   largePath: string | undefined
   largeBytes = 0
@@ -171,7 +173,7 @@
     if ((request.url ?? '') === this.crashPath) return await this.#crash()
     this.running += 1
     try {
-      await pause(this.options.workMs)
+      await pause(this.options.workMs * this.slowdown)
       await this.#respond(request.url ?? '', requestId, body, response, Number(request.headers['last-event-id'] ?? 0))
     } finally {
       this.running -= 1
@@ -233,7 +235,7 @@
         return
       }
       response.write(`id: ${event}\ndata: ${this.id} ${event}\n\n`)
-      await pause(this.options.eventMs)
+      await pause(this.options.eventMs * this.slowdown)
     }
     response.end()
   }
