--- a/packages/stand-ins/src/fleet/backend-server.ts
+++ b/packages/stand-ins/src/fleet/backend-server.ts
@@ -73,6 +73,8 @@
   sequence = 0
   /** A request to this path crashes the server. */
   crashPath: string | undefined
+  /** Factor on the time that it takes for a request and between events. */
+  slowdown = 1
   /** The response to a request to this path is `largeBytes` long. */
   largePath: string | undefined
   largeBytes = 0
@@ -178,7 +180,8 @@
     if ((request.url ?? '') === this.crashPath) return await this.#crash()
     this.running += 1
     try {
-      await pause(this.#reserveSlot() + this.options.workMs)
+      const workMs = this.options.workMs * this.slowdown
+      await pause(this.#reserveSlot(workMs) + workMs)
       await this.#respond(request.url ?? '', requestId, body, response, Number(request.headers['last-event-id'] ?? 0))
     } finally {
       this.running -= 1
@@ -190,11 +193,11 @@
   }
 
   /** Occupies the slot that is free first and returns the time until then. */
-  #reserveSlot (): number {
+  #reserveSlot (workMs: number): number {
     if (this.options.slots === undefined) return 0
     const waitMs = this.#slotWaitMs
     const slot = this.#slotsFreeAt.indexOf(Math.min(...this.#slotsFreeAt))
-    this.#slotsFreeAt[slot] = performance.now() + waitMs + this.options.workMs
+    this.#slotsFreeAt[slot] = performance.now() + waitMs + workMs
     return waitMs
   }
 
@@ -254,7 +257,7 @@
         return
       }
       response.write(`id: ${event}\ndata: ${this.id} ${event}\n\n`)
-      await pause(this.options.eventMs)
+      await pause(this.options.eventMs * this.slowdown)
     }
     response.end()
   }
