Test of a fleet's restarts: wait until the process has logged its start

Cause: the test killed a side process once an entry was connected to it.

Change: the test waits for that line before it kills the process. The checks are the same.

--- a/packages/stand-ins/test/fleet-system.test.ts
+++ b/packages/stand-ins/test/fleet-system.test.ts
@@ -14,6 +14,8 @@
     fleet = new FleetSystem({ network: 75, domains: 1, entriesPerDomain: 1, enginesPerDomain: 1, plainServersPerDomain: 0, adapterSlots: 4, loadMs: 50, workMs: 5, events: 4, eventMs: 5 })
     await fleet.start()
     side = fleet.sides[0] as Machine
+    // An entry may be connected to it before its first line has been written or read, by which a start is recognized.
+    await eventually('the side process has logged its start', () => starts() > 0)
   })
 
   after(async () => { await fleet.stop() })
