Retries: a log line and a counter for each decision of the retry budget

Cause: engines that fail received more retries than the budget of all entries allows, in deployments whose entries restart meanwhile. The logs gave the number of attempts of a request, but not what a retry was allowed by, so three hypotheses could not be told apart.

The decision itself is as before.

--- a/packages/decisions/src/retry-window.ts
+++ b/packages/decisions/src/retry-window.ts
@@ -11,6 +11,14 @@
   windowMs: number
 }
 
+/** A decision on a retry, with the counts of the window that it was based on. */
+export interface RetryDecision {
+  granted: boolean
+  firstAttempts: number
+  /** Retries in the window before this one. */
+  retries: number
+}
+
 interface Bucket {
   at: number
   firstAttempts: number
@@ -28,14 +36,14 @@
     this.#currentBucket(now, windowMs).firstAttempts += 1
   }
 
-  /** Counts a retry if the budget allows one; returns false if it doesn't. */
-  tryRetry (now: number, { ratio, slack, windowMs }: RetryLimits): boolean {
+  /** Counts a retry if the budget allows one. */
+  tryRetry (now: number, { ratio, slack, windowMs }: RetryLimits): RetryDecision {
     const bucket = this.#currentBucket(now, windowMs)
     const firstAttempts = this.#buckets.reduce((sum, each) => sum + each.firstAttempts, 0)
     const retries = this.#buckets.reduce((sum, each) => sum + each.retries, 0)
-    if (retries + 1 > ratio * firstAttempts + slack) return false
-    bucket.retries += 1
-    return true
+    const granted = retries + 1 <= ratio * firstAttempts + slack
+    if (granted) bucket.retries += 1
+    return { granted, firstAttempts, retries }
   }
 
   #currentBucket (now: number, windowMs: number): Bucket {
--- a/packages/decisions/test/outlier-detector.test.ts
+++ b/packages/decisions/test/outlier-detector.test.ts
@@ -39,9 +39,9 @@
   it('allows the ratio of first attempts plus the slack in any window', () => {
     const window = new RetryWindow()
     for (let each = 0; each < 10; each++) window.recordFirstAttempt(0, share.windowMs)
-    const granted = Array.from({ length: 10 }, () => window.tryRetry(1, share)).filter(Boolean)
+    const granted = Array.from({ length: 10 }, () => window.tryRetry(1, share)).filter(({ granted }) => granted)
     expect(granted).to.have.length(4)
-    expect(window.tryRetry(9000, share)).to.equal(false)
-    expect(window.tryRetry(11_000, share)).to.equal(true)
+    expect(window.tryRetry(9000, share).granted).to.equal(false)
+    expect(window.tryRetry(11_000, share).granted).to.equal(true)
   })
 })
--- a/packages/fleet/src/entry/counters.ts
+++ b/packages/fleet/src/entry/counters.ts
@@ -65,6 +65,13 @@
     registers: [this.registry]
   })
 
+  readonly retries = new Counter({
+    name: 'finchpitch_retries_total',
+    help: 'Attempts after the first one that reached a server, by service and by whether the retry budget allowed them.',
+    labelNames: ['service', 'result'],
+    registers: [this.registry]
+  })
+
   readonly ejections = new Counter({
     name: 'finchpitch_ejections_total',
     help: 'Backend servers ejected temporarily after failures.',
--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -279,7 +279,7 @@
     const remainingMs = Math.floor(this.#times.leftMs)
     if (remainingMs < minRemainingMs) return done(this.#mayHaveRun ? this.#fail(504, 'timed_out') : this.#localReplies.refuse('too_late'))
     if (this.#record.tries === 0) budget.deposit(selection.service.name)
-    if (this.#sentAttempts > 0 && !budget.tryWithdraw(selection.service.name)) return done(this.#giveUp('no_retry_left'))
+    if (this.#sentAttempts > 0 && !this.#mayRetry(selection.service.name)) return done(this.#giveUp('no_retry_left'))
     const state = balancer.state(server)
     this.#recordAttempt(server, selection, choice)
     const { key, promptTokens: tokens, priority } = selection
@@ -323,6 +323,15 @@
     return this.#handleResult(result, { server, selection, admitted, sentAt, responseMs })
   }
 
+  /** Spends one retry from the budget. Returns whether there was one left. */
+  #mayRetry (service: string): boolean {
+    const { budget, counters, log } = this.options
+    const { granted, ...basis } = budget.tryWithdraw(service)
+    counters.retries.inc({ service, result: granted ? 'granted' : 'denied' })
+    log.info('request.retry', { request: this.#incoming.id, service, granted, ...basis })
+    return granted
+  }
+
   /** Spends quota, advertised limit and probe grant just before the request is written. Returns whether it may be sent. */
   #spend (server: BackendServer, admitted: Admission): boolean {
     const { serverLimits } = this.options
