Retries: earn the fixed slack of the budget as tokens, so that restarts add nothing

Cause: each entry kept its window in memory and had its share of the slack in any window. A process that starts has forgotten what its previous incarnation spent, so up to four incarnations of an entry spent four shares within 10 s. A lower count of entries, as after restarts and when one ends, raised the share of the others at once, although what was spent before still counted.

Change: the ratio stays a sliding window of each entry's own requests: what restarts forgets both sides of it. The slack is earned as tokens, like a team's quota: at a constant rate, divided by the upper bound of the number of entries that quotas use, expiring, none at a start. Spent in any window is what was earned in it or one lifetime before, whatever the processes remember. What an entry that is gone would have earned is divided only after it is gone. A retry may be paid by fractions of both. A retry that was not sent after all is taken back.

--- a/packages/decisions/src/retry-window.ts
+++ b/packages/decisions/src/retry-window.ts
@@ -1,24 +1,17 @@
 /**
- * A retry budget over a sliding window: retries are limited to a ratio of the first attempts in the same window, plus a fixed slack
- * that allows single retries when there is little traffic.
+ * The part of a retry budget that a process earns by its own first attempts: over a sliding window, retries are limited to a ratio of
+ * the first attempts.
+ *
+ * What each process counts alone is right for all of them together, also if one restarts: a process that has forgotten its retries has
+ * forgotten the first attempts that earned them.
  */
 
-export interface RetryLimits {
-  /** Retries allowed for each first attempt. */
+export interface RetryRatio {
+  /** Retries earned by each first attempt. */
   ratio: number
-  /** Retries allowed per window whatever the traffic. */
-  slack: number
   windowMs: number
 }
 
-/** A decision on a retry, with the counts of the window that it was based on. */
-export interface RetryDecision {
-  granted: boolean
-  firstAttempts: number
-  /** Retries in the window before this one. */
-  retries: number
-}
-
 interface Bucket {
   at: number
   firstAttempts: number
@@ -36,23 +29,37 @@
     this.#currentBucket(now, windowMs).firstAttempts += 1
   }
 
-  /** Counts a retry if the budget allows one. */
-  tryRetry (now: number, { ratio, slack, windowMs }: RetryLimits): RetryDecision {
-    const bucket = this.#currentBucket(now, windowMs)
-    const firstAttempts = this.#buckets.reduce((sum, each) => sum + each.firstAttempts, 0)
-    const retries = this.#buckets.reduce((sum, each) => sum + each.retries, 0)
-    const granted = retries + 1 <= ratio * firstAttempts + slack
-    if (granted) bucket.retries += 1
-    return { granted, firstAttempts, retries }
+  /** Counts retries that are charged to the ratio; fractions where the rest of a retry is charged elsewhere, negative ones to take some back. */
+  recordRetries (retries: number, now: number, windowMs: number): void {
+    this.#currentBucket(now, windowMs).retries += retries
+  }
+
+  /** Retries that the ratio still allows now. */
+  credit (now: number, { ratio, windowMs }: RetryRatio): number {
+    return Math.max(0, ratio * this.firstAttempts(now, windowMs) - this.#sum(now, windowMs, 'retries'))
+  }
+
+  /** First attempts in the window. */
+  firstAttempts (now: number, windowMs: number): number {
+    return this.#sum(now, windowMs, 'firstAttempts')
+  }
+
+  #sum (now: number, windowMs: number, count: 'firstAttempts' | 'retries'): number {
+    this.#dropExpired(now, windowMs)
+    return this.#buckets.reduce((sum, bucket) => sum + bucket[count], 0)
   }
 
   #currentBucket (now: number, windowMs: number): Bucket {
-    const bucketMs = windowMs / bucketsPerWindow
-    this.#buckets = this.#buckets.filter(each => now - each.at < windowMs + bucketMs)
+    this.#dropExpired(now, windowMs)
     const last = this.#buckets.at(-1)
-    if (last !== undefined && now - last.at < bucketMs) return last
+    if (last !== undefined && now - last.at < windowMs / bucketsPerWindow) return last
     const bucket = { at: now, firstAttempts: 0, retries: 0 }
     this.#buckets.push(bucket)
     return bucket
   }
+
+  #dropExpired (now: number, windowMs: number): void {
+    const keptMs = windowMs * (1 + 1 / bucketsPerWindow)
+    this.#buckets = this.#buckets.filter(each => now - each.at < keptMs)
+  }
 }
--- a/packages/decisions/test/outlier-detector.test.ts
+++ b/packages/decisions/test/outlier-detector.test.ts
@@ -34,14 +34,16 @@
 })
 
 describe('retry window', () => {
-  const share = { ratio: 0.2, slack: 2, windowMs: 10_000 }
+  const share = { ratio: 0.2, windowMs: 10_000 }
 
-  it('allows the ratio of first attempts plus the slack in any window', () => {
+  it('allows the ratio of first attempts in any window', () => {
     const window = new RetryWindow()
     for (let each = 0; each < 10; each++) window.recordFirstAttempt(0, share.windowMs)
-    const granted = Array.from({ length: 10 }, () => window.tryRetry(1, share)).filter(({ granted }) => granted)
-    expect(granted).to.have.length(4)
-    expect(window.tryRetry(9000, share).granted).to.equal(false)
-    expect(window.tryRetry(11_000, share).granted).to.equal(true)
+    expect(window.credit(1, share)).to.equal(2)
+    window.recordRetries(1.5, 1, share.windowMs)
+    expect(window.credit(9000, share)).to.equal(0.5)
+    window.recordRetries(-1, 9000, share.windowMs)
+    expect(window.credit(9000, share)).to.equal(1.5)
+    expect(window.credit(11_000, share)).to.equal(1)
   })
 })
--- a/packages/fleet/src/entry/entry-process.ts
+++ b/packages/fleet/src/entry/entry-process.ts
@@ -176,6 +176,7 @@
       onDutyChange: () => this.#sideLinks.updateFactDelay()
     })
     this.#quotas = new Quotas({ limits, entries: () => this.#maxEntries, startedAt: suspendedMs(), exchangeNow: async () => await this.#quotaExchange.exchangeNow(), counters: this.counters, log })
+    this.#retryBudget = new RetryBudget({ bounds: limits, entries: () => this.#maxEntries, startedAt: suspendedMs() })
     this.#quotaExchange = new QuotaExchange({ quotas: this.#quotas, serverLimits: this.#serverLimits, plainServices: this.#plainServices, hosts: () => this.#sideLinks.hosts, channelTo: host => this.#sideLinks.channelTo(host), log })
     this.#leaseKeeper = new LeaseKeeper({ lease: this.#keyLease, facts, links: this.#sideLinks, watch: this.#storeWatch, log })
     this.#tableConfirmation = new TableConfirmation({ facts, limits, links: this.#sideLinks, watch: this.#storeWatch })
@@ -183,7 +184,6 @@
     this.#serverFaults = new ServerFaults(this.#balancer, this.counters, log)
     this.#probeRequester = new ProbeRequester({ hosts: () => this.#sideLinks.hosts, channelTo: host => this.#sideLinks.channelTo(host), log })
     this.#crashTracker = new CrashTracker({ facts, liveness: new ServerLiveness(), reporter: this.#attemptReporter, requestProbe: async fingerprint => await this.#probeRequester.ask(fingerprint), onQuarantine: () => this.#queue.scheduleScan(), counters: this.counters, log })
-    this.#retryBudget = new RetryBudget(limits, () => this.#sideLinks.entries)
     this.server = createServer({ maxHeaderSize: maxHeaderBytes, connectionsCheckingInterval: 1000, requestTimeout: 0 })
     this.#callerConnections = new CallerConnections(this.server)
     this.#requestOptions = {
--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -40,7 +40,8 @@
 import { RequestAdmission, type RequestAdmissionOptions } from './request-admission.js'
 import type { TableWait } from './table-wait.js'
 import type { Quotas } from '../quotas/quotas.js'
-import type { RetryBudget } from '../waiting/retry-budget.js'
+import type { RetryPermit } from '../waiting/retry-account.js'
+import type { RetryBudget, RetryDecision } from '../waiting/retry-budget.js'
 import type { ServerFaults } from '../servers/server-faults.js'
 import type { ServerLimits } from '../servers/server-limits.js'
 import type { PlainServices } from '../servers/plain-services.js'
@@ -101,6 +102,12 @@
 const firstServerErrorStatus = 500
 const bodylessStatuses: ReadonlySet<number> = new Set([204, 304])
 
+/** With two decimals, as retries are earned in fractions. */
+const loggedBasis = ({ firstAttempts, ratioCredit, tokens, entries }: Omit<RetryDecision, 'permit'>): Record<string, number> =>
+  ({ firstAttempts, ratioCredit: hundredths(ratioCredit), tokens: hundredths(tokens), entries })
+
+const hundredths = (value: number): number => Math.round(value * 100) / 100
+
 /** Parses a header in seconds; 0 where it is missing or invalid. */
 const secondsOf = (header: string | undefined): number => {
   const seconds = Number(header ?? 0)
@@ -273,13 +280,24 @@
   }
 
   async #attempt (server: BackendServer, selection: SelectionRequest, admitted: Admission, choice: SendChoice): Promise<Verdict> {
-    const { balancer, budget, names, counters, connectTimeout, facts } = this.options
+    const { budget } = this.options
+    const { name: service } = selection.service
+    if (Math.floor(this.#times.leftMs) < minRemainingMs) return done(this.#mayHaveRun ? this.#fail(504, 'timed_out') : this.#localReplies.refuse('too_late'))
+    if (this.#record.tries === 0) budget.deposit(service)
+    if (this.#sentAttempts === 0) return await this.#send(server, selection, admitted, choice)
+    const permit = this.#withdrawRetry(service)
+    if (permit === undefined) return done(this.#giveUp('no_retry_left'))
+    const sentBefore = this.#sentAttempts
+    const verdict = await this.#send(server, selection, admitted, choice)
+    if (this.#sentAttempts === sentBefore) budget.release(service, permit)
+    return verdict
+  }
+
+  async #send (server: BackendServer, selection: SelectionRequest, admitted: Admission, choice: SendChoice): Promise<Verdict> {
+    const { balancer, names, counters, connectTimeout, facts } = this.options
     const table = facts.routes
     const { route } = admitted
     const remainingMs = Math.floor(this.#times.leftMs)
-    if (remainingMs < minRemainingMs) return done(this.#mayHaveRun ? this.#fail(504, 'timed_out') : this.#localReplies.refuse('too_late'))
-    if (this.#record.tries === 0) budget.deposit(selection.service.name)
-    if (this.#sentAttempts > 0 && !this.#mayRetry(selection.service.name)) return done(this.#giveUp('no_retry_left'))
     const state = balancer.state(server)
     this.#recordAttempt(server, selection, choice)
     const { key, promptTokens: tokens, priority } = selection
@@ -323,13 +341,14 @@
     return this.#handleResult(result, { server, selection, admitted, sentAt, responseMs })
   }
 
-  /** Spends one retry from the budget. Returns whether there was one left. */
-  #mayRetry (service: string): boolean {
+  /** Spends one retry from the budget; `undefined` if there is none left. */
+  #withdrawRetry (service: string): RetryPermit | undefined {
     const { budget, counters, log } = this.options
-    const { granted, ...basis } = budget.tryWithdraw(service)
+    const { permit, ...basis } = budget.withdraw(service)
+    const granted = permit !== undefined
     counters.retries.inc({ service, result: granted ? 'granted' : 'denied' })
-    log.info('request.retry', { request: this.#incoming.id, service, granted, ...basis })
-    return granted
+    log.info('request.retry', { request: this.#incoming.id, service, granted, ...loggedBasis(basis) })
+    return permit
   }
 
   /** Spends quota, advertised limit and probe grant just before the request is written. Returns whether it may be sent. */
--- a/packages/fleet/test/replay/retry-simulation.ts
+++ b/packages/fleet/test/replay/retry-simulation.ts
@@ -4,7 +4,7 @@
  * The entries run the production code of the budget. Requests arrive at random times, from a seeded generator, and attempts fail at
  * random. A failed attempt is retried at once if the budget allows it.
  */
-import { RetryBudget, nowMs, type RetryBounds } from '@finchpitch/fleet'
+import { RetryBudget, boottimeMs, nowMs, type RetryBounds } from '@finchpitch/fleet'
 import type { FakeTime } from '@finchpitch/stand-ins'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
@@ -17,6 +17,8 @@
   perSecond: (entry: number, at: number) => number
   /** The share of attempts that fail at each entry. */
   failing: (entry: number, at: number) => number
+  /** The upper bound of the number of entries that entries assume; by default their actual number. */
+  assumedEntries?: () => number
 }
 
 export const retryBounds: RetryBounds = { retryRatio: 0.2, retrySlack: 50, retryWindowMs: 10_000 }
@@ -61,6 +63,11 @@
     this.#budgets[entry] = this.#createBudget()
   }
 
+  /** The share of retries that the budget allowed. */
+  grantedShare (): number {
+    return this.retries.length / (this.retries.length + this.denied.length)
+  }
+
   /** The most retries of any window beyond those that the budget allows; negative if all windows keep it. */
   get maxExcess (): number {
     const { retryRatio, retrySlack, retryWindowMs } = retryBounds
@@ -71,14 +78,14 @@
   }
 
   #createBudget (): RetryBudget {
-    return new RetryBudget(() => retryBounds, () => this.pattern.entries)
+    return new RetryBudget({ bounds: () => retryBounds, entries: this.pattern.assumedEntries ?? (() => this.pattern.entries), startedAt: boottimeMs() })
   }
 
   #handleRequest (entry: number, budget: RetryBudget): void {
     this.requests.push(this.#now)
     budget.deposit(service)
     for (let retry = 0; retry < maxRetries && this.#draw(this.pattern.failing(entry, this.#now)); retry++) {
-      if (!budget.tryWithdraw(service).granted) {
+      if (budget.withdraw(service).permit === undefined) {
         this.denied.push(this.#now)
         return
       }
