Retries: entries that lack some get what others don't need

Load: the attempts of one entry fail, or an entry has just started and has no tokens of the slack. Each entry had its part of the slack for itself: with 26 entries two retries in ten seconds, while the budget of the others was left unused.

Change: an entry that is denied a retry reports that, and entries then exchange retries through the bank of the quotas. All spare tokens of the slack are given, and half of what first attempts have earned where no attempt failed for 5 s; that is charged at the giver and spent within a second. Nothing is exchanged while nobody lacks retries.

Weighed against tokens without exchange, a share in any window, and no slack in the first window after a start: docs/design/retry-budget.md.

--- a/packages/fleet/src/attempt-reports.ts
+++ b/packages/fleet/src/attempt-reports.ts
@@ -1,6 +1,7 @@
 /**
  * Attempt reports, by which processes share what their attempts observed: crashes of servers, runs that completed, limits that
- * servers advertise, probes of requests whose quarantine has expired, and plain services that have become busy.
+ * servers advertise, probes of requests whose quarantine has expired, plain services that have become busy, and services for which an
+ * entry lacks retries.
  *
  * Times are sent as ages, so no clocks are compared. A message that is delayed makes its events seem later than they were. This can
  * only make two crashes appear to overlap that did not, so that they count as one.
@@ -18,6 +19,8 @@
   probes: readonly Probe[]
   /** Plain services that have become busy. */
   busy?: readonly string[]
+  /** Services for which an entry lacks retries. */
+  retrying?: readonly string[]
 }
 
 /**
@@ -25,22 +28,24 @@
  * limits, since the server is overloaded. A completed run of a request only matters for its next crash. Completed runs come in bursts:
  * after all engines of a failure domain crash, some hundred retries produce one each.
  */
-export const batchDelayMs = ({ crashes, limits, probes, busy = [] }: AttemptReports, crashesMs: number): number => crashes.length + limits.length + probes.length + busy.length > 0 ? crashesMs : completedRunsMs
+export const batchDelayMs = ({ crashes, limits, probes, busy = [], retrying = [] }: AttemptReports, crashesMs: number): number => crashes.length + limits.length + probes.length + busy.length + retrying.length > 0 ? crashesMs : completedRunsMs
 const completedRunsMs = 400
 
 export const noReports: AttemptReports = { crashes: [], sound: [], limits: [], probes: [] }
 
 /** Merges several batches into one. */
 export const mergeReports = (all: readonly AttemptReports[]): AttemptReports =>
-  ({ crashes: all.flatMap(({ crashes }) => crashes), sound: all.flatMap(({ sound }) => sound), limits: all.flatMap(({ limits }) => limits), probes: all.flatMap(({ probes }) => probes), busy: [...new Set(all.flatMap(({ busy = [] }) => busy))] })
+  ({ crashes: all.flatMap(({ crashes }) => crashes), sound: all.flatMap(({ sound }) => sound), limits: all.flatMap(({ limits }) => limits), probes: all.flatMap(({ probes }) => probes), busy: unique(all.flatMap(({ busy = [] }) => busy)), retrying: unique(all.flatMap(({ retrying = [] }) => retrying)) })
 
-export const hasNoReports = ({ crashes, sound, limits, probes, busy = [] }: AttemptReports): boolean => [crashes, sound, limits, probes, busy].every(each => each.length === 0)
+const unique = (names: readonly string[]): string[] => [...new Set(names)]
+
+export const hasNoReports = ({ crashes, sound, limits, probes, busy = [], retrying = [] }: AttemptReports): boolean => [crashes, sound, limits, probes, busy, retrying].every(each => each.length === 0)
 
 /** Converts reports to frames: as many as the size limits of a frame require. */
-export const reportFrames = ({ crashes, sound, limits, probes, busy = [] }: AttemptReports): Array<FrameOf<'crashes'>> => {
+export const reportFrames = ({ crashes, sound, limits, probes, busy = [], retrying = [] }: AttemptReports): Array<FrameOf<'crashes'>> => {
   const now = nowMs()
   const agoMs = (at: number): number => Math.max(0, now - at)
-  const parts = Math.ceil(Math.max(crashes.length / maxCrashesPerFrame, sound.length / maxCrashesPerFrame, probes.length / maxCrashesPerFrame, limits.length / maxLimitsPerFrame, busy.length / maxServicesPerFrame))
+  const parts = Math.ceil(Math.max(crashes.length / maxCrashesPerFrame, sound.length / maxCrashesPerFrame, probes.length / maxCrashesPerFrame, limits.length / maxLimitsPerFrame, busy.length / maxServicesPerFrame, retrying.length / maxServicesPerFrame))
   return Array.from({ length: parts }, (_, part) => ({
     type: 'crashes',
     stamp: now + part,
@@ -48,7 +53,8 @@
     sound: sliceOf(sound, part, maxCrashesPerFrame).map(({ fingerprint, endedAt }) => [fingerprint, agoMs(endedAt)]),
     ...(limits.length === 0 ? {} : { limits: sliceOf(limits, part, maxLimitsPerFrame).map(({ server, perSecond, sentAt, heardAt }) => [server, perSecond === Infinity ? null : perSecond, agoMs(sentAt), agoMs(heardAt)]) }),
     ...(probes.length === 0 ? {} : { probes: sliceOf(probes, part, maxCrashesPerFrame).map(({ fingerprint, at }) => [fingerprint, agoMs(at)]) }),
-    ...(busy.length === 0 ? {} : { busy: [...sliceOf(busy, part, maxServicesPerFrame)] })
+    ...(busy.length === 0 ? {} : { busy: [...sliceOf(busy, part, maxServicesPerFrame)] }),
+    ...(retrying.length === 0 ? {} : { retrying: [...sliceOf(retrying, part, maxServicesPerFrame)] })
   }))
 }
 
--- a/packages/fleet/src/entry/entry-process.ts
+++ b/packages/fleet/src/entry/entry-process.ts
@@ -25,6 +25,7 @@
 import { FirstAttemptEstimator } from './serving/first-attempt-estimator.js'
 import { KeptBytes } from './serving/kept-bytes.js'
 import { KeyLease } from './peers/key-lease.js'
+import { Contact } from './peers/contact.js'
 import { EntryCountBound } from './peers/entry-count-bound.js'
 import { LeaseKeeper } from './peers/lease-keeper.js'
 import { PlainServices } from './servers/plain-services.js'
@@ -95,6 +96,7 @@
   readonly #leaseKeeper: LeaseKeeper
   readonly #tableConfirmation: TableConfirmation
   readonly #entryCountBound = new EntryCountBound()
+  readonly #contact = new Contact()
   /** Upper bound of the number of entries, as of the last sweep. */
   #maxEntries: number
   readonly #quotas: Quotas
@@ -155,6 +157,7 @@
         this.#crashTracker.handleReport(frame, from)
         this.#serverLimits.handleReport(frame, from)
         this.#plainServices.handleReport(frame, from)
+        this.#retryBudget.handleReport(frame, from)
       },
       onReportAcknowledged: (host, stamp, granted) => {
         this.#attemptReporter.handleAck(host, stamp)
@@ -176,8 +179,15 @@
       onDutyChange: () => this.#sideLinks.updateFactDelay()
     })
     this.#quotas = new Quotas({ limits, entries: () => this.#maxEntries, startedAt: suspendedMs(), exchangeNow: async () => await this.#quotaExchange.exchangeNow(), counters: this.counters, log })
-    this.#retryBudget = new RetryBudget({ bounds: limits, entries: () => this.#maxEntries, startedAt: suspendedMs() })
-    this.#quotaExchange = new QuotaExchange({ quotas: this.#quotas, serverLimits: this.#serverLimits, plainServices: this.#plainServices, hosts: () => this.#sideLinks.hosts, channelTo: host => this.#sideLinks.channelTo(host), log })
+    this.#retryBudget = new RetryBudget({
+      bounds: limits,
+      entries: () => this.#contact.isLost ? Infinity : this.#maxEntries,
+      startedAt: suspendedMs(),
+      reporter: this.#attemptReporter,
+      exchangeNow: async () => await this.#quotaExchange.exchangeNow(),
+      log
+    })
+    this.#quotaExchange = new QuotaExchange({ quotas: this.#quotas, serverLimits: this.#serverLimits, plainServices: this.#plainServices, retries: this.#retryBudget, hosts: () => this.#sideLinks.hosts, channelTo: host => this.#sideLinks.channelTo(host), log })
     this.#leaseKeeper = new LeaseKeeper({ lease: this.#keyLease, facts, links: this.#sideLinks, watch: this.#storeWatch, log })
     this.#tableConfirmation = new TableConfirmation({ facts, limits, links: this.#sideLinks, watch: this.#storeWatch })
     this.#feedbackHandler = new ServerFeedbackHandler({ facts, balancer: this.#balancer, queue: this.#queue, serverLimits: this.#serverLimits })
@@ -329,7 +339,8 @@
       this.#leaseKeeper.check()
       this.#storeWatch.check()
       this.#seedDuty.setActive(this.#needsSeeds)
-      const { entries } = this.#sideLinks
+      const { entries, connectedCount } = this.#sideLinks
+      this.#contact.update(connectedCount > 0)
       this.#maxEntries = this.#entryCountBound.update(entries, this.options.facts.servers.size)
       this.#updateEntryCount(entries)
     }
--- a/packages/fleet/src/entry/quotas/quota-exchange.ts
+++ b/packages/fleet/src/entry/quotas/quota-exchange.ts
@@ -1,9 +1,9 @@
 /**
- * Exchanges rate-limit tokens with other entries: tokens of teams' quotas, requests under limits that servers advertise, and
- * requests to busy plain services.
+ * Exchanges rate-limit tokens with other entries: tokens of teams' quotas, requests under limits that servers advertise, requests to
+ * busy plain services, and retries.
  *
  * Tokens are pooled in a bank, a side process that all entries choose by rendezvous hashing (`quota-bank.ts`). Entries exchange
- * several times per second while there is a quota, a limit or a busy service, and at once when a request is short of tokens. If the bank
+ * several times per second while there is a quota, a limit, a busy service or a lack of retries, and at once when a request is short of tokens. If the bank
  * doesn't answer, the next side process becomes the bank, and until then each entry spends its own share.
  */
 import { sliceAgeMs, totalTokens, type TokenSlice } from '@finchpitch/decisions'
@@ -16,6 +16,7 @@
 import type { TeamAccount } from './team-account.js'
 import type { LimitsView } from '../servers/server-limits.js'
 import type { PlainServices } from '../servers/plain-services.js'
+import type { RetryBudget } from '../waiting/retry-budget.js'
 
 const exchangeMs = 250
 /** The first exchanges after a start follow sooner: entries without demand can give their tokens only from the second one on. */
@@ -39,6 +40,7 @@
   quotas: Quotas
   serverLimits: LimitsView
   plainServices?: Pick<PlainServices, 'isIdle' | 'prepareExchange' | 'granted'>
+  retries?: Pick<RetryBudget, 'isIdle' | 'prepareExchange' | 'granted'>
   /** Hosts of all side processes. */
   hosts: () => readonly string[]
   /** The channel to a side process; starts to open one if there is none. */
@@ -101,6 +103,7 @@
     if (host !== this.#bank) return
     this.options.serverLimits.granted(requests, this.#askedByLimit)
     this.#grantServices(host, frame, now)
+    if (frame.retries !== undefined) this.options.retries?.granted(slicesOf(frame.retries.grants, frame.stamp, now), frame.retries.lacking)
     this.#askedByLimit = new Map()
     this.#teamsInNeed = new Set(frame.needed)
     this.#sentAt = undefined
@@ -126,7 +129,7 @@
   }
 
   async #tick (): Promise<void> {
-    if (this.options.quotas.accounts.size === 0 && this.options.serverLimits.isEmpty && this.options.plainServices?.isIdle !== false) return
+    if (this.#isIdle) return
     this.options.quotas.logEndedShortages()
     // After a stall of this process, the answer may be waiting in the socket.
     if (this.#overdue) await afterSocketReads()
@@ -134,6 +137,12 @@
     if (this.#sentAt === undefined) this.#send()
   }
 
+  /** Whether there is nothing to exchange. */
+  get #isIdle (): boolean {
+    const { quotas, serverLimits, plainServices, retries } = this.options
+    return quotas.accounts.size === 0 && serverLimits.isEmpty && plainServices?.isIdle !== false && retries?.isIdle !== false
+  }
+
   get #overdue (): boolean {
     return this.#sentAt !== undefined && boottimeMs() - this.#sentAt >= answerTimeoutMs
   }
@@ -185,7 +194,7 @@
     }
     const echoed = echo === undefined ? {} : { echo: { stamp: echo.stamp, heldMs: now - echo.receivedAt } }
     const given = echo === undefined ? { gives: [] } : { ...this.#bookedPart(now), gives: this.#surplusOf(surplus, now) }
-    return { type: 'quota', stamp: now, ...echoed, ...given, wants, ...(demand.length === 0 ? {} : { demand }), ...(serviceDemand.length === 0 ? {} : { serviceDemand }), ...this.#limitsPart(echo !== undefined), ...this.#servicesPart(echo !== undefined) }
+    return { type: 'quota', stamp: now, ...echoed, ...given, wants, ...(demand.length === 0 ? {} : { demand }), ...(serviceDemand.length === 0 ? {} : { serviceDemand }), ...this.#limitsPart(echo !== undefined), ...this.#servicesPart(echo !== undefined), ...this.#retriesPart(echo !== undefined) }
   }
 
   /** Takes what these teams don't need here, first of teams whose tokens other entries need. */
@@ -207,6 +216,11 @@
     return plainServices === undefined || plainServices.isIdle ? {} : { services: plainServices.prepareExchange(giving) }
   }
 
+  #retriesPart (giving: boolean): Pick<FrameOf<'quota'>, 'retries'> {
+    const { retries } = this.options
+    return retries === undefined || retries.isIdle ? {} : { retries: retries.prepareExchange(giving) }
+  }
+
   #grantServices (host: string, { services, stamp }: FrameOf<'quota_grant'>, now: number): void {
     if (services !== undefined) this.options.plainServices?.granted(slicesOf(services.grants, stamp, now), services, host)
   }
--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -280,24 +280,23 @@
   }
 
   async #attempt (server: BackendServer, selection: SelectionRequest, admitted: Admission, choice: SendChoice): Promise<Verdict> {
-    const { budget } = this.options
+    const sentBefore = this.#sentAttempts
+    if (sentBefore === 0) return await this.#send(server, selection, admitted, choice)
     const { name: service } = selection.service
-    if (Math.floor(this.#times.leftMs) < minRemainingMs) return done(this.#mayHaveRun ? this.#fail(504, 'timed_out') : this.#localReplies.refuse('too_late'))
-    if (this.#record.tries === 0) budget.deposit(service)
-    if (this.#sentAttempts === 0) return await this.#send(server, selection, admitted, choice)
-    const permit = this.#withdrawRetry(service)
+    const permit = await this.#withdrawRetry(service)
     if (permit === undefined) return done(this.#giveUp('no_retry_left'))
-    const sentBefore = this.#sentAttempts
     const verdict = await this.#send(server, selection, admitted, choice)
-    if (this.#sentAttempts === sentBefore) budget.release(service, permit)
+    if (this.#sentAttempts === sentBefore) this.options.budget.release(service, permit)
     return verdict
   }
 
   async #send (server: BackendServer, selection: SelectionRequest, admitted: Admission, choice: SendChoice): Promise<Verdict> {
-    const { balancer, names, counters, connectTimeout, facts } = this.options
+    const { balancer, budget, names, counters, connectTimeout, facts } = this.options
     const table = facts.routes
     const { route } = admitted
     const remainingMs = Math.floor(this.#times.leftMs)
+    if (remainingMs < minRemainingMs) return done(this.#mayHaveRun ? this.#fail(504, 'timed_out') : this.#localReplies.refuse('too_late'))
+    if (this.#record.tries === 0) budget.deposit(selection.service.name)
     const state = balancer.state(server)
     this.#recordAttempt(server, selection, choice)
     const { key, promptTokens: tokens, priority } = selection
@@ -342,9 +341,9 @@
   }
 
   /** Spends one retry from the budget; `undefined` if there is none left. */
-  #withdrawRetry (service: string): RetryPermit | undefined {
+  async #withdrawRetry (service: string): Promise<RetryPermit | undefined> {
     const { budget, counters, log } = this.options
-    const { permit, ...basis } = budget.withdraw(service)
+    const { permit, ...basis } = await budget.withdraw(service)
     const granted = permit !== undefined
     counters.retries.inc({ service, result: granted ? 'granted' : 'denied' })
     log.info('request.retry', { request: this.#incoming.id, service, granted, ...loggedBasis(basis) })
--- a/packages/fleet/src/entry/waiting/retry-account.ts
+++ b/packages/fleet/src/entry/waiting/retry-account.ts
@@ -5,9 +5,11 @@
  * The slack is earned as tokens at a constant rate, like a team's quota: each token is earned once and expires. So no window exceeds
  * the budget although an entry that restarts does not know what its previous incarnation has spent: it starts without tokens. When
  * each entry had its share of the slack in any window, four incarnations of an entry spent four shares in one window.
+ *
+ * While other entries lack retries, this one gives what it doesn't need: tokens of the slack, and what its first attempts have earned.
  */
-import { RetryWindow, totalTokens, type QuotaBound, type QuotaRate, type TokenSlice } from '@finchpitch/decisions'
-import { nowMs } from '../../clock.js'
+import { DecayingSum, RetryWindow, totalTokens, type QuotaBound, type QuotaRate, type TokenSlice } from '@finchpitch/decisions'
+import { boottimeMs, nowMs } from '../../clock.js'
 import type { Limits } from '../../ports.js'
 import { EarnedTokens } from '../quotas/earned-tokens.js'
 
@@ -18,6 +20,18 @@
 const usedRatio = 0.8
 /** Share of the slack that may be spent on top of what is earned within the window: tokens saved up before it. */
 const savedShare = 0.25
+/** Half-life of the average of the demand. */
+const demandHalfLifeMs = 500
+/** Retries for the demand of this time are kept in reserve. It is slightly longer than the interval between exchanges. */
+const reserveMs = 300
+/** After an exchange that brought too few tokens, requests trigger no other exchange for this long. */
+const shortageMs = 250
+/** Tokens are exchanged for this long after this entry, or another one, lacked some. */
+const sharingMs = 5000
+/** Retries earned by first attempts are given with this lifetime, so that they are spent in nearly the same window. */
+const givenLifetimeMs = 1000
+/** Share of the retries earned by first attempts that may be given at a time. */
+const givenShare = 0.5
 /** Tolerance for rounding errors when fractions add up to a whole retry. */
 const roundingTolerance = 1e-6
 
@@ -41,10 +55,18 @@
 export class RetryAccount {
   readonly #window = new RetryWindow()
   readonly #tokens: EarnedTokens
+  readonly #demand = new DecayingSum(demandHalfLifeMs)
   #slack: Slack
+  /** Number of requests that wait for the next exchange. */
+  #waiting = 0
+  /** Retries that other entries lack, by the last answer. */
+  #lacking = 0
+  #shortageAt = -Infinity
+  #demandAt = -Infinity
+  #sharedUntil = -Infinity
 
   /** `entries`: an upper bound of the number of entries. `startedAt`: when this process started, on the boot-time clock. */
-  constructor (private readonly bounds: () => RetryBounds, entries: () => number, startedAt: number) {
+  constructor (private readonly bounds: () => RetryBounds, private readonly entries: () => number, startedAt: number) {
     this.#slack = slackOf(bounds())
     this.#tokens = new EarnedTokens(this.#slack.rate, () => this.#slack.bound, entries, { startedAt })
   }
@@ -53,6 +75,34 @@
     this.#window.recordFirstAttempt(nowMs(), this.bounds().retryWindowMs)
   }
 
+  /** Counts a request that is to be retried. */
+  recordDemand (): void {
+    this.#demandAt = boottimeMs()
+    this.#demand.add(1, this.#demandAt)
+  }
+
+  /** This entry, or another one, lacks retries. */
+  recordLack (): void {
+    this.#sharedUntil = boottimeMs() + sharingMs
+  }
+
+  /** Whether tokens are exchanged. */
+  get isShared (): boolean {
+    return boottimeMs() < this.#sharedUntil
+  }
+
+  /** Whether other entries may have tokens to spare, so that an exchange makes sense now. */
+  get canExchange (): boolean {
+    return boottimeMs() - this.#shortageAt >= shortageMs
+  }
+
+  /** Counts a request as waiting while the exchange runs, so that the exchange asks for its token. */
+  async awaitExchange (exchange: () => Promise<unknown>): Promise<void> {
+    this.#waiting += 1
+    await exchange()
+    this.#waiting -= 1
+  }
+
   get basis (): RetryBasis {
     const { retryRatio, retryWindowMs } = this.bounds()
     const now = nowMs()
@@ -79,6 +129,44 @@
     this.#window.recordRetries(-ratioPart, nowMs(), this.bounds().retryWindowMs)
   }
 
+  /** How many retries this entry lacks. */
+  get wants (): number {
+    const { ratioCredit, tokens } = this.basis
+    return Math.max(0, this.#target - ratioCredit - tokens)
+  }
+
+  /**
+   * Takes what others lack and this entry doesn't need: all spare tokens, which would expire soon, and, where no attempts fail, a part
+   * of what its first attempts have earned.
+   */
+  takeSpare (): TokenSlice[] {
+    if (this.#lacking === 0) return []
+    const { ratioCredit, tokens } = this.basis
+    const slices = this.#tokens.takeUpTo(Math.max(0, Math.min(tokens, tokens + ratioCredit - this.#target)))
+    if (boottimeMs() - this.#demandAt < sharingMs) return slices
+    const given = Math.min(this.#lacking, ratioCredit * givenShare)
+    this.#window.recordRetries(given, nowMs(), this.bounds().retryWindowMs)
+    return [...slices, { tokens: given, earnedAt: boottimeMs() - this.lifetimeMs + givenLifetimeMs }]
+  }
+
+  /** Adds tokens that other entries granted of the `wanted` ones. `lacking`: retries that others lack. */
+  granted (slices: readonly TokenSlice[], wanted: number, lacking: number): void {
+    this.#tokens.addAll(slices)
+    this.#lacking = lacking
+    if (lacking > 0) this.recordLack()
+    if (totalTokens(slices) + roundingTolerance < wanted) this.#shortageAt = boottimeMs()
+  }
+
+  /** How long a token may be spent after it was earned. */
+  get lifetimeMs (): number {
+    return this.#tokens.lifetimeMs
+  }
+
+  /** Retries for the requests that wait, and for the demand until the next exchange. */
+  get #target (): number {
+    return this.#waiting + Math.floor(this.#demand.at(boottimeMs()) * Math.LN2 / demandHalfLifeMs * reserveMs)
+  }
+
   #earn (): void {
     const bounds = this.bounds()
     if (bounds !== this.#slack.bounds) this.#slack = slackOf(bounds)
--- a/packages/fleet/src/side/attempt-report-relay.ts
+++ b/packages/fleet/src/side/attempt-report-relay.ts
@@ -1,7 +1,7 @@
 /**
  * Relays the attempt reports of each entry to the others: crashes of servers, completed runs, limits that servers advertise,
- * probes, and plain services that have become busy. Keeps the reports for entries that start or connect later, except for busy
- * services, which the answers of the bank name while they last.
+ * probes, plain services that have become busy, and services for which entries lack retries. Keeps the reports for entries that
+ * start or connect later, except for the last two kinds, which the answers of the bank name while they last.
  */
 import type { RequestFingerprint } from '@finchpitch/core'
 import { CrashHistory, AdvertisedLimits, quarantineLimits, type AdvertisedLimit } from '@finchpitch/decisions'
@@ -35,7 +35,7 @@
     this.#sendKnownCrashes(from, frame)
     const limits = limitsFromFrame(frame).filter(limit => this.#isNews(limit))
     this.#limits.expire(nowMs())
-    const report = { ...recordCrashes(this.#crashes, frame), limits, ...(frame.busy === undefined ? {} : { busy: frame.busy }) }
+    const report = { ...recordCrashes(this.#crashes, frame), limits, busy: frame.busy ?? [], retrying: frame.retrying ?? [] }
     if (hasNoReports(report)) return
     this.#pending.push({ report, from })
     this.#flushTimer.runWithin(batchDelayMs(report, crashBatchMs))
--- a/packages/fleet/src/side/quota-bank.ts
+++ b/packages/fleet/src/side/quota-bank.ts
@@ -12,6 +12,7 @@
 import { ExpiringTokens, sliceAgeMs, totalTokens, type TokenSlice } from '@finchpitch/decisions'
 import type { FrameOf, AgedRequests, AgedTokens, ServiceTokenDemand, TokenDemand, TokensLeft } from '@finchpitch/wire'
 import { boottimeMs } from '../clock.js'
+import { RetryBank } from './retry-bank.js'
 import { ServiceBank } from './service-bank.js'
 
 /** Tokens set aside for returning callers are held for one to two times as long, in which callers return that were told the same time. */
@@ -173,9 +174,10 @@
   readonly #teamPools = new Map<string, Pool>()
   readonly #limitPools = new Map<string, Pool>()
   readonly #services = new ServiceBank()
+  readonly #retries = new RetryBank()
 
   /** Adds the tokens that an entry gives, and answers its requests with grants. */
-  exchange (entry: string, { stamp, echo, gives, booked, wants, demand, serviceDemand, servers, services }: FrameOf<'quota'>, lifetimeOf: (team: string) => number | undefined): FrameOf<'quota_grant'> {
+  exchange (entry: string, { stamp, echo, gives, booked, wants, demand, serviceDemand, servers, services, retries }: FrameOf<'quota'>, lifetimeOf: (team: string) => number | undefined): FrameOf<'quota_grant'> {
     const now = boottimeMs()
     // The frame was sent after the echoed answer had arrived, so this bounds the time that it was in transit.
     const maxTransitMs = echo === undefined ? undefined : Math.max(0, now - (echo.stamp + echo.heldMs))
@@ -196,7 +198,7 @@
     }
     const requests = servers?.wants.flatMap(([limit, count, lifetimeMs]) => this.#grantRequests(entry, limit, count, now - lifetimeMs))
     this.#removeIdleLimits(now)
-    return { type: 'quota_grant', stamp, bankStamp: now, grants, needed: this.#teamsInNeed(now), ...this.#shortTeams(now, lifetimeOf), ...(requests === undefined ? {} : { servers: requests }), ...this.#servicesPart(entry, services, maxTransitMs) }
+    return { type: 'quota_grant', stamp, bankStamp: now, grants, needed: this.#teamsInNeed(now), ...this.#shortTeams(now, lifetimeOf), ...(requests === undefined ? {} : { servers: requests }), ...this.#servicesPart(entry, services, maxTransitMs), ...(retries === undefined ? {} : { retries: this.#retries.exchange(entry, retries, maxTransitMs) }) }
   }
 
   /** The part of an answer about busy plain services: entries that exchange nothing for them yet learn which are busy. */
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -177,6 +177,10 @@
 export const AgedServiceRequests = z.tuple([ServiceName, z.number().nonnegative(), z.number().nonnegative()])
 export type AgedServiceRequests = z.infer<typeof AgedServiceRequests>
 
+/** Retries of a service's requests that an entry lacks tokens for: the service, the number of retries, and the lifetime of a token in ms. */
+export const RetryShortfall = z.tuple([ServiceName, z.number().nonnegative(), z.number().nonnegative()])
+export type RetryShortfall = z.infer<typeof RetryShortfall>
+
 /** Requests to a service that an entry lacks allowances for, by team. Requests without a team count under an empty name. */
 export const ServiceShortfall = z.tuple([ServiceName, z.array(z.tuple([z.string().max(maxTeamNameLength), z.number().nonnegative()])).max(maxTeamsPerShortfall)])
 export type ServiceShortfall = z.infer<typeof ServiceShortfall>
@@ -255,7 +259,9 @@
       gives: z.array(AgedServiceRequests),
       wants: z.array(ServiceShortfall).max(maxServicesPerFrame),
       busy: z.array(ServiceName).max(maxServicesPerFrame)
-    }).optional()
+    }).optional(),
+    /** The same for retries. `wants` has all services for which some entry lacks tokens, with 0 where the sender lacks none. */
+    retries: z.object({ gives: z.array(AgedServiceRequests), wants: z.array(RetryShortfall).max(maxServicesPerFrame) }).optional()
   }),
   /** The answer to the `quota` frame with that stamp. `needed`: teams that recently lacked tokens, whose tokens entries should return first. */
   z.object({
@@ -276,14 +282,17 @@
       grants: z.array(AgedServiceRequests),
       short: z.array(z.tuple([ServiceName, z.array(z.string().max(maxTeamNameLength)).max(maxTeamsPerShortfall)])).max(maxServicesPerFrame),
       busy: z.array(ServiceName).max(maxServicesPerFrame)
-    }).optional()
+    }).optional(),
+    /** `lacking`: retries of each service that other entries lack tokens for. */
+    retries: z.object({ grants: z.array(AgedServiceRequests), lacking: z.array(z.tuple([ServiceName, z.number().nonnegative()])).max(maxServicesPerFrame) }).optional()
   }),
   /**
    * Attempt reports: server crashes during requests, requests that completed, limits stated by servers, and probes, which are
-   * runs of requests whose quarantine has expired, and plain services that have become busy. A frame from an entry is acknowledged with its `stamp`. `ask`: a request whose
-   * quarantine has expired and which the sender asks to run as a probe.
+   * runs of requests whose quarantine has expired, plain services that have become busy (`busy`), and services for which the sender
+   * lacks retries (`retrying`). A frame from an entry is acknowledged with its `stamp`. `ask`: a request whose quarantine has expired
+   * and which the sender asks to run as a probe.
    */
-  z.object({ type: z.literal('crashes'), stamp: z.number(), crashes: z.array(CrashReport).max(maxCrashesPerFrame), sound: z.array(CompletedRunReport).max(maxCrashesPerFrame), limits: z.array(LimitReport).max(maxLimitsPerFrame).optional(), probes: z.array(CompletedRunReport).max(maxCrashesPerFrame).optional(), busy: z.array(ServiceName).max(maxServicesPerFrame).optional(), ask: RequestFingerprint.optional() }),
+  z.object({ type: z.literal('crashes'), stamp: z.number(), crashes: z.array(CrashReport).max(maxCrashesPerFrame), sound: z.array(CompletedRunReport).max(maxCrashesPerFrame), limits: z.array(LimitReport).max(maxLimitsPerFrame).optional(), probes: z.array(CompletedRunReport).max(maxCrashesPerFrame).optional(), busy: z.array(ServiceName).max(maxServicesPerFrame).optional(), retrying: z.array(ServiceName).max(maxServicesPerFrame).optional(), ask: RequestFingerprint.optional() }),
   /** Acknowledges the `crashes` frame with that stamp, which is also relayed to the subscribed entries. `granted`: whether the probe may be run. */
   z.object({ type: z.literal('crashes_noted'), stamp: z.number(), granted: z.boolean().optional() }),
   Appointment,
