Soak: check that servers receive no more retries than the budget of all entries allows

Change: the soak, which kills and restarts entries in series while servers fail, counts the arrivals at the servers of each service beyond the first of a request, in any window, against the ratio of the requests and a slack of 20. The requests are those that callers sent, arrived or not, in the window with most of them: that one, the one before, or half a window before.

--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -5,7 +5,7 @@
 import { Agent } from 'node:http'
 import { pause } from '@finchpitch/core'
 import { FaultProxy, FleetSystem } from '@finchpitch/stand-ins'
-import { sendRequest, type RequestResult } from './caller.js'
+import { isEnginePath, sendRequest, type RequestResult } from './caller.js'
 import { RouteChangeScenario } from './route-change-scenario.js'
 import { Disturbances } from './disturbances.js'
 import { killAndRestartAll, faultTable } from './faults.js'
@@ -14,6 +14,7 @@
 import { SeededRandom } from './seeded-random.js'
 import { RestoreScenario } from './restore-scenario.js'
 import { SlowReaderScenario } from './slow-reader-scenario.js'
+import { retryBudgetViolations, type RetryBounds } from './retry-budget-check.js'
 import { TeamFloodScenario } from './team-flood-scenario.js'
 import { UnevenPaceScenario } from './uneven-pace-scenario.js'
 import { ServerFeedbackScenario, initialBornAt } from './server-feedback-scenario.js'
@@ -40,6 +41,7 @@
 /** More crashes than this are a violation: the entries must have quarantined the request by then. */
 const maxCrashes = 3
 const crashPath = '/stream/fatal'
+const retryBounds: RetryBounds = { retryBudgetRatio: 0.2, budgetWindowS: 10, retrySlack: 20 }
 /** Offsets for the seeds of the scenarios' generators, far from the consecutive seeds of the runs. */
 const seedOffset = 1_000_000_000
 const halfSeedOffset = 500_000_000
@@ -54,7 +56,7 @@
   }
   const teamFlood = new TeamFloodScenario(new SeededRandom(seed + 7 * halfSeedOffset), log)
   const slowReaders = new SlowReaderScenario(new SeededRandom(seed + 9 * halfSeedOffset), log)
-  const fleet = new FleetSystem({ network, domains: 2, entriesPerDomain: 1, enginesPerDomain: 1, plainServersPerDomain: 1, adapterSlots: 4, loadMs: 80, workMs: 8, events: eventsPerStream, eventMs: 6, bornAt: initialBornAt, insertProxy, storeProxies: true, bounds: teamFlood.bounds, tenants: [teamFlood.tenant], ...SlowReaderScenario.fleetOptions })
+  const fleet = new FleetSystem({ network, domains: 2, entriesPerDomain: 1, enginesPerDomain: 1, plainServersPerDomain: 1, adapterSlots: 4, loadMs: 80, workMs: 8, events: eventsPerStream, eventMs: 6, bornAt: initialBornAt, insertProxy, storeProxies: true, bounds: { ...teamFlood.bounds, ...retryBounds }, tenants: [teamFlood.tenant], ...SlowReaderScenario.fleetOptions })
   await fleet.start()
   await pause(startMs)
   const results: Array<Promise<RequestResult>> = []
@@ -105,6 +107,10 @@
   const report = { ...checkResults(allResults, servers), overQuota: teamFlood.overQuota, quotaShare: teamFlood.quotaShare(servers) }
   report.broken.push(...checkResponses(floodResults, servers), ...teamFlood.violations(servers))
   report.broken.push(...feedback.violations(allResults, disturbances), ...serverLimits.violations(allResults, disturbances), ...routeChanges.violations())
+  for (const [service, those] of [['engines', fleet.engines], ['plain servers', fleet.plainServers]] as const) {
+    const sent = [...allResults, ...floodResults].filter(({ path }) => isEnginePath(path) === (those === fleet.engines))
+    report.broken.push(...retryBudgetViolations(service, those, sent, retryBounds))
+  }
   const unserved = finalResults.filter(result => result.status !== 200)
   for (const { id, path, status } of unserved) {
     const lines = fleet.entries.flatMap(entry => entry.output).filter(line => line.includes(`"${id}"`))
