Quotas and retries: a rate of zero earns no tokens

What callers saw: nothing yet, found by reading. Where the retry budget allows no retries, all were allowed; a team with a quota of zero could spend at will in the first half second of an entry.

Cause: what the bound leaves beyond the rate was divided by the rate. At zero that gives infinity or NaN, so the lifetime or the initial credit was NaN, and with it the number of tokens, which is never less than what a request needs.

Change: at a rate of zero the bound leaves nothing.

Result: two tests fail before (a token is taken at a rate of zero, a retry is allowed by a budget of none) and pass now.

--- a/packages/decisions/src/expiring-tokens.ts
+++ b/packages/decisions/src/expiring-tokens.ts
@@ -148,8 +148,8 @@
 const maxInWindow = ({ perSecond, burst }: QuotaRate, { windowMs, overage, slack }: QuotaBound): number =>
   (perSecond * windowMs / 1000 + burst) * (1 + overage) + slack
 
-/** What the bound leaves beyond the rate, as time in which it is earned. */
-const spareMs = (rate: QuotaRate, bound: QuotaBound): number => maxInWindow(rate, bound) / rate.perSecond * 1000 - bound.windowMs
+/** What the bound leaves beyond the rate, as time in which it is earned; 0 if nothing is earned. */
+const spareMs = (rate: QuotaRate, bound: QuotaBound): number => rate.perSecond === 0 ? 0 : maxInWindow(rate, bound) / rate.perSecond * 1000 - bound.windowMs
 
 /** How long a token may be spent after it was earned, so that no window exceeds the bound. */
 export const tokenLifetimeMs = (rate: QuotaRate, bound: QuotaBound): number =>
--- a/packages/fleet/test/earned-tokens.test.ts
+++ b/packages/fleet/test/earned-tokens.test.ts
@@ -78,4 +78,15 @@
       }
     }
   })
+
+  // Dividing by a rate of zero gave NaN tokens, which passed every comparison.
+  it('are none at a rate of zero, also right after a start', () => {
+    const zero = { perSecond: 0, burst: 0 }
+    for (const slack of [0, 1000]) {
+      const earned = new EarnedTokens(zero, () => ({ windowMs: 8000, overage: 0.1, slack }), () => 4, { startedAt: boottimeMs() })
+      time.advanceSync(300)
+      expect(earned.take(1)).to.equal(undefined)
+      expect(earned.total).to.equal(0)
+    }
+  })
 })
--- a/packages/fleet/test/retry-budget.test.ts
+++ b/packages/fleet/test/retry-budget.test.ts
@@ -232,6 +232,13 @@
     expect(takeAll()).to.equal(1)
   })
 
+  it('has no retries if the budget allows none', () => {
+    const none = new RetryAccount(() => ({ retryRatio: 0, retrySlack: 0, retryWindowMs: 10_000 }), () => 2, boottimeMs())
+    none.recordFirstAttempt()
+    time.advanceSync(60_000)
+    expect(none.take(none.basis)).to.equal(undefined)
+  })
+
   it('takes back a permit whose retry was not sent', () => {
     time.advanceSync(1000)
     const { tokens } = account.basis
