--- a/packages/fleet/src/entry/quotas/quota-exchange.ts
+++ b/packages/fleet/src/entry/quotas/quota-exchange.ts
@@ -216,6 +216,7 @@
     return plainServices === undefined || plainServices.isIdle ? {} : { services: plainServices.prepareExchange(giving) }
   }
 
+  /** The part of a frame about retries, while some entry lacks some. */
   #retriesPart (giving: boolean): Pick<FrameOf<'quota'>, 'retries'> {
     const { retries } = this.options
     return retries === undefined || retries.isIdle ? {} : { retries: retries.prepareExchange(giving) }
--- a/packages/fleet/src/entry/waiting/retry-account.ts
+++ b/packages/fleet/src/entry/waiting/retry-account.ts
@@ -3,8 +3,7 @@
  * all entries share.
  *
  * The slack is earned as tokens at a constant rate, like a team's quota: each token is earned once and expires. So no window exceeds
- * the budget although an entry that restarts does not know what its previous incarnation has spent: it starts without tokens. When
- * each entry had its share of the slack in any window, four incarnations of an entry spent four shares in one window.
+ * the budget although an entry that restarts does not know what its previous incarnation has spent: it starts without tokens.
  *
  * While other entries lack retries, this one gives what it doesn't need: tokens of the slack, and what its first attempts have earned.
  */
@@ -18,9 +17,9 @@
 
 /** Share of the ratio that is used, as requests are counted slightly differently at the receiving end. */
 const usedRatio = 0.8
-/** Share of the slack that is used: the rest is for entries that are not counted yet, and for retries that links delay. */
+/** Share of the slack that is used. The rest covers entries that are not counted yet, and retries that links delay. */
 const usedSlack = 0.9
-/** Part of that which may be saved up before a window; the rest is earned within it. */
+/** Share of the used slack that may be saved up before a window, for short failures. The rest is earned within the window. */
 const savedShare = 1 / 3
 /** Half-life of the average of the demand. */
 const demandHalfLifeMs = 500
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -107,10 +107,9 @@
   const report = { ...checkResults(allResults, servers), overQuota: teamFlood.overQuota, quotaShare: teamFlood.quotaShare(servers) }
   report.broken.push(...checkResponses(floodResults, servers), ...teamFlood.violations(servers))
   report.broken.push(...feedback.violations(allResults, disturbances), ...serverLimits.violations(allResults, disturbances), ...routeChanges.violations())
-  for (const [service, those] of [['engines', fleet.engines], ['plain servers', fleet.plainServers]] as const) {
-    const sent = [...allResults, ...floodResults].filter(({ path }) => isEnginePath(path) === (those === fleet.engines))
-    report.broken.push(...retryBudgetViolations(service, those, sent, retryBounds))
-  }
+  const sent = [...allResults, ...floodResults]
+  report.broken.push(...retryBudgetViolations('engines', fleet.engines, sent.filter(({ path }) => isEnginePath(path)), retryBounds))
+  report.broken.push(...retryBudgetViolations('plain servers', fleet.plainServers, sent.filter(({ path }) => !isEnginePath(path)), retryBounds))
   const unserved = finalResults.filter(result => result.status !== 200)
   for (const { id, path, status } of unserved) {
     const lines = fleet.entries.flatMap(entry => entry.output).filter(line => line.includes(`"${id}"`))
