Retries: limit them to the ratio also over a fifth of the window, so that restarts add little

Cause: the ratio depends on what a process remembers too. At the first failures an entry may spend at once what the requests of a whole window have earned, and then little until that has left the window. An entry that restarts forgets that debt, and spends what its own requests earn in addition. With much traffic that is more than the reserve.

Change: the ratio also holds over a fifth of the window. What is spent in any window is then earned in it or in the fifth before, whatever is forgotten: 1.2 times 0.8 of the ratio.

--- a/packages/fleet/src/entry/waiting/retry-account.ts
+++ b/packages/fleet/src/entry/waiting/retry-account.ts
@@ -17,6 +17,11 @@
 
 /** Share of the ratio that is used, as requests are counted slightly differently at the receiving end. */
 const usedRatio = 0.8
+/**
+ * Retries are limited to the ratio also over this part of the window. An entry that restarts forgets that it has spent what earlier
+ * requests had earned, which adds what is earned in this part to the retries of a whole window.
+ */
+const recentShare = 0.2
 /** Share of the slack that is used. The rest covers entries that are not counted yet, and retries that links delay. */
 const usedSlack = 0.9
 /** Share of the used slack that may be saved up before a window, for short failures. The rest is earned within the window. */
@@ -55,6 +60,7 @@
 
 export class RetryAccount {
   readonly #window = new RetryWindow()
+  readonly #recent = new RetryWindow()
   readonly #tokens: EarnedTokens
   readonly #demand = new DecayingSum(demandHalfLifeMs)
   #slack: Slack
@@ -73,7 +79,9 @@
   }
 
   recordFirstAttempt (): void {
-    this.#window.recordFirstAttempt(nowMs(), this.bounds().retryWindowMs)
+    const now = nowMs()
+    this.#window.recordFirstAttempt(now, this.bounds().retryWindowMs)
+    this.#recent.recordFirstAttempt(now, this.#recentMs)
   }
 
   /** Counts a request that is to be retried. */
@@ -106,11 +114,12 @@
 
   get basis (): RetryBasis {
     const { retryRatio, retryWindowMs } = this.bounds()
+    const ratio = retryRatio * usedRatio
     const now = nowMs()
     this.#earn()
     return {
       firstAttempts: this.#window.firstAttempts(now, retryWindowMs),
-      ratioCredit: this.#window.credit(now, { ratio: retryRatio * usedRatio, windowMs: retryWindowMs }),
+      ratioCredit: Math.min(this.#window.credit(now, { ratio, windowMs: retryWindowMs }), this.#recent.credit(now, { ratio, windowMs: this.#recentMs })),
       tokens: this.#tokens.total
     }
   }
@@ -120,14 +129,14 @@
     if (ratioCredit + tokens < 1 - roundingTolerance) return undefined
     const slices = this.#tokens.takeUpTo(1)
     const ratioPart = Math.max(0, 1 - totalTokens(slices))
-    this.#window.recordRetries(ratioPart, nowMs(), this.bounds().retryWindowMs)
+    this.#chargeRatio(ratioPart)
     return { ratioPart, slices }
   }
 
   /** Takes back the permit of a retry that was not sent. */
   release ({ ratioPart, slices }: RetryPermit): void {
     this.#tokens.addAll(slices)
-    this.#window.recordRetries(-ratioPart, nowMs(), this.bounds().retryWindowMs)
+    this.#chargeRatio(-ratioPart)
   }
 
   /** How many retries this entry lacks. */
@@ -146,7 +155,7 @@
     const slices = this.#tokens.takeUpTo(Math.max(0, Math.min(tokens, tokens + ratioCredit - this.#target)))
     if (boottimeMs() - this.#demandAt < sharingMs) return slices
     const given = Math.min(this.#lacking, ratioCredit * givenShare)
-    this.#window.recordRetries(given, nowMs(), this.bounds().retryWindowMs)
+    this.#chargeRatio(given)
     return [...slices, { tokens: given, earnedAt: boottimeMs() - this.lifetimeMs + givenLifetimeMs }]
   }
 
@@ -168,6 +177,16 @@
     return this.#waiting + Math.floor(this.#demand.at(boottimeMs()) * Math.LN2 / demandHalfLifeMs * reserveMs)
   }
 
+  get #recentMs (): number {
+    return this.bounds().retryWindowMs * recentShare
+  }
+
+  #chargeRatio (retries: number): void {
+    const now = nowMs()
+    this.#window.recordRetries(retries, now, this.bounds().retryWindowMs)
+    this.#recent.recordRetries(retries, now, this.#recentMs)
+  }
+
   #earn (): void {
     const bounds = this.bounds()
     if (bounds !== this.#slack.bounds) this.#slack = slackOf(bounds)
--- a/packages/fleet/test/retry-budget.test.ts
+++ b/packages/fleet/test/retry-budget.test.ts
@@ -70,6 +70,17 @@
       })
     }
 
+    // An entry spent what the requests of a whole window had earned, and its next incarnation what its own requests earned in addition.
+    it('is kept although entries of much traffic are killed just after their first failures', async () => {
+      simulate({ perSecond: () => 90, failing: (_entry, at) => at < 10_000 ? 0 : 0.9 })
+      await simulation.run(12_000)
+      for (let kill = 0; kill < 3; kill++) {
+        await killAll(4)
+        await simulation.run(2500)
+      }
+      expect(simulation.maxExcess).to.be.at.most(0)
+    })
+
     // Half of the entries still had their share of the slack when the other half had divided all of it.
     it('is kept although half of the entries are cut off for so long that the others no longer count them', async () => {
       const contact = new Contact()
