--- a/packages/decisions/src/retry-window.ts
+++ b/packages/decisions/src/retry-window.ts
@@ -2,8 +2,8 @@
  * The part of a retry budget that a process earns by its own first attempts: over a sliding window, retries are limited to a ratio of
  * the first attempts.
  *
- * What each process counts alone is right for all of them together, also if one restarts: a process that has forgotten its retries has
- * forgotten the first attempts that earned them.
+ * What each process counts alone is right for all of them together. A process that restarts forgets its retries and its first attempts,
+ * and may spend what up to one window of first attempts had earned before the restart in addition.
  */
 
 export interface RetryRatio {
