Logs: when a request was written, when its caller was found gone, and delays of the event loop

They tell whether a request was sent on before or after its entry saw the close of its caller's connection, and whether the entry was busy shortly before.

--- a/packages/fleet/src/entry/counters.ts
+++ b/packages/fleet/src/entry/counters.ts
@@ -35,6 +35,13 @@
     registers: [this.registry]
   })
 
+  readonly eventLoopDelay = new Histogram({
+    name: 'finchpitch_event_loop_delay_seconds',
+    help: 'By how much a periodic timer of the entry was late, as the event loop was busy.',
+    buckets: latencyBuckets,
+    registers: [this.registry]
+  })
+
   readonly waited = new Histogram({
     name: 'finchpitch_wait_seconds',
     help: 'Time that requests waited in the queue of the entry, by what they waited for.',
--- a/packages/fleet/src/entry/entry-process.ts
+++ b/packages/fleet/src/entry/entry-process.ts
@@ -9,7 +9,7 @@
 import type { Duplex } from 'node:stream'
 import { backoff, pause, type Log } from '@finchpitch/core'
 import { Channel, type ChannelOptions } from '@finchpitch/wire'
-import { suspendedMs } from '../clock.js'
+import { nowMs, suspendedMs } from '../clock.js'
 import { FactLink, forwardDelayMs } from '../fact-exchange.js'
 import type { Fact } from '../fact.js'
 import type { Facts } from '../facts.js'
@@ -46,6 +46,8 @@
 
 /** Interval of expiring state and updating the watch duty and the number of entries. */
 const sweepIntervalMs = 200
+/** A delay of the event loop that is logged. */
+const loggedDelayMs = 250
 /** During a planned stop, the interval of closing idle connections and of checking whether all requests have ended. */
 const drainCheckIntervalMs = 60
 /** Node's limit, above what callers may send; the limit in the configuration is far lower. */
@@ -330,7 +332,9 @@
   async #sweep (): Promise<void> {
     const { signal } = this.#stop
     while (!signal.aborted) {
+      const dueAt = nowMs() + sweepIntervalMs
       await pause(sweepIntervalMs, signal)
+      this.#recordDelay(nowMs() - dueAt)
       this.options.facts.expire()
       this.#crashTracker.expire()
       this.#serverLimits.expire(this.options.facts.servers.values())
@@ -346,6 +350,12 @@
     }
   }
 
+  /** Records by how much a timer was late. */
+  #recordDelay (ms: number): void {
+    this.counters.eventLoopDelay.observe(Math.max(0, ms) / 1000)
+    if (ms >= loggedDelayMs) this.options.log.warn('event_loop.delayed', { ms: Math.round(ms), running: this.#running })
+  }
+
   #updateEntryCount (entries: number | undefined): void {
     const before = this.#callerConnections.entries
     if (entries === undefined || entries === before) return
--- a/packages/fleet/src/entry/serving/request-record.ts
+++ b/packages/fleet/src/entry/serving/request-record.ts
@@ -50,6 +50,10 @@
   rejection: Rejection | undefined
   /** From arrival to the start of the last attempt. */
   sentAtMs: number | undefined
+  /** From arrival to when the last attempt was written to its server. */
+  writtenAtMs: number | undefined
+  /** From arrival to when its caller's connection was found closed, if that was before the end of the response. */
+  leftAtMs: number | undefined
   /** Time to the first token as estimated for the last attempt. */
   expectedMs: number | undefined
   /** From arrival to the first byte of a response. */
@@ -83,6 +87,8 @@
       expectedWaitMs: rounded(this.expectedWaitMs),
       ...(this.rejection === undefined ? {} : rejectionFields(this.rejection)),
       sentAtMs: rounded(this.sentAtMs),
+      writtenAtMs: rounded(this.writtenAtMs),
+      leftAtMs: rounded(this.leftAtMs),
       expectedMs: rounded(this.expectedMs),
       firstByteMs: rounded(this.firstByteMs),
       ms: rounded(times.ms),
--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -151,7 +151,7 @@
     this.#crashes = new RequestCrashes(options.crashes, this.#incoming)
     this.#selector = new ServerSelector(options, { incoming: this.#incoming, times: this.#times, record: this.#record, crashes: this.#crashes, cancellation: this.#cancellation })
     this.#localReplies = new LocalReplies({ names: options.names, staleTableRetryMs: options.staleTableRetryMs, incoming: this.#incoming, callerResponse: this.#callerResponse, record: this.#record })
-    response.on('close', () => { if (!response.writableFinished) this.#cancellation.cancel() })
+    response.on('close', () => { if (!response.writableFinished) this.#handleCallerLeft() })
   }
 
   async serve (): Promise<void> {
@@ -273,6 +273,11 @@
     return { service, key, promptTokens, outputTokens, timeToObjectiveMs: this.#times.timeToObjectiveMs(route), priority, excluded: this.#excluded, team: team?.name }
   }
 
+  #handleCallerLeft (): void {
+    this.#record.leftAtMs ??= this.#times.ms
+    this.#cancellation.cancel()
+  }
+
   #onDeadline (): void {
     this.#deadlinePassed = true
     if (!this.#callerResponse.started) this.#cancellation.cancel()
@@ -358,6 +363,7 @@
     // Quarantine is rechecked here: attempts that were still connecting when a second server crashed would each crash one more.
     if (this.#crashes.spend(admitted.team) && this.#admission.spend(admitted)) {
       this.#selector.permit.spend()
+      this.#record.writtenAtMs = this.#times.ms
       return true
     }
     serverLimits.release(permit)
