Requests are sent on only after their callers' connections have been read

What callers saw: servers worked for callers that had closed their connections more than half a second before; others waited meanwhile.

Cause: a request was sent on in the turn of the event loop in which it was read, and the close that followed it on the same connection was read in the next turn. An entry that had been held up for a second sent on all that had come meanwhile. In a turn with hundreds of requests, the last ones were sent on long after the sockets had been polled, and a queued request that a timer had given a server was sent before any socket was read.

Change: work on a request begins, and goes on to its server, only once all sockets have been polled. While a connection to the server is established, the same holds after that.

Why it works: no request is sent on by news of callers that is older than one poll and one turn, however long the process was held up.

--- a/packages/fleet/src/entry/entry-process.ts
+++ b/packages/fleet/src/entry/entry-process.ts
@@ -39,6 +39,7 @@
 import { ServerFeedbackHandler } from './servers/server-feedback-handler.js'
 import { ServiceRequest, type ServiceRequestOptions } from './serving/service-request.js'
 import { SideLinks } from './peers/side-links.js'
+import { ReadTurns } from './serving/read-turns.js'
 import { StoreWatch } from './peers/store-watch.js'
 import { TableConfirmation } from './peers/table-confirmation.js'
 import { TableWait } from './serving/table-wait.js'
@@ -89,6 +90,7 @@
   readonly #queue = new RequestQueue()
   readonly #keptBytes = new KeptBytes(() => this.options.limits().memoryMb)
   readonly #callerConnections: CallerConnections
+  readonly #turns = new ReadTurns()
   /** Shared by all requests. */
   readonly #requestOptions: ServiceRequestOptions
   readonly #retryBudget: RetryBudget
@@ -219,6 +221,7 @@
       counters: this.counters,
       log,
       stopping: () => this.#stoppedListening,
+      turns: this.#turns,
       tableWait: new TableWait({ facts, lease: this.#keyLease }),
       closeAfterResponse: socket => this.#stopping || !this.#keyLease.held || this.#callerConnections.shouldClose(socket)
     }
--- a/packages/fleet/src/entry/serving/attempt.ts
+++ b/packages/fleet/src/entry/serving/attempt.ts
@@ -14,6 +14,7 @@
 import type { EventFramer } from './event-stream.js'
 import { headerOf } from './header.js'
 import type { KeptBytes } from './kept-bytes.js'
+import type { ReadTurns } from './read-turns.js'
 import { bytesTaken, pauseNow } from './socket-handle.js'
 import { isFull, type Stall } from './stall-monitor.js'
 import { readServerFeedback, type ServerFeedback } from '../servers/server-feedback.js'
@@ -34,6 +35,7 @@
   /** Id of the server that the request is meant for. */
   serverId: string
   names: HeaderNames
+  turns: Pick<ReadTurns, 'next'>
   /** Time-out for establishing a connection. */
   connectMs: number
   /**
@@ -75,7 +77,7 @@
 const notRunStatuses = new Set([408, 421, 429, 503])
 
 export const attempt = (options: AttemptOptions): Promise<AttemptResult> => new Promise(resolve => {
-  const { agent, outgoing, cancellation, connectMs, keptBytes } = options
+  const { agent, outgoing, cancellation, connectMs, keptBytes, turns } = options
   let request: ClientRequest
   try {
     const { method, path, headers } = outgoing
@@ -83,12 +85,13 @@
   } catch (error) {
     return resolve({ type: 'not_sent', detail: (error as Error).message })
   }
+  let connected = false
   let sent = false
   let finished = false
   const connectTimer = setTimeout(() => setImmediate(abortConnect), connectMs)
   /** Runs after pending socket events: when this process has stalled, its timers fire before it sees that the connection is up. */
   const abortConnect = (): void => {
-    if (!sent) request.destroy(new Error(`connection not established within ${connectMs} ms`))
+    if (!connected) request.destroy(new Error(`connection not established within ${connectMs} ms`))
   }
   const finish = (result: AttemptResult): void => {
     if (finished) return
@@ -104,7 +107,6 @@
   const unsubscribe = cancellation.onCancel(cancel)
   /** Checks and writes in a single turn of the event loop, since the process may be suspended between turns. */
   const send = (): void => {
-    clearTimeout(connectTimer)
     if (finished) return
     if (!options.maySend()) {
       finish({ type: 'withheld' })
@@ -122,12 +124,22 @@
     if (bytesTaken(request.socket) === takenBefore) finish({ type: 'not_sent', detail })
     request.destroy(new Error(detail))
   }
+  /** The caller may have left while the connection was established, which may have taken long. */
+  const sendAfterReads = async (): Promise<void> => {
+    connected = true
+    clearTimeout(connectTimer)
+    await turns.next('under_way')
+    send()
+  }
   request.on('socket', socket => {
-    if (!socket.connecting) return send()
+    if (!socket.connecting) {
+      void sendAfterReads()
+      return
+    }
     const began = nowMs()
     socket.once('connect', () => {
       options.onConnected(nowMs() - began)
-      send()
+      void sendAfterReads()
     })
   })
   // Must settle before the end of the response does: Node treats a connection reset as the end of a response without a length.
--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -38,6 +38,7 @@
 import type { ServerFeedbackHandler } from '../servers/server-feedback-handler.js'
 import { RequestTimes } from './request-times.js'
 import { RequestAdmission, type RequestAdmissionOptions } from './request-admission.js'
+import type { ReadTurns } from './read-turns.js'
 import type { TableWait } from './table-wait.js'
 import type { Quotas } from '../quotas/quotas.js'
 import type { RetryPermit } from '../waiting/retry-account.js'
@@ -74,6 +75,7 @@
   keptBytes: KeptBytes
   log: Log
   tableWait: TableWait
+  turns: ReadTurns
   /** `Retry-After` while the routing table can't be proven fresh. */
   staleTableRetryMs: () => number
   /** The process is about to exit: new requests might not finish in time and are refused at once. */
@@ -170,8 +172,10 @@
   }
 
   async #handle (): Promise<string> {
-    const { facts, stopping, tableWait } = this.options
+    const { facts, stopping, tableWait, turns } = this.options
     const { remainingMs } = this.#incoming
+    await turns.next('new')
+    if (this.#hasCallerLeft()) return this.#endCancelled(false)
     if (stopping()) return this.#localReplies.refuse('stopping')
     await tableWait.untilLoaded(remainingMs)
     const routes = facts.routes
@@ -273,6 +277,13 @@
     return { service, key, promptTokens, outputTokens, timeToObjectiveMs: this.#times.timeToObjectiveMs(route), priority, excluded: this.#excluded, team: team?.name }
   }
 
+  /** Whether the caller has closed its connection, also if the response does not know yet. */
+  #hasCallerLeft (): boolean {
+    const { socket } = this.#incoming.message
+    if (socket.readableEnded || socket.destroyed) this.#handleCallerLeft()
+    return this.#cancellation.cancelled
+  }
+
   #handleCallerLeft (): void {
     this.#record.leftAtMs ??= this.#times.ms
     this.#cancellation.cancel()
@@ -296,16 +307,21 @@
   }
 
   async #send (server: BackendServer, selection: SelectionRequest, admitted: Admission, choice: SendChoice): Promise<Verdict> {
-    const { balancer, budget, names, counters, connectTimeout, facts } = this.options
+    const { balancer, budget, names, counters, connectTimeout, facts, turns } = this.options
     const table = facts.routes
     const { route } = admitted
-    const remainingMs = Math.floor(this.#times.leftMs)
-    if (remainingMs < minRemainingMs) return done(this.#mayHaveRun ? this.#fail(504, 'timed_out') : this.#localReplies.refuse('too_late'))
+    if (this.#isTooLate) return this.#endTooLate()
     if (this.#record.tries === 0) budget.deposit(selection.service.name)
     const state = balancer.state(server)
     this.#recordAttempt(server, selection, choice)
     const { key, promptTokens: tokens, priority } = selection
     const pending = state.begin({ key, tokens, priority, patienceMs: route.objectiveMs * unresponsiveObjectives })
+    await turns.next('under_way')
+    if (this.#hasCallerLeft() || this.#isTooLate) {
+      state.end(key, pending)
+      return this.#cancellation.cancelled ? done(this.#endCancelled(false)) : this.#endTooLate()
+    }
+    const remainingMs = Math.floor(this.#times.leftMs)
     let sentAt = pending.sentAt
     let responseMs: number | undefined
     const result = await attempt({
@@ -315,11 +331,12 @@
       requestId: this.#incoming.id,
       serverId: server.id,
       names,
+      turns,
       connectMs: Math.min(connectTimeout.ms, remainingMs),
       // If the table has changed, the request has to be admitted again.
       maySend: () => {
         sentAt = nowMs()
-        return facts.routes === table && balancer.isAvailable(server) && this.#spend(server, admitted)
+        return !this.#hasCallerLeft() && facts.routes === table && balancer.isAvailable(server) && this.#spend(server, admitted)
       },
       onConnected: ms => connectTimeout.recordConnect(ms),
       stream: route.kind === 'stream',
@@ -345,6 +362,14 @@
     return this.#handleResult(result, { server, selection, admitted, sentAt, responseMs })
   }
 
+  get #isTooLate (): boolean {
+    return this.#times.leftMs < minRemainingMs
+  }
+
+  #endTooLate (): Verdict {
+    return done(this.#mayHaveRun ? this.#fail(504, 'timed_out') : this.#localReplies.refuse('too_late'))
+  }
+
   /** Spends one retry from the budget; `undefined` if there is none left. */
   async #withdrawRetry (service: string): Promise<RetryPermit | undefined> {
     const { budget, counters, log } = this.options
--- a/packages/fleet/test/attempt.test.ts
+++ b/packages/fleet/test/attempt.test.ts
@@ -1,7 +1,7 @@
 import { Agent, createServer, type Server, type ServerResponse } from 'node:http'
 import { once } from 'node:events'
 import type { AddressInfo } from 'node:net'
-import { Cancellation, KeptBytes, attempt, nowMs, type AttemptResult, type CallerResponse, type HeaderNames, type ServerFeedback } from '@finchpitch/fleet'
+import { Cancellation, KeptBytes, ReadTurns, attempt, nowMs, type AttemptResult, type CallerResponse, type HeaderNames, type ServerFeedback } from '@finchpitch/fleet'
 import { expect } from 'chai'
 
 const names: HeaderNames = {
@@ -55,6 +55,7 @@
     requestId: 'r',
     serverId: 's',
     names,
+    turns: new ReadTurns(),
     connectMs,
     maySend: () => permitted,
     onConnected: () => {},
