--- a/packages/fleet/src/ports.ts
+++ b/packages/fleet/src/ports.ts
@@ -88,6 +88,8 @@
   /** Prompt tokens and maximum output tokens, as `in,out`. */
   tokens: string
   lastEventId: string
+  /** On requests to resume a stream: the id of the request whose response had its first event. */
+  resumes: string
   retryAfter: string
   /** On responses: the backend server's proof that it produced the response. */
   seal: string
--- a/packages/fleet/src/server.ts
+++ b/packages/fleet/src/server.ts
@@ -20,6 +20,8 @@
   /** `host:port`. */
   address: z.string(),
   domain: z.string(),
+  /** Version of its software, which is neither that of its models nor ordered; absent if it states none. */
+  softwareVersion: z.string().optional(),
   /** Requests that it processes concurrently. */
   slots: z.number().int().positive(),
   leaving: z.boolean(),
--- a/packages/fleet/test/attempt.test.ts
+++ b/packages/fleet/test/attempt.test.ts
@@ -10,6 +10,7 @@
   model: 'model',
   tokens: 'tokens',
   lastEventId: 'last-event-id',
+  resumes: 'resumes',
   retryAfter: 'retry-after',
   seal: 'seal',
   notRun: 'not-run',
--- a/packages/fleet/test/slow-readers.test.ts
+++ b/packages/fleet/test/slow-readers.test.ts
@@ -19,6 +19,7 @@
   model: 'model',
   tokens: 'tokens',
   lastEventId: 'last-event-id',
+  resumes: 'resumes',
   retryAfter: 'retry-after',
   seal: 'seal',
   notRun: 'not-run',
--- a/packages/stand-ins/src/fleet/backend-server.ts
+++ b/packages/stand-ins/src/fleet/backend-server.ts
@@ -40,6 +40,8 @@
 
 export class BackendStandIn extends HttpStandIn {
   id: string
+  /** The version of its software, as listed. */
+  softwareVersion = 'v1'
   fault: InjectedFault = 'none'
   /** Orders get no response and are executed after this delay. */
   orderDelayMs = 0
--- a/packages/stand-ins/src/fleet/fleet-system.ts
+++ b/packages/stand-ins/src/fleet/fleet-system.ts
@@ -235,7 +235,7 @@
       service: engine === undefined ? plainService : engineService,
       address: `${ip}:${ports.app}`,
       zone: domain,
-      version: 'v1',
+      version: server.softwareVersion,
       slots: engine === undefined ? server.options.slots ?? 6 : 32,
       state,
       coldRemainingMs: 0,
