Streams go on only at the software version that began them

What callers saw: streams with events of two software versions of their service's servers, within one response and after taking them up again.

Cause: entries knew no software versions. The listing's field and the header that names the request which began a stream were read by nothing, so a stream went on at whichever server the balancer chose.

Change: once a caller has events, further attempts are bound to the version of the server that made them. An entry records at which version a stream begins and, while its service has or lately had several, sends the record to two side processes of different failure domains in the turn in which the request is written. A caller that takes up a stream is served by that record, from its entry or from the side processes. Without a record, the stream began while a single version was listed: that is believed if all failure domains but one know of no other version, or if all agree where several were listed lately, and if those that say so have followed the list for longer than a stream lasts. Otherwise the request is refused as not run, as it is if no server runs the version any more.

Why it works: a record is out before the first event, and survives any one process and any one failure domain.

--- /dev/null
+++ b/packages/decisions/src/stream-origin.ts
@@ -0,0 +1,50 @@
+/**
+ * The software version at which a stream that its caller takes up may go on, from what the processes say that keep records of streams.
+ *
+ * Load: callers that come back after an entry, a server or a connection was lost, to any entry. Each record is kept in two failure
+ * domains, if there are as many, so that it is found without any one domain. Without a record, the stream began while a single version
+ * was listed; that is believed only if enough domains agree: all but one, or all where several versions were listed lately.
+ */
+
+/** What a process that keeps records says of one stream. */
+export interface OriginAnswer {
+  domain: string
+  /** The recorded version. */
+  recorded?: string | undefined
+  /** The version of all streams of the service that have no record; `undefined` if it can't tell. */
+  unrecorded?: string | undefined
+  /** Whether that is the version of all streams of the service, recorded or not. */
+  single?: boolean | undefined
+}
+
+export interface OriginQuestion {
+  answers: readonly OriginAnswer[]
+  /** Whether no further answers are expected. */
+  complete: boolean
+  /** Failure domains that have processes which keep records. */
+  domains: number
+  /** The version of streams without a record, as this process knows it. */
+  unrecorded: string | undefined
+}
+
+/** `pending`: a further answer may tell. */
+export type OriginDecision = { type: 'known', version: string } | { type: 'pending' } | { type: 'unknown' }
+
+/** Copies of each record, in different domains. */
+export const recordCopies = 2
+
+export const decideOrigin = ({ answers, complete, domains, unrecorded }: OriginQuestion): OriginDecision => {
+  const recorded = new Set(answers.map(answer => answer.recorded).filter(version => version !== undefined))
+  const [version] = recorded
+  if (version !== undefined) return recorded.size === 1 ? { type: 'known', version } : { type: 'unknown' }
+  const said = new Set([...answers.map(answer => answer.unrecorded), ...(unrecorded === undefined ? [] : [unrecorded])])
+  const [sole] = said
+  const heard = new Set(answers.map(({ domain }) => domain)).size
+  if (said.size === 1 && sole !== undefined) {
+    // Of any so many domains, one at least has a copy of each record.
+    const isSingle = answers.every(({ single }) => single === true) && heard >= Math.max(1, domains - recordCopies + 1)
+    // A record that reached one domain only has to be ruled out as well where several versions were listed.
+    if (isSingle || (complete && heard === domains)) return { type: 'known', version: sole }
+  }
+  return complete ? { type: 'unknown' } : { type: 'pending' }
+}
--- /dev/null
+++ b/packages/decisions/test/stream-origin.test.ts
@@ -0,0 +1,119 @@
+import { VersionHistory, decideOrigin, recordCopies, type OriginAnswer } from '@finchpitch/decisions'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { uniformInt } from 'pure-rand/distribution/uniformInt'
+import { expect } from 'chai'
+
+const negative = (domain: string, unrecorded?: string, single = true): OriginAnswer => ({ domain, unrecorded, single })
+
+describe('the version at which a stream goes on', () => {
+  it('is the recorded one, whoever else has no record', () => {
+    const answers = [negative('a', 'v2'), { domain: 'b', recorded: 'v1' }]
+    expect(decideOrigin({ answers, complete: false, domains: 3, unrecorded: 'v2' })).to.deep.equal({ type: 'known', version: 'v1' })
+  })
+
+  it('is not known if records differ', () => {
+    const answers = [{ domain: 'a', recorded: 'v1' }, { domain: 'b', recorded: 'v2' }]
+    expect(decideOrigin({ answers, complete: true, domains: 2, unrecorded: undefined })).to.deep.equal({ type: 'unknown' })
+  })
+
+  describe('without a record', () => {
+    it('is the single one, as soon as all domains but one have said so', () => {
+      const one = { answers: [negative('a', 'v1')], complete: false, domains: 3, unrecorded: 'v1' }
+      expect(decideOrigin(one)).to.deep.equal({ type: 'pending' })
+      expect(decideOrigin({ ...one, answers: [...one.answers, negative('b', 'v1')] })).to.deep.equal({ type: 'known', version: 'v1' })
+    })
+
+    it('is the one before a second one appeared, once all domains have answered', () => {
+      const question = { answers: [negative('a', 'v1', false), negative('b', 'v1', false)], domains: 2, unrecorded: undefined }
+      expect(decideOrigin({ ...question, complete: false })).to.deep.equal({ type: 'pending' })
+      expect(decideOrigin({ ...question, complete: true })).to.deep.equal({ type: 'known', version: 'v1' })
+    })
+
+    const doubts: Record<string, Omit<Parameters<typeof decideOrigin>[0], 'complete'>> = {
+      'nobody answers': { answers: [], domains: 1, unrecorded: 'v1' },
+      'too few domains answer': { answers: [negative('a', 'v1'), negative('a', 'v1')], domains: 3, unrecorded: 'v1' },
+      'a second one appeared lately, and a domain does not answer': { answers: [negative('a', 'v1', false), negative('b', 'v1', false)], domains: 3, unrecorded: 'v1' },
+      'one that answers has just started': { answers: [negative('a', 'v1'), negative('b')], domains: 2, unrecorded: 'v1' },
+      'another entry knows another version': { answers: [negative('a', 'v1')], domains: 2, unrecorded: 'v2' }
+    }
+    for (const [doubt, question] of Object.entries(doubts)) {
+      it(`is not known if ${doubt}`, () => {
+        expect(decideOrigin({ ...question, complete: true })).to.deep.equal({ type: 'unknown' })
+      })
+    }
+  })
+
+  /**
+   * Domains with a keeper of records each, which restart, fall silent and learn of changes late, while versions come and go. Entries
+   * record streams as their own history says, and take them up anywhere.
+   */
+  describe('of a deployment with restarts, partitions and changing versions', () => {
+    const windowMs = 30_000
+    const stepMs = 500
+    const lagMs = 2000
+
+    for (const domains of [1, 2, 3, 5]) {
+      it(`is never another one than that of its begin (${domains} failure domains)`, () => {
+        let known = 0
+        let asked = 0
+        for (let seed = 1; seed <= 60; seed++) {
+          const random = xoroshiro128plus(seed)
+          const below = (limit: number): number => uniformInt(random, 0, limit - 1)
+          const names = Array.from({ length: domains }, (_, index) => `d${index}`)
+          const newHistory = (): VersionHistory => new VersionHistory({ windowMs, maxGapMs: 10_000 })
+          const peers = names.map(domain => ({ domain, keeper: newHistory(), entry: newHistory(), records: new Map<number, string>(), learnsAt: 0, cutUntil: 0 }))
+          let listed = new Set(['v1'])
+          const seen = peers.map(() => new Set(['v1']))
+          const streams: Array<{ id: number, version: string, at: number }> = []
+          for (let now = 0; now < 180_000; now += stepMs) {
+            if (below(80) === 0) {
+              const next = new Set(listed)
+              const version = `v${1 + below(3)}`
+              if (next.has(version) && next.size > 1) next.delete(version)
+              else next.add(version)
+              listed = next
+              for (const peer of peers) peer.learnsAt = now + below(lagMs)
+            }
+            peers.forEach((peer, index) => {
+              if (below(120) === 0) peer.cutUntil = now + below(20_000)
+              if (below(150) === 0) {
+                peer.keeper = newHistory()
+                peer.records.clear()
+              }
+              if (below(150) === 0) peer.entry = newHistory()
+              const isCut = now < peer.cutUntil
+              if (!isCut && now >= peer.learnsAt) seen[index] = listed
+              for (const history of [peer.keeper, peer.entry]) {
+                history.list(seen[index] ?? listed, now)
+                if (!isCut) history.confirm(now)
+              }
+            })
+            const from = below(domains)
+            const beginner = peers[from]
+            const versions = [...seen[from] ?? []]
+            const version = versions[below(versions.length)]
+            if (beginner !== undefined && version !== undefined) {
+              const id = streams.length
+              streams.push({ id, version, at: now })
+              if (beginner.entry.needsRecords(now)) {
+                const far = peers[(from + 1 + below(Math.max(1, domains - 1))) % domains]
+                for (const keeper of [beginner, far].slice(0, recordCopies)) if (keeper !== undefined && (keeper === beginner || (now >= keeper.cutUntil && now >= beginner.cutUntil))) keeper.records.set(id, version)
+              }
+            }
+            const stream = streams[streams.length - 1 - below(Math.min(streams.length, 16))]
+            const taker = peers[below(domains)]
+            if (stream === undefined || taker === undefined || now < taker.cutUntil) continue
+            const answers = peers.filter(peer => now >= peer.cutUntil && below(20) > 0).map(({ domain, keeper, records }) =>
+              ({ domain, recorded: records.get(stream.id), unrecorded: keeper.unrecorded(now), single: keeper.single(now) !== undefined }))
+            const decision = decideOrigin({ answers, complete: true, domains, unrecorded: taker.entry.unrecorded(now) })
+            asked += 1
+            if (decision.type !== 'known') continue
+            known += 1
+            expect(decision.version, `seed ${seed}, stream ${stream.id}, ${now} ms`).to.equal(stream.version)
+          }
+        }
+        expect(known / asked).to.be.greaterThan(0.5)
+      })
+    }
+  })
+})
--- a/packages/fleet/src/entry/entry-process.ts
+++ b/packages/fleet/src/entry/entry-process.ts
@@ -14,6 +14,7 @@
 import type { Fact } from '../fact.js'
 import type { Facts } from '../facts.js'
 import { watchPauseMs, fallbackRetentionMs } from '../fact-watch.js'
+import { SoftwareVersions } from '../software-versions.js'
 import type { FactSource, HeaderNames, Limits } from '../ports.js'
 import { DutySwitch } from '../duty-switch.js'
 import { Balancer } from './servers/balancer.js'
@@ -40,6 +41,7 @@
 import { ServiceRequest, type ServiceRequestOptions } from './serving/service-request.js'
 import { SideLinks } from './peers/side-links.js'
 import { ReadTurns } from './serving/read-turns.js'
+import { StreamOrigins } from './peers/stream-origins.js'
 import { StoreWatch } from './peers/store-watch.js'
 import { TableConfirmation } from './peers/table-confirmation.js'
 import { TableWait } from './serving/table-wait.js'
@@ -91,6 +93,8 @@
   readonly #keptBytes = new KeptBytes(() => this.options.limits().memoryMb)
   readonly #callerConnections: CallerConnections
   readonly #turns = new ReadTurns()
+  readonly #softwareVersions: SoftwareVersions
+  readonly #streamOrigins: StreamOrigins
   /** Shared by all requests. */
   readonly #requestOptions: ServiceRequestOptions
   readonly #retryBudget: RetryBudget
@@ -123,6 +127,8 @@
   constructor (private readonly options: EntryProcessOptions) {
     const { facts, domain, limits, log, process, sidePort, channel, dial, sources } = options
     this.#keyLease = new KeyLease(facts, limits)
+    this.#softwareVersions = new SoftwareVersions(facts)
+    this.#streamOrigins = new StreamOrigins({ domain, versions: this.#softwareVersions, sideProcesses: () => this.#sideLinks.sideProcesses, channelTo: host => this.#sideLinks.channelTo(host), log })
     this.#maxEntries = this.#entryCountBound.update(undefined, 0)
     this.#attemptReporter = new AttemptReporter({ sideProcesses: () => this.#sideLinks.sideProcesses, channelTo: host => this.#sideLinks.channelTo(host), log })
     this.#serverLimits = new ServerLimits({
@@ -163,7 +169,8 @@
         this.#plainServices.handleReport(frame, from)
         this.#retryBudget.handleReport(frame, from)
       },
-      onReportAcknowledged: (host, stamp, granted) => {
+      onReportAcknowledged: (host, { stamp, granted = false, stream }) => {
+        if (stream !== undefined) return this.#streamOrigins.handleAnswer(host, stamp, stream)
         this.#attemptReporter.handleAck(host, stamp)
         this.#probeRequester.handleAnswer(host, stamp, granted)
       },
@@ -222,6 +229,7 @@
       log,
       stopping: () => this.#stoppedListening,
       turns: this.#turns,
+      streamOrigins: this.#streamOrigins,
       tableWait: new TableWait({ facts, lease: this.#keyLease }),
       closeAfterResponse: socket => this.#stopping || !this.#keyLease.held || this.#callerConnections.shouldClose(socket)
     }
@@ -339,6 +347,7 @@
       await pause(sweepIntervalMs, signal)
       this.#recordDelay(nowMs() - dueAt)
       this.options.facts.expire()
+      this.#softwareVersions.update()
       this.#crashTracker.expire()
       this.#serverLimits.expire(this.options.facts.servers.values())
       this.#plainServices.expire()
--- a/packages/fleet/src/entry/peers/side-links.ts
+++ b/packages/fleet/src/entry/peers/side-links.ts
@@ -46,8 +46,8 @@
   granted: (host: string, channel: Channel, frame: FrameOf<'quota_grant'>) => void
   /** Called for attempt reports of other entries: crashes of servers under requests, completed runs, and advertised limits. */
   crashes: (frame: FrameOf<'crashes'>, from: string) => void
-  /** Called when the side process at `host` acknowledges an attempt report. */
-  onReportAcknowledged: (host: string, stamp: number, granted: boolean) => void
+  /** Called when the side process at `host` acknowledges an attempt report, or answers a question. */
+  onReportAcknowledged: (host: string, frame: FrameOf<'crashes_noted'>) => void
   /** Called when the channel to a local side process is open. */
   onLocalConnect: (channel: Channel) => void
   /** Called when `appointments` may have changed. */
@@ -339,7 +339,7 @@
     },
     quota_grant: (host, frame, channel) => this.options.granted(host, channel, frame),
     crashes: (_host, frame, channel) => this.options.crashes(frame, channel.peer.process),
-    crashes_noted: (host, { stamp, granted }) => this.options.onReportAcknowledged(host, stamp, granted === true)
+    crashes_noted: (host, frame) => this.options.onReportAcknowledged(host, frame)
   }
 
   #handleFrame (host: string, frame: Frame, channel: Channel): void {
--- /dev/null
+++ b/packages/fleet/src/entry/peers/stream-origins.ts
@@ -0,0 +1,180 @@
+/**
+ * Records at which software version streams begin, and finds it for streams that callers take up.
+ *
+ * What two versions write does not fit together, and a caller may come back to any entry. Records are kept here and, while a service
+ * has or lately had servers of several versions, by two side processes in different failure domains, chosen by rendezvous hashing of
+ * the request's id. A record is sent in the turn in which the request is written to its server, so before the first event. An entry that
+ * finds no record asks all that may have one; without an answer, the version is not known.
+ */
+import { decideOrigin, hashOf, rendezvousScore, type OriginAnswer, type OriginDecision } from '@finchpitch/decisions'
+import { maxRequestIdLength, maxSoftwareVersionLength, maxStreamsPerFrame, type Channel, type StreamOriginReply, type StreamRecord } from '@finchpitch/wire'
+import type { Log } from '@finchpitch/core'
+import { nowMs } from '../../clock.js'
+import { unlistedVersion, type SoftwareVersions } from '../../software-versions.js'
+import { StreamRecords } from '../../stream-records.js'
+import type { ReportTarget } from './attempt-reporter.js'
+
+/** Side processes of each failure domain that keep records. More would need more connections, as remote ones are opened on demand. */
+const keepersPerDomain = 8
+/** Side processes of each domain that are asked: entries may differ for a moment on which ones respond. */
+const askedPerDomain = 2
+/** Side processes answer within a few ms, or within 0.3 s if a connection has to be established first. */
+const maxAnswerMs = 300
+/** The longest wait for answers, as a fraction of the time that the caller has left. */
+const maxAnswerShare = 0.2
+const retryMs = 20
+/** A record is dropped if the connection to its keeper has not been established by then. */
+const maxSendDelayMs = 2000
+
+export interface StreamOriginsOptions {
+  domain: string
+  versions: SoftwareVersions
+  sideProcesses: () => ReportTarget[]
+  /** The channel to a side process; starts to open one if there is none. */
+  channelTo: (host: string) => Channel | undefined
+  log: Log
+}
+
+interface OpenQuestion {
+  /** Domains of the side processes that have not answered, by host. */
+  asked: Map<string, string>
+  answers: OriginAnswer[]
+  /** Settles the question if the answers suffice. */
+  check: () => void
+}
+
+interface UnsentRecords {
+  since: number
+  records: StreamRecord[]
+}
+
+export class StreamOrigins {
+  readonly #records = new StreamRecords()
+  /** By host. */
+  readonly #unsent = new Map<string, UnsentRecords>()
+  #flushTimer: NodeJS.Timeout | undefined
+  #isFlushScheduled = false
+  readonly #questions = new Map<number, OpenQuestion>()
+  #stamp = 0
+
+  constructor (private readonly options: StreamOriginsOptions) {}
+
+  /** Called before a request for a stream is written to a server of this version. */
+  record (service: string, request: string, version: string): void {
+    if (request.length > maxRequestIdLength || version.length > maxSoftwareVersionLength) return
+    this.#records.add(service, request, version)
+    if (version !== unlistedVersion && !this.options.versions.historyOf(service).needsRecords(nowMs())) return
+    for (const { host } of this.#keepersOf(request)) {
+      let unsent = this.#unsent.get(host)
+      if (unsent === undefined) this.#unsent.set(host, unsent = { since: nowMs(), records: [] })
+      unsent.records.push([service, request, version])
+    }
+    if (this.#isFlushScheduled) return
+    this.#isFlushScheduled = true
+    // Requests that are written in the same turn of the event loop are recorded in one frame.
+    setImmediate(() => this.#flush())
+  }
+
+  /** The version at which the stream of the request began; `undefined` if that is not known. */
+  async find (service: string, request: string, leftMs: number): Promise<string | undefined> {
+    const own = this.#records.version(service, request)
+    if (own !== undefined) return own
+    const decision = await this.#ask(service, request, Math.min(maxAnswerMs, leftMs * maxAnswerShare))
+    return decision.type === 'known' ? decision.version : undefined
+  }
+
+  /** Handles the answer of the side process at `host` to the frame with this stamp. */
+  handleAnswer (host: string, stamp: number, reply: StreamOriginReply): void {
+    const question = this.#questions.get(stamp)
+    const domain = question?.asked.get(host)
+    if (question === undefined || domain === undefined) return
+    question.asked.delete(host)
+    question.answers.push({ domain, ...reply })
+    question.check()
+  }
+
+  #ask (service: string, request: string, waitMs: number): Promise<OriginDecision> {
+    const { options } = this
+    const byDomain = this.#rankedByDomain(request)
+    const targets = [...byDomain.values()].flatMap(hosts => hosts.slice(0, askedPerDomain))
+    const unrecorded = options.versions.historyOf(service).unrecorded(nowMs())
+    // Without side processes, nobody but this entry can have a record.
+    if (targets.length === 0) return Promise.resolve(unrecorded === undefined ? { type: 'unknown' } : { type: 'known', version: unrecorded })
+    // Stamps of attempt reports are positive, and those of probes whole numbers.
+    const stamp = this.#stamp -= 1
+    const frameStamp = stamp - 0.5
+    return new Promise(resolve => {
+      const decide = (complete: boolean): void => {
+        const decision = decideOrigin({ answers: question.answers, complete: complete || question.asked.size === 0, domains: byDomain.size, unrecorded })
+        if (decision.type === 'pending') return
+        clearTimeout(timer)
+        clearInterval(retry)
+        this.#questions.delete(frameStamp)
+        options.log.info('stream.origin', { request, service, ...decision, answers: question.answers.length, missing: question.asked.size, ms: Math.round(nowMs() - askedAt) })
+        resolve(decision)
+      }
+      const askedAt = nowMs()
+      const question: OpenQuestion = { asked: new Map(targets.map(({ host, domain }) => [host, domain])), answers: [], check: () => decide(false) }
+      this.#questions.set(frameStamp, question)
+      const unasked = new Set(targets.map(({ host }) => host))
+      const sendAll = (): void => {
+        for (const host of unasked) {
+          if (options.channelTo(host)?.send({ type: 'crashes', stamp: frameStamp, crashes: [], sound: [], askStream: [service, request] }) === true) unasked.delete(host)
+        }
+      }
+      const timer = setTimeout(() => setImmediate(() => decide(true)), waitMs)
+      const retry = setInterval(sendAll, retryMs)
+      sendAll()
+    })
+  }
+
+  /** One side process of this failure domain and one of another, or two of this one if there is no other. */
+  #keepersOf (request: string): ReportTarget[] {
+    const ranked = this.#rankedByDomain(request)
+    const own = ranked.get(this.options.domain) ?? []
+    const others = [...ranked].filter(([domain]) => domain !== this.options.domain)
+    const requestHash = hashOf(request)
+    others.sort(([a], [b]) => rendezvousScore(requestHash, hashOf(a)) - rendezvousScore(requestHash, hashOf(b)))
+    const [first, second] = others.map(([, hosts]) => hosts[0]).filter(each => each !== undefined)
+    const near = own[0] ?? second
+    const far = first ?? own[1]
+    return [near, far].filter(each => each !== undefined)
+  }
+
+  /** The responsive keepers of each domain, in the order in which they are chosen for the request. */
+  #rankedByDomain (request: string): Map<string, ReportTarget[]> {
+    const byDomain = new Map<string, ReportTarget[]>()
+    for (const target of this.options.sideProcesses()) {
+      const list = byDomain.get(target.domain)
+      if (list === undefined) byDomain.set(target.domain, [target])
+      else list.push(target)
+    }
+    const requestHash = hashOf(request)
+    for (const [domain, targets] of byDomain) {
+      const keepers = targets.length <= keepersPerDomain ? targets : ranked(targets, 0).slice(0, keepersPerDomain)
+      byDomain.set(domain, ranked(keepers.filter(({ responsive }) => responsive), requestHash))
+    }
+    return byDomain
+  }
+
+  #flush (): void {
+    this.#isFlushScheduled = false
+    const now = nowMs()
+    for (const [host, { since, records }] of this.#unsent) {
+      const channel = this.options.channelTo(host)
+      if (channel === undefined && now - since < maxSendDelayMs) continue
+      this.#unsent.delete(host)
+      for (let at = 0; at < records.length; at += maxStreamsPerFrame) {
+        channel?.send({ type: 'crashes', stamp: now, crashes: [], sound: [], streams: records.slice(at, at + maxStreamsPerFrame) })
+      }
+    }
+    if (this.#unsent.size === 0) return
+    this.#flushTimer ??= setTimeout(() => {
+      this.#flushTimer = undefined
+      this.#flush()
+    }, retryMs)
+  }
+}
+
+const ranked = (targets: readonly ReportTarget[], keyHash: number): ReportTarget[] =>
+  targets.map(target => ({ target, score: rendezvousScore(keyHash, hashOf(target.host)) })).sort((a, b) => a.score - b.score).map(({ target }) => target)
--- a/packages/fleet/src/entry/servers/balancer.ts
+++ b/packages/fleet/src/entry/servers/balancer.ts
@@ -7,7 +7,8 @@
 import { nowMs } from '../../clock.js'
 import type { Facts } from '../../facts.js'
 import type { Limits } from '../../ports.js'
-import type { BackendServer } from '../../server.js'
+import { isEarlierIncarnation, type BackendServer } from '../../server.js'
+import { softwareVersionOf, unlistedVersion } from '../../software-versions.js'
 import type { FleetService, RouteIndex } from '../../table.js'
 import { chooseEngine, choosePlain, type Choice, type ServerCandidate } from './choice.js'
 import { EngineView, roomOf, type SelectionContext } from './engine-view.js'
@@ -72,6 +73,8 @@
   excluded: ReadonlySet<string>
   /** Name of the team that sent it. */
   team?: string | undefined
+  /** The software version of the servers that may run it; `undefined` for any. */
+  softwareVersion?: string | undefined
 }
 
 export class Balancer {
@@ -157,7 +160,7 @@
   }
 
   #select (selection: SelectionRequest, mayUse?: (server: BackendServer) => boolean): Choice {
-    const all = this.facts.eligibleServers(selection.service.name)
+    const all = this.#eligibleServers(selection)
     const open = mayUse === undefined ? all : all.filter(mayUse)
     const remaining = selection.excluded.size === 0 ? open : open.filter(server => !selection.excluded.has(server.id))
     const servers = this.#restricted.size === 0 || remaining.every(server => this.#hasCapacity(server)) ? remaining : remaining.filter(server => this.#hasCapacity(server))
@@ -169,6 +172,25 @@
     return this.#chooseEngine(servers, selection.key, selection)
   }
 
+  #eligibleServers ({ service, softwareVersion }: SelectionRequest): readonly BackendServer[] {
+    const servers = this.facts.eligibleServers(service.name)
+    return softwareVersion === undefined ? servers : servers.filter(server => this.runsSoftware(server, softwareVersion))
+  }
+
+  /** Whether any server that may run the request has the software version that it is bound to. */
+  hasSoftware (selection: SelectionRequest): boolean {
+    return selection.softwareVersion === undefined || this.#eligibleServers(selection).length > 0
+  }
+
+  /** The software version of a server, as listed for its last known incarnation. */
+  softwareVersion (server: BackendServer): string {
+    return isEarlierIncarnation(server.bornAt, this.state(server).bornAt) ? unlistedVersion : softwareVersionOf(server)
+  }
+
+  runsSoftware (server: BackendServer, version: string): boolean {
+    return version !== unlistedVersion && this.softwareVersion(server) === version
+  }
+
   /**
    * Backs off from a server that asked for it (503 with `Retry-After`). The backoff applies to the whole entry: when it applied
    * only to the request that was refused, a server that had asked for 3 s got 10 to 25 requests in each second of them.
--- a/packages/fleet/src/entry/servers/server-selector.ts
+++ b/packages/fleet/src/entry/servers/server-selector.ts
@@ -143,7 +143,7 @@
       returning: times.firstTriedMs > 0,
       firstTriedMs: times.firstTriedMs,
       maxReturnMs: () => times.leftMs * maxReturnShare,
-      hasOwnChoice: selection.excluded.size > 0,
+      hasOwnChoice: selection.excluded.size > 0 || selection.softwareVersion !== undefined,
       rank,
       lateAt: times.lateAt(route, balancer.prefillMs(selection.promptTokens)),
       expiresAt: this.#expiryOf(first, selection.service, route),
--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -39,6 +39,8 @@
 import { RequestTimes } from './request-times.js'
 import { RequestAdmission, type RequestAdmissionOptions } from './request-admission.js'
 import type { ReadTurns } from './read-turns.js'
+import { StreamContinuation } from './stream-continuation.js'
+import type { StreamOrigins } from '../peers/stream-origins.js'
 import type { TableWait } from './table-wait.js'
 import type { Quotas } from '../quotas/quotas.js'
 import type { RetryPermit } from '../waiting/retry-account.js'
@@ -76,6 +78,7 @@
   log: Log
   tableWait: TableWait
   turns: ReadTurns
+  streamOrigins: StreamOrigins
   /** `Retry-After` while the routing table can't be proven fresh. */
   staleTableRetryMs: () => number
   /** The process is about to exit: new requests might not finish in time and are refused at once. */
@@ -97,6 +100,8 @@
   admitted: Admission
   /** When the request was written to its server, on the monotonic clock. */
   sentAt: number
+  /** Of the server, as listed when the request was written. */
+  softwareVersion: string
   /** Time from then to the head of the response; `undefined` if there was none. */
   responseMs: number | undefined
 }
@@ -127,6 +132,7 @@
   readonly #crashes: RequestCrashes
   readonly #selector: ServerSelector
   readonly #cancellation = new Cancellation()
+  readonly #continuation: StreamContinuation
   /** Ids of servers that this request is not sent to again. */
   readonly #excluded = new Set<string>()
   /** Random number that selects a service by weight; the same for all attempts. */
@@ -150,6 +156,7 @@
     this.#callerReturn = new CallerReturn(options, this.#times)
     this.#callerResponse = new CallerResponse(response, () => options.closeAfterResponse(request.socket), () => this.#watchCaller(response))
     this.#admission = new RequestAdmission(options, this.#incoming)
+    this.#continuation = new StreamContinuation(options.streamOrigins, this.#incoming)
     this.#crashes = new RequestCrashes(options.crashes, this.#incoming)
     this.#selector = new ServerSelector(options, { incoming: this.#incoming, times: this.#times, record: this.#record, crashes: this.#crashes, cancellation: this.#cancellation })
     this.#localReplies = new LocalReplies({ names: options.names, staleTableRetryMs: options.staleTableRetryMs, incoming: this.#incoming, callerResponse: this.#callerResponse, record: this.#record })
@@ -231,7 +238,7 @@
 
   async #attemptUntilDone (): Promise<string> {
     for (;;) {
-      const { routes, servers } = this.options.facts
+      const { facts: { routes, servers }, balancer } = this.options
       if (routes === undefined) return this.#giveUp('no_table')
       const admission = await this.#admit()
       if (admission.type === 'denied') return this.#mayHaveRun ? this.#fail(502, admission.reason) : this.#localReplies.deny(admission)
@@ -243,7 +250,9 @@
       if (quarantine !== undefined) return this.#mayHaveRun ? this.#fail(502, 'quarantined') : this.#localReplies.quarantined(quarantine)
       const service = this.#serviceOf(admission.route)
       if (service === undefined) return this.#giveUp('no_service')
+      if (admission.route.kind === 'stream' && !await this.#continuation.resolve(service.name, this.#times.leftMs)) return this.#giveUp('software_version_not_known')
       const selection = this.#selectionFor(service, admission)
+      if (!balancer.hasSoftware(selection)) return this.#giveUp('no_server_of_software_version')
       const next = await this.#selector.choose(selection, admission)
       if (next.type === 'cancelled') return this.#endCancelled(false)
       if (next.type === 'no_server') return this.#giveUpWaiting(next)
@@ -274,7 +283,7 @@
   #selectionFor (service: FleetService, { route, priority, team }: Admission): SelectionRequest {
     const { model, promptTokens, outputTokens } = this.#incoming
     const key = service.engine === undefined ? undefined : model
-    return { service, key, promptTokens, outputTokens, timeToObjectiveMs: this.#times.timeToObjectiveMs(route), priority, excluded: this.#excluded, team: team?.name }
+    return { service, key, promptTokens, outputTokens, timeToObjectiveMs: this.#times.timeToObjectiveMs(route), priority, excluded: this.#excluded, team: team?.name, softwareVersion: this.#continuation.softwareVersion }
   }
 
   /** Whether the caller has closed its connection, also if the response does not know yet. */
@@ -324,6 +333,7 @@
     const remainingMs = Math.floor(this.#times.leftMs)
     let sentAt = pending.sentAt
     let responseMs: number | undefined
+    let softwareVersion = balancer.softwareVersion(server)
     const result = await attempt({
       agent: state.agent,
       address: server.address,
@@ -336,7 +346,11 @@
       // If the table has changed, the request has to be admitted again.
       maySend: () => {
         sentAt = nowMs()
-        return !this.#hasCallerLeft() && facts.routes === table && balancer.isAvailable(server) && this.#spend(server, admitted)
+        if (this.#hasCallerLeft() || facts.routes !== table || !balancer.isAvailable(server) || !this.#mayContinueAt(server)) return false
+        if (!this.#spend(server, admitted)) return false
+        softwareVersion = balancer.softwareVersion(facts.servers.get(server.id) ?? server)
+        if (route.kind === 'stream') this.#continuation.recordStart(selection.service.name, softwareVersion)
+        return true
       },
       onConnected: ms => connectTimeout.recordConnect(ms),
       stream: route.kind === 'stream',
@@ -359,7 +373,7 @@
     if (result.type !== 'not_sent' && result.type !== 'withheld') this.#sentAttempts += 1
     counters.attempts.inc({ end: result.type })
     this.options.queue.scheduleCapacityScan()
-    return this.#handleResult(result, { server, selection, admitted, sentAt, responseMs })
+    return this.#handleResult(result, { server, selection, admitted, sentAt, responseMs, softwareVersion })
   }
 
   get #isTooLate (): boolean {
@@ -370,6 +384,12 @@
     return done(this.#mayHaveRun ? this.#fail(504, 'timed_out') : this.#localReplies.refuse('too_late'))
   }
 
+  /** Whether the server still has the software version that the stream is bound to. */
+  #mayContinueAt (server: BackendServer): boolean {
+    const { softwareVersion } = this.#continuation
+    return softwareVersion === undefined || this.options.balancer.runsSoftware(this.options.facts.servers.get(server.id) ?? server, softwareVersion)
+  }
+
   /** Spends one retry from the budget; `undefined` if there is none left. */
   async #withdrawRetry (service: string): Promise<RetryPermit | undefined> {
     const { budget, counters, log } = this.options
@@ -472,6 +492,7 @@
     },
     interrupted: (self, { detail }, finished) => {
       self.#recordBroken(finished, detail)
+      if (self.#framer?.lastEventId !== undefined) self.#continuation.bind(finished.softwareVersion)
       if (!self.#cancellation.cancelled && self.#mayRunAgain(finished)) return retry
       self.#callerResponse.abort()
       return done('interrupted')
@@ -502,7 +523,8 @@
     const { server, selection, admitted: { route } } = finished
     const repeatable = route.kind === 'repeatable' || (route.kind === 'stream' && route.resumable)
     if (!repeatable || !this.#attemptsLeft || this.#possibleRuns >= route.maxAttempts) return false
-    return this.#anotherCanTake(server, selection) || this.#sameEngineOrLoadHelps(finished)
+    const bound = { ...selection, softwareVersion: this.#continuation.softwareVersion }
+    return this.#anotherCanTake(server, bound) || this.#sameEngineOrLoadHelps({ ...finished, selection: bound })
   }
 
   /** Excludes the server from further attempts. Returns whether another one could take the request. */
--- a/packages/fleet/src/side/subscribers.ts
+++ b/packages/fleet/src/side/subscribers.ts
@@ -14,6 +14,8 @@
 import type { EngineUpdate } from './engine-update.js'
 import { UpdateRelay, type UpdateRelayOptions } from './update-relay.js'
 import { selectWatchers } from './watchers.js'
+import { SoftwareVersions } from '../software-versions.js'
+import { StreamRegistry } from './stream-registry.js'
 
 export interface SubscribersOptions extends Omit<UpdateRelayOptions, 'changed'> {
   domain: string
@@ -38,10 +40,14 @@
   readonly #relay: UpdateRelay
   readonly #freshness: FreshnessRelay
   readonly #attemptReports: AttemptReportRelay
+  readonly #softwareVersions: SoftwareVersions
+  readonly #streams: StreamRegistry
 
   constructor (private readonly options: SubscribersOptions) {
     this.#relay = new UpdateRelay({ ...options, changed: () => this.publish() })
     this.#freshness = new FreshnessRelay(options.facts, () => this.#storeReaderChannels())
+    this.#softwareVersions = new SoftwareVersions(options.facts)
+    this.#streams = new StreamRegistry(this.#softwareVersions)
     this.#attemptReports = new AttemptReportRelay(() => this.#currentRoles.subscribedEntries.map(subscriber => subscriber.channel))
   }
 
@@ -98,13 +104,14 @@
     if (frame.type === 'follow') this.#handleFollow(subscriber, frame)
     if (frame.type === 'ask_fresh') this.#freshness.ask(subscriber.channel, frame)
     if (frame.type === 'fresh') this.#freshness.handleProof(frame)
-    if (frame.type === 'crashes') this.#attemptReports.handleReport(subscriber.channel, frame)
+    if (frame.type === 'crashes' && !this.#streams.handle(subscriber.channel, frame)) this.#attemptReports.handleReport(subscriber.channel, frame)
   }
 
   /** Sends each peer the updates that are due. */
   publish (): void {
     const { facts, engineUpdate } = this.options
     const own = engineUpdate()
+    this.#softwareVersions.update()
     const { complete, serversConfirmedAt } = facts
     for (const subscriber of this.#subscribers) {
       subscriber.publish(own, this.#relay.updates)
--- /dev/null
+++ b/packages/fleet/test/stream-origins.test.ts
@@ -0,0 +1,123 @@
+import { silentLog } from '@finchpitch/core'
+import { Facts, SoftwareVersions, StreamOrigins, StreamRegistry, streamWindowMs, type Fact } from '@finchpitch/fleet'
+import { FakeTime } from '@finchpitch/stand-ins'
+import type { Channel, FrameOf } from '@finchpitch/wire'
+import { expect } from 'chai'
+
+const service = 'engines'
+const domains = ['a', 'b', 'c']
+const keepersPerDomain = 2
+
+type Report = FrameOf<'crashes'>
+
+describe('records of the software versions of streams', () => {
+  let time: FakeTime
+  let facts: Facts
+  let origins: StreamOrigins
+  let registries: Map<string, StreamRegistry>
+  let frames: Array<{ host: string, frame: Report }>
+  /** Hosts of side processes that do not answer. */
+  let silent: Set<string>
+  let revision: number
+
+  const hosts = domains.flatMap(domain => Array.from({ length: keepersPerDomain }, (_, index) => ({ host: `${domain}${index}`, domain, responsive: true })))
+
+  const list = (id: string, softwareVersion: string): void => {
+    const fact: Fact = { kind: 'server', key: id, revision: revision += 1, value: { id, service, address: `${id}:1`, domain: 'a', softwareVersion, slots: 1, leaving: false, models: [] } }
+    facts.offer(fact, 'store')
+  }
+
+  /** The entry of a failure domain, which knows the same list of servers. */
+  const newEntry = (domain: string): StreamOrigins => {
+    const entry: StreamOrigins = new StreamOrigins({
+      domain,
+      versions: new SoftwareVersions(facts),
+      sideProcesses: () => hosts,
+      channelTo: host => ({
+        send: (frame: Report) => {
+          frames.push({ host, frame })
+          if (silent.has(host)) return true
+          const answers = { send: (answer: FrameOf<'crashes_noted'>) => { setTimeout(() => entry.handleAnswer(host, answer.stamp, answer.stream ?? {}), 1) } }
+          registries.get(host)?.handle(answers as unknown as Channel, frame)
+          return true
+        }
+      }) as unknown as Channel,
+      log: silentLog
+    })
+    return entry
+  }
+
+  /** Confirms the list of servers every second, as a process in touch does. */
+  const follow = async (ms: number): Promise<void> => {
+    for (let passed = 0; passed < ms; passed += 1000) {
+      await time.advance(1000)
+      facts.markComplete('server', revision)
+      for (const registry of registries.values()) registry.handle({ send: () => true } as unknown as Channel, { type: 'crashes', stamp: 0, crashes: [], sound: [], askStream: [service, ''] })
+      origins.record(service, `followed-${passed}`, 'v1')
+    }
+    frames = []
+  }
+
+  beforeEach(async () => {
+    time = new FakeTime()
+    facts = new Facts(silentLog, () => 1000)
+    frames = []
+    silent = new Set()
+    revision = 0
+    registries = new Map(hosts.map(({ host }) => [host, new StreamRegistry(new SoftwareVersions(facts))]))
+    origins = newEntry('a')
+    list('one', 'v1')
+    await follow(streamWindowMs + 1000)
+  })
+
+  afterEach(() => time.restore())
+
+  const find = async (entry: StreamOrigins, request: string): Promise<string | undefined> => {
+    let found: string | undefined
+    await time.runUntilSettled(entry.find(service, request, 1000).then(version => { found = version }))
+    return found
+  }
+
+  it('are not sent while the service has a single version', async () => {
+    origins.record(service, 'r', 'v1')
+    await time.settle()
+    expect(frames).to.deep.equal([])
+  })
+
+  describe('while it has two', () => {
+    beforeEach(() => { list('two', 'v2') })
+
+    it('are sent to two failure domains in the turn in which the requests are written, in one frame each', async () => {
+      for (let each = 0; each < 20; each++) origins.record(service, `r${each}`, 'v2')
+      await time.settle(1)
+      const perHost = new Map(frames.map(({ host, frame }) => [host, frame.streams?.length ?? 0]))
+      expect(perHost.size).to.equal(frames.length)
+      expect([...perHost.values()].reduce((sum, count) => sum + count, 0)).to.equal(2 * 20)
+      expect([...perHost].filter(([host]) => host.startsWith('a')).reduce((sum, [, count]) => sum + count, 0)).to.equal(20)
+    })
+
+    it('are found by an entry that has just started, in any failure domain', async () => {
+      origins.record(service, 'r', 'v2')
+      await time.settle()
+      for (const domain of domains) expect(await find(newEntry(domain), 'r')).to.equal('v2')
+    })
+
+    for (const lost of domains) {
+      it(`are found without failure domain ${lost}`, async () => {
+        for (let each = 0; each < 20; each++) origins.record(service, `r${each}`, 'v2')
+        await time.settle()
+        for (const { host, domain } of hosts) if (domain === lost) silent.add(host)
+        for (let each = 0; each < 20; each++) expect(await find(newEntry('b'), `r${each}`)).to.equal('v2')
+      })
+    }
+
+    it('tell that a stream without one began before the second version appeared', async () => {
+      expect(await find(newEntry('b'), 'before')).to.equal('v1')
+    })
+
+    it('tell nothing of a stream without one if nobody answers', async () => {
+      for (const { host } of hosts) silent.add(host)
+      expect(await find(newEntry('b'), 'before')).to.equal(undefined)
+    })
+  })
+})
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -203,6 +203,23 @@
 export const CompletedRunReport = z.tuple([RequestFingerprint, z.number().nonnegative()])
 export type CompletedRunReport = z.infer<typeof CompletedRunReport>
 
+/** Maximum length of a request's id in a record of its stream; streams of longer ones are not recorded. */
+export const maxRequestIdLength = 200
+/** Maximum number of records of streams in one frame. */
+export const maxStreamsPerFrame = 500
+const RequestName = z.string().max(maxRequestIdLength)
+/** Maximum length of a software version. */
+export const maxSoftwareVersionLength = 200
+const SoftwareVersion = z.string().max(maxSoftwareVersionLength)
+
+/** A stream that has begun: its service, the id of the request that began it, and the software version of the server that runs it. */
+export const StreamRecord = z.tuple([ServiceName, RequestName, SoftwareVersion])
+export type StreamRecord = z.infer<typeof StreamRecord>
+
+/** What a side process knows of the software version at which a stream began; see `decideOrigin`. */
+export const StreamOriginReply = z.object({ recorded: SoftwareVersion.optional(), unrecorded: SoftwareVersion.optional(), single: z.boolean().optional() })
+export type StreamOriginReply = z.infer<typeof StreamOriginReply>
+
 /** Tells an entry whether it is one of those that watch the store for its failure domain. */
 export const Appointment = z.object({
   type: z.literal('appoint'),
@@ -290,11 +307,12 @@
    * Attempt reports: server crashes during requests, requests that completed, limits stated by servers, and probes, which are
    * runs of requests whose quarantine has expired, plain services that have become busy (`busy`), and services for which the sender
    * lacks retries (`retrying`). A frame from an entry is acknowledged with its `stamp`. `ask`: a request whose quarantine has expired
-   * and which the sender asks to run as a probe.
+   * and which the sender asks to run as a probe. `streams`: streams that the sender has begun; such a frame is not acknowledged.
+   * `askStream`: the service of a stream that is taken up, and the id of the request that began it.
    */
-  z.object({ type: z.literal('crashes'), stamp: z.number(), crashes: z.array(CrashReport).max(maxCrashesPerFrame), sound: z.array(CompletedRunReport).max(maxCrashesPerFrame), limits: z.array(LimitReport).max(maxLimitsPerFrame).optional(), probes: z.array(CompletedRunReport).max(maxCrashesPerFrame).optional(), busy: z.array(ServiceName).max(maxServicesPerFrame).optional(), retrying: z.array(ServiceName).max(maxServicesPerFrame).optional(), ask: RequestFingerprint.optional() }),
-  /** Acknowledges the `crashes` frame with that stamp, which is also relayed to the subscribed entries. `granted`: whether the probe may be run. */
-  z.object({ type: z.literal('crashes_noted'), stamp: z.number(), granted: z.boolean().optional() }),
+  z.object({ type: z.literal('crashes'), stamp: z.number(), crashes: z.array(CrashReport).max(maxCrashesPerFrame), sound: z.array(CompletedRunReport).max(maxCrashesPerFrame), limits: z.array(LimitReport).max(maxLimitsPerFrame).optional(), probes: z.array(CompletedRunReport).max(maxCrashesPerFrame).optional(), busy: z.array(ServiceName).max(maxServicesPerFrame).optional(), retrying: z.array(ServiceName).max(maxServicesPerFrame).optional(), ask: RequestFingerprint.optional(), streams: z.array(StreamRecord).max(maxStreamsPerFrame).optional(), askStream: z.tuple([ServiceName, RequestName]).optional() }),
+  /** Acknowledges the `crashes` frame with that stamp, which is also relayed to the subscribed entries. `granted`: whether the probe may be run. `stream`: the answer to `askStream`. */
+  z.object({ type: z.literal('crashes_noted'), stamp: z.number(), granted: z.boolean().optional(), stream: StreamOriginReply.optional() }),
   Appointment,
   /** The adapter that the receiver asked for has been loaded. */
   z.object({ type: z.literal('arrived'), key: AdapterKey, version: z.number() }),
