--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -14,6 +14,7 @@
 import { SeededRandom } from './seeded-random.js'
 import { RestoreScenario } from './restore-scenario.js'
 import { SlowReaderScenario } from './slow-reader-scenario.js'
+import { LeavingCallerScenario } from './leaving-caller-scenario.js'
 import { retryBudgetViolations, type RetryBounds } from './retry-budget-check.js'
 import { TeamFloodScenario } from './team-flood-scenario.js'
 import { UnevenPaceScenario } from './uneven-pace-scenario.js'
@@ -82,10 +83,11 @@
   })
   const restores = new RestoreScenario({ fleet, random: new SeededRandom(seed + 5 * halfSeedOffset), disturbances, log })
   const unevenPace = new UnevenPaceScenario(fleet, new SeededRandom(seed + 11 * halfSeedOffset), log)
+  const leavingCallers = new LeavingCallerScenario({ fleet, random: new SeededRandom(seed + 13 * halfSeedOffset), disturbances })
   const stopFlood = new AbortController()
   const flood = teamFlood.run(fleet, stopFlood.signal)
   const endsAt = Date.now() + faultMs
-  const scenarios = Promise.all([feedback.run(faultMs), serverLimits.run(faultMs), routeChanges.run(faultMs), restores.run(faultMs), unevenPace.run(faultMs)])
+  const scenarios = Promise.all([feedback.run(faultMs), serverLimits.run(faultMs), routeChanges.run(faultMs), restores.run(faultMs), unevenPace.run(faultMs), leavingCallers.run(faultMs)])
   const faults: Array<Promise<void>> = []
   while (Date.now() < endsAt) {
     const fault = random.pick(faultTable)
@@ -106,7 +108,7 @@
   const servers = [...fleet.engines, ...fleet.plainServers]
   const report = { ...checkResults(allResults, servers), overQuota: teamFlood.overQuota, quotaShare: teamFlood.quotaShare(servers) }
   report.broken.push(...checkResponses(floodResults, servers), ...teamFlood.violations(servers))
-  report.broken.push(...feedback.violations(allResults, disturbances), ...serverLimits.violations(allResults, disturbances), ...routeChanges.violations())
+  report.broken.push(...feedback.violations(allResults, disturbances), ...serverLimits.violations(allResults, disturbances), ...routeChanges.violations(), ...leavingCallers.violations())
   const sent = [...allResults, ...floodResults]
   report.broken.push(...retryBudgetViolations('engines', fleet.engines, sent.filter(({ path }) => isEnginePath(path)), retryBounds))
   report.broken.push(...retryBudgetViolations('plain servers', fleet.plainServers, sent.filter(({ path }) => !isEnginePath(path)), retryBounds))
