Soak: streams of two software versions that callers take up at any entry

Finds streams with events of two versions, or with events that are missing or come twice. The stand-in's events name the version of their server, as it was when the stream began.

--- a/packages/fleet/test/resumed-streams.test.ts
+++ b/packages/fleet/test/resumed-streams.test.ts
@@ -18,16 +18,14 @@
 interface Part {
   status: number
   retryAfterMs: number
-  /** Ids of the events, and the servers that made them. */
-  events: Array<{ id: number, server: string }>
+  /** Ids of the events, and the software versions of the servers that made them. */
+  events: Array<{ id: number, version: string }>
 }
 
 describe('streams where a service has servers of two software versions', function () {
   this.timeout(60_000)
   let fleet: FleetSystem
   let sent = 0
-  /** By the id of a server; servers that end keep theirs here. */
-  let versions: Map<string, string>
 
   const hold = (engine: BackendStandIn): void => {
     engine.hasModel = true
@@ -38,7 +36,6 @@
     fleet = new FleetSystem({ network: 64, domains: 2, entriesPerDomain: 2, enginesPerDomain: 2, plainServersPerDomain: 0, adapterSlots: adapters.length, loadMs: 40, workMs: 10, events, eventMs })
     await fleet.start()
     for (const engine of fleet.engines) hold(engine)
-    versions = new Map(fleet.engines.map(engine => [engine.id, engine.softwareVersion]))
     if (secondVersion) fleet.engines.forEach((engine, index) => { if (index % 2 === 1) setVersion(engine, 'v2') })
     await pause(settleMs)
     await eventually('each entry serves streams', async () => {
@@ -49,7 +46,6 @@
 
   const setVersion = (engine: BackendStandIn, version: string): void => {
     engine.softwareVersion = version
-    versions.set(engine.id, version)
     fleet.relist(engine)
   }
 
@@ -59,7 +55,7 @@
   })
 
   const eventsIn = (body: string): Part['events'] =>
-    [...body.matchAll(/^id: (\d+)\ndata: (\S+) \d+\n\n/gm)].map(([, id, server]) => ({ id: Number(id), server: server ?? '' }))
+    [...body.matchAll(/^id: (\d+)\ndata: \S+ (\S+) \d+\n\n/gm)].map(([, id, version]) => ({ id: Number(id), version: version ?? '' }))
 
   /** Sends a request for a stream to an entry. Its caller leaves after `leaveAfter` events. */
   const send = (entry: number, { id = `stream-${sent++}`, adapter = adapters[sent % adapters.length] ?? '', after = 0, resumes, leaveAfter = Infinity }: { id?: string, adapter?: string, after?: number, resumes?: string, leaveAfter?: number }): Promise<Part & { id: string, adapter: string }> => new Promise(resolve => {
@@ -90,7 +86,7 @@
     return { parts: [first, await send(to, { after: last, resumes: first.id, adapter: first.adapter })] }
   }
 
-  const versionsIn = ({ parts }: Stream): string[] => [...new Set(parts.flatMap(part => part.events).map(({ server }) => versions.get(server) ?? server))]
+  const versionsIn = ({ parts }: Stream): string[] => [...new Set(parts.flatMap(part => part.events).map(({ version }) => version))]
   const joined = (streams: readonly Stream[]): string[] => streams.map(versionsIn).filter(each => each.length > 1).map(each => each.join(' and '))
   const takenUp = (streams: readonly Stream[]): Stream[] => streams.filter(({ parts }) => parts.length > 1)
   const goingOnShare = (streams: readonly Stream[]): number => {
@@ -159,7 +155,6 @@
       if (engine === undefined) throw new Error('there are two engines')
       const { id } = engine
       engine.softwareVersion = version
-      versions.set(`${id}-again`, version)
       engine.onCrash()
       await eventually('the engine is back', () => engine.id !== id)
       hold(engine)
--- a/packages/soak/src/check-results.ts
+++ b/packages/soak/src/check-results.ts
@@ -21,6 +21,8 @@
   quotaShare: number
   /** Number of callers and servers that did not read and were cut off. */
   stalledPeers: number
+  /** Streams that callers took up again, and those of them that went on. */
+  resumed: { takenUp: number, wentOn: number }
   /** Violations of the guarantees, each with the request or server that shows it. */
   broken: string[]
   /** Log lines that help to explain the violations. */
@@ -75,6 +77,7 @@
     overQuota: 0,
     quotaShare: 0,
     stalledPeers: 0,
+    resumed: { takenUp: 0, wentOn: 0 },
     broken,
     details: []
   }
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -16,6 +16,7 @@
 import { SlowReaderScenario } from './slow-reader-scenario.js'
 import { LeavingCallerScenario } from './leaving-caller-scenario.js'
 import { retryBudgetViolations, type RetryBounds } from './retry-budget-check.js'
+import { ResumedStreamScenario } from './resumed-stream-scenario.js'
 import { TeamFloodScenario } from './team-flood-scenario.js'
 import { UnevenPaceScenario } from './uneven-pace-scenario.js'
 import { ServerFeedbackScenario, initialBornAt } from './server-feedback-scenario.js'
@@ -59,6 +60,8 @@
   const slowReaders = new SlowReaderScenario(new SeededRandom(seed + 9 * halfSeedOffset), log)
   const fleet = new FleetSystem({ network, domains: 2, entriesPerDomain: 1, enginesPerDomain: 1, plainServersPerDomain: 1, adapterSlots: 4, loadMs: 80, workMs: 8, events: eventsPerStream, eventMs: 6, bornAt: initialBornAt, insertProxy, storeProxies: true, bounds: { ...teamFlood.bounds, ...retryBounds }, tenants: [teamFlood.tenant], ...SlowReaderScenario.fleetOptions })
   await fleet.start()
+  const resumedStreams = new ResumedStreamScenario({ fleet, random: new SeededRandom(seed + 15 * halfSeedOffset), eventsPerStream, log })
+  resumedStreams.assignVersions()
   await pause(startMs)
   const results: Array<Promise<RequestResult>> = []
   const agents = fleet.entries.map(() => new Agent({ keepAlive: true, maxSockets: 40 }))
@@ -87,7 +90,7 @@
   const stopFlood = new AbortController()
   const flood = teamFlood.run(fleet, stopFlood.signal)
   const endsAt = Date.now() + faultMs
-  const scenarios = Promise.all([feedback.run(faultMs), serverLimits.run(faultMs), routeChanges.run(faultMs), restores.run(faultMs), unevenPace.run(faultMs), leavingCallers.run(faultMs)])
+  const scenarios = Promise.all([feedback.run(faultMs), serverLimits.run(faultMs), routeChanges.run(faultMs), restores.run(faultMs), unevenPace.run(faultMs), leavingCallers.run(faultMs), resumedStreams.run(faultMs)])
   const faults: Array<Promise<void>> = []
   while (Date.now() < endsAt) {
     const fault = random.pick(faultTable)
@@ -108,7 +111,7 @@
   const servers = [...fleet.engines, ...fleet.plainServers]
   const report = { ...checkResults(allResults, servers), overQuota: teamFlood.overQuota, quotaShare: teamFlood.quotaShare(servers) }
   report.broken.push(...checkResponses(floodResults, servers), ...teamFlood.violations(servers))
-  report.broken.push(...feedback.violations(allResults, disturbances), ...serverLimits.violations(allResults, disturbances), ...routeChanges.violations(), ...leavingCallers.violations())
+  report.broken.push(...feedback.violations(allResults, disturbances), ...serverLimits.violations(allResults, disturbances), ...routeChanges.violations(), ...leavingCallers.violations(), ...resumedStreams.violations())
   const sent = [...allResults, ...floodResults]
   report.broken.push(...retryBudgetViolations('engines', fleet.engines, sent.filter(({ path }) => isEnginePath(path)), retryBounds))
   report.broken.push(...retryBudgetViolations('plain servers', fleet.plainServers, sent.filter(({ path }) => !isEnginePath(path)), retryBounds))
@@ -120,6 +123,7 @@
   if (unserved.length > 0) report.details.push(...fleet.sides.flatMap(side => side.output.slice(-reportedLines)))
   await slowReaders.runUndisturbed(fleet)
   report.stalledPeers = slowReaders.stalled
+  report.resumed = resumedStreams.counts
   report.broken.push(...slowReaders.violations())
   report.broken.push(...await sendCrashingRequest(fleet, random, agents, seed))
   report.broken.push(...unexpectedExits(fleet, log))
--- a/packages/stand-ins/src/fleet/backend-server.ts
+++ b/packages/stand-ins/src/fleet/backend-server.ts
@@ -252,13 +252,15 @@
       response.end(text)
       return
     }
+    // A stream is of one version, also if the server restarts under another one before it has ended.
+    const { id, softwareVersion } = this
     response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' })
     for (let event = after + 1; event <= this.options.events; event++) {
       if (this.fault === 'torn' && event === 3) {
         response.destroy()
         return
       }
-      response.write(`id: ${event}\ndata: ${this.id} ${event}\n\n`)
+      response.write(`id: ${event}\ndata: ${id} ${softwareVersion} ${event}\n\n`)
       await pause(this.options.eventMs * this.slowdown)
     }
     response.end()
