--- a/packages/fleet/src/entry/peers/stream-origins.ts
+++ b/packages/fleet/src/entry/peers/stream-origins.ts
@@ -23,6 +23,8 @@
 /** The longest wait for answers, as a fraction of the time that the caller has left. */
 const maxAnswerShare = 0.2
 const retryMs = 20
+/** The keepers are chosen again after this time. */
+const keepersMs = 200
 /** A record is dropped if the connection to its keeper has not been established by then. */
 const maxSendDelayMs = 2000
 
@@ -50,6 +52,8 @@
 
 export class StreamOrigins {
   readonly #records = new StreamRecords()
+  #chosenKeepers: ReadonlyMap<string, readonly ReportTarget[]> = new Map()
+  #keepersChosenAt = -Infinity
   /** By host. */
   readonly #unsent = new Map<string, UnsentRecords>()
   #flushTimer: NodeJS.Timeout | undefined
@@ -143,18 +147,20 @@
 
   /** The responsive keepers of each domain, in the order in which they are chosen for the request. */
   #rankedByDomain (request: string): Map<string, ReportTarget[]> {
-    const byDomain = new Map<string, ReportTarget[]>()
-    for (const target of this.options.sideProcesses()) {
-      const list = byDomain.get(target.domain)
-      if (list === undefined) byDomain.set(target.domain, [target])
-      else list.push(target)
-    }
     const requestHash = hashOf(request)
-    for (const [domain, targets] of byDomain) {
-      const keepers = targets.length <= keepersPerDomain ? targets : ranked(targets, 0).slice(0, keepersPerDomain)
-      byDomain.set(domain, ranked(keepers.filter(({ responsive }) => responsive), requestHash))
-    }
-    return byDomain
+    return new Map([...this.#keepers].map(([domain, keepers]) => [domain, ranked(keepers, requestHash)]))
+  }
+
+  /** The responsive keepers of each domain. Choosing them looks at all side processes, which is too much for each stream. */
+  get #keepers (): ReadonlyMap<string, readonly ReportTarget[]> {
+    const now = nowMs()
+    if (now - this.#keepersChosenAt < keepersMs) return this.#chosenKeepers
+    this.#keepersChosenAt = now
+    const targets = this.options.sideProcesses()
+    const domains = new Set(targets.map(({ domain }) => domain))
+    const keepersOf = (domain: string): ReportTarget[] => ranked(targets.filter(target => target.domain === domain), 0).slice(0, keepersPerDomain)
+    this.#chosenKeepers = new Map([...domains].map(domain => [domain, keepersOf(domain).filter(({ responsive }) => responsive)]))
+    return this.#chosenKeepers
   }
 
   #flush (): void {
