--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -109,6 +109,9 @@
 const firstServerErrorStatus = 500
 const bodylessStatuses: ReadonlySet<number> = new Set([204, 304])
 
+/** Whether a stream of the route may go on at another server. */
+const isResumable = ({ kind, resumable }: Route): boolean => kind === 'stream' && resumable
+
 /** With two decimals, as retries are earned in fractions. */
 const loggedBasis = ({ firstAttempts, ratioCredit, tokens, entries }: Omit<RetryDecision, 'permit'>): Record<string, number> =>
   ({ firstAttempts, ratioCredit: hundredths(ratioCredit), tokens: hundredths(tokens), entries })
@@ -202,7 +205,7 @@
     if (!await this.#mayReadBody()) return this.#localReplies.refuse('too_many_bytes_kept')
     const body = await this.#incoming.body(routes.table.limits.bodyBytes, this.options.keptBytes)
     if (body.isErr()) return body.error === 'too_large' ? this.#localReplies.end(body.error) : body.error
-    this.#framer = route.kind === 'stream' && route.resumable ? new EventFramer() : undefined
+    this.#framer = isResumable(route) ? new EventFramer() : undefined
     const timer = setTimeout(() => this.#onDeadline(), Math.max(0, this.#times.leftMs))
     try {
       this.#crashes.body = body.value
@@ -250,7 +253,7 @@
       if (quarantine !== undefined) return this.#mayHaveRun ? this.#fail(502, 'quarantined') : this.#localReplies.quarantined(quarantine)
       const service = this.#serviceOf(admission.route)
       if (service === undefined) return this.#giveUp('no_service')
-      if (admission.route.kind === 'stream' && !await this.#continuation.resolve(service.name, this.#times.leftMs)) return this.#giveUp('software_version_not_known')
+      if (isResumable(admission.route) && !await this.#continuation.resolve(service.name, this.#times.leftMs)) return this.#giveUp('software_version_not_known')
       const selection = this.#selectionFor(service, admission)
       if (!balancer.hasSoftware(selection)) return this.#giveUp('no_server_of_software_version')
       const next = await this.#selector.choose(selection, admission)
@@ -349,7 +352,7 @@
         if (this.#hasCallerLeft() || facts.routes !== table || !balancer.isAvailable(server) || !this.#mayContinueAt(server)) return false
         if (!this.#spend(server, admitted)) return false
         softwareVersion = balancer.softwareVersion(facts.servers.get(server.id) ?? server)
-        if (route.kind === 'stream') this.#continuation.recordStart(selection.service.name, softwareVersion)
+        if (isResumable(route)) this.#continuation.recordStart(selection.service.name, softwareVersion)
         return true
       },
       onConnected: ms => connectTimeout.recordConnect(ms),
@@ -521,7 +524,7 @@
   /** Whether the request may run again although it has run or may have run, and some server could take it. */
   #mayRunAgain (finished: FinishedAttempt): boolean {
     const { server, selection, admitted: { route } } = finished
-    const repeatable = route.kind === 'repeatable' || (route.kind === 'stream' && route.resumable)
+    const repeatable = route.kind === 'repeatable' || isResumable(route)
     if (!repeatable || !this.#attemptsLeft || this.#possibleRuns >= route.maxAttempts) return false
     const bound = { ...selection, softwareVersion: this.#continuation.softwareVersion }
     return this.#anotherCanTake(server, bound) || this.#sameEngineOrLoadHelps({ ...finished, selection: bound })
