Streams of software versions: an entry that reaches no side process knows no stream's version; a query of its own module

By its own list alone, an entry that was cut off from all side processes let streams without a record go on. The new test fails with the condition of before (the list's version was returned).

--- /dev/null
+++ b/packages/fleet/src/entry/peers/origin-query.ts
@@ -0,0 +1,69 @@
+/**
+ * Asks side processes at which software version one stream began, until their answers suffice or the time is up.
+ */
+import { decideOrigin, type OriginAnswer, type OriginDecision } from '@finchpitch/decisions'
+import type { StreamOriginReply } from '@finchpitch/wire'
+import type { ReportTarget } from './attempt-reporter.js'
+
+/** Interval of trying again to ask those whose connection is not established yet. */
+const retryMs = 20
+
+export interface OriginQueryOptions {
+  targets: readonly ReportTarget[]
+  /** Failure domains that have side processes. */
+  domains: number
+  /** The version of streams without a record, as this process knows it. */
+  unrecorded: string | undefined
+  waitMs: number
+  /** Asks the side process at a host. Returns false if there is no connection to it yet. */
+  ask: (host: string) => boolean
+}
+
+export class OriginQuery {
+  /** Domains of the side processes that have not answered, by host. */
+  readonly #unanswered: Map<string, string>
+  readonly #answers: OriginAnswer[] = []
+  #settle: (decision: OriginDecision) => void = () => {}
+
+  constructor (private readonly options: OriginQueryOptions) {
+    this.#unanswered = new Map(options.targets.map(({ host, domain }) => [host, domain]))
+  }
+
+  /** Side processes that have answered, and that have not. */
+  get counts (): { answers: number, missing: number } {
+    return { answers: this.#answers.length, missing: this.#unanswered.size }
+  }
+
+  async run (): Promise<OriginDecision> {
+    const { waitMs, ask } = this.options
+    const unasked = new Set(this.#unanswered.keys())
+    const askAll = (): void => { for (const host of unasked) if (ask(host)) unasked.delete(host) }
+    const retry = setInterval(askAll, retryMs)
+    // After the answers that wait in a socket, as when this process has stalled.
+    const timer = setTimeout(() => setImmediate(() => this.#decide(true)), waitMs)
+    try {
+      return await new Promise<OriginDecision>(resolve => {
+        this.#settle = resolve
+        askAll()
+        this.#decide(this.#unanswered.size === 0)
+      })
+    } finally {
+      clearTimeout(timer)
+      clearInterval(retry)
+    }
+  }
+
+  handleAnswer (host: string, reply: StreamOriginReply): void {
+    const domain = this.#unanswered.get(host)
+    if (domain === undefined) return
+    this.#unanswered.delete(host)
+    this.#answers.push({ domain, ...reply })
+    this.#decide(this.#unanswered.size === 0)
+  }
+
+  #decide (complete: boolean): void {
+    const { domains, unrecorded } = this.options
+    const decision = decideOrigin({ answers: this.#answers, complete, domains, unrecorded })
+    if (decision.type !== 'pending') this.#settle(decision)
+  }
+}
--- a/packages/fleet/src/entry/peers/stream-origins.ts
+++ b/packages/fleet/src/entry/peers/stream-origins.ts
@@ -6,13 +6,14 @@
  * the request's id. A record is sent in the turn in which the request is written to its server, so before the first event. An entry that
  * finds no record asks all that may have one; without an answer, the version is not known.
  */
-import { decideOrigin, hashOf, rendezvousScore, type OriginAnswer, type OriginDecision } from '@finchpitch/decisions'
+import { hashOf, rendezvousScore, type OriginDecision } from '@finchpitch/decisions'
 import { maxRequestIdLength, maxSoftwareVersionLength, maxStreamsPerFrame, type Channel, type StreamOriginReply, type StreamRecord } from '@finchpitch/wire'
 import type { Log } from '@finchpitch/core'
 import { nowMs } from '../../clock.js'
 import { unlistedVersion, type SoftwareVersions } from '../../software-versions.js'
 import { StreamRecords } from '../../stream-records.js'
 import type { ReportTarget } from './attempt-reporter.js'
+import { OriginQuery } from './origin-query.js'
 
 /** Side processes of each failure domain that keep records. More would need more connections, as remote ones are opened on demand. */
 const keepersPerDomain = 8
@@ -22,6 +23,7 @@
 const maxAnswerMs = 300
 /** The longest wait for answers, as a fraction of the time that the caller has left. */
 const maxAnswerShare = 0.2
+/** Interval of trying again to send records whose keeper's connection is not established yet. */
 const retryMs = 20
 /** The keepers are chosen again after this time. */
 const keepersMs = 200
@@ -37,14 +39,6 @@
   log: Log
 }
 
-interface OpenQuestion {
-  /** Domains of the side processes that have not answered, by host. */
-  asked: Map<string, string>
-  answers: OriginAnswer[]
-  /** Settles the question if the answers suffice. */
-  check: () => void
-}
-
 interface UnsentRecords {
   since: number
   records: StreamRecord[]
@@ -58,8 +52,9 @@
   readonly #unsent = new Map<string, UnsentRecords>()
   #flushTimer: NodeJS.Timeout | undefined
   #isFlushScheduled = false
-  readonly #questions = new Map<number, OpenQuestion>()
-  #stamp = 0
+  /** By the stamps of their frames. Those of attempt reports are positive, and those of probes whole numbers. */
+  readonly #queries = new Map<number, OriginQuery>()
+  #stamp = 0.5
 
   constructor (private readonly options: StreamOriginsOptions) {}
 
@@ -89,54 +84,37 @@
 
   /** Handles the answer of the side process at `host` to the frame with this stamp. */
   handleAnswer (host: string, stamp: number, reply: StreamOriginReply): void {
-    const question = this.#questions.get(stamp)
-    const domain = question?.asked.get(host)
-    if (question === undefined || domain === undefined) return
-    question.asked.delete(host)
-    question.answers.push({ domain, ...reply })
-    question.check()
+    this.#queries.get(stamp)?.handleAnswer(host, reply)
   }
 
-  #ask (service: string, request: string, waitMs: number): Promise<OriginDecision> {
-    const { options } = this
+  async #ask (service: string, request: string, waitMs: number): Promise<OriginDecision> {
+    const { versions, channelTo, log } = this.options
     const byDomain = this.#rankedByDomain(request)
-    const targets = [...byDomain.values()].flatMap(hosts => hosts.slice(0, askedPerDomain))
-    const unrecorded = options.versions.historyOf(service).unrecorded(nowMs())
+    const unrecorded = versions.historyOf(service).unrecorded(nowMs())
     // Without side processes, nobody but this entry can have a record.
-    if (targets.length === 0) return Promise.resolve(unrecorded === undefined ? { type: 'unknown' } : { type: 'known', version: unrecorded })
-    // Stamps of attempt reports are positive, and those of probes whole numbers.
-    const stamp = this.#stamp -= 1
-    const frameStamp = stamp - 0.5
-    return new Promise(resolve => {
-      const decide = (complete: boolean): void => {
-        const decision = decideOrigin({ answers: question.answers, complete: complete || question.asked.size === 0, domains: byDomain.size, unrecorded })
-        if (decision.type === 'pending') return
-        clearTimeout(timer)
-        clearInterval(retry)
-        this.#questions.delete(frameStamp)
-        options.log.info('stream.origin', { request, service, ...decision, answers: question.answers.length, missing: question.asked.size, ms: Math.round(nowMs() - askedAt) })
-        resolve(decision)
-      }
-      const askedAt = nowMs()
-      const question: OpenQuestion = { asked: new Map(targets.map(({ host, domain }) => [host, domain])), answers: [], check: () => decide(false) }
-      this.#questions.set(frameStamp, question)
-      const unasked = new Set(targets.map(({ host }) => host))
-      const sendAll = (): void => {
-        for (const host of unasked) {
-          if (options.channelTo(host)?.send({ type: 'crashes', stamp: frameStamp, crashes: [], sound: [], askStream: [service, request] }) === true) unasked.delete(host)
-        }
-      }
-      const timer = setTimeout(() => setImmediate(() => decide(true)), waitMs)
-      const retry = setInterval(sendAll, retryMs)
-      sendAll()
+    if (byDomain.size === 0) return unrecorded === undefined ? { type: 'unknown' } : { type: 'known', version: unrecorded }
+    this.#stamp -= 1
+    const stamp = this.#stamp
+    const askedAt = nowMs()
+    const query = new OriginQuery({
+      targets: [...byDomain.values()].flatMap(hosts => hosts.slice(0, askedPerDomain)),
+      domains: byDomain.size,
+      unrecorded,
+      waitMs,
+      ask: host => channelTo(host)?.send({ type: 'crashes', stamp, crashes: [], sound: [], askStream: [service, request] }) === true
     })
+    this.#queries.set(stamp, query)
+    const decision = await query.run()
+    this.#queries.delete(stamp)
+    log.info('stream.origin', { request, service, ...decision, ...query.counts, ms: Math.round(nowMs() - askedAt) })
+    return decision
   }
 
   /** One side process of this failure domain and one of another, or two of this one if there is no other. */
   #keepersOf (request: string): ReportTarget[] {
-    const ranked = this.#rankedByDomain(request)
-    const own = ranked.get(this.options.domain) ?? []
-    const others = [...ranked].filter(([domain]) => domain !== this.options.domain)
+    const byDomain = this.#rankedByDomain(request)
+    const own = byDomain.get(this.options.domain) ?? []
+    const others = [...byDomain].filter(([domain]) => domain !== this.options.domain)
     const requestHash = hashOf(request)
     others.sort(([a], [b]) => rendezvousScore(requestHash, hashOf(a)) - rendezvousScore(requestHash, hashOf(b)))
     const [first, second] = others.map(([, hosts]) => hosts[0]).filter(each => each !== undefined)
--- a/packages/fleet/test/stream-origins.test.ts
+++ b/packages/fleet/test/stream-origins.test.ts
@@ -1,5 +1,5 @@
 import { silentLog } from '@finchpitch/core'
-import { Facts, SoftwareVersions, StreamOrigins, StreamRegistry, streamWindowMs, type Fact } from '@finchpitch/fleet'
+import { Facts, SoftwareVersions, StreamOrigins, StreamRegistry, streamWindowMs, type Fact, type ReportTarget } from '@finchpitch/fleet'
 import { FakeTime } from '@finchpitch/stand-ins'
 import type { Channel, FrameOf } from '@finchpitch/wire'
 import { expect } from 'chai'
@@ -20,7 +20,8 @@
   let silent: Set<string>
   let revision: number
 
-  const hosts = domains.flatMap(domain => Array.from({ length: keepersPerDomain }, (_, index) => ({ host: `${domain}${index}`, domain, responsive: true })))
+  let hosts: ReportTarget[]
+  const newHosts = (): ReportTarget[] => domains.flatMap(domain => Array.from({ length: keepersPerDomain }, (_, index) => ({ host: `${domain}${index}`, domain, responsive: true })))
 
   const list = (id: string, softwareVersion: string): void => {
     const fact: Fact = { kind: 'server', key: id, revision: revision += 1, value: { id, service, address: `${id}:1`, domain: 'a', softwareVersion, slots: 1, leaving: false, models: [] } }
@@ -60,6 +61,7 @@
 
   beforeEach(async () => {
     time = new FakeTime()
+    hosts = newHosts()
     facts = new Facts(silentLog, () => 1000)
     frames = []
     silent = new Set()
@@ -115,6 +117,12 @@
       expect(await find(newEntry('b'), 'before')).to.equal('v1')
     })
 
+    it('tell nothing of a stream without one at an entry that reaches no side process', async () => {
+      hosts = hosts.map(target => ({ ...target, responsive: false }))
+      await time.advance(1000)
+      expect(await find(origins, 'before')).to.equal(undefined)
+    })
+
     it('tell nothing of a stream without one if nobody answers', async () => {
       for (const { host } of hosts) silent.add(host)
       expect(await find(newEntry('b'), 'before')).to.equal(undefined)
