Lines of attempts that broke off name the parts of their prompts

request.broke_off had the fingerprint of the whole request only, so a log could not tell a part that requests share from a request that is not recognized, nor whether the server had begun to answer. It now has `parts`, a fingerprint of each shared part by service, and `responseMs`, the time to the head of the response.

A fingerprint now names a request or a part: RequestFingerprint is renamed to Fingerprint, and those of parts begin with a character that those of requests never begin with. No decision changes.

--- a/packages/core/src/id.ts
+++ b/packages/core/src/id.ts
@@ -46,9 +46,15 @@
 export const RequestId = z.string().min(1).max(64).brand<'RequestId'>()
 export type RequestId = z.infer<typeof RequestId>
 
-/** Equal for attempts of the same request: 96 bits of a hash over caller and request. Neither can be recovered from it. */
-export const RequestFingerprint = z.string().regex(/^[A-Za-z0-9_-]{16}$/).brand<'RequestFingerprint'>()
-export type RequestFingerprint = z.infer<typeof RequestFingerprint>
+/**
+ * Identifies work by which servers may crash: a whole request, or a part that prompts share. Equal for all requests with that work:
+ * a truncated hash, from which nothing of the request can be recovered.
+ */
+export const Fingerprint = z.string().regex(/^[A-Za-z0-9_-]{16}$/).brand<'Fingerprint'>()
+export type Fingerprint = z.infer<typeof Fingerprint>
+
+/** The first character of the fingerprints of parts of prompts; those of requests begin with another one. */
+export const partFingerprintPrefix = '_'
 
 /** Number of the accepted configuration, counted from 1; 0 if none has been received yet. */
 export const Revision = z.number().int().nonnegative().brand<'Revision'>()
--- a/packages/decisions/src/crash-history.ts
+++ b/packages/decisions/src/crash-history.ts
@@ -10,11 +10,11 @@
  * An expired quarantine doesn't release the request, since its caller may retry it through all entry processes at the same moment.
  * One run of it is allowed across all of them, as a probe, and the outcome of the probe decides.
  */
-import type { RequestFingerprint } from '@finchpitch/core'
+import type { Fingerprint } from '@finchpitch/core'
 
 /** A server crashed while it ran a request, or shortly after the request was sent to it. */
 export interface Crash {
-  fingerprint: RequestFingerprint
+  fingerprint: Fingerprint
   /** One incarnation of a server; a restarted server counts as another one. */
   server: string
   /** On the monotonic clock of this process. */
@@ -24,13 +24,13 @@
 
 /** A run of a request that completed. */
 export interface CompletedRun {
-  fingerprint: RequestFingerprint
+  fingerprint: Fingerprint
   endedAt: number
 }
 
 /** The single run that a request is allowed after its quarantine has expired. */
 export interface Probe {
-  fingerprint: RequestFingerprint
+  fingerprint: Fingerprint
   /** When it was started, on the monotonic clock of this process. */
   at: number
 }
@@ -101,7 +101,7 @@
 
 export class CrashHistory {
   /** In the order of their last updates, the least recent first. */
-  readonly #records = new Map<RequestFingerprint, RequestRecord>()
+  readonly #records = new Map<Fingerprint, RequestRecord>()
   #expiredAt = -Infinity
 
   constructor (private readonly limits: QuarantineLimits) {}
@@ -148,7 +148,7 @@
   }
 
   /** `undefined` if the request isn't quarantined. */
-  quarantine (fingerprint: RequestFingerprint, now: number): Quarantine | undefined {
+  quarantine (fingerprint: Fingerprint, now: number): Quarantine | undefined {
     const record = this.#records.get(fingerprint)
     if (record === undefined) return undefined
     const consecutive = consecutiveCrashes(this.#unexpired(record, now))
@@ -157,7 +157,7 @@
   }
 
   /** Whether the quarantine has expired and no run has completed since, so that one entry process of all may send the request once. */
-  probeDue (fingerprint: RequestFingerprint, now: number): boolean {
+  probeDue (fingerprint: Fingerprint, now: number): boolean {
     const record = this.#records.get(fingerprint)
     return record !== undefined && now < record.probeOnlyUntil && this.quarantine(fingerprint, now) === undefined
   }
@@ -173,7 +173,7 @@
   }
 
   /** The crashes of one request that have not expired. */
-  crashesOf (fingerprint: RequestFingerprint, now: number): Crash[] {
+  crashesOf (fingerprint: Fingerprint, now: number): Crash[] {
     const record = this.#records.get(fingerprint)
     return record === undefined ? [] : this.#unexpired(record, now)
   }
@@ -190,7 +190,7 @@
   }
 
   /** Stores a changed record as the most recently updated one. */
-  #update (fingerprint: RequestFingerprint, record: RequestRecord, now: number): void {
+  #update (fingerprint: Fingerprint, record: RequestRecord, now: number): void {
     const quarantinedUntil = Math.max(this.#crashQuarantineUntil(consecutiveCrashes(this.#unexpired(record, now))), this.#probeQuarantineUntil(record))
     if (quarantinedUntil > -Infinity) record.probeOnlyUntil = Math.max(record.probeOnlyUntil, quarantinedUntil + this.limits.keepMs)
     this.#records.delete(fingerprint)
--- a/packages/decisions/test/crash-history.test.ts
+++ b/packages/decisions/test/crash-history.test.ts
@@ -1,10 +1,10 @@
-import { RequestFingerprint } from '@finchpitch/core'
+import { Fingerprint } from '@finchpitch/core'
 import { CrashHistory, type Crash, type QuarantineLimits } from '@finchpitch/decisions'
 import { expect } from 'chai'
 import fc from 'fast-check'
 
 const limits: QuarantineLimits = { shortThreshold: 2, shortQuarantineMs: 500, longThreshold: 3, keepMs: 1000, probeMs: 200, probes: 2, most: 4 }
-const fingerprint = (name: string): RequestFingerprint => RequestFingerprint.parse(name.padEnd(16, '_'))
+const fingerprint = (name: string): Fingerprint => Fingerprint.parse(name.padEnd(16, '_'))
 const bad = fingerprint('bad')
 const crash = (server: string, sentAt: number, endedAt: number, of = bad): Crash => ({ fingerprint: of, server, sentAt, endedAt })
 
--- a/packages/decisions/test/replay/crash-simulation.ts
+++ b/packages/decisions/test/replay/crash-simulation.ts
@@ -6,7 +6,7 @@
  * engine drops all that it runs and is available again after 4 s. The caller of a dropped request retries once, and three callers in
  * ten retry up to three times. One request in ten is one of 20 that many callers send alike.
  */
-import { RequestFingerprint } from '@finchpitch/core'
+import { Fingerprint } from '@finchpitch/core'
 import { CrashHistory, type QuarantineLimits } from '@finchpitch/decisions'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
@@ -39,10 +39,10 @@
 const popularShare = 0.1
 const popularCount = 20
 
-const fingerprintOf = (name: string): RequestFingerprint => RequestFingerprint.parse(name.padEnd(16, '_'))
+const fingerprintOf = (name: string): Fingerprint => Fingerprint.parse(name.padEnd(16, '_'))
 
 /** `fatal`: it crashes the engine that runs it. */
-interface Request { fingerprint: RequestFingerprint, retriesLeft: number, fatal: boolean }
+interface Request { fingerprint: Fingerprint, retriesLeft: number, fatal: boolean }
 interface Attempt { ask: Request, sentAt: number }
 
 export class CrashSimulation {
--- a/packages/fleet/src/entry/peers/probe-requester.ts
+++ b/packages/fleet/src/entry/peers/probe-requester.ts
@@ -4,7 +4,7 @@
  * A single side process, chosen by rendezvous hashing, decides for all entries. Otherwise every entry would send the copy that
  * it has received by then, and each may crash a server. If the side process doesn't answer, no probe is sent for now.
  */
-import { pause, type Log, type RequestFingerprint } from '@finchpitch/core'
+import { pause, type Log, type Fingerprint } from '@finchpitch/core'
 import type { Channel } from '@finchpitch/wire'
 import { nowMs, afterSocketReads } from '../../clock.js'
 import { RendezvousSelector } from './rendezvous-selector.js'
@@ -37,7 +37,7 @@
   constructor (private readonly options: ProbeRequesterOptions) {}
 
   /** Returns whether this entry may send the request. */
-  async ask (fingerprint: RequestFingerprint): Promise<boolean> {
+  async ask (fingerprint: Fingerprint): Promise<boolean> {
     const hosts = this.options.hosts()
     // Without side processes, entries learn of no crashes but their own, so each of them probes on its own.
     if (hosts.length === 0) return true
--- a/packages/fleet/src/entry/servers/crash-tracker.ts
+++ b/packages/fleet/src/entry/servers/crash-tracker.ts
@@ -5,7 +5,7 @@
  * crashes before the caller retries, so they are shared within a few ms. An entry that loses contact with the others keeps what
  * it knows.
  */
-import type { Log, RequestFingerprint } from '@finchpitch/core'
+import type { Log, Fingerprint } from '@finchpitch/core'
 import { CrashHistory, quarantineLimits, type Quarantine } from '@finchpitch/decisions'
 import type { Channel, FrameOf } from '@finchpitch/wire'
 import { nowMs } from '../../clock.js'
@@ -28,10 +28,14 @@
 /** An attempt that failed while its server was running the request. */
 export interface FailedAttempt {
   request: string
-  fingerprint: RequestFingerprint
+  fingerprint: Fingerprint
+  /** The parts that its prompt shares with other requests. */
+  parts: readonly Fingerprint[]
   server: BackendServer
   /** When it was sent, on the monotonic clock. */
   sentAt: number
+  /** Time from then to the head of the response; `undefined` if there was none. */
+  responseMs: number | undefined
 }
 
 export interface CrashTrackerOptions {
@@ -39,7 +43,7 @@
   liveness: ServerLiveness
   reporter: Pick<AttemptReporter, 'report'>
   /** Asks a side process for permission to run a request whose quarantine has expired. */
-  requestProbe: (fingerprint: RequestFingerprint) => Promise<boolean>
+  requestProbe: (fingerprint: Fingerprint) => Promise<boolean>
   /** Called when a request becomes quarantined, as copies of it may be waiting in the queue. */
   onQuarantine: () => void
   counters: EntryCounters
@@ -65,17 +69,17 @@
   }
 
   /** `undefined` if the request isn't quarantined. */
-  quarantine (fingerprint: RequestFingerprint): Quarantine | undefined {
+  quarantine (fingerprint: Fingerprint): Quarantine | undefined {
     return this.#history.quarantine(fingerprint, nowMs())
   }
 
   /** Whether its quarantine has expired, so that one entry of all may send it once, as a probe. */
-  probeDue (fingerprint: RequestFingerprint): boolean {
+  probeDue (fingerprint: Fingerprint): boolean {
     return this.#history.probeDue(fingerprint, nowMs())
   }
 
   /** Asks for permission to send the request once, as a probe of whether it still crashes its server. Returns whether it was granted. */
-  async requestProbe (fingerprint: RequestFingerprint, request: string): Promise<boolean> {
+  async requestProbe (fingerprint: Fingerprint, request: string): Promise<boolean> {
     const { requestProbe, reporter, log } = this.options
     const granted = await requestProbe(fingerprint)
     log.info('request.probe', { request, fingerprint, granted })
@@ -92,11 +96,11 @@
    */
   async brokeOff (failure: FailedAttempt): Promise<void> {
     const { facts, liveness, log } = this.options
-    const { request, fingerprint, server, sentAt } = failure
+    const { request, fingerprint, parts, server, sentAt, responseMs } = failure
     const endedAt = nowMs()
     const expected = facts.servers.get(server.id)?.leaving !== false
     const ended = !expected && await liveness.ended(server)
-    log.info('request.broke_off', { request, fingerprint, server: server.id, ranMs: Math.round(endedAt - sentAt), expected, ended })
+    log.info('request.broke_off', { request, fingerprint, parts, server: server.id, ranMs: Math.round(endedAt - sentAt), responseMs: responseMs === undefined ? undefined : Math.round(responseMs), expected, ended })
     if (ended) this.#recordOwnCrashes([{ ...failure, endedAt }])
     else if (!expected) this.#unconfirmed = [...this.#unconfirmed, { ...failure, endedAt }].slice(-maxUnconfirmed)
   }
@@ -125,7 +129,7 @@
   }
 
   /** Records that a run of the request completed, which discards its earlier crashes. */
-  recordCompletion (fingerprint: RequestFingerprint): void {
+  recordCompletion (fingerprint: Fingerprint): void {
     const run = { fingerprint, endedAt: nowMs() }
     const quarantined = this.quarantine(fingerprint) !== undefined
     if (!this.#history.sound(run)) return
@@ -164,7 +168,7 @@
     if (any) onQuarantine()
   }
 
-  #logReleased (fingerprints: readonly RequestFingerprint[], from: string): void {
+  #logReleased (fingerprints: readonly Fingerprint[], from: string): void {
     for (const fingerprint of fingerprints) if (this.quarantine(fingerprint) === undefined) this.options.log.info('request.released', { fingerprint, from })
   }
 }
--- a/packages/fleet/src/entry/serving/incoming-request.ts
+++ b/packages/fleet/src/entry/serving/incoming-request.ts
@@ -30,6 +30,8 @@
   readonly promptTokens: number
   /** Maximum of output tokens; 0 if not stated. */
   readonly outputTokens: number
+  /** The parts of the prompt, as stated. */
+  readonly promptParts: string | undefined
   /** The last event that the caller has of a stream that it resumes. */
   readonly lastEventId: string | undefined
   /** The id of the request whose response had the first event of that stream. */
@@ -47,6 +49,7 @@
     this.tokens = headerOf(message, names.tokens)
     this.promptTokens = Math.min(maxPromptTokens, Math.max(0, Number.parseInt(this.tokens ?? '0', 10) || 0))
     this.outputTokens = Math.max(0, Number.parseInt(this.tokens?.split(',')[1] ?? '0', 10) || 0)
+    this.promptParts = headerOf(message, names.promptParts)
     this.lastEventId = headerOf(message, names.lastEventId)
     this.resumes = headerOf(message, names.resumes)
     const stated = Number(headerOf(message, names.remainingMs) ?? NaN)
--- a/packages/fleet/src/entry/serving/request-crashes.ts
+++ b/packages/fleet/src/entry/serving/request-crashes.ts
@@ -1,23 +1,32 @@
 /**
  * The crash history of one request, looked up by its fingerprint, which depends on the body and on the team that it is admitted for.
  */
-import type { RequestFingerprint } from '@finchpitch/core'
+import type { Fingerprint } from '@finchpitch/core'
 import type { Quarantine } from '@finchpitch/decisions'
 import type { BackendServer } from '../../server.js'
 import type { FleetTeam } from '../../team.js'
 import type { CrashTracker } from '../servers/crash-tracker.js'
-import { fingerprintOf } from './fingerprint.js'
+import { fingerprintOf, partFingerprintOf } from './fingerprint.js'
 import type { IncomingRequest } from './incoming-request.js'
+import { sharedPartsOf } from './prompt-parts.js'
 
 const emptyBuffer = Buffer.alloc(0)
 
+export interface BrokenAttempt {
+  server: BackendServer
+  /** When it was sent, on the monotonic clock. */
+  sentAt: number
+  /** Time from then to the head of the response; `undefined` if there was none. */
+  responseMs: number | undefined
+}
+
 export class RequestCrashes {
   /** Set once the body has been read. */
   body: Buffer = emptyBuffer
   /** This entry was granted the one probe that follows an expired quarantine. */
   #probeGranted = false
   /** Cached per team, which may change with the table while the request waits. */
-  #cached: { team: string | undefined, fingerprint: RequestFingerprint } | undefined
+  #cached: { team: string | undefined, fingerprint: Fingerprint } | undefined
 
   constructor (private readonly crashes: CrashTracker, private readonly incoming: IncomingRequest) {}
 
@@ -46,12 +55,13 @@
     if (!this.crashes.isEmpty) this.crashes.recordCompletion(this.#fingerprint(team))
   }
 
-  /** An attempt that was sent at `sentAt`, on the monotonic clock, failed while its server was running it. */
-  brokeOff (server: BackendServer, sentAt: number, team: FleetTeam | undefined): void {
-    void this.crashes.brokeOff({ request: this.incoming.id, fingerprint: this.#fingerprint(team), server, sentAt })
+  /** An attempt failed while its server was running it. */
+  brokeOff ({ server, sentAt, responseMs }: BrokenAttempt, team: FleetTeam | undefined): void {
+    const parts = sharedPartsOf(this.incoming.promptParts).map(part => partFingerprintOf(server.service, part))
+    void this.crashes.brokeOff({ request: this.incoming.id, fingerprint: this.#fingerprint(team), parts, server, sentAt, responseMs })
   }
 
-  #fingerprint (team: FleetTeam | undefined): RequestFingerprint {
+  #fingerprint (team: FleetTeam | undefined): Fingerprint {
     const { host, message: { method, url } } = this.incoming
     if (this.#cached !== undefined && this.#cached.team === team?.name) return this.#cached.fingerprint
     const fingerprint = fingerprintOf({ method, host, url, team: team?.name, body: this.body })
--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -503,9 +503,9 @@
   }
 
   /** The attempt failed after the request was sent. */
-  #recordBroken ({ server, admitted, sentAt }: FinishedAttempt, detail: string): void {
-    this.options.faults.recordFailure(server, this.#incoming.id, detail)
-    this.#crashes.brokeOff(server, sentAt, admitted.team)
+  #recordBroken (finished: FinishedAttempt, detail: string): void {
+    this.options.faults.recordFailure(finished.server, this.#incoming.id, detail)
+    this.#crashes.brokeOff(finished, finished.admitted.team)
     this.#mayHaveRun = true
     this.#possibleRuns += 1
   }
--- a/packages/fleet/src/ports.ts
+++ b/packages/fleet/src/ports.ts
@@ -87,6 +87,8 @@
   model: string
   /** Prompt tokens and maximum output tokens, as `in,out`. */
   tokens: string
+  /** The parts of the prompt in order, as `ID:TOKENS` separated by commas; ids in hex. The last part is the request's own. */
+  promptParts: string
   lastEventId: string
   /** On requests to resume a stream: the id of the request whose response had its first event. */
   resumes: string
--- a/packages/fleet/src/side/attempt-report-relay.ts
+++ b/packages/fleet/src/side/attempt-report-relay.ts
@@ -3,7 +3,7 @@
  * probes, plain services that have become busy, and services for which entries lack retries. Keeps the reports for entries that
  * start or connect later, except for the last two kinds, which the answers of the bank name while they last.
  */
-import type { RequestFingerprint } from '@finchpitch/core'
+import type { Fingerprint } from '@finchpitch/core'
 import { CrashHistory, AdvertisedLimits, quarantineLimits, type AdvertisedLimit } from '@finchpitch/decisions'
 import type { Channel, FrameOf } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
@@ -50,7 +50,7 @@
    * Answers an entry that asks to probe a request whose quarantine has expired. Only one entry is granted the probe; its outcome
    * arrives as a report. A process that has just started grants none, as its previous incarnation may have granted one.
    */
-  #answerProbe (entry: Channel, fingerprint: RequestFingerprint, stamp: number): void {
+  #answerProbe (entry: Channel, fingerprint: Fingerprint, stamp: number): void {
     const now = nowMs()
     const granted = now - this.#startedAt >= quarantineLimits.probeMs && this.#crashes.quarantine(fingerprint, now) === undefined && this.#crashes.recordProbe({ fingerprint, at: now }, now)
     entry.send({ type: 'crashes_noted', stamp, granted })
--- a/packages/fleet/test/attempt.test.ts
+++ b/packages/fleet/test/attempt.test.ts
@@ -9,6 +9,7 @@
   remainingMs: 'remaining-ms',
   model: 'model',
   tokens: 'tokens',
+  promptParts: 'prompt-prefix',
   lastEventId: 'last-event-id',
   resumes: 'resumes',
   retryAfter: 'retry-after',
--- a/packages/fleet/test/crash-reports.test.ts
+++ b/packages/fleet/test/crash-reports.test.ts
@@ -1,12 +1,12 @@
-import { RequestFingerprint, silentLog, type Log } from '@finchpitch/core'
+import { Fingerprint, silentLog, type Log } from '@finchpitch/core'
 import { CrashHistory, quarantineLimits, type Crash } from '@finchpitch/decisions'
 import { AttemptReporter, AttemptReportRelay, CrashTracker, EntryCounters, Facts, ServerLiveness, reportFrames, nowMs, recordCrashes, type BackendServer, type AttemptReports, type ReportTarget } from '@finchpitch/fleet'
 import { FakeTime } from '@finchpitch/stand-ins'
 import type { Channel, Frame, FrameOf } from '@finchpitch/wire'
 import { expect } from 'chai'
 
-const fingerprint = RequestFingerprint.parse('a'.repeat(16))
-const other = RequestFingerprint.parse('b'.repeat(16))
+const fingerprint = Fingerprint.parse('a'.repeat(16))
+const other = Fingerprint.parse('b'.repeat(16))
 
 /** A channel that records the frames sent over it. */
 class RecordingChannel {
@@ -197,7 +197,7 @@
     const server: BackendServer = { id: 'i', service: 's', address: '10.0.0.1:80', domain: 'a', slots: 1, leaving: false, models: [] }
     const offer = (more: Partial<BackendServer>, revision: number): void => { facts.offer({ kind: 'server', key: 'i', revision, value: { ...server, ...more } }, 'store') }
     const failAttempt = async (more: Partial<BackendServer> = {}): Promise<void> => {
-      await crashes.brokeOff({ request: 'r', fingerprint, server: { ...server, ...more }, sentAt: nowMs() - 50 })
+      await crashes.brokeOff({ request: 'r', fingerprint, parts: [], server: { ...server, ...more }, sentAt: nowMs() - 50, responseMs: 10 })
       await time.advance(100)
     }
 
--- a/packages/fleet/test/fingerprint.test.ts
+++ b/packages/fleet/test/fingerprint.test.ts
@@ -26,6 +26,11 @@
     expect(fingerprintOf({ ...request, team: undefined })).to.not.equal(fingerprintOf({ ...request, team: '' }))
   })
 
+  it('never begins as that of a part does', () => {
+    const fingerprints = Array.from({ length: 500 }, (_, each) => fingerprintOf({ ...request, url: `/p/${each}` }))
+    expect(fingerprints.filter(fingerprint => fingerprint.startsWith('_'))).to.deep.equal([])
+  })
+
   it('is a 96-bit hash that reveals nothing of the request', () => {
     expect(fingerprintOf(request)).to.match(/^[\w-]{16}$/)
   })
--- a/packages/fleet/test/replay/probe-simulation.ts
+++ b/packages/fleet/test/replay/probe-simulation.ts
@@ -86,7 +86,7 @@
     setTimeout(() => {
       if (this.fatal) this.crashTimes.push(nowMs())
       if (simulated.isolated) return
-      if (this.fatal) request.brokeOff(server, sentAt, undefined)
+      if (this.fatal) request.brokeOff({ server, sentAt, responseMs: undefined }, undefined)
       else request.recordCompletion(undefined)
     }, runMs)
   }
--- a/packages/fleet/test/slow-readers.test.ts
+++ b/packages/fleet/test/slow-readers.test.ts
@@ -18,6 +18,7 @@
   remainingMs: 'remaining-ms',
   model: 'model',
   tokens: 'tokens',
+  promptParts: 'prompt-prefix',
   lastEventId: 'last-event-id',
   resumes: 'resumes',
   retryAfter: 'retry-after',
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -4,7 +4,7 @@
  * On the wire, a frame is a big-endian length of four bytes followed by that many bytes of CBOR. The schema below defines all
  * frames. A frame that does not match it closes the connection on which it arrived, and has no other effect.
  */
-import { Address, Bytes, Failure, Headers, Incarnation, ProcessId, RequestFingerprint, Revision, FailureDomain, Serving, Work } from '@finchpitch/core'
+import { Address, Bytes, Failure, Headers, Incarnation, ProcessId, Fingerprint, Revision, FailureDomain, Serving, Work } from '@finchpitch/core'
 import * as z from 'zod'
 
 /** Incremented with each incompatible change of the protocol. The hello carries it, so that incompatible processes disconnect. */
@@ -196,11 +196,11 @@
 export type LimitReport = z.infer<typeof LimitReport>
 
 /** A server crash during a request: the request's fingerprint, the server's incarnation, and the ages in ms of the request and of the crash when the frame was created. */
-export const CrashReport = z.tuple([RequestFingerprint, z.string().max(maxIncarnationLength), z.number().nonnegative(), z.number().nonnegative()])
+export const CrashReport = z.tuple([Fingerprint, z.string().max(maxIncarnationLength), z.number().nonnegative(), z.number().nonnegative()])
 export type CrashReport = z.infer<typeof CrashReport>
 
 /** A run of a request that completed without a crash: the request's fingerprint, and the age of the completion in ms when the frame was created. */
-export const CompletedRunReport = z.tuple([RequestFingerprint, z.number().nonnegative()])
+export const CompletedRunReport = z.tuple([Fingerprint, z.number().nonnegative()])
 export type CompletedRunReport = z.infer<typeof CompletedRunReport>
 
 /** Maximum length of a request's id in a record of its stream; streams of longer ones are not recorded. */
@@ -310,7 +310,7 @@
    * and which the sender asks to run as a probe. `streams`: streams that the sender has begun; such a frame is not acknowledged.
    * `askStream`: the service of a stream that is taken up, and the id of the request that began it.
    */
-  z.object({ type: z.literal('crashes'), stamp: z.number(), crashes: z.array(CrashReport).max(maxCrashesPerFrame), sound: z.array(CompletedRunReport).max(maxCrashesPerFrame), limits: z.array(LimitReport).max(maxLimitsPerFrame).optional(), probes: z.array(CompletedRunReport).max(maxCrashesPerFrame).optional(), busy: z.array(ServiceName).max(maxServicesPerFrame).optional(), retrying: z.array(ServiceName).max(maxServicesPerFrame).optional(), ask: RequestFingerprint.optional(), streams: z.array(StreamRecord).max(maxStreamsPerFrame).optional(), askStream: z.tuple([ServiceName, RequestName]).optional() }),
+  z.object({ type: z.literal('crashes'), stamp: z.number(), crashes: z.array(CrashReport).max(maxCrashesPerFrame), sound: z.array(CompletedRunReport).max(maxCrashesPerFrame), limits: z.array(LimitReport).max(maxLimitsPerFrame).optional(), probes: z.array(CompletedRunReport).max(maxCrashesPerFrame).optional(), busy: z.array(ServiceName).max(maxServicesPerFrame).optional(), retrying: z.array(ServiceName).max(maxServicesPerFrame).optional(), ask: Fingerprint.optional(), streams: z.array(StreamRecord).max(maxStreamsPerFrame).optional(), askStream: z.tuple([ServiceName, RequestName]).optional() }),
   /** Acknowledges the `crashes` frame with that stamp, which is also relayed to the subscribed entries. `granted`: whether the probe may be run. `stream`: the answer to `askStream`. */
   z.object({ type: z.literal('crashes_noted'), stamp: z.number(), granted: z.boolean().optional(), stream: StreamOriginReply.optional() }),
   Appointment,
