--- a/packages/stand-ins/src/fleet/backend-server.ts
+++ b/packages/stand-ins/src/fleet/backend-server.ts
@@ -38,6 +38,10 @@
  */
 export type InjectedFault = 'none' | 'mute' | 'reset' | 'failing' | 'shedding' | 'torn' | 'unsealed' | 'foreign'
 
+/** Ids of the parts of a request's prompt, in order. */
+export const promptPartsOf = ({ headers }: IncomingMessage): string[] =>
+  String(headers['prompt-prefix'] ?? '').split(',').map(part => part.split(':')[0] ?? '')
+
 export class BackendStandIn extends HttpStandIn {
   id: string
   /** The version of its software, as listed. */
@@ -75,6 +79,8 @@
   sequence = 0
   /** A request to this path crashes the server. */
   crashPath: string | undefined
+  /** Requests with one of these parts in their prompts crash the engine some time after their first event. */
+  crashParts: ReadonlySet<string> = new Set()
   /** Factor on the time that it takes for a request and between events. */
   slowdown = 1
   /** The response to a request to this path is `largeBytes` long. */
@@ -82,7 +88,7 @@
   largeBytes = 0
   /** The bodies of requests to this path are not read, and get no response. */
   unreadPath: string | undefined
-  /** Time between the start of such a request and the crash. */
+  /** Time between the start of such a request, or its first event, and the crash. */
   crashDelayMs = 30
   /** Called when the server crashes. */
   onCrash: () => void = () => {}
@@ -184,7 +190,7 @@
     try {
       const workMs = this.options.workMs * this.slowdown
       await pause(this.#reserveSlot(workMs) + workMs)
-      await this.#respond(request.url ?? '', requestId, body, response, Number(request.headers['last-event-id'] ?? 0))
+      await this.#respond(request, requestId, body, response)
     } finally {
       this.running -= 1
     }
@@ -233,7 +239,8 @@
     return { 'Not-Executed': '1', ...retryAfter, ...(status === 421 ? { 'Instance-Id': this.id } : {}) }
   }
 
-  async #respond (path: string, requestId: string, body: Buffer, response: ServerResponse, after: number): Promise<void> {
+  async #respond (request: IncomingMessage, requestId: string, body: Buffer, response: ServerResponse): Promise<void> {
+    const path = request.url ?? ''
     const echoedId = this.fault === 'foreign' ? 'another' : requestId
     const headers = { 'Request-Id': echoedId, ...(this.fault === 'unsealed' ? {} : { 'Response-Seal': `seal-${this.id}` }) }
     if (this.fault === 'failing') return sendJson(response, 500, {}, headers)
@@ -254,6 +261,8 @@
     }
     // A stream is of one version, also if the server restarts under another one before it has ended.
     const { id, softwareVersion } = this
+    const after = Number(request.headers['last-event-id'] ?? 0)
+    const crashes = promptPartsOf(request).some(part => this.crashParts.has(part))
     response.writeHead(200, { ...headers, 'content-type': 'text/event-stream' })
     for (let event = after + 1; event <= this.options.events; event++) {
       if (this.fault === 'torn' && event === 3) {
@@ -261,6 +270,7 @@
         return
       }
       response.write(`id: ${event}\ndata: ${id} ${softwareVersion} ${event}\n\n`)
+      if (crashes) return await this.#crash()
       await pause(this.options.eventMs * this.slowdown)
     }
     response.end()
