--- a/packages/decisions/src/crash-history.ts
+++ b/packages/decisions/src/crash-history.ts
@@ -1,34 +1,38 @@
 /**
- * Records which servers crashed while they ran which request, and quarantines requests that crash servers.
+ * Records under which work servers crashed, and quarantines work that crashes servers: requests, and parts that prompts share.
  *
- * Without it, a request that crashes each server that runs it takes down one after the other, since its caller retries it. A crash
- * fails all requests on the server, up to a whole batch, of which at most one is the cause. The cause can be told from the others by
- * its retry: it was sent again after the crash, and the next server crashed too. Such consecutive crashes quarantine a request, two
- * for a short time and three for a long one. Crashes whose runs overlap count as one, as a single fault may bring down many servers
- * at the same time. A run that completes shows that the request crashes no server, and discards all crashes before it.
+ * Without it, a request that crashes each server that runs it takes down one after the other, since its caller retries it, and so does
+ * a part of prompts that comes in ever new requests. A crash fails all requests on the server, up to a whole batch, of which at most
+ * one is the cause, and a request has several parts. What crashes servers can be told from the rest, as it was sent again after the
+ * crash, and the next server crashed too. Such consecutive crashes quarantine work: three for a long time, and two a request for a short
+ * one. A part is in more requests, so that two crashes are more often a coincidence, and refusing it harms more callers. Crashes whose runs overlap count as one, as a single fault may bring down many servers at the same time. A run that completes
+ * shows that all of its work crashes no server, and discards all crashes before it.
  *
- * An expired quarantine doesn't release the request, since its caller may retry it through all entry processes at the same moment.
- * One run of it is allowed across all of them, as a probe, and the outcome of the probe decides.
+ * Work that often runs beside the cause is involved in the same crashes. It counts only for those that no stronger suspect explains:
+ * one with more consecutive crashes, or a request where a part has as many. Of equal suspects, each is run once without the others.
+ *
+ * An expired quarantine doesn't release work, since it may come through all entry processes at the same moment. One run of it is
+ * allowed across all of them, as a probe, and its outcome decides. Each probe that crashes a server makes the next quarantine longer.
  */
-import type { Fingerprint } from '@finchpitch/core'
+import { partFingerprintPrefix, type Fingerprint } from '@finchpitch/core'
 
-/** A server crashed while it ran a request, or shortly after the request was sent to it. */
+/** A server crashed while it ran the work, or shortly after the work was sent to it. */
 export interface Crash {
   fingerprint: Fingerprint
   /** One incarnation of a server; a restarted server counts as another one. */
   server: string
-  /** On the monotonic clock of this process. */
+  /** Of the last request with the work, on the monotonic clock of this process. */
   sentAt: number
   endedAt: number
 }
 
-/** A run of a request that completed. */
+/** A run of the work that completed. */
 export interface CompletedRun {
   fingerprint: Fingerprint
   endedAt: number
 }
 
-/** The single run that a request is allowed after its quarantine has expired. */
+/** The single run that work is allowed after its quarantine has expired, or to tell it from equal suspects. */
 export interface Probe {
   fingerprint: Fingerprint
   /** When it was started, on the monotonic clock of this process. */
@@ -42,16 +46,23 @@
   shortQuarantineMs: number
   /** Consecutive crashes that quarantine a request until the first of them expires. */
   longThreshold: number
+  /** Consecutive crashes that quarantine a part of prompts, for as long. */
+  partThreshold: number
   /** How long a crash counts. */
   keepMs: number
+  /** Length of the quarantine after the first probe that crashed a server, after the second one, and so on; the last also after all further ones. */
+  probeBackoffMs: readonly number[]
   /** Another probe is allowed when the last one has had no outcome for this long. */
   probeMs: number
-  /** Consecutive probes without an outcome that quarantine a request for as long as a crash counts. */
+  /** Consecutive probes without an outcome that quarantine work for as long as a crash counts. */
   probes: number
-  /** Maximum number of requests in the table. */
+  /** Maximum number of entries in the table. */
   most: number
 }
 
+const minuteMs = 60_000
+const hourMs = 60 * minuteMs
+
 /**
  * In a simulation, a request that crashes each engine that runs it is sent every 1.3 s for a minute, among 230 others per second on
  * 13 engines. Of the others, 350 are lost if the request is never refused, 75 if it is refused for good after one crash, 9 after
@@ -63,45 +74,70 @@
   /** Short, as an identical request from many callers may be quarantined by coincidence. Its next run then clears it. */
   shortQuarantineMs: 5000,
   longThreshold: 3,
-  /** Long, as a request that crashes servers has to be fixed by people, and each time this expires, three more servers crash. */
-  keepMs: 600_000,
+  partThreshold: 3,
+  /** Long, as a request that crashes servers has to be fixed by people, and each time this expires, another server crashes. */
+  keepMs: 10 * minuteMs,
+  /** Three probes on the first day, and one on each further day. */
+  probeBackoffMs: [10 * minuteMs, hourMs, 6 * hourMs, 24 * hourMs],
   /** Covers the longest timeout of a caller and the time until a crash is known to have occurred. */
   probeMs: 15_000,
   probes: 2,
-  /** A record takes about 200 bytes with two crashes. One crash of a server adds up to a batch of requests. */
+  /** A record takes about 200 bytes with two crashes. One crash of a server adds up to a batch of requests and their parts. */
   most: 2000
 }
 
-/** Why a request must not be sent. */
+/** Why work must not be sent. */
 export interface Quarantine {
   /** The servers that crashed under it, in order. */
   servers: string[]
   leftMs: number
 }
 
+/** What the history of a request and of the parts of its prompt allows. `of`: the work that needs a grant to be probed. */
+export type CrashVerdict =
+  | { type: 'run' }
+  | { type: 'probe', of: readonly Fingerprint[] }
+  | { type: 'quarantined', quarantine: Quarantine }
+
 /** Reports of the same probe that arrive by way of different processes differ by less than this in its start time. */
 const sameProbeMs = 1000
 
 /** How often expired records are searched for. */
 const expiryIntervalMs = 1000
-/** Share of the maximum that an eviction leaves, so that not every further request causes another eviction. */
+/** Share of the maximum that an eviction leaves, so that not every further record causes another eviction. */
 const evictionTarget = 0.9
+/** Crashes and probes that a record keeps, the most recent ones. */
+const maxKept = 16
 
-interface RequestRecord {
+interface WorkRecord {
+  /** A part of prompts, not a whole request. */
+  readonly isPart: boolean
   readonly crashes: Map<string, Crash>
   /** When the last completed run ended. */
   completedAt: number
-  /** Start times of the probes that have no outcome yet. */
-  pendingProbes: number[]
-  /** Until then the request may only be sent as a probe, where it isn't quarantined. */
+  /** Start times of the probes since then, in order. */
+  probes: number[]
+  /** Until then the work may only be sent as a probe, where it isn't quarantined. */
   probeOnlyUntil: number
 }
 
-const emptyRecord = (): RequestRecord => ({ crashes: new Map(), completedAt: -Infinity, pendingProbes: [], probeOnlyUntil: -Infinity })
+/** Work that its consecutive crashes have quarantined. */
+interface Suspect {
+  fingerprint: Fingerprint
+  record: WorkRecord
+  /** Number of consecutive crashes. */
+  strength: number
+}
+
+const run: CrashVerdict = { type: 'run' }
+
+const emptyRecord = (fingerprint: Fingerprint): WorkRecord => ({ isPart: fingerprint.startsWith(partFingerprintPrefix), crashes: new Map(), completedAt: -Infinity, probes: [], probeOnlyUntil: -Infinity })
 
 export class CrashHistory {
   /** In the order of their last updates, the least recent first. */
-  readonly #records = new Map<Fingerprint, RequestRecord>()
+  readonly #records = new Map<Fingerprint, WorkRecord>()
+  /** Suspects whose crashes no stronger one explains; `undefined` after a change. */
+  #unexplained: Map<Fingerprint, Suspect> | undefined
   #expiredAt = -Infinity
 
   constructor (private readonly limits: QuarantineLimits) {}
@@ -113,128 +149,250 @@
   /** Records a crash. Returns false if it was known, has expired, or came before a completed run. */
   recordCrash (crash: Crash, now: number): boolean {
     const { fingerprint, server, endedAt } = crash
-    if (now - endedAt >= this.limits.keepMs) return false
-    const record = this.#records.get(fingerprint) ?? emptyRecord()
-    if (record.crashes.has(server) || endedAt <= record.completedAt) return false
+    const record = this.#records.get(fingerprint) ?? emptyRecord(fingerprint)
+    const isOutcome = record.probes.some(at => at <= endedAt)
+    if (record.crashes.has(server) || endedAt <= record.completedAt || (now - endedAt >= this.limits.keepMs && !isOutcome)) return false
     record.crashes.set(server, crash)
-    // The crash is the outcome of the probes that were started before it.
-    record.pendingProbes = record.pendingProbes.filter(at => at > endedAt)
+    if (record.crashes.size > maxKept) record.crashes.delete(inOrder(record.crashes.values())[0]?.server ?? '')
     this.#update(fingerprint, record, now)
     return true
   }
 
   /** Records that a probe was started. Returns false if it was known, has expired, or came before a completed run. */
   recordProbe ({ fingerprint, at }: Probe, now: number): boolean {
-    const record = this.#records.get(fingerprint) ?? emptyRecord()
-    if (at <= record.completedAt || now - at >= this.limits.keepMs) return false
+    const record = this.#records.get(fingerprint) ?? emptyRecord(fingerprint)
+    if (at <= record.completedAt || now - at >= this.#longestBackoffMs) return false
     // Times cross between processes as ages, so the same probe appears at a slightly different time on each path.
-    if (record.pendingProbes.some(each => Math.abs(each - at) < sameProbeMs)) return false
-    record.pendingProbes.push(at)
+    if (record.probes.some(each => Math.abs(each - at) < sameProbeMs)) return false
+    record.probes = [...record.probes, at].sort((a, b) => a - b).slice(-maxKept)
     this.#update(fingerprint, record, now)
     return true
   }
 
-  /** Records a completed run. Returns true if that discarded a crash or a probe; always false for a request without a record. */
+  /** Records a completed run. Returns true if that discarded a crash or a probe; always false for work without a record. */
   sound ({ fingerprint, endedAt }: CompletedRun): boolean {
     const record = this.#records.get(fingerprint)
     if (record === undefined || endedAt <= record.completedAt) return false
     const discarded = [...record.crashes.values()].filter(crash => crash.endedAt <= endedAt)
     for (const { server } of discarded) record.crashes.delete(server)
-    const probed = record.pendingProbes.length > 0
+    const probed = record.probes.length > 0
     record.completedAt = endedAt
-    record.pendingProbes = []
+    record.probes = []
     record.probeOnlyUntil = -Infinity
-    return discarded.length > 0 || probed
+    const changed = discarded.length > 0 || probed
+    if (changed) this.#unexplained = undefined
+    return changed
+  }
+
+  /** What may be done with a request, by the fingerprints of it and of the parts of its prompt. */
+  verdict (work: readonly Fingerprint[], now: number): CrashVerdict {
+    const quarantined = work.filter(fingerprint => this.quarantine(fingerprint, now) !== undefined)
+    const [first] = quarantined
+    if (first === undefined) {
+      const of = work.filter(fingerprint => this.probeDue(fingerprint, now))
+      return of.length === 0 ? run : { type: 'probe', of }
+    }
+    if (quarantined.length === 1 && this.#isAlternative(first, work, now)) return { type: 'probe', of: [first] }
+    const longest = quarantined.flatMap(fingerprint => this.quarantine(fingerprint, now) ?? []).sort((a, b) => b.leftMs - a.leftMs)
+    return { type: 'quarantined', quarantine: longest[0] ?? { servers: [], leftMs: 0 } }
   }
 
-  /** `undefined` if the request isn't quarantined. */
+  /** `undefined` if the work isn't quarantined. */
   quarantine (fingerprint: Fingerprint, now: number): Quarantine | undefined {
     const record = this.#records.get(fingerprint)
-    if (record === undefined) return undefined
-    const consecutive = consecutiveCrashes(this.#unexpired(record, now))
-    const leftMs = Math.max(this.#crashQuarantineUntil(consecutive), this.#probeQuarantineUntil(record)) - now
-    return leftMs > 0 ? { servers: consecutive.map(crash => crash.server), leftMs } : undefined
+    if (record === undefined || this.#isExplained(fingerprint, record, now)) return undefined
+    const leftMs = this.#quarantinedUntil(record, now) - now
+    return leftMs > 0 ? { servers: consecutiveCrashes(record.crashes.values()).map(crash => crash.server), leftMs } : undefined
   }
 
-  /** Whether the quarantine has expired and no run has completed since, so that one entry process of all may send the request once. */
+  /** Whether the quarantine has expired and no run has completed since, so that one entry process of all may send the work once. */
   probeDue (fingerprint: Fingerprint, now: number): boolean {
     const record = this.#records.get(fingerprint)
-    return record !== undefined && now < record.probeOnlyUntil && this.quarantine(fingerprint, now) === undefined
+    if (record === undefined || now >= record.probeOnlyUntil || this.#isExplained(fingerprint, record, now)) return false
+    return this.quarantine(fingerprint, now) === undefined
   }
 
-  /** Probes without an outcome yet. */
+  /** Whether one entry process of all may send the work once, in a request without any other suspect. */
+  mayProbe (fingerprint: Fingerprint, now: number): boolean {
+    return this.quarantine(fingerprint, now) === undefined || this.#isAlternative(fingerprint, [fingerprint], now)
+  }
+
+  /** Probes since the last completed run of their work. */
   probes (): Probe[] {
-    return [...this.#records].flatMap(([fingerprint, { pendingProbes }]) => pendingProbes.map(at => ({ fingerprint, at })))
+    return [...this.#records].flatMap(([fingerprint, { probes }]) => probes.map(at => ({ fingerprint, at })))
   }
 
-  /** All crashes that have not expired. */
+  /** All crashes that still count. */
   crashes (now: number): Crash[] {
-    return [...this.#records.values()].flatMap(record => this.#unexpired(record, now))
+    return [...this.#records.keys()].flatMap(fingerprint => this.crashesOf(fingerprint, now))
   }
 
-  /** The crashes of one request that have not expired. */
+  /** The crashes under one request or part that still count. */
   crashesOf (fingerprint: Fingerprint, now: number): Crash[] {
     const record = this.#records.get(fingerprint)
-    return record === undefined ? [] : this.#unexpired(record, now)
+    if (record === undefined) return []
+    return now < record.probeOnlyUntil ? [...record.crashes.values()] : this.#unexpired(record, now)
   }
 
   /** Removes expired records, and evicts others where the table is too large. May be called at any rate: it does its work once per interval. */
   expire (now: number): void {
     if (this.#records.size <= this.limits.most && now - this.#expiredAt < expiryIntervalMs) return
     this.#expiredAt = now
+    this.#unexplained = undefined
     for (const [fingerprint, record] of this.#records) {
-      // A completed run is kept as long as a crash, since reports of crashes before it may still arrive.
-      if (this.#unexpired(record, now).length === 0 && now - record.completedAt >= this.limits.keepMs && now >= record.probeOnlyUntil) this.#records.delete(fingerprint)
+      if (this.#isExpired(record, now)) this.#records.delete(fingerprint)
     }
     if (this.#records.size > this.limits.most) this.#evict(now)
   }
 
+  #isExpired (record: WorkRecord, now: number): boolean {
+    if (this.#unexpired(record, now).length > 0 || now < record.probeOnlyUntil) return false
+    // A completed run is kept as long as a crash, and a probe as long as it can count, since reports of crashes that belong to them may still arrive.
+    return now - record.completedAt >= this.limits.keepMs && now - (record.probes.at(-1) ?? -Infinity) >= this.#longestBackoffMs
+  }
+
   /** Stores a changed record as the most recently updated one. */
-  #update (fingerprint: Fingerprint, record: RequestRecord, now: number): void {
-    const quarantinedUntil = Math.max(this.#crashQuarantineUntil(consecutiveCrashes(this.#unexpired(record, now))), this.#probeQuarantineUntil(record))
-    if (quarantinedUntil > -Infinity) record.probeOnlyUntil = Math.max(record.probeOnlyUntil, quarantinedUntil + this.limits.keepMs)
+  #update (fingerprint: Fingerprint, record: WorkRecord, now: number): void {
+    const { keepMs } = this.limits
+    const until = this.#quarantinedUntil(record, now)
+    // A longer quarantine is remembered for longer, as work that comes rarely may come again long after it.
+    if (until > -Infinity) record.probeOnlyUntil = Math.max(record.probeOnlyUntil, until + Math.max(keepMs, this.#backoffMs(record)))
+    this.#unexplained = undefined
     this.#records.delete(fingerprint)
     this.#records.set(fingerprint, record)
     this.expire(now)
   }
 
-  /** Until when pending probes quarantine the request. */
-  #probeQuarantineUntil ({ pendingProbes }: RequestRecord): number {
+  /** Until when the crashes and probes of the work quarantine it; in the past if they don't. */
+  #quarantinedUntil (record: WorkRecord, now: number): number {
+    return Math.max(this.#crashQuarantineUntil(record, now), this.#probeQuarantineUntil(record), this.#failedProbesUntil(record))
+  }
+
+  /** Until when probes without an outcome quarantine the work. */
+  #probeQuarantineUntil (record: WorkRecord): number {
     const { probes, probeMs, keepMs } = this.limits
-    if (pendingProbes.length === 0) return -Infinity
-    return Math.max(...pendingProbes) + (pendingProbes.length >= probes ? keepMs : probeMs)
+    const pending = pendingProbes(record)
+    if (pending.length === 0) return -Infinity
+    return Math.max(...pending) + (pending.length >= probes ? keepMs : probeMs)
+  }
+
+  /** Until when probes that crashed servers quarantine the work. */
+  #failedProbesUntil (record: WorkRecord): number {
+    const last = probeCrashes(record).at(-1)
+    return last === undefined ? -Infinity : last.endedAt + this.#backoffMs(record)
+  }
+
+  /** Length of the quarantine after the probes that have crashed a server; 0 if none has. */
+  #backoffMs (record: WorkRecord): number {
+    const { probeBackoffMs } = this.limits
+    const failed = probeCrashes(record).length
+    return failed === 0 ? 0 : probeBackoffMs[Math.min(failed, probeBackoffMs.length) - 1] ?? 0
+  }
+
+  get #longestBackoffMs (): number {
+    return Math.max(...this.limits.probeBackoffMs)
   }
 
-  /** Until when consecutive crashes quarantine the request. */
-  #crashQuarantineUntil (consecutive: readonly Crash[]): number {
-    const { shortThreshold, shortQuarantineMs, longThreshold, keepMs } = this.limits
+  /** Until when consecutive crashes quarantine the work. */
+  #crashQuarantineUntil (record: WorkRecord, now: number): number {
+    const { shortQuarantineMs, longThreshold, partThreshold, keepMs } = this.limits
+    const consecutive = consecutiveCrashes(this.#unexpired(record, now))
     const last = consecutive.at(-1)
-    if (last === undefined || consecutive.length < shortThreshold) return -Infinity
+    if (last === undefined || consecutive.length < this.#threshold(record)) return -Infinity
     // Once this crash has expired, too few are left for the long quarantine.
-    const earliestNeeded = consecutive.at(-longThreshold)
+    const earliestNeeded = consecutive.at(record.isPart ? -partThreshold : -longThreshold)
     return Math.max(last.endedAt + shortQuarantineMs, earliestNeeded === undefined ? -Infinity : earliestNeeded.endedAt + keepMs)
   }
 
-  #unexpired ({ crashes }: RequestRecord, now: number): Crash[] {
+  /** Consecutive crashes that quarantine the work at all. */
+  #threshold ({ isPart }: WorkRecord): number {
+    return isPart ? this.limits.partThreshold : this.limits.shortThreshold
+  }
+
+  #unexpired ({ crashes }: WorkRecord, now: number): Crash[] {
     return [...crashes.values()].filter(crash => now - crash.endedAt < this.limits.keepMs)
   }
 
-  /** Evicts requests that aren't quarantined before those that are, and the least recently updated first. */
+  /** Whether stronger suspects explain so many of its crashes that the rest would not quarantine the work. */
+  #isExplained (fingerprint: Fingerprint, record: WorkRecord, now: number): boolean {
+    if (record.crashes.size < this.#threshold(record)) return false
+    return now < record.probeOnlyUntil && !this.#unexplainedSuspects(now).has(fingerprint)
+  }
+
+  #unexplainedSuspects (now: number): Map<Fingerprint, Suspect> {
+    this.#unexplained ??= this.#explain(this.#suspects(now))
+    return this.#unexplained
+  }
+
+  /** All suspects, the strongest first. */
+  #suspects (now: number): Suspect[] {
+    const suspects = [...this.#records].flatMap(([fingerprint, record]) => now < record.probeOnlyUntil ? [{ fingerprint, record, strength: consecutiveCrashes(record.crashes.values()).length }] : [])
+    return suspects.sort((a, b) => b.strength - a.strength || Number(a.record.isPart) - Number(b.record.isPart))
+  }
+
+  /** Leaves out the suspects of which stronger ones explain the crashes. `suspects`: the strongest first. */
+  #explain (suspects: readonly Suspect[]): Map<Fingerprint, Suspect> {
+    const unexplained = new Map<Fingerprint, Suspect>()
+    for (const suspect of suspects) {
+      const stronger = [...unexplained.values()].filter(other => isStronger(other, suspect))
+      if (!this.#explainedBy(stronger, suspect)) unexplained.set(suspect.fingerprint, suspect)
+    }
+    return unexplained
+  }
+
+  /** Whether the crashes that none of the others is involved in would not quarantine the suspect. */
+  #explainedBy (others: readonly Suspect[], { record }: Suspect): boolean {
+    const left = [...record.crashes.values()].filter(({ server }) => !others.some(other => other.record.crashes.has(server)))
+    return left.length < record.crashes.size && consecutiveCrashes(left).length < this.#threshold(record)
+  }
+
+  /**
+   * Whether an equal suspect that is not part of this work explains the same crashes, so that a run of this work without the other one
+   * tells which of them is the cause.
+   */
+  #isAlternative (fingerprint: Fingerprint, work: readonly Fingerprint[], now: number): boolean {
+    const unexplained = this.#unexplainedSuspects(now)
+    const suspect = unexplained.get(fingerprint)
+    if (suspect === undefined || pendingProbes(suspect.record).length > 0) return false
+    return [...unexplained.values()].some(other => !work.includes(other.fingerprint) && this.#explainedBy([other], suspect))
+  }
+
+  /** Evicts work that isn't quarantined before that which is, then that with the fewest crashes, then the least recently updated. */
   #evict (now: number): void {
     const fingerprints = [...this.#records.keys()]
-    const free = fingerprints.filter(fingerprint => this.quarantine(fingerprint, now) === undefined)
+    const crashesOf = (fingerprint: Fingerprint): number => this.#records.get(fingerprint)?.crashes.size ?? 0
+    const free = fingerprints.filter(fingerprint => this.quarantine(fingerprint, now) === undefined).sort((a, b) => crashesOf(a) - crashesOf(b))
     const quarantined = fingerprints.filter(fingerprint => this.quarantine(fingerprint, now) !== undefined)
     const excess = Math.ceil(fingerprints.length - this.limits.most * evictionTarget)
     for (const fingerprint of [...free, ...quarantined].slice(0, excess)) this.#records.delete(fingerprint)
+    this.#unexplained = undefined
   }
 }
 
+/** Whether the crashes that both are involved in are put down to `other`. A request is a narrower explanation than a part of its prompt. */
+const isStronger = (other: Suspect, suspect: Suspect): boolean =>
+  other.strength > suspect.strength || (other.strength === suspect.strength && !other.record.isPart && suspect.record.isPart)
+
+/** Probes without an outcome yet: a crash is the outcome of the probes that were started before it. */
+const pendingProbes = ({ probes, crashes }: WorkRecord): number[] => {
+  const lastCrashAt = Math.max(-Infinity, ...[...crashes.values()].map(({ endedAt }) => endedAt))
+  return probes.filter(at => at > lastCrashAt)
+}
+
+/** The first crash after each probe, in order. */
+const probeCrashes = ({ probes, crashes }: WorkRecord): Crash[] => {
+  if (probes.length === 0) return []
+  const ordered = inOrder(crashes.values())
+  return [...new Set(probes.flatMap(at => ordered.find(({ endedAt }) => endedAt >= at) ?? []))]
+}
+
+/** Ties are ordered by server, so that processes that learned of two crashes in a different order come to the same result. */
+const inOrder = (crashes: Iterable<Crash>): Crash[] => [...crashes].sort((a, b) => a.endedAt - b.endedAt || (a.server < b.server ? -1 : 1))
+
 /** The crashes of which each run was sent after the server before it had crashed. */
-const consecutiveCrashes = (crashes: readonly Crash[]): Crash[] => {
+const consecutiveCrashes = (crashes: Iterable<Crash>): Crash[] => {
   const consecutive: Crash[] = []
-  // Ties are ordered by server, so that processes that learned of two crashes in a different order come to the same result.
-  const ordered = [...crashes].sort((a, b) => a.endedAt - b.endedAt || (a.server < b.server ? -1 : 1))
-  for (const crash of ordered) {
+  for (const crash of inOrder(crashes)) {
     if (crash.sentAt >= (consecutive.at(-1)?.endedAt ?? -Infinity)) consecutive.push(crash)
   }
   return consecutive
--- a/packages/decisions/test/crash-history.test.ts
+++ b/packages/decisions/test/crash-history.test.ts
@@ -1,9 +1,9 @@
 import { Fingerprint } from '@finchpitch/core'
-import { CrashHistory, type Crash, type QuarantineLimits } from '@finchpitch/decisions'
+import { CrashHistory, quarantineLimits, type Crash, type QuarantineLimits } from '@finchpitch/decisions'
 import { expect } from 'chai'
 import fc from 'fast-check'
 
-const limits: QuarantineLimits = { shortThreshold: 2, shortQuarantineMs: 500, longThreshold: 3, keepMs: 1000, probeMs: 200, probes: 2, most: 4 }
+const limits: QuarantineLimits = { shortThreshold: 2, shortQuarantineMs: 500, longThreshold: 3, partThreshold: 3, keepMs: 1000, probeBackoffMs: [1000, 5000], probeMs: 200, probes: 2, most: 4 }
 const fingerprint = (name: string): Fingerprint => Fingerprint.parse(name.padEnd(16, '_'))
 const bad = fingerprint('bad')
 const crash = (server: string, sentAt: number, endedAt: number, of = bad): Crash => ({ fingerprint: of, server, sentAt, endedAt })
@@ -111,6 +111,122 @@
     })
   })
 
+  describe('of parts of prompts', () => {
+    const part = (name: string): Fingerprint => fingerprint(`_${name}`)
+    const [faulty, beside] = [part('faulty'), part('beside')]
+    let now = 0
+
+    beforeEach(() => { now = 0 })
+
+    /** Crashes one more server, 20 ms after the last one, while it runs all of this work. */
+    const crashUnder = (...work: Fingerprint[]): void => {
+      now += 20
+      for (const each of work) history.recordCrash(crash(`s${now}`, now - 10, now, each), now)
+    }
+    const crashTimes = (times: number, ...work: Fingerprint[]): void => { for (let each = 0; each < times; each++) crashUnder(...work) }
+    const typeOf = (...work: Fingerprint[]): string => history.verdict(work, now).type
+
+    it('starts at the third consecutive crash, whichever requests have the part', () => {
+      crashUnder(faulty, fingerprint('r1'))
+      crashUnder(faulty, fingerprint('r2'))
+      expect(typeOf(faulty, fingerprint('r3'))).to.equal('run')
+      crashUnder(faulty, fingerprint('r3'))
+      expect(typeOf(faulty, fingerprint('r4'))).to.equal('quarantined')
+      expect(typeOf(beside)).to.equal('run')
+    })
+
+    it('is not counted for a part that requests complete with between the crashes', () => {
+      crashTimes(2, faulty, beside)
+      history.sound({ fingerprint: beside, endedAt: now + 1 })
+      crashTimes(2, faulty, beside)
+      expect(typeOf(faulty)).to.equal('quarantined')
+      expect(typeOf(beside)).to.equal('run')
+    })
+
+    it('allows one run of each of two equal suspects without the other', () => {
+      crashTimes(3, faulty, beside)
+      expect(typeOf(faulty, beside)).to.equal('quarantined')
+      expect(history.verdict([beside], now)).to.deep.equal({ type: 'probe', of: [beside] })
+      expect(history.mayProbe(beside, now)).to.equal(true)
+      now += 1
+      history.recordProbe({ fingerprint: beside, at: now }, now)
+      expect(typeOf(beside)).to.equal('quarantined')
+      expect(history.mayProbe(beside, now)).to.equal(false)
+    })
+
+    it('ends for one of two equal suspects once a run without the other completes', () => {
+      crashTimes(3, faulty, beside)
+      history.recordProbe({ fingerprint: beside, at: now }, now)
+      history.sound({ fingerprint: beside, endedAt: now + 30 })
+      now += 30
+      expect(typeOf(beside)).to.equal('run')
+      expect(typeOf(faulty)).to.equal('quarantined')
+    })
+
+    it('ends for one of two equal suspects once a run of the other crashes a server', () => {
+      crashTimes(3, faulty, beside)
+      history.recordProbe({ fingerprint: faulty, at: now }, now)
+      crashUnder(faulty)
+      expect(typeOf(beside)).to.equal('run')
+      expect(typeOf(faulty)).to.equal('quarantined')
+    })
+
+    it('starts for a part with crashes of its own beside a stronger suspect', () => {
+      crashTimes(5, faulty, beside)
+      crashTimes(3, beside)
+      expect(typeOf(beside)).to.equal('quarantined')
+      crashTimes(4, faulty)
+      crashTimes(1, faulty)
+      expect(typeOf(faulty)).to.equal('quarantined')
+      expect(typeOf(beside)).to.equal('quarantined')
+    })
+
+    it('does not start for the parts of a single request that crashes servers', () => {
+      const request = fingerprint('r')
+      crashTimes(3, request, faulty)
+      expect(typeOf(request, faulty)).to.equal('quarantined')
+      expect(typeOf(fingerprint('other'), faulty)).to.equal('run')
+      crashUnder(fingerprint('other'), faulty)
+      expect(typeOf(fingerprint('another'), faulty)).to.equal('quarantined')
+    })
+  })
+
+  describe('after probes that crash servers', () => {
+    const [hour, day] = [3_600_000, 86_400_000]
+
+    it('are quarantined for longer each time, also by a process that has only its peers\' reports', () => {
+      for (const time of [20, 40, 60]) history.recordCrash(crash(`s${time}`, time - 10, time), time)
+      for (const at of [1020, 2100]) {
+        expect(history.probeDue(bad, at)).to.equal(true)
+        history.recordProbe({ fingerprint: bad, at }, at)
+        history.recordCrash(crash(`probe${at}`, at, at + 10), at + 10)
+        expect(history.probeDue(bad, at + 11)).to.equal(false)
+      }
+      expect(history.quarantine(bad, 7109)?.leftMs).to.equal(1)
+      expect(history.quarantine(bad, 7110)).to.equal(undefined)
+      const started = new CrashHistory(limits)
+      for (const probe of history.probes()) started.recordProbe(probe, 5000)
+      for (const each of history.crashes(5000)) started.recordCrash(each, 5000)
+      expect(started.quarantine(bad, 5000)?.leftMs).to.equal(2110)
+    })
+
+    it('run at most three more times in a day after the fifth crash, if a request comes every second', () => {
+      const all = new CrashHistory(quarantineLimits)
+      const crashes: number[] = []
+      for (let now = 0; now < day; now += 1000) {
+        const verdict = all.verdict([fingerprint('_bad')], now)
+        if (verdict.type === 'quarantined') continue
+        for (const each of verdict.type === 'probe' ? verdict.of : []) all.recordProbe({ fingerprint: each, at: now }, now)
+        all.recordCrash(crash(`s${now}`, now, now + 80, fingerprint('_bad')), now + 80)
+        crashes.push(now)
+        all.expire(now)
+      }
+      const [,,,, fifth = Infinity] = crashes
+      expect(crashes.filter(at => at > fifth)).to.have.length.at.most(3)
+      expect(crashes.filter(at => at > hour)).to.have.length.at.most(3)
+    })
+  })
+
   it('gives the same result for reports in any order and with duplicates', () => {
     const report = fc.record({ server: fc.constantFrom('a', 'b', 'c', 'd'), sentAt: fc.integer({ min: 0, max: 400 }), ranMs: fc.integer({ min: 1, max: 100 }) })
     fc.assert(fc.property(fc.uniqueArray(report, { selector: each => each.server, maxLength: 4 }), fc.option(fc.integer({ min: 0, max: 500 })), fc.infiniteStream(fc.nat()), (reports, completedAt, draws) => {
--- a/packages/decisions/test/replay/crash-simulation.test.ts
+++ b/packages/decisions/test/replay/crash-simulation.test.ts
@@ -30,7 +30,7 @@
     ['caused by one request, sent every 1.3 s, and one every 3 s of another cause', { fatalIntervalMs: 1300, crashIntervalMs: 3000 }]
   ]
   const keepMs = 600_000
-  const common = { keepMs, probeMs: 15_000, probes: 2, most: 2000 }
+  const common = { partThreshold: never, keepMs, probeBackoffMs: [keepMs], probeMs: 15_000, probes: 2, most: 2000 }
   const oneCrash: QuarantineLimits = { shortThreshold: 1, shortQuarantineMs: keepMs, longThreshold: 1, ...common }
   const neverRefused: QuarantineLimits = { shortThreshold: never, shortQuarantineMs: 0, longThreshold: never, ...common }
   const policies: Array<[string, QuarantineLimits]> = [
--- a/packages/fleet/src/entry/servers/crash-tracker.ts
+++ b/packages/fleet/src/entry/servers/crash-tracker.ts
@@ -1,12 +1,12 @@
 /**
- * Tracks which requests crash servers, from the failed attempts of this entry and from the reports of other entries.
+ * Tracks which requests and which parts of prompts crash servers, from the failed attempts of this entry and from the reports of other
+ * entries.
  *
- * A request that has crashed two servers in a row is quarantined: it is sent to no server. All entries have to know of the
- * crashes before the caller retries, so they are shared within a few ms. An entry that loses contact with the others keeps what
- * it knows.
+ * Work that has crashed two servers in a row is quarantined: it is sent to no server. All entries have to know of the crashes before
+ * the work comes again, so they are shared within a few ms. An entry that loses contact with the others keeps what it knows.
  */
 import type { Log, Fingerprint } from '@finchpitch/core'
-import { CrashHistory, quarantineLimits, type Quarantine } from '@finchpitch/decisions'
+import { CrashHistory, quarantineLimits, type Crash, type CrashVerdict, type Quarantine } from '@finchpitch/decisions'
 import type { Channel, FrameOf } from '@finchpitch/wire'
 import { nowMs } from '../../clock.js'
 import { sendKnownCrashes, noReports, recordCrashes, type AttemptReports } from '../../attempt-reports.js'
@@ -42,9 +42,9 @@
   facts: Facts
   liveness: ServerLiveness
   reporter: Pick<AttemptReporter, 'report'>
-  /** Asks a side process for permission to run a request whose quarantine has expired. */
+  /** Asks a side process for permission to run work whose quarantine has expired. */
   requestProbe: (fingerprint: Fingerprint) => Promise<boolean>
-  /** Called when a request becomes quarantined, as copies of it may be waiting in the queue. */
+  /** Called when work becomes quarantined, as requests with it may be waiting in the queue. */
   onQuarantine: () => void
   counters: EntryCounters
   log: Log
@@ -58,27 +58,29 @@
   readonly #history = new CrashHistory(quarantineLimits)
   /** Failed attempts whose servers are not known to have crashed, the oldest first. */
   #unconfirmed: TimedFailure[] = []
+  /** Failed attempts whose servers crashed, until they are recorded. */
+  #ended: TimedFailure[] = []
 
   constructor (private readonly options: CrashTrackerOptions) {
     options.facts.onChange(fact => { if (fact.kind === 'server' && fact.value !== undefined) this.#checkReplaced(fact.value) })
   }
 
-  /** Whether no request has a record, so that fingerprints need not be computed. */
+  /** Whether nothing has a record, so that fingerprints need not be computed. */
   get isEmpty (): boolean {
     return this.#history.size === 0
   }
 
-  /** `undefined` if the request isn't quarantined. */
+  /** `undefined` if the work isn't quarantined. */
   quarantine (fingerprint: Fingerprint): Quarantine | undefined {
     return this.#history.quarantine(fingerprint, nowMs())
   }
 
-  /** Whether its quarantine has expired, so that one entry of all may send it once, as a probe. */
-  probeDue (fingerprint: Fingerprint): boolean {
-    return this.#history.probeDue(fingerprint, nowMs())
+  /** What may be done with a request, by the fingerprints of it and of the parts of its prompt. */
+  verdict (work: readonly Fingerprint[]): CrashVerdict {
+    return this.#history.verdict(work, nowMs())
   }
 
-  /** Asks for permission to send the request once, as a probe of whether it still crashes its server. Returns whether it was granted. */
+  /** Asks for permission to send the work once, as a probe of whether it still crashes its server. Returns whether it was granted. */
   async requestProbe (fingerprint: Fingerprint, request: string): Promise<boolean> {
     const { requestProbe, reporter, log } = this.options
     const granted = await requestProbe(fingerprint)
@@ -101,10 +103,21 @@
     const expected = facts.servers.get(server.id)?.leaving !== false
     const ended = !expected && await liveness.ended(server)
     log.info('request.broke_off', { request, fingerprint, parts, server: server.id, ranMs: Math.round(endedAt - sentAt), responseMs: responseMs === undefined ? undefined : Math.round(responseMs), expected, ended })
-    if (ended) this.#recordOwnCrashes([{ ...failure, endedAt }])
+    if (ended) this.#recordEnded({ ...failure, endedAt })
     else if (!expected) this.#unconfirmed = [...this.#unconfirmed, { ...failure, endedAt }].slice(-maxUnconfirmed)
   }
 
+  /** Attempts at one server learn from one check that it crashed, and are recorded together. */
+  #recordEnded (failure: TimedFailure): void {
+    this.#ended.push(failure)
+    if (this.#ended.length > 1) return
+    queueMicrotask(() => {
+      const ended = this.#ended
+      this.#ended = []
+      this.#recordOwnCrashes(ended)
+    })
+  }
+
   /** Counts the failed attempts at the address of a newly listed server, or of a new incarnation, as crashes of its predecessor. */
   #checkReplaced (replacement: BackendServer): void {
     if (this.#unconfirmed.length === 0) return
@@ -122,19 +135,19 @@
     const { reporter, counters } = this.options
     const now = nowMs()
     counters.serverCrashes.inc(attempts.length)
-    const crashes = attempts.map(({ fingerprint, server, sentAt, endedAt }) => ({ fingerprint, server: incarnationOf(server), sentAt, endedAt }))
-    const reports = { crashes: crashes.filter(crash => this.#history.recordCrash(crash, now)), sound: [], limits: [], probes: [] }
+    const reports = { crashes: crashesOf(attempts).filter(crash => this.#history.recordCrash(crash, now)), sound: [], limits: [], probes: [] }
     reporter.report(reports)
     this.#announceQuarantines(reports, 'own try')
   }
 
-  /** Records that a run of the request completed, which discards its earlier crashes. */
-  recordCompletion (fingerprint: Fingerprint): void {
-    const run = { fingerprint, endedAt: nowMs() }
-    const quarantined = this.quarantine(fingerprint) !== undefined
-    if (!this.#history.sound(run)) return
-    if (quarantined) this.#logReleased([fingerprint], 'own try')
-    this.options.reporter.report({ crashes: [], sound: [run], limits: [], probes: [] })
+  /** Records that a run of the work completed, which discards its earlier crashes. */
+  recordCompletion (work: readonly Fingerprint[]): void {
+    const endedAt = nowMs()
+    const quarantined = work.filter(fingerprint => this.quarantine(fingerprint) !== undefined)
+    const sound = work.map(fingerprint => ({ fingerprint, endedAt })).filter(run => this.#history.sound(run))
+    if (sound.length === 0) return
+    this.#logReleased(quarantined, 'own try')
+    this.options.reporter.report({ ...noReports, sound })
   }
 
   /** Records the reports of other entries that a side process relays. */
@@ -154,7 +167,7 @@
     sendKnownCrashes(this.#history, side)
   }
 
-  /** Logs and counts the requests that these crashes quarantine, and triggers a scan of the queue. */
+  /** Logs and counts the work that these crashes quarantine, and triggers a scan of the queue. */
   #announceQuarantines ({ crashes }: Pick<AttemptReports, 'crashes'>, from: string): void {
     const { counters, log, onQuarantine } = this.options
     let any = false
@@ -172,3 +185,16 @@
     for (const fingerprint of fingerprints) if (this.quarantine(fingerprint) === undefined) this.options.log.info('request.released', { fingerprint, from })
   }
 }
+
+/** The crashes that the attempts show, one for each server and work: that of the last request with the work that was sent. */
+const crashesOf = (attempts: readonly TimedFailure[]): Crash[] => {
+  const crashes = new Map<string, Crash>()
+  for (const { fingerprint, parts, server, sentAt, endedAt } of attempts) {
+    for (const work of [fingerprint, ...parts]) {
+      const crash = { fingerprint: work, server: incarnationOf(server), sentAt, endedAt }
+      const key = `${work} ${crash.server}`
+      if (sentAt > (crashes.get(key)?.sentAt ?? -Infinity)) crashes.set(key, crash)
+    }
+  }
+  return [...crashes.values()]
+}
--- a/packages/fleet/src/entry/servers/server-selector.ts
+++ b/packages/fleet/src/entry/servers/server-selector.ts
@@ -149,7 +149,7 @@
       expiresAt: this.#expiryOf(first, selection.service, route),
       mayWaitFor: choice => this.#mayWaitFor(choice, selection.service, route),
       choose: () => this.#takePermit(balancer.choose({ ...selection, timeToObjectiveMs: times.timeToObjectiveMs(route) }), selection),
-      isQuarantined: () => crashes.quarantine(team) !== undefined,
+      isQuarantined: () => crashes.quarantine({ team: team?.name, service: selection.service.name }) !== undefined,
       requestLoad: (ask, waiting) => balancer.requestLoad(ask, selection.key ?? '', waiting, rank())
     }
   }
--- a/packages/fleet/src/entry/serving/local-replies.ts
+++ b/packages/fleet/src/entry/serving/local-replies.ts
@@ -42,6 +42,8 @@
   staleTableRetryMs: () => number
 }
 
+const serversEnded = 'not run: servers ended under this request or under a part of its prompt'
+
 export class LocalReplies {
   #retryAfterMs: number | undefined
   #toldMs: number | undefined
@@ -75,15 +77,15 @@
     return 'over_quota'
   }
 
-  /** Servers crashed while running it. It is refused until enough of these crashes are too old to count. */
+  /** Servers crashed while running it, or requests with a part of its prompt. It is refused until enough of these crashes are too old to count. */
   quarantined ({ servers, leftMs }: Quarantine): string {
-    this.#rejectNotRun(503, `quarantined: ${servers.join(', ')} ended under it`, 'not run: servers ended under this request', Math.round(leftMs))
+    this.#rejectNotRun(503, `quarantined: ${servers.join(', ')} ended under it`, serversEnded, Math.round(leftMs))
     return 'quarantined'
   }
 
   /** Its quarantine has expired, and another entry is probing whether it still crashes its server. */
   awaitProbe (): string {
-    this.#rejectNotRun(503, 'quarantined: run elsewhere to see whether servers still end under it', 'not run: servers ended under this request', probeRetryMs)
+    this.#rejectNotRun(503, 'quarantined: run elsewhere to see whether servers still end under it', serversEnded, probeRetryMs)
     return 'quarantined'
   }
 
--- a/packages/fleet/src/entry/serving/request-crashes.ts
+++ b/packages/fleet/src/entry/serving/request-crashes.ts
@@ -1,10 +1,10 @@
 /**
- * The crash history of one request, looked up by its fingerprint, which depends on the body and on the team that it is admitted for.
+ * The crash history of one request and of the parts of its prompt, looked up by their fingerprints. These depend on the body, on the team
+ * that the request is admitted for and on the service that it goes to.
  */
 import type { Fingerprint } from '@finchpitch/core'
-import type { Quarantine } from '@finchpitch/decisions'
+import type { CrashVerdict, Quarantine } from '@finchpitch/decisions'
 import type { BackendServer } from '../../server.js'
-import type { FleetTeam } from '../../team.js'
 import type { CrashTracker } from '../servers/crash-tracker.js'
 import { fingerprintOf, partFingerprintOf } from './fingerprint.js'
 import type { IncomingRequest } from './incoming-request.js'
@@ -12,6 +12,13 @@
 
 const emptyBuffer = Buffer.alloc(0)
 
+/** Whose request it is and where it goes. Both may change with the routing table while it waits. */
+export interface CrashScope {
+  /** Name of its team, if the table has teams. */
+  team: string | undefined
+  service: string
+}
+
 export interface BrokenAttempt {
   server: BackendServer
   /** When it was sent, on the monotonic clock. */
@@ -25,47 +32,68 @@
   body: Buffer = emptyBuffer
   /** This entry was granted the one probe that follows an expired quarantine. */
   #probeGranted = false
-  /** Cached per team, which may change with the table while the request waits. */
-  #cached: { team: string | undefined, fingerprint: Fingerprint } | undefined
+  #cached: { scope: CrashScope, request: Fingerprint, parts: readonly Fingerprint[] } | undefined
 
   constructor (private readonly crashes: CrashTracker, private readonly incoming: IncomingRequest) {}
 
-  /** Set while the request may be sent to no server, because servers crashed while running it. */
-  quarantine (team: FleetTeam | undefined): Quarantine | undefined {
-    return this.crashes.isEmpty ? undefined : this.crashes.quarantine(this.#fingerprint(team))
+  /** Set while the request may be sent to no server, because servers crashed while running it or other requests with a part of its prompt. */
+  quarantine (scope: CrashScope): Quarantine | undefined {
+    const verdict = this.#verdict(scope)
+    return verdict.type === 'quarantined' ? verdict.quarantine : undefined
   }
 
   /** Whether the request may be sent now. After its quarantine has expired, this takes a probe grant from other processes. */
-  async mayRun (team: FleetTeam | undefined): Promise<boolean> {
-    if (this.crashes.isEmpty || !this.crashes.probeDue(this.#fingerprint(team))) return true
-    this.#probeGranted = await this.crashes.requestProbe(this.#fingerprint(team), this.incoming.id)
+  async mayRun (scope: CrashScope): Promise<boolean> {
+    const verdict = this.#verdict(scope)
+    if (verdict.type !== 'probe') return true
+    this.#probeGranted = await this.#requestProbes(verdict.of)
     return this.#probeGranted
   }
 
   /** Rechecks just before the request is written whether it may be sent. A probe grant allows one attempt. */
-  spend (team: FleetTeam | undefined): boolean {
-    if (this.crashes.isEmpty) return true
-    if (!this.#probeGranted) return this.quarantine(team) === undefined && !this.crashes.probeDue(this.#fingerprint(team))
+  spend (scope: CrashScope): boolean {
+    if (!this.#probeGranted) return this.#verdict(scope).type === 'run'
     this.#probeGranted = false
     return true
   }
 
-  /** The request ran to completion, so it doesn't crash servers. */
-  recordCompletion (team: FleetTeam | undefined): void {
-    if (!this.crashes.isEmpty) this.crashes.recordCompletion(this.#fingerprint(team))
+  /** The request ran to completion, so neither it nor a part of its prompt crashes servers. */
+  recordCompletion (scope: CrashScope): void {
+    if (!this.crashes.isEmpty) this.crashes.recordCompletion(this.#work(scope))
+  }
+
+  /** The server answered that the run failed. It didn't crash, but may not have processed the whole prompt. */
+  recordFailure (scope: CrashScope): void {
+    if (!this.crashes.isEmpty) this.crashes.recordCompletion([this.#fingerprints(scope).request])
   }
 
   /** An attempt failed while its server was running it. */
-  brokeOff ({ server, sentAt, responseMs }: BrokenAttempt, team: FleetTeam | undefined): void {
-    const parts = sharedPartsOf(this.incoming.promptParts).map(part => partFingerprintOf(server.service, part))
-    void this.crashes.brokeOff({ request: this.incoming.id, fingerprint: this.#fingerprint(team), parts, server, sentAt, responseMs })
+  brokeOff ({ server, sentAt, responseMs }: BrokenAttempt, scope: CrashScope): void {
+    const { request: fingerprint, parts } = this.#fingerprints(scope)
+    void this.crashes.brokeOff({ request: this.incoming.id, fingerprint, parts, server, sentAt, responseMs })
+  }
+
+  #verdict (scope: CrashScope): CrashVerdict {
+    return this.crashes.isEmpty ? { type: 'run' } : this.crashes.verdict(this.#work(scope))
+  }
+
+  /** One by one, as a denial makes further grants useless. */
+  async #requestProbes (work: readonly Fingerprint[]): Promise<boolean> {
+    for (const fingerprint of work) if (!await this.crashes.requestProbe(fingerprint, this.incoming.id)) return false
+    return true
+  }
+
+  #work (scope: CrashScope): readonly Fingerprint[] {
+    const { request, parts } = this.#fingerprints(scope)
+    return [...parts, request]
   }
 
-  #fingerprint (team: FleetTeam | undefined): Fingerprint {
-    const { host, message: { method, url } } = this.incoming
-    if (this.#cached !== undefined && this.#cached.team === team?.name) return this.#cached.fingerprint
-    const fingerprint = fingerprintOf({ method, host, url, team: team?.name, body: this.body })
-    this.#cached = { team: team?.name, fingerprint }
-    return fingerprint
+  #fingerprints ({ team, service }: CrashScope): { request: Fingerprint, parts: readonly Fingerprint[] } {
+    const { host, promptParts, message: { method, url } } = this.incoming
+    if (this.#cached !== undefined && this.#cached.scope.team === team && this.#cached.scope.service === service) return this.#cached
+    const request = fingerprintOf({ method, host, url, team, body: this.body })
+    const parts = sharedPartsOf(promptParts).map(part => partFingerprintOf(service, part))
+    this.#cached = { scope: { team, service }, request, parts }
+    return this.#cached
   }
 }
--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -32,7 +32,7 @@
 import { helpsRepeat } from '../servers/choice.js'
 import { ServerSelector, hasReadyTime, noServerFrom, type NoServer, type SendChoice } from '../servers/server-selector.js'
 import { LocalReplies } from './local-replies.js'
-import { RequestCrashes } from './request-crashes.js'
+import { RequestCrashes, type CrashScope } from './request-crashes.js'
 import { RequestRecord } from './request-record.js'
 import { overloadedStatus } from '../servers/server-feedback.js'
 import type { ServerFeedbackHandler } from '../servers/server-feedback-handler.js'
@@ -249,7 +249,8 @@
       if (readyInMs !== undefined) return this.#mayHaveRun ? this.#fail(502, 'over_quota') : this.#localReplies.overQuota(readyInMs)
       // Such a request would crash any server, with all requests that run there. Of ten sent to four entries, all ten reached an
       // engine without this check, and two or three with it.
-      const quarantine = this.#crashes.quarantine(admission.team)
+      const scope = this.#crashScope(admission)
+      const quarantine = this.#crashes.quarantine(scope)
       if (quarantine !== undefined) return this.#mayHaveRun ? this.#fail(502, 'quarantined') : this.#localReplies.quarantined(quarantine)
       const service = this.#serviceOf(admission.route)
       if (service === undefined) return this.#giveUp('no_service')
@@ -263,7 +264,7 @@
       // The table may have changed during the wait, so the request has to be admitted again.
       if (next.type === 'readmit' || server === undefined || this.options.facts.routes !== routes) continue
       // Without a probe grant, all entries would send the request the moment its quarantine expires.
-      if (!await this.#crashes.mayRun(admission.team)) return this.#mayHaveRun ? this.#fail(502, 'quarantined') : this.#localReplies.awaitProbe()
+      if (!await this.#crashes.mayRun(scope)) return this.#mayHaveRun ? this.#fail(502, 'quarantined') : this.#localReplies.awaitProbe()
       const verdict = await this.#attempt(server, selection, admission, next.choice)
       if (verdict.type === 'done') return verdict.outcome
     }
@@ -283,6 +284,10 @@
     return target === undefined ? undefined : this.options.facts.routes?.service(target.service)
   }
 
+  #crashScope ({ team, route }: Admission): CrashScope {
+    return { team: team?.name, service: this.#serviceOf(route)?.name ?? '' }
+  }
+
   #selectionFor (service: FleetService, { route, priority, team }: Admission): SelectionRequest {
     const { model, promptTokens, outputTokens } = this.#incoming
     const key = service.engine === undefined ? undefined : model
@@ -409,7 +414,7 @@
     const permit = serverLimits.acquire(server)
     if (permit === undefined) return false
     // Quarantine is rechecked here: attempts that were still connecting when a second server crashed would each crash one more.
-    if (this.#crashes.spend(admitted.team) && this.#admission.spend(admitted)) {
+    if (this.#crashes.spend(this.#crashScope(admitted)) && this.#admission.spend(admitted)) {
       this.#selector.permit.spend()
       this.#record.writtenAtMs = this.#times.ms
       return true
@@ -453,7 +458,7 @@
       const { server, admitted } = finished
       self.#recordResponseTime(finished)
       self.options.balancer.state(server).outlier.recordSuccess()
-      self.#crashes.recordCompletion(admitted.team)
+      self.#crashes.recordCompletion(self.#crashScope(admitted))
       self.#callerResponse.finish()
       return done('streamed')
     },
@@ -466,7 +471,8 @@
         self.#recordResponseTime(finished)
       }
       self.#possibleRuns += 1
-      self.#crashes.recordCompletion(finished.admitted.team)
+      if (failed) self.#crashes.recordFailure(self.#crashScope(finished.admitted))
+      else self.#crashes.recordCompletion(self.#crashScope(finished.admitted))
       if (failed && self.#mayRunAgain(finished)) {
         self.#mayHaveRun = true
         self.#failure = finished.selection.key === undefined ? undefined : answer
@@ -505,7 +511,7 @@
   /** The attempt failed after the request was sent. */
   #recordBroken (finished: FinishedAttempt, detail: string): void {
     this.options.faults.recordFailure(finished.server, this.#incoming.id, detail)
-    this.#crashes.brokeOff(finished, finished.admitted.team)
+    this.#crashes.brokeOff(finished, this.#crashScope(finished.admitted))
     this.#mayHaveRun = true
     this.#possibleRuns += 1
   }
--- a/packages/fleet/src/side/attempt-report-relay.ts
+++ b/packages/fleet/src/side/attempt-report-relay.ts
@@ -47,12 +47,12 @@
   }
 
   /**
-   * Answers an entry that asks to probe a request whose quarantine has expired. Only one entry is granted the probe; its outcome
+   * Answers an entry that asks to probe a request or a part of prompts. Only one entry is granted the probe; its outcome
    * arrives as a report. A process that has just started grants none, as its previous incarnation may have granted one.
    */
   #answerProbe (entry: Channel, fingerprint: Fingerprint, stamp: number): void {
     const now = nowMs()
-    const granted = now - this.#startedAt >= quarantineLimits.probeMs && this.#crashes.quarantine(fingerprint, now) === undefined && this.#crashes.recordProbe({ fingerprint, at: now }, now)
+    const granted = now - this.#startedAt >= quarantineLimits.probeMs && this.#crashes.mayProbe(fingerprint, now) && this.#crashes.recordProbe({ fingerprint, at: now }, now)
     entry.send({ type: 'crashes_noted', stamp, granted })
   }
 
--- a/packages/fleet/test/crash-reports.test.ts
+++ b/packages/fleet/test/crash-reports.test.ts
@@ -273,10 +273,10 @@
     it('are discarded at all entries once a run of the same request completes', async () => {
       await failAttempt()
       await failAttempt({ id: 'i', bornAt: 5 })
-      crashes.recordCompletion(fingerprint)
+      crashes.recordCompletion([fingerprint])
       expect(crashes.quarantine(fingerprint)).to.equal(undefined)
       expect(sent.at(-1)?.sound.map(run => run.fingerprint)).to.deep.equal([fingerprint])
-      crashes.recordCompletion(fingerprint)
+      crashes.recordCompletion([fingerprint])
       expect(sent).to.have.length(3)
     })
   })
--- a/packages/fleet/test/crashing-parts.test.ts
+++ b/packages/fleet/test/crashing-parts.test.ts
@@ -100,4 +100,22 @@
     const calm = await sendFor(calmMs, undefined)
     checkTrouble(calm, await sendFor(troubleMs, [firstPart, badPart]))
   })
+
+  it('is told from a part that always comes beside it', async () => {
+    const calm = await sendFor(calmMs, undefined)
+    checkTrouble(calm, await sendFor(troubleMs, [firstPart, companionPart, badPart]))
+  })
+
+  it('is known to entries that start after its crashes', async () => {
+    const calm = await sendFor(calmMs, undefined)
+    const first = await sendFor(3000, [firstPart, badPart])
+    const later: Sent[] = []
+    for (const [index, entry] of fleet.entries.entries()) {
+      await fleet.kill(entry)
+      later.push(...await sendFor(700, [firstPart, badPart], [...fleet.entries.keys()].filter(each => each !== index)))
+      await fleet.startProcess(entry)
+      later.push(...await sendFor(1500, [firstPart, badPart]))
+    }
+    checkTrouble(calm, [...first, ...later])
+  })
 })
--- a/packages/fleet/test/replay/probe-simulation.ts
+++ b/packages/fleet/test/replay/probe-simulation.ts
@@ -5,13 +5,14 @@
  * isolated or stopped.
  */
 import { silentLog } from '@finchpitch/core'
-import { AttemptReportRelay, CrashTracker, EntryCounters, ProbeRequester, RequestCrashes, ServerLiveness, reportFrames, nowMs, type BackendServer, type AttemptReports, type Facts, type IncomingRequest } from '@finchpitch/fleet'
+import { AttemptReportRelay, CrashTracker, EntryCounters, ProbeRequester, RequestCrashes, type CrashScope, ServerLiveness, reportFrames, nowMs, type BackendServer, type AttemptReports, type Facts, type IncomingRequest } from '@finchpitch/fleet'
 import type { FakeTime } from '@finchpitch/stand-ins'
 import type { Channel, Frame } from '@finchpitch/wire'
 
 const oneWayMs = 3
 /** Time from the start of a run until the server crashes or has responded. */
 const runMs = 120
+const scope: CrashScope = { team: undefined, service: 's' }
 const hosts = ['10.0.0.1', '10.0.0.2', '10.0.0.3']
 
 interface SimulatedEntry {
@@ -75,7 +76,7 @@
     const simulated = this.entries[entry]
     if (simulated === undefined) return
     const request = new RequestCrashes(simulated.crashes, { id: `r${this.#copies}`, host: 'h', message: { method: 'GET', url: '/' } } as unknown as IncomingRequest)
-    if (request.quarantine(undefined) !== undefined || !await request.mayRun(undefined) || !request.spend(undefined)) {
+    if (request.quarantine(scope) !== undefined || !await request.mayRun(scope) || !request.spend(scope)) {
       this.refused += 1
       return
     }
@@ -86,8 +87,8 @@
     setTimeout(() => {
       if (this.fatal) this.crashTimes.push(nowMs())
       if (simulated.isolated) return
-      if (this.fatal) request.brokeOff({ server, sentAt, responseMs: undefined }, undefined)
-      else request.recordCompletion(undefined)
+      if (this.fatal) request.brokeOff({ server, sentAt, responseMs: undefined }, scope)
+      else request.recordCompletion(scope)
     }, runMs)
   }
 
