Responses that end with their connection are cut off visibly

What callers saw: a stream without a length or chunks that ended inside an event came with status 200 and a proper end, half an event included; of a resumable one both attempts' events and then a proper end; the same at the deadline. A stream of which the length said that it was whole ended properly inside an event, too.

Cause: the entry passes the missing framing on and ended its own connection in the same way, whether the response was whole or not. The class is an end that can't be told from a break.

Fix: a response without framing is aborted by a reset. A stream of events that ends inside an event counts as broken off on every route. When a response without framing ends, the entry checks that its server still accepts connections, unless that was expected to stop: an engine that crashed between two events closes its connections as at a proper end. Such a run also no longer counts as one that completed, which released work that crashes servers from its quarantine, nor as a success of its server.

--- a/packages/fleet/src/entry/servers/crash-tracker.ts
+++ b/packages/fleet/src/entry/servers/crash-tracker.ts
@@ -92,15 +92,22 @@
     return true
   }
 
-  /**
-   * Records a failed attempt, and checks whether its server crashed. A server that was draining, or is no longer listed, is
-   * expected to stop and is not counted.
-   */
+  /** Whether the server has crashed, as it refuses connections although it isn't expected to stop. */
+  async hasCrashed (server: BackendServer): Promise<boolean> {
+    return !this.#isExpectedToStop(server) && await this.options.liveness.ended(server)
+  }
+
+  /** A server that is draining, or is no longer listed, is expected to stop. */
+  #isExpectedToStop ({ id }: BackendServer): boolean {
+    return this.options.facts.servers.get(id)?.leaving !== false
+  }
+
+  /** Records a failed attempt, and checks whether its server crashed. One that was expected to stop is not counted. */
   async brokeOff (failure: FailedAttempt): Promise<void> {
-    const { facts, liveness, log } = this.options
+    const { liveness, log } = this.options
     const { request, fingerprint, parts, server, sentAt, responseMs } = failure
     const endedAt = nowMs()
-    const expected = facts.servers.get(server.id)?.leaving !== false
+    const expected = this.#isExpectedToStop(server)
     const ended = !expected && await liveness.ended(server)
     log.info('request.broke_off', { request, fingerprint, parts, server: server.id, ranMs: Math.round(endedAt - sentAt), responseMs: responseMs === undefined ? undefined : Math.round(responseMs), expected, ended })
     if (ended) this.#recordEnded({ ...failure, endedAt })
--- a/packages/fleet/src/entry/serving/attempt.ts
+++ b/packages/fleet/src/entry/serving/attempt.ts
@@ -10,8 +10,8 @@
 import { nowMs } from '../../clock.js'
 import type { HeaderNames } from '../../ports.js'
 import type { Cancellation } from './cancellation.js'
-import type { CallerResponse, RawHeaders } from './caller-response.js'
-import type { EventFramer } from './event-stream.js'
+import { bodylessStatuses, isFramed, type CallerResponse, type RawHeaders } from './caller-response.js'
+import { EventBoundary, isEventStream, type EventFramer } from './event-stream.js'
 import { headerOf } from './header.js'
 import type { KeptBytes } from './kept-bytes.js'
 import type { ReadTurns } from './read-turns.js'
@@ -58,14 +58,15 @@
   onServerFeedback: (feedback: ServerFeedback) => void
 }
 
+/** `framed`: the headers of the response delimit its body; otherwise it ended with the connection, which may have been broken off. */
 export type AttemptResult =
   | { type: 'not_sent', detail: string }
   /** `AttemptOptions.maySend` returned false. */
   | { type: 'withheld' }
   | { type: 'not_run', status: number, retryAfter: string | undefined, cause: RefusalCause }
   | { type: 'broken', detail: string }
-  | { type: 'answer', status: number, headers: RawHeaders, body: Buffer }
-  | { type: 'streamed', status: number, bytes: number }
+  | { type: 'answer', status: number, headers: RawHeaders, body: Buffer, framed: boolean }
+  | { type: 'streamed', status: number, bytes: number, framed: boolean }
   | { type: 'interrupted', detail: string }
   | { type: 'cancelled', sent: boolean }
 
@@ -178,7 +179,7 @@
   if (succeeded && (echoed === undefined || headerOf(response, names.seal) === undefined)) return reject(`status ${status} without seal or id`)
   if (response.headers['content-encoding'] !== undefined) return reject('an encoded body')
   if (notRunStatuses.has(status)) return reject(`status ${status} without saying that it has not run`)
-  return succeeded && stream ? await forwardStream(response, status, options) : await bufferResponse(response, status, options.keptBytes)
+  return succeeded && stream ? await forwardStream(response, status, options) : await bufferResponse(response, status, options)
 }
 
 const readRefusal = (response: IncomingMessage, { names, serverId }: AttemptOptions): AttemptResult => {
@@ -194,7 +195,7 @@
 }
 
 /** The bytes of a complete response stay counted as kept, until whoever takes it releases them. */
-const bufferResponse = (response: IncomingMessage, status: number, keptBytes: KeptBytes): Promise<AttemptResult> => new Promise(resolve => {
+const bufferResponse = (response: IncomingMessage, status: number, { keptBytes, outgoing: { method } }: AttemptOptions): Promise<AttemptResult> => new Promise(resolve => {
   const chunks: Buffer[] = []
   let bytes = 0
   const broken = (detail: string): void => {
@@ -211,13 +212,14 @@
   response.on('end', () => {
     if (!response.complete) return broken('response body incomplete')
     bytes = 0
-    resolve({ type: 'answer', status, headers: response.rawHeaders, body: Buffer.concat(chunks) })
+    resolve({ type: 'answer', status, headers: response.rawHeaders, body: Buffer.concat(chunks), framed: bodylessStatuses.has(status) || method === 'HEAD' || isFramed(response.rawHeaders) })
   })
   response.on('close', () => broken('connection closed before the end of the response'))
 })
 
 const forwardStream = (response: IncomingMessage, status: number, { callerResponse, eventFramer }: AttemptOptions): Promise<AttemptResult> => new Promise(resolve => {
   if (!callerResponse.started) callerResponse.startStream(status, response.rawHeaders)
+  const boundary = eventFramer?.boundary ?? (isEventStream(response) ? new EventBoundary() : undefined)
   let bytes = 0
   const resume = (): void => { response.resume() }
   const interrupted = (detail: string): void => {
@@ -226,6 +228,7 @@
   }
   response.on('data', (chunk: Buffer) => {
     bytes += chunk.length
+    if (eventFramer === undefined) boundary?.scan(chunk)
     const ready = callerResponse.write(eventFramer === undefined ? chunk : eventFramer.push(chunk), resume)
     if (ready) return
     response.pause()
@@ -236,8 +239,8 @@
   response.on('error', error => interrupted(error.message))
   response.on('end', () => {
     if (!response.complete) return interrupted('response stream incomplete')
-    if (eventFramer !== undefined && eventFramer.partial.length > 0) return interrupted('response stream ended within an event')
-    resolve({ type: 'streamed', status, bytes })
+    if (boundary !== undefined && boundary.partialBytes > 0) return interrupted('response stream ended within an event')
+    resolve({ type: 'streamed', status, bytes, framed: isFramed(response.rawHeaders) })
   })
   response.on('close', () => interrupted('connection closed before the end of the response stream'))
 })
--- a/packages/fleet/src/entry/serving/caller-response.ts
+++ b/packages/fleet/src/entry/serving/caller-response.ts
@@ -38,8 +38,11 @@
   return forwarded
 }
 
+/** Responses with these statuses have no body. */
+export const bodylessStatuses: ReadonlySet<number> = new Set([204, 304])
+
 /** Whether the headers delimit the body; otherwise it ends with the connection. */
-const isFramed = (raw: RawHeaders): boolean => {
+export const isFramed = (raw: RawHeaders): boolean => {
   for (let index = 0; index < raw.length; index += 2) {
     const lower = raw[index]?.toLowerCase()
     if (lower === 'content-length' || lower === 'transfer-encoding') return true
@@ -53,6 +56,8 @@
   #started = false
   /** The head of a stream has been written with a part of the body or its end. */
   #headWritten = false
+  /** The headers of the response delimit its body. */
+  #framed = true
 
   /** `onFull`: called when the caller's socket has taken less than was written. */
   constructor (private readonly response: ServerResponse, private readonly closeAfterResponse: () => boolean, private readonly onFull: () => void) {}
@@ -107,9 +112,13 @@
     this.response.end()
   }
 
-  /** Aborts the response by closing the connection, so that a partial response can't be taken for a complete one. */
+  /**
+   * Aborts the response by closing the connection, so that a partial response can't be taken for a complete one. Where it ends with the
+   * connection, only a reset tells the caller that it is partial.
+   */
   abort (): void {
-    this.response.destroy()
+    if (this.#framed) this.response.destroy()
+    else this.response.socket?.resetAndDestroy()
   }
 
   /**
@@ -118,6 +127,7 @@
    */
   #writeHead (status: number, headers: string[], framed: boolean): void {
     this.#started = true
+    this.#framed = framed
     if (this.closeAfterResponse() || !framed) headers.push('Connection', 'close')
     if (!framed) {
       this.response.useChunkedEncodingByDefault = false
--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -23,7 +23,7 @@
 import type { CrashTracker } from '../servers/crash-tracker.js'
 import type { EntryCounters } from '../counters.js'
 import { CallerReturn, type CallerReturnOptions } from './caller-return.js'
-import { CallerResponse } from './caller-response.js'
+import { CallerResponse, bodylessStatuses } from './caller-response.js'
 import { EventFramer } from './event-stream.js'
 import type { Admission, Denial } from './admission.js'
 import { IncomingRequest } from './incoming-request.js'
@@ -107,7 +107,6 @@
 }
 
 const firstServerErrorStatus = 500
-const bodylessStatuses: ReadonlySet<number> = new Set([204, 304])
 
 /** Whether a stream of the route may go on at another server. */
 const isResumable = ({ kind, resumable }: Route): boolean => kind === 'stream' && resumable
@@ -342,7 +341,7 @@
     let sentAt = pending.sentAt
     let responseMs: number | undefined
     let softwareVersion = balancer.softwareVersion(server)
-    const result = await attempt({
+    const ended = await attempt({
       agent: state.agent,
       address: server.address,
       outgoing: buildOutgoingRequest(this.#incoming.message, this.#crashes.body, names, this.#outgoingContext(server, selection, admitted, remainingMs)),
@@ -374,6 +373,7 @@
       },
       onServerFeedback: feedback => this.options.feedbackHandler.handle(feedback, { server, state, request: this.#incoming.id, sentAt })
     })
+    const result = await this.#confirmEnd(ended, server)
     if (result.type === 'streamed' && this.#sentAttempts === 0) state.recordRun(pending, this.#incoming.outputTokens)
     state.end(key, pending)
     if (result.type === 'answer') this.#bufferedBytes += result.body.length
@@ -384,6 +384,15 @@
     return this.#handleResult(result, { server, selection, admitted, sentAt, responseMs, softwareVersion })
   }
 
+  /** A response without a length or chunks also ends where its server crashes, so that it is complete only if the server is still there. */
+  async #confirmEnd (result: AttemptResult, server: BackendServer): Promise<AttemptResult> {
+    if ((result.type !== 'answer' && result.type !== 'streamed') || result.framed || !await this.options.crashes.hasCrashed(server)) return result
+    const detail = 'server crashed at the end of a response without a length'
+    if (result.type === 'streamed') return { type: 'interrupted', detail }
+    this.options.keptBytes.release('responses', result.body.length)
+    return { type: 'broken', detail }
+  }
+
   get #isTooLate (): boolean {
     return this.#times.leftMs < minRemainingMs
   }
--- a/packages/fleet/test/event-stream.test.ts
+++ b/packages/fleet/test/event-stream.test.ts
@@ -12,7 +12,7 @@
       const second = framer.push(bytes.subarray(split))
       expect(Buffer.concat([first, second]).toString()).to.equal(bytes.toString())
       expect(framer.lastEventId).to.equal('3')
-      expect(framer.partial).to.have.length(0)
+      expect(framer.boundary.partialBytes).to.equal(0)
     }
   })
 
--- /dev/null
+++ b/packages/fleet/test/single-entry.ts
@@ -0,0 +1,116 @@
+/**
+ * An entry process without peers, between callers and backend servers on loopback that write whatever bytes a test wants.
+ */
+import { once } from 'node:events'
+import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { Log } from '@finchpitch/core'
+import { EntryProcess, Facts, type EntryProcessOptions, type KeptKind, type Limits, type Route } from '@finchpitch/fleet'
+import { headerNames } from '@finchpitch/platform'
+
+export interface LogLine { event: string, [field: string]: unknown }
+
+export interface CallerResult {
+  text: string
+  /** The connection was reset, so that what was read is known to be incomplete. */
+  reset: boolean
+}
+
+/** A server that answers each request with the bytes that `answer` writes. */
+export type RawAnswer = (socket: Socket, requestId: string) => void
+
+const route = (name: string, more: Partial<Route> = {}): Route => ({
+  name, host: 'h', pathPrefix: `/${name}/`, kind: 'once', timeoutMs: 10_000, objectiveMs: 1000, priority: 1, maxAttempts: 1, resumable: false, targets: [{ service: 'plain', weight: 1 }], ...more
+})
+const routes = [
+  route('plain'),
+  route('again', { kind: 'repeatable', maxAttempts: 2 }),
+  route('stream', { kind: 'stream' }),
+  route('resume', { kind: 'stream', resumable: true, maxAttempts: 2 })
+]
+
+const endOfHead = '\r\n\r\n'
+
+export class SingleEntry {
+  readonly lines: LogLine[] = []
+  readonly facts: Facts
+  readonly limits: Limits = { graceMs: 8000, drainMs: 2000, versionMs: 5000, retryRatio: 0.2, retryWindowMs: 10_000, retrySlack: 50, loadWindowMs: 5000, loadOverage: 1, quotaWindowMs: 8000, quotaOverage: 0, quotaSlack: 0 }
+  readonly #entry: EntryProcess
+  readonly #servers: Server[] = []
+  readonly #sockets = new Set<Socket>()
+  #revision = 1
+
+  constructor () {
+    const log = new Log('single-entry', {}, 'info', { write: line => { this.lines.push(JSON.parse(line) as LogLine) } })
+    this.facts = new Facts(log, () => 1000)
+    const unused = {} as EntryProcessOptions['channel']
+    this.#entry = new EntryProcess({ process: 'e', domain: 'a', sidePort: 1, seeds: () => [], ownPeerAddress: '', sources: [], facts: this.facts, headerNames, limits: () => this.limits, channel: unused, dial: () => Promise.reject(new Error('no peers')), log })
+  }
+
+  async start (): Promise<void> {
+    this.#entry.server.listen(0, '127.0.0.1')
+    await once(this.#entry.server, 'listening')
+    this.#offer('table', 'table', { version: 1, routes, services: [{ name: 'plain', maxConnections: 100 }], limits: { headerBytes: 10_000, bodyBytes: 1_000_000, headerTimeoutMs: 60_000, idleTimeoutMs: 60_000 } })
+  }
+
+  /** Starts a server and lists it. */
+  async addServer (id: string, answer: RawAnswer): Promise<Server> {
+    const server = createServer(socket => {
+      this.#sockets.add(socket)
+      socket.on('error', () => {})
+      socket.on('data', chunk => {
+        const [, requestId = ''] = /\r\nrequest-id: ([^\r]*)/i.exec(chunk.toString('latin1')) ?? []
+        if (requestId !== '') answer(socket, requestId)
+      })
+    })
+    server.listen(0, '127.0.0.1')
+    await once(server, 'listening')
+    this.#servers.push(server)
+    this.#offer('server', id, { id, service: 'plain', address: `127.0.0.1:${(server.address() as AddressInfo).port}`, domain: 'a', slots: 8, leaving: false, models: [] })
+    return server
+  }
+
+  /** Closes the server and all its connections, as a crash does. */
+  crash (server: Server): void {
+    server.close()
+    for (const socket of this.#sockets) socket.destroy()
+  }
+
+  /** Sends a request over a connection of its own and reads until that ends. */
+  async send (path: string, { id = 'r', remainingMs = 2000, headers = {} }: { id?: string, remainingMs?: number, headers?: Record<string, string> } = {}): Promise<CallerResult> {
+    const caller = connect((this.#entry.server.address() as AddressInfo).port, '127.0.0.1')
+    const fields = { host: 'h', 'request-id': id, 'deadline-ms': remainingMs, connection: 'close', 'content-length': 0, ...headers }
+    caller.write(`POST ${path} HTTP/1.1\r\n${Object.entries(fields).map(([name, value]) => `${name}: ${value}`).join('\r\n')}${endOfHead}`)
+    const chunks: Buffer[] = []
+    let reset = false
+    caller.on('data', (chunk: Buffer) => chunks.push(chunk))
+    caller.on('error', () => { reset = true })
+    await new Promise(resolve => caller.on('close', resolve))
+    return { text: Buffer.concat(chunks).toString('latin1'), reset }
+  }
+
+  linesOf (event: string): LogLine[] {
+    return this.lines.filter(line => line.event === event)
+  }
+
+  async keptBytes (kind: KeptKind): Promise<number> {
+    const { values } = await this.#entry.counters.registry.getSingleMetric('finchpitch_bytes_kept')?.get() ?? { values: [] }
+    return values.find(({ labels }) => labels.kind === kind)?.value ?? NaN
+  }
+
+  stop (): void {
+    this.#entry.server.close()
+    this.#entry.server.closeAllConnections()
+    for (const server of this.#servers) server.close()
+    for (const socket of this.#sockets) socket.destroy()
+  }
+
+  #offer (kind: 'table' | 'server', key: string, value: unknown): void {
+    this.facts.offer({ kind, key, revision: this.#revision++, value } as Parameters<Facts['offer']>[0], 'store')
+  }
+}
+
+/** The status of a raw response. */
+export const statusOf = ({ text }: CallerResult): number => Number(/^HTTP\/1\.1 (\d+)/.exec(text)?.[1] ?? 0)
+
+/** The body of a raw response, with any chunks still framed. */
+export const bodyOf = ({ text }: CallerResult): string => text.slice(text.indexOf(endOfHead) + endOfHead.length)
