Servers that send bytes without end are cut off

What callers saw: a body without end was kept until the time-out (75 to 380 MB at one request), an event without end for as long, and a process that exceeds its memory limit is killed with all that it carries.

Cause: only what callers send had a bound. The class is a peer that decides how much of this process's memory it takes.

Fix: while the buffered responses of a process exceed what it may keep, the largest that is still being read is cut off. An event of more than 256 KiB breaks off its stream. After 100 interim responses the attempt ends. The body of a refusal is read for 64 KiB or a second at most, and then its connection is closed. Heads, header lines and bytes that are no response were bounded before.

--- a/packages/fleet/src/entry/serving/attempt.ts
+++ b/packages/fleet/src/entry/serving/attempt.ts
@@ -11,7 +11,7 @@
 import type { HeaderNames } from '../../ports.js'
 import type { Cancellation } from './cancellation.js'
 import { bodylessStatuses, isFramed, type CallerResponse, type RawHeaders } from './caller-response.js'
-import { EventBoundary, isEventStream, type EventFramer } from './event-stream.js'
+import { EventBoundary, isEventStream, maxEventBytes, type EventFramer } from './event-stream.js'
 import { headerOf } from './header.js'
 import type { KeptBytes } from './kept-bytes.js'
 import type { ReadTurns } from './read-turns.js'
@@ -74,6 +74,11 @@
 export type RefusalCause = 'another_server' | 'not_held' | 'full'
 
 const misdirectedStatus = 421
+/** Servers send few interim responses, if any. Without a bound, one that sends nothing else is read until the deadline. */
+const maxInterimResponses = 100
+/** The body of a refusal is read to reuse the connection, which isn't worth more than this. */
+const maxRefusalBytes = 64 * 1024
+const maxRefusalMs = 1000
 /** Statuses that by themselves tell a caller that its request has not run. */
 const notRunStatuses = new Set([408, 421, 429, 503])
 
@@ -148,6 +153,11 @@
     if (!sent) return finish({ type: 'not_sent', detail: error.message })
     finish({ type: options.callerResponse.started ? 'interrupted' : 'broken', detail: error.message })
   })
+  let interimResponses = 0
+  request.on('information', () => {
+    interimResponses += 1
+    if (interimResponses > maxInterimResponses) request.destroy(new Error(`more than ${maxInterimResponses} interim responses`))
+  })
   request.on('response', response => {
     // A response that a server has produced is delivered, also if it did not read the whole request.
     keptBytes.monitor.unwatch(request)
@@ -188,30 +198,39 @@
   const refuser = headerOf(response, names.serverId)
   // The headers carry the whole refusal; errors in its body don't matter.
   response.on('error', () => {})
-  response.resume()
+  discardBody(response)
   if (status !== misdirectedStatus) return { type: 'not_run', status, retryAfter, cause: 'full' }
   const otherServer = refuser !== undefined && refuser !== serverId
   return { type: 'not_run', status, retryAfter, cause: otherServer ? 'another_server' : 'not_held' }
 }
 
+/** Reads and drops the rest of a response. Closes the connection if the body is long or slow. */
+const discardBody = (response: IncomingMessage): void => {
+  let bytes = 0
+  const timer = setTimeout(() => response.destroy(), maxRefusalMs)
+  response.on('data', (chunk: Buffer) => {
+    bytes += chunk.length
+    if (bytes > maxRefusalBytes) response.destroy()
+  })
+  response.on('close', () => clearTimeout(timer))
+}
+
 /** The bytes of a complete response stay counted as kept, until whoever takes it releases them. */
 const bufferResponse = (response: IncomingMessage, status: number, { keptBytes, outgoing: { method } }: AttemptOptions): Promise<AttemptResult> => new Promise(resolve => {
   const chunks: Buffer[] = []
-  let bytes = 0
+  const buffer = keptBytes.startResponse(() => response.destroy(new Error('larger than the process may keep')))
   const broken = (detail: string): void => {
-    keptBytes.release('responses', bytes)
-    bytes = 0
+    buffer.discard()
     resolve({ type: 'broken', detail })
   }
   response.on('data', (chunk: Buffer) => {
     chunks.push(chunk)
-    bytes += chunk.length
-    keptBytes.add('responses', chunk.length)
+    buffer.add(chunk.length)
   })
   response.on('error', error => broken(`response body incomplete: ${error.message}`))
   response.on('end', () => {
     if (!response.complete) return broken('response body incomplete')
-    bytes = 0
+    buffer.complete()
     resolve({ type: 'answer', status, headers: response.rawHeaders, body: Buffer.concat(chunks), framed: bodylessStatuses.has(status) || method === 'HEAD' || isFramed(response.rawHeaders) })
   })
   response.on('close', () => broken('connection closed before the end of the response'))
@@ -229,6 +248,10 @@
   response.on('data', (chunk: Buffer) => {
     bytes += chunk.length
     if (eventFramer === undefined) boundary?.scan(chunk)
+    if (boundary !== undefined && boundary.partialBytes > maxEventBytes) {
+      response.destroy(new Error(`event of more than ${maxEventBytes} bytes`))
+      return
+    }
     const ready = callerResponse.write(eventFramer === undefined ? chunk : eventFramer.push(chunk), resume)
     if (ready) return
     response.pause()
--- a/packages/fleet/src/entry/serving/event-stream.ts
+++ b/packages/fleet/src/entry/serving/event-stream.ts
@@ -6,6 +6,9 @@
  */
 import type { IncomingMessage } from 'node:http'
 
+/** An event holds some tokens of text, far less than this. Each stream may keep one that is not complete. */
+export const maxEventBytes = 256 * 1024
+
 const newline = 0x0a
 const eventTerminator = Buffer.from('\n\n')
 const eventStreamType = /^text\/event-stream\b/i
