The soak sends requests with a part that crashes engines

After the other scenarios, for 9 s: no two alike, at any entry, half of them beside a part that sound requests have too, while a process drawn by the seed is killed and started again. More than three runs later than 3 s after the fifth crash are a violation.

--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -5,6 +5,7 @@
 import { Agent } from 'node:http'
 import { pause } from '@finchpitch/core'
 import { FaultProxy, FleetSystem } from '@finchpitch/stand-ins'
+import { sendCrashingPart } from './crashing-part-scenario.js'
 import { isEnginePath, sendRequest, type RequestResult } from './caller.js'
 import { RouteChangeScenario } from './route-change-scenario.js'
 import { Disturbances } from './disturbances.js'
@@ -126,6 +127,7 @@
   report.resumed = resumedStreams.counts
   report.broken.push(...slowReaders.violations())
   report.broken.push(...await sendCrashingRequest(fleet, random, agents, seed))
+  report.broken.push(...await sendCrashingPart({ fleet, random: new SeededRandom(seed + 17 * halfSeedOffset), agents, seed }))
   report.broken.push(...unexpectedExits(fleet, log))
   if (report.broken.length > 0) report.details.push(`logs written to ${await fleet.saveLogLines(`soak-${seed}`)}`)
   for (const agent of agents) agent.destroy()
--- a/packages/soak/test/soak.test.ts
+++ b/packages/soak/test/soak.test.ts
@@ -5,7 +5,7 @@
 const seeds = [11, 12]
 
 describe('soak', function () {
-  this.timeout(60_000)
+  this.timeout(120_000)
   for (const seed of seeds) {
     it(`finds no violations with seed ${seed}`, async () => {
       const report = await soak({ seed, network: 43, faultMs: 4000, log: () => {} })
