Tests of a single entry don't move the clock of other tests

endless-responses ran in real time within a process whose other tests fake it. The clock that detects suspensions of the machine is shared by all of them, and took the way back from the time of an earlier test for a suspension of months: six tests of facts, leases and proofs failed in a whole run, always in this order and never alone. The harness now fakes time and lets it follow the real one. A stream that was broken off ends as `failed` where it could go on elsewhere and no retry is left, which a traced run showed; its caller's connection is reset in that case too, so the tests accept both.

--- a/packages/fleet/src/entry/servers/crash-tracker.ts
+++ b/packages/fleet/src/entry/servers/crash-tracker.ts
@@ -2,8 +2,8 @@
  * Tracks which requests and which parts of prompts crash servers, from the failed attempts of this entry and from the reports of other
  * entries.
  *
- * Work that has crashed two servers in a row is quarantined: it is sent to no server. All entries have to know of the crashes before
- * the work comes again, so they are shared within a few ms. An entry that loses contact with the others keeps what it knows.
+ * Work that has crashed servers in a row is quarantined: it is sent to no server. All entries have to know of the crashes before the
+ * work comes again, so they are shared within a few ms. An entry that loses contact with the others keeps what it knows.
  */
 import type { Log, Fingerprint } from '@finchpitch/core'
 import { CrashHistory, quarantineLimits, type Crash, type CrashVerdict, type Quarantine } from '@finchpitch/decisions'
--- a/packages/fleet/test/single-entry.ts
+++ b/packages/fleet/test/single-entry.ts
@@ -1,11 +1,15 @@
 /**
  * An entry process without peers, between callers and backend servers on loopback that write whatever bytes a test wants.
+ *
+ * Time is faked and advances by itself: the clock that detects suspensions of the machine is shared by all tests of a process, and would
+ * take the change between the time of these tests and the faked time of others for one.
  */
 import { once } from 'node:events'
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { Log, pause } from '@finchpitch/core'
 import { EntryProcess, Facts, type EntryProcessOptions, type KeptKind, type Limits, type Route } from '@finchpitch/fleet'
 import { headerNames } from '@finchpitch/platform'
+import { FakeTime } from '@finchpitch/stand-ins'
 
 export interface LogLine { event: string, [field: string]: unknown }
 
@@ -39,6 +43,7 @@
   readonly #entry: EntryProcess
   readonly #servers: Server[] = []
   readonly #sockets = new Set<Socket>()
+  readonly #time = new FakeTime(undefined, { followsRealTime: true })
   #revision = 1
 
   constructor () {
@@ -106,6 +111,7 @@
     for (const server of this.#servers) server.close()
     for (const socket of this.#sockets) socket.destroy()
     await pause(closeMs)
+    this.#time.restore()
   }
 
   #offer (kind: 'table' | 'server', key: string, value: unknown): void {
@@ -118,3 +124,6 @@
 
 /** The body of a raw response, with any chunks still framed. */
 export const bodyOf = ({ text }: CallerResult): string => text.slice(text.indexOf(endOfHead) + endOfHead.length)
+
+/** How a stream that was broken off ends: `failed` if it could go on at another server but no retry is left. */
+export const brokenOff: readonly string[] = ['interrupted', 'failed']
--- a/packages/stand-ins/src/fake-time.ts
+++ b/packages/stand-ins/src/fake-time.ts
@@ -8,14 +8,16 @@
 const faked = ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'Date', 'performance'] as const
 const defaultTurns = 3
 const maxTimerSteps = 200_000
+const advanceStepMs = 5
 
 const nextTurn = (): Promise<void> => new Promise(resolve => setImmediate(resolve))
 
 export class FakeTime {
   readonly #clock: Clock
 
-  constructor (now = Date.UTC(2026, 0, 1)) {
-    this.#clock = install({ now, toFake: [...faked] })
+  /** `followsRealTime`: time also advances by itself, for tests that wait for sockets and timers of other parties. */
+  constructor (now = Date.UTC(2026, 0, 1), { followsRealTime = false } = {}) {
+    this.#clock = install({ now, toFake: [...faked], shouldAdvanceTime: followsRealTime, advanceTimeDelta: advanceStepMs })
   }
 
   /** Waits for pending work that needs no timer: promise callbacks and socket events of the next `turns` event loop iterations. */
