The soak's check of backoffs tells incarnations of a server apart

The check counted requests that reach a server during a backoff that it asked for, by the stand-in and not by its incarnation. Since the soak replaces an engine by another version, that reports faults that are none.

A rejection now counts if it had a Retry-After, and requests count if they were meant for the server that rejected, also where they reach its next incarnation, so the check is as strict for each server as before.

--- a/packages/soak/src/server-feedback-scenario.ts
+++ b/packages/soak/src/server-feedback-scenario.ts
@@ -106,10 +106,11 @@
 
 const requestsDuringBackoff = ({ server, backoffMs, from, until }: OverloadPeriod, isMine: (id: string) => boolean, disturbed: Disturbed): string[] => {
   const ownArrivals = server.arrivals.filter(({ id }) => isMine(id))
-  const rejections = ownArrivals.filter(({ refused, at }) => refused && at > from && at < until)
-  return rejections.flatMap(({ at, id }) => {
-    const within = ownArrivals.filter(other => other.at > at + backoffDelayMs && other.at < at + backoffMs)
+  const rejections = ownArrivals.filter(({ retryAfter, at }) => retryAfter !== undefined && at > from && at < until)
+  return rejections.flatMap(({ at, id, meantFor }) => {
+    // The backoff is that of one incarnation: it binds neither the next one, nor is it requested by rejecting requests for the last one.
+    const within = ownArrivals.filter(other => other.meantFor === meantFor && other.at > at + backoffDelayMs && other.at < at + backoffMs)
     if (within.length <= maxRequestsInBackoff || disturbed(at, at + backoffMs)) return []
-    return [`${within.length} requests reached ${server.id} during the backoff of ${backoffMs} ms that it requested when it rejected ${id}`]
+    return [`${within.length} requests for ${meantFor} reached it during the backoff of ${backoffMs} ms that it requested when it rejected ${id}`]
   })
 }
--- a/packages/stand-ins/src/fleet/backend-server.ts
+++ b/packages/stand-ins/src/fleet/backend-server.ts
@@ -38,6 +38,17 @@
  */
 export type InjectedFault = 'none' | 'mute' | 'reset' | 'failing' | 'shedding' | 'torn' | 'unsealed' | 'foreign'
 
+/** A request that reached a server. */
+export interface Arrival {
+  id: string
+  at: number
+  refused: boolean
+  /** Id of the server that it was meant for, which differs from that of a restarted server; `undefined` if none was named. */
+  meantFor: string | undefined
+  /** The Retry-After value of the rejection, in seconds; `undefined` if it had none. */
+  retryAfter: string | undefined
+}
+
 /** Ids of the parts of a request's prompt, in order. */
 export const promptPartsOf = ({ headers }: IncomingMessage): string[] =>
   String(headers['prompt-prefix'] ?? '').split(',').map(part => part.split(':')[0] ?? '')
@@ -62,8 +73,8 @@
   limitPerSecond: number | undefined
   /** Its start time, as given in its store entry and its report. */
   bornAt: number | undefined
-  /** Every request that reached it, when, and whether it was rejected. */
-  readonly arrivals: Array<{ id: string, at: number, refused: boolean }> = []
+  /** Every request that reached it, in order. */
+  readonly arrivals: Arrival[] = []
   /** The ids of the requests that began to run, in order. */
   readonly startedIds: string[] = []
   /** By id, the headers of each of these requests. */
@@ -169,13 +180,13 @@
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const requestId = String(request.headers['request-id'] ?? '')
     if ((request.url ?? '') === this.unreadPath) {
-      this.arrivals.push({ id: requestId, at: performance.now(), refused: false })
+      this.#recordArrival(request, requestId, undefined)
       this.startedIds.push(requestId)
       return
     }
     const body = await readBytes(request)
     const rejectionStatus = this.#rejectionStatus(request)
-    this.arrivals.push({ id: requestId, at: performance.now(), refused: rejectionStatus !== undefined })
+    this.#recordArrival(request, requestId, rejectionStatus)
     if (rejectionStatus !== undefined) return sendJson(response, rejectionStatus, {}, this.#rejectionHeaders(rejectionStatus))
     this.startedIds.push(requestId)
     this.headers.set(requestId, request.headers)
@@ -196,6 +207,12 @@
     }
   }
 
+  #recordArrival ({ headers }: IncomingMessage, id: string, rejectionStatus: number | undefined): void {
+    const meantFor = headers['expect-instance']
+    const retryAfter = rejectionStatus === undefined ? undefined : this.#rejectionHeaders(rejectionStatus)['Retry-After']
+    this.arrivals.push({ id, at: performance.now(), refused: rejectionStatus !== undefined, meantFor: typeof meantFor === 'string' ? meantFor : undefined, retryAfter })
+  }
+
   get #slotWaitMs (): number {
     return this.options.slots === undefined ? 0 : Math.max(0, Math.min(...this.#slotsFreeAt) - performance.now())
   }
