Only a run that wrote an answer clears the parts of its prompt

An empty stream (such as one that is taken up after its last event), an empty body or an answer with status 4xx cleared the parts of the prompt, although the server may not have processed them: three more servers then crashed under a part that had been recognized. A part is now cleared by a successful answer that has a body. Requests are cleared as before.

--- a/packages/fleet/src/entry/serving/request-crashes.ts
+++ b/packages/fleet/src/entry/serving/request-crashes.ts
@@ -57,14 +57,14 @@
     return true
   }
 
-  /** The request ran to completion, so neither it nor a part of its prompt crashes servers. */
-  recordCompletion (scope: CrashScope): void {
-    if (!this.crashes.isEmpty) this.crashes.recordCompletion(this.#work(scope))
-  }
-
-  /** The server answered that the run failed. It didn't crash, but may not have processed the whole prompt. */
-  recordFailure (scope: CrashScope): void {
-    if (!this.crashes.isEmpty) this.crashes.recordCompletion([this.#fingerprints(scope).request])
+  /**
+   * The request ran to completion, so it doesn't crash servers. A part of its prompt is cleared only by a run that wrote a successful
+   * answer: in any other one, the server may not have processed the prompt.
+   */
+  recordCompletion (scope: CrashScope, { wroteAnswer }: { wroteAnswer: boolean }): void {
+    if (this.crashes.isEmpty) return
+    const { request, parts } = this.#fingerprints(scope)
+    this.crashes.recordCompletion(wroteAnswer ? [...parts, request] : [request])
   }
 
   /** An attempt failed while its server was running it. */
--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -108,6 +108,8 @@
 
 const firstServerErrorStatus = 500
 
+const isSuccess = (status: number): boolean => status >= 200 && status < 300
+
 /** Whether a stream of the route may go on at another server. */
 const isResumable = ({ kind, resumable }: Route): boolean => kind === 'stream' && resumable
 
@@ -463,11 +465,11 @@
 
   /** Handlers by the result of the attempt. */
   static readonly #resultHandlers: { [Type in AttemptResult['type']]: (self: ServiceRequest, result: Extract<AttemptResult, { type: Type }>, finished: FinishedAttempt) => Verdict } = {
-    streamed: (self, _result, finished) => {
+    streamed: (self, { bytes }, finished) => {
       const { server, admitted } = finished
       self.#recordResponseTime(finished)
       self.options.balancer.state(server).outlier.recordSuccess()
-      self.#crashes.recordCompletion(self.#crashScope(admitted))
+      self.#crashes.recordCompletion(self.#crashScope(admitted), { wroteAnswer: bytes > 0 })
       self.#callerResponse.finish()
       return done('streamed')
     },
@@ -480,8 +482,7 @@
         self.#recordResponseTime(finished)
       }
       self.#possibleRuns += 1
-      if (failed) self.#crashes.recordFailure(self.#crashScope(finished.admitted))
-      else self.#crashes.recordCompletion(self.#crashScope(finished.admitted))
+      self.#crashes.recordCompletion(self.#crashScope(finished.admitted), { wroteAnswer: isSuccess(status) && answer.body.length > 0 })
       if (failed && self.#mayRunAgain(finished)) {
         self.#mayHaveRun = true
         self.#failure = finished.selection.key === undefined ? undefined : answer
--- a/packages/fleet/test/replay/probe-simulation.ts
+++ b/packages/fleet/test/replay/probe-simulation.ts
@@ -88,7 +88,7 @@
       if (this.fatal) this.crashTimes.push(nowMs())
       if (simulated.isolated) return
       if (this.fatal) request.brokeOff({ server, sentAt, responseMs: undefined }, scope)
-      else request.recordCompletion(scope)
+      else request.recordCompletion(scope, { wroteAnswer: true })
     }, runMs)
   }
 
