The crash history is split by job

Records of one work, and the choice of suspects that no stronger one explains, are modules of their own.

--- a/packages/decisions/src/crash-history.ts
+++ b/packages/decisions/src/crash-history.ts
@@ -5,26 +5,16 @@
  * a part of prompts that comes in ever new requests. A crash fails all requests on the server, up to a whole batch, of which at most
  * one is the cause, and a request has several parts. What crashes servers can be told from the rest, as it was sent again after the
  * crash, and the next server crashed too. Such consecutive crashes quarantine work: three for a long time, and two a request for a short
- * one. A part is in more requests, so that two crashes are more often a coincidence, and refusing it harms more callers. Crashes whose runs overlap count as one, as a single fault may bring down many servers at the same time. A run that completes
- * shows that all of its work crashes no server, and discards all crashes before it.
- *
- * Work that often runs beside the cause is involved in the same crashes. It counts only for those that no stronger suspect explains:
- * one with more consecutive crashes, or a request where a part has as many. Of equal suspects, each is run once without the others.
+ * one. A part is in more requests, so that two crashes are more often a coincidence, and refusing it harms more callers. Crashes whose
+ * runs overlap count as one, as a single fault may bring down many servers at the same time. A run that completes shows that all of its
+ * work crashes no server, and discards all crashes before it.
  *
  * An expired quarantine doesn't release work, since it may come through all entry processes at the same moment. One run of it is
  * allowed across all of them, as a probe, and its outcome decides. Each probe that crashes a server makes the next quarantine longer.
  */
-import { partFingerprintPrefix, type Fingerprint } from '@finchpitch/core'
-
-/** A server crashed while it ran the work, or shortly after the work was sent to it. */
-export interface Crash {
-  fingerprint: Fingerprint
-  /** One incarnation of a server; a restarted server counts as another one. */
-  server: string
-  /** Of the last request with the work, on the monotonic clock of this process. */
-  sentAt: number
-  endedAt: number
-}
+import type { Fingerprint } from '@finchpitch/core'
+import { CrashRecord, consecutiveCrashes, type Crash } from './crash-record.js'
+import { Suspects } from './crash-suspects.js'
 
 /** A run of the work that completed. */
 export interface CompletedRun {
@@ -56,7 +46,7 @@
   probeMs: number
   /** Consecutive probes without an outcome that quarantine work for as long as a crash counts. */
   probes: number
-  /** Maximum number of entries in the table. */
+  /** Maximum number of records. */
   most: number
 }
 
@@ -99,45 +89,18 @@
   | { type: 'probe', of: readonly Fingerprint[] }
   | { type: 'quarantined', quarantine: Quarantine }
 
-/** Reports of the same probe that arrive by way of different processes differ by less than this in its start time. */
-const sameProbeMs = 1000
-
 /** How often expired records are searched for. */
 const expiryIntervalMs = 1000
 /** Share of the maximum that an eviction leaves, so that not every further record causes another eviction. */
 const evictionTarget = 0.9
-/** Crashes and probes that a record keeps, the most recent ones. */
-const maxKept = 16
-
-interface WorkRecord {
-  /** A part of prompts, not a whole request. */
-  readonly isPart: boolean
-  readonly crashes: Map<string, Crash>
-  /** When the last completed run ended. */
-  completedAt: number
-  /** Start times of the probes since then, in order. */
-  probes: number[]
-  /** Until then the work may only be sent as a probe, where it isn't quarantined. */
-  probeOnlyUntil: number
-}
-
-/** Work that its consecutive crashes have quarantined. */
-interface Suspect {
-  fingerprint: Fingerprint
-  record: WorkRecord
-  /** Number of consecutive crashes. */
-  strength: number
-}
 
 const run: CrashVerdict = { type: 'run' }
 
-const emptyRecord = (fingerprint: Fingerprint): WorkRecord => ({ isPart: fingerprint.startsWith(partFingerprintPrefix), crashes: new Map(), completedAt: -Infinity, probes: [], probeOnlyUntil: -Infinity })
-
 export class CrashHistory {
   /** In the order of their last updates, the least recent first. */
-  readonly #records = new Map<Fingerprint, WorkRecord>()
-  /** Suspects whose crashes no stronger one explains; `undefined` after a change. */
-  #unexplained: Map<Fingerprint, Suspect> | undefined
+  readonly #records = new Map<Fingerprint, CrashRecord>()
+  /** `undefined` after a change. */
+  #suspects: Suspects | undefined
   #expiredAt = -Infinity
 
   constructor (private readonly limits: QuarantineLimits) {}
@@ -148,39 +111,27 @@
 
   /** Records a crash. Returns false if it was known, has expired, or came before a completed run. */
   recordCrash (crash: Crash, now: number): boolean {
-    const { fingerprint, server, endedAt } = crash
-    const record = this.#records.get(fingerprint) ?? emptyRecord(fingerprint)
+    const { fingerprint, endedAt } = crash
+    const record = this.#records.get(fingerprint) ?? new CrashRecord(fingerprint)
     const isOutcome = record.probes.some(at => at <= endedAt)
-    if (record.crashes.has(server) || endedAt <= record.completedAt || (now - endedAt >= this.limits.keepMs && !isOutcome)) return false
-    record.crashes.set(server, crash)
-    if (record.crashes.size > maxKept) record.crashes.delete(inOrder(record.crashes.values())[0]?.server ?? '')
+    if (now - endedAt >= this.limits.keepMs && !isOutcome) return false
+    if (!record.addCrash(crash)) return false
     this.#update(fingerprint, record, now)
     return true
   }
 
   /** Records that a probe was started. Returns false if it was known, has expired, or came before a completed run. */
   recordProbe ({ fingerprint, at }: Probe, now: number): boolean {
-    const record = this.#records.get(fingerprint) ?? emptyRecord(fingerprint)
-    if (at <= record.completedAt || now - at >= this.#longestBackoffMs) return false
-    // Times cross between processes as ages, so the same probe appears at a slightly different time on each path.
-    if (record.probes.some(each => Math.abs(each - at) < sameProbeMs)) return false
-    record.probes = [...record.probes, at].sort((a, b) => a - b).slice(-maxKept)
+    const record = this.#records.get(fingerprint) ?? new CrashRecord(fingerprint)
+    if (now - at >= this.#longestBackoffMs || !record.addProbe(at)) return false
     this.#update(fingerprint, record, now)
     return true
   }
 
   /** Records a completed run. Returns true if that discarded a crash or a probe; always false for work without a record. */
   sound ({ fingerprint, endedAt }: CompletedRun): boolean {
-    const record = this.#records.get(fingerprint)
-    if (record === undefined || endedAt <= record.completedAt) return false
-    const discarded = [...record.crashes.values()].filter(crash => crash.endedAt <= endedAt)
-    for (const { server } of discarded) record.crashes.delete(server)
-    const probed = record.probes.length > 0
-    record.completedAt = endedAt
-    record.probes = []
-    record.probeOnlyUntil = -Infinity
-    const changed = discarded.length > 0 || probed
-    if (changed) this.#unexplained = undefined
+    const changed = this.#records.get(fingerprint)?.complete(endedAt) ?? false
+    if (changed) this.#suspects = undefined
     return changed
   }
 
@@ -192,7 +143,7 @@
       const of = work.filter(fingerprint => this.probeDue(fingerprint, now))
       return of.length === 0 ? run : { type: 'probe', of }
     }
-    if (quarantined.length === 1 && this.#isAlternative(first, work, now)) return { type: 'probe', of: [first] }
+    if (quarantined.length === 1 && this.#mayTellApart(first, work, now)) return { type: 'probe', of: [first] }
     const longest = quarantined.flatMap(fingerprint => this.quarantine(fingerprint, now) ?? []).sort((a, b) => b.leftMs - a.leftMs)
     return { type: 'quarantined', quarantine: longest[0] ?? { servers: [], leftMs: 0 } }
   }
@@ -202,7 +153,7 @@
     const record = this.#records.get(fingerprint)
     if (record === undefined || this.#isExplained(fingerprint, record, now)) return undefined
     const leftMs = this.#quarantinedUntil(record, now) - now
-    return leftMs > 0 ? { servers: consecutiveCrashes(record.crashes.values()).map(crash => crash.server), leftMs } : undefined
+    return leftMs > 0 ? { servers: consecutiveCrashes(record.crashes).map(crash => crash.server), leftMs } : undefined
   }
 
   /** Whether the quarantine has expired and no run has completed since, so that one entry process of all may send the work once. */
@@ -214,7 +165,7 @@
 
   /** Whether one entry process of all may send the work once, in a request without any other suspect. */
   mayProbe (fingerprint: Fingerprint, now: number): boolean {
-    return this.quarantine(fingerprint, now) === undefined || this.#isAlternative(fingerprint, [fingerprint], now)
+    return this.quarantine(fingerprint, now) === undefined || this.#mayTellApart(fingerprint, [fingerprint], now)
   }
 
   /** Probes since the last completed run of their work. */
@@ -231,61 +182,61 @@
   crashesOf (fingerprint: Fingerprint, now: number): Crash[] {
     const record = this.#records.get(fingerprint)
     if (record === undefined) return []
-    return now < record.probeOnlyUntil ? [...record.crashes.values()] : this.#unexpired(record, now)
+    return now < record.probeOnlyUntil ? record.crashes : this.#unexpired(record, now)
   }
 
   /** Removes expired records, and evicts others where the table is too large. May be called at any rate: it does its work once per interval. */
   expire (now: number): void {
     if (this.#records.size <= this.limits.most && now - this.#expiredAt < expiryIntervalMs) return
     this.#expiredAt = now
-    this.#unexplained = undefined
+    this.#suspects = undefined
     for (const [fingerprint, record] of this.#records) {
       if (this.#isExpired(record, now)) this.#records.delete(fingerprint)
     }
     if (this.#records.size > this.limits.most) this.#evict(now)
   }
 
-  #isExpired (record: WorkRecord, now: number): boolean {
+  #isExpired (record: CrashRecord, now: number): boolean {
     if (this.#unexpired(record, now).length > 0 || now < record.probeOnlyUntil) return false
-    // A completed run is kept as long as a crash, and a probe as long as it can count, since reports of crashes that belong to them may still arrive.
+    // Reports of crashes before a completed run, or after a probe, may still arrive.
     return now - record.completedAt >= this.limits.keepMs && now - (record.probes.at(-1) ?? -Infinity) >= this.#longestBackoffMs
   }
 
   /** Stores a changed record as the most recently updated one. */
-  #update (fingerprint: Fingerprint, record: WorkRecord, now: number): void {
+  #update (fingerprint: Fingerprint, record: CrashRecord, now: number): void {
     const { keepMs } = this.limits
     const until = this.#quarantinedUntil(record, now)
     // A longer quarantine is remembered for longer, as work that comes rarely may come again long after it.
     if (until > -Infinity) record.probeOnlyUntil = Math.max(record.probeOnlyUntil, until + Math.max(keepMs, this.#backoffMs(record)))
-    this.#unexplained = undefined
+    this.#suspects = undefined
     this.#records.delete(fingerprint)
     this.#records.set(fingerprint, record)
     this.expire(now)
   }
 
   /** Until when the crashes and probes of the work quarantine it; in the past if they don't. */
-  #quarantinedUntil (record: WorkRecord, now: number): number {
+  #quarantinedUntil (record: CrashRecord, now: number): number {
     return Math.max(this.#crashQuarantineUntil(record, now), this.#probeQuarantineUntil(record), this.#failedProbesUntil(record))
   }
 
   /** Until when probes without an outcome quarantine the work. */
-  #probeQuarantineUntil (record: WorkRecord): number {
+  #probeQuarantineUntil (record: CrashRecord): number {
     const { probes, probeMs, keepMs } = this.limits
-    const pending = pendingProbes(record)
+    const { pendingProbes: pending } = record
     if (pending.length === 0) return -Infinity
     return Math.max(...pending) + (pending.length >= probes ? keepMs : probeMs)
   }
 
   /** Until when probes that crashed servers quarantine the work. */
-  #failedProbesUntil (record: WorkRecord): number {
-    const last = probeCrashes(record).at(-1)
+  #failedProbesUntil (record: CrashRecord): number {
+    const last = record.probeCrashes.at(-1)
     return last === undefined ? -Infinity : last.endedAt + this.#backoffMs(record)
   }
 
   /** Length of the quarantine after the probes that have crashed a server; 0 if none has. */
-  #backoffMs (record: WorkRecord): number {
+  #backoffMs (record: CrashRecord): number {
     const { probeBackoffMs } = this.limits
-    const failed = probeCrashes(record).length
+    const failed = record.probeCrashes.length
     return failed === 0 ? 0 : probeBackoffMs[Math.min(failed, probeBackoffMs.length) - 1] ?? 0
   }
 
@@ -294,7 +245,7 @@
   }
 
   /** Until when consecutive crashes quarantine the work. */
-  #crashQuarantineUntil (record: WorkRecord, now: number): number {
+  #crashQuarantineUntil (record: CrashRecord, now: number): number {
     const { shortQuarantineMs, longThreshold, partThreshold, keepMs } = this.limits
     const consecutive = consecutiveCrashes(this.#unexpired(record, now))
     const last = consecutive.at(-1)
@@ -305,95 +256,39 @@
   }
 
   /** Consecutive crashes that quarantine the work at all. */
-  #threshold ({ isPart }: WorkRecord): number {
+  #threshold ({ isPart }: CrashRecord): number {
     return isPart ? this.limits.partThreshold : this.limits.shortThreshold
   }
 
-  #unexpired ({ crashes }: WorkRecord, now: number): Crash[] {
-    return [...crashes.values()].filter(crash => now - crash.endedAt < this.limits.keepMs)
+  #unexpired ({ crashes }: CrashRecord, now: number): Crash[] {
+    return crashes.filter(crash => now - crash.endedAt < this.limits.keepMs)
   }
 
   /** Whether stronger suspects explain so many of its crashes that the rest would not quarantine the work. */
-  #isExplained (fingerprint: Fingerprint, record: WorkRecord, now: number): boolean {
-    if (record.crashes.size < this.#threshold(record)) return false
-    return now < record.probeOnlyUntil && !this.#unexplainedSuspects(now).has(fingerprint)
+  #isExplained (fingerprint: Fingerprint, record: CrashRecord, now: number): boolean {
+    if (record.crashes.length < this.#threshold(record)) return false
+    return now < record.probeOnlyUntil && !this.#currentSuspects(now).has(fingerprint)
   }
 
-  #unexplainedSuspects (now: number): Map<Fingerprint, Suspect> {
-    this.#unexplained ??= this.#explain(this.#suspects(now))
-    return this.#unexplained
+  #currentSuspects (now: number): Suspects {
+    this.#suspects ??= new Suspects([...this.#records].filter(([, record]) => now < record.probeOnlyUntil), record => this.#threshold(record))
+    return this.#suspects
   }
 
-  /** All suspects, the strongest first. */
-  #suspects (now: number): Suspect[] {
-    const suspects = [...this.#records].flatMap(([fingerprint, record]) => now < record.probeOnlyUntil ? [{ fingerprint, record, strength: consecutiveCrashes(record.crashes.values()).length }] : [])
-    return suspects.sort((a, b) => b.strength - a.strength || Number(a.record.isPart) - Number(b.record.isPart))
-  }
-
-  /** Leaves out the suspects of which stronger ones explain the crashes. `suspects`: the strongest first. */
-  #explain (suspects: readonly Suspect[]): Map<Fingerprint, Suspect> {
-    const unexplained = new Map<Fingerprint, Suspect>()
-    for (const suspect of suspects) {
-      const stronger = [...unexplained.values()].filter(other => isStronger(other, suspect))
-      if (!this.#explainedBy(stronger, suspect)) unexplained.set(suspect.fingerprint, suspect)
-    }
-    return unexplained
-  }
-
-  /** Whether the crashes that none of the others is involved in would not quarantine the suspect. */
-  #explainedBy (others: readonly Suspect[], { record }: Suspect): boolean {
-    const left = [...record.crashes.values()].filter(({ server }) => !others.some(other => other.record.crashes.has(server)))
-    return left.length < record.crashes.size && consecutiveCrashes(left).length < this.#threshold(record)
-  }
-
-  /**
-   * Whether an equal suspect that is not part of this work explains the same crashes, so that a run of this work without the other one
-   * tells which of them is the cause.
-   */
-  #isAlternative (fingerprint: Fingerprint, work: readonly Fingerprint[], now: number): boolean {
-    const unexplained = this.#unexplainedSuspects(now)
-    const suspect = unexplained.get(fingerprint)
-    if (suspect === undefined || pendingProbes(suspect.record).length > 0) return false
-    return [...unexplained.values()].some(other => !work.includes(other.fingerprint) && this.#explainedBy([other], suspect))
+  /** Whether one run of this work would tell the suspect from an equal one, and none is under way. */
+  #mayTellApart (fingerprint: Fingerprint, work: readonly Fingerprint[], now: number): boolean {
+    const record = this.#records.get(fingerprint)
+    return record?.pendingProbes.length === 0 && this.#currentSuspects(now).hasAlternative(fingerprint, work)
   }
 
   /** Evicts work that isn't quarantined before that which is, then that with the fewest crashes, then the least recently updated. */
   #evict (now: number): void {
     const fingerprints = [...this.#records.keys()]
-    const crashesOf = (fingerprint: Fingerprint): number => this.#records.get(fingerprint)?.crashes.size ?? 0
+    const crashesOf = (fingerprint: Fingerprint): number => this.#records.get(fingerprint)?.crashes.length ?? 0
     const free = fingerprints.filter(fingerprint => this.quarantine(fingerprint, now) === undefined).sort((a, b) => crashesOf(a) - crashesOf(b))
     const quarantined = fingerprints.filter(fingerprint => this.quarantine(fingerprint, now) !== undefined)
     const excess = Math.ceil(fingerprints.length - this.limits.most * evictionTarget)
     for (const fingerprint of [...free, ...quarantined].slice(0, excess)) this.#records.delete(fingerprint)
-    this.#unexplained = undefined
-  }
-}
-
-/** Whether the crashes that both are involved in are put down to `other`. A request is a narrower explanation than a part of its prompt. */
-const isStronger = (other: Suspect, suspect: Suspect): boolean =>
-  other.strength > suspect.strength || (other.strength === suspect.strength && !other.record.isPart && suspect.record.isPart)
-
-/** Probes without an outcome yet: a crash is the outcome of the probes that were started before it. */
-const pendingProbes = ({ probes, crashes }: WorkRecord): number[] => {
-  const lastCrashAt = Math.max(-Infinity, ...[...crashes.values()].map(({ endedAt }) => endedAt))
-  return probes.filter(at => at > lastCrashAt)
-}
-
-/** The first crash after each probe, in order. */
-const probeCrashes = ({ probes, crashes }: WorkRecord): Crash[] => {
-  if (probes.length === 0) return []
-  const ordered = inOrder(crashes.values())
-  return [...new Set(probes.flatMap(at => ordered.find(({ endedAt }) => endedAt >= at) ?? []))]
-}
-
-/** Ties are ordered by server, so that processes that learned of two crashes in a different order come to the same result. */
-const inOrder = (crashes: Iterable<Crash>): Crash[] => [...crashes].sort((a, b) => a.endedAt - b.endedAt || (a.server < b.server ? -1 : 1))
-
-/** The crashes of which each run was sent after the server before it had crashed. */
-const consecutiveCrashes = (crashes: Iterable<Crash>): Crash[] => {
-  const consecutive: Crash[] = []
-  for (const crash of inOrder(crashes)) {
-    if (crash.sentAt >= (consecutive.at(-1)?.endedAt ?? -Infinity)) consecutive.push(crash)
+    this.#suspects = undefined
   }
-  return consecutive
 }
