--- a/packages/fleet/test/clearing-runs.test.ts
+++ b/packages/fleet/test/clearing-runs.test.ts
@@ -56,6 +56,11 @@
     expect(await crashesAround('/stream/x')).to.equal(4)
   })
 
+  it('does not go on at another server within one response once the part is recognized', async () => {
+    for (let each = 0; each < 4; each++) await send('bad', '/resume/x')
+    expect(crashes()).to.equal(3)
+  })
+
   const cases: Array<[string, string, (socket: Socket, id: string) => void]> = [
     ['its stream was empty', '/stream/x', (socket, id) => socket.end(head(id, 200, 0))],
     ['its body was empty', '/plain/x', (socket, id) => socket.end(head(id, 200, 0))],
--- a/packages/fleet/test/crashing-parts.test.ts
+++ b/packages/fleet/test/crashing-parts.test.ts
@@ -118,4 +118,21 @@
     }
     checkTrouble(calm, [...first, ...later])
   })
+
+  it('is recognized again after all processes were killed at once', async () => {
+    const calm = await sendFor(calmMs, undefined)
+    await sendFor(3000, [firstPart, badPart])
+    const runsBefore = badRuns().length
+    const machines = [...fleet.entries, ...fleet.sides]
+    await Promise.all(machines.map(async machine => await fleet.kill(machine)))
+    await Promise.all(machines.map(async machine => await fleet.startProcess(machine)))
+    const restartedAt = performance.now()
+    const trouble = await sendFor(troubleMs, [firstPart, badPart])
+    const runs = badRuns().slice(runsBefore)
+    const late = runs.filter(at => at > Math.max(restartedAt, runs[maxCrashes - 1] ?? 0) + contactMs).length
+    const [before, after] = [servedShare(calm, 'plain'), servedShare(trouble, 'plain', restartedAt + 2 * contactMs)]
+    console.log(`      runs with the part: ${runsBefore} before, ${runs.length} after, of these late: ${late}; sound requests served: ${before.toFixed(2)} before, ${after.toFixed(2)} after`)
+    expect(late, 'late runs with the part').to.be.at.most(maxLateRuns)
+    expect(after, 'served requests').to.be.at.least(before * minServedShare)
+  })
 })
