Logs tell since when and from whom a process has the servers that it uses

Servers of a first listing share one line, so the logs of an entry that sent requests to a server which had left could not tell whether it had the server from the store or from a peer, nor whether it had read a later list by then. server.first_used tells it once for each server and life of a process, and belief.changed names the revision up to which the process was complete. The first request to a server as a fallback has a line, too.

--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -357,6 +357,7 @@
         sentAt = nowMs()
         if (this.#hasCallerLeft() || facts.routes !== table || !balancer.isAvailable(server) || !this.#mayContinueAt(server)) return false
         if (!this.#spend(server, admitted)) return false
+        facts.recordUse(server.id)
         softwareVersion = balancer.softwareVersion(facts.servers.get(server.id) ?? server)
         if (isResumable(route)) this.#continuation.recordStart(selection.service.name, softwareVersion)
         return true
--- a/packages/fleet/src/facts.ts
+++ b/packages/fleet/src/facts.ts
@@ -16,6 +16,7 @@
 import { isEarlierIncarnation, type BackendServer, type NamedVersion } from './server.js'
 import { RelistedServers } from './relisted-servers.js'
 import { ServerList } from './server-list.js'
+import { ServerUses } from './server-uses.js'
 import { eraOf, revisionFields } from './store-revision.js'
 import { RouteIndex, type RoutingTable } from './table.js'
 
@@ -39,6 +40,7 @@
   readonly freshness = new Freshness()
   readonly #serverList: ServerList
   readonly #relisted = new RelistedServers()
+  readonly #serverUses: ServerUses
   readonly #versions = new Map<string, KnownVersion>()
   readonly #current = new Map<string, Fact>()
   readonly #tombstones = new Map<string, number>()
@@ -57,6 +59,7 @@
 
   /** `fallbackMs`: how long a server whose record vanished without notice is kept as a fallback. */
   constructor (private readonly log: Log, fallbackMs: () => number) {
+    this.#serverUses = new ServerUses(log)
     this.#serverList = new ServerList({
       log,
       fallbackMs,
@@ -157,6 +160,11 @@
     return this.#serverList.isFallback(id)
   }
 
+  /** Records that a request was sent to the server. */
+  recordUse (id: string): void {
+    this.#serverUses.record(id, this.isFallback(id), this.#complete.server)
+  }
+
   /** Records that a server announced that it is draining. */
   markDraining (incarnation: ServerIncarnation, from: string): void {
     const fact = this.current('server', incarnation.id)
@@ -273,10 +281,11 @@
     const known = this.#current.get(id)
     if (fact.kind === 'server') this.#relisted.forget(fact.key)
     this.#current.set(id, fact)
+    if (fact.kind === 'server') this.#serverUses.recordFact(fact, from, this.#complete.server)
     if (known !== undefined && isDeepStrictEqual(known.value, fact.value)) return false
     handlers[fact.kind](this, fact as never)
     this.#keepTombstone(id, fact)
-    if (this.#listedChanges === undefined) this.log.info('belief.changed', { kind: fact.kind, key: fact.key, ...revisionFields(fact.revision), from, outcome: describe(fact) })
+    if (this.#listedChanges === undefined) this.log.info('belief.changed', { kind: fact.kind, key: fact.key, ...revisionFields(fact.revision), from, complete: this.#complete[fact.kind], outcome: describe(fact) })
     else this.#listedChanges += 1
     this.#notify(fact)
     return true
@@ -335,6 +344,8 @@
     for (const [old, at] of this.#tombstones) {
       if (now - at < tombstoneMs) return
       this.#tombstones.delete(old)
+      const removed = this.#current.get(old)
+      if (removed?.kind === 'server') this.#serverUses.forget(removed.key)
       this.#current.delete(old)
     }
   }
