A list that was read late no longer removes servers that are newer than it

A process that starts gets facts from its peers while its own list is on the way. What a peer sent and the list lacked counted as removed, also where it had been created after the list was answered: the server got no requests from this process until its entry changed again, and as the removal is dated half a revision later than the entry, peers took it over. Only facts up to the list's own revision can be missing from it. The new test fails without the change (the version is unknown) and passes with it.

--- a/packages/fleet/src/fact-watch.ts
+++ b/packages/fleet/src/fact-watch.ts
@@ -155,7 +155,7 @@
     this.#failures = 0
     this.options.outage.note(kind, true)
     this.#deferAfterRestore(revision)
-    const missing = this.#revision === undefined ? missingFrom(facts, kind, listed) : []
+    const missing = this.#revision === undefined ? missingFrom(facts, kind, listed, revision) : []
     const apply = (): void => { for (const fact of this.#removals.filter([...missing, ...listed])) this.#apply(withSeenAt(fact, revision)) }
     // The table is a single fact, whose line names its version.
     if (kind !== 'table' && facts.complete[kind] === 0) facts.applyFirstListing(kind, revision, 'store', apply)
@@ -239,12 +239,12 @@
 const withSeenAt = (fact: Fact, revision: number): Fact =>
   fact.kind === 'table' || fact.value !== undefined ? fact : { ...fact, seenAt: revision }
 
-/** Removals of known facts that are missing from a complete list. */
-const missingFrom = (facts: Facts, kind: Fact['kind'], listed: Fact[]): Fact[] => {
+/** Removals of known facts that are missing from a complete list. Facts that changed after the list was read are not affected. */
+const missingFrom = (facts: Facts, kind: Fact['kind'], listed: Fact[], revision: number): Fact[] => {
   if (kind === 'table') return []
   const present = new Set(listed.map(fact => fact.key))
   // Relisted servers are not among the current facts. Without them, one whose record expired while the history was gone would be accepted.
   return [...facts.all(), ...facts.relistedServers]
-    .filter(fact => fact.kind === kind && fact.value !== undefined && !present.has(fact.key))
+    .filter(fact => fact.kind === kind && fact.value !== undefined && fact.revision <= revision && !present.has(fact.key))
     .map(fact => ({ kind, key: fact.key, revision: fact.revision + removalRevisionStep, value: undefined }))
 }
--- a/packages/fleet/test/fact-watch.test.ts
+++ b/packages/fleet/test/fact-watch.test.ts
@@ -78,6 +78,17 @@
     ])
   })
 
+  it('keeps a fact that a peer sent while an older list was on its way', async () => {
+    // A list answered at revision 2 and read later removed what was created at revision 5, at this process and at all its peers.
+    source.list = async () => {
+      facts.offer(named('new', 5), 'peer')
+      return ok({ facts: [named('a', 1)], revision: 2 })
+    }
+    start()
+    await time.advance(50)
+    expect(facts.version('m/new')?.version).to.equal(5)
+  })
+
   it('lists once, then watches for changes with pauses in between', async () => {
     source.facts = [named('a', 1)]
     start()
