A process that has read a list tells its dependents what is left, as it can't tell them what was removed before

Callers saw requests reach servers later than the drain time after their removal, from some entries only, for as long as these servers answered.

Cause: a removal is known only to processes that knew the server. Where all that watch the store were away at the removal, those that start read a list without the server and report to be complete up to its revision. The side process took that over, and through it all entries that depend on it, with the server still among theirs. Then the way back was closed: whoever had the removal did not send it, as its receiver reported to have read beyond it. The class is a claim of completeness that holds for what is there, but not for what is gone.

Each process now keeps from which revision on it knows all removals: from that of its last list, and later as tombstones expire. Before a peer that depends on it, and that has read less, may take over what it reports as complete, that peer gets the keys that are left, in a heartbeat; it removes its other facts up to the list's revision and keeps those that changed later. Older processes ignore the field.

--- a/packages/fleet/src/fact-exchange.ts
+++ b/packages/fleet/src/fact-exchange.ts
@@ -6,6 +6,9 @@
  * A link therefore sends immediately only to peers without another source: from entries that watch the store to the side
  * processes of their domain, from those to the entries that depend on them, and to peers that report that the store does not
  * answer. All other links delay a fact and send it only if the peer still lacks it.
+ *
+ * A peer without another source adopts what this process reports as complete. If that process has read less than this one has since
+ * kept removals for, it gets a listing first (see `listing.ts`).
  */
 import type { Log } from '@finchpitch/core'
 import { encodeFrame, type Channel, type CompleteRevisions, type FactFrame, type Frame, type StoreSight } from '@finchpitch/wire'
@@ -48,7 +51,7 @@
   readonly #known = new Map<string, number>()
   readonly #stops: Array<() => void>
   /** The revisions up to which the peer reports that it has everything. */
-  #complete: CompleteRevisions = { table: 0, server: 0, version: 0 }
+  readonly #complete: CompleteRevisions = { table: 0, server: 0, version: 0 }
 
   #delayMs: number
   #started = false
@@ -64,6 +67,7 @@
     this.#stops = [
       facts.onChange(fact => this.#handleChange(fact)),
       facts.onSettled(() => this.#sendBatched()),
+      facts.onListing(() => { if (this.#started) this.#sendListings() }),
       facts.onStatusChange(() => channel.beat())
     ]
   }
@@ -74,13 +78,23 @@
     this.updateComplete(this.channel.peer.complete)
     const delayMs = this.#complete.table === 0 ? newcomerMs : this.#delayMs
     this.#schedule(this.facts.all(), delayMs)
+    this.#sendListings()
   }
 
   /** Changes the delay. If it is shorter than before, the facts not sent yet are scheduled again with it. */
   setDelay (delayMs: number): void {
     const shorter = delayMs < this.#delayMs
     this.#delayMs = delayMs
-    if (shorter && this.#started) this.#schedule(this.facts.all(), delayMs)
+    if (!shorter || !this.#started) return
+    this.#schedule(this.facts.all(), delayMs)
+    this.#sendListings()
+  }
+
+  /** Sends a dependent peer the listings without which it could not rely on what this process reports as complete. */
+  #sendListings (): void {
+    if (this.#delayMs !== forwardDelayMs.dependent) return
+    const listings = this.facts.listingsFor(this.#complete)
+    if (listings.length > 0) this.channel.beat(listings)
   }
 
   stop (): void {
@@ -90,7 +104,8 @@
 
   /** Records what the peer's hello or heartbeat says it has. */
   updateComplete (complete: CompleteRevisions | undefined): void {
-    if (complete !== undefined) this.#complete = complete
+    if (complete === undefined) return
+    for (const kind of ['table', 'server', 'version'] as const) this.#complete[kind] = Math.max(this.#complete[kind], complete[kind])
   }
 
   /**
@@ -104,7 +119,9 @@
       return
     }
     this.#applyReceived()
-    if (frame.type === 'heartbeat') this.updateComplete(frame.complete)
+    if (frame.type !== 'heartbeat') return
+    for (const listing of frame.listings ?? []) this.facts.applyListing(listing, this.channel.peer.process)
+    this.updateComplete(frame.complete)
   }
 
   handleFact (frame: FactFrame): void {
--- a/packages/fleet/src/fact-watch.ts
+++ b/packages/fleet/src/fact-watch.ts
@@ -6,10 +6,11 @@
  */
 import { backoff, pause, type Log } from '@finchpitch/core'
 import { boottimeMs, nowMs } from './clock.js'
-import { isFinal, removalRevisionStep, type Fact } from './fact.js'
+import { isFinal, type Fact } from './fact.js'
 import type { Facts } from './facts.js'
 import type { StoreHealth } from './store-health.js'
 import type { FactPage, FactSource, StoreFailure } from './ports.js'
+import { missingFrom } from './listing.js'
 import { DeferredRemovals, reregistrationMs } from './deferred-removals.js'
 import { eraOf, revisionFields } from './store-revision.js'
 import type { DutySwitch } from './duty-switch.js'
@@ -75,6 +76,8 @@
   readonly #removals: DeferredRemovals
   /** The revision up to which everything was read; `undefined` if everything has to be listed. */
   #revision: number | undefined
+  /** The revision of the last list, from which on removals were read as such. */
+  #listedAt = 0
   #failures = 0
   /** Whether the last call failed, so that the next one should return quickly. */
   #lastCallFailed = false
@@ -155,14 +158,15 @@
     this.#failures = 0
     this.options.outage.note(kind, true)
     this.#deferAfterRestore(revision)
-    const missing = this.#revision === undefined ? missingFrom(facts, kind, listed, revision) : []
+    if (this.#revision === undefined) this.#listedAt = revision
+    const missing = this.#revision === undefined ? missingFrom(facts, { kind, revision, keys: listed.map(fact => fact.key) }) : []
     const apply = (): void => { for (const fact of this.#removals.filter([...missing, ...listed])) this.#apply(withSeenAt(fact, revision)) }
     // The table is a single fact, whose line names its version.
     if (kind !== 'table' && facts.complete[kind] === 0) facts.applyFirstListing(kind, revision, 'store', apply)
     else facts.batch(apply)
     this.#revision = revision
     // Deferred removals are not applied yet. If this process reported itself complete, peers would never send them to it.
-    if (!this.#removals.active) facts.markComplete(kind, revision)
+    if (!this.#removals.active) facts.markComplete(kind, revision, this.#listedAt)
   }
 
   /** Whether an answer predates a restore that this process already knows of, for example from a peer. */
@@ -229,7 +233,7 @@
     if (missing.length > 0) log.info('store.entries_missing', { kind: this.#kind, keys: missing.map(fact => fact.key) })
     const revision = this.#revision ?? facts.revision
     for (const fact of missing) facts.remove(withSeenAt(fact, revision), 'store')
-    if (this.#revision !== undefined) facts.markComplete(this.#kind, this.#revision)
+    if (this.#revision !== undefined) facts.markComplete(this.#kind, this.#revision, this.#listedAt)
   }
 }
 
@@ -238,13 +242,3 @@
 /** Adds to a removal the store's revision at which it was observed. */
 const withSeenAt = (fact: Fact, revision: number): Fact =>
   fact.kind === 'table' || fact.value !== undefined ? fact : { ...fact, seenAt: revision }
-
-/** Removals of known facts that are missing from a complete list. Facts that changed after the list was read are not affected. */
-const missingFrom = (facts: Facts, kind: Fact['kind'], listed: Fact[], revision: number): Fact[] => {
-  if (kind === 'table') return []
-  const present = new Set(listed.map(fact => fact.key))
-  // Relisted servers are not among the current facts. Without them, one whose record expired while the history was gone would be accepted.
-  return [...facts.all(), ...facts.relistedServers]
-    .filter(fact => fact.kind === kind && fact.value !== undefined && fact.revision <= revision && !present.has(fact.key))
-    .map(fact => ({ kind, key: fact.key, revision: fact.revision + removalRevisionStep, value: undefined }))
-}
--- a/packages/fleet/src/facts.ts
+++ b/packages/fleet/src/facts.ts
@@ -8,14 +8,15 @@
  */
 import { isDeepStrictEqual } from 'node:util'
 import type { Log } from '@finchpitch/core'
-import type { CompleteRevisions, StoreSight } from '@finchpitch/wire'
+import type { CompleteRevisions, Listing, StoreSight } from '@finchpitch/wire'
 import { nowMs } from './clock.js'
-import { isRelisted, supersedes, type Fact } from './fact.js'
+import { isRelisted, observedRevision, supersedes, type Fact } from './fact.js'
 import { Freshness } from './freshness.js'
 import type { ServerIncarnation } from './draining-servers.js'
 import { isEarlierIncarnation, type BackendServer, type NamedVersion } from './server.js'
 import { RelistedServers } from './relisted-servers.js'
 import { ServerList } from './server-list.js'
+import { missingFrom } from './listing.js'
 import { ServerUses } from './server-uses.js'
 import { eraOf, revisionFields } from './store-revision.js'
 import { RouteIndex, type RoutingTable } from './table.js'
@@ -52,6 +53,10 @@
   /** Number of changes in the listing that is being applied; `undefined` if each change is logged by itself. */
   #listedChanges: number | undefined
   readonly #complete: CompleteRevisions = { table: 0, server: 0, version: 0 }
+  /** For each kind, the revision from which on this replica knows all removals. */
+  readonly #removalsFrom: CompleteRevisions = { table: 0, server: 0, version: 0 }
+  readonly #listingListeners = new Set<() => void>()
+  #listingDue = false
   #routes: RouteIndex | undefined
   #highestRevision = 0
   #storeStatus: StoreSight = 'resting'
@@ -122,13 +127,18 @@
     return this.#serversConfirmedAt
   }
 
-  /** Records that all facts of a kind up to `revision` have been received. */
-  markComplete (kind: Fact['kind'], revision: number): void {
+  /**
+   * Records that all facts of a kind up to `revision` have been received. `listedAt`: the revision of the list that was read, if the
+   * removals before it may be unknown.
+   */
+  markComplete (kind: Fact['kind'], revision: number, listedAt = 0): void {
     const before = this.hasSynced
+    if (listedAt > this.#complete[kind]) this.#loseRemovals(kind, listedAt)
     if (kind === 'server') this.#serversConfirmedAt = nowMs()
     // If the list were reported complete, peers would never be sent a relisted server that is held back here.
     if (kind !== 'server' || this.#relisted.size === 0) this.#complete[kind] = Math.max(this.#complete[kind], revision)
     this.observeRevision(revision)
+    this.#notifyListing()
     if (!before && this.hasSynced) for (const listener of this.#statusListeners) listener()
   }
 
@@ -142,6 +152,44 @@
     for (const kind of kinds) this.markComplete(kind, complete[kind])
   }
 
+  /**
+   * What a peer that is complete up to these revisions has to know before it may take over this replica's: a listing of each kind of
+   * which this replica lacks removals since.
+   */
+  listingsFor (complete: CompleteRevisions): Listing[] {
+    return kinds.filter(kind => kind !== 'table' && complete[kind] < this.#removalsFrom[kind])
+      .map(kind => ({ kind, revision: this.#complete[kind], keys: this.all().filter(fact => fact.kind === kind && fact.value !== undefined).map(fact => fact.key) }))
+  }
+
+  /** Removes what a peer's listing lacks, unless this replica has read as much itself. */
+  applyListing (listing: Listing, from: string): void {
+    const { kind, revision } = listing
+    if (revision <= Math.max(this.#complete[kind], this.#removalsFrom[kind])) return
+    const missing = missingFrom(this, listing)
+    if (missing.length > 0) this.log.info('belief.not_listed', { kind, keys: missing.map(fact => fact.key), ...revisionFields(revision), from, complete: this.#complete[kind] })
+    this.batch(() => { for (const fact of missing) this.offer(fact, from) })
+    this.#loseRemovals(kind, revision)
+  }
+
+  /** Calls the listener when peers may need a listing, as this replica does not know all removals, until the returned function is called. */
+  onListing (listener: () => void): () => void {
+    this.#listingListeners.add(listener)
+    return () => this.#listingListeners.delete(listener)
+  }
+
+  /** Records that removals up to `revision` may be unknown. */
+  #loseRemovals (kind: Fact['kind'], revision: number): void {
+    if (revision <= this.#removalsFrom[kind]) return
+    this.#removalsFrom[kind] = revision
+    this.#listingDue = true
+  }
+
+  #notifyListing (): void {
+    if (!this.#listingDue) return
+    this.#listingDue = false
+    for (const listener of this.#listingListeners) listener()
+  }
+
   get servers (): ReadonlyMap<string, BackendServer> {
     return this.#serverList.servers
   }
@@ -346,6 +394,7 @@
       this.#tombstones.delete(old)
       const removed = this.#current.get(old)
       if (removed?.kind === 'server') this.#serverUses.forget(removed.key)
+      if (removed !== undefined) this.#loseRemovals(removed.kind, observedRevision(removed))
       this.#current.delete(old)
     }
   }
--- a/packages/fleet/test/fact-exchange.test.ts
+++ b/packages/fleet/test/fact-exchange.test.ts
@@ -1,7 +1,7 @@
 import { Log, Revision, silentLog } from '@finchpitch/core'
 import { FactLink, Facts, frameOf, type Fact } from '@finchpitch/fleet'
 import { FakeTime, channelOptions, duplexPair } from '@finchpitch/stand-ins'
-import { Channel, type CompleteRevisions, type FrameOf } from '@finchpitch/wire'
+import { Channel, type CompleteRevisions, type FrameOf, type Listing } from '@finchpitch/wire'
 import { expect } from 'chai'
 
 const fact = (revision: number): Fact => ({ kind: 'version', key: 'm/a', revision, value: { model: 'm', adapter: 'a', version: revision } })
@@ -214,6 +214,81 @@
     })
   })
 
+  describe('when this process has read a list without knowing what was removed before', () => {
+    const server = (key: string, revision: number): Fact =>
+      ({ kind: 'server', key, revision, value: { id: key, service: 's', address: `10.0.0.1:${revision}`, domain: 'a', slots: 1, leaving: false, models: [] } })
+    const read = (revision: number): void => {
+      facts.offer(server('kept', 100), 'store')
+      facts.markComplete('server', revision, revision)
+    }
+    const listings = (): unknown[] => beats.flatMap(beat => beat.listings ?? [])
+    const linkTo = (complete: number, delayMs = 0): FactLink => {
+      const link = new FactLink(facts, local, delayMs, silentLog)
+      link.start()
+      link.updateComplete({ table: 0, server: complete, version: 0 })
+      return link
+    }
+    let beats: Array<FrameOf<'heartbeat'>>
+
+    beforeEach(async () => {
+      await time.settle()
+      beats = []
+      local.beat = listings => { beats.push({ type: 'heartbeat', revision: Revision.parse(0), ...(listings === undefined ? {} : { listings }) }) }
+    })
+
+    it('sends the list to a dependent peer that has read less, which keeps a removed server otherwise', () => {
+      linkTo(150)
+      read(200)
+      expect(listings()).to.deep.equal([{ kind: 'server', revision: 200, keys: ['kept'] }])
+    })
+
+    it('sends it to a peer that becomes dependent', () => {
+      const link = linkTo(150, 1500)
+      read(200)
+      expect(listings()).to.deep.equal([])
+      link.setDelay(0)
+      expect(listings()).to.deep.equal([{ kind: 'server', revision: 200, keys: ['kept'] }])
+    })
+
+    it('sends no list to a peer that has read as much, nor for changes that it watched itself', () => {
+      linkTo(200)
+      read(200)
+      facts.markComplete('server', 300, 200)
+      expect(listings()).to.deep.equal([])
+    })
+
+    it('sends it to a peer that has read nothing since the tombstones expired', async () => {
+      facts.offer(server('removed', 90), 'store')
+      read(100)
+      facts.offer({ kind: 'server', key: 'removed', revision: 90.5, value: undefined, seenAt: 120 }, 'store')
+      facts.markComplete('server', 120, 100)
+      linkTo(110)
+      beats = []
+      await time.advance(61_000)
+      facts.offer(server('other', 130), 'store')
+      facts.offer({ kind: 'server', key: 'other', revision: 130.5, value: undefined, seenAt: 140 }, 'store')
+      facts.markComplete('server', 140, 100)
+      expect(listings()).to.deep.equal([{ kind: 'server', revision: 140, keys: ['kept'] }])
+    })
+
+    describe('the peer', () => {
+      const listing: Listing = { kind: 'server', revision: 200, keys: ['kept'] }
+
+      it('removes what the list lacks, but nothing that changed later', () => {
+        for (const fact of [server('kept', 100), server('removed', 110), server('later', 210)]) facts.offer(fact, 'store')
+        facts.applyListing(listing, 'peer')
+        expect([...facts.servers.keys()].filter(key => !facts.isFallback(key))).to.deep.equal(['kept', 'later'])
+      })
+
+      it('ignores a list that is no newer than what it has read itself', () => {
+        facts.offer(server('known', 110), 'store')
+        facts.markComplete('server', 220, 220)
+        facts.applyListing(listing, 'peer')
+        expect(facts.isFallback('known')).to.equal(false)
+      })
+    })
+  })
+
   it('sends pending facts immediately once the peer loses its other source', async () => {
     await time.settle()
     const link = new FactLink(facts, local, 1500, silentLog)
--- a/packages/wire/src/channel.ts
+++ b/packages/wire/src/channel.ts
@@ -7,7 +7,7 @@
  */
 import type { Duplex } from 'node:stream'
 import { FrameDecoder, encodeFrame, type FrameError } from './codec.js'
-import { protocolVersion, type Frame, type FrameOf, type Hello } from './frame.js'
+import { protocolVersion, type Frame, type FrameOf, type Hello, type Listing } from './frame.js'
 
 export const defaultHeartbeatMs = 2000
 /** Tolerates three lost heartbeats before the peer is considered dead. */
@@ -151,8 +151,9 @@
   }
 
   /** Sends a heartbeat immediately, for the state that it carries. */
-  beat (): void {
-    this.send(this.options.heartbeat())
+  beat (listings?: Listing[]): void {
+    const heartbeat = this.options.heartbeat()
+    this.send(listings === undefined ? heartbeat : { ...heartbeat, listings })
   }
 
   /** Changes interval and time-out, and restarts the time-out. Both ends do so alike once they know what the channel is used for. */
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -63,6 +63,13 @@
 })
 export type FactFrame = z.infer<typeof FactFrame>
 
+/**
+ * The keys of all facts of one kind as of `revision`. A peer that has read less discards its other facts up to there, whose removals
+ * the sender does not know.
+ */
+export const Listing = z.object({ kind: FactFrame.shape.kind, revision: z.number().nonnegative(), keys: z.array(z.string().max(500)) })
+export type Listing = z.infer<typeof Listing>
+
 /** Maximum length of an adapter key, in characters. */
 export const maxAdapterKeyLength = 500
 const AdapterKey = z.string().max(maxAdapterKeyLength)
@@ -331,7 +338,8 @@
   }),
   /** The highest fencing token that the receiver is known to have used, or the newest known revision; it must not use a lower one. */
   z.object({ type: z.literal('fences'), highest: Count }),
-  z.object({ type: z.literal('heartbeat'), revision: Revision, load: LoadReport.optional(), complete: CompleteRevisions.optional(), sight: StoreSight.optional() }),
+  /** `listings`: what the receiver has to know before it may rely on `complete`; see `Listing`. */
+  z.object({ type: z.literal('heartbeat'), revision: Revision, load: LoadReport.optional(), complete: CompleteRevisions.optional(), sight: StoreSight.optional(), listings: z.array(Listing).optional() }),
   z.object({ type: z.literal('run'), id: ExchangeId, work: Work }),
   z.object({ type: z.literal('head'), id: ExchangeId, status: z.number().int(), headers: Headers, resident: z.boolean() }),
   z.object({ type: z.literal('chunk'), id: ExchangeId, sequence: z.number().int().nonnegative(), data: Bytes }),
