A process that has read a later list takes no server that was removed before

A peer that starts late, stalls, or has lost the store sends what it knows to a process that starts. The process took a server's record from it although its own list, read up to a later revision, lacked the server: it was removed, and only a process that had known it could tell. The server then got requests for as long as it answered, as no peer sends a removal to a process that reports to have read beyond it. What a complete list lacks is now taken as removed up to the list's revision, whoever sends it and however old it is; a server that is registered again has a later revision, and a list of its own that was read later is believed.

Two of the four new tests of Facts fail without the change: the old record from a peer and the one in an earlier list are taken. belief.outdated names the record, its peer and the revision up to which the process had read the store.

--- a/packages/fleet/src/fact-watch.ts
+++ b/packages/fleet/src/fact-watch.ts
@@ -160,7 +160,7 @@
     this.#deferAfterRestore(revision)
     if (this.#revision === undefined) this.#listedAt = revision
     const missing = this.#revision === undefined ? missingFrom(facts, { kind, revision, keys: listed.map(fact => fact.key) }) : []
-    const apply = (): void => { for (const fact of this.#removals.filter([...missing, ...listed])) this.#apply(withSeenAt(fact, revision)) }
+    const apply = (): void => { for (const fact of this.#removals.filter([...missing, ...listed])) this.#apply(withSeenAt(fact, revision), revision) }
     // The table is a single fact, whose line names its version.
     if (kind !== 'table' && facts.complete[kind] === 0) facts.applyFirstListing(kind, revision, 'store', apply)
     else facts.batch(apply)
@@ -183,10 +183,10 @@
     this.#removals.defer(rewriteGraceMs[this.#kind])
   }
 
-  #apply (fact: Fact): void {
+  #apply (fact: Fact, asOf: number): void {
     const { facts } = this.options
     if (isFinal(fact)) facts.remove(fact, 'store')
-    else facts.offer(fact, 'store')
+    else facts.offer(fact, 'store', asOf)
   }
 
   /** Proves the table current, unless a table could not be read: it may have revoked a key. */
--- a/packages/fleet/src/facts.ts
+++ b/packages/fleet/src/facts.ts
@@ -304,9 +304,13 @@
     return this.#relisted.all
   }
 
-  /** Applies a fact if it is newer than the known one. Returns whether the value changed. */
-  offer (fact: Fact, from: string): boolean {
+  /**
+   * Applies a fact if it is newer than the known one. `asOf`: a revision at which it was in the store, if that is later than its own.
+   * Returns whether the value changed.
+   */
+  offer (fact: Fact, from: string, asOf = fact.revision): boolean {
     const known = this.current(fact.kind, fact.key)
+    if (known === undefined && this.#wasRemoved(fact, asOf)) return this.#ignoreRemoved(fact, from)
     if (known !== undefined && fact.revision <= known.revision) return false
     this.observeRevision(fact.revision)
     if (known !== undefined) {
@@ -317,6 +321,16 @@
     return this.#replaceFact(fact, from)
   }
 
+  /** Whether this replica is complete beyond `asOf`, so that a fact which it lacks must have been removed. */
+  #wasRemoved ({ kind, revision, value }: Fact, asOf: number): boolean {
+    return value !== undefined && Math.max(revision, asOf) < Math.max(this.#complete[kind], this.#removalsFrom[kind])
+  }
+
+  #ignoreRemoved (fact: Fact, from: string): false {
+    this.log.info('belief.outdated', { kind: fact.kind, key: fact.key, ...revisionFields(fact.revision), from, complete: this.#complete[fact.kind] })
+    return false
+  }
+
   /** Logs that a fact from a restored store was ignored, as it has since been replaced or removed. */
   #ignore (fact: Fact, known: Fact, from: string): false {
     this.log.info('belief.kept', { kind: fact.kind, key: fact.key, ...revisionFields(fact.revision), from, outcome: describe(known), listed: describe(fact) })
--- a/packages/fleet/test/facts.test.ts
+++ b/packages/fleet/test/facts.test.ts
@@ -40,6 +40,35 @@
     expect(facts.routes?.find('a.example', '/xx')).to.equal(undefined)
   })
 
+  describe('that are complete up to a revision', () => {
+    const ids = (): string[] => facts.eligibleServers('llm').map(each => each.id)
+    beforeEach(() => {
+      facts.offer(serverFact('listed', 50, server('listed')), 'store', 200)
+      facts.markComplete('server', 200, 200)
+    })
+
+    it('take no server from a peer that was removed before, whose older record was delayed on its way', () => {
+      expect(facts.offer(serverFact('removed', 100, server('removed')), 'peer')).to.equal(false)
+      facts.markComplete('server', 300)
+      expect(ids()).to.deep.equal(['listed'])
+    })
+
+    it('take no server from a list of their own that was read earlier', () => {
+      expect(facts.offer(serverFact('removed', 100, server('removed')), 'store', 190)).to.equal(false)
+    })
+
+    it('take a server that has been added or listed again since', () => {
+      facts.offer(serverFact('added', 210, server('added')), 'peer')
+      facts.offer(serverFact('found', 40, server('found')), 'store', 220)
+      expect(ids()).to.deep.equal(['listed', 'added', 'found'])
+    })
+
+    it('take a change of a server that they know', () => {
+      facts.offer(serverFact('listed', 60, server('listed', true)), 'peer')
+      expect(ids()).to.deep.equal([])
+    })
+  })
+
   it('notifies listeners of changed values, not of repeated ones', () => {
     const seen: number[] = []
     facts.onChange(fact => seen.push(fact.revision))
