A request that waited for a connection is not written to a server that was dropped meanwhile

A server that leaves was found there, one that is no longer known was not: only the leaving of a known server was asked for. A choice made just before the end of a server's time as a fallback was written up to a connection time-out later.

--- a/packages/fleet/src/entry/servers/balancer.ts
+++ b/packages/fleet/src/entry/servers/balancer.ts
@@ -213,7 +213,8 @@
 
   /** Whether a request may be sent to the server now: it is neither draining nor in backoff. */
   isAvailable (server: BackendServer): boolean {
-    return this.facts.servers.get(server.id)?.leaving !== true && !this.state(server).backoff.active(nowMs())
+    const listed = this.facts.servers.get(server.id)
+    return listed !== undefined && !listed.leaving && !this.state(server).backoff.active(nowMs())
   }
 
   /**
