A server that vanished is a fallback no longer than the drain time, at every entry

A server whose entry vanished gets requests while its service has no other. Its time was counted from when an entry hears of it, less the pause of that entry's own watch. An entry that has just started, or that hears from others, took the pause of a small deployment (0.7 s) where watching entries pause up to 0.6 of the drain time: of 3 s allowed, up to 1.8 s had passed and 1.85 s were added. The longest pause that any entry may make is subtracted now. By calculation and by test of the class; not seen on real processes.

--- a/packages/fleet/src/entry/entry-process.ts
+++ b/packages/fleet/src/entry/entry-process.ts
@@ -13,7 +13,7 @@
 import { FactLink, forwardDelayMs } from '../fact-exchange.js'
 import type { Fact } from '../fact.js'
 import type { Facts } from '../facts.js'
-import { watchPauseMs, fallbackRetentionMs } from '../fact-watch.js'
+import { maxWatchPauseMs, watchPauseMs, fallbackRetentionMs } from '../fact-watch.js'
 import { SoftwareVersions } from '../software-versions.js'
 import type { FactSource, HeaderNames, Limits } from '../ports.js'
 import { DutySwitch } from '../duty-switch.js'
@@ -257,9 +257,10 @@
     return this.#running
   }
 
-  /** How long a server whose store entry vanished is kept as a fallback. */
+  /** How long a server whose store entry vanished is kept as a fallback. The entry that read of it may pause longer than this one. */
   get fallbackRetentionMs (): number {
-    return fallbackRetentionMs(this.#watchPauseMs('server'), this.options.limits().drainMs)
+    const { drainMs } = this.options.limits()
+    return fallbackRetentionMs(maxWatchPauseMs(drainMs), drainMs)
   }
 
   /** Why this process is not ready for callers; `undefined` if it is. */
--- a/packages/fleet/src/fact-watch.ts
+++ b/packages/fleet/src/fact-watch.ts
@@ -37,10 +37,13 @@
 /** The maximum pause, as a fraction of the time during which a draining server may still be sent requests. */
 const maxPauseShare = 0.6
 
+/** The longest pause of any entry that watches the store, however many there are. */
+export const maxWatchPauseMs = (drainMs: number): number => drainMs * maxPauseShare
+
 /** How long to pause after a call, if `entries` entries watch the store. */
 export const watchPauseMs = (kind: Fact['kind'], entries: number, drainMs: number): number => {
   if (kind !== 'server') return minPauseMs[kind]
-  return Math.min(drainMs * maxPauseShare, minPauseMs.server * Math.max(1, entries / minPauseEntries))
+  return Math.min(maxWatchPauseMs(drainMs), minPauseMs.server * Math.max(1, entries / minPauseEntries))
 }
 
 /** The usable fraction of the time during which a draining server may still be sent requests; the remainder covers transit delays. */
--- a/packages/fleet/src/server-list.ts
+++ b/packages/fleet/src/server-list.ts
@@ -37,6 +37,7 @@
 
   /** Servers that may be sent new requests: the listed ones that are not draining, or if there are none, the fallback servers. */
   eligibleServers (service: string): readonly BackendServer[] {
+    if (this.#fallbackUntil.size > 0) this.#expireFallbacks()
     const known = this.#eligible.get(service)
     if (known !== undefined) return known
     const notDraining = this.serversOf(service).filter(server => !server.leaving)
@@ -86,6 +87,10 @@
   /** Drops fallback servers whose records have not come back in time. */
   expire (): void {
     this.#draining.expire(this.servers)
+    this.#expireFallbacks()
+  }
+
+  #expireFallbacks (): void {
     const now = nowMs()
     for (const [id, until] of this.#fallbackUntil) if (now >= until) this.dropFallback(id, 'its entry did not come back')
   }
--- a/packages/fleet/test/balancer.test.ts
+++ b/packages/fleet/test/balancer.test.ts
@@ -1,5 +1,5 @@
 import { silentLog } from '@finchpitch/core'
-import { Balancer, Facts, queuedBehind, noLimits, type Choice, type LimitState, type LimitsView, type PendingRequest, nowMs, removalRevisionStep, fallbackRetentionMs, type BackendServer, type FleetService, type Limits, type RoutingTable } from '@finchpitch/fleet'
+import { Balancer, Facts, queuedBehind, noLimits, type Choice, type LimitState, type LimitsView, type PendingRequest, nowMs, removalRevisionStep, fallbackRetentionMs, maxWatchPauseMs, watchPauseMs, type BackendServer, type FleetService, type Limits, type RoutingTable } from '@finchpitch/fleet'
 import { FakeTime } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
 
@@ -200,4 +200,10 @@
     expect(fallbackRetentionMs(1800, 3000)).to.equal(750)
     expect(fallbackRetentionMs(5000, 2000)).to.equal(0)
   })
+
+  it('keeps a fallback no longer than the drain time, even if the entry that watches the store pauses as long as any may', () => {
+    // An entry that had just started assumed the pause of a small deployment, and kept a fallback 0.65 s beyond the drain time.
+    const drainMs = 3000
+    for (const watchers of [1, 6, 12, 68]) expect(watchPauseMs('server', watchers, drainMs) + fallbackRetentionMs(maxWatchPauseMs(drainMs), drainMs)).to.be.lessThan(drainMs)
+  })
 })
--- a/packages/fleet/test/facts.test.ts
+++ b/packages/fleet/test/facts.test.ts
@@ -246,6 +246,14 @@
       expect(facts.serversOf('llm')).to.have.length(1)
     })
 
+    it('offers the server no longer than that if the process stalls and does not expire it', async () => {
+      facts.offer(serverFact('s', 1, server('s')), 'store')
+      facts.offer(serverFact('s', 1 + removalRevisionStep, undefined), 'store')
+      expect(facts.eligibleServers('llm')).to.have.length(1)
+      await time.advance(1800)
+      expect(facts.eligibleServers('llm')).to.have.length(0)
+    })
+
     it('drops the server if its record does not come back in time', async () => {
       facts.offer(serverFact('s', 1, server('s')), 'store')
       facts.offer(serverFact('s', 1 + removalRevisionStep, undefined), 'store')
