Removed servers over a series of disturbances: a test of real processes

Requests of entries that were undisturbed for 3 s may reach no server later than the drain time after its removal.

--- a/packages/fleet/test/removed-servers.test.ts
+++ b/packages/fleet/test/removed-servers.test.ts
@@ -9,13 +9,21 @@
 import { pause } from '@finchpitch/core'
 import { FleetLoad, FleetSystem, eventually, type BackendStandIn, type FaultProxy, type Machine, type SentRequest } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
+import { uniformInt } from 'pure-rand/distribution/uniformInt'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 
 const drainMs = 2000
 /** After a fault, an entry may be outdated for this long. */
 const recoveryMs = 3000
 const requestIntervalMs = 40
 const paths = ['/again/x']
-const settings = { network: 39, domains: 1, entriesPerDomain: 4, enginesPerDomain: 1, plainServersPerDomain: 12, adapterSlots: 4, loadMs: 20, workMs: 5, events: 3, eventMs: 5, storeProxies: true }
+const settings = { network: 39, domains: 1, entriesPerDomain: 4, enginesPerDomain: 1, plainServersPerDomain: 40, adapterSlots: 4, loadMs: 20, workMs: 5, events: 3, eventMs: 5, storeProxies: true }
+
+/** FINCHPITCH_LEAVING_SEED plays another series by hand. */
+const seed = Number(process.env.FINCHPITCH_LEAVING_SEED ?? 69)
+const seriesMs = 12_000
+const maxRestartMs = 800
+const maxStallMs = 1500
 
 describe('servers that the store no longer lists', function () {
   this.timeout(60_000)
@@ -56,7 +64,7 @@
     await Promise.all(watchers.map(async machine => await fleet.kill(machine)))
     storeProxy.fault = { type: 'silence' }
     storeProxy.resetAll()
-    for (const server of fleet.plainServers.slice(0, 8)) remove(server)
+    for (const server of fleet.plainServers.slice(0, 24)) remove(server)
     await Promise.all(watchers.map(async machine => await fleet.startProcess(machine)))
     await eventually('the watchers are back', () => watchers.every(machine => hasListed(machine)), 10_000)
     storeProxy.fault = { type: 'none' }
@@ -64,4 +72,78 @@
     await pause(recoveryMs)
     expect(lateArrivals(await load.sendFor(1500, requestIntervalMs, paths))).to.deep.equal([])
   })
+
+  describe(`over a series of disturbances with seed ${seed}`, () => {
+    /** By machine, when the last disturbance of it began or ended. */
+    let disturbedAt: Map<Machine, number>
+    let generator: ReturnType<typeof xoroshiro128plus>
+
+    beforeEach(() => {
+      disturbedAt = new Map()
+      generator = xoroshiro128plus(seed)
+    })
+
+    const between = (min: number, max: number): number => uniformInt(generator, min, max)
+    const disturb = async (machine: Machine, begin: () => unknown, ms: number, end: () => unknown): Promise<void> => {
+      disturbedAt.set(machine, Infinity)
+      await begin()
+      await pause(ms)
+      await end()
+      disturbedAt.set(machine, performance.now())
+    }
+    const restart = async (machine: Machine): Promise<void> =>
+      await disturb(machine, async () => await fleet.kill(machine), between(0, maxRestartMs), async () => await fleet.startProcess(machine))
+    const stall = async (machine: Machine): Promise<void> =>
+      await disturb(machine, () => machine.process?.kill('SIGSTOP'), between(100, maxStallMs), () => machine.process?.kill('SIGCONT'))
+    const loseStore = async (machine: Machine): Promise<void> => {
+      const proxy = fleet.storeProxies[fleet.entries.indexOf(machine)] as FaultProxy
+      const set = (fault: FaultProxy['fault']) => (): void => {
+        proxy.fault = fault
+        proxy.resetAll()
+      }
+      await disturb(machine, set({ type: between(0, 1) === 0 ? 'silence' : 'reset' }), between(300, 2500), set({ type: 'none' }))
+    }
+    const isFree = (machine: Machine): boolean => disturbedAt.get(machine) !== Infinity
+    const pickFrom = (machines: readonly Machine[], count: number): Machine[] => {
+      const free = machines.filter(isFree)
+      return [...new Set(Array.from({ length: count }, () => free[between(0, Math.max(0, free.length - 1))]).filter(each => each !== undefined))]
+    }
+    const disturbances: Array<() => Array<Promise<void>>> = [
+      () => pickFrom(fleet.entries, between(1, 4)).map(restart),
+      () => pickFrom(fleet.sides, 1).map(restart),
+      () => pickFrom([...fleet.entries, ...fleet.sides], between(1, 2)).map(stall),
+      () => pickFrom(fleet.entries, between(1, 2)).map(loseStore)
+    ]
+
+    /** Removes and lists servers and disturbs processes until the series ends. At least three servers stay listed. */
+    const disturbAll = async (): Promise<void> => {
+      const running: Array<Promise<void>> = []
+      const endsAt = performance.now() + seriesMs
+      while (performance.now() < endsAt) {
+        const server = fleet.plainServers[between(3, fleet.plainServers.length - 1)] as BackendStandIn
+        if (!removedAt.has(server)) remove(server)
+        if (between(0, 2) === 0) running.push(...disturbances[between(0, disturbances.length - 1)]?.() ?? [])
+        await pause(between(20, 400))
+      }
+      await Promise.all(running)
+    }
+
+    it('receive no requests from undisturbed entries after the drain time', async () => {
+      const sent: SentRequest[] = []
+      const stop = new AbortController()
+      const sending = (async () => {
+        while (!stop.signal.aborted) {
+          const undisturbed = [...fleet.entries.entries()].filter(([, machine]) => performance.now() - (disturbedAt.get(machine) ?? 0) > recoveryMs).map(([entry]) => entry)
+          sent.push(...await Promise.all(undisturbed.map(async entry => await load.send(entry, '/again/x').catch(() => undefined))).then(results => results.filter(each => each !== undefined)))
+          await pause(requestIntervalMs)
+        }
+      })()
+      await disturbAll()
+      await pause(recoveryMs + drainMs)
+      stop.abort()
+      await sending
+      expect(sent.length).to.be.greaterThan(100)
+      expect(lateArrivals(sent)).to.deep.equal([])
+    })
+  })
 })
