A side process that has read less confirms nothing to the entries that depend on it

An entry that leaves the store to others watches it itself after 6 s in which nobody confirmed that its list of servers is complete. A side process that has just started reports revision 0, or one below the entry's, and that counted as a confirmation at the time of its arrival. It confirms only what it has read.

--- a/packages/fleet/src/facts.ts
+++ b/packages/fleet/src/facts.ts
@@ -134,7 +134,7 @@
   markComplete (kind: Fact['kind'], revision: number, listedAt = 0): void {
     const before = this.hasSynced
     if (listedAt > this.#complete[kind]) this.#loseRemovals(kind, listedAt)
-    if (kind === 'server') this.#serversConfirmedAt = nowMs()
+    if (kind === 'server' && revision > 0 && revision >= this.#complete.server) this.#serversConfirmedAt = nowMs()
     // If the list were reported complete, peers would never be sent a relisted server that is held back here.
     if (kind !== 'server' || this.#relisted.size === 0) this.#complete[kind] = Math.max(this.#complete[kind], revision)
     this.observeRevision(revision)
--- a/packages/fleet/test/facts.test.ts
+++ b/packages/fleet/test/facts.test.ts
@@ -63,6 +63,16 @@
       expect(ids()).to.deep.equal(['listed', 'added', 'found'])
     })
 
+    it('are not confirmed by a peer that has read less, such as a side process that has just started', async () => {
+      const before = facts.serversConfirmedAt
+      await time.advance(1000)
+      facts.markAllComplete({ table: 0, server: 0, version: 0 })
+      facts.markAllComplete({ table: 0, server: 150, version: 0 })
+      expect(facts.serversConfirmedAt).to.equal(before)
+      facts.markAllComplete({ table: 0, server: 200, version: 0 })
+      expect(facts.serversConfirmedAt).to.equal(before + 1000)
+    })
+
     it('take a change of a server that they know', () => {
       facts.offer(serverFact('listed', 60, server('listed', true)), 'peer')
       expect(ids()).to.deep.equal([])
