Lists of peers remove nothing that can still be written again after an outage or a restore

A process that starts right after an outage of the store reads a list without the servers whose records expired in it, and one that starts after a restore a list without what is newer than the backup. Both are written again within 2 s, named versions within 10 s. Processes that lived through it wait for that before they remove anything; since peers' lists are taken over, they would not have. They wait now before they apply such a list, and a version of the time before a restore is still believed from a peer. Both new tests fail without the change (the server becomes a fallback at once; the version is unknown).

--- a/packages/fleet/src/deferred-removals.ts
+++ b/packages/fleet/src/deferred-removals.ts
@@ -10,6 +10,8 @@
 
 /** A live server that reaches the store writes its record again within this time after the store recovers; the platform guarantees this. */
 export const reregistrationMs = 2000
+/** How long a fact may be missing from a restored store before it counts as removed. Operators repeat writes later than servers do. */
+export const rewriteGraceByKindMs: Record<Fact['kind'], number> = { table: reregistrationMs, server: reregistrationMs, version: 10_000 }
 /**
  * Shorter outages defer nothing: a watch whose connection broke is renewed in a fraction of this time, and records expire only
  * after several missed heartbeats.
--- a/packages/fleet/src/fact-watch.ts
+++ b/packages/fleet/src/fact-watch.ts
@@ -11,7 +11,7 @@
 import type { StoreHealth } from './store-health.js'
 import type { FactPage, FactSource, StoreFailure } from './ports.js'
 import { missingFrom } from './listing.js'
-import { DeferredRemovals, reregistrationMs } from './deferred-removals.js'
+import { DeferredRemovals, rewriteGraceByKindMs } from './deferred-removals.js'
 import { eraOf, revisionFields } from './store-revision.js'
 import type { DutySwitch } from './duty-switch.js'
 
@@ -55,9 +55,6 @@
  */
 export const fallbackRetentionMs = (pauseMs: number, drainMs: number): number => Math.max(0, drainMs * usableDrainShare - pauseMs)
 
-/** How long a fact may be missing from a restored store before it counts as removed. Operators repeat writes later than servers do. */
-const rewriteGraceMs: Record<Fact['kind'], number> = { table: reregistrationMs, server: reregistrationMs, version: 10_000 }
-
 export interface FactWatchOptions {
   source: FactSource
   facts: Facts
@@ -183,7 +180,7 @@
     const complete = this.options.facts.complete[this.#kind]
     if (complete === 0 || era <= eraOf(complete) || era <= this.#deferredEra) return
     this.#deferredEra = era
-    this.#removals.defer(rewriteGraceMs[this.#kind])
+    this.#removals.defer(rewriteGraceByKindMs[this.#kind])
   }
 
   #apply (fact: Fact, asOf: number): void {
--- a/packages/fleet/src/facts.ts
+++ b/packages/fleet/src/facts.ts
@@ -11,6 +11,7 @@
 import type { CompleteRevisions, Listing, StoreSight } from '@finchpitch/wire'
 import { nowMs } from './clock.js'
 import { isRelisted, observedRevision, supersedes, type Fact } from './fact.js'
+import { reregistrationMs, rewriteGraceByKindMs } from './deferred-removals.js'
 import { Freshness } from './freshness.js'
 import type { ServerIncarnation } from './draining-servers.js'
 import { isEarlierIncarnation, type BackendServer, type NamedVersion } from './server.js'
@@ -60,6 +61,8 @@
   #routes: RouteIndex | undefined
   #highestRevision = 0
   #storeStatus: StoreSight = 'resting'
+  /** When the store status last ceased to be `blind`, on the monotonic clock. */
+  #blindUntil = -Infinity
   #serversConfirmedAt = -Infinity
 
   /** `fallbackMs`: how long a server whose record vanished without notice is kept as a fallback. */
@@ -118,6 +121,7 @@
   setSight (status: StoreSight): void {
     if (status === this.#storeStatus) return
     this.log.info('store.sight_changed', { sight: status, before: this.#storeStatus, ...revisionFields(this.#highestRevision) })
+    if (this.#storeStatus === 'blind') this.#blindUntil = nowMs()
     this.#storeStatus = status
     for (const listener of this.#statusListeners) listener()
   }
@@ -165,10 +169,25 @@
   applyListing (listing: Listing, from: string): void {
     const { kind, revision } = listing
     if (revision <= Math.max(this.#complete[kind], this.#removalsFrom[kind])) return
-    const missing = missingFrom(this, listing)
+    const deferMs = this.#listingDeferralMs(listing)
+    if (deferMs > 0) setTimeout(() => this.#removeMissing(listing, from), deferMs)
+    else this.#removeMissing(listing, from)
+    this.#loseRemovals(kind, revision)
+  }
+
+  /** What a list lacks after an outage or a restore may still be written again; the peer may have started too late to know of it. */
+  #listingDeferralMs ({ kind, revision }: Listing): number {
+    if (eraOf(revision) !== eraOf(this.#complete[kind]) && this.#complete[kind] > 0) return rewriteGraceByKindMs[kind]
+    const sinceOutageMs = this.#storeStatus === 'blind' ? 0 : nowMs() - this.#blindUntil
+    return Math.max(0, reregistrationMs - sinceOutageMs)
+  }
+
+  #removeMissing (listing: Listing, from: string): void {
+    const { kind, revision } = listing
+    // Dependents may have adopted the listing's revision, and have to be sent the removals nevertheless.
+    const missing = missingFrom(this, listing).map(fact => ({ ...fact, seenAt: this.#highestRevision }) as Fact)
     if (missing.length > 0) this.log.info('belief.not_listed', { kind, keys: missing.map(fact => fact.key), ...revisionFields(revision), from, complete: this.#complete[kind] })
     this.batch(() => { for (const fact of missing) this.offer(fact, from) })
-    this.#loseRemovals(kind, revision)
   }
 
   /** Calls the listener when peers may need a listing, as this replica does not know all removals, until the returned function is called. */
@@ -323,7 +342,10 @@
 
   /** Whether this replica is complete beyond `asOf`, so that a fact which it lacks must have been removed. */
   #wasRemoved ({ kind, revision, value }: Fact, asOf: number): boolean {
-    return value !== undefined && Math.max(revision, asOf) < Math.max(this.#complete[kind], this.#removalsFrom[kind])
+    const complete = Math.max(this.#complete[kind], this.#removalsFrom[kind])
+    // Operators name a version again only some time after a restore; until then, only peers know it.
+    if (kind === 'version' && eraOf(revision) !== eraOf(complete)) return false
+    return value !== undefined && Math.max(revision, asOf) < complete
   }
 
   #ignoreRemoved (fact: Fact, from: string): false {
--- a/packages/fleet/test/facts.test.ts
+++ b/packages/fleet/test/facts.test.ts
@@ -73,6 +73,31 @@
       expect(facts.serversConfirmedAt).to.equal(before + 1000)
     })
 
+    describe('and get a list of a peer that started right after', () => {
+      const list = (revision: number): void => facts.applyListing({ kind: 'server', revision, keys: [] }, 'peer')
+
+      it('an outage keep servers whose records expired in it until these can have been written again', async () => {
+        facts.setSight('blind')
+        await time.advance(1000)
+        facts.setSight('reading')
+        list(250)
+        expect(facts.isFallback('listed')).to.equal(false)
+        await time.advance(2100)
+        expect(facts.isFallback('listed')).to.equal(true)
+      })
+
+      it('a restore keep servers until these can have been written again, and named versions that only peers know', async () => {
+        facts.markComplete('version', storeRevision(1, 100), storeRevision(1, 100))
+        facts.offer({ kind: 'version', key: 'm/a', revision: 150, value: { model: 'm', adapter: 'a', version: 3 } }, 'peer')
+        expect(facts.version('m/a')?.version).to.equal(3)
+        list(storeRevision(1, 100))
+        expect(facts.isFallback('listed')).to.equal(false)
+        facts.offer(serverFact('listed', storeRevision(1, 110), server('listed')), 'store')
+        await time.advance(2100)
+        expect(facts.isFallback('listed')).to.equal(false)
+      })
+    })
+
     it('take a change of a server that they know', () => {
       facts.offer(serverFact('listed', 60, server('listed', true)), 'peer')
       expect(ids()).to.deep.equal([])
