--- a/packages/fleet/test/replay/leaving-simulation.ts
+++ b/packages/fleet/test/replay/leaving-simulation.ts
@@ -180,6 +180,8 @@
   readonly #disturbances: Array<() => void> = [
     () => this.#addServer(),
     () => this.#drainServer(),
+    () => this.#rewriteServer(),
+    () => this.#rewriteServer(),
     () => this.#store.removeServer(this.#pickServer()),
     () => this.#store.removeServer(this.#pickServer()),
     () => this.#restart(this.#pickProcesses('entry', this.#between(1, 8))),
@@ -224,6 +226,12 @@
     this.#planned.push({ at: nowMs() + this.#between(0, 5000), act: () => this.#store.removeServer(id) })
   }
 
+  /** Writes a server's record again as it is, which gives it a later revision. */
+  #rewriteServer (): void {
+    const id = this.#pickServer()
+    if (id !== '') this.#store.setServer(this.#plainServer(id, false))
+  }
+
   #restart (processes: readonly SimulatedProcess[]): void {
     for (const { name } of new Set(processes)) {
       const [role, domain, index] = name.split('-')
