A change is passed on although its record was written again unchanged in the same batch

Callers: requests reached draining servers later than the drain time, from all entries of a domain that do not watch the store themselves.

Cause: what a watch returns at once is applied as a batch, and each changed value is passed on at its end, unless a later revision is known: that has a turn of its own. But a later revision whose value is the same has none, as nobody is told of it. So a server that begins to drain, or is new, and whose entry changes again in something that is not read (an engine's adapters, for one) before the next call of the watch, was never told to the side process; that counted as complete beyond it, and so did all that depend on it.

A link now sends the newest revision of what is due.

--- a/packages/fleet/src/fact-exchange.ts
+++ b/packages/fleet/src/fact-exchange.ts
@@ -197,8 +197,10 @@
   #send (facts: readonly Fact[]): void {
     if (!this.channel.open) return
     const frames: Buffer[] = []
-    for (const fact of facts) {
-      if (!this.#isLacking(fact)) continue
+    for (const { kind, key } of facts) {
+      // The newest revision: if only that has changed since, nobody was notified of it.
+      const fact = this.facts.current(kind, key)
+      if (fact === undefined || !this.#isLacking(fact)) continue
       this.#known.set(idOf(fact), fact.revision)
       frames.push(encodedFact(fact))
     }
@@ -207,8 +209,7 @@
 
   #isLacking (fact: Fact): boolean {
     const known = this.#known.get(idOf(fact)) ?? 0
-    if (known >= fact.revision || this.#complete[fact.kind] >= observedRevision(fact)) return false
-    return this.facts.revisionOf(fact.kind, fact.key) <= fact.revision
+    return known < fact.revision && this.#complete[fact.kind] < observedRevision(fact)
   }
 }
 
--- a/packages/fleet/test/fact-exchange.test.ts
+++ b/packages/fleet/test/fact-exchange.test.ts
@@ -40,6 +40,19 @@
     expect(received).to.deep.equal([3])
   })
 
+  it('sends a change that is written again unchanged in the same batch, such as a server that begins to drain', async () => {
+    // The later revision had nothing new to send, and the earlier one counted as outdated.
+    await time.settle()
+    const link = new FactLink(facts, local, 0, silentLog)
+    link.start()
+    facts.batch(() => {
+      facts.offer(fact(3), 'store')
+      facts.offer({ ...fact(3), revision: 4 } as Fact, 'store')
+    })
+    await time.settle()
+    expect(received).to.deep.equal([4])
+  })
+
   describe('when a listing brings several facts', () => {
     const named = (adapter: string, revision: number): Fact => ({ kind: 'version', key: `m/${adapter}`, revision, value: { model: 'm', adapter, version: 1 } })
     let writes: number
@@ -280,6 +293,14 @@
         expect([...facts.servers.keys()].filter(key => !facts.isFallback(key))).to.deep.equal(['kept', 'later'])
       })
 
+      it('dates the removal by the list, so that it reaches processes that know a later revision of the server', () => {
+        // A removal dated by the older revision was ignored there, and the later one had nothing new for who would have passed it on.
+        facts.offer(server('removed', 110), 'store')
+        facts.applyListing(listing, 'peer')
+        expect(facts.revisionOf('server', 'removed')).to.equal(200)
+        expect(facts.offer(server('removed', 210), 'store')).to.equal(true)
+      })
+
       it('ignores a list that is no newer than what it has read itself', () => {
         facts.offer(server('known', 110), 'store')
         facts.markComplete('server', 220, 220)
