A process counts as complete only once it has applied a deferred list

Since lists of peers wait after an outage, a side process took over that it was complete while it still had servers that the list lacks, and an entry that depended on it went on watching the store from there. Where the side process was killed before it applied the list, nobody told the entry. Until a list is applied, nothing is adopted for its kind. The new test fails without the change (260 instead of 200).

--- a/packages/fleet/src/facts.ts
+++ b/packages/fleet/src/facts.ts
@@ -56,6 +56,7 @@
   readonly #complete: CompleteRevisions = { table: 0, server: 0, version: 0 }
   /** For each kind, the revision from which on this replica knows all removals. */
   readonly #removalsFrom: CompleteRevisions = { table: 0, server: 0, version: 0 }
+  readonly #deferredListings = new Map<Fact['kind'], Listing>()
   readonly #listingListeners = new Set<() => void>()
   #listingDue = false
   #routes: RouteIndex | undefined
@@ -153,7 +154,8 @@
 
   /** Adopts the complete revisions of a peer that forwards everything it learns without delay, so that this replica has the same facts. */
   markAllComplete (complete: CompleteRevisions): void {
-    for (const kind of kinds) this.markComplete(kind, complete[kind])
+    // With removals still deferred, this replica would pass on servers that are gone as part of a complete list.
+    for (const kind of kinds) if (!this.#deferredListings.has(kind)) this.markComplete(kind, complete[kind])
   }
 
   /**
@@ -170,9 +172,20 @@
     const { kind, revision } = listing
     if (revision <= Math.max(this.#complete[kind], this.#removalsFrom[kind])) return
     const deferMs = this.#listingDeferralMs(listing)
-    if (deferMs > 0) setTimeout(() => this.#removeMissing(listing, from), deferMs)
-    else this.#removeMissing(listing, from)
     this.#loseRemovals(kind, revision)
+    if (deferMs > 0) this.#deferListing(listing, from, deferMs)
+    else this.#removeMissing(listing, from)
+  }
+
+  /** Applies the listing after `ms`, unless a later one has come by then. */
+  #deferListing (listing: Listing, from: string, ms: number): void {
+    const { kind } = listing
+    this.#deferredListings.set(kind, listing)
+    setTimeout(() => {
+      if (this.#deferredListings.get(kind) !== listing) return
+      this.#deferredListings.delete(kind)
+      this.#removeMissing(listing, from)
+    }, ms)
   }
 
   /** What a list lacks after an outage or a restore may still be written again; the peer may have started too late to know of it. */
--- a/packages/fleet/test/facts.test.ts
+++ b/packages/fleet/test/facts.test.ts
@@ -86,6 +86,16 @@
         expect(facts.isFallback('listed')).to.equal(true)
       })
 
+      it('an outage count as complete only once they have applied it, as others would take over the servers that it lacks', async () => {
+        facts.setSight('blind')
+        list(250)
+        facts.markAllComplete({ table: 0, server: 260, version: 260 })
+        expect(facts.complete).to.include({ server: 200, version: 260 })
+        await time.advance(2100)
+        facts.markAllComplete({ table: 0, server: 270, version: 270 })
+        expect(facts.complete).to.include({ server: 270, version: 270 })
+      })
+
       it('a restore keep servers until these can have been written again, and named versions that only peers know', async () => {
         facts.markComplete('version', storeRevision(1, 100), storeRevision(1, 100))
         facts.offer({ kind: 'version', key: 'm/a', revision: 150, value: { model: 'm', adapter: 'a', version: 3 } }, 'peer')
