--- a/review/stand-ins/platform.mjs
+++ b/review/stand-ins/platform.mjs
@@ -161,6 +161,8 @@
   /** The largest part of its answers that this runner sends a second time; only refusals are. */
   surplusShare = 0
   replacing = new Map()
+  hasModel = true
+  busy = false
 
   constructor (options) {
     Object.assign(this, { weights: { onTheWay: 0 }, slots: 6, workMs: 40, bodyBytes: 800, events: 14, eventMs: 40, state: 'ready', version: 'r1' }, options)
@@ -179,9 +181,14 @@
     this.ping = setInterval(() => this.register(), 1200)
   }
 
+  /** What a model runner holds, as it tells in its entry and its report. */
+  get models () {
+    return this.hasModel ? [{ name: this.model, version: 1, adapters: [...this.adapters].map(([name, version]) => `${name}@${version}`) }] : []
+  }
+
   register () {
     this.sequence += 1
-    const models = this.model === undefined ? {} : { models: [{ name: this.model, version: 1, adapters: [...this.adapters].map(([name, version]) => `${name}@${version}`) }] }
+    const models = this.model === undefined ? {} : { models: this.models }
     this.store.put('servers', this.id, { service: this.service, address: this.address, zone: this.zone, version: this.version, slots: this.slots, state: this.state, coldRemainingMs: 0, sequence: this.sequence, ...models, ...(this.remainingMs === undefined ? {} : { remainingMs: this.remainingMs }) })
   }
 
@@ -219,6 +226,7 @@
     }
     if (id === '') return refuse(400)
     if (expected !== undefined && expected !== this.id) return refuse(421, { 'Instance-Id': this.id })
+    if (this.model !== undefined && !this.hasModel) return refuse(421, { 'Instance-Id': this.id })
     const adapterVersion = this.adapters.get(adapter)
     if (adapter !== undefined && adapterVersion === undefined) return refuse(421, { 'Instance-Id': this.id })
     const expectedVersion = request.headers['expect-version']
@@ -281,9 +289,8 @@
   }
 
   report () {
-    const list = [...this.adapters].map(([name, version]) => `${name}@${version}`)
     const coming = [...this.coming].map(([name, version]) => `${this.model}/${name}@${version}`)
-    return { stage: 'colocated', models: [{ name: this.model, version: 1, adapters: list }], coming, busy: false, sequence: this.orders, waiting: this.queued.length, running: this.running, kvUsed: 0, kvTotal: 200000, handles: 0 }
+    return { stage: 'colocated', models: this.models, coming, busy: this.busy, sequence: this.orders, waiting: this.queued.length, running: this.running, kvUsed: 0, kvTotal: 200000, handles: 0 }
   }
 
   order (order, request, response) {
@@ -291,9 +298,18 @@
     if (expected !== undefined && expected !== this.id) return this.json(response, 421, {}, { 'Instance-Id': this.id })
     if (order.expectedCount !== undefined && order.expectedCount !== this.orders) return this.json(response, 409, {})
     const { operation, adapter } = order
-    if (adapter === undefined) return this.json(response, 200, {})
+    if (this.busy) return this.json(response, 409, {})
     this.orders += 1
-    this.record.write('runner ordered', { runner: this.id, operation, adapter, version: order.version })
+    this.record.write('runner ordered', { runner: this.id, operation, model: order.model, adapter, version: order.version })
+    if (adapter === undefined) {
+      this.busy = true
+      setTimeout(() => {
+        this.busy = false
+        this.hasModel = operation === 'load'
+        this.record.write('runner holds', { runner: this.id, model: this.hasModel ? this.model : null })
+      }, 600)
+      return this.json(response, 202, {})
+    }
     if (operation === 'unload') {
       this.afterRuns(adapter, () => this.adapters.delete(adapter))
       return this.json(response, this.adapters.has(adapter) ? 202 : 200, {})
@@ -331,6 +347,13 @@
     this.server.close()
     this.server.closeAllConnections()
   }
+
+  /** Starts again after its machine has lost power, empty and under a new id. */
+  async startAgain (id) {
+    this.store.remove('servers', this.id)
+    Object.assign(this, { id, hasModel: false, orders: 0, running: 0, queued: [], sequence: 0, adapters: new Map(), coming: new Map(), runsOf: new Map(), replacing: new Map() })
+    await this.start(this.store, this.record)
+  }
 }
 
 /** A runner in a process of its own, so that it can be ended with whatever it runs. */
