--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -19,9 +19,9 @@
   // Half of the model runners, and not every answer that the limit allows.
   if (trouble) for (const engine of engines.filter((_, index) => index % 2 === 0)) engine.surplusShare = 0.025
   const results = []
-  let stopped = false
+  const traffic = { stopped: false }
   const send = async () => {
-    while (!stopped) {
+    while (!traffic.stopped) {
       for (const entry of deployment.entries) {
         const adapter = adapters[Math.floor(Math.random() * adapters.length)]
         results.push(consume(entry, { path: '/suggest/1', headers: { Model: `m0/${adapter}`, 'Token-Usage': '600,40', 'Prompt-Prefix': `${Math.random().toString(16).slice(2, 10)}:600` }, deadlineMs: 5000 }))
@@ -39,7 +39,7 @@
       await sleep(400)
     }
   }
-  stopped = true
+  traffic.stopped = true
   await sending
   const ended = await Promise.all(results)
   const runs = new Map()
--- a/review/stand-ins/platform.mjs
+++ b/review/stand-ins/platform.mjs
@@ -8,11 +8,11 @@
 import { createServer as createHttpServer, request as openRequest, Agent } from 'node:http'
 import { createServer as createTcpServer } from 'node:net'
 import { tmpdir } from 'node:os'
-import { dirname, join, resolve } from 'node:path'
+import { dirname, join, resolve as resolvePath } from 'node:path'
 import { fileURLToPath } from 'node:url'
 
-export const root = resolve(dirname(fileURLToPath(import.meta.url)), '../..')
-export const sleep = ms => new Promise(done => setTimeout(done, ms))
+export const root = resolvePath(dirname(fileURLToPath(import.meta.url)), '../..')
+export const sleep = ms => new Promise(resolve => setTimeout(resolve, ms))
 
 export const ports = { front: 8149, ready: 8141, control: 8144, app: 8145, store: 8142, metrics: 9464, firstPeer: 7380, lastPeer: 7395 }
 const allPorts = [...Object.values(ports)]
@@ -21,10 +21,10 @@
 const children = new Set()
 process.on('exit', () => { for (const child of children) child.kill('SIGKILL') })
 
-const canListen = (host, port) => new Promise(done => {
+const canListen = (host, port) => new Promise(resolve => {
   const server = createTcpServer()
-  server.once('error', () => done(false))
-  server.listen(port, host, () => server.close(() => done(true)))
+  server.once('error', () => resolve(false))
+  server.listen(port, host, () => server.close(() => resolve(true)))
 })
 
 /** A loopback network 127.N.0.0/16 whose ports are free at the addresses that scripts use. */
@@ -71,7 +71,7 @@
   calls = []
 
   async start (host) {
-    this.server = createHttpServer((request, response) => { void this.handle(request, response) })
+    this.server = createHttpServer((request, response) => { this.handle(request, response).catch(() => response.destroy()) })
     this.server.listen(ports.store, host)
     await once(this.server, 'listening')
   }
@@ -128,11 +128,11 @@
       const events = this.events.filter(each => each.kind === kind && each.revision > since)
       const left = until - performance.now()
       if (events.length > 0 || left <= 0) return { events: events.map(({ object, deleted }) => ({ object, deleted })), storeRevision: this.revision }
-      await new Promise(done => {
+      await new Promise(resolve => {
         const wake = () => {
           clearTimeout(timer)
           this.waiting.delete(wake)
-          done()
+          resolve()
         }
         const timer = setTimeout(wake, left)
         this.waiting.add(wake)
@@ -173,7 +173,7 @@
   async start (store, record) {
     this.store = store
     this.record = record
-    this.server = createHttpServer((request, response) => { void this.handle(request, response) })
+    this.server = createHttpServer((request, response) => { this.handle(request, response).catch(() => response.destroy()) })
     this.server.keepAliveTimeout = 5000
     this.server.listen(ports.app, this.host)
     await once(this.server, 'listening')
@@ -235,8 +235,8 @@
     if (this.queued.length >= this.slots * 4) return refuse(503)
     if (this.running >= this.slots) {
       let left = false
-      await new Promise(done => {
-        this.queued.push(done)
+      await new Promise(resolve => {
+        this.queued.push(resolve)
         response.on('close', () => { left = true })
       })
       if (left) return this.next()
@@ -494,13 +494,13 @@
 
   /** Whether the entry answers its readiness question with 200. */
   ready () {
-    return new Promise(done => {
+    return new Promise(resolve => {
       const asked = openRequest({ host: this.host, port: ports.ready, path: '/v1/readiness', timeout: 1000 }, response => {
         response.resume()
-        done(response.statusCode === 200)
+        resolve(response.statusCode === 200)
       })
       asked.on('timeout', () => asked.destroy())
-      asked.on('error', () => done(false))
+      asked.on('error', () => resolve(false))
       asked.end()
     })
   }
@@ -601,7 +601,7 @@
  * Sends a request as a consumer does. Resolves with how it ended: `answered` completely, `cut` after its head, `closed` without an
  * answer, `refused` connection, or `gave up` at its deadline. `read`: called with the response instead of reading it at full speed.
  */
-export const consume = (machine, { path, id = newId(), method = 'POST', deadlineMs = 1000, headers = {}, body = '{"ask":1}', agent, read }) => new Promise(done => {
+export const consume = (machine, { path, id = newId(), method = 'POST', deadlineMs = 1000, headers = {}, body = '{"ask":1}', agent, read }) => new Promise(resolve => {
   let connected = false
   let status
   let bytes = 0
@@ -616,7 +616,7 @@
     clearTimeout(timer)
     const result = { id, end, status, bytes, text, detail, ms: Math.round(performance.now() - startedAt), to: machine.name }
     record.write('consumer saw', { id, end, status, bytes, detail, ms: result.ms })
-    done(result)
+    resolve(result)
     request.destroy()
   }
   const timer = setTimeout(() => finish('gave up'), deadlineMs)
