--- a/review/stand-ins/platform.mjs
+++ b/review/stand-ins/platform.mjs
@@ -156,6 +156,9 @@
   adapters = new Map()
   coming = new Map()
   runsOf = new Map()
+  streams = 0
+  /** The part of its streams that lack a length. */
+  unframedShare = 0
   answers = 0
   surplusAnswers = 0
   /** The largest part of its answers that this runner sends a second time; only refusals are. */
@@ -273,9 +276,12 @@
       return
     }
     await sleep(this.workMs)
+    this.streams += 1
     // An answer without a length ends with its channel.
-    if (this.unframed === true) response.useChunkedEncodingByDefault = false
-    response.writeHead(200, { 'Request-Id': id, 'Response-Seal': seal, 'Content-Type': 'text/event-stream', ...(this.unframed === true ? { Connection: 'close' } : {}) })
+    const unframed = this.unframedShare > 0 && this.streams % Math.round(1 / this.unframedShare) === 0
+    if (unframed) response.useChunkedEncodingByDefault = false
+    response.writeHead(200, { 'Request-Id': id, 'Response-Seal': seal, 'Content-Type': 'text/event-stream', ...(unframed ? { Connection: 'close' } : {}) })
+    if (unframed) this.record.write('runner gives no length', { runner: this.id, id })
     for (let event = Number(request.headers['last-event-id'] ?? 0) + 1; event <= this.events; event++) {
       if (response.destroyed) {
         this.record.write('runner lost its caller', { runner: this.id, id, event })
@@ -514,7 +520,7 @@
   sides = []
 
   constructor (options) {
-    Object.assign(this, { zones: ['oslo-a', 'oslo-b', 'oslo-c'], enginesPerZone: 1, plainPerZone: 1, plain: {}, engine: {}, routes: [], config: {} }, options)
+    Object.assign(this, { zones: ['oslo-a', 'oslo-b', 'oslo-c'], enginesPerZone: 1, plainPerZone: 1, plain: {}, engine: {}, engineAt: () => ({}), routes: [], config: {} }, options)
   }
 
   async start () {
@@ -526,7 +532,7 @@
     this.store.put('config', 'main', this.configSpec(1))
     for (const [index, zone] of this.zones.entries()) {
       for (let each = 0; each < this.enginesPerZone; each++) {
-        await this.addRunner({ id: `i-m${index}${each}`, service: 'kalender-llm', model: 'm0', slots: 32, host: `127.${this.network}.${index}.${100 + each}`, zone, workMs: 120, weights: this.weights, ...this.engine })
+        await this.addRunner({ id: `i-m${index}${each}`, service: 'kalender-llm', model: 'm0', slots: 32, host: `127.${this.network}.${index}.${100 + each}`, zone, workMs: 120, weights: this.weights, ...this.engine, ...this.engineAt(index * this.enginesPerZone + each) })
       }
       for (let each = 0; each < this.plainPerZone; each++) {
         await this.addRunner({ id: `i-p${index}${each}`, service: 'booking-core', host: `127.${this.network}.${index}.${200 + each}`, zone, ...this.plain })
