--- a/review/stand-ins/platform.mjs
+++ b/review/stand-ins/platform.mjs
@@ -616,6 +616,7 @@
   const { record } = machine
   record.write('consumer sent', { id, to: machine.name, path })
   let finished = false
+  let reset
   const finish = (end, detail) => {
     if (finished) return
     finished = true
@@ -634,15 +635,23 @@
         if (text.length < 100_000) text += chunk.toString('latin1')
       })
     } else read(response, chunk => { bytes += chunk.length })
-    response.on('end', () => finish(response.complete ? 'answered' : 'cut'))
+    const framed = response.headers['content-length'] !== undefined || response.headers['transfer-encoding'] !== undefined
+    response.on('end', () => {
+      if (framed) return finish(response.complete ? 'answered' : 'cut')
+      // Node ends an answer without a length also where its channel is reset, and then reports an error of the request.
+      setTimeout(() => finish(reset === undefined ? 'answered' : 'cut', reset), 100)
+    })
     response.on('error', error => finish('cut', error.message))
-    response.on('close', () => finish('cut', 'closed'))
+    response.on('close', () => { if (!response.readableEnded) finish('cut', 'closed') })
   })
   request.on('socket', socket => {
     if (socket.connecting) socket.once('connect', () => { connected = true })
     else connected = true
   })
-  request.on('error', error => finish(connected ? 'closed' : 'refused', error.message))
+  request.on('error', error => {
+    reset = error.message
+    if (status === undefined) finish(connected ? 'closed' : 'refused', error.message)
+  })
   request.end(method === 'GET' ? undefined : body)
 })
 
