--- a/review/stand-ins/platform.mjs
+++ b/review/stand-ins/platform.mjs
@@ -30,7 +30,7 @@
 /** A loopback network 127.N.0.0/16 whose ports are free at the addresses that scripts use. */
 const freeNetwork = async () => {
   for (let tries = 0; tries < 50; tries++) {
-    const network = 20 + Math.floor(Math.random() * 200)
+    const network = 100 + Math.floor(Math.random() * 150)
     const hosts = [`127.${network}.0.10`, `127.${network}.1.10`, `127.${network}.0.100`, `127.${network}.200.1`]
     const free = await Promise.all(hosts.flatMap(host => allPorts.map(port => canListen(host, port))))
     if (free.every(each => each)) return network
