--- a/review/stand-ins/platform.mjs
+++ b/review/stand-ins/platform.mjs
@@ -321,14 +321,14 @@
       return this.json(response, this.adapters.has(adapter) ? 202 : 200, {})
     }
     this.coming.set(adapter, order.version ?? 1)
-    // An adapter takes 250 ms while four are on their way over all runners, and longer in proportion beyond.
+    // An adapter takes 250 ms while no more than eight times `at_once` (4) are on their way over all runners, longer in proportion beyond.
     this.weights.onTheWay += 1
     setTimeout(() => this.afterRuns(adapter, () => {
       this.weights.onTheWay -= 1
       this.coming.delete(adapter)
       this.adapters.set(adapter, order.version ?? 1)
       this.record.write('runner holds', { runner: this.id, adapter, version: order.version ?? 1 })
-    }), 250 * Math.max(1, this.weights.onTheWay / 4))
+    }), 250 * Math.max(1, this.weights.onTheWay / 32))
     this.json(response, 202, {})
   }
 
