No connection to a server carries a request id twice

Callers saw generations that may run once run twice, and others refused with 503 although they had run.

Cause: a response is matched to its request by the id that it echoes. A request that a server refuses because it lacks the model or version may be sent to that server again, and went out on the connection that had been used last, often the same one. If the server had sent its refusal twice, the second copy arrived where the response to the next attempt was due, carried the same id, and was taken for it: "not run", while the server ran the request.

The pool now remembers the last ids that each connection has carried, and assigns another connection to a request with one of these ids, or a new one. As it goes by id and not by request, it also holds for callers that use an id again, and for requests that are queued until a connection is free. The limit on connections is kept.

--- a/packages/fleet/src/entry/serving/attempt.ts
+++ b/packages/fleet/src/entry/serving/attempt.ts
@@ -17,6 +17,7 @@
 import type { ReadTurns } from './read-turns.js'
 import { bytesTaken, pauseNow } from './socket-handle.js'
 import { isFull, type Stall } from './stall-monitor.js'
+import type { IdentifiedRequestOptions } from '../servers/server-agent.js'
 import { readServerFeedback, type ServerFeedback } from '../servers/server-feedback.js'
 
 export interface OutgoingRequest {
@@ -87,7 +88,8 @@
   let request: ClientRequest
   try {
     const { method, path, headers } = outgoing
-    request = openRequest({ ...splitAddress(options.address), agent, method, path, headers })
+    const requestOptions: IdentifiedRequestOptions = { ...splitAddress(options.address), agent, method, path, headers, requestId: options.requestId }
+    request = openRequest(requestOptions)
   } catch (error) {
     return resolve({ type: 'not_sent', detail: (error as Error).message })
   }
