The test of paused connections sends its second request with another id

It sent two requests with one id and expected the second on the connection of the first, where a late second copy of the first response would be taken for the second one; a connection no longer carries an id twice. With another id the test asks the same as before: that the paused connection is read again and reused.

--- a/packages/fleet/test/slow-readers.test.ts
+++ b/packages/fleet/test/slow-readers.test.ts
@@ -106,11 +106,11 @@
     await startBackend(createHttpServer((request, response) => { handle(response, request) }))
 
   /** Sends a request over a connection of its own, from which nothing is read until the test does. */
-  const send = (path: string, body = Buffer.alloc(0), remainingMs = 60_000): Socket => {
+  const send = (path: string, body = Buffer.alloc(0), remainingMs = 60_000, id = 'r'): Socket => {
     const caller = connect(portOf(entry.server), '127.0.0.1')
     caller.pause()
     caller.on('error', () => {})
-    caller.write(`POST ${path} HTTP/1.1\r\nhost: h\r\nrequest-id: r\r\nremaining-ms: ${remainingMs}\r\ncontent-length: ${body.length}\r\n\r\n`)
+    caller.write(`POST ${path} HTTP/1.1\r\nhost: h\r\nrequest-id: ${id}\r\nremaining-ms: ${remainingMs}\r\ncontent-length: ${body.length}\r\n\r\n`)
     caller.write(body)
     callers.push(caller)
     return caller
@@ -229,8 +229,8 @@
   for (const name of ['stream', 'resumable']) {
     it(`of a stream get all of it if they read slowly but steadily (route ${name})`, async () => {
       const events = Math.ceil(largeBytes / event.length)
-      await answerWith(response => {
-        response.writeHead(200, streamHeaders)
+      await answerWith((response, { headers }) => {
+        response.writeHead(200, { ...streamHeaders, 'request-id': String(headers['request-id']) })
         for (let each = 0; each < events; each++) response.write(event)
         response.end()
       })
@@ -243,7 +243,7 @@
       expect(linesOf('request.ended')[0]).to.include({ outcome: 'streamed' })
       expect(linesOf('caller.stalled')).to.have.length(0)
       // The connection that was paused is read again also where it serves another request.
-      expect(await read(send(`/${name}/x`), 1)).to.be.greaterThan(0)
+      expect(await read(send(`/${name}/x`, undefined, undefined, 'another'), 1)).to.be.greaterThan(0)
       expect(toBackend()).to.have.length(1)
     })
   }
