Bodies of unknown length are sent to callers in chunks

Where an entry was killed, callers got streams that ended as complete though up to half of their events were missing.

Cause: a response without a length, which ends with its server's connection, was passed on without a length too. The operating system closes the connections of a killed process in order, so callers could not tell its end from the end of the response. A reset on purpose, as the entry sent where it knew that the response was cut off, tells many callers nothing either: clients on Node report such a response as complete.

Every response now has a length or is sent in chunks, so its end is explicit and a cut of any kind is visible. Responses that are collected whole get their length. Callers with HTTP/1.0 can't read chunks, and were also sent streams that only the connection ends: they get a stream once it is whole, with its length, within the bound on bytes kept, and 502 if it is cut off. Responses without a body are unchanged. The connection to the caller stays open after such a response.

Tests that asked for a reset now decode the body as a caller does and ask that it is not complete, which a reset still satisfies only for a body that is not delimited.

--- a/packages/fleet/src/entry/serving/attempt.ts
+++ b/packages/fleet/src/entry/serving/attempt.ts
@@ -46,7 +46,7 @@
   maySend: () => boolean
   /** A new connection was established, after `ms` milliseconds. */
   onConnected: (ms: number) => void
-  /** Forward the response body as it arrives instead of buffering it. */
+  /** Forward the response body as it arrives instead of buffering it, if the caller can read a body of unknown length. */
   stream: boolean
   /** Set for a stream that may be resumed at another server: only complete events are forwarded. */
   eventFramer: EventFramer | undefined
@@ -59,7 +59,7 @@
   onServerFeedback: (feedback: ServerFeedback) => void
 }
 
-/** `framed`: the headers of the response delimit its body; otherwise it ended with the connection, which may have been broken off. */
+/** `framed`: the response has no body, or its headers delimit it; otherwise it ended with the connection, which may have been broken off. */
 export type AttemptResult =
   | { type: 'not_sent', detail: string }
   /** `AttemptOptions.maySend` returned false. */
@@ -191,7 +191,7 @@
   if (succeeded && (echoed === undefined || headerOf(response, names.seal) === undefined)) return reject(`status ${status} without seal or id`)
   if (response.headers['content-encoding'] !== undefined) return reject('an encoded body')
   if (notRunStatuses.has(status)) return reject(`status ${status} without saying that it has not run`)
-  return succeeded && stream ? await forwardStream(response, status, options) : await bufferResponse(response, status, options)
+  return succeeded && stream && options.callerResponse.canStream ? await forwardStream(response, status, options) : await bufferResponse(response, status, options)
 }
 
 const readRefusal = (response: IncomingMessage, { names, serverId }: AttemptOptions): AttemptResult => {
@@ -218,7 +218,8 @@
 }
 
 /** The bytes of a complete response stay counted as kept, until whoever takes it releases them. */
-const bufferResponse = (response: IncomingMessage, status: number, { keptBytes, outgoing: { method } }: AttemptOptions): Promise<AttemptResult> => new Promise(resolve => {
+const bufferResponse = (response: IncomingMessage, status: number, options: AttemptOptions): Promise<AttemptResult> => new Promise(resolve => {
+  const { keptBytes } = options
   const chunks: Buffer[] = []
   const buffer = keptBytes.startResponse(() => response.destroy(new Error('larger than the process may keep')))
   const broken = (detail: string): void => {
@@ -232,13 +233,26 @@
   response.on('error', error => broken(`response body incomplete: ${error.message}`))
   response.on('end', () => {
     if (!response.complete) return broken('response body incomplete')
+    const body = Buffer.concat(chunks)
+    if (options.stream && isEventStream(response) && endsWithinEvent(body)) return broken('response body ended within an event')
     buffer.complete()
-    resolve({ type: 'answer', status, headers: response.rawHeaders, body: Buffer.concat(chunks), framed: bodylessStatuses.has(status) || method === 'HEAD' || isFramed(response.rawHeaders) })
+    resolve({ type: 'answer', status, headers: response.rawHeaders, body, framed: isDelimited(response, status, options) })
   })
   response.on('close', () => broken('connection closed before the end of the response'))
 })
 
-const forwardStream = (response: IncomingMessage, status: number, { callerResponse, eventFramer }: AttemptOptions): Promise<AttemptResult> => new Promise(resolve => {
+const endsWithinEvent = (body: Buffer): boolean => {
+  const boundary = new EventBoundary()
+  boundary.scan(body)
+  return boundary.partialBytes > 0
+}
+
+/** Whether the response has no body, or its headers delimit it. */
+const isDelimited = ({ rawHeaders }: IncomingMessage, status: number, { outgoing: { method } }: AttemptOptions): boolean =>
+  bodylessStatuses.has(status) || method === 'HEAD' || isFramed(rawHeaders)
+
+const forwardStream = (response: IncomingMessage, status: number, options: AttemptOptions): Promise<AttemptResult> => new Promise(resolve => {
+  const { callerResponse, eventFramer } = options
   if (!callerResponse.started) callerResponse.startStream(status, response.rawHeaders)
   const boundary = eventFramer?.boundary ?? (isEventStream(response) ? new EventBoundary() : undefined)
   let bytes = 0
@@ -265,7 +279,7 @@
   response.on('end', () => {
     if (!response.complete) return interrupted('response stream incomplete')
     if (boundary !== undefined && boundary.partialBytes > 0) return interrupted('response stream ended within an event')
-    resolve({ type: 'streamed', status, bytes, framed: isFramed(response.rawHeaders) })
+    resolve({ type: 'streamed', status, bytes, framed: isDelimited(response, status, options) })
   })
   response.on('close', () => interrupted('connection closed before the end of the response stream'))
 })
--- a/packages/fleet/src/entry/serving/caller-response.ts
+++ b/packages/fleet/src/entry/serving/caller-response.ts
@@ -1,6 +1,9 @@
 /**
  * Writes the response of one request to its caller: once, buffered or as a stream, and so that a truncated response
  * can never be taken for a complete one.
+ *
+ * Every body has a length or is sent in chunks, however the server delimited it. A body that ends with the connection would also look
+ * complete where this process is killed, since the operating system then closes its connections in order.
  */
 import type { ServerResponse } from 'node:http'
 import { isFull } from './stall-monitor.js'
@@ -41,7 +44,7 @@
 /** Responses with these statuses have no body. */
 export const bodylessStatuses: ReadonlySet<number> = new Set([204, 304])
 
-/** Whether the headers delimit the body; otherwise it ends with the connection. */
+/** Whether the headers of a server's response delimit its body; otherwise it ends with the connection. */
 export const isFramed = (raw: RawHeaders): boolean => {
   for (let index = 0; index < raw.length; index += 2) {
     const lower = raw[index]?.toLowerCase()
@@ -56,8 +59,6 @@
   #started = false
   /** The head of a stream has been written with a part of the body or its end. */
   #headWritten = false
-  /** The headers of the response delimit its body. */
-  #framed = true
 
   /** `onFull`: called when the caller's socket has taken less than was written. */
   constructor (private readonly response: ServerResponse, private readonly closeAfterResponse: () => boolean, private readonly onFull: () => void) {}
@@ -67,12 +68,16 @@
     return this.#started
   }
 
+  /** Whether a body of unknown length can be sent in chunks. Callers with HTTP/1.0 can't read them. */
+  get canStream (): boolean {
+    return this.response.useChunkedEncodingByDefault
+  }
+
   /** Sends a buffered response of a server. `bodyless`: it answers a HEAD request, or its status allows no body. */
   whole (status: number, raw: RawHeaders, body: Buffer, bodyless: boolean): void {
     const headers = forwardedHeaders(raw, bodyless ? noOptions : contentLengthOnly)
-    const framed = bodyless || isFramed(raw)
-    if (!bodyless && framed) headers.push('Content-Length', String(body.length))
-    this.#writeHead(status, headers, framed)
+    if (!bodyless) headers.push('Content-Length', String(body.length))
+    this.#writeHead(status, headers)
     this.response.end(bodyless ? undefined : body)
     if (isFull(this.response)) this.onFull()
   }
@@ -82,7 +87,7 @@
     if (this.#started || this.response.headersSent) return this.abort()
     const body = Buffer.from(JSON.stringify({ error: message }))
     const flatHeaders = Object.entries({ 'Content-Type': 'application/json', 'Content-Length': String(body.length), ...headers }).flat()
-    this.#writeHead(status, flatHeaders, true)
+    this.#writeHead(status, flatHeaders)
     this.response.end(body)
   }
 
@@ -91,7 +96,7 @@
    * is sent at the end of this turn of the event loop.
    */
   startStream (status: number, raw: RawHeaders): void {
-    this.#writeHead(status, forwardedHeaders(raw, contentLengthOnly), isFramed(raw))
+    this.#writeHead(status, forwardedHeaders(raw, contentLengthOnly))
     setImmediate(() => {
       if (!this.#headWritten && !this.response.destroyed) this.response.flushHeaders()
     })
@@ -112,27 +117,14 @@
     this.response.end()
   }
 
-  /**
-   * Aborts the response by closing the connection, so that a partial response can't be taken for a complete one. Where it ends with the
-   * connection, only a reset tells the caller that it is partial.
-   */
+  /** Aborts the response by closing the connection, so that a partial response can't be taken for a complete one. */
   abort (): void {
-    if (this.#framed) this.response.destroy()
-    else this.response.socket?.resetAndDestroy()
+    this.response.destroy()
   }
 
-  /**
-   * Whether a response that ends with the server's connection is complete can't be known here, so it ends with the caller's
-   * connection too.
-   */
-  #writeHead (status: number, headers: string[], framed: boolean): void {
+  #writeHead (status: number, headers: string[]): void {
     this.#started = true
-    this.#framed = framed
-    if (this.closeAfterResponse() || !framed) headers.push('Connection', 'close')
-    if (!framed) {
-      this.response.useChunkedEncodingByDefault = false
-      this.response.shouldKeepAlive = false
-    }
+    if (this.closeAfterResponse()) headers.push('Connection', 'close')
     this.response.writeHead(status, headers)
   }
 }
--- a/packages/fleet/test/endless-responses.test.ts
+++ b/packages/fleet/test/endless-responses.test.ts
@@ -5,7 +5,7 @@
 import type { Socket } from 'node:net'
 import { pause } from '@finchpitch/core'
 import { expect } from 'chai'
-import { SingleEntry, statusOf } from './single-entry.js'
+import { SingleEntry, decodedBodyOf, statusOf } from './single-entry.js'
 
 const megabyte = 1024 * 1024
 const memoryMb = 200
@@ -102,7 +102,7 @@
     it(`in an event gets no more read than a bound, and its caller no proper end (route ${route})`, async () => {
       await startServers(id => `${headOf(id, 'content-type: text/event-stream\r\n')}\r\nid: 1\ndata: 1\n\nid: 2\ndata: `)
       const result = await entry.send(`/${route}/x`, { remainingMs })
-      expect(result.reset).to.equal(true)
+      expect(decodedBodyOf(result).complete).to.equal(false)
       expect(result.text.length).to.be.below(maxEventBytes)
       expect(entry.linesOf('request.ended')[0]).to.include({ outcome: 'interrupted' })
     })
--- a/packages/fleet/test/single-entry.ts
+++ b/packages/fleet/test/single-entry.ts
@@ -19,6 +19,15 @@
   reset: boolean
 }
 
+export interface SendOptions {
+  id?: string
+  remainingMs?: number
+  headers?: Record<string, string>
+  method?: string
+  /** Of HTTP. */
+  version?: string
+}
+
 /** A server that answers each request with the bytes that `answer` writes. */
 export type RawAnswer = (socket: Socket, requestId: string) => void
 
@@ -43,6 +52,7 @@
   readonly #entry: EntryProcess
   readonly #servers: Server[] = []
   readonly #sockets = new Set<Socket>()
+  readonly #callerSockets = new Set<Socket>()
   readonly #time = new FakeTime(undefined, { followsRealTime: true })
   #revision = 1
 
@@ -54,6 +64,10 @@
   }
 
   async start (): Promise<void> {
+    this.#entry.server.on('connection', (socket: Socket) => {
+      this.#callerSockets.add(socket)
+      socket.on('close', () => this.#callerSockets.delete(socket))
+    })
     this.#entry.server.listen(0, '127.0.0.1')
     await once(this.#entry.server, 'listening')
     this.#offer('table', 'table', { version: 1, routes, services: [{ name: 'plain', maxConnections: 100 }], limits: { headerBytes: 10_000, bodyBytes: 1_000_000, headerTimeoutMs: 60_000, idleTimeoutMs: 60_000 } })
@@ -82,11 +96,16 @@
     for (const socket of this.#sockets) socket.destroy()
   }
 
+  /** Closes the connections of callers in order, as the operating system does for a process that is killed. */
+  endCallerConnections (): void {
+    for (const socket of this.#callerSockets) socket.end()
+  }
+
   /** Sends a request over a connection of its own and reads until that ends. */
-  async send (path: string, { id = 'r', remainingMs = 2000, headers = {} }: { id?: string, remainingMs?: number, headers?: Record<string, string> } = {}): Promise<CallerResult> {
+  async send (path: string, { id = 'r', remainingMs = 2000, headers = {}, method = 'POST', version = '1.1' }: SendOptions = {}): Promise<CallerResult> {
     const caller = connect((this.#entry.server.address() as AddressInfo).port, '127.0.0.1')
     const fields = { host: 'h', 'request-id': id, 'deadline-ms': remainingMs, connection: 'close', 'content-length': 0, ...headers }
-    caller.write(`POST ${path} HTTP/1.1\r\n${Object.entries(fields).map(([name, value]) => `${name}: ${value}`).join('\r\n')}${endOfHead}`)
+    caller.write(`${method} ${path} HTTP/${version}\r\n${Object.entries(fields).map(([name, value]) => `${name}: ${value}`).join('\r\n')}${endOfHead}`)
     const chunks: Buffer[] = []
     let reset = false
     caller.on('data', (chunk: Buffer) => chunks.push(chunk))
@@ -124,3 +143,23 @@
 
 /** The body of a raw response, with any chunks still framed. */
 export const bodyOf = ({ text }: CallerResult): string => text.slice(text.indexOf(endOfHead) + endOfHead.length)
+
+export const hasLength = ({ text }: CallerResult): boolean => /\r\ncontent-length: \d/i.test(text)
+
+/** The decoded body of a raw response, and whether a caller takes it for complete. */
+export const decodedBodyOf = (result: CallerResult): { body: string, complete: boolean } => {
+  const raw = bodyOf(result)
+  const length = /\r\ncontent-length: (\d+)/i.exec(result.text)?.[1]
+  if (length !== undefined) return { body: raw, complete: raw.length === Number(length) }
+  if (!/\r\ntransfer-encoding: chunked/i.test(result.text)) return { body: raw, complete: !result.reset }
+  let body = ''
+  for (let rest = raw; ;) {
+    const [size] = /^[0-9a-f]+\r\n/i.exec(rest) ?? ['']
+    const length = parseInt(size, 16)
+    const chunk = rest.slice(size.length, size.length + length)
+    if (size === '' || chunk.length < length) return { body: body + chunk, complete: false }
+    if (length === 0) return { body, complete: true }
+    body += chunk
+    rest = rest.slice(size.length + length + '\r\n'.length)
+  }
+}
--- a/packages/fleet/test/unframed-responses.test.ts
+++ b/packages/fleet/test/unframed-responses.test.ts
@@ -1,10 +1,10 @@
 /*
  * Guards against truncated responses that callers take for complete: responses without a length or chunks end with the server's
- * connection, and the entry ended its own in the same way when it knew that they were cut off.
+ * connection, and their callers' connections ended in the same way when the entry knew that they were cut off, or was killed.
  */
 import type { Server } from 'node:net'
 import { expect } from 'chai'
-import { SingleEntry, bodyOf, statusOf } from './single-entry.js'
+import { SingleEntry, bodyOf, decodedBodyOf, hasLength, statusOf } from './single-entry.js'
 
 const head = (id: string, more = ''): string => `HTTP/1.1 200 OK\r\nrequest-id: ${id}\r\nresponse-seal: s\r\ncontent-type: text/event-stream\r\n${more}\r\n`
 const event = (number: number): string => `id: ${number}\ndata: ${number}\n\n`
@@ -22,20 +22,20 @@
   it('is delivered whole, if it is a body', async () => {
     await entry.addServer('a', (socket, id) => socket.end(`${head(id)}all of it`))
     const result = await entry.send('/plain/x')
-    expect([statusOf(result), bodyOf(result), result.reset]).to.deep.equal([200, 'all of it', false])
+    expect([statusOf(result), decodedBodyOf(result)]).to.deep.equal([200, { body: 'all of it', complete: true }])
   })
 
   for (const route of ['stream', 'resume']) {
     it(`is delivered whole, if it is a stream (route ${route})`, async () => {
       await entry.addServer('a', (socket, id) => socket.end(`${head(id)}${event(1)}${event(2)}`))
       const result = await entry.send(`/${route}/x`)
-      expect([statusOf(result), bodyOf(result), result.reset]).to.deep.equal([200, `${event(1)}${event(2)}`, false])
+      expect([statusOf(result), decodedBodyOf(result)]).to.deep.equal([200, { body: `${event(1)}${event(2)}`, complete: true }])
     })
 
     it(`is not complete to its caller if it ends within an event (route ${route})`, async () => {
       for (const server of ['a', 'b']) await entry.addServer(server, (socket, id) => socket.end(`${head(id)}${event(1)}id: 2\ndata`))
       const result = await entry.send(`/${route}/x`)
-      expect(result.reset).to.equal(true)
+      expect(decodedBodyOf(result).complete).to.equal(false)
       expect(entry.linesOf('request.ended')[0]).to.include({ outcome: 'interrupted' })
       expect(entry.linesOf('server.failed').length).to.be.above(0)
     })
@@ -43,8 +43,7 @@
     it(`is not complete to its caller if the deadline passes (route ${route})`, async () => {
       await entry.addServer('a', (socket, id) => { socket.write(`${head(id)}${event(1)}`) })
       const result = await entry.send(`/${route}/x`, { remainingMs: 300 })
-      expect(bodyOf(result)).to.equal(event(1))
-      expect(result.reset).to.equal(true)
+      expect(decodedBodyOf(result)).to.deep.equal({ body: event(1), complete: false })
     })
 
     it(`is not complete to its caller if the server has crashed between two events (route ${route})`, async () => {
@@ -56,11 +55,53 @@
         }, 20)
       })
       const result = await entry.send(`/${route}/x`)
-      expect(result.reset).to.equal(true)
+      expect(decodedBodyOf(result).complete).to.equal(false)
       expect(entry.linesOf('request.broke_off')[0]).to.include({ ended: true })
     })
   }
 
+  for (const route of ['stream', 'resume']) {
+    it(`is not complete to its caller if the entry is killed (route ${route})`, async () => {
+      await entry.addServer('a', (socket, id) => {
+        socket.write(`${head(id)}${event(1)}`)
+        setTimeout(() => entry.endCallerConnections(), 50)
+      })
+      expect(decodedBodyOf(await entry.send(`/${route}/x`))).to.deep.equal({ body: event(1), complete: false })
+    })
+
+    it(`is sent to a caller with HTTP/1.0 once it is whole, with its length (route ${route})`, async () => {
+      await entry.addServer('a', (socket, id) => {
+        socket.write(`${head(id)}${event(1)}`)
+        setTimeout(() => socket.end(event(2)), 50)
+      })
+      const result = await entry.send(`/${route}/x`, { version: '1.0' })
+      expect([statusOf(result), decodedBodyOf(result), hasLength(result)]).to.deep.equal([200, { body: `${event(1)}${event(2)}`, complete: true }, true])
+    })
+
+    it(`is not sent to a caller with HTTP/1.0 if it ends within an event (route ${route})`, async () => {
+      for (const server of ['a', 'b']) await entry.addServer(server, (socket, id) => socket.end(`${head(id)}${event(1)}id: 2\ndata`))
+      expect(statusOf(await entry.send(`/${route}/x`, { version: '1.0' }))).to.equal(502)
+    })
+  }
+
+  for (const [method, status] of [['HEAD', '200 OK'], ['POST', '204 No Content'], ['POST', '304 Not Modified']] as const) {
+    for (const route of ['plain', 'stream']) {
+      it(`has neither body nor chunks for its caller if it is the response ${status} to ${method} (route ${route})`, async () => {
+        await entry.addServer('a', (socket, id) => socket.end(head(id).replace('200 OK', status)))
+        const result = await entry.send(`/${route}/x`, { method })
+        expect([statusOf(result), bodyOf(result)]).to.deep.equal([Number(status.split(' ')[0]), ''])
+        expect(result.text).not.to.match(/transfer-encoding/i)
+      })
+    }
+  }
+
+  it('leaves its caller the connection', async () => {
+    await entry.addServer('a', (socket, id) => socket.end(`${head(id)}${event(1)}`))
+    setTimeout(() => entry.endCallerConnections(), 200)
+    const result = await entry.send('/stream/x', { headers: { connection: 'keep-alive' } })
+    expect(result.text).to.match(/connection: keep-alive/i)
+  })
+
   it('is not complete to its caller if chunks are missing', async () => {
     await entry.addServer('a', (socket, id) => socket.end(`${head(id, 'transfer-encoding: chunked\r\n')}a\r\nid: 1\ndata\r\n`))
     const result = await entry.send('/stream/x')
