A response without a length ends with its server, also where that is draining

Callers got streams and bodies that ended as complete where their server was ended while it was draining: the end of its connection was taken for the end of the response.

Cause: at the end of a response that has neither length nor chunks, the entry checks whether the server still accepts connections. The check skipped servers that are expected to stop, as crashes of those must not count against requests. That exception is right for quarantine. For the end of a response it is wrong: a server that is draining may be ended with whatever it runs.

Three of the new tests fail without the change, those of servers that are killed while they drain.

The check is now made for any server. A server that ends some time after its response is not affected: six tests ask that such responses are delivered whole.

--- a/packages/fleet/src/entry/entry-process.ts
+++ b/packages/fleet/src/entry/entry-process.ts
@@ -204,7 +204,8 @@
     this.#feedbackHandler = new ServerFeedbackHandler({ facts, balancer: this.#balancer, queue: this.#queue, serverLimits: this.#serverLimits })
     this.#serverFaults = new ServerFaults(this.#balancer, this.counters, log)
     this.#probeRequester = new ProbeRequester({ hosts: () => this.#sideLinks.hosts, channelTo: host => this.#sideLinks.channelTo(host), log })
-    this.#crashTracker = new CrashTracker({ facts, liveness: new ServerLiveness(), reporter: this.#attemptReporter, requestProbe: async fingerprint => await this.#probeRequester.ask(fingerprint), onQuarantine: () => this.#queue.scheduleScan(), counters: this.counters, log })
+    const liveness = new ServerLiveness()
+    this.#crashTracker = new CrashTracker({ facts, liveness, reporter: this.#attemptReporter, requestProbe: async fingerprint => await this.#probeRequester.ask(fingerprint), onQuarantine: () => this.#queue.scheduleScan(), counters: this.counters, log })
     this.server = createServer({ maxHeaderSize: maxHeaderBytes, connectionsCheckingInterval: 1000, requestTimeout: 0 })
     this.#callerConnections = new CallerConnections(this.server)
     this.#requestOptions = {
@@ -218,6 +219,7 @@
       keptBytes: this.#keptBytes,
       feedbackHandler: this.#feedbackHandler,
       crashes: this.#crashTracker,
+      liveness,
       connectTimeout: this.#connectTimeout,
       lease: this.#keyLease,
       quotas: this.#quotas,
--- a/packages/fleet/src/entry/servers/crash-tracker.ts
+++ b/packages/fleet/src/entry/servers/crash-tracker.ts
@@ -92,11 +92,6 @@
     return true
   }
 
-  /** Whether the server has crashed, as it refuses connections although it isn't expected to stop. */
-  async hasCrashed (server: BackendServer): Promise<boolean> {
-    return !this.#isExpectedToStop(server) && await this.options.liveness.ended(server)
-  }
-
   /** A server that is draining, or is no longer listed, is expected to stop. */
   #isExpectedToStop ({ id }: BackendServer): boolean {
     return this.options.facts.servers.get(id)?.leaving !== false
--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -21,6 +21,7 @@
 import { Cancellation } from './cancellation.js'
 import type { ConnectTimeout } from '../servers/connect-timeout.js'
 import type { CrashTracker } from '../servers/crash-tracker.js'
+import type { ServerLiveness } from '../servers/server-liveness.js'
 import type { EntryCounters } from '../counters.js'
 import { CallerReturn, type CallerReturnOptions } from './caller-return.js'
 import { CallerResponse, bodylessStatuses } from './caller-response.js'
@@ -72,6 +73,7 @@
   quotas: Quotas
   feedbackHandler: ServerFeedbackHandler
   crashes: CrashTracker
+  liveness: ServerLiveness
   connectTimeout: ConnectTimeout
   counters: EntryCounters
   keptBytes: KeptBytes
@@ -387,10 +389,13 @@
     return this.#handleResult(result, { server, selection, admitted, sentAt, responseMs, softwareVersion })
   }
 
-  /** A response without a length or chunks also ends where its server crashes, so that it is complete only if the server is still there. */
+  /**
+   * A response without a length or chunks also ends where its server does, so it is complete only if the server is still there. A server
+   * that is draining or no longer listed is no exception: it may be ended with whatever it runs.
+   */
   async #confirmEnd (result: AttemptResult, server: BackendServer): Promise<AttemptResult> {
-    if ((result.type !== 'answer' && result.type !== 'streamed') || result.framed || !await this.options.crashes.hasCrashed(server)) return result
-    const detail = 'server crashed at the end of a response without a length'
+    if ((result.type !== 'answer' && result.type !== 'streamed') || result.framed || !await this.options.liveness.ended(server)) return result
+    const detail = 'server ended with a response without a length'
     if (result.type === 'streamed') return { type: 'interrupted', detail }
     this.options.keptBytes.release('responses', result.body.length)
     return { type: 'broken', detail }
--- a/packages/fleet/test/single-entry.ts
+++ b/packages/fleet/test/single-entry.ts
@@ -52,6 +52,7 @@
   readonly #entry: EntryProcess
   readonly #servers: Server[] = []
   readonly #sockets = new Set<Socket>()
+  readonly #addresses = new Map<string, string>()
   readonly #callerSockets = new Set<Socket>()
   readonly #time = new FakeTime(undefined, { followsRealTime: true })
   #revision = 1
@@ -86,10 +87,20 @@
     server.listen(0, '127.0.0.1')
     await once(server, 'listening')
     this.#servers.push(server)
-    this.#offer('server', id, { id, service: 'plain', address: `127.0.0.1:${(server.address() as AddressInfo).port}`, domain: 'a', slots: 8, leaving: false, models: [] })
+    this.#addresses.set(id, `127.0.0.1:${(server.address() as AddressInfo).port}`)
+    this.#list(id, false)
     return server
   }
 
+  /** Lists the server as draining. */
+  drainServer (id: string): void {
+    this.#list(id, true)
+  }
+
+  removeServer (id: string): void {
+    this.#offer('server', id, undefined)
+  }
+
   /** Closes the server and all its connections, as a crash does. */
   crash (server: Server): void {
     server.close()
@@ -133,6 +144,10 @@
     this.#time.restore()
   }
 
+  #list (id: string, leaving: boolean): void {
+    this.#offer('server', id, { id, service: 'plain', address: this.#addresses.get(id), domain: 'a', slots: 8, leaving, models: [] })
+  }
+
   #offer (kind: 'table' | 'server', key: string, value: unknown): void {
     this.facts.offer({ kind, key, revision: this.#revision++, value } as Parameters<Facts['offer']>[0], 'store')
   }
--- a/packages/fleet/test/unframed-responses.test.ts
+++ b/packages/fleet/test/unframed-responses.test.ts
@@ -60,6 +60,42 @@
     })
   }
 
+  for (const [state, change] of Object.entries({
+    'is draining': (id: string) => entry.drainServer(id),
+    'is no longer listed': (id: string) => entry.removeServer(id)
+  })) {
+    describe(`of a server that ${state}`, () => {
+      for (const [kind, route] of [['a body', 'plain'], ['a stream', 'stream'], ['a stream that may be resumed', 'resume']]) {
+        it(`is not complete to its caller if the server is killed (${kind})`, async () => {
+          const server: Server = await entry.addServer('a', (socket, id) => {
+            socket.write(`${head(id)}${event(1)}`)
+            change('a')
+            setTimeout(() => {
+              server.close()
+              socket.end()
+            }, 20)
+          })
+          const result = await entry.send(`/${route}/x`)
+          expect(statusOf(result) === 200 && decodedBodyOf(result).complete).to.equal(false)
+          expect(entry.linesOf('server.failed')[0]).to.include({ server: 'a' })
+        })
+
+        it(`is delivered whole if the server ends some time later (${kind})`, async () => {
+          const server: Server = await entry.addServer('a', (socket, id) => {
+            socket.write(`${head(id)}${event(1)}`)
+            change('a')
+            setTimeout(() => {
+              socket.end(event(2))
+              setTimeout(() => server.close(), 20)
+            }, 20)
+          })
+          const result = await entry.send(`/${route}/x`)
+          expect([statusOf(result), decodedBodyOf(result)]).to.deep.equal([200, { body: `${event(1)}${event(2)}`, complete: true }])
+        })
+      }
+    })
+  }
+
   for (const route of ['stream', 'resume']) {
     it(`is not complete to its caller if the entry is killed (route ${route})`, async () => {
       await entry.addServer('a', (socket, id) => {
