Requests without an id are rejected at once

A request without an id was sent to a server, although no response to it can be accepted: a success counts only if it echoes the id, and a refusal of it echoes none, so that a late copy of the refusal can't be told from the refusal of a later request on the connection. Its caller was told 503, and to come back.

Such a request is now answered 400 and reaches no server. The new test fails without the change (it reached a server). That a copy of such a refusal was taken for another one was not seen; it is inferred from reading.

--- a/packages/fleet/src/entry/serving/local-replies.ts
+++ b/packages/fleet/src/entry/serving/local-replies.ts
@@ -23,13 +23,14 @@
 /** By then most probes have shown whether the request still crashes its server. */
 const probeRetryMs = 2000
 
-const finalStatuses = { no_route: 404, key_not_known: 401, bad_model: 400, too_large: 413 } as const
+const finalStatuses = { no_route: 404, key_not_known: 401, bad_model: 400, no_id: 400, too_large: 413 } as const
 export type FinalReason = keyof typeof finalStatuses
 
 const finalMessages: Record<FinalReason, string> = {
   no_route: 'no such route',
   key_not_known: 'a key is needed that is known here',
   bad_model: 'the name of the model is too long',
+  no_id: 'a request id is needed',
   too_large: 'the body is too large'
 }
 
--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -200,6 +200,8 @@
     if (admission.type === 'denied') return this.#localReplies.deny(admission)
     const { route } = admission
     if (this.#incoming.hasInvalidModel) return this.#localReplies.end('bad_model')
+    // No response could be recognized as its own. A refusal of it would echo no id, and a late copy of that belongs to no request either.
+    if (this.#incoming.id === '') return this.#localReplies.end('no_id')
     const service = this.#serviceOf(route)?.name
     this.#callerReturn.recognize(admission, service)
     const readyInMs = await this.#admission.reserve(admission, this.#times.firstTriedMs, service)
--- a/packages/fleet/test/single-entry.ts
+++ b/packages/fleet/test/single-entry.ts
@@ -80,8 +80,8 @@
       this.#sockets.add(socket)
       socket.on('error', () => {})
       socket.on('data', chunk => {
-        const [, requestId = ''] = /\r\nrequest-id: ([^\r]*)/i.exec(chunk.toString('latin1')) ?? []
-        if (requestId !== '') answer(socket, requestId)
+        const requestId = /\r\nrequest-id: ([^\r]*)/i.exec(chunk.toString('latin1'))?.[1]
+        if (requestId !== undefined) answer(socket, requestId)
       })
     })
     server.listen(0, '127.0.0.1')
--- a/packages/fleet/test/surplus-responses.test.ts
+++ b/packages/fleet/test/surplus-responses.test.ts
@@ -128,7 +128,7 @@
     })
   })
 
-  describe('to an earlier request of another caller with the same id', () => {
+  describe('to an earlier request of another caller', () => {
     let entry: SingleEntry
 
     beforeEach(async () => {
@@ -138,7 +138,13 @@
 
     afterEach(async () => await entry.stop())
 
-    it('is not delivered to the second caller', async () => {
+    it('echoes its id, as a request without one is rejected at once and reaches no server', async () => {
+      let arrivals = 0
+      await entry.addServer('a', () => { arrivals += 1 })
+      expect([statusOf(await entry.send('/plain/x', { id: '' })), arrivals]).to.deep.equal([400, 0])
+    })
+
+    it('is not delivered to the second caller, if both have the same id', async () => {
       const carried = new WeakMap<object, string[]>()
       let bodies = 0
       await entry.addServer('a', (socket, id) => {
