A stream that is not identified goes on only where there was a single software version

A caller that takes up a stream without saying which request began it, or whose id is too long to be recorded, was given the version that was alone before a second one appeared, although its stream may have begun at the second one.

Cause: the entry asked for a record of the empty id. That no side process has one was taken for proof that the stream began before there were records.

Shown by a test of its own (`v1` where nothing is known), not seen at callers.

--- a/packages/decisions/src/stream-origin.ts
+++ b/packages/decisions/src/stream-origin.ts
@@ -3,7 +3,8 @@
  *
  * Load: callers that come back after an entry, a server or a connection was lost, to any entry. Each record is kept in two failure
  * domains, if there are as many, so that it is found without any one domain. Without a record, the stream began while a single version
- * was listed; that is believed only if enough domains agree: all but one, or all where several versions were listed lately.
+ * was listed; that is believed only if enough domains agree: all but one, or all where several versions were listed lately. Of a stream
+ * that can't be identified, the version is known only if there was a single one.
  */
 
 /** What a process that keeps records says of one stream. */
@@ -25,6 +26,8 @@
   domains: number
   /** The version of streams without a record, as this process knows it. */
   unrecorded: string | undefined
+  /** Whether a record of the stream could be found. False if the caller does not say which stream it is. */
+  identified: boolean
 }
 
 /** `pending`: a further answer may tell. */
@@ -33,7 +36,7 @@
 /** Copies of each record, in different domains. */
 export const recordCopies = 2
 
-export const decideOrigin = ({ answers, complete, domains, unrecorded }: OriginQuestion): OriginDecision => {
+export const decideOrigin = ({ answers, complete, domains, unrecorded, identified }: OriginQuestion): OriginDecision => {
   const recorded = new Set(answers.map(answer => answer.recorded).filter(version => version !== undefined))
   const [version] = recorded
   if (version !== undefined) return recorded.size === 1 ? { type: 'known', version } : { type: 'unknown' }
@@ -44,7 +47,7 @@
     // Of any so many domains, one at least has a copy of each record.
     const isSingle = answers.every(({ single }) => single === true) && heard >= Math.max(1, domains - recordCopies + 1)
     // A record that reached one domain only has to be ruled out as well where several versions were listed.
-    if (isSingle || (complete && heard === domains)) return { type: 'known', version: sole }
+    if (isSingle || (identified && complete && heard === domains)) return { type: 'known', version: sole }
   }
   return complete ? { type: 'unknown' } : { type: 'pending' }
 }
--- a/packages/decisions/test/stream-origin.test.ts
+++ b/packages/decisions/test/stream-origin.test.ts
@@ -8,33 +8,39 @@
 describe('the version at which a stream goes on', () => {
   it('is the recorded one, whoever else has no record', () => {
     const answers = [negative('a', 'v2'), { domain: 'b', recorded: 'v1' }]
-    expect(decideOrigin({ answers, complete: false, domains: 3, unrecorded: 'v2' })).to.deep.equal({ type: 'known', version: 'v1' })
+    expect(decideOrigin({ answers, complete: false, domains: 3, unrecorded: 'v2', identified: true })).to.deep.equal({ type: 'known', version: 'v1' })
   })
 
   it('is not known if records differ', () => {
     const answers = [{ domain: 'a', recorded: 'v1' }, { domain: 'b', recorded: 'v2' }]
-    expect(decideOrigin({ answers, complete: true, domains: 2, unrecorded: undefined })).to.deep.equal({ type: 'unknown' })
+    expect(decideOrigin({ answers, complete: true, domains: 2, unrecorded: undefined, identified: true })).to.deep.equal({ type: 'unknown' })
   })
 
   describe('without a record', () => {
     it('is the single one, as soon as all domains but one have said so', () => {
-      const one = { answers: [negative('a', 'v1')], complete: false, domains: 3, unrecorded: 'v1' }
+      const one = { answers: [negative('a', 'v1')], complete: false, domains: 3, unrecorded: 'v1', identified: true }
       expect(decideOrigin(one)).to.deep.equal({ type: 'pending' })
       expect(decideOrigin({ ...one, answers: [...one.answers, negative('b', 'v1')] })).to.deep.equal({ type: 'known', version: 'v1' })
     })
 
     it('is the one before a second one appeared, once all domains have answered', () => {
-      const question = { answers: [negative('a', 'v1', false), negative('b', 'v1', false)], domains: 2, unrecorded: undefined }
+      const question = { answers: [negative('a', 'v1', false), negative('b', 'v1', false)], domains: 2, unrecorded: undefined, identified: true }
       expect(decideOrigin({ ...question, complete: false })).to.deep.equal({ type: 'pending' })
       expect(decideOrigin({ ...question, complete: true })).to.deep.equal({ type: 'known', version: 'v1' })
     })
 
+    it('is known of a stream that is not identified only if there was a single one', () => {
+      const question = { complete: true, domains: 2, unrecorded: undefined, identified: false }
+      expect(decideOrigin({ ...question, answers: [negative('a', 'v1', false), negative('b', 'v1', false)] })).to.deep.equal({ type: 'unknown' })
+      expect(decideOrigin({ ...question, answers: [negative('a', 'v1'), negative('b', 'v1')] })).to.deep.equal({ type: 'known', version: 'v1' })
+    })
+
     const doubts: Record<string, Omit<Parameters<typeof decideOrigin>[0], 'complete'>> = {
-      'nobody answers': { answers: [], domains: 1, unrecorded: 'v1' },
-      'too few domains answer': { answers: [negative('a', 'v1'), negative('a', 'v1')], domains: 3, unrecorded: 'v1' },
-      'a second one appeared lately, and a domain does not answer': { answers: [negative('a', 'v1', false), negative('b', 'v1', false)], domains: 3, unrecorded: 'v1' },
-      'one that answers has just started': { answers: [negative('a', 'v1'), negative('b')], domains: 2, unrecorded: 'v1' },
-      'another entry knows another version': { answers: [negative('a', 'v1')], domains: 2, unrecorded: 'v2' }
+      'nobody answers': { answers: [], domains: 1, unrecorded: 'v1', identified: true },
+      'too few domains answer': { answers: [negative('a', 'v1'), negative('a', 'v1')], domains: 3, unrecorded: 'v1', identified: true },
+      'a second one appeared lately, and a domain does not answer': { answers: [negative('a', 'v1', false), negative('b', 'v1', false)], domains: 3, unrecorded: 'v1', identified: true },
+      'one that answers has just started': { answers: [negative('a', 'v1'), negative('b')], domains: 2, unrecorded: 'v1', identified: true },
+      'another entry knows another version': { answers: [negative('a', 'v1')], domains: 2, unrecorded: 'v2', identified: true }
     }
     for (const [doubt, question] of Object.entries(doubts)) {
       it(`is not known if ${doubt}`, () => {
@@ -105,7 +111,7 @@
             if (stream === undefined || taker === undefined || now < taker.cutUntil) continue
             const answers = peers.filter(peer => now >= peer.cutUntil && below(20) > 0).map(({ domain, keeper, records }) =>
               ({ domain, recorded: records.get(stream.id), unrecorded: keeper.unrecorded(now), single: keeper.single(now) !== undefined }))
-            const decision = decideOrigin({ answers, complete: true, domains, unrecorded: taker.entry.unrecorded(now) })
+            const decision = decideOrigin({ answers, complete: true, domains, unrecorded: taker.entry.unrecorded(now), identified: true })
             asked += 1
             if (decision.type !== 'known') continue
             known += 1
--- a/packages/fleet/src/entry/peers/origin-query.ts
+++ b/packages/fleet/src/entry/peers/origin-query.ts
@@ -14,6 +14,8 @@
   domains: number
   /** The version of streams without a record, as this process knows it. */
   unrecorded: string | undefined
+  /** Whether the request names the stream, so that a record of it could be found. */
+  identified: boolean
   waitMs: number
   /** Asks the side process at a host. Returns false if there is no connection to it yet. */
   ask: (host: string) => boolean
@@ -62,8 +64,8 @@
   }
 
   #decide (complete: boolean): void {
-    const { domains, unrecorded } = this.options
-    const decision = decideOrigin({ answers: this.#answers, complete, domains, unrecorded })
+    const { domains, unrecorded, identified } = this.options
+    const decision = decideOrigin({ answers: this.#answers, complete, domains, unrecorded, identified })
     if (decision.type !== 'pending') this.#settle(decision)
   }
 }
--- a/packages/fleet/src/entry/peers/stream-origins.ts
+++ b/packages/fleet/src/entry/peers/stream-origins.ts
@@ -60,7 +60,7 @@
 
   /** Called before a request for a stream is written to a server of this version. */
   record (service: string, request: string, version: string): void {
-    if (request.length > maxRequestIdLength || version.length > maxSoftwareVersionLength) return
+    if (!isIdentified(request) || version.length > maxSoftwareVersionLength) return
     this.#records.add(service, request, version)
     if (version !== unlistedVersion && !this.options.versions.historyOf(service).needsRecords(nowMs())) return
     for (const { host } of this.#keepersOf(request)) {
@@ -74,11 +74,11 @@
     setImmediate(() => this.#flush())
   }
 
-  /** The version at which the stream of the request began; `undefined` if that is not known. */
+  /** The version at which the stream of the request began; `undefined` if that is not known. `request`: empty if the caller names none. */
   async find (service: string, request: string, leftMs: number): Promise<string | undefined> {
     const own = this.#records.version(service, request)
     if (own !== undefined) return own
-    const decision = await this.#ask(service, request, Math.min(maxAnswerMs, leftMs * maxAnswerShare))
+    const decision = await this.#ask(service, isIdentified(request) ? request : '', Math.min(maxAnswerMs, leftMs * maxAnswerShare))
     return decision.type === 'known' ? decision.version : undefined
   }
 
@@ -92,7 +92,7 @@
     const byDomain = this.#rankedByDomain(request)
     const unrecorded = versions.historyOf(service).unrecorded(nowMs())
     // Without side processes, nobody but this entry can have a record.
-    if (byDomain.size === 0) return unrecorded === undefined ? { type: 'unknown' } : { type: 'known', version: unrecorded }
+    if (byDomain.size === 0) return unrecorded === undefined || !isIdentified(request) ? { type: 'unknown' } : { type: 'known', version: unrecorded }
     this.#stamp -= 1
     const stamp = this.#stamp
     const askedAt = nowMs()
@@ -100,6 +100,7 @@
       targets: [...byDomain.values()].flatMap(hosts => hosts.slice(0, askedPerDomain)),
       domains: byDomain.size,
       unrecorded,
+      identified: isIdentified(request),
       waitMs,
       ask: host => channelTo(host)?.send({ type: 'crashes', stamp, crashes: [], sound: [], askStream: [service, request] }) === true
     })
@@ -162,3 +163,6 @@
 
 const ranked = (targets: readonly ReportTarget[], keyHash: number): ReportTarget[] =>
   targets.map(target => ({ target, score: rendezvousScore(keyHash, hashOf(target.host)) })).sort((a, b) => a.score - b.score).map(({ target }) => target)
+
+/** Whether a record of the request's stream may be kept: not if its id is too long, or not stated by the caller that takes it up. */
+const isIdentified = (request: string): boolean => request !== '' && request.length <= maxRequestIdLength
--- a/packages/fleet/test/stream-origins.test.ts
+++ b/packages/fleet/test/stream-origins.test.ts
@@ -1,7 +1,7 @@
 import { silentLog } from '@finchpitch/core'
 import { Facts, SoftwareVersions, StreamOrigins, StreamRegistry, streamWindowMs, type Fact, type ReportTarget } from '@finchpitch/fleet'
 import { FakeTime } from '@finchpitch/stand-ins'
-import type { Channel, FrameOf } from '@finchpitch/wire'
+import { maxRequestIdLength, type Channel, type FrameOf } from '@finchpitch/wire'
 import { expect } from 'chai'
 
 const service = 'engines'
@@ -127,5 +127,14 @@
       for (const { host } of hosts) silent.add(host)
       expect(await find(newEntry('b'), 'before')).to.equal(undefined)
     })
+
+    it('are not taken for missing by an entry that is not told which stream it is, or has recorded none for its long id', async () => {
+      const long = 'x'.repeat(maxRequestIdLength + 1)
+      origins.record(service, long, 'v2')
+      origins.record(service, 'r', 'v2')
+      await time.settle()
+      expect(await find(newEntry('b'), long)).to.equal(undefined)
+      expect(await find(newEntry('b'), '')).to.equal(undefined)
+    })
   })
 })
