Only processes that would have a stream's record can tell that there is none

A stream that began at the second software version of a service could go on at the first one, so that its caller got text joined from two versions, with nothing in the response to show it. It needs an entry that has no record of its own, as after all entries were killed, and side processes that have left, joined or are not known to it yet.

Cause: records are kept by the side process that comes first in each of two failure domains. Which one that is depends on the side processes that are listed. An entry asked those that come first now, and took their answers for proof that there is no record, so that the stream was held to have begun while the first version was alone. The keeper may have left with its server, a new process may have taken its place, or the entry may not know its domain.

Evidence: two new tests of records fail without the change (`v1` for a stream recorded at `v2`), one where keepers have left and one at an entry that knows a single domain. It was not seen with real processes.

Side processes now follow which of them were listed within the window, and say in an answer without a record whether they would have had it throughout, and how many failure domains there are. An entry believes in the absence of a record only if such a process has answered in each domain.

Streams with a record, and services with one version, are not affected.

--- a/packages/decisions/src/stream-origin.ts
+++ b/packages/decisions/src/stream-origin.ts
@@ -3,8 +3,9 @@
  *
  * Load: callers that come back after an entry, a server or a connection was lost, to any entry. Each record is kept in two failure
  * domains, if there are as many, so that it is found without any one domain. Without a record, the stream began while a single version
- * was listed; that is believed only if enough domains agree: all but one, or all where several versions were listed lately. Of a stream
- * that can't be identified, the version is known only if there was a single one.
+ * was listed; that is believed only if enough domains agree: all but one, or all where several versions were listed lately. In the second
+ * case, each of them has to answer by a process that would have the record, as keepers of records may have left. Of a stream that can't
+ * be identified, the version is known only if there was a single one.
  */
 
 /** What a process that keeps records says of one stream. */
@@ -16,6 +17,10 @@
   unrecorded?: string | undefined
   /** Whether that is the version of all streams of the service, recorded or not. */
   single?: boolean | undefined
+  /** Whether it would have the record, if one was kept in its domain. */
+  keeps?: boolean | undefined
+  /** Failure domains in which records may have been kept, as far as it knows. */
+  domains?: number | undefined
 }
 
 export interface OriginQuestion {
@@ -42,12 +47,15 @@
   if (version !== undefined) return recorded.size === 1 ? { type: 'known', version } : { type: 'unknown' }
   const said = new Set([...answers.map(answer => answer.unrecorded), ...(unrecorded === undefined ? [] : [unrecorded])])
   const [sole] = said
+  // A process that has just started may not know all domains.
+  const knownDomains = Math.max(domains, ...answers.map(answer => answer.domains ?? 0))
   const heard = new Set(answers.map(({ domain }) => domain)).size
+  const heardKeepers = new Set(answers.filter(({ keeps }) => keeps === true).map(({ domain }) => domain)).size
   if (said.size === 1 && sole !== undefined) {
     // Of any so many domains, one at least has a copy of each record.
-    const isSingle = answers.every(({ single }) => single === true) && heard >= Math.max(1, domains - recordCopies + 1)
+    const isSingle = answers.every(({ single }) => single === true) && heard >= Math.max(1, knownDomains - recordCopies + 1)
     // A record that reached one domain only has to be ruled out as well where several versions were listed.
-    if (isSingle || (identified && complete && heard === domains)) return { type: 'known', version: sole }
+    if (isSingle || (identified && complete && heardKeepers === knownDomains)) return { type: 'known', version: sole }
   }
   return complete ? { type: 'unknown' } : { type: 'pending' }
 }
--- a/packages/decisions/test/stream-origin.test.ts
+++ b/packages/decisions/test/stream-origin.test.ts
@@ -3,7 +3,7 @@
 import { uniformInt } from 'pure-rand/distribution/uniformInt'
 import { expect } from 'chai'
 
-const negative = (domain: string, unrecorded?: string, single = true): OriginAnswer => ({ domain, unrecorded, single })
+const negative = (domain: string, unrecorded?: string, single = true, keeps = true): OriginAnswer => ({ domain, unrecorded, single, keeps })
 
 describe('the version at which a stream goes on', () => {
   it('is the recorded one, whoever else has no record', () => {
@@ -39,6 +39,9 @@
       'nobody answers': { answers: [], domains: 1, unrecorded: 'v1', identified: true },
       'too few domains answer': { answers: [negative('a', 'v1'), negative('a', 'v1')], domains: 3, unrecorded: 'v1', identified: true },
       'a second one appeared lately, and a domain does not answer': { answers: [negative('a', 'v1', false), negative('b', 'v1', false)], domains: 3, unrecorded: 'v1', identified: true },
+      'a second one appeared lately, and no process that would have the record answers in a domain': { answers: [negative('a', 'v1', false), negative('b', 'v1', false, false)], domains: 2, unrecorded: 'v1', identified: true },
+      'a second one appeared lately, and an answer tells of a further domain': { answers: [{ ...negative('a', 'v1', false), domains: 2 }], domains: 1, unrecorded: undefined, identified: true },
+      'too few of the domains answer of which an answer tells': { answers: [{ ...negative('a', 'v1'), domains: 3 }], domains: 1, unrecorded: undefined, identified: true },
       'one that answers has just started': { answers: [negative('a', 'v1'), negative('b')], domains: 2, unrecorded: 'v1', identified: true },
       'another entry knows another version': { answers: [negative('a', 'v1')], domains: 2, unrecorded: 'v2', identified: true }
     }
@@ -110,7 +113,7 @@
             const taker = peers[below(domains)]
             if (stream === undefined || taker === undefined || now < taker.cutUntil) continue
             const answers = peers.filter(peer => now >= peer.cutUntil && below(20) > 0).map(({ domain, keeper, records }) =>
-              ({ domain, recorded: records.get(stream.id), unrecorded: keeper.unrecorded(now), single: keeper.single(now) !== undefined }))
+              ({ domain, recorded: records.get(stream.id), unrecorded: keeper.unrecorded(now), single: keeper.single(now) !== undefined, keeps: true }))
             const decision = decideOrigin({ answers, complete: true, domains, unrecorded: taker.entry.unrecorded(now), identified: true })
             asked += 1
             if (decision.type !== 'known') continue
--- a/packages/fleet/src/entry/peers/stream-origins.ts
+++ b/packages/fleet/src/entry/peers/stream-origins.ts
@@ -6,7 +6,7 @@
  * the request's id. A record is sent in the turn in which the request is written to its server, so before the first event. An entry that
  * finds no record asks all that may have one; without an answer, the version is not known.
  */
-import { hashOf, rendezvousScore, type OriginDecision } from '@finchpitch/decisions'
+import { hashOf, rankKeepers, rendezvousScore, selectKeepers, type OriginDecision } from '@finchpitch/decisions'
 import { maxRequestIdLength, maxSoftwareVersionLength, maxStreamsPerFrame, type Channel, type StreamOriginReply, type StreamRecord } from '@finchpitch/wire'
 import type { Log } from '@finchpitch/core'
 import { nowMs } from '../../clock.js'
@@ -15,8 +15,6 @@
 import type { ReportTarget } from './attempt-reporter.js'
 import { OriginQuery } from './origin-query.js'
 
-/** Side processes of each failure domain that keep records. More would need more connections, as remote ones are opened on demand. */
-const keepersPerDomain = 8
 /** Side processes of each domain that are asked: entries may differ for a moment on which ones respond. */
 const askedPerDomain = 2
 /** Side processes answer within a few ms, or within 0.3 s if a connection has to be established first. */
@@ -126,8 +124,7 @@
 
   /** The responsive keepers of each domain, in the order in which they are chosen for the request. */
   #rankedByDomain (request: string): Map<string, ReportTarget[]> {
-    const requestHash = hashOf(request)
-    return new Map([...this.#keepers].map(([domain, keepers]) => [domain, ranked(keepers, requestHash)]))
+    return new Map([...this.#keepers].map(([domain, keepers]) => [domain, rankKeepers(keepers, request)]))
   }
 
   /** The responsive keepers of each domain. Choosing them looks at all side processes, which is too much for each stream. */
@@ -137,7 +134,7 @@
     this.#keepersChosenAt = now
     const targets = this.options.sideProcesses()
     const domains = new Set(targets.map(({ domain }) => domain))
-    const keepersOf = (domain: string): ReportTarget[] => ranked(targets.filter(target => target.domain === domain), 0).slice(0, keepersPerDomain)
+    const keepersOf = (domain: string): ReportTarget[] => selectKeepers(targets.filter(target => target.domain === domain))
     this.#chosenKeepers = new Map([...domains].map(domain => [domain, keepersOf(domain).filter(({ responsive }) => responsive)]))
     return this.#chosenKeepers
   }
@@ -161,8 +158,5 @@
   }
 }
 
-const ranked = (targets: readonly ReportTarget[], keyHash: number): ReportTarget[] =>
-  targets.map(target => ({ target, score: rendezvousScore(keyHash, hashOf(target.host)) })).sort((a, b) => a.score - b.score).map(({ target }) => target)
-
 /** Whether a record of the request's stream may be kept: not if its id is too long, or not stated by the caller that takes it up. */
 const isIdentified = (request: string): boolean => request !== '' && request.length <= maxRequestIdLength
--- a/packages/fleet/src/side/stream-registry.ts
+++ b/packages/fleet/src/side/stream-registry.ts
@@ -1,7 +1,8 @@
 /**
- * Keeps records of streams for the entries: at which software version each began, and whether one without a record began at the only
- * version that was listed then.
+ * Keeps records of streams for the entries: at which software version each began, whether one without a record began at the only
+ * version that was listed then, and whether this process would have its record.
  */
+import type { Keeper, KeeperHistory } from '@finchpitch/decisions'
 import type { Channel, FrameOf } from '@finchpitch/wire'
 import { nowMs } from '../clock.js'
 import type { SoftwareVersions } from '../software-versions.js'
@@ -10,7 +11,7 @@
 export class StreamRegistry {
   readonly #records = new StreamRecords()
 
-  constructor (private readonly versions: SoftwareVersions) {}
+  constructor (private readonly versions: SoftwareVersions, private readonly keepers: KeeperHistory, private readonly self: Keeper) {}
 
   /** Handles a frame with records or a question. Returns whether it was one. */
   handle (from: Channel, { streams, askStream, stamp }: FrameOf<'crashes'>): boolean {
@@ -21,10 +22,12 @@
     const now = nowMs()
     const recorded = this.#records.version(service, request)
     const unrecorded = history.unrecorded(now)
+    // Without a record, what matters is whether there would be one.
+    const kept = recorded !== undefined || unrecorded === undefined ? {} : { keeps: this.keepers.wouldKeep(this.self, request, now), domains: this.keepers.domains(now) }
     from.send({
       type: 'crashes_noted',
       stamp,
-      stream: { ...(recorded === undefined ? {} : { recorded }), ...(unrecorded === undefined ? {} : { unrecorded }), single: history.single(now) !== undefined }
+      stream: { ...(recorded === undefined ? {} : { recorded }), ...(unrecorded === undefined ? {} : { unrecorded }), single: history.single(now) !== undefined, ...kept }
     })
     return true
   }
--- a/packages/fleet/src/side/subscribers.ts
+++ b/packages/fleet/src/side/subscribers.ts
@@ -15,6 +15,7 @@
 import { UpdateRelay, type UpdateRelayOptions } from './update-relay.js'
 import { selectWatchers } from './watchers.js'
 import { SoftwareVersions } from '../software-versions.js'
+import { followKeepers } from '../stream-keepers.js'
 import { StreamRegistry } from './stream-registry.js'
 
 export interface SubscribersOptions extends Omit<UpdateRelayOptions, 'changed'> {
@@ -47,7 +48,7 @@
     this.#relay = new UpdateRelay({ ...options, changed: () => this.publish() })
     this.#freshness = new FreshnessRelay(options.facts, () => this.#storeReaderChannels())
     this.#softwareVersions = new SoftwareVersions(options.facts)
-    this.#streams = new StreamRegistry(this.#softwareVersions)
+    this.#streams = new StreamRegistry(this.#softwareVersions, followKeepers(options.facts), options)
     this.#attemptReports = new AttemptReportRelay(() => this.#currentRoles.subscribedEntries.map(subscriber => subscriber.channel))
   }
 
--- a/packages/fleet/test/stream-origins.test.ts
+++ b/packages/fleet/test/stream-origins.test.ts
@@ -1,5 +1,6 @@
 import { silentLog } from '@finchpitch/core'
-import { Facts, SoftwareVersions, StreamOrigins, StreamRegistry, streamWindowMs, type Fact, type ReportTarget } from '@finchpitch/fleet'
+import { KeeperHistory } from '@finchpitch/decisions'
+import { Facts, SoftwareVersions, StreamOrigins, StreamRegistry, nowMs, streamWindowMs, type Fact, type ReportTarget } from '@finchpitch/fleet'
 import { FakeTime } from '@finchpitch/stand-ins'
 import { maxRequestIdLength, type Channel, type FrameOf } from '@finchpitch/wire'
 import { expect } from 'chai'
@@ -21,6 +22,8 @@
   let revision: number
 
   let hosts: ReportTarget[]
+  /** The side processes that were listed, as side processes know them. */
+  let keepers: KeeperHistory
   const newHosts = (): ReportTarget[] => domains.flatMap(domain => Array.from({ length: keepersPerDomain }, (_, index) => ({ host: `${domain}${index}`, domain, responsive: true })))
 
   const list = (id: string, softwareVersion: string): void => {
@@ -48,6 +51,11 @@
     return entry
   }
 
+  const listHosts = (listed: ReportTarget[]): void => {
+    hosts = listed
+    keepers.list(hosts, nowMs())
+  }
+
   /** Confirms the list of servers every second, as a process in touch does. */
   const follow = async (ms: number): Promise<void> => {
     for (let passed = 0; passed < ms; passed += 1000) {
@@ -66,7 +74,9 @@
     frames = []
     silent = new Set()
     revision = 0
-    registries = new Map(hosts.map(({ host }) => [host, new StreamRegistry(new SoftwareVersions(facts))]))
+    keepers = new KeeperHistory({ windowMs: streamWindowMs })
+    listHosts(newHosts())
+    registries = new Map(hosts.map(({ host, domain }) => [host, new StreamRegistry(new SoftwareVersions(facts), keepers, { host, domain })]))
     origins = newEntry('a')
     list('one', 'v1')
     await follow(streamWindowMs + 1000)
@@ -128,6 +138,26 @@
       expect(await find(newEntry('b'), 'before')).to.equal(undefined)
     })
 
+    it('are not taken for missing by an entry that does not know all side processes yet', async () => {
+      for (let each = 0; each < 20; each++) origins.record(service, `r${each}`, 'v2')
+      await time.settle()
+      const all = hosts
+      for (const known of domains) {
+        hosts = all.filter(({ domain }) => domain === known)
+        for (let each = 0; each < 20; each++) expect(await find(newEntry(known), `r${each}`)).to.be.oneOf(['v2', undefined])
+      }
+    })
+
+    it('are not taken for missing when the side processes that kept them have left', async () => {
+      for (let each = 0; each < 20; each++) origins.record(service, `r${each}`, 'v2')
+      await time.settle()
+      const kept = hosts
+      for (const left of [['a0', 'b0', 'c0'], ['a1', 'b1', 'c1'], ['a0', 'b1', 'c0']]) {
+        listHosts(kept.filter(({ host }) => !left.includes(host)))
+        for (let each = 0; each < 20; each++) expect(await find(newEntry('b'), `r${each}`)).to.be.oneOf(['v2', undefined])
+      }
+    })
+
     it('are not taken for missing by an entry that is not told which stream it is, or has recorded none for its long id', async () => {
       const long = 'x'.repeat(maxRequestIdLength + 1)
       origins.record(service, long, 'v2')
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -224,7 +224,7 @@
 export type StreamRecord = z.infer<typeof StreamRecord>
 
 /** What a side process knows of the software version at which a stream began; see `decideOrigin`. */
-export const StreamOriginReply = z.object({ recorded: SoftwareVersion.optional(), unrecorded: SoftwareVersion.optional(), single: z.boolean().optional() })
+export const StreamOriginReply = z.object({ recorded: SoftwareVersion.optional(), unrecorded: SoftwareVersion.optional(), single: z.boolean().optional(), keeps: z.boolean().optional(), domains: z.number().int().nonnegative().optional() })
 export type StreamOriginReply = z.infer<typeof StreamOriginReply>
 
 /** Tells an entry whether it is one of those that watch the store for its failure domain. */
