A stream's record of an earlier attempt does not decide where it goes on

A stream could go on at a version that had only refused its request, at an entry without a record of its own.

Cause: a request is recorded before each attempt. If the first choice among the keepers did not seem responsive at the second attempt, the record of that went to another one, and the first kept the one of the attempt that was refused. Whoever answered first decided.

Evidence: a new test of records, in which the keepers of the first attempt don't respond at the second one, fails without the change (`v2` where the stream runs at `v1`). It was not seen with real processes.

The first choice of a domain now gets each record, and a record decides once two domains have it, or once nobody else can answer. Records that differ decide nothing, as before.

The test that asked that one record decides at once, whoever else has none, now asks that it decides once all have answered, and that two equal ones decide at once: a single one may be of an earlier attempt.

--- a/packages/decisions/src/stream-origin.ts
+++ b/packages/decisions/src/stream-origin.ts
@@ -2,7 +2,8 @@
  * The software version at which a stream that its caller takes up may go on, from what the processes say that keep records of streams.
  *
  * Load: callers that come back after an entry, a server or a connection was lost, to any entry. Each record is kept in two failure
- * domains, if there are as many, so that it is found without any one domain. Without a record, the stream began while a single version
+ * domains, if there are as many, so that it is found without any one domain. One copy alone may be that of an earlier attempt, where the
+ * record of the last one was lost, so it is believed only once nobody else can contradict it. Without a record, the stream began while a single version
  * was listed; that is believed only if enough domains agree: all but one, or all where several versions were listed lately. In the second
  * case, each of them has to answer by a process that would have the record, as keepers of records may have left. Of a stream that can't
  * be identified, the version is known only if there was a single one.
@@ -44,11 +45,15 @@
 export const decideOrigin = ({ answers, complete, domains, unrecorded, identified }: OriginQuestion): OriginDecision => {
   const recorded = new Set(answers.map(answer => answer.recorded).filter(version => version !== undefined))
   const [version] = recorded
-  if (version !== undefined) return recorded.size === 1 ? { type: 'known', version } : { type: 'unknown' }
-  const said = new Set([...answers.map(answer => answer.unrecorded), ...(unrecorded === undefined ? [] : [unrecorded])])
-  const [sole] = said
   // A process that has just started may not know all domains.
   const knownDomains = Math.max(domains, ...answers.map(answer => answer.domains ?? 0))
+  if (version !== undefined) {
+    if (recorded.size > 1) return { type: 'unknown' }
+    const copies = new Set(answers.filter(answer => answer.recorded !== undefined).map(({ domain }) => domain)).size
+    return complete || copies >= Math.min(recordCopies, knownDomains) ? { type: 'known', version } : { type: 'pending' }
+  }
+  const said = new Set([...answers.map(answer => answer.unrecorded), ...(unrecorded === undefined ? [] : [unrecorded])])
+  const [sole] = said
   const heard = new Set(answers.map(({ domain }) => domain)).size
   const heardKeepers = new Set(answers.filter(({ keeps }) => keeps === true).map(({ domain }) => domain)).size
   if (said.size === 1 && sole !== undefined) {
--- a/packages/decisions/test/stream-origin.test.ts
+++ b/packages/decisions/test/stream-origin.test.ts
@@ -6,9 +6,15 @@
 const negative = (domain: string, unrecorded?: string, single = true, keeps = true): OriginAnswer => ({ domain, unrecorded, single, keeps })
 
 describe('the version at which a stream goes on', () => {
-  it('is the recorded one, whoever else has no record', () => {
-    const answers = [negative('a', 'v2'), { domain: 'b', recorded: 'v1' }]
-    expect(decideOrigin({ answers, complete: false, domains: 3, unrecorded: 'v2', identified: true })).to.deep.equal({ type: 'known', version: 'v1' })
+  it('is the recorded one, whoever else has no record, once two domains say so or nobody else answers', () => {
+    const question = { answers: [negative('a', 'v2'), { domain: 'b', recorded: 'v1' }], domains: 3, unrecorded: 'v2', identified: true }
+    expect(decideOrigin({ ...question, complete: false })).to.deep.equal({ type: 'pending' })
+    expect(decideOrigin({ ...question, complete: true })).to.deep.equal({ type: 'known', version: 'v1' })
+    expect(decideOrigin({ ...question, complete: false, answers: [...question.answers, { domain: 'c', recorded: 'v1' }] })).to.deep.equal({ type: 'known', version: 'v1' })
+  })
+
+  it('is the recorded one at once if there is a single domain', () => {
+    expect(decideOrigin({ answers: [{ domain: 'a', recorded: 'v1' }], complete: false, domains: 1, unrecorded: undefined, identified: true })).to.deep.equal({ type: 'known', version: 'v1' })
   })
 
   it('is not known if records differ', () => {
--- a/packages/fleet/src/entry/peers/stream-origins.ts
+++ b/packages/fleet/src/entry/peers/stream-origins.ts
@@ -95,7 +95,7 @@
     const stamp = this.#stamp
     const askedAt = nowMs()
     const query = new OriginQuery({
-      targets: [...byDomain.values()].flatMap(hosts => hosts.slice(0, askedPerDomain)),
+      targets: [...byDomain.values()].flatMap(hosts => hosts.filter(isResponsive).slice(0, askedPerDomain)),
       domains: byDomain.size,
       unrecorded,
       identified: isIdentified(request),
@@ -109,25 +109,28 @@
     return decision
   }
 
-  /** One side process of this failure domain and one of another, or two of this one if there is no other. */
-  #keepersOf (request: string): ReportTarget[] {
+  /**
+   * One side process of this failure domain and one of another, or two of this one if there is no other. The first choice of a domain
+   * gets the record also while it does not respond, as it may have that of an earlier attempt.
+   */
+  #keepersOf (request: string): Set<ReportTarget> {
     const byDomain = this.#rankedByDomain(request)
     const own = byDomain.get(this.options.domain) ?? []
     const others = [...byDomain].filter(([domain]) => domain !== this.options.domain)
     const requestHash = hashOf(request)
     others.sort(([a], [b]) => rendezvousScore(requestHash, hashOf(a)) - rendezvousScore(requestHash, hashOf(b)))
-    const [first, second] = others.map(([, hosts]) => hosts[0]).filter(each => each !== undefined)
-    const near = own[0] ?? second
-    const far = first ?? own[1]
-    return [near, far].filter(each => each !== undefined)
+    const [first, second] = others.map(([, hosts]) => hosts).filter(hosts => hosts.some(isResponsive))
+    const near = own.find(isResponsive) ?? second?.find(isResponsive)
+    const far = first?.find(isResponsive) ?? own.filter(isResponsive)[1]
+    return new Set([own[0], near, first?.[0], far].filter(each => each !== undefined))
   }
 
-  /** The responsive keepers of each domain, in the order in which they are chosen for the request. */
+  /** The keepers of each domain, in the order in which they are chosen for the request. */
   #rankedByDomain (request: string): Map<string, ReportTarget[]> {
     return new Map([...this.#keepers].map(([domain, keepers]) => [domain, rankKeepers(keepers, request)]))
   }
 
-  /** The responsive keepers of each domain. Choosing them looks at all side processes, which is too much for each stream. */
+  /** The keepers of each domain. Choosing them looks at all side processes, which is too much for each stream. */
   get #keepers (): ReadonlyMap<string, readonly ReportTarget[]> {
     const now = nowMs()
     if (now - this.#keepersChosenAt < keepersMs) return this.#chosenKeepers
@@ -135,7 +138,7 @@
     const targets = this.options.sideProcesses()
     const domains = new Set(targets.map(({ domain }) => domain))
     const keepersOf = (domain: string): ReportTarget[] => selectKeepers(targets.filter(target => target.domain === domain))
-    this.#chosenKeepers = new Map([...domains].map(domain => [domain, keepersOf(domain).filter(({ responsive }) => responsive)]))
+    this.#chosenKeepers = new Map([...domains].map(domain => [domain, keepersOf(domain)]))
     return this.#chosenKeepers
   }
 
@@ -158,5 +161,7 @@
   }
 }
 
+const isResponsive = ({ responsive }: ReportTarget): boolean => responsive
+
 /** Whether a record of the request's stream may be kept: not if its id is too long, or not stated by the caller that takes it up. */
 const isIdentified = (request: string): boolean => request !== '' && request.length <= maxRequestIdLength
--- a/packages/fleet/test/stream-origins.test.ts
+++ b/packages/fleet/test/stream-origins.test.ts
@@ -138,6 +138,22 @@
       expect(await find(newEntry('b'), 'before')).to.equal(undefined)
     })
 
+    it('are never those of an earlier attempt, whoever keeps the later one', async () => {
+      for (let each = 0; each < 20; each++) {
+        const request = `r${each}`
+        origins.record(service, request, 'v2')
+        await time.settle()
+        const keepers = new Set(frames.filter(({ frame }) => frame.streams?.some(([, id]) => id === request)).map(({ host }) => host))
+        hosts = hosts.map(target => ({ ...target, responsive: !keepers.has(target.host) }))
+        await time.advance(250)
+        origins.record(service, request, 'v1')
+        await time.settle()
+        hosts = newHosts()
+        await time.advance(250)
+        expect(await find(newEntry('b'), request)).to.be.oneOf(['v1', undefined])
+      }
+    })
+
     it('are not taken for missing by an entry that does not know all side processes yet', async () => {
       for (let each = 0; each < 20; each++) origins.record(service, `r${each}`, 'v2')
       await time.settle()
