Dropped records of streams are not taken for missing ones

Cause: a side process keeps 50,000 to 100,000 records and drops the oldest beyond that. A stream whose record it had dropped counted as one that was never recorded, and could go on at the version that was alone before.

Evidence: a new test with 100,000 further records fails without the change (`v1` where nothing is known). Not seen with real processes.

A side process that had to drop records which had not expired no longer claims, for a window, that it would have a record.

--- a/packages/fleet/src/side/stream-registry.ts
+++ b/packages/fleet/src/side/stream-registry.ts
@@ -23,7 +23,7 @@
     const recorded = this.#records.version(service, request)
     const unrecorded = history.unrecorded(now)
     // Without a record, what matters is whether there would be one.
-    const kept = recorded !== undefined || unrecorded === undefined ? {} : { keeps: this.keepers.wouldKeep(this.self, request, now), domains: this.keepers.domains(now) }
+    const kept = recorded !== undefined || unrecorded === undefined ? {} : { keeps: this.#records.isComplete && this.keepers.wouldKeep(this.self, request, now), domains: this.keepers.domains(now) }
     from.send({
       type: 'crashes_noted',
       stamp,
--- a/packages/fleet/src/stream-records.ts
+++ b/packages/fleet/src/stream-records.ts
@@ -1,5 +1,6 @@
 /**
- * The software versions at which streams began, for a while after that. The oldest are dropped where there are too many.
+ * The software versions at which streams began, for a while after that. The oldest are dropped where there are too many; until they would
+ * have expired, a missing record shows nothing.
  */
 import { nowMs } from './clock.js'
 import { streamWindowMs } from './software-versions.js'
@@ -14,6 +15,13 @@
   #recent = new Map<string, string>()
   #older = new Map<string, string>()
   #startedAt = nowMs()
+  /** When records that had not expired were last dropped. */
+  #droppedAt = -Infinity
+
+  /** Whether all records of the last window are kept. */
+  get isComplete (): boolean {
+    return nowMs() - this.#droppedAt > streamWindowMs
+  }
 
   add (service: string, request: string, version: string): void {
     this.#expire()
@@ -30,6 +38,7 @@
     const now = nowMs()
     const ageMs = now - this.#startedAt
     if (ageMs < streamWindowMs && this.#recent.size < maxRecords) return
+    if (ageMs < streamWindowMs && this.#older.size > 0) this.#droppedAt = now
     this.#older = ageMs < 2 * streamWindowMs ? this.#recent : new Map()
     this.#recent = new Map()
     this.#startedAt = now
--- a/packages/fleet/test/stream-origins.test.ts
+++ b/packages/fleet/test/stream-origins.test.ts
@@ -2,7 +2,7 @@
 import { KeeperHistory } from '@finchpitch/decisions'
 import { Facts, SoftwareVersions, StreamOrigins, StreamRegistry, nowMs, streamWindowMs, type Fact, type ReportTarget } from '@finchpitch/fleet'
 import { FakeTime } from '@finchpitch/stand-ins'
-import { maxRequestIdLength, type Channel, type FrameOf } from '@finchpitch/wire'
+import { maxRequestIdLength, type Channel, type FrameOf, type StreamRecord } from '@finchpitch/wire'
 import { expect } from 'chai'
 
 const service = 'engines'
@@ -182,5 +182,15 @@
       expect(await find(newEntry('b'), long)).to.equal(undefined)
       expect(await find(newEntry('b'), '')).to.equal(undefined)
     })
+
+    it('are not taken for missing when there were too many', async () => {
+      origins.record(service, 'r', 'v2')
+      await time.settle()
+      const further = Array.from({ length: 100_000 }, (_, index): StreamRecord => [service, `r${index}`, 'v2'])
+      for (const registry of registries.values()) registry.handle({ send: () => true } as unknown as Channel, { type: 'crashes', stamp: 0, crashes: [], sound: [], streams: further })
+      expect(await find(newEntry('b'), 'r')).to.equal(undefined)
+      await follow(streamWindowMs / 2)
+      expect(await find(newEntry('b'), 'r')).to.equal(undefined)
+    })
   })
 })
