Tests of streams that are taken up after all entries were killed

Real processes with servers of two versions of which one refuses at first, and with one version that has just left.

--- a/packages/fleet/test/resumed-streams.test.ts
+++ b/packages/fleet/test/resumed-streams.test.ts
@@ -147,6 +147,57 @@
     expectSound(streams)
   })
 
+  describe('when all entries were killed at once', () => {
+    const killAll = async (): Promise<void> => {
+      await Promise.all(fleet.entries.map(async machine => await fleet.kill(machine)))
+      await Promise.all(fleet.entries.map(async machine => await fleet.startProcess(machine)))
+    }
+
+    /** Takes a stream up again and again, as callers do that are refused. */
+    const takeUpAgain = async (first: Part & { id: string, adapter: string }, index: number): Promise<Part> => {
+      let part: Part = { status: 0, retryAfterMs: 0, events: [] }
+      for (let tries = 0; tries < 6 && part.events.length === 0; tries++) {
+        await pause(300)
+        part = await send((index + tries) % fleet.entries.length, { after: first.events.at(-1)?.id ?? 0, resumes: first.id, adapter: first.adapter })
+      }
+      return part
+    }
+
+    /** Begins streams, kills all entries, and takes the streams up. Servers of `refusing` refuse half of the time, so that many streams are attempted at both versions. */
+    const runOnce = async (refusing: string, beforeKill: () => void = () => {}): Promise<Stream[]> => {
+      const refusers = fleet.engines.filter(engine => engine.softwareVersion === refusing)
+      const firsts: Array<ReturnType<typeof send>> = []
+      for (let each = 0; each < 48; each++) {
+        for (const engine of refusers) engine.fault = each % 8 < 4 ? 'shedding' : 'none'
+        firsts.push(send(each % 4, { leaveAfter: 3 }))
+        await pause(8)
+      }
+      for (const engine of refusers) engine.fault = 'none'
+      const began = await Promise.all(firsts)
+      beforeKill()
+      await killAll()
+      return await Promise.all(began.filter(({ events }) => events.length > 0).map(async (first, index) => ({ parts: [first, await takeUpAgain(first, index)] })))
+    }
+
+    for (const refusing of ['v1', 'v2']) {
+      it(`go on at the version that began them (servers of ${refusing} refuse at first)`, async () => {
+        await start(true)
+        const streams = await runOnce(refusing)
+        expect(new Set(streams.flatMap(versionsIn)).size).to.equal(2)
+        expectSound(streams)
+      })
+
+      it(`are refused if the version that began them has just left, and go on otherwise (servers of ${refusing} refuse at first)`, async () => {
+        await start(true)
+        const streams = await runOnce(refusing, () => { for (const engine of fleet.engines) if (engine.softwareVersion === 'v1') fleet.relist(engine, 'draining') })
+        expect(joined(streams)).to.deep.equal([])
+        const staying = streams.filter(({ parts }) => parts[0]?.events[0]?.version === 'v2')
+        expect(staying.length).to.be.at.least(4)
+        expect(goingOnShare(staying)).to.be.at.least(minGoingOnShare)
+      })
+    }
+  })
+
   it('go on at the version that began them when the second one appears meanwhile', async () => {
     await start(false)
     const [, second] = fleet.engines
