--- a/packages/fleet/test/resumed-streams.test.ts
+++ b/packages/fleet/test/resumed-streams.test.ts
@@ -4,6 +4,7 @@
  */
 import { request, type IncomingMessage } from 'node:http'
 import { pause } from '@finchpitch/core'
+import { streamWindowMs } from '@finchpitch/fleet'
 import { BackendStandIn, FleetSystem, eventually, type Machine } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
 
@@ -32,8 +33,8 @@
     for (const adapter of adapters) engine.adapters.set(adapter, 1)
   }
 
-  const start = async (secondVersion: boolean): Promise<void> => {
-    fleet = new FleetSystem({ network: 64, domains: 2, entriesPerDomain: 2, enginesPerDomain: 2, plainServersPerDomain: 0, adapterSlots: adapters.length, loadMs: 40, workMs: 10, events, eventMs })
+  const start = async (secondVersion: boolean, enginesPerDomain = 2): Promise<void> => {
+    fleet = new FleetSystem({ network: 64, domains: 2, entriesPerDomain: 2, enginesPerDomain, plainServersPerDomain: 0, adapterSlots: adapters.length, loadMs: 40, workMs: 10, events, eventMs })
     await fleet.start()
     for (const engine of fleet.engines) hold(engine)
     if (secondVersion) fleet.engines.forEach((engine, index) => { if (index % 2 === 1) setVersion(engine, 'v2') })
@@ -49,6 +50,15 @@
     fleet.relist(engine)
   }
 
+  const replace = async (engine: BackendStandIn, version: string): Promise<void> => {
+    const { id } = engine
+    engine.softwareVersion = version
+    engine.onCrash()
+    await eventually('the engine is back', () => engine.id !== id)
+    hold(engine)
+    await pause(1200)
+  }
+
   afterEach(async function () {
     if (this.currentTest?.state === 'failed') console.log(`logs kept: ${await fleet.saveLogLines(this.currentTest.title)}`)
     await fleet.stop()
@@ -179,6 +189,22 @@
       return await Promise.all(began.filter(({ events }) => events.length > 0).map(async (first, index) => ({ parts: [first, await takeUpAgain(first, index)] })))
     }
 
+    it('do not go on at the version before if the side processes that kept their records have left', async function () {
+      this.timeout(120_000)
+      await start(false, 4)
+      // By then all processes know that there was one version before the second one appears.
+      await pause(streamWindowMs)
+      const [first = [], second = [], ...others] = [0, 1, 2, 3].map(index => fleet.engines.filter((_, engine) => engine % 4 === index))
+      for (const engine of first) await replace(engine, 'v2')
+      const began = await Promise.all(Array.from({ length: 64 }, async (_, index) => await send(index % 4, { leaveAfter: 3 })))
+      for (const engine of [...second, ...others[0] ?? []]) fleet.store.remove('servers', engine.id)
+      await killAll()
+      await pause(settleMs)
+      const streams = await Promise.all(began.filter(({ events }) => events[0]?.version === 'v2').map(async (part, index) => ({ parts: [part, await takeUpAgain(part, index)] })))
+      expect(streams.length).to.be.at.least(8)
+      expect(joined(streams)).to.deep.equal([])
+    })
+
     for (const refusing of ['v1', 'v2']) {
       it(`go on at the version that began them (servers of ${refusing} refuse at first)`, async () => {
         await start(true)
@@ -202,16 +228,8 @@
     await start(false)
     const [, second] = fleet.engines
     let appeared: Promise<void> | undefined
-    const replace = async (engine: BackendStandIn | undefined, version: string): Promise<void> => {
-      if (engine === undefined) throw new Error('there are two engines')
-      const { id } = engine
-      engine.softwareVersion = version
-      engine.onCrash()
-      await eventually('the engine is back', () => engine.id !== id)
-      hold(engine)
-      await pause(1200)
-    }
     const streams = await each(24, async index => await takeUp(index % 4, (index + 1) % 4, async () => {
+      if (second === undefined) throw new Error('there are two engines')
       appeared ??= replace(second, 'v2')
       await appeared
     }))
