Late copies of an engine's responses don't reach other generations

In the product's own interface a caller could get the text of another caller's request, or be told that its request had not run although it did.

Cause: responses of an engine were matched by their order on the connection only. A second copy of a response that comes late was taken for the response to whatever was sent next on that connection.

A response that names another request is now an unknown outcome, and its connection is closed. A request whose id was sent before goes out on a connection of its own. Engines that don't echo `X-Request-Id` can't be checked that way; the stand-in engine echoes it now. Responses of plain services carry no id and are not covered.

--- a/packages/backend/src/http-engine.ts
+++ b/packages/backend/src/http-engine.ts
@@ -4,11 +4,15 @@
  * Responses are streamed as server-sent events. The engine numbers them (`id`), so a stream whose connection was lost is
  * resumed after the last complete event (`Last-Event-ID`), provided that the engine hasn't restarted. A stream is
  * complete only once `[DONE]` has been received.
+ *
+ * A faulty engine may send a second copy of a response, which arrives where the next response on the connection is due. An engine that
+ * echoes `X-Request-Id` lets the client tell it from the response to another request; an id that was sent before gets a connection of
+ * its own.
  */
 import { ResponseError, outcomeUnknown } from '@finchpitch/core'
 import { createParser, type EventSourceMessage } from 'eventsource-parser'
 import { err, ok, type Result } from 'neverthrow'
-import { Pool, type Dispatcher } from 'undici'
+import { Client, Pool, type Dispatcher } from 'undici'
 import * as z from 'zod'
 import { CacheEvent } from './cache-event.js'
 import type { Engine, EngineOrder, EngineReport, EngineResponse, GenerationRequest } from './engine.js'
@@ -19,7 +23,10 @@
 const connectTimeoutMs = 1000
 const reportTimeoutMs = 1000
 const maxResumes = 3
+/** Ids of the last generations that are remembered. A late copy arrives where one of the next responses is due. */
+const maxRememberedIds = 1000
 const endOfStream = '[DONE]'
+const clientOptions = { connectTimeout: connectTimeoutMs, headersTimeout: 0, bodyTimeout: 0 }
 
 const Report = z.object({
   boot: z.string(),
@@ -49,9 +56,10 @@
 
 export class HttpEngine implements Engine {
   readonly #pool: Pool
+  readonly #sentIds = new Set<string>()
 
-  constructor (origin: string) {
-    this.#pool = new Pool(origin, { connections: maxConnections, connectTimeout: connectTimeoutMs, headersTimeout: 0, bodyTimeout: 0 })
+  constructor (private readonly origin: string) {
+    this.#pool = new Pool(origin, { ...clientOptions, connections: maxConnections })
   }
 
   async report (): Promise<Result<EngineReport, BackendError>> {
@@ -112,7 +120,7 @@
     await this.#pool.destroy()
   }
 
-  #post (request: GenerationRequest, lastEventId?: string): Promise<Dispatcher.ResponseData> {
+  async #post (request: GenerationRequest, lastEventId?: string): Promise<Dispatcher.ResponseData> {
     const { call, id, fence, signal } = request
     const headers = {
       'content-type': 'application/json',
@@ -120,7 +128,27 @@
       'x-fence': String(fence),
       ...(lastEventId === undefined ? {} : { 'last-event-id': lastEventId })
     }
-    return this.#pool.request({ method: 'POST', path: call.path, headers, body: requestBody(request), signal })
+    const reply = await this.#send(id, { method: 'POST', path: call.path, headers, body: requestBody(request), signal })
+    const echoed = reply.headers['x-request-id']
+    if (echoed === undefined || echoed === id) return reply
+    reply.body.on('error', () => {}).destroy()
+    throw new Error(`a response to another request (${String(echoed)})`)
+  }
+
+  /** Sends a request with an id that was sent before over a connection of its own. */
+  async #send (id: string, options: Dispatcher.RequestOptions): Promise<Dispatcher.ResponseData> {
+    const isRepeated = this.#sentIds.has(id)
+    this.#sentIds.add(id)
+    const [oldest] = this.#sentIds
+    if (this.#sentIds.size > maxRememberedIds && oldest !== undefined) this.#sentIds.delete(oldest)
+    if (!isRepeated) return await this.#pool.request(options)
+    const client = new Client(this.origin, clientOptions)
+    try {
+      return await client.request(options)
+    } finally {
+      // Closes it once the response has been read.
+      void client.close()
+    }
   }
 
   /** Yields complete events. When a connection is lost, resumes the stream on another one, up to `maxResumes` times. */
--- a/packages/stand-ins/src/engine-server.ts
+++ b/packages/stand-ins/src/engine-server.ts
@@ -92,7 +92,7 @@
     const answer = await this.engine.generate({ id, label: model, call, priority: 0, salt: salt ?? '', fence: fenceOf(request), signal: disconnected.signal })
     if (answer.isErr()) return this.#sendError(response, answer.error)
     const { status, headers, boot } = answer.value
-    response.writeHead(status, { ...headers, 'x-engine-boot': boot })
+    response.writeHead(status, { ...headers, 'x-engine-boot': boot, 'x-request-id': id })
     response.flushHeaders()
     if (headers['content-type'] === 'text/event-stream') return await this.#send(this.#record(id, answer.value), 0, response)
     response.once('close', () => disconnected.abort())
