A response of a plain service without a length ends with its service

In the product's own interface a response that has neither length nor chunks counted as complete where its service was killed, since its connection is then closed in order.

As at the entries of the platform, such a response is complete only if the service still accepts connections; otherwise its caller sees it cut off. A reset of such a connection remains undetected, as `undici` takes it for the end.

--- a/packages/backend/src/service.ts
+++ b/packages/backend/src/service.ts
@@ -1,13 +1,18 @@
 /**
  * Client through which a side process uses an HTTP service that is not a model engine.
+ *
+ * A response without a length or chunks ends with its connection, which the operating system closes in order also where the service is
+ * killed. It is complete only if the service still accepts connections then.
  */
-import { ResponseError, outcomeUnknown, type HttpResponse, type HttpRequest, type Headers } from '@finchpitch/core'
+import { connect } from 'node:net'
+import { ResponseError, outcomeUnknown, splitAddress, type HttpResponse, type HttpRequest, type Headers } from '@finchpitch/core'
 import { err, ok, type Result } from 'neverthrow'
-import { Pool } from 'undici'
+import { Pool, type Dispatcher } from 'undici'
 import { toBackendError, type BackendError } from './backend-error.js'
 
 const maxConnections = 64
 const connectTimeoutMs = 1000
+const defaultPorts: Record<string, number> = { 'http:': 80, 'https:': 443 }
 
 export interface ServiceCall {
   call: HttpRequest
@@ -38,10 +43,34 @@
   }
 }
 
+const bodylessStatuses = new Set([204, 304])
+
+/** Whether the body of a response ends with its connection. */
+const endsWithConnection = (method: string, { statusCode, headers }: Dispatcher.ResponseData): boolean =>
+  method !== 'HEAD' && !bodylessStatuses.has(statusCode) && headers['content-length'] === undefined && headers['transfer-encoding'] === undefined
+
+/** Resolves to whether the address refuses connections. One that neither accepts nor refuses may be cut off, and has not ended. */
+const refusesConnections = (address: string): Promise<boolean> => new Promise(resolve => {
+  const socket = connect(splitAddress(address))
+  const finish = (refused: boolean): void => {
+    socket.destroy()
+    resolve(refused)
+  }
+  socket.setTimeout(connectTimeoutMs, () => finish(false))
+  socket.once('connect', () => finish(false))
+  socket.on('error', (error: NodeJS.ErrnoException) => finish(error.code === 'ECONNREFUSED'))
+})
+
+/** Passes a body through that ends with its connection. Throws at its end if the service has ended too. */
+async function * confirmEnd (body: AsyncIterable<Uint8Array>, address: string): AsyncGenerator<Uint8Array> {
+  yield * body
+  if (await refusesConnections(address)) throw new Error('the service ended with a response without a length')
+}
+
 export class HttpService implements PlainService {
   readonly #pool: Pool
 
-  constructor (origin: string) {
+  constructor (private readonly origin: string) {
     this.#pool = new Pool(origin, { connections: maxConnections, connectTimeout: connectTimeoutMs, headersTimeout: 0, bodyTimeout: 0 })
   }
 
@@ -50,7 +79,8 @@
       const headers = { ...endToEndHeaders(call.headers), 'finchpitch-fence': String(fence) }
       const body = call.body.length === 0 ? null : call.body
       const reply = await this.#pool.request({ method: call.method as 'GET', path: call.path, headers, body, signal })
-      return ok({ status: reply.statusCode, headers: endToEndHeaders(reply.headers), body: reportTruncation(reply.body) })
+      const responseBody = endsWithConnection(call.method, reply) ? confirmEnd(reply.body, this.#address) : reply.body
+      return ok({ status: reply.statusCode, headers: endToEndHeaders(reply.headers), body: reportTruncation(responseBody) })
     } catch (error) {
       return err(toBackendError(error))
     }
@@ -59,4 +89,10 @@
   async close (): Promise<void> {
     await this.#pool.destroy()
   }
+
+  /** `host:port`. */
+  get #address (): string {
+    const { hostname, port, protocol } = new URL(this.origin)
+    return `${hostname}:${port === '' ? defaultPorts[protocol] ?? 80 : port}`
+  }
 }
