--- a/packages/backend/src/service.ts
+++ b/packages/backend/src/service.ts
@@ -4,8 +4,7 @@
  * A response without a length or chunks ends with its connection, which the operating system closes in order also where the service is
  * killed. It is complete only if the service still accepts connections then.
  */
-import { connect } from 'node:net'
-import { ResponseError, outcomeUnknown, splitAddress, type HttpResponse, type HttpRequest, type Headers } from '@finchpitch/core'
+import { ResponseError, outcomeUnknown, refusesConnections, type HttpResponse, type HttpRequest, type Headers } from '@finchpitch/core'
 import { err, ok, type Result } from 'neverthrow'
 import { Pool, type Dispatcher } from 'undici'
 import { toBackendError, type BackendError } from './backend-error.js'
@@ -49,18 +48,6 @@
 const endsWithConnection = (method: string, { statusCode, headers }: Dispatcher.ResponseData): boolean =>
   method !== 'HEAD' && !bodylessStatuses.has(statusCode) && headers['content-length'] === undefined && headers['transfer-encoding'] === undefined
 
-/** Resolves to whether the address refuses connections. One that neither accepts nor refuses may be cut off, and has not ended. */
-const refusesConnections = (address: string): Promise<boolean> => new Promise(resolve => {
-  const socket = connect(splitAddress(address))
-  const finish = (refused: boolean): void => {
-    socket.destroy()
-    resolve(refused)
-  }
-  socket.setTimeout(connectTimeoutMs, () => finish(false))
-  socket.once('connect', () => finish(false))
-  socket.on('error', (error: NodeJS.ErrnoException) => finish(error.code === 'ECONNREFUSED'))
-})
-
 /** Passes a body through that ends with its connection. Throws at its end if the service has ended too. */
 async function * confirmEnd (body: AsyncIterable<Uint8Array>, address: string): AsyncGenerator<Uint8Array> {
   yield * body
