--- a/packages/fleet/src/entry/peers/origin-query.ts
+++ b/packages/fleet/src/entry/peers/origin-query.ts
@@ -31,9 +31,9 @@
     this.#unanswered = new Map(options.targets.map(({ host, domain }) => [host, domain]))
   }
 
-  /** Side processes that have answered, and that have not. */
-  get counts (): { answers: number, missing: number } {
-    return { answers: this.#answers.length, missing: this.#unanswered.size }
+  /** Side processes that have answered, of these those that would have a record, and side processes that have not. */
+  get counts (): { answers: number, keepers: number, missing: number } {
+    return { answers: this.#answers.length, keepers: this.#answers.filter(({ keeps }) => keeps === true).length, missing: this.#unanswered.size }
   }
 
   async run (): Promise<OriginDecision> {
