--- a/packages/decisions/src/stream-origin.ts
+++ b/packages/decisions/src/stream-origin.ts
@@ -3,10 +3,10 @@
  *
  * Load: callers that come back after an entry, a server or a connection was lost, to any entry. Each record is kept in two failure
  * domains, if there are as many, so that it is found without any one domain. One copy alone may be that of an earlier attempt, where the
- * record of the last one was lost, so it is believed only once nobody else can contradict it. Without a record, the stream began while a single version
- * was listed; that is believed only if enough domains agree: all but one, or all where several versions were listed lately. In the second
- * case, each of them has to answer by a process that would have the record, as keepers of records may have left. Of a stream that can't
- * be identified, the version is known only if there was a single one.
+ * record of the last one was lost, so it is believed only once nobody else can contradict it. Without a record, the stream began while
+ * a single version was listed; that is believed only if enough domains agree: all but one, or all where several versions were listed
+ * lately. In the second case, each of them has to answer by a process that would have the record, as keepers of records may have left.
+ * Of a stream that can't be identified, the version is known only if there was a single one.
  */
 
 /** What a process that keeps records says of one stream. */
--- a/packages/fleet/src/entry/servers/server-agent.ts
+++ b/packages/fleet/src/entry/servers/server-agent.ts
@@ -6,8 +6,8 @@
  * states. Bytes that arrive on an idle connection belong to no request, so they close it.
  *
  * A faulty server may send a second copy of a response, which arrives where the next response on the connection is due. The request id
- * tells it from the response to another request, but not from the response to a later attempt of the same one. No connection therefore
- * carries a request id twice.
+ * tells it from the response to another request, but not from the response to a later attempt of the same one. A connection therefore
+ * does not carry an id that it has carried lately, whether in an attempt of the same request or in a request of another caller.
  */
 import { Agent, type AgentOptions, type ClientRequest, type IncomingMessage, type RequestOptions } from 'node:http'
 import type { Socket } from 'node:net'
