Buffered bodies without a length stay without one

Callers got a length for bodies that were short, so that they looked whole beyond doubt.

Where the server sent none, the body ends with the connection, and a server that loses an answer may close that in order and go on. The entry can't tell such a body from a whole one and has to pass on the doubt.

A buffered body gets a length only if the server delimited it. Streams are still sent in chunks.

--- a/packages/fleet/src/entry/serving/caller-response.ts
+++ b/packages/fleet/src/entry/serving/caller-response.ts
@@ -2,8 +2,9 @@
  * Writes the response of one request to its caller: once, buffered or as a stream, and so that a truncated response
  * can never be taken for a complete one.
  *
- * Every body has a length or is sent in chunks, however the server delimited it. A body that ends with the connection would also look
- * complete where this process is killed, since the operating system then closes its connections in order.
+ * Streams are sent in chunks, however the server delimited them. One that ends with the connection would also look complete where this
+ * process is killed, since the operating system then closes its connections in order. A buffered body is written at once. Without a
+ * length from the server, it may be truncated, so it is not given one here.
  */
 import type { ServerResponse } from 'node:http'
 import { isFull } from './stall-monitor.js'
@@ -76,8 +77,10 @@
   /** Sends a buffered response of a server. `bodyless`: it answers a HEAD request, or its status allows no body. */
   whole (status: number, raw: RawHeaders, body: Buffer, bodyless: boolean): void {
     const headers = forwardedHeaders(raw, bodyless ? noOptions : contentLengthOnly)
-    if (!bodyless) headers.push('Content-Length', String(body.length))
-    this.#writeHead(status, headers)
+    if (bodyless || isFramed(raw)) {
+      if (!bodyless) headers.push('Content-Length', String(body.length))
+      this.#writeHead(status, headers)
+    } else this.#writeUndelimitedHead(status, headers)
     this.response.end(bodyless ? undefined : body)
     if (isFull(this.response)) this.onFull()
   }
@@ -122,6 +125,14 @@
     this.response.destroy()
   }
 
+  /** The body ends with the connection. */
+  #writeUndelimitedHead (status: number, headers: string[]): void {
+    this.response.useChunkedEncodingByDefault = false
+    this.response.shouldKeepAlive = false
+    this.#started = true
+    this.response.writeHead(status, [...headers, 'Connection', 'close'])
+  }
+
   #writeHead (status: number, headers: string[]): void {
     this.#started = true
     if (this.closeAfterResponse()) headers.push('Connection', 'close')
