--- a/packages/stand-ins/src/fleet/backend-server.ts
+++ b/packages/stand-ins/src/fleet/backend-server.ts
@@ -34,9 +34,10 @@
 /**
  * `mute`: requests count as run, but get no response. `reset`: requests count as run, and their connections are closed without a
  * response. `failing`: responses have status 500. `shedding`: requests are rejected with status 503. `torn`: responses are cut off.
- * `unsealed`: responses lack the response seal. `foreign`: responses carry the id of another request.
+ * `cut`: connections of responses are reset after some events, or a part of the body. `unsealed`: responses lack the response seal.
+ * `foreign`: responses carry the id of another request.
  */
-export type InjectedFault = 'none' | 'mute' | 'reset' | 'failing' | 'shedding' | 'torn' | 'unsealed' | 'foreign'
+export type InjectedFault = 'none' | 'mute' | 'reset' | 'failing' | 'shedding' | 'torn' | 'cut' | 'unsealed' | 'foreign'
 
 /** A request that reached a server. */
 export interface Arrival {
@@ -63,6 +64,10 @@
   /** The delay applies to one in this many orders. */
   orderDelayInterval = 1
   #ordersReceived = 0
+  /** Responses have neither a length nor chunks and end with their connection. */
+  unframed = false
+  /** Time between the last write of a response that is `cut` and the reset; without it, both come in the same turn. */
+  cutDelayMs: number | undefined
   /** All its responses announce that it is draining. */
   leaving = false
   /** The Retry-After value, in seconds, of its 503 responses; `undefined` for responses without the header. */
@@ -258,6 +263,10 @@
 
   async #respond (request: IncomingMessage, requestId: string, body: Buffer, response: ServerResponse): Promise<void> {
     const path = request.url ?? ''
+    if (this.unframed) {
+      response.useChunkedEncodingByDefault = false
+      response.shouldKeepAlive = false
+    }
     const echoedId = this.fault === 'foreign' ? 'another' : requestId
     const headers = { 'Request-Id': echoedId, ...(this.fault === 'unsealed' ? {} : { 'Response-Seal': `seal-${this.id}` }) }
     if (this.fault === 'failing') return sendJson(response, 500, {}, headers)
@@ -267,7 +276,11 @@
     }
     if (this.options.engine === undefined) {
       const text = `done ${requestId} ${body.length}`
-      response.writeHead(200, { ...headers, 'content-length': text.length })
+      response.writeHead(200, { ...headers, ...(this.unframed ? {} : { 'content-length': text.length }) })
+      if (this.fault === 'cut') {
+        response.write(text.slice(0, 4))
+        return this.#cut(response)
+      }
       if (this.fault === 'torn') {
         response.write(text.slice(0, 4))
         setTimeout(() => response.destroy(), 5)
@@ -287,9 +300,16 @@
         return
       }
       response.write(`id: ${event}\ndata: ${id} ${softwareVersion} ${event}\n\n`)
+      if (this.fault === 'cut' && event === 2) return this.#cut(response)
       if (crashes) return await this.#crash()
       await pause(this.options.eventMs * this.slowdown)
     }
     response.end()
   }
+
+  /** Resets the connection after what was written. */
+  #cut (response: ServerResponse): void {
+    if (this.cutDelayMs === undefined) response.socket?.resetAndDestroy()
+    else setTimeout(() => response.socket?.resetAndDestroy(), this.cutDelayMs)
+  }
 }
