Log how the end of a response is known that has no length or chunks

Such a response ends with its connection. The log did not tell whether that ended in order, was reset, or ended with its server, so the hypotheses of the incident could not be told apart. One line for each such response has its bytes, whether the connection still had a peer when its end was read, whether the server accepts connections, and how it is listed.

--- a/packages/fleet/src/entry/serving/attempt.ts
+++ b/packages/fleet/src/entry/serving/attempt.ts
@@ -15,7 +15,7 @@
 import { headerOf } from './header.js'
 import type { KeptBytes } from './kept-bytes.js'
 import type { ReadTurns } from './read-turns.js'
-import { bytesTaken, pauseNow } from './socket-handle.js'
+import { bytesTaken, hasPeer, pauseNow } from './socket-handle.js'
 import { isFull, type Stall } from './stall-monitor.js'
 import type { IdentifiedRequestOptions } from '../servers/server-agent.js'
 import { readServerFeedback, type ServerFeedback } from '../servers/server-feedback.js'
@@ -59,15 +59,22 @@
   onServerFeedback: (feedback: ServerFeedback) => void
 }
 
-/** `framed`: the response has no body, or its headers delimit it; otherwise it ended with the connection, which may have been broken off. */
+/** How the end of a response is known. */
+export interface ResponseEnd {
+  /** The response has no body, or its headers delimit it; otherwise it ended with the connection, which may have been broken off. */
+  framed: boolean
+  /** Set if the response is not framed: whether the connection had been reset by the time its end was read. */
+  peerGone?: boolean | undefined
+}
+
 export type AttemptResult =
   | { type: 'not_sent', detail: string }
   /** `AttemptOptions.maySend` returned false. */
   | { type: 'withheld' }
   | { type: 'not_run', status: number, retryAfter: string | undefined, cause: RefusalCause }
   | { type: 'broken', detail: string }
-  | { type: 'answer', status: number, headers: RawHeaders, body: Buffer, framed: boolean }
-  | { type: 'streamed', status: number, bytes: number, framed: boolean }
+  | { type: 'answer', status: number, headers: RawHeaders, body: Buffer, end: ResponseEnd }
+  | { type: 'streamed', status: number, bytes: number, end: ResponseEnd }
   | { type: 'interrupted', detail: string }
   | { type: 'cancelled', sent: boolean }
 
@@ -220,6 +227,7 @@
 /** The bytes of a complete response stay counted as kept, until whoever takes it releases them. */
 const bufferResponse = (response: IncomingMessage, status: number, options: AttemptOptions): Promise<AttemptResult> => new Promise(resolve => {
   const { keptBytes } = options
+  const end = observeEnd(response, status, options)
   const chunks: Buffer[] = []
   const buffer = keptBytes.startResponse(() => response.destroy(new Error('larger than the process may keep')))
   const broken = (detail: string): void => {
@@ -236,7 +244,7 @@
     const body = Buffer.concat(chunks)
     if (options.stream && isEventStream(response) && endsWithinEvent(body)) return broken('response body ended within an event')
     buffer.complete()
-    resolve({ type: 'answer', status, headers: response.rawHeaders, body, framed: isDelimited(response, status, options) })
+    resolve({ type: 'answer', status, headers: response.rawHeaders, body, end })
   })
   response.on('close', () => broken('connection closed before the end of the response'))
 })
@@ -251,8 +259,19 @@
 const isDelimited = ({ rawHeaders }: IncomingMessage, status: number, { outgoing: { method } }: AttemptOptions): boolean =>
   bodylessStatuses.has(status) || method === 'HEAD' || isFramed(rawHeaders)
 
+/** The result is complete once the response has ended. */
+const observeEnd = (response: IncomingMessage, status: number, options: AttemptOptions): ResponseEnd => {
+  if (isDelimited(response, status, options)) return { framed: true }
+  const end: ResponseEnd = { framed: false }
+  const { socket } = response
+  // Before the listeners of Node, which close their side.
+  socket.prependOnceListener('end', () => { end.peerGone = !hasPeer(socket) })
+  return end
+}
+
 const forwardStream = (response: IncomingMessage, status: number, options: AttemptOptions): Promise<AttemptResult> => new Promise(resolve => {
   const { callerResponse, eventFramer } = options
+  const end = observeEnd(response, status, options)
   if (!callerResponse.started) callerResponse.startStream(status, response.rawHeaders)
   const boundary = eventFramer?.boundary ?? (isEventStream(response) ? new EventBoundary() : undefined)
   let bytes = 0
@@ -279,7 +298,7 @@
   response.on('end', () => {
     if (!response.complete) return interrupted('response stream incomplete')
     if (boundary !== undefined && boundary.partialBytes > 0) return interrupted('response stream ended within an event')
-    resolve({ type: 'streamed', status, bytes, framed: isDelimited(response, status, options) })
+    resolve({ type: 'streamed', status, bytes, end })
   })
   response.on('close', () => interrupted('connection closed before the end of the response stream'))
 })
--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -396,7 +396,13 @@
    * that is draining or no longer listed is no exception: it may be ended with whatever it runs.
    */
   async #confirmEnd (result: AttemptResult, server: BackendServer): Promise<AttemptResult> {
-    if ((result.type !== 'answer' && result.type !== 'streamed') || result.framed || !await this.options.liveness.ended(server)) return result
+    if ((result.type !== 'answer' && result.type !== 'streamed') || result.end.framed) return result
+    const { liveness, facts, log } = this.options
+    const serverEnded = await liveness.ended(server)
+    const bytes = result.type === 'streamed' ? result.bytes : result.body.length
+    const listed = facts.servers.get(server.id)
+    log.info('response.ended_with_connection', { request: this.#incoming.id, server: server.id, bytes, peerGone: result.end.peerGone, serverEnded, listed: listed !== undefined, leaving: listed?.leaving })
+    if (!serverEnded) return result
     const detail = 'server ended with a response without a length'
     if (result.type === 'streamed') return { type: 'interrupted', detail }
     this.options.keptBytes.release('responses', result.body.length)
--- a/packages/fleet/src/entry/serving/socket-handle.ts
+++ b/packages/fleet/src/entry/serving/socket-handle.ts
@@ -1,6 +1,6 @@
 /**
  * What `Socket` does not offer about its connection and `_handle`, an internal of Node, does. Where a Node version lacks it, peers that
- * stall are not found and a paused connection reads a further chunk ahead; nothing else changes.
+ * stall are not found, a paused connection reads a further chunk ahead and all peers count as gone in the log; nothing else changes.
  */
 import type { Socket } from 'node:net'
 
@@ -9,6 +9,8 @@
   writeQueueSize: number
   reading: boolean
   readStop: () => void
+  /** Returns an error code, 0 if there is none. */
+  getpeername: (address: object) => number
 }
 
 const handleOf = (socket: Socket | null): SocketHandle | undefined =>
@@ -24,6 +26,12 @@
   return handle === undefined ? undefined : handle.bytesWritten - handle.writeQueueSize
 }
 
+/**
+ * Whether the operating system still knows a peer: not after a reset, also if the connection had ended in order before it. Unlike
+ * `Socket.remoteAddress`, not cached.
+ */
+export const hasPeer = (socket: Socket): boolean => handleOf(socket)?.getpeername({}) === 0
+
 /** Pauses the connection at once. `Socket.pause` alone stops it only after a further chunk of 64 kB, which the socket then buffers. */
 export const pauseNow = (socket: Socket): void => {
   socket.pause()
