A failing test: responses that are reset in the turn in which they were written look complete

All of 16 kinds of responses without a length or chunks are taken for whole: the head and two events, or a later event, with a reset right behind them; on plain, repeatable, streaming and resumable routes; for callers with HTTP/1.1 and 1.0.

Beside it, the error of the other kind, which passes: a server that ends its connection in order and resets it then has sent a whole response.

--- a/packages/fleet/test/unframed-responses.test.ts
+++ b/packages/fleet/test/unframed-responses.test.ts
@@ -2,7 +2,7 @@
  * Guards against truncated responses that callers take for complete: responses without a length or chunks end with the server's
  * connection, and their callers' connections ended in the same way when the entry knew that they were cut off, or was killed.
  */
-import type { Server } from 'node:net'
+import type { Server, Socket } from 'node:net'
 import { expect } from 'chai'
 import { SingleEntry, bodyOf, decodedBodyOf, hasLength, statusOf } from './single-entry.js'
 
@@ -143,6 +143,47 @@
     }
   }
 
+  describe('whose connection the server resets in the turn in which it has written', () => {
+    // The operating system reports such a reset together with the bytes before it.
+    const cuts: Record<string, (socket: Socket, id: string) => void> = {
+      'head and all': (socket, id) => {
+        socket.write(`${head(id)}${event(1)}${event(2)}`)
+        socket.resetAndDestroy()
+      },
+      'a later part': (socket, id) => {
+        socket.write(`${head(id)}${event(1)}`)
+        setTimeout(() => {
+          socket.write(event(2))
+          socket.resetAndDestroy()
+        }, 10)
+      }
+    }
+
+    it('is not complete to its caller', async () => {
+      const complete: string[] = []
+      for (const [name, cut] of Object.entries(cuts)) {
+        for (const server of ['a', 'b']) await entry.addServer(server, cut)
+        for (const version of ['1.1', '1.0']) {
+          for (const route of ['plain', 'again', 'stream', 'resume']) {
+            const result = await entry.send(`/${route}/x`, { version })
+            if (statusOf(result) === 200 && decodedBodyOf(result).complete) complete.push(`${name}, ${route}, HTTP/${version}`)
+          }
+        }
+      }
+      expect(complete).to.deep.equal([])
+    })
+  })
+
+  describe('whose connection the server resets after it has ended it', () => {
+    for (const route of ['plain', 'again', 'stream', 'resume']) {
+      it(`is delivered whole (route ${route})`, async () => {
+        await entry.addServer('a', (socket, id) => socket.end(`${head(id)}${event(1)}${event(2)}`, () => socket.resetAndDestroy()))
+        const result = await entry.send(`/${route}/x`)
+        expect([statusOf(result), decodedBodyOf(result)]).to.deep.equal([200, { body: `${event(1)}${event(2)}`, complete: true }])
+      })
+    }
+  })
+
   it('leaves its caller the connection', async () => {
     await entry.addServer('a', (socket, id) => socket.end(`${head(id)}${event(1)}`))
     setTimeout(() => entry.endCallerConnections(), 200)
