A reset is told from the end of a connection also where it comes with the bytes before it

Callers had responses that ended in order, streams with their last chunk, although their server had reset its connection: for a response without a length or chunks, the end of the connection is the end of the response.

Cause: where bytes and a reset arrive in the same poll of the event loop, libuv reads the bytes, sees that the connection hangs up, and reports its end without a further read, which would have failed with ECONNRESET. Node ends the response in order, and no error is emitted. The longer a process is between polls, the more resets look so.

While reading is stopped, libuv does not report that end. Reading is therefore stopped after each part of such a response until the event loop has polled, and the end is read by itself: as an error after a reset, and as an end where the server ended the connection, also if it reset it afterwards. That costs two calls of the runtime for each part of a response without a length; other responses are read as before.

--- a/packages/fleet/src/entry/serving/attempt.ts
+++ b/packages/fleet/src/entry/serving/attempt.ts
@@ -15,7 +15,7 @@
 import { headerOf } from './header.js'
 import type { KeptBytes } from './kept-bytes.js'
 import type { ReadTurns } from './read-turns.js'
-import { bytesTaken, hasPeer, pauseNow } from './socket-handle.js'
+import { bytesTaken, hasPeer, pauseNow, readEndApart } from './socket-handle.js'
 import { isFull, type Stall } from './stall-monitor.js'
 import type { IdentifiedRequestOptions } from '../servers/server-agent.js'
 import { readServerFeedback, type ServerFeedback } from '../servers/server-feedback.js'
@@ -259,11 +259,12 @@
 const isDelimited = ({ rawHeaders }: IncomingMessage, status: number, { outgoing: { method } }: AttemptOptions): boolean =>
   bodylessStatuses.has(status) || method === 'HEAD' || isFramed(rawHeaders)
 
-/** The result is complete once the response has ended. */
+/** The result is complete once the response has ended. Called as its head is read, so that no end is read along with its first bytes. */
 const observeEnd = (response: IncomingMessage, status: number, options: AttemptOptions): ResponseEnd => {
   if (isDelimited(response, status, options)) return { framed: true }
   const end: ResponseEnd = { framed: false }
   const { socket } = response
+  readEndApart(socket)
   // Before the listeners of Node, which close their side.
   socket.prependOnceListener('end', () => { end.peerGone = !hasPeer(socket) })
   return end
