Responses of plain services and engines that are reset are truncated, not whole

In the product's own interface, callers had responses without a length that looked complete although the service had reset its connection, at any time after its last bytes. Where their reader was slow at that moment, the HTTP client threw outside of any request, which ends the side process. Bodies of engines that are no event streams were taken for whole also where the engine had ended.

Cause: as in the fleet, a reset that comes with the bytes before it is reported as the end of the connection. In addition, undici takes ECONNRESET for the end of such a response, and asserts there that its parser is not paused.

The connections of undici now read the end by itself, as those of the fleet do (moved to core), and a reset has the code of undici for a failed connection, which fails the request. Bodies of engines get the check of plain services whether the server still accepts connections.

A service that resets its connection after it has ended it was whole before and is.

--- a/packages/backend/src/http-engine.ts
+++ b/packages/backend/src/http-engine.ts
@@ -17,7 +17,9 @@
 import { CacheEvent } from './cache-event.js'
 import type { Engine, EngineOrder, EngineReport, EngineResponse, GenerationRequest } from './engine.js'
 import { backendError, toBackendError, type BackendError, type BackendErrorCode } from './backend-error.js'
-import { endToEndHeaders, reportTruncation } from './service.js'
+import { createConnector } from './connector.js'
+import { completeBody } from './response-body.js'
+import { endToEndHeaders } from './service.js'
 
 const maxConnections = 256
 const connectTimeoutMs = 1000
@@ -26,7 +28,7 @@
 /** Ids of the last generations that are remembered. A late copy arrives where one of the next responses is due. */
 const maxRememberedIds = 1000
 const endOfStream = '[DONE]'
-const clientOptions = { connectTimeout: connectTimeoutMs, headersTimeout: 0, bodyTimeout: 0 }
+const clientOptions = { connect: createConnector(connectTimeoutMs), headersTimeout: 0, bodyTimeout: 0 }
 
 const Report = z.object({
   boot: z.string(),
@@ -109,7 +111,7 @@
       const boot = bootOf(reply)
       const refusal = refusalCodes[reply.statusCode]
       if (refusal !== undefined) return err(backendError(refusal, await reply.body.text(), boot))
-      const body = isEventStream(reply) ? this.#resumableEvents(request, reply, boot) : reportTruncation(reply.body)
+      const body = isEventStream(reply) ? this.#resumableEvents(request, reply, boot) : completeBody(reply, 'POST', this.origin)
       return ok({ status: reply.statusCode, headers: endToEndHeaders(reply.headers), boot, body })
     } catch (error) {
       return err(toBackendError(error))
--- /dev/null
+++ b/packages/backend/src/response-body.ts
@@ -0,0 +1,40 @@
+/**
+ * The body of a response, which throws at its end if it is truncated.
+ *
+ * A response without a length or chunks ends with its connection, which the operating system closes in order also where the backend
+ * server is killed. It is complete only if the server still accepts connections then.
+ */
+import { ResponseError, outcomeUnknown, refusesConnections } from '@finchpitch/core'
+import type { Dispatcher } from 'undici'
+
+const defaultPorts: Record<string, number> = { 'http:': 80, 'https:': 443 }
+const bodylessStatuses = new Set([204, 304])
+
+/** The body of a response to a request with this method, from the server at this origin. */
+export const completeBody = (response: Dispatcher.ResponseData, method: string, origin: string): AsyncGenerator<Uint8Array> =>
+  reportTruncation(endsWithConnection(method, response) ? confirmEnd(response.body, addressOf(origin)) : response.body)
+
+/** Passes a body through. If its connection is lost before its end, throws an error that says that it is truncated. */
+async function * reportTruncation (body: AsyncIterable<Uint8Array>): AsyncGenerator<Uint8Array> {
+  try {
+    yield * body
+  } catch (error) {
+    throw new ResponseError(outcomeUnknown('answer_cut', { detail: (error as Error).message }))
+  }
+}
+
+/** Whether the body of a response ends with its connection. */
+const endsWithConnection = (method: string, { statusCode, headers }: Dispatcher.ResponseData): boolean =>
+  method !== 'HEAD' && !bodylessStatuses.has(statusCode) && headers['content-length'] === undefined && headers['transfer-encoding'] === undefined
+
+/** Passes a body through that ends with its connection. Throws at its end if the server has ended too. */
+async function * confirmEnd (body: AsyncIterable<Uint8Array>, address: string): AsyncGenerator<Uint8Array> {
+  yield * body
+  if (await refusesConnections(address)) throw new Error('the server ended with a response without a length')
+}
+
+/** `host:port`. */
+const addressOf = (origin: string): string => {
+  const { hostname, port, protocol } = new URL(origin)
+  return `${hostname}:${port === '' ? defaultPorts[protocol] ?? 80 : port}`
+}
--- a/packages/fleet/src/entry/serving/attempt.ts
+++ b/packages/fleet/src/entry/serving/attempt.ts
@@ -6,7 +6,7 @@
  * it comes from the server itself (it carries the seal), belongs to this request (it echoes the id) and is complete.
  */
 import { request as openRequest, type Agent, type ClientRequest, type IncomingMessage } from 'node:http'
-import { splitAddress } from '@finchpitch/core'
+import { readEndApart, splitAddress } from '@finchpitch/core'
 import { nowMs } from '../../clock.js'
 import type { HeaderNames } from '../../ports.js'
 import type { Cancellation } from './cancellation.js'
@@ -15,7 +15,7 @@
 import { headerOf } from './header.js'
 import type { KeptBytes } from './kept-bytes.js'
 import type { ReadTurns } from './read-turns.js'
-import { bytesTaken, hasPeer, pauseNow, readEndApart } from './socket-handle.js'
+import { bytesTaken, hasPeer, pauseNow } from './socket-handle.js'
 import { isFull, type Stall } from './stall-monitor.js'
 import type { IdentifiedRequestOptions } from '../servers/server-agent.js'
 import { readServerFeedback, type ServerFeedback } from '../servers/server-feedback.js'
--- a/packages/fleet/src/entry/serving/socket-handle.ts
+++ b/packages/fleet/src/entry/serving/socket-handle.ts
@@ -1,7 +1,6 @@
 /**
  * What `Socket` does not offer about its connection and `_handle`, an internal of Node, does. Where a Node version lacks it, peers that
- * stall are not found, a paused connection reads a further chunk ahead, a reset may look like the end of a connection and all peers count
- * as gone in the log; nothing else changes.
+ * stall are not found, a paused connection reads a further chunk ahead and all peers count as gone in the log; nothing else changes.
  */
 import type { Socket } from 'node:net'
 
@@ -10,7 +9,6 @@
   writeQueueSize: number
   reading: boolean
   readStop: () => void
-  readStart: () => void
   /** Returns an error code, 0 if there is none. */
   getpeername: (address: object) => number
 }
@@ -43,21 +41,3 @@
   handle.reading = false
   handle.readStop()
 }
-
-/**
- * Reads the end of the connection in a poll of its own. Where bytes and a reset arrive in the same poll, libuv reads the bytes and
- * then reports the end of the connection, without the read that would fail. It does not while reading is stopped.
- */
-export const readEndApart = (socket: Socket): void => {
-  stopUntilNextPoll(socket)
-  socket.on('data', () => stopUntilNextPoll(socket))
-}
-
-/** Called while what the connection has read is being handled. */
-const stopUntilNextPoll = (socket: Socket): void => {
-  const handle = handleOf(socket)
-  if (handle?.reading !== true) return
-  // `reading` stays true, so that Node doesn't start reading itself. It is false afterwards if Node has paused the connection.
-  handle.readStop()
-  setImmediate(() => { if (handle.reading && handleOf(socket) === handle) handle.readStart() })
-}
