A response with a transfer coding other than chunks ends with its connection

A server may answer with a transfer coding such as identity. The end of the connection is the end of such a response, but it counted as delimited by its head: it was not checked whether the server had ended, and its caller was given a length of what had been read, so that a part of it looked complete. The same in the product's own interface.

Only chunks as the last coding delimit a response now. Failed before: the length, and a body and a stream of a server that crashed.

--- a/packages/backend/src/response-body.ts
+++ b/packages/backend/src/response-body.ts
@@ -8,6 +8,7 @@
 import type { Dispatcher } from 'undici'
 
 const defaultPorts: Record<string, number> = { 'http:': 80, 'https:': 443 }
+const lastCodingIsChunked = /(^|,)\s*chunked\s*$/i
 const bodylessStatuses = new Set([204, 304])
 
 /** The body of a response to a request with this method, from the server at this origin. */
@@ -23,9 +24,12 @@
   }
 }
 
-/** Whether the body of a response ends with its connection. */
-const endsWithConnection = (method: string, { statusCode, headers }: Dispatcher.ResponseData): boolean =>
-  method !== 'HEAD' && !bodylessStatuses.has(statusCode) && headers['content-length'] === undefined && headers['transfer-encoding'] === undefined
+/** Whether the body of a response ends with its connection, as also with any transfer coding but chunks. */
+const endsWithConnection = (method: string, { statusCode, headers }: Dispatcher.ResponseData): boolean => {
+  if (method === 'HEAD' || bodylessStatuses.has(statusCode)) return false
+  const codings = headers['transfer-encoding']
+  return codings === undefined ? headers['content-length'] === undefined : !lastCodingIsChunked.test(String(codings))
+}
 
 /** Passes a body through that ends with its connection. Throws at its end if the server has ended too. */
 async function * confirmEnd (body: AsyncIterable<Uint8Array>, address: string): AsyncGenerator<Uint8Array> {
--- a/packages/fleet/src/entry/serving/caller-response.ts
+++ b/packages/fleet/src/entry/serving/caller-response.ts
@@ -45,13 +45,21 @@
 /** Responses with these statuses have no body. */
 export const bodylessStatuses: ReadonlySet<number> = new Set([204, 304])
 
-/** Whether the headers of a server's response delimit its body; otherwise it ends with the connection. */
+const lastCodingIsChunked = /(^|,)\s*chunked\s*$/i
+
+/**
+ * Whether the headers of a server's response delimit its body; otherwise it ends with the connection, as also with any transfer coding
+ * but chunks.
+ */
 export const isFramed = (raw: RawHeaders): boolean => {
-  for (let index = 0; index < raw.length; index += 2) {
+  let hasLength = false
+  let codings: string | undefined
+  for (let index = 0; index + 1 < raw.length; index += 2) {
     const lower = raw[index]?.toLowerCase()
-    if (lower === 'content-length' || lower === 'transfer-encoding') return true
+    if (lower === 'content-length') hasLength = true
+    if (lower === 'transfer-encoding') codings = raw[index + 1]
   }
-  return false
+  return codings === undefined ? hasLength : lastCodingIsChunked.test(codings)
 }
 
 const contentLengthOnly = new Set(['content-length'])
--- a/packages/fleet/test/unframed-responses.test.ts
+++ b/packages/fleet/test/unframed-responses.test.ts
@@ -184,6 +184,27 @@
     }
   })
 
+  // A length of its own made what was read of it look complete.
+  it('has no length for its caller if it has a transfer coding other than chunks', async () => {
+    await entry.addServer('a', (socket, id) => socket.end(`${head(id, 'transfer-encoding: identity\r\n')}part`))
+    const result = await entry.send('/plain/x')
+    expect([statusOf(result), bodyOf(result), hasLength(result)]).to.deep.equal([200, 'part', false])
+  })
+
+  for (const route of ['plain', 'stream']) {
+    it(`is not complete to its caller if it has a transfer coding other than chunks and its server has crashed (route ${route})`, async () => {
+      const server: Server = await entry.addServer('a', (socket, id) => {
+        socket.write(`${head(id, 'transfer-encoding: identity\r\n')}${event(1)}`)
+        setTimeout(() => {
+          server.close()
+          socket.end()
+        }, 20)
+      })
+      const result = await entry.send(`/${route}/x`)
+      expect(statusOf(result) === 200 && decodedBodyOf(result).complete).to.equal(false)
+    })
+  }
+
   it('leaves its caller the connection', async () => {
     await entry.addServer('a', (socket, id) => socket.end(`${head(id)}${event(1)}`))
     setTimeout(() => entry.endCallerConnections(), 200)
