A stream without a record goes on only if all failure domains answer, or the store lists no other version

Cause: a stream without a record was taken to have begun while a single version was listed if all domains but one said so, since each record is kept in two. Across a partition both copies stay on one side, and the other side follows the list for 10 s without hearing of it, so that it does not know of the second version either.

All domains have to answer now. Where one does not, the entry asks the store which servers were listed since it last knew the list to be complete, in a call that begins after the question, so after the stream did: a server is listed before it runs requests. With the store silent, too, such a stream is refused as not run, as its version is not known.

Failed before: nothing is known without a domain of two or three; records without a domain while the store does not answer, or lists another version meanwhile. The test that all domains but one are enough was wrong, as above; it now asks for all, and for the list of the store in their place. Streams that go on while a failure domain is gone and a single version serves have a test with real processes, which passes with the change.

--- a/packages/decisions/src/stream-origin.ts
+++ b/packages/decisions/src/stream-origin.ts
@@ -4,9 +4,10 @@
  * Load: callers that come back after an entry, a server or a connection was lost, to any entry. Each record is kept in two failure
  * domains, if there are as many, so that it is found without any one domain. One copy alone may be that of an earlier attempt, where the
  * record of the last one was lost, so it is believed only once nobody else can contradict it. Without a record, the stream began while
- * a single version was listed; that is believed only if enough domains agree: all but one, or all where several versions were listed
- * lately. In the second case, each of them has to answer by a process that would have the record, as keepers of records may have left.
- * Of a stream that can't be identified, the version is known only if there was a single one.
+ * a single version was listed; that is believed if all domains agree. A domain that does not answer may be cut off together with the
+ * records and with the news of a further version, so without it only the store can tell, read after the question was asked. Where
+ * several versions were listed lately, each domain has to answer by a process that would have the record, as keepers of records may
+ * have left. Of a stream that can't be identified, the version is known only if there was a single one.
  */
 
 /** What a process that keeps records says of one stream. */
@@ -32,6 +33,8 @@
   domains: number
   /** The version of streams without a record, as this process knows it. */
   unrecorded: string | undefined
+  /** The only version of all streams of the service, by a list that was read from the store after the question was asked. */
+  proven?: string | undefined
   /** Whether a record of the stream could be found. False if the caller does not say which stream it is. */
   identified: boolean
 }
@@ -42,7 +45,7 @@
 /** Copies of each record, in different domains. */
 export const recordCopies = 2
 
-export const decideOrigin = ({ answers, complete, domains, unrecorded, identified }: OriginQuestion): OriginDecision => {
+export const decideOrigin = ({ answers, complete, domains, unrecorded, proven, identified }: OriginQuestion): OriginDecision => {
   const recorded = new Set(answers.map(answer => answer.recorded).filter(version => version !== undefined))
   const [version] = recorded
   // A process that has just started may not know all domains.
@@ -56,11 +59,15 @@
   const [sole] = said
   const heard = new Set(answers.map(({ domain }) => domain)).size
   const heardKeepers = new Set(answers.filter(({ keeps }) => keeps === true).map(({ domain }) => domain)).size
+  if (proven !== undefined && answers.every(answer => !contradicts(answer, proven))) return { type: 'known', version: proven }
   if (said.size === 1 && sole !== undefined) {
-    // Of any so many domains, one at least has a copy of each record.
-    const isSingle = answers.every(({ single }) => single === true) && heard >= Math.max(1, knownDomains - recordCopies + 1)
+    const isSingle = answers.every(({ single }) => single === true) && heard > 0 && heard === knownDomains
     // A record that reached one domain only has to be ruled out as well where several versions were listed.
     if (isSingle || (identified && complete && heardKeepers === knownDomains)) return { type: 'known', version: sole }
   }
   return complete ? { type: 'unknown' } : { type: 'pending' }
 }
+
+/** Whether the answer tells of another version than the one that is said to be the only one. */
+const contradicts = ({ unrecorded, single }: OriginAnswer, version: string): boolean =>
+  unrecorded !== undefined && (unrecorded !== version || single === false)
--- a/packages/decisions/test/stream-origin.test.ts
+++ b/packages/decisions/test/stream-origin.test.ts
@@ -23,10 +23,18 @@
   })
 
   describe('without a record', () => {
-    it('is the single one, as soon as all domains but one have said so', () => {
-      const one = { answers: [negative('a', 'v1')], complete: false, domains: 3, unrecorded: 'v1', identified: true }
-      expect(decideOrigin(one)).to.deep.equal({ type: 'pending' })
-      expect(decideOrigin({ ...one, answers: [...one.answers, negative('b', 'v1')] })).to.deep.equal({ type: 'known', version: 'v1' })
+    it('is the single one, as soon as all domains have said so', () => {
+      const two = { answers: [negative('a', 'v1'), negative('b', 'v1')], complete: false, domains: 3, unrecorded: 'v1', identified: true }
+      expect(decideOrigin(two)).to.deep.equal({ type: 'pending' })
+      expect(decideOrigin({ ...two, answers: [...two.answers, negative('c', 'v1')] })).to.deep.equal({ type: 'known', version: 'v1' })
+    })
+
+    it('is the single one by the list of the store, unless a process knows of another one', () => {
+      const proven = { answers: [negative('a', 'v1')], complete: false, domains: 3, unrecorded: 'v1', proven: 'v1', identified: true }
+      expect(decideOrigin(proven)).to.deep.equal({ type: 'known', version: 'v1' })
+      expect(decideOrigin({ ...proven, answers: [negative('a', undefined, false)] })).to.deep.equal({ type: 'known', version: 'v1' })
+      expect(decideOrigin({ ...proven, answers: [negative('a', 'v1', false)] })).to.deep.equal({ type: 'pending' })
+      expect(decideOrigin({ ...proven, answers: [negative('a', 'v2')] })).to.deep.equal({ type: 'pending' })
     })
 
     it('is the one before a second one appeared, once all domains have answered', () => {
@@ -43,6 +51,8 @@
 
     const doubts: Record<string, Omit<Parameters<typeof decideOrigin>[0], 'complete'>> = {
       'nobody answers': { answers: [], domains: 1, unrecorded: 'v1', identified: true },
+      'a domain of two does not answer': { answers: [negative('a', 'v1')], domains: 2, unrecorded: 'v1', identified: true },
+      'a domain of three does not answer': { answers: [negative('a', 'v1'), negative('b', 'v1')], domains: 3, unrecorded: 'v1', identified: true },
       'too few domains answer': { answers: [negative('a', 'v1'), negative('a', 'v1')], domains: 3, unrecorded: 'v1', identified: true },
       'a second one appeared lately, and a domain does not answer': { answers: [negative('a', 'v1', false), negative('b', 'v1', false)], domains: 3, unrecorded: 'v1', identified: true },
       'a second one appeared lately, and no process that would have the record answers in a domain': { answers: [negative('a', 'v1', false), negative('b', 'v1', false, false)], domains: 2, unrecorded: 'v1', identified: true },
--- a/packages/fleet/src/entry/entry-process.ts
+++ b/packages/fleet/src/entry/entry-process.ts
@@ -41,6 +41,7 @@
 import { ServiceRequest, type ServiceRequestOptions } from './serving/service-request.js'
 import { SideLinks } from './peers/side-links.js'
 import { ReadTurns } from './serving/read-turns.js'
+import { ListProver } from './peers/list-prover.js'
 import { StreamOrigins } from './peers/stream-origins.js'
 import { StoreWatch } from './peers/store-watch.js'
 import { TableConfirmation } from './peers/table-confirmation.js'
@@ -128,7 +129,7 @@
     const { facts, domain, limits, log, process, sidePort, channel, dial, sources } = options
     this.#keyLease = new KeyLease(facts, limits)
     this.#softwareVersions = new SoftwareVersions(facts)
-    this.#streamOrigins = new StreamOrigins({ domain, versions: this.#softwareVersions, sideProcesses: () => this.#sideLinks.sideProcesses, channelTo: host => this.#sideLinks.channelTo(host), log })
+    this.#streamOrigins = new StreamOrigins({ domain, versions: this.#softwareVersions, prover: new ListProver(sources.find(({ kind }) => kind === 'server'), facts, this.#stop.signal), sideProcesses: () => this.#sideLinks.sideProcesses, channelTo: host => this.#sideLinks.channelTo(host), log })
     this.#maxEntries = this.#entryCountBound.update(undefined, 0)
     this.#attemptReporter = new AttemptReporter({ sideProcesses: () => this.#sideLinks.sideProcesses, channelTo: host => this.#sideLinks.channelTo(host), log })
     this.#serverLimits = new ServerLimits({
--- a/packages/fleet/src/entry/peers/stream-origins.ts
+++ b/packages/fleet/src/entry/peers/stream-origins.ts
@@ -4,15 +4,17 @@
  * What two versions write does not fit together, and a caller may come back to any entry. Records are kept here and, while a service
  * has or lately had servers of several versions, by two side processes in different failure domains, chosen by rendezvous hashing of
  * the request's id. A record is sent in the turn in which the request is written to its server, so before the first event. An entry that
- * finds no record asks all that may have one; without an answer, the version is not known.
+ * finds no record asks all that may have one, and reads from the store whether there was a further version if some don't answer; without
+ * either, the version is not known.
  */
 import { hashOf, rankKeepers, rendezvousScore, selectKeepers, type OriginDecision } from '@finchpitch/decisions'
 import { maxRequestIdLength, maxSoftwareVersionLength, maxStreamsPerFrame, type Channel, type StreamOriginReply, type StreamRecord } from '@finchpitch/wire'
 import type { Log } from '@finchpitch/core'
 import { nowMs } from '../../clock.js'
-import { unlistedVersion, type SoftwareVersions } from '../../software-versions.js'
+import { softwareVersionOf, unlistedVersion, type SoftwareVersions } from '../../software-versions.js'
 import { StreamRecords } from '../../stream-records.js'
 import type { ReportTarget } from './attempt-reporter.js'
+import type { ListProver } from './list-prover.js'
 import { OriginQuery } from './origin-query.js'
 
 /** Side processes of each domain that are asked: entries may differ for a moment on which ones respond. */
@@ -31,6 +33,7 @@
 export interface StreamOriginsOptions {
   domain: string
   versions: SoftwareVersions
+  prover: Pick<ListProver, 'listedSince'>
   sideProcesses: () => ReportTarget[]
   /** The channel to a side process; starts to open one if there is none. */
   channelTo: (host: string) => Channel | undefined
@@ -100,6 +103,7 @@
       unrecorded,
       identified: isIdentified(request),
       waitMs,
+      prove: async () => await this.#singleVersion(service),
       ask: host => channelTo(host)?.send({ type: 'crashes', stamp, crashes: [], sound: [], askStream: [service, request] }) === true
     })
     this.#queries.set(stamp, query)
@@ -109,6 +113,17 @@
     return decision
   }
 
+  /** The only version that the service has had for longer than a stream lasts, up to a moment after the call; `undefined` if that is not known. */
+  async #singleVersion (service: string): Promise<string | undefined> {
+    const { versions, prover } = this.options
+    const single = (): string | undefined => versions.historyOf(service).single(nowMs())
+    const version = single()
+    if (version === undefined) return undefined
+    const listed = await prover.listedSince()
+    const isSingle = listed?.every(server => server.service !== service || softwareVersionOf(server) === version)
+    return isSingle === true && single() === version ? version : undefined
+  }
+
   /**
    * One side process of this failure domain and one of another, or two of this one if there is no other. The first choice of a domain
    * gets the record also while it does not respond, as it may have that of an earlier attempt.
--- a/packages/fleet/test/resumed-streams.test.ts
+++ b/packages/fleet/test/resumed-streams.test.ts
@@ -237,6 +237,18 @@
     expect(goingOnShare(streams)).to.be.at.least(minGoingOnShare)
   })
 
+  it('go on while the processes of a failure domain are gone and a single version serves', async function () {
+    this.timeout(120_000)
+    await start(false)
+    await pause(streamWindowMs)
+    let killed: Promise<unknown> | undefined
+    const killDomain = async (): Promise<void> => {
+      const lost = [...fleet.entries, ...fleet.sides].filter(({ name }) => name.includes('d1'))
+      await (killed ??= Promise.all(lost.map(async machine => await fleet.kill(machine))))
+    }
+    expectSound(await each(24, async index => await takeUp(2 + index % 2, index % 2, killDomain)))
+  })
+
   it('are refused at once, as not run, when the version that began them has no server any more', async () => {
     await start(true)
     const streams = await each(24, async index => {
--- a/packages/fleet/test/stream-origins.test.ts
+++ b/packages/fleet/test/stream-origins.test.ts
@@ -1,6 +1,6 @@
 import { silentLog } from '@finchpitch/core'
 import { KeeperHistory } from '@finchpitch/decisions'
-import { Facts, SoftwareVersions, StreamOrigins, StreamRegistry, nowMs, streamWindowMs, type Fact, type ReportTarget } from '@finchpitch/fleet'
+import { Facts, SoftwareVersions, StreamOrigins, StreamRegistry, nowMs, streamWindowMs, type BackendServer, type Fact, type ReportTarget } from '@finchpitch/fleet'
 import { FakeTime } from '@finchpitch/stand-ins'
 import { maxRequestIdLength, type Channel, type FrameOf, type StreamRecord } from '@finchpitch/wire'
 import { expect } from 'chai'
@@ -20,6 +20,8 @@
   /** Hosts of side processes that do not answer. */
   let silent: Set<string>
   let revision: number
+  /** What the store answers an entry that asks for the servers that were listed since those that it knows. */
+  let storeAnswer: (known: Facts) => Promise<BackendServer[] | undefined>
 
   let hosts: ReportTarget[]
   /** The side processes that were listed, as side processes know them. */
@@ -32,10 +34,11 @@
   }
 
   /** The entry of a failure domain, which knows the same list of servers. */
-  const newEntry = (domain: string): StreamOrigins => {
+  const newEntry = (domain: string, known = facts): StreamOrigins => {
     const entry: StreamOrigins = new StreamOrigins({
       domain,
-      versions: new SoftwareVersions(facts),
+      versions: new SoftwareVersions(known),
+      prover: { listedSince: async () => await storeAnswer(known) },
       sideProcesses: () => hosts,
       channelTo: host => ({
         send: (frame: Report) => {
@@ -73,6 +76,7 @@
     facts = new Facts(silentLog, () => 1000)
     frames = []
     silent = new Set()
+    storeAnswer = async () => undefined
     revision = 0
     keepers = new KeeperHistory({ windowMs: streamWindowMs })
     listHosts(newHosts())
@@ -96,6 +100,37 @@
     expect(frames).to.deep.equal([])
   })
 
+  // Streams that had begun at a second version on the other side of a partition went on at the first one.
+  describe('while a failure domain does not answer', () => {
+    const server = (softwareVersion: string): BackendServer => ({ id: 'two', service, address: 'two:1', domain: 'a', softwareVersion, slots: 1, leaving: false, models: [] })
+
+    for (const lost of [['b'], ['c'], ['b', 'c']]) {
+      describe(`(${lost.join(' and ')})`, () => {
+        beforeEach(() => { for (const { host, domain } of hosts) if (lost.includes(domain)) silent.add(host) })
+
+        it('tell nothing of a stream without one if the store does not answer either', async () => {
+          expect(await find(origins, 'r')).to.equal(undefined)
+        })
+
+        it('tell that it began at the single version if the store lists no other one since', async () => {
+          storeAnswer = async () => [server('v1')]
+          expect(await find(origins, 'r')).to.equal('v1')
+        })
+
+        it('tell nothing of it if the store has listed another one meanwhile', async () => {
+          storeAnswer = async () => [server('v2')]
+          expect(await find(origins, 'r')).to.equal(undefined)
+        })
+
+        it('tell nothing of it if no side process of the domain responds', async () => {
+          hosts = hosts.map(target => ({ ...target, responsive: !lost.includes(target.domain) }))
+          await time.advance(250)
+          expect(await find(origins, 'r')).to.equal(undefined)
+        })
+      })
+    }
+  })
+
   describe('while it has two', () => {
     beforeEach(() => { list('two', 'v2') })
 
