The end of a response is not confirmed by a probe that began before it

A response without a length or chunks counts as whole if its server still accepts connections. Attempts at one server share a probe of that, so that one which was accepted just before the server ended also vouched for a response that ended with the server.

The end of a response has a probe of its own now. Whether a server has crashed is still asked once for all attempts that failed together, as they are counted together.

--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -398,7 +398,7 @@
   async #confirmEnd (result: AttemptResult, server: BackendServer): Promise<AttemptResult> {
     if ((result.type !== 'answer' && result.type !== 'streamed') || result.end.framed) return result
     const { liveness, facts, log } = this.options
-    const serverEnded = await liveness.ended(server)
+    const serverEnded = await liveness.endedNow(server)
     const bytes = result.type === 'streamed' ? result.bytes : result.body.length
     const listed = facts.servers.get(server.id)
     log.info('response.ended_with_connection', { request: this.#incoming.id, server: server.id, bytes, peerGone: result.end.peerGone, serverEnded, listed: listed !== undefined, leaving: listed?.leaving })
