An answer of the store with an invalid body is an error instead of an exception

The client of the store threw where a 2xx had no body or one of another shape, as when the store breaks its answer off right behind a head without a length. Its callers expect a result.

A read is unavailable then, and a write may have been done.

--- a/packages/store/src/http-store.ts
+++ b/packages/store/src/http-store.ts
@@ -26,7 +26,10 @@
   return { name: item.metadata.name, version: item.metadata.resourceVersion, value: item.spec }
 }
 
+type Method = 'GET' | 'PUT' | 'DELETE'
+
 interface Reply {
+  method: Method
   status: number
   body: unknown
 }
@@ -105,13 +108,13 @@
     return this.token === undefined ? {} : { authorization: `Bearer ${this.token}` }
   }
 
-  async #call (method: 'GET' | 'PUT' | 'DELETE', path: string, body?: unknown): Promise<Result<Reply, StoreError>> {
+  async #call (method: Method, path: string, body?: unknown): Promise<Result<Reply, StoreError>> {
     try {
       const headers = { ...this.#headers(), ...(body === undefined ? {} : { 'content-type': 'application/json' }) }
       const payload = body === undefined ? null : JSON.stringify(body)
       const reply = await this.#pool.request({ method, path, headers, body: payload, bodyTimeout: callTimeoutMs })
       const text = await reply.body.text()
-      return ok({ status: reply.statusCode, body: text === '' ? undefined : JSON.parse(text) })
+      return ok({ method, status: reply.statusCode, body: text === '' ? undefined : JSON.parse(text) })
     } catch (error) {
       const code = (error as NodeJS.ErrnoException).code ?? ''
       const hadNoEffect = method === 'GET' || connectErrorCodes.has(code) || error instanceof errors.ConnectTimeoutError
@@ -120,7 +123,13 @@
   }
 
   #resultOf<T> (reply: Reply, read: (body: unknown) => T): Result<T, StoreError> {
-    if (reply.status >= 200 && reply.status < 300) return ok(read(reply.body))
-    return err(storeError(errorCodesByStatus[reply.status] ?? 'refused', `status ${reply.status}`))
+    const { method, status, body } = reply
+    if (status < 200 || status >= 300) return err(storeError(errorCodesByStatus[status] ?? 'refused', `status ${status}`))
+    try {
+      return ok(read(body))
+    } catch (error) {
+      // The store has broken off its answer, or another server answered.
+      return err(storeError(method === 'GET' ? 'unavailable' : 'ambiguous', `status ${status} with an invalid body: ${(error as Error).message}`))
+    }
   }
 }
