Tests and the soak run the program as the platform starts it

Fleets of real processes ran the compiled modules without bundle, code cache and flags, so that no test started what the platform starts. They now run the command that deploy/system.toml states for each role, and state the memory limit of each process in its settings.

--- a/packages/bench/src/processor-overload.ts
+++ b/packages/bench/src/processor-overload.ts
@@ -133,7 +133,7 @@
   const profiles = args.includes('--cpu-prof')
   const subjects = await Promise.all(foldersOf(args.filter(arg => arg !== '--cpu-prof')).map(async (folder, index): Promise<Subject> => {
     const flags = profiles ? ['--cpu-prof', `--cpu-prof-dir=${resolve(folder, 'target/profiles')}`] : []
-    return { name: basename(resolve(folder)), fleet: await createFleet(folder, firstNetwork + index, layout, flags), arrived: 0, figures: new Map() }
+    return { name: basename(resolve(folder)), fleet: createFleet(folder, firstNetwork + index, layout, flags), arrived: 0, figures: new Map() }
   }))
   const idle = performance.eventLoopUtilization()
   try {
--- a/packages/bench/src/processor-start.ts
+++ b/packages/bench/src/processor-start.ts
@@ -122,7 +122,7 @@
 export const measureProcessorStart = async (): Promise<void> => {
   const [, , , ...args] = process.argv
   const folders = args.length > 0 ? args : [fileURLToPath(new URL('../../..', import.meta.url))]
-  const fleets = await Promise.all(folders.map((folder, index) => createFleet(folder, firstNetwork + index, layout)))
+  const fleets = folders.map((folder, index) => createFleet(folder, firstNetwork + index, layout))
   const samples = folders.map((): Samples => ({ entries: [], sides: [] }))
   try {
     for (const fleet of fleets) {
--- a/packages/bench/src/processor.ts
+++ b/packages/bench/src/processor.ts
@@ -8,12 +8,11 @@
  */
 import { spawn, type ChildProcess } from 'node:child_process'
 import { once } from 'node:events'
-import { readFile } from 'node:fs/promises'
 import { Agent, request } from 'node:http'
 import { basename, resolve } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import { pause } from '@finchpitch/core'
-import { BackendStandIn, FleetSystem, type FleetOptions, type Role } from '@finchpitch/stand-ins'
+import { BackendStandIn, FleetSystem, type FleetOptions } from '@finchpitch/stand-ins'
 import { readProcessUsage } from './measure.js'
 import { publishReport, roundSignificant, type Report, type Row } from './report.js'
 
@@ -115,26 +114,20 @@
 /** A measured group of processes, all with the same work. */
 interface Group { name: string, pids: Array<number | undefined>, cpu: Map<string, number> }
 
-const flagsOf = (systemFile: string, role: Role): string[] =>
-  new RegExp(`^run = "node (.*) target/launch.cjs ${role}"`, 'm').exec(systemFile)?.[1]?.split(/ +/) ?? []
-
 /** A fleet that runs the program built in `folder`; `layout` replaces the layout, and `flags` are added to those of each role. */
-export const createFleet = async (folder: string, network: number, layout: Partial<FleetOptions> = {}, flags: string[] = []): Promise<FleetSystem> => {
-  const systemFile = await readFile(resolve(folder, 'deploy/system.toml'), 'utf8')
-  return new FleetSystem({
-    network,
-    domains: 1,
-    entriesPerDomain: entries,
-    enginesPerDomain: engines,
-    plainServersPerDomain: plainServers,
-    adapterSlots: 13,
-    loadMs: 288,
-    ...work,
-    ...layout,
-    program: resolve(folder, 'target/launch.cjs'),
-    nodeOptions: { entry: [...flagsOf(systemFile, 'entry'), ...flags], side: [...flagsOf(systemFile, 'side'), ...flags] }
-  })
-}
+export const createFleet = (folder: string, network: number, layout: Partial<FleetOptions> = {}, flags: string[] = []): FleetSystem => new FleetSystem({
+  network,
+  domains: 1,
+  entriesPerDomain: entries,
+  enginesPerDomain: engines,
+  plainServersPerDomain: plainServers,
+  adapterSlots: 13,
+  loadMs: 288,
+  ...work,
+  ...layout,
+  folder,
+  nodeOptions: flags
+})
 
 /** Starts a fleet with `count` teams, each with its key and the same quota in tokens. */
 export const startFleet = async (fleet: FleetSystem, count = teams, ratePerS = 100_000): Promise<void> => {
@@ -190,7 +183,7 @@
 export const measureProcessor = async (): Promise<void> => {
   const folders = foldersOf(process.argv.slice(3))
   const relay = await startRelay(firstNetwork - 1)
-  const fleets = await Promise.all(folders.map((folder, index) => createFleet(folder, firstNetwork + index)))
+  const fleets = folders.map((folder, index) => createFleet(folder, firstNetwork + index))
   try {
     await Promise.all(fleets.map(fleet => startFleet(fleet)))
     await publishReport(await measureFleets(folders, fleets, relay))
--- a/packages/stand-ins/src/fleet/fleet-system.ts
+++ b/packages/stand-ins/src/fleet/fleet-system.ts
@@ -1,25 +1,27 @@
 /**
- * A small fleet on loopback: real entry and side processes of the platform adapter, with stand-ins for the store and the backend
- * servers. Each machine of the fleet has its own loopback address.
+ * A small fleet on loopback: real entry and side processes, started as the platform starts them, with stand-ins for the store and the
+ * backend servers. Each machine of the fleet has its own loopback address.
  */
 import { spawn, type ChildProcess } from 'node:child_process'
 import { once } from 'node:events'
 import { mkdtemp, rm, writeFile } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { fileURLToPath } from 'node:url'
 import { pause } from '@finchpitch/core'
 import { BackendStandIn } from './backend-server.js'
 import { eventually } from './eventually.js'
 import { FaultProxy } from './fault-proxy.js'
 import { ObjectServer } from './object-server.js'
+import { platformCommand, type Role } from './platform-command.js'
 import type { HttpStandIn } from '../http-stand-in.js'
 
-const program = fileURLToPath(new URL('../../../../platform/dist/start.js', import.meta.url))
 /** The port on which side processes listen for their peers. */
 export const peerPort = 7380
 const ports = { metrics: 9464, caller: 8149, ready: 8141, peer: peerPort, control: 8144, app: 8145, store: 8142 }
 
+/** Memory limit of a process of each role. */
+export const memoryMb: Record<Role, number> = { entry: 350, side: 282 }
+
 /** A host that needs longer to start the fleet is too slow to run the tests. */
 const maxStartMs = 20_000
 
@@ -32,8 +34,6 @@
 /** Offset of the port of a server that has a proxy at its own address. */
 const proxiedPortOffset = 10_000
 
-export type Role = 'entry' | 'side'
-
 export interface FleetOptions {
   /** The second octet of all addresses, so that fleets on one host do not share addresses. */
   network: number
@@ -56,13 +56,14 @@
   maxBodyBytes?: number
   /** Teams that every routing table contains. All routes are then public, so that requests without a key are served too. */
   tenants?: readonly unknown[]
-  nodeOptions?: readonly string[] | Record<Role, readonly string[]>
+  /** Flags of the runtime, in addition to those of the platform's command. */
+  nodeOptions?: readonly string[]
   /** Whether each entry connects to the store through its own proxy. */
   storeProxies?: boolean
   /** Called for each stand-in to start a proxy in front of it, which listens at `ip:port` and forwards to `ip:target`. */
   insertProxy?: (ip: string, port: number, target: number) => Promise<void>
-  /** The script that the processes run, with the role as its argument; the compiled platform adapter by default. */
-  program?: string
+  /** The repository whose program the processes run; this one by default. */
+  folder?: string
 }
 
 export interface Machine {
@@ -167,9 +168,9 @@
 
   #spawn (machine: Machine): void {
     const role = roleOf(machine)
-    const { nodeOptions = [] } = this.options
-    const flags = 'entry' in nodeOptions ? nodeOptions[role] : nodeOptions
-    const child = spawn(process.execPath, [...flags, this.options.program ?? program, role], {
+    const { folder, nodeOptions = [] } = this.options
+    const { flags, script } = platformCommand(role, folder)
+    const child = spawn(process.execPath, [...flags, ...nodeOptions, script, role], {
       env: { ...process.env, FINCHPITCH_CONFIG: this.#settingsPath(machine) }, stdio: ['ignore', 'pipe', 'inherit']
     })
     const startedAt = performance.now()
@@ -348,6 +349,8 @@
       ...(role === 'side' ? [`app = "${machine.ip}:${ports.app}"`] : []),
       '[listen]',
       ...(role === 'entry' ? [`front = "${machine.ip}:${ports.caller}"`, `ready = "${machine.ip}:${ports.ready}"`, `control = "${machine.ip}:${ports.control}"`] : []),
+      '[limits]',
+      `memoryMb = ${memoryMb[role]}`,
       '[bounds]',
       ...Object.entries(bounds).map(([key, value]) => `${key} = ${value}`),
       '[provider]',
