A fleet of tests kills processes that exceed their memory

The platform kills a process whose memory exceeds the limit in its settings. The stand-in gave no limit and killed nobody, so that no test could fail for it. It now checks the peak of the resident memory, as the kernel keeps it, against 350 MB for entries and 282 MB for side processes, and reports such an end with the others that the test did not cause, with the peak.

--- a/packages/stand-ins/src/fleet/fleet-system.ts
+++ b/packages/stand-ins/src/fleet/fleet-system.ts
@@ -11,6 +11,7 @@
 import { BackendStandIn } from './backend-server.js'
 import { eventually } from './eventually.js'
 import { FaultProxy } from './fault-proxy.js'
+import { MemoryLimit } from './memory-limit.js'
 import { ObjectServer } from './object-server.js'
 import { platformCommand, type Role } from './platform-command.js'
 import type { HttpStandIn } from '../http-stand-in.js'
@@ -19,8 +20,8 @@
 export const peerPort = 7380
 const ports = { metrics: 9464, caller: 8149, ready: 8141, peer: peerPort, control: 8144, app: 8145, store: 8142 }
 
-/** Memory limit of a process of each role. */
-export const memoryMb: Record<Role, number> = { entry: 350, side: 282 }
+/** Memory limit of a process of each role, unless a test has its own. */
+const memoryMb: Record<Role, number> = { entry: 350, side: 282 }
 
 /** A host that needs longer to start the fleet is too slow to run the tests. */
 const maxStartMs = 20_000
@@ -58,6 +59,8 @@
   tenants?: readonly unknown[]
   /** Flags of the runtime, in addition to those of the platform's command. */
   nodeOptions?: readonly string[]
+  /** Memory limits that replace those of the roles. A process that exceeds its limit is killed. */
+  memoryMb?: Partial<Record<Role, number>>
   /** Whether each entry connects to the store through its own proxy. */
   storeProxies?: boolean
   /** Called for each stand-in to start a proxy in front of it, which listens at `ip:port` and forwards to `ip:target`. */
@@ -70,6 +73,8 @@
   name: string
   ip: string
   process: ChildProcess | undefined
+  /** Of the process that runs or ran last. */
+  memory: MemoryLimit | undefined
   output: string[]
 }
 
@@ -80,6 +85,10 @@
   ranMs: number
   /** Whether the process had written to its log. */
   started: boolean
+  /** Peak of its resident memory, in MB. */
+  peakMb: number
+  /** Whether it was killed because its memory exceeded the limit. */
+  outOfMemory: boolean
   code: number | null
   signal: NodeJS.Signals | null
 }
@@ -174,6 +183,7 @@
       env: { ...process.env, FINCHPITCH_CONFIG: this.#settingsPath(machine) }, stdio: ['ignore', 'pipe', 'inherit']
     })
     const startedAt = performance.now()
+    const memory = new MemoryLimit(child, this.#memoryMb(role))
     let started = false
     child.stdout.setEncoding('utf8').on('data', (text: string) => {
       started = true
@@ -181,10 +191,15 @@
     })
     child.on('close', (code, signal) => {
       if (this.#killed.has(child)) return
-      this.unexpectedExits.push({ machine: machine.name, ranMs: Math.round(performance.now() - startedAt), started, code, signal })
+      this.unexpectedExits.push({ machine: machine.name, ranMs: Math.round(performance.now() - startedAt), started, peakMb: Math.round(memory.peakMb), outOfMemory: memory.exceeded, code, signal })
       this.#supervisorTimers.set(machine, setTimeout(() => this.#spawn(machine), supervisorDelayMs))
     })
     machine.process = child
+    machine.memory = memory
+  }
+
+  #memoryMb (role: Role): number {
+    return this.options.memoryMb?.[role] ?? memoryMb[role]
   }
 
   #cancelSupervisor (machine: Machine): void {
@@ -269,7 +284,7 @@
     const { entriesPerDomain, enginesPerDomain, plainServersPerDomain, adapterSlots, plainSlots, loadMs, workMs, events, eventMs } = this.options
     const name = `d${domain}`
     for (let each = 0; each < entriesPerDomain; each++) {
-      this.entries.push({ name: `entry-${name}-${each}`, ip: this.#ip(domain, 10 + each), process: undefined, output: [] })
+      this.entries.push({ name: `entry-${name}-${each}`, ip: this.#ip(domain, 10 + each), process: undefined, memory: undefined, output: [] })
     }
     for (let each = 0; each < enginesPerDomain; each++) {
       const ip = this.#ip(domain, 100 + each)
@@ -279,7 +294,7 @@
       server.bornAt = this.options.bornAt
       this.engines.push(server)
       this.register(server, ip, name)
-      this.sides.push({ name: `side-${name}-${each}`, ip, process: undefined, output: [] })
+      this.sides.push({ name: `side-${name}-${each}`, ip, process: undefined, memory: undefined, output: [] })
     }
     for (let each = 0; each < plainServersPerDomain; each++) {
       const ip = this.#ip(domain, 200 + each)
@@ -350,7 +365,7 @@
       '[listen]',
       ...(role === 'entry' ? [`front = "${machine.ip}:${ports.caller}"`, `ready = "${machine.ip}:${ports.ready}"`, `control = "${machine.ip}:${ports.control}"`] : []),
       '[limits]',
-      `memoryMb = ${memoryMb[role]}`,
+      `memoryMb = ${this.#memoryMb(role)}`,
       '[bounds]',
       ...Object.entries(bounds).map(([key, value]) => `${key} = ${value}`),
       '[provider]',
--- a/packages/stand-ins/test/fleet-system.test.ts
+++ b/packages/stand-ins/test/fleet-system.test.ts
@@ -42,6 +42,20 @@
     expect(others).to.deep.equal([])
   })
 
+  it('kills a process that exceeds its memory, and reports its end', async () => {
+    await fleet.kill(side)
+    const before = starts()
+    const { memoryMb } = fleet.options
+    fleet.options.memoryMb = { side: 20 }
+    await fleet.startProcess(side)
+    await eventually('a process has ended', () => fleet.unexpectedExits.length > 0)
+    fleet.options.memoryMb = memoryMb
+    await eventually('the process has started again', () => starts() > before)
+    const [exit] = fleet.unexpectedExits.splice(0)
+    expect(exit).to.include({ machine: side.name, outOfMemory: true, code: null, signal: 'SIGKILL' })
+    expect(exit?.peakMb).to.be.greaterThan(20)
+  })
+
   it('does not start a process again that the test has ended', async () => {
     await fleet.kill(side)
     expect(fleet.unexpectedExits).to.deep.equal([])
