--- a/packages/wire/src/listener.ts
+++ b/packages/wire/src/listener.ts
@@ -4,7 +4,7 @@
 import { connect, createServer, type Socket } from 'node:net'
 import { once } from 'node:events'
 import type { Duplex } from 'node:stream'
-import { Address, splitAddress } from '@finchpitch/core'
+import { Address, bind, splitAddress, type BindOptions } from '@finchpitch/core'
 
 const connectTimeoutMs = 1000
 
@@ -15,16 +15,17 @@
   close: () => Promise<void>
 }
 
-/** Accepts connections at `host:port`; with port 0, the operating system chooses a free port. */
-export const listen = async (host: string, port: number, accept: (stream: Duplex) => Promise<void>): Promise<Listener> => {
+/** Accepts connections at `host:port`; with port 0, the operating system chooses a free port. Rejects if the port can't be bound. */
+export const listen = async (host: string, port: number, accept: (stream: Duplex) => Promise<void>, retry: Partial<BindOptions> = {}): Promise<Listener> => {
   const open = new Set<Socket>()
   const server = createServer({ noDelay: true }, socket => {
     open.add(socket)
     socket.on('close', () => open.delete(socket))
     void accept(socket)
   })
-  server.listen(port, host)
-  await once(server, 'listening')
+  await bind(server, { host, port, retryMs: 0, ...retry })
+  // A connection that can't be accepted concerns its peer only, which tries again.
+  server.on('error', () => {})
   const bound = server.address()
   if (bound === null || typeof bound === 'string') throw new Error('expected a TCP listener to have an address')
   let closed: Promise<void> | undefined
