A task of a process that fails is started again

Found by reading. The tasks are supervised: the failure is logged, and the task starts again after a backoff.

The product's own processes, too, keep their handlers after a first order to stop, so that a second one cuts nothing short.

--- a/packages/daemon/src/commands/daemon-command.ts
+++ b/packages/daemon/src/commands/daemon-command.ts
@@ -33,8 +33,9 @@
   protected async runUntilStopped (start: (stopRequested: AbortSignal) => Promise<RunningProcess | undefined>): Promise<void> {
     const stop = new AbortController()
     const stopRequested = new Promise<void>(resolve => { onAbort(stop.signal, resolve) })
-    process.once('SIGTERM', () => stop.abort())
-    process.once('SIGINT', () => stop.abort())
+    // Once for all: the runtime would end the process at a further signal that nothing handles.
+    process.on('SIGTERM', () => stop.abort())
+    process.on('SIGINT', () => stop.abort())
     const running = await start(stop.signal)
     if (running !== undefined) {
       process.stdout.write(`${JSON.stringify({ event: 'listening', ...running.listening })}\n`)
--- a/packages/fleet/src/entry/entry-process.ts
+++ b/packages/fleet/src/entry/entry-process.ts
@@ -17,6 +17,7 @@
 import { SoftwareVersions } from '../software-versions.js'
 import type { FactSource, HeaderNames, Limits } from '../ports.js'
 import { DutySwitch } from '../duty-switch.js'
+import { supervise } from '../supervise.js'
 import { Balancer } from './servers/balancer.js'
 import { CallerConnections } from './serving/caller-connections.js'
 import { ConnectTimeout } from './servers/connect-timeout.js'
@@ -276,13 +277,14 @@
 
   run (): void {
     const { signal } = this.#stop
+    const { log, seeds } = this.options
     // Each task adds a listener; Node would warn of a leak.
     setMaxListeners(0, signal)
     this.#storeWatch.run(signal)
-    void this.#quotaExchange.run(signal)
-    for (const seed of this.options.seeds()) void this.#keepSeedConnection(seed)
-    void this.#sideLinks.run(signal)
-    void this.#sweep()
+    void supervise('quota exchange', async () => await this.#quotaExchange.run(signal), signal, log)
+    for (const seed of seeds()) void supervise('seed connection', async () => await this.#keepSeedConnection(seed), signal, log)
+    void supervise('side links', async () => await this.#sideLinks.run(signal), signal, log)
+    void supervise('sweep', async () => await this.#sweep(), signal, log)
   }
 
   /** Serves a connection from another entry until it ends. */
--- a/packages/fleet/src/entry/peers/store-watch.ts
+++ b/packages/fleet/src/entry/peers/store-watch.ts
@@ -10,6 +10,7 @@
 import { watchFacts } from '../../fact-watch.js'
 import { StoreHealth } from '../../store-health.js'
 import type { FactSource } from '../../ports.js'
+import { supervise } from '../../supervise.js'
 import { revisionFields } from '../../store-revision.js'
 import { DutySwitch } from '../../duty-switch.js'
 import { TableProver } from './table-prover.js'
@@ -49,7 +50,10 @@
     const { sources, facts, log, pauseMs } = this.options
     const table = sources.find(source => source.kind === 'table')
     if (table !== undefined) this.#prover = new TableProver(table, facts, signal)
-    for (const source of sources) void watchFacts({ source, facts, log, signal, outage: this.#health, duty: this.#duty, pauseMs })
+    for (const source of sources) {
+      const watch = async (): Promise<void> => await watchFacts({ source, facts, log, signal, outage: this.#health, duty: this.#duty, pauseMs })
+      void supervise(`store watch of ${source.kind}`, watch, signal, log)
+    }
   }
 
   /** If this entry watches the store, gets a proof from there that the routing table is current, unless it has a recent one. */
--- a/packages/fleet/src/side/side-process.ts
+++ b/packages/fleet/src/side/side-process.ts
@@ -15,6 +15,7 @@
 import { parseRef, refKey } from '../server.js'
 import { revisionFields } from '../store-revision.js'
 import type { EngineSpec } from '../table.js'
+import { supervise } from '../supervise.js'
 import { WarmCopies } from '../warm-copies.js'
 import { statusAfterOrder } from './status-after-order.js'
 import { Demands } from './demands.js'
@@ -123,6 +124,10 @@
   /** Polls the engine and sends it orders until `signal` aborts. */
   async run (signal: AbortSignal): Promise<void> {
     signal.addEventListener('abort', () => this.#wake(), { once: true })
+    await supervise('engine control', async () => await this.#control(signal), signal, this.options.log)
+  }
+
+  async #control (signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       this.#isWoken = false
       const waitMs = await this.#runOnce(signal)
