--- a/packages/daemon/test/processes.test.ts
+++ b/packages/daemon/test/processes.test.ts
@@ -1,5 +1,6 @@
 import { once } from 'node:events'
 import { connect } from 'node:net'
+import { pause } from '@finchpitch/core'
 import { Daemon, TestSystem, eventually, spawnDaemon, testConfiguration, type DaemonOptions, type SpawnedDaemon } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
 import { request } from 'undici'
@@ -15,6 +16,8 @@
 
 /** Far above the time that a process takes to start on a busy host. */
 const startMs = 20_000
+/** Equal signals that arrive together are delivered once. */
+const signalIntervalMs = 30
 
 describe('processes', function () {
   this.timeout(60_000)
@@ -117,6 +120,25 @@
       })
     }
 
+    // Guards against a second order to stop that ends the process at once.
+    for (const stopped of ['engine-0', 'entry-0']) {
+      it(`of ${stopped} completes a stream in progress, though it is ordered again`, async () => {
+        system = await TestSystem.start()
+        const [engine] = system.engines
+        if (engine === undefined) throw new Error('there is an engine')
+        engine.engine.tokenMs = 40
+        const reply = await system.ask('quetzal', '/v1/completions', { model: 'quetzal/statement', prompt: 'x', stream: true, max_tokens: 20 })
+        const daemon = system.daemon(stopped)
+        const exit = daemon.stop('SIGTERM')
+        for (const signal of ['SIGTERM', 'SIGINT'] as const) {
+          await pause(signalIntervalMs)
+          daemon.child.kill(signal)
+        }
+        expect(await reply.body.text()).to.contain('[DONE]')
+        expect(await exit).to.equal(0)
+      })
+    }
+
     it('of a side process refuses new requests at once, though the instance list still contains it', async () => {
       system = await TestSystem.start()
       const { service } = system.ledger
