Callers can't take the connections that an entry needs for servers and peers

Nothing bounded the connections of callers. With `maxFds` at 400, 600 idle connections took all descriptors (400 open, 372 of them callers'): all 90 requests on connections that were open were refused with 503 (`server.unreachable`, `connect EMFILE`), new connections and readiness checks were closed without a response, and side processes were lost. The process didn't end, used 1% of a core, and served again once callers had left.

Callers may now have half of the connections of the process: each request of theirs needs at most one to a server. Beyond three quarters, connections are closed with their response, so that idle ones don't keep other callers out.

`FleetSystem` starts processes with a limit of descriptors on request. In the tests of caller connections, sockets are event emitters, since their closes are counted.

--- a/packages/fleet/src/entry/entry-process.ts
+++ b/packages/fleet/src/entry/entry-process.ts
@@ -209,7 +209,8 @@
     const liveness = new ServerLiveness()
     this.#crashTracker = new CrashTracker({ facts, liveness, reporter: this.#attemptReporter, requestProbe: async fingerprint => await this.#probeRequester.ask(fingerprint), onQuarantine: () => this.#queue.scheduleScan(), counters: this.counters, log })
     this.server = createServer({ maxHeaderSize: maxHeaderBytes, connectionsCheckingInterval: 1000, requestTimeout: 0 })
-    this.#callerConnections = new CallerConnections(this.server)
+    this.#callerConnections = new CallerConnections(this.server, log)
+    this.#callerConnections.setMaxSockets(limits().maxSockets)
     this.#requestOptions = {
       facts,
       balancer: this.#balancer,
@@ -239,6 +240,8 @@
     }
     this.server.on('request', (request, response) => { void this.#serve(request, response) })
     this.counters.gauge('finchpitch_requests_running', 'Requests in progress.', () => this.#running)
+    this.counters.gauge('finchpitch_caller_connections', 'Open connections of callers.', () => this.#callerConnections.count)
+    this.counters.gauge('finchpitch_caller_connections_refused', 'Connections of callers refused since the start, as too many were open.', () => this.#callerConnections.refused)
     this.counters.gauge('finchpitch_requests_waiting', 'Requests waiting at the entry.', () => this.#queue.size)
     this.counters.gauge('finchpitch_servers_resting', 'Backend servers that asked this entry to back off.', () => this.#balancer.serversInBackoff)
     this.counters.gauge('finchpitch_engines_without_room', 'Engines that could load no further adapter.', () => this.#balancer.enginesWithoutRoom)
@@ -352,6 +355,7 @@
       const dueAt = nowMs() + sweepIntervalMs
       await pause(sweepIntervalMs, signal)
       this.#recordDelay(nowMs() - dueAt)
+      this.#callerConnections.setMaxSockets(this.options.limits().maxSockets)
       this.options.facts.expire()
       this.#softwareVersions.update()
       this.#crashTracker.expire()
--- a/packages/fleet/src/ports.ts
+++ b/packages/fleet/src/ports.ts
@@ -144,4 +144,6 @@
   quotaSlack: number
   /** Memory limit of the process; absent if not known. */
   memoryMb?: number
+  /** Connections that the process may have open, of all kinds; absent if not known. */
+  maxSockets?: number
 }
--- a/packages/fleet/test/caller-connections.test.ts
+++ b/packages/fleet/test/caller-connections.test.ts
@@ -1,6 +1,7 @@
 import { EventEmitter } from 'node:events'
 import type { Server } from 'node:http'
 import type { Socket } from 'node:net'
+import { silentLog } from '@finchpitch/core'
 import { CallerConnections } from '@finchpitch/fleet'
 import { FakeTime } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
@@ -13,14 +14,14 @@
   beforeEach(() => {
     time = new FakeTime()
     server = new EventEmitter()
-    connections = new CallerConnections(server as Server)
+    connections = new CallerConnections(server as Server, silentLog)
     connections.setEntryCount(2)
   })
 
   afterEach(() => time.restore())
 
   const open = (): Socket => {
-    const socket = {} as Socket
+    const socket = new EventEmitter() as Socket
     server.emit('connection', socket)
     return socket
   }
@@ -72,4 +73,20 @@
     await time.advance(60_000)
     expect(connections.shouldClose(later)).to.equal(false)
   })
+
+  // Guards against idle connections that keep other callers out.
+  it('are closed with their responses while more than three quarters of the maximum are open', () => {
+    connections.setMaxSockets(40)
+    const sockets = Array.from({ length: 16 }, open)
+    expect(sockets.every(socket => connections.shouldClose(socket))).to.equal(true)
+    for (const socket of sockets.splice(0, 1)) socket.emit('close')
+    expect(sockets.some(socket => connections.shouldClose(socket))).to.equal(false)
+  })
+
+  it('are limited to half of the connections that the process may have open', () => {
+    connections.setMaxSockets(40)
+    expect((server as Server).maxConnections).to.equal(20)
+    connections.setMaxSockets(undefined)
+    expect((server as Server).maxConnections).to.equal(Infinity)
+  })
 })
--- a/packages/stand-ins/src/fleet/fleet-system.ts
+++ b/packages/stand-ins/src/fleet/fleet-system.ts
@@ -61,6 +61,8 @@
   nodeOptions?: readonly string[]
   /** Memory limits that replace those of the roles. A process that exceeds its limit is killed. */
   memoryMb?: Partial<Record<Role, number>>
+  /** How many file descriptors a process of each role may have open; by default, as many as this process. */
+  maxFds?: Partial<Record<Role, number>>
   /** Whether each entry connects to the store through its own proxy. */
   storeProxies?: boolean
   /** Called for each stand-in to start a proxy in front of it, which listens at `ip:port` and forwards to `ip:target`. */
@@ -179,7 +181,10 @@
     const role = roleOf(machine)
     const { folder, nodeOptions = [] } = this.options
     const { flags, script } = platformCommand(role, folder)
-    const child = spawn(process.execPath, [...flags, ...nodeOptions, script, role], {
+    const command = [process.execPath, ...flags, ...nodeOptions, script, role]
+    const maxFds = this.options.maxFds?.[role]
+    const [program = '', ...parameters] = maxFds === undefined ? command : ['sh', '-c', `ulimit -n ${maxFds}; exec "$@"`, 'sh', ...command]
+    const child = spawn(program, parameters, {
       env: { ...process.env, FINCHPITCH_CONFIG: this.#settingsPath(machine) }, stdio: ['ignore', 'pipe', 'inherit']
     })
     const startedAt = performance.now()
@@ -366,6 +371,7 @@
       ...(role === 'entry' ? [`front = "${machine.ip}:${ports.caller}"`, `ready = "${machine.ip}:${ports.ready}"`, `control = "${machine.ip}:${ports.control}"`] : []),
       '[limits]',
       `memoryMb = ${this.#memoryMb(role)}`,
+      ...(this.options.maxFds?.[role] === undefined ? [] : [`maxFds = ${this.options.maxFds[role]}`]),
       '[bounds]',
       ...Object.entries(bounds).map(([key, value]) => `${key} = ${value}`),
       '[provider]',
