A fleet of tests lets processes overlap, writes settings in place and records how processes stop

The stand-in platform waited for the exit of a process before it started the next one, wrote settings as a whole and before a start only, and looked at no process that had been ordered to stop: a second SIGTERM that ends a process at once was seen by no soak.

- `replaceProcess` starts the next process while the former still runs; all of them end with the fleet.
- Settings can be written in place: empty, cut off, whole, also while a process starts.
- Ends of processes that were ordered to stop are recorded as `stops`; one that exceeds its grace period is killed.
- `signal` records what was sent to a process before its first line, so that an end by it is told from others.
- A process that had ended by itself just before the test ended or replaced its machine's process was started again beside the next one.

--- a/packages/stand-ins/src/fleet/fleet-system.ts
+++ b/packages/stand-ins/src/fleet/fleet-system.ts
@@ -4,6 +4,7 @@
  */
 import { spawn, type ChildProcess } from 'node:child_process'
 import { once } from 'node:events'
+import { writeFileSync } from 'node:fs'
 import { mkdtemp, rm, writeFile } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
@@ -80,13 +81,22 @@
   output: string[]
 }
 
-/** The end of a process that the test did not end. */
+/** How a settings file is written in place: for `ms` it is empty, and for another `ms` it ends after `share` of its text. */
+export interface GradualWrite {
+  ms: number
+  /** From 0 to 1. */
+  share: number
+}
+
+/** The end of a process. */
 export interface ProcessExit {
   machine: string
   /** How long the process ran, in ms. */
   ranMs: number
   /** Whether the process had written to its log. */
   started: boolean
+  /** Signals that the test had sent to the process before it had written to its log. */
+  earlySignals: NodeJS.Signals[]
   /** Peak of its resident memory, in MB. */
   peakMb: number
   /** Whether it was killed because its memory exceeded the limit. */
@@ -111,11 +121,19 @@
   readonly storeProxies: FaultProxy[] = []
   /** Processes that ended although the test did not end them. As on the platform, each is started again after a short delay. */
   readonly unexpectedExits: ProcessExit[] = []
+  /** Ends of processes that the test ordered to stop. */
+  readonly stops: ProcessExit[] = []
   /** Routes that tables written from now on contain in addition to the fixed ones. */
   extraRoutes: unknown[] = []
   readonly #locations = new Map<BackendStandIn, { ip: string, domain: string }>()
-  /** Processes that the test has ended. */
-  readonly #killed = new WeakSet<ChildProcess>()
+  /** Processes that the test has ended, with the signal by which it did. */
+  readonly #killed = new WeakMap<ChildProcess, NodeJS.Signals>()
+  /** All processes that run, also those that have been replaced. */
+  readonly #running = new Set<ChildProcess>()
+  /** Machines whose process the test has ended and not started again. */
+  readonly #down = new Set<Machine>()
+  readonly #earlySignals = new WeakMap<ChildProcess, NodeJS.Signals[]>()
+  readonly #peakMb: Record<Role, number> = { entry: 0, side: 0 }
   /** Timers of restarts by the platform. */
   readonly #supervisorTimers = new Map<Machine, NodeJS.Timeout>()
   /** Backend servers that have crashed and not restarted yet. */
@@ -171,10 +189,59 @@
     }
   }
 
-  async startProcess (machine: Machine): Promise<void> {
+  /** Starts a process, if `write` is given while its settings are being written. Resolves once they are complete. */
+  async startProcess (machine: Machine, write?: GradualWrite): Promise<void> {
     this.#cancelSupervisor(machine)
-    await writeFile(this.#settingsPath(machine), this.#settings(machine, roleOf(machine)))
+    this.#down.delete(machine)
+    const written = this.writeSettings(machine, write)
     this.#spawn(machine)
+    await written
+  }
+
+  /** Writes the settings of a machine in place: at once, or gradually. */
+  async writeSettings (machine: Machine, write?: GradualWrite): Promise<void> {
+    const text = this.#settings(machine, roleOf(machine))
+    // Not asynchronous: a process that is started next must find the file cut off.
+    const put = (part: string): void => writeFileSync(this.#settingsPath(machine), part)
+    if (write !== undefined) {
+      put('')
+      await pause(write.ms)
+      put(text.slice(0, Math.floor(text.length * write.share)))
+      await pause(write.ms)
+    }
+    put(text)
+  }
+
+  /** Orders the process of a machine to stop and starts the next one after `ms`, even if it still runs. Resolves once it has exited. */
+  async replaceProcess (machine: Machine, ms: number, signal: NodeJS.Signals = 'SIGTERM'): Promise<void> {
+    const exited = this.kill(machine, signal)
+    await pause(ms)
+    await this.startProcess(machine)
+    await exited
+  }
+
+  /** Sends a signal that is not meant to end the process, or one that repeats the order to stop. */
+  signal (child: ChildProcess | undefined, signal: NodeJS.Signals): void {
+    if (child === undefined) return
+    this.#earlySignals.get(child)?.push(signal)
+    child.kill(signal)
+  }
+
+  /** Whether the test has ended the process of a machine and not started the next one. */
+  isDown (machine: Machine): boolean {
+    return this.#down.has(machine)
+  }
+
+  /** The ports on which the process of a machine listens, by name. */
+  listeningPorts (machine: Machine): Record<string, number> {
+    const { caller, ready, control, peer, metrics } = ports
+    return roleOf(machine) === 'entry' ? { callers: caller, readiness: ready, peers: control, metrics } : { peers: peer, metrics }
+  }
+
+  /** Peak of the resident memory of all processes of a role so far, in MB. */
+  peakMb (role: Role): number {
+    const current = [...this.entries, ...this.sides].filter(machine => roleOf(machine) === role).map(({ memory }) => memory?.peakMb ?? 0)
+    return Math.round(Math.max(this.#peakMb[role], ...current))
   }
 
   #spawn (machine: Machine): void {
@@ -190,13 +257,25 @@
     const startedAt = performance.now()
     const memory = new MemoryLimit(child, this.#memoryMb(role))
     let started = false
+    const earlySignals: NodeJS.Signals[] = []
+    this.#earlySignals.set(child, earlySignals)
     child.stdout.setEncoding('utf8').on('data', (text: string) => {
       started = true
+      this.#earlySignals.delete(child)
       machine.output.push(...text.split('\n').filter(line => line !== ''))
     })
+    this.#running.add(child)
     child.on('close', (code, signal) => {
-      if (this.#killed.has(child)) return
-      this.unexpectedExits.push({ machine: machine.name, ranMs: Math.round(performance.now() - startedAt), started, peakMb: Math.round(memory.peakMb), outOfMemory: memory.exceeded, code, signal })
+      this.#running.delete(child)
+      this.#peakMb[role] = Math.max(this.#peakMb[role], memory.peakMb)
+      const order = this.#killed.get(child)
+      if (order === 'SIGKILL') return
+      const exit = { machine: machine.name, ranMs: Math.round(performance.now() - startedAt), started, earlySignals, peakMb: Math.round(memory.peakMb), outOfMemory: memory.exceeded, code, signal }
+      const exits = order === undefined ? this.unexpectedExits : this.stops
+      exits.push(exit)
+      if (order !== undefined) return
+      // It may have ended just before the test ended or replaced it.
+      if (this.#down.has(machine) || machine.process !== child) return
       this.#supervisorTimers.set(machine, setTimeout(() => this.#spawn(machine), supervisorDelayMs))
     })
     machine.process = child
@@ -269,20 +348,32 @@
   async stop (): Promise<void> {
     this.#stopped = true
     await Promise.all([...this.entries, ...this.sides].map(machine => this.kill(machine)))
+    await Promise.all([...this.#running].map(async child => await this.#end(child, 'SIGKILL')))
     await Promise.all(this.#pendingRestarts.values())
     await Promise.all([this.store, ...this.storeProxies, ...this.engines, ...this.plainServers].map(each => each.stop()))
     await rm(this.#folder, { recursive: true, force: true })
     if (this.unexpectedExits.length > 0) throw new Error(`processes ended by themselves: ${JSON.stringify(this.unexpectedExits)}`)
   }
 
+  /** Ends the process of a machine. One that has not exited when its grace period is over is killed. */
   async kill (machine: Machine, signal: NodeJS.Signals = 'SIGKILL'): Promise<void> {
     this.#cancelSupervisor(machine)
-    const child = machine.process
-    if (child === undefined || child.exitCode !== null || child.signalCode !== null) return
-    this.#killed.add(child)
+    this.#down.add(machine)
+    if (machine.process !== undefined) await this.#end(machine.process, signal)
+  }
+
+  async #end (child: ChildProcess, signal: NodeJS.Signals): Promise<void> {
+    if (child.exitCode !== null || child.signalCode !== null) return
+    this.#killed.set(child, signal)
     const exited = once(child, 'exit')
-    child.kill(signal)
+    this.signal(child, signal)
+    const timer = setTimeout(() => child.kill('SIGKILL'), this.#bounds.graceS * 1000)
     await exited
+    clearTimeout(timer)
+  }
+
+  get #bounds (): Record<string, number> & { graceS: number } {
+    return { drainMs: 2000, graceS: 8, version_ms: 5000, retryBudgetRatio: 0.2, budgetWindowS: 10, retrySlack: 52, ceilingWindowS: 5, originOverage: 1.1, ...this.options.bounds }
   }
 
   async #startDomain (domain: number): Promise<void> {
@@ -359,7 +450,6 @@
 
   #settings (machine: Machine, role: Role): string {
     const [, domain = 'd0'] = machine.name.split('-')
-    const bounds = { drainMs: 2000, graceS: 8, version_ms: 5000, retryBudgetRatio: 0.2, budgetWindowS: 10, retrySlack: 52, ceilingWindowS: 5, originOverage: 1.1, ...this.options.bounds }
     return [
       `node = "${machine.name}"`,
       `ip = "${machine.ip}"`,
@@ -373,7 +463,7 @@
       `memoryMb = ${this.#memoryMb(role)}`,
       ...(this.options.maxFds?.[role] === undefined ? [] : [`maxFds = ${this.options.maxFds[role]}`]),
       '[bounds]',
-      ...Object.entries(bounds).map(([key, value]) => `${key} = ${value}`),
+      ...Object.entries(this.#bounds).map(([key, value]) => `${key} = ${value}`),
       '[provider]',
       `address = "${this.#storeIp(machine)}:${ports.store}"`,
       ''
