The soak overlaps, signals and starts processes in series, and watches from outside whether they serve

The soak sent one SIGHUP at a time long after a start, waited for the exit of a process before the next start, wrote whole settings only, and excused each end by SIGHUP before the first line. A process that ran without listening was seen only if a request at the end needed it.

Faults, with a generator of their own: the next process starts while the former still runs; kills and starts, repeated orders to stop and other signals in series, also from 0 ms after the spawn; settings that are empty and cut off during a start or a reload; ports taken for 0.3 to 2.5 s at a start. Checks: processes end by no signal but one that the soak sent before their first line (`endedEarly` counts them), stop with code 0, listen on all their ports and give metrics within 5 s, and are not ready while callers are refused. `peakMb` reports resident memory by role. The size of the fleet is an option.

--- a/packages/soak/src/check-results.ts
+++ b/packages/soak/src/check-results.ts
@@ -23,6 +23,10 @@
   stalledPeers: number
   /** Streams that callers took up again, and those of them that went on. */
   resumed: { takenUp: number, wentOn: number }
+  /** Processes that a signal of the soak ended before the program could handle it. */
+  endedEarly: number
+  /** Peak of the resident memory of a process of each role, in MB. */
+  peakMb: { entry: number, side: number }
   /** Violations of the guarantees, each with the request or server that shows it. */
   broken: string[]
   /** Log lines that help to explain the violations. */
@@ -78,6 +82,8 @@
     quotaShare: 0,
     stalledPeers: 0,
     resumed: { takenUp: 0, wentOn: 0 },
+    endedEarly: 0,
+    peakMb: { entry: 0, side: 0 },
     broken,
     details: []
   }
--- a/packages/soak/src/disturbances.ts
+++ b/packages/soak/src/disturbances.ts
@@ -28,6 +28,11 @@
 
   /** Whether the machine was disturbed at any time between `from` and `until`, on the monotonic clock. */
   overlaps (machine: string, from: number, until: number): boolean {
-    return this.#all.some(each => (each.machine === anyMachine || each.machine === machine) && each.from < until && each.until > from)
+    return this.ofMachine(machine, from, until) || this.ofMachine(anyMachine, from, until)
+  }
+
+  /** Like `overlaps`, without the disturbances of any machine. */
+  ofMachine (machine: string, from: number, until: number): boolean {
+    return this.#all.some(each => each.machine === machine && each.from < until && each.until > from)
   }
 }
--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -29,7 +29,8 @@
 /** Machines that a fault has stopped. A machine is only stopped by one fault at a time. */
 const stoppedMachines = new WeakSet<Machine>()
 
-const withRandomMachine = async (context: FaultContext, act: (machine: Machine) => Promise<void>): Promise<void> => {
+/** Runs `act` on a random machine, unless another fault has stopped it. */
+export const withRandomMachine = async (context: FaultContext, act: (machine: Machine) => Promise<void>): Promise<void> => {
   const machine = context.random.pick(machines(context))
   if (stoppedMachines.has(machine)) return
   stoppedMachines.add(machine)
@@ -79,7 +80,7 @@
       machine.process?.kill('SIGCONT')
     })
   },
-  { name: 'the settings are read again', inject: async context => { context.random.pick(machines(context)).process?.kill('SIGHUP') } },
+  { name: 'the settings are read again', inject: async context => { context.fleet.signal(context.random.pick(machines(context)).process, 'SIGHUP') } },
   { name: 'connections are slow', inject: async context => await withConnectionFault(context, { type: 'delay', ms: context.random.between(20, 300) }) },
   { name: 'connections are reset', inject: async context => await withConnectionFault(context, { type: 'reset' }) },
   { name: 'connections are silent', inject: async context => await withConnectionFault(context, { type: 'silence' }) },
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -18,6 +18,9 @@
 import { LeavingCallerScenario } from './leaving-caller-scenario.js'
 import { retryBudgetViolations, type RetryBounds } from './retry-budget-check.js'
 import { ResumedStreamScenario } from './resumed-stream-scenario.js'
+import { exitViolations } from './process-exits.js'
+import { ProcessStartScenario } from './process-start-scenario.js'
+import { ServiceWatch } from './service-watch.js'
 import { TeamFloodScenario } from './team-flood-scenario.js'
 import { UnevenPaceScenario } from './uneven-pace-scenario.js'
 import { ServerFeedbackScenario, initialBornAt } from './server-feedback-scenario.js'
@@ -26,6 +29,9 @@
   seed: number
   /** The second octet of the fleet's addresses, so that fleets on one host do not share addresses. */
   network: number
+  /** Failure domains, 2 by default, and entries of each, 1 by default. */
+  domains?: number
+  entriesPerDomain?: number
   /** Time for which faults are injected. */
   faultMs: number
   log: (line: string) => void
@@ -49,7 +55,7 @@
 const seedOffset = 1_000_000_000
 const halfSeedOffset = 500_000_000
 
-export const soak = async ({ seed, network, faultMs, log }: SoakOptions): Promise<SoakReport> => {
+export const soak = async ({ seed, network, faultMs, log, domains = 2, entriesPerDomain = 1 }: SoakOptions): Promise<SoakReport> => {
   const random = new SeededRandom(seed)
   const proxies: FaultProxy[] = []
   const insertProxy = async (ip: string, port: number, target: number): Promise<void> => {
@@ -59,7 +65,7 @@
   }
   const teamFlood = new TeamFloodScenario(new SeededRandom(seed + 7 * halfSeedOffset), log)
   const slowReaders = new SlowReaderScenario(new SeededRandom(seed + 9 * halfSeedOffset), log)
-  const fleet = new FleetSystem({ network, domains: 2, entriesPerDomain: 1, enginesPerDomain: 1, plainServersPerDomain: 1, adapterSlots: 4, loadMs: 80, workMs: 8, events: eventsPerStream, eventMs: 6, bornAt: initialBornAt, insertProxy, storeProxies: true, bounds: { ...teamFlood.bounds, ...retryBounds }, tenants: [teamFlood.tenant], ...SlowReaderScenario.fleetOptions })
+  const fleet = new FleetSystem({ network, domains, entriesPerDomain, enginesPerDomain: 1, plainServersPerDomain: 1, adapterSlots: 4, loadMs: 80, workMs: 8, events: eventsPerStream, eventMs: 6, bornAt: initialBornAt, insertProxy, storeProxies: true, bounds: { ...teamFlood.bounds, ...retryBounds }, tenants: [teamFlood.tenant], ...SlowReaderScenario.fleetOptions })
   await fleet.start()
   const resumedStreams = new ResumedStreamScenario({ fleet, random: new SeededRandom(seed + 15 * halfSeedOffset), eventsPerStream, log })
   resumedStreams.assignVersions()
@@ -88,10 +94,12 @@
   const restores = new RestoreScenario({ fleet, random: new SeededRandom(seed + 5 * halfSeedOffset), disturbances, log })
   const unevenPace = new UnevenPaceScenario(fleet, new SeededRandom(seed + 11 * halfSeedOffset), log)
   const leavingCallers = new LeavingCallerScenario({ fleet, random: new SeededRandom(seed + 13 * halfSeedOffset), disturbances })
+  const processStarts = new ProcessStartScenario({ fleet, random: new SeededRandom(seed + 19 * halfSeedOffset), proxies, disturbances }, log)
+  const watch = new ServiceWatch(fleet, disturbances)
   const stopFlood = new AbortController()
   const flood = teamFlood.run(fleet, stopFlood.signal)
   const endsAt = Date.now() + faultMs
-  const scenarios = Promise.all([feedback.run(faultMs), serverLimits.run(faultMs), routeChanges.run(faultMs), restores.run(faultMs), unevenPace.run(faultMs), leavingCallers.run(faultMs), resumedStreams.run(faultMs)])
+  const scenarios = Promise.all([feedback.run(faultMs), serverLimits.run(faultMs), routeChanges.run(faultMs), restores.run(faultMs), unevenPace.run(faultMs), leavingCallers.run(faultMs), resumedStreams.run(faultMs), processStarts.run(faultMs)])
   const faults: Array<Promise<void>> = []
   while (Date.now() < endsAt) {
     const fault = random.pick(faultTable)
@@ -128,7 +136,10 @@
   report.broken.push(...slowReaders.violations())
   report.broken.push(...await sendCrashingRequest(fleet, random, agents, seed))
   report.broken.push(...await sendCrashingPart({ fleet, random: new SeededRandom(seed + 17 * halfSeedOffset), agents, seed }))
-  report.broken.push(...unexpectedExits(fleet, log))
+  report.broken.push(...processStarts.violations, ...await watch.stop())
+  const { endedEarly, violations } = exitViolations(fleet, log)
+  report.broken.push(...violations)
+  Object.assign(report, { endedEarly, peakMb: { entry: fleet.peakMb('entry'), side: fleet.peakMb('side') } })
   if (report.broken.length > 0) report.details.push(`logs written to ${await fleet.saveLogLines(`soak-${seed}`)}`)
   for (const agent of agents) agent.destroy()
   await fleet.stop()
@@ -136,16 +147,6 @@
   return report
 }
 
-/**
- * Returns a violation for each process that ended although the soak did not end it. SIGHUP ends a process whose runtime has not run the
- * first line of the program yet: nothing handles the signal until then, and the platform starts the process again.
- */
-const unexpectedExits = (fleet: FleetSystem, log: (line: string) => void): string[] => fleet.unexpectedExits.splice(0).flatMap(exit => {
-  const line = `a process ended by itself: ${JSON.stringify(exit)}`
-  log(line)
-  return exit.signal === 'SIGHUP' && !exit.started ? [] : [line]
-})
-
 /**
  * Without other faults, sends a request that crashes every engine that runs it, repeatedly and to any entry. Returns a violation if it
  * crashed more engines than allowed.
