The soak sends large bodies that begin together

Processes are killed over their memory limit, but no caller of the soak sent more than one large body at a time, so no seed came near it. Bursts of up to 120 MB, in bodies of 0.25, 1 or 4 MB with and without a stated size, now go to one entry while engines crash.

--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -18,6 +18,7 @@
 import { LeavingCallerScenario } from './leaving-caller-scenario.js'
 import { retryBudgetViolations, type RetryBounds } from './retry-budget-check.js'
 import { ResumedStreamScenario } from './resumed-stream-scenario.js'
+import { LargeBodyScenario } from './large-body-scenario.js'
 import { exitViolations } from './process-exits.js'
 import { ProcessStartScenario } from './process-start-scenario.js'
 import { ServiceWatch } from './service-watch.js'
@@ -95,6 +96,7 @@
   const unevenPace = new UnevenPaceScenario(fleet, new SeededRandom(seed + 11 * halfSeedOffset), log)
   const leavingCallers = new LeavingCallerScenario({ fleet, random: new SeededRandom(seed + 13 * halfSeedOffset), disturbances })
   const processStarts = new ProcessStartScenario({ fleet, random: new SeededRandom(seed + 19 * halfSeedOffset), proxies, disturbances }, log)
+  const largeBodies = new LargeBodyScenario(fleet, new SeededRandom(seed + 21 * halfSeedOffset), log)
   const watch = new ServiceWatch(fleet, disturbances)
   const stopFlood = new AbortController()
   const flood = teamFlood.run(fleet, stopFlood.signal)
@@ -134,7 +136,10 @@
   report.stalledPeers = slowReaders.stalled
   report.resumed = resumedStreams.counts
   report.broken.push(...slowReaders.violations())
+  // Here, as large bodies delay the soak itself, which measures how late requests are in the other parts.
+  const bodies = largeBodies.run(crashAttempts * crashIntervalMs / 2)
   report.broken.push(...await sendCrashingRequest(fleet, random, agents, seed))
+  await bodies
   report.broken.push(...await sendCrashingPart({ fleet, random: new SeededRandom(seed + 17 * halfSeedOffset), agents, seed }))
   report.broken.push(...processStarts.violations, ...await watch.stop())
   const { endedEarly, violations } = exitViolations(fleet, log)
