Heads are read up to the limit of the routing table

An entry read up to 64 kB of each head, whatever limit the routing table states (`maxHeaderBytes`, 16 kB in the fleet of tests), and held them until the head's time-out: 3,900 connections with heads of 60 kB that don't end filled its heap. Requests with such heads were answered 200.

The limit of the table, plus 2 kB for what intermediaries add, now holds for connections opened after the table is known; callers above it get 431.

--- a/packages/fleet/src/entry/entry-process.ts
+++ b/packages/fleet/src/entry/entry-process.ts
@@ -57,8 +57,10 @@
 const loggedDelayMs = 250
 /** During a planned stop, the interval of closing idle connections and of checking whether all requests have ended. */
 const drainCheckIntervalMs = 60
-/** Node's limit, above what callers may send; the limit in the configuration is far lower. */
+/** Limit of a request's head until the routing table states one. */
 const maxHeaderBytes = 65_536
+/** Intermediaries may add headers to what a caller sends. */
+const headerSlackBytes = 2048
 /** Idle connections are kept open this much longer than callers may reuse them. */
 const keepAliveSlackMs = 2000
 const seedBackoff = { firstMs: 200, limitMs: 2000 }
@@ -350,12 +352,18 @@
   #applyTable (): void {
     const limits = this.options.facts.routes?.table.limits
     if (limits === undefined) return
+    this.#limitHeads(limits.headerBytes + headerSlackBytes)
     this.server.headersTimeout = limits.headerTimeoutMs
     this.server.keepAliveTimeout = limits.idleTimeoutMs + keepAliveSlackMs
     this.#quotas.setTeams(this.options.facts.routes?.table.teams ?? [])
     this.#reconcile()
   }
 
+  /** Bounds the heads on connections opened from now on: Node passes the limit to the parser of each, though its types lack it. */
+  #limitHeads (bytes: number): void {
+    (this.server as Server & { maxHeaderSize: number }).maxHeaderSize = Math.min(bytes, maxHeaderBytes)
+  }
+
   async #sweep (): Promise<void> {
     const { signal } = this.#stop
     while (!signal.aborted) {
