--- a/packages/soak/src/process-exits.ts
+++ b/packages/soak/src/process-exits.ts
@@ -10,7 +10,7 @@
 const isEndedEarly = ({ started, signal, earlySignals }: ProcessExit): boolean => !started && signal !== null && earlySignals.includes(signal)
 
 /** Returns a violation for each process that ended by itself or not in order, and the number of those that a signal ended early. */
-export const exitViolations = (fleet: FleetSystem, log: (line: string) => void): { endedEarly: number, violations: string[] } => {
+export const exitViolations = (fleet: Pick<FleetSystem, 'unexpectedExits' | 'stops'>, log: (line: string) => void): { endedEarly: number, violations: string[] } => {
   const exits = fleet.unexpectedExits.splice(0)
   for (const exit of exits) log(`a process ended: ${JSON.stringify(exit)}`)
   const ended = exits.filter(exit => !isEndedEarly(exit)).map(exit => `a process ended by itself: ${JSON.stringify(exit)}`)
