--- a/packages/daemon/src/commands/daemon-command.ts
+++ b/packages/daemon/src/commands/daemon-command.ts
@@ -33,7 +33,7 @@
   protected async runUntilStopped (start: (stopRequested: AbortSignal) => Promise<RunningProcess | undefined>): Promise<void> {
     const stop = new AbortController()
     const stopRequested = new Promise<void>(resolve => { onAbort(stop.signal, resolve) })
-    // Once for all: the runtime would end the process at a further signal that nothing handles.
+    // Not `once`: the runtime ends the process at a further signal that nothing handles.
     process.on('SIGTERM', () => stop.abort())
     process.on('SIGINT', () => stop.abort())
     const running = await start(stop.signal)
