Room for request bodies is reserved before they are read

Only bytes that had been read were counted, so bodies that began together all found the same room. Buffers that were no longer used were not collected until 64 MB or more had gathered, and bodies and responses were held twice while their chunks were joined.

Room is now reserved with the stated size (or, beyond 64 kB, with the largest size allowed), servers wait with large responses, and buffers are collected by what passes through. The metrics and log give resident memory, its limit and what takes it.

--- a/packages/decisions/src/slow-readers.ts
+++ b/packages/decisions/src/slow-readers.ts
@@ -11,7 +11,7 @@
 
 /** The part of a process's memory for request bodies and responses; the rest is for the runtime and for what it knows of the fleet. */
 const keptShare = 0.25
-const bytesPerMb = 1024 * 1024
+export const bytesPerMb = 1024 * 1024
 /** Used where the memory limit of the process is not known. */
 const defaultKeptBytes = 64 * bytesPerMb
 
--- a/packages/fleet/src/entry/entry-process.ts
+++ b/packages/fleet/src/entry/entry-process.ts
@@ -8,6 +8,7 @@
 import { createServer, type Server } from 'node:http'
 import type { Duplex } from 'node:stream'
 import { backoff, pause, type Log } from '@finchpitch/core'
+import { bytesPerMb } from '@finchpitch/decisions'
 import { Channel, type ChannelOptions } from '@finchpitch/wire'
 import { nowMs, suspendedMs } from '../clock.js'
 import { FactLink, forwardDelayMs } from '../fact-exchange.js'
@@ -96,7 +97,7 @@
   readonly #sideLinks: SideLinks
   readonly #storeWatch: StoreWatch
   readonly #queue = new RequestQueue()
-  readonly #keptBytes = new KeptBytes(() => this.options.limits().memoryMb)
+  readonly #keptBytes: KeptBytes
   readonly #callerConnections: CallerConnections
   readonly #requestHeap = new RequestHeap()
   readonly #turns = new ReadTurns()
@@ -134,6 +135,7 @@
   constructor (private readonly options: EntryProcessOptions) {
     const { facts, domain, limits, log, process, sidePort, channel, dial, sources } = options
     this.#keyLease = new KeyLease(facts, limits)
+    this.#keptBytes = new KeptBytes(() => limits().memoryMb, log)
     this.#softwareVersions = new SoftwareVersions(facts)
     this.#streamOrigins = new StreamOrigins({ domain, versions: this.#softwareVersions, prover: new ListProver(sources.find(({ kind }) => kind === 'server'), facts, this.#stop.signal), sideProcesses: () => this.#sideLinks.sideProcesses, channelTo: host => this.#sideLinks.channelTo(host), log })
     this.#maxEntries = this.#entryCountBound.update(undefined, 0)
@@ -257,6 +259,9 @@
     this.counters.gauge('finchpitch_routing_table_version', 'Version of the current routing table.', () => facts.routes?.table.version ?? 0)
     this.counters.gauge('finchpitch_table_proof_age_seconds', 'Age in seconds of the last proof that the routing table is current; 0 if there is none.', () => Number.isFinite(facts.freshness.ageMs) ? facts.freshness.ageMs / 1000 : 0)
     this.counters.gauge('finchpitch_entries_assumed', 'Upper bound of the number of entries, by which quotas are divided.', () => this.#maxEntries)
+    this.counters.gauge('finchpitch_resident_bytes', 'Resident memory of the process.', () => this.#keptBytes.memory.residentBytes)
+    this.counters.gauge('finchpitch_memory_limit_bytes', 'Memory limit of the process; 0 if it has none.', () => (limits().memoryMb ?? 0) * bytesPerMb)
+    this.counters.gauge('finchpitch_bytes_reserved', 'Bytes of request bodies that have been read or may be read.', () => this.#keptBytes.reserved)
     this.counters.keptBytes(kind => this.#keptBytes.of(kind))
     // Once for a batch: reconciling looks at all servers, so with each of a listing's servers the time would grow with their square.
     facts.onSettled(kinds => {
--- a/packages/fleet/src/entry/serving/attempt.ts
+++ b/packages/fleet/src/entry/serving/attempt.ts
@@ -12,6 +12,7 @@
 import type { Cancellation } from './cancellation.js'
 import { bodylessStatuses, isFramed, type CallerResponse, type RawHeaders } from './caller-response.js'
 import { EventBoundary, isEventStream, maxEventBytes, type EventFramer } from './event-stream.js'
+import { gatherBody } from './gathered-body.js'
 import { headerOf } from './header.js'
 import type { KeptBytes } from './kept-bytes.js'
 import type { ReadTurns } from './read-turns.js'
@@ -176,7 +177,7 @@
     // The unsent rest of a request that was answered early must not be written ahead of the next one on this connection.
     if (!request.writableFinished) response.once('end', () => request.destroy())
     void readResponse(response, request, options).then(result => {
-      if (finished && result.type === 'answer') keptBytes.release('responses', result.body.length)
+      if (finished && result.type === 'answer') keptBytes.releaseResponse(result.body.length)
       finish(result)
     })
   })
@@ -228,20 +229,29 @@
 const bufferResponse = (response: IncomingMessage, status: number, options: AttemptOptions): Promise<AttemptResult> => new Promise(resolve => {
   const { keptBytes } = options
   const end = observeEnd(response, status, options)
-  const chunks: Buffer[] = []
-  const buffer = keptBytes.startResponse(() => response.destroy(new Error('larger than the process may keep')))
+  const stated = Number(response.headers['content-length'] ?? 0)
+  const gathered = gatherBody(keptBytes.fits(stated) ? stated : 0)
+  const buffer = keptBytes.startResponse({
+    cut: () => response.destroy(new Error('larger than the process may keep')),
+    pause: () => {
+      response.pause()
+      // Resuming the response resumes its connection too, unless all of it has been read.
+      if (!response.complete) pauseNow(response.socket)
+    },
+    resume: () => { response.resume() }
+  })
   const broken = (detail: string): void => {
     buffer.discard()
     resolve({ type: 'broken', detail })
   }
   response.on('data', (chunk: Buffer) => {
-    chunks.push(chunk)
+    gathered.add(chunk)
     buffer.add(chunk.length)
   })
   response.on('error', error => broken(`response body incomplete: ${error.message}`))
   response.on('end', () => {
     if (!response.complete) return broken('response body incomplete')
-    const body = Buffer.concat(chunks)
+    const body = gathered.bytes
     if (options.stream && isEventStream(response) && endsWithinEvent(body)) return broken('response body ended within an event')
     buffer.complete()
     resolve({ type: 'answer', status, headers: response.rawHeaders, body, end })
--- a/packages/fleet/src/entry/serving/incoming-request.ts
+++ b/packages/fleet/src/entry/serving/incoming-request.ts
@@ -5,8 +5,9 @@
 import { maxAdapterKeyLength } from '@finchpitch/wire'
 import { err, ok, type Result } from 'neverthrow'
 import type { HeaderNames } from '../../ports.js'
+import { gatherBody } from './gathered-body.js'
 import { headerOf } from './header.js'
-import type { KeptBytes } from './kept-bytes.js'
+import type { BodyReservation, KeptBytes } from './kept-bytes.js'
 
 /** Used where a caller states no remaining time. */
 const defaultRemainingMs = 10_000
@@ -16,8 +17,16 @@
 /** No prompt is longer. The stated number is sent in frames between processes, whose fields are bounded. */
 const maxPromptTokens = 10_000_000
 
-/** Why the body could not be read: it exceeds the limit, or the caller disconnected. */
-export type BodyError = 'too_large' | 'caller_left'
+/** Why the body could not be read: it exceeds the limit, the caller disconnected, or the process has no room for it. */
+export type BodyError = 'too_large' | 'caller_left' | 'no_room'
+
+export interface BodyOptions {
+  /** Maximum size in bytes. */
+  limit: number
+  keptBytes: KeptBytes
+  /** How long the body may wait for room, each time that it needs some. */
+  waitMs: () => number
+}
 
 export class IncomingRequest {
   readonly id: string
@@ -38,8 +47,7 @@
   readonly resumes: string | undefined
   /** Milliseconds until the caller times out. */
   readonly remainingMs: number
-  /** Bytes of the body that are counted as kept. */
-  #keptBytes = 0
+  #reservation: BodyReservation | undefined
 
   constructor (readonly message: IncomingMessage, names: HeaderNames) {
     this.id = headerOf(message, names.requestId) ?? ''
@@ -77,30 +85,56 @@
     return this.statedBodyBytes > 0 || this.message.headers['transfer-encoding'] !== undefined
   }
 
-  /** Releases the bytes of the body that `body` counted as kept. */
+  /** Gives up the room of the body, once no attempt needs it. */
   releaseBody (keptBytes: KeptBytes): void {
-    keptBytes.release('request_bodies', this.#keptBytes)
-    this.#keptBytes = 0
+    if (this.#reservation !== undefined) keptBytes.releaseBody(this.#reservation)
+    this.#reservation = undefined
+  }
+
+  /** Drops what has not been read of the body: it would precede the next request on this connection. */
+  discardBody (): void {
+    this.message.resume()
+  }
+
+  /** Reads the body, once there is room for it. Until then nothing is read from the caller. */
+  async body (options: BodyOptions): Promise<Result<Buffer, BodyError>> {
+    const { limit, keptBytes, waitMs } = options
+    if (!this.hasBody) return ok(emptyBuffer)
+    const stated = this.statedBodyBytes
+    if (stated > limit) return err('too_large')
+    this.#reservation = await keptBytes.reserveBody(stated === 0 ? undefined : stated, waitMs())
+    if (this.#reservation === undefined) return err('no_room')
+    return await this.#read(this.#reservation, stated, options)
   }
 
-  /** Reads the body, of at most `limit` bytes. */
-  body (limit: number, keptBytes: KeptBytes): Promise<Result<Buffer, BodyError>> {
+  #read (reservation: BodyReservation, stated: number, { limit, waitMs }: BodyOptions): Promise<Result<Buffer, BodyError>> {
     const { message } = this
-    const chunks: Buffer[] = []
-    let size = 0
+    const gathered = gatherBody(stated)
     return new Promise(resolve => {
       // A caller that disconnected before the body is read causes no more events.
       if (message.destroyed && !message.readableEnded) resolve(err('caller_left'))
-      message.on('data', (chunk: Buffer) => {
-        size += chunk.length
-        if (size > limit) return resolve(err('too_large'))
-        chunks.push(chunk)
-        this.#keptBytes += chunk.length
-        keptBytes.add('request_bodies', chunk.length)
+      const awaitRoom = async (): Promise<void> => {
+        message.pause()
+        if (!await reservation.extend(stated === 0 ? limit : stated, waitMs())) return finish(err('no_room'))
+        message.resume()
+      }
+      const read = (chunk: Buffer): void => {
+        if (reservation.arrived + chunk.length > limit) return finish(err('too_large'))
+        reservation.add(chunk.length)
+        gathered.add(chunk)
+        if (reservation.isExceeded) void awaitRoom()
+      }
+      const finish = (result: Result<Buffer, BodyError>): void => {
+        message.off('data', read)
+        resolve(result)
+      }
+      message.on('data', read)
+      message.on('end', () => {
+        reservation.shrink()
+        finish(ok(gathered.bytes))
       })
-      message.on('end', () => resolve(ok(chunks.length === 1 ? chunks[0] ?? emptyBuffer : Buffer.concat(chunks))))
-      message.on('error', () => resolve(err('caller_left')))
-      message.on('close', () => resolve(err('caller_left')))
+      message.on('error', () => finish(err('caller_left')))
+      message.on('close', () => finish(err('caller_left')))
     })
   }
 }
--- a/packages/fleet/src/entry/serving/local-replies.ts
+++ b/packages/fleet/src/entry/serving/local-replies.ts
@@ -108,15 +108,14 @@
   /** Rejects the request for good. */
   end (reason: FinalReason): string {
     const { incoming, callerResponse } = this.options
-    incoming.message.resume()
+    incoming.discardBody()
     callerResponse.sendLocalReply(finalStatuses[reason], {}, finalMessages[reason])
     return reason
   }
 
   #rejectNotRun (status: 429 | 503, reason: string, message: string, retryAfterMs: number): void {
     const { incoming, record, callerResponse, names } = this.options
-    // Drains the body: unread bytes would precede the next request on this connection.
-    incoming.message.resume()
+    incoming.discardBody()
     record.reason = reason
     this.#toldMs = retryAfterMs
     callerResponse.sendLocalReply(status, { [names.retryAfter]: String(retryAfterMs / 1000) }, message)
--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -27,7 +27,7 @@
 import { CallerResponse, bodylessStatuses } from './caller-response.js'
 import { EventFramer } from './event-stream.js'
 import type { Admission, Denial } from './admission.js'
-import { IncomingRequest } from './incoming-request.js'
+import { IncomingRequest, type BodyError } from './incoming-request.js'
 import { buildOutgoingRequest, type OutgoingContext } from './outgoing-request.js'
 import type { KeptBytes } from './kept-bytes.js'
 import { helpsRepeat } from '../servers/choice.js'
@@ -166,6 +166,8 @@
     this.#crashes = new RequestCrashes(options.crashes, this.#incoming)
     this.#selector = new ServerSelector(options, { incoming: this.#incoming, times: this.#times, record: this.#record, crashes: this.#crashes, cancellation: this.#cancellation })
     this.#localReplies = new LocalReplies({ names: options.names, staleTableRetryMs: options.staleTableRetryMs, incoming: this.#incoming, callerResponse: this.#callerResponse, record: this.#record })
+    // Chunks of a body take memory until they are collected, also of one that is dropped.
+    if (this.#incoming.hasBody) request.once('resume', () => request.on('data', (chunk: Buffer) => options.keptBytes.memory.notePassed(chunk.length)))
     response.on('close', () => { if (!response.writableFinished) this.#handleCallerLeft() })
   }
 
@@ -207,9 +209,8 @@
     const readyInMs = await this.#admission.reserve(admission, this.#times.firstTriedMs, service)
     if (readyInMs !== undefined) return this.#localReplies.overQuota(readyInMs)
     this.#times.deadline = this.#times.arrivedAt + Math.min(remainingMs, route.timeoutMs)
-    if (!await this.#mayReadBody()) return this.#localReplies.refuse('too_many_bytes_kept')
-    const body = await this.#incoming.body(routes.table.limits.bodyBytes, this.options.keptBytes)
-    if (body.isErr()) return body.error === 'too_large' ? this.#localReplies.end(body.error) : body.error
+    const body = await this.#incoming.body({ limit: routes.table.limits.bodyBytes, keptBytes: this.options.keptBytes, waitMs: () => bodyWaitMs(this.#times.leftMs) })
+    if (body.isErr()) return this.#endUnread(body.error)
     this.#framer = isResumable(route) ? new EventFramer() : undefined
     const timer = setTimeout(() => this.#onDeadline(), Math.max(0, this.#times.leftMs))
     try {
@@ -220,18 +221,17 @@
     }
   }
 
-  /** Waits for room for the body if the process keeps too many bytes. Until then nothing is read from the caller. */
-  async #mayReadBody (): Promise<boolean> {
-    const { keptBytes } = this.options
-    if (!this.#incoming.hasBody || keptBytes.hasRoom) return true
-    return await keptBytes.waitForRoom(this.#incoming.statedBodyBytes, bodyWaitMs(this.#times.leftMs))
+  /** The body could not be read. */
+  #endUnread (error: BodyError): string {
+    if (error === 'no_room') return this.#localReplies.refuse('too_many_bytes_kept')
+    return error === 'too_large' ? this.#localReplies.end(error) : error
   }
 
   /** Bytes that a caller has not read yet are counted where its response is watched. */
   #releaseKept (): void {
     const { keptBytes } = this.options
     this.#incoming.releaseBody(keptBytes)
-    keptBytes.release('responses', this.#bufferedBytes)
+    keptBytes.releaseResponse(this.#bufferedBytes)
   }
 
   /** Aborts the response if the caller stops reading. A reset also frees what the operating system keeps of it. */
@@ -405,7 +405,7 @@
     if (!serverEnded) return result
     const detail = 'server ended with a response without a length'
     if (result.type === 'streamed') return { type: 'interrupted', detail }
-    this.options.keptBytes.release('responses', result.body.length)
+    this.options.keptBytes.releaseResponse(result.body.length)
     return { type: 'broken', detail }
   }
 
