--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -136,7 +136,7 @@
   report.stalledPeers = slowReaders.stalled
   report.resumed = resumedStreams.counts
   report.broken.push(...slowReaders.violations())
-  // Here, as large bodies delay the soak itself, which measures how late requests are in the other parts.
+  // After the parts that measure how late requests are: servers and callers run in the process that sends the bodies.
   const bodies = largeBodies.run(crashAttempts * crashIntervalMs / 2)
   report.broken.push(...await sendCrashingRequest(fleet, random, agents, seed))
   await bodies
