Test: the record of a stop is awaited, which comes after the exit

The test of overlapping processes failed in one whole run: the stop had not been recorded when the test looked, right after the exit. The fleet records it once the output of the process has been read to its end (`close`), which follows the exit (`exit`) by some milliseconds on a busy machine. The check itself is the same.

--- a/packages/stand-ins/test/process-lives.test.ts
+++ b/packages/stand-ins/test/process-lives.test.ts
@@ -28,6 +28,8 @@
     await eventually('the next process has started', () => entry.process !== former)
     expect(former?.exitCode).to.equal(null)
     await replaced
+    // Recorded once its output has been read to the end, which may be after its exit.
+    await eventually('the stop is recorded', () => fleet.stops.length > 0)
     expect(fleet.stops.splice(0)).to.have.length(1).and.have.nested.property('[0].code', 0)
     await eventually('the next process is ready', isReady)
   })
