The log tells by a server's id whether it is still there after a response without a length

`response.ended_with_connection` said whether connections to the address of the server are refused. That did not tell a server that goes on from one that has restarted, another one at its address, or one that answers nothing.

Servers answer health checks with their id, which each start changes. The entry asks for it over a new connection once such a response has ended, and logs what it was told (`presence`, `toldBy`), and the content type. What follows from the end is unchanged. The routing table has the path of health checks, which was not read so far.

--- a/packages/fleet/src/entry/entry-process.ts
+++ b/packages/fleet/src/entry/entry-process.ts
@@ -37,6 +37,7 @@
 import { Quotas } from './quotas/quotas.js'
 import { RetryBudget } from './waiting/retry-budget.js'
 import { ServerLiveness } from './servers/server-liveness.js'
+import { ServerPresences, sendHealthCheck } from './servers/server-presence.js'
 import { ServerFaults } from './servers/server-faults.js'
 import { ServerLimits } from './servers/server-limits.js'
 import { ServerFeedbackHandler } from './servers/server-feedback-handler.js'
@@ -230,6 +231,7 @@
       feedbackHandler: this.#feedbackHandler,
       crashes: this.#crashTracker,
       liveness,
+      presences: new ServerPresences(sendHealthCheck(options.headerNames.serverId)),
       connectTimeout: this.#connectTimeout,
       lease: this.#keyLease,
       quotas: this.#quotas,
--- a/packages/fleet/src/entry/serving/attempt.ts
+++ b/packages/fleet/src/entry/serving/attempt.ts
@@ -66,6 +66,8 @@
   framed: boolean
   /** Set if the response is not framed: whether the connection had been reset by the time its end was read. */
   peerGone?: boolean | undefined
+  /** Set if the response is not framed and has one. */
+  contentType?: string | undefined
 }
 
 export type AttemptResult =
@@ -272,7 +274,7 @@
 /** The result is complete once the response has ended. Called as its head is read, so that no end is read along with its first bytes. */
 const observeEnd = (response: IncomingMessage, status: number, options: AttemptOptions): ResponseEnd => {
   if (isDelimited(response, status, options)) return { framed: true }
-  const end: ResponseEnd = { framed: false }
+  const end: ResponseEnd = { framed: false, contentType: response.headers['content-type'] }
   const { socket } = response
   readEndApart(socket)
   // Before the listeners of Node, which close their side.
--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -22,6 +22,7 @@
 import type { ConnectTimeout } from '../servers/connect-timeout.js'
 import type { CrashTracker } from '../servers/crash-tracker.js'
 import type { ServerLiveness } from '../servers/server-liveness.js'
+import type { ServerPresences } from '../servers/server-presence.js'
 import type { EntryCounters } from '../counters.js'
 import { CallerReturn, type CallerReturnOptions } from './caller-return.js'
 import { CallerResponse, bodylessStatuses } from './caller-response.js'
@@ -74,6 +75,7 @@
   feedbackHandler: ServerFeedbackHandler
   crashes: CrashTracker
   liveness: ServerLiveness
+  presences: ServerPresences
   connectTimeout: ConnectTimeout
   counters: EntryCounters
   keptBytes: KeptBytes
@@ -380,7 +382,7 @@
       },
       onServerFeedback: feedback => this.options.feedbackHandler.handle(feedback, { server, state, request: this.#incoming.id, sentAt })
     })
-    const result = await this.#confirmEnd(ended, server)
+    const result = await this.#confirmEnd(ended, server, selection.service)
     if (result.type === 'streamed' && this.#sentAttempts === 0) state.recordRun(pending, this.#incoming.outputTokens)
     state.end(key, pending)
     if (result.type === 'answer') this.#bufferedBytes += result.body.length
@@ -395,13 +397,13 @@
    * A response without a length or chunks also ends where its server does, so it is complete only if the server is still there. A server
    * that is draining or no longer listed is no exception: it may be ended with whatever it runs.
    */
-  async #confirmEnd (result: AttemptResult, server: BackendServer): Promise<AttemptResult> {
+  async #confirmEnd (result: AttemptResult, server: BackendServer, { healthPath }: FleetService): Promise<AttemptResult> {
     if ((result.type !== 'answer' && result.type !== 'streamed') || result.end.framed) return result
-    const { liveness, facts, log } = this.options
-    const serverEnded = await liveness.endedNow(server)
+    const { liveness, presences, facts, log } = this.options
+    const [serverEnded, { presence, detail: toldBy }] = await Promise.all([liveness.endedNow(server), presences.check(server, healthPath)])
     const bytes = result.type === 'streamed' ? result.bytes : result.body.length
     const listed = facts.servers.get(server.id)
-    log.info('response.ended_with_connection', { request: this.#incoming.id, server: server.id, bytes, peerGone: result.end.peerGone, serverEnded, listed: listed !== undefined, leaving: listed?.leaving })
+    log.info('response.ended_with_connection', { request: this.#incoming.id, server: server.id, bytes, peerGone: result.end.peerGone, contentType: result.end.contentType, serverEnded, presence, toldBy, listed: listed !== undefined, leaving: listed?.leaving })
     if (!serverEnded) return result
     const detail = 'server ended with a response without a length'
     if (result.type === 'streamed') return { type: 'interrupted', detail }
--- a/packages/fleet/src/table.ts
+++ b/packages/fleet/src/table.ts
@@ -54,6 +54,8 @@
   name: z.string(),
   /** Maximum connections to one backend server, over all callers together. */
   maxConnections: z.number().int().positive(),
+  /** Path of a request that a backend server answers with its id; absent if there is none. */
+  healthPath: z.string().optional(),
   /** Present if the backend servers are model engines. */
   engine: EngineSpec.optional()
 })
--- a/packages/stand-ins/src/fleet/backend-server.ts
+++ b/packages/stand-ins/src/fleet/backend-server.ts
@@ -131,6 +131,7 @@
     if (this.leaving) response.setHeader('Server-Leaving', '1')
     if (this.limitPerSecond !== undefined) response.setHeader('Server-Limit', String(this.limitPerSecond))
     const path = (request.url ?? '').split('?')[0]
+    if (path === '/health') return sendJson(response, this.leaving ? 503 : 200, {}, { 'Instance-Id': this.id })
     if (path === '/v1/report') return sendJson(response, 200, this.#report())
     if (path === '/v1/order') return await this.#order(await readJson(request) as Order, request, response)
     await this.#serve(request, response)
