A response without a length is complete only if its server is known to be there by its id

Callers had responses that were broken off by the end of their server and looked complete: streams with their last chunk, bodies with the end of their connection.

Cause: such a response also ends where its server does, and whether it had was told by whether something listens at its address. A server that has started again listens, and so does another process that was given the address. No answer, and any failure of the probe but a refusal, counted as yes. The end may also be read long after it came, from a slow caller's connection or by a process that stood still; the probe told of the present.

Now the server is asked for its id once the end has been read, over a new connection. Each start has a new id, so that an answer with it shows that the process that sent the response had not ended; it doesn't matter how late the end was read. Anything else, silence included, counts as broken off: repeatable requests and resumable streams go to another server, others end with 502 or a stream that is visibly cut.

--- a/packages/fleet/src/entry/counters.ts
+++ b/packages/fleet/src/entry/counters.ts
@@ -35,6 +35,13 @@
     registers: [this.registry]
   })
 
+  readonly unframedResponses = new Counter({
+    name: 'finchpitch_unframed_responses_total',
+    help: 'Responses that ended with the connection of their server, by whether the server was there afterwards.',
+    labelNames: ['presence'],
+    registers: [this.registry]
+  })
+
   readonly eventLoopDelay = new Histogram({
     name: 'finchpitch_event_loop_delay_seconds',
     help: 'By how much a periodic timer of the entry was late, as the event loop was busy.',
--- a/packages/fleet/src/entry/entry-process.ts
+++ b/packages/fleet/src/entry/entry-process.ts
@@ -214,8 +214,7 @@
     this.#feedbackHandler = new ServerFeedbackHandler({ facts, balancer: this.#balancer, queue: this.#queue, serverLimits: this.#serverLimits })
     this.#serverFaults = new ServerFaults(this.#balancer, this.counters, log)
     this.#probeRequester = new ProbeRequester({ hosts: () => this.#sideLinks.hosts, channelTo: host => this.#sideLinks.channelTo(host), log })
-    const liveness = new ServerLiveness()
-    this.#crashTracker = new CrashTracker({ facts, liveness, reporter: this.#attemptReporter, requestProbe: async fingerprint => await this.#probeRequester.ask(fingerprint), onQuarantine: () => this.#queue.scheduleScan(), counters: this.counters, log })
+    this.#crashTracker = new CrashTracker({ facts, liveness: new ServerLiveness(), reporter: this.#attemptReporter, requestProbe: async fingerprint => await this.#probeRequester.ask(fingerprint), onQuarantine: () => this.#queue.scheduleScan(), counters: this.counters, log })
     this.server = createServer({ maxHeaderSize: maxHeaderBytes, connectionsCheckingInterval: 1000, requestTimeout: 0 })
     this.#callerConnections = new CallerConnections(this.server, log)
     this.#callerConnections.setMaxSockets(limits().maxSockets)
@@ -230,7 +229,6 @@
       keptBytes: this.#keptBytes,
       feedbackHandler: this.#feedbackHandler,
       crashes: this.#crashTracker,
-      liveness,
       presences: new ServerPresences(sendHealthCheck(options.headerNames.serverId)),
       connectTimeout: this.#connectTimeout,
       lease: this.#keyLease,
--- a/packages/fleet/src/entry/servers/server-liveness.ts
+++ b/packages/fleet/src/entry/servers/server-liveness.ts
@@ -12,11 +12,6 @@
 
   constructor (private readonly probe: (address: string) => Promise<boolean> = refusesConnections) {}
 
-  /** Whether the server has ended, by a probe that begins with the call. One that began before may still have been accepted. */
-  async endedNow ({ address }: BackendServer): Promise<boolean> {
-    return await this.probe(address)
-  }
-
   /** Whether the server has crashed. Attempts that failed at the same time share one probe. */
   async ended ({ address }: BackendServer): Promise<boolean> {
     const pending = this.#probes.get(address)
--- a/packages/fleet/src/entry/serving/cancellation.ts
+++ b/packages/fleet/src/entry/serving/cancellation.ts
@@ -38,3 +38,10 @@
     resolve()
   })
 })
+
+/** Resolves to `undefined` on cancellation if that comes first. */
+export const unlessCancelled = <Value>(promise: Promise<Value>, cancellation: Cancellation): Promise<Value | undefined> => new Promise((resolve, reject) => {
+  if (cancellation.cancelled) return resolve(undefined)
+  const unsubscribe = cancellation.onCancel(() => resolve(undefined))
+  promise.then(resolve, reject).finally(unsubscribe)
+})
--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -18,10 +18,9 @@
 import type { FleetService, Route } from '../../table.js'
 import { attempt, type AttemptResult } from './attempt.js'
 import type { SelectionRequest, Balancer } from '../servers/balancer.js'
-import { Cancellation } from './cancellation.js'
+import { Cancellation, unlessCancelled } from './cancellation.js'
 import type { ConnectTimeout } from '../servers/connect-timeout.js'
 import type { CrashTracker } from '../servers/crash-tracker.js'
-import type { ServerLiveness } from '../servers/server-liveness.js'
 import type { ServerPresences } from '../servers/server-presence.js'
 import type { EntryCounters } from '../counters.js'
 import { CallerReturn, type CallerReturnOptions } from './caller-return.js'
@@ -74,7 +73,6 @@
   quotas: Quotas
   feedbackHandler: ServerFeedbackHandler
   crashes: CrashTracker
-  liveness: ServerLiveness
   presences: ServerPresences
   connectTimeout: ConnectTimeout
   counters: EntryCounters
@@ -394,21 +392,24 @@
   }
 
   /**
-   * A response without a length or chunks also ends where its server does, so it is complete only if the server is still there. A server
-   * that is draining or no longer listed is no exception: it may be ended with whatever it runs.
+   * A response without a length or chunks also ends where its server does, so it is complete only if the server is known to be there
+   * afterwards. One that is draining or no longer listed is no exception: it may be ended with whatever it runs.
    */
   async #confirmEnd (result: AttemptResult, server: BackendServer, { healthPath }: FleetService): Promise<AttemptResult> {
     if ((result.type !== 'answer' && result.type !== 'streamed') || result.end.framed) return result
-    const { liveness, presences, facts, log } = this.options
-    const [serverEnded, { presence, detail: toldBy }] = await Promise.all([liveness.endedNow(server), presences.check(server, healthPath)])
+    const { presences, facts, counters, log } = this.options
+    const check = await unlessCancelled(presences.check(server, healthPath), this.#cancellation)
+    const presence = check?.presence ?? 'unknown'
+    counters.unframedResponses.inc({ presence })
     const bytes = result.type === 'streamed' ? result.bytes : result.body.length
     const listed = facts.servers.get(server.id)
-    log.info('response.ended_with_connection', { request: this.#incoming.id, server: server.id, bytes, peerGone: result.end.peerGone, contentType: result.end.contentType, serverEnded, presence, toldBy, listed: listed !== undefined, leaving: listed?.leaving })
-    if (!serverEnded) return result
-    const detail = 'server ended with a response without a length'
-    if (result.type === 'streamed') return { type: 'interrupted', detail }
-    this.options.keptBytes.releaseResponse(result.body.length)
-    return { type: 'broken', detail }
+    const { peerGone, contentType } = result.end
+    log.info('response.ended_with_connection', { request: this.#incoming.id, server: server.id, bytes, peerGone, contentType, presence, toldBy: check?.detail, listed: listed !== undefined, leaving: listed?.leaving })
+    if (presence === 'present') return result
+    if (result.type === 'answer') this.options.keptBytes.releaseResponse(result.body.length)
+    if (check === undefined) return { type: 'cancelled', sent: true }
+    const detail = `a response without a length, whose server is ${presence === 'gone' ? 'gone' : 'not known to be there'}: ${check.detail}`
+    return { type: result.type === 'streamed' ? 'interrupted' : 'broken', detail }
   }
 
   get #isTooLate (): boolean {
--- a/packages/fleet/test/server-liveness.test.ts
+++ b/packages/fleet/test/server-liveness.test.ts
@@ -39,14 +39,4 @@
     await liveness.ended(server)
     expect(probes).to.equal(2)
   })
-
-  // A response without a length looked complete, as the probe of another attempt had been accepted before the server ended.
-  it('does not take the word of an earlier probe for the end of a response', async () => {
-    const answers: Array<(ended: boolean) => void> = []
-    const liveness = new ServerLiveness(async () => await new Promise(resolve => answers.push(resolve)))
-    const earlier = liveness.ended(server)
-    const now = liveness.endedNow(server)
-    for (const [index, answer] of answers.entries()) answer(index > 0)
-    expect(await Promise.all([earlier, now])).to.deep.equal([false, true])
-  })
 })
--- a/packages/fleet/test/single-entry.ts
+++ b/packages/fleet/test/single-entry.ts
@@ -26,6 +26,8 @@
   method?: string
   /** Of HTTP. */
   version?: string
+  /** Time until the caller begins to read. */
+  readAfterMs?: number
 }
 
 /** A server that answers each request with the bytes that `answer` writes. */
@@ -41,12 +43,16 @@
   route('resume', { kind: 'stream', resumable: true, maxAttempts: 2 })
 ]
 
+const healthPath = '/health'
+
 /** Both ends of a connection on loopback close within this time. */
 const closeMs = 50
 const endOfHead = '\r\n\r\n'
 
 export class SingleEntry {
   readonly lines: LogLine[] = []
+  /** Ids of servers that accept connections, but do not answer health checks. */
+  readonly silentServers = new Set<string>()
   readonly facts: Facts
   readonly limits: Limits = { graceMs: 8000, drainMs: 2000, versionMs: 5000, retryRatio: 10, retryWindowMs: 10_000, retrySlack: 0, loadWindowMs: 5000, loadOverage: 1, quotaWindowMs: 8000, quotaOverage: 0, quotaSlack: 0 }
   readonly #entry: EntryProcess
@@ -71,24 +77,38 @@
     })
     this.#entry.server.listen(0, '127.0.0.1')
     await once(this.#entry.server, 'listening')
-    this.#offer('table', 'table', { version: 1, routes, services: [{ name: 'plain', maxConnections: 100 }], limits: { headerBytes: 10_000, bodyBytes: 1_000_000, headerTimeoutMs: 60_000, idleTimeoutMs: 60_000 } })
+    this.#offer('table', 'table', { version: 1, routes, services: [{ name: 'plain', maxConnections: 100, healthPath }], limits: { headerBytes: 10_000, bodyBytes: 1_000_000, headerTimeoutMs: 60_000, idleTimeoutMs: 60_000 } })
   }
 
   /** Starts a server and lists it. */
   async addServer (id: string, answer: RawAnswer): Promise<Server> {
+    const server = await this.#listen(id, answer, 0)
+    this.#addresses.set(id, `127.0.0.1:${(server.address() as AddressInfo).port}`)
+    this.#list(id, false)
+    return server
+  }
+
+  /** Starts another server at the address of one that is closed. Connections of the former one stay open. */
+  async replaceServer (former: Server, id: string): Promise<Server> {
+    const { port } = former.address() as AddressInfo
+    former.close()
+    return await this.#listen(id, () => {}, port)
+  }
+
+  async #listen (id: string, answer: RawAnswer, port: number): Promise<Server> {
     const server = createServer(socket => {
       this.#sockets.add(socket)
       socket.on('error', () => {})
       socket.on('data', chunk => {
-        const requestId = /\r\nrequest-id: ([^\r]*)/i.exec(chunk.toString('latin1'))?.[1]
+        const head = chunk.toString('latin1')
+        const requestId = /\r\nrequest-id: ([^\r]*)/i.exec(head)?.[1]
         if (requestId !== undefined) answer(socket, requestId)
+        else if (head.startsWith(`GET ${healthPath} `) && !this.silentServers.has(id)) socket.write(`HTTP/1.1 200 OK\r\ninstance-id: ${id}\r\ncontent-length: 0${endOfHead}`)
       })
     })
-    server.listen(0, '127.0.0.1')
+    server.listen(port, '127.0.0.1')
     await once(server, 'listening')
     this.#servers.push(server)
-    this.#addresses.set(id, `127.0.0.1:${(server.address() as AddressInfo).port}`)
-    this.#list(id, false)
     return server
   }
 
@@ -113,16 +133,8 @@
   }
 
   /** Sends a request over a connection of its own and reads until that ends. */
-  async send (path: string, { id = 'r', remainingMs = 2000, headers = {}, method = 'POST', version = '1.1' }: SendOptions = {}): Promise<CallerResult> {
-    const caller = connect((this.#entry.server.address() as AddressInfo).port, '127.0.0.1')
-    const fields = { host: 'h', 'request-id': id, 'deadline-ms': remainingMs, connection: 'close', 'content-length': 0, ...headers }
-    caller.write(`${method} ${path} HTTP/${version}\r\n${Object.entries(fields).map(([name, value]) => `${name}: ${value}`).join('\r\n')}${endOfHead}`)
-    const chunks: Buffer[] = []
-    let reset = false
-    caller.on('data', (chunk: Buffer) => chunks.push(chunk))
-    caller.on('error', () => { reset = true })
-    await new Promise(resolve => caller.on('close', resolve))
-    return { text: Buffer.concat(chunks).toString('latin1'), reset }
+  async send (path: string, options: SendOptions = {}): Promise<CallerResult> {
+    return await sendRaw({ port: (this.#entry.server.address() as AddressInfo).port, host: '127.0.0.1' }, path, { host: 'h' }, options)
   }
 
   linesOf (event: string): LogLine[] {
@@ -153,6 +165,21 @@
   }
 }
 
+/** Sends a request over a connection of its own and reads until that ends. */
+export const sendRaw = async (address: { host: string, port: number }, path: string, ownHeaders: Record<string, string>, options: SendOptions = {}): Promise<CallerResult> => {
+  const { id = 'r', remainingMs = 2000, headers = {}, method = 'POST', version = '1.1', readAfterMs = 0 } = options
+  const caller = connect(address)
+  const fields = { ...ownHeaders, 'request-id': id, 'deadline-ms': remainingMs, connection: 'close', 'content-length': 0, ...headers }
+  caller.write(`${method} ${path} HTTP/${version}\r\n${Object.entries(fields).map(([name, value]) => `${name}: ${value}`).join('\r\n')}${endOfHead}`)
+  const chunks: Buffer[] = []
+  let reset = false
+  await pause(readAfterMs)
+  caller.on('data', (chunk: Buffer) => chunks.push(chunk))
+  caller.on('error', () => { reset = true })
+  await new Promise(resolve => caller.on('close', resolve))
+  return { text: Buffer.concat(chunks).toString('latin1'), reset }
+}
+
 /** The status of a raw response. */
 export const statusOf = ({ text }: CallerResult): number => Number(/^HTTP\/1\.1 (\d+)/.exec(text)?.[1] ?? 0)
 
--- a/packages/stand-ins/src/fleet/backend-server.ts
+++ b/packages/stand-ins/src/fleet/backend-server.ts
@@ -35,9 +35,9 @@
  * `mute`: requests count as run, but get no response. `reset`: requests count as run, and their connections are closed without a
  * response. `failing`: responses have status 500. `shedding`: requests are rejected with status 503. `torn`: responses are cut off.
  * `cut`: connections of responses are reset after some events, or a part of the body. `unsealed`: responses lack the response seal.
- * `foreign`: responses carry the id of another request.
+ * `foreign`: responses carry the id of another request. `hanging`: responses stop after some events, or a part of the body, and stay open.
  */
-export type InjectedFault = 'none' | 'mute' | 'reset' | 'failing' | 'shedding' | 'torn' | 'cut' | 'unsealed' | 'foreign'
+export type InjectedFault = 'none' | 'hanging' | 'mute' | 'reset' | 'failing' | 'shedding' | 'torn' | 'cut' | 'unsealed' | 'foreign'
 
 /** A request that reached a server. */
 export interface Arrival {
@@ -278,9 +278,9 @@
     if (this.options.engine === undefined) {
       const text = `done ${requestId} ${body.length}`
       response.writeHead(200, { ...headers, ...(this.unframed ? {} : { 'content-length': text.length }) })
-      if (this.fault === 'cut') {
+      if (this.fault === 'cut' || this.fault === 'hanging') {
         response.write(text.slice(0, 4))
-        return this.#cut(response)
+        return this.fault === 'cut' ? this.#cut(response) : undefined
       }
       if (this.fault === 'torn') {
         response.write(text.slice(0, 4))
@@ -302,6 +302,7 @@
       }
       response.write(`id: ${event}\ndata: ${id} ${softwareVersion} ${event}\n\n`)
       if (this.fault === 'cut' && event === 2) return this.#cut(response)
+      if (this.fault === 'hanging' && event === 2) return
       if (crashes) return await this.#crash()
       await pause(this.options.eventMs * this.slowdown)
     }
--- a/packages/stand-ins/src/fleet/fleet-system.ts
+++ b/packages/stand-ins/src/fleet/fleet-system.ts
@@ -424,6 +424,20 @@
     this.register(server, ip, domain)
   }
 
+  /**
+   * Restarts a backend server at its address, under another id, before the connections of the former one have ended. Returns a function
+   * that ends these in order.
+   */
+  async restartInPlace (server: BackendStandIn): Promise<() => void> {
+    const { ip, domain } = this.#locations.get(server) ?? { ip: '', domain: '' }
+    const previousId = server.id
+    const endFormer = await server.startAnew()
+    server.restart(`${previousId}-again`)
+    this.store.remove('servers', previousId)
+    this.register(server, ip, domain)
+    return endFormer
+  }
+
   async #listen (server: HttpStandIn, ip: string, port: number): Promise<void> {
     const { insertProxy } = this.options
     await server.start(ip, insertProxy === undefined ? port : port + proxiedPortOffset)
