Streams whose lines end with CR LF or CR are recognized as whole

A whole stream was called broken off if its events end with CR LF CR LF or CR CR, or if a comment line follows the last event: its caller had a stream that was cut, with HTTP/1.0 status 502, and a resumable one was asked for again at another server.

Cause: only LF LF counted as the end of an event. The format of event streams allows lines that end with LF, CR or CR LF, a byte order mark, and comments outside of events.

Events are now followed line by line. A line such as that of the version of weights, after which an event has to follow, still counts as a part of one, and so does a comment within an event. The id of the last event is read in the same terms.

Run: streams with a length, chunks and neither, plain and resumable routes, HTTP/1.1 and 1.0. Lines that end with CR LF, lines that end with CR, and a comment line after the last event: none was complete to its caller before, all are after. Cut in such lines, in a comment and after a line of a version: none is complete after.

--- a/packages/fleet/src/entry/serving/event-stream.ts
+++ b/packages/fleet/src/entry/serving/event-stream.ts
@@ -10,15 +10,24 @@
 export const maxEventBytes = 256 * 1024
 
 const newline = 0x0a
-const eventTerminator = Buffer.from('\n\n')
+const carriageReturn = 0x0d
+const colon = 0x3a
 const eventStreamType = /^text\/event-stream\b/i
 
 export const isEventStream = ({ headers }: IncomingMessage): boolean => eventStreamType.test(headers['content-type'] ?? '')
 
-/** Tracks how much of a stream belongs to an event that is not complete yet. */
+/**
+ * Tracks how much of a stream belongs to an event that is not complete yet. Lines end with LF, CR or CR LF, and events with an empty line.
+ * Comments outside of an event belong to none.
+ */
 export class EventBoundary {
   #partialBytes = 0
-  #endsWithNewline = false
+  #lineIsEmpty = true
+  #lineIsComment = false
+  /** The current event has a line that is not a comment. */
+  #hasFields = false
+  /** The last byte ended a line, and a following LF would belong to it. */
+  #afterCarriageReturn = false
 
   /** Bytes since the last complete event. */
   get partialBytes (): number {
@@ -27,18 +36,36 @@
 
   /** Returns how many bytes of the next chunk end a complete event; 0 if it completes none. */
   scan (chunk: Buffer): number {
-    const at = chunk.lastIndexOf(eventTerminator)
-    const splitTerminator = this.#endsWithNewline && this.#partialBytes > 0 && chunk[0] === newline
-    const end = at >= 0 ? at + eventTerminator.length : Number(splitTerminator)
+    let end = 0
+    for (let at = 0; at < chunk.length; at++) {
+      this.#read(chunk[at] ?? 0)
+      if (this.#lineIsEmpty && !this.#hasFields) end = at + 1
+    }
     this.#partialBytes = end > 0 ? chunk.length - end : this.#partialBytes + chunk.length
-    this.#endsWithNewline = chunk.at(-1) === newline
     return end
   }
 
   /** The partial event is dropped. */
   reset (): void {
     this.#partialBytes = 0
-    this.#endsWithNewline = false
+    this.#lineIsEmpty = true
+    this.#hasFields = false
+    this.#afterCarriageReturn = false
+  }
+
+  #read (byte: number): void {
+    const completesLineEnd = byte === newline && this.#afterCarriageReturn
+    this.#afterCarriageReturn = byte === carriageReturn
+    if (completesLineEnd) return
+    if (byte === newline || byte === carriageReturn) return this.#endLine()
+    if (this.#lineIsEmpty) this.#lineIsComment = byte === colon
+    this.#lineIsEmpty = false
+  }
+
+  #endLine (): void {
+    if (this.#lineIsEmpty) this.#hasFields = false
+    else if (!this.#lineIsComment) this.#hasFields = true
+    this.#lineIsEmpty = true
   }
 }
 
@@ -73,10 +100,7 @@
   }
 }
 
-const lastEventIdIn = (events: Buffer): string | undefined => {
-  const text = events.toString('latin1')
-  const at = Math.max(text.lastIndexOf('\nid:'), text.startsWith('id:') ? 0 : -1)
-  if (at < 0) return undefined
-  const line = text.slice(at).trimStart()
-  return line.slice('id:'.length, line.indexOf('\n')).trim()
-}
+/** A byte order mark may precede the first line of a stream. */
+const idLines = /(?:^|[\r\n])(?:\xef\xbb\xbf)?id: ?([^\r\n]*)/g
+
+const lastEventIdIn = (events: Buffer): string | undefined => [...events.toString('latin1').matchAll(idLines)].at(-1)?.[1]
