What a response consists of is told by its route, not by its content type

Callers had streams that ended within an event and looked complete, with their last chunk for HTTP/1.1, where the response had no content type or another one than that of event streams.

Cause: the end of an event was looked for only where the content type named an event stream. The route says whether a successful response is a stream; so does the code for streams that may be resumed, which are forwarded in whole events whatever their type.

Run: cut within an event, no content type and another one; with a length, chunks and neither: three of four looked complete before (all but resumable streams with HTTP/1.1), none after. Whole ones are complete before and after, as are errors in other formats.

--- a/packages/fleet/src/entry/serving/attempt.ts
+++ b/packages/fleet/src/entry/serving/attempt.ts
@@ -93,6 +93,8 @@
 /** Statuses that by themselves tell a caller that its request has not run. */
 const notRunStatuses = new Set([408, 421, 429, 503])
 
+export const isSuccess = (status: number): boolean => status >= 200 && status < 300
+
 export const attempt = (options: AttemptOptions): Promise<AttemptResult> => new Promise(resolve => {
   const { agent, outgoing, cancellation, connectMs, keptBytes, turns } = options
   let request: ClientRequest
@@ -197,7 +199,7 @@
   const echoed = headerOf(response, names.requestId)
   if (echoed !== undefined && echoed !== requestId) return reject(`an answer to another request (${echoed})`)
   if (headerOf(response, names.notRun) !== undefined || status === misdirectedStatus) return readRefusal(response, options)
-  const succeeded = status >= 200 && status < 300
+  const succeeded = isSuccess(status)
   if (succeeded && (echoed === undefined || headerOf(response, names.seal) === undefined)) return reject(`status ${status} without seal or id`)
   if (response.headers['content-encoding'] !== undefined) return reject('an encoded body')
   if (notRunStatuses.has(status)) return reject(`status ${status} without saying that it has not run`)
@@ -254,13 +256,16 @@
   response.on('end', () => {
     if (!response.complete) return broken('response body incomplete')
     const body = gathered.bytes
-    if (options.stream && isEventStream(response) && endsWithinEvent(body)) return broken('response body ended within an event')
+    if (options.stream && holdsEvents(response, status) && endsWithinEvent(body)) return broken('response body ended within an event')
     buffer.complete()
     resolve({ type: 'answer', status, headers: response.rawHeaders, body, end })
   })
   response.on('close', () => broken('connection closed before the end of the response'))
 })
 
+/** Whether the body of a response on the route of a stream consists of events. Such a response may lack a content type, errors have others. */
+const holdsEvents = (response: IncomingMessage, status: number): boolean => isSuccess(status) || isEventStream(response)
+
 const endsWithinEvent = (body: Buffer): boolean => {
   const boundary = new EventBoundary()
   boundary.scan(body)
@@ -286,7 +291,7 @@
   const { callerResponse, eventFramer } = options
   const end = observeEnd(response, status, options)
   if (!callerResponse.started) callerResponse.startStream(status, response.rawHeaders)
-  const boundary = eventFramer?.boundary ?? (isEventStream(response) ? new EventBoundary() : undefined)
+  const boundary = eventFramer?.boundary ?? new EventBoundary()
   let bytes = 0
   const resume = (): void => { response.resume() }
   const interrupted = (detail: string): void => {
@@ -295,8 +300,8 @@
   }
   response.on('data', (chunk: Buffer) => {
     bytes += chunk.length
-    if (eventFramer === undefined) boundary?.scan(chunk)
-    if (boundary !== undefined && boundary.partialBytes > maxEventBytes) {
+    if (eventFramer === undefined) boundary.scan(chunk)
+    if (boundary.partialBytes > maxEventBytes) {
       response.destroy(new Error(`event of more than ${maxEventBytes} bytes`))
       return
     }
@@ -310,7 +315,7 @@
   response.on('error', error => interrupted(error.message))
   response.on('end', () => {
     if (!response.complete) return interrupted('response stream incomplete')
-    if (boundary !== undefined && boundary.partialBytes > 0) return interrupted('response stream ended within an event')
+    if (boundary.partialBytes > 0) return interrupted('response stream ended within an event')
     resolve({ type: 'streamed', status, bytes, end })
   })
   response.on('close', () => interrupted('connection closed before the end of the response stream'))
--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -16,7 +16,7 @@
 import type { Facts } from '../../facts.js'
 import type { BackendServer } from '../../server.js'
 import type { FleetService, Route } from '../../table.js'
-import { attempt, type AttemptResult } from './attempt.js'
+import { attempt, isSuccess, type AttemptResult } from './attempt.js'
 import type { SelectionRequest, Balancer } from '../servers/balancer.js'
 import { Cancellation, unlessCancelled } from './cancellation.js'
 import type { ConnectTimeout } from '../servers/connect-timeout.js'
@@ -110,8 +110,6 @@
 
 const firstServerErrorStatus = 500
 
-const isSuccess = (status: number): boolean => status >= 200 && status < 300
-
 /** Whether a stream of the route may go on at another server. */
 const isResumable = ({ kind, resumable }: Route): boolean => kind === 'stream' && resumable
 
--- a/packages/fleet/test/stream-ends.test.ts
+++ b/packages/fleet/test/stream-ends.test.ts
@@ -44,6 +44,17 @@
 
   for (const framing of Object.keys(framings)) {
     describe(`with ${framing}`, () => {
+      // What a response is, is told by its route, which its content type may not repeat.
+      for (const contentType of ['', 'content-type: text/plain\r\n']) {
+        it(`is not complete if it ends within an event and has ${contentType === '' ? 'no content type' : 'another content type'}`, async () => {
+          expect(await completeOnes(framing, `${event(1)}id: 2\ndata`, contentType)).to.deep.equal([])
+        })
+
+        it(`is complete if it ends between two events and has ${contentType === '' ? 'no content type' : 'another content type'}`, async () => {
+          expect(await completeOnes(framing, event(1) + event(2), contentType)).to.deep.equal(all)
+        })
+      }
+
       // Where the last event of the stream was the last one that the caller has, none follows.
       it('is complete without an event if its caller resumes it', async () => {
         expect(await completeOnes(framing, '', eventStream, { 'last-event-id': '2' })).to.include.members(['stream HTTP/1.1', 'stream HTTP/1.0'])
