A stream that ends without an event and without a length is broken off

Callers had a stream with status 200 and its last chunk, or with HTTP/1.0 an empty body, of a server that ended its connection right after the head.

Cause: only a stream that ends within an event counted as broken off. One that ends before its first event does not, but nothing shows that its server had no event to send.

Such a stream now counts as broken off, unless a length or chunks say that it is empty, or events came before it: of an earlier attempt of the same request, or of the stream that its caller resumes, which may have had its last event.

Run: plain and resumable streams, HTTP/1.1 and 1.0: four of four looked complete before, none after. Empty streams with a length, with chunks, resumed by their caller or at another server are complete before and after.

--- a/packages/fleet/src/entry/serving/attempt.ts
+++ b/packages/fleet/src/entry/serving/attempt.ts
@@ -11,7 +11,7 @@
 import type { HeaderNames } from '../../ports.js'
 import type { Cancellation } from './cancellation.js'
 import { bodylessStatuses, isFramed, type CallerResponse, type RawHeaders } from './caller-response.js'
-import { EventBoundary, isEventStream, maxEventBytes, type EventFramer } from './event-stream.js'
+import { EventBoundary, isEventStream, maxEventBytes, truncationOf, type EventFramer } from './event-stream.js'
 import { gatherBody } from './gathered-body.js'
 import { headerOf } from './header.js'
 import type { KeptBytes } from './kept-bytes.js'
@@ -49,6 +49,8 @@
   onConnected: (ms: number) => void
   /** Forward the response body as it arrives instead of buffering it, if the caller can read a body of unknown length. */
   stream: boolean
+  /** The caller resumes a stream. If it has the last event, none follows. */
+  resumes: boolean
   /** Set for a stream that may be resumed at another server: only complete events are forwarded. */
   eventFramer: EventFramer | undefined
   callerResponse: CallerResponse
@@ -256,7 +258,8 @@
   response.on('end', () => {
     if (!response.complete) return broken('response body incomplete')
     const body = gathered.bytes
-    if (options.stream && holdsEvents(response, status) && endsWithinEvent(body)) return broken('response body ended within an event')
+    const truncation = options.stream && holdsEvents(response, status) ? truncationOf(boundaryOf(body), mayBeEmpty(end, options)) : undefined
+    if (truncation !== undefined) return broken(`response body ${truncation}`)
     buffer.complete()
     resolve({ type: 'answer', status, headers: response.rawHeaders, body, end })
   })
@@ -266,12 +269,15 @@
 /** Whether the body of a response on the route of a stream consists of events. Such a response may lack a content type, errors have others. */
 const holdsEvents = (response: IncomingMessage, status: number): boolean => isSuccess(status) || isEventStream(response)
 
-const endsWithinEvent = (body: Buffer): boolean => {
+const boundaryOf = (body: Buffer): EventBoundary => {
   const boundary = new EventBoundary()
   boundary.scan(body)
-  return boundary.partialBytes > 0
+  return boundary
 }
 
+/** A stream that nothing delimits may have been broken off right after its head. */
+const mayBeEmpty = ({ framed }: ResponseEnd, { resumes }: AttemptOptions): boolean => framed || resumes
+
 /** Whether the response has no body, or its headers delimit it. */
 const isDelimited = ({ rawHeaders }: IncomingMessage, status: number, { outgoing: { method } }: AttemptOptions): boolean =>
   bodylessStatuses.has(status) || method === 'HEAD' || isFramed(rawHeaders)
@@ -315,7 +321,8 @@
   response.on('error', error => interrupted(error.message))
   response.on('end', () => {
     if (!response.complete) return interrupted('response stream incomplete')
-    if (boundary.partialBytes > 0) return interrupted('response stream ended within an event')
+    const truncation = truncationOf(boundary, mayBeEmpty(end, options))
+    if (truncation !== undefined) return interrupted(`response stream ${truncation}`)
     resolve({ type: 'streamed', status, bytes, end })
   })
   response.on('close', () => interrupted('connection closed before the end of the response stream'))
--- a/packages/fleet/src/entry/serving/event-stream.ts
+++ b/packages/fleet/src/entry/serving/event-stream.ts
@@ -26,6 +26,7 @@
   #lineIsComment = false
   /** The current event has a line that is not a comment. */
   #hasFields = false
+  #hasEvents = false
   /** The last byte ended a line, and a following LF would belong to it. */
   #afterCarriageReturn = false
 
@@ -34,6 +35,11 @@
     return this.#partialBytes
   }
 
+  /** Whether there was a complete event. */
+  get hasEvents (): boolean {
+    return this.#hasEvents
+  }
+
   /** Returns how many bytes of the next chunk end a complete event; 0 if it completes none. */
   scan (chunk: Buffer): number {
     let end = 0
@@ -63,12 +69,20 @@
   }
 
   #endLine (): void {
-    if (this.#lineIsEmpty) this.#hasFields = false
-    else if (!this.#lineIsComment) this.#hasFields = true
+    if (this.#lineIsEmpty) {
+      this.#hasEvents ||= this.#hasFields
+      this.#hasFields = false
+    } else if (!this.#lineIsComment) this.#hasFields = true
     this.#lineIsEmpty = true
   }
 }
 
+/** Why a stream that has ended is not whole; `undefined` if it may be. `mayBeEmpty`: its server said that it is, or none may follow. */
+export const truncationOf = ({ partialBytes, hasEvents }: EventBoundary, mayBeEmpty: boolean): string | undefined => {
+  if (partialBytes > 0) return 'ended within an event'
+  return hasEvents || mayBeEmpty ? undefined : 'ended without an event'
+}
+
 export class EventFramer {
   readonly boundary = new EventBoundary()
   /** Chunks of an incomplete event, joined once it is complete. */
--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -366,6 +366,7 @@
       },
       onConnected: ms => connectTimeout.recordConnect(ms),
       stream: route.kind === 'stream',
+      resumes: this.#incoming.lastEventId !== undefined,
       eventFramer: this.#framer,
       callerResponse: this.#callerResponse,
       cancellation: this.#cancellation,
--- a/packages/fleet/test/attempt.test.ts
+++ b/packages/fleet/test/attempt.test.ts
@@ -62,6 +62,7 @@
     maySend: () => permitted,
     onConnected: () => {},
     stream: false,
+    resumes: false,
     eventFramer: undefined,
     callerResponse: { started: false } as unknown as CallerResponse,
     cancellation: new Cancellation(),
--- a/packages/fleet/test/stream-ends.test.ts
+++ b/packages/fleet/test/stream-ends.test.ts
@@ -86,6 +86,11 @@
     })
   }
 
+  // A server broke it off in the moment after its head.
+  it('is not complete without an event if nothing delimits it', async () => {
+    expect(await completeOnes('neither a length nor chunks', '')).to.deep.equal([])
+  })
+
   for (const framing of ['a length', 'chunks']) {
     it(`is complete without an event if its server says so with ${framing}`, async () => {
       expect(await completeOnes(framing, '')).to.deep.equal(all)
@@ -95,14 +100,12 @@
   it('is complete if it is resumed at another server after its last event, and that has none', async () => {
     const server = await entry.addServer('a', (socket, id) => {
       socket.write(head(id, eventStream) + event(1))
-      setTimeout(() => {
+      void entry.addServer('b', (other, id) => other.end(head(id, eventStream))).then(() => {
         server.close()
         socket.end()
-      }, 20)
+      })
     })
-    const sending = entry.send('/resume/x')
-    await entry.addServer('b', (socket, id) => socket.end(head(id, eventStream)))
-    expect(decodedBodyOf(await sending)).to.deep.equal({ body: event(1), complete: true })
+    expect(decodedBodyOf(await entry.send('/resume/x'))).to.deep.equal({ body: event(1), complete: true })
   })
 
   it('is delivered as it came if it is an error in another format', async () => {
--- a/packages/fleet/test/surplus-responses.test.ts
+++ b/packages/fleet/test/surplus-responses.test.ts
@@ -63,6 +63,7 @@
   maySend: () => true,
   onConnected: () => {},
   stream: false,
+  resumes: false,
   eventFramer: undefined,
   callerResponse: { started: false } as unknown as CallerResponse,
   cancellation: new Cancellation(),
