The product's own interface: a response without a length is complete only if its engine's run goes on

A response of an engine without a length, which is no event stream, counted as complete if something accepted a connection at the address of the engine after its end, or nothing did and no connection was refused. An engine that has restarted accepts.

The engine is asked for its load report over a new connection; the response is complete if that has the boot id that the response had. Plain services of this interface state no id, so that another process at their address still can't be told from them; they now have to accept a connection, where any failure but a refusal was enough before.

Run: an engine that restarts at its address before its connection ends, and one that accepts connections and answers nothing: both were complete before, neither is after. An engine that goes on: whole before and after. The test of an engine that resets its connection moves beside these, with the same demand.

--- a/packages/backend/src/http-engine.ts
+++ b/packages/backend/src/http-engine.ts
@@ -65,8 +65,20 @@
   }
 
   async report (): Promise<Result<EngineReport, BackendError>> {
+    return await this.#reportOver(this.#pool)
+  }
+
+  /** Whether the engine's run with this boot id goes on. Asks over a new connection, as what comes on an open one may have been sent earlier. */
+  async #hasBoot (boot: string): Promise<boolean> {
+    const client = new Client(this.origin, clientOptions)
+    const report = await this.#reportOver(client)
+    await client.destroy()
+    return report.isOk() && report.value.boot === boot
+  }
+
+  async #reportOver (dispatcher: Dispatcher): Promise<Result<EngineReport, BackendError>> {
     try {
-      const reply = await this.#pool.request({ method: 'GET', path: '/load', headersTimeout: reportTimeoutMs, bodyTimeout: reportTimeoutMs })
+      const reply = await dispatcher.request({ method: 'GET', path: '/load', headersTimeout: reportTimeoutMs, bodyTimeout: reportTimeoutMs })
       const report = Report.safeParse(await reply.body.json())
       return report.success ? ok(report.data) : err(backendError('refused', 'the load report is not valid'))
     } catch (error) {
@@ -111,7 +123,7 @@
       const boot = bootOf(reply)
       const refusal = refusalCodes[reply.statusCode]
       if (refusal !== undefined) return err(backendError(refusal, await reply.body.text(), boot))
-      const body = isEventStream(reply) ? this.#resumableEvents(request, reply, boot) : completeBody(reply, 'POST', this.origin)
+      const body = isEventStream(reply) ? this.#resumableEvents(request, reply, boot) : completeBody(reply, 'POST', async () => await this.#hasBoot(boot))
       return ok({ status: reply.statusCode, headers: endToEndHeaders(reply.headers), boot, body })
     } catch (error) {
       return err(toBackendError(error))
--- a/packages/backend/test/unframed-responses.test.ts
+++ b/packages/backend/test/unframed-responses.test.ts
@@ -82,14 +82,79 @@
     await start(socket => { socket.resetAndDestroy() }, { part: 'x'.repeat(90_000), endMs: 50 })
     expect(await errorOf(read(200))).to.be.instanceOf(Error)
   })
+})
+
+describe('a response of an engine that ends with its connection', () => {
+  let server: Server
+  let boot: string | undefined
+  const sockets = new Set<Socket>()
+
+  afterEach(() => {
+    server.close()
+    for (const socket of sockets) socket.destroy()
+  })
+
+  const report = (): string => {
+    const body = JSON.stringify({ boot, running: 0, waiting: 0, capacity: 1, slots: 1, loaded: [], using: [] })
+    return `HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n\r\n${body}`
+  }
 
-  it('is truncated if an engine resets its connection', async () => {
-    await start(socket => { socket.resetAndDestroy() }, { part: '{"choices":[]}', endMs: 0 })
-    const engine = new HttpEngine(origin())
+  const listen = async (port: number, end: (socket: Socket) => void): Promise<void> => {
+    server = createServer(socket => {
+      sockets.add(socket)
+      socket.on('error', () => {})
+      socket.on('data', data => {
+        if (!data.toString().startsWith('GET /load ')) {
+          socket.write('HTTP/1.1 200 OK\r\nx-engine-boot: b1\r\n\r\n{"choices":[]}')
+          end(socket)
+        } else if (boot !== undefined) socket.write(report())
+      })
+    })
+    server.listen(port, '127.0.0.1')
+    await once(server, 'listening')
+  }
+
+  /** Reads a response that the engine ends by `end`. Returns the error, or else the body. */
+  const read = async (end: (socket: Socket) => void): Promise<unknown> => {
+    boot = 'b1'
+    await listen(0, end)
+    const engine = new HttpEngine(`http://127.0.0.1:${(server.address() as AddressInfo).port}`)
     const call = { method: 'POST', path: '/v1/completions', headers: {}, body: Buffer.from('{}') }
     const result = await engine.generate({ call, label: 'a', id: 'r', priority: 1, salt: '', fence: 1, signal: new AbortController().signal })
-    const error = result.isErr() ? result.error : await errorOf(textOf(result.value.body))
-    await engine.close()
-    expect(error).to.be.instanceOf(Error)
+    let text = ''
+    try {
+      if (result.isErr()) return result.error
+      for await (const chunk of result.value.body) text += Buffer.from(chunk).toString()
+      return text
+    } catch (error) {
+      return error
+    } finally {
+      await engine.close()
+    }
+  }
+
+  it('is whole if the engine goes on', async () => {
+    expect(await read(socket => socket.end())).to.equal('{"choices":[]}')
+  })
+
+  it('is truncated if the engine resets its connection', async () => {
+    expect(await read(socket => { socket.resetAndDestroy() })).to.be.instanceOf(Error)
+  })
+
+  // Whoever listened at its address was taken for the engine that had responded.
+  it('is truncated if the engine restarts at its address before', async () => {
+    expect(await read(socket => {
+      const { port } = server.address() as AddressInfo
+      server.close()
+      boot = 'b2'
+      void listen(port, () => {}).then(() => socket.end())
+    })).to.be.instanceOf(Error)
+  })
+
+  it('is truncated if the engine does not answer any more', async () => {
+    expect(await read(socket => {
+      boot = undefined
+      socket.end()
+    })).to.be.instanceOf(Error)
   })
 })
