The soak restarts servers in place before the connections of the former ones end

No test or soak started a server again at its address before the connections of the former one had ended at their other side, which is what hid that such responses look complete.

A scenario of its own leaves responses without a length or chunks unfinished at a random server, starts the next one at its address, and ends the connections up to 0.3 s later. Entries stand still meanwhile, and proxies delay or reset connections, as the other faults have it.

--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -20,6 +20,7 @@
 import { ResumedStreamScenario } from './resumed-stream-scenario.js'
 import { LargeBodyScenario } from './large-body-scenario.js'
 import { exitViolations } from './process-exits.js'
+import { RestartInPlaceScenario } from './restart-in-place-scenario.js'
 import { ProcessStartScenario } from './process-start-scenario.js'
 import { ServiceWatch } from './service-watch.js'
 import { TeamFloodScenario } from './team-flood-scenario.js'
@@ -97,11 +98,12 @@
   const leavingCallers = new LeavingCallerScenario({ fleet, random: new SeededRandom(seed + 13 * halfSeedOffset), disturbances })
   const processStarts = new ProcessStartScenario({ fleet, random: new SeededRandom(seed + 19 * halfSeedOffset), proxies, disturbances }, log)
   const largeBodies = new LargeBodyScenario(fleet, new SeededRandom(seed + 21 * halfSeedOffset), log)
+  const restartsInPlace = new RestartInPlaceScenario(fleet, new SeededRandom(seed + 23 * halfSeedOffset), log)
   const watch = new ServiceWatch(fleet, disturbances)
   const stopFlood = new AbortController()
   const flood = teamFlood.run(fleet, stopFlood.signal)
   const endsAt = Date.now() + faultMs
-  const scenarios = Promise.all([feedback.run(faultMs), serverLimits.run(faultMs), routeChanges.run(faultMs), restores.run(faultMs), unevenPace.run(faultMs), leavingCallers.run(faultMs), resumedStreams.run(faultMs), processStarts.run(faultMs)])
+  const scenarios = Promise.all([feedback.run(faultMs), serverLimits.run(faultMs), routeChanges.run(faultMs), restores.run(faultMs), unevenPace.run(faultMs), leavingCallers.run(faultMs), resumedStreams.run(faultMs), processStarts.run(faultMs), restartsInPlace.run(faultMs)])
   const faults: Array<Promise<void>> = []
   while (Date.now() < endsAt) {
     const fault = random.pick(faultTable)
--- a/packages/stand-ins/src/fleet/fleet-system.ts
+++ b/packages/stand-ins/src/fleet/fleet-system.ts
@@ -426,12 +426,15 @@
 
   /**
    * Restarts a backend server at its address, under another id, before the connections of the former one have ended. Returns a function
-   * that ends these in order.
+   * that ends these in order. Does nothing to a server that has crashed and not restarted yet.
    */
   async restartInPlace (server: BackendStandIn): Promise<() => void> {
+    if (this.#pendingRestarts.has(server)) return () => {}
     const { ip, domain } = this.#locations.get(server) ?? { ip: '', domain: '' }
     const previousId = server.id
-    const endFormer = await server.startAnew()
+    const starting = server.startAnew()
+    this.#pendingRestarts.set(server, starting.then(() => { this.#pendingRestarts.delete(server) }))
+    const endFormer = await starting
     server.restart(`${previousId}-again`)
     this.store.remove('servers', previousId)
     this.register(server, ip, domain)
