Slow readers: the reuse of a connection is checked before the pool closes it as idle

Cause: where the sockets hold the rest of the stream, the entry has read its end seconds before the caller has, and the pool closes an idle connection after 0.8 s. Traced: the response ended at 13.0 s of the test's clock, the connection was closed by 14.0 s, and the other request was sent at 16.0 s.

The other request is now sent in the first half second after the end, at which the pool has the connection. What is demanded is the same. Time also no longer advances before the operating system has passed on what the caller has made room for: a caller was once cut as stalled at 15.0 s, having read at 12.0 s.

--- a/packages/fleet/test/slow-readers.test.ts
+++ b/packages/fleet/test/slow-readers.test.ts
@@ -138,8 +138,11 @@
 
   const linesOf = (name: string): LogLine[] => lines.filter(line => line.event === name)
 
-  const advanceBySteps = async (ms: number): Promise<void> => {
-    for (let passed = 0; passed < ms; passed += checkMs) await time.advance(checkMs)
+  const advanceBySteps = async (ms: number, afterStep = async (): Promise<void> => {}): Promise<void> => {
+    for (let passed = 0; passed < ms; passed += checkMs) {
+      await time.advance(checkMs)
+      await afterStep()
+    }
   }
 
   /** Reads so many more bytes, or to the end. Returns the number read. */
@@ -235,16 +238,26 @@
         response.end()
       })
       const caller = send(`/${name}/x`)
+      let isReused = false
+      // The connection that was paused is read again also where it serves another request. The pool soon closes one that is idle.
+      const checkReuse = async (): Promise<void> => {
+        if (isReused || linesOf('request.ended').length === 0) return
+        isReused = true
+        const another = send(`/${name}/x`, undefined, undefined, 'another')
+        expect(await read(another, 1)).to.be.greaterThan(0)
+        expect(toBackend()).to.have.length(1)
+        another.destroy()
+      }
       for (let count = 0; count < events * event.length;) {
-        await advanceBySteps(4000)
+        await advanceBySteps(4000, checkReuse)
         count += await read(caller, Math.min(largeBytes / 4, events * event.length - count))
+        // The operating system passes on in real time what makes room at the caller's socket.
+        await untilQuiet(() => toBackend()[0]?.bytesRead ?? 0)
       }
       await until(() => linesOf('request.ended').length > 0)
-      expect(linesOf('request.ended')[0]).to.include({ outcome: 'streamed' })
+      await checkReuse()
+      expect(linesOf('request.ended')[0]).to.include({ request: 'r', outcome: 'streamed' })
       expect(linesOf('caller.stalled')).to.have.length(0)
-      // The connection that was paused is read again also where it serves another request.
-      expect(await read(send(`/${name}/x`, undefined, undefined, 'another'), 1)).to.be.greaterThan(0)
-      expect(toBackend()).to.have.length(1)
     })
   }
 
