Slow readers: the test waits until the operating system has noticed room at a caller

Cause: the test's clock outruns the operating system. Traced: at 8.0 s of the test's clock 17.6 MB were on their way to the caller, which read 6.3 MB at 12.0 s; the entry's socket took nothing until 13.5 s, as the time between passes in some ms, and a full window is asked again by a timer in real time.

The clock now advances only once the entry's socket has taken bytes, or the request has ended. The check of stalled callers is unchanged.

--- a/packages/fleet/test/slow-readers.test.ts
+++ b/packages/fleet/test/slow-readers.test.ts
@@ -237,7 +237,9 @@
         for (let each = 0; each < events; each++) response.write(event)
         response.end()
       })
+      const accepted = once(entry.server, 'connection') as Promise<[Socket]>
       const caller = send(`/${name}/x`)
+      const [toCaller] = await accepted
       let isReused = false
       // The connection that was paused is read again also where it serves another request. The pool soon closes one that is idle.
       const checkReuse = async (): Promise<void> => {
@@ -250,9 +252,10 @@
       }
       for (let count = 0; count < events * event.length;) {
         await advanceBySteps(4000, checkReuse)
+        const taken = bytesTaken(toCaller)
         count += await read(caller, Math.min(largeBytes / 4, events * event.length - count))
-        // The operating system passes on in real time what makes room at the caller's socket.
-        await untilQuiet(() => toBackend()[0]?.bytesRead ?? 0)
+        // The operating system notices room at the caller's socket in real time.
+        await until(() => bytesTaken(toCaller) !== taken || linesOf('request.ended').length > 0)
       }
       await until(() => linesOf('request.ended').length > 0)
       await checkReuse()
