Responses without a length: tested where an address neither accepts nor refuses connections

Such an address was covered by a unit test only; the silent servers of the other tests accept. A process that is stopped with its backlog full now stands in for a machine that has gone silent.

--- a/packages/backend/test/unframed-responses.test.ts
+++ b/packages/backend/test/unframed-responses.test.ts
@@ -6,6 +6,7 @@
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
 import { HttpEngine, HttpService } from '@finchpitch/backend'
 import { pause } from '@finchpitch/core'
+import { SilentListener } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
 
 describe('a response of a plain service that ends with its connection', () => {
@@ -65,6 +66,25 @@
     expect(error).to.be.instanceOf(Error)
   })
 
+  // No answer was taken for one that says that the service is there.
+  it('is truncated if the address of the service neither accepts nor refuses connections', async () => {
+    let listener: SilentListener | undefined
+    await start(socket => {
+      const { port } = server.address() as AddressInfo
+      server.close()
+      void SilentListener.start(port).then(started => {
+        listener = started
+        socket.end()
+      })
+    })
+    try {
+      expect(await errorOf(read())).to.be.instanceOf(Error)
+      expect(listener).to.not.equal(undefined)
+    } finally {
+      listener?.stop()
+    }
+  })
+
   for (const endMs of [0, 20]) {
     it(`is truncated if the service resets its connection ${endMs} ms after its last bytes`, async () => {
       await start(socket => { socket.resetAndDestroy() }, { endMs })
--- a/packages/fleet/test/replaced-servers.test.ts
+++ b/packages/fleet/test/replaced-servers.test.ts
@@ -2,9 +2,9 @@
  * Guards against truncated responses that callers take for complete: a response without a length or chunks counted as complete wherever
  * something accepted a connection at the address of its server, or nothing answered there.
  */
-import type { Server } from 'node:net'
+import type { AddressInfo, Server } from 'node:net'
 import { pause } from '@finchpitch/core'
-import { FleetSystem, eventually, type BackendStandIn } from '@finchpitch/stand-ins'
+import { FleetSystem, SilentListener, eventually, type BackendStandIn } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
 import { SingleEntry, decodedBodyOf, sendRaw, statusOf, type RawAnswer } from './single-entry.js'
 
@@ -62,6 +62,22 @@
     })).to.deep.equal([])
   })
 
+  it('is not complete if the address of its server neither accepts nor refuses connections', async () => {
+    const listeners: SilentListener[] = []
+    try {
+      expect(await completeOnes(async id => {
+        const server: Server = await entry.addServer(id, endingAfter(async () => {
+          const { port } = server.address() as AddressInfo
+          server.close()
+          listeners.push(await SilentListener.start(port))
+        }))
+      })).to.deep.equal([])
+      expect(listeners).to.have.length(all.length)
+    } finally {
+      for (const listener of listeners) listener.stop()
+    }
+  })
+
   it('is not complete if its server ended while the caller did not read', async () => {
     const server: Server = await entry.addServer('a', (socket, id) => {
       socket.write(`${head(id)}${`data: ${'x'.repeat(1000)}\n\n`.repeat(20_000)}`)
