--- a/packages/fleet/test/server-limits.test.ts
+++ b/packages/fleet/test/server-limits.test.ts
@@ -196,7 +196,7 @@
       return max
     }
 
-    /** Three entries exceeded the limit: 16 requests in a window that allows 12.8. */
+    /** A limit that is advertised while an entry is partitioned and restarts. */
     const exceeded: [number, Step[]] = [469837273, [
       { type: 'pass', ms: 991 }, { type: 'pass', ms: 1101 }, { type: 'name', perSecond: 1.3 }, { type: 'cut', entry: 10 }, { type: 'pass', ms: 571 }, { type: 'pass', ms: 531 },
       { type: 'pass', ms: 561 }, { type: 'end' }, { type: 'heal', entry: 0 }, { type: 'pass', ms: 1481 }, { type: 'flood', entry: 0, requests: 1 }, { type: 'flood', entry: 0, requests: 1 },
