Ports that are held for long are awaited instead of ending the process

While a former process that hung held a port of callers or peers, or while the machine did not have its address, an entry and a side process ended with code 3 every 3.2 to 4.1 s (grace period of 1 s): 3 ends in 12 s each, and as many more as the wait lasts.

The cause is the same as with settings that come late: an exit does not bring nearer what is awaited, as neither a port nor an address is freed by it, and supervisors start such a process ever later or give it up. A port or an address is now awaited without end, with a line at once and every 10 s, as that of metrics was before; names that don't resolve yet and shortages of the machine pass as well.

--- a/packages/core/src/bind.ts
+++ b/packages/core/src/bind.ts
@@ -6,18 +6,18 @@
 import { pause } from './abort.js'
 
 const retryIntervalMs = 100
+const reportIntervalMs = 10_000
 
-/** Failures that pass: the port is in use, or the address is not configured yet. */
-const passingCodes = new Set(['EADDRINUSE', 'EADDRNOTAVAIL'])
+/** Failures that pass: the port is in use, the address is not configured or known yet, or the machine is short of something. */
+const passingCodes = new Set(['EADDRINUSE', 'EADDRNOTAVAIL', 'ENOTFOUND', 'EAI_AGAIN', 'EMFILE', 'ENFILE', 'ENOBUFS', 'ENOMEM'])
 
 export interface BindOptions {
   host: string
   port: number
-  /** How long to try again after the first failure. */
-  retryMs: number
-  /** Called after the first failure, if it is one that passes. */
-  onRetry?: (error: Error) => void
-  signal?: AbortSignal
+  /** Asked after each failure that passes: whether to try again. Without it, the first failure is final. */
+  triesAgain?: () => boolean
+  /** Called after the first failure that passes, and now and then afterwards, with the time since the first attempt. */
+  onRetry?: (error: Error, ms: number) => void
 }
 
 /** The port could not be bound. */
@@ -27,19 +27,24 @@
   }
 }
 
-/** Resolves once the server listens. Rejects with a `BindError` if it can't within `retryMs`, or once `signal` aborts. */
-export const bind = async (server: Server, { host, port, retryMs, onRetry, signal }: BindOptions): Promise<void> => {
+/** Resolves once the server listens. Rejects with a `BindError` after a failure that does not pass, or once it is not to try again. */
+export const bind = async (server: Server, { host, port, triesAgain, onRetry }: BindOptions): Promise<void> => {
   const startedAt = performance.now()
-  for (let attempt = 1; ; attempt++) {
+  let reportedAt = -Infinity
+  for (;;) {
     try {
       server.listen(port, host)
       await once(server, 'listening')
       return
     } catch (error) {
       const { code } = error as NodeJS.ErrnoException
-      if (!passingCodes.has(code ?? '') || performance.now() - startedAt >= retryMs || signal?.aborted === true) throw new BindError(host, port, error as Error)
-      if (attempt === 1) onRetry?.(error as Error)
-      await pause(retryIntervalMs, signal)
+      if (!passingCodes.has(code ?? '') || triesAgain?.() !== true) throw new BindError(host, port, error as Error)
+      const now = performance.now()
+      if (now - reportedAt >= reportIntervalMs) {
+        reportedAt = now
+        onRetry?.(error as Error, Math.round(now - startedAt))
+      }
+      await pause(retryIntervalMs)
     }
   }
 }
--- a/packages/wire/src/listener.ts
+++ b/packages/wire/src/listener.ts
@@ -23,7 +23,7 @@
     socket.on('close', () => open.delete(socket))
     void accept(socket)
   })
-  await bind(server, { host, port, retryMs: 0, ...retry })
+  await bind(server, { host, port, ...retry })
   // A connection that can't be accepted concerns its peer only, which tries again.
   server.on('error', () => {})
   const bound = server.address()
