The heap of a side process no longer grows with the changes of adapters for each peer

A side process ended by SIGABRT ("Reached heap limit") with 200 peers and 3,000 changes of versions a second, 10 to 12 s after its start. It takes no such rate: with 68 peers and 400 changes a second, which the stores allow, its old generation held 87 of 96 MB after 30 s, and 32 after 10 s.

Each link remembered a string and a revision for every fact that it had ever exchanged, to send none twice, and a process has a link to each of its peers: 7.6 kB a changed adapter with 70 links. A fact that is forgotten may be sent again, which the peer ignores; so that this does not happen to all of them at once, what is still delayed for a peer is dropped when everything is scheduled anew.

--- a/packages/fleet/src/fact-exchange.ts
+++ b/packages/fleet/src/fact-exchange.ts
@@ -13,6 +13,7 @@
 import type { Log } from '@finchpitch/core'
 import { encodeFrame, type Channel, type CompleteRevisions, type FactFrame, type Frame, type StoreSight } from '@finchpitch/wire'
 import { nowMs } from './clock.js'
+import { ExchangedFacts } from './exchanged-facts.js'
 import { observedRevision, factOf, frameOf, isFinal, type Fact } from './fact.js'
 import type { Facts } from './facts.js'
 
@@ -47,14 +48,14 @@
 }
 
 export class FactLink {
-  /** By fact, the revision that the peer is known to have. */
-  readonly #known = new Map<string, number>()
+  readonly #exchanged = new ExchangedFacts()
   readonly #stops: Array<() => void>
   /** The revisions up to which the peer reports that it has everything. */
   readonly #complete: CompleteRevisions = { table: 0, server: 0, version: 0 }
 
   #delayMs: number
   #started = false
+  readonly #delayed = new Set<DelayedGroup>()
   /** The group to which facts were added last. */
   #group: DelayedGroup | undefined
   /** Facts of the current batch of changes that are sent at its end. */
@@ -86,6 +87,7 @@
     const shorter = delayMs < this.#delayMs
     this.#delayMs = delayMs
     if (!shorter || !this.#started) return
+    for (const group of this.#delayed) group.facts = []
     this.#schedule(this.facts.all(), delayMs)
     this.#sendListings()
   }
@@ -127,7 +129,7 @@
   handleFact (frame: FactFrame): void {
     // After a start, several peers send the same facts; only the first copy is parsed.
     if (this.facts.revisionOf(frame.kind, frame.key) >= frame.revision) {
-      this.#known.set(idOf(frame), frame.revision)
+      this.#exchanged.record(frame)
       return
     }
     const fact = factOf(frame)
@@ -135,7 +137,7 @@
       this.log.error('peer.fact_not_valid', { peer: this.channel.peer.process, kind: frame.kind, key: frame.key })
       return
     }
-    this.#known.set(idOf(fact), fact.revision)
+    this.#exchanged.record(fact)
     const from = this.channel.peer.process
     if (isFinal(fact)) this.facts.remove(fact, from)
     else this.facts.offer(fact, from)
@@ -187,7 +189,9 @@
     }
     const group = { delayMs, openUntil: now + Math.min(groupMs, delayMs), facts: [...facts] }
     this.#group = group
+    this.#delayed.add(group)
     setTimeout(() => {
+      this.#delayed.delete(group)
       if (this.#group === group) this.#group = undefined
       this.#send(group.facts)
     }, delayMs)
@@ -201,15 +205,14 @@
       // The newest revision: if only that has changed since, nobody was notified of it.
       const fact = this.facts.current(kind, key)
       if (fact === undefined || !this.#isLacking(fact)) continue
-      this.#known.set(idOf(fact), fact.revision)
+      this.#exchanged.record(fact)
       frames.push(encodedFact(fact))
     }
     if (frames.length > 0) this.channel.sendEncoded(frames)
   }
 
   #isLacking (fact: Fact): boolean {
-    const known = this.#known.get(idOf(fact)) ?? 0
-    return known < fact.revision && this.#complete[fact.kind] < observedRevision(fact)
+    return this.#exchanged.revisionOf(fact.kind, fact.key) < fact.revision && this.#complete[fact.kind] < observedRevision(fact)
   }
 }
 
@@ -233,5 +236,3 @@
   encodedFacts.set(fact, encoded)
   return encoded
 }
-
-const idOf = ({ kind, key }: Pick<Fact, 'kind' | 'key'>): string => `${kind} ${key}`
--- a/packages/fleet/test/fact-exchange.test.ts
+++ b/packages/fleet/test/fact-exchange.test.ts
@@ -1,3 +1,5 @@
+import { setFlagsFromString } from 'node:v8'
+import { runInNewContext } from 'node:vm'
 import { Log, Revision, silentLog } from '@finchpitch/core'
 import { FactLink, Facts, frameOf, type Fact } from '@finchpitch/fleet'
 import { FakeTime, channelOptions, duplexPair } from '@finchpitch/stand-ins'
@@ -7,6 +9,42 @@
 const fact = (revision: number): Fact => ({ kind: 'version', key: 'm/a', revision, value: { model: 'm', adapter: 'a', version: revision } })
 const complete = (version: number): CompleteRevisions => ({ table: 0, server: 0, version })
 
+/** The heap in use after a collection, in bytes. */
+const heapBytes = (): number => {
+  setFlagsFromString('--expose-gc')
+  const collect = runInNewContext('gc') as () => void
+  collect()
+  return process.memoryUsage().heapUsed
+}
+
+/* Guards against an end of side processes by their heap limit: each link kept a string and a revision for every fact it had exchanged. */
+describe('links to the peers of a side process', () => {
+  const linkCount = 70
+  const factCount = 20_000
+
+  it('hold no more the more adapters change', () => {
+    const time = new FakeTime()
+    try {
+      const facts = new Facts(silentLog, () => 1000)
+      const channel = { open: true, peer: { complete: undefined }, sendEncoded: () => true, beat: () => {} } as unknown as Channel
+      const links = Array.from({ length: linkCount }, () => new FactLink(facts, channel, 0, silentLog))
+      for (const link of links) link.start()
+      const offer = (from: number, to: number): void => {
+        for (let each = from; each < to; each++) facts.offer({ kind: 'version', key: `m/a${each}`, revision: each + 1, value: { model: 'm', adapter: `a${each}`, version: 1 } }, 'store')
+      }
+      offer(0, factCount / 2)
+      const before = heapBytes()
+      offer(factCount / 2, factCount)
+      const bytesPerFact = (heapBytes() - before) / (factCount / 2)
+      for (const link of links) link.stop()
+      // The replica and the encoded frame, of which all links share one, but nothing for each link.
+      expect(bytesPerFact).to.be.below(linkCount * 16)
+    } finally {
+      time.restore()
+    }
+  }).timeout(20_000)
+})
+
 describe('FactLink', () => {
   let time: FakeTime
   let facts: Facts
@@ -322,6 +360,18 @@
     expect(received).to.deep.equal([3, 4])
   })
 
+  it('sends everything once to a peer that loses its other source before the delay ends, however much it is', async () => {
+    const many = 10_000
+    await time.settle()
+    for (let each = 0; each < many; each++) facts.offer({ kind: 'version', key: `m/a${each}`, revision: each + 1, value: { model: 'm', adapter: `a${each}`, version: 1 } }, 'store')
+    const link = new FactLink(facts, local, 1500, silentLog)
+    link.start()
+    await time.advance(100)
+    link.setDelay(0)
+    await time.advance(3000)
+    expect(received).to.have.length(many)
+  })
+
   it('sends only the newest revision of what the peer still lacks after the delay', async () => {
     await time.settle()
     const link = new FactLink(facts, local, 1500, silentLog)
