Entries: requests of one connection are served one at a time

Callers that send two requests at a time over one connection lost the second wherever the connection ended with the first response: the entry passed both on at once, and Node closes a connection after a response with `Connection: close`, whatever runs behind it. The close is announced in a planned stop, while keys are not confirmed, when an entry joins and when connections are many; responses without a length and streams that are cut off end the connection too.

A request has its turn once the responses before it are written whole and the connection is still open. If the connection has closed, the request was never passed on, and is counted as dropped. The close is announced with the newest request that has arrived, so requests sent before the announcement are answered in a stop. Refusing only what comes after an announced close, with requests still run side by side, would not do: whether a response lacks a length or is cut off is known only after those behind it have been passed on, and HTTP allows requests to be run side by side only if their methods are safe.

A caller that leaves is noticed, as the connection is read on; what may be read of a body before its turn is reserved like heads are.

If memory runs out for a request behind others, its connection is still closed at once, with the one that runs: keeping the connection open until then was tried, and ended the process (heap limit).

--- a/packages/fleet/src/entry/entry-process.ts
+++ b/packages/fleet/src/entry/entry-process.ts
@@ -6,6 +6,7 @@
  */
 import { setMaxListeners } from 'node:events'
 import { createServer, type Server } from 'node:http'
+import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { backoff, pause, type Log } from '@finchpitch/core'
 import { bytesPerMb } from '@finchpitch/decisions'
@@ -22,6 +23,7 @@
 import { Balancer } from './servers/balancer.js'
 import { CallerConnections } from './serving/caller-connections.js'
 import { ConnectTimeout } from './servers/connect-timeout.js'
+import { ConnectionTurns } from './serving/connection-turns.js'
 import { AttemptReporter } from './peers/attempt-reporter.js'
 import { CrashTracker } from './servers/crash-tracker.js'
 import { EntryCounters } from './counters.js'
@@ -100,6 +102,7 @@
   readonly #queue = new RequestQueue()
   readonly #keptBytes: KeptBytes
   readonly #callerConnections: CallerConnections
+  readonly #connectionTurns: ConnectionTurns
   readonly #requestHeap = new RequestHeap()
   readonly #turns = new ReadTurns()
   readonly #softwareVersions: SoftwareVersions
@@ -217,6 +220,7 @@
     this.#crashTracker = new CrashTracker({ facts, liveness: new ServerLiveness(), reporter: this.#attemptReporter, requestProbe: async fingerprint => await this.#probeRequester.ask(fingerprint), onQuarantine: () => this.#queue.scheduleScan(), counters: this.counters, log })
     this.server = createServer({ maxHeaderSize: maxHeaderBytes, connectionsCheckingInterval: 1000, requestTimeout: 0 })
     this.#callerConnections = new CallerConnections(this.server, log)
+    this.#connectionTurns = new ConnectionTurns(log)
     this.#callerConnections.setMaxSockets(limits().maxSockets)
     this.#requestOptions = {
       facts,
@@ -243,12 +247,13 @@
       turns: this.#turns,
       streamOrigins: this.#streamOrigins,
       tableWait: new TableWait({ facts, lease: this.#keyLease }),
-      closeAfterResponse: socket => this.#stopping || !this.#keyLease.held || this.#callerConnections.shouldClose(socket)
+      closeAfterResponse: socket => this.#closesAfterResponse(socket)
     }
     this.server.on('request', (request, response) => { void this.#serve(request, response) })
     this.counters.gauge('finchpitch_requests_running', 'Requests in progress.', () => this.#running)
     this.counters.gauge('finchpitch_caller_connections', 'Open connections of callers.', () => this.#callerConnections.count)
     this.counters.gauge('finchpitch_caller_connections_refused', 'Connections of callers refused since the start, as too many were open.', () => this.#callerConnections.refused)
+    this.counters.gauge('finchpitch_requests_dropped', 'Requests behind others on their connection that were not served since the start, as it had closed.', () => this.#connectionTurns.dropped)
     this.counters.gauge('finchpitch_request_heap_bytes', 'Estimated heap that requests in progress hold.', () => this.#requestHeap.reservedBytes)
     this.counters.gauge('finchpitch_requests_waiting', 'Requests waiting at the entry.', () => this.#queue.size)
     this.counters.gauge('finchpitch_servers_resting', 'Backend servers that asked this entry to back off.', () => this.#balancer.serversInBackoff)
@@ -327,11 +332,14 @@
   }
 
   async #serve (request: import('node:http').IncomingMessage, response: import('node:http').ServerResponse): Promise<void> {
-    const reservation = this.#requestHeap.reserve(request)
+    const reservation = this.#requestHeap.reserve(request, this.#connectionTurns.unreadBytes(request))
     if (reservation === undefined) return refuseForMemory(request, response, this.options)
     this.#running += 1
     try {
-      const serviceRequest = new ServiceRequest(this.#requestOptions, request, response)
+      const arrivedAt = nowMs()
+      const turn = this.#connectionTurns.next(request, response)
+      if (turn !== undefined && !await turn) return
+      const serviceRequest = new ServiceRequest(this.#requestOptions, request, response, arrivedAt)
       await serviceRequest.serve()
     } catch (error) {
       this.options.log.error('request.crashed', { detail: (error as Error).stack })
@@ -342,6 +350,14 @@
     }
   }
 
+  /**
+   * Whether the response in progress is announced as the last of its connection. Requests that have arrived behind it are served first:
+   * their callers sent them when nothing was announced.
+   */
+  #closesAfterResponse (socket: Socket): boolean {
+    return this.#connectionTurns.isNewest(socket) && (this.#stopping || !this.#keyLease.held || this.#callerConnections.shouldClose(socket))
+  }
+
   #watchPauseMs (kind: Fact['kind']): number {
     return watchPauseMs(kind, this.#sideLinks.watcherCount ?? 1, this.options.limits().drainMs)
   }
--- a/packages/fleet/src/entry/serving/request-heap.ts
+++ b/packages/fleet/src/entry/serving/request-heap.ts
@@ -33,9 +33,9 @@
     return this.#reservedBytes
   }
 
-  /** Reserves what the request holds until `release`. Returns `undefined` if there is no room. */
-  reserve (request: IncomingMessage): HeapReservation | undefined {
-    const bytes = heapBytesOf(request)
+  /** Reserves what the request holds until `release`, and `unreadBytes` of its body. Returns `undefined` if there is no room. */
+  reserve (request: IncomingMessage, unreadBytes = 0): HeapReservation | undefined {
+    const bytes = heapBytesOf(request) + unreadBytes
     if (this.#reservedBytes + bytes > this.maxBytes) return undefined
     this.#reservedBytes += bytes
     return new HeapReservation(() => { this.#reservedBytes -= bytes })
--- a/packages/fleet/src/entry/serving/request-times.ts
+++ b/packages/fleet/src/entry/serving/request-times.ts
@@ -18,7 +18,6 @@
 const emptyServiceWaitShare = 0.2
 
 export class RequestTimes {
-  readonly arrivedAt = nowMs()
   /** On the monotonic clock. */
   deadline = Infinity
   /** The time that its caller had left when it arrived, as stated. */
@@ -26,6 +25,9 @@
   /** How long before this request its caller made its first attempt. */
   firstTriedMs = 0
 
+  /** `arrivedAt`: on the monotonic clock. */
+  constructor (readonly arrivedAt = nowMs()) {}
+
   /** Whether its caller was rejected before and returned no earlier than it was told. */
   get waitedAsTold (): boolean {
     return hasWaitedAsTold(this.firstTriedMs, this.statedMs)
--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -128,7 +128,7 @@
 export class ServiceRequest {
   readonly #incoming: IncomingRequest
   readonly #admission: RequestAdmission
-  readonly #times = new RequestTimes()
+  readonly #times: RequestTimes
   readonly #record: RequestRecord
   readonly #callerResponse: CallerResponse
   readonly #callerReturn: CallerReturn
@@ -153,8 +153,9 @@
   #framer: EventFramer | undefined
   #deadlinePassed = false
 
-  constructor (private readonly options: ServiceRequestOptions, request: IncomingMessage, response: ServerResponse) {
+  constructor (private readonly options: ServiceRequestOptions, request: IncomingMessage, response: ServerResponse, arrivedAt: number) {
     this.#incoming = new IncomingRequest(request, options.names)
+    this.#times = new RequestTimes(arrivedAt)
     this.#times.statedMs = this.#incoming.remainingMs
     this.#record = new RequestRecord(this.#incoming, this.#times)
     this.#callerReturn = new CallerReturn(options, this.#times)
