Entries: a request that can't be read no longer replaces the answer of the one before it

A caller whose request ran got 400, 431 or 408 for it when the request behind it on the connection was malformed, too large or late with its head: Node writes that answer at once unless the head of a response has been written, and closes the connection. A 408 states that the request has not run, and may be the answer to one that must not be repeated.

Now the request that was read whole is answered, its response announces the close, and the connection closes with it. Requests that wait behind it are dropped, and were not passed on. Where no such request is in progress, the answers are Node's own.

--- a/packages/fleet/src/entry/entry-process.ts
+++ b/packages/fleet/src/entry/entry-process.ts
@@ -46,6 +46,7 @@
 import { RequestHeap } from './serving/request-heap.js'
 import { refuseForMemory } from './serving/memory-refusal.js'
 import { ServiceRequest, type ServiceRequestOptions } from './serving/service-request.js'
+import { endUnreadableRequests } from './serving/unreadable-requests.js'
 import { SideLinks } from './peers/side-links.js'
 import { ReadTurns } from './serving/read-turns.js'
 import { ListProver } from './peers/list-prover.js'
@@ -221,6 +222,7 @@
     this.server = createServer({ maxHeaderSize: maxHeaderBytes, connectionsCheckingInterval: 1000, requestTimeout: 0 })
     this.#callerConnections = new CallerConnections(this.server, log)
     this.#connectionTurns = new ConnectionTurns(log)
+    endUnreadableRequests(this.server, this.#connectionTurns)
     this.#callerConnections.setMaxSockets(limits().maxSockets)
     this.#requestOptions = {
       facts,
@@ -355,7 +357,9 @@
    * their callers sent them when nothing was announced.
    */
   #closesAfterResponse (socket: Socket): boolean {
-    return this.#connectionTurns.isNewest(socket) && (this.#stopping || !this.#keyLease.held || this.#callerConnections.shouldClose(socket))
+    const turns = this.#connectionTurns
+    if (turns.isEnding(socket)) return true
+    return turns.isNewest(socket) && (this.#stopping || !this.#keyLease.held || this.#callerConnections.shouldClose(socket))
   }
 
   #watchPauseMs (kind: Fact['kind']): number {
--- a/packages/fleet/src/entry/serving/connection-turns.ts
+++ b/packages/fleet/src/entry/serving/connection-turns.ts
@@ -22,6 +22,8 @@
   /** The response in progress. */
   current: ServerResponse | undefined
   readonly waiting: Resume[]
+  /** It closes with the response in progress. */
+  isEnding: boolean
   /** Whether its close is listened for. */
   watched: boolean
 }
@@ -70,6 +72,26 @@
     return (this.#connections.get(socket)?.waiting.length ?? 0) === 0
   }
 
+  /** Whether a request that has been read whole is in progress. */
+  isRunning (socket: Socket): boolean {
+    return this.#connections.get(socket)?.current?.req.complete === true
+  }
+
+  /** Whether the head of the response in progress has been written. */
+  hasBegunResponse (socket: Socket): boolean {
+    return this.#connections.get(socket)?.current?.headersSent === true
+  }
+
+  /** Whether the connection closes with the response in progress, whatever waits behind it. */
+  isEnding (socket: Socket): boolean {
+    return this.#connections.get(socket)?.isEnding === true
+  }
+
+  /** Closes the connection with the response in progress. */
+  endAfterCurrent (socket: Socket): void {
+    this.#connectionOf(socket).isEnding = true
+  }
+
   #begin (socket: Socket, connection: Connection, response: ServerResponse): undefined {
     connection.current = response
     response.once('finish', () => this.#advance(socket, connection))
@@ -92,7 +114,9 @@
   /** The response in progress has been written. After one that was announced as the last, Node has ended the connection. */
   #advance (socket: Socket, connection: Connection): void {
     connection.current = undefined
-    if (socket.writable) connection.waiting.shift()?.(true)
+    if (!socket.writable) return
+    if (connection.isEnding) socket.destroySoon()
+    else connection.waiting.shift()?.(true)
   }
 
   #drop (connection: Connection): void {
@@ -106,7 +130,7 @@
   #connectionOf (socket: Socket): Connection {
     let connection = this.#connections.get(socket)
     if (connection === undefined) {
-      connection = { current: undefined, waiting: [], watched: false }
+      connection = { current: undefined, waiting: [], isEnding: false, watched: false }
       this.#connections.set(socket, connection)
     }
     return connection
--- a/packages/fleet/test/pipelined-requests.test.ts
+++ b/packages/fleet/test/pipelined-requests.test.ts
@@ -198,6 +198,30 @@
       expect(startedIds()).to.have.length(1)
     })
 
+    // The answer of the one that runs was a 400, or a 408, which states that it has not run.
+    for (const { what, text } of [{ what: 'are malformed', text: 'no request\r\n\r\n' }, { what: 'have too large a head', text: `GET /again/x HTTP/1.1\r\nx: ${'y'.repeat(70_000)}` }]) {
+      it(`do not replace its answer if they ${what}`, async () => {
+        caller.write(['/again/x'])
+        await pause(50)
+        caller.writeRaw(text)
+        await eventually('the connection has closed', () => caller.closed)
+        expect(caller.statuses).to.deep.equal([200])
+        expect(caller.answered).to.deep.equal(caller.ids.slice(0, 1))
+        expect(startedIds()).to.have.length(1)
+      })
+    }
+
+    it('do not replace its answer if their heads are late', async () => {
+      for (const { options } of fleet.engines) options.workMs = 4500
+      const other = newCaller()
+      other.write(['/stream/x'], { deadlineMs: 8000 })
+      await eventually('it runs', () => fleet.engines.some(engine => engine.startedIds.length === 1))
+      other.writeRaw('GET /again/x HTTP/1.1\r\n')
+      await eventually('the connection has closed', () => other.closed, 10_000)
+      expect(other.statuses).to.not.include(408)
+      expect(other.answered).to.deep.equal(other.ids)
+    })
+
     it('are served in order, also with large bodies', async () => {
       caller.write(Array.from({ length: 20 }, () => '/again/x'), { body: 'x'.repeat(100_000) })
       for (const server of fleet.plainServers) server.slowdown = 0.1
