Long refusals of a backend server no longer end the channel of its side process

Callers saw 502 connection_lost, outcome unknown, for requests that had nothing to do with the refusal: all requests on the channel between the entry and that side process.

A side process passes the text of an engine's refusal (404, 412, 429, 503) or of a failed order on as the detail of a failure. The entry accepts 2,000 characters there, takes a frame with more for corrupt and closes the channel.

The detail is now cut to its limit where a failure is made.

Found while engines sent refusals without end; a page of 5,000 characters is enough.

--- a/packages/core/src/failure.ts
+++ b/packages/core/src/failure.ts
@@ -51,10 +51,12 @@
 
 const FailureCode = z.enum(Object.keys(failureDefinitions) as [FailureCode, ...FailureCode[]])
 
+const maxDetailLength = 2000
+
 export const Failure = z.object({
   code: FailureCode,
   outcome: z.enum(['not_run', 'unknown']),
-  detail: z.string().max(2000).optional(),
+  detail: z.string().max(maxDetailLength).optional(),
   /** When a retry makes sense, in milliseconds from now. */
   retryAfterMs: z.number().nonnegative().optional(),
   /** A key for retries that is bound to one process, so that they don't need the store. */
@@ -66,13 +68,18 @@
 
 export type FailureDetail = Partial<Omit<Failure, 'code' | 'outcome'>>
 
-export const notRun = (code: FailureCode, details: FailureDetail = {}): Failure => ({ code, outcome: 'not_run', ...details })
+/** A backend server gives reasons of any length, and a process closes the connection to a peer that sends an invalid failure. */
+const boundDetail = (details: FailureDetail): FailureDetail =>
+  details.detail === undefined ? details : { ...details, detail: details.detail.slice(0, maxDetailLength) }
+
+export const notRun = (code: FailureCode, details: FailureDetail = {}): Failure => ({ code, outcome: 'not_run', ...boundDetail(details) })
 
-export const outcomeUnknown = (code: FailureCode, details: FailureDetail = {}): Failure => ({ code, outcome: 'unknown', ...details })
+export const outcomeUnknown = (code: FailureCode, details: FailureDetail = {}): Failure => ({ code, outcome: 'unknown', ...boundDetail(details) })
 
 /** Converts a refusal from before the key was looked up: this attempt was not run, but an earlier one with its key may have been. */
 export const notRunThisAttempt = (failure: Failure): Failure => {
-  const detail = `${failure.detail ?? ''} This try was not run; an earlier one with its key may have been.`.trim()
+  const note = ' This try was not run; an earlier one with its key may have been.'
+  const detail = `${(failure.detail ?? '').slice(0, maxDetailLength - note.length)}${note}`.trim()
   return { ...failure, outcome: 'unknown', detail }
 }
 
