A log that nobody reads no longer keeps a process from ending

Lines were written with fs.write, in the runtime's thread pool. Once nobody read the log and its pipe, socket or terminal was full, that write blocked, and process.exit waits for the pool: ordered to stop, a process stayed until SIGKILL, and one that could not start (codes 1, 2, 3) never ended, so that no supervisor started it again. One thread was in the write, the main thread waited for it.

Pipes and sockets are now written from the event loop, which waits for room without a thread, and terminals through a non-blocking file description. Pipes and terminals are opened anew, so that the mode of a description that other processes share stays as it is. A socket can't be: its mode is set before each write, because the runtime resets it for all holders when one of them exits. With one socket kept open, the test of a shared socket fails. Regular files are written as before.

Weighed and not taken: a worker, whose blocked write the exit joins as well; a process of its own for the log, some 40 MB beside limits of 282 and 350; an end by a signal to itself, which loses the exit code.

FleetSystem can leave a log unread (pauseLog, resumeLog), and joins lines that arrive in parts.

--- a/packages/core/src/line-sink.ts
+++ b/packages/core/src/line-sink.ts
@@ -1,12 +1,12 @@
 /**
  * Buffered output of log lines to a file descriptor, with a bounded buffer, so that a slow reader of the log never blocks
- * a request.
+ * a request, and a reader that has stopped reading doesn't keep the process from exiting.
  *
  * Lines are written in batches, up to ten times a second. Lines that don't fit into the buffer are dropped and counted,
  * and the count is logged with the next batch.
  */
-import { write } from 'node:fs'
 import { pause } from './abort.js'
+import { OutputDescriptor } from './output-descriptor.js'
 
 export interface LineSink {
   /** Writes one line, given without its line break. */
@@ -27,8 +27,11 @@
   #dropped = 0
   #writing = false
   #timer: NodeJS.Timeout | undefined
+  readonly #output: OutputDescriptor
 
-  constructor (private readonly descriptor: number, private readonly limit = maxBufferedBytes) {}
+  constructor (descriptor: number, private readonly limit = maxBufferedBytes) {
+    this.#output = new OutputDescriptor(descriptor)
+  }
 
   write (line: string): void {
     if (this.#bytes + line.length > this.limit) {
@@ -51,7 +54,7 @@
     const text = Buffer.from(`${this.#lines.join('\n')}\n`)
     this.#lines = []
     this.#writing = true
-    this.#write(text, 0)
+    this.#output.write(text, () => this.#onWritten())
   }
 
   /** Writes the buffered lines before the process stops, as far as the reader takes them within the time-out. */
@@ -60,17 +63,10 @@
     for (let waitedMs = 0; waitedMs < drainTimeoutMs && (this.#writing || this.#lines.length > 0); waitedMs += drainPollMs) await pause(drainPollMs)
   }
 
-  #write (text: Buffer, offset: number): void {
-    write(this.descriptor, text, offset, text.length - offset, null, (error, written) => {
-      if (error?.code === 'EAGAIN') {
-        setTimeout(() => this.#write(text, offset), flushIntervalMs)
-        return
-      }
-      if (error === null && offset + written < text.length) return this.#write(text, offset + written)
-      // Everything has been written, or the descriptor failed, as when it is closed; these lines are then lost.
-      this.#writing = false
-      this.#bytes = this.#lines.reduce((sum, line) => sum + line.length + 1, 0)
-      if (this.#lines.length > 0) this.#timer ??= setTimeout(() => this.flush(), flushIntervalMs)
-    })
+  /** Everything has been written, or the descriptor failed, as when it is closed; these lines are then lost. */
+  #onWritten (): void {
+    this.#writing = false
+    this.#bytes = this.#lines.reduce((sum, line) => sum + line.length + 1, 0)
+    if (this.#lines.length > 0) this.#timer ??= setTimeout(() => this.flush(), flushIntervalMs)
   }
 }
--- a/packages/stand-ins/src/fleet/fleet-system.ts
+++ b/packages/stand-ins/src/fleet/fleet-system.ts
@@ -138,6 +138,8 @@
   readonly #supervisorTimers = new Map<Machine, NodeJS.Timeout>()
   /** Backend servers that have crashed and not restarted yet. */
   readonly #pendingRestarts = new Map<BackendStandIn, Promise<void>>()
+  /** Machines whose log nobody reads for now. */
+  readonly #unreadLogs = new Set<Machine>()
   #folder = ''
   #stopped = false
 
@@ -227,6 +229,17 @@
     child.kill(signal)
   }
 
+  /** Leaves the log of a machine unread, also that of processes started from now on. What they write stays in the pipe until it is full. */
+  pauseLog (machine: Machine): void {
+    this.#unreadLogs.add(machine)
+    machine.process?.stdout?.pause()
+  }
+
+  resumeLog (machine: Machine): void {
+    this.#unreadLogs.delete(machine)
+    machine.process?.stdout?.resume()
+  }
+
   /** Whether the test has ended the process of a machine and not started the next one. */
   isDown (machine: Machine): boolean {
     return this.#down.has(machine)
@@ -259,11 +272,17 @@
     let started = false
     const earlySignals: NodeJS.Signals[] = []
     this.#earlySignals.set(child, earlySignals)
+    let unfinishedLine = ''
     child.stdout.setEncoding('utf8').on('data', (text: string) => {
       started = true
       this.#earlySignals.delete(child)
-      machine.output.push(...text.split('\n').filter(line => line !== ''))
+      const lines = `${unfinishedLine}${text}`.split('\n')
+      unfinishedLine = lines.pop() ?? ''
+      machine.output.push(...lines.filter(line => line !== ''))
     })
+    if (this.#unreadLogs.has(machine)) child.stdout.pause()
+    // Otherwise its end would go unnoticed while its log is unread.
+    child.on('exit', () => child.stdout.resume())
     this.#running.add(child)
     child.on('close', (code, signal) => {
       this.#running.delete(child)
