--- a/packages/daemon/src/commands/daemon-command.ts
+++ b/packages/daemon/src/commands/daemon-command.ts
@@ -38,7 +38,8 @@
     process.on('SIGINT', () => stop.abort())
     const running = await start(stop.signal)
     if (running !== undefined) {
-      process.stdout.write(`${JSON.stringify({ event: 'listening', ...running.listening })}\n`)
+      this.#logLines.write(JSON.stringify({ event: 'listening', ...running.listening }))
+      this.#logLines.flush()
       await stopRequested
       await running.stop()
     }
