Planned stops: requests that can't end in time are refused before they are sent, and the rest is answered

In a planned stop in calm, callers whose requests came late in the grace lost them: passed on to a server and cut 0.7 s before the end of the grace without an answer, requests that may not be repeated among them. Others, which waited for a full server or whose bodies had not arrived, were cut without one too, and none had a log line.

Whether the process stops was asked once, before the body is read. Whatever came after (the rest of the body, the queue, a second attempt, a connect) sent the request whatever time was left, and the end closed the process under the requests in progress.

A request is now sent only if its run is expected to end before the process does: by the longest of the latest 64 runs of its route, and by its own deadline where none is known. That is asked before the body is read, after it, after each wait, before each attempt and just before it is written. Requests that are not sent yet are refused as soon as they lack the time, those in the queue also by their expected wait. When no time is left, requests that may have run get 504, the others 503, and streams under way are broken off; the process then waits until the responses are written, as it now also does where a caller reads a whole response slowly. The reserve at the end is a quarter of a grace that is shorter than 2.8 s. A refused or ended request is logged with the time that was left and the time that it needed.

--- /dev/null
+++ b/packages/decisions/src/run-times.ts
@@ -0,0 +1,49 @@
+/**
+ * An upper estimate of how long a run takes, from the latest runs of its route.
+ *
+ * A process that is about to stop sends a request only if its run is expected to end in time. Both errors cost: a request that is sent
+ * and then cut may have run for nothing, and one that is refused might have been served. The first can't be taken back, so the longest
+ * of the latest runs counts, not the usual one.
+ */
+
+export interface Run {
+  /** Time to the first byte of the response. */
+  firstByteMs: number
+  /** Time to the end of the response. */
+  ms: number
+  /** Maximum number of output tokens, as stated; 0 if not stated. */
+  outputTokens: number
+}
+
+const keptRuns = 64
+/** Added to the estimate for what differs between runs that are otherwise alike. */
+const margin = 0.1
+
+export class RunTimes {
+  readonly #runs: Run[] = []
+  #next = 0
+
+  record (run: Run): void {
+    this.#runs[this.#next] = run
+    this.#next = (this.#next + 1) % keptRuns
+  }
+
+  /** The longest that a run with this maximum of output tokens is expected to take; `undefined` before the first run. */
+  upperMs (outputTokens: number): number | undefined {
+    if (this.#runs.length === 0) return undefined
+    let firstByteMs = 0
+    let restMs = 0
+    for (const run of this.#runs) {
+      firstByteMs = Math.max(firstByteMs, run.firstByteMs)
+      restMs = Math.max(restMs, (run.ms - run.firstByteMs) * tokenRatio(outputTokens, run.outputTokens))
+    }
+    // With few runs, the next one is often longer than all of them.
+    return (firstByteMs + restMs) * (1 + margin + 1 / this.#runs.length)
+  }
+}
+
+/** How many times as many tokens the run may output; 1 where that is not known. */
+const tokenRatio = (tokens: number, known: number): number => tokens === 0 || known === 0 ? 1 : tokens / known
+
+/** The time that a request needs at most: its run, or what is left until its own deadline. `upperMs`: as far as the route's runs are known. */
+export const neededMs = (upperMs: number | undefined, untilDeadlineMs: number): number => Math.min(upperMs ?? Infinity, untilDeadlineMs)
--- /dev/null
+++ b/packages/decisions/test/run-times.test.ts
@@ -0,0 +1,47 @@
+import { expect } from 'chai'
+import { RunTimes, neededMs } from '@finchpitch/decisions'
+
+const manyRuns = 100
+
+const timesOf = (runs: Array<{ firstByteMs?: number, ms: number, outputTokens?: number }>): RunTimes => {
+  const times = new RunTimes()
+  for (const { firstByteMs = 0, ms, outputTokens = 0 } of runs) times.record({ firstByteMs, ms, outputTokens })
+  return times
+}
+
+const repeated = <T>(run: T, count = manyRuns): T[] => Array.from({ length: count }, () => run)
+
+describe('run times of a route', () => {
+  it('are not known before the first run', () => {
+    expect(new RunTimes().upperMs(0)).to.equal(undefined)
+  })
+
+  it('are estimated by the longest of the latest runs', () => {
+    expect(timesOf([...repeated({ ms: 100 }), { ms: 900 }, { ms: 100 }]).upperMs(0)).to.be.within(900, 1100)
+  })
+
+  it('no longer count runs that were long ago', () => {
+    expect(timesOf([{ ms: 9000 }, ...repeated({ ms: 100 })]).upperMs(0)).to.be.within(100, 200)
+  })
+
+  it('are estimated higher while few runs are known', () => {
+    expect(timesOf([{ ms: 100 }]).upperMs(0)).to.be.at.least(200)
+  })
+
+  it('grow with the stated output, but not the time to the first byte', () => {
+    const times = timesOf(repeated({ firstByteMs: 500, ms: 1500, outputTokens: 100 }))
+    expect(times.upperMs(100)).to.be.within(1500, 1700)
+    expect(times.upperMs(300)).to.be.within(3500, 3950)
+    expect(times.upperMs(10)).to.be.within(600, 700)
+  })
+
+  it('are those of all runs where the output is not stated', () => {
+    expect(timesOf(repeated({ firstByteMs: 500, ms: 1500, outputTokens: 100 })).upperMs(0)).to.be.within(1500, 1700)
+  })
+
+  it('count as all the time until the deadline of a request if none is known', () => {
+    expect(neededMs(undefined, 3000)).to.equal(3000)
+    expect(neededMs(200, 3000)).to.equal(200)
+    expect(neededMs(4000, 3000)).to.equal(3000)
+  })
+})
--- a/packages/fleet/src/entry/entry-process.ts
+++ b/packages/fleet/src/entry/entry-process.ts
@@ -49,6 +49,7 @@
 import { endUnreadableRequests } from './serving/unreadable-requests.js'
 import { SideLinks } from './peers/side-links.js'
 import { ReadTurns } from './serving/read-turns.js'
+import { PlannedStop } from './serving/planned-stop.js'
 import { ListProver } from './peers/list-prover.js'
 import { StreamOrigins } from './peers/stream-origins.js'
 import { StoreWatch } from './peers/store-watch.js'
@@ -76,8 +77,11 @@
  * failed checks.
  */
 const readinessNoticeMs = 2600
-/** Reserved at the end of the grace period, so that the process can exit before it is killed. */
-const exitReserveMs = 700
+/** Reserved at the end of the grace period, so that the last responses are written and the process can exit before it is killed. */
+const exitReserve = { maxMs: 700, share: 0.25 }
+/** Part of the reserve in which the last responses are written. */
+const flushShare = 0.5
+const flushCheckIntervalMs = 10
 
 export interface EntryProcessOptions {
   process: string
@@ -133,8 +137,7 @@
   readonly #probeRequester: ProbeRequester
   readonly #stop = new AbortController()
   #stopping = false
-  /** Whether the server no longer listens. Requests may still arrive on connections that are open. */
-  #stoppedListening = false
+  readonly #plannedStop = new PlannedStop()
   #running = 0
 
   constructor (private readonly options: EntryProcessOptions) {
@@ -245,7 +248,7 @@
       names: options.headerNames,
       counters: this.counters,
       log,
-      stopping: () => this.#stoppedListening,
+      stop: this.#plannedStop,
       turns: this.#turns,
       streamOrigins: this.#streamOrigins,
       tableWait: new TableWait({ facts, lease: this.#keyLease }),
@@ -313,19 +316,30 @@
     await this.#exchangeFacts(stream)
   }
 
-  /** Planned stop: lets the requests in progress finish. Resolves when none is left, or shortly before the process is killed. */
+  /**
+   * Planned stop: lets the requests in progress finish, and answers the rest. Resolves when all responses are written, or shortly before
+   * the process is killed.
+   */
   async close (): Promise<void> {
-    const startedAt = performance.now()
+    const startedAt = nowMs()
     const { graceMs } = this.options.limits()
+    const reserveMs = Math.min(exitReserve.maxMs, graceMs * exitReserve.share)
     this.#stopping = true
-    this.options.log.info('entry.stopping', { running: this.#running, waiting: this.#queue.size })
+    this.#plannedStop.begin(startedAt + graceMs - reserveMs)
+    this.options.log.info('entry.stopping', { running: this.#running, waiting: this.#queue.size, leftMs: Math.round(this.#plannedStop.leftMs) })
+    this.#queue.scheduleScan()
+    const lateSweep = setInterval(() => this.#plannedStop.endLate(), drainCheckIntervalMs)
     await pause(Math.min(readinessNoticeMs, graceMs / 2))
     // From here on callers find their connection closed or refused. This tells them that nothing was read, so they go to another entry.
     this.server.close()
-    this.#stoppedListening = true
+    this.#plannedStop.stopListening()
     const idleSweep = setInterval(() => this.server.closeIdleConnections(), drainCheckIntervalMs)
-    while (this.#running > 0 && performance.now() - startedAt < graceMs - exitReserveMs) await pause(drainCheckIntervalMs)
-    this.options.log.info('entry.stopped', { running: this.#running, ms: Math.round(performance.now() - startedAt) })
+    await this.#allWritten(drainCheckIntervalMs, 0)
+    const cut = this.#running
+    this.#plannedStop.endLate()
+    await this.#allWritten(flushCheckIntervalMs, reserveMs * flushShare)
+    this.options.log.info('entry.stopped', { cut, running: this.#running, ms: Math.round(nowMs() - startedAt) })
+    clearInterval(lateSweep)
     clearInterval(idleSweep)
     this.#stop.abort()
     this.#attemptReporter.close()
@@ -333,6 +347,12 @@
     this.#sideLinks.close()
   }
 
+  /** Resolves once all responses have been written, or `extraMs` after the end of the planned stop. */
+  async #allWritten (intervalMs: number, extraMs: number): Promise<void> {
+    const leftMs = (): number => this.#plannedStop.leftMs + extraMs
+    while (this.#requestHeap.reservedBytes > 0 && leftMs() > 0) await pause(Math.min(intervalMs, leftMs()))
+  }
+
   async #serve (request: import('node:http').IncomingMessage, response: import('node:http').ServerResponse): Promise<void> {
     const reservation = this.#requestHeap.reserve(request, this.#connectionTurns.unreadBytes(request))
     if (reservation === undefined) return refuseForMemory(request, response, this.options)
--- a/packages/fleet/src/entry/servers/server-selector.ts
+++ b/packages/fleet/src/entry/servers/server-selector.ts
@@ -72,6 +72,8 @@
   crashes: RequestCrashes
   /** Cancelled when the caller disconnects or the deadline passes. */
   cancellation: Cancellation
+  /** Until when a request of the route may be sent, on the monotonic clock, if the process is stopping. */
+  latestStart: (route: Route) => number
 }
 
 export class ServerSelector {
@@ -132,9 +134,10 @@
 
   #queuedRequest (first: Choice, selection: SelectionRequest, admitted: Admission): QueuedRequest {
     const { balancer } = this.options
-    const { times, crashes } = this.request
+    const { times, crashes, latestStart } = this.request
     const { route, team } = admitted
     const rank = (): number => this.rank(admitted, selection.promptTokens)
+    const expiresAt = this.#expiryOf(first, selection.service, route)
     return {
       key: keyOf(selection),
       service: selection.service.name,
@@ -146,7 +149,7 @@
       hasOwnChoice: selection.excluded.size > 0 || selection.softwareVersion !== undefined,
       rank,
       lateAt: times.lateAt(route, balancer.prefillMs(selection.promptTokens)),
-      expiresAt: this.#expiryOf(first, selection.service, route),
+      get expiresAt () { return Math.min(expiresAt, latestStart(route)) },
       mayWaitFor: choice => this.#mayWaitFor(choice, selection.service, route),
       choose: () => this.#takePermit(balancer.choose({ ...selection, timeToObjectiveMs: times.timeToObjectiveMs(route) }), selection),
       isQuarantined: () => crashes.quarantine({ team: team?.name, service: selection.service.name }) !== undefined,
--- a/packages/fleet/src/entry/serving/incoming-request.ts
+++ b/packages/fleet/src/entry/serving/incoming-request.ts
@@ -6,6 +6,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import type { HeaderNames } from '../../ports.js'
 import { gatherBody } from './gathered-body.js'
+import { unlessCancelled, type Cancellation } from './cancellation.js'
 import { headerOf } from './header.js'
 import type { BodyReservation, KeptBytes } from './kept-bytes.js'
 
@@ -17,8 +18,8 @@
 /** No prompt is longer. The stated number is sent in frames between processes, whose fields are bounded. */
 const maxPromptTokens = 10_000_000
 
-/** Why the body could not be read: it exceeds the limit, the caller disconnected, or the process has no room for it. */
-export type BodyError = 'too_large' | 'caller_left' | 'no_room'
+/** Why the body could not be read: it exceeds the limit, the caller disconnected, the request was cancelled, or the process has no room for it. */
+export type BodyError = 'too_large' | 'caller_left' | 'cancelled' | 'no_room'
 
 export interface BodyOptions {
   /** Maximum size in bytes. */
@@ -26,6 +27,7 @@
   keptBytes: KeptBytes
   /** How long the body may wait for room, each time that it needs some. */
   waitMs: () => number
+  cancellation: Cancellation
 }
 
 export class IncomingRequest {
@@ -98,16 +100,21 @@
 
   /** Reads the body, once there is room for it. Until then nothing is read from the caller. */
   async body (options: BodyOptions): Promise<Result<Buffer, BodyError>> {
-    const { limit, keptBytes, waitMs } = options
+    const { limit, keptBytes, waitMs, cancellation } = options
     if (!this.hasBody) return ok(emptyBuffer)
     const stated = this.statedBodyBytes
     if (stated > limit) return err('too_large')
-    this.#reservation = await keptBytes.reserveBody(stated === 0 ? undefined : stated, waitMs())
+    const reserving = keptBytes.reserveBody(stated === 0 ? undefined : stated, waitMs())
+    this.#reservation = await unlessCancelled(reserving, cancellation)
+    if (this.#reservation === undefined && cancellation.cancelled) {
+      void reserving.then(late => { if (late !== undefined) keptBytes.releaseBody(late) })
+      return err('cancelled')
+    }
     if (this.#reservation === undefined) return err('no_room')
     return await this.#read(this.#reservation, stated, options)
   }
 
-  #read (reservation: BodyReservation, stated: number, { limit, waitMs }: BodyOptions): Promise<Result<Buffer, BodyError>> {
+  #read (reservation: BodyReservation, stated: number, { limit, waitMs, cancellation }: BodyOptions): Promise<Result<Buffer, BodyError>> {
     const { message } = this
     const gathered = gatherBody(stated)
     return new Promise(resolve => {
@@ -126,8 +133,10 @@
       }
       const finish = (result: Result<Buffer, BodyError>): void => {
         message.off('data', read)
+        unsubscribe()
         resolve(result)
       }
+      const unsubscribe = cancellation.onCancel(() => finish(err('cancelled')))
       message.on('data', read)
       message.on('end', () => {
         reservation.shrink()
--- a/packages/fleet/src/entry/serving/request-record.ts
+++ b/packages/fleet/src/entry/serving/request-record.ts
@@ -48,6 +48,8 @@
   expectedWaitMs: number | undefined
   /** Why it was rejected before its time was up. */
   rejection: Rejection | undefined
+  /** The time that the stop of the process left, and that the request needed, where it was refused or ended for that. */
+  stop: { leftMs: number, neededMs: number | undefined } | undefined
   /** From arrival to the start of the last attempt. */
   sentAtMs: number | undefined
   /** From arrival to when the last attempt was written to its server. */
@@ -89,6 +91,7 @@
       waitedMs: rounded(this.waitedMs),
       expectedWaitMs: rounded(this.expectedWaitMs),
       ...(this.rejection === undefined ? {} : rejectionFields(this.rejection)),
+      ...(this.stop === undefined ? {} : { stopLeftMs: rounded(this.stop.leftMs), neededMs: rounded(this.stop.neededMs) }),
       sentAtMs: rounded(this.sentAtMs),
       writtenAtMs: rounded(this.writtenAtMs),
       leftAtMs: rounded(this.leftAtMs),
--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -33,6 +33,7 @@
 import { helpsRepeat } from '../servers/choice.js'
 import { ServerSelector, hasReadyTime, noServerFrom, type NoServer, type SendChoice } from '../servers/server-selector.js'
 import { LocalReplies } from './local-replies.js'
+import type { PlannedStop, StartingRequest } from './planned-stop.js'
 import { RequestCrashes, type CrashScope } from './request-crashes.js'
 import { RequestRecord } from './request-record.js'
 import { overloadedStatus } from '../servers/server-feedback.js'
@@ -83,8 +84,7 @@
   streamOrigins: StreamOrigins
   /** `Retry-After` while the routing table can't be proven fresh. */
   staleTableRetryMs: () => number
-  /** The process is about to exit: new requests might not finish in time and are refused at once. */
-  stopping: () => boolean
+  stop: PlannedStop
   /** Whether to close the caller's connection after its current response. */
   closeAfterResponse: (socket: Socket) => boolean
 }
@@ -152,6 +152,10 @@
   #bufferedBytes = 0
   #framer: EventFramer | undefined
   #deadlinePassed = false
+  /** It was ended because the process is stopping. */
+  #endedByStop = false
+  /** The last attempt has been written to its server and has not ended. */
+  #isSent = false
 
   constructor (private readonly options: ServiceRequestOptions, request: IncomingMessage, response: ServerResponse, arrivedAt: number) {
     this.#incoming = new IncomingRequest(request, options.names)
@@ -163,7 +167,7 @@
     this.#admission = new RequestAdmission(options, this.#incoming)
     this.#continuation = new StreamContinuation(options.streamOrigins, this.#incoming)
     this.#crashes = new RequestCrashes(options.crashes, this.#incoming)
-    this.#selector = new ServerSelector(options, { incoming: this.#incoming, times: this.#times, record: this.#record, crashes: this.#crashes, cancellation: this.#cancellation })
+    this.#selector = new ServerSelector(options, { incoming: this.#incoming, times: this.#times, record: this.#record, crashes: this.#crashes, cancellation: this.#cancellation, latestStart: route => options.stop.latestStart(this.#startingRequest(route)) })
     this.#localReplies = new LocalReplies({ names: options.names, staleTableRetryMs: options.staleTableRetryMs, incoming: this.#incoming, callerResponse: this.#callerResponse, record: this.#record })
     // Chunks of a body take memory until they are collected, also of one that is dropped.
     if (this.#incoming.hasBody) request.once('resume', () => request.on('data', (chunk: Buffer) => options.keptBytes.memory.notePassed(chunk.length)))
@@ -171,11 +175,13 @@
   }
 
   async serve (): Promise<void> {
-    const { facts, balancer, log, counters } = this.options
+    const { facts, balancer, log, counters, stop } = this.options
     let outcome: string
+    stop.enter(this)
     try {
       outcome = await this.#handle()
     } finally {
+      stop.leave(this)
       this.#releaseKept()
     }
     this.#callerReturn.end(outcome, this.#localReplies.toldMs)
@@ -185,13 +191,28 @@
     this.#record.write(outcome, log, counters, { table: facts.routes?.table.version, tableAgeMs: facts.freshness.ageMs, engineReport })
   }
 
+  /**
+   * Ends the request if the planned stop of the process leaves too little time: one that has been sent when no time is left, any other
+   * once its run could not end in time.
+   */
+  endForStop (): void {
+    const { stop } = this.options
+    const { route } = this.#record
+    if (this.#cancellation.cancelled) return
+    if (stop.leftMs > 0 && (this.#isSent || route === undefined || this.#times.deadline === Infinity || !this.#lacksTime(route))) return
+    this.#record.stop ??= { leftMs: stop.leftMs, neededMs: undefined }
+    this.#endedByStop = true
+    this.#cancellation.cancel()
+  }
+
   async #handle (): Promise<string> {
-    const { facts, stopping, tableWait, turns } = this.options
+    const { facts, stop, tableWait, turns } = this.options
     const { remainingMs } = this.#incoming
     await turns.next('new')
     if (this.#hasCallerLeft()) return this.#endCancelled(false)
-    if (stopping()) return this.#localReplies.refuse('stopping')
-    await tableWait.untilLoaded(remainingMs)
+    if (stop.hasStoppedListening) return this.#localReplies.refuse('stopping')
+    await unlessCancelled(tableWait.untilLoaded(remainingMs), this.#cancellation)
+    if (this.#cancellation.cancelled) return this.#endCancelled(false)
     const routes = facts.routes
     if (routes === undefined) {
       this.#localReplies.raiseRetryAfter(tableWait.retryMs)
@@ -208,7 +229,8 @@
     const readyInMs = await this.#admission.reserve(admission, this.#times.firstTriedMs, service)
     if (readyInMs !== undefined) return this.#localReplies.overQuota(readyInMs)
     this.#times.deadline = this.#times.arrivedAt + Math.min(remainingMs, route.timeoutMs)
-    const body = await this.#incoming.body({ limit: routes.table.limits.bodyBytes, keptBytes: this.options.keptBytes, waitMs: () => bodyWaitMs(this.#times.leftMs) })
+    if (this.#lacksTime(route)) return this.#endForStop(false)
+    const body = await this.#incoming.body({ limit: routes.table.limits.bodyBytes, keptBytes: this.options.keptBytes, waitMs: () => bodyWaitMs(this.#times.leftMs), cancellation: this.#cancellation })
     if (body.isErr()) return this.#endUnread(body.error)
     this.#framer = isResumable(route) ? new EventFramer() : undefined
     const timer = setTimeout(() => this.#onDeadline(), Math.max(0, this.#times.leftMs))
@@ -222,6 +244,7 @@
 
   /** The body could not be read. */
   #endUnread (error: BodyError): string {
+    if (error === 'cancelled') return this.#endCancelled(false)
     if (error === 'no_room') return this.#localReplies.refuse('too_many_bytes_kept')
     return error === 'too_large' ? this.#localReplies.end(error) : error
   }
@@ -249,6 +272,7 @@
       if (routes === undefined) return this.#giveUp('no_table')
       const admission = await this.#admit()
       if (admission.type === 'denied') return this.#mayHaveRun ? this.#fail(502, admission.reason) : this.#localReplies.deny(admission)
+      if (this.#lacksTime(admission.route)) return this.#endForStop(false)
       const readyInMs = await this.#admission.reserve(admission, this.#times.firstTriedMs, this.#serviceOf(admission.route)?.name)
       if (readyInMs !== undefined) return this.#mayHaveRun ? this.#fail(502, 'over_quota') : this.#localReplies.overQuota(readyInMs)
       // Such a request would crash any server, with all requests that run there. Of ten sent to four entries, all ten reached an
@@ -258,12 +282,14 @@
       if (quarantine !== undefined) return this.#mayHaveRun ? this.#fail(502, 'quarantined') : this.#localReplies.quarantined(quarantine)
       const service = this.#serviceOf(admission.route)
       if (service === undefined) return this.#giveUp('no_service')
-      if (isResumable(admission.route) && !await this.#continuation.resolve(service.name, this.#times.leftMs)) return this.#giveUp('software_version_not_known')
+      if (isResumable(admission.route) && await unlessCancelled(this.#continuation.resolve(service.name, this.#times.leftMs), this.#cancellation) !== true) {
+        return this.#cancellation.cancelled ? this.#endCancelled(false) : this.#giveUp('software_version_not_known')
+      }
       const selection = this.#selectionFor(service, admission)
       if (!balancer.hasSoftware(selection)) return this.#giveUp('no_server_of_software_version')
       const next = await this.#selector.choose(selection, admission)
       if (next.type === 'cancelled') return this.#endCancelled(false)
-      if (next.type === 'no_server') return this.#giveUpWaiting(next)
+      if (next.type === 'no_server') return this.#lacksTime(admission.route) ? this.#endForStop(false) : this.#giveUpWaiting(next)
       const server = next.type === 'chosen' ? servers.get(next.choice.id) : undefined
       // The table may have changed during the wait, so the request has to be admitted again.
       if (next.type === 'readmit' || server === undefined || this.options.facts.routes !== routes) continue
@@ -332,6 +358,7 @@
     const table = facts.routes
     const { route } = admitted
     if (this.#isTooLate) return this.#endTooLate()
+    if (this.#lacksTime(route)) return done(this.#endForStop(false))
     if (this.#record.tries === 0) budget.deposit(selection.service.name)
     const state = balancer.state(server)
     this.#recordAttempt(server, selection, choice)
@@ -359,10 +386,12 @@
       maySend: () => {
         sentAt = nowMs()
         if (this.#hasCallerLeft() || facts.routes !== table || !balancer.isAvailable(server) || !this.#mayContinueAt(server)) return false
+        if (this.#lacksTime(route)) return false
         if (!this.#spend(server, admitted)) return false
         facts.recordUse(server.id)
         softwareVersion = balancer.softwareVersion(facts.servers.get(server.id) ?? server)
         if (isResumable(route)) this.#continuation.recordStart(selection.service.name, softwareVersion)
+        this.#isSent = true
         return true
       },
       onConnected: ms => connectTimeout.recordConnect(ms),
@@ -381,6 +410,8 @@
       onServerFeedback: feedback => this.options.feedbackHandler.handle(feedback, { server, state, request: this.#incoming.id, sentAt })
     })
     const result = await this.#confirmEnd(ended, server, selection.service)
+    this.#isSent = false
+    this.#recordRun(result, route, nowMs() - sentAt, responseMs)
     if (result.type === 'streamed' && this.#sentAttempts === 0) state.recordRun(pending, this.#incoming.outputTokens)
     state.end(key, pending)
     if (result.type === 'answer') this.#bufferedBytes += result.body.length
@@ -412,6 +443,37 @@
     return { type: result.type === 'streamed' ? 'interrupted' : 'broken', detail }
   }
 
+  #recordRun ({ type }: AttemptResult, { name }: Route, ms: number, firstByteMs = ms): void {
+    // One that the deadline ended would have taken at least as long.
+    const timedOut = type === 'cancelled' && this.#deadlinePassed
+    if (type === 'answer' || type === 'streamed' || timedOut) this.options.stop.recordRun(name, { firstByteMs, ms, outputTokens: this.#incoming.outputTokens })
+  }
+
+  #startingRequest (route: Route): StartingRequest {
+    return { route: route.name, outputTokens: this.#incoming.outputTokens, untilDeadlineMs: this.#times.leftMs }
+  }
+
+  /** Whether a run that begins now may not end before the process stops. */
+  #lacksTime (route: Route): boolean {
+    const { stop } = this.options
+    const { leftMs } = stop
+    if (leftMs === Infinity) return false
+    const neededMs = stop.neededMs(this.#startingRequest(route))
+    if (neededMs <= leftMs) return false
+    this.#record.stop = { leftMs, neededMs }
+    return true
+  }
+
+  /** The process stops before the request is served. `sent`: it may have run. */
+  #endForStop (sent: boolean): string {
+    if (this.#callerResponse.started) {
+      this.#record.reason = 'stopping'
+      this.#callerResponse.abort()
+      return 'interrupted'
+    }
+    return sent || this.#mayHaveRun ? this.#fail(504, 'stopping') : this.#localReplies.refuse('stopping')
+  }
+
   get #isTooLate (): boolean {
     return this.#times.leftMs < minRemainingMs
   }
@@ -581,8 +643,9 @@
     return helpsRepeat(balancer.choose(selection), this.#times.waitUntil(route) - nowMs())
   }
 
-  /** The caller disconnected, or the deadline passed. */
+  /** The caller disconnected, the deadline passed, or the process stops. */
   #endCancelled (sent: boolean): string {
+    if (this.#endedByStop) return this.#endForStop(sent)
     if (!this.#deadlinePassed) return 'caller_left'
     if (this.#callerResponse.started) {
       this.#callerResponse.abort()
--- a/packages/fleet/src/entry/waiting/queue-entry.ts
+++ b/packages/fleet/src/entry/waiting/queue-entry.ts
@@ -27,8 +27,8 @@
   rank: () => number
   /** When it can't meet its objective any more, so that requests in time go before it, on the monotonic clock. */
   lateAt: number
-  /** When it stops waiting, on the monotonic clock. */
-  expiresAt: number
+  /** When it stops waiting, on the monotonic clock. Sooner once the process is stopping. */
+  readonly expiresAt: number
   choose: () => Choice
   /** Whether waiting for this can still help; if not, the wait ends at once. */
   mayWaitFor: (choice: Choice) => boolean
--- a/packages/fleet/test/replay/plain-service-simulation.ts
+++ b/packages/fleet/test/replay/plain-service-simulation.ts
@@ -155,7 +155,7 @@
     const selection: SelectionRequest = { service, key: undefined, promptTokens: 0, timeToObjectiveMs: objectiveMs, priority: 1, excluded, team }
     const selector = new ServerSelector(
       { facts: this.#facts, balancer: entry.balancer, queue: entry.queue, plainServices: entry.plain, counters: entry.counters },
-      { incoming: { workTokens: 0 } as never, times, record: { waitedMs: 0 } as never, crashes: { quarantine: () => undefined } as never, cancellation: new Cancellation() }
+      { incoming: { workTokens: 0 } as never, times, record: { waitedMs: 0 } as never, crashes: { quarantine: () => undefined } as never, cancellation: new Cancellation(), latestStart: () => Infinity }
     )
     const end = (served: boolean, notBeforeMs = 0): void => {
       selector.permit.release()
