--- a/packages/fleet/src/entry/entry-process.ts
+++ b/packages/fleet/src/entry/entry-process.ts
@@ -226,6 +226,9 @@
     this.#callerConnections = new CallerConnections(this.server, log)
     this.#connectionTurns = new ConnectionTurns(log)
     endUnreadableRequests(this.server, this.#connectionTurns)
+    // `server.close` calls it, too.
+    const closeIdleConnections = this.server.closeIdleConnections.bind(this.server)
+    this.server.closeIdleConnections = () => this.#connectionTurns.whileUnwrittenCountAsBusy(closeIdleConnections)
     this.#callerConnections.setMaxSockets(limits().maxSockets)
     this.#requestOptions = {
       facts,
--- a/packages/fleet/src/entry/serving/connection-turns.ts
+++ b/packages/fleet/src/entry/serving/connection-turns.ts
@@ -24,8 +24,6 @@
   readonly waiting: Resume[]
   /** It closes with the response in progress. */
   isEnding: boolean
-  /** Whether its close is listened for. */
-  watched: boolean
 }
 
 /** Looked up in the list, as the parsed headers would take as much memory again. */
@@ -39,7 +37,7 @@
   Math.min(maxUnreadBytes, headerOf(request, 'transfer-encoding') === undefined ? Number(headerOf(request, 'content-length') ?? 0) : Infinity)
 
 export class ConnectionTurns {
-  readonly #connections = new WeakMap<Socket, Connection>()
+  readonly #connections = new Map<Socket, Connection>()
   #dropped = 0
 
   constructor (private readonly log: Log) {}
@@ -52,14 +50,14 @@
   /** Resolves to whether the request may be served, once it is its turn; `undefined` if that is at once. */
   next (request: IncomingMessage, response: ServerResponse): Promise<boolean> | undefined {
     const { socket } = request
-    const connection = this.#connectionOf(socket)
-    if (connection.current === undefined && socket.writable) return this.#begin(socket, connection, response)
     // The rest of a batch, whose connection has closed within this turn of the event loop.
     if (socket.destroyed) {
       this.#dropped += 1
       return Promise.resolve(false)
     }
-    return this.#wait(request, response, connection)
+    const connection = this.#connectionOf(socket)
+    if (connection.current === undefined && socket.writable) return this.#begin(socket, connection, response)
+    return this.#wait(socket, connection, response)
   }
 
   /** How much of the request's body may be read before its turn. */
@@ -92,17 +90,20 @@
     this.#connectionOf(socket).isEnding = true
   }
 
+  /** Runs `close`, by which Node closes idle connections. To it, those are idle too whose response has been ended but not written. */
+  whileUnwrittenCountAsBusy (close: () => void): void {
+    const unwritten = [...this.#connections.values()].flatMap(({ current }) => current?.finished === true ? current : [])
+    for (const response of unwritten) response.finished = false
+    close()
+    for (const response of unwritten) response.finished = true
+  }
+
   #begin (socket: Socket, connection: Connection, response: ServerResponse): undefined {
     connection.current = response
     response.once('finish', () => this.#advance(socket, connection))
   }
 
-  async #wait (request: IncomingMessage, response: ServerResponse, connection: Connection): Promise<boolean> {
-    const { socket } = request
-    if (!connection.watched) {
-      connection.watched = true
-      socket.once('close', () => this.#drop(connection))
-    }
+  async #wait (socket: Socket, connection: Connection, response: ServerResponse): Promise<boolean> {
     return await new Promise<boolean>(resolve => {
       connection.waiting.push(hasTurn => {
         if (hasTurn) this.#begin(socket, connection, response)
@@ -119,7 +120,10 @@
     else connection.waiting.shift()?.(true)
   }
 
-  #drop (connection: Connection): void {
+  #end (socket: Socket): void {
+    const connection = this.#connections.get(socket)
+    this.#connections.delete(socket)
+    if (connection === undefined) return
     const count = connection.waiting.length
     if (count === 0) return
     this.#dropped += count
@@ -130,8 +134,9 @@
   #connectionOf (socket: Socket): Connection {
     let connection = this.#connections.get(socket)
     if (connection === undefined) {
-      connection = { current: undefined, waiting: [], isEnding: false, watched: false }
+      connection = { current: undefined, waiting: [], isEnding: false }
       this.#connections.set(socket, connection)
+      socket.once('close', () => this.#end(socket))
     }
     return connection
   }
