Engines that send bytes without end no longer fill the memory of their side process

Callers saw all requests of a side process end with it. One connection of a faulty engine was enough: a report, the response to an order, the body of a refusal (404, 412, 429, 503) or an event without end was kept whole. Real processes with a limit of 282 MB were killed 1.3 to 5 s after the first byte (report 2.1 s, order 2.8 s, refusal 1.3 s, event 1.7 s, cache event 2.7 s).

Such bodies have bounds of size and time now. Of a refusal the status counts, so its text is cut instead. Events are split off before the parser sees them, as it keeps what has no end, and many short lines of one event take ten times their length in it. Interim responses are counted, since each restarts the time-out of the client. Short chunks are copied into pages: kept one by one they take a hundred times their length.

--- a/packages/backend/src/http-engine.ts
+++ b/packages/backend/src/http-engine.ts
@@ -9,7 +9,7 @@
  * echoes `X-Request-Id` lets the client tell it from the response to another request; an id that was sent before gets a connection of
  * its own.
  */
-import { ResponseError, outcomeUnknown } from '@finchpitch/core'
+import { GatheredBytes, ResponseError, outcomeUnknown, readText, readTextStart, type BodyBounds } from '@finchpitch/core'
 import { createParser, type EventSourceMessage } from 'eventsource-parser'
 import { err, ok, type Result } from 'neverthrow'
 import { Client, Pool, type Dispatcher } from 'undici'
@@ -18,6 +18,7 @@
 import type { Engine, EngineOrder, EngineReport, EngineResponse, GenerationRequest } from './engine.js'
 import { backendError, toBackendError, type BackendError, type BackendErrorCode } from './backend-error.js'
 import { createConnector } from './connector.js'
+import { limitInterim } from './interim-responses.js'
 import { completeBody } from './response-body.js'
 import { endToEndHeaders } from './service.js'
 
@@ -28,6 +29,14 @@
 /** Ids of the last generations that are remembered. A late copy arrives where one of the next responses is due. */
 const maxRememberedIds = 1000
 const endOfStream = '[DONE]'
+/** A report lists some tens of adapters. */
+const replyBounds: BodyBounds = { maxBytes: 1024 * 1024, maxMs: 10_000 }
+/** The status of a refusal says all that matters; its body is for the log. */
+const refusalBounds: BodyBounds = { maxBytes: 64 * 1024, maxMs: 1000 }
+/** Far above any event. A faulty engine may send one without end. */
+const maxEventBytes = 256 * 1024
+const lineFeed = 0x0a
+const carriageReturn = 0x0d
 const clientOptions = { connect: createConnector(connectTimeoutMs), headersTimeout: 0, bodyTimeout: 0 }
 
 const Report = z.object({
@@ -78,8 +87,8 @@
 
   async #reportOver (dispatcher: Dispatcher): Promise<Result<EngineReport, BackendError>> {
     try {
-      const reply = await dispatcher.request({ method: 'GET', path: '/load', headersTimeout: reportTimeoutMs, bodyTimeout: reportTimeoutMs })
-      const report = Report.safeParse(await reply.body.json())
+      const reply = await dispatcher.request({ method: 'GET', path: '/load', headersTimeout: reportTimeoutMs, bodyTimeout: reportTimeoutMs, ...limitInterim() })
+      const report = Report.safeParse(JSON.parse(await readText(reply.body, replyBounds)))
       return report.success ? ok(report.data) : err(backendError('refused', 'the load report is not valid'))
     } catch (error) {
       return err(toBackendError(error))
@@ -103,7 +112,7 @@
 
   async * cacheEvents (signal: AbortSignal): AsyncGenerator<CacheEvent> {
     try {
-      const reply = await this.#pool.request({ method: 'GET', path: '/cache_events', signal })
+      const reply = await this.#pool.request({ method: 'GET', path: '/cache_events', signal, ...limitInterim() })
       if (reply.statusCode !== 200) {
         await reply.body.dump()
         return
@@ -122,7 +131,7 @@
       const reply = await this.#post(request)
       const boot = bootOf(reply)
       const refusal = refusalCodes[reply.statusCode]
-      if (refusal !== undefined) return err(backendError(refusal, await reply.body.text(), boot))
+      if (refusal !== undefined) return err(backendError(refusal, await readTextStart(reply.body, refusalBounds), boot))
       const body = isEventStream(reply) ? this.#resumableEvents(request, reply, boot) : completeBody(reply, 'POST', async () => await this.#hasBoot(boot))
       return ok({ status: reply.statusCode, headers: endToEndHeaders(reply.headers), boot, body })
     } catch (error) {
@@ -142,7 +151,7 @@
       'x-fence': String(fence),
       ...(lastEventId === undefined ? {} : { 'last-event-id': lastEventId })
     }
-    const reply = await this.#send(id, { method: 'POST', path: call.path, headers, body: requestBody(request), signal })
+    const reply = await this.#send(id, { method: 'POST', path: call.path, headers, body: requestBody(request), signal, ...limitInterim() })
     const echoed = reply.headers['x-request-id']
     if (echoed === undefined || echoed === id) return reply
     reply.body.on('error', () => {}).destroy()
@@ -199,10 +208,10 @@
   async #sendOrder (path: string, fence: number, order: Record<string, string>): Promise<Result<Dispatcher.ResponseData, BackendError>> {
     try {
       const headers = { 'content-type': 'application/json', 'x-fence': String(fence) }
-      const reply = await this.#pool.request({ method: 'POST', path, headers, body: JSON.stringify(order) })
-      const text = await reply.body.text()
-      if (reply.statusCode < 300) return ok(reply)
-      return err(backendError(refusalCodes[reply.statusCode] ?? 'refused', text, bootOf(reply)))
+      const reply = await this.#pool.request({ method: 'POST', path, headers, body: JSON.stringify(order), ...limitInterim() })
+      if (reply.statusCode >= 300) return err(backendError(refusalCodes[reply.statusCode] ?? 'refused', await readTextStart(reply.body, refusalBounds), bootOf(reply)))
+      await readText(reply.body, replyBounds)
+      return ok(reply)
     } catch (error) {
       return err(toBackendError(error))
     }
@@ -213,8 +222,34 @@
   const parsed: EventSourceMessage[] = []
   const parser = createParser({ onEvent: event => parsed.push(event) })
   const decoder = new TextDecoder()
-  for await (const chunk of body) {
-    parser.feed(decoder.decode(chunk, { stream: true }))
+  for await (const event of rawEvents(body)) {
+    parser.feed(decoder.decode(event, { stream: true }))
     yield * parsed.splice(0)
   }
 }
+
+/** Splits a body after each empty line, since the parser would keep an event that has no end. */
+async function * rawEvents (body: AsyncIterable<Uint8Array>): AsyncGenerator<Uint8Array> {
+  let event = new GatheredBytes()
+  let isLineEmpty = true
+  let previous = 0
+  for await (const chunk of body) {
+    let start = 0
+    for (const [index, byte] of chunk.entries()) {
+      const endsLine = byte === lineFeed || byte === carriageReturn
+      const isSecondOfPair = byte === lineFeed && previous === carriageReturn
+      previous = byte
+      // The parser takes a carriage return for the end of a line only once it has the next byte.
+      const completesPair = isSecondOfPair && event.length === 0 && start === index
+      if (completesPair || (endsLine && !isSecondOfPair && isLineEmpty)) {
+        event.add(chunk.subarray(start, index + 1))
+        yield event.bytes
+        event = new GatheredBytes()
+        start = index + 1
+      }
+      if (!isSecondOfPair) isLineEmpty = endsLine
+    }
+    event.add(chunk.subarray(start))
+    if (event.length > maxEventBytes) throw new Error(`event of more than ${maxEventBytes} bytes`)
+  }
+}
--- a/packages/backend/src/service.ts
+++ b/packages/backend/src/service.ts
@@ -5,6 +5,7 @@
 import { err, ok, type Result } from 'neverthrow'
 import { Pool } from 'undici'
 import { createConnector } from './connector.js'
+import { limitInterim } from './interim-responses.js'
 import { completeBody, listensAt } from './response-body.js'
 import { toBackendError, type BackendError } from './backend-error.js'
 
@@ -42,7 +43,7 @@
     try {
       const headers = { ...endToEndHeaders(call.headers), 'finchpitch-fence': String(fence) }
       const body = call.body.length === 0 ? null : call.body
-      const reply = await this.#pool.request({ method: call.method as 'GET', path: call.path, headers, body, signal })
+      const reply = await this.#pool.request({ method: call.method as 'GET', path: call.path, headers, body, signal, ...limitInterim() })
       return ok({ status: reply.statusCode, headers: endToEndHeaders(reply.headers), body: completeBody(reply, call.method, listensAt(this.origin)) })
     } catch (error) {
       return err(toBackendError(error))
