A platform that sends bytes without end no longer ends all processes

All entries and side processes poll the instance list. With a list that had no end, all four processes of a small system were killed at their limits of 350 and 282 MB within 1.6 to 4.7 s, and 1,151 of 1,411 sound requests failed. An object or a line of a watch without end ended the entry (3.9 to 5.8 s; the line was also split anew with each chunk, so that 16 MB took 375 MB).

Bodies and lines have a bound of 16 MB now, and bodies one of time.

--- a/packages/store/src/http-store.ts
+++ b/packages/store/src/http-store.ts
@@ -3,13 +3,16 @@
  * `metadata.resourceVersion`, status 409 on a conflict, 410 for a watch from a version that is no longer kept, and
  * watches as newline-delimited JSON.
  */
+import { GatheredBytes, readText } from '@finchpitch/core'
 import { err, ok, type Result } from 'neverthrow'
 import { Pool, errors } from 'undici'
 import * as z from 'zod'
 import { storeError, type ObjectStore, type ResourceVersion, type StoreError, type StoredObject, type WatchEvent } from './object-store.js'
+import { platformBodyBounds } from './platform-body.js'
 
 const root = '/apis/finchpitch/v1/objects'
 const maxConnections = 8
+const lineFeed = 0x0a
 const callTimeoutMs = 1000
 /** A watch that has received nothing for this long is ended, since its connection may be dead. */
 const watchIdleTimeoutMs = 30_000
@@ -39,6 +42,21 @@
 
 const errorCodesByStatus: Record<number, StoreError['code']> = { 409: 'conflict', 410: 'too_old', 429: 'unavailable', 503: 'unavailable' }
 
+async function * linesOf (body: AsyncIterable<Uint8Array>): AsyncGenerator<string> {
+  let line = new GatheredBytes()
+  for await (const chunk of body) {
+    let start = 0
+    for (let end = chunk.indexOf(lineFeed); end >= 0; end = chunk.indexOf(lineFeed, start)) {
+      line.add(chunk.subarray(start, end))
+      yield line.bytes.toString()
+      line = new GatheredBytes()
+      start = end + 1
+    }
+    line.add(chunk.subarray(start))
+    if (line.length > platformBodyBounds.maxBytes) throw new Error(`a line of more than ${platformBodyBounds.maxBytes} bytes`)
+  }
+}
+
 export class HttpStore implements ObjectStore {
   readonly #pool: Pool
 
@@ -80,13 +98,7 @@
         yield { type: 'ended', fault: storeError(errorCodesByStatus[statusCode] ?? 'refused', `status ${statusCode}`) }
         return
       }
-      let text = ''
-      for await (const chunk of body.setEncoding('utf8')) {
-        text += chunk as string
-        const lines = text.split('\n')
-        text = lines.pop() ?? ''
-        for (const line of lines) yield this.#event(line)
-      }
+      for await (const line of linesOf(body)) yield this.#event(line)
       yield { type: 'ended', fault: storeError('unavailable', 'the watch was closed') }
     } catch (error) {
       yield { type: 'ended', fault: storeError('unavailable', (error as Error).message) }
@@ -113,7 +125,7 @@
       const headers = { ...this.#headers(), ...(body === undefined ? {} : { 'content-type': 'application/json' }) }
       const payload = body === undefined ? null : JSON.stringify(body)
       const reply = await this.#pool.request({ method, path, headers, body: payload, bodyTimeout: callTimeoutMs })
-      const text = await reply.body.text()
+      const text = await readText(reply.body, platformBodyBounds)
       return ok({ method, status: reply.statusCode, body: text === '' ? undefined : JSON.parse(text) })
     } catch (error) {
       const code = (error as NodeJS.ErrnoException).code ?? ''
--- a/packages/store/src/instances.ts
+++ b/packages/store/src/instances.ts
@@ -2,11 +2,12 @@
  * The platform's list of running and draining instances. It lags behind, so it serves only
  * to choose which addresses to connect to: a listed instance may be gone.
  */
-import { Address, FailureDomain, ProcessId, Serving } from '@finchpitch/core'
+import { Address, FailureDomain, ProcessId, Serving, readText } from '@finchpitch/core'
 import { err, ok, type Result } from 'neverthrow'
 import { request } from 'undici'
 import * as z from 'zod'
 import { storeError, type StoreError } from './object-store.js'
+import { platformBodyBounds } from './platform-body.js'
 
 const requestTimeoutMs = 1000
 
@@ -40,7 +41,7 @@
         await reply.body.dump()
         return ok(this.#cached.instances)
       }
-      const body = await reply.body.json()
+      const body: unknown = JSON.parse(await readText(reply.body, platformBodyBounds))
       const parsed = InstancesBody.safeParse(body)
       if (reply.statusCode !== 200 || !parsed.success) return err(storeError('refused', `status ${reply.statusCode}`))
       const { etag } = reply.headers
