Planned stops: fewer requests are refused that would have ended in time

The estimate of a run added the longest time to the first byte to the longest time after it, of different runs. Each known run is now scaled to the stated output by itself, and the longest counts.

--- a/packages/decisions/src/run-times.ts
+++ b/packages/decisions/src/run-times.ts
@@ -31,14 +31,9 @@
   /** The longest that a run with this maximum of output tokens is expected to take; `undefined` before the first run. */
   upperMs (outputTokens: number): number | undefined {
     if (this.#runs.length === 0) return undefined
-    let firstByteMs = 0
-    let restMs = 0
-    for (const run of this.#runs) {
-      firstByteMs = Math.max(firstByteMs, run.firstByteMs)
-      restMs = Math.max(restMs, (run.ms - run.firstByteMs) * tokenRatio(outputTokens, run.outputTokens))
-    }
+    const longestMs = Math.max(...this.#runs.map(({ firstByteMs, ms, outputTokens: known }) => firstByteMs + (ms - firstByteMs) * tokenRatio(outputTokens, known)))
     // With few runs, the next one is often longer than all of them.
-    return (firstByteMs + restMs) * (1 + margin + 1 / this.#runs.length)
+    return longestMs * (1 + margin + 1 / this.#runs.length)
   }
 }
 
