Chunks of one byte without end no longer fill the memory of an entry

Callers lost all their connections to an entry, whatever service they asked for: with 100 callers and 2 of 5 servers that sent a body of one-byte chunks, one of two entries was killed at 352 MB of 350; 37 of 92 requests to the other service were served, 5 streams were cut.

An entry counts the bytes of the responses that it keeps and cuts them off above a quarter of its memory. Each chunk was kept as an object of its own, which takes about a hundred times the length of such a chunk, and the same holds for request bodies without a stated size.

Short chunks are now copied into pages, so that a body takes little more than its bytes.

--- a/packages/fleet/src/entry/serving/gathered-body.ts
+++ b/packages/fleet/src/entry/serving/gathered-body.ts
@@ -3,6 +3,8 @@
  *
  * With a known size, each chunk is copied as it arrives. It can then be collected while it is young, and the body is never held twice.
  */
+import { GatheredBytes } from '@finchpitch/core'
+
 export interface GatheredBody {
   add: (chunk: Buffer) => void
   /** What has been gathered. */
@@ -31,17 +33,5 @@
   }
 }
 
-class ChunkedBody implements GatheredBody {
-  readonly #chunks: Buffer[] = []
-
-  add (chunk: Buffer): void {
-    this.#chunks.push(chunk)
-  }
-
-  get bytes (): Buffer {
-    return this.#chunks.length === 1 ? this.#chunks[0] ?? emptyBuffer : Buffer.concat(this.#chunks)
-  }
-}
-
 /** `size`: the stated size; 0 if it is not known. */
-export const gatherBody = (size: number): GatheredBody => size > 0 ? new SizedBody(size) : new ChunkedBody()
+export const gatherBody = (size: number): GatheredBody => size > 0 ? new SizedBody(size) : new GatheredBytes()
