--- a/packages/daemon/test/processes.test.ts
+++ b/packages/daemon/test/processes.test.ts
@@ -1,7 +1,11 @@
+import { spawn } from 'node:child_process'
 import { once } from 'node:events'
+import { mkdtemp, readFile, rm } from 'node:fs/promises'
 import { connect } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
 import { pause } from '@finchpitch/core'
-import { Daemon, TestSystem, eventually, spawnDaemon, testConfiguration, type DaemonOptions, type SpawnedDaemon } from '@finchpitch/stand-ins'
+import { Daemon, TestSystem, daemonCommand, eventually, spawnDaemon, testConfiguration, type DaemonOptions, type SpawnedDaemon } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
 import { request } from 'undici'
 
@@ -16,6 +20,9 @@
 
 /** Far above the time that a process takes to start on a busy host. */
 const startMs = 20_000
+/** Where a process listens whose log does not say it. */
+const unreadHost = '127.182.0.1'
+const unreadPort = 7381
 /** Equal signals that arrive together are delivered once. */
 const signalIntervalMs = 30
 
@@ -206,6 +213,28 @@
       expect(await exited).to.deep.equal([0, null])
     })
 
+    // Guards against a process that never exits because nobody reads the terminal that it logs to.
+    it('while nobody reads its terminal exits', async () => {
+      system = await TestSystem.start()
+      const folder = await mkdtemp(join(tmpdir(), 'unread-terminal-'))
+      const read = async (name: string): Promise<string> => await readFile(join(folder, name), 'utf8').catch(() => '')
+      const flags = { host: unreadHost, 'operator-port': unreadPort, backend: system.ledger.origin, service: 'booking-ledger' }
+      const command = daemonCommand({ role: 'side', process: 'ledger-1', domain: 'oslo-0', platform: system.platform.origin, flags })
+      // The first command fills the terminal. Its other end is written to a pipe that nobody reads.
+      const line = `timeout 1 yes; sh -c 'echo $$ > ${folder}/pid; exec "$0" "$@"' ${[process.execPath, ...command].join(' ')}; echo $? > ${folder}/code`
+      const terminal = spawn('script', ['--quiet', '--command', line, '/dev/null'], { stdio: ['ignore', 'pipe', 'ignore'] })
+      terminal.stdout.pause()
+      try {
+        await eventually('it answers', async () => await fetch(`http://${unreadHost}:${unreadPort}/`, { signal: AbortSignal.timeout(1000) }).then(() => true, () => false), startMs)
+        process.kill(Number(await read('pid')), 'SIGTERM')
+        await eventually('it has exited', async () => await read('code') === '0\n', startMs)
+      } finally {
+        terminal.kill('SIGKILL')
+        if (await read('code') === '') process.kill(Number(await read('pid')), 'SIGKILL')
+        await rm(folder, { recursive: true })
+      }
+    })
+
     // Guards against a side process that never exits because its engine does not answer an order.
     it('while its engine holds an order exits, and names the part that did not close', async () => {
       system = await TestSystem.start()
--- a/packages/stand-ins/src/daemon.ts
+++ b/packages/stand-ins/src/daemon.ts
@@ -49,7 +49,8 @@
   log: LogLines
 }
 
-export const spawnDaemon = (options: DaemonOptions): SpawnedDaemon => {
+/** The script and its parameters. */
+export const daemonCommand = (options: DaemonOptions): string[] => {
   const flags = {
     process: options.process,
     domain: options.domain,
@@ -62,7 +63,11 @@
     ...options.flags
   }
   const args = Object.entries(flags).flatMap(([name, value]) => [`--${name}`, String(value)])
-  const child = spawn(process.execPath, [binary, options.role, ...args], { stdio: ['ignore', 'pipe', 'pipe'] })
+  return [binary, options.role, ...args]
+}
+
+export const spawnDaemon = (options: DaemonOptions): SpawnedDaemon => {
+  const child = spawn(process.execPath, daemonCommand(options), { stdio: ['ignore', 'pipe', 'pipe'] })
   return { child, log: new LogLines(child.stdout) }
 }
 
