Product's own interface: requests of one connection have turns there too

The gateway had the faults of the entries: a request was begun though the response before it was cut off and closed the connection, a malformed one replaced the answer of one that ran by 400, and a stop cut off a response that was read slowly (3.9 of 12 MB). It uses the same parts, which move to the core, as both packages depend on it.

What may be read of bodies before their turn is bounded: the connection of a request beyond that is closed.

--- a/packages/fleet/src/entry/serving/connection-turns.ts
+++ b/packages/core/src/connection-turns.ts
@@ -8,9 +8,8 @@
  *
  * The connection is read on meanwhile, so that a caller that leaves is noticed.
  */
-import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import type { Log } from '@finchpitch/core'
 
 /** Node reads no more than this of a body that nobody reads. */
 const maxUnreadBytes = 65_536
@@ -18,6 +17,13 @@
 /** `hasTurn`: false if the connection has closed. */
 type Resume = (hasTurn: boolean) => void
 
+/** Requests that were dropped as their connection had closed. */
+export interface DroppedRequests {
+  count: number
+  /** Whether the response before them had been written whole. */
+  earlierAnswered: boolean
+}
+
 interface Connection {
   /** The response in progress. */
   current: ServerResponse | undefined
@@ -40,7 +46,7 @@
   readonly #connections = new Map<Socket, Connection>()
   #dropped = 0
 
-  constructor (private readonly log: Log) {}
+  constructor (private readonly onDrop: (dropped: DroppedRequests) => void = () => {}) {}
 
   /** Requests dropped so far. */
   get dropped (): number {
@@ -90,12 +96,18 @@
     this.#connectionOf(socket).isEnding = true
   }
 
-  /** Runs `close`, by which Node closes idle connections. To it, those are idle too whose response has been ended but not written. */
-  whileUnwrittenCountAsBusy (close: () => void): void {
-    const unwritten = [...this.#connections.values()].flatMap(({ current }) => current?.finished === true ? current : [])
-    for (const response of unwritten) response.finished = false
-    close()
-    for (const response of unwritten) response.finished = true
+  /**
+   * Lets the server close only connections as idle on which nothing is left to be written. To Node, a connection is idle once its response
+   * has been ended, and `Server.close` closes those that are.
+   */
+  keepUnwritten (server: Server): void {
+    const closeIdleConnections = server.closeIdleConnections.bind(server)
+    server.closeIdleConnections = () => {
+      const unwritten = [...this.#connections.values()].flatMap(({ current }) => current?.finished === true ? current : [])
+      for (const response of unwritten) response.finished = false
+      closeIdleConnections()
+      for (const response of unwritten) response.finished = true
+    }
   }
 
   #begin (socket: Socket, connection: Connection, response: ServerResponse): undefined {
@@ -127,7 +139,7 @@
     const count = connection.waiting.length
     if (count === 0) return
     this.#dropped += count
-    this.log.info('requests.dropped', { count, earlierAnswered: connection.current === undefined })
+    this.onDrop({ count, earlierAnswered: connection.current === undefined })
     for (const resume of connection.waiting.splice(0)) resume(false)
   }
 
--- a/packages/fleet/src/entry/entry-process.ts
+++ b/packages/fleet/src/entry/entry-process.ts
@@ -8,7 +8,7 @@
 import { createServer, type Server } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
-import { backoff, pause, type Log } from '@finchpitch/core'
+import { ConnectionTurns, backoff, endUnreadableRequests, pause, type Log } from '@finchpitch/core'
 import { bytesPerMb } from '@finchpitch/decisions'
 import { Channel, type ChannelOptions } from '@finchpitch/wire'
 import { nowMs, suspendedMs } from '../clock.js'
@@ -23,7 +23,6 @@
 import { Balancer } from './servers/balancer.js'
 import { CallerConnections } from './serving/caller-connections.js'
 import { ConnectTimeout } from './servers/connect-timeout.js'
-import { ConnectionTurns } from './serving/connection-turns.js'
 import { AttemptReporter } from './peers/attempt-reporter.js'
 import { CrashTracker } from './servers/crash-tracker.js'
 import { EntryCounters } from './counters.js'
@@ -46,7 +45,6 @@
 import { RequestHeap } from './serving/request-heap.js'
 import { refuseForMemory } from './serving/memory-refusal.js'
 import { ServiceRequest, type ServiceRequestOptions } from './serving/service-request.js'
-import { endUnreadableRequests } from './serving/unreadable-requests.js'
 import { SideLinks } from './peers/side-links.js'
 import { ReadTurns } from './serving/read-turns.js'
 import { PlannedStop } from './serving/planned-stop.js'
@@ -224,11 +222,9 @@
     this.#crashTracker = new CrashTracker({ facts, liveness: new ServerLiveness(), reporter: this.#attemptReporter, requestProbe: async fingerprint => await this.#probeRequester.ask(fingerprint), onQuarantine: () => this.#queue.scheduleScan(), counters: this.counters, log })
     this.server = createServer({ maxHeaderSize: maxHeaderBytes, connectionsCheckingInterval: 1000, requestTimeout: 0 })
     this.#callerConnections = new CallerConnections(this.server, log)
-    this.#connectionTurns = new ConnectionTurns(log)
+    this.#connectionTurns = new ConnectionTurns(dropped => log.info('requests.dropped', { ...dropped }))
     endUnreadableRequests(this.server, this.#connectionTurns)
-    // `server.close` calls it, too.
-    const closeIdleConnections = this.server.closeIdleConnections.bind(this.server)
-    this.server.closeIdleConnections = () => this.#connectionTurns.whileUnwrittenCountAsBusy(closeIdleConnections)
+    this.#connectionTurns.keepUnwritten(this.server)
     this.#callerConnections.setMaxSockets(limits().maxSockets)
     this.#requestOptions = {
       facts,
--- a/packages/http/src/gateway.ts
+++ b/packages/http/src/gateway.ts
@@ -6,7 +6,7 @@
  */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import { newRequestId, notRun, outcomeUnknown } from '@finchpitch/core'
+import { ConnectionTurns, endUnreadableRequests, newRequestId, notRun, outcomeUnknown } from '@finchpitch/core'
 import { ServiceBroker, type Service, type ServiceSchema } from 'moleculer'
 import ApiGateway from 'moleculer-web'
 import { sendFailure } from './response.js'
@@ -42,7 +42,25 @@
 
 type Alias = (request: RoutedRequest, response: ServerResponse) => Promise<void>
 
-const aliasFor = (handler: RouteHandler): Alias => async (request, response) => {
+/** Of requests that wait for their turn. The connection of one that exceeds it is closed. */
+export const maxUnreadBytes = 32 * 1024 * 1024
+
+let unreadBytes = 0
+
+/** Waits for the request's turn; false if its connection has closed. */
+const awaitTurn = async (turns: ConnectionTurns, request: IncomingMessage, response: ServerResponse): Promise<boolean> => {
+  const bytes = turns.unreadBytes(request)
+  if (unreadBytes + bytes > maxUnreadBytes) request.socket.destroy()
+  unreadBytes += bytes
+  try {
+    return await turns.next(request, response) ?? true
+  } finally {
+    unreadBytes -= bytes
+  }
+}
+
+const aliasFor = (handler: RouteHandler, turns: ConnectionTurns): Alias => async (request, response) => {
+  if (!await awaitTurn(turns, request, response)) return
   try {
     await handler({ request, response, params: request.$params })
   } catch (error) {
@@ -59,6 +77,7 @@
 export class Gateway {
   readonly #broker: ServiceBroker
   readonly #service: Service
+  readonly #turns = new ConnectionTurns()
 
   constructor (private readonly options: GatewayOptions) {
     this.#broker = new ServiceBroker({
@@ -68,7 +87,7 @@
       // Otherwise the broker exits the process on SIGTERM, which aborts all requests in progress.
       skipProcessEventRegistration: true
     })
-    const aliases = Object.fromEntries(Object.entries(options.routes).map(([path, handler]) => [path, aliasFor(handler)]))
+    const aliases = Object.fromEntries(Object.entries(options.routes).map(([path, handler]) => [path, aliasFor(handler, this.#turns)]))
     const schema = {
       name: options.name,
       mixins: [ApiGateway],
@@ -86,6 +105,8 @@
       }
     }
     this.#service = this.#broker.createService(schema as unknown as ServiceSchema)
+    endUnreadableRequests(this.#server, this.#turns)
+    this.#turns.keepUnwritten(this.#server)
   }
 
   async start (): Promise<void> {
