A response that states more than an entry may keep is ended at its head

A faulty server stated a length of 4 GB. A time-out does not count as a failure of the server, so it was asked again.

Such a response can never be delivered. Responses without a body (HEAD, 204, 304) may state any length.

--- a/packages/fleet/src/entry/serving/attempt.ts
+++ b/packages/fleet/src/entry/serving/attempt.ts
@@ -205,7 +205,9 @@
   if (succeeded && (echoed === undefined || headerOf(response, names.seal) === undefined)) return reject(`status ${status} without seal or id`)
   if (response.headers['content-encoding'] !== undefined) return reject('an encoded body')
   if (notRunStatuses.has(status)) return reject(`status ${status} without saying that it has not run`)
-  return succeeded && stream && options.callerResponse.canStream ? await forwardStream(response, status, options) : await bufferResponse(response, status, options)
+  if (succeeded && stream && options.callerResponse.canStream) return await forwardStream(response, status, options)
+  if (!isBodyless(status, options) && !options.keptBytes.fits(statedLength(response))) return reject('larger than the process may keep')
+  return await bufferResponse(response, status, options)
 }
 
 const readRefusal = (response: IncomingMessage, { names, serverId }: AttemptOptions): AttemptResult => {
@@ -235,7 +237,7 @@
 const bufferResponse = (response: IncomingMessage, status: number, options: AttemptOptions): Promise<AttemptResult> => new Promise(resolve => {
   const { keptBytes } = options
   const end = observeEnd(response, status, options)
-  const stated = Number(response.headers['content-length'] ?? 0)
+  const stated = statedLength(response)
   const gathered = gatherBody(keptBytes.fits(stated) ? stated : 0)
   const buffer = keptBytes.startResponse({
     cut: () => response.destroy(new Error('larger than the process may keep')),
@@ -278,9 +280,14 @@
 /** A stream that nothing delimits may have been broken off right after its head. */
 const mayBeEmpty = ({ framed }: ResponseEnd, { resumes }: AttemptOptions): boolean => framed || resumes
 
+/** 0 if none is stated. */
+const statedLength = ({ headers }: IncomingMessage): number => Number(headers['content-length'] ?? 0)
+
+const isBodyless = (status: number, { outgoing: { method } }: AttemptOptions): boolean => bodylessStatuses.has(status) || method === 'HEAD'
+
 /** Whether the response has no body, or its headers delimit it. */
-const isDelimited = ({ rawHeaders }: IncomingMessage, status: number, { outgoing: { method } }: AttemptOptions): boolean =>
-  bodylessStatuses.has(status) || method === 'HEAD' || isFramed(rawHeaders)
+const isDelimited = ({ rawHeaders }: IncomingMessage, status: number, options: AttemptOptions): boolean =>
+  isBodyless(status, options) || isFramed(rawHeaders)
 
 /** The result is complete once the response has ended. Called as its head is read, so that no end is read along with its first bytes. */
 const observeEnd = (response: IncomingMessage, status: number, options: AttemptOptions): ResponseEnd => {
--- a/packages/fleet/test/endless-responses.test.ts
+++ b/packages/fleet/test/endless-responses.test.ts
@@ -98,6 +98,13 @@
     })
   }
 
+  it('after a length that the process may not keep gets none of them read', async () => {
+    await startServers(id => `${headOf(id, 'content-length: 999999999999\r\n')}\r\n`)
+    expect(statusOf(await entry.send('/plain/x', { remainingMs }))).to.equal(502)
+    expect(mostRead).to.be.below(slackBytes)
+    expect(entry.linesOf('server.failed')).to.have.length.above(0)
+  })
+
   for (const route of ['stream', 'resume']) {
     it(`in an event gets no more read than a bound, and its caller no proper end (route ${route})`, async () => {
       await startServers(id => `${headOf(id, 'content-type: text/event-stream\r\n')}\r\nid: 1\ndata: 1\n\nid: 2\ndata: `)
