Request bodies in chunks of one byte take no more memory than their bytes

The product's own reader bounds a body to 2 MB and all bodies being read to 64 MB, and kept each chunk as an object: a caller that sends chunks of one byte took about a hundred times as much.

--- a/packages/http/test/body.test.ts
+++ b/packages/http/test/body.test.ts
@@ -4,6 +4,8 @@
 import { once } from 'node:events'
 import { createServer, type Server } from 'node:http'
 import { connect, type AddressInfo, type Socket } from 'node:net'
+import { setFlagsFromString } from 'node:v8'
+import { runInNewContext } from 'node:vm'
 import { pause } from '@finchpitch/core'
 import { maxBodyBytes, maxReadingBytes, readBody } from '@finchpitch/http'
 import { expect } from 'chai'
@@ -58,4 +60,22 @@
     expect(read).to.deep.equal([maxBodyBytes])
     expect(refusals).to.deep.equal([])
   })
+
+  // Chunks that are kept one by one take a hundred times their length.
+  it('take little more memory than their bytes if they come in chunks of one byte', async () => {
+    const count = 300_000
+    setFlagsFromString('--expose-gc')
+    const collect = runInNewContext('gc') as () => void
+    const socket = connect((server.address() as AddressInfo).port, '127.0.0.1')
+    sockets.push(socket)
+    collect()
+    const before = process.memoryUsage().heapUsed
+    socket.write(`POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n${'1\r\nx\r\n'.repeat(count)}`)
+    await pause(1500)
+    collect()
+    expect(process.memoryUsage().heapUsed - before).to.be.below(count * 20)
+    socket.write('0\r\n\r\n')
+    while (read.length < 1) await pause(1)
+    expect(read).to.deep.equal([count])
+  })
 })
