Server selection: the test's request has the bound of a planned stop

The three cases of server-selector.test.ts failed since ("latestStart is not a function"): the request that they construct lacked it. Nothing is stopping there.

--- a/packages/fleet/test/server-selector.test.ts
+++ b/packages/fleet/test/server-selector.test.ts
@@ -37,7 +37,8 @@
       times,
       record: { waitedMs: 0 },
       crashes: { quarantine: () => undefined },
-      cancellation: new Cancellation()
+      cancellation: new Cancellation(),
+      latestStart: () => Infinity
     } as unknown as SelectedRequest
     const request = { service: { name: 'ledger' }, promptTokens: 0, excluded: new Set() } as unknown as Parameters<Choose>[0]
     const admitted = { type: 'admitted', route: { objectiveMs }, priority: 2 } as unknown as Parameters<Choose>[1]
