Processes start under any usual name of their instance

A process whose instance had a name with an upper-case letter, an underscore or more than 63 characters, or whose failure domain had, ended with code 1 at each start, 0.2 s after its spawn: the settings took any text, and the frames to peers were given another, narrower form.

Names that the platform gives to its machines now may have what host names and ids usually have.

--- a/packages/core/src/id.ts
+++ b/packages/core/src/id.ts
@@ -27,11 +27,14 @@
 export const ServiceName = name.brand<'ServiceName'>()
 export type ServiceName = z.infer<typeof ServiceName>
 
-export const FailureDomain = name.brand<'FailureDomain'>()
+/** A name that whoever runs the instances has given, such as a host name. */
+const givenName = z.string().regex(/^[a-z0-9][a-z0-9._-]{0,252}$/i, 'expected 1 to 253 of a-z, A-Z, 0-9, dot, dash and underscore')
+
+export const FailureDomain = givenName.brand<'FailureDomain'>()
 export type FailureDomain = z.infer<typeof FailureDomain>
 
 /** The name of a process, which stays the same across restarts. */
-export const ProcessId = name.brand<'ProcessId'>()
+export const ProcessId = givenName.brand<'ProcessId'>()
 export type ProcessId = z.infer<typeof ProcessId>
 
 /** Identifies one run of a process; each restart makes a new one. */
