Planned stops: a run with little output no longer makes long ones look endless

The whole time after the first byte was scaled with the output, although part of it is fixed. Now only the run with the most output is scaled up. The test failed before: 13,605 ms where the runs took 340.

--- a/packages/decisions/src/run-times.ts
+++ b/packages/decisions/src/run-times.ts
@@ -31,14 +31,21 @@
   /** The longest that a run with this maximum of output tokens is expected to take; `undefined` before the first run. */
   upperMs (outputTokens: number): number | undefined {
     if (this.#runs.length === 0) return undefined
-    const longestMs = Math.max(...this.#runs.map(({ firstByteMs, ms, outputTokens: known }) => firstByteMs + (ms - firstByteMs) * tokenRatio(outputTokens, known)))
+    const mostTokens = Math.max(...this.#runs.map(({ outputTokens }) => outputTokens))
+    const longestMs = Math.max(...this.#runs.map(run => scaledMs(run, outputTokens, mostTokens)))
     // With few runs, the next one is often longer than all of them.
     return longestMs * (1 + margin + 1 / this.#runs.length)
   }
 }
 
-/** How many times as many tokens the run may output; 1 where that is not known. */
-const tokenRatio = (tokens: number, known: number): number => tokens === 0 || known === 0 ? 1 : tokens / known
+/**
+ * The time of a run, scaled to another number of output tokens. Only a run with `mostTokens` is scaled up: part of the time after the first
+ * byte doesn't grow with the output, so that a short run would suggest a time far too long.
+ */
+const scaledMs = ({ firstByteMs, ms, outputTokens }: Run, tokens: number, mostTokens: number): number => {
+  const isScaled = tokens > 0 && outputTokens > 0 && (tokens < outputTokens || outputTokens === mostTokens)
+  return firstByteMs + (ms - firstByteMs) * (isScaled ? tokens / outputTokens : 1)
+}
 
 /** The time that a request needs at most: its run, or what is left until its own deadline. `upperMs`: as far as the route's runs are known. */
 export const neededMs = (upperMs: number | undefined, untilDeadlineMs: number): number => Math.min(upperMs ?? Infinity, untilDeadlineMs)
--- a/packages/decisions/test/run-times.test.ts
+++ b/packages/decisions/test/run-times.test.ts
@@ -35,6 +35,13 @@
     expect(times.upperMs(10)).to.be.within(600, 700)
   })
 
+  // Guards against a stop that refuses everything, as a run with little output and some fixed time suggests hours for a long one.
+  it('are not scaled up from runs of little output while longer ones are known', () => {
+    const times = timesOf([{ firstByteMs: 100, ms: 340, outputTokens: 8 }, ...repeated({ firstByteMs: 100, ms: 340, outputTokens: 400 }, 40)])
+    expect(times.upperMs(400)).to.be.within(340, 450)
+    expect(times.upperMs(200)).to.be.within(340, 450)
+  })
+
   it('are those of all runs where the output is not stated', () => {
     expect(timesOf(repeated({ firstByteMs: 500, ms: 1500, outputTokens: 100 })).upperMs(0)).to.be.within(1500, 1700)
   })
