Planned stops: requests that were read before the entry stopped listening keep their turn

Whether the process still listens was asked at the turn; now it is asked for the arrival. Whether the time is enough is asked before each request is sent, as before. The test failed before: 200 and five times 503.

--- a/packages/fleet/src/entry/serving/planned-stop.ts
+++ b/packages/fleet/src/entry/serving/planned-stop.ts
@@ -27,19 +27,19 @@
   readonly #runTimes = new Map<string, RunTimes>()
   /** On the monotonic clock. */
   #endsAt = Infinity
-  #stoppedListening = false
+  #stoppedListeningAt = Infinity
 
   begin (endsAt: number): void {
     this.#endsAt = endsAt
   }
 
   stopListening (): void {
-    this.#stoppedListening = true
+    this.#stoppedListeningAt = nowMs()
   }
 
-  /** Whether the process no longer listens. Requests may still arrive on connections that are open; they are refused. */
-  get hasStoppedListening (): boolean {
-    return this.#stoppedListening
+  /** Whether a request came after the process had stopped listening, on a connection that was open. `arrivedAt`: on the monotonic clock. */
+  isTooLate (arrivedAt: number): boolean {
+    return arrivedAt >= this.#stoppedListeningAt
   }
 
   /** Time left to serve requests; `Infinity` unless the process is stopping. */
--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -210,7 +210,7 @@
     const { remainingMs } = this.#incoming
     await turns.next('new')
     if (this.#hasCallerLeft()) return this.#endCancelled(false)
-    if (stop.hasStoppedListening) return this.#localReplies.refuse('stopping')
+    if (stop.isTooLate(this.#times.arrivedAt)) return this.#localReplies.refuse('stopping')
     await unlessCancelled(tableWait.untilLoaded(remainingMs), this.#cancellation)
     if (this.#cancellation.cancelled) return this.#endCancelled(false)
     const routes = facts.routes
--- a/packages/fleet/test/pipelined-requests.test.ts
+++ b/packages/fleet/test/pipelined-requests.test.ts
@@ -4,7 +4,7 @@
  */
 import { connect, type Socket } from 'node:net'
 import { pause } from '@finchpitch/core'
-import { FleetSystem, eventually } from '@finchpitch/stand-ins'
+import { FleetSystem, eventually, type Machine } from '@finchpitch/stand-ins'
 import { expect } from 'chai'
 import { decodedBodyOf } from './single-entry.js'
 
@@ -124,6 +124,18 @@
     return counts
   }
 
+  it('that arrived while the entry listened have their turn after it has stopped', async () => {
+    const [entry] = fleet.entries as [Machine]
+    await pause(settledMs)
+    for (const server of fleet.engines) server.slowdown = 5
+    const caller = newCaller()
+    const stopped = fleet.kill(entry, 'SIGTERM')
+    await pause(2000)
+    caller.write(Array.from({ length: 6 }, () => '/stream/x'), { deadlineMs: 5000 })
+    await stopped
+    expect(caller.statuses).to.deep.equal(caller.ids.map(() => 200))
+  })
+
   it('are all answered in order', async () => {
     // Connections are balanced until then, as the second entry has joined.
     await pause(settledMs)
