Planned stops: the exit fits into a grace period of one second

The reserve is now 0.35 of a short grace period, of which 0.4 are for the last responses: 0.65, 0.14 and 0.15 s. Longer grace periods keep their reserve.

--- a/packages/fleet/src/entry/entry-process.ts
+++ b/packages/fleet/src/entry/entry-process.ts
@@ -76,9 +76,9 @@
  */
 const readinessNoticeMs = 2600
 /** Reserved at the end of the grace period, so that the last responses are written and the process can exit before it is killed. */
-const exitReserve = { maxMs: 700, share: 0.25 }
-/** Part of the reserve in which the last responses are written. */
-const flushShare = 0.5
+const exitReserve = { maxMs: 700, share: 0.35 }
+/** Part of the reserve in which the last responses are written. The rest is for the log and the exit. */
+const flushShare = 0.4
 const flushCheckIntervalMs = 10
 
 export interface EntryProcessOptions {
