Soak: logs that nobody reads, and callers into planned stops

No soak run left a log unread, sent a body that ends late in a stop, or two requests at a time into one; ends before the first line had no number of starts beside them. Now a log is left unread until it is full and its process stopped and started meanwhile; after the faults an entry is stopped while callers use its connections one and two requests at a time, and with late bodies.

--- a/packages/soak/src/check-results.ts
+++ b/packages/soak/src/check-results.ts
@@ -23,6 +23,10 @@
   stalledPeers: number
   /** Streams that callers took up again, and those of them that went on. */
   resumed: { takenUp: number, wentOn: number }
+  /** Requests that were sent after the order to stop in a planned stop without faults, and those of them that reached a server. */
+  plannedStop: { sent: number, reached: number }
+  /** Number of processes that were started. */
+  starts: number
   /** Processes that a signal of the soak ended before the program could handle it. */
   endedEarly: number
   /** Peak of the resident memory of a process of each role, in MB. */
@@ -42,7 +46,7 @@
 }
 
 /** Responses with these statuses promise that the request has not run. */
-const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503])
+export const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503])
 
 /** Returns the violations of the guarantees on single requests that hold at any time, also during faults. */
 export const checkResponses = (results: readonly RequestResult[], servers: readonly BackendStandIn[]): string[] => {
@@ -82,6 +86,8 @@
     quotaShare: 0,
     stalledPeers: 0,
     resumed: { takenUp: 0, wentOn: 0 },
+    plannedStop: { sent: 0, reached: 0 },
+    starts: 0,
     endedEarly: 0,
     peakMb: { entry: 0, side: 0 },
     broken,
--- a/packages/soak/src/soak.ts
+++ b/packages/soak/src/soak.ts
@@ -12,6 +12,7 @@
 import { killAndRestartAll, faultTable } from './faults.js'
 import { eventsPerStream, checkResponses, checkResults, type SoakReport } from './check-results.js'
 import { ServerLimitScenario } from './server-limit-scenario.js'
+import { PlannedStopScenario } from './planned-stop-scenario.js'
 import { SeededRandom } from './seeded-random.js'
 import { RestoreScenario } from './restore-scenario.js'
 import { SlowReaderScenario } from './slow-reader-scenario.js'
@@ -24,6 +25,7 @@
 import { ProcessStartScenario } from './process-start-scenario.js'
 import { ServiceWatch } from './service-watch.js'
 import { TeamFloodScenario } from './team-flood-scenario.js'
+import { UnreadLogScenario } from './unread-log-scenario.js'
 import { UnevenPaceScenario } from './uneven-pace-scenario.js'
 import { ServerFeedbackScenario, initialBornAt } from './server-feedback-scenario.js'
 
@@ -36,6 +38,8 @@
   entriesPerDomain?: number
   /** Time for which faults are injected. */
   faultMs: number
+  /** The repository whose program the processes run; this one by default. */
+  folder?: string | undefined
   log: (line: string) => void
 }
 
@@ -57,7 +61,7 @@
 const seedOffset = 1_000_000_000
 const halfSeedOffset = 500_000_000
 
-export const soak = async ({ seed, network, faultMs, log, domains = 2, entriesPerDomain = 1 }: SoakOptions): Promise<SoakReport> => {
+export const soak = async ({ seed, network, faultMs, folder, log, domains = 2, entriesPerDomain = 1 }: SoakOptions): Promise<SoakReport> => {
   const random = new SeededRandom(seed)
   const proxies: FaultProxy[] = []
   const insertProxy = async (ip: string, port: number, target: number): Promise<void> => {
@@ -67,7 +71,7 @@
   }
   const teamFlood = new TeamFloodScenario(new SeededRandom(seed + 7 * halfSeedOffset), log)
   const slowReaders = new SlowReaderScenario(new SeededRandom(seed + 9 * halfSeedOffset), log)
-  const fleet = new FleetSystem({ network, domains, entriesPerDomain, enginesPerDomain: 1, plainServersPerDomain: 1, adapterSlots: 4, loadMs: 80, workMs: 8, events: eventsPerStream, eventMs: 6, bornAt: initialBornAt, insertProxy, storeProxies: true, bounds: { ...teamFlood.bounds, ...retryBounds }, tenants: [teamFlood.tenant], ...SlowReaderScenario.fleetOptions })
+  const fleet = new FleetSystem({ network, domains, entriesPerDomain, enginesPerDomain: 1, plainServersPerDomain: 1, adapterSlots: 4, loadMs: 80, workMs: 8, events: eventsPerStream, eventMs: 6, bornAt: initialBornAt, insertProxy, storeProxies: true, bounds: { ...teamFlood.bounds, ...retryBounds }, tenants: [teamFlood.tenant], ...(folder === undefined ? {} : { folder }), ...SlowReaderScenario.fleetOptions, routes: [...SlowReaderScenario.fleetOptions.routes, ...PlannedStopScenario.routes] })
   await fleet.start()
   const resumedStreams = new ResumedStreamScenario({ fleet, random: new SeededRandom(seed + 15 * halfSeedOffset), eventsPerStream, log })
   resumedStreams.assignVersions()
@@ -97,13 +101,15 @@
   const unevenPace = new UnevenPaceScenario(fleet, new SeededRandom(seed + 11 * halfSeedOffset), log)
   const leavingCallers = new LeavingCallerScenario({ fleet, random: new SeededRandom(seed + 13 * halfSeedOffset), disturbances })
   const processStarts = new ProcessStartScenario({ fleet, random: new SeededRandom(seed + 19 * halfSeedOffset), proxies, disturbances }, log)
+  const unreadLogs = new UnreadLogScenario({ fleet, random: new SeededRandom(seed + 25 * halfSeedOffset), proxies, disturbances }, log)
+  const plannedStops = new PlannedStopScenario(fleet, new SeededRandom(seed + 27 * halfSeedOffset), log)
   const largeBodies = new LargeBodyScenario(fleet, new SeededRandom(seed + 21 * halfSeedOffset), log)
   const restartsInPlace = new RestartInPlaceScenario(fleet, new SeededRandom(seed + 23 * halfSeedOffset), log)
   const watch = new ServiceWatch(fleet, disturbances)
   const stopFlood = new AbortController()
   const flood = teamFlood.run(fleet, stopFlood.signal)
   const endsAt = Date.now() + faultMs
-  const scenarios = Promise.all([feedback.run(faultMs), serverLimits.run(faultMs), routeChanges.run(faultMs), restores.run(faultMs), unevenPace.run(faultMs), leavingCallers.run(faultMs), resumedStreams.run(faultMs), processStarts.run(faultMs), restartsInPlace.run(faultMs)])
+  const scenarios = Promise.all([feedback.run(faultMs), serverLimits.run(faultMs), routeChanges.run(faultMs), restores.run(faultMs), unevenPace.run(faultMs), leavingCallers.run(faultMs), resumedStreams.run(faultMs), processStarts.run(faultMs), restartsInPlace.run(faultMs), unreadLogs.run(faultMs)])
   const faults: Array<Promise<void>> = []
   while (Date.now() < endsAt) {
     const fault = random.pick(faultTable)
@@ -134,6 +140,9 @@
     report.broken.push([`not served after recovery: ${id} ${path}, status ${status}`, ...lines].join('\n    '))
   }
   if (unserved.length > 0) report.details.push(...fleet.sides.flatMap(side => side.output.slice(-reportedLines)))
+  await plannedStops.runUndisturbed()
+  report.broken.push(...plannedStops.violations())
+  report.plannedStop = plannedStops.counts
   await slowReaders.runUndisturbed(fleet)
   report.stalledPeers = slowReaders.stalled
   report.resumed = resumedStreams.counts
@@ -146,7 +155,7 @@
   report.broken.push(...processStarts.violations, ...await watch.stop())
   const { endedEarly, violations } = exitViolations(fleet, log)
   report.broken.push(...violations)
-  Object.assign(report, { endedEarly, peakMb: { entry: fleet.peakMb('entry'), side: fleet.peakMb('side') } })
+  Object.assign(report, { starts: fleet.starts, endedEarly, peakMb: { entry: fleet.peakMb('entry'), side: fleet.peakMb('side') } })
   if (report.broken.length > 0) report.details.push(`logs written to ${await fleet.saveLogLines(`soak-${seed}`)}`)
   for (const agent of agents) agent.destroy()
   await fleet.stop()
--- a/packages/soak/test/soak.test.ts
+++ b/packages/soak/test/soak.test.ts
@@ -14,6 +14,8 @@
       expect(report.overQuota).to.be.greaterThan(0)
       // Without peers that stop reading, nothing has tested the abort.
       expect(report.stalledPeers).to.be.greaterThan(1)
+      // Without requests that reach servers after the order, no planned stop was tested.
+      expect(report.plannedStop.reached).to.be.greaterThan(0)
       expect(report.answered).to.be.greaterThan(report.asked / 3)
     })
   }
--- a/packages/stand-ins/src/fleet/fleet-system.ts
+++ b/packages/stand-ins/src/fleet/fleet-system.ts
@@ -123,6 +123,8 @@
   readonly unexpectedExits: ProcessExit[] = []
   /** Ends of processes that the test ordered to stop. */
   readonly stops: ProcessExit[] = []
+  /** Number of processes that were started so far. */
+  starts = 0
   /** Routes that tables written from now on contain in addition to the fixed ones. */
   extraRoutes: unknown[] = []
   readonly #locations = new Map<BackendStandIn, { ip: string, domain: string }>()
@@ -267,6 +269,7 @@
     const child = spawn(program, parameters, {
       env: { ...process.env, FINCHPITCH_CONFIG: this.#settingsPath(machine) }, stdio: ['ignore', 'pipe', 'inherit']
     })
+    this.starts += 1
     const startedAt = performance.now()
     const memory = new MemoryLimit(child, this.#memoryMb(role))
     let started = false
