--- a/packages/fleet/src/entry/entry-process.ts
+++ b/packages/fleet/src/entry/entry-process.ts
@@ -446,10 +446,9 @@
 
   /**
    * Keeps a connection to another entry open while it is needed. Entries exchange facts so that an entry which the store does
-   * not answer can start before it knows any side process. Once local side processes respond, facts come from those: when all
-   * entries stayed connected to three of them, each of the three had 67 channels with two heartbeats a second. Waiting until
-   * the connection is needed again takes no timer: when 15 entries polled for each of 15 others, an idle entry woke up 95
-   * times a second.
+   * not answer can start before it knows any side process. Once local side processes respond, facts come from those, as a few entries
+   * would otherwise have a channel to each of the others. No timer polls whether the connection is needed again: with one for each other
+   * entry, an idle entry would wake up all the time.
    */
   async #keepSeedConnection (seed: string): Promise<void> {
     const { dial, ownPeerAddress } = this.options
--- a/packages/fleet/src/entry/serving/service-request.ts
+++ b/packages/fleet/src/entry/serving/service-request.ts
@@ -275,8 +275,7 @@
       if (this.#lacksTime(admission.route)) return this.#endForStop(false)
       const readyInMs = await this.#admission.reserve(admission, this.#times.firstTriedMs, this.#serviceOf(admission.route)?.name)
       if (readyInMs !== undefined) return this.#mayHaveRun ? this.#fail(502, 'over_quota') : this.#localReplies.overQuota(readyInMs)
-      // Such a request would crash any server, with all requests that run there. Of ten sent to four entries, all ten reached an
-      // engine without this check, and two or three with it.
+      // Such a request would crash any server, with all requests that run there.
       const scope = this.#crashScope(admission)
       const quarantine = this.#crashes.quarantine(scope)
       if (quarantine !== undefined) return this.#mayHaveRun ? this.#fail(502, 'quarantined') : this.#localReplies.quarantined(quarantine)
--- a/packages/fleet/src/fact-exchange.ts
+++ b/packages/fleet/src/fact-exchange.ts
@@ -87,6 +87,7 @@
     const shorter = delayMs < this.#delayMs
     this.#delayMs = delayMs
     if (!shorter || !this.#started) return
+    // All of it is scheduled anew.
     for (const group of this.#delayed) group.facts = []
     this.#schedule(this.facts.all(), delayMs)
     this.#sendListings()
