Replay of waiting requests: its request has the bound of a planned stop

Since planned stops bound how long a request may wait, the selector asks each request for its latest start. Nothing is stopping in the simulation.

--- a/packages/fleet/test/replay/waiting-simulation.ts
+++ b/packages/fleet/test/replay/waiting-simulation.ts
@@ -139,6 +139,7 @@
       cancellation: new Cancellation(),
       incoming: { workTokens: 1 },
       crashes: { quarantine: () => undefined },
+      latestStart: () => Infinity,
       counters: { rejected: { inc: noop }, waited: { observe: noop }, waitEstimateError: { observe: noop } },
       balancer: {
         awaitRateLimit: async () => undefined,
