--- a/review/stand-ins-2/server.mjs
+++ b/review/stand-ins-2/server.mjs
@@ -40,7 +40,7 @@
     response.write(body.subarray(part * partBytes, (part + 1) * partBytes))
     if (part < parts - 1 && partMs > 0) await pause(partMs)
   }
-  response.end(() => say(`${requestId}: written whole`))
+  response.end(() => { if (parts > 1 || partBytes > 1_000_000) say(`${requestId}: written whole`) })
 }
 
 const server = createServer({ maxHeaderSize: 262_144 }, (request, response) => {
