Review: both cases of foreign entries end with a loss of power

Cause: after a kill alone, engines go on with the adapters that they hold, so the share that is served depends on the mix of requests.

--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -1,6 +1,6 @@
 /**
  * Another writer leaves an entry for each engine among the servers: a service that the config does not name, at the engine's address.
- * Then all processes of the system are killed at once and start again.
+ * Then all machines lose power and start again, with empty engines.
  */
 import { pause, runCase, trouble } from '../stand-ins-2/case.mjs'
 import { sendToFleet } from '../../packages/stand-ins/dist/index.js'
@@ -9,6 +9,10 @@
 const phaseMs = 10_000
 const intervalMs = 50
 const adapters = 400
+const busyAdapters = 20
+
+/** Half of the requests are for a few adapters, the others for any. */
+const adapterOf = each => each * 7 % (each % 2 === 0 ? busyAdapters : adapters) + 1
 
 /** Asks for an adapter every `intervalMs`, and lets each caller try once more, as told. Resolves to the number of requests and of those that were served. */
 const load = async ({ fleet, record }, name) => {
@@ -16,7 +20,7 @@
   const count = outcome => outcomes.set(outcome, (outcomes.get(outcome) ?? 0) + 1)
   const ask = async each => {
     const id = `${name}-${each}`
-    const send = async attempt => await sendToFleet(fleet, { path: `/stream/${id}`, id: `${id}-${attempt}`, model: `base/a${each * 7 % adapters + 1}`, remainingMs: 3000, entry: each % fleet.entries.length, headers: { 'token-usage': '50,50' } })
+    const send = async attempt => await sendToFleet(fleet, { path: `/stream/${id}`, id: `${id}-${attempt}`, model: `base/a${adapterOf(each)}`, remainingMs: 3000, entry: each % fleet.entries.length, headers: { 'token-usage': '50,50' } })
       .catch(error => ({ status: error.code ?? 'failed', headers: {}, whole: false }))
     let response = await send(1)
     if (response.status === 503) {
@@ -52,9 +56,10 @@
     }
     await pause(2000)
   }
-  record.write('all processes are killed, and start again')
+  record.write('all machines lose power, those of the engines too, and start again')
   const machines = [...fleet.entries, ...fleet.sides]
   await Promise.all(machines.map(machine => fleet.kill(machine)))
+  for (const engine of fleet.engines) (await fleet.restartInPlace(engine))()
   await pause(500)
   await Promise.all(machines.map(machine => fleet.startProcess(machine)))
   await pause(recoverMs)
