Review: a side process takes a lower fence than the process before it

Cause: its fence is the first revision that any peer tells it. Change: a script with an entry that the store turns away and that stands still while a side process starts twice; it takes the place of the case of foreign entries, which review/2 shows already.

--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -1,72 +1,58 @@
 /**
- * Another writer leaves an entry for each engine among the servers: a service that the config does not name, at the engine's address.
- * Then all machines lose power and start again, with empty engines.
+ * A side process is killed and started twice. The first time it learns the store's revision from an entry that reads the store; the
+ * second time from an entry that the store has turned away and that has stood still meanwhile. Its orders then carry a lower fence.
  */
 import { pause, runCase, trouble } from '../stand-ins-2/case.mjs'
 import { sendToFleet } from '../../packages/stand-ins/dist/index.js'
 
-const recoverMs = 12_000
-const phaseMs = 10_000
 const intervalMs = 50
-const adapters = 400
-const busyAdapters = 20
 
-/** Half of the requests are for a few adapters, the others for any. */
-const adapterOf = each => each * 7 % (each % 2 === 0 ? busyAdapters : adapters) + 1
-
-/** Asks for an adapter every `intervalMs`, and lets each caller try once more, as told. Resolves to the number of requests and of those that were served. */
-const load = async ({ fleet, record }, name) => {
-  const outcomes = new Map()
-  const count = outcome => outcomes.set(outcome, (outcomes.get(outcome) ?? 0) + 1)
-  const ask = async each => {
-    const id = `${name}-${each}`
-    const send = async attempt => await sendToFleet(fleet, { path: `/stream/${id}`, id: `${id}-${attempt}`, model: `base/a${adapterOf(each)}`, remainingMs: 3000, entry: each % fleet.entries.length, headers: { 'token-usage': '50,50' } })
-      .catch(error => ({ status: error.code ?? 'failed', headers: {}, whole: false }))
-    let response = await send(1)
-    if (response.status === 503) {
-      await pause(Math.min(1000, Number(response.headers['retry-after'] ?? 0) * 1000))
-      response = await send(2)
-    }
-    const served = response.status === 200 && response.whole
-    count(served ? 'served' : `status ${response.status}`)
-    return served
-  }
+/** Asks an entry for one new adapter after the other, for `ms`. Resolves to the number of requests that were served. */
+const load = async (fleet, name, entry, ms) => {
   const asked = []
-  const until = performance.now() + phaseMs
-  while (performance.now() < until) {
-    asked.push(ask(asked.length))
+  for (const until = performance.now() + ms; performance.now() < until;) {
+    const id = `${name}-${asked.length}`
+    asked.push(sendToFleet(fleet, { path: `/stream/${id}`, id, model: `base/${id}`, remainingMs: 2000, entry, headers: { 'token-usage': '50,50' } }).then(({ status }) => status === 200, () => false))
     await pause(intervalMs)
   }
-  const served = (await Promise.all(asked)).filter(each => each).length
-  record.write(`${name}: ${asked.length} requests, ${[...outcomes].map(([outcome, times]) => `${outcome}: ${times}`).join(', ')}`)
-  return served / asked.length
+  return (await Promise.all(asked)).filter(served => served).length
 }
 
-await runCase(import.meta.url, { domains: 2, enginesPerDomain: 2 }, async context => {
-  const { fleet, record } = context
+await runCase(import.meta.url, { domains: 1, entriesPerDomain: 2, plainServersPerDomain: 0, storeProxies: true }, async ({ fleet, record }) => {
+  const [blind, reading] = fleet.entries
+  const [side] = fleet.sides
+  const [engine] = fleet.engines
   await pause(3500)
-  const before = await load(context, 'before')
+  record.write(`served before: ${await load(fleet, 'before', 0, 1000) + await load(fleet, 'before-2', 1, 1000)}`)
   if (trouble) {
-    for (const engine of fleet.engines) {
-      const index = fleet.engines.indexOf(engine)
-      const address = `127.${fleet.options.network}.${Math.floor(index / 2)}.${100 + index % 2}:8145`
-      const spec = { service: 'engines-old', address, zone: `d${Math.floor(index / 2)}`, version: 'v1', slots: 32, state: 'ready', coldRemainingMs: 0, sequence: 0 }
-      fleet.store.put('servers', `copy-of-${engine.id}`, spec)
-      record.write(`another writer: servers/copy-of-${engine.id} ${JSON.stringify(spec)}`)
-    }
-    await pause(2000)
+    record.write(`the store turns ${blind.name} away, which then stands still`)
+    fleet.storeProxies[0].fault = { type: 'silence' }
+    await pause(100)
+    fleet.signal(blind.process, 'SIGSTOP')
+  }
+  for (const version of [2, 3, 4]) fleet.store.put('config', 'main', fleet.table(version))
+  record.write(`the config changes three times, up to revision ${fleet.store.revision}`)
+  await pause(300)
+  record.write(`${side.name} is killed and starts again`)
+  await fleet.kill(side)
+  await fleet.startProcess(side)
+  record.write(`served by ${reading.name}: ${await load(fleet, 'between', 1, 1800)}`)
+  record.write(`${side.name} and ${reading.name} are killed at once${trouble ? `, ${blind.name} goes on` : ''}; ${side.name} starts again`)
+  await Promise.all([fleet.kill(side), fleet.kill(reading)])
+  if (trouble) fleet.signal(blind.process, 'SIGCONT')
+  await fleet.startProcess(side)
+  record.write(`served by ${blind.name}: ${await load(fleet, 'after', 0, 2500)}`)
+  await fleet.startProcess(reading)
+  if (trouble) fleet.storeProxies[0].fault = { type: 'none' }
+  let highest = 0
+  let lower = 0
+  let last
+  for (const { fence, holder, operation, adapter } of engine.orders) {
+    if (fence !== last) record.write(`order with fence ${fence} from ${holder}: ${operation} ${adapter ?? 'the model'}`)
+    last = fence
+    if (fence < highest) lower += 1
+    highest = Math.max(highest, fence)
   }
-  record.write('all machines lose power, those of the engines too, and start again')
-  const machines = [...fleet.entries, ...fleet.sides]
-  await Promise.all(machines.map(machine => fleet.kill(machine)))
-  for (const engine of fleet.engines) (await fleet.restartInPlace(engine))()
-  await pause(500)
-  await Promise.all(machines.map(machine => fleet.startProcess(machine)))
-  await pause(recoverMs)
-  const ordersBefore = fleet.engines.map(engine => engine.orders.length)
-  const after = await load(context, 'after')
-  record.write(`orders to the engines in that time: ${fleet.engines.map((engine, index) => engine.orders.length - ordersBefore[index]).join(', ')}`)
-  record.write(`share served before ${before.toFixed(3)}, after ${after.toFixed(3)}`)
-  if (before < 0.25) throw new Error('too little was served before the fault')
-  return after >= 0.25
+  record.write(`${engine.orders.length} orders reached the engine, ${lower} of them with a lower fence than an earlier one`)
+  return lower === 0
 })
