Orders carry one fencing token over all lives of a side process

Cause: a side process took its token from the first revision of the store that a peer told it. That peer may be behind: one that stood still, that the store turned away, that hasn't heard of a restore, or that repeats what another one told it. Which peer is heard first decided. A higher revision that came later was only logged (fence.behind), and an answer that the token is too low raised it for one life alone.

Change: the token is a constant. The rule asks for tokens that don't fall and aren't shared by two holders; a holder is a machine, and an engine has one, so nothing has to be learned from anybody. Orders of a former life that come late are refused by the order count, as before. The constant lies above every revision, so that an update of the software doesn't lower the token. A side process no longer waits for a revision, takes a number from a peer for a revision of its own facts, or outbids an engine's refusal of the token.

Tests: random lives, entries that are behind by revisions and eras, late, refused and overlapping orders: failed before (tokens fell after 1 case), holds in 40. The mirror's test that it never lowers a fence goes with the field; the property above asks for more.

--- a/packages/fleet/src/engine-mirror.ts
+++ b/packages/fleet/src/engine-mirror.ts
@@ -58,8 +58,6 @@
   entries = 0
   /** Entries in other failure domains that subscribe to its updates directly, without a relay. */
   strangers = 0
-  /** The highest fencing token reported. */
-  fence = 0
   /** Whether the relay that forwards the updates has lost its connection to the engine's side process. */
   lost = false
   /** Number of changes to `held` or `coming`. */
@@ -93,7 +91,6 @@
     this.tokenMs = frame.tokenMs === undefined ? before.tokenMs : frame.tokenMs ?? undefined
     this.entries = frame.entries ?? before.entries
     this.strangers = frame.strangers ?? before.strangers
-    this.fence = Math.max(this.fence, frame.fence ?? 0)
   }
 
   /** The engine was replaced or restarted: its warm copies are gone, and earlier load notices are void. */
--- a/packages/fleet/src/entry/peers/side-link.ts
+++ b/packages/fleet/src/entry/peers/side-link.ts
@@ -36,8 +36,6 @@
   ensureProof: () => Promise<void>
   /** Whether this entry watches the store. If so, it sends all facts to local side processes without delay. */
   watching: () => boolean
-  /** The highest fencing token that the side process is known to have used. */
-  fence: () => number
   /** Called when the channel is opened or closed. */
   onConnectionChange: () => void
   onConnect: (channel: Channel) => void
@@ -284,10 +282,10 @@
   }
 
   #handleConnect (channel: Channel, factLink: FactLink): void {
-    const { facts, fence, log, onConnectionChange, onConnect } = this.options
+    const { facts, log, onConnectionChange, onConnect } = this.options
     this.#channel = channel
     this.#lastHeardAt = nowMs()
-    channel.send({ type: 'fences', highest: Math.max(fence(), Math.floor(facts.revision)) })
+    channel.send({ type: 'fences', highest: Math.floor(facts.revision) })
     // From this frame on, the side process assumes that it was sent every fact which a heartbeat reports as complete, so the
     // facts must be sent before the next heartbeat.
     this.#sendSubscriptions(channel)
--- a/packages/fleet/src/entry/peers/side-links.ts
+++ b/packages/fleet/src/entry/peers/side-links.ts
@@ -293,7 +293,6 @@
     const { onEngineChange, onAppointmentsChange, onLocalConnect } = this.options
     const link: SideLink = new SideLink(host, domain === this.options.domain, {
       ...this.options,
-      fence: () => mirror.fence,
       onConnectionChange: () => onEngineChange(undefined),
       onConnect: channel => { if (link.isLocal) onLocalConnect(channel) },
       onAppointmentChange: onAppointmentsChange,
--- a/packages/fleet/src/side/engine-update.ts
+++ b/packages/fleet/src/side/engine-update.ts
@@ -43,7 +43,6 @@
   entries: number
   /** Entries of other failure domains that subscribe to the engine directly. */
   strangers: number
-  fence: number
   /** The side process that relays the updates has lost its connection to the engine's side process. */
   lost?: boolean
   /** Maximum number of concurrent requests. Not sent, since subscribers know it from the server list. */
@@ -88,7 +87,7 @@
 }
 
 /** Fields that are sent as they are. Loaded keys and loads in progress are sent as `came`, `went` and `coming`. */
-const scalarFields = ['reachable', 'server', 'bornAt', 'leaving', 'lost', 'waiting', 'running', 'unread', 'room', 'slotMs', 'prefillMs', 'tokenMs', 'entries', 'strangers', 'fence'] as const
+const scalarFields = ['reachable', 'server', 'bornAt', 'leaving', 'lost', 'waiting', 'running', 'unread', 'room', 'slotMs', 'prefillMs', 'tokenMs', 'entries', 'strangers'] as const
 
 /** Values that mark a field as no longer set. */
 const unsetValues: Partial<Record<typeof scalarFields[number], null | false>> = { server: null, bornAt: null, leaving: false, lost: false, prefillMs: null, tokenMs: null }
--- a/packages/fleet/src/side/order-sender.ts
+++ b/packages/fleet/src/side/order-sender.ts
@@ -1,13 +1,17 @@
 /**
- * Sends load and unload orders to the engine. Each order carries a fencing token that is at least as high as that of any earlier
- * incarnation of this process, and the id of the engine that it is meant for.
+ * Sends load and unload orders to the engine. Each order carries the id of the engine that it is meant for, the order count at which
+ * it was decided, and a fencing token.
+ *
+ * Fencing tokens order the holders of a resource. An engine has only one holder, the machine of its side process, so all incarnations
+ * of that process send the same token. Nothing has to survive a restart, and no peer has to be asked, for the token never to fall. An
+ * order of an earlier incarnation that arrives late is refused by its order count.
  */
 import type { Log } from '@finchpitch/core'
 import { nowMs } from '../clock.js'
 import type { Facts } from '../facts.js'
 import type { EngineOrder, EngineControl, OrderOutcome } from '../ports.js'
 import { refKey } from '../server.js'
-import { revisionFields } from '../store-revision.js'
+import { maxStoreRevision } from '../store-revision.js'
 import type { SideCounters } from './counters.js'
 
 /**
@@ -17,6 +21,11 @@
 const noAnswerDelayMs = 20
 /** Delay after the engine refused an order that was based on the state it had reported. */
 const refusedDelayMs = 50
+/** Delay after the engine refused the fencing token. It refuses it until it restarts. */
+const fencedDelayMs = 1000
+
+/** Above every store revision, which earlier software versions send as their token, so that an update does not lower it. */
+export const fencingToken = maxStoreRevision + 1
 
 export interface OrderSenderOptions {
   engine: EngineControl
@@ -37,7 +46,6 @@
 }
 
 export class OrderSender {
-  #fence = 0
   #server: string | undefined
   #bornAt: number | undefined
   /** The engine's id by its last status, or by the server list. */
@@ -45,11 +53,6 @@
 
   constructor (private readonly options: OrderSenderOptions) {}
 
-  /** The fencing token, 0 until the store's revision is known. */
-  get fence (): number {
-    return this.#fence
-  }
-
   /** The engine's id, if known. */
   get server (): string | undefined {
     return this.#server
@@ -60,16 +63,6 @@
     return this.#bornAt
   }
 
-  /** Whether orders may be sent. The fencing token is chosen once: a store revision that no earlier incarnation can have exceeded. */
-  get ready (): boolean {
-    if (this.#fence > 0) return true
-    const { facts, log } = this.options
-    if (facts.revision === 0) return false
-    this.#fence = Math.floor(facts.revision)
-    log.info('fence.taken', { fence: this.#fence, ...revisionFields(facts.revision) })
-    return true
-  }
-
   /** Handles a restart of the engine under the same id: cached adapters and loads in progress are lost. */
   recordEngineStart (bornAt: number | undefined): void {
     if (bornAt === undefined || bornAt === this.#bornAt) return
@@ -92,12 +85,11 @@
   async send (order: EngineOrder, reason: string): Promise<SentOrder> {
     const { engine, log, counters } = this.options
     const at = nowMs()
-    const fence = this.#fence
-    const { outcome, detail, server } = await engine.order(order, fence, this.#server)
+    const { outcome, detail, server } = await engine.order(order, fencingToken, this.#server)
     const { operation, model, adapter, version, expectedOrders } = order
     counters.orders.inc({ operation, outcome })
     log.info('engine.ordered', {
-      operation, key: refKey({ model, adapter }), version, reason, expectedOrders, fence, server: this.#server, outcome, detail, ms: Math.round(nowMs() - at)
+      operation, key: refKey({ model, adapter }), version, reason, expectedOrders, fence: fencingToken, server: this.#server, outcome, detail, ms: Math.round(nowMs() - at)
     })
     return { outcome, at, waitMs: this.#pollDelayAfter[outcome](server) }
   }
@@ -108,10 +100,8 @@
     accepted: () => 0,
     refused: () => refusedDelayMs,
     unknown: () => noAnswerDelayMs,
-    fenced: () => {
-      this.#fence = Math.max(this.#fence + 1, Math.floor(this.options.facts.revision))
-      return refusedDelayMs
-    },
+    // Another holder has sent a higher token. Sending one above it would lead to both ordering in turns.
+    fenced: () => fencedDelayMs,
     moved: server => {
       this.#setServer(server)
       return refusedDelayMs
--- a/packages/fleet/src/side/side-process.ts
+++ b/packages/fleet/src/side/side-process.ts
@@ -142,7 +142,7 @@
     this.#isPredicted = false
     const status = this.#status
     const spec = this.#spec()
-    if (status === undefined || spec === undefined || !this.#orderSender.ready || signal.aborted) return idlePollMs
+    if (status === undefined || spec === undefined || signal.aborted) return idlePollMs
     this.#settleLoaded(status)
     const placement = decidePlacement({
       spec,
@@ -287,11 +287,6 @@
     const entry = subscriber.channel.peer.process
     this.#subscribers.handleFrame(frame, subscriber)
     if (frame.type === 'uses') this.#handleUses(entry, frame)
-    if (frame.type === 'fences') {
-      this.options.facts.observeRevision(frame.highest)
-      const { fence } = this.#orderSender
-      if (fence > 0 && frame.highest > fence) this.options.log.info('fence.behind', { fence, highest: frame.highest })
-    }
     if (frame.type === 'quota') subscriber.channel.send(this.#quotaBank.exchange(entry, frame, team => this.#tokenLifetimeMs(team)))
     if (frame.type === 'want') {
       this.demands.ask(entry, frame)
@@ -380,7 +375,6 @@
       tokenMs: this.#pace?.tokenMs,
       entries: near,
       strangers,
-      fence: this.#orderSender.fence,
       batchSize: spec?.batchSize
     }
   }
--- a/packages/fleet/src/side/update-relay.ts
+++ b/packages/fleet/src/side/update-relay.ts
@@ -126,6 +126,6 @@
 }
 
 const updateFrom = (host: string, mirror: EngineMirror, batchSize: number | undefined): EngineUpdate => {
-  const { changes, held, coming, reachable, server, bornAt, leaving, waiting, running, unread, room, slotMs, prefillMs, tokenMs, entries, strangers, fence, lost } = mirror
-  return new EngineUpdate({ host, changes, held, coming, warm: () => mirror.warm.all(), reachable, server, bornAt, leaving, waiting, running, unread, room, slotMs, prefillMs, tokenMs, entries, strangers, fence, lost, batchSize })
+  const { changes, held, coming, reachable, server, bornAt, leaving, waiting, running, unread, room, slotMs, prefillMs, tokenMs, entries, strangers, lost } = mirror
+  return new EngineUpdate({ host, changes, held, coming, warm: () => mirror.warm.all(), reachable, server, bornAt, leaving, waiting, running, unread, room, slotMs, prefillMs, tokenMs, entries, strangers, lost, batchSize })
 }
--- a/packages/fleet/src/store-revision.ts
+++ b/packages/fleet/src/store-revision.ts
@@ -11,6 +11,7 @@
 /** With at most 52 bits in use, a double still represents the half steps of `removalRevisionStep` exactly. */
 export const maxEra = 2 ** 12 - 1
 export const maxRevisionInEra = revisionsPerEra - 1
+export const maxStoreRevision = (maxEra + 1) * revisionsPerEra - 1
 
 export const storeRevision = (era: number, revision: number): number => era * revisionsPerEra + revision
 
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -136,7 +136,7 @@
   entries: Count.optional(),
   /** Entries of other failure domains that subscribe directly, because their own domain has no side process. */
   strangers: Count.optional(),
-  /** The fencing token of the side process's orders. Peers remember it, so that its next incarnation never uses a lower one. */
+  /** Sent by earlier software versions: the fencing token of the side process's orders. */
   fence: Count.optional()
 })
 export type EngineUpdateFrame = z.infer<typeof EngineUpdateFrame>
@@ -336,7 +336,7 @@
     unread: Count.optional(),
     pace: z.tuple([z.number().nonnegative(), z.number().nonnegative(), z.number().nonnegative(), z.number().nonnegative()]).optional()
   }),
-  /** The highest fencing token that the receiver is known to have used, or the newest known revision; it must not use a lower one. */
+  /** The newest store revision known to the sender. Side processes of earlier software versions need it for their fencing token; others ignore it. */
   z.object({ type: z.literal('fences'), highest: Count }),
   /** `listings`: what the receiver has to know before it may rely on `complete`; see `Listing`. */
   z.object({ type: z.literal('heartbeat'), revision: Revision, load: LoadReport.optional(), complete: CompleteRevisions.optional(), sight: StoreSight.optional(), listings: z.array(Listing).optional() }),
