A response with a status that no final response has is no answer

What was seen: a server's 000, 001 or 099 closed the caller's connection without a byte, and a request that may be repeated wasn't; 101 was passed on though nobody had asked to switch; 600 to 999 were passed on with seal and body.

Cause: any status that Node parses was taken for an answer. Writing a head with one below 100 throws.

Change: a final response has a status from 200 to 599 (RFC 9110, section 15). Others leave the outcome unknown: the connection is closed, a request that may be repeated goes to another server, and otherwise the caller gets 502. One check where all attempts read a head; the same one for health checks, JSON calls to the store and the engine (an order counted as refused), and the backend servers of the product's own interface.

--- a/packages/backend/src/http-engine.ts
+++ b/packages/backend/src/http-engine.ts
@@ -19,7 +19,7 @@
 import { backendError, toBackendError, type BackendError, type BackendErrorCode } from './backend-error.js'
 import { createConnector } from './connector.js'
 import { limitInterim } from './interim-responses.js'
-import { completeBody } from './response-body.js'
+import { completeBody, requireFinalStatus } from './response-body.js'
 import { endToEndHeaders } from './service.js'
 
 const maxConnections = 256
@@ -130,6 +130,7 @@
     try {
       const reply = await this.#post(request)
       const boot = bootOf(reply)
+      requireFinalStatus(reply)
       const refusal = refusalCodes[reply.statusCode]
       if (refusal !== undefined) return err(backendError(refusal, await readTextStart(reply.body, refusalBounds), boot))
       const body = isEventStream(reply) ? this.#resumableEvents(request, reply, boot) : completeBody(reply, 'POST', async () => await this.#hasBoot(boot))
--- a/packages/backend/src/response-body.ts
+++ b/packages/backend/src/response-body.ts
@@ -4,7 +4,7 @@
  * A response without a length or chunks ends with its connection, which the operating system closes in order also where the backend
  * server is killed. It is complete only if the server is known to be there then.
  */
-import { ResponseError, acceptsConnections, outcomeUnknown } from '@finchpitch/core'
+import { ResponseError, acceptsConnections, isFinalStatus, outcomeUnknown } from '@finchpitch/core'
 import type { Dispatcher } from 'undici'
 
 const defaultPorts: Record<string, number> = { 'http:': 80, 'https:': 443 }
@@ -18,6 +18,13 @@
 export const completeBody = (response: Dispatcher.ResponseData, method: string, isPresent: PresenceCheck): AsyncGenerator<Uint8Array> =>
   reportTruncation(endsWithConnection(method, response) ? confirmEnd(response.body, isPresent) : response.body)
 
+/** Throws if the response has a status that no final response has. */
+export const requireFinalStatus = ({ statusCode, body }: Dispatcher.ResponseData): void => {
+  if (isFinalStatus(statusCode)) return
+  body.on('error', () => {}).destroy()
+  throw new Error(`status ${statusCode}, which no final response has`)
+}
+
 /** For a server that states no id: another process at its origin can't be told from it. */
 export const listensAt = (origin: string): PresenceCheck => async () => await acceptsConnections(addressOf(origin))
 
--- a/packages/backend/src/service.ts
+++ b/packages/backend/src/service.ts
@@ -6,7 +6,7 @@
 import { Pool } from 'undici'
 import { createConnector } from './connector.js'
 import { limitInterim } from './interim-responses.js'
-import { completeBody, listensAt } from './response-body.js'
+import { completeBody, listensAt, requireFinalStatus } from './response-body.js'
 import { toBackendError, type BackendError } from './backend-error.js'
 
 const maxConnections = 64
@@ -44,6 +44,7 @@
       const headers = { ...endToEndHeaders(call.headers), 'finchpitch-fence': String(fence) }
       const body = call.body.length === 0 ? null : call.body
       const reply = await this.#pool.request({ method: call.method as 'GET', path: call.path, headers, body, signal, ...limitInterim() })
+      requireFinalStatus(reply)
       return ok({ status: reply.statusCode, headers: endToEndHeaders(reply.headers), body: completeBody(reply, call.method, listensAt(this.origin)) })
     } catch (error) {
       return err(toBackendError(error))
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,6 +1,7 @@
 /** Types and utilities shared by all packages: ids, findings, failures, requests, the configuration and logging. */
 export * from './id.js'
 export * from './address.js'
+export * from './final-status.js'
 export * from './finding.js'
 export * from './failure.js'
 export * from './work.js'
--- a/packages/fleet/src/entry/servers/server-presence.ts
+++ b/packages/fleet/src/entry/servers/server-presence.ts
@@ -6,7 +6,7 @@
  * answer on an open one may have been sent earlier.
  */
 import { request } from 'node:http'
-import { pause, splitAddress } from '@finchpitch/core'
+import { isFinalStatus, pause, splitAddress } from '@finchpitch/core'
 import { nowMs } from '../../clock.js'
 import type { BackendServer } from '../../server.js'
 
@@ -64,6 +64,7 @@
 
 const presenceOf = (id: string, answer: HealthAnswer): PresenceCheck => {
   if (answer.type === 'failed') return { presence: answer.code === refusedCode ? 'gone' : 'unknown', detail: answer.code }
+  if (!isFinalStatus(answer.status)) return { presence: 'unknown', detail: `status ${answer.status}, which no final response has` }
   if (answer.serverId === undefined) return { presence: 'unknown', detail: `status ${answer.status} without an id` }
   return { presence: answer.serverId === id ? 'present' : 'gone', detail: `answered by ${answer.serverId}` }
 }
--- a/packages/fleet/src/entry/serving/attempt.ts
+++ b/packages/fleet/src/entry/serving/attempt.ts
@@ -3,10 +3,11 @@
  *
  * The result says exactly how far the attempt got, since that decides whether it may be retried: a request that was never
  * sent or that the server refused can safely go to another server; any other may have run. A response is accepted only if
- * it comes from the server itself (it carries the seal), belongs to this request (it echoes the id) and is complete.
+ * it has the status of a final response, comes from the server itself (it carries the seal), belongs to this request (it echoes the id)
+ * and is complete.
  */
 import { request as openRequest, type Agent, type ClientRequest, type IncomingMessage } from 'node:http'
-import { readEndApart, splitAddress } from '@finchpitch/core'
+import { isFinalStatus, readEndApart, splitAddress } from '@finchpitch/core'
 import { nowMs } from '../../clock.js'
 import type { HeaderNames } from '../../ports.js'
 import type { Cancellation } from './cancellation.js'
@@ -198,6 +199,7 @@
     return { type: 'broken', detail }
   }
   const status = response.statusCode ?? 0
+  if (!isFinalStatus(status)) return reject(`status ${status}, which no final response has`)
   const echoed = headerOf(response, names.requestId)
   if (echoed !== undefined && echoed !== requestId) return reject(`an answer to another request (${echoed})`)
   if (headerOf(response, names.notRun) !== undefined || status === misdirectedStatus) return readRefusal(response, options)
