A request whose handling throws is answered

What was seen: an exception while a request was handled destroyed its connection. The caller got nothing, nor did requests behind it on the same connection.

Cause: the handler of exceptions closed the connection in every case, also where no byte of a response had been sent.

Change: where nothing has been sent, the caller gets 500, which doesn't promise that the request hasn't run, and the connection goes on. Otherwise the connection is closed as before.

--- a/packages/fleet/src/entry/entry-process.ts
+++ b/packages/fleet/src/entry/entry-process.ts
@@ -43,6 +43,7 @@
 import { ServerLimits } from './servers/server-limits.js'
 import { ServerFeedbackHandler } from './servers/server-feedback-handler.js'
 import { RequestHeap } from './serving/request-heap.js'
+import { answerAfterCrash } from './serving/crash-response.js'
 import { refuseForMemory } from './serving/memory-refusal.js'
 import { ServiceRequest, type ServiceRequestOptions } from './serving/service-request.js'
 import { SideLinks } from './peers/side-links.js'
@@ -364,7 +365,7 @@
       await serviceRequest.serve()
     } catch (error) {
       this.options.log.error('request.crashed', { detail: (error as Error).stack })
-      response.destroy()
+      answerAfterCrash(response)
     } finally {
       this.#running -= 1
       reservation.releaseAfter(response)
--- a/packages/fleet/test/single-entry.ts
+++ b/packages/fleet/test/single-entry.ts
@@ -80,6 +80,11 @@
     this.#offer('table', 'table', { version: 1, routes, services: [{ name: 'plain', maxConnections: 100, healthPath }], limits: { headerBytes: 10_000, bodyBytes: 1_000_000, headerTimeoutMs: 60_000, idleTimeoutMs: 60_000 } })
   }
 
+  /** Where callers connect. */
+  get address (): { host: string, port: number } {
+    return { port: (this.#entry.server.address() as AddressInfo).port, host: '127.0.0.1' }
+  }
+
   /** Starts a server and lists it. */
   async addServer (id: string, answer: RawAnswer): Promise<Server> {
     const server = await this.#listen(id, answer, 0)
@@ -134,7 +139,7 @@
 
   /** Sends a request over a connection of its own and reads until that ends. */
   async send (path: string, options: SendOptions = {}): Promise<CallerResult> {
-    return await sendRaw({ port: (this.#entry.server.address() as AddressInfo).port, host: '127.0.0.1' }, path, { host: 'h' }, options)
+    return await sendRaw(this.address, path, { host: 'h' }, options)
   }
 
   linesOf (event: string): LogLine[] {
