--- a/packages/fleet/src/side/order-sender.ts
+++ b/packages/fleet/src/side/order-sender.ts
@@ -25,7 +25,7 @@
 const fencedDelayMs = 1000
 
 /** Above every store revision, which earlier software versions send as their token, so that an update does not lower it. */
-export const fencingToken = maxStoreRevision + 1
+const fencingToken = maxStoreRevision + 1
 
 export interface OrderSenderOptions {
   engine: EngineControl
