--- a/packages/fleet/test/order-fences.test.ts
+++ b/packages/fleet/test/order-fences.test.ts
@@ -78,124 +78,126 @@
 }), { minLength: 2, maxLength: 6 })
 
 describe('orders of a side process that is killed and restarted', () => {
-  let time: FakeTime
-
-  beforeEach(() => { time = new FakeTime() })
-
-  afterEach(() => time.restore())
-
-  const connectEntry = async (side: SideProcess, name: string, revision: number): Promise<Channel> => {
-    const facts = new Facts(silentLog, () => 1000)
-    facts.offer({ kind: 'table', key: 'table', revision, value: routingTable }, 'store')
-    facts.offer({ kind: 'server', key: 's', revision, value: { id: 's', service: 'engines', address, domain: 'a', slots: 8, leaving: false, models: [] } }, 'store')
-    const [near, far] = duplexPair()
-    void side.accept(far)
-    const channel = new Channel(near, channelOptions(name))
-    void (async () => { for await (const frame of channel.frames()) void frame })()
-    await time.settle()
-    // Sent by entries of earlier software versions.
-    channel.send({ type: 'fences', highest: revision })
-    new FactLink(facts, channel, 0, silentLog).start()
-    return channel
-  }
-
-  /** Starts a side process, to which one entry after the other connects and sends a demand. Resolves to the function that ends it. */
-  const startLife = async (engine: Engine, name: string, revisions: readonly number[]): Promise<() => Promise<void>> => {
-    const stop = new AbortController()
-    const side = new SideProcess({
-      process: 'side-0',
-      domain: 'a',
-      engineAddress: address,
-      sidePort: 7380,
-      dial: async () => { throw new Error('nothing listens') },
-      engine,
-      facts: new Facts(silentLog, () => 1000),
-      limits: () => limits,
-      channel: channelOptions('side-0'),
-      counters: new SideCounters(),
-      log: silentLog
-    })
-    const running = side.run(stop.signal)
-    const channels: Channel[] = []
-    for (const [index, revision] of revisions.entries()) {
-      channels.push(await connectEntry(side, `entry-${index}`, revision))
-      side.demands.ask(`entry-${index}`, { key: `base/${name}-${index}`, waiting: 1, priority: 0, keep: true })
-      await time.advance(roundMs)
-    }
-    return async () => {
-      stop.abort()
-      side.close()
-      for (const channel of channels) channel.close()
-      await time.runUntilSettled(running)
+  describe('with simulated entries', () => {
+    let time: FakeTime
+
+    beforeEach(() => { time = new FakeTime() })
+
+    afterEach(() => time.restore())
+
+    const connectEntry = async (side: SideProcess, name: string, revision: number): Promise<Channel> => {
+      const facts = new Facts(silentLog, () => 1000)
+      facts.offer({ kind: 'table', key: 'table', revision, value: routingTable }, 'store')
+      facts.offer({ kind: 'server', key: 's', revision, value: { id: 's', service: 'engines', address, domain: 'a', slots: 8, leaving: false, models: [] } }, 'store')
+      const [near, far] = duplexPair()
+      void side.accept(far)
+      const channel = new Channel(near, channelOptions(name))
+      void (async () => { for await (const frame of channel.frames()) void frame })()
+      await time.settle()
+      // Sent by entries of earlier software versions.
+      channel.send({ type: 'fences', highest: revision })
+      new FactLink(facts, channel, 0, silentLog).start()
+      return channel
     }
-  }
 
-  it('never carry a lower fencing token than earlier ones, whatever its entries know and however late orders are executed', async () => {
-    await fc.assert(fc.asyncProperty(lives, async drawn => {
-      const engine = new Engine()
-      let endPrevious = async (): Promise<void> => {}
-      for (const [index, { entries, handlings, overlaps }] of drawn.entries()) {
-        if (!overlaps) await endPrevious()
-        engine.handlings = [...handlings]
-        const end = await startLife(engine, `life-${index}`, entries.map(({ era, revision }) => storeRevision(era, revision)))
-        if (overlaps) await endPrevious()
-        endPrevious = end
-        engine.executeLateOrders()
+    /** Starts a side process, to which one entry after the other connects and sends a demand. Resolves to the function that ends it. */
+    const startLife = async (engine: Engine, name: string, revisions: readonly number[]): Promise<() => Promise<void>> => {
+      const stop = new AbortController()
+      const side = new SideProcess({
+        process: 'side-0',
+        domain: 'a',
+        engineAddress: address,
+        sidePort: 7380,
+        dial: async () => { throw new Error('nothing listens') },
+        engine,
+        facts: new Facts(silentLog, () => 1000),
+        limits: () => limits,
+        channel: channelOptions('side-0'),
+        counters: new SideCounters(),
+        log: silentLog
+      })
+      const running = side.run(stop.signal)
+      const channels: Channel[] = []
+      for (const [index, revision] of revisions.entries()) {
+        channels.push(await connectEntry(side, `entry-${index}`, revision))
+        side.demands.ask(`entry-${index}`, { key: `base/${name}-${index}`, waiting: 1, priority: 0, keep: true })
+        await time.advance(roundMs)
       }
-      await endPrevious()
-      const lower = engine.fences.filter((fence, index) => fence < Math.max(...engine.fences.slice(0, index)))
-      expect(lower).to.deep.equal([])
-      // Without orders, nothing was tested.
-      expect(engine.fences.length).to.be.greaterThan(0)
-    }), { seed: 861000, numRuns: 40, endOnFailure: true })
-  }).timeout(60_000)
-})
-
-describe('orders of a side process as a real process', function () {
-  this.timeout(60_000)
-  const settleMs = 1500
-  let fleet: FleetSystem
+      return async () => {
+        stop.abort()
+        side.close()
+        for (const channel of channels) channel.close()
+        await time.runUntilSettled(running)
+      }
+    }
 
-  beforeEach(async () => {
-    fleet = new FleetSystem({ network: 78, domains: 1, entriesPerDomain: 2, enginesPerDomain: 1, plainServersPerDomain: 0, adapterSlots: 4, loadMs: 20, workMs: 5, events: 4, eventMs: 5, storeProxies: true })
-    await fleet.start()
-    await pause(settleMs)
+    it('never carry a lower fencing token than earlier ones, whatever its entries know and however late orders are executed', async () => {
+      await fc.assert(fc.asyncProperty(lives, async drawn => {
+        const engine = new Engine()
+        let endPrevious = async (): Promise<void> => {}
+        for (const [index, { entries, handlings, overlaps }] of drawn.entries()) {
+          if (!overlaps) await endPrevious()
+          engine.handlings = [...handlings]
+          const end = await startLife(engine, `life-${index}`, entries.map(({ era, revision }) => storeRevision(era, revision)))
+          if (overlaps) await endPrevious()
+          endPrevious = end
+          engine.executeLateOrders()
+        }
+        await endPrevious()
+        const lower = engine.fences.filter((fence, index) => fence < Math.max(...engine.fences.slice(0, index)))
+        expect(lower).to.deep.equal([])
+        // Without orders, nothing was tested.
+        expect(engine.fences.length).to.be.greaterThan(0)
+      }), { seed: 861000, numRuns: 40, endOnFailure: true })
+    }).timeout(60_000)
   })
 
-  afterEach(async () => { await fleet.stop() })
-
-  /** Requests new adapters from an entry, one after the other, until the engine has received some more orders. */
-  const causeOrders = async (name: string, entry: number): Promise<void> => {
-    const [engine] = fleet.engines
-    const before = engine?.orders.length ?? 0
-    let requests = 0
-    await eventually('orders have reached the engine', async () => {
-      requests += 1
-      const id = `${name}-${requests}`
-      await sendToFleet(fleet, { path: `/stream/${id}`, id, model: `base/${id}`, entry }).catch(() => {})
-      return (engine?.orders.length ?? 0) >= before + 4
-    }, 10_000)
-  }
+  describe('with real processes', function () {
+    this.timeout(60_000)
+    const settleMs = 1500
+    let fleet: FleetSystem
+
+    beforeEach(async () => {
+      fleet = new FleetSystem({ network: 78, domains: 1, entriesPerDomain: 2, enginesPerDomain: 1, plainServersPerDomain: 0, adapterSlots: 4, loadMs: 20, workMs: 5, events: 4, eventMs: 5, storeProxies: true })
+      await fleet.start()
+      await pause(settleMs)
+    })
 
-  it('carry no lower fencing token once it has heard of its restart only from an entry that stood still', async () => {
-    const [behind, current] = fleet.entries
-    const [side] = fleet.sides
-    const [proxy] = fleet.storeProxies
-    if (behind === undefined || current === undefined || side === undefined || proxy === undefined) throw new Error('the fleet has two entries, a side process and proxies')
-    await causeOrders('first', 0)
-    proxy.fault = { type: 'silence' }
-    await pause(100)
-    fleet.signal(behind.process, 'SIGSTOP')
-    fleet.store.put('config', 'main', fleet.table(2))
-    await pause(300)
-    await fleet.kill(side)
-    await fleet.startProcess(side)
-    await causeOrders('second', 1)
-    await Promise.all([fleet.kill(side), fleet.kill(current)])
-    fleet.signal(behind.process, 'SIGCONT')
-    await fleet.startProcess(side)
-    await causeOrders('third', 0)
-    const fences = fleet.engines.flatMap(engine => engine.orders.map(order => order.fence))
-    expect(fences).to.deep.equal([...fences].sort((a, b) => a - b))
+    afterEach(async () => { await fleet.stop() })
+
+    /** Requests new adapters from an entry, one after the other, until the engine has received some more orders. */
+    const causeOrders = async (name: string, entry: number): Promise<void> => {
+      const [engine] = fleet.engines
+      const before = engine?.orders.length ?? 0
+      let requests = 0
+      await eventually('orders have reached the engine', async () => {
+        requests += 1
+        const id = `${name}-${requests}`
+        await sendToFleet(fleet, { path: `/stream/${id}`, id, model: `base/${id}`, entry }).catch(() => {})
+        return (engine?.orders.length ?? 0) >= before + 4
+      }, 10_000)
+    }
+
+    it('never carry a lower fencing token than earlier ones, also if only an entry that stood still is there after a restart', async () => {
+      const [behind, current] = fleet.entries
+      const [side] = fleet.sides
+      const [proxy] = fleet.storeProxies
+      if (behind === undefined || current === undefined || side === undefined || proxy === undefined) throw new Error('the fleet has two entries, a side process and proxies')
+      await causeOrders('first', 0)
+      proxy.fault = { type: 'silence' }
+      await pause(100)
+      fleet.signal(behind.process, 'SIGSTOP')
+      fleet.store.put('config', 'main', fleet.table(2))
+      await pause(300)
+      await fleet.kill(side)
+      await fleet.startProcess(side)
+      await causeOrders('second', 1)
+      await Promise.all([fleet.kill(side), fleet.kill(current)])
+      fleet.signal(behind.process, 'SIGCONT')
+      await fleet.startProcess(side)
+      await causeOrders('third', 0)
+      const fences = fleet.engines.flatMap(engine => engine.orders.map(order => order.fence))
+      expect(fences).to.deep.equal([...fences].sort((a, b) => a - b))
+    })
   })
 })
