Side processes take the newest revision from their entries again

Cause: with the token, the use of the frame that names the newest revision had been dropped. Removals that a side process derives from a listing are dated by that revision, and dependents that have read further aren't sent removals with an older date.

Change: the frame is used for that again.

--- a/packages/fleet/src/side/side-process.ts
+++ b/packages/fleet/src/side/side-process.ts
@@ -287,6 +287,8 @@
     const entry = subscriber.channel.peer.process
     this.#subscribers.handleFrame(frame, subscriber)
     if (frame.type === 'uses') this.#handleUses(entry, frame)
+    // A removal that this process derives from a listing has to count as later than what its dependents have read.
+    if (frame.type === 'fences') this.options.facts.observeRevision(frame.highest)
     if (frame.type === 'quota') subscriber.channel.send(this.#quotaBank.exchange(entry, frame, team => this.#tokenLifetimeMs(team)))
     if (frame.type === 'want') {
       this.demands.ask(entry, frame)
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -336,7 +336,7 @@
     unread: Count.optional(),
     pace: z.tuple([z.number().nonnegative(), z.number().nonnegative(), z.number().nonnegative(), z.number().nonnegative()]).optional()
   }),
-  /** The newest store revision known to the sender. Side processes of earlier software versions need it for their fencing token; others ignore it. */
+  /** The newest store revision known to the sender. Side processes of earlier software versions also take their fencing token from it. */
   z.object({ type: z.literal('fences'), highest: Count }),
   /** `listings`: what the receiver has to know before it may rely on `complete`; see `Listing`. */
   z.object({ type: z.literal('heartbeat'), revision: Revision, load: LoadReport.optional(), complete: CompleteRevisions.optional(), sight: StoreSight.optional(), listings: z.array(Listing).optional() }),
