--- a/packages/fleet/test/order-fences.test.ts
+++ b/packages/fleet/test/order-fences.test.ts
@@ -94,7 +94,6 @@
       const channel = new Channel(near, channelOptions(name))
       void (async () => { for await (const frame of channel.frames()) void frame })()
       await time.settle()
-      // Sent by entries of earlier software versions.
       channel.send({ type: 'fences', highest: revision })
       new FactLink(facts, channel, 0, silentLog).start()
       return channel
